--- /dev/null
+++ b/Makefile
@@ -0,0 +1,159 @@
+# buckthornchute - flat build. Variables: SAN=address,undefined|thread, V=1, PREFIX, DESTDIR.
+CC ?= gcc
+SAN ?=
+PREFIX ?= /usr/local
+DESTDIR ?=
+VERSION := 0.1.0
+
+comma := ,
+B := build$(if $(SAN),/san-$(subst $(comma),-,$(SAN)))
+BIN := $(B)/bin
+Q := $(if $(V),,@)
+
+PKGS := libmicrohttpd libcurl libtirpc ck jansson libsodium libxxhash popt
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
+
+SANFLAGS := $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith \
+	-Wwrite-strings -Wvla
+CFLAGS ?= -O2 -g
+ALL_CFLAGS := -std=gnu11 -pthread -fPIC $(CFLAGS) $(WARN) $(SANFLAGS) -I. \
+	$(patsubst -I%,-isystem %,$(PKG_CFLAGS)) -DBCT_VERSION='"$(VERSION)"'
+# rpcgen's output is not ours to style.
+GEN_CFLAGS := -Wno-unused-variable -Wno-unused-parameter -Wno-missing-prototypes
+
+LIB_DIRS := base policy coord gen
+LIB_SRCS := $(sort $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c)))
+NODE_SRCS := $(sort $(wildcard node/*.c))
+CTL_SRCS := $(sort $(wildcard cmd/chutectl*.c))
+LOAD_SRCS := $(sort $(wildcard cmd/chuteload*.c))
+STANDIN_SRCS := $(sort $(wildcard standin/*.c))
+STANDIN_MAINS := $(filter standin/fake_%,$(STANDIN_SRCS))
+STANDIN_COMMON := $(filter-out standin/fake_%,$(STANDIN_SRCS))
+TEST_SRCS := $(sort $(wildcard tests/test_*.c))
+TEST_COMMON := $(sort $(wildcard tests/util_*.c))
+RACE_SRCS := $(sort $(wildcard tests/race_*.c))
+BENCH_SRCS := $(sort $(wildcard bench/bench_*.c))
+BENCH_COMMON := $(filter-out bench/bench_%,$(sort $(wildcard bench/*.c)))
+TOOL_SRCS := $(sort $(wildcard schema/gen_*.c))
+
+obj = $(patsubst %.c,$(B)/obj/%.o,$(1))
+
+LIB := $(B)/libbuckthornchute.a
+SOLIB := $(B)/libbuckthornchute.so
+NODE_LIB := $(B)/libnode.a
+
+PROGRAMS := $(if $(wildcard cmd/chuted.c),$(BIN)/chuted) $(if $(CTL_SRCS),$(BIN)/chutectl) \
+	$(if $(LOAD_SRCS),$(BIN)/chuteload) \
+	$(patsubst standin/fake_%.c,$(BIN)/fake-%,$(STANDIN_MAINS)) \
+	$(if $(wildcard examples/embed.c),$(BIN)/embed)
+TESTS := $(patsubst tests/%.c,$(BIN)/%,$(TEST_SRCS))
+RACES := $(patsubst tests/%.c,$(BIN)/%,$(RACE_SRCS))
+BENCHES := $(patsubst bench/%.c,$(BIN)/%,$(BENCH_SRCS))
+
+.PHONY: all programs test unit demo bench bench-policy check format tsan faults gen install clean deps
+all: deps programs $(SOLIB)
+programs: $(PROGRAMS)
+
+# Installs missing Debian packages when root, else prints the line to run.
+deps:
+	$(Q)sh .ci/deps
+
+$(B)/obj/gen/%.o: gen/%.c
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(ALL_CFLAGS) $(GEN_CFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/obj/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(call obj,$(LIB_SRCS))
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+$(SOLIB): $(call obj,$(LIB_SRCS))
+	$(Q)$(CC) -shared $(SANFLAGS) $^ -o $@ $(PKG_LIBS)
+$(NODE_LIB): $(call obj,$(NODE_SRCS))
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+
+link = @mkdir -p $(BIN); $(CC) $(ALL_CFLAGS) $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
+
+$(BIN)/chuted: $(call obj,cmd/chuted.c) $(NODE_LIB) $(LIB)
+	$(link)
+$(BIN)/chutectl: $(call obj,$(CTL_SRCS)) $(LIB)
+	$(link)
+$(BIN)/chuteload: $(call obj,$(LOAD_SRCS)) $(LIB)
+	$(link)
+$(BIN)/embed: $(call obj,examples/embed.c) $(LIB)
+	$(link)
+$(BIN)/fake-%: $(B)/obj/standin/fake_%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
+	$(link)
+$(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(NODE_LIB) $(LIB)
+	$(link) -lcriterion
+$(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
+	$(link)
+$(BIN)/bench_%: $(B)/obj/bench/bench_%.o $(call obj,$(BENCH_COMMON)) $(NODE_LIB) $(LIB)
+	$(link)
+$(BIN)/gen_%: $(B)/obj/schema/gen_%.o $(LIB)
+	$(link)
+.SECONDARY:
+
+# Every unit test, then the tests on real processes.
+test: deps
+	$(Q)$(MAKE) --no-print-directory programs unit
+	$(Q)BIN=$(BIN) sh tests/run_process_tests.sh
+
+unit: $(TESTS)
+	$(Q)BIN=$(BIN) sh tests/run_unit_tests.sh $(TESTS)
+
+demo: deps
+	$(Q)$(MAKE) --no-print-directory programs
+	$(Q)BIN=$(BIN) sh examples/demo.sh
+
+bench: programs $(BENCHES)
+	$(Q)BIN=$(BIN) sh bench/run.sh
+
+bench-policy: $(BIN)/bench_policy
+	$(Q)$(BIN)/bench_policy
+
+tsan:
+	$(Q)$(MAKE) --no-print-directory SAN=thread programs races
+	$(Q)BIN=build/san-thread/bin sh tests/run_race_tests.sh
+.PHONY: races
+races: $(RACES)
+
+C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] cmd/*.[ch] \
+	standin/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
+
+check:
+	$(Q)clang-format --dry-run -Werror $(C_FILES)
+	$(Q)sh .ci/layers
+	$(Q)cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -I. -j 8 \
+		--enable=warning,performance,portability \
+		--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
+		$(filter %.c,$(C_FILES))
+	@echo "check: format, layers and linter clean"
+
+format:
+	$(Q)clang-format -i $(C_FILES)
+
+# Regenerates gen/ and the generated pages; the results are committed, the build needs no generator.
+gen:
+	$(Q)sh schema/regen.sh
+
+install: programs $(SOLIB)
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/share/man/man1
+	install $(BIN)/chuted $(BIN)/chutectl $(BIN)/chuteload $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(SOLIB) $(DESTDIR)$(PREFIX)/lib
+	for d in base policy coord; do \
+		install -d $(DESTDIR)$(PREFIX)/include/buckthornchute/$$d; \
+		install -m 644 $$d/*.h $(DESTDIR)$(PREFIX)/include/buckthornchute/$$d; done
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' buckthornchute.pc.in \
+		> $(DESTDIR)$(PREFIX)/lib/pkgconfig/buckthornchute.pc
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+
+clean:
+	rm -rf build
+
+-include $(shell find $(B)/obj -name '*.d' 2>/dev/null)
