Settings and documentation generators

Cause: settings, events and errors must come from one table each. Change: schema/settings.json with a C generator for gen/settings.[ch] and docs/SETTINGS.md, a second one for docs/EVENTS.md and docs/ERRORS.md, and the generic checker in base/settings. Conclusion: chuted can be written against the generated struct.

--- /dev/null
+++ b/base/settings.h
@@ -0,0 +1,44 @@
+/*
+ * settings.h - checks a settings document against a table generated from schema/settings.json
+ * and fills the generated struct.
+ */
+#ifndef BCT_BASE_SETTINGS_H
+#define BCT_BASE_SETTINGS_H
+
+#include "base/json.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef enum bct_setting_type {
+	BCT_SETTING_STRING = 1, /* char[size] */
+	BCT_SETTING_U32,
+	BCT_SETTING_BOOL,
+	BCT_SETTING_LIST, /* char[max][size], with the number of entries at count_offset */
+} bct_setting_type_t;
+
+typedef struct bct_setting_desc {
+	const char *path; /* "group.name" or "name" */
+	bct_setting_type_t type;
+	size_t offset;
+	size_t count_offset;
+	uint32_t size;
+	uint32_t min;
+	uint32_t max;
+	bool required;
+	const char *def; /* default as text; NULL when required */
+} bct_setting_desc_t;
+
+/*
+ * bct_settings_fill(3): check a parsed document and fill the struct.
+ *
+ * doc      an object with at most one level of groups
+ * out      the generated struct; defaults are put in first
+ * err      filled on failure: path.of.key, what is wrong, what is allowed
+ * returns  0, -BCT_ETYPE, -BCT_ERANGE, -BCT_EUNKNOWN_KEY or -BCT_EMISSING_KEY
+ */
+int bct_settings_fill(const bct_setting_desc_t *desc, uint32_t n, json_t *doc, void *out,
+		      bct_json_err_t *err);
+
+#endif
--- /dev/null
+++ b/gen/settings.h
@@ -0,0 +1,47 @@
+/*
+ * settings.h - generated from schema/settings.json; do not edit.
+ */
+#ifndef BCT_GEN_SETTINGS_H
+#define BCT_GEN_SETTINGS_H
+
+#include "base/settings.h"
+
+typedef struct bct_settings {
+	char vm_name[48];
+	char vm_failure_domain[48];
+	char vm_region[48];
+	char caller_address[48];
+	uint32_t caller_port;
+	uint32_t caller_threads;
+	uint32_t caller_max_connections;
+	uint32_t caller_max_header_bytes;
+	uint32_t caller_max_body_bytes;
+	uint32_t caller_receive_timeout_ms;
+	uint32_t caller_write_timeout_ms;
+	uint32_t caller_stream_buffer_bytes;
+	uint32_t caller_entry_lifetime_ms;
+	char admin_address[48];
+	uint32_t admin_port;
+	char admin_token_hash[65];
+	char peer_address[48];
+	uint32_t peer_port;
+	char peer_secret[129];
+	char peer_seeds[64][64];
+	uint32_t n_peer_seeds;
+	char platform_url[256];
+	uint32_t platform_timeout_ms;
+	uint32_t platform_poll_ms;
+	char platform_config_file[256];
+	uint32_t platform_key_streams;
+	uint32_t upstream_threads;
+	uint32_t upstream_report_ms;
+	uint32_t upstream_max_answer_bytes;
+	uint32_t policy_max_queued;
+	char log_level[8];
+	char log_format[8];
+} bct_settings_t;
+
+extern const bct_setting_desc_t bct_settings_table[];
+#define BCT_SETTINGS_COUNT 31
+
+#endif
