Node: HTTP front end, upstream workers, core, admin (not yet wired to configuration)

Cause: the thin path needs a daemon. Change: node/ with the callers' HTTP side (framing checks, constant-time tokens, suspended streams, back-pressure, reaping of slow requests, watch for callers that leave), libcurl workers behind a lock-free inbox, and the core that carries out the scheduler's actions. Conclusion: to be wired next.

--- a/base/json.c
+++ b/base/json.c
@@ -133,6 +133,11 @@
 	return doc;
 }
 
+json_t *bct_json_parse_strict(const char *text, size_t len_bytes, bct_json_err_t *err)
+{
+	return parse_blanked(text, len_bytes, err);
+}
+
 static int read_file(const char *path, size_t max_bytes, bct_buf_t *out)
 {
 	char chunk[READ_CHUNK_BYTES];
--- a/base/json.h
+++ b/base/json.h
@@ -36,6 +36,9 @@
  */
 json_t *bct_json_parse(const char *text, size_t len_bytes, size_t max_bytes, bct_json_err_t *err);
 
+/* bct_json_parse_strict(3): the same for a message: no comments, no limit but depth. */
+json_t *bct_json_parse_strict(const char *text, size_t len_bytes, bct_json_err_t *err);
+
 /* bct_json_load(3): the same for a file; EIO when it cannot be read. */
 json_t *bct_json_load(const char *path, size_t max_bytes, bct_json_err_t *err);
 
--- /dev/null
+++ b/node/admin.c
@@ -0,0 +1,217 @@
+/*
+ * admin.c - operators' calls. All but the health checks and metrics need the operators' token.
+ */
+#include "node/admin.h"
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/mem.h"
+#include "node/http.h"
+#include "policy/conf.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define UPSTREAMS "/admin/v1/upstreams/"
+#define MAX_CONNECTIONS 64U
+#define MAX_BODY_BYTES 65536
+
+struct bct_admin {
+	bct_node_t *node;
+	struct MHD_Daemon *daemon;
+	uint16_t port;
+};
+
+typedef struct call {
+	bct_buf_t body;
+	bool refused;
+} call_t;
+
+static bool token_ok(const bct_admin_t *a, struct MHD_Connection *c)
+{
+	const char *want = bct_node_settings(a->node)->admin_token_hash;
+	const char *token = bct_http_bearer(c);
+	char hex[2 * BCT_DIGEST_BYTES + 1];
+	bct_digest_t digest;
+
+	if (strlen(want) != 2 * BCT_DIGEST_BYTES || !token)
+		return false;
+	bct_digest(token, strlen(token), &digest);
+	sodium_bin2hex(hex, sizeof(hex), digest.bytes, sizeof(digest.bytes));
+	return !sodium_memcmp(hex, want, 2 * BCT_DIGEST_BYTES);
+}
+
+static enum MHD_Result refuse(struct MHD_Connection *c, bct_refuse_t why)
+{
+	bct_refusal_t f = { .why = why, .run = BCT_RUN_NOT_RUN };
+
+	return bct_http_refuse(c, &f);
+}
+
+static enum MHD_Result answer_ready(bct_admin_t *a, struct MHD_Connection *c)
+{
+	bool ready = bct_node_ready(a->node);
+
+	return bct_http_json(c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+			     json_pack("{s:b}", "ready", (int)ready));
+}
+
+static enum MHD_Result answer_metrics(bct_admin_t *a, struct MHD_Connection *c)
+{
+	enum MHD_Result rc;
+	bct_buf_t out;
+
+	bct_buf_init(&out, 0);
+	if (bct_node_metrics(a->node, &out))
+		rc = refuse(c, BCT_REFUSE_INTERNAL);
+	else
+		rc = bct_http_text(c, MHD_HTTP_OK, "text/plain; version=0.0.4", out.data,
+				   out.len_bytes);
+	bct_buf_free(&out);
+	return rc;
+}
+
+/* POST /admin/v1/upstreams/NAME/leave or /return */
+static enum MHD_Result order_upstream(bct_admin_t *a, struct MHD_Connection *c, const char *rest)
+{
+	const char *slash = strchr(rest, '/');
+	char name[BCT_NAME_BYTES];
+	bool leave;
+
+	if (!slash || (size_t)(slash - rest) >= sizeof(name))
+		return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
+	snprintf(name, sizeof(name), "%.*s", (int)(slash - rest), rest);
+	leave = !strcmp(slash, "/leave");
+	if (!leave && strcmp(slash, "/return"))
+		return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
+	if (bct_node_upstream_leave(a->node, name, leave))
+		return refuse(c, BCT_REFUSE_UNKNOWN_SERVICE);
+	return bct_http_json(c, MHD_HTTP_OK,
+			     json_pack("{s:s, s:b}", "upstream", name, "leaving", (int)leave));
+}
+
+static enum MHD_Result order_drain(bct_admin_t *a, struct MHD_Connection *c)
+{
+	bct_node_drain(a->node);
+	return bct_http_json(c, MHD_HTTP_ACCEPTED, json_pack("{s:b}", "draining", 1));
+}
+
+static enum MHD_Result answer_post(bct_admin_t *a, struct MHD_Connection *c, const char *path)
+{
+	if (!strcmp(path, "/admin/v1/drain"))
+		return order_drain(a, c);
+	if (!strncmp(path, UPSTREAMS, strlen(UPSTREAMS)))
+		return order_upstream(a, c, path + strlen(UPSTREAMS));
+	return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
+}
+
+static enum MHD_Result answer_get(bct_admin_t *a, struct MHD_Connection *c, const char *path)
+{
+	if (!strcmp(path, "/admin/v1/status"))
+		return bct_http_json(c, MHD_HTTP_OK, bct_node_status(a->node));
+	return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
+}
+
+static enum MHD_Result answer(bct_admin_t *a, struct MHD_Connection *c, const char *method,
+			      const char *path)
+{
+	bool get = !strcmp(method, MHD_HTTP_METHOD_GET);
+
+	if (get && !strcmp(path, "/healthz"))
+		return bct_http_json(c, MHD_HTTP_OK, json_pack("{s:b}", "alive", 1));
+	if (get && !strcmp(path, "/readyz"))
+		return answer_ready(a, c);
+	if (get && !strcmp(path, "/metrics"))
+		return answer_metrics(a, c);
+	if (!token_ok(a, c))
+		return refuse(c, BCT_REFUSE_BAD_TOKEN);
+	if (get)
+		return answer_get(a, c, path);
+	if (!strcmp(method, MHD_HTTP_METHOD_POST))
+		return answer_post(a, c, path);
+	return refuse(c, BCT_REFUSE_BAD_METHOD);
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *c, const char *url,
+				  const char *method, const char *version, const char *upload,
+				  size_t *upload_bytes, void **con_cls)
+{
+	call_t *call = *con_cls;
+
+	if (!call) {
+		bct_refuse_t why = bct_http_check_framing(c, version);
+
+		if (why)
+			return refuse(c, why);
+		call = bct_alloc(sizeof(*call));
+		if (!call)
+			return MHD_NO;
+		bct_buf_init(&call->body, MAX_BODY_BYTES);
+		*con_cls = call;
+		return MHD_YES;
+	}
+	if (*upload_bytes) {
+		bct_buf_put(&call->body, upload, *upload_bytes);
+		*upload_bytes = 0;
+		return MHD_YES;
+	}
+	if (call->body.err)
+		return refuse(c, BCT_REFUSE_TOO_LARGE);
+	return answer(cls, c, method, url);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *c, void **con_cls,
+			 enum MHD_RequestTerminationCode toe)
+{
+	call_t *call = *con_cls;
+
+	(void)cls;
+	(void)c;
+	(void)toe;
+	*con_cls = NULL;
+	if (!call)
+		return;
+	bct_buf_free(&call->body);
+	bct_free(call);
+}
+
+int bct_admin_new(bct_node_t *node, bct_admin_t **out)
+{
+	const bct_settings_t *s = bct_node_settings(node);
+	struct sockaddr_storage addr;
+	bct_admin_t *a;
+
+	if (bct_http_bind(s->admin_address, (uint16_t)s->admin_port, &addr))
+		return -BCT_EINVAL;
+	a = bct_alloc(sizeof(*a));
+	if (!a)
+		return -BCT_ENOMEM;
+	a->node = node;
+	a->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | (addr.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0),
+		(uint16_t)s->admin_port, NULL, NULL, on_request, a, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&addr, MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
+		MHD_OPTION_CONNECTION_TIMEOUT, 10U, MHD_OPTION_NOTIFY_COMPLETED, on_completed, a,
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+	if (!a->daemon) {
+		bct_free(a);
+		return -BCT_EIO;
+	}
+	a->port = bct_http_port(a->daemon);
+	*out = a;
+	return 0;
+}
+
+void bct_admin_free(bct_admin_t *a)
+{
+	if (!a)
+		return;
+	MHD_stop_daemon(a->daemon);
+	bct_free(a);
+}
+
+uint16_t bct_admin_port(const bct_admin_t *a)
+{
+	return a->port;
+}
--- /dev/null
+++ b/node/answer.c
@@ -0,0 +1,195 @@
+/*
+ * answer.c - events, whole answers and their identity.
+ *
+ * The caller sees one id for the whole request, whichever attempts carried it; attempt and request
+ * ids have the same length, so the id is replaced in place.
+ */
+
+#define _GNU_SOURCE
+#include "node/answer.h"
+#include "base/err.h"
+#include "base/json.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ID_PREFIX "cmpl-"
+#define ID_HEX_LEN 16
+
+/* Text of a chunk; NULL when it carries none. */
+static const char *chunk_text(json_t *choice)
+{
+	const char *text = json_string_value(json_object_get(choice, "text"));
+
+	if (!text)
+		text = json_string_value(
+			json_object_get(json_object_get(choice, "delta"), "content"));
+	return text && text[0] ? text : NULL;
+}
+
+static int check_id(const bct_attempt_t *a, json_t *chunk)
+{
+	const char *id = json_string_value(json_object_get(chunk, "id"));
+
+	if (!id || strncmp(id, ID_PREFIX, strlen(ID_PREFIX)))
+		return -BCT_ECODEC;
+	return strcmp(id + strlen(ID_PREFIX), a->id_hex) ? -BCT_ECONFLICT : 0;
+}
+
+/* Appends the event with the attempt's id replaced by the request's. */
+static int put_event(bct_request_t *r, const bct_attempt_t *a, const char *data, size_t len)
+{
+	const char *at = memmem(data, len, a->id_hex, ID_HEX_LEN);
+	size_t before = (size_t)(at - data);
+
+	bct_buf_puts(&r->out, "data: ");
+	bct_buf_put(&r->out, data, before);
+	bct_buf_put(&r->out, a->req_id_hex, ID_HEX_LEN);
+	bct_buf_put(&r->out, at + ID_HEX_LEN, len - before - ID_HEX_LEN);
+	return bct_buf_puts(&r->out, "\n\n");
+}
+
+static void count_token(bct_request_t *r, bct_time_t now)
+{
+	if (r->first_token == BCT_TIME_NEVER) {
+		r->first_token = now;
+		r->state = BCT_STATE_STREAMING;
+	} else if (now - r->last_token > (bct_time_t)r->max_gap_ms) {
+		r->max_gap_ms = (uint32_t)(now - r->last_token);
+	}
+	r->last_token = now;
+	r->tokens++;
+}
+
+static void take_usage(bct_request_t *r, json_t *chunk, json_t *choice)
+{
+	const char *reason = json_string_value(json_object_get(choice, "finish_reason"));
+	json_t *prompt = json_object_get(json_object_get(chunk, "usage"), "prompt_tokens");
+
+	if (reason)
+		snprintf(r->finish_reason, sizeof(r->finish_reason), "%s", reason);
+	if (json_is_integer(prompt))
+		r->prompt_tokens = (uint32_t)json_integer_value(prompt);
+}
+
+/* Call with the request's lock held. */
+static int put_chunk(bct_attempt_t *a, json_t *chunk, const char *data, size_t len, bct_time_t now)
+{
+	bct_request_t *r = a->req;
+	json_t *choice = json_array_get(json_object_get(chunk, "choices"), 0);
+	const char *text = chunk_text(choice);
+	int rc;
+
+	if (r->attempt != a || r->done)
+		return -BCT_ESTATE;
+	take_usage(r, chunk, choice);
+	if (r->stream)
+		rc = put_event(r, a, data, len);
+	else
+		rc = text ? bct_buf_puts(&r->out, text) : 0;
+	if (rc)
+		return rc;
+	if (text) {
+		count_token(r, now);
+		a->tokens++;
+	}
+	if (r->stream) {
+		r->ready = true;
+		bct_request_wake(r);
+	}
+	return 0;
+}
+
+int bct_answer_event(bct_attempt_t *a, const char *data, size_t len_bytes, bct_time_t now)
+{
+	bct_json_err_t err;
+	json_t *chunk;
+	int rc;
+
+	if (len_bytes == 6 && !memcmp(data, "[DONE]", 6)) {
+		a->finished = true;
+		return 0;
+	}
+	chunk = bct_json_parse_strict(data, len_bytes, &err);
+	if (!chunk)
+		return -BCT_ECODEC;
+	rc = check_id(a, chunk);
+	if (!rc) {
+		pthread_mutex_lock(&a->req->lock);
+		rc = put_chunk(a, chunk, data, len_bytes, now);
+		pthread_mutex_unlock(&a->req->lock);
+	}
+	json_decref(chunk);
+	return rc;
+}
+
+int bct_answer_service(bct_attempt_t *a, const char *content_type)
+{
+	bct_request_t *r = a->req;
+	int rc = -BCT_ESTATE;
+
+	pthread_mutex_lock(&r->lock);
+	if (r->attempt == a && !r->done) {
+		rc = bct_buf_put(&r->out, a->answer.data ? a->answer.data : "",
+				 a->answer.len_bytes);
+		r->status = a->status;
+		snprintf(r->answer_type, sizeof(r->answer_type), "%s",
+			 content_type ? content_type : "application/octet-stream");
+	}
+	pthread_mutex_unlock(&r->lock);
+	return rc;
+}
+
+static json_t *answer_choice(const bct_request_t *r, const char *text)
+{
+	if (r->kind == BCT_REQUEST_CHAT)
+		return json_pack("{s:i, s:{s:s, s:s}, s:s}", "index", 0, "message", "role",
+				 "assistant", "content", text, "finish_reason", r->finish_reason);
+	return json_pack("{s:i, s:s, s:s}", "index", 0, "text", text, "finish_reason",
+			 r->finish_reason);
+}
+
+/* Replaces the collected text by the whole JSON answer. Call with the request's lock held. */
+static int make_json_answer(bct_request_t *r, const char *id_hex)
+{
+	const char *object = r->kind == BCT_REQUEST_CHAT ? "chat.completion" : "text_completion";
+	char id[sizeof(ID_PREFIX) + ID_HEX_LEN];
+	json_t *doc;
+	char *text;
+	int rc;
+
+	snprintf(id, sizeof(id), "%s%s", ID_PREFIX, id_hex);
+	doc = json_pack("{s:s, s:s, s:I, s:s, s:[o], s:{s:i, s:i, s:i}}", "id", id, "object",
+			object, "created", (json_int_t)(bct_clock_wall() / BCT_MS_PER_S), "model",
+			r->model, "choices", answer_choice(r, r->out.data ? r->out.data : ""),
+			"usage", "prompt_tokens", (int)r->prompt_tokens, "completion_tokens",
+			(int)r->tokens, "total_tokens", (int)(r->prompt_tokens + r->tokens));
+	if (!doc)
+		return -BCT_ENOMEM;
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	if (!text)
+		return -BCT_ENOMEM;
+	bct_buf_clear(&r->out);
+	rc = bct_buf_puts(&r->out, text);
+	free(text);
+	return rc;
+}
+
+int bct_answer_finish(bct_attempt_t *a)
+{
+	bct_request_t *r = a->req;
+	int rc;
+
+	pthread_mutex_lock(&r->lock);
+	if (r->attempt != a || r->done) {
+		rc = -BCT_ESTATE;
+	} else {
+		r->status = 200;
+		rc = r->stream ? bct_buf_puts(&r->out, "data: [DONE]\n\n")
+			       : make_json_answer(r, a->req_id_hex);
+	}
+	pthread_mutex_unlock(&r->lock);
+	return rc;
+}
--- /dev/null
+++ b/node/front.c
@@ -0,0 +1,509 @@
+/*
+ * front.c - the callers' HTTP daemon: receive, submit, stream out.
+ */
+#define _GNU_SOURCE
+#include "node/front.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "node/front_conn.h"
+#include "node/front_route.h"
+
+#include <ck_pr.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define STREAM_BLOCK_BYTES 4096
+#define MAX_URI_BYTES 2048
+
+struct bct_front {
+	bct_front_opts_t opts;
+	bct_conn_table_t conns;
+	struct MHD_Daemon *daemon;
+	uint16_t port;
+	bool quiesced;
+};
+
+/* One HTTP request on a connection; libmicrohttpd's con_cls. */
+typedef struct exchange {
+	bct_front_t *front;
+	char uri[MAX_URI_BYTES];
+	bool uri_too_long;
+	bool begun;
+	bool answered;
+	bct_route_t route;
+	bct_conf_t *conf;
+	const bct_account_conf_t *account;
+	bct_buf_t body;
+	bct_refuse_t body_fault;
+	bct_request_t *req;
+} exchange_t;
+
+static bct_conn_t *conn_of(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+	return info ? info->socket_context : NULL;
+}
+
+static void received(bct_front_t *f, struct MHD_Connection *c)
+{
+	bct_conn_t *conn = conn_of(c);
+
+	if (conn)
+		bct_conn_received(&f->conns, conn);
+}
+
+static enum MHD_Result refuse_early(exchange_t *x, struct MHD_Connection *c, bct_refuse_t why,
+				    bool close, const char *detail)
+{
+	bct_refusal_t f = { .why = why, .run = BCT_RUN_NOT_RUN, .close = close, .detail = detail };
+
+	if (x->answered)
+		return MHD_YES;
+	x->answered = true;
+	received(x->front, c);
+	bct_stats_refused(bct_core_stats(x->front->opts.core), why, BCT_STATE_RECEIVING);
+	return bct_http_refuse(c, &f);
+}
+
+/* The path ends at the query. */
+static void split_uri(exchange_t *x, char *path, size_t size, const char **query)
+{
+	size_t len = strcspn(x->uri, "?");
+
+	snprintf(path, size, "%.*s", (int)len, x->uri);
+	*query = x->uri + len;
+}
+
+static bct_refuse_t check_token(exchange_t *x, struct MHD_Connection *c)
+{
+	if (!bct_route_needs_token(x->route))
+		return BCT_REFUSE_NONE;
+	x->conf = bct_core_conf(x->front->opts.core);
+	if (!x->conf)
+		return BCT_REFUSE_NOT_READY;
+	x->account = bct_find_account(x->conf, bct_http_bearer(c));
+	return x->account ? BCT_REFUSE_NONE : BCT_REFUSE_BAD_TOKEN;
+}
+
+static bct_refuse_t check_length(exchange_t *x, struct MHD_Connection *c)
+{
+	const char *length = bct_http_header(c, MHD_HTTP_HEADER_CONTENT_LENGTH);
+	uint32_t max = x->front->opts.settings->caller_max_body_bytes;
+
+	if (length && strtoull(length, NULL, 10) > max)
+		return BCT_REFUSE_TOO_LARGE;
+	return BCT_REFUSE_NONE;
+}
+
+static bct_refuse_t check_head(exchange_t *x, struct MHD_Connection *c, const char *method,
+			       const char *version)
+{
+	char path[MAX_URI_BYTES];
+	const char *query;
+	bct_refuse_t why;
+
+	why = bct_http_check_framing(c, version);
+	if (why)
+		return why;
+	if (x->uri_too_long)
+		return BCT_REFUSE_TOO_LARGE;
+	split_uri(x, path, sizeof(path), &query);
+	x->route = bct_route_of(path);
+	if (x->route == BCT_ROUTE_NONE)
+		return BCT_REFUSE_UNKNOWN_PATH;
+	if (!bct_route_allows(x->route, method))
+		return BCT_REFUSE_BAD_METHOD;
+	why = check_token(x, c);
+	return why ? why : check_length(x, c);
+}
+
+/* First call of an exchange: the headers are there, the body is not. */
+static enum MHD_Result begin(exchange_t *x, struct MHD_Connection *c, const char *method,
+			     const char *version)
+{
+	bct_refuse_t why = check_head(x, c, method, version);
+
+	x->begun = true;
+	bct_buf_init(&x->body, x->front->opts.settings->caller_max_body_bytes);
+	return why ? refuse_early(x, c, why, true, NULL) : MHD_YES;
+}
+
+static void take_body(exchange_t *x, const char *bytes, size_t len)
+{
+	int rc;
+
+	if (x->body_fault)
+		return;
+	rc = bct_buf_put(&x->body, bytes, len);
+	if (rc == -BCT_ETOO_LARGE)
+		x->body_fault = BCT_REFUSE_TOO_LARGE;
+	else if (rc)
+		x->body_fault = BCT_REFUSE_INTERNAL;
+}
+
+static enum MHD_Result answer_models(exchange_t *x, struct MHD_Connection *c)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; list && i < x->conf->n_models; i++)
+		json_array_append_new(list,
+				      json_pack("{s:s, s:s, s:s}", "id", x->conf->models[i].name,
+						"object", "model", "owned_by", "buckthornchute"));
+	return bct_http_json(c, MHD_HTTP_OK,
+			     json_pack("{s:s, s:o}", "object", "list", "data", list));
+}
+
+static uint32_t entries_of(bct_front_t *f, const char *domain, bct_entry_address_t *out)
+{
+	if (f->opts.entries)
+		return f->opts.entries(f->opts.entries_ctx, domain, out, BCT_ENTRY_MAX);
+	snprintf(out[0].address, sizeof(out[0].address), "%s", f->opts.settings->caller_address);
+	snprintf(out[0].failure_domain, sizeof(out[0].failure_domain), "%s",
+		 f->opts.settings->vm_failure_domain);
+	out[0].port = f->port;
+	return 1;
+}
+
+static enum MHD_Result answer_entry(exchange_t *x, struct MHD_Connection *c)
+{
+	const char *domain =
+		MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "failure_domain");
+	bct_entry_address_t entries[BCT_ENTRY_MAX];
+	uint32_t n = entries_of(x->front, domain, entries);
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; list && i < n; i++)
+		json_array_append_new(list,
+				      json_pack("{s:s, s:i, s:s}", "address", entries[i].address,
+						"port", (int)entries[i].port, "failure_domain",
+						entries[i].failure_domain));
+	return bct_http_json(c, MHD_HTTP_OK,
+			     json_pack("{s:i, s:o}", "lifetime_ms",
+				       (int)x->front->opts.settings->caller_entry_lifetime_ms,
+				       "addresses", list));
+}
+
+static bct_refuse_t submit_error(int rc)
+{
+	return rc == -BCT_ENOT_FOUND ? BCT_REFUSE_UNKNOWN_CLASS : BCT_REFUSE_INTERNAL;
+}
+
+/* Suspends the connection until the request's answer may start. */
+static enum MHD_Result submit(exchange_t *x, struct MHD_Connection *c)
+{
+	bct_conn_t *conn = conn_of(c);
+	bct_request_t *r = x->req;
+	int rc;
+
+	if (conn)
+		bct_conn_watch(&x->front->conns, conn, r->id);
+	pthread_mutex_lock(&r->lock);
+	r->state = BCT_STATE_QUEUED;
+	r->suspended = true;
+	MHD_suspend_connection(c);
+	pthread_mutex_unlock(&r->lock);
+	rc = bct_core_submit(x->front->opts.core, r);
+	if (!rc)
+		return MHD_YES;
+	/* It was not taken: the refusal goes out when the connection is resumed. */
+	bct_request_end(r, BCT_ENDED_BY_NODE, submit_error(rc), BCT_RUN_NOT_RUN, 0);
+	return MHD_YES;
+}
+
+/* The whole request is there. */
+static enum MHD_Result process(exchange_t *x, struct MHD_Connection *c, const char *method)
+{
+	char path[MAX_URI_BYTES];
+	bct_route_input_t in = {
+		.core = x->front->opts.core,
+		.conf = x->conf,
+		.account = x->account,
+		.conn = c,
+		.route = x->route,
+		.method = method,
+		.path = path,
+		.body = &x->body,
+	};
+	char detail[64];
+	bct_refuse_t why;
+
+	received(x->front, c);
+	if (x->body_fault)
+		return refuse_early(x, c, x->body_fault, true, NULL);
+	if (x->route == BCT_ROUTE_ENTRY) {
+		x->answered = true;
+		return answer_entry(x, c);
+	}
+	if (x->route == BCT_ROUTE_MODELS) {
+		x->answered = true;
+		return answer_models(x, c);
+	}
+	split_uri(x, path, sizeof(path), &in.query);
+	why = bct_route_request(&in, detail, &x->req);
+	bct_buf_free(&x->body);
+	if (why)
+		return refuse_early(x, c, why, false, detail[0] ? detail : NULL);
+	return submit(x, c);
+}
+
+/* Takes output of a stream; suspends the connection when there is none yet. */
+static ssize_t read_stream(void *ctx, uint64_t pos, char *buf, size_t max)
+{
+	bct_request_t *r = ctx;
+	ssize_t n;
+
+	(void)pos;
+	pthread_mutex_lock(&r->lock);
+	n = (ssize_t)(r->out.len_bytes < max ? r->out.len_bytes : max);
+	if (n) {
+		memcpy(buf, r->out.data, (size_t)n);
+		bct_buf_consume(&r->out, (size_t)n);
+		if (r->attempt && r->out.len_bytes < STREAM_BLOCK_BYTES && r->attempt->paused)
+			bct_attempt_unpause(r->attempt);
+	} else if (r->done) {
+		n = r->refuse == BCT_REFUSE_CALLER_GONE ? MHD_CONTENT_READER_END_WITH_ERROR
+							: MHD_CONTENT_READER_END_OF_STREAM;
+	} else {
+		r->suspended = true;
+		MHD_suspend_connection(r->conn);
+	}
+	pthread_mutex_unlock(&r->lock);
+	return n;
+}
+
+static void release_request(void *ctx)
+{
+	bct_request_unref(ctx);
+}
+
+static enum MHD_Result start_stream(struct MHD_Connection *c, bct_request_t *r)
+{
+	struct MHD_Response *resp = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, r, release_request);
+	enum MHD_Result rc;
+
+	if (!resp)
+		return MHD_NO;
+	bct_request_ref(r);
+	MHD_add_response_header(resp, MHD_HTTP_HEADER_CONTENT_TYPE, "text/event-stream");
+	MHD_add_response_header(resp, MHD_HTTP_HEADER_CACHE_CONTROL, "no-store");
+	rc = MHD_queue_response(c, MHD_HTTP_OK, resp);
+	MHD_destroy_response(resp);
+	return rc;
+}
+
+static enum MHD_Result answer_refusal(struct MHD_Connection *c, const bct_request_t *r)
+{
+	bct_refusal_t f = {
+		.why = r->refuse,
+		.run = r->run,
+		.retry_after_ms = r->retry_after_ms,
+		.req_id = r->id,
+	};
+
+	if (r->refuse == BCT_REFUSE_CALLER_GONE)
+		return MHD_NO;
+	return bct_http_refuse(c, &f);
+}
+
+static enum MHD_Result answer_whole(struct MHD_Connection *c, const bct_request_t *r)
+{
+	bool service = r->kind == BCT_REQUEST_SERVICE;
+
+	return bct_http_text(c, r->status, service ? r->answer_type : "application/json",
+			     r->out.data ? r->out.data : "", r->out.len_bytes);
+}
+
+/* The connection was resumed: the answer may start. */
+static enum MHD_Result answer(exchange_t *x, struct MHD_Connection *c)
+{
+	bct_request_t *r = x->req;
+	bool stream, refused;
+
+	pthread_mutex_lock(&r->lock);
+	if (!r->ready) {
+		r->suspended = true;
+		MHD_suspend_connection(c);
+		pthread_mutex_unlock(&r->lock);
+		return MHD_YES;
+	}
+	refused = r->done && r->refuse != BCT_REFUSE_NONE;
+	stream = r->stream && (!refused || r->tokens);
+	pthread_mutex_unlock(&r->lock);
+	x->answered = true;
+	if (stream)
+		return start_stream(c, r);
+	/* A request that is not streamed is ready only when it is done; nothing changes it now. */
+	return refused ? answer_refusal(c, r) : answer_whole(c, r);
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *c, const char *url,
+				  const char *method, const char *version, const char *upload,
+				  size_t *upload_bytes, void **con_cls)
+{
+	exchange_t *x = *con_cls;
+
+	(void)cls;
+	(void)url;
+	if (!x)
+		return MHD_NO;
+	if (!x->begun)
+		return begin(x, c, method, version);
+	if (*upload_bytes) {
+		take_body(x, upload, *upload_bytes);
+		*upload_bytes = 0;
+		return MHD_YES;
+	}
+	if (x->answered)
+		return MHD_YES;
+	return x->req ? answer(x, c) : process(x, c, method);
+}
+
+/* The raw target of a request; what it returns becomes con_cls. */
+static void *on_uri(void *cls, const char *uri, struct MHD_Connection *c)
+{
+	exchange_t *x = bct_alloc(sizeof(*x));
+
+	(void)c;
+	if (!x)
+		return NULL;
+	x->front = cls;
+	x->uri_too_long = strlen(uri) >= sizeof(x->uri);
+	if (!x->uri_too_long)
+		snprintf(x->uri, sizeof(x->uri), "%s", uri);
+	return x;
+}
+
+static void drop_request(exchange_t *x)
+{
+	bct_request_t *r = x->req;
+	bool done;
+
+	pthread_mutex_lock(&r->lock);
+	r->conn = NULL;
+	r->suspended = false;
+	done = r->done;
+	pthread_mutex_unlock(&r->lock);
+	if (!done)
+		bct_core_caller_gone(x->front->opts.core, r->id);
+	bct_request_unref(r);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *c, void **con_cls,
+			 enum MHD_RequestTerminationCode toe)
+{
+	bct_front_t *f = cls;
+	exchange_t *x = *con_cls;
+	bct_conn_t *conn = conn_of(c);
+
+	(void)toe;
+	*con_cls = NULL;
+	if (conn) {
+		bct_conn_unwatch(&f->conns, conn);
+		bct_conn_idle(&f->conns, conn);
+	}
+	if (!x)
+		return;
+	if (x->req)
+		drop_request(x);
+	bct_buf_free(&x->body);
+	bct_conf_unref(x->conf);
+	bct_free(x);
+}
+
+static void on_connection(void *cls, struct MHD_Connection *c, void **socket_context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	const union MHD_ConnectionInfo *info;
+	bct_front_t *f = cls;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		info = MHD_get_connection_info(c, MHD_CONNECTION_INFO_CONNECTION_FD);
+		*socket_context = bct_conn_open(&f->conns, info->connect_fd);
+	} else if (*socket_context) {
+		bct_conn_close(&f->conns, *socket_context);
+		*socket_context = NULL;
+	}
+}
+
+static int start_daemon(bct_front_t *f)
+{
+	const bct_settings_t *s = f->opts.settings;
+	struct sockaddr_storage addr;
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+	unsigned int seconds = (s->caller_write_timeout_ms + BCT_MS_PER_S - 1) / BCT_MS_PER_S;
+
+	if (bct_http_bind(s->caller_address, (uint16_t)s->caller_port, &addr))
+		return -BCT_EINVAL;
+	if (addr.ss_family == AF_INET6)
+		flags |= MHD_USE_IPv6;
+	f->daemon = MHD_start_daemon(
+		flags, (uint16_t)s->caller_port, NULL, NULL, on_request, f, MHD_OPTION_SOCK_ADDR,
+		(struct sockaddr *)&addr, MHD_OPTION_THREAD_POOL_SIZE, s->caller_threads,
+		MHD_OPTION_CONNECTION_LIMIT, s->caller_max_connections,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)s->caller_max_header_bytes,
+		MHD_OPTION_CONNECTION_TIMEOUT, seconds, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, f, MHD_OPTION_NOTIFY_CONNECTION,
+		on_connection, f, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+	if (!f->daemon)
+		return -BCT_EIO;
+	f->port = bct_http_port(f->daemon);
+	return 0;
+}
+
+int bct_front_new(const bct_front_opts_t *opts, bct_front_t **out)
+{
+	bct_front_t *f = bct_alloc(sizeof(*f));
+	int rc;
+
+	if (!f)
+		return -BCT_ENOMEM;
+	f->opts = *opts;
+	rc = bct_conn_table_init(&f->conns, opts->core, opts->settings->caller_receive_timeout_ms);
+	if (!rc)
+		rc = start_daemon(f);
+	if (rc) {
+		bct_conn_table_destroy(&f->conns);
+		bct_free(f);
+		return rc;
+	}
+	*out = f;
+	return 0;
+}
+
+void bct_front_quiesce(bct_front_t *f)
+{
+	MHD_socket fd;
+
+	if (f->quiesced)
+		return;
+	f->quiesced = true;
+	fd = MHD_quiesce_daemon(f->daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+void bct_front_free(bct_front_t *f)
+{
+	if (!f)
+		return;
+	MHD_stop_daemon(f->daemon);
+	bct_conn_table_destroy(&f->conns);
+	bct_free(f);
+}
+
+uint16_t bct_front_port(const bct_front_t *f)
+{
+	return f->port;
+}
+
+uint32_t bct_front_open(const bct_front_t *f)
+{
+	return ck_pr_load_32(&f->conns.serving);
+}
--- /dev/null
+++ b/node/poller.h
@@ -0,0 +1,43 @@
+/*
+ * poller.h - asks engines for their load reports and cache events over HTTP.
+ */
+#ifndef BCT_NODE_POLLER_H
+#define BCT_NODE_POLLER_H
+
+#include "node/core.h"
+
+#include <jansson.h>
+
+typedef struct bct_poller bct_poller_t;
+
+typedef struct bct_poller_opts {
+	bct_core_t *core;
+	uint32_t interval_ms;
+	/* Whether this node has to ask the engine now; NULL: it asks every engine. */
+	bool (*mine)(void *ctx, uint64_t upstream_key);
+	/* What was learnt, for the other nodes; may be NULL. */
+	void (*on_report)(void *ctx, const bct_report_t *r);
+	void (*on_cache_event)(void *ctx, const bct_cache_event_t *e);
+	void *ctx;
+} bct_poller_opts_t;
+
+int bct_poller_new(const bct_poller_opts_t *opts, bct_poller_t **out);
+void bct_poller_free(bct_poller_t *p);
+
+/* bct_poller_status(3): a new JSON list, one object for each engine that this node asks. */
+json_t *bct_poller_status(bct_poller_t *p);
+
+/* bct_report_parse(3): an engine's load answer. returns 0 or -BCT_ECODEC. */
+int bct_report_parse(const char *text, size_t len_bytes, bct_report_t *out);
+
+/*
+ * bct_cache_events_parse(3): an engine's event answer.
+ *
+ * max      room in out; further events are left for the next time
+ * next     set to the sequence number to ask from
+ * returns  number of events, or -BCT_ECODEC
+ */
+int bct_cache_events_parse(const char *text, size_t len_bytes, bct_cache_event_t *out, uint32_t max,
+			   uint64_t *next);
+
+#endif
--- /dev/null
+++ b/node/upstream.c
@@ -0,0 +1,344 @@
+/*
+ * upstream.c - the workers: orders in, libcurl transfers, timeouts, ends out.
+ */
+#define _GNU_SOURCE
+#include "node/upstream.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "node/transfer.h"
+
+#include <ck_pr.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WORKER_WAKE_MS 50
+
+typedef struct bct_upstream_worker {
+	struct bct_upstream_pool *pool;
+	pthread_t thread;
+	bool started;
+	CURLM *multi;
+	ck_stack_t inbox;
+	bct_list_t running;
+} worker_t;
+
+struct bct_upstream_pool {
+	bct_upstream_opts_t opts;
+	uint32_t stop;
+	uint32_t next;
+	uint32_t n_workers;
+	worker_t *workers;
+};
+
+bct_attempt_t *bct_attempt_ref(bct_attempt_t *a)
+{
+	ck_pr_inc_32(&a->refs);
+	return a;
+}
+
+void bct_attempt_unref(bct_attempt_t *a)
+{
+	bool last;
+
+	if (!a)
+		return;
+	ck_pr_dec_32_zero(&a->refs, &last);
+	if (!last)
+		return;
+	bct_transfer_free(a);
+	bct_request_unref(a->req);
+	bct_free(a);
+}
+
+uint64_t bct_attempt_id_of(const bct_attempt_t *a)
+{
+	return a->id;
+}
+
+/* Puts an order on the worker's inbox, once until the worker has taken it. */
+static void give_order(bct_order_t *o)
+{
+	worker_t *w = o->attempt->worker;
+
+	if (ck_pr_fas_32(&o->queued, 1))
+		return;
+	bct_attempt_ref(o->attempt);
+	ck_stack_push_upmc(&w->inbox, &o->entry);
+	curl_multi_wakeup(w->multi);
+}
+
+void bct_attempt_cancel(bct_attempt_t *a)
+{
+	give_order(&a->cancel);
+}
+
+void bct_attempt_unpause(bct_attempt_t *a)
+{
+	give_order(&a->unpause);
+}
+
+static void init_order(bct_order_t *o, bct_attempt_order_t type, bct_attempt_t *a)
+{
+	o->type = type;
+	o->attempt = a;
+}
+
+static bct_attempt_t *attempt_new(bct_upstream_pool_t *p, const bct_attempt_opts_t *opts)
+{
+	bct_attempt_t *a = bct_alloc(sizeof(*a));
+
+	if (!a)
+		return NULL;
+	a->refs = 1;
+	a->id = opts->id;
+	a->req = bct_request_ref(opts->req);
+	a->pool = p;
+	a->worker = &p->workers[ck_pr_faa_32(&p->next, 1) % p->n_workers];
+	init_order(&a->start, BCT_ORDER_START, a);
+	init_order(&a->cancel, BCT_ORDER_CANCEL, a);
+	init_order(&a->unpause, BCT_ORDER_UNPAUSE, a);
+	snprintf(a->address, sizeof(a->address), "%s", opts->upstream->address);
+	snprintf(a->upstream_name, sizeof(a->upstream_name), "%s", opts->upstream->name);
+	a->port = opts->upstream->port;
+	a->upstream_key = opts->upstream->key;
+	if (opts->kv_source)
+		snprintf(a->kv_from, sizeof(a->kv_from), "%s:%u", opts->kv_source->address,
+			 opts->kv_source->port);
+	a->priority = opts->priority;
+	a->resume_from = opts->resume_from;
+	a->timeouts = *opts->timeouts;
+	snprintf(a->id_hex, sizeof(a->id_hex), "%016" PRIx64, a->id);
+	snprintf(a->req_id_hex, sizeof(a->req_id_hex), "%016" PRIx64, a->req->id);
+	bct_list_init(&a->link);
+	bct_buf_init(&a->answer, p->opts.max_answer_bytes);
+	return a;
+}
+
+int bct_upstream_start(bct_upstream_pool_t *p, const bct_attempt_opts_t *opts, bct_attempt_t **out)
+{
+	bct_attempt_t *a = attempt_new(p, opts);
+
+	if (!a)
+		return -BCT_ENOMEM;
+	*out = a;
+	give_order(&a->start);
+	return 0;
+}
+
+/* Tells the end of an attempt and gives up the worker's reference. */
+static void finish_attempt(worker_t *w, bct_attempt_t *a, CURLcode code)
+{
+	bct_attempt_end_t end;
+
+	if (a->easy)
+		curl_multi_remove_handle(w->multi, a->easy);
+	bct_list_del(&a->link);
+	bct_transfer_outcome(a, code, &end);
+	bct_transfer_free(a);
+	w->pool->opts.events.end(w->pool->opts.events.ctx, a, &end);
+	bct_attempt_unref(a);
+}
+
+/* Takes over the reference that came with the order. */
+static void start_attempt(worker_t *w, bct_attempt_t *a)
+{
+	int rc;
+
+	bct_list_add_tail(&a->link, &w->running);
+	a->started = bct_clock_now();
+	a->progress = a->started;
+	if (a->cancelled) {
+		finish_attempt(w, a, CURLE_OK);
+		return;
+	}
+	rc = bct_transfer_setup(a);
+	if (rc || curl_multi_add_handle(w->multi, a->easy) != CURLM_OK)
+		finish_attempt(w, a, CURLE_OUT_OF_MEMORY);
+}
+
+static void cancel_attempt(worker_t *w, bct_attempt_t *a)
+{
+	a->cancelled = true;
+	if (!bct_list_empty(&a->link))
+		finish_attempt(w, a, CURLE_ABORTED_BY_CALLBACK);
+}
+
+static void unpause_attempt(bct_attempt_t *a)
+{
+	bool paused;
+
+	pthread_mutex_lock(&a->req->lock);
+	paused = a->paused;
+	a->paused = false;
+	pthread_mutex_unlock(&a->req->lock);
+	a->progress = bct_clock_now();
+	if (paused && a->easy)
+		curl_easy_pause(a->easy, CURLPAUSE_CONT);
+}
+
+static void carry_out(worker_t *w, bct_order_t *o)
+{
+	bct_attempt_t *a = o->attempt;
+	bct_attempt_order_t type = o->type;
+
+	ck_pr_store_32(&o->queued, 0);
+	ck_pr_fence_memory();
+	switch (type) {
+	case BCT_ORDER_START:
+		start_attempt(w, a);
+		return;
+	case BCT_ORDER_CANCEL:
+		cancel_attempt(w, a);
+		break;
+	case BCT_ORDER_UNPAUSE:
+		unpause_attempt(a);
+		break;
+	}
+	bct_attempt_unref(a);
+}
+
+/* The inbox is a stack; orders are carried out in the order they were given. */
+static void take_orders(worker_t *w)
+{
+	ck_stack_entry_t *e = ck_stack_batch_pop_upmc(&w->inbox);
+	ck_stack_entry_t *first = NULL, *next;
+
+	for (; e; e = next) {
+		next = e->next;
+		e->next = first;
+		first = e;
+	}
+	for (e = first; e; e = next) {
+		next = e->next;
+		carry_out(w, bct_container_of(e, bct_order_t, entry));
+	}
+}
+
+static void take_finished(worker_t *w)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(w->multi, &left))) {
+		bct_attempt_t *a = NULL;
+		CURLcode code = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, (char **)&a);
+		finish_attempt(w, a, code);
+	}
+}
+
+static void check_timeouts(worker_t *w)
+{
+	bct_time_t now = bct_clock_now();
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe (el, tmp, &w->running) {
+		bct_attempt_t *a = bct_container_of(el, bct_attempt_t, link);
+
+		if (now < bct_transfer_deadline(a))
+			continue;
+		a->deadline_hit = true;
+		finish_attempt(w, a, CURLE_OPERATION_TIMEDOUT);
+	}
+}
+
+static void drop_all(worker_t *w)
+{
+	bct_list_t *el, *tmp;
+
+	take_orders(w);
+	bct_list_for_each_safe (el, tmp, &w->running) {
+		bct_attempt_t *a = bct_container_of(el, bct_attempt_t, link);
+
+		if (a->easy)
+			curl_multi_remove_handle(w->multi, a->easy);
+		bct_list_del(el);
+		bct_attempt_unref(a);
+	}
+}
+
+static void *worker_main(void *arg)
+{
+	worker_t *w = arg;
+	int running;
+
+	while (!ck_pr_load_32(&w->pool->stop)) {
+		curl_multi_poll(w->multi, NULL, 0, WORKER_WAKE_MS, NULL);
+		take_orders(w);
+		curl_multi_perform(w->multi, &running);
+		take_finished(w);
+		check_timeouts(w);
+	}
+	drop_all(w);
+	return NULL;
+}
+
+static int start_worker(bct_upstream_pool_t *p, worker_t *w)
+{
+	w->pool = p;
+	ck_stack_init(&w->inbox);
+	bct_list_init(&w->running);
+	w->multi = curl_multi_init();
+	if (!w->multi)
+		return -BCT_ENOMEM;
+	if (pthread_create(&w->thread, NULL, worker_main, w))
+		return -BCT_ENOMEM;
+	w->started = true;
+	pthread_setname_np(w->thread, "upstream");
+	return 0;
+}
+
+int bct_upstream_pool_new(const bct_upstream_opts_t *opts, bct_upstream_pool_t **out)
+{
+	bct_upstream_pool_t *p = bct_alloc(sizeof(*p));
+	uint32_t i;
+	int rc = -BCT_ENOMEM;
+
+	if (!p)
+		return rc;
+	p->opts = *opts;
+	p->workers = bct_alloc(sizeof(*p->workers) * opts->threads);
+	if (!p->workers)
+		goto fail;
+	p->n_workers = opts->threads;
+	for (i = 0; i < opts->threads; i++) {
+		rc = start_worker(p, &p->workers[i]);
+		if (rc)
+			goto fail;
+	}
+	*out = p;
+	return 0;
+fail:
+	bct_upstream_pool_free(p);
+	return rc;
+}
+
+void bct_upstream_pool_free(bct_upstream_pool_t *p)
+{
+	uint32_t i;
+
+	if (!p)
+		return;
+	ck_pr_store_32(&p->stop, 1);
+	for (i = 0; i < p->n_workers; i++) {
+		worker_t *w = &p->workers[i];
+
+		if (w->started) {
+			curl_multi_wakeup(w->multi);
+			pthread_join(w->thread, NULL);
+		}
+		if (w->multi)
+			curl_multi_cleanup(w->multi);
+	}
+	bct_free(p->workers);
+	bct_free(p);
+}
+
+const bct_upstream_opts_t *bct_upstream_pool_opts(const bct_upstream_pool_t *p)
+{
+	return &p->opts;
+}
