--- /dev/null
+++ b/standin/standin.h
@@ -0,0 +1,121 @@
+/*
+ * standin.h - what the stand-ins share: options, one HTTP server thread (epoll), one timer thread
+ * and the admin endpoint that sets faults.
+ *
+ * A stand-in fills a bct_fake_t and calls bct_fake_main(). One lock guards all its state: it is
+ * held while any function of bct_fake_ops_t runs.
+ */
+#ifndef BCT_STANDIN_STANDIN_H
+#define BCT_STANDIN_STANDIN_H
+
+#include "base/buf.h"
+#include "base/clock.h"
+#include "base/list.h"
+
+#include <jansson.h>
+#include <microhttpd.h>
+#include <popt.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A fault or other number that POST /admin/fault {"NAME": VALUE} sets. */
+typedef struct bct_fake_fault {
+	const char *name;
+	int64_t *value;
+} bct_fake_fault_t;
+
+/* One HTTP request. The body is whole when the program first sees it. */
+typedef struct bct_fake_req {
+	bct_list_t link; /* in the list of all requests */
+	struct MHD_Connection *conn;
+	const char *method;
+	char *path;
+	bct_buf_t body;
+	bct_buf_t out; /* stream bytes that MHD has not taken yet */
+	int fd;
+	bct_time_t due_ms; /* bct_fake_wait(): when to call handle() again */
+	bool whole;	   /* the body has arrived */
+	bool suspended;
+	bool streaming;
+	bool ended; /* no more bytes will follow */
+	bool cut;   /* end the connection without an end of the answer */
+	bool gone;  /* the caller has left */
+	/* For the program. */
+	uint32_t step;	     /* how far it is with this request; 0 at first */
+	bct_time_t until_ms; /* a deadline of its own */
+	int64_t value;
+	void *user;
+} bct_fake_req_t;
+
+typedef struct bct_fake_ops {
+	/* Answers a request with bct_fake_reply(), bct_fake_stream(), or delays it. */
+	enum MHD_Result (*handle)(bct_fake_req_t *req);
+	/* Does the work that is due; returns when to be called again. May be NULL. */
+	bct_time_t (*tick)(bct_time_t now);
+	/* The request is over, answered or not: drop all references to it. May be NULL. */
+	void (*done)(bct_fake_req_t *req);
+	/* Runs after POST /admin/fault changed numbers. May be NULL. */
+	void (*faults_changed)(void);
+} bct_fake_ops_t;
+
+typedef struct bct_fake {
+	const bct_fake_ops_t *ops;
+	const struct poptOption *options; /* the program's own, or NULL */
+	const bct_fake_fault_t *faults;	  /* ends with a NULL name */
+} bct_fake_t;
+
+/*
+ * bct_fake_main(3): serve until SIGTERM or SIGINT; prints "listening PORT" when ready.
+ *
+ * returns  the program's exit code: 0, 1 (could not listen), 2 (bad options)
+ */
+int bct_fake_main(const bct_fake_t *fake, int argc, const char **argv);
+
+/* bct_fake_header(3), bct_fake_arg(3): a header or query argument, NULL when absent. */
+const char *bct_fake_header(bct_fake_req_t *req, const char *name);
+const char *bct_fake_arg(bct_fake_req_t *req, const char *name);
+int64_t bct_fake_arg_int(bct_fake_req_t *req, const char *name, int64_t fallback);
+
+/* bct_fake_is(3): whether the request has this method and path. */
+bool bct_fake_is(const bct_fake_req_t *req, const char *method, const char *path);
+
+/*
+ * bct_fake_reply(3): answer with JSON and repeat the request's Chute-Attempt.
+ *
+ * body  consumed; NULL answers an empty object
+ */
+enum MHD_Result bct_fake_reply(bct_fake_req_t *req, uint32_t status, json_t *body);
+
+/* bct_fake_reply_as(3): the same with another attempt id and, when not NULL, a Retry-After. */
+enum MHD_Result bct_fake_reply_as(bct_fake_req_t *req, uint32_t status, json_t *body,
+				  const char *attempt, const char *retry_after);
+
+/* bct_fake_stream(3): answer 200 text/event-stream; bytes follow with bct_fake_stream_put(). */
+enum MHD_Result bct_fake_stream(bct_fake_req_t *req, const char *attempt);
+void bct_fake_stream_put(bct_fake_req_t *req, const char *bytes);
+
+/* bct_fake_stream_end(3): end the stream; cut closes the connection in place of an end. */
+void bct_fake_stream_end(bct_fake_req_t *req, bool cut);
+
+/*
+ * bct_fake_wait(3): call handle() again at a time, or when bct_fake_wake() says so.
+ *
+ * due_ms   monotonic milliseconds; BCT_TIME_NEVER to wait for bct_fake_wake() alone
+ * returns  what handle() is to return
+ */
+enum MHD_Result bct_fake_wait(bct_fake_req_t *req, bct_time_t due_ms);
+void bct_fake_wake(bct_fake_req_t *req);
+
+/* bct_fake_wake_all(3): wake every request that waits and is not a stream. */
+void bct_fake_wake_all(void);
+
+/* bct_fake_reset(3): close the connection with a TCP reset and no answer. */
+enum MHD_Result bct_fake_reset(bct_fake_req_t *req);
+
+/* bct_fake_drop_all(3): reset the connection of every request but the caller's own. */
+void bct_fake_drop_all(const bct_fake_req_t *but);
+
+/* bct_fake_kick(3): have tick() called soon, because there is new work. */
+void bct_fake_kick(void);
+
+#endif
