standin: fake engine

Cause: routing, preemption, resume and crash handling need an engine that behaves like one. Change: fake-engine serves docs/ENGINE.md on a small model of continuous batching (slots, prefill, decode, preemption by priority, prefix cache with late and gappy events, lagging load report, orders with or without fencing) and takes crash, hang, slow, reset, wrong, late, crossed, busy and poison by admin call.

--- /dev/null
+++ b/standin/fake_engine.c
@@ -0,0 +1,663 @@
+/*
+ * fake_engine.c - a model engine as docs/ENGINE.md describes it.
+ */
+#include "standin/answer.h"
+#include "standin/batch.h"
+#include "standin/standin.h"
+
+#include "base/mem.h"
+#include "base/rng.h"
+
+#include <string.h>
+
+#define ATTEMPT_BYTES 17
+#define TIER_DEFAULT 3
+#define KV_BYTES_PER_TOKEN 131072
+#define POISON_DOWN_MS 300
+#define CROSSED_ATTEMPT "00000000deadbeef"
+
+/* What the engine reported when it last looked. */
+typedef struct load_report {
+	bct_time_t at_ms;
+	uint64_t seq;
+	uint32_t running, waiting, by_tier[BCT_BATCH_TIERS];
+	uint64_t waiting_tokens, kv_used_tokens, tokens_per_s;
+	uint64_t tokens_then;
+} load_report_t;
+
+/* One generation request; lives as long as its HTTP request. */
+typedef struct gen {
+	bct_job_t job;
+	bct_fake_req_t *req;
+	char attempt[ATTEMPT_BYTES];
+	uint64_t answer_key; /* the prompt's key, unless the answer is crossed */
+	const char *finish;
+	bool chat;
+	bool stream;
+	int64_t reset_at; /* token index at which the stream is reset; 0: never */
+	bool wrong;	  /* the answer is malformed */
+	bool no_done;	  /* the stream ends without [DONE] */
+} gen_t;
+
+static struct {
+	bct_batch_t batch;
+	uint64_t boot_id;
+	load_report_t report;
+	json_t *prompts;  /* prompt key in hexadecimal: number of runs */
+	json_t *attempts; /* attempt id: number of runs */
+	json_t *orders;	  /* all orders that were followed */
+	json_t *target;
+	json_int_t fence;
+	uint64_t crashes;
+	bct_time_t down_until_ms;
+	char *model;
+	int kv_tokens, max_waiting, report_lag_ms, event_lag_ms, event_gap_permille, checks_fencing;
+	/* Faults; those that say "next N" go down by one for each request that they hit. */
+	int64_t crash_ms;      /* forget all, reset all connections, refuse for that long */
+	int64_t hang;	       /* 1: no progress, no answers */
+	int64_t late_ms;       /* added before the next N answers begin: see late */
+	int64_t late;	       /* next N */
+	int64_t reset_token;   /* streams hit by reset are cut after that many tokens */
+	int64_t reset;	       /* next N */
+	int64_t wrong;	       /* next N answers are malformed */
+	int64_t crossed;       /* next N answers are another attempt's */
+	int64_t no_done;       /* next N streams end without [DONE] */
+	int64_t busy;	       /* next N get 503 */
+	int64_t error;	       /* next N get 500 */
+	int64_t leaving;       /* 1: new work gets 409, the load report says so */
+	int64_t freeze_report; /* 1: the load report stays as it is */
+} eng;
+
+static const bct_fake_fault_t faults[] = {
+	{ "crash_ms", &eng.crash_ms },
+	{ "hang", &eng.hang },
+	{ "slow_percent", &eng.batch.slow_percent },
+	{ "late_ms", &eng.late_ms },
+	{ "late", &eng.late },
+	{ "reset_token", &eng.reset_token },
+	{ "reset", &eng.reset },
+	{ "wrong", &eng.wrong },
+	{ "crossed", &eng.crossed },
+	{ "no_done", &eng.no_done },
+	{ "busy", &eng.busy },
+	{ "error", &eng.error },
+	{ "leaving", &eng.leaving },
+	{ "freeze_report", &eng.freeze_report },
+	{ NULL, NULL },
+};
+
+static bool hit(int64_t *count)
+{
+	if (*count <= 0)
+		return false;
+	(*count)--;
+	return true;
+}
+
+static void count_up(json_t *table, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(table, key));
+
+	json_object_set_new(table, key, json_integer(n + 1));
+}
+
+static void on_start(bct_job_t *j)
+{
+	gen_t *g = j->user;
+	char hex[17];
+
+	snprintf(hex, sizeof(hex), "%016" PRIx64, j->prompt_key);
+	count_up(eng.prompts, hex);
+	if (g->attempt[0])
+		count_up(eng.attempts, g->attempt);
+}
+
+static void crash(bct_time_t down_ms)
+{
+	bct_list_t *lists[] = { &eng.batch.waiting, &eng.batch.running };
+
+	for (int i = 0; i < 2; i++) {
+		while (!bct_list_empty(lists[i]))
+			bct_batch_remove(&eng.batch,
+					 bct_container_of(lists[i]->next, bct_job_t, link));
+	}
+	bct_prefix_cache_clear(&eng.batch.cache);
+	eng.batch.prefill_free_ms = 0;
+	eng.boot_id = bct_random_id();
+	memset(&eng.report, 0, sizeof(eng.report));
+	eng.crashes++;
+	eng.down_until_ms = bct_clock_now() + down_ms;
+	bct_fake_drop_all();
+}
+
+static void stream_event(const gen_t *g, const char *text, bool last)
+{
+	char line[512], usage[128] = "", finish[16] = "null";
+
+	if (last) {
+		snprintf(finish, sizeof(finish), "\"%s\"", g->finish);
+		snprintf(usage, sizeof(usage),
+			 ",\"usage\":{\"prompt_tokens\":%" PRIu32 ",\"completion_tokens\":%" PRIu32
+			 "}",
+			 g->job.prompt_tokens, g->job.len);
+	}
+	snprintf(line, sizeof(line),
+		 g->chat ? "data: "
+			   "{\"id\":\"cmpl-%s\",\"object\":\"chat.completion.chunk\",\"choices\":"
+			   "[{\"index\":0,\"delta\":{\"content\":\"%s\"},\"finish_reason\":%s}]%s}"
+			   "\n\n"
+			 : "data: {\"id\":\"cmpl-%s\",\"object\":\"text_completion\",\"choices\":"
+			   "[{\"index\":0,\"text\":\"%s\",\"finish_reason\":%s}]%s}\n\n",
+		 g->attempt, text, finish, usage);
+	bct_fake_stream_put(g->req, line);
+}
+
+static void stream_token(gen_t *g)
+{
+	char text[BCT_ANSWER_TOKEN_BYTES] = "";
+	bct_job_t *j = &g->job;
+
+	if (j->index > j->resume_from)
+		bct_answer_token(g->answer_key, j->index - 1, text);
+	if (g->wrong) {
+		bct_fake_stream_put(g->req, "data: {\"id\": 7, \"choices\": oops\n\n");
+		bct_fake_stream_end(g->req, true);
+		return;
+	}
+	stream_event(g, text, j->ended);
+	if (j->ended && !g->no_done)
+		bct_fake_stream_put(g->req, "data: [DONE]\n\n");
+	if (j->ended)
+		bct_fake_stream_end(g->req, false);
+}
+
+static void on_token(bct_job_t *j)
+{
+	gen_t *g = j->user;
+
+	if (j->poison) {
+		crash(POISON_DOWN_MS);
+		return;
+	}
+	if (g->reset_at > 0 && (int64_t)(j->index - j->resume_from) >= g->reset_at) {
+		bct_batch_remove(&eng.batch, j);
+		bct_fake_stream_end(g->req, true);
+		return;
+	}
+	if (g->stream)
+		stream_token(g);
+	else if (j->ended)
+		bct_fake_wake(g->req);
+}
+
+/* Appends the text of the prompt: "prompt", or the contents of all messages. */
+static bool prompt_text(const json_t *body, bct_buf_t *out)
+{
+	const json_t *messages = json_object_get(body, "messages");
+	const char *prompt = json_string_value(json_object_get(body, "prompt"));
+	json_t *m;
+	size_t i;
+
+	if (prompt)
+		return bct_buf_puts(out, prompt) == 0;
+	if (!json_is_array(messages))
+		return false;
+	json_array_foreach(messages, i, m)
+	{
+		const char *content = json_string_value(json_object_get(m, "content"));
+
+		if (content)
+			bct_buf_puts(out, content);
+	}
+	return out->err == 0 && out->data;
+}
+
+/* The length comes from the prompt, where only the load tool and the engine look for it. */
+static void answer_length(gen_t *g, const json_t *body, const char *prompt)
+{
+	const char *mark = strstr(prompt, BCT_ANSWER_LEN_MARKER);
+	json_int_t max = json_integer_value(json_object_get(body, "max_tokens"));
+	uint32_t len = BCT_ANSWER_DEFAULT_TOKENS;
+
+	if (mark)
+		len = (uint32_t)strtoul(mark + strlen(BCT_ANSWER_LEN_MARKER), NULL, 10);
+	g->finish = "stop";
+	if (max > 0 && max < (json_int_t)len) {
+		len = (uint32_t)max;
+		g->finish = "length";
+	}
+	g->job.len = len;
+}
+
+static void job_from_headers(gen_t *g)
+{
+	const char *prio = bct_fake_header(g->req, "Chute-Priority");
+	const char *from = bct_fake_header(g->req, "Chute-Resume-From");
+	const char *prefix = bct_fake_header(g->req, "Chute-Prefix");
+	const char *attempt = bct_fake_header(g->req, "Chute-Attempt");
+	long tier = prio ? strtol(prio, NULL, 10) : TIER_DEFAULT;
+	bct_job_t *j = &g->job;
+	char *end;
+
+	j->tier = tier >= 1 && tier <= BCT_BATCH_TIERS ? (uint8_t)tier : TIER_DEFAULT;
+	j->resume_from = from ? (uint32_t)strtoul(from, NULL, 10) : 0;
+	if (j->resume_from > j->len)
+		j->resume_from = j->len;
+	j->index = j->resume_from;
+	j->kv_sent = bct_fake_header(g->req, "Chute-Kv-From") != NULL;
+	snprintf(g->attempt, sizeof(g->attempt), "%s", attempt ? attempt : "");
+	while (prefix && *prefix && j->n_blocks < BCT_JOB_BLOCKS) {
+		uint64_t block = strtoull(prefix, &end, 16);
+
+		if (end == prefix)
+			break;
+		j->blocks[j->n_blocks++] = block;
+		prefix = *end == ',' ? end + 1 : end;
+	}
+}
+
+static void job_faults(gen_t *g)
+{
+	if (eng.reset > 0 && g->stream && hit(&eng.reset))
+		g->reset_at = eng.reset_token > 0 ? eng.reset_token : 1;
+	g->wrong = hit(&eng.wrong);
+	g->no_done = g->stream && hit(&eng.no_done);
+	if (hit(&eng.crossed)) {
+		snprintf(g->attempt, sizeof(g->attempt), "%s", CROSSED_ATTEMPT);
+		g->answer_key = ~g->answer_key;
+	}
+}
+
+static gen_t *gen_new(bct_fake_req_t *req)
+{
+	json_t *body = json_loadb(req->body.data, req->body.len_bytes, 0, NULL);
+	gen_t *g = bct_alloc(sizeof(*g));
+	bct_buf_t prompt;
+
+	bct_buf_init(&prompt, 0);
+	if (!g || !prompt_text(body, &prompt)) {
+		bct_free(g);
+		g = NULL;
+		goto out;
+	}
+	g->req = req;
+	g->job.user = g;
+	bct_list_init(&g->job.link);
+	g->chat = strcmp(req->path, "/v1/chat/completions") == 0;
+	g->stream = json_is_true(json_object_get(body, "stream"));
+	g->job.prompt_key = bct_hash(prompt.data, prompt.len_bytes);
+	g->answer_key = g->job.prompt_key;
+	g->job.prompt_tokens = (uint32_t)(prompt.len_bytes / BCT_PROMPT_BYTES_PER_TOKEN) + 1;
+	g->job.poison = strstr(prompt.data, BCT_ANSWER_POISON_MARKER) != NULL;
+	answer_length(g, body, prompt.data);
+	job_from_headers(g);
+	job_faults(g);
+	req->user = g;
+out:
+	bct_buf_free(&prompt);
+	json_decref(body);
+	return g;
+}
+
+static enum MHD_Result answer_whole(gen_t *g)
+{
+	char text[BCT_ANSWER_TOKEN_BYTES], id[32];
+	json_t *choice, *body;
+	bct_buf_t all;
+
+	if (!g->job.ended)
+		return bct_fake_wait(g->req, BCT_TIME_NEVER);
+	if (g->wrong)
+		return bct_fake_reply_as(g->req, MHD_HTTP_OK, json_string("oops"), g->attempt,
+					 NULL);
+	bct_buf_init(&all, 0);
+	for (uint32_t i = g->job.resume_from; i < g->job.len; i++) {
+		bct_answer_token(g->answer_key, i, text);
+		bct_buf_puts(&all, text);
+	}
+	snprintf(id, sizeof(id), "cmpl-%s", g->attempt);
+	if (g->chat)
+		choice = json_pack("{sis{ssss}ss}", "index", 0, "message", "role", "assistant",
+				   "content", all.data ? all.data : "", "finish_reason", g->finish);
+	else
+		choice = json_pack("{sissss}", "index", 0, "text", all.data ? all.data : "",
+				   "finish_reason", g->finish);
+	body = json_pack("{sss[o]s{sIsI}}", "id", id, "choices", choice, "usage", "prompt_tokens",
+			 (json_int_t)g->job.prompt_tokens, "completion_tokens",
+			 (json_int_t)g->job.len);
+	bct_buf_free(&all);
+	return bct_fake_reply_as(g->req, MHD_HTTP_OK, body, g->attempt, NULL);
+}
+
+static enum MHD_Result gen_begin(bct_fake_req_t *req)
+{
+	gen_t *g = gen_new(req);
+
+	if (!g)
+		return bct_fake_reply(req, MHD_HTTP_BAD_REQUEST, NULL);
+	bct_batch_add(&eng.batch, &g->job);
+	bct_fake_kick();
+	req->step = 2;
+	if (g->stream)
+		return bct_fake_stream(req, g->attempt[0] ? g->attempt : NULL);
+	return bct_fake_wait(req, BCT_TIME_NEVER);
+}
+
+static bool draining(void)
+{
+	const char *role = json_string_value(json_object_get(eng.target, "role"));
+
+	return eng.leaving || (role && strcmp(role, "drain") == 0);
+}
+
+/* Steps: 0 new, 1 delayed by a fault, 2 in the batch. */
+static enum MHD_Result generate(bct_fake_req_t *req)
+{
+	const char *attempt = bct_fake_header(req, "Chute-Attempt");
+
+	if (req->step == 2)
+		return answer_whole(req->user);
+	if (req->step == 1)
+		return gen_begin(req);
+	if (draining())
+		return bct_fake_reply(req, MHD_HTTP_CONFLICT,
+				      json_pack("{ss}", "error", "leaving"));
+	if (hit(&eng.busy) ||
+	    (eng.max_waiting > 0 && eng.batch.n_waiting >= (uint32_t)eng.max_waiting))
+		return bct_fake_reply_as(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, attempt, "1");
+	if (hit(&eng.error))
+		return bct_fake_reply(req, MHD_HTTP_INTERNAL_SERVER_ERROR, NULL);
+	if (hit(&eng.late)) {
+		req->step = 1;
+		return bct_fake_wait(req, bct_clock_now() + eng.late_ms);
+	}
+	return gen_begin(req);
+}
+
+static void report_take(bct_time_t now)
+{
+	load_report_t *r = &eng.report;
+	uint64_t tokens = eng.batch.stats.tokens;
+
+	if (eng.freeze_report && r->at_ms)
+		return;
+	if (r->at_ms && now > r->at_ms)
+		r->tokens_per_s =
+			(tokens - r->tokens_then) * BCT_MS_PER_S / (uint64_t)(now - r->at_ms);
+	r->tokens_then = tokens;
+	r->at_ms = now;
+	r->seq++;
+	r->running = eng.batch.n_running;
+	r->waiting = eng.batch.n_waiting;
+	r->waiting_tokens = bct_batch_waiting_tokens(&eng.batch);
+	r->kv_used_tokens = bct_batch_kv_tokens(&eng.batch);
+	bct_batch_running_by_tier(&eng.batch, r->by_tier);
+}
+
+static enum MHD_Result load_get(bct_fake_req_t *req)
+{
+	const load_report_t *r = &eng.report;
+	bct_time_t now = bct_clock_now();
+	json_t *out, *tiers = json_array();
+	char boot[17];
+
+	if (!r->at_ms || now - r->at_ms >= eng.report_lag_ms)
+		report_take(now);
+	for (int i = 0; i < BCT_BATCH_TIERS; i++)
+		json_array_append_new(tiers, json_integer(r->by_tier[i]));
+	snprintf(boot, sizeof(boot), "%016" PRIx64, eng.boot_id);
+	out = json_pack("{sssIsIsIsIsosIsIsIsIsb}", "boot_id", boot, "seq", (json_int_t)r->seq,
+			"age_ms", (json_int_t)(now - r->at_ms), "running", (json_int_t)r->running,
+			"waiting", (json_int_t)r->waiting, "running_by_tier", tiers,
+			"waiting_tokens", (json_int_t)r->waiting_tokens, "kv_used_tokens",
+			(json_int_t)r->kv_used_tokens, "kv_total_tokens", (json_int_t)eng.kv_tokens,
+			"tokens_per_s", (json_int_t)r->tokens_per_s, "leaving", draining());
+	return bct_fake_reply(req, MHD_HTTP_OK, out);
+}
+
+static enum MHD_Result models_get(bct_fake_req_t *req)
+{
+	json_t *loaded = json_object_get(eng.target, "models"), *data = json_array(), *m;
+	size_t i;
+
+	json_array_foreach(loaded, i, m)
+		json_array_append_new(data, json_pack("{sOss}", "id", m, "object", "model"));
+	return bct_fake_reply(req, MHD_HTTP_OK,
+			      json_pack("{ssso}", "object", "list", "data", data));
+}
+
+static enum MHD_Result order_post(bct_fake_req_t *req)
+{
+	json_t *in = json_loadb(req->body.data, req->body.len_bytes, 0, NULL);
+	json_t *target = json_object_get(in, "target");
+	json_int_t fence = json_integer_value(json_object_get(in, "fence"));
+
+	if (!json_is_object(target)) {
+		json_decref(in);
+		return bct_fake_reply(req, MHD_HTTP_BAD_REQUEST, NULL);
+	}
+	if (eng.checks_fencing && fence < eng.fence) {
+		json_decref(in);
+		return bct_fake_reply(req, MHD_HTTP_CONFLICT,
+				      json_pack("{sI}", "fence", eng.fence));
+	}
+	if (fence > eng.fence)
+		eng.fence = fence;
+	json_decref(eng.target);
+	eng.target = json_incref(target);
+	json_array_append_new(eng.orders, in);
+	return bct_fake_reply(req, MHD_HTTP_OK,
+			      json_pack("{sIsO}", "fence", eng.fence, "target", eng.target));
+}
+
+static enum MHD_Result kv_export(bct_fake_req_t *req)
+{
+	json_t *in = json_loadb(req->body.data, req->body.len_bytes, 0, NULL), *b;
+	json_int_t n = 0;
+	size_t i;
+
+	json_array_foreach(json_object_get(in, "blocks"), i, b)
+	{
+		const char *hex = json_string_value(b);
+
+		n += hex && bct_prefix_cache_has(&eng.batch.cache, strtoull(hex, NULL, 16));
+	}
+	json_decref(in);
+	return bct_fake_reply(req, MHD_HTTP_OK,
+			      json_pack("{sIsI}", "blocks", n, "bytes",
+					n * BCT_BLOCK_TOKENS * KV_BYTES_PER_TOKEN));
+}
+
+static void cancel_in(const bct_list_t *jobs, const char *attempt)
+{
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe (el, tmp, jobs) {
+		gen_t *g = bct_container_of(el, bct_job_t, link)->user;
+
+		if (strcmp(g->attempt, attempt) != 0)
+			continue;
+		bct_batch_remove(&eng.batch, &g->job);
+		g->req->gone = true;
+		bct_fake_wake(g->req);
+	}
+}
+
+static enum MHD_Result cancel_post(bct_fake_req_t *req)
+{
+	json_t *in = json_loadb(req->body.data, req->body.len_bytes, 0, NULL);
+	const char *attempt = json_string_value(json_object_get(in, "attempt"));
+
+	if (attempt) {
+		cancel_in(&eng.batch.waiting, attempt);
+		cancel_in(&eng.batch.running, attempt);
+	}
+	json_decref(in);
+	return bct_fake_reply(req, MHD_HTTP_OK, NULL);
+}
+
+static json_t *by_tier_json(const uint64_t v[BCT_BATCH_TIERS])
+{
+	json_t *out = json_array();
+
+	for (int i = 0; i < BCT_BATCH_TIERS; i++)
+		json_array_append_new(out, json_integer((json_int_t)v[i]));
+	return out;
+}
+
+static enum MHD_Result stats_get(bct_fake_req_t *req)
+{
+	const bct_batch_stats_t *s = &eng.batch.stats;
+
+	return bct_fake_reply(
+		req, MHD_HTTP_OK,
+		json_pack("{sIsIsIsIsIsIsIsososIsI}", "runs", (json_int_t)s->runs, "tokens",
+			  (json_int_t)s->tokens, "prefill_tokens", (json_int_t)s->prefill_tokens,
+			  "cached_tokens", (json_int_t)s->cached_tokens, "preemptions",
+			  (json_int_t)s->preemptions, "abandoned", (json_int_t)s->abandoned,
+			  "abandoned_tokens", (json_int_t)s->abandoned_tokens,
+			  "abandoned_tokens_by_tier", by_tier_json(s->abandoned_tokens_by_tier),
+			  "tokens_by_tier", by_tier_json(s->tokens_by_tier), "resumed_tokens",
+			  (json_int_t)s->resumed_tokens, "crashes", (json_int_t)eng.crashes));
+}
+
+static enum MHD_Result admin(bct_fake_req_t *req)
+{
+	if (strcmp(req->path, "/admin/stats") == 0)
+		return stats_get(req);
+	if (strcmp(req->path, "/admin/prompts") == 0)
+		return bct_fake_reply(req, MHD_HTTP_OK, json_incref(eng.prompts));
+	if (strcmp(req->path, "/admin/attempts") == 0)
+		return bct_fake_reply(req, MHD_HTTP_OK, json_incref(eng.attempts));
+	if (strcmp(req->path, "/admin/orders") == 0)
+		return bct_fake_reply(req, MHD_HTTP_OK, json_incref(eng.orders));
+	return bct_fake_reply(req, MHD_HTTP_NOT_FOUND, NULL);
+}
+
+static enum MHD_Result orders_get(bct_fake_req_t *req)
+{
+	return bct_fake_reply(req, MHD_HTTP_OK,
+			      json_pack("{sIsO}", "fence", eng.fence, "target", eng.target));
+}
+
+static enum MHD_Result handle(bct_fake_req_t *req)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (strncmp(req->path, "/admin/", strlen("/admin/")) == 0)
+		return admin(req);
+	if (now < eng.down_until_ms)
+		return bct_fake_reset(req);
+	if (bct_fake_is(req, "POST", "/v1/chat/completions") ||
+	    bct_fake_is(req, "POST", "/v1/completions"))
+		return generate(req);
+	if (eng.hang)
+		return bct_fake_wait(req, BCT_TIME_NEVER);
+	if (bct_fake_is(req, "GET", "/engine/v1/load"))
+		return load_get(req);
+	if (bct_fake_is(req, "GET", "/engine/v1/events"))
+		return bct_fake_reply(
+			req, MHD_HTTP_OK,
+			bct_prefix_cache_events(&eng.batch.cache,
+						(uint64_t)bct_fake_arg_int(req, "from", 0), now));
+	if (bct_fake_is(req, "GET", "/v1/models"))
+		return models_get(req);
+	if (bct_fake_is(req, "POST", "/engine/v1/orders"))
+		return order_post(req);
+	if (bct_fake_is(req, "GET", "/engine/v1/orders"))
+		return orders_get(req);
+	if (bct_fake_is(req, "POST", "/engine/v1/kv/export"))
+		return kv_export(req);
+	if (bct_fake_is(req, "POST", "/engine/v1/cancel"))
+		return cancel_post(req);
+	return bct_fake_reply(req, MHD_HTTP_NOT_FOUND, NULL);
+}
+
+static bct_time_t tick(bct_time_t now)
+{
+	/* Two looks at the load are needed for a rate, so reports are also taken unasked. */
+	if (now - eng.report.at_ms >= eng.report_lag_ms && eng.report_lag_ms > 0)
+		report_take(now);
+	if (eng.hang)
+		return BCT_TIME_NEVER;
+	return bct_batch_run(&eng.batch, now);
+}
+
+static void done(bct_fake_req_t *req)
+{
+	gen_t *g = req->user;
+
+	if (!g)
+		return;
+	bct_batch_remove(&eng.batch, &g->job);
+	bct_free(g);
+	req->user = NULL;
+}
+
+static bool ready(void)
+{
+	if (eng.batch.slots <= 0 || eng.batch.prefill_tokens_per_s <= 0 ||
+	    eng.batch.decode_tokens_per_s <= 0 || eng.kv_tokens <= 0)
+		return false;
+	bct_prefix_cache_init(&eng.batch.cache, (uint32_t)eng.kv_tokens / BCT_BLOCK_TOKENS,
+			      eng.boot_id);
+	eng.batch.cache.lag_ms = (uint32_t)eng.event_lag_ms;
+	eng.batch.cache.gap_permille = (uint32_t)eng.event_gap_permille;
+	eng.target = json_pack("{s[s]s[]ss}", "models", eng.model ? eng.model : "base", "adapters",
+			       "role", "serve");
+	return eng.target != NULL;
+}
+
+static void faults_changed(void)
+{
+	if (eng.crash_ms > 0)
+		crash(eng.crash_ms);
+	eng.crash_ms = 0;
+	if (eng.batch.slow_percent <= 0)
+		eng.batch.slow_percent = 100;
+	bct_fake_wake_all();
+}
+
+int main(int argc, const char **argv)
+{
+	const struct poptOption options[] = {
+		{ "slots", 0, POPT_ARG_INT, &eng.batch.slots, 0, "requests run at once", "N" },
+		{ "prefill-tokens-per-s", 0, POPT_ARG_INT, &eng.batch.prefill_tokens_per_s, 0,
+		  "prefill rate of the whole engine", "N" },
+		{ "decode-tokens-per-s", 0, POPT_ARG_INT, &eng.batch.decode_tokens_per_s, 0,
+		  "decode rate of one stream", "N" },
+		{ "kv-tokens", 0, POPT_ARG_INT, &eng.kv_tokens, 0, "size of the KV cache", "N" },
+		{ "max-waiting", 0, POPT_ARG_INT, &eng.max_waiting, 0,
+		  "waiting requests before 503; 0: no limit", "N" },
+		{ "honours-priority", 0, POPT_ARG_NONE, &eng.batch.honours_priority, 0,
+		  "run and preempt by Chute-Priority", NULL },
+		{ "checks-fencing", 0, POPT_ARG_NONE, &eng.checks_fencing, 0,
+		  "refuse orders with an old fencing number", NULL },
+		{ "report-lag-ms", 0, POPT_ARG_INT, &eng.report_lag_ms, 0,
+		  "time between two looks at the load", "MS" },
+		{ "event-lag-ms", 0, POPT_ARG_INT, &eng.event_lag_ms, 0, "age of published events",
+		  "MS" },
+		{ "event-gap-permille", 0, POPT_ARG_INT, &eng.event_gap_permille, 0,
+		  "share of events that is lost", "N" },
+		{ "model", 0, POPT_ARG_STRING, &eng.model, 0, "model loaded at the start", "NAME" },
+		POPT_TABLEEND
+	};
+	const bct_batch_ops_t batch_ops = { .start = on_start, .token = on_token };
+	const bct_fake_ops_t ops = { .ready = ready,
+				     .handle = handle,
+				     .tick = tick,
+				     .done = done,
+				     .faults_changed = faults_changed };
+
+	bct_batch_init(&eng.batch, &batch_ops);
+	eng.batch.slots = 16;
+	eng.batch.prefill_tokens_per_s = 20000;
+	eng.batch.decode_tokens_per_s = 50;
+	eng.kv_tokens = 400000;
+	eng.boot_id = bct_random_id();
+	eng.prompts = json_object();
+	eng.attempts = json_object();
+	eng.orders = json_array();
+	return bct_fake_main(&(bct_fake_t){ .ops = &ops, .options = options, .faults = faults },
+			     argc, argv);
+}
--- a/standin/standin.c
+++ b/standin/standin.c
@@ -17,6 +17,7 @@
 #define FAKE_MAX_CONNECTIONS 8192u
 #define FAKE_EVENTS 64
 #define FAKE_IDLE_MS 1000
+#define ADMIN_PREFIX "/admin/"
 
 /* A process is one stand-in, so its server is file state rather than an argument everywhere. */
 static struct {
@@ -117,14 +118,14 @@
 	return MHD_NO;
 }
 
-void bct_fake_drop_all(const bct_fake_req_t *but)
+void bct_fake_drop_all(void)
 {
 	bct_list_t *el;
 
 	bct_list_for_each (el, &srv.reqs) {
 		bct_fake_req_t *req = bct_container_of(el, bct_fake_req_t, link);
 
-		if (req == but)
+		if (strncmp(req->path, ADMIN_PREFIX, strlen(ADMIN_PREFIX)) == 0)
 			continue;
 		linger_reset(req->fd);
 		req->cut = true;
@@ -465,7 +466,7 @@
 	/* Suspended connections must be resumed before MHD_stop_daemon(). */
 	pthread_mutex_lock(&srv.lock);
 	srv.stop = true;
-	bct_fake_drop_all(NULL);
+	bct_fake_drop_all();
 	pthread_mutex_unlock(&srv.lock);
 	bct_fake_kick();
 	pthread_join(timer, NULL);
@@ -485,6 +486,10 @@
 	rc = parse_options(argc, argv, &port);
 	if (rc)
 		return rc;
+	if (fake->ops->ready && !fake->ops->ready()) {
+		fprintf(stderr, "an option is out of range\n");
+		return 2;
+	}
 	signal(SIGPIPE, SIG_IGN);
 	sigemptyset(&stop_signals);
 	sigaddset(&stop_signals, SIGTERM);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -48,6 +48,8 @@
 } bct_fake_req_t;
 
 typedef struct bct_fake_ops {
+	/* Runs once the options are known; false refuses them. May be NULL. */
+	bool (*ready)(void);
 	/* Answers a request with bct_fake_reply(), bct_fake_stream(), or delays it. */
 	enum MHD_Result (*handle)(bct_fake_req_t *req);
 	/* Does the work that is due; returns when to be called again. May be NULL. */
@@ -112,8 +114,8 @@
 /* bct_fake_reset(3): close the connection with a TCP reset and no answer. */
 enum MHD_Result bct_fake_reset(bct_fake_req_t *req);
 
-/* bct_fake_drop_all(3): reset the connection of every request but the caller's own. */
-void bct_fake_drop_all(const bct_fake_req_t *but);
+/* bct_fake_drop_all(3): reset the connection of every request but those to /admin/. */
+void bct_fake_drop_all(void);
 
 /* bct_fake_kick(3): have tick() called soon, because there is new work. */
 void bct_fake_kick(void);
