--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -195,8 +195,6 @@
 {
 	const json_t *messages = json_object_get(body, "messages");
 	const char *prompt = json_string_value(json_object_get(body, "prompt"));
-	json_t *m;
-	size_t i;
 
 	if (prompt)
 		return bct_buf_puts(out, prompt) == 0;
@@ -417,11 +415,11 @@
 
 static enum MHD_Result models_get(bct_fake_req_t *req)
 {
-	json_t *loaded = json_object_get(eng.target, "models"), *data = json_array(), *m;
-	size_t i;
+	json_t *loaded = json_object_get(eng.target, "models"), *data = json_array();
 
-	json_array_foreach(loaded, i, m)
-		json_array_append_new(data, json_pack("{sOss}", "id", m, "object", "model"));
+	for (size_t i = 0; i < json_array_size(loaded); i++)
+		json_array_append_new(data, json_pack("{sOss}", "id", json_array_get(loaded, i),
+						      "object", "model"));
 	return bct_fake_reply(req, MHD_HTTP_OK,
 			      json_pack("{ssso}", "object", "list", "data", data));
 }
