--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -200,8 +200,8 @@
 		return bct_buf_puts(out, prompt) == 0;
 	if (!json_is_array(messages))
 		return false;
-	json_array_foreach(messages, i, m)
-	{
+	for (size_t i = 0; i < json_array_size(messages); i++) {
+		const json_t *m = json_array_get(messages, i);
 		const char *content = json_string_value(json_object_get(m, "content"));
 
 		if (content)
