--- a/node/core.c
+++ b/node/core.c
@@ -529,10 +529,10 @@
 
 	pthread_mutex_lock(&c->lock);
 	for (uint32_t i = 0; i < BUCKETS; i++) {
-		bct_list_for_each_safe(el, tmp, &c->buckets[i]) {
+		bct_list_for_each_safe (el, tmp, &c->buckets[i]) {
 			bct_request_t *r = bct_container_of(el, bct_request_t, link);
-			bct_run_t run = r->state < BCT_STATE_SENT ? BCT_RUN_NOT_RUN :
-								    BCT_RUN_UNKNOWN;
+			bct_run_t run =
+				r->state < BCT_STATE_SENT ? BCT_RUN_NOT_RUN : BCT_RUN_UNKNOWN;
 
 			bct_sched_cancel(c->sched, bct_clock_now(), r->id);
 			refuse(c, r, why, run, 0);
