Bench model: engines, nodes and callers in virtual time

Cause: the policy can be compared and tested only on the same arrivals and the same engines. Change: bench/model*.[ch]: engines with slots, KV limit, prefix cache and priorities; late reports and gappy cache events; summed facts between nodes; crash, slow, hang, node death and partition; each caller's tokens are counted and breaches recorded. The naive scheduler now keeps round robin for each set of upstreams: with one cursor for all, every draft after a desk request went to engine 0.

--- /dev/null
+++ b/bench/model_drive.h
@@ -0,0 +1,66 @@
+/*
+ * model_drive.h - one run's state, and what stands between schedulers and engines: actions go
+ * out, progress and ends come back, each caller's tokens are counted.
+ */
+#ifndef BCT_BENCH_MODEL_DRIVE_H
+#define BCT_BENCH_MODEL_DRIVE_H
+
+#include "bench/model.h"
+#include "bench/model_engine.h"
+#include "bench/model_fleet.h"
+#include "bench/model_load.h"
+#include "bench/model_wire.h"
+
+#define BCT_MODEL_TARGET_TIERS (BCT_TIERS + 1)
+
+/* An attempt that an engine did not take; its scheduler hears of it at the next tick. */
+typedef struct bct_model_bounce {
+	uint32_t req;
+	uint64_t attempt_id;
+	bct_outcome_t outcome;
+} bct_model_bounce_t;
+
+typedef struct bct_model_drive {
+	const bct_model_opts_t *opts;
+	bct_conf_t *conf;
+	bct_model_load_t load;
+	bct_model_engine_t *engines;
+	uint32_t n_engines;
+	bct_model_fleet_t fleet;
+	bct_model_wire_t wire;
+	bct_model_result_t *result;
+	bct_time_t now;
+	uint32_t next_arrival;
+	uint32_t next_poison; /* index of the poison request to send next */
+	bct_time_t poison_at;
+	uint32_t *live; /* indices of requests that have not ended */
+	uint32_t n_live;
+	bct_model_bounce_t *bounces;
+	uint32_t n_bounces;
+	uint32_t running[BCT_MODEL_ACCOUNTS_MAX]; /* attempts by account */
+	uint32_t running_max;
+	/* Requests on a node that wait, by pool and tier, for the count of inversions. */
+	uint32_t waiting[BCT_MODEL_NODES_MAX][BCT_MODEL_POOLS][BCT_MODEL_TARGET_TIERS];
+} bct_model_drive_t;
+
+extern const bct_model_engine_ops_t bct_model_drive_engine_ops;
+
+const bct_model_class_t *bct_model_drive_class(const bct_model_drive_t *d,
+					       const bct_model_req_t *r);
+
+/* bct_model_drive_set(3): change a request's state; the counts of waiting requests follow. */
+void bct_model_drive_set(bct_model_drive_t *d, bct_model_req_t *r, bct_model_state_t state);
+
+/* bct_model_drive_submit(3): a caller sends a request now. Returns 0 or the scheduler's error. */
+int bct_model_drive_submit(bct_model_drive_t *d, uint32_t req);
+
+/* bct_model_drive_stop(3): stop a request's attempt and tell its scheduler how it ended. */
+void bct_model_drive_stop(bct_model_drive_t *d, bct_model_req_t *r, bct_outcome_t outcome);
+
+/* bct_model_drive_bounces(3): tell the schedulers of attempts that were not taken last tick. */
+void bct_model_drive_bounces(bct_model_drive_t *d);
+
+/* bct_model_drive_poll(3): carry out all actions of all nodes. */
+void bct_model_drive_poll(bct_model_drive_t *d);
+
+#endif
--- /dev/null
+++ b/bench/model_engine.c
@@ -0,0 +1,272 @@
+/*
+ * model_engine.c - a model engine in virtual time.
+ */
+#include "bench/model_engine.h"
+#include "bench/model.h"
+#include "base/err.h"
+
+#include <string.h>
+
+#define TICKS_PER_S (BCT_MS_PER_S / BCT_MODEL_TICK_MS)
+#define RATE_SMOOTHING 0.01 /* share of the newest tick in tokens_per_s */
+
+static void engine_cache_event(void *ctx, uint64_t hash, bool added)
+{
+	bct_model_engine_t *e = ctx;
+
+	e->ops->cache(e->ctx, e->index,
+		      &(bct_cache_event_t){
+			      .upstream_key = e->conf->key,
+			      .seq = ++e->cache_seq,
+			      .block = hash,
+			      .op = added ? BCT_CACHE_ADD : BCT_CACHE_REMOVE,
+		      });
+}
+
+int bct_model_engine_init(bct_model_engine_t *e, uint32_t index, const bct_upstream_conf_t *conf,
+			  const bct_model_engine_ops_t *ops, void *ctx)
+{
+	memset(e, 0, sizeof(*e));
+	if (conf->slots > BCT_MODEL_RUNNING_MAX)
+		return -BCT_EINVAL;
+	e->ops = ops;
+	e->ctx = ctx;
+	e->index = index;
+	e->conf = conf;
+	e->boot_id = bct_hash_mix(conf->key, 1);
+	e->speed = 1.0;
+	return bct_model_cache_init(&e->cache, conf->kv_tokens / BCT_PREFIX_BLOCK_TOKENS,
+				    engine_cache_event, e);
+}
+
+void bct_model_engine_free(bct_model_engine_t *e)
+{
+	bct_model_cache_free(&e->cache);
+}
+
+bct_outcome_t bct_model_engine_offer(bct_model_engine_t *e, const bct_model_stream_t *s)
+{
+	if (e->down)
+		return BCT_OUTCOME_CONNECT_FAILED;
+	if (e->n_waiting == BCT_MODEL_WAITING_MAX)
+		return BCT_OUTCOME_BUSY;
+	e->waiting[e->n_waiting++] = *s;
+	return BCT_OUTCOME_OK;
+}
+
+/* The order of what is left does not matter: both lists are searched by priority and time. */
+static void engine_drop_running(bct_model_engine_t *e, uint32_t i)
+{
+	e->kv_used -= e->running[i].kv_tokens;
+	e->running[i] = e->running[--e->n_running];
+}
+
+uint32_t bct_model_engine_cancel(bct_model_engine_t *e, uint64_t attempt_id, bool *started)
+{
+	uint32_t produced;
+
+	*started = false;
+	for (uint32_t i = 0; i < e->n_waiting; i++) {
+		if (e->waiting[i].attempt_id == attempt_id) {
+			e->waiting[i] = e->waiting[--e->n_waiting];
+			return 0;
+		}
+	}
+	for (uint32_t i = 0; i < e->n_running; i++) {
+		if (e->running[i].attempt_id != attempt_id)
+			continue;
+		produced = e->running[i].produced;
+		engine_drop_running(e, i);
+		*started = true;
+		return produced;
+	}
+	return 0;
+}
+
+static bool stream_before(const bct_model_stream_t *a, const bct_model_stream_t *b)
+{
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	if (a->queued_at != b->queued_at)
+		return a->queued_at < b->queued_at;
+	return a->attempt_id < b->attempt_id;
+}
+
+static void engine_admit(bct_model_engine_t *e)
+{
+	while (e->n_waiting && e->n_running < e->conf->slots) {
+		bct_model_stream_t *s;
+		uint32_t first = 0, cached;
+
+		for (uint32_t i = 1; i < e->n_waiting; i++) {
+			if (stream_before(&e->waiting[i], &e->waiting[first]))
+				first = i;
+		}
+		s = &e->waiting[first];
+		if (e->n_running && e->kv_used + s->kv_tokens > e->conf->kv_tokens)
+			return;
+		cached = bct_model_cache_match(&e->cache, s->prefix, s->n_prefix) *
+			 BCT_PREFIX_BLOCK_TOKENS;
+		s->prefill_left = s->prompt_tokens + s->resume_tokens - cached;
+		/* The last token of a prompt is always computed. */
+		if (s->prefill_left < 1)
+			s->prefill_left = 1;
+		e->kv_used += s->kv_tokens;
+		e->running[e->n_running++] = *s;
+		e->waiting[first] = e->waiting[--e->n_waiting];
+		e->ops->started(e->ctx, &e->running[e->n_running - 1], cached);
+	}
+}
+
+static bct_model_stream_t *engine_next_prefill(bct_model_engine_t *e)
+{
+	bct_model_stream_t *next = NULL;
+
+	for (uint32_t i = 0; i < e->n_running; i++) {
+		bct_model_stream_t *s = &e->running[i];
+
+		if (s->prefill_left > 0 && (!next || stream_before(s, next)))
+			next = s;
+	}
+	return next;
+}
+
+static void engine_produce(bct_model_engine_t *e, bct_model_stream_t *s, uint32_t tokens)
+{
+	uint32_t left = s->output_tokens - s->resume_tokens - s->produced;
+
+	s->produced += tokens < left ? tokens : left;
+	e->ops->tokens(e->ctx, s);
+}
+
+/* returns false when a poison request crashed the engine */
+static bool engine_prefill(bct_model_engine_t *e, bct_time_t now)
+{
+	double budget = e->conf->prefill_tokens_per_s * e->speed / TICKS_PER_S;
+	bct_model_stream_t *s;
+
+	while (budget > 0 && (s = engine_next_prefill(e))) {
+		double part = s->prefill_left < budget ? s->prefill_left : budget;
+
+		s->prefill_left -= part;
+		budget -= part;
+		if (s->prefill_left > 0)
+			break;
+		if (s->poison) {
+			bct_model_engine_crash(e, now + BCT_MODEL_RESTART_MS, true);
+			return false;
+		}
+		bct_model_cache_add(&e->cache, s->prefix, s->n_prefix);
+		engine_produce(e, s, 1);
+	}
+	return true;
+}
+
+/* One stream decodes twice as fast alone as in a full batch; in between it falls evenly. */
+static double engine_decode_rate(const bct_model_engine_t *e, uint32_t batch)
+{
+	return e->conf->decode_tokens_per_s * e->speed * (2.0 - (double)batch / e->conf->slots);
+}
+
+static uint32_t engine_decode(bct_model_engine_t *e)
+{
+	uint32_t batch = 0, total = 0;
+	double part;
+
+	for (uint32_t i = 0; i < e->n_running; i++)
+		batch += e->running[i].prefill_left <= 0;
+	part = engine_decode_rate(e, batch) / TICKS_PER_S;
+	for (uint32_t i = 0; i < e->n_running; i++) {
+		bct_model_stream_t *s = &e->running[i];
+		uint32_t whole;
+
+		if (s->prefill_left > 0)
+			continue;
+		s->decode_part += part;
+		whole = (uint32_t)s->decode_part;
+		s->decode_part -= whole;
+		total += whole;
+		if (whole)
+			engine_produce(e, s, whole);
+	}
+	return total;
+}
+
+static void engine_finish(bct_model_engine_t *e)
+{
+	for (uint32_t i = 0; i < e->n_running;) {
+		bct_model_stream_t s = e->running[i];
+
+		if (s.prefill_left > 0 || s.resume_tokens + s.produced < s.output_tokens) {
+			i++;
+			continue;
+		}
+		engine_drop_running(e, i);
+		e->ops->ended(e->ctx, &s, BCT_OUTCOME_OK, true);
+	}
+}
+
+void bct_model_engine_step(bct_model_engine_t *e, bct_time_t now)
+{
+	uint32_t tokens;
+
+	if (e->down) {
+		if (now < e->up_at)
+			return;
+		e->down = false;
+		e->boot_id = bct_hash_mix(e->boot_id, now);
+		e->report_seq = 0;
+	}
+	if (e->hung)
+		return;
+	engine_admit(e);
+	if (!engine_prefill(e, now))
+		return;
+	tokens = engine_decode(e);
+	e->tokens_per_s += RATE_SMOOTHING * (tokens * TICKS_PER_S - e->tokens_per_s);
+	engine_finish(e);
+}
+
+void bct_model_engine_crash(bct_model_engine_t *e, bct_time_t up_at, bool by_poison)
+{
+	uint32_t n_running = e->n_running, n_waiting = e->n_waiting;
+
+	e->down = true;
+	e->up_at = up_at;
+	e->n_running = 0;
+	e->n_waiting = 0;
+	e->kv_used = 0;
+	e->tokens_per_s = 0;
+	bct_model_cache_reset(&e->cache);
+	e->ops->cache(e->ctx, e->index,
+		      &(bct_cache_event_t){
+			      .upstream_key = e->conf->key,
+			      .seq = ++e->cache_seq,
+			      .op = BCT_CACHE_RESET,
+		      });
+	e->ops->crashed(e->ctx, e->index, by_poison);
+	for (uint32_t i = 0; i < n_running; i++)
+		e->ops->ended(e->ctx, &e->running[i], BCT_OUTCOME_RESET, true);
+	for (uint32_t i = 0; i < n_waiting; i++)
+		e->ops->ended(e->ctx, &e->waiting[i], BCT_OUTCOME_RESET, false);
+}
+
+void bct_model_engine_report(bct_model_engine_t *e, bct_report_t *out)
+{
+	*out = (bct_report_t){
+		.upstream_key = e->conf->key,
+		.boot_id = e->boot_id,
+		.seq = ++e->report_seq,
+		.running = e->n_running,
+		.waiting = e->n_waiting,
+		.kv_used_tokens = e->kv_used,
+		.kv_total_tokens = e->conf->kv_tokens,
+		.tokens_per_s = (uint32_t)e->tokens_per_s,
+	};
+	for (uint32_t i = 0; i < e->n_running; i++) {
+		out->running_by_tier[e->running[i].priority - 1]++;
+		out->waiting_tokens += (uint32_t)e->running[i].prefill_left;
+	}
+	for (uint32_t i = 0; i < e->n_waiting; i++)
+		out->waiting_tokens += e->waiting[i].prompt_tokens + e->waiting[i].resume_tokens;
+}
--- a/policy/naive.c
+++ b/policy/naive.c
@@ -35,15 +35,19 @@
 	uint64_t upstream_key;
 } naive_req_t;
 
+typedef struct naive_upstream {
+	bool leaving;
+	uint64_t last_used; /* number of the attempt */
+} naive_upstream_t;
+
 typedef struct naive {
 	bct_sched_t base;
 	bct_sched_opts_t opts;
 	bct_conf_t *conf;
-	bool *leaving; /* by index of conf->upstreams */
+	naive_upstream_t *upstreams; /* by index of conf->upstreams */
 	uint32_t n_queued;
 	uint32_t n_running;
 	uint32_t limit;
-	uint32_t next_upstream;
 	uint64_t attempts;
 	bct_list_t queue;
 	bct_list_t refused;
@@ -119,7 +123,7 @@
 			naive_req_free(bct_container_of(el, naive_req_t, by_req));
 	}
 	bct_conf_unref(n->conf);
-	bct_free(n->leaving);
+	bct_free(n->upstreams);
 	bct_free(n);
 }
 
@@ -138,18 +142,18 @@
 static int naive_configure(bct_sched_t *s, bct_time_t now, bct_conf_t *conf)
 {
 	naive_t *n = naive_of(s);
-	bool *leaving = bct_alloc(conf->n_upstreams + 1);
+	naive_upstream_t *upstreams = bct_alloc((conf->n_upstreams + 1) * sizeof(*upstreams));
 
 	(void)now;
-	if (!leaving)
+	if (!upstreams)
 		return -BCT_ENOMEM;
 	for (uint32_t i = 0; i < conf->n_upstreams; i++)
-		leaving[i] = conf->upstreams[i].leaving;
+		upstreams[i].leaving = conf->upstreams[i].leaving;
 	bct_conf_ref(conf);
 	bct_conf_unref(n->conf);
-	bct_free(n->leaving);
+	bct_free(n->upstreams);
 	n->conf = conf;
-	n->leaving = leaving;
+	n->upstreams = upstreams;
 	naive_set_limit(n);
 	return 0;
 }
@@ -272,23 +276,27 @@
 	(void)now;
 	for (uint32_t i = 0; n->conf && i < n->conf->n_upstreams; i++) {
 		if (n->conf->upstreams[i].key == upstream_key)
-			n->leaving[i] = leaving;
+			n->upstreams[i].leaving = leaving;
 	}
 }
 
-/* The next upstream in turn that serves the target, or NULL. */
+/* Round robin: of the upstreams that serve the target, the one used longest ago, or NULL. */
 static const bct_upstream_conf_t *naive_pick(naive_t *n, uint64_t target_key)
 {
+	uint32_t best = n->conf->n_upstreams;
+
 	for (uint32_t i = 0; i < n->conf->n_upstreams; i++) {
-		uint32_t at = (n->next_upstream + i) % n->conf->n_upstreams;
-		const bct_upstream_conf_t *u = &n->conf->upstreams[at];
+		const naive_upstream_t *u = &n->upstreams[i];
 
-		if (n->leaving[at] || !bct_upstream_serves(u, target_key))
+		if (u->leaving || !bct_upstream_serves(&n->conf->upstreams[i], target_key))
 			continue;
-		n->next_upstream = at + 1;
-		return u;
+		if (best == n->conf->n_upstreams || u->last_used < n->upstreams[best].last_used)
+			best = i;
 	}
-	return NULL;
+	if (best == n->conf->n_upstreams)
+		return NULL;
+	n->upstreams[best].last_used = n->attempts + 1;
+	return &n->conf->upstreams[best];
 }
 
 static void naive_take_refusal(naive_t *n, bct_time_t now, bct_action_t *out)
