--- /dev/null
+++ b/policy/admit.c
@@ -0,0 +1,212 @@
+/*
+ * admit.c - the way into the scheduler and every way out of it but a whole answer.
+ */
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/mem.h"
+#include "policy/sched_int.h"
+
+#define ADMIT_RETRY_MIN_MS 100
+#define ADMIT_RETRY_MAX_MS 60000
+#define ADMIT_NO_UPSTREAM_RETRY_MS 2000
+#define ADMIT_RESUME_SLACK_MS 500 /* a broken stream goes on before others start */
+
+/* How long the work at this tier and above will take; a fair time to come back. */
+uint32_t bct_admit_retry_ms(const bct_target_t *t, uint8_t tier)
+{
+	int64_t tokens = 0;
+	double ms;
+
+	for (uint32_t i = 0; i < tier; i++)
+		tokens += t->tiers[i].queue.cost_tokens;
+	ms = t->drain_tokens_per_ms > 0 ? (double)tokens / t->drain_tokens_per_ms : 0;
+	if (ms < ADMIT_RETRY_MIN_MS)
+		return ADMIT_RETRY_MIN_MS;
+	return ms > ADMIT_RETRY_MAX_MS ? ADMIT_RETRY_MAX_MS : (uint32_t)ms;
+}
+
+/* Takes a request that has no attempt out of whatever it waits in. */
+void bct_admit_unqueue(bct_core_t *c, bct_sreq_t *r)
+{
+	if (r->state == BCT_REQ_QUEUED)
+		bct_queue_remove(&r->target->tiers[r->tier - 1].queue, &r->item);
+	if (r->state == BCT_REQ_QUEUED || r->state == BCT_REQ_GRANTED || r->state == BCT_REQ_HELD) {
+		c->n_queued--;
+		r->target->n_queued--;
+	}
+	if (r->state == BCT_REQ_HELD && r->up) {
+		r->up->alone = NULL;
+		bct_heap_set(&c->up_wakes, &r->up->wake, 0);
+		r->up = NULL;
+	}
+	bct_list_del(&r->line);
+	bct_heap_del(&c->timers, &r->timer);
+	r->state = 0;
+}
+
+static void admit_release(bct_sreq_t *r)
+{
+	int64_t used = r->maybe_ran ? (int64_t)r->desc.prompt_tokens + r->tokens : 0;
+
+	if (r->admitted)
+		bct_limit_release(&r->terms->account->limit, r->charged_tokens - used);
+	r->admitted = false;
+}
+
+void bct_admit_free(bct_core_t *c, bct_sreq_t *r)
+{
+	bct_admit_unqueue(c, r);
+	admit_release(r);
+	if (r->outbox.next != &r->outbox) {
+		bct_list_del(&r->outbox);
+		c->n_outbox--;
+	}
+	bct_map_del(&c->reqs, r->desc.req_id);
+	bct_free(r);
+}
+
+/* r has no attempt. The action is handed out by the next poll. */
+void bct_admit_refuse(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_refuse_t why,
+		      uint32_t retry_after_ms)
+{
+	bct_admit_unqueue(c, r);
+	admit_release(r);
+	r->state = BCT_REQ_REFUSED;
+	r->refuse = why;
+	r->retry_after_ms = retry_after_ms;
+	r->attempt_id = 0;
+	bct_list_add_tail(&r->outbox, &c->outbox);
+	c->n_outbox++;
+	if (c->opts.refused)
+		bct_counter_inc(&c->opts.refused[why]);
+	bct_core_trace(c, now, BCT_TRACE_REFUSE, r, 0, why);
+}
+
+/* The account's flow in the queue; made once. */
+static bct_flow_t *admit_flow(bct_core_t *c, const bct_terms_t *terms)
+{
+	uint64_t key =
+		bct_hash_mix(bct_hash_mix(terms->account->key, terms->target->key), terms->tier);
+	bct_flow_t *f = bct_map_get(&c->flows, key);
+
+	if (f)
+		return f;
+	f = bct_alloc(sizeof(*f));
+	if (!f)
+		return NULL;
+	if (!bct_map_put(&c->flows, key, f))
+		return f;
+	bct_free(f);
+	return NULL;
+}
+
+static void admit_fill(bct_sreq_t *r, bct_terms_t *terms, const bct_req_desc_t *desc)
+{
+	uint32_t most = desc->max_output_tokens;
+
+	if (!most || (terms->max_output_tokens && most > terms->max_output_tokens))
+		most = terms->max_output_tokens;
+	r->desc = *desc;
+	r->desc.max_output_tokens = most;
+	r->terms = terms;
+	r->target = terms->target;
+	r->tier = terms->tier;
+	r->repeatable = desc->repeatable && terms->repeatable;
+	r->deadline = terms->deadline_ms ? desc->arrived + terms->deadline_ms : BCT_TIME_NEVER;
+	r->first_token_at = BCT_TIME_NEVER;
+	r->item.arrived = desc->arrived;
+	r->item.latest_start = terms->ttft_ms ? desc->arrived + terms->ttft_ms : BCT_TIME_NEVER;
+	r->item.cost_tokens =
+		(int64_t)desc->prompt_tokens + bct_length_expect(&terms->length, 0, most);
+	bct_list_init(&r->item.link);
+	bct_list_init(&r->outbox);
+	bct_list_init(&r->line);
+	bct_list_init(&r->up_link);
+}
+
+static bct_sreq_t *admit_new(bct_core_t *c, bct_terms_t *terms, const bct_req_desc_t *desc)
+{
+	bct_flow_t *flow = admit_flow(c, terms);
+	bct_sreq_t *r;
+
+	if (!flow || bct_map_reserve(&c->reqs, c->reqs.n + 1) ||
+	    bct_map_reserve(&c->attempts, c->reqs.n + 1))
+		return NULL;
+	r = bct_alloc(sizeof(*r));
+	if (!r)
+		return NULL;
+	admit_fill(r, terms, desc);
+	r->item.flow = flow;
+	bct_map_put(&c->reqs, desc->req_id, r);
+	return r;
+}
+
+static bct_refuse_t admit_check(bct_core_t *c, bct_time_t now, bct_sreq_t *r,
+				uint32_t *retry_after_ms)
+{
+	bct_target_t *t = r->target;
+	bct_refuse_t no;
+
+	*retry_after_ms = 0;
+	if (bct_suspect_state(&c->suspects, now, r->desc.digest, retry_after_ms) ==
+	    BCT_SUSPECT_POISON)
+		return BCT_REFUSE_POISON;
+	*retry_after_ms = ADMIT_NO_UPSTREAM_RETRY_MS;
+	if (now >= t->unusable_at || !t->n_all)
+		return BCT_REFUSE_NO_UPSTREAM;
+	*retry_after_ms = bct_admit_retry_ms(t, r->tier);
+	if (now >= r->deadline)
+		return BCT_REFUSE_DEADLINE;
+	no = bct_limit_take(&r->terms->account->limit, now, r->item.cost_tokens, retry_after_ms);
+	if (no != BCT_REFUSE_NONE)
+		return no;
+	r->admitted = true;
+	r->charged_tokens = r->item.cost_tokens;
+	*retry_after_ms = bct_admit_retry_ms(t, r->tier);
+	return bct_shed_admit(c, now, r);
+}
+
+int bct_admit_submit(bct_core_t *c, bct_time_t now, const bct_req_desc_t *desc)
+{
+	uint64_t key = bct_hash_mix(desc->account_key, desc->class_key);
+	bct_terms_t *terms = bct_map_get(&c->terms, key);
+	uint32_t retry_after_ms;
+	bct_refuse_t no;
+	bct_sreq_t *r;
+
+	if (!terms || !terms->seen)
+		return -BCT_ENOT_FOUND;
+	if (bct_map_get(&c->reqs, desc->req_id))
+		return -BCT_EDUPLICATE;
+	r = admit_new(c, terms, desc);
+	if (!r)
+		return -BCT_ENOMEM;
+	bct_core_trace(c, now, BCT_TRACE_SUBMIT, r, 0, r->repeatable ? BCT_TRACE_REPEATABLE : 0);
+	no = admit_check(c, now, r, &retry_after_ms);
+	if (no != BCT_REFUSE_NONE)
+		bct_admit_refuse(c, now, r, no, retry_after_ms);
+	else
+		bct_admit_enqueue(c, now, r);
+	return 0;
+}
+
+/* r is in no list: it is new, or an attempt of it ended. */
+void bct_admit_enqueue(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_target_t *t = r->target;
+
+	r->attempt_id = 0;
+	/* The account was charged when it was first served. */
+	if (r->first_sent)
+		r->item.cost_tokens = 1;
+	if (r->tokens)
+		r->item.latest_start = now + ADMIT_RESUME_SLACK_MS;
+	r->state = BCT_REQ_QUEUED;
+	c->n_queued++;
+	t->n_queued++;
+	bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
+	if (r->deadline != BCT_TIME_NEVER)
+		bct_heap_set(&c->timers, &r->timer, r->deadline);
+	bct_dispatch_grant(c, now, t);
+	bct_dispatch_ready(c, t);
+}
--- /dev/null
+++ b/policy/attempt.c
@@ -0,0 +1,208 @@
+/*
+ * attempt.c - the life of one attempt of a request at one upstream.
+ */
+#include "base/hash.h"
+#include "policy/sched_int.h"
+
+#define ATTEMPT_MIN_TOKENS_FOR_SPEED 8 /* a shorter answer says little of the speed */
+
+/* Unique over nodes and restarts, as the incarnation is mixed in; never 0. */
+static uint64_t attempt_new_id(bct_core_t *c)
+{
+	uint64_t id;
+
+	do {
+		id = bct_hash_mix(c->opts.incarnation, ++c->next_attempt);
+	} while (!id || bct_map_get(&c->attempts, id));
+	return id;
+}
+
+static void attempt_learn_prefix(bct_core_t *c, const bct_sreq_t *r)
+{
+	for (uint32_t i = 0; i < r->desc.n_prefix; i++)
+		bct_prefix_add(&c->prefix, &r->up->feed, r->up->index, r->desc.prefix[i]);
+	if (r->desc.session_key)
+		bct_prefix_add(&c->prefix, &r->up->feed, r->up->index,
+			       bct_hash_mix(r->desc.session_key, r->target->key));
+}
+
+/* The request is in no queue. Room in the table was made at submit. */
+void bct_attempt_start(bct_core_t *c, bct_time_t now, bct_sreq_t *r, const bct_route_t *route)
+{
+	bct_tier_t *tier = &r->target->tiers[r->tier - 1];
+	bct_up_t *u = route->up;
+
+	r->attempt_id = attempt_new_id(c);
+	bct_map_put(&c->attempts, r->attempt_id, r);
+	r->state = BCT_REQ_RUNNING;
+	r->up = u;
+	r->kv_source_key = route->kv_source_key;
+	r->prefill_tokens = route->prefill_tokens;
+	r->predicted_ttft_ms = route->ttft_ms;
+	r->dispatched_at = now;
+	r->first_token_at = BCT_TIME_NEVER;
+	r->attempt_tokens = 0;
+	r->sent = false;
+	r->stop = BCT_STOP_NONE;
+	bct_list_add_tail(&r->line, &tier->running);
+	bct_list_add_tail(&r->up_link, &u->attempts);
+	bct_list_add_tail(&r->outbox, &c->outbox);
+	c->n_outbox++;
+	tier->n_running++;
+	bct_load_sent(&u->load, now, r->prefill_tokens);
+	attempt_learn_prefix(c, r);
+	/* A call that may not be repeated is not cut off: its outcome is worth more than time. */
+	if (r->repeatable && r->deadline != BCT_TIME_NEVER)
+		bct_heap_set(&c->timers, &r->timer, r->deadline);
+	else
+		bct_heap_del(&c->timers, &r->timer);
+	bct_up_refresh(c, now, u);
+	if (r->retry != BCT_RETRY_NONE && c->opts.retried)
+		bct_counter_inc(&c->opts.retried[r->retry]);
+	bct_core_trace(c, now, BCT_TRACE_DISPATCH, r, u->key, r->retry);
+}
+
+static void attempt_first_token(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	double took_ms = (double)(now - r->dispatched_at);
+
+	r->first_token_at = now;
+	bct_load_first_token(&r->up->load, now, r->prefill_tokens);
+	if (took_ms > r->predicted_ttft_ms)
+		bct_up_progress(r->up, (r->predicted_ttft_ms + 1) / (took_ms + 1));
+	else
+		bct_up_progress(r->up, 1);
+	if (!r->tokens)
+		bct_core_trace(c, now, BCT_TRACE_FIRST_TOKEN, r, r->up->key, 0);
+}
+
+void bct_attempt_tokens(bct_core_t *c, bct_time_t now, uint64_t attempt_id, uint32_t total)
+{
+	bct_sreq_t *r = bct_map_get(&c->attempts, attempt_id);
+
+	if (!r || total <= r->attempt_tokens)
+		return;
+	r->maybe_ran = true;
+	if (r->first_token_at == BCT_TIME_NEVER)
+		attempt_first_token(c, now, r);
+	r->attempt_tokens = total;
+}
+
+/* Takes the attempt off every table; the request lives on in no list. */
+static void attempt_detach(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_up_t *u = r->up;
+
+	bct_map_del(&c->attempts, r->attempt_id);
+	if (r->outbox.next != &r->outbox) {
+		bct_list_del(&r->outbox);
+		c->n_outbox--;
+	}
+	bct_list_del(&r->line);
+	bct_list_del(&r->up_link);
+	bct_heap_del(&c->timers, &r->timer);
+	r->target->tiers[r->tier - 1].n_running--;
+	if (r->stop == BCT_STOP_PREEMPT)
+		r->target->pending_preempts--;
+	bct_load_ended(&u->load, now, r->prefill_tokens, r->first_token_at != BCT_TIME_NEVER);
+	if (u->alone == r)
+		u->alone = NULL;
+	r->tokens += r->attempt_tokens;
+	r->attempt_tokens = 0;
+	r->up = NULL;
+	bct_up_refresh(c, now, u);
+	if (u->alone && !u->load.own)
+		bct_dispatch_alone(c, now, u);
+}
+
+static void attempt_note_speed(bct_time_t now, const bct_sreq_t *r, bct_up_t *u)
+{
+	double expected;
+
+	if (u->kind != BCT_UPSTREAM_ENGINE || r->first_token_at == BCT_TIME_NEVER ||
+	    r->attempt_tokens < ATTEMPT_MIN_TOKENS_FOR_SPEED)
+		return;
+	expected = (double)(now - r->first_token_at) * u->decode_tokens_per_ms;
+	bct_up_progress(u, (r->attempt_tokens + 1) / (expected + 1));
+}
+
+static void attempt_finish(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_outcome_t outcome)
+{
+	if (outcome == BCT_OUTCOME_OK) {
+		bct_length_learn(&r->terms->length, r->tokens);
+		bct_suspect_clear(&c->suspects, now, r->desc.digest);
+	}
+	bct_admit_free(c, r);
+}
+
+/* What follows the end of an attempt that this node cancelled. */
+static void attempt_stopped(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_stop_t stop)
+{
+	if (stop == BCT_STOP_CALLER) {
+		bct_admit_free(c, r);
+	} else if (stop == BCT_STOP_DEADLINE) {
+		bct_admit_refuse(c, now, r, BCT_REFUSE_DEADLINE,
+				 bct_admit_retry_ms(r->target, r->tier));
+	} else {
+		r->retry = BCT_RETRY_PREEMPTED;
+		bct_admit_enqueue(c, now, r);
+	}
+}
+
+void bct_attempt_end(bct_core_t *c, bct_time_t now, const bct_attempt_end_t *end)
+{
+	bct_sreq_t *r = bct_map_get(&c->attempts, end->attempt_id);
+	bct_stop_t stop;
+	bct_up_t *u;
+
+	if (!r)
+		return;
+	bct_attempt_tokens(c, now, end->attempt_id, end->tokens);
+	u = r->up;
+	stop = r->stop;
+	if (end->outcome == BCT_OUTCOME_OK)
+		attempt_note_speed(now, r, u);
+	bct_core_trace(c, now, BCT_TRACE_END, r, u->key, end->outcome);
+	attempt_detach(c, now, r);
+	if (end->may_have_run)
+		r->maybe_ran = true;
+	if (end->outcome == BCT_OUTCOME_OK || end->outcome == BCT_OUTCOME_NOT_SENT) {
+		bct_up_answered(c, now, u);
+		attempt_finish(c, now, r, end->outcome);
+	} else if (stop != BCT_STOP_NONE && end->outcome == BCT_OUTCOME_CANCELLED) {
+		attempt_stopped(c, now, r, stop);
+	} else if (stop == BCT_STOP_CALLER || end->outcome == BCT_OUTCOME_CANCELLED) {
+		bct_admit_free(c, r);
+	} else {
+		bct_retry_decide(c, now, r, u, end);
+	}
+}
+
+/* An attempt whose DISPATCH was not handed out yet never was; undo it. */
+static void attempt_undo(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_stop_t why)
+{
+	bct_core_trace(c, now, BCT_TRACE_END, r, r->up->key, BCT_OUTCOME_CANCELLED);
+	attempt_detach(c, now, r);
+	attempt_stopped(c, now, r, why);
+}
+
+void bct_attempt_stop(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_stop_t why)
+{
+	bool preempting = r->stop == BCT_STOP_PREEMPT;
+
+	if (r->state == BCT_REQ_RUNNING && r->outbox.next != &r->outbox) {
+		attempt_undo(c, now, r, why);
+		return;
+	}
+	if (preempting && why != BCT_STOP_PREEMPT)
+		r->target->pending_preempts--;
+	if (!preempting && why == BCT_STOP_PREEMPT)
+		r->target->pending_preempts++;
+	r->stop = why;
+	bct_heap_del(&c->timers, &r->timer);
+	if (r->state == BCT_REQ_ENDING)
+		return;
+	r->state = BCT_REQ_ENDING;
+	bct_list_add_tail(&r->outbox, &c->outbox);
+	c->n_outbox++;
+}
--- /dev/null
+++ b/policy/dispatch.c
@@ -0,0 +1,230 @@
+/*
+ * dispatch.c - from the queues to the upstreams: the floors' claims first, then tier by tier.
+ */
+#include "policy/sched_int.h"
+
+#define DISPATCH_HOLD_MS 50	   /* until a request that fitted nowhere is looked at again */
+#define DISPATCH_CREDIT_REQUESTS 2 /* a floor saves up no more than this many requests */
+#define DISPATCH_LEARNT_MIN 20	   /* answers after which a class's length is relied on */
+
+void bct_dispatch_ready(bct_core_t *c, bct_target_t *t)
+{
+	if (t->n_queued && t->ready.next == &t->ready)
+		bct_list_add_tail(&t->ready, &c->ready);
+}
+
+/* Parks a queued request that cannot go anywhere now. */
+void bct_dispatch_hold(bct_core_t *c, bct_sreq_t *r, bct_time_t until)
+{
+	if (r->state == BCT_REQ_QUEUED)
+		bct_queue_remove(&r->target->tiers[r->tier - 1].queue, &r->item);
+	bct_list_del(&r->line);
+	bct_list_add_tail(&r->line, &r->target->held);
+	r->state = BCT_REQ_HELD;
+	r->hold_until = until;
+	bct_heap_set(&c->timers, &r->timer, until < r->deadline ? until : r->deadline);
+}
+
+/* A held request goes back to where it was. */
+static void dispatch_unhold(bct_core_t *c, bct_sreq_t *r)
+{
+	bct_target_t *t = r->target;
+
+	bct_list_del(&r->line);
+	if (r->granted) {
+		r->state = BCT_REQ_GRANTED;
+		bct_list_add_tail(&r->line, &t->granted);
+	} else {
+		r->state = BCT_REQ_QUEUED;
+		bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
+	}
+	if (r->deadline != BCT_TIME_NEVER)
+		bct_heap_set(&c->timers, &r->timer, r->deadline);
+	else
+		bct_heap_del(&c->timers, &r->timer);
+	bct_dispatch_ready(c, t);
+}
+
+void bct_dispatch_timer(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	if (now >= r->deadline && r->state == BCT_REQ_RUNNING)
+		bct_attempt_stop(c, now, r, BCT_STOP_DEADLINE);
+	else if (now >= r->deadline)
+		bct_admit_refuse(c, now, r, BCT_REFUSE_DEADLINE,
+				 bct_admit_retry_ms(r->target, r->tier));
+	else if (r->state == BCT_REQ_HELD && !r->up)
+		dispatch_unhold(c, r);
+	else
+		bct_heap_del(&c->timers, &r->timer);
+}
+
+/* Whether work of a higher tier than this waits, so that the floor has something to claim. */
+static bool higher_waits(const bct_target_t *t, uint32_t i)
+{
+	while (i-- > 0) {
+		if (t->tiers[i].queue.n)
+			return true;
+	}
+	return false;
+}
+
+/* Turns saved-up credit into a claim on the next dispatch. */
+void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t)
+{
+	(void)c;
+	for (uint32_t i = 1; i < BCT_TIERS; i++) {
+		bct_tier_t *tier = &t->tiers[i];
+		bct_queue_item_t *it;
+		bct_sreq_t *r;
+
+		if (!tier->queue.n || tier->credit_tokens <= 0 || !higher_waits(t, i))
+			continue;
+		it = bct_queue_peek(&tier->queue, now);
+		if (it->cost_tokens > tier->credit_tokens)
+			continue;
+		r = bct_container_of(it, bct_sreq_t, item);
+		tier->credit_tokens -= it->cost_tokens;
+		bct_queue_serve(&tier->queue, it);
+		r->granted = true;
+		r->state = BCT_REQ_GRANTED;
+		bct_list_add_tail(&r->line, &t->granted);
+	}
+}
+
+/* Each dispatch earns the lower tiers their floors' part of it. */
+static void dispatch_earn(bct_target_t *t, const bct_sreq_t *r)
+{
+	int64_t cost = r->item.cost_tokens;
+
+	for (uint32_t i = r->tier; i < BCT_TIERS; i++) {
+		bct_tier_t *tier = &t->tiers[i];
+		const bct_queue_item_t *head = bct_queue_oldest(&tier->queue);
+		int64_t most = DISPATCH_CREDIT_REQUESTS * (head ? head->cost_tokens : cost);
+
+		if (tier->credit_tokens < most)
+			tier->credit_tokens += 1 + cost * tier->floor_permille / 1000;
+	}
+}
+
+/* The next request of the target; still where it waits. */
+static bct_sreq_t *dispatch_next(bct_target_t *t, bct_time_t now)
+{
+	if (!bct_list_empty(&t->granted))
+		return bct_container_of(t->granted.next, bct_sreq_t, line);
+	for (uint32_t i = 0; i < BCT_TIERS; i++) {
+		bct_queue_item_t *it = bct_queue_peek(&t->tiers[i].queue, now);
+
+		if (it)
+			return bct_container_of(it, bct_sreq_t, item);
+	}
+	return NULL;
+}
+
+/* The learnt length says that its deadline would cut it off: tokens spent on it are wasted. */
+static bool dispatch_hopeless(bct_time_t now, const bct_sreq_t *r, const bct_route_t *route)
+{
+	const bct_length_t *l = &r->terms->length;
+	double left;
+
+	if (r->deadline == BCT_TIME_NEVER || !r->repeatable || l->n < DISPATCH_LEARNT_MIN ||
+	    route->up->kind != BCT_UPSTREAM_ENGINE)
+		return false;
+	left = bct_length_expect(l, r->tokens, r->desc.max_output_tokens);
+	return now + route->ttft_ms + left / route->up->decode_tokens_per_ms > (double)r->deadline;
+}
+
+static void dispatch_start(bct_core_t *c, bct_time_t now, bct_sreq_t *r, const bct_route_t *route)
+{
+	bct_target_t *t = r->target;
+
+	if (r->state == BCT_REQ_QUEUED)
+		bct_queue_serve(&t->tiers[r->tier - 1].queue, &r->item);
+	bct_list_del(&r->line);
+	c->n_queued--;
+	t->n_queued--;
+	if (!r->first_sent) {
+		r->first_sent = true;
+		bct_budget_first(&c->budget);
+		bct_shed_drained(t, now, r->item.cost_tokens);
+		dispatch_earn(t, r);
+	}
+	bct_attempt_start(c, now, r, route);
+	bct_dispatch_grant(c, now, t);
+}
+
+/* The upstream kept for a suspect has nothing of this node's left. */
+void bct_dispatch_alone(bct_core_t *c, bct_time_t now, bct_up_t *u)
+{
+	bct_sreq_t *r = u->alone;
+	bct_route_t route = bct_route_plain(r, u);
+
+	r->up = NULL;
+	r->alone = true;
+	dispatch_start(c, now, r, &route);
+}
+
+/* A suspect gets an upstream to itself; it waits until that is empty. */
+static void dispatch_suspect(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_up_t *u = bct_route_for_suspect(r->target, now, r);
+
+	if (!u) {
+		bct_dispatch_hold(c, r, now + DISPATCH_HOLD_MS);
+		return;
+	}
+	bct_dispatch_hold(c, r, BCT_TIME_NEVER);
+	r->up = u;
+	u->alone = r;
+	bct_up_refresh(c, now, u);
+	if (!u->load.own)
+		bct_dispatch_alone(c, now, u);
+}
+
+/* Sends one request on its way, whatever that is. */
+static void dispatch_one(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_suspect_state_t suspect;
+	bct_route_t route;
+	uint32_t left_ms;
+
+	suspect = bct_suspect_state(&c->suspects, now, r->desc.digest, &left_ms);
+	if (suspect == BCT_SUSPECT_POISON) {
+		bct_admit_refuse(c, now, r, BCT_REFUSE_POISON, left_ms);
+		return;
+	}
+	if (suspect == BCT_SUSPECT_ALONE) {
+		dispatch_suspect(c, now, r);
+		return;
+	}
+	route = bct_route_choose(c, now, r->target, r);
+	if (!route.up)
+		bct_dispatch_hold(c, r, now + DISPATCH_HOLD_MS);
+	else if (dispatch_hopeless(now, r, &route))
+		bct_admit_refuse(c, now, r, BCT_REFUSE_TARGET_MISSED,
+				 bct_admit_retry_ms(r->target, r->tier));
+	else
+		dispatch_start(c, now, r, &route);
+}
+
+/* No upstream can be used, and the time to wait for one is over. */
+static void dispatch_unusable(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max)
+{
+	bct_sreq_t *r;
+
+	while (c->n_outbox < max && (r = dispatch_next(t, now)))
+		bct_admit_refuse(c, now, r, BCT_REFUSE_NO_UPSTREAM, bct_admit_retry_ms(t, r->tier));
+}
+
+void bct_dispatch_target(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max)
+{
+	bct_sreq_t *r;
+
+	if (now >= t->unusable_at)
+		dispatch_unusable(c, now, t, max);
+	while (t->n_open && c->n_outbox < max && (r = dispatch_next(t, now)))
+		dispatch_one(c, now, r);
+	if (t->n_open)
+		bct_dispatch_ready(c, t);
+	else
+		bct_preempt_target(c, now, t);
+}
--- /dev/null
+++ b/policy/fleet.c
@@ -0,0 +1,207 @@
+/*
+ * fleet.c - what nodes tell each other, and what follows from the totals.
+ */
+#include "policy/sched_int.h"
+
+#define FLEET_SHED_HOLD_MS 2000 /* a tier counts as shed this long after the last refusal */
+
+typedef struct writer {
+	bct_item_t *out;
+	uint32_t n;
+	uint32_t max;
+} writer_t;
+
+static bct_item_t *writer_add(writer_t *w, bct_item_type_t type, uint64_t key, uint64_t key2)
+{
+	bct_item_t *it;
+
+	if (w->n >= w->max)
+		return NULL;
+	it = &w->out[w->n++];
+	*it = (bct_item_t){ .type = type, .key = key, .key2 = key2 };
+	return it;
+}
+
+static void publish_accounts(bct_core_t *c, bct_time_t now, writer_t *w)
+{
+	uint32_t pos = 0;
+	bct_acct_t *a;
+
+	while ((a = bct_map_next(&c->accounts, &pos))) {
+		bct_item_t *it;
+
+		if (bct_limit_idle(&a->limit))
+			continue;
+		it = writer_add(w, BCT_ITEM_ACCOUNT, a->key, 0);
+		if (it)
+			bct_limit_publish(&a->limit, now, it->v);
+	}
+}
+
+static bool tier_sheds(const bct_tier_t *tier, bct_time_t now)
+{
+	return tier->shed_at != BCT_TIME_NEVER && now - tier->shed_at < FLEET_SHED_HOLD_MS;
+}
+
+static void publish_tier(bct_time_t now, writer_t *w, bct_target_t *t, uint32_t i)
+{
+	bct_tier_t *tier = &t->tiers[i];
+	const bct_queue_item_t *oldest = bct_queue_oldest(&tier->queue);
+	bool told = tier->told_queued || tier->told_running;
+	bct_item_t *it;
+
+	if (!tier->queue.n && !tier->n_running && !told && !tier_sheds(tier, now))
+		return;
+	it = writer_add(w, BCT_ITEM_TIER, t->key, i + 1);
+	if (!it)
+		return;
+	it->v[0] = tier->told_queued = tier->queue.n;
+	it->v[1] = tier->told_running = tier->n_running;
+	it->v[2] = oldest ? now - oldest->arrived : 0;
+	it->v[3] = tier_sheds(tier, now);
+}
+
+static void publish_targets(bct_core_t *c, bct_time_t now, writer_t *w)
+{
+	uint32_t pos = 0, i;
+	bct_target_t *t;
+
+	while ((t = bct_map_next(&c->targets, &pos))) {
+		for (i = 0; i < BCT_TIERS; i++)
+			publish_tier(now, w, t, i);
+		while (t->shed_level < BCT_TIERS && !tier_sheds(&t->tiers[t->shed_level], now))
+			t->shed_level++;
+	}
+}
+
+static void publish_upstreams(bct_core_t *c, writer_t *w)
+{
+	for (uint32_t i = 0; i < c->n_index; i++) {
+		bct_up_t *u = c->by_index[i];
+		bct_item_t *it;
+
+		if (!u->load.own && !u->load.published)
+			continue;
+		it = writer_add(w, BCT_ITEM_UPSTREAM, u->key, 0);
+		if (!it)
+			return;
+		it->v[0] = u->load.published = u->load.own;
+		it->v[1] = u->load.prefill_tokens;
+	}
+}
+
+uint32_t bct_fleet_publish(bct_core_t *c, bct_time_t now, bct_item_t *out, uint32_t max)
+{
+	writer_t w = { out, 0, max };
+	uint32_t pos = 0;
+	uint64_t digest;
+	bct_item_t *it;
+	int64_t v[BCT_ITEM_VALUES];
+
+	/* What protects upstreams and limits comes first, should there be no room for all. */
+	while (bct_suspect_publish(&c->suspects, now, &pos, &digest, v)) {
+		it = writer_add(&w, BCT_ITEM_SUSPECT, digest, 0);
+		for (uint32_t i = 0; it && i < BCT_ITEM_VALUES; i++)
+			it->v[i] = v[i];
+	}
+	it = writer_add(&w, BCT_ITEM_RETRY, 0, 0);
+	if (it)
+		bct_budget_publish(&c->budget, now, it->v);
+	publish_accounts(c, now, &w);
+	publish_targets(c, now, &w);
+	publish_upstreams(c, &w);
+	return w.n;
+}
+
+/*
+ * This node's part of the target: capacity goes to the fleet's demand from the highest tier down,
+ * within a tier by demand; what is spare is split evenly. The parts of all nodes add up to one.
+ */
+static double target_share(const bct_core_t *c, bct_time_t now, const bct_target_t *t)
+{
+	double left = t->slots, mine = 0;
+
+	for (uint32_t i = 0; i < BCT_TIERS; i++) {
+		const bct_tier_t *tier = &t->tiers[i];
+		double own = (double)(tier->told_queued + tier->told_running);
+		double all = (double)(tier->total.queued + tier->total.running);
+		double given;
+
+		if (tier->total.at == BCT_TIME_NEVER || now - tier->total.at > BCT_TOTAL_MAX_AGE_MS)
+			continue;
+		if (all < own)
+			all = own;
+		if (all <= 0)
+			continue;
+		given = all < left ? all : left;
+		mine += given * own / all;
+		left -= given;
+	}
+	return (mine + left / c->fleet.nodes) / t->slots;
+}
+
+static void total_tier(bct_core_t *c, bct_time_t now, const bct_total_t *total)
+{
+	bct_target_t *t = bct_map_get(&c->targets, total->item.key);
+	uint64_t tier = total->item.key2;
+
+	if (!t || tier < 1 || tier > BCT_TIERS || total->age_ms > BCT_TOTAL_MAX_AGE_MS)
+		return;
+	t->tiers[tier - 1].total = (bct_tier_total_t){
+		.queued = total->item.v[0],
+		.running = total->item.v[1],
+		.shedding = total->item.v[3],
+		.nodes = total->nodes,
+		.at = now - total->age_ms,
+	};
+	if (c->fleet.nodes <= 1 || !t->slots)
+		return;
+	t->share = target_share(c, now, t);
+	for (uint32_t i = 0; i < t->n_ups; i++) {
+		bct_up_share(c, t->ups[i]);
+		bct_up_refresh(c, now, t->ups[i]);
+	}
+}
+
+static void total_account(bct_core_t *c, bct_time_t now, const bct_total_t *total)
+{
+	bct_acct_t *a = bct_map_get(&c->accounts, total->item.key);
+	bct_limit_fleet_t f = bct_core_limit_fleet(c);
+
+	if (a)
+		bct_limit_total(&a->limit, now, total->item.v, total->age_ms, &f);
+}
+
+static void total_upstream(bct_core_t *c, bct_time_t now, const bct_total_t *total)
+{
+	bct_up_t *u = bct_map_get(&c->ups, total->item.key);
+
+	if (!u || total->item.v[0] < 0 || total->age_ms > BCT_TOTAL_MAX_AGE_MS)
+		return;
+	bct_load_peers(&u->load, now - total->age_ms, (uint32_t)total->item.v[0]);
+	bct_up_share(c, u);
+	bct_up_refresh(c, now, u);
+}
+
+void bct_fleet_total(bct_core_t *c, bct_time_t now, const bct_total_t *t)
+{
+	switch (t->item.type) {
+	case BCT_ITEM_ACCOUNT:
+		total_account(c, now, t);
+		break;
+	case BCT_ITEM_TIER:
+		total_tier(c, now, t);
+		break;
+	case BCT_ITEM_UPSTREAM:
+		total_upstream(c, now, t);
+		break;
+	case BCT_ITEM_RETRY:
+		bct_budget_total(&c->budget, now, t->item.v, t->age_ms);
+		break;
+	case BCT_ITEM_SUSPECT:
+		bct_suspect_heard(&c->suspects, now, t->item.key, t->item.v);
+		break;
+	case BCT_ITEM_COUNT:
+		break;
+	}
+}
--- /dev/null
+++ b/policy/load.c
@@ -0,0 +1,104 @@
+/*
+ * load.c - see load.h.
+ */
+#include "policy/load.h"
+
+#include <math.h>
+
+void bct_load_init(bct_load_t *l, uint32_t slots)
+{
+	*l = (bct_load_t){ .slots = slots, .quota = slots };
+}
+
+/* Called before each change, so a sample tells what held up to its time. */
+static void load_note(bct_load_t *l, bct_time_t now)
+{
+	bct_load_sample_t *last = &l->history[(l->n_history - 1) % BCT_LOAD_HISTORY];
+
+	if (l->n_history && now - last->at < BCT_LOAD_HISTORY_STEP_MS)
+		return;
+	l->history[l->n_history++ % BCT_LOAD_HISTORY] =
+		(bct_load_sample_t){ now, l->own, l->prefill_tokens };
+}
+
+/* What this node had there at a time: the first sample taken at or after it. */
+static bct_load_sample_t load_at(const bct_load_t *l, bct_time_t at)
+{
+	bct_load_sample_t found = { at, l->own, l->prefill_tokens };
+	uint32_t kept = l->n_history < BCT_LOAD_HISTORY ? l->n_history : BCT_LOAD_HISTORY;
+	uint32_t i;
+
+	for (i = 1; i <= kept; i++) {
+		const bct_load_sample_t *s = &l->history[(l->n_history - i) % BCT_LOAD_HISTORY];
+
+		if (s->at < at)
+			break;
+		found = *s;
+	}
+	return found;
+}
+
+void bct_load_sent(bct_load_t *l, bct_time_t now, uint32_t prompt_tokens)
+{
+	load_note(l, now);
+	l->own++;
+	l->prefill_tokens += prompt_tokens;
+}
+
+void bct_load_first_token(bct_load_t *l, bct_time_t now, uint32_t prompt_tokens)
+{
+	load_note(l, now);
+	l->prefill_tokens -= prompt_tokens;
+}
+
+void bct_load_ended(bct_load_t *l, bct_time_t now, uint32_t prompt_tokens, bool had_first_token)
+{
+	load_note(l, now);
+	l->own--;
+	if (!had_first_token)
+		l->prefill_tokens -= prompt_tokens;
+}
+
+void bct_load_report(bct_load_t *l, bct_time_t at, uint32_t busy, uint32_t waiting_tokens)
+{
+	bct_load_sample_t then = load_at(l, at);
+
+	if (at < l->others_at)
+		return;
+	l->others = busy > then.own ? busy - then.own : 0;
+	l->others_prefill_tokens = (int64_t)waiting_tokens - then.prefill_tokens;
+	if (l->others_prefill_tokens < 0)
+		l->others_prefill_tokens = 0;
+	l->others_at = at;
+}
+
+void bct_load_peers(bct_load_t *l, bct_time_t at, uint32_t total)
+{
+	if (at < l->others_at)
+		return;
+	l->others = total > l->published ? total - l->published : 0;
+	l->others_at = at;
+}
+
+void bct_load_share(bct_load_t *l, double share, double dice)
+{
+	uint32_t used = l->own + l->others;
+	double room = l->slots > used ? l->slots - used : 0;
+	double fair = l->slots * share;
+	double with_room = l->own + room * share;
+
+	if (room > 0 && with_room > fair)
+		fair = with_room;
+	l->quota = (uint32_t)floor(fair + dice);
+	if (l->quota > l->slots)
+		l->quota = l->slots;
+}
+
+uint32_t bct_load_free(const bct_load_t *l)
+{
+	uint32_t used = l->own + l->others;
+
+	if (used >= l->slots || l->own >= l->quota)
+		return 0;
+	return l->slots - used < l->quota - l->own ? l->slots - used : l->quota - l->own;
+}
--- /dev/null
+++ b/policy/preempt.c
@@ -0,0 +1,79 @@
+/*
+ * preempt.c - room for a higher tier: the newest running work of the lowest tier is cancelled and
+ * later resumed from the tokens that its caller already has.
+ */
+#include "policy/sched_int.h"
+
+#define PREEMPT_MAX_PER_REQUEST 2 /* after that it runs to its end */
+#define PREEMPT_PENDING_MAX 4	  /* cancelled for one target and not yet ended */
+#define PREEMPT_SCAN_MAX 8
+#define PREEMPT_WAIT_DIVISOR 4 /* part of its target that a request waits first */
+
+static bool preemptible(const bct_sreq_t *r)
+{
+	return r->state == BCT_REQ_RUNNING && r->repeatable && !r->granted && !r->alone &&
+	       r->up->kind == BCT_UPSTREAM_ENGINE && r->up->resumes && bct_up_usable(r->up) &&
+	       r->preempts < PREEMPT_MAX_PER_REQUEST;
+}
+
+/* The newest goes first: the least has been put into it. */
+bct_sreq_t *bct_preempt_victim(const bct_target_t *t, uint8_t tier)
+{
+	const bct_list_t *running = &t->tiers[tier - 1].running;
+	const bct_list_t *el = running->prev;
+
+	for (uint32_t i = 0; el != running && i < PREEMPT_SCAN_MAX; el = el->prev, i++) {
+		bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
+
+		if (preemptible(r))
+			return r;
+	}
+	return NULL;
+}
+
+static bct_sreq_t *lowest_victim(const bct_target_t *t, uint8_t above_tier)
+{
+	for (uint8_t tier = BCT_TIERS; tier > above_tier; tier--) {
+		bct_sreq_t *r = bct_preempt_victim(t, tier);
+
+		if (r)
+			return r;
+	}
+	return NULL;
+}
+
+/* The request that waits at the head of the highest tier with work. */
+static bct_sreq_t *highest_head(bct_target_t *t, bct_time_t now)
+{
+	for (uint32_t i = 0; i < BCT_TIERS; i++) {
+		bct_queue_item_t *it = bct_queue_peek(&t->tiers[i].queue, now);
+
+		if (it)
+			return bct_container_of(it, bct_sreq_t, item);
+	}
+	return NULL;
+}
+
+void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
+{
+	bct_sreq_t *head = highest_head(t, now);
+	bct_sreq_t *victim;
+	bct_time_t at;
+
+	if (!head || now >= t->unusable_at)
+		return;
+	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
+	if (now < at) {
+		bct_heap_set(&c->target_wakes, &t->wake, at);
+		return;
+	}
+	while (t->pending_preempts < PREEMPT_PENDING_MAX &&
+	       t->pending_preempts < t->tiers[head->tier - 1].queue.n) {
+		victim = lowest_victim(t, head->tier);
+		if (!victim)
+			return;
+		victim->preempts++;
+		bct_core_trace(c, now, BCT_TRACE_PREEMPT, victim, victim->up->key, head->tier);
+		bct_attempt_stop(c, now, victim, BCT_STOP_PREEMPT);
+	}
+}
--- /dev/null
+++ b/policy/queue.c
@@ -0,0 +1,127 @@
+/*
+ * queue.c - start-time fair queueing over per-account heaps.
+ */
+#include "policy/queue.h"
+
+#include <stddef.h>
+
+#define flow_of(n, member) bct_container_of(n, bct_flow_t, member)
+#define item_of(n, member) bct_container_of(n, bct_queue_item_t, member)
+
+void bct_queue_init(bct_queue_t *q)
+{
+	*q = (bct_queue_t){ 0 };
+	bct_list_init(&q->items);
+}
+
+/* A flow is listed under each kind of work that it holds. */
+static void flow_relink(bct_queue_t *q, bct_flow_t *f)
+{
+	if (f->fresh.root)
+		bct_heap_set(&q->fresh_flows, &f->fresh_node, f->vtime_tokens);
+	else
+		bct_heap_del(&q->fresh_flows, &f->fresh_node);
+	if (f->late.root)
+		bct_heap_set(&q->late_flows, &f->late_node, f->vtime_tokens);
+	else
+		bct_heap_del(&q->late_flows, &f->late_node);
+}
+
+void bct_queue_push(bct_queue_t *q, bct_queue_item_t *it)
+{
+	bct_flow_t *f = it->flow;
+
+	/* An idle account saves up no claim on the past. */
+	if (!f->fresh.root && !f->late.root) {
+		q->n_flows++;
+		if (f->vtime_tokens < q->vclock_tokens)
+			f->vtime_tokens = q->vclock_tokens;
+	}
+	it->late = false;
+	it->queued = true;
+	bct_heap_add(&f->fresh, &it->node, it->latest_start);
+	bct_list_add_tail(&it->link, &q->items);
+	q->n++;
+	q->cost_tokens += it->cost_tokens;
+	f->cost_tokens += it->cost_tokens;
+	flow_relink(q, f);
+}
+
+void bct_queue_remove(bct_queue_t *q, bct_queue_item_t *it)
+{
+	bct_flow_t *f = it->flow;
+
+	if (!it->queued)
+		return;
+	bct_heap_del(it->late ? &f->late : &f->fresh, &it->node);
+	bct_list_del(&it->link);
+	it->queued = false;
+	q->n--;
+	q->cost_tokens -= it->cost_tokens;
+	f->cost_tokens -= it->cost_tokens;
+	if (!f->fresh.root && !f->late.root)
+		q->n_flows--;
+	flow_relink(q, f);
+}
+
+static void queue_make_late(bct_queue_t *q, bct_queue_item_t *it)
+{
+	bct_flow_t *f = it->flow;
+
+	bct_heap_del(&f->fresh, &it->node);
+	bct_heap_add(&f->late, &it->node, it->arrived);
+	it->late = true;
+	flow_relink(q, f);
+}
+
+static bct_queue_item_t *queue_peek_fresh(bct_queue_t *q, bct_time_t now)
+{
+	while (q->fresh_flows.root) {
+		bct_flow_t *f = flow_of(q->fresh_flows.root, fresh_node);
+		bct_queue_item_t *it = item_of(f->fresh.root, node);
+
+		if (it->latest_start >= now)
+			return it;
+		queue_make_late(q, it);
+	}
+	return NULL;
+}
+
+bct_queue_item_t *bct_queue_peek(bct_queue_t *q, bct_time_t now)
+{
+	bct_queue_item_t *fresh = queue_peek_fresh(q, now);
+
+	if (!q->late_flows.root)
+		return fresh;
+	if (fresh && q->since_late < BCT_QUEUE_LATE_TURN)
+		return fresh;
+	return bct_queue_late(q);
+}
+
+bct_queue_item_t *bct_queue_late(const bct_queue_t *q)
+{
+	if (!q->late_flows.root)
+		return NULL;
+	return item_of(flow_of(q->late_flows.root, late_node)->late.root, node);
+}
+
+void bct_queue_serve(bct_queue_t *q, bct_queue_item_t *it)
+{
+	bct_flow_t *f = it->flow;
+
+	q->since_late = it->late ? 0 : q->since_late + 1;
+	if (f->vtime_tokens > q->vclock_tokens)
+		q->vclock_tokens = f->vtime_tokens;
+	f->vtime_tokens += it->cost_tokens;
+	bct_queue_remove(q, it);
+}
+
+bct_queue_item_t *bct_queue_oldest(const bct_queue_t *q)
+{
+	return q->n ? item_of(q->items.next, link) : NULL;
+}
+
+bct_queue_item_t *bct_queue_newest(const bct_queue_t *q)
+{
+	return q->n ? item_of(q->items.prev, link) : NULL;
+}
--- /dev/null
+++ b/policy/route.c
@@ -0,0 +1,236 @@
+/*
+ * route.c - the upstream with the shortest predicted time to first token among a few candidates:
+ * some drawn at random from those with room, and those that may hold the prompt's prefix.
+ */
+#include "base/hash.h"
+#include "policy/sched_int.h"
+
+#include <math.h>
+
+#define ROUTE_CHOICES 4		    /* drawn at random */
+#define ROUTE_SCAN_MAX 32	    /* looked at when none of the candidates fits */
+#define ROUTE_BATCH_MS 40.0	    /* delay that a full batch adds to a first token */
+#define ROUTE_AGE_DOUBLES_MS 4000.0 /* report age at which the predicted wait is doubled */
+#define ROUTE_OTHER_DOMAIN_MS 1.0
+#define ROUTE_OTHER_REGION_MS 60.0
+#define ROUTE_KV_TOKENS_PER_MS 100.0 /* speed of a KV transfer between engines */
+#define ROUTE_KV_SETUP_MS 15.0
+#define ROUTE_SESSION_CACHED 0.5 /* part of a session's prompt taken as cached */
+#define ROUTE_SERVICE_MS 20.0	 /* a plain service's answer, until speed says else */
+
+typedef struct candidate {
+	bct_up_t *up;
+	double score_ms;
+	double prefill_tokens;
+	double saved_by_transfer;
+} candidate_t;
+
+typedef struct search {
+	bct_core_t *c;
+	bct_time_t now;
+	bct_target_t *t;
+	const bct_sreq_t *r;
+	const bct_prefix_entry_t *prefix; /* of the longest known prefix */
+	const bct_prefix_entry_t *session;
+	uint32_t n_prefix;
+	bool allow_avoided;
+	candidate_t best;
+} search_t;
+
+static bool holds(const bct_prefix_entry_t *e, const bct_up_t *u)
+{
+	for (uint32_t i = 0; e && i < BCT_PREFIX_HOLDERS; i++) {
+		if (e->holders[i].used && e->holders[i].index == u->index)
+			return e->holders[i].epoch == u->feed.epoch;
+	}
+	return false;
+}
+
+static double cached_tokens(const search_t *s, const bct_up_t *u)
+{
+	uint32_t blocks;
+	double tokens;
+
+	if (!s->r->desc.n_prefix)
+		return holds(s->session, u) ? s->r->desc.prompt_tokens * ROUTE_SESSION_CACHED : 0;
+	if (!s->n_prefix)
+		return 0;
+	blocks =
+		bct_prefix_match(&s->c->prefix, &u->feed, u->index, s->r->desc.prefix, s->n_prefix);
+	tokens = (double)blocks * BCT_PREFIX_BLOCK_TOKENS;
+	return fmin(tokens, s->r->desc.prompt_tokens) * u->feed.trust;
+}
+
+/* Tokens of the longest known prefix that are worth fetching from the engine that holds them. */
+static double transferable_tokens(const search_t *s, const bct_up_t *u, double cached)
+{
+	double longest = (double)s->n_prefix * BCT_PREFIX_BLOCK_TOKENS;
+	double more = fmin(longest, s->r->desc.prompt_tokens) - cached;
+	double transfer_ms = ROUTE_KV_SETUP_MS + more / ROUTE_KV_TOKENS_PER_MS;
+
+	if (more <= 0 || transfer_ms >= more / u->prefill_tokens_per_ms)
+		return 0;
+	return more;
+}
+
+static double distance_ms(const bct_core_t *c, const bct_up_t *u)
+{
+	if (u->region_key != c->fleet.region_key)
+		return ROUTE_OTHER_REGION_MS;
+	return u->failure_domain_key == c->fleet.failure_domain_key ? 0 : ROUTE_OTHER_DOMAIN_MS;
+}
+
+/* Work ahead of a new request there; the older the report, the more is assumed. */
+static double wait_ms(const search_t *s, const bct_up_t *u)
+{
+	const bct_load_t *l = &u->load;
+	double ahead = (double)(l->prefill_tokens + l->others_prefill_tokens);
+	double busy = (double)(l->own + l->others) / l->slots;
+	double age_ms = u->report_at ? (double)(s->now - u->report_at) : 0;
+	double ms = ahead / u->prefill_tokens_per_ms + busy * ROUTE_BATCH_MS;
+
+	return ms * (1 + age_ms / ROUTE_AGE_DOUBLES_MS);
+}
+
+static void search_try(search_t *s, bct_up_t *u)
+{
+	double cached, more, ms, fetch_ms = 0;
+	uint32_t need = s->r->desc.prompt_tokens + s->r->tokens;
+
+	if (s->r->tokens && !u->resumes)
+		return;
+	if (u->key == s->r->avoid_key && !s->allow_avoided)
+		return;
+	if (u->kind == BCT_UPSTREAM_SERVICE) {
+		cached = need;
+		more = 0;
+		fetch_ms = ROUTE_SERVICE_MS;
+	} else {
+		cached = cached_tokens(s, u);
+		more = transferable_tokens(s, u, cached);
+	}
+	if (more > 0)
+		fetch_ms = ROUTE_KV_SETUP_MS + more / ROUTE_KV_TOKENS_PER_MS;
+	ms = wait_ms(s, u) + fetch_ms + (need - cached - more) / u->prefill_tokens_per_ms;
+	ms = ms / u->speed + distance_ms(s->c, u);
+	if (s->best.up && s->best.score_ms <= ms)
+		return;
+	s->best = (candidate_t){ u, ms, need - cached - more, more };
+}
+
+static bool is_open_for(const bct_up_t *u, const bct_target_t *t)
+{
+	for (uint32_t k = 0; k < u->n_targets; k++) {
+		if (u->targets[k] == t)
+			return u->open_pos[k] != 0;
+	}
+	return false;
+}
+
+static void search_holders(search_t *s, const bct_prefix_entry_t *e)
+{
+	for (uint32_t i = 0; e && i < BCT_PREFIX_HOLDERS; i++) {
+		bct_up_t *u;
+
+		if (!e->holders[i].used)
+			continue;
+		u = s->c->by_index[e->holders[i].index];
+		if (e->holders[i].epoch == u->feed.epoch && is_open_for(u, s->t))
+			search_try(s, u);
+	}
+}
+
+/* Distinct members of the open set, from a random place on. */
+static void search_open(search_t *s, uint32_t max)
+{
+	uint32_t n = s->t->n_open < max ? s->t->n_open : max;
+	uint32_t at = bct_rng_below(&s->c->rng, s->t->n_open);
+	uint32_t step = s->t->n_open / (n ? n : 1);
+
+	for (uint32_t i = 0; i < n; i++)
+		search_try(s, s->t->open[(at + i * step) % s->t->n_open]);
+}
+
+/* The engine to import from: a holder of the longest prefix, not too far away. */
+static uint64_t kv_source(const search_t *s)
+{
+	for (uint32_t i = 0; s->prefix && i < BCT_PREFIX_HOLDERS; i++) {
+		const bct_prefix_holder_t *h = &s->prefix->holders[i];
+		const bct_up_t *u;
+
+		if (!h->used)
+			continue;
+		u = s->c->by_index[h->index];
+		if (u != s->best.up && h->epoch == u->feed.epoch && u->seen && !u->failures &&
+		    u->region_key == s->best.up->region_key)
+			return u->key;
+	}
+	return 0;
+}
+
+static bct_route_t search_result(const search_t *s)
+{
+	bct_route_t route = { .up = s->best.up };
+	double tokens = s->best.prefill_tokens;
+
+	if (!route.up)
+		return route;
+	if (s->best.saved_by_transfer > 0)
+		route.kv_source_key = kv_source(s);
+	if (!route.kv_source_key)
+		tokens += s->best.saved_by_transfer;
+	route.prefill_tokens = (uint32_t)fmax(0, tokens);
+	route.ttft_ms = (uint32_t)s->best.score_ms;
+	return route;
+}
+
+bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r)
+{
+	search_t s = { .c = c, .now = now, .t = t, .r = r };
+
+	if (r->desc.n_prefix)
+		s.prefix =
+			bct_prefix_find(&c->prefix, r->desc.prefix, r->desc.n_prefix, &s.n_prefix);
+	if (r->desc.session_key)
+		s.session = bct_map_get(&c->prefix.map, bct_hash_mix(r->desc.session_key, t->key));
+	if (t->n_open) {
+		search_holders(&s, s.prefix);
+		search_holders(&s, s.session);
+		search_open(&s, ROUTE_CHOICES);
+		if (!s.best.up)
+			search_open(&s, ROUTE_SCAN_MAX);
+		s.allow_avoided = true;
+		if (!s.best.up)
+			search_open(&s, ROUTE_SCAN_MAX);
+	}
+	return search_result(&s);
+}
+
+bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u)
+{
+	uint32_t tokens = r->desc.prompt_tokens + r->tokens;
+
+	return (bct_route_t){ u, 0, tokens, (uint32_t)(tokens / u->prefill_tokens_per_ms) };
+}
+
+/* The same upstream on every node that uses it, so that few of them are emptied for suspects. */
+bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r)
+{
+	bct_up_t *best = NULL;
+	uint64_t best_rank = 0;
+
+	for (uint32_t i = 0; i < t->n_ups; i++) {
+		bct_up_t *u = t->ups[i];
+		uint64_t rank = bct_hash_mix(r->desc.digest, u->key);
+
+		if (!bct_up_usable(u) || u->alone || now < u->down_until)
+			continue;
+		if (r->tokens && !u->resumes)
+			continue;
+		if (!best || rank > best_rank) {
+			best = u;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
--- a/policy/sched.h
+++ b/policy/sched.h
@@ -165,6 +165,8 @@
 	BCT_TRACE_SHED_LEVEL, /* value: tiers above this number are shed; BCT_TIERS: none */
 } bct_trace_type_t;
 
+#define BCT_TRACE_REPEATABLE 1 /* value of a SUBMIT: the request may be run again */
+
 typedef struct bct_trace {
 	bct_trace_type_t type;
 	bct_time_t now;
@@ -173,8 +175,9 @@
 	uint64_t account_key;
 	uint64_t target_key;
 	uint64_t upstream_key;
-	uint64_t
-		value; /* REFUSE: bct_refuse_t; PREEMPT: tier it made way for; END: bct_outcome_t */
+	/* SUBMIT: BCT_TRACE_REPEATABLE or 0; DISPATCH: bct_retry_t; REFUSE: bct_refuse_t;
+	 * PREEMPT: tier it made way for; END: bct_outcome_t of one attempt */
+	uint64_t value;
 	uint8_t tier;
 } bct_trace_t;
 
--- /dev/null
+++ b/policy/setup.c
@@ -0,0 +1,416 @@
+/*
+ * setup.c - puts a configuration in force. All memory is had first, so that a failure changes
+ * nothing; the second pass cannot fail.
+ */
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/mem.h"
+#include "policy/sched_int.h"
+
+#include <math.h>
+
+#define SETUP_SLOTS_DEFAULT 16	    /* where the configuration gives none */
+#define SETUP_PREFILL_DEFAULT 4000  /* tokens/s */
+#define SETUP_DECODE_DEFAULT 30	    /* tokens/s of one stream */
+#define SETUP_SUBSET_MIN 16	    /* upstreams of a target that a node uses at least */
+#define SETUP_NODES_PER_UPSTREAM 8  /* that use one upstream, in a large fleet */
+#define SETUP_FLOOR_MIN_PERMILLE 10 /* no tier is without a floor */
+#define SETUP_FLOOR_MAX_PERMILLE 200
+#define SETUP_LENGTH_GUESS_DIVISOR 4 /* first guess: this part of the most that is allowed */
+#define SETUP_LENGTH_GUESS 256
+#define SETUP_NEAR_WEIGHT 4.0 /* same failure domain */
+#define SETUP_REGION_WEIGHT 2.0
+
+static void *ensure(bct_map_t *map, uint64_t key, size_t size_bytes, bool *created)
+{
+	void *obj = bct_map_get(map, key);
+
+	*created = !obj;
+	if (obj)
+		return obj;
+	obj = bct_alloc(size_bytes);
+	if (!obj)
+		return NULL;
+	if (!bct_map_put(map, key, obj))
+		return obj;
+	bct_free(obj);
+	return NULL;
+}
+
+static bct_target_t *ensure_target(bct_core_t *c, const bct_class_conf_t *cc)
+{
+	bool created;
+	bct_target_t *t = ensure(&c->targets, cc->target_key, sizeof(*t), &created);
+
+	if (!t || !created)
+		return t;
+	t->key = cc->target_key;
+	t->kind = cc->target_kind;
+	t->unusable_at = BCT_TIME_NEVER;
+	t->shed_level = BCT_TIERS;
+	t->share = 1;
+	bct_list_init(&t->granted);
+	bct_list_init(&t->held);
+	bct_list_init(&t->ready);
+	for (uint32_t i = 0; i < BCT_TIERS; i++) {
+		bct_queue_init(&t->tiers[i].queue);
+		bct_list_init(&t->tiers[i].running);
+		t->tiers[i].shed_at = BCT_TIME_NEVER;
+		t->tiers[i].total.at = BCT_TIME_NEVER;
+	}
+	return t;
+}
+
+static int ensure_class(bct_core_t *c, uint64_t account_key, const bct_class_conf_t *cc)
+{
+	uint64_t key = bct_hash_mix(account_key, cc->key);
+	uint32_t guess = cc->max_output_tokens / SETUP_LENGTH_GUESS_DIVISOR;
+	bool created;
+	bct_terms_t *terms = ensure(&c->terms, key, sizeof(*terms), &created);
+
+	if (!terms || !ensure_target(c, cc))
+		return -BCT_ENOMEM;
+	if (created)
+		bct_length_init(&terms->length, guess ? guess : SETUP_LENGTH_GUESS);
+	terms->key = key;
+	return 0;
+}
+
+static int ensure_account(bct_core_t *c, bct_time_t now, const bct_account_conf_t *ac)
+{
+	bct_limit_fleet_t f = bct_core_limit_fleet(c);
+	bool created;
+	bct_acct_t *a = ensure(&c->accounts, ac->key, sizeof(*a), &created);
+
+	if (!a)
+		return -BCT_ENOMEM;
+	if (created) {
+		a->key = ac->key;
+		bct_limit_init(&a->limit, now, &f);
+	}
+	for (uint32_t i = 0; i < ac->n_classes; i++) {
+		if (ensure_class(c, ac->key, &ac->classes[i]))
+			return -BCT_ENOMEM;
+	}
+	return 0;
+}
+
+static int index_grow(bct_core_t *c)
+{
+	uint32_t cap = c->cap_index ? 2 * c->cap_index : 32;
+	bct_up_t **grown;
+
+	if (c->n_index < c->cap_index)
+		return 0;
+	grown = bct_realloc(c->by_index, cap * sizeof(*grown));
+	if (!grown)
+		return -BCT_ENOMEM;
+	c->by_index = grown;
+	c->cap_index = cap;
+	return 0;
+}
+
+static int ensure_upstream(bct_core_t *c, const bct_upstream_conf_t *uc)
+{
+	bool created;
+	bct_up_t *u;
+
+	if (index_grow(c))
+		return -BCT_ENOMEM;
+	u = ensure(&c->ups, uc->key, sizeof(*u), &created);
+	if (!u)
+		return -BCT_ENOMEM;
+	if (!created)
+		return 0;
+	u->key = uc->key;
+	u->index = (uint16_t)c->n_index;
+	c->by_index[c->n_index++] = u;
+	u->speed = 1;
+	bct_list_init(&u->attempts);
+	bct_prefix_feed_init(&u->feed);
+	bct_load_init(&u->load, uc->slots);
+	return 0;
+}
+
+/* The targets of an upstream that some class uses; returns how many. */
+static uint32_t targets_of(const bct_core_t *c, const bct_upstream_conf_t *uc,
+			   bct_target_t *out[BCT_MODELS_PER_UPSTREAM])
+{
+	uint32_t n = 0;
+
+	if (uc->kind == BCT_UPSTREAM_SERVICE) {
+		out[0] = bct_map_get(&c->targets, uc->service_key);
+		return out[0] != NULL;
+	}
+	for (uint32_t i = 0; i < uc->n_models && i < BCT_MODELS_PER_UPSTREAM; i++) {
+		out[n] = bct_map_get(&c->targets, uc->model_keys[i]);
+		n += out[n] != NULL;
+	}
+	return n;
+}
+
+static int reserve_target(bct_target_t *t)
+{
+	bct_up_t **ups, **open;
+
+	if (t->want_ups <= t->cap_ups)
+		return 0;
+	ups = bct_realloc(t->ups, t->want_ups * sizeof(*ups));
+	if (!ups)
+		return -BCT_ENOMEM;
+	t->ups = ups;
+	open = bct_realloc(t->open, t->want_ups * sizeof(*open));
+	if (!open)
+		return -BCT_ENOMEM;
+	t->open = open;
+	t->cap_ups = t->want_ups;
+	return 0;
+}
+
+static int setup_reserve(bct_core_t *c, bct_time_t now, const bct_conf_t *conf)
+{
+	bct_target_t *t, *served[BCT_MODELS_PER_UPSTREAM];
+	uint32_t i, k, n, pos = 0;
+
+	for (i = 0; i < conf->n_accounts; i++) {
+		if (ensure_account(c, now, &conf->accounts[i]))
+			return -BCT_ENOMEM;
+	}
+	while ((t = bct_map_next(&c->targets, &pos)))
+		t->want_ups = 0;
+	for (i = 0; i < conf->n_upstreams; i++) {
+		if (ensure_upstream(c, &conf->upstreams[i]))
+			return -BCT_ENOMEM;
+		n = targets_of(c, &conf->upstreams[i], served);
+		for (k = 0; k < n; k++)
+			served[k]->want_ups++;
+	}
+	pos = 0;
+	while ((t = bct_map_next(&c->targets, &pos))) {
+		if (reserve_target(t))
+			return -BCT_ENOMEM;
+	}
+	return 0;
+}
+
+static void apply_class(bct_core_t *c, bct_acct_t *a, const bct_class_conf_t *cc)
+{
+	bct_terms_t *terms = bct_map_get(&c->terms, bct_hash_mix(a->key, cc->key));
+	uint32_t floor = cc->floor_permille;
+	bct_tier_t *tier;
+
+	terms->account = a;
+	terms->target = bct_map_get(&c->targets, cc->target_key);
+	terms->tier = cc->tier;
+	terms->ttft_ms = cc->ttft_ms;
+	terms->deadline_ms = cc->deadline_ms;
+	terms->max_output_tokens = cc->max_output_tokens;
+	terms->repeatable = cc->repeatable;
+	terms->seen = true;
+	tier = &terms->target->tiers[cc->tier - 1];
+	if (floor > SETUP_FLOOR_MAX_PERMILLE)
+		floor = SETUP_FLOOR_MAX_PERMILLE;
+	if (floor > tier->floor_permille)
+		tier->floor_permille = floor;
+}
+
+static void apply_upstream(bct_core_t *c, const bct_upstream_conf_t *uc)
+{
+	bct_up_t *u = bct_map_get(&c->ups, uc->key);
+	uint32_t prefill = uc->prefill_tokens_per_s;
+	uint32_t decode = uc->decode_tokens_per_s;
+
+	u->seen = true;
+	u->kind = uc->kind;
+	u->region_key = uc->region_key;
+	u->failure_domain_key = uc->failure_domain_key;
+	u->prefill_tokens_per_ms =
+		(prefill ? prefill : SETUP_PREFILL_DEFAULT) / (double)BCT_MS_PER_S;
+	u->decode_tokens_per_ms = (decode ? decode : SETUP_DECODE_DEFAULT) / (double)BCT_MS_PER_S;
+	u->honours_priority = uc->honours_priority;
+	u->resumes = uc->resumes;
+	u->ordered_leaving = uc->leaving;
+	u->load.slots = uc->slots ? uc->slots : SETUP_SLOTS_DEFAULT;
+	u->n_targets = targets_of(c, uc, u->targets);
+}
+
+static void setup_forget(bct_core_t *c)
+{
+	uint32_t pos = 0, i;
+	bct_terms_t *terms;
+	bct_target_t *t;
+	bct_up_t *u;
+
+	while ((terms = bct_map_next(&c->terms, &pos)))
+		terms->seen = false;
+	pos = 0;
+	while ((u = bct_map_next(&c->ups, &pos))) {
+		u->seen = false;
+		u->n_targets = 0;
+	}
+	pos = 0;
+	while ((t = bct_map_next(&c->targets, &pos))) {
+		for (i = 0; i < BCT_TIERS; i++)
+			t->tiers[i].floor_permille = SETUP_FLOOR_MIN_PERMILLE;
+	}
+}
+
+int bct_setup_configure(bct_core_t *c, bct_time_t now, bct_conf_t *conf)
+{
+	uint32_t i, k;
+
+	if (setup_reserve(c, now, conf))
+		return -BCT_ENOMEM;
+	setup_forget(c);
+	for (i = 0; i < conf->n_accounts; i++) {
+		const bct_account_conf_t *ac = &conf->accounts[i];
+		bct_acct_t *a = bct_map_get(&c->accounts, ac->key);
+
+		bct_limit_set(&a->limit, ac->requests_per_s, ac->tokens_per_s, ac->concurrent);
+		for (k = 0; k < ac->n_classes; k++)
+			apply_class(c, a, &ac->classes[k]);
+	}
+	for (i = 0; i < conf->n_upstreams; i++)
+		apply_upstream(c, &conf->upstreams[i]);
+	bct_conf_ref(conf);
+	bct_conf_unref(c->conf);
+	c->conf = conf;
+	bct_setup_subsets(c, now);
+	return 0;
+}
+
+/* Weighted rendezvous hashing: the lower, the better; near upstreams are likelier. */
+static double subset_rank(const bct_core_t *c, const bct_up_t *u)
+{
+	uint64_t h = bct_hash_mix(c->fleet.node_key, u->key);
+	double unit = ((double)(h >> 11) + 1) / ((double)(1ULL << 53) + 1);
+	double weight = 1;
+
+	if (u->failure_domain_key == c->fleet.failure_domain_key)
+		weight = SETUP_NEAR_WEIGHT;
+	else if (u->region_key == c->fleet.region_key)
+		weight = SETUP_REGION_WEIGHT;
+	return -log(unit) / weight;
+}
+
+static uint32_t subset_size(const bct_core_t *c, uint32_t n_ups)
+{
+	uint32_t nodes = c->fleet.nodes ? c->fleet.nodes : 1;
+	uint32_t size = (n_ups * SETUP_NODES_PER_UPSTREAM + nodes - 1) / nodes;
+
+	if (size < SETUP_SUBSET_MIN)
+		size = SETUP_SUBSET_MIN;
+	return size < n_ups ? size : n_ups;
+}
+
+/* Keeps t->ups sorted by rank and no longer than size. */
+static void subset_insert(bct_core_t *c, bct_target_t *t, bct_up_t *u, uint32_t size)
+{
+	double rank = subset_rank(c, u);
+	uint32_t i = t->n_ups;
+
+	while (i > 0 && subset_rank(c, t->ups[i - 1]) > rank) {
+		if (i < size)
+			t->ups[i] = t->ups[i - 1];
+		i--;
+	}
+	if (i >= size)
+		return;
+	t->ups[i] = u;
+	if (t->n_ups < size)
+		t->n_ups++;
+}
+
+static bool subset_has(const bct_target_t *t, const bct_up_t *u)
+{
+	for (uint32_t i = 0; i < t->n_ups; i++) {
+		if (t->ups[i] == u)
+			return true;
+	}
+	return false;
+}
+
+/* A node that uses all upstreams of a target needs no ranking. */
+static void subset_fill(bct_core_t *c, bct_target_t *t, bct_up_t *u, uint32_t n_usable)
+{
+	uint32_t size = subset_size(c, n_usable);
+
+	if (size == n_usable)
+		t->ups[t->n_ups++] = u;
+	else
+		subset_insert(c, t, u, size);
+}
+
+static void subsets_clear(bct_core_t *c)
+{
+	uint32_t pos = 0;
+	bct_target_t *t;
+
+	while ((t = bct_map_next(&c->targets, &pos))) {
+		t->n_ups = t->n_open = t->n_all = t->n_usable = t->slots = 0;
+	}
+}
+
+void bct_setup_subsets(bct_core_t *c, bct_time_t now)
+{
+	uint32_t pos, i, k;
+	bct_target_t *t;
+	bct_up_t *u;
+
+	subsets_clear(c);
+	for (i = 0; i < c->n_index; i++) {
+		u = c->by_index[i];
+		for (k = 0; k < u->n_targets; k++) {
+			u->open_pos[k] = 0;
+			u->targets[k]->n_all++;
+			if (bct_up_usable(u)) {
+				u->targets[k]->n_usable++;
+				u->targets[k]->slots += u->load.slots;
+			}
+		}
+	}
+	for (i = 0; i < c->n_index; i++) {
+		u = c->by_index[i];
+		for (k = 0; k < u->n_targets && bct_up_usable(u); k++)
+			subset_fill(c, u->targets[k], u, u->targets[k]->n_usable);
+	}
+	for (i = 0; i < c->n_index; i++) {
+		u = c->by_index[i];
+		for (k = 0; k < u->n_targets; k++)
+			u->in_subset[k] = subset_has(u->targets[k], u);
+		bct_up_share(c, u);
+		bct_up_refresh(c, now, u);
+	}
+	pos = 0;
+	while ((t = bct_map_next(&c->targets, &pos)))
+		bct_up_count_usable(c, now, t);
+}
+
+static void free_values(bct_map_t *map)
+{
+	uint32_t pos = 0;
+	void *obj;
+
+	while ((obj = bct_map_next(map, &pos)))
+		bct_free(obj);
+	bct_map_free(map);
+}
+
+void bct_setup_free(bct_core_t *c)
+{
+	uint32_t pos = 0;
+	bct_target_t *t;
+
+	while ((t = bct_map_next(&c->targets, &pos))) {
+		bct_free(t->ups);
+		bct_free(t->open);
+	}
+	bct_map_free(&c->attempts);
+	free_values(&c->reqs);
+	free_values(&c->flows);
+	free_values(&c->terms);
+	free_values(&c->accounts);
+	free_values(&c->targets);
+	free_values(&c->ups);
+	bct_free(c->by_index);
+}
--- /dev/null
+++ b/policy/suspect.h
@@ -0,0 +1,70 @@
+/*
+ * suspect.h - requests that may crash the upstream that runs them, by digest of the body.
+ *
+ * The first crash makes a digest a suspect: it runs alone. A second crash, alone, makes it
+ * poison: it is refused on every node until the entry expires. An answer clears it, and so does a
+ * second crash of another digest that was in flight at the same first crash.
+ */
+#ifndef BCT_POLICY_SUSPECT_H
+#define BCT_POLICY_SUSPECT_H
+
+#include "base/clock.h"
+#include "base/map.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define BCT_SUSPECT_TTL_MS (15 * 60 * BCT_MS_PER_S)
+#define BCT_SUSPECT_MAX 4096
+#define BCT_SUSPECT_POISON_CRASHES 2
+/* Broken connections of one upstream within this time are one crash. */
+#define BCT_SUSPECT_SAME_CRASH_MS 5000
+
+typedef enum bct_suspect_state {
+	BCT_SUSPECT_NO = 0,
+	BCT_SUSPECT_ALONE, /* one crash: may run alone */
+	BCT_SUSPECT_POISON,
+} bct_suspect_state_t;
+
+typedef struct bct_suspects {
+	bct_map_t map;
+} bct_suspects_t;
+
+void bct_suspects_free(bct_suspects_t *s);
+
+/*
+ * bct_suspect_crash(3): a digest was in flight where an upstream crashed.
+ *
+ * alone    it ran alone, so that the crash is its own
+ * returns  the new state; NO when there is no memory or room for an entry
+ */
+bct_suspect_state_t bct_suspect_crash(bct_suspects_t *s, bct_time_t now, uint64_t digest,
+				      uint64_t upstream_key, bool alone);
+
+/* bct_suspect_clear(3): the digest was answered. */
+void bct_suspect_clear(bct_suspects_t *s, bct_time_t now, uint64_t digest);
+
+/*
+ * bct_suspect_state(3): what holds for a digest now.
+ *
+ * left_ms  if not NULL: how long that stays so
+ */
+bct_suspect_state_t bct_suspect_state(const bct_suspects_t *s, bct_time_t now, uint64_t digest,
+				      uint32_t *left_ms);
+
+/* bct_suspect_heard(3): another node's entry; v as in BCT_ITEM_SUSPECT. */
+void bct_suspect_heard(bct_suspects_t *s, bct_time_t now, uint64_t digest, const int64_t v[4]);
+
+/*
+ * bct_suspect_publish(3): the next entry of this node's own to tell the others.
+ *
+ * pos      0 at the start, advanced by each call
+ * returns  false at the end
+ */
+bool bct_suspect_publish(bct_suspects_t *s, bct_time_t now, uint32_t *pos, uint64_t *digest,
+			 int64_t v[4]);
+
+/* bct_suspect_expire(3): drop entries whose time is over; called with each publish. */
+void bct_suspect_expire(bct_suspects_t *s, bct_time_t now);
+
+#endif
--- /dev/null
+++ b/policy/upstream.c
@@ -0,0 +1,211 @@
+/*
+ * upstream.c - which upstreams can take work: leaving, failures, busy answers and load.
+ */
+#include "policy/sched_int.h"
+
+#define UP_BACKOFF_MIN_MS 250
+#define UP_BACKOFF_MAX_MS 8000
+#define UP_DEAD_FAILURES 3 /* in a row, after which it does not count as usable */
+#define UP_SPEED_SMOOTHING 0.1
+#define UP_SPEED_MIN 0.05
+#define UP_SPEED_MAX 2.0
+#define UP_UNUSABLE_HOLD_MS 5000 /* how long requests wait for any upstream to come back */
+
+bool bct_up_usable(const bct_up_t *u)
+{
+	return u->seen && !u->ordered_leaving && !u->told_leaving && !u->reports_leaving;
+}
+
+static bool up_dead(const bct_up_t *u, bct_time_t now)
+{
+	return u->failures >= UP_DEAD_FAILURES && now < u->down_until;
+}
+
+static void up_open(bct_core_t *c, bct_up_t *u, uint32_t k)
+{
+	bct_target_t *t = u->targets[k];
+
+	if (!u->open_pos[k]) {
+		t->open[t->n_open++] = u;
+		u->open_pos[k] = t->n_open;
+	}
+	bct_dispatch_ready(c, t);
+}
+
+static void up_close(bct_up_t *u, uint32_t k)
+{
+	bct_target_t *t = u->targets[k];
+	uint32_t pos = u->open_pos[k];
+	bct_up_t *last;
+
+	if (!pos)
+		return;
+	u->open_pos[k] = 0;
+	last = t->open[--t->n_open];
+	if (last == u)
+		return;
+	t->open[pos - 1] = last;
+	for (uint32_t i = 0; i < last->n_targets; i++) {
+		if (last->targets[i] == t)
+			last->open_pos[i] = pos;
+	}
+}
+
+/* Puts the upstream into, or takes it out of, the sets from which requests are routed. */
+void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u)
+{
+	bool open = bct_up_usable(u) && now >= u->down_until && !u->alone &&
+		    bct_load_free(&u->load) > 0;
+
+	for (uint32_t k = 0; k < u->n_targets; k++) {
+		if (open && u->in_subset[k])
+			up_open(c, u, k);
+		else
+			up_close(u, k);
+	}
+}
+
+/* This node's part of the upstream: its part of the target, over the upstreams that it uses. */
+void bct_up_share(bct_core_t *c, bct_up_t *u)
+{
+	double share = 0, s;
+
+	for (uint32_t k = 0; k < u->n_targets; k++) {
+		const bct_target_t *t = u->targets[k];
+
+		if (!u->in_subset[k] || !t->n_ups)
+			continue;
+		s = t->share * t->n_usable / t->n_ups;
+		if (s > share)
+			share = s;
+	}
+	if (share >= 1 || c->fleet.nodes <= 1)
+		u->load.quota = u->load.slots;
+	else
+		bct_load_share(&u->load, share, bct_rng_unit(&c->rng));
+}
+
+void bct_up_count_usable(bct_core_t *c, bct_time_t now, bct_target_t *t)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < t->n_ups; i++)
+		n += bct_up_usable(t->ups[i]) && !up_dead(t->ups[i], now);
+	if (n) {
+		t->unusable_at = BCT_TIME_NEVER;
+		return;
+	}
+	if (t->unusable_at == BCT_TIME_NEVER) {
+		t->unusable_at = now + UP_UNUSABLE_HOLD_MS;
+		bct_heap_set(&c->target_wakes, &t->wake, t->unusable_at);
+	}
+	bct_dispatch_ready(c, t);
+}
+
+static void up_count_targets(bct_core_t *c, bct_time_t now, bct_up_t *u)
+{
+	for (uint32_t k = 0; k < u->n_targets; k++)
+		bct_up_count_usable(c, now, u->targets[k]);
+}
+
+/* The pause after a failure or a busy answer is over. */
+void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u)
+{
+	if (now < u->down_until)
+		bct_heap_set(&c->up_wakes, &u->wake, u->down_until);
+	bct_up_refresh(c, now, u);
+	if (u->failures >= UP_DEAD_FAILURES)
+		up_count_targets(c, now, u);
+}
+
+/* hold_ms 0: a failure, which doubles the pause; else the upstream asked for that pause. */
+void bct_up_failed(bct_core_t *c, bct_time_t now, bct_up_t *u, uint32_t hold_ms)
+{
+	if (!hold_ms) {
+		uint32_t shift = u->failures < 5 ? u->failures : 5;
+
+		u->failures++;
+		hold_ms = UP_BACKOFF_MIN_MS << shift;
+		if (hold_ms > UP_BACKOFF_MAX_MS)
+			hold_ms = UP_BACKOFF_MAX_MS;
+	}
+	if (now + hold_ms > u->down_until)
+		u->down_until = now + hold_ms;
+	bct_heap_set(&c->up_wakes, &u->wake, u->down_until);
+	bct_up_refresh(c, now, u);
+	if (u->failures >= UP_DEAD_FAILURES)
+		up_count_targets(c, now, u);
+}
+
+void bct_up_answered(bct_core_t *c, bct_time_t now, bct_up_t *u)
+{
+	bool was_dead = u->failures >= UP_DEAD_FAILURES;
+
+	u->failures = 0;
+	if (was_dead)
+		up_count_targets(c, now, u);
+}
+
+/* A new boot has an empty cache and a clean record. */
+static void up_restarted(bct_core_t *c, bct_time_t now, bct_up_t *u, uint64_t boot_id)
+{
+	bool first = !u->boot_id;
+
+	u->boot_id = boot_id;
+	u->report_seq = 0;
+	u->load.others_at = 0;
+	if (first)
+		return;
+	bct_prefix_reset(&u->feed);
+	u->feed.seq = 0;
+	u->speed = 1;
+	u->down_until = now;
+	bct_up_answered(c, now, u);
+}
+
+void bct_up_report(bct_core_t *c, bct_time_t now, const bct_report_t *r)
+{
+	bct_up_t *u = bct_map_get(&c->ups, r->upstream_key);
+	bct_time_t at = now - r->age_ms;
+
+	if (!u)
+		return;
+	if (r->boot_id != u->boot_id) {
+		/* A late report of an earlier boot must not bring that boot back. */
+		if (u->boot_id && at <= u->report_at)
+			return;
+		up_restarted(c, now, u, r->boot_id);
+	} else if (r->seq <= u->report_seq) {
+		return;
+	}
+	u->report_seq = r->seq;
+	u->report_at = at;
+	bct_load_report(&u->load, at, r->running + r->waiting, r->waiting_tokens);
+	for (uint32_t i = 0; i < BCT_TIERS; i++)
+		u->running_by_tier[i] = r->running_by_tier[i];
+	if (r->leaving != u->reports_leaving) {
+		u->reports_leaving = r->leaving;
+		bct_setup_subsets(c, now);
+	}
+	bct_up_share(c, u);
+	bct_up_refresh(c, now, u);
+}
+
+void bct_up_leaving(bct_core_t *c, bct_time_t now, uint64_t key, bool leaving)
+{
+	bct_up_t *u = bct_map_get(&c->ups, key);
+
+	if (!u || u->told_leaving == leaving)
+		return;
+	u->told_leaving = leaving;
+	bct_setup_subsets(c, now);
+}
+
+void bct_up_progress(bct_up_t *u, double observed_to_expected)
+{
+	if (observed_to_expected > UP_SPEED_MAX)
+		observed_to_expected = UP_SPEED_MAX;
+	u->speed += UP_SPEED_SMOOTHING * (observed_to_expected - u->speed);
+	if (u->speed < UP_SPEED_MIN)
+		u->speed = UP_SPEED_MIN;
+}
