--- /dev/null
+++ b/coord/keys.c
@@ -0,0 +1,537 @@
+/*
+ * keys.c - follower and appender threads of the key streams.
+ */
+#define _GNU_SOURCE
+#include "coord/keys.h"
+#include "base/counter.h"
+#include "base/err.h"
+#include "base/list.h"
+#include "base/mem.h"
+#include "base/rng.h"
+
+#include <ck_pr.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define READ_BYTES (256 * 1024)
+#define DOWN_MS 200 /* pause after a failed read */
+#define TICK_MS 50
+
+/* Which caller of bct_keys_claim() an intent belongs to. */
+typedef struct cookie {
+	bct_list_t link;
+	uint64_t intent;
+	uint64_t cookie;
+} cookie_t;
+
+typedef struct stream {
+	bct_keys_t *keys;
+	char name[32];
+	pthread_t reader, appender;
+	bool reader_started, appender_started;
+
+	pthread_mutex_t lock;
+	/* All below under lock. */
+	pthread_cond_t wake;
+	bct_key_claims_t *claims;
+	bct_list_t cookies;
+	uint64_t next; /* offset to read from */
+	bool caught_up;
+	bool down;
+	uint64_t appends;
+	uint64_t entries;
+} stream_t;
+
+struct bct_keys {
+	bct_keys_opts_t opts;
+	uint32_t stop;
+	uint32_t n_streams;
+	stream_t *streams;
+};
+
+static stream_t *stream_of(bct_keys_t *k, uint64_t account_key, const char *key, bct_key_id_t *id)
+{
+	uint32_t h;
+
+	bct_key_id(account_key, key, id);
+	memcpy(&h, id->hash + sizeof(h), sizeof(h));
+	return &k->streams[h % k->n_streams];
+}
+
+static bool stopping(const bct_keys_t *k)
+{
+	return ck_pr_load_32(&k->stop) != 0;
+}
+
+static void wait_ms(stream_t *s, int64_t ms)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_nsec += (ms % BCT_MS_PER_S) * 1000000;
+	ts.tv_sec += ms / BCT_MS_PER_S + ts.tv_nsec / 1000000000;
+	ts.tv_nsec %= 1000000000;
+	pthread_cond_timedwait(&s->wake, &s->lock, &ts);
+}
+
+static bool take_cookie(stream_t *s, uint64_t intent, uint64_t *out)
+{
+	bct_list_t *el;
+
+	bct_list_for_each (el, &s->cookies) {
+		cookie_t *c = bct_container_of(el, cookie_t, link);
+
+		if (c->intent != intent)
+			continue;
+		*out = c->cookie;
+		bct_list_del(&c->link);
+		bct_free(c);
+		return true;
+	}
+	return false;
+}
+
+/* Reads the kept answer of an earlier run back from the log. */
+static int read_answer(stream_t *s, const bct_claim_result_t *r, bct_xkey_batch *batch)
+{
+	bct_keys_opts_t *o = &s->keys->opts;
+	bct_records_t recs = { 0 };
+	int rc = bct_platform_read(o->platform, s->name, r->offset, READ_BYTES, 0, o->timeout_ms,
+				   &recs);
+
+	if (!rc && (!recs.n || recs.records[0].offset != r->offset))
+		rc = -BCT_EEXPIRED;
+	if (!rc)
+		rc = bct_key_batch_decode(recs.records[0].data, recs.records[0].len_bytes, batch);
+	if (!rc && (r->index >= batch->entries.entries_len ||
+		    batch->entries.entries_val[r->index].body.type != BCT_XKEY_OUTCOME)) {
+		bct_key_batch_free(batch);
+		rc = -BCT_ECODEC;
+	}
+	bct_records_free(&recs);
+	return rc;
+}
+
+static void tell(stream_t *s, uint64_t cookie, const bct_claim_result_t *r)
+{
+	bct_keys_opts_t *o = &s->keys->opts;
+	bct_key_verdict_t v = { .result = *r };
+	bct_xkey_batch batch = { { 0 } };
+
+	if (r->verdict == BCT_CLAIM_DONE && r->answer_kept && !read_answer(s, r, &batch)) {
+		const bct_xkey_outcome *out =
+			&batch.entries.entries_val[r->index].body.bct_xkey_body_u.outcome;
+
+		v.have_answer = true;
+		v.status = (int)out->status;
+		v.content_type = out->type;
+		v.answer = out->answer.answer_val;
+		v.answer_bytes = out->answer.answer_len;
+	}
+	o->verdict(o->ctx, cookie, &v);
+	bct_key_batch_free(&batch);
+}
+
+/* Hands out results; the lock is released around each callback. */
+static void tell_all(stream_t *s)
+{
+	bct_claim_result_t r;
+	uint64_t cookie;
+
+	while (bct_key_claims_result(s->claims, &r)) {
+		if (!take_cookie(s, r.intent, &cookie))
+			continue;
+		pthread_mutex_unlock(&s->lock);
+		tell(s, cookie, &r);
+		pthread_mutex_lock(&s->lock);
+	}
+}
+
+static void note_health(stream_t *s, int rc)
+{
+	bool down = rc != 0;
+
+	if (down == s->down)
+		return;
+	s->down = down;
+	BCT_LOG(s->keys->opts.log, down ? BCT_EV_LOG_DOWN : BCT_EV_LOG_UP,
+		BCT_STR("stream", s->name), BCT_ERR("error", rc));
+}
+
+/* Applies what was read. Call with the lock held. returns 0 or -BCT_ENOMEM. */
+static int apply_records(stream_t *s, const bct_records_t *recs)
+{
+	bct_time_t now = bct_clock_now();
+
+	for (uint32_t i = 0; i < recs->n; i++) {
+		const bct_record_t *r = &recs->records[i];
+		int rc = bct_key_claims_apply(s->claims, now, r->offset, r->data, r->len_bytes);
+
+		if (rc == -BCT_ENOMEM)
+			return rc;
+		s->next = r->offset + 1;
+	}
+	return 0;
+}
+
+/*
+ * Records below the oldest that are kept are older than the idempotency window, which the
+ * operators set to at most what the log keeps; reading goes on with the oldest.
+ */
+static void skip_expired(stream_t *s, const bct_records_t *recs)
+{
+	if (s->next)
+		BCT_LOG(s->keys->opts.log, BCT_EV_LOG_GAP, BCT_STR("stream", s->name),
+			BCT_U64("from", s->next), BCT_U64("oldest", recs->oldest));
+	s->next = recs->oldest;
+}
+
+static void read_once(stream_t *s)
+{
+	bct_keys_opts_t *o = &s->keys->opts;
+	uint32_t wait = s->caught_up ? o->poll_ms : 0;
+	bct_records_t recs = { 0 };
+	uint64_t from = s->next;
+	int rc;
+
+	pthread_mutex_unlock(&s->lock);
+	rc = bct_platform_read(o->platform, s->name, from, READ_BYTES, wait, o->timeout_ms + wait,
+			       &recs);
+	pthread_mutex_lock(&s->lock);
+	note_health(s, rc == -BCT_EEXPIRED ? 0 : rc);
+	if (rc == -BCT_EEXPIRED) {
+		skip_expired(s, &recs);
+	} else if (!rc) {
+		rc = apply_records(s, &recs);
+		if (!rc && !recs.n && !s->caught_up) {
+			s->caught_up = true;
+			bct_key_claims_ready(s->claims, true);
+		}
+	}
+	bct_records_free(&recs);
+	bct_key_claims_tick(s->claims, bct_clock_now(), bct_clock_wall());
+	tell_all(s);
+	if (rc && rc != -BCT_EEXPIRED)
+		wait_ms(s, DOWN_MS);
+}
+
+static void *reader_main(void *arg)
+{
+	stream_t *s = arg;
+
+	pthread_mutex_lock(&s->lock);
+	while (!stopping(s->keys))
+		read_once(s);
+	pthread_mutex_unlock(&s->lock);
+	return NULL;
+}
+
+/* Appends one batch; returns whether there was one. */
+static bool append_once(stream_t *s)
+{
+	bct_keys_opts_t *o = &s->keys->opts;
+	uint64_t offset;
+	uint32_t len;
+	void *data;
+	int n = bct_key_claims_batch(s->claims, bct_clock_now(), &data, &len);
+	int rc;
+
+	if (n <= 0)
+		return false;
+	s->appends++;
+	s->entries += (uint64_t)n;
+	pthread_mutex_unlock(&s->lock);
+	rc = bct_platform_append(o->platform, s->name, data, len, o->timeout_ms, &offset);
+	free(data);
+	pthread_mutex_lock(&s->lock);
+	bct_key_claims_appended(s->claims, bct_clock_now(), rc);
+	return true;
+}
+
+static void *appender_main(void *arg)
+{
+	stream_t *s = arg;
+
+	pthread_mutex_lock(&s->lock);
+	while (!stopping(s->keys)) {
+		bct_time_t began = bct_clock_now();
+
+		if (append_once(s)) {
+			int64_t rest = began + s->keys->opts.commit_ms - bct_clock_now();
+
+			while (rest > 0 && !stopping(s->keys)) {
+				wait_ms(s, rest);
+				tell_all(s);
+				rest = began + s->keys->opts.commit_ms - bct_clock_now();
+			}
+		} else {
+			wait_ms(s, TICK_MS);
+		}
+		bct_key_claims_tick(s->claims, bct_clock_now(), bct_clock_wall());
+		tell_all(s);
+	}
+	pthread_mutex_unlock(&s->lock);
+	return NULL;
+}
+
+static int start_stream(bct_keys_t *k, uint32_t i)
+{
+	stream_t *s = &k->streams[i];
+	bct_key_claims_opts_t opts = {
+		.incarnation = k->opts.incarnation,
+		.claim_ms = k->opts.claim_ms,
+		.run_ms = k->opts.run_ms,
+		.window_ms = k->opts.window_ms,
+		.max_claims = k->opts.max_claims,
+		.gone = k->opts.gone,
+		.ctx = k->opts.ctx,
+	};
+	pthread_condattr_t attr;
+	int rc;
+
+	s->keys = k;
+	snprintf(s->name, sizeof(s->name), "%s.%u", BCT_STREAM_KEYS, i);
+	bct_list_init(&s->cookies);
+	pthread_mutex_init(&s->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&s->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	k->n_streams = i + 1;
+	rc = bct_key_claims_new(&opts, &s->claims);
+	if (rc)
+		return rc;
+	if (pthread_create(&s->reader, NULL, reader_main, s))
+		return -BCT_ENOMEM;
+	s->reader_started = true;
+	if (pthread_create(&s->appender, NULL, appender_main, s))
+		return -BCT_ENOMEM;
+	s->appender_started = true;
+	return 0;
+}
+
+int bct_keys_new(const bct_keys_opts_t *opts, bct_keys_t **out)
+{
+	bct_keys_t *k = bct_alloc(sizeof(*k));
+	int rc = 0;
+
+	if (!k)
+		return -BCT_ENOMEM;
+	k->opts = *opts;
+	k->streams = bct_alloc(sizeof(*k->streams) * opts->n_streams);
+	if (!k->streams) {
+		bct_free(k);
+		return -BCT_ENOMEM;
+	}
+	for (uint32_t i = 0; i < opts->n_streams && !rc; i++)
+		rc = start_stream(k, i);
+	if (rc) {
+		bct_keys_free(k);
+		return rc;
+	}
+	*out = k;
+	return 0;
+}
+
+static void stop_stream(stream_t *s)
+{
+	bct_list_t *el, *tmp;
+
+	pthread_mutex_lock(&s->lock);
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+	if (s->reader_started)
+		pthread_join(s->reader, NULL);
+	if (s->appender_started)
+		pthread_join(s->appender, NULL);
+	bct_list_for_each_safe (el, tmp, &s->cookies)
+		bct_free(bct_container_of(el, cookie_t, link));
+	bct_key_claims_free(s->claims);
+	pthread_cond_destroy(&s->wake);
+	pthread_mutex_destroy(&s->lock);
+}
+
+void bct_keys_free(bct_keys_t *k)
+{
+	if (!k)
+		return;
+	ck_pr_store_32(&k->stop, 1);
+	for (uint32_t i = 0; i < k->n_streams; i++)
+		stop_stream(&k->streams[i]);
+	bct_free(k->streams);
+	bct_free(k);
+}
+
+static cookie_t *add_cookie(stream_t *s, uint64_t intent, uint64_t value)
+{
+	cookie_t *c = bct_alloc(sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->intent = intent;
+	c->cookie = value;
+	bct_list_add_tail(&c->link, &s->cookies);
+	return c;
+}
+
+int bct_keys_claim(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t body,
+		   uint64_t cookie, uint64_t *intent)
+{
+	bct_claim_result_t r;
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+	int rc = 0;
+
+	*intent = bct_random_id();
+	pthread_mutex_lock(&s->lock);
+	if (!add_cookie(s, *intent, cookie))
+		rc = -BCT_ENOMEM;
+	else if (bct_key_claims_begin(s->claims, bct_clock_now(), bct_clock_wall(), &id, body,
+				      *intent, &r) != BCT_CLAIM_PENDING)
+		rc = bct_key_claims_defer(s->claims, &r);
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+	return rc;
+}
+
+void bct_keys_finish(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t intent,
+		     int status, const char *type, const void *answer, uint32_t len_bytes)
+{
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+
+	pthread_mutex_lock(&s->lock);
+	bct_key_claims_finish(s->claims, intent, status, type, answer, len_bytes);
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+}
+
+void bct_keys_withdraw(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t intent)
+{
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+	uint64_t cookie;
+
+	pthread_mutex_lock(&s->lock);
+	bct_key_claims_withdraw(s->claims, intent);
+	take_cookie(s, intent, &cookie);
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+}
+
+void bct_keys_abandon(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t intent)
+{
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+
+	pthread_mutex_lock(&s->lock);
+	bct_key_claims_abandon(s->claims, intent);
+	pthread_mutex_unlock(&s->lock);
+}
+
+bool bct_keys_may_send(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t intent)
+{
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+	bool may;
+
+	pthread_mutex_lock(&s->lock);
+	may = bct_key_claims_may_send(s->claims, intent);
+	pthread_mutex_unlock(&s->lock);
+	return may;
+}
+
+static json_t *entry_json(const bct_keys_t *k, const bct_key_entry_t *e)
+{
+	bool gone = k->opts.gone && k->opts.gone(k->opts.ctx, e->incarnation);
+	char intent[17], incarnation[17];
+
+	snprintf(intent, sizeof(intent), "%016" PRIx64, e->intent);
+	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64, e->incarnation);
+	return json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:b}", "state",
+			 e->state == BCT_KEY_DONE ? "done" : "owned", "intent", intent,
+			 "incarnation", incarnation, "since_ms", (json_int_t)e->wall_ms, "offset",
+			 (json_int_t)e->offset, "answer_kept", (int)e->answer_kept, "owner_gone",
+			 (int)gone);
+}
+
+json_t *bct_keys_show(bct_keys_t *k, uint64_t account_key, const char *key)
+{
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+	const bct_key_entry_t *e;
+	json_t *doc;
+
+	pthread_mutex_lock(&s->lock);
+	e = bct_key_table_find(bct_key_claims_table(s->claims), &id);
+	if (!s->caught_up)
+		doc = json_pack("{s:s}", "state", "not_ready");
+	else
+		doc = e ? entry_json(k, e) : json_pack("{s:s}", "state", "free");
+	pthread_mutex_unlock(&s->lock);
+	return doc;
+}
+
+int bct_keys_resolve(bct_keys_t *k, uint64_t account_key, const char *key, bool ran, bool force,
+		     const char *author)
+{
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+	int rc;
+
+	pthread_mutex_lock(&s->lock);
+	rc = s->caught_up ? bct_key_claims_resolve(s->claims, &id, ran, force, author)
+			  : -BCT_ESTATE;
+	pthread_cond_broadcast(&s->wake);
+	pthread_mutex_unlock(&s->lock);
+	return rc;
+}
+
+bool bct_keys_ready(bct_keys_t *k)
+{
+	bool ready = true;
+
+	for (uint32_t i = 0; i < k->n_streams; i++) {
+		pthread_mutex_lock(&k->streams[i].lock);
+		ready = ready && k->streams[i].caught_up;
+		pthread_mutex_unlock(&k->streams[i].lock);
+	}
+	return ready;
+}
+
+bool bct_keys_idle(bct_keys_t *k)
+{
+	bool idle = true;
+
+	for (uint32_t i = 0; i < k->n_streams; i++) {
+		pthread_mutex_lock(&k->streams[i].lock);
+		idle = idle && bct_key_claims_idle(k->streams[i].claims);
+		pthread_mutex_unlock(&k->streams[i].lock);
+	}
+	return idle;
+}
+
+json_t *bct_keys_status(bct_keys_t *k)
+{
+	uint64_t appends = 0, entries = 0, known = 0;
+	bool ready = true, down = false;
+
+	for (uint32_t i = 0; i < k->n_streams; i++) {
+		stream_t *s = &k->streams[i];
+
+		pthread_mutex_lock(&s->lock);
+		appends += s->appends;
+		entries += s->entries;
+		known += bct_key_table_size(bct_key_claims_table(s->claims));
+		ready = ready && s->caught_up;
+		down = down || s->down;
+		pthread_mutex_unlock(&s->lock);
+	}
+	return json_pack("{s:b, s:b, s:I, s:I, s:I}", "ready", (int)ready, "log_down", (int)down,
+			 "keys", (json_int_t)known, "appends", (json_int_t)appends, "entries",
+			 (json_int_t)entries);
+}
