--- a/coord/conf_json.h
+++ b/coord/conf_json.h
@@ -12,7 +12,7 @@
 #include "policy/conf.h"
 
 /* A snapshot of the document has to fit one record of the log. */
-#define BCT_CONF_MAX_BYTES (1020 * 1024)
+#define BCT_CONF_MAX_BYTES (1000 * 1024)
 
 /*
  * bct_conf_canonical(3): the document with sorted keys and no white space.
--- /dev/null
+++ b/coord/config_boot.c
@@ -0,0 +1,62 @@
+/*
+ * config_boot.c - the search for a snapshot to start from.
+ */
+#include "coord/config_boot.h"
+#include "base/err.h"
+#include "base/hash.h"
+
+#include <string.h>
+
+void bct_config_boot_init(bct_config_boot_t *b, uint64_t oldest)
+{
+	memset(b, 0, sizeof(*b));
+	b->start = oldest;
+	b->next = oldest;
+}
+
+void bct_config_boot_free(bct_config_boot_t *b)
+{
+	if (b->found)
+		bct_config_record_free(&b->newest);
+	memset(b, 0, sizeof(*b));
+}
+
+/* Whether it is whole, and every record that it does not cover was still in the log. */
+static bool usable(const bct_config_boot_t *b, const bct_xconfig_record *rec, uint64_t offset)
+{
+	const bct_xconfig_snapshot *snap = &rec->bct_xconfig_record_u.snapshot;
+	bct_digest_t digest;
+
+	if (rec->type != BCT_XCONFIG_SNAPSHOT || snap->covered < b->start || snap->covered > offset)
+		return false;
+	bct_digest(snap->document.document_val, snap->document.document_len, &digest);
+	return memcmp(digest.bytes, snap->digest, sizeof(digest.bytes)) == 0;
+}
+
+void bct_config_boot_record(bct_config_boot_t *b, const void *data, uint32_t len_bytes)
+{
+	bct_xconfig_record rec;
+	uint64_t offset = b->next++;
+
+	if (bct_config_decode(data, len_bytes, &rec))
+		return;
+	if (!usable(b, &rec, offset)) {
+		bct_config_record_free(&rec);
+		return;
+	}
+	if (b->found)
+		bct_config_record_free(&b->newest);
+	b->newest = rec;
+	b->found = true;
+}
+
+int bct_config_boot_finish(bct_config_boot_t *b, bct_config_state_t *out)
+{
+	int rc = -BCT_ECODEC;
+
+	if (b->found)
+		rc = bct_config_from_snapshot(&b->newest.bct_xconfig_record_u.snapshot, out);
+	if (rc != -BCT_ECODEC)
+		return rc;
+	return b->start == 0 ? bct_config_init(out) : -BCT_EEXPIRED;
+}
--- /dev/null
+++ b/coord/config_codec.c
@@ -0,0 +1,166 @@
+/*
+ * config_codec.c - configuration records to and from their XDR form.
+ */
+#include "coord/config.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "coord/conf_json.h"
+#include "coord/config_doc.h"
+
+#include <string.h>
+
+#define RECORD_MAX_BYTES (1024 * 1024)
+
+/* XXX: the XDR library does not tell want of memory from a malformed record. */
+int bct_config_decode(const void *data, uint32_t len_bytes, bct_xconfig_record *out)
+{
+	XDR xdrs;
+	bool whole;
+
+	memset(out, 0, sizeof(*out));
+	xdrmem_create(&xdrs, (char *)data, len_bytes, XDR_DECODE);
+	whole = xdr_bct_xconfig_record(&xdrs, out) && xdr_getpos(&xdrs) == len_bytes;
+	xdr_destroy(&xdrs);
+	if (whole)
+		return 0;
+	bct_config_record_free(out);
+	return -BCT_ECODEC;
+}
+
+void bct_config_record_free(bct_xconfig_record *r)
+{
+	xdr_free((xdrproc_t)xdr_bct_xconfig_record, (char *)r);
+	memset(r, 0, sizeof(*r));
+}
+
+static int encode(bct_xconfig_record *r, bct_buf_t *out)
+{
+	u_int len = (u_int)xdr_sizeof((xdrproc_t)xdr_bct_xconfig_record, r);
+	XDR xdrs;
+	char *bytes;
+	int rc;
+
+	if (len == 0 || len > RECORD_MAX_BYTES)
+		return -BCT_ETOO_LARGE;
+	bytes = bct_alloc(len);
+	if (!bytes)
+		return -BCT_ENOMEM;
+	xdrmem_create(&xdrs, bytes, len, XDR_ENCODE);
+	rc = xdr_bct_xconfig_record(&xdrs, r) ? bct_buf_put(out, bytes, len) : -BCT_ECODEC;
+	xdr_destroy(&xdrs);
+	bct_free(bytes);
+	return rc;
+}
+
+static void put_recent(const bct_config_state_t *s, bct_xverdict *out)
+{
+	uint32_t first = s->n_recent < BCT_CONFIG_RECENT ? 0 : s->recent_at;
+
+	for (uint32_t i = 0; i < s->n_recent; i++) {
+		const bct_config_recent_t *r = &s->recent[(first + i) % BCT_CONFIG_RECENT];
+
+		out[i] = (bct_xverdict){ r->id, r->revision, (u_int)r->verdict };
+	}
+}
+
+int bct_config_snapshot_encode(const bct_config_state_t *s, const char *writer, bct_time_t wall_ms,
+			       bct_buf_t *out)
+{
+	bct_xconfig_record rec = { .type = BCT_XCONFIG_SNAPSHOT };
+	bct_xconfig_snapshot *snap = &rec.bct_xconfig_record_u.snapshot;
+	bct_xverdict recent[BCT_CONFIG_RECENT];
+	bct_buf_t text;
+	int rc;
+
+	bct_buf_init(&text, 0);
+	rc = bct_conf_canonical(s->doc, &text);
+	if (rc)
+		goto out;
+	put_recent(s, recent);
+	snap->covered = s->next;
+	snap->revision = s->revision;
+	memcpy(snap->digest, s->digest.bytes, sizeof(snap->digest));
+	snap->writer = (char *)writer;
+	snap->wall_ms = wall_ms;
+	snap->recent.recent_len = s->n_recent;
+	snap->recent.recent_val = recent;
+	snap->document.document_len = (u_int)text.len_bytes;
+	snap->document.document_val = text.data;
+	rc = encode(&rec, out);
+out:
+	bct_buf_free(&text);
+	return rc;
+}
+
+static void objects_from_diff(const bct_config_diff_t *diff, uint32_t n, bct_xobject *out)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		out[i].path = (char *)diff[i].path;
+		out[i].text.text_val = diff[i].text;
+		out[i].text.text_len = diff[i].text ? (u_int)strlen(diff[i].text) : 0;
+	}
+}
+
+/* The digest after the change is that of what every replica will build from the objects. */
+static int digest_after(const bct_config_state_t *base, const bct_xconfig_change *c,
+			bct_digest_t *out)
+{
+	bct_json_err_t err;
+	json_t *doc = NULL;
+	int rc = bct_config_doc_apply(base->doc, c->objects.objects_val, c->objects.objects_len,
+				      &err, &doc);
+
+	if (!rc)
+		rc = bct_conf_digest(doc, out);
+	json_decref(doc);
+	return rc;
+}
+
+static int encode_change(const bct_config_state_t *base, const bct_config_diff_t *diff, uint32_t n,
+			 bct_xconfig_change *c, bct_buf_t *out)
+{
+	bct_xobject *objects = bct_alloc(n * sizeof(*objects));
+	bct_xconfig_record rec = { .type = BCT_XCONFIG_CHANGE };
+	bct_digest_t after;
+	int rc;
+
+	if (!objects)
+		return -BCT_ENOMEM;
+	objects_from_diff(diff, n, objects);
+	c->objects.objects_len = n;
+	c->objects.objects_val = objects;
+	rc = digest_after(base, c, &after);
+	if (!rc) {
+		memcpy(c->digest, after.bytes, sizeof(c->digest));
+		rec.bct_xconfig_record_u.change = *c;
+		rc = encode(&rec, out);
+	}
+	bct_free(objects);
+	return rc;
+}
+
+int bct_config_change_encode(const bct_config_state_t *base, const json_t *doc, uint64_t id,
+			     const char *author, bct_time_t wall_ms, bct_buf_t *out)
+{
+	bct_xconfig_change c = {
+		.id = id,
+		.base_revision = base->revision,
+		.author = (char *)author,
+		.wall_ms = wall_ms,
+	};
+	bct_config_diff_t *diff = NULL;
+	uint32_t n = 0;
+	int rc = bct_config_diff(base->doc, doc, &diff, &n);
+
+	if (rc)
+		return rc;
+	memcpy(c.base_digest, base->digest.bytes, sizeof(c.base_digest));
+	if (n == 0)
+		rc = -BCT_ESTATE;
+	else if (n > BCT_X_CHANGES || strlen(author) > BCT_X_AUTHOR_BYTES)
+		rc = -BCT_ETOO_LARGE;
+	else
+		rc = encode_change(base, diff, n, &c, out);
+	bct_config_diff_free(diff, n);
+	return rc;
+}
--- /dev/null
+++ b/coord/log_follower.c
@@ -0,0 +1,234 @@
+/*
+ * log_follower.c - the read loop over one stream.
+ */
+#include "coord/log_follower.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "base/rng.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define STREAM_NAME_BYTES 65
+#define POLL_MS 1000
+#define TIMEOUT_MS 2000
+#define READ_MAX_BYTES (256 * 1024)
+#define SHORT_END_READS 30 /* answers in a row that end below the position: the log began again */
+#define BACKOFF_FIRST_MS 100
+#define BACKOFF_MAX_MS 5000
+#define BACKOFF_MAX_SHIFT 6
+#define NS_PER_MS 1000000L
+
+struct bct_log_follower {
+	bct_log_follower_opts_t opts;
+	char stream[STREAM_NAME_BYTES];
+	bct_rng_t rng;	   /* of the stepping thread */
+	uint64_t position; /* of the stepping thread */
+	bool moved;	   /* the position was changed during this step, but by reading on */
+	uint32_t short_ends;
+	bool started;
+	pthread_t thread;
+	pthread_mutex_t lock; /* guards all below; no other lock is taken inside */
+	pthread_cond_t stop_cond;
+	bool stop;
+	bct_log_health_t health;
+};
+
+int bct_log_follower_new(const bct_log_follower_opts_t *opts, bct_log_follower_t **out)
+{
+	bct_log_follower_t *f = bct_alloc(sizeof(*f));
+	pthread_condattr_t attr;
+
+	if (!f)
+		return -BCT_ENOMEM;
+	f->opts = *opts;
+	if (f->opts.poll_ms == 0)
+		f->opts.poll_ms = POLL_MS;
+	if (f->opts.timeout_ms == 0)
+		f->opts.timeout_ms = TIMEOUT_MS;
+	snprintf(f->stream, sizeof(f->stream), "%s", opts->stream);
+	bct_rng_seed(&f->rng, opts->seed);
+	f->position = opts->from;
+	f->health.up = true;
+	f->health.next = opts->from;
+	pthread_mutex_init(&f->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&f->stop_cond, &attr);
+	pthread_condattr_destroy(&attr);
+	*out = f;
+	return 0;
+}
+
+void bct_log_follower_free(bct_log_follower_t *f)
+{
+	if (!f)
+		return;
+	pthread_mutex_lock(&f->lock);
+	f->stop = true;
+	pthread_cond_signal(&f->stop_cond);
+	pthread_mutex_unlock(&f->lock);
+	if (f->started)
+		pthread_join(f->thread, NULL);
+	pthread_cond_destroy(&f->stop_cond);
+	pthread_mutex_destroy(&f->lock);
+	bct_free(f);
+}
+
+void bct_log_follower_seek(bct_log_follower_t *f, uint64_t position)
+{
+	f->position = position;
+	f->moved = true;
+	pthread_mutex_lock(&f->lock);
+	f->health.next = position;
+	f->health.caught_up = false;
+	pthread_mutex_unlock(&f->lock);
+}
+
+void bct_log_follower_health(bct_log_follower_t *f, bct_log_health_t *out)
+{
+	pthread_mutex_lock(&f->lock);
+	*out = f->health;
+	pthread_mutex_unlock(&f->lock);
+}
+
+static void lose(bct_log_follower_t *f, uint64_t oldest)
+{
+	BCT_LOG(f->opts.log, BCT_EV_LOG_GAP, BCT_STR("stream", f->stream),
+		BCT_U64("position", f->position), BCT_U64("oldest", oldest));
+	f->position = f->opts.ops->lost(f->opts.ctx, f->position, oldest);
+	f->moved = true;
+	f->short_ends = 0;
+}
+
+/* Hands over the records of one read. returns how many, or -BCT_ENOMEM from the callback. */
+static int deliver(bct_log_follower_t *f, const bct_records_t *r)
+{
+	for (uint32_t i = 0; i < r->n; i++) {
+		int rc;
+
+		/* An offset that is skipped was dropped between two reads. */
+		if (r->records[i].offset != f->position) {
+			f->position =
+				f->opts.ops->lost(f->opts.ctx, f->position, r->records[i].offset);
+			return (int)i;
+		}
+		rc = f->opts.ops->record(f->opts.ctx, &r->records[i]);
+		if (rc == -BCT_ENOMEM)
+			return rc;
+		if (f->moved)
+			return (int)i + 1;
+		f->position++;
+	}
+	return (int)r->n;
+}
+
+static void note_answer(bct_log_follower_t *f, int rc, const bct_records_t *r, bool at_end)
+{
+	bool answered = rc >= 0 || rc == -BCT_EEXPIRED || rc == -BCT_ENOMEM, changed;
+
+	pthread_mutex_lock(&f->lock);
+	changed = f->health.up != answered;
+	f->health.up = answered;
+	f->health.next = f->position;
+	if (answered) {
+		f->health.answered_at = bct_clock_now();
+		f->health.oldest = r->oldest;
+		f->health.failures = 0;
+		f->health.caught_up = at_end || (f->health.caught_up && !f->moved);
+	} else {
+		f->health.failures++;
+	}
+	pthread_mutex_unlock(&f->lock);
+	if (changed)
+		BCT_LOG(f->opts.log, answered ? BCT_EV_LOG_UP : BCT_EV_LOG_DOWN,
+			BCT_STR("stream", f->stream), BCT_U64("next", f->position),
+			BCT_ERR("error", answered ? 0 : rc));
+}
+
+int bct_log_follower_step(bct_log_follower_t *f, uint32_t wait_ms)
+{
+	bct_records_t r;
+	bool at_end = false;
+	int rc;
+
+	f->moved = false;
+	rc = bct_platform_read(f->opts.platform, f->stream, f->position, READ_MAX_BYTES, wait_ms,
+			       wait_ms + f->opts.timeout_ms, &r);
+	if (rc == -BCT_EEXPIRED) {
+		lose(f, r.oldest);
+	} else if (!rc && r.n == 0 && r.next < f->position) {
+		/* One such answer may come from a replica of the log that lags. */
+		if (++f->short_ends >= SHORT_END_READS)
+			lose(f, r.oldest);
+	} else if (!rc) {
+		f->short_ends = 0;
+		rc = deliver(f, &r);
+		at_end = rc >= 0 && !f->moved && f->position == r.next;
+	}
+	note_answer(f, rc, &r, at_end);
+	if (at_end && f->opts.ops->caught_up)
+		f->opts.ops->caught_up(f->opts.ctx, r.next, r.oldest);
+	bct_records_free(&r);
+	return rc == -BCT_EEXPIRED ? 0 : rc;
+}
+
+uint32_t bct_log_follower_backoff_ms(bct_log_follower_t *f)
+{
+	uint32_t shift =
+		f->health.failures < BACKOFF_MAX_SHIFT ? f->health.failures : BACKOFF_MAX_SHIFT;
+	uint32_t ms = BACKOFF_FIRST_MS << shift;
+
+	if (ms > BACKOFF_MAX_MS)
+		ms = BACKOFF_MAX_MS;
+	/* Half of it is jitter, so that a fleet does not come back in step. */
+	return ms / 2 + bct_rng_below(&f->rng, ms / 2 + 1);
+}
+
+/* Sleeps unless the follower is being stopped. returns false when it is. */
+static bool pause_ms(bct_log_follower_t *f, uint32_t ms)
+{
+	struct timespec until;
+	bool stop;
+
+	clock_gettime(CLOCK_MONOTONIC, &until);
+	until.tv_sec += ms / BCT_MS_PER_S;
+	until.tv_nsec += (long)(ms % BCT_MS_PER_S) * NS_PER_MS;
+	if (until.tv_nsec >= BCT_MS_PER_S * NS_PER_MS) {
+		until.tv_nsec -= BCT_MS_PER_S * NS_PER_MS;
+		until.tv_sec++;
+	}
+	pthread_mutex_lock(&f->lock);
+	while (!f->stop && ms && !pthread_cond_timedwait(&f->stop_cond, &f->lock, &until))
+		;
+	stop = f->stop;
+	pthread_mutex_unlock(&f->lock);
+	return !stop;
+}
+
+static void *run(void *arg)
+{
+	bct_log_follower_t *f = arg;
+	uint32_t wait_ms = 0;
+
+	while (pause_ms(f, wait_ms)) {
+		bct_time_t begun = bct_clock_now();
+		int rc = bct_log_follower_step(f, f->opts.poll_ms);
+
+		wait_ms = rc < 0 ? bct_log_follower_backoff_ms(f) : 0;
+		/* A platform that does not hold its answer is not asked all the time. */
+		if (rc == 0 && bct_clock_now() - begun < f->opts.poll_ms / 2)
+			wait_ms = f->opts.poll_ms / 2;
+	}
+	return NULL;
+}
+
+int bct_log_follower_start(bct_log_follower_t *f)
+{
+	if (pthread_create(&f->thread, NULL, run, f))
+		return -BCT_ENOMEM;
+	f->started = true;
+	return 0;
+}
--- /dev/null
+++ b/schema/record.x
@@ -0,0 +1,58 @@
+/*
+ * record.x - records of the configuration stream of the platform's log.
+ *
+ * A record is one bct_xconfig_record. Records of other streams have schemas of their own.
+ */
+
+const BCT_X_DIGEST_BYTES = 32;
+const BCT_X_AUTHOR_BYTES = 63;
+const BCT_X_PATH_BYTES = 128;
+const BCT_X_DOCUMENT_BYTES = 1024000;
+const BCT_X_CHANGES = 8192;
+const BCT_X_RECENT = 256;
+
+enum bct_xconfig_type {
+	BCT_XCONFIG_CHANGE = 1,
+	BCT_XCONFIG_SNAPSHOT = 2
+};
+
+/* One object of the document: "timeouts", "models/NAME", "upstreams/NAME", "contracts/NAME". */
+struct bct_xobject {
+	string path<BCT_X_PATH_BYTES>;
+	opaque text<BCT_X_DOCUMENT_BYTES>;	/* JSON; empty: the object is deleted */
+};
+
+struct bct_xconfig_change {
+	unsigned hyper id;			/* random, the same in each repeat */
+	unsigned hyper base_revision;
+	opaque base_digest[BCT_X_DIGEST_BYTES];
+	opaque digest[BCT_X_DIGEST_BYTES];	/* of the document after the change */
+	string author<BCT_X_AUTHOR_BYTES>;
+	hyper wall_ms;
+	bct_xobject objects<BCT_X_CHANGES>;
+};
+
+/* What replay said of a change; kept for repeats of its id. */
+struct bct_xverdict {
+	unsigned hyper id;
+	unsigned hyper revision;
+	unsigned int reason;
+};
+
+/* The state after all records below the covered offset. */
+struct bct_xconfig_snapshot {
+	unsigned hyper covered;
+	unsigned hyper revision;
+	opaque digest[BCT_X_DIGEST_BYTES];
+	string writer<BCT_X_AUTHOR_BYTES>;
+	hyper wall_ms;
+	bct_xverdict recent<BCT_X_RECENT>;	/* oldest first */
+	opaque document<BCT_X_DOCUMENT_BYTES>;
+};
+
+union bct_xconfig_record switch (bct_xconfig_type type) {
+case BCT_XCONFIG_CHANGE:
+	bct_xconfig_change change;
+case BCT_XCONFIG_SNAPSHOT:
+	bct_xconfig_snapshot snapshot;
+};
--- /dev/null
+++ b/tests/test_config_store.c
@@ -0,0 +1,271 @@
+/*
+ * test_config_store.c - the store over an embedded platform: outages, peers, snapshots, expiry.
+ */
+#include "base/err.h"
+#include "coord/conf_json.h"
+#include "coord/config_store.h"
+#include "coord/platform_embedded.h"
+#include "tests/util_config.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define STEPS 6
+
+/* Revisions seen by the callback; a lower one than before fails the test. */
+typedef struct node {
+	bct_config_store_t *store;
+	uint64_t seen;
+	uint32_t context;
+	uint32_t calls;
+} node_t;
+
+static void adopted(void *ctx, bct_conf_t *conf)
+{
+	node_t *n = ctx;
+
+	cr_assert_geq(conf->revision, n->seen, "went back from %lu", n->seen);
+	n->seen = conf->revision;
+	n->context = util_context(conf);
+	n->calls++;
+}
+
+static void start(node_t *n, bct_platform_t *p, uint32_t snapshot_records)
+{
+	memset(n, 0, sizeof(*n));
+	cr_assert_eq(bct_config_store_new(
+			     &(bct_config_store_opts_t){ .platform = p,
+							 .vm_name = "vm-1",
+							 .snapshot_records = snapshot_records,
+							 .adopted = adopted,
+							 .ctx = n },
+			     &n->store),
+		     0);
+}
+
+static void run(node_t *n)
+{
+	for (int i = 0; i < STEPS; i++)
+		bct_config_store_step(n->store, 0);
+}
+
+/* The state of a replica that has read all of the log. */
+static void publish(bct_platform_t *p, bct_config_state_t *st, uint32_t context, uint64_t id)
+{
+	bct_config_result_t res;
+	bct_buf_t rec;
+
+	util_change(st, context, id, &rec);
+	cr_assert_eq(util_append_change(p, st, context, id), 0);
+	cr_assert_eq(bct_config_replay(st, rec.data, (uint32_t)rec.len_bytes, &res), 0);
+	cr_assert_eq(res.verdict, BCT_VERDICT_ACCEPTED);
+	bct_buf_free(&rec);
+}
+
+Test(config_store, follows_the_log_and_survives_an_outage)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_status_t status;
+	node_t n;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	start(&n, p, 0);
+	cr_assert_null(bct_config_store_current(n.store));
+	publish(p, &st, 10, 1);
+	run(&n);
+	cr_assert_eq(n.seen, 1);
+	cr_assert_eq(n.context, 10);
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ .outage = true });
+	cr_assert_eq(bct_config_store_step(n.store, 0), -BCT_EUNAVAILABLE);
+	bct_config_store_status(n.store, &status);
+	cr_assert_not(status.log.up);
+	cr_assert_eq(status.revision, 1);
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ 0 });
+	publish(p, &st, 20, 2);
+	run(&n);
+	cr_assert_eq(n.context, 20);
+	cr_assert_eq(n.calls, 2);
+	bct_config_store_free(n.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
+
+Test(config_store, starts_from_a_peer_while_the_log_is_down)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_export_t e;
+	bct_config_status_t status;
+	node_t a, b;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	publish(p, &st, 10, 1);
+	publish(p, &st, 20, 2);
+	start(&a, p, 0);
+	run(&a);
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ .outage = true });
+	start(&b, p, 0);
+	run(&b);
+	cr_assert_eq(bct_config_store_export(b.store, &e), -BCT_ENOT_FOUND);
+	cr_assert_eq(bct_config_store_export(a.store, &e), 0);
+	cr_assert_eq(bct_config_store_offer(b.store, &e), 0);
+	cr_assert_eq(b.context, 20);
+	cr_assert_eq(bct_config_store_offer(b.store, &e), -BCT_ESTALE);
+	bct_config_store_status(b.store, &status);
+	cr_assert_eq(status.source, BCT_CONFIG_SOURCE_PEER);
+	/* A word changed on the way, and another document of the same revision. */
+	e.text.data[2] ^= 1;
+	cr_assert_eq(bct_config_store_offer(b.store, &e), -BCT_ECODEC);
+	bct_buf_free(&e.text);
+	/* The log comes back and confirms it: no second adoption. */
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ 0 });
+	run(&b);
+	bct_config_store_status(b.store, &status);
+	cr_assert_eq(status.source, BCT_CONFIG_SOURCE_LOG);
+	cr_assert_eq(b.calls, 1);
+	cr_assert_not(status.diverged);
+	bct_config_store_free(a.store);
+	bct_config_store_free(b.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
+
+Test(config_store, log_that_lags_behind_a_peer_does_not_revert)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_export_t e;
+	node_t a, b;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	publish(p, &st, 10, 1);
+	publish(p, &st, 20, 2);
+	start(&a, p, 0);
+	start(&b, p, 0);
+	run(&a);
+	cr_assert_eq(bct_config_store_export(a.store, &e), 0);
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ .hidden_records = 1 });
+	cr_assert_eq(bct_config_store_offer(b.store, &e), 0);
+	run(&b);
+	cr_assert_eq(b.seen, 2);
+	cr_assert_eq(b.context, 20);
+	bct_buf_free(&e.text);
+	bct_config_store_free(a.store);
+	bct_config_store_free(b.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
+
+Test(config_store, peers_wrong_document_gives_way_to_the_log_and_is_reported)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_export_t e = { .revision = 1 };
+	bct_config_status_t status;
+	bct_conf_t *conf;
+	json_t *doc = util_doc(99);
+	bct_json_err_t err;
+	node_t n;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	publish(p, &st, 10, 1);
+	start(&n, p, 0);
+	cr_assert_eq(bct_conf_from_json(doc, 1, &err, &conf), 0);
+	e.digest = conf->digest;
+	bct_buf_init(&e.text, 0);
+	bct_conf_canonical(doc, &e.text);
+	cr_assert_eq(bct_config_store_offer(n.store, &e), 0);
+	cr_assert_eq(n.context, 99);
+	run(&n);
+	cr_assert_eq(n.context, 10);
+	bct_config_store_status(n.store, &status);
+	cr_assert(status.diverged);
+	cr_assert_eq(bct_config_store_offer(n.store, &e), -BCT_EDIVERGED);
+	bct_buf_free(&e.text);
+	bct_conf_unref(conf);
+	json_decref(doc);
+	bct_config_store_free(n.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
+
+/* Steps until the log has a snapshot: its writer waits a moment, so that one node writes it. */
+static void run_until_end(node_t *n, bct_platform_t *p, uint64_t end)
+{
+	bct_records_t r = { 0 };
+
+	for (int i = 0; i < 200 && r.next < end; i++) {
+		bct_config_store_step(n->store, 10);
+		bct_records_free(&r);
+		bct_platform_read(p, BCT_STREAM_CONFIG, 0, 1, 0, 0, &r);
+		bct_records_free(&r);
+		bct_platform_read(p, BCT_STREAM_CONFIG, end - 1, 1, 0, 0, &r);
+	}
+	cr_assert_eq(r.n, 1);
+	bct_records_free(&r);
+}
+
+Test(config_store, snapshot_carries_a_new_node_over_expiry)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_status_t status;
+	node_t a, b;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	publish(p, &st, 10, 1);
+	publish(p, &st, 20, 2);
+	publish(p, &st, 30, 3);
+	start(&a, p, 3);
+	run_until_end(&a, p, 4);
+	bct_platform_embedded_expire(p, BCT_STREAM_CONFIG, 3);
+	st.next++;
+	publish(p, &st, 40, 4);
+	start(&b, p, 0);
+	run(&b);
+	run(&a);
+	cr_assert_eq(b.seen, 4);
+	cr_assert_eq(b.context, 40);
+	cr_assert_eq(a.context, 40);
+	bct_config_store_status(a.store, &status);
+	cr_assert_not(status.diverged);
+	bct_config_store_free(a.store);
+	bct_config_store_free(b.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
+
+Test(config_store, expired_log_without_a_snapshot_leaves_a_new_node_to_its_peers)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_export_t e;
+	node_t a, b;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	publish(p, &st, 10, 1);
+	start(&a, p, 0);
+	run(&a);
+	bct_platform_embedded_expire(p, BCT_STREAM_CONFIG, 1);
+	start(&b, p, 0);
+	run(&b);
+	cr_assert_null(bct_config_store_current(b.store));
+	/* The old node has the state, sees the loss and writes a snapshot; the new one finds it. */
+	run_until_end(&a, p, 2);
+	run(&b);
+	cr_assert_eq(b.seen, 1);
+	cr_assert_eq(bct_config_store_export(a.store, &e), 0);
+	cr_assert_eq(bct_config_store_offer(b.store, &e), -BCT_ESTALE);
+	bct_buf_free(&e.text);
+	bct_config_store_free(a.store);
+	bct_config_store_free(b.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
