--- /dev/null
+++ b/coord/addr.c
@@ -0,0 +1,42 @@
+/*
+ * addr.c - conversion by the C library's inet_pton and inet_ntop.
+ */
+#include "coord/addr.h"
+#include "base/err.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+int bct_addr_parse(const char *ip, uint16_t port, bct_addr_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->port = port;
+	if (inet_pton(AF_INET, ip, out->ip) == 1)
+		out->ip_len_bytes = 4;
+	else if (inet_pton(AF_INET6, ip, out->ip) == 1)
+		out->ip_len_bytes = 16;
+	return out->ip_len_bytes ? 0 : -BCT_EINVAL;
+}
+
+void bct_addr_ip(const bct_addr_t *a, char *out, uint32_t out_bytes)
+{
+	int family = a->ip_len_bytes == 4 ? AF_INET : AF_INET6;
+
+	if (!a->ip_len_bytes || !inet_ntop(family, a->ip, out, out_bytes))
+		out[0] = '\0';
+}
+
+void bct_addr_print(const bct_addr_t *a, char *out, uint32_t out_bytes)
+{
+	char ip[BCT_ADDR_BYTES];
+
+	bct_addr_ip(a, ip, sizeof(ip));
+	snprintf(out, out_bytes, a->ip_len_bytes == 16 ? "[%s]:%u" : "%s:%u", ip, a->port);
+}
+
+bool bct_addr_eq(const bct_addr_t *a, const bct_addr_t *b)
+{
+	return a->port == b->port && a->ip_len_bytes == b->ip_len_bytes &&
+	       memcmp(a->ip, b->ip, a->ip_len_bytes) == 0;
+}
--- /dev/null
+++ b/coord/member.c
@@ -0,0 +1,450 @@
+/*
+ * member.c - the member table: merging what is said about members, events, and the public calls.
+ */
+#include "coord/member_int.h"
+#include "base/err.h"
+#include "base/mem.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static uint32_t slot_index(const bct_member_table_t *t, uint64_t incarnation)
+{
+	uint32_t lo = 0, hi = t->n;
+
+	while (lo < hi) {
+		uint32_t mid = lo + (hi - lo) / 2;
+
+		if (t->slots[mid]->m.incarnation < incarnation)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo;
+}
+
+slot_t *bct_member_slot(const bct_member_table_t *t, uint64_t incarnation)
+{
+	uint32_t i = slot_index(t, incarnation);
+
+	return i < t->n && t->slots[i]->m.incarnation == incarnation ? t->slots[i] : NULL;
+}
+
+/* Transmissions after which gossip has reached everybody but for a chance of about e^-limit. */
+uint8_t bct_member_tx_limit(const bct_member_table_t *t)
+{
+	uint8_t limit = 3;
+
+	for (uint32_t n = t->n_live; n; n >>= 1)
+		limit++;
+	return limit;
+}
+
+static void emit(bct_member_table_t *t, bct_member_event_type_t type, const slot_t *s)
+{
+	if (t->opts.event && s != t->self)
+		t->opts.event(t->opts.ctx, type, &s->m);
+}
+
+static bct_time_t suspect_ms(const bct_member_table_t *t)
+{
+	bct_time_t ms = SUSPECT_BASE_MS;
+
+	for (uint32_t n = t->n_live; n > 1; n >>= 1)
+		ms += SUSPECT_DOUBLE_MS;
+	return ms;
+}
+
+static void slot_flapped(slot_t *s, bct_time_t now)
+{
+	uint32_t decayed = (uint32_t)((now - s->flapped) / FLAP_DECAY_MS);
+
+	s->m.flaps -= decayed < s->m.flaps ? decayed : s->m.flaps;
+	if (s->m.flaps < FLAPS_MAX)
+		s->m.flaps++;
+	s->flapped = now;
+	s->m.steady = now + (bct_time_t)s->m.flaps * FLAP_HOLD_MS;
+}
+
+static void set_liveness(bct_member_table_t *t, bct_time_t now, slot_t *s, bct_liveness_t liveness)
+{
+	bct_liveness_t old = s->m.liveness;
+
+	if (old == liveness)
+		return;
+	t->n_live += old == BCT_MEMBER_DEAD;
+	t->n_live -= liveness == BCT_MEMBER_DEAD;
+	s->m.liveness = liveness;
+	s->m.since = now;
+	if (liveness == BCT_MEMBER_SUSPECT) {
+		s->suspect_until = now + suspect_ms(t);
+		emit(t, BCT_MEMBER_SUSPECTED, s);
+	} else if (liveness == BCT_MEMBER_DEAD) {
+		emit(t, BCT_MEMBER_DIED, s);
+	} else {
+		slot_flapped(s, now);
+		emit(t, BCT_MEMBER_RETURNED, s);
+	}
+}
+
+/* Others doubt this node: answer with a higher number. A slow answer is a sign of bad health. */
+static void refute(bct_member_table_t *t, uint32_t number)
+{
+	t->self->m.number = number + 1;
+	t->counters.refuted++;
+	if (t->health < HEALTH_MAX)
+		t->health++;
+}
+
+/*
+ * Merges a fact. A death that comes as news about a member believed alive is taken as a suspicion,
+ * so that a node that was cut off or paused can't bury others that still answer.
+ *
+ * returns  whether the fact was news
+ */
+bool bct_member_apply_fact(bct_member_table_t *t, bct_time_t now, slot_t *s, uint32_t number,
+			   bct_liveness_t liveness, bool leaving)
+{
+	bool news = false;
+
+	if (leaving && !s->m.leaving) {
+		s->m.leaving = true;
+		news = true;
+		emit(t, BCT_MEMBER_LEFT, s);
+	}
+	if (s == t->self) {
+		if (liveness != BCT_MEMBER_ALIVE && number >= s->m.number) {
+			refute(t, number);
+			news = true;
+		}
+	} else if (number > s->m.number || (number == s->m.number && liveness > s->m.liveness)) {
+		if (liveness == BCT_MEMBER_DEAD && s->m.liveness == BCT_MEMBER_ALIVE)
+			liveness = BCT_MEMBER_SUSPECT;
+		s->m.number = number;
+		set_liveness(t, now, s, liveness);
+		news = true;
+	}
+	if (news)
+		s->tx_fact = bct_member_tx_limit(t);
+	return news;
+}
+
+void bct_member_apply_info(bct_member_table_t *t, slot_t *s, const bct_member_info_t *info)
+{
+	bool revised = info->revision != s->m.info.revision;
+
+	if (s == t->self || info->seq <= s->m.info.seq)
+		return;
+	s->m.info = *info;
+	s->tx_info = bct_member_tx_limit(t) / 2;
+	if (revised)
+		emit(t, BCT_MEMBER_INFO, s);
+}
+
+static void slot_remove(bct_member_table_t *t, uint32_t i)
+{
+	slot_t *s = t->slots[i];
+
+	t->n_live -= s->m.liveness != BCT_MEMBER_DEAD;
+	memmove(&t->slots[i], &t->slots[i + 1], (t->n - i - 1) * sizeof(*t->slots));
+	t->n--;
+	emit(t, BCT_MEMBER_FORGOTTEN, s);
+	bct_free(s);
+}
+
+/* Makes room in a full table: the member that has been dead for longest goes. */
+static bool evict_dead(bct_member_table_t *t)
+{
+	uint32_t oldest = t->n;
+
+	for (uint32_t i = 0; i < t->n; i++) {
+		const bct_member_t *m = &t->slots[i]->m;
+
+		if (m->liveness == BCT_MEMBER_DEAD &&
+		    (oldest == t->n || m->since < t->slots[oldest]->m.since))
+			oldest = i;
+	}
+	if (oldest == t->n)
+		return false;
+	slot_remove(t, oldest);
+	return true;
+}
+
+static bool table_grow(bct_member_table_t *t)
+{
+	uint32_t cap = t->cap ? t->cap * 2 : 16;
+	slot_t **slots;
+	uint64_t *order;
+
+	if (t->n >= BCT_MEMBERS_MAX)
+		return evict_dead(t);
+	if (t->n < t->cap)
+		return true;
+	slots = bct_realloc(t->slots, cap * sizeof(*slots));
+	if (!slots)
+		return false;
+	t->slots = slots;
+	order = bct_realloc(t->order, cap * sizeof(*order));
+	if (!order)
+		return false;
+	t->order = order;
+	t->cap = cap;
+	return true;
+}
+
+/* Adds a member that was not known; NULL without room or memory. */
+slot_t *bct_member_add(bct_member_table_t *t, bct_time_t now, const bct_member_t *m)
+{
+	slot_t *s;
+	uint32_t i;
+
+	if (!table_grow(t))
+		return NULL;
+	s = bct_alloc(sizeof(*s));
+	if (!s)
+		return NULL;
+	s->m = *m;
+	s->m.node_key = bct_hash_str(m->name);
+	s->m.since = now;
+	s->m.steady = now;
+	s->m.flaps = 0;
+	s->flapped = now;
+	if (m->liveness == BCT_MEMBER_SUSPECT)
+		s->suspect_until = now + suspect_ms(t);
+	i = slot_index(t, m->incarnation);
+	memmove(&t->slots[i + 1], &t->slots[i], (t->n - i) * sizeof(*t->slots));
+	t->slots[i] = s;
+	t->n++;
+	t->n_live += m->liveness != BCT_MEMBER_DEAD;
+	s->tx_desc = bct_member_tx_limit(t);
+	if (m->liveness != BCT_MEMBER_DEAD)
+		emit(t, BCT_MEMBER_JOINED, s);
+	return s;
+}
+
+int bct_member_new(const bct_member_opts_t *opts, bct_time_t now, bct_member_table_t **out)
+{
+	bct_member_table_t *t;
+	bct_member_t self = opts->self;
+
+	*out = NULL;
+	if (!self.incarnation || !opts->outbox || opts->n_seeds > BCT_SEEDS_MAX)
+		return -BCT_EINVAL;
+	t = bct_alloc(sizeof(*t));
+	if (!t)
+		return -BCT_ENOMEM;
+	t->opts = *opts;
+	bct_rng_seed(&t->rng, opts->seed);
+	t->xid = (uint32_t)bct_hash_mix(opts->seed, self.incarnation);
+	if (opts->n_seeds)
+		memcpy(t->seeds, opts->seeds, opts->n_seeds * sizeof(*t->seeds));
+	t->n_seeds = opts->n_seeds;
+	t->n_fixed_seeds = opts->n_seeds;
+	self.liveness = BCT_MEMBER_ALIVE;
+	self.leaving = false;
+	self.number = 0;
+	self.info.seq = 1;
+	t->self = bct_member_add(t, now, &self);
+	if (!t->self) {
+		bct_member_free(t);
+		return -BCT_ENOMEM;
+	}
+	t->last_tick = now;
+	t->expected_tick = now;
+	t->next_sync = now + SYNC_INTERVAL_MS;
+	*out = t;
+	return 0;
+}
+
+void bct_member_free(bct_member_table_t *t)
+{
+	if (!t)
+		return;
+	for (uint32_t i = 0; i < t->n; i++)
+		bct_free(t->slots[i]);
+	bct_free(t->slots);
+	bct_free(t->order);
+	bct_free(t);
+}
+
+static void suspects_tick(bct_member_table_t *t, bct_time_t now)
+{
+	for (uint32_t i = 0; i < t->n; i++) {
+		slot_t *s = t->slots[i];
+
+		if (s->m.liveness == BCT_MEMBER_SUSPECT && now >= s->suspect_until)
+			bct_member_apply_fact(t, now, s, s->m.number, BCT_MEMBER_DEAD, false);
+	}
+}
+
+static void reap_tick(bct_member_table_t *t, bct_time_t now)
+{
+	if (now < t->next_reap)
+		return;
+	t->next_reap = now + CONTACT_INTERVAL_MS;
+	for (uint32_t i = t->n; i-- > 0;) {
+		const slot_t *s = t->slots[i];
+		bct_time_t keep_ms = s->unlisted ? DEAD_UNLISTED_KEEP_MS : DEAD_KEEP_MS;
+
+		if (s->m.liveness == BCT_MEMBER_DEAD && now - s->m.since > keep_ms)
+			slot_remove(t, i);
+	}
+	bct_gossip_expire(t, now);
+}
+
+/* Publishes a change of load that was held back. */
+static void info_tick(bct_member_table_t *t, bct_time_t now)
+{
+	bct_member_info_t *own = &t->self->m.info;
+	uint32_t seq = own->seq;
+
+	if (!t->info_pending || now < t->next_info_at)
+		return;
+	t->info_pending = false;
+	t->next_info_at = now + INFO_INTERVAL_MS + (bct_time_t)t->n_live * INFO_PER_MEMBER_MS;
+	*own = t->next_info;
+	own->seq = seq + 1;
+	t->self->tx_info = bct_member_tx_limit(t) / 2;
+}
+
+bct_time_t bct_member_tick(bct_member_table_t *t, bct_time_t now)
+{
+	bct_time_t late_ms = now - t->expected_tick;
+
+	if (late_ms > 2 * PROBE_INTERVAL_MS)
+		bct_probe_wake(t, now, now - t->last_tick);
+	t->last_tick = now;
+	suspects_tick(t, now);
+	info_tick(t, now);
+	bct_join_tick(t, now);
+	bct_sync_tick(t, now);
+	bct_probe_tick(t, now);
+	if (now >= t->next_gossip) {
+		t->next_gossip = now + GOSSIP_INTERVAL_MS;
+		bct_gossip_round(t, now);
+	}
+	reap_tick(t, now);
+	t->expected_tick = t->next_gossip;
+	if (t->probe.target && t->probe.deadline < t->expected_tick)
+		t->expected_tick = t->probe.deadline;
+	if (t->next_probe < t->expected_tick)
+		t->expected_tick = t->next_probe;
+	return t->expected_tick;
+}
+
+void bct_member_set_leaving(bct_member_table_t *t, bct_time_t now)
+{
+	if (!bct_member_apply_fact(t, now, t->self, t->self->m.number, BCT_MEMBER_ALIVE, true))
+		return;
+	t->next_gossip = now;
+}
+
+void bct_member_set_info(bct_member_table_t *t, bct_time_t now, const bct_member_info_t *info)
+{
+	const bct_member_info_t *own = &t->self->m.info;
+	int64_t step = (int64_t)info->load_permille - own->load_permille;
+	bool revised = info->revision != own->revision || info->digest != own->digest;
+
+	if (!revised && step < LOAD_STEP_PERMILLE && step > -LOAD_STEP_PERMILLE)
+		return;
+	t->next_info = *info;
+	t->info_pending = true;
+	if (revised)
+		t->next_info_at = now;
+	info_tick(t, now);
+}
+
+static void vm_list_seeds(bct_member_table_t *t, const bct_vm_list_t *list)
+{
+	uint32_t entries = 0;
+
+	/* A long list is sampled, so that each call tries other VMs. */
+	t->n_seeds = t->n_fixed_seeds;
+	for (uint32_t i = 0; i < list->n; i++) {
+		const bct_vm_t *vm = &list->vms[i];
+		bct_addr_t addr;
+		uint32_t at;
+
+		if (vm->role != BCT_VM_ENTRY || bct_addr_parse(vm->address, vm->peer_port, &addr))
+			continue;
+		entries++;
+		if (t->n_seeds < BCT_SEEDS_MAX) {
+			t->seeds[t->n_seeds++] = addr;
+			continue;
+		}
+		at = t->n_fixed_seeds + bct_rng_below(&t->rng, entries);
+		if (at < BCT_SEEDS_MAX)
+			t->seeds[at] = addr;
+	}
+}
+
+void bct_member_vm_list(bct_member_table_t *t, bct_time_t now, const bct_vm_list_t *list)
+{
+	(void)now;
+	vm_list_seeds(t, list);
+	for (uint32_t i = 0; i < t->n; i++) {
+		slot_t *s = t->slots[i];
+
+		s->unlisted = true;
+		for (uint32_t j = 0; j < list->n && s->unlisted; j++)
+			s->unlisted = strcmp(list->vms[j].name, s->m.name) != 0;
+	}
+}
+
+uint32_t bct_member_count(const bct_member_table_t *t)
+{
+	return t->n;
+}
+
+const bct_member_t *bct_member_at(const bct_member_table_t *t, uint32_t i)
+{
+	return i < t->n ? &t->slots[i]->m : NULL;
+}
+
+const bct_member_t *bct_member_find(const bct_member_table_t *t, uint64_t incarnation)
+{
+	const slot_t *s = bct_member_slot(t, incarnation);
+
+	return s ? &s->m : NULL;
+}
+
+const bct_member_t *bct_member_self(const bct_member_table_t *t)
+{
+	return &t->self->m;
+}
+
+uint32_t bct_member_live(const bct_member_table_t *t, bool with_leaving, uint64_t *out,
+			 uint32_t max)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < t->n && n < max; i++) {
+		const bct_member_t *m = &t->slots[i]->m;
+
+		if (m->liveness != BCT_MEMBER_DEAD && (with_leaving || !m->leaving))
+			out[n++] = m->incarnation;
+	}
+	return n;
+}
+
+void bct_member_fleet(const bct_member_table_t *t, bct_fleet_t *out)
+{
+	const bct_member_t *self = &t->self->m;
+
+	memset(out, 0, sizeof(*out));
+	out->nodes = t->n_live;
+	out->node_key = self->node_key;
+	out->region_key = bct_hash_str(self->region);
+	out->failure_domain_key = bct_hash_str(self->failure_domain);
+	for (uint32_t i = 0; i < t->n; i++) {
+		const bct_member_t *m = &t->slots[i]->m;
+
+		if (m->liveness != BCT_MEMBER_DEAD && m->incarnation < self->incarnation)
+			out->rank++;
+	}
+}
+
+void bct_member_counters(const bct_member_table_t *t, bct_member_counters_t *out)
+{
+	*out = t->counters;
+}
--- /dev/null
+++ b/coord/member_gossip.c
@@ -0,0 +1,358 @@
+/*
+ * member_gossip.c - what rides on each datagram: bounded news about members and facts for all.
+ */
+#include "coord/member_int.h"
+#include "base/err.h"
+
+#include <string.h>
+
+#define FACT_BYTES 16
+#define INFO_BYTES 32
+#define ITEM_BYTES 56
+#define RENEW_STEP_MS 5000 /* an expiry moved by less than this is not news */
+
+static uint32_t string_bytes(const char *s)
+{
+	return 4 + (((uint32_t)strlen(s) + 3) & ~3u);
+}
+
+static uint32_t desc_bytes(const bct_member_t *m)
+{
+	return string_bytes(m->name) + string_bytes(m->failure_domain) + string_bytes(m->region) +
+	       3 * 8 + m->peer.ip_len_bytes + m->caller.ip_len_bytes + m->admin.ip_len_bytes +
+	       FACT_BYTES + INFO_BYTES;
+}
+
+static peer_fact fact_of(const bct_member_t *m)
+{
+	return (peer_fact){ .incarnation = m->incarnation,
+			    .number = m->number,
+			    .state = m->liveness | (m->leaving ? PEER_LEAVING : 0u) };
+}
+
+static peer_info info_of(const bct_member_t *m)
+{
+	return (peer_info){ .incarnation = m->incarnation,
+			    .seq = m->info.seq,
+			    .load_permille = m->info.load_permille,
+			    .revision = m->info.revision,
+			    .digest = m->info.digest };
+}
+
+static peer_addr addr_out(bct_addr_t *a)
+{
+	return (peer_addr){ .ip = { a->ip_len_bytes, (char *)a->ip }, .port = a->port };
+}
+
+static bool addr_in(const peer_addr *p, bct_addr_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	if ((p->ip.ip_len != 0 && p->ip.ip_len != 4 && p->ip.ip_len != 16) || p->port > UINT16_MAX)
+		return false;
+	if (p->ip.ip_len)
+		memcpy(out->ip, p->ip.ip_val, p->ip.ip_len);
+	out->ip_len_bytes = (uint8_t)p->ip.ip_len;
+	out->port = (uint16_t)p->port;
+	return true;
+}
+
+void bct_gossip_begin(bct_member_table_t *t, gossip_buf_t *b, uint32_t budget_bytes)
+{
+	memset(&b->g, 0, sizeof(b->g));
+	b->left_bytes = budget_bytes;
+	b->g.self = fact_of(&t->self->m);
+	b->g.info = info_of(&t->self->m);
+	b->g.descs.descs_val = b->descs;
+	b->g.facts.facts_val = b->facts;
+	b->g.infos.infos_val = b->infos;
+	b->g.items.items_val = b->items;
+}
+
+static bool take_room(gossip_buf_t *b, uint32_t bytes, uint32_t used, uint32_t max)
+{
+	if (b->left_bytes < bytes || used >= max)
+		return false;
+	b->left_bytes -= bytes;
+	return true;
+}
+
+bool bct_gossip_put_desc(gossip_buf_t *b, slot_t *s)
+{
+	bct_member_t *m = &s->m;
+	peer_desc *d = &b->descs[b->g.descs.descs_len];
+
+	if (!take_room(b, desc_bytes(m), b->g.descs.descs_len, GOSSIP_DESCS_MAX))
+		return false;
+	b->g.descs.descs_len++;
+	*d = (peer_desc){ .name = m->name,
+			  .failure_domain = m->failure_domain,
+			  .region = m->region,
+			  .peer = addr_out(&m->peer),
+			  .caller = addr_out(&m->caller),
+			  .admin = addr_out(&m->admin),
+			  .fact = fact_of(m),
+			  .info = info_of(m) };
+	return true;
+}
+
+bool bct_gossip_put_fact(gossip_buf_t *b, const slot_t *s)
+{
+	if (!take_room(b, FACT_BYTES, b->g.facts.facts_len, GOSSIP_FACTS_MAX))
+		return false;
+	b->facts[b->g.facts.facts_len++] = fact_of(&s->m);
+	return true;
+}
+
+static bool put_info(gossip_buf_t *b, const slot_t *s)
+{
+	if (!take_room(b, INFO_BYTES, b->g.infos.infos_len, GOSSIP_INFOS_MAX))
+		return false;
+	b->infos[b->g.infos.infos_len++] = info_of(&s->m);
+	return true;
+}
+
+static bool put_item(gossip_buf_t *b, bct_time_t now, const bct_fact_t *f)
+{
+	peer_item *p = &b->items[b->g.items.items_len];
+
+	if (!take_room(b, ITEM_BYTES, b->g.items.items_len, GOSSIP_ITEMS_MAX))
+		return false;
+	b->g.items.items_len++;
+	p->type = f->type;
+	p->expires_ms = (uint32_t)(f->expires - now);
+	p->key = f->key;
+	p->key2 = f->key2;
+	memcpy(p->v, f->v, sizeof(p->v));
+	return true;
+}
+
+/* Puts one member's news; a description holds the fact and the info too. */
+static void put_news(gossip_buf_t *b, slot_t *s)
+{
+	if (s->tx_desc && s->m.liveness != BCT_MEMBER_DEAD) {
+		if (bct_gossip_put_desc(b, s)) {
+			s->tx_desc--;
+			s->tx_fact -= s->tx_fact > 0;
+			s->tx_info -= s->tx_info > 0;
+		}
+	} else if (s->tx_fact) {
+		if (bct_gossip_put_fact(b, s))
+			s->tx_fact--;
+	}
+}
+
+/*
+ * Fills a datagram for a member: what it must hear of itself, then facts for all, then news of
+ * members from where the last datagram stopped, then their infos.
+ */
+void bct_gossip_fill(bct_member_table_t *t, bct_time_t now, uint64_t target, gossip_buf_t *b)
+{
+	const slot_t *to = bct_member_slot(t, target);
+
+	bct_gossip_begin(t, b, GOSSIP_BUDGET_BYTES);
+	if (to && to->m.liveness != BCT_MEMBER_ALIVE)
+		bct_gossip_put_fact(b, to);
+	for (uint32_t i = 0; i < t->n_facts; i++) {
+		fact_slot_t *f = &t->facts[i];
+
+		if (f->tx && f->f.expires > now && put_item(b, now, &f->f))
+			f->tx--;
+	}
+	t->gossip_at = t->gossip_at + 1 < t->n ? t->gossip_at + 1 : 0;
+	for (uint32_t i = 0; i < t->n; i++)
+		put_news(b, t->slots[(t->gossip_at + i) % t->n]);
+	for (uint32_t i = 0; i < t->n; i++) {
+		slot_t *s = t->slots[(t->gossip_at + i) % t->n];
+
+		if (s->tx_info && put_info(b, s))
+			s->tx_info--;
+	}
+}
+
+static bool urgent(const bct_member_table_t *t)
+{
+	for (uint32_t i = 0; i < t->n_facts; i++) {
+		if (t->facts[i].tx)
+			return true;
+	}
+	for (uint32_t i = 0; i < t->n; i++) {
+		if (t->slots[i]->tx_fact ||
+		    (t->slots[i]->tx_desc && t->slots[i]->m.liveness != BCT_MEMBER_DEAD))
+			return true;
+	}
+	return false;
+}
+
+/* Sends urgent news to a few members at once; without any, probes carry the rest. */
+void bct_gossip_round(bct_member_table_t *t, bct_time_t now)
+{
+	for (uint32_t i = 0; i < GOSSIP_FANOUT && urgent(t); i++) {
+		const slot_t *to = bct_probe_random(t, 0);
+		peer_call call = { .kind = PEER_GOSSIP };
+		gossip_buf_t b;
+		bct_dest_t dest;
+
+		if (!to)
+			return;
+		bct_gossip_fill(t, now, to->m.incarnation, &b);
+		call.peer_call_u.gossip = b.g;
+		dest = (bct_dest_t){ .addr = to->m.peer, .incarnation = to->m.incarnation };
+		t->opts.outbox->ops->call(t->opts.outbox, &dest, ++t->xid, &call);
+	}
+}
+
+static bct_liveness_t liveness_of(uint32_t state)
+{
+	uint32_t v = state & ~(uint32_t)PEER_LEAVING;
+
+	return v > BCT_MEMBER_DEAD ? BCT_MEMBER_SUSPECT : (bct_liveness_t)v;
+}
+
+static void merge_fact(bct_member_table_t *t, bct_time_t now, const peer_fact *f)
+{
+	slot_t *s = bct_member_slot(t, f->incarnation);
+
+	if (s)
+		bct_member_apply_fact(t, now, s, f->number, liveness_of(f->state),
+				      f->state & PEER_LEAVING);
+}
+
+static bct_member_info_t info_in(const peer_info *p)
+{
+	return (bct_member_info_t){ .seq = p->seq,
+				    .load_permille = p->load_permille,
+				    .revision = p->revision,
+				    .digest = p->digest };
+}
+
+static void merge_info(bct_member_table_t *t, const peer_info *p)
+{
+	slot_t *s = bct_member_slot(t, p->incarnation);
+	bct_member_info_t info = info_in(p);
+
+	if (s)
+		bct_member_apply_info(t, s, &info);
+}
+
+static void merge_desc(bct_member_table_t *t, bct_time_t now, const peer_desc *d)
+{
+	bct_member_t m = { .incarnation = d->fact.incarnation, .number = d->fact.number };
+
+	if (bct_member_slot(t, m.incarnation)) {
+		merge_fact(t, now, &d->fact);
+		merge_info(t, &d->info);
+		return;
+	}
+	m.liveness = liveness_of(d->fact.state);
+	m.leaving = d->fact.state & PEER_LEAVING;
+	m.info = info_in(&d->info);
+	if (!m.incarnation || m.liveness == BCT_MEMBER_DEAD || !addr_in(&d->peer, &m.peer) ||
+	    !addr_in(&d->caller, &m.caller) || !addr_in(&d->admin, &m.admin))
+		return;
+	memcpy(m.name, d->name, strlen(d->name));
+	memcpy(m.failure_domain, d->failure_domain, strlen(d->failure_domain));
+	memcpy(m.region, d->region, strlen(d->region));
+	bct_member_add(t, now, &m);
+}
+
+static fact_slot_t *fact_find(bct_member_table_t *t, const bct_fact_t *f)
+{
+	for (uint32_t i = 0; i < t->n_facts; i++) {
+		const bct_fact_t *have = &t->facts[i].f;
+
+		if (have->type == f->type && have->key == f->key && have->key2 == f->key2)
+			return &t->facts[i];
+	}
+	return NULL;
+}
+
+/* returns 1 when the fact was new or raised, 0 when known, -BCT_EFULL */
+static int fact_merge(bct_member_table_t *t, const bct_fact_t *f)
+{
+	fact_slot_t *s = fact_find(t, f);
+	bool news = false;
+
+	if (!s) {
+		if (t->n_facts == FACTS_MAX) {
+			t->counters.facts_dropped++;
+			return -BCT_EFULL;
+		}
+		s = &t->facts[t->n_facts++];
+		s->f = *f;
+		news = true;
+	}
+	for (int i = 0; i < BCT_ITEM_VALUES; i++) {
+		news = news || f->v[i] > s->f.v[i];
+		if (f->v[i] > s->f.v[i])
+			s->f.v[i] = f->v[i];
+	}
+	if (f->expires > s->f.expires + RENEW_STEP_MS)
+		news = true;
+	if (f->expires > s->f.expires)
+		s->f.expires = f->expires;
+	if (news)
+		s->tx = bct_member_tx_limit(t);
+	return news;
+}
+
+static void merge_item(bct_member_table_t *t, bct_time_t now, const peer_item *p)
+{
+	bct_fact_t f = {
+		.type = p->type, .key = p->key, .key2 = p->key2, .expires = now + p->expires_ms
+	};
+
+	memcpy(f.v, p->v, sizeof(f.v));
+	if (fact_merge(t, &f) > 0 && t->opts.fact)
+		t->opts.fact(t->opts.ctx, &fact_find(t, &f)->f);
+}
+
+int bct_member_spread(bct_member_table_t *t, bct_time_t now, const bct_fact_t *fact)
+{
+	int err = fact_merge(t, fact);
+
+	if (err > 0)
+		t->next_gossip = now;
+	return err < 0 ? err : 0;
+}
+
+void bct_gossip_expire(bct_member_table_t *t, bct_time_t now)
+{
+	for (uint32_t i = t->n_facts; i-- > 0;) {
+		if (t->facts[i].f.expires <= now)
+			t->facts[i] = t->facts[--t->n_facts];
+	}
+}
+
+/* The sender is unknown here, or believed dead: let it describe or refute itself. */
+static void ask_sender(bct_member_table_t *t, bct_time_t now, const bct_dest_t *from)
+{
+	const slot_t *s = bct_member_slot(t, from->incarnation);
+
+	if (now - t->sync_asked < SYNC_REQUEST_MS)
+		return;
+	if (!s) {
+		t->sync_asked = now;
+		bct_sync_request(t, from, 0);
+	} else if (s->m.liveness == BCT_MEMBER_DEAD) {
+		t->sync_asked = now;
+		bct_probe_ping(t, now, from);
+	}
+}
+
+void bct_gossip_merge(bct_member_table_t *t, bct_time_t now, const bct_dest_t *from,
+		      const peer_gossip *g)
+{
+	for (uint32_t i = 0; i < g->descs.descs_len; i++)
+		merge_desc(t, now, &g->descs.descs_val[i]);
+	if (g->self.incarnation == from->incarnation && g->info.incarnation == from->incarnation) {
+		merge_fact(t, now, &g->self);
+		merge_info(t, &g->info);
+	}
+	for (uint32_t i = 0; i < g->facts.facts_len; i++)
+		merge_fact(t, now, &g->facts.facts_val[i]);
+	for (uint32_t i = 0; i < g->infos.infos_len; i++)
+		merge_info(t, &g->infos.infos_val[i]);
+	for (uint32_t i = 0; i < g->items.items_len; i++)
+		merge_item(t, now, &g->items.items_val[i]);
+	ask_sender(t, now, from);
+}
--- /dev/null
+++ b/coord/member_probe.c
@@ -0,0 +1,415 @@
+/*
+ * member_probe.c - the failure detector, first contacts, and the repair of tables by sync.
+ */
+#include "coord/member_int.h"
+
+#include <string.h>
+
+static void call(bct_member_table_t *t, const bct_dest_t *to, uint32_t xid, peer_call *c)
+{
+	t->opts.outbox->ops->call(t->opts.outbox, to, xid, c);
+}
+
+static bct_dest_t dest_of(const slot_t *s)
+{
+	return (bct_dest_t){ .addr = s->m.peer, .incarnation = s->m.incarnation };
+}
+
+/* A random live member other than this node and `except`; NULL when there is none. */
+slot_t *bct_probe_random(bct_member_table_t *t, uint64_t except)
+{
+	uint32_t start = bct_rng_below(&t->rng, t->n);
+
+	for (uint32_t i = 0; i < t->n; i++) {
+		slot_t *s = t->slots[(start + i) % t->n];
+
+		if (s != t->self && s->m.incarnation != except && s->m.liveness != BCT_MEMBER_DEAD)
+			return s;
+	}
+	return NULL;
+}
+
+static void ping_xid(bct_member_table_t *t, bct_time_t now, const bct_dest_t *to, uint32_t xid)
+{
+	peer_call c = { .kind = PEER_PING };
+	gossip_buf_t b;
+
+	/* Nothing is merged from a first contact, so it carries no news. */
+	if (to->incarnation)
+		bct_gossip_fill(t, now, to->incarnation, &b);
+	else
+		bct_gossip_begin(t, &b, 0);
+	c.peer_call_u.ping = b.g;
+	call(t, to, xid, &c);
+}
+
+void bct_probe_ping(bct_member_table_t *t, bct_time_t now, const bct_dest_t *to)
+{
+	ping_xid(t, now, to, ++t->xid);
+}
+
+/* Orders the members at random for the next round of probes. */
+static void order_shuffle(bct_member_table_t *t)
+{
+	t->n_order = 0;
+	t->order_at = 0;
+	for (uint32_t i = 0; i < t->n; i++) {
+		uint32_t j;
+
+		if (t->slots[i] == t->self || t->slots[i]->m.liveness == BCT_MEMBER_DEAD)
+			continue;
+		j = bct_rng_below(&t->rng, t->n_order + 1);
+		t->order[t->n_order] = t->order[j];
+		t->order[j] = t->slots[i]->m.incarnation;
+		t->n_order++;
+	}
+}
+
+static slot_t *next_target(bct_member_table_t *t)
+{
+	for (int pass = 0; pass < 2; pass++) {
+		while (t->order_at < t->n_order) {
+			slot_t *s = bct_member_slot(t, t->order[t->order_at++]);
+
+			if (s && s->m.liveness != BCT_MEMBER_DEAD)
+				return s;
+		}
+		order_shuffle(t);
+	}
+	return NULL;
+}
+
+static bct_time_t ack_timeout_ms(const bct_member_table_t *t)
+{
+	return ACK_TIMEOUT_MS * (bct_time_t)(1 + t->health);
+}
+
+static void probe_start(bct_member_table_t *t, bct_time_t now)
+{
+	slot_t *s = next_target(t);
+	bct_dest_t to;
+
+	t->next_probe = now + PROBE_INTERVAL_MS;
+	if (!s)
+		return;
+	t->counters.probes++;
+	t->probe = (probe_t){ .target = s->m.incarnation,
+			      .xid = ++t->xid,
+			      .deadline = now + ack_timeout_ms(t) };
+	to = dest_of(s);
+	ping_xid(t, now, &to, t->probe.xid);
+}
+
+/* Asks a few others to probe the target, in case only our path to it is broken. */
+static void probe_indirect(bct_member_table_t *t, bct_time_t now, const slot_t *target)
+{
+	peer_call c = { .kind = PEER_PING_REQ };
+	bct_addr_t addr = target->m.peer;
+	uint64_t last = target->m.incarnation;
+
+	t->probe.indirect = true;
+	t->probe.deadline = now + 2 * ack_timeout_ms(t);
+	c.peer_call_u.ping_req.target = target->m.incarnation;
+	c.peer_call_u.ping_req.addr.ip.ip_len = addr.ip_len_bytes;
+	c.peer_call_u.ping_req.addr.ip.ip_val = (char *)addr.ip;
+	c.peer_call_u.ping_req.addr.port = addr.port;
+	for (uint32_t i = 0; i < INDIRECT_PROBES; i++) {
+		const slot_t *helper = bct_probe_random(t, target->m.incarnation);
+		bct_dest_t to;
+
+		if (!helper || helper->m.incarnation == last)
+			continue;
+		last = helper->m.incarnation;
+		to = dest_of(helper);
+		call(t, &to, t->probe.xid, &c);
+	}
+}
+
+static void probe_failed(bct_member_table_t *t, bct_time_t now, slot_t *s)
+{
+	t->probe.target = 0;
+	t->counters.probes_failed++;
+	if (t->health < HEALTH_MAX)
+		t->health++;
+	if (s && s->m.liveness == BCT_MEMBER_ALIVE)
+		bct_member_apply_fact(t, now, s, s->m.number, BCT_MEMBER_SUSPECT, false);
+}
+
+void bct_probe_tick(bct_member_table_t *t, bct_time_t now)
+{
+	if (t->probe.target && now >= t->probe.deadline) {
+		slot_t *s = bct_member_slot(t, t->probe.target);
+
+		if (s && !t->probe.indirect && s->m.liveness != BCT_MEMBER_DEAD)
+			probe_indirect(t, now, s);
+		else
+			probe_failed(t, now, s);
+	}
+	if (!t->probe.target && now >= t->next_probe)
+		probe_start(t, now);
+}
+
+/*
+ * This process was paused. What it was waiting for is void: answers came and went unseen, so its
+ * suspects get back the time that it slept through.
+ */
+void bct_probe_wake(bct_member_table_t *t, bct_time_t now, bct_time_t paused_ms)
+{
+	t->counters.wakes++;
+	t->probe.target = 0;
+	t->next_probe = now;
+	t->next_contact = now;
+	if (t->health < HEALTH_MAX)
+		t->health++;
+	for (uint32_t i = 0; i < t->n; i++)
+		t->slots[i]->suspect_until += paused_ms;
+}
+
+/* Another process answers at the member's address, and no process changes its address. */
+static void probe_taken_over(bct_member_table_t *t, bct_time_t now, uint64_t incarnation)
+{
+	slot_t *s = bct_member_slot(t, incarnation);
+
+	if (!s || s->m.liveness == BCT_MEMBER_DEAD)
+		return;
+	t->counters.taken_over++;
+	bct_member_apply_fact(t, now, s, s->m.number, BCT_MEMBER_SUSPECT, false);
+	bct_member_apply_fact(t, now, s, s->m.number, BCT_MEMBER_DEAD, false);
+}
+
+static void relay_acked(bct_member_table_t *t, bct_time_t now, const bct_wire_msg_t *msg)
+{
+	for (uint32_t i = 0; i < RELAYS_MAX; i++) {
+		relay_t *r = &t->relays[i];
+		peer_reply reply = { .kind = PEER_PING_REQ };
+		gossip_buf_t b;
+
+		if (!r->target || r->xid != msg->xid || r->until < now || r->target != msg->from)
+			continue;
+		r->target = 0;
+		bct_gossip_fill(t, now, r->caller.incarnation, &b);
+		reply.peer_reply_u.ping_req = b.g;
+		t->opts.outbox->ops->reply(t->opts.outbox, &r->caller, r->caller_xid, &reply);
+	}
+}
+
+void bct_probe_acked(bct_member_table_t *t, bct_time_t now, const bct_wire_msg_t *msg)
+{
+	bool direct = msg->u.reply.kind == PEER_PING;
+
+	if (direct)
+		relay_acked(t, now, msg);
+	if (!t->probe.target || msg->xid != t->probe.xid)
+		return;
+	if (direct && msg->from != t->probe.target)
+		probe_taken_over(t, now, t->probe.target);
+	else if (direct && t->health)
+		t->health--;
+	t->probe.target = 0;
+}
+
+void bct_probe_relay(bct_member_table_t *t, bct_time_t now, const bct_addr_t *src,
+		     const bct_wire_msg_t *msg)
+{
+	const peer_ping_req *req = &msg->u.call.peer_call_u.ping_req;
+	relay_t *r = &t->relays[t->relay_at++ % RELAYS_MAX];
+	bct_dest_t to = { .incarnation = req->target };
+
+	if ((req->addr.ip.ip_len != 4 && req->addr.ip.ip_len != 16) || !req->target)
+		return;
+	memcpy(to.addr.ip, req->addr.ip.ip_val, req->addr.ip.ip_len);
+	to.addr.ip_len_bytes = (uint8_t)req->addr.ip.ip_len;
+	to.addr.port = (uint16_t)req->addr.port;
+	t->counters.relayed++;
+	*r = (relay_t){ .xid = ++t->xid,
+			.caller_xid = msg->xid,
+			.target = req->target,
+			.caller = { .addr = *src, .incarnation = msg->from },
+			.until = now + RELAY_KEEP_MS };
+	ping_xid(t, now, &to, r->xid);
+}
+
+static bool addr_is_live(const bct_member_table_t *t, const bct_addr_t *a)
+{
+	for (uint32_t i = 0; i < t->n; i++) {
+		const bct_member_t *m = &t->slots[i]->m;
+
+		if (m->liveness != BCT_MEMBER_DEAD && bct_addr_eq(&m->peer, a))
+			return true;
+	}
+	return false;
+}
+
+static void contact_seed(bct_member_table_t *t, bct_time_t now)
+{
+	bct_dest_t to = { 0 };
+
+	if (!t->n_seeds)
+		return;
+	to.addr = t->seeds[bct_rng_below(&t->rng, t->n_seeds)];
+	if (!addr_is_live(t, &to.addr))
+		bct_probe_ping(t, now, &to);
+}
+
+/* Tries one of the dead, so that two halves of a fleet find each other after a partition. */
+static void contact_dead(bct_member_table_t *t, bct_time_t now)
+{
+	uint32_t start = bct_rng_below(&t->rng, t->n);
+
+	for (uint32_t i = 0; i < t->n; i++) {
+		const slot_t *s = t->slots[(start + i) % t->n];
+		bct_dest_t to = dest_of(s);
+
+		if (s->m.liveness != BCT_MEMBER_DEAD || addr_is_live(t, &s->m.peer))
+			continue;
+		bct_probe_ping(t, now, &to);
+		return;
+	}
+}
+
+void bct_join_tick(bct_member_table_t *t, bct_time_t now)
+{
+	if (t->n_live == 1 && now >= t->next_join) {
+		t->next_join = now + JOIN_INTERVAL_MS;
+		contact_seed(t, now);
+	}
+	if (now >= t->next_contact) {
+		t->next_contact = now + CONTACT_INTERVAL_MS;
+		contact_seed(t, now);
+		contact_dead(t, now);
+	}
+}
+
+/* Hash of what must agree between tables; a suspicion is passing and is left out. */
+static void bucket_hashes(const bct_member_table_t *t, uint64_t out[PEER_BUCKETS])
+{
+	memset(out, 0, PEER_BUCKETS * sizeof(*out));
+	for (uint32_t i = 0; i < t->n; i++) {
+		const bct_member_t *m = &t->slots[i]->m;
+
+		if (m->liveness != BCT_MEMBER_DEAD)
+			out[m->incarnation >> 60] ^=
+				bct_hash_mix(m->incarnation, (uint64_t)m->number << 1 | m->leaving);
+	}
+}
+
+void bct_sync_request(bct_member_table_t *t, const bct_dest_t *to, uint64_t cursor)
+{
+	peer_call c = { .kind = PEER_SYNC };
+
+	c.peer_call_u.sync.cursor = cursor;
+	bucket_hashes(t, c.peer_call_u.sync.buckets);
+	t->sync_xid = ++t->xid;
+	call(t, to, t->sync_xid, &c);
+}
+
+/* Answers with the members of the buckets that differ, from the cursor on. */
+void bct_sync_serve(bct_member_table_t *t, bct_time_t now, const bct_addr_t *src,
+		    const bct_wire_msg_t *msg)
+{
+	const peer_sync *req = &msg->u.call.peer_call_u.sync;
+	bct_dest_t to = { .addr = *src, .incarnation = msg->from };
+	peer_reply reply = { .kind = PEER_SYNC };
+	uint64_t own[PEER_BUCKETS];
+	gossip_buf_t b;
+
+	(void)now;
+	bucket_hashes(t, own);
+	bct_gossip_begin(t, &b, GOSSIP_BUDGET_BYTES);
+	for (uint32_t i = 0; i < t->n; i++) {
+		slot_t *s = t->slots[i];
+		uint32_t bucket = (uint32_t)(s->m.incarnation >> 60);
+		bool put;
+
+		if (s->m.incarnation < req->cursor || own[bucket] == req->buckets[bucket])
+			continue;
+		put = s->m.liveness == BCT_MEMBER_DEAD ? bct_gossip_put_fact(&b, s)
+						       : bct_gossip_put_desc(&b, s);
+		if (!put) {
+			reply.peer_reply_u.sync.next = s->m.incarnation;
+			break;
+		}
+	}
+	reply.peer_reply_u.sync.gossip = b.g;
+	t->opts.outbox->ops->reply(t->opts.outbox, &to, msg->xid, &reply);
+}
+
+void bct_sync_tick(bct_member_table_t *t, bct_time_t now)
+{
+	const slot_t *s;
+	bct_dest_t to;
+
+	if (now < t->next_sync)
+		return;
+	t->next_sync = now + SYNC_INTERVAL_MS + (bct_time_t)t->n_live * SYNC_PER_MEMBER_MS;
+	s = bct_probe_random(t, 0);
+	if (!s)
+		return;
+	to = dest_of(s);
+	bct_sync_request(t, &to, 0);
+}
+
+static void ping_serve(bct_member_table_t *t, bct_time_t now, const bct_dest_t *from,
+		       const bct_wire_msg_t *msg)
+{
+	bool known = bct_member_slot(t, msg->from) != NULL;
+	peer_reply reply = { .kind = PEER_PING };
+	gossip_buf_t b;
+
+	if (msg->to == t->self->m.incarnation) {
+		bct_gossip_merge(t, now, from, &msg->u.call.peer_call_u.ping);
+		bct_gossip_fill(t, now, msg->from, &b);
+	} else {
+		bct_gossip_begin(t, &b, GOSSIP_BUDGET_BYTES);
+	}
+	if (!known || msg->to != t->self->m.incarnation) {
+		b.left_bytes += BCT_WIRE_BODY_BYTES - GOSSIP_BUDGET_BYTES - SELF_BYTES;
+		bct_gossip_put_desc(&b, t->self);
+	}
+	reply.peer_reply_u.ping = b.g;
+	t->opts.outbox->ops->reply(t->opts.outbox, from, msg->xid, &reply);
+}
+
+static void receive_call(bct_member_table_t *t, bct_time_t now, const bct_dest_t *from,
+			 const bct_wire_msg_t *msg)
+{
+	const peer_call *c = &msg->u.call;
+
+	if (c->kind == PEER_PING)
+		ping_serve(t, now, from, msg);
+	else if (c->kind == PEER_PING_REQ)
+		bct_probe_relay(t, now, &from->addr, msg);
+	else if (c->kind == PEER_SYNC)
+		bct_sync_serve(t, now, &from->addr, msg);
+	else if (c->kind == PEER_GOSSIP)
+		bct_gossip_merge(t, now, from, &c->peer_call_u.gossip);
+}
+
+static void receive_reply(bct_member_table_t *t, bct_time_t now, const bct_dest_t *from,
+			  const bct_wire_msg_t *msg)
+{
+	const peer_reply *r = &msg->u.reply;
+	bool known = bct_member_slot(t, msg->from) != NULL;
+
+	if (r->kind == PEER_PING || r->kind == PEER_PING_REQ) {
+		bct_probe_acked(t, now, msg);
+		bct_gossip_merge(t, now, from, &r->peer_reply_u.ping);
+		if (!known && r->kind == PEER_PING)
+			bct_sync_request(t, from, 0);
+	} else if (r->kind == PEER_SYNC) {
+		bct_gossip_merge(t, now, from, &r->peer_reply_u.sync.gossip);
+		if (msg->xid == t->sync_xid && r->peer_reply_u.sync.next)
+			bct_sync_request(t, from, r->peer_reply_u.sync.next);
+	}
+}
+
+void bct_member_receive(bct_member_table_t *t, bct_time_t now, const bct_addr_t *src,
+			const bct_wire_msg_t *msg)
+{
+	bct_dest_t from = { .addr = *src, .incarnation = msg->from };
+
+	if (msg->is_reply)
+		receive_reply(t, now, &from, msg);
+	else
+		receive_call(t, now, &from, msg);
+}
--- /dev/null
+++ b/coord/peer_loop.c
@@ -0,0 +1,386 @@
+/*
+ * peer_loop.c - the peer's thread: datagrams in and out, timers, and callbacks.
+ */
+#include "coord/peer_int.h"
+#include "base/err.h"
+#include "base/mem.h"
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define DATAGRAMS_PER_TURN 128 /* then timers get their turn */
+#define FLEET_INTERVAL_MS 200  /* between two reactions to changes of membership */
+#define CONFIG_CHUNKS_PER_S 1000
+#define WAIT_MAX_MS 1000
+
+static socklen_t addr_to_sockaddr(const bct_addr_t *a, struct sockaddr_storage *ss)
+{
+	struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)ss;
+	struct sockaddr_in *v4 = (struct sockaddr_in *)ss;
+
+	memset(ss, 0, sizeof(*ss));
+	if (a->ip_len_bytes == 4) {
+		v4->sin_family = AF_INET;
+		v4->sin_port = htons(a->port);
+		memcpy(&v4->sin_addr, a->ip, 4);
+		return sizeof(*v4);
+	}
+	v6->sin6_family = AF_INET6;
+	v6->sin6_port = htons(a->port);
+	memcpy(&v6->sin6_addr, a->ip, 16);
+	return sizeof(*v6);
+}
+
+static void addr_from_sockaddr(const struct sockaddr_storage *ss, bct_addr_t *a)
+{
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)ss;
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)ss;
+
+	memset(a, 0, sizeof(*a));
+	if (ss->ss_family == AF_INET) {
+		a->ip_len_bytes = 4;
+		a->port = ntohs(v4->sin_port);
+		memcpy(a->ip, &v4->sin_addr, 4);
+	} else {
+		a->ip_len_bytes = 16;
+		a->port = ntohs(v6->sin6_port);
+		memcpy(a->ip, &v6->sin6_addr, 16);
+	}
+}
+
+static void send_datagram(bct_peer_t *p, const bct_dest_t *to, const uint8_t *data, int len)
+{
+	struct sockaddr_storage ss;
+	socklen_t ss_len;
+
+	if (len < 0) {
+		bct_counter_inc(&p->counters[BCT_PEER_TOO_LARGE]);
+		return;
+	}
+	ss_len = addr_to_sockaddr(&to->addr, &ss);
+	if (sendto(p->fd, data, (size_t)len, 0, (struct sockaddr *)&ss, ss_len) != len) {
+		bct_counter_inc(&p->counters[BCT_PEER_SEND_FAILED]);
+		return;
+	}
+	bct_counter_inc(&p->counters[BCT_PEER_SENT]);
+	bct_counter_add(&p->counters[BCT_PEER_SENT_BYTES], (uint64_t)len);
+}
+
+static void outbox_call(bct_outbox_t *o, const bct_dest_t *to, uint32_t xid, peer_call *call)
+{
+	bct_peer_t *p = (bct_peer_t *)o;
+	uint8_t data[BCT_DATAGRAM_BYTES];
+
+	send_datagram(p, to, data, bct_wire_call(p->wire, to->incarnation, xid, call, data));
+}
+
+static void outbox_reply(bct_outbox_t *o, const bct_dest_t *to, uint32_t xid, peer_reply *reply)
+{
+	bct_peer_t *p = (bct_peer_t *)o;
+	uint8_t data[BCT_DATAGRAM_BYTES];
+
+	send_datagram(p, to, data, bct_wire_reply(p->wire, to->incarnation, xid, reply, data));
+}
+
+const bct_outbox_ops_t bct_peer_outbox_ops = { outbox_call, outbox_reply };
+
+/* Keeps a configuration message until the lock is released. */
+static void queue_config(bct_peer_t *p, const bct_dest_t *from, bct_wire_msg_t *msg)
+{
+	event_t e = { .type = msg->is_reply ? EVENT_CONFIG_REPLY : EVENT_CONFIG_CALL };
+
+	e.u.config.from = *from;
+	e.u.config.xid = msg->xid;
+	if (!msg->is_reply) {
+		e.u.config.call = msg->u.call.peer_call_u.config;
+	} else {
+		/* The event takes the data over. */
+		e.u.config.reply = msg->u.reply.peer_reply_u.config;
+		msg->u.reply.peer_reply_u.config.data.data_val = NULL;
+		msg->u.reply.peer_reply_u.config.data.data_len = 0;
+	}
+	bct_peer_event(p, &e);
+}
+
+static void dispatch(bct_peer_t *p, bct_time_t now, const bct_addr_t *src, bct_wire_msg_t *msg)
+{
+	bct_dest_t from = { .addr = *src, .incarnation = msg->from };
+	uint32_t kind = msg->is_reply ? msg->u.reply.kind : msg->u.call.kind;
+
+	switch (kind) {
+	case PEER_CONFIG:
+		queue_config(p, &from, msg);
+		break;
+	case PEER_PARTS:
+		bct_totals_receive(p->totals, now, msg->from, &msg->u.call.peer_call_u.parts);
+		break;
+	case PEER_REPORTS:
+		bct_watch_receive(p->watch, now, &msg->u.call.peer_call_u.reports);
+		break;
+	default:
+		bct_member_receive(p->members, now, src, msg);
+		break;
+	}
+}
+
+static void count_refused(bct_peer_t *p, int err)
+{
+	if (err == -BCT_EAUTH)
+		bct_counter_inc(&p->counters[BCT_PEER_BAD_MAC]);
+	else if (err == -BCT_EREPLAY)
+		bct_counter_inc(&p->counters[BCT_PEER_REPLAYED]);
+	else
+		bct_counter_inc(&p->counters[BCT_PEER_MALFORMED]);
+}
+
+static void receive_all(bct_peer_t *p, bct_time_t now)
+{
+	for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
+		uint8_t data[BCT_DATAGRAM_BYTES + 1];
+		struct sockaddr_storage ss;
+		socklen_t ss_len = sizeof(ss);
+		ssize_t len =
+			recvfrom(p->fd, data, sizeof(data), 0, (struct sockaddr *)&ss, &ss_len);
+		bct_wire_msg_t msg;
+		bct_addr_t src;
+		int err;
+
+		if (len < 0)
+			return;
+		bct_counter_inc(&p->counters[BCT_PEER_RECEIVED]);
+		bct_counter_add(&p->counters[BCT_PEER_RECEIVED_BYTES], (uint64_t)len);
+		err = bct_wire_open(p->wire, data, (size_t)len, &msg);
+		if (err) {
+			count_refused(p, err);
+			continue;
+		}
+		addr_from_sockaddr(&ss, &src);
+		dispatch(p, now, &src, &msg);
+		bct_wire_msg_free(&msg);
+	}
+}
+
+/* Offers of newer configurations are read from the member table. */
+static void look_for_config(bct_peer_t *p, bct_time_t now)
+{
+	const bct_member_t *self = bct_member_self(p->members);
+	const bct_member_t *best = NULL;
+
+	bct_handoff_have(&p->handoff, p->info.revision);
+	for (uint32_t i = 0; i < bct_member_count(p->members); i++) {
+		const bct_member_t *m = bct_member_at(p->members, i);
+
+		if (m->liveness != BCT_MEMBER_ALIVE || m->info.revision <= p->info.revision)
+			continue;
+		if (!best || m->info.revision > best->info.revision ||
+		    (m->info.revision == best->info.revision && !strcmp(m->region, self->region) &&
+		     strcmp(best->region, self->region)))
+			best = m;
+	}
+	if (best)
+		bct_handoff_seen(
+			&p->handoff, now,
+			&(bct_dest_t){ .addr = best->peer, .incarnation = best->incarnation },
+			best->info.revision);
+}
+
+static void fleet_changed(bct_peer_t *p, bct_time_t now)
+{
+	event_t e = { .type = EVENT_FLEET };
+
+	if (!p->fleet_dirty || now < p->fleet_next)
+		return;
+	p->fleet_dirty = false;
+	p->fleet_next = now + FLEET_INTERVAL_MS;
+	bct_totals_fleet(p->totals, now);
+	bct_watch_fleet(p->watch, now);
+	bct_member_fleet(p->members, &e.u.fleet);
+	bct_peer_event(p, &e);
+}
+
+static bct_time_t min_time(bct_time_t a, bct_time_t b)
+{
+	return a < b ? a : b;
+}
+
+static bct_time_t tick_all(bct_peer_t *p, bct_time_t now)
+{
+	bct_time_t next = bct_member_tick(p->members, now);
+
+	fleet_changed(p, now);
+	if (p->fleet_dirty)
+		next = min_time(next, p->fleet_next);
+	next = min_time(next, bct_totals_tick(p->totals, now));
+	next = min_time(next, bct_watch_tick(p->watch, now));
+	look_for_config(p, now);
+	next = min_time(next, bct_handoff_tick(&p->handoff, now));
+	if (p->events.n)
+		next = now;
+	return next;
+}
+
+static void log_member(bct_peer_t *p, const event_t *e)
+{
+	static const bct_event_t events[] = {
+		[BCT_MEMBER_JOINED] = BCT_EV_MEMBER_ALIVE,
+		[BCT_MEMBER_RETURNED] = BCT_EV_MEMBER_ALIVE,
+		[BCT_MEMBER_SUSPECTED] = BCT_EV_MEMBER_SUSPECT,
+		[BCT_MEMBER_DIED] = BCT_EV_MEMBER_DEAD,
+		[BCT_MEMBER_LEFT] = BCT_EV_MEMBER_LEAVING,
+	};
+	const bct_member_t *m = &e->u.member.member;
+
+	if (e->u.member.type > BCT_MEMBER_LEFT)
+		return;
+	BCT_LOG(p->opts.log, events[e->u.member.type], BCT_STR("vm", m->name),
+		BCT_HEX("incarnation", m->incarnation), BCT_U64("number", m->number));
+}
+
+/* Serves a chunk of the configuration, at a limited rate for all peers together. */
+static void serve_config(bct_peer_t *p, bct_time_t now, const event_t *e)
+{
+	const peer_config *c = &e->u.config.call;
+	peer_reply reply = { .kind = PEER_CONFIG };
+	peer_config_reply *r = &reply.peer_reply_u.config;
+	uint8_t data[PEER_CHUNK_MAX];
+	bct_peer_config_t info;
+	int n;
+
+	p->config_tokens += (now - p->config_tokens_at) * CONFIG_CHUNKS_PER_S / BCT_MS_PER_S;
+	p->config_tokens_at = now;
+	if (p->config_tokens > CONFIG_CHUNKS_PER_S)
+		p->config_tokens = CONFIG_CHUNKS_PER_S;
+	if (p->config_tokens <= 0 || !p->opts.ops->get_config) {
+		bct_counter_inc(&p->counters[BCT_PEER_CONFIG_LIMITED]);
+		return;
+	}
+	p->config_tokens--;
+	memset(&info, 0, sizeof(info));
+	n = p->opts.ops->get_config(p->opts.ctx, c->have_revision, c->revision, c->offset, data,
+				    sizeof(data), &info);
+	if (n < 0)
+		return;
+	r->revision = info.revision;
+	memcpy(r->digest, info.digest.bytes, sizeof(r->digest));
+	r->offset = c->offset;
+	r->total_bytes = info.total_bytes;
+	r->data.data_len = (u_int)n;
+	r->data.data_val = (char *)data;
+	pthread_mutex_lock(&p->lock);
+	outbox_reply(&p->outbox, &e->u.config.from, e->u.config.xid, &reply);
+	pthread_mutex_unlock(&p->lock);
+}
+
+static void event_free(event_t *e)
+{
+	if (e->type == EVENT_CONFIG_REPLY)
+		xdr_free((xdrproc_t)xdr_peer_config_reply, &e->u.config.reply);
+}
+
+static void deliver(bct_peer_t *p, bct_time_t now, event_t *e)
+{
+	const bct_peer_ops_t *ops = p->opts.ops;
+	void *ctx = p->opts.ctx;
+
+	switch (e->type) {
+	case EVENT_MEMBER:
+		log_member(p, e);
+		if (ops->member)
+			ops->member(ctx, e->u.member.type, &e->u.member.member);
+		break;
+	case EVENT_FLEET:
+		if (ops->fleet)
+			ops->fleet(ctx, &e->u.fleet);
+		break;
+	case EVENT_TOTAL:
+		if (ops->total)
+			ops->total(ctx, &e->u.total);
+		break;
+	case EVENT_REPORT:
+		if (ops->report)
+			ops->report(ctx, &e->u.report);
+		break;
+	case EVENT_CACHE:
+		if (ops->cache_event)
+			ops->cache_event(ctx, &e->u.cache);
+		break;
+	case EVENT_LEAVING:
+		if (ops->upstream_leaving)
+			ops->upstream_leaving(ctx, e->u.leaving.key, e->u.leaving.leaving);
+		break;
+	case EVENT_CONFIG_CALL:
+		serve_config(p, now, e);
+		break;
+	case EVENT_CONFIG_REPLY:
+		bct_handoff_receive(&p->handoff, now, e->u.config.from.incarnation, e->u.config.xid,
+				    &e->u.config.reply);
+		break;
+	}
+}
+
+void bct_peer_events_free(events_t *events)
+{
+	for (uint32_t i = 0; i < events->n; i++)
+		event_free(&events->v[i]);
+	bct_free(events->v);
+	memset(events, 0, sizeof(*events));
+}
+
+/* Makes the callbacks for what happened, without the lock. */
+static void deliver_all(bct_peer_t *p, bct_time_t now)
+{
+	events_t empty = p->taken;
+
+	pthread_mutex_lock(&p->lock);
+	p->taken = p->events;
+	p->events = empty;
+	pthread_mutex_unlock(&p->lock);
+	for (uint32_t i = 0; i < p->taken.n; i++) {
+		deliver(p, now, &p->taken.v[i]);
+		event_free(&p->taken.v[i]);
+	}
+	p->taken.n = 0;
+	bct_counter_set(&p->counters[BCT_PEER_HANDOFFS], p->handoff.counters.fetches);
+	bct_counter_set(&p->counters[BCT_PEER_HANDOFFS_DONE], p->handoff.counters.completed);
+	bct_counter_set(&p->counters[BCT_PEER_HANDOFFS_ABANDONED], p->handoff.counters.abandoned);
+}
+
+static void wait_for_input(bct_peer_t *p, bct_time_t wait_ms)
+{
+	struct pollfd fds[2] = { { .fd = p->fd, .events = POLLIN },
+				 { .fd = p->wake_fd, .events = POLLIN } };
+	uint64_t wakes;
+
+	if (wait_ms < 0)
+		wait_ms = 0;
+	if (wait_ms > WAIT_MAX_MS)
+		wait_ms = WAIT_MAX_MS;
+	if (poll(fds, 2, (int)wait_ms) > 0 && fds[1].revents &&
+	    read(p->wake_fd, &wakes, sizeof(wakes)) < 0)
+		return;
+}
+
+void *bct_peer_loop(void *arg)
+{
+	bct_peer_t *p = arg;
+
+	while (!__atomic_load_n(&p->stop, __ATOMIC_ACQUIRE)) {
+		bct_time_t now = bct_clock_now(), next;
+
+		/* Timers first: a paused process must notice that before it reads old datagrams. */
+		pthread_mutex_lock(&p->lock);
+		next = tick_all(p, now);
+		receive_all(p, now);
+		if (p->fleet_dirty)
+			next = min_time(next, p->fleet_next);
+		pthread_mutex_unlock(&p->lock);
+		deliver_all(p, now);
+		if (p->handoff.fetching)
+			next = min_time(next, p->handoff.next_chunk);
+		wait_for_input(p, next - bct_clock_now());
+	}
+	return NULL;
+}
--- /dev/null
+++ b/coord/totals.c
@@ -0,0 +1,482 @@
+/*
+ * totals.c - who adds up what, when parts and totals are sent, and what is handed out.
+ */
+#include "coord/totals_int.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "policy/rendezvous.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static uint32_t bucket_of(const item_id_t *id)
+{
+	return (uint32_t)(bct_hash_mix(bct_hash_mix(id->type, id->key), id->key2) %
+			  BCT_TOTALS_BUCKETS);
+}
+
+/* The group of this node among the leaves; NO_GROUP while parts go straight to the root. */
+static uint32_t own_group(const bct_totals_t *t)
+{
+	uint32_t groups = (t->n_homes + BCT_TOTALS_FANIN - 1) / BCT_TOTALS_FANIN;
+
+	return groups > 1 ? (uint32_t)(bct_hash_mix(t->self, 0) % groups) : NO_GROUP;
+}
+
+/* Where an entry's sum goes: to a middle home or to the root. */
+static uint64_t parent_of(const bct_totals_t *t, const entry_t *e, uint32_t *level, uint32_t *group)
+{
+	uint32_t bucket = bucket_of(&e->id);
+
+	*group = e->level == LEVEL_LEAF ? own_group(t) : e->group;
+	*level = LEVEL_ROOT;
+	if (e->level == LEVEL_LEAF && *group != NO_GROUP) {
+		*level = LEVEL_MIDDLE;
+		return bct_rendezvous_pick(bct_hash_mix(bucket, *group), t->homes, t->n_homes, 0);
+	}
+	return t->roots[bucket];
+}
+
+static int32_t saturate(int64_t v)
+{
+	if (v > INT32_MAX)
+		return INT32_MAX;
+	return v < INT32_MIN ? INT32_MIN : (int32_t)v;
+}
+
+static void enqueue(bct_totals_t *t, bct_time_t now, uint64_t to, bool total, const entry_t *e,
+		    uint32_t level, uint32_t group, const part_t *value)
+{
+	bct_time_t age = (now - value->stamp) / 10;
+	peer_part *p;
+
+	if (t->n_out == t->cap_out) {
+		uint32_t cap = t->cap_out ? t->cap_out * 2 : 64;
+		out_part_t *v = bct_realloc(t->out, cap * sizeof(*v));
+
+		if (!v)
+			return;
+		t->out = v;
+		t->cap_out = cap;
+	}
+	if (age < 0)
+		age = 0;
+	t->out[t->n_out].to = to;
+	t->out[t->n_out].total = total;
+	p = &t->out[t->n_out++].part;
+	p->key = e->id.key;
+	p->key2 = e->id.key2;
+	p->role = e->id.type | level << 8 | group << 16;
+	p->nodes_age = (value->nodes & 0xffff) | (uint32_t)(age < 0xffff ? age : 0xffff) << 16;
+	for (int i = 0; i < BCT_ITEM_VALUES; i++)
+		p->v[i] = saturate(value->v[i]);
+	t->tokens_bytes -= to == t->self ? 0 : PART_BYTES;
+}
+
+static void withdraw(bct_totals_t *t, bct_time_t now, entry_t *e)
+{
+	part_t none = { .stamp = now };
+
+	if (e->up.to)
+		enqueue(t, now, e->up.to, false, e, e->up.to_level, e->up.to_group, &none);
+	e->up.to = 0;
+}
+
+static void sent_note(sent_t *s, bct_time_t now, const part_t *value)
+{
+	memcpy(s->v, value->v, sizeof(s->v));
+	s->nodes = value->nodes;
+	s->at = now;
+}
+
+/* Sends an entry's sum to its parent when it changed, was not refreshed, or the parent moved. */
+static void send_up(bct_totals_t *t, bct_time_t now, entry_t *e)
+{
+	uint32_t level, group;
+	uint64_t to = parent_of(t, e, &level, &group);
+	bct_time_t since = now - e->up.at;
+	part_t sum;
+
+	if (!to || e->level == LEVEL_ROOT || now < e->hold_until)
+		return;
+	bct_totals_sum(e, &sum);
+	if (to == e->up.to && level == e->up.to_level && group == e->up.to_group) {
+		if (since < SEND_MIN_MS ||
+		    (since < REFRESH_MS && !bct_totals_differs(&sum, &e->up)))
+			return;
+	} else if (e->up.to) {
+		t->counters.home_moves++;
+		withdraw(t, now, e);
+	}
+	if (!sum.nodes)
+		return;
+	e->up.to = to;
+	e->up.to_level = level;
+	e->up.to_group = group;
+	sent_note(&e->up, now, &sum);
+	enqueue(t, now, to, false, e, level, group, &sum);
+}
+
+/* Sends the total to all children: the root's own sum, or what the root told a middle home. */
+static void send_down(bct_totals_t *t, bct_time_t now, entry_t *e)
+{
+	bct_time_t since = now - e->down.at;
+	part_t total = e->total;
+
+	if (e->level == LEVEL_LEAF || now < e->hold_until)
+		return;
+	if (e->level == LEVEL_ROOT)
+		bct_totals_sum(e, &total);
+	if (!total.nodes || since < TOTAL_MIN_MS ||
+	    (since < REFRESH_MS && !e->changed && !bct_totals_differs(&total, &e->down)))
+		return;
+	e->changed = false;
+	sent_note(&e->down, now, &total);
+	for (uint32_t i = 0; i < e->n; i++) {
+		const part_t *p = &e->parts[i];
+		bool leaf = e->level == LEVEL_MIDDLE || p->group == NO_GROUP;
+
+		enqueue(t, now, p->from, true, e, leaf ? LEVEL_LEAF : LEVEL_MIDDLE,
+			leaf ? NO_GROUP : p->group, &total);
+	}
+}
+
+static int out_cmp(const void *a, const void *b)
+{
+	const out_part_t *x = a, *y = b;
+
+	if (x->to != y->to)
+		return x->to < y->to ? -1 : 1;
+	return (int)x->total - (int)y->total;
+}
+
+static void send_batch(bct_totals_t *t, bct_time_t now, const out_part_t *first, uint32_t n)
+{
+	const bct_member_t *m = bct_member_find(t->opts.members, first->to);
+	peer_part parts[PARTS_PER_DATAGRAM];
+	peer_call call = { .kind = PEER_PARTS };
+	bct_dest_t to;
+
+	for (uint32_t i = 0; i < n; i++)
+		parts[i] = first[i].part;
+	call.peer_call_u.parts.total = first->total;
+	call.peer_call_u.parts.parts.parts_len = n;
+	call.peer_call_u.parts.parts.parts_val = parts;
+	if (first->to == t->self) {
+		bct_totals_receive(t, now, t->self, &call.peer_call_u.parts);
+		return;
+	}
+	if (!m || m->liveness == BCT_MEMBER_DEAD)
+		return;
+	t->counters.parts_sent += n;
+	t->tokens_bytes -= DATAGRAM_BYTES;
+	to = (bct_dest_t){ .addr = m->peer, .incarnation = m->incarnation };
+	t->opts.outbox->ops->call(t->opts.outbox, &to, ++t->xid, &call);
+}
+
+/* Sends the queue, as few datagrams as there are receivers. */
+static void flush(bct_totals_t *t, bct_time_t now)
+{
+	out_part_t *out = t->out;
+	uint32_t n = t->n_out;
+
+	/* Parts for this node itself may queue more while the list is walked. */
+	t->out = NULL;
+	t->n_out = 0;
+	t->cap_out = 0;
+	if (n)
+		qsort(out, n, sizeof(*out), out_cmp);
+	for (uint32_t i = 0; i < n;) {
+		uint32_t len = 1;
+
+		while (i + len < n && len < PARTS_PER_DATAGRAM && !out_cmp(&out[i], &out[i + len]))
+			len++;
+		send_batch(t, now, &out[i], len);
+		i += len;
+	}
+	bct_free(out);
+}
+
+static void tokens_refill(bct_totals_t *t, bct_time_t now)
+{
+	int64_t rate = t->opts.max_bytes_per_s;
+
+	t->tokens_bytes += rate * (now - t->tokens_at) / BCT_MS_PER_S;
+	t->tokens_at = now;
+	if (t->tokens_bytes > rate * BURST_MS / BCT_MS_PER_S)
+		t->tokens_bytes = rate * BURST_MS / BCT_MS_PER_S;
+}
+
+static void expire_parts(bct_totals_t *t, bct_time_t now, entry_t *e)
+{
+	if (e->level == LEVEL_LEAF)
+		return;
+	for (uint32_t i = e->n; i-- > 0;) {
+		if (now - e->parts[i].seen <= EXPIRE_MS)
+			continue;
+		t->counters.expired++;
+		bct_totals_drop_part(e, i);
+	}
+}
+
+/* Hands a total out again with its greater age when no new one came for long. */
+static void hand_out_old(bct_totals_t *t, bct_time_t now, entry_t *e)
+{
+	bct_total_t total;
+
+	if (e->level != LEVEL_LEAF || !e->total.nodes || now - e->handed_out < 2 * REFRESH_MS)
+		return;
+	e->handed_out = now;
+	if (!bct_totals_get(t, now, (bct_item_type_t)e->id.type, e->id.key, e->id.key2, &total))
+		t->opts.total(t->opts.ctx, &total);
+}
+
+bct_time_t bct_totals_tick(bct_totals_t *t, bct_time_t now)
+{
+	uint32_t n = t->n;
+
+	if (now < t->next_tick)
+		return t->next_tick;
+	t->next_tick = now + TICK_MS;
+	tokens_refill(t, now);
+	for (uint32_t i = 0; i < n; i++) {
+		entry_t *e = t->entries[(t->cursor + i) % n];
+
+		expire_parts(t, now, e);
+		hand_out_old(t, now, e);
+		if (t->tokens_bytes <= 0) {
+			t->counters.held_back++;
+			t->cursor = (t->cursor + i) % n;
+			break;
+		}
+		send_up(t, now, e);
+		send_down(t, now, e);
+	}
+	flush(t, now);
+	for (uint32_t i = t->n; i-- > 0;) {
+		entry_t *e = t->entries[i];
+
+		if (e->n)
+			continue;
+		withdraw(t, now, e);
+		bct_totals_remove(t, i);
+	}
+	return t->next_tick;
+}
+
+/* Takes a total from the home that this node's part is at; others are out of date. */
+static void receive_total(bct_totals_t *t, bct_time_t now, uint64_t from, const item_id_t *id,
+			  const peer_part *p, const part_t *value)
+{
+	entry_t *e = bct_totals_find(t, id, p->role >> 8 & 0xff, p->role >> 16);
+	bct_total_t total;
+
+	t->counters.totals_received++;
+	if (!e || e->up.to != from)
+		return;
+	e->total = *value;
+	if (e->level != LEVEL_LEAF)
+		return;
+	e->handed_out = now;
+	if (!bct_totals_get(t, now, (bct_item_type_t)id->type, id->key, id->key2, &total))
+		t->opts.total(t->opts.ctx, &total);
+}
+
+static void receive_part(bct_totals_t *t, bct_time_t now, uint64_t from, const item_id_t *id,
+			 const peer_part *p, const part_t *value)
+{
+	uint32_t level = p->role >> 8 & 0xff, group = p->role >> 16;
+	uint32_t child = level == LEVEL_ROOT ? group : NO_GROUP;
+	uint32_t own = level == LEVEL_MIDDLE ? group : NO_GROUP;
+	entry_t *e;
+	part_t *part;
+
+	t->counters.parts_received++;
+	if (!value->nodes) {
+		e = bct_totals_find(t, id, level, own);
+		part = e ? bct_totals_part(e, from, child, false) : NULL;
+		if (part && part->from == from)
+			bct_totals_drop_part(e, (uint32_t)(part - e->parts));
+		return;
+	}
+	e = bct_totals_entry(t, now, id, level, own);
+	part = e ? bct_totals_part(e, from, child, true) : NULL;
+	if (!part) {
+		t->counters.dropped++;
+		return;
+	}
+	if (!part->nodes)
+		e->changed = true;
+	*part = *value;
+	part->from = from;
+	part->group = child;
+	part->seen = now;
+}
+
+void bct_totals_receive(bct_totals_t *t, bct_time_t now, uint64_t from, const peer_parts *msg)
+{
+	for (uint32_t i = 0; i < msg->parts.parts_len; i++) {
+		const peer_part *p = &msg->parts.parts_val[i];
+		item_id_t id = { .key = p->key, .key2 = p->key2, .type = p->role & 0xff };
+		uint32_t level = p->role >> 8 & 0xff;
+		part_t value = { .nodes = p->nodes_age & 0xffff,
+				 .stamp = now - (bct_time_t)(p->nodes_age >> 16) * 10 };
+
+		for (int j = 0; j < BCT_ITEM_VALUES; j++)
+			value.v[j] = p->v[j];
+		if (id.type >= BCT_ITEM_COUNT || level > LEVEL_ROOT)
+			t->counters.dropped++;
+		else if (msg->total)
+			receive_total(t, now, from, &id, p, &value);
+		else if (level != LEVEL_LEAF)
+			receive_part(t, now, from, &id, p, &value);
+	}
+}
+
+enum { MERGE_SUM, MERGE_MAX };
+
+bool bct_item_is_sum(bct_item_type_t type)
+{
+	static const bool sum[BCT_ITEM_COUNT] = {
+#define DEF(name, merge, text) [BCT_ITEM_##name] = MERGE_##merge == MERGE_SUM,
+		BCT_ITEM_LIST(DEF)
+#undef DEF
+	};
+
+	return (uint32_t)type < BCT_ITEM_COUNT && sum[type];
+}
+
+static int publish_one(bct_totals_t *t, bct_time_t now, const bct_item_t *item)
+{
+	item_id_t id = { .key = item->key, .key2 = item->key2, .type = item->type };
+	entry_t *e = bct_totals_entry(t, now, &id, LEVEL_LEAF, NO_GROUP);
+	part_t *own = e ? bct_totals_part(e, t->self, NO_GROUP, true) : NULL;
+
+	if (!own)
+		return t->n >= BCT_TOTALS_ITEMS_MAX ? -BCT_EFULL : -BCT_ENOMEM;
+	own->from = t->self;
+	own->group = NO_GROUP;
+	own->nodes = 1;
+	own->stamp = now;
+	memcpy(own->v, item->v, sizeof(own->v));
+	e->published = true;
+	return 0;
+}
+
+int bct_totals_publish(bct_totals_t *t, bct_time_t now, const bct_item_t *items, uint32_t n)
+{
+	int err = 0;
+
+	for (uint32_t i = 0; i < t->n; i++)
+		t->entries[i]->published = false;
+	for (uint32_t i = 0; i < n && !err; i++) {
+		if (bct_item_is_sum(items[i].type))
+			err = publish_one(t, now, &items[i]);
+	}
+	/* The next tick withdraws and removes entries without a part. */
+	for (uint32_t i = 0; i < t->n; i++) {
+		entry_t *e = t->entries[i];
+
+		if (e->level == LEVEL_LEAF && !e->published)
+			e->n = 0;
+	}
+	return err;
+}
+
+static void drop_dead_parts(bct_totals_t *t, entry_t *e)
+{
+	for (uint32_t i = e->n; i-- > 0;) {
+		const bct_member_t *m = bct_member_find(t->opts.members, e->parts[i].from);
+
+		/* A dead middle home's group goes on under another home. */
+		if (e->parts[i].group == NO_GROUP && (!m || m->liveness == BCT_MEMBER_DEAD))
+			bct_totals_drop_part(e, i);
+	}
+}
+
+void bct_totals_fleet(bct_totals_t *t, bct_time_t now)
+{
+	t->n_homes = bct_member_live(t->opts.members, false, t->homes, BCT_MEMBERS_MAX);
+	/* A fleet in which all are leaving still adds up. */
+	if (!t->n_homes)
+		t->n_homes = bct_member_live(t->opts.members, true, t->homes, BCT_MEMBERS_MAX);
+	t->fleet_changed = now;
+	for (uint32_t b = 0; b < BCT_TOTALS_BUCKETS; b++)
+		t->roots[b] =
+			bct_rendezvous_pick(bct_hash_mix(b, NO_GROUP), t->homes, t->n_homes, 0);
+	for (uint32_t i = 0; i < t->n; i++) {
+		if (t->entries[i]->level != LEVEL_LEAF)
+			drop_dead_parts(t, t->entries[i]);
+	}
+}
+
+int bct_totals_new(const bct_totals_opts_t *opts, bct_time_t now, bct_totals_t **out)
+{
+	bct_totals_t *t;
+
+	*out = NULL;
+	if (!opts->members || !opts->outbox || !opts->total)
+		return -BCT_EINVAL;
+	t = bct_alloc(sizeof(*t));
+	if (!t)
+		return -BCT_ENOMEM;
+	t->opts = *opts;
+	if (!t->opts.max_bytes_per_s)
+		t->opts.max_bytes_per_s = DEFAULT_BYTES_PER_S;
+	t->self = bct_member_self(opts->members)->incarnation;
+	t->tokens_at = now;
+	t->homes = bct_alloc(BCT_MEMBERS_MAX * sizeof(*t->homes));
+	if (!t->homes) {
+		bct_free(t);
+		return -BCT_ENOMEM;
+	}
+	bct_totals_fleet(t, now);
+	t->fleet_changed = now - HOME_HOLD_MS;
+	*out = t;
+	return 0;
+}
+
+void bct_totals_free(bct_totals_t *t)
+{
+	if (!t)
+		return;
+	while (t->n)
+		bct_totals_remove(t, t->n - 1);
+	bct_free(t->entries);
+	bct_free(t->homes);
+	bct_free(t->out);
+	bct_free(t);
+}
+
+int bct_totals_get(const bct_totals_t *t, bct_time_t now, bct_item_type_t type, uint64_t key,
+		   uint64_t key2, bct_total_t *out)
+{
+	item_id_t id = { .key = key, .key2 = key2, .type = type };
+	const entry_t *e = bct_totals_find(t, &id, LEVEL_LEAF, NO_GROUP);
+
+	if (!e || !e->total.nodes)
+		return -BCT_ENOT_FOUND;
+	memset(out, 0, sizeof(*out));
+	out->item.type = type;
+	out->item.key = key;
+	out->item.key2 = key2;
+	memcpy(out->item.v, e->total.v, sizeof(out->item.v));
+	out->nodes = e->total.nodes;
+	out->age_ms = (uint32_t)(now - e->total.stamp);
+	return 0;
+}
+
+uint64_t bct_totals_bytes(const bct_totals_t *t)
+{
+	uint64_t bytes =
+		sizeof(*t) + t->cap * sizeof(*t->entries) + BCT_MEMBERS_MAX * sizeof(*t->homes);
+
+	for (uint32_t i = 0; i < t->n; i++)
+		bytes += sizeof(entry_t) + t->entries[i]->cap * sizeof(part_t);
+	return bytes;
+}
+
+void bct_totals_counters(const bct_totals_t *t, bct_totals_counters_t *out)
+{
+	*out = t->counters;
+}
--- /dev/null
+++ b/coord/watch.c
@@ -0,0 +1,382 @@
+/*
+ * watch.c - which engines this node polls, and what it learns of engines from itself and others.
+ */
+#include "coord/watch_int.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "policy/rendezvous.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+engine_t *bct_watch_engine(const bct_watch_t *w, uint64_t key)
+{
+	uint32_t lo = 0, hi = w->n;
+
+	while (lo < hi) {
+		uint32_t mid = lo + (hi - lo) / 2;
+
+		if (w->engines[mid].key < key)
+			lo = mid + 1;
+		else
+			hi = mid;
+	}
+	return lo < w->n && w->engines[lo].key == key ? &w->engines[lo] : NULL;
+}
+
+bool bct_watch_wants(const bct_watch_t *w, uint64_t node_key, uint64_t upstream_key)
+{
+	if (w->opts.interested)
+		return w->opts.interested(w->opts.ctx, node_key, upstream_key);
+	return bct_subset_contains(node_key, upstream_key, w->keys, w->n, w->opts.subset);
+}
+
+/* Lists the members that want a watched engine's reports; the backup always does. */
+static void interested_list(bct_watch_t *w, engine_t *e, uint64_t backup)
+{
+	uint32_t members = bct_member_count(w->opts.members);
+	uint64_t *list = bct_realloc(e->interested, members * sizeof(*list));
+
+	if (!list)
+		return;
+	e->interested = list;
+	e->n_interested = 0;
+	for (uint32_t i = 0; i < members; i++) {
+		const bct_member_t *m = bct_member_at(w->opts.members, i);
+
+		if (m->liveness == BCT_MEMBER_DEAD || m->incarnation == w->self)
+			continue;
+		if (m->incarnation == backup || bct_watch_wants(w, m->node_key, e->key))
+			list[e->n_interested++] = m->incarnation;
+	}
+}
+
+/* A new watcher, or a new reader, needs a keyframe. */
+static void engine_assign(bct_watch_t *w, bct_time_t now, engine_t *e, const uint64_t *live,
+			  uint32_t n)
+{
+	uint64_t first = bct_rendezvous_pick(e->key, live, n, 0);
+	uint64_t second = bct_rendezvous_pick(e->key, live, n, first);
+	watch_role_t role = first == w->self	? ROLE_WATCHER
+			    : second == w->self ? ROLE_BACKUP
+						: ROLE_NONE;
+
+	if (role != ROLE_NONE && e->role == ROLE_NONE) {
+		e->next_poll = now;
+		e->heard = now;
+	}
+	e->role = role;
+	if (role == ROLE_NONE) {
+		bct_free(e->interested);
+		e->interested = NULL;
+		e->n_interested = 0;
+		e->pending = false;
+		return;
+	}
+	e->keyframe_sent = now - KEYFRAME_MS;
+	interested_list(w, e, role == ROLE_WATCHER ? second : first);
+}
+
+void bct_watch_fleet(bct_watch_t *w, bct_time_t now)
+{
+	uint64_t *live = bct_alloc(BCT_MEMBERS_MAX * sizeof(*live));
+	uint32_t n;
+
+	if (!live)
+		return;
+	n = bct_member_live(w->opts.members, false, live, BCT_MEMBERS_MAX);
+	if (!n)
+		n = bct_member_live(w->opts.members, true, live, BCT_MEMBERS_MAX);
+	for (uint32_t i = 0; i < w->n; i++)
+		engine_assign(w, now, &w->engines[i], live, n);
+	bct_free(live);
+}
+
+static int key_cmp(const void *a, const void *b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void engines_free(engine_t *engines, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++)
+		bct_free(engines[i].interested);
+	bct_free(engines);
+}
+
+int bct_watch_engines(bct_watch_t *w, bct_time_t now, const uint64_t *keys, uint32_t n)
+{
+	engine_t *engines;
+	uint64_t *sorted;
+
+	if (n > BCT_WATCH_ENGINES_MAX)
+		return -BCT_EFULL;
+	engines = bct_alloc((n + 1) * sizeof(*engines));
+	sorted = bct_alloc((n + 1) * sizeof(*sorted));
+	if (!engines || !sorted) {
+		bct_free(engines);
+		bct_free(sorted);
+		return -BCT_ENOMEM;
+	}
+	if (n)
+		memcpy(sorted, keys, n * sizeof(*sorted));
+	qsort(sorted, n, sizeof(*sorted), key_cmp);
+	for (uint32_t i = 0; i < n; i++) {
+		engine_t *old = bct_watch_engine(w, sorted[i]);
+
+		if (old) {
+			engines[i] = *old;
+			old->interested = NULL;
+		}
+		engines[i].key = sorted[i];
+	}
+	engines_free(w->engines, w->n);
+	bct_free(w->keys);
+	w->engines = engines;
+	w->keys = sorted;
+	w->n = n;
+	bct_watch_fleet(w, now);
+	return 0;
+}
+
+uint32_t bct_watch_due(bct_watch_t *w, bct_time_t now, uint64_t *out, uint32_t max)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < w->n && n < max; i++) {
+		engine_t *e = &w->engines[(w->due_at + i) % w->n];
+
+		if (e->role == ROLE_NONE || now < e->next_poll)
+			continue;
+		if (e->role == ROLE_BACKUP) {
+			if (now - e->heard < BACKUP_SILENCE_MS)
+				continue;
+			w->counters.polled_as_backup++;
+		}
+		e->next_poll = now + POLL_INTERVAL_MS;
+		out[n++] = e->key;
+	}
+	w->due_at = w->n ? (w->due_at + 1) % w->n : 0;
+	return n;
+}
+
+static void set_leaving(bct_watch_t *w, engine_t *e, bool leaving)
+{
+	if (e->leaving == leaving)
+		return;
+	e->leaving = leaving;
+	if (w->opts.leaving)
+		w->opts.leaving(w->opts.ctx, e->key, leaving);
+}
+
+/* Tells every node that an engine is leaving, and again while it says so. */
+static void spread_leaving(bct_watch_t *w, bct_time_t now, engine_t *e, uint64_t boot_id)
+{
+	bct_fact_t f = { .type = BCT_FACT_UPSTREAM_LEAVING,
+			 .key = e->key,
+			 .key2 = boot_id,
+			 .v = { 1 },
+			 .expires = now + LEAVING_KEEP_MS };
+
+	e->leaving_until = f.expires;
+	if (e->leaving && e->leaving_boot == boot_id && now - e->leaving_spread < LEAVING_RENEW_MS)
+		return;
+	e->leaving_boot = boot_id;
+	e->leaving_spread = now;
+	bct_member_spread(w->opts.members, now, &f);
+	set_leaving(w, e, true);
+}
+
+void bct_watch_fact(bct_watch_t *w, bct_time_t now, const bct_fact_t *fact)
+{
+	engine_t *e = bct_watch_engine(w, fact->key);
+
+	(void)now;
+	if (!e || fact->type != BCT_FACT_UPSTREAM_LEAVING || !fact->v[0])
+		return;
+	/* The engine has restarted since: the notice was of its last life. */
+	if (e->known && !e->last.leaving && e->last.boot_id != fact->key2 &&
+	    e->leaving_boot == fact->key2)
+		return;
+	e->leaving_boot = fact->key2;
+	e->leaving_until = fact->expires;
+	set_leaving(w, e, true);
+}
+
+/*
+ * Accepts a report that is newer than what is known: by its sequence number within one boot, else
+ * by when it was true, so that a late report of the last boot can't displace one of this boot.
+ */
+static bool report_is_new(const engine_t *e, bct_time_t now, const bct_report_t *r)
+{
+	if (!e->known)
+		return true;
+	if (r->boot_id == e->last.boot_id)
+		return r->seq > e->last.seq;
+	return now - (bct_time_t)r->age_ms > e->sampled;
+}
+
+static bool adopt(bct_watch_t *w, bct_time_t now, engine_t *e, const bct_report_t *r)
+{
+	if (!report_is_new(e, now, r)) {
+		w->counters.stale++;
+		return false;
+	}
+	if (e->leaving && r->boot_id != e->leaving_boot && !r->leaving)
+		set_leaving(w, e, false);
+	e->known = true;
+	e->last = *r;
+	e->sampled = now - (bct_time_t)r->age_ms;
+	if (w->opts.report)
+		w->opts.report(w->opts.ctx, r);
+	return true;
+}
+
+void bct_watch_polled(bct_watch_t *w, bct_time_t now, const bct_report_t *report)
+{
+	engine_t *e = bct_watch_engine(w, report->upstream_key);
+
+	if (!e)
+		return;
+	w->counters.polled++;
+	if (report->leaving)
+		spread_leaving(w, now, e, report->boot_id);
+	if (adopt(w, now, e, report))
+		e->pending = e->role != ROLE_NONE;
+	/* A backup's own polls do not end the watcher's silence. */
+	if (e->role == ROLE_WATCHER)
+		e->heard = now;
+}
+
+void bct_watch_polled_events(bct_watch_t *w, bct_time_t now, const bct_cache_event_t *events,
+			     uint32_t n)
+{
+	(void)now;
+	for (uint32_t i = 0; i < n; i++) {
+		if (w->opts.cache_event)
+			w->opts.cache_event(w->opts.ctx, &events[i]);
+		if (w->n_events == EVENTS_QUEUED_MAX)
+			w->counters.events_dropped++;
+		else
+			w->events[w->n_events++] = events[i];
+	}
+}
+
+static void receive_report(bct_watch_t *w, bct_time_t now, const peer_report *p)
+{
+	engine_t *e = bct_watch_engine(w, p->upstream_key);
+	bool whole = p->seq == p->key_seq;
+	uint32_t values[PEER_REPORT_FIELDS] = { 0 };
+	uint32_t used = 0;
+	bct_report_t r;
+
+	if (!e)
+		return;
+	w->counters.received++;
+	e->heard = now;
+	if (!whole) {
+		if (!e->has_keyframe || e->keyframe.boot_id != p->boot_id ||
+		    e->keyframe.seq != p->key_seq) {
+			w->counters.no_keyframe++;
+			return;
+		}
+		bct_report_fields(&e->keyframe, values);
+	}
+	for (uint32_t i = 0; i < PEER_REPORT_FIELDS; i++) {
+		if (p->mask & 1u << i && used < p->values.values_len)
+			values[i] = p->values.values_val[used++];
+	}
+	memset(&r, 0, sizeof(r));
+	r.upstream_key = p->upstream_key;
+	r.boot_id = p->boot_id;
+	r.seq = p->seq;
+	r.age_ms = p->age_ms;
+	bct_report_set_fields(&r, values);
+	if (whole && (!e->has_keyframe || report_is_new(e, now, &r) || e->last.seq == r.seq)) {
+		e->keyframe = r;
+		e->has_keyframe = true;
+	}
+	adopt(w, now, e, &r);
+}
+
+void bct_watch_receive(bct_watch_t *w, bct_time_t now, const peer_reports *msg)
+{
+	for (uint32_t i = 0; i < msg->reports.reports_len; i++)
+		receive_report(w, now, &msg->reports.reports_val[i]);
+	for (uint32_t i = 0; i < msg->events.events_len; i++) {
+		const peer_cache_event *p = &msg->events.events_val[i];
+		bct_cache_event_t ev = { .upstream_key = p->upstream_key,
+					 .seq = p->seq,
+					 .block = p->block,
+					 .op = (bct_cache_op_t)p->op };
+
+		if (w->opts.cache_event && bct_watch_engine(w, ev.upstream_key) &&
+		    ev.op >= BCT_CACHE_ADD && ev.op <= BCT_CACHE_RESET)
+			w->opts.cache_event(w->opts.ctx, &ev);
+	}
+}
+
+bct_time_t bct_watch_tick(bct_watch_t *w, bct_time_t now)
+{
+	int64_t rate = w->opts.max_bytes_per_s;
+
+	if (now < w->next_tick)
+		return w->next_tick;
+	w->next_tick = now + TICK_MS;
+	w->tokens_bytes += rate * (now - w->tokens_at) / BCT_MS_PER_S;
+	w->tokens_at = now;
+	if (w->tokens_bytes > rate * BURST_MS / BCT_MS_PER_S)
+		w->tokens_bytes = rate * BURST_MS / BCT_MS_PER_S;
+	for (uint32_t i = 0; i < w->n; i++) {
+		if (w->engines[i].leaving && w->engines[i].leaving_until <= now)
+			set_leaving(w, &w->engines[i], false);
+	}
+	bct_watch_send(w, now);
+	return w->next_tick;
+}
+
+int bct_watch_new(const bct_watch_opts_t *opts, bct_time_t now, bct_watch_t **out)
+{
+	bct_watch_t *w;
+
+	*out = NULL;
+	if (!opts->members || !opts->outbox)
+		return -BCT_EINVAL;
+	w = bct_alloc(sizeof(*w));
+	if (!w)
+		return -BCT_ENOMEM;
+	w->opts = *opts;
+	if (!w->opts.subset)
+		w->opts.subset = BCT_WATCH_SUBSET;
+	if (!w->opts.max_bytes_per_s)
+		w->opts.max_bytes_per_s = DEFAULT_BYTES_PER_S;
+	w->self = bct_member_self(opts->members)->incarnation;
+	w->tokens_at = now;
+	*out = w;
+	return 0;
+}
+
+void bct_watch_free(bct_watch_t *w)
+{
+	if (!w)
+		return;
+	engines_free(w->engines, w->n);
+	bct_free(w->keys);
+	bct_free(w);
+}
+
+uint64_t bct_watch_bytes(const bct_watch_t *w)
+{
+	uint64_t bytes = sizeof(*w) + w->n * (sizeof(engine_t) + sizeof(uint64_t));
+
+	for (uint32_t i = 0; i < w->n; i++)
+		bytes += w->engines[i].n_interested * sizeof(uint64_t);
+	return bytes;
+}
+
+void bct_watch_counters(const bct_watch_t *w, bct_watch_counters_t *out)
+{
+	*out = w->counters;
+}
