--- a/gen/peer.h
+++ b/gen/peer.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef BCT_GEN_PEER_H
-#define BCT_GEN_PEER_H
+#ifndef _PEER_H_RPCGEN
+#define _PEER_H_RPCGEN
 
 #include <rpc/rpc.h>
 
