chuteload: open-loop load tool with audits

Change: chuteload run and check: scenarios in JSON, arrivals that do not wait for answers, answers compared with the text that the stand-in must generate, at-most-once and not-run claims compared with what the upstreams counted, table and JSON.

--- /dev/null
+++ b/cmd/chuteload.c
@@ -0,0 +1,206 @@
+/*
+ * chuteload.c - load and experiment tool: main() and options.
+ */
+#include "cmd/chuteload.h"
+
+#include "base/err.h"
+#include "base/mem.h"
+
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define EXIT_AUDIT 1
+#define EXIT_USAGE 2
+
+typedef struct options {
+	const char *json_path;
+	const char *label;
+	const char *output;
+	const char *seed;
+	int duration_ms;
+	int direct;
+	int version;
+	load_addresses_t entries, nodes, engines, services;
+} options_t;
+
+enum { OPT_ENTRY = 1, OPT_NODE, OPT_ENGINE, OPT_SERVICE };
+
+static int take_address(options_t *o, int which, const char *text)
+{
+	load_addresses_t *lists[] = { [OPT_ENTRY] = &o->entries,
+				      [OPT_NODE] = &o->nodes,
+				      [OPT_ENGINE] = &o->engines,
+				      [OPT_SERVICE] = &o->services };
+
+	return load_address_add(lists[which], text);
+}
+
+/* Addresses on the command line take the place of the scenario's. */
+static void override(load_scenario_t *sc, const options_t *o)
+{
+	if (o->entries.n)
+		sc->entries = o->entries;
+	if (o->nodes.n) {
+		sc->nodes = o->nodes;
+		sc->entries.n = 0;
+	}
+	if (o->engines.n)
+		sc->engines = o->engines;
+	if (o->services.n)
+		sc->services = o->services;
+	if (o->seed)
+		sc->seed = strtoull(o->seed, NULL, 10);
+	if (o->duration_ms > 0)
+		sc->duration_ms = (uint32_t)o->duration_ms;
+	if (o->label)
+		snprintf(sc->label, sizeof(sc->label), "%s", o->label);
+	if (o->direct) {
+		sc->direct = true;
+		sc->entries.n = 0;
+		if (o->nodes.n == 0)
+			sc->nodes = sc->engines;
+	}
+}
+
+static int scenario_load(const char *path, load_scenario_t *sc)
+{
+	bct_json_err_t err = { 0 };
+	char text[512];
+
+	if (load_scenario_read(path, sc, &err) == 0)
+		return 0;
+	bct_json_err_print(&err, path, text, sizeof(text));
+	fprintf(stderr, "chuteload: %s\n", text);
+	return -err.err;
+}
+
+static int write_json(const load_run_t *run, const char *path)
+{
+	json_t *doc = load_result_json(run);
+	int rc = doc ? json_dump_file(doc, path, JSON_INDENT(1)) : -1;
+
+	json_decref(doc);
+	if (rc < 0)
+		fprintf(stderr, "chuteload: %s: cannot be written\n", path);
+	return rc;
+}
+
+static int cmd_run(const char *path, const options_t *o)
+{
+	load_scenario_t *sc = bct_alloc(sizeof(*sc));
+	load_run_t run = { .sc = sc };
+	int rc = EXIT_USAGE;
+
+	if (!sc || scenario_load(path, sc) != 0)
+		goto out;
+	override(sc, o);
+	fprintf(stderr, "chuteload: seed %llu, %u ms\n", (unsigned long long)sc->seed,
+		sc->duration_ms);
+	rc = load_run(&run);
+	if (rc < 0) {
+		fprintf(stderr, "chuteload: %s: %s\n", bct_err_name(rc), bct_err_text(rc));
+		rc = EXIT_USAGE;
+		goto out;
+	}
+	load_audit(&run);
+	load_print_table(&run, stdout);
+	rc = load_passed(&run) ? 0 : EXIT_AUDIT;
+	if (o->json_path && write_json(&run, o->json_path) < 0)
+		rc = EXIT_USAGE;
+out:
+	json_decref(run.engine_stats);
+	bct_free(run.told);
+	if (sc)
+		load_scenario_free(sc);
+	bct_free(sc);
+	return rc;
+}
+
+static int cmd_check(const char *path)
+{
+	load_scenario_t *sc = bct_alloc(sizeof(*sc));
+	int rc = sc && scenario_load(path, sc) == 0 ? 0 : EXIT_USAGE;
+
+	if (sc)
+		load_scenario_free(sc);
+	bct_free(sc);
+	return rc;
+}
+
+static int cmd_report(const char **paths, const options_t *o)
+{
+	FILE *out = o->output ? fopen(o->output, "w") : stdout;
+	int rc;
+
+	if (!out) {
+		fprintf(stderr, "chuteload: %s: cannot be written\n", o->output);
+		return EXIT_USAGE;
+	}
+	rc = load_report_html(paths, out);
+	if (out != stdout && fclose(out) != 0)
+		rc = -BCT_EIO;
+	if (rc < 0)
+		fprintf(stderr, "chuteload: %s: %s\n", bct_err_name(rc), bct_err_text(rc));
+	return rc < 0 ? EXIT_USAGE : 0;
+}
+
+static int dispatch(const char **args, const options_t *o)
+{
+	if (o->version) {
+		printf("chuteload %s\n", BCT_VERSION);
+		return 0;
+	}
+	if (args && args[0] && args[1]) {
+		if (strcmp(args[0], "run") == 0 && !args[2])
+			return cmd_run(args[1], o);
+		if (strcmp(args[0], "check") == 0 && !args[2])
+			return cmd_check(args[1]);
+		if (strcmp(args[0], "report") == 0)
+			return cmd_report(args + 1, o);
+	}
+	fprintf(stderr, "usage: chuteload run SCENARIO | check SCENARIO | report RESULT...\n");
+	return EXIT_USAGE;
+}
+
+int main(int argc, const char **argv)
+{
+	static options_t o;
+	const struct poptOption table[] = {
+		{ "entry", 0, POPT_ARG_STRING, NULL, OPT_ENTRY, "node to ask for addresses",
+		  "ADDRESS:PORT" },
+		{ "node", 0, POPT_ARG_STRING, NULL, OPT_NODE, "node to use as it is",
+		  "ADDRESS:PORT" },
+		{ "engine", 0, POPT_ARG_STRING, NULL, OPT_ENGINE, "engine to audit",
+		  "ADDRESS:PORT" },
+		{ "service", 0, POPT_ARG_STRING, NULL, OPT_SERVICE, "service to audit",
+		  "ADDRESS:PORT" },
+		{ "seed", 0, POPT_ARG_STRING, &o.seed, 0, "seed of the random numbers", "N" },
+		{ "duration-ms", 0, POPT_ARG_INT, &o.duration_ms, 0, "time of arrivals", "MS" },
+		{ "label", 0, POPT_ARG_STRING, &o.label, 0, "name of the run in reports", "NAME" },
+		{ "direct", 0, POPT_ARG_NONE, &o.direct, 0, "drive the engines themselves", NULL },
+		{ "json", 0, POPT_ARG_STRING, &o.json_path, 0, "write the result", "FILE" },
+		{ "output", 'o', POPT_ARG_STRING, &o.output, 0, "write the report", "FILE" },
+		{ "version", 0, POPT_ARG_NONE, &o.version, 0, "print the version", NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext ctx = poptGetContext("chuteload", argc, argv, table, 0);
+	int opt, rc = 0;
+
+	poptSetOtherOptionHelp(ctx, "run SCENARIO | check SCENARIO | report RESULT...");
+	while (rc == 0 && (opt = poptGetNextOpt(ctx)) > 0)
+		rc = take_address(&o, opt, poptGetOptArg(ctx));
+	if (rc < 0 || opt < -1) {
+		fprintf(stderr, "chuteload: %s: %s\n", poptBadOption(ctx, 0),
+			rc < 0 ? "must be ADDRESS:PORT" : poptStrerror(opt));
+		rc = EXIT_USAGE;
+	} else {
+		signal(SIGPIPE, SIG_IGN);
+		curl_global_init(CURL_GLOBAL_DEFAULT);
+		rc = dispatch(poptGetArgs(ctx), &o);
+		curl_global_cleanup();
+	}
+	poptFreeContext(ctx);
+	return rc;
+}
