--- a/cmd/chuteload.c
+++ b/cmd/chuteload.c
@@ -13,6 +13,10 @@
 
 #define EXIT_AUDIT 1
 #define EXIT_USAGE 2
+#define MAX_HEADERS 8
+#define USAGE                                                                              \
+	"run SCENARIO | check SCENARIO | report RESULT... | get ADDRESS:PORT PATH | post " \
+	"ADDRESS:PORT PATH BODY"
 
 typedef struct options {
 	const char *json_path;
@@ -23,18 +27,25 @@
 	int direct;
 	int version;
 	load_addresses_t entries, nodes, engines, services;
+	const char *headers[MAX_HEADERS + 1]; /* ends with NULL */
+	uint32_t n_headers;
 } options_t;
 
-enum { OPT_ENTRY = 1, OPT_NODE, OPT_ENGINE, OPT_SERVICE };
+enum { OPT_ENTRY = 1, OPT_NODE, OPT_ENGINE, OPT_SERVICE, OPT_HEADER };
 
-static int take_address(options_t *o, int which, const char *text)
+static int take_option(options_t *o, int which, const char *text)
 {
 	load_addresses_t *lists[] = { [OPT_ENTRY] = &o->entries,
 				      [OPT_NODE] = &o->nodes,
 				      [OPT_ENGINE] = &o->engines,
 				      [OPT_SERVICE] = &o->services };
 
-	return load_address_add(lists[which], text);
+	if (which != OPT_HEADER)
+		return load_address_add(lists[which], text);
+	if (o->n_headers == MAX_HEADERS)
+		return -BCT_EFULL;
+	o->headers[o->n_headers++] = text;
+	return 0;
 }
 
 /* Addresses on the command line take the place of the scenario's. */
@@ -56,12 +67,12 @@
 		sc->duration_ms = (uint32_t)o->duration_ms;
 	if (o->label)
 		snprintf(sc->label, sizeof(sc->label), "%s", o->label);
-	if (o->direct) {
-		sc->direct = true;
-		sc->entries.n = 0;
-		if (o->nodes.n == 0)
-			sc->nodes = sc->engines;
-	}
+	sc->direct = sc->direct || o->direct;
+	if (!sc->direct)
+		return;
+	sc->entries.n = 0;
+	if (o->nodes.n == 0)
+		sc->nodes = sc->engines;
 }
 
 static int scenario_load(const char *path, load_scenario_t *sc)
@@ -90,7 +101,7 @@
 static int cmd_run(const char *path, const options_t *o)
 {
 	load_scenario_t *sc = bct_alloc(sizeof(*sc));
-	load_run_t run = { .sc = sc };
+	load_run_t run = { .sc = sc, .run_id = (uint32_t)bct_random_id() };
 	int rc = EXIT_USAGE;
 
 	if (!sc || scenario_load(path, sc) != 0)
@@ -146,6 +157,18 @@
 	return rc < 0 ? EXIT_USAGE : 0;
 }
 
+/* get ADDRESS:PORT PATH, post ADDRESS:PORT PATH BODY: exits with 0 when the status is 2xx. */
+static int cmd_http(const char *address, const char *path, const char *body, const options_t *o)
+{
+	int status = load_http_call(address, path, body, o->headers, stdout);
+
+	if (status < 0)
+		fprintf(stderr, "chuteload: %s: %s\n", address, bct_err_text(status));
+	else if (status / 100 != 2)
+		fprintf(stderr, "chuteload: %s: status %d\n", address, status);
+	return status / 100 == 2 ? 0 : EXIT_AUDIT;
+}
+
 static int dispatch(const char **args, const options_t *o)
 {
 	if (o->version) {
@@ -159,8 +182,12 @@
 			return cmd_check(args[1]);
 		if (strcmp(args[0], "report") == 0)
 			return cmd_report(args + 1, o);
+		if (strcmp(args[0], "get") == 0 && args[2] && !args[3])
+			return cmd_http(args[1], args[2], NULL, o);
+		if (strcmp(args[0], "post") == 0 && args[2] && args[3] && !args[4])
+			return cmd_http(args[1], args[2], args[3], o);
 	}
-	fprintf(stderr, "usage: chuteload run SCENARIO | check SCENARIO | report RESULT...\n");
+	fprintf(stderr, "usage: chuteload " USAGE "\n");
 	return EXIT_USAGE;
 }
 
@@ -176,6 +203,8 @@
 		  "ADDRESS:PORT" },
 		{ "service", 0, POPT_ARG_STRING, NULL, OPT_SERVICE, "service to audit",
 		  "ADDRESS:PORT" },
+		{ "header", 0, POPT_ARG_STRING, NULL, OPT_HEADER, "header line of get and post",
+		  "LINE" },
 		{ "seed", 0, POPT_ARG_STRING, &o.seed, 0, "seed of the random numbers", "N" },
 		{ "duration-ms", 0, POPT_ARG_INT, &o.duration_ms, 0, "time of arrivals", "MS" },
 		{ "label", 0, POPT_ARG_STRING, &o.label, 0, "name of the run in reports", "NAME" },
@@ -188,12 +217,12 @@
 	poptContext ctx = poptGetContext("chuteload", argc, argv, table, 0);
 	int opt, rc = 0;
 
-	poptSetOtherOptionHelp(ctx, "run SCENARIO | check SCENARIO | report RESULT...");
+	poptSetOtherOptionHelp(ctx, USAGE);
 	while (rc == 0 && (opt = poptGetNextOpt(ctx)) > 0)
-		rc = take_address(&o, opt, poptGetOptArg(ctx));
+		rc = take_option(&o, opt, poptGetOptArg(ctx));
 	if (rc < 0 || opt < -1) {
 		fprintf(stderr, "chuteload: %s: %s\n", poptBadOption(ctx, 0),
-			rc < 0 ? "must be ADDRESS:PORT" : poptStrerror(opt));
+			rc < 0 ? bct_err_text(rc) : poptStrerror(opt));
 		rc = EXIT_USAGE;
 	} else {
 		signal(SIGPIPE, SIG_IGN);
--- a/cmd/chuteload.h
+++ b/cmd/chuteload.h
@@ -12,6 +12,7 @@
 #include <curl/curl.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #define LOAD_NAME_BYTES 64
 #define LOAD_TOKEN_BYTES 128
@@ -127,6 +128,7 @@
 typedef struct load_run {
 	load_scenario_t *sc;
 	CURLM *multi;
+	uint32_t run_id; /* random: part of all keys and prompts */
 	uint64_t start_us;
 	uint32_t in_flight;
 	load_told_t *told;
@@ -174,6 +176,16 @@
 /* load_get_json(3): GET http://ADDRESS/PATH; a new reference or NULL. */
 json_t *load_get_json(const char *address, const char *path);
 
+/*
+ * load_http_call(3): one call, its answer's body copied to a stream as it arrives.
+ *
+ * body     NULL for GET, else a POST of this text
+ * headers  NULL, or lines that end with NULL
+ * returns  the HTTP status, or -BCT_EUNAVAILABLE when no whole answer came
+ */
+int load_http_call(const char *address, const char *path, const char *body,
+		   const char *const *headers, FILE *out);
+
 /* chuteload_audit.c: compares what callers were told with what the upstreams counted. */
 void load_audit(load_run_t *run);
 
--- a/cmd/chuteload_call.c
+++ b/cmd/chuteload_call.c
@@ -19,10 +19,10 @@
 	return permille > 0 && bct_rng_below(rng, PERMILLE) < permille;
 }
 
-/* Unlike in all requests of all classes of a run. */
+/* Unlike in all requests of all runs: a key must not meet its namesake of an earlier run. */
 static void request_id(const load_call_t *call, char out[LOAD_ID_BYTES])
 {
-	snprintf(out, LOAD_ID_BYTES, "%" PRIx64 "-%u-%" PRIu64, call->run->sc->seed & UINT32_MAX,
+	snprintf(out, LOAD_ID_BYTES, "%08" PRIx32 "-%u-%" PRIu64, call->run->run_id,
 		 (uint32_t)(call->cls - call->run->sc->classes), call->cls->result->sent);
 }
 
