--- /dev/null
+++ b/cmd/chutectl.h
@@ -0,0 +1,104 @@
+/*
+ * chutectl.h - what the commands of chutectl share.
+ */
+#ifndef BCT_CMD_CHUTECTL_H
+#define BCT_CMD_CHUTECTL_H
+
+#include "base/json.h"
+#include "coord/config.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Exit codes; man/chutectl.1 lists them. */
+typedef enum ctl_exit {
+	CTL_OK = 0,
+	CTL_USAGE = 1,
+	CTL_INVALID = 2,     /* the document or the token file is invalid */
+	CTL_REJECTED = 3,    /* the change is not in force and never will be */
+	CTL_UNKNOWN = 4,     /* the change or order may or may not take effect */
+	CTL_UNAVAILABLE = 5, /* the platform or the node cannot be reached; nothing was done */
+	CTL_REFUSED = 6,     /* the node refused, or there is no such object */
+	CTL_INTERNAL = 7,
+} ctl_exit_t;
+
+/* Options, as bits of what a command allows. */
+enum {
+	CTL_OPT_PLATFORM = 1 << 0,
+	CTL_OPT_NODE = 1 << 1,
+	CTL_OPT_TOKEN_FILE = 1 << 2,
+	CTL_OPT_AUTHOR = 1 << 3,
+	CTL_OPT_BASE = 1 << 4,
+	CTL_OPT_REVISION = 1 << 5,
+	CTL_OPT_FORCE = 1 << 6,
+	CTL_OPT_TIMEOUT = 1 << 7,
+};
+
+typedef struct ctl {
+	int json;
+	char *platform_url;
+	char *node; /* ADDRESS:PORT */
+	char *token_file;
+	char *author;
+	long long base_revision;
+	long long revision;
+	int timeout_ms;
+	int force;
+	int given; /* bits of the options that were given */
+	const char **args;
+	int n_args;
+} ctl_t;
+
+typedef struct ctl_command {
+	const char *name;
+	const char *args; /* for the usage line */
+	int min_args;
+	int max_args;
+	int allowed;
+	int required;
+	ctl_exit_t (*run)(ctl_t *ctl);
+	const char *text;
+} ctl_command_t;
+
+ctl_exit_t ctl_validate(ctl_t *ctl);
+ctl_exit_t ctl_publish(ctl_t *ctl);
+ctl_exit_t ctl_diff(ctl_t *ctl);
+ctl_exit_t ctl_history(ctl_t *ctl);
+ctl_exit_t ctl_show(ctl_t *ctl);
+ctl_exit_t ctl_hash_token(ctl_t *ctl);
+ctl_exit_t ctl_status(ctl_t *ctl);
+ctl_exit_t ctl_drain(ctl_t *ctl);
+ctl_exit_t ctl_leave(ctl_t *ctl);
+ctl_exit_t ctl_key(ctl_t *ctl);
+ctl_exit_t ctl_order(ctl_t *ctl);
+
+/* ctl_fail(): one line on standard error, or an object with --json. returns code. */
+ctl_exit_t ctl_fail(const ctl_t *ctl, ctl_exit_t code, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/* ctl_print_json(): a document on standard output; takes the reference. */
+void ctl_print_json(json_t *doc);
+
+/* ctl_load_document(): reads and validates FILE; prints what is wrong. NULL on failure. */
+json_t *ctl_load_document(const ctl_t *ctl, const char *file);
+
+/* ctl_print_diff(), ctl_diff_json(): what turns one document into another, for people and programs.
+ */
+void ctl_print_diff(const json_t *from, const json_t *to);
+json_t *ctl_diff_json(const json_t *from, const json_t *to);
+
+/* ctl_wall_text(): a wall-clock time as UTC. */
+#define CTL_TIME_BYTES 32
+void ctl_wall_text(bct_time_t wall_ms, char out[CTL_TIME_BYTES]);
+
+/*
+ * ctl_call(): one call of a node's operator HTTP.
+ *
+ * body   JSON to POST, NULL: GET
+ * out    the answer's JSON, a new reference, or NULL when it has none
+ * returns CTL_OK, or the failure after it was printed: CTL_UNAVAILABLE only if the call surely had
+ *         no effect, CTL_UNKNOWN if a POST may have had one, CTL_REFUSED
+ */
+ctl_exit_t ctl_call(const ctl_t *ctl, const char *path, const json_t *body, json_t **out);
+
+#endif
--- /dev/null
+++ b/cmd/chutectl_node.c
@@ -0,0 +1,140 @@
+/*
+ * chutectl_node.c - the commands on a node: drain, leave, key, order.
+ */
+#include "cmd/chutectl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define PATH_BYTES 512
+#define SEGMENT_BYTES 400
+
+/* Percent-encodes one path segment. returns false when it does not fit. */
+static bool encode_segment(const char *s, char *out, size_t out_bytes)
+{
+	static const char plain[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				    "0123456789-_.~";
+	size_t n = 0;
+
+	for (; *s; s++) {
+		if (n + 4 > out_bytes)
+			return false;
+		if (strchr(plain, *s))
+			out[n++] = *s;
+		else
+			n += (size_t)snprintf(out + n, 4, "%%%02X", (unsigned char)*s);
+	}
+	out[n] = '\0';
+	return n > 0;
+}
+
+static bool make_path(char *out, const char *before, const char *segment, const char *after)
+{
+	char encoded[SEGMENT_BYTES];
+
+	if (!encode_segment(segment, encoded, sizeof(encoded)))
+		return false;
+	snprintf(out, PATH_BYTES, "%s%s%s", before, encoded, after);
+	return true;
+}
+
+/* Prints the node's answer: as it is with --json, else one "key: value" a line. */
+static void print_answer(const ctl_t *ctl, json_t *answer)
+{
+	const char *key;
+	json_t *v;
+
+	if (ctl->json) {
+		ctl_print_json(answer);
+		return;
+	}
+	json_object_foreach(answer, key, v)
+	{
+		printf("%s: ", key);
+		if (json_is_string(v))
+			printf("%s\n", json_string_value(v));
+		else {
+			json_dumpf(v, stdout, JSON_ENCODE_ANY | JSON_COMPACT);
+			putchar('\n');
+		}
+	}
+	json_decref(answer);
+}
+
+/* Takes the reference to body. */
+static ctl_exit_t post(const ctl_t *ctl, const char *path, json_t *body)
+{
+	json_t *answer = NULL;
+	ctl_exit_t code = ctl_call(ctl, path, body, &answer);
+
+	json_decref(body);
+	if (code == CTL_OK)
+		print_answer(ctl, answer);
+	return code;
+}
+
+ctl_exit_t ctl_drain(ctl_t *ctl)
+{
+	return post(ctl, "/admin/v1/drain", json_object());
+}
+
+ctl_exit_t ctl_leave(ctl_t *ctl)
+{
+	char path[PATH_BYTES];
+
+	if (!make_path(path, "/admin/v1/upstreams/", ctl->args[0], "/leave"))
+		return ctl_fail(ctl, CTL_USAGE, "the upstream's name is empty or too long");
+	return post(ctl, path, json_object());
+}
+
+static ctl_exit_t key_show(ctl_t *ctl, const char *path)
+{
+	json_t *answer = NULL;
+	ctl_exit_t code = ctl_call(ctl, path, NULL, &answer);
+
+	if (code == CTL_OK)
+		print_answer(ctl, answer);
+	return code;
+}
+
+ctl_exit_t ctl_key(ctl_t *ctl)
+{
+	bool show = !strcmp(ctl->args[0], "show") && ctl->n_args == 2;
+	bool resolve = !strcmp(ctl->args[0], "resolve") && ctl->n_args == 3;
+	char path[PATH_BYTES];
+	bool ran;
+
+	if (!show && !resolve)
+		return ctl_fail(ctl, CTL_USAGE,
+				"usage: chutectl key show KEY | key resolve KEY ran|not-run");
+	if (!make_path(path, "/admin/v1/keys/", ctl->args[1], show ? "" : "/resolve"))
+		return ctl_fail(ctl, CTL_USAGE, "the key is empty or too long");
+	if (show)
+		return key_show(ctl, path);
+	ran = !strcmp(ctl->args[2], "ran");
+	if (!ran && strcmp(ctl->args[2], "not-run"))
+		return ctl_fail(ctl, CTL_USAGE, "a key is resolved as ran or not-run");
+	return post(
+		ctl, path,
+		json_pack("{s:s, s:b}", "outcome", ran ? "ran" : "not_run", "force", ctl->force));
+}
+
+ctl_exit_t ctl_order(ctl_t *ctl)
+{
+	static const char *const types[][2] = { { "load-model", "load_model" },
+						{ "load-adapter", "load_adapter" },
+						{ "load-version", "load_version" },
+						{ "set-role", "set_role" } };
+	const char *type = NULL;
+
+	for (size_t i = 0; i < sizeof(types) / sizeof(types[0]); i++) {
+		if (!strcmp(ctl->args[1], types[i][0]))
+			type = types[i][1];
+	}
+	if (!type)
+		return ctl_fail(ctl, CTL_USAGE,
+				"an order is load-model, load-adapter, load-version or set-role");
+	return post(ctl, "/admin/v1/orders",
+		    json_pack("{s:s, s:s, s:s}", "upstream", ctl->args[0], "type", type, "argument",
+			      ctl->n_args > 2 ? ctl->args[2] : ""));
+}
--- /dev/null
+++ b/cmd/chutectl_status.c
@@ -0,0 +1,207 @@
+/*
+ * chutectl_status.c - one page, 80 columns wide: is each class meeting its target, what is refused,
+ * which node or upstream is ill, which revision is in force where and since when.
+ *
+ * Members that a node does not report are left out, so that nodes of two versions can be asked.
+ */
+#include "cmd/chutectl.h"
+#include "base/clock.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TARGET_PERCENT 95 /* of the requests of a class are to meet their target */
+#define REPORT_OLD_MS 5000
+#define SECONDS_PER_MINUTE 60
+#define SECONDS_PER_HOUR 3600
+#define AGE_BYTES 16
+
+static json_int_t number(const json_t *obj, const char *key)
+{
+	return json_integer_value(json_object_get(obj, key));
+}
+
+static const char *text(const json_t *obj, const char *key)
+{
+	const char *s = json_string_value(json_object_get(obj, key));
+
+	return s ? s : "-";
+}
+
+static void age_text(bct_time_t ms, char out[AGE_BYTES])
+{
+	int64_t s = ms > 0 ? ms / BCT_MS_PER_S : 0;
+
+	if (s < SECONDS_PER_MINUTE)
+		snprintf(out, AGE_BYTES, "%" PRId64 "s", s);
+	else if (s < SECONDS_PER_HOUR)
+		snprintf(out, AGE_BYTES, "%" PRId64 "m", s / SECONDS_PER_MINUTE);
+	else
+		snprintf(out, AGE_BYTES, "%" PRId64 "h", s / SECONDS_PER_HOUR);
+}
+
+static void since_text(json_int_t wall_ms, char out[AGE_BYTES])
+{
+	if (wall_ms <= 0)
+		snprintf(out, AGE_BYTES, "-");
+	else
+		age_text(bct_clock_wall() - wall_ms, out);
+}
+
+static void print_config(const json_t *config)
+{
+	const json_t *log_up = json_object_get(config, "log_up");
+	char age[AGE_BYTES];
+
+	if (!json_is_integer(json_object_get(config, "revision"))) {
+		printf("config   NONE: callers are refused until a revision can be had\n");
+		return;
+	}
+	since_text(number(config, "since_ms"), age);
+	printf("config   revision %" JSON_INTEGER_FORMAT " in force since %s, from %s",
+	       number(config, "revision"), age, text(config, "source"));
+	if (json_is_false(log_up)) {
+		age_text(number(config, "log_stale_ms"), age);
+		printf(", LOG DOWN for %s", age);
+	}
+	if (json_is_true(json_object_get(config, "diverged")))
+		printf(", DIVERGED (event 202)");
+	putchar('\n');
+}
+
+static void print_head(const json_t *status)
+{
+	char age[AGE_BYTES];
+
+	since_text(number(status, "started_ms"), age);
+	printf("vm       %.24s in %.24s, %s, %" JSON_INTEGER_FORMAT " in flight, up %s\n",
+	       text(status, "vm"), text(status, "failure_domain"), text(status, "state"),
+	       number(status, "in_flight"), age);
+	print_config(json_object_get(status, "config"));
+}
+
+/* The window that is full, or the running one when there is none yet. */
+static const json_t *window_of(const json_t *class)
+{
+	const json_t *last = json_object_get(class, "last");
+
+	return number(last, "requests") > 0 ? last : json_object_get(class, "now");
+}
+
+/* Refused requests count as not met. */
+static void print_class(const json_t *class)
+{
+	const json_t *w = window_of(class);
+	json_int_t requests = number(w, "requests"), met = number(w, "ttft_met");
+	json_int_t percent = requests > 0 ? met * 100 / requests : 100;
+
+	printf("%4" JSON_INTEGER_FORMAT "  %-20.20s %-18.18s %8" JSON_INTEGER_FORMAT
+	       " %4" JSON_INTEGER_FORMAT "%% %8" JSON_INTEGER_FORMAT "  %s\n",
+	       number(class, "tier"), text(class, "account"), text(class, "class"), requests,
+	       percent, number(w, "refused"),
+	       requests == 0		   ? "idle"
+	       : percent >= TARGET_PERCENT ? "ok"
+					   : "MISSED");
+}
+
+static void print_classes(const json_t *classes)
+{
+	const json_t *c;
+	size_t i;
+	json_int_t tier;
+
+	printf("\ntier  %-20s %-18s %8s %5s %8s\n", "account", "class", "requests", "met",
+	       "refused");
+	for (tier = 1; tier <= BCT_TIERS; tier++) {
+		json_array_foreach(classes, i, c)
+		{
+			if (number(c, "tier") == tier)
+				print_class(c);
+		}
+	}
+}
+
+static void print_shedding(const json_t *list)
+{
+	const json_t *e;
+	char age[AGE_BYTES];
+	size_t i;
+
+	json_array_foreach(list, i, e)
+	{
+		since_text(number(e, "since_ms"), age);
+		printf("%s%.24s sheds tiers above %" JSON_INTEGER_FORMAT " since %s: %.30s\n",
+		       i ? "" : "\nshedding\n", text(e, "target"), number(e, "level"), age,
+		       text(e, "reason"));
+	}
+}
+
+static void print_nodes(const json_t *list)
+{
+	const json_t *e;
+	char age[AGE_BYTES];
+	size_t i;
+
+	if (json_array_size(list) > 0)
+		printf("\n%-24s %-16s %-8s %8s %6s\n", "node", "failure domain", "state",
+		       "revision", "since");
+	json_array_foreach(list, i, e)
+	{
+		since_text(number(e, "since_ms"), age);
+		printf("%-24.24s %-16.16s %-8.8s %8" JSON_INTEGER_FORMAT " %6s %.12s\n",
+		       text(e, "name"), text(e, "failure_domain"), text(e, "state"),
+		       number(e, "revision"), age, json_object_get(e, "why") ? text(e, "why") : "");
+	}
+}
+
+/* Why an engine is ill, or NULL. */
+static const char *illness(const json_t *e)
+{
+	json_int_t age_ms = number(e, "report_age_ms");
+
+	if (json_object_get(e, "why"))
+		return text(e, "why");
+	if (json_is_true(json_object_get(e, "leaving")))
+		return "leaving";
+	if (age_ms < 0)
+		return "never reported its load";
+	return age_ms > REPORT_OLD_MS ? "its load report is old" : NULL;
+}
+
+static void print_upstreams(const json_t *list)
+{
+	const json_t *e;
+	size_t i, ill = 0;
+
+	json_array_foreach(list, i, e)
+	{
+		const char *why = illness(e);
+
+		if (why)
+			printf("%s%-32.32s %.44s\n", ill++ ? "" : "\nupstreams that are ill\n",
+			       text(e, "name"), why);
+	}
+	if (json_is_array(list) && ill == 0)
+		printf("\nupstreams: %zu, none ill\n", json_array_size(list));
+}
+
+ctl_exit_t ctl_status(ctl_t *ctl)
+{
+	json_t *status = NULL;
+	ctl_exit_t code = ctl_call(ctl, "/admin/v1/status", NULL, &status);
+
+	if (code != CTL_OK)
+		return code;
+	if (ctl->json) {
+		ctl_print_json(status);
+		return CTL_OK;
+	}
+	print_head(status);
+	print_classes(json_object_get(status, "classes"));
+	print_shedding(json_object_get(status, "shedding"));
+	print_nodes(json_object_get(status, "nodes"));
+	print_upstreams(json_object_get(status, "engines"));
+	json_decref(status);
+	return CTL_OK;
+}
--- /dev/null
+++ b/coord/config_publish.c
@@ -0,0 +1,242 @@
+/*
+ * config_publish.c - append, read back, decide.
+ */
+#include "coord/config_publish.h"
+#include "base/err.h"
+#include "base/rng.h"
+#include "coord/config_boot.h"
+
+#include <string.h>
+#include <time.h>
+
+#define TIMEOUT_MS 10000
+#define CALL_TIMEOUT_MS 2000
+#define RETRY_MS 500
+#define READ_MAX_BYTES (1024 * 1024)
+#define NS_PER_MS 1000000L
+
+const char *bct_publish_outcome_wire(bct_publish_outcome_t o)
+{
+	static const char *const names[] = { "accepted", "unchanged", "rejected", "not_sent",
+					     "unknown" };
+
+	return names[o];
+}
+
+static int replay_batch(bct_config_state_t *s, const bct_records_t *r, bct_config_judged_t judged,
+			void *ctx)
+{
+	bct_config_result_t res;
+
+	for (uint32_t i = 0; i < r->n; i++) {
+		int rc;
+
+		if (r->records[i].offset != s->next)
+			return -BCT_EEXPIRED;
+		rc = bct_config_replay(s, r->records[i].data, r->records[i].len_bytes, &res);
+		if (rc == -BCT_ENOMEM)
+			return rc;
+		if (judged)
+			judged(ctx, &r->records[i], &res, rc);
+	}
+	return (int)r->n;
+}
+
+int bct_config_read_on(bct_platform_t *p, bct_config_state_t *s, uint32_t wait_ms,
+		       uint32_t call_timeout_ms, bct_config_judged_t judged, void *ctx)
+{
+	bct_records_t r;
+	int rc = bct_platform_read(p, BCT_STREAM_CONFIG, s->next, READ_MAX_BYTES, wait_ms,
+				   wait_ms + call_timeout_ms, &r);
+
+	if (!rc)
+		rc = replay_batch(s, &r, judged, ctx);
+	bct_records_free(&r);
+	return rc == -BCT_ECODEC ? -BCT_EUNAVAILABLE : rc;
+}
+
+/* Reads the log from an offset to its end into the boot. */
+static int scan(bct_platform_t *p, uint32_t call_timeout_ms, bct_config_boot_t *b)
+{
+	bool more = true;
+	int rc = 0;
+
+	while (more && !rc) {
+		bct_records_t r;
+
+		rc = bct_platform_read(p, BCT_STREAM_CONFIG, b->next, READ_MAX_BYTES, 0,
+				       call_timeout_ms, &r);
+		more = !rc && r.n > 0;
+		for (uint32_t i = 0; !rc && i < r.n; i++)
+			bct_config_boot_record(b, r.records[i].data, r.records[i].len_bytes);
+		if (rc == -BCT_EEXPIRED) {
+			bct_config_boot_free(b);
+			bct_config_boot_init(b, r.oldest);
+			rc = 0;
+			more = true;
+		}
+		bct_records_free(&r);
+	}
+	return rc == -BCT_ECODEC ? -BCT_EUNAVAILABLE : rc;
+}
+
+int bct_config_read_log(bct_platform_t *p, uint32_t call_timeout_ms, bct_config_judged_t judged,
+			void *ctx, bct_config_state_t *out)
+{
+	bct_config_boot_t boot;
+	int rc;
+
+	bct_config_boot_init(&boot, 0);
+	rc = scan(p, call_timeout_ms, &boot);
+	if (!rc)
+		rc = bct_config_boot_finish(&boot, out);
+	bct_config_boot_free(&boot);
+	if (rc)
+		return rc;
+	while ((rc = bct_config_read_on(p, out, 0, call_timeout_ms, judged, ctx)) > 0)
+		;
+	if (rc)
+		bct_config_free(out);
+	return rc;
+}
+
+/* One publish while it runs. */
+typedef struct publish {
+	const bct_publish_opts_t *opts;
+	bct_config_state_t state;
+	bct_time_t deadline;
+	uint32_t call_timeout_ms;
+	uint32_t retry_ms;
+	bool may_be_sent; /* an append was not surely refused */
+	bool judged;	  /* the log holds our record, with the verdict in out */
+	bct_buf_t record;
+	bct_publish_result_t *out;
+} publish_t;
+
+/* Sees every record that is read back, so that no number of others can hide ours. */
+static void on_judged(void *ctx, const bct_record_t *rec, const bct_config_result_t *res, int rc)
+{
+	publish_t *p = ctx;
+
+	(void)rec;
+	if (rc || res->type != BCT_XCONFIG_CHANGE || res->id != p->out->id || p->judged)
+		return;
+	p->judged = true;
+	p->out->verdict = res->verdict;
+	p->out->revision = res->revision;
+}
+
+/*
+ * Whether the log has decided. A base that another change won is decided as well: wherever our
+ * record turns up, it comes after the winner.
+ */
+static bool decided(publish_t *p)
+{
+	if (!p->judged && p->state.revision == p->out->base_revision)
+		return false;
+	if (!p->judged)
+		p->out->verdict = BCT_VERDICT_STALE_BASE;
+	p->out->outcome = p->out->verdict == BCT_VERDICT_ACCEPTED ? BCT_PUBLISH_ACCEPTED
+								  : BCT_PUBLISH_REJECTED;
+	if (p->out->verdict == BCT_VERDICT_STALE_BASE)
+		p->out->revision = p->out->base_revision + 1;
+	return true;
+}
+
+static void append(publish_t *p)
+{
+	uint64_t offset;
+	int rc = bct_platform_append(p->opts->platform, BCT_STREAM_CONFIG, p->record.data,
+				     (uint32_t)p->record.len_bytes, p->call_timeout_ms, &offset);
+
+	if (rc != -BCT_EUNAVAILABLE && rc != -BCT_ETOO_LARGE)
+		p->may_be_sent = true;
+}
+
+static void sleep_ms(uint32_t ms)
+{
+	struct timespec ts = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * NS_PER_MS };
+
+	nanosleep(&ts, NULL);
+}
+
+/* Appends and reads until the log has decided or time is up; a gap in the log ends it too. */
+static int run(publish_t *p)
+{
+	bct_time_t next_append = bct_clock_now();
+	int rc = 0;
+
+	while (rc != -BCT_EEXPIRED && rc != -BCT_ENOMEM) {
+		bct_time_t now = bct_clock_now();
+
+		if (now >= next_append) {
+			append(p);
+			next_append = now + p->retry_ms;
+		}
+		rc = bct_config_read_on(p->opts->platform, &p->state, p->retry_ms,
+					p->call_timeout_ms, on_judged, p);
+		if (decided(p))
+			return 0;
+		now = bct_clock_now();
+		if (now >= p->deadline)
+			break;
+		if (rc <= 0 && now < next_append)
+			sleep_ms((uint32_t)(next_append - now));
+	}
+	p->out->outcome = p->may_be_sent ? BCT_PUBLISH_UNKNOWN : BCT_PUBLISH_NOT_SENT;
+	return p->may_be_sent ? 0 : -BCT_EUNAVAILABLE;
+}
+
+static int prepare(publish_t *p, const json_t *doc)
+{
+	int rc = bct_config_read_log(p->opts->platform, p->call_timeout_ms, NULL, NULL, &p->state);
+
+	if (rc)
+		return rc;
+	p->out->base_revision = p->state.revision;
+	p->out->revision = p->state.revision;
+	p->out->base = json_incref(p->state.doc);
+	if (p->opts->has_base && p->opts->base_revision != p->state.revision) {
+		p->out->outcome = BCT_PUBLISH_REJECTED;
+		p->out->verdict = BCT_VERDICT_STALE_BASE;
+		return -BCT_ESTALE;
+	}
+	rc = bct_config_change_encode(&p->state, doc, p->out->id, p->opts->author, bct_clock_wall(),
+				      &p->record);
+	if (rc == -BCT_ESTATE)
+		p->out->outcome = BCT_PUBLISH_UNCHANGED;
+	return rc;
+}
+
+int bct_config_publish(const bct_publish_opts_t *opts, const json_t *doc, bct_publish_result_t *out)
+{
+	publish_t p = {
+		.opts = opts,
+		.deadline = bct_clock_now() + (opts->timeout_ms ? opts->timeout_ms : TIMEOUT_MS),
+		.call_timeout_ms = opts->call_timeout_ms ? opts->call_timeout_ms : CALL_TIMEOUT_MS,
+		.retry_ms = opts->retry_ms ? opts->retry_ms : RETRY_MS,
+		.out = out,
+	};
+	int rc;
+
+	memset(out, 0, sizeof(*out));
+	out->outcome = BCT_PUBLISH_NOT_SENT;
+	out->id = bct_random_id();
+	bct_buf_init(&p.record, 0);
+	rc = prepare(&p, doc);
+	if (!rc)
+		rc = run(&p);
+	else if (rc == -BCT_ESTALE || rc == -BCT_ESTATE)
+		rc = 0;
+	out->now = json_incref(p.state.doc);
+	bct_buf_free(&p.record);
+	bct_config_free(&p.state);
+	return rc;
+}
+
+void bct_publish_result_free(bct_publish_result_t *r)
+{
+	json_decref(r->base);
+	json_decref(r->now);
+	memset(r, 0, sizeof(*r));
+}
