--- a/coord/config_publish.c
+++ b/coord/config_publish.c
@@ -187,9 +187,23 @@
 	return p->may_be_sent ? 0 : -BCT_EUNAVAILABLE;
 }
 
+/* Reads the log, again and again while it cannot be reached and there is time. */
+static int read_base(publish_t *p)
+{
+	int rc;
+
+	for (;;) {
+		rc = bct_config_read_log(p->opts->platform, p->call_timeout_ms, NULL, NULL,
+					 &p->state);
+		if (rc != -BCT_EUNAVAILABLE || bct_clock_now() + p->retry_ms >= p->deadline)
+			return rc;
+		sleep_ms(p->retry_ms);
+	}
+}
+
 static int prepare(publish_t *p, const json_t *doc)
 {
-	int rc = bct_config_read_log(p->opts->platform, p->call_timeout_ms, NULL, NULL, &p->state);
+	int rc = read_base(p);
 
 	if (rc)
 		return rc;
--- a/standin/fake_platform.c
+++ b/standin/fake_platform.c
@@ -256,7 +256,8 @@
 	if (plat.hang)
 		return bct_fake_wait(req, BCT_TIME_NEVER);
 	if (plat.refuse)
-		return bct_fake_reply(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL);
+		return bct_fake_reply(req, MHD_HTTP_SERVICE_UNAVAILABLE,
+				      json_pack("{s:b}", "appended", 0));
 	if (hit(&plat.reset))
 		return bct_fake_reset(req);
 	if (plat.slow_ms > 0 && req->step == STEP_NEW) {
--- /dev/null
+++ b/tests/test_config.c
@@ -0,0 +1,343 @@
+/*
+ * test_config.c - the pure replay: each verdict by name, then seeded logs against a naive replay,
+ * with every replica that starts from a snapshot compared with the one that read everything.
+ */
+#define _GNU_SOURCE /* memmem */
+#include "base/err.h"
+#include "base/mem.h"
+#include "base/rng.h"
+#include "coord/conf_json.h"
+#include "coord/config_boot.h"
+#include "tests/util_config.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SEEDS 300
+#define RECORDS 60
+#define IDS 40
+#define MEMORY_STEPS 200
+
+static bct_config_result_t replay(bct_config_state_t *s, const bct_buf_t *rec, int want)
+{
+	bct_config_result_t res;
+
+	cr_assert_eq(bct_config_replay(s, rec->data, (uint32_t)rec->len_bytes, &res), want);
+	return res;
+}
+
+/* Replays a change to util_doc(context) that was made on base. */
+static bct_config_result_t change(bct_config_state_t *s, const bct_config_state_t *base,
+				  uint32_t context, uint64_t id)
+{
+	bct_config_result_t res;
+	bct_buf_t rec;
+
+	util_change(base, context, id, &rec);
+	res = replay(s, &rec, 0);
+	bct_buf_free(&rec);
+	return res;
+}
+
+Test(config, first_change_on_a_base_wins_and_a_repeat_is_one_record)
+{
+	bct_config_state_t s, base;
+	bct_config_result_t res;
+
+	bct_config_init(&s);
+	bct_config_init(&base);
+	cr_assert_eq(change(&s, &base, 10, 1).verdict, BCT_VERDICT_ACCEPTED);
+	cr_assert_eq(change(&s, &base, 20, 2).verdict, BCT_VERDICT_STALE_BASE);
+	cr_assert_eq(util_context(s.conf), 10);
+	res = change(&s, &base, 10, 1);
+	cr_assert(res.repeat);
+	cr_assert_eq(res.verdict, BCT_VERDICT_ACCEPTED);
+	cr_assert_eq(res.revision, 1);
+	cr_assert_eq(s.revision, 1);
+	cr_assert_eq(s.next, 3);
+	bct_config_free(&s);
+	bct_config_free(&base);
+}
+
+Test(config, record_from_a_later_base_is_rejected_also_when_it_comes_again)
+{
+	bct_config_state_t s, base;
+	bct_config_result_t res;
+
+	bct_config_init(&s);
+	bct_config_init(&base);
+	cr_assert_eq(change(&base, &base, 10, 1).verdict, BCT_VERDICT_ACCEPTED);
+	cr_assert_eq(change(&s, &base, 20, 2).verdict, BCT_VERDICT_FUTURE_BASE);
+	cr_assert_eq(change(&s, &s, 10, 1).verdict, BCT_VERDICT_ACCEPTED);
+	res = change(&s, &base, 20, 2);
+	cr_assert(res.repeat);
+	cr_assert_eq(res.verdict, BCT_VERDICT_FUTURE_BASE);
+	cr_assert_eq(util_context(s.conf), 10);
+	bct_config_free(&s);
+	bct_config_free(&base);
+}
+
+Test(config, digests_and_validity_are_checked)
+{
+	bct_config_state_t s, other;
+	bct_config_result_t res;
+	bct_buf_t rec;
+
+	bct_config_init(&s);
+	bct_config_init(&other);
+	change(&s, &s, 10, 1);
+	change(&other, &other, 11, 1);
+	cr_assert_eq(change(&s, &other, 20, 2).verdict, BCT_VERDICT_BASE_DIGEST);
+	res = change(&s, &s, 0, 3);
+	cr_assert_eq(res.verdict, BCT_VERDICT_INVALID);
+	cr_assert_str_eq(res.why.path, "models.m.context_tokens");
+	/* One digit of the new text is changed on the way. */
+	util_change(&s, 30, 4, &rec);
+	*(char *)memmem(rec.data, rec.len_bytes, ":30}", 4) = ':';
+	((char *)memmem(rec.data, rec.len_bytes, ":30}", 4))[1] = '4';
+	cr_assert_eq(replay(&s, &rec, 0).verdict, BCT_VERDICT_DIGEST_AFTER);
+	bct_buf_free(&rec);
+	/* A path that names no object. */
+	util_change(&s, 30, 5, &rec);
+	memcpy(memmem(rec.data, rec.len_bytes, "models/m", 8), "modelz/m", 8);
+	cr_assert_eq(replay(&s, &rec, 0).verdict, BCT_VERDICT_BAD_OBJECT);
+	bct_buf_free(&rec);
+	/* Not one of our records at all: passed over. */
+	bct_buf_init(&rec, 0);
+	bct_buf_puts(&rec, "garbage!");
+	replay(&s, &rec, -BCT_ECODEC);
+	bct_buf_free(&rec);
+	cr_assert_eq(s.next, 6);
+	cr_assert_eq(util_context(s.conf), 10);
+	bct_config_free(&s);
+	bct_config_free(&other);
+}
+
+Test(config, snapshot_that_differs_is_raised_and_not_adopted)
+{
+	bct_config_state_t s, wrong, ahead;
+	bct_buf_t rec;
+
+	bct_config_init(&s);
+	bct_config_init(&wrong);
+	bct_config_init(&ahead);
+	change(&s, &s, 10, 1);
+	change(&wrong, &wrong, 99, 1);
+	change(&ahead, &ahead, 10, 1);
+	change(&ahead, &ahead, 20, 2);
+	ahead.next = 1;
+	bct_buf_init(&rec, 0);
+	cr_assert_eq(bct_config_snapshot_encode(&wrong, "vm", 1, &rec), 0);
+	replay(&s, &rec, -BCT_EDIVERGED);
+	cr_assert_eq(util_context(s.conf), 10);
+	bct_buf_clear(&rec);
+	cr_assert_eq(bct_config_snapshot_encode(&ahead, "vm", 1, &rec), 0);
+	replay(&s, &rec, -BCT_EDIVERGED);
+	cr_assert_eq(s.revision, 1);
+	bct_buf_clear(&rec);
+	cr_assert_eq(bct_config_snapshot_encode(&s, "vm", 1, &rec), 0);
+	replay(&s, &rec, 0);
+	bct_buf_free(&rec);
+	bct_config_free(&s);
+	bct_config_free(&wrong);
+	bct_config_free(&ahead);
+}
+
+Test(config, want_of_memory_at_any_step_leaves_the_state)
+{
+	bct_config_state_t s;
+	bct_config_result_t res;
+	bct_digest_t before;
+	bct_buf_t rec;
+	int step, rc = -BCT_ENOMEM, failed = 0;
+
+	bct_config_init(&s);
+	change(&s, &s, 10, 1);
+	before = s.digest;
+	util_change(&s, 20, 2, &rec);
+	for (step = 0; rc && step < MEMORY_STEPS; step++) {
+		bct_mem_fail_after(step);
+		rc = bct_config_replay(&s, rec.data, (uint32_t)rec.len_bytes, &res);
+		bct_mem_fail_after(-1);
+		if (!rc)
+			break;
+		failed++;
+		cr_assert_eq(rc, -BCT_ENOMEM);
+		cr_assert_eq(s.next, 1);
+		cr_assert_eq(s.revision, 1);
+		cr_assert_eq(memcmp(&s.digest, &before, sizeof(before)), 0);
+	}
+	cr_assert_eq(rc, 0);
+	cr_assert_gt(failed, 5);
+	cr_assert_eq(res.verdict, BCT_VERDICT_ACCEPTED);
+	bct_buf_free(&rec);
+	bct_config_free(&s);
+}
+
+/*
+ * A log made at random, and what a naive reader makes of it: a list of ids judged and one number.
+ * Nobody else in this file knows the order of checks of coord/config.c.
+ */
+typedef struct world {
+	bct_rng_t rng;
+	bct_buf_t log[RECORDS];
+	bct_config_state_t full;	       /* replica that reads everything */
+	bct_config_state_t bases[RECORDS + 1]; /* state at each revision */
+	uint64_t naive_revision;
+	uint32_t naive_context;
+	bool naive_seen[IDS];
+} world_t;
+
+static void keep_base(world_t *w)
+{
+	bct_config_state_t *b = &w->bases[w->full.revision];
+
+	if (b->doc)
+		return;
+	*b = w->full;
+	b->doc = json_incref(w->full.doc);
+	b->conf = bct_conf_ref(w->full.conf);
+}
+
+static void naive_change(world_t *w, uint64_t base, uint32_t context, uint64_t id)
+{
+	if (w->naive_seen[id])
+		return;
+	w->naive_seen[id] = true;
+	if (base != w->naive_revision || context == 0)
+		return;
+	w->naive_revision++;
+	w->naive_context = context;
+}
+
+/* A change on a recent base, at times invalid, at times with an id that was used before. */
+static void make_change(world_t *w, bct_buf_t *out)
+{
+	uint64_t behind = bct_rng_below(&w->rng, 3);
+	uint64_t base = w->full.revision > behind ? w->full.revision - behind : w->full.revision;
+	uint32_t context = bct_rng_below(&w->rng, 8) ? 1 + bct_rng_below(&w->rng, 1000) : 0;
+	uint64_t id = bct_rng_below(&w->rng, IDS);
+
+	if (util_context(w->bases[base].conf) == context)
+		context++;
+	util_change(&w->bases[base], context, id, out);
+	naive_change(w, base, context, id);
+}
+
+static void make_record(world_t *w, bct_buf_t *out)
+{
+	uint32_t what = bct_rng_below(&w->rng, 10);
+
+	bct_buf_init(out, 0);
+	if (what == 0)
+		bct_buf_puts(out, "garbage!");
+	else if (what <= 2)
+		cr_assert_eq(bct_config_snapshot_encode(&w->full, "vm", 1, out), 0);
+	else
+		make_change(w, out);
+}
+
+static void repeat_record(world_t *w, uint32_t at)
+{
+	const bct_buf_t *from = &w->log[bct_rng_below(&w->rng, at)];
+
+	bct_buf_init(&w->log[at], 0);
+	bct_buf_put(&w->log[at], from->data, from->len_bytes);
+}
+
+static void make_log(world_t *w, uint64_t seed)
+{
+	bct_config_result_t res;
+
+	memset(w, 0, sizeof(*w));
+	bct_rng_seed(&w->rng, seed);
+	bct_config_init(&w->full);
+	keep_base(w);
+	for (int i = 0; i < RECORDS; i++) {
+		uint64_t before = w->full.revision;
+		int rc;
+
+		/* At times an earlier record turns up once more. */
+		if (i > 0 && bct_rng_below(&w->rng, 8) == 0)
+			repeat_record(w, (uint32_t)i);
+		else
+			make_record(w, &w->log[i]);
+		rc = bct_config_replay(&w->full, w->log[i].data, (uint32_t)w->log[i].len_bytes,
+				       &res);
+		cr_assert(rc == 0 || rc == -BCT_ECODEC, "seed %lu: %s", seed, bct_err_name(rc));
+		cr_assert(w->full.revision == before || w->full.revision == before + 1);
+		keep_base(w);
+	}
+}
+
+static void free_log(world_t *w)
+{
+	for (int i = 0; i < RECORDS; i++)
+		bct_buf_free(&w->log[i]);
+	for (int i = 0; i <= RECORDS; i++)
+		bct_config_free(&w->bases[i]);
+	bct_config_free(&w->full);
+}
+
+static void check_equal(const bct_config_state_t *a, const bct_config_state_t *b, uint64_t seed)
+{
+	cr_assert_eq(a->revision, b->revision, "seed %lu", seed);
+	cr_assert_eq(memcmp(&a->digest, &b->digest, sizeof(a->digest)), 0, "seed %lu", seed);
+	cr_assert_eq(a->n_recent, b->n_recent, "seed %lu", seed);
+	for (uint32_t i = 0; i < a->n_recent; i++) {
+		cr_assert_eq(a->recent[i].id, b->recent[i].id, "seed %lu", seed);
+		cr_assert_eq(a->recent[i].verdict, b->recent[i].verdict, "seed %lu", seed);
+	}
+}
+
+/* A replica that starts when the log has expired below an offset. returns whether it could. */
+static bool check_late_replica(const world_t *w, uint64_t oldest, uint64_t seed)
+{
+	bct_config_boot_t boot;
+	bct_config_state_t s;
+	bct_config_result_t res;
+	int rc;
+
+	bct_config_boot_init(&boot, oldest);
+	for (uint64_t i = oldest; i < RECORDS; i++)
+		bct_config_boot_record(&boot, w->log[i].data, (uint32_t)w->log[i].len_bytes);
+	rc = bct_config_boot_finish(&boot, &s);
+	bct_config_boot_free(&boot);
+	if (rc) {
+		cr_assert_eq(rc, -BCT_EEXPIRED, "seed %lu", seed);
+		return false;
+	}
+	cr_assert_geq(s.next, oldest);
+	while (s.next < RECORDS) {
+		const bct_buf_t *r = &w->log[s.next];
+
+		rc = bct_config_replay(&s, r->data, (uint32_t)r->len_bytes, &res);
+		cr_assert_neq(rc, -BCT_EDIVERGED, "seed %lu", seed);
+	}
+	check_equal(&s, &w->full, seed);
+	bct_config_free(&s);
+	return true;
+}
+
+Test(config, seeded_logs_replay_as_the_naive_reader_says_from_every_start)
+{
+	static world_t w;
+	uint32_t started = 0, stuck = 0;
+
+	fprintf(stderr, "test_config: seeds 1 to %d, %d records each\n", SEEDS, RECORDS);
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		make_log(&w, seed);
+		cr_assert_eq(w.full.revision, w.naive_revision, "seed %lu", seed);
+		cr_assert_eq(util_context(w.full.conf), w.naive_context, "seed %lu", seed);
+		cr_assert(check_late_replica(&w, 0, seed));
+		for (int i = 0; i < 4; i++) {
+			if (check_late_replica(&w, bct_rng_below(&w.rng, RECORDS), seed))
+				started++;
+			else
+				stuck++;
+		}
+		free_log(&w);
+	}
+	cr_assert_gt(started, stuck);
+}
--- /dev/null
+++ b/tests/test_publish.c
@@ -0,0 +1,298 @@
+/*
+ * test_publish.c - operators who race on a platform that fails at seeded steps. What each was told
+ * is compared with what the whole log says in the end, and every replica with every other.
+ */
+#include "base/err.h"
+#include "base/mem.h"
+#include "base/rng.h"
+#include "coord/config_publish.h"
+#include "coord/config_store.h"
+#include "coord/platform_embedded.h"
+#include "tests/util_config.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SEEDS 150
+#define ROUNDS 6
+#define LATE_MAX 8
+#define PUBLISH_MS 12
+#define RETRY_MS 2
+#define CONTEXT_MAX 100000
+
+/*
+ * An embedded platform behind seeded faults. An append may be kept back and take effect later, also
+ * after its caller has given up; between any two calls of one operator another one may get in.
+ */
+typedef struct chaos {
+	bct_platform_t base;
+	bct_platform_t *log;
+	bct_rng_t rng;
+	uint32_t fault_in; /* one call in so many fails in some way; 0: none does */
+	bct_buf_t late[LATE_MAX];
+	uint32_t n_late;
+	uint64_t rival_id;
+	bool in_rival;
+} chaos_t;
+
+static bool chance(chaos_t *c, uint32_t in)
+{
+	return in && bct_rng_below(&c->rng, in) == 0;
+}
+
+static void release_late(chaos_t *c)
+{
+	uint64_t offset;
+
+	if (c->n_late == 0)
+		return;
+	c->n_late--;
+	bct_platform_append(c->log, BCT_STREAM_CONFIG, c->late[c->n_late].data,
+			    (uint32_t)c->late[c->n_late].len_bytes, 0, &offset);
+	bct_buf_free(&c->late[c->n_late]);
+}
+
+/* Another operator reads the log and appends its change at once; at times it writes a snapshot. */
+static void rival(chaos_t *c)
+{
+	bct_config_state_t s;
+	uint32_t context = 1 + bct_rng_below(&c->rng, CONTEXT_MAX);
+	uint64_t offset;
+	bct_buf_t rec;
+
+	c->in_rival = true;
+	cr_assert_eq(bct_config_read_log(c->log, 0, NULL, NULL, &s), 0);
+	bct_buf_init(&rec, 0);
+	if (chance(c, 3))
+		bct_config_snapshot_encode(&s, "vm", 1, &rec);
+	else if (util_context(s.conf) != context)
+		util_change(&s, context, c->rival_id++, &rec);
+	if (rec.data)
+		bct_platform_append(c->log, BCT_STREAM_CONFIG, rec.data, (uint32_t)rec.len_bytes, 0,
+				    &offset);
+	bct_buf_free(&rec);
+	bct_config_free(&s);
+	c->in_rival = false;
+}
+
+static void between_calls(chaos_t *c)
+{
+	if (chance(c, c->fault_in))
+		release_late(c);
+	if (chance(c, c->fault_in * 2))
+		rival(c);
+}
+
+static int keep_back(chaos_t *c, const void *data, uint32_t len_bytes)
+{
+	if (c->n_late < LATE_MAX) {
+		bct_buf_init(&c->late[c->n_late], 0);
+		bct_buf_put(&c->late[c->n_late++], data, len_bytes);
+	}
+	return -BCT_EUNKNOWN_OUTCOME;
+}
+
+static int chaos_append(bct_platform_t *base, const char *stream, const void *data,
+			uint32_t len_bytes, uint32_t timeout_ms, uint64_t *offset)
+{
+	chaos_t *c = (chaos_t *)base;
+	int rc;
+
+	between_calls(c);
+	if (chance(c, c->fault_in))
+		return -BCT_EUNAVAILABLE;
+	if (chance(c, c->fault_in))
+		return -BCT_EUNKNOWN_OUTCOME;
+	if (chance(c, c->fault_in))
+		return keep_back(c, data, len_bytes);
+	rc = bct_platform_append(c->log, stream, data, len_bytes, timeout_ms, offset);
+	if (chance(c, c->fault_in))
+		bct_platform_append(c->log, stream, data, len_bytes, timeout_ms, offset);
+	return chance(c, c->fault_in) ? -BCT_EUNKNOWN_OUTCOME : rc;
+}
+
+static int chaos_read(bct_platform_t *base, const char *stream, uint64_t from, uint32_t max_bytes,
+		      uint32_t wait_ms, uint32_t timeout_ms, bct_records_t *out)
+{
+	chaos_t *c = (chaos_t *)base;
+
+	(void)wait_ms;
+	memset(out, 0, sizeof(*out));
+	between_calls(c);
+	if (chance(c, c->fault_in))
+		return -BCT_EUNAVAILABLE;
+	/* A lagging answer shows fewer records than there are. */
+	bct_platform_embedded_set_fault(
+		c->log, &(bct_embedded_fault_t){ .hidden_records = chance(c, c->fault_in) });
+	/* One record an answer now and then, so that every batch size occurs. */
+	if (chance(c, 2))
+		max_bytes = 1;
+	return bct_platform_read(c->log, stream, from, max_bytes, 0, timeout_ms, out);
+}
+
+static const bct_platform_ops_t chaos_ops = { .append = chaos_append, .read = chaos_read };
+
+static void chaos_start(chaos_t *c, uint64_t seed, uint32_t fault_in)
+{
+	memset(c, 0, sizeof(*c));
+	c->base.ops = &chaos_ops;
+	bct_platform_embedded_new(NULL, &c->log);
+	bct_rng_seed(&c->rng, seed);
+	c->fault_in = fault_in;
+	c->rival_id = 1;
+}
+
+/* What was told to one operator. */
+typedef struct told {
+	bct_publish_outcome_t outcome;
+	uint64_t id;
+	uint64_t revision;
+	uint32_t context;
+} told_t;
+
+static void publish(chaos_t *c, told_t *t)
+{
+	const bct_publish_opts_t opts = { .platform = &c->base,
+					  .author = "tester",
+					  .timeout_ms = PUBLISH_MS,
+					  .call_timeout_ms = 1,
+					  .retry_ms = RETRY_MS };
+	json_t *doc;
+	bct_publish_result_t res;
+
+	t->context = CONTEXT_MAX + 1 + bct_rng_below(&c->rng, CONTEXT_MAX);
+	doc = util_doc(t->context);
+	bct_config_publish(&opts, doc, &res);
+	t->outcome = res.outcome;
+	t->id = res.id;
+	t->revision = res.revision;
+	bct_publish_result_free(&res);
+	json_decref(doc);
+}
+
+/* The truth of one id, collected while the whole log is replayed. */
+typedef struct truth {
+	const bct_config_state_t *state;
+	const told_t *told;
+	bool present;
+	bool accepted;
+	uint64_t revision;
+	uint32_t context;
+} truth_t;
+
+static void collect(void *ctx, const bct_record_t *rec, const bct_config_result_t *res, int rc)
+{
+	truth_t *t = ctx;
+
+	(void)rec;
+	if (rc || res->type != BCT_XCONFIG_CHANGE || res->id != t->told->id)
+		return;
+	t->present = true;
+	if (res->verdict != BCT_VERDICT_ACCEPTED || t->accepted)
+		return;
+	t->accepted = true;
+	t->revision = res->revision;
+	t->context = util_context(t->state->conf);
+}
+
+static void check_told(chaos_t *c, const told_t *t, uint64_t seed)
+{
+	bct_config_state_t s;
+	truth_t truth = { .state = &s, .told = t };
+
+	bct_config_init(&s);
+	while (bct_config_read_on(c->log, &s, 0, 0, collect, &truth) > 0)
+		;
+	switch (t->outcome) {
+	case BCT_PUBLISH_ACCEPTED:
+		cr_assert(truth.accepted, "seed %lu: told accepted", seed);
+		cr_assert_eq(truth.revision, t->revision, "seed %lu", seed);
+		cr_assert_eq(truth.context, t->context, "seed %lu", seed);
+		break;
+	case BCT_PUBLISH_REJECTED:
+		cr_assert_not(truth.accepted, "seed %lu: told rejected", seed);
+		break;
+	case BCT_PUBLISH_NOT_SENT:
+	case BCT_PUBLISH_UNCHANGED:
+		cr_assert_not(truth.present, "seed %lu: told not sent", seed);
+		break;
+	case BCT_PUBLISH_UNKNOWN:
+		break;
+	}
+	bct_config_free(&s);
+}
+
+/* A store that followed all along, under the same faults, ends where a fresh reader ends. */
+static void check_store(chaos_t *c, bct_config_store_t *store, uint64_t seed)
+{
+	bct_config_state_t s;
+	bct_digest_t digest;
+
+	for (int i = 0; i < 200; i++)
+		bct_config_store_step(store, 0);
+	cr_assert_eq(bct_config_read_log(c->log, 0, NULL, NULL, &s), 0);
+	cr_assert_eq(bct_config_store_revision(store, &digest), s.revision, "seed %lu", seed);
+	cr_assert_eq(memcmp(&digest, &s.digest, sizeof(digest)), 0, "seed %lu", seed);
+	bct_config_free(&s);
+}
+
+static void never_back(void *ctx, bct_conf_t *conf)
+{
+	uint64_t *seen = ctx;
+
+	cr_assert_gt(conf->revision + 1, *seen);
+	*seen = conf->revision;
+}
+
+static void run_seed(uint64_t seed, uint32_t fault_in, uint32_t *outcomes)
+{
+	bct_config_store_t *store;
+	told_t told[ROUNDS];
+	uint64_t seen = 0;
+	chaos_t c;
+
+	chaos_start(&c, seed, fault_in);
+	bct_config_store_new(&(bct_config_store_opts_t){ .platform = &c.base,
+							 .vm_name = "vm",
+							 .snapshot_records = 4,
+							 .adopted = never_back,
+							 .ctx = &seen },
+			     &store);
+	for (int i = 0; i < ROUNDS; i++) {
+		publish(&c, &told[i]);
+		outcomes[told[i].outcome]++;
+		bct_config_store_step(store, 0);
+	}
+	c.fault_in = 0;
+	while (c.n_late > 0)
+		release_late(&c);
+	bct_platform_embedded_set_fault(c.log, &(bct_embedded_fault_t){ 0 });
+	for (int i = 0; i < ROUNDS; i++)
+		check_told(&c, &told[i], seed);
+	check_store(&c, store, seed);
+	bct_config_store_free(store);
+	bct_platform_free(c.log);
+}
+
+Test(publish, nobody_is_told_wrongly_whatever_fails)
+{
+	uint32_t outcomes[BCT_PUBLISH_UNKNOWN + 1] = { 0 };
+
+	fprintf(stderr, "test_publish: seeds 1 to %d, %d publishes each\n", SEEDS, ROUNDS);
+	for (uint64_t seed = 1; seed <= SEEDS; seed++)
+		run_seed(seed, 2 + (uint32_t)(seed % 5), outcomes);
+	fprintf(stderr, "test_publish: accepted %u, rejected %u, not sent %u, unknown %u\n",
+		outcomes[BCT_PUBLISH_ACCEPTED], outcomes[BCT_PUBLISH_REJECTED],
+		outcomes[BCT_PUBLISH_NOT_SENT], outcomes[BCT_PUBLISH_UNKNOWN]);
+	cr_assert_gt(outcomes[BCT_PUBLISH_ACCEPTED], 10);
+	cr_assert_gt(outcomes[BCT_PUBLISH_REJECTED], 10);
+}
+
+Test(publish, without_faults_everything_is_accepted)
+{
+	uint32_t outcomes[BCT_PUBLISH_UNKNOWN + 1] = { 0 };
+
+	run_seed(1, 0, outcomes);
+	cr_assert_eq(outcomes[BCT_PUBLISH_ACCEPTED], ROUNDS);
+}
