--- a/coord/config_store.c
+++ b/coord/config_store.c
@@ -44,7 +44,7 @@
 	pthread_mutex_t adopt_lock; /* held over a change of what is in force and its callback */
 	pthread_mutex_t lock;	    /* guards all below; never held over a callback or I/O */
 	bct_conf_t *conf;
-	json_t *doc;
+	bct_buf_t text; /* canonical; jansson's values are not shared between threads */
 	uint32_t rank;
 	bct_config_status_t status; /* its log and stale_ms members are filled in on demand */
 };
@@ -56,19 +56,22 @@
 	return names[s];
 }
 
-/* Puts a revision in force; the caller holds adopt_lock and knows that it may be. */
-static void put_in_force(bct_config_store_t *s, bct_conf_t *conf, json_t *doc,
+/*
+ * Puts a revision in force and takes over its canonical text; the caller holds adopt_lock and knows
+ * that it may be.
+ */
+static void put_in_force(bct_config_store_t *s, bct_conf_t *conf, bct_buf_t *text,
 			 bct_config_source_t source)
 {
 	bct_conf_t *old_conf;
-	json_t *old_doc;
+	bct_buf_t old_text;
 	char hex[BCT_DIGEST_HEX_BYTES];
 
 	pthread_mutex_lock(&s->lock);
 	old_conf = s->conf;
-	old_doc = s->doc;
+	old_text = s->text;
 	s->conf = bct_conf_ref(conf);
-	s->doc = json_incref(doc);
+	s->text = *text;
 	s->status.revision = conf->revision;
 	s->status.digest = conf->digest;
 	s->status.source = source;
@@ -76,7 +79,8 @@
 	s->status.adopted_wall = bct_clock_wall();
 	pthread_mutex_unlock(&s->lock);
 	bct_conf_unref(old_conf);
-	json_decref(old_doc);
+	bct_buf_free(&old_text);
+	bct_buf_init(text, 0);
 	bct_digest_hex(&conf->digest, hex);
 	BCT_LOG(s->opts.log, BCT_EV_CONFIG_ADOPTED, BCT_U64("revision", conf->revision),
 		BCT_STR("digest", hex), BCT_STR("source", bct_config_source_wire(source)));
@@ -97,8 +101,10 @@
 static void adopt_from_log(bct_config_store_t *s)
 {
 	const bct_config_state_t *st = &s->side.state;
+	bct_buf_t text;
 	bool same;
 
+	bct_buf_init(&text, 0);
 	pthread_mutex_lock(&s->adopt_lock);
 	pthread_mutex_lock(&s->lock);
 	s->status.log_known = true;
@@ -109,12 +115,15 @@
 	if (same)
 		s->status.source = BCT_CONFIG_SOURCE_LOG;
 	pthread_mutex_unlock(&s->lock);
-	if (!same && (!s->conf || s->conf->revision <= st->revision)) {
+	/* Without memory it is tried again after the next read. */
+	if (!same && (!s->conf || s->conf->revision <= st->revision) &&
+	    !bct_conf_canonical(st->doc, &text)) {
 		if (s->conf && s->conf->revision == st->revision)
 			note_diverged(s, "a peer's document of this revision", st->revision);
-		put_in_force(s, st->conf, st->doc, BCT_CONFIG_SOURCE_LOG);
+		put_in_force(s, st->conf, &text, BCT_CONFIG_SOURCE_LOG);
 	}
 	pthread_mutex_unlock(&s->adopt_lock);
+	bct_buf_free(&text);
 }
 
 static void note_snapshot(log_side_t *side, uint64_t offset, bct_time_t wall_ms,
@@ -339,7 +348,7 @@
 	if (s->side.has_state)
 		bct_config_free(&s->side.state);
 	bct_conf_unref(s->conf);
-	json_decref(s->doc);
+	bct_buf_free(&s->text);
 	pthread_mutex_destroy(&s->lock);
 	pthread_mutex_destroy(&s->adopt_lock);
 	bct_free(s);
@@ -377,14 +386,16 @@
 }
 
 /* Builds what a peer offers. returns 0, -BCT_ECODEC or -BCT_ENOMEM. */
-static int parse_offer(const bct_config_export_t *e, json_t **doc, bct_conf_t **conf)
+static int parse_offer(const bct_config_export_t *e, bct_conf_t **conf, bct_buf_t *text)
 {
 	bct_json_err_t err;
-	int rc;
+	json_t *doc = bct_json_parse(e->text.data ? e->text.data : "", e->text.len_bytes,
+				     BCT_CONF_MAX_BYTES, &err);
+	int rc = doc ? bct_conf_from_json(doc, e->revision, &err, conf) : err.err;
 
-	*doc = bct_json_parse(e->text.data ? e->text.data : "", e->text.len_bytes,
-			      BCT_CONF_MAX_BYTES, &err);
-	rc = *doc ? bct_conf_from_json(*doc, e->revision, &err, conf) : err.err;
+	if (!rc)
+		rc = bct_conf_canonical(doc, text);
+	json_decref(doc);
 	if (!rc && !memcmp(&(*conf)->digest, &e->digest, sizeof(e->digest)))
 		return 0;
 	return rc == -BCT_ENOMEM ? rc : -BCT_ECODEC;
@@ -393,11 +404,13 @@
 int bct_config_store_offer(bct_config_store_t *s, const bct_config_export_t *from_peer)
 {
 	bct_conf_t *conf = NULL;
-	json_t *doc = NULL;
 	bct_digest_t ours;
 	uint64_t revision;
-	int rc = parse_offer(from_peer, &doc, &conf);
+	bct_buf_t text;
+	int rc;
 
+	bct_buf_init(&text, 0);
+	rc = parse_offer(from_peer, &conf, &text);
 	if (rc)
 		goto out;
 	pthread_mutex_lock(&s->adopt_lock);
@@ -408,34 +421,28 @@
 		rc = -BCT_ESTALE;
 	if (!rc) {
 		BCT_LOG(s->opts.log, BCT_EV_CONFIG_FROM_PEER, BCT_U64("revision", conf->revision));
-		put_in_force(s, conf, doc, BCT_CONFIG_SOURCE_PEER);
+		put_in_force(s, conf, &text, BCT_CONFIG_SOURCE_PEER);
 	} else if (rc == -BCT_EDIVERGED) {
 		note_diverged(s, "a peer's document of this revision", revision);
 	}
 	pthread_mutex_unlock(&s->adopt_lock);
 out:
-	json_decref(doc);
+	bct_buf_free(&text);
 	bct_conf_unref(conf);
 	return rc;
 }
 
 int bct_config_store_export(bct_config_store_t *s, bct_config_export_t *out)
 {
-	json_t *doc;
-	int rc;
+	int rc = -BCT_ENOT_FOUND;
 
+	bct_buf_init(&out->text, 0);
 	pthread_mutex_lock(&s->lock);
-	doc = json_incref(s->doc);
 	out->revision = s->status.revision;
 	out->digest = s->status.digest;
+	if (s->conf)
+		rc = bct_buf_put(&out->text, s->text.data, s->text.len_bytes);
 	pthread_mutex_unlock(&s->lock);
-	bct_buf_init(&out->text, 0);
-	if (!doc)
-		return -BCT_ENOT_FOUND;
-	rc = bct_conf_canonical(doc, &out->text);
-	json_decref(doc);
-	if (rc)
-		bct_buf_free(&out->text);
 	return rc;
 }
 
