--- a/coord/key_claims.c
+++ b/coord/key_claims.c
@@ -100,11 +100,11 @@
 
 	if (!c)
 		return;
-	bct_list_for_each_safe (el, tmp, &c->outbox)
+	bct_list_for_each_safe(el, tmp, &c->outbox)
 		drop_entry(bct_container_of(el, out_entry_t, link));
-	bct_list_for_each_safe (el, tmp, &c->claims)
+	bct_list_for_each_safe(el, tmp, &c->claims)
 		drop_claim(c, bct_container_of(el, claim_t, link));
-	bct_list_for_each_safe (el, tmp, &c->results)
+	bct_list_for_each_safe(el, tmp, &c->results)
 		bct_free(bct_container_of(el, result_node_t, link));
 	bct_key_table_free(c->table);
 	bct_free(c);
@@ -119,7 +119,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &c->claims) {
+	bct_list_for_each(el, &c->claims) {
 		claim_t *cl = bct_container_of(el, claim_t, link);
 
 		if (cl->intent == intent)
@@ -132,7 +132,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &c->outbox) {
+	bct_list_for_each(el, &c->outbox) {
 		out_entry_t *e = bct_container_of(el, out_entry_t, link);
 
 		if (e->x.intent == intent && e->x.body.type == type)
@@ -247,7 +247,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &c->claims) {
+	bct_list_for_each(el, &c->claims) {
 		const claim_t *cl = bct_container_of(el, claim_t, link);
 
 		if (!memcmp(cl->id.hash, id->hash, sizeof(id->hash)))
@@ -353,8 +353,17 @@
 		drop_claim(c, cl);
 }
 
-int bct_key_claims_resolve(bct_key_claims_t *c, const bct_key_id_t *id, bool ran, bool force,
-			   const char *author)
+/*
+ * Whether the owner can surely not dispatch any more: its incarnation is gone, and its deadline has
+ * passed, which it counts from before the record that this node read.
+ */
+static bool owner_is_past(const bct_key_claims_t *c, const bct_key_entry_t *k, bct_time_t now)
+{
+	return is_gone(c, k->incarnation) && now - k->read_at > 2 * (bct_time_t)c->opts.claim_ms;
+}
+
+int bct_key_claims_resolve(bct_key_claims_t *c, bct_time_t now, const bct_key_id_t *id, bool ran,
+			   bool force, const char *author)
 {
 	const bct_key_entry_t *k = bct_key_table_find(c->table, id);
 	bct_xkey_resolve *r;
@@ -362,7 +371,7 @@
 
 	if (!k || k->state != BCT_KEY_OWNED)
 		return -BCT_ENOT_FOUND;
-	if (!force && !is_gone(c, k->incarnation))
+	if (!force && !ran && !owner_is_past(c, k, now))
 		return -BCT_ESTATE;
 	e = add_entry(c, id, k->intent, BCT_XKEY_RESOLVE, 0);
 	if (!e)
@@ -388,7 +397,7 @@
 	uint32_t n = 0, bytes = 0;
 	bct_list_t *el;
 
-	bct_list_for_each (el, &c->outbox) {
+	bct_list_for_each(el, &c->outbox) {
 		out_entry_t *e = bct_container_of(el, out_entry_t, link);
 
 		if (e->state == ENTRY_KEPT && now < e->retry_at)
@@ -468,7 +477,7 @@
 {
 	bct_list_t *el, *tmp;
 
-	bct_list_for_each_safe (el, tmp, &c->outbox) {
+	bct_list_for_each_safe(el, tmp, &c->outbox) {
 		out_entry_t *e = bct_container_of(el, out_entry_t, link);
 
 		if (e->state != ENTRY_SENT)
@@ -559,7 +568,7 @@
 	for (uint32_t i = 0; i < b.entries.entries_len && !rc; i++) {
 		const bct_xkey_entry *x = &b.entries.entries_val[i];
 
-		rc = bct_key_table_apply(c->table, offset, i, x);
+		rc = bct_key_table_apply(c->table, now, offset, i, x);
 		if (!rc)
 			follow_own(c, now, x);
 	}
@@ -571,7 +580,7 @@
 {
 	bct_list_t *el, *tmp;
 
-	bct_list_for_each_safe (el, tmp, &c->claims) {
+	bct_list_for_each_safe(el, tmp, &c->claims) {
 		claim_t *cl = bct_container_of(el, claim_t, link);
 
 		if (cl->state != CLAIM_WAITING || now - cl->started <= (bct_time_t)c->opts.claim_ms)
--- a/coord/key_claims.h
+++ b/coord/key_claims.h
@@ -94,11 +94,11 @@
  * bct_key_claims_resolve(3): an operator's word.
  *
  * force    also while the owner may still be alive
- * returns  0 (a record goes out), -BCT_ENOT_FOUND (not in doubt), -BCT_ESTATE (the owner may be
- *          alive or merely paused: not without force), -BCT_ENOMEM
+ * returns  0 (a record goes out), -BCT_ENOT_FOUND (not in doubt), -BCT_ESTATE (it is to be freed
+ *          and the owner may be alive or merely paused: not without force), -BCT_ENOMEM
  */
-int bct_key_claims_resolve(bct_key_claims_t *c, const bct_key_id_t *id, bool ran, bool force,
-			   const char *author);
+int bct_key_claims_resolve(bct_key_claims_t *c, bct_time_t now, const bct_key_id_t *id, bool ran,
+			   bool force, const char *author);
 
 /*
  * bct_key_claims_batch(3): take the entries to append next.
--- a/coord/key_table.c
+++ b/coord/key_table.c
@@ -192,7 +192,7 @@
 	t->n_keys--;
 }
 
-static int apply_intent(bct_key_table_t *t, uint64_t offset, const bct_key_id_t *id,
+static int apply_intent(bct_key_table_t *t, bct_time_t now, uint64_t offset, const bct_key_id_t *id,
 			const bct_xkey_entry *x)
 {
 	const bct_xkey_intent *in = &x->body.bct_xkey_body_u.intent;
@@ -213,6 +213,7 @@
 	e->intent = x->intent;
 	e->incarnation = in->incarnation;
 	e->wall_ms = in->wall_ms;
+	e->read_at = now;
 	slot = key_slot(t, id);
 	e->next = t->buckets[slot];
 	t->buckets[slot] = e;
@@ -262,7 +263,7 @@
 	return 0;
 }
 
-int bct_key_table_apply(bct_key_table_t *t, uint64_t offset, uint32_t index,
+int bct_key_table_apply(bct_key_table_t *t, bct_time_t now, uint64_t offset, uint32_t index,
 			const bct_xkey_entry *e)
 {
 	bct_key_id_t id;
@@ -270,7 +271,7 @@
 	memcpy(id.hash, e->hash, sizeof(id.hash));
 	switch (e->body.type) {
 	case BCT_XKEY_INTENT:
-		return apply_intent(t, offset, &id, e);
+		return apply_intent(t, now, offset, &id, e);
 	case BCT_XKEY_OUTCOME:
 		apply_outcome(t, offset, index, &id, e);
 		return 0;
--- a/coord/key_table.h
+++ b/coord/key_table.h
@@ -37,6 +37,8 @@
 	uint64_t intent;
 	uint64_t incarnation;
 	bct_time_t wall_ms; /* of the intent */
+	bct_time_t
+		read_at; /* when this node read the intent; its own clock, differs between nodes */
 } bct_key_entry_t;
 
 typedef struct bct_key_table bct_key_table_t;
@@ -50,10 +52,11 @@
 /*
  * bct_key_table_apply(3): replay one entry of a record.
  *
+ * now            this node's clock, for read_at alone
  * offset, index  where it stands
  * returns        0 or -BCT_ENOMEM, and then nothing changed: apply it again before any later one
  */
-int bct_key_table_apply(bct_key_table_t *t, uint64_t offset, uint32_t index,
+int bct_key_table_apply(bct_key_table_t *t, bct_time_t now, uint64_t offset, uint32_t index,
 			const bct_xkey_entry *e);
 
 /* bct_key_table_find(3): NULL when the key is free. */
--- a/coord/keys.c
+++ b/coord/keys.c
@@ -82,7 +82,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &s->cookies) {
+	bct_list_for_each(el, &s->cookies) {
 		cookie_t *c = bct_container_of(el, cookie_t, link);
 
 		if (c->intent != intent)
@@ -348,7 +348,7 @@
 		pthread_join(s->reader, NULL);
 	if (s->appender_started)
 		pthread_join(s->appender, NULL);
-	bct_list_for_each_safe (el, tmp, &s->cookies)
+	bct_list_for_each_safe(el, tmp, &s->cookies)
 		bct_free(bct_container_of(el, cookie_t, link));
 	bct_key_claims_free(s->claims);
 	pthread_cond_destroy(&s->wake);
@@ -484,8 +484,9 @@
 	int rc;
 
 	pthread_mutex_lock(&s->lock);
-	rc = s->caught_up ? bct_key_claims_resolve(s->claims, &id, ran, force, author)
-			  : -BCT_ESTATE;
+	rc = s->caught_up
+		     ? bct_key_claims_resolve(s->claims, bct_clock_now(), &id, ran, force, author)
+		     : -BCT_ESTATE;
 	pthread_cond_broadcast(&s->wake);
 	pthread_mutex_unlock(&s->lock);
 	return rc;
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -33,6 +33,10 @@
 	uint32_t platform_poll_ms;
 	char platform_config_file[256];
 	uint32_t platform_key_streams;
+	uint32_t keys_commit_ms;
+	uint32_t keys_claim_ms;
+	uint32_t keys_run_ms;
+	uint32_t keys_window_s;
 	uint32_t upstream_threads;
 	uint32_t upstream_report_ms;
 	uint32_t upstream_max_answer_bytes;
@@ -42,6 +46,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 31
+#define BCT_SETTINGS_COUNT 35
 
 #endif
--- a/node/attempt.h
+++ b/node/attempt.h
@@ -46,6 +46,7 @@
 	char kv_from[BCT_ADDR_BYTES + 8]; /* empty: none */
 	uint8_t priority;
 	uint32_t resume_from;
+	bct_time_t send_before; /* no byte goes out after this time */
 	bct_timeouts_conf_t timeouts;
 	char id_hex[17];
 	char req_id_hex[17];
@@ -63,7 +64,8 @@
 	bool malformed; /* the answer could not be understood */
 	bool id_seen;	/* the answer's header named this attempt */
 	bool deadline_hit;
-	int status; /* HTTP status; 0 until the headers came */
+	bool withheld; /* it was too late, or the request had moved on: nothing was sent */
+	int status;    /* HTTP status; 0 until the headers came */
 	uint32_t retry_after_ms;
 	uint32_t tokens;
 	bct_buf_t answer; /* of a service, or an error body */
--- a/node/core.c
+++ b/node/core.c
@@ -16,6 +16,8 @@
 #define ACTIONS_AT_ONCE 32
 #define TIMER_MAX_MS 100
 #define TIMER_MIN_MS 1
+#define RESEND_MS 1000 /* a repeated attempt of a won intent is out by then or not at all */
+#define CLAIM_RETRY_MS 1000
 
 struct bct_core {
 	const bct_settings_t *settings;
@@ -49,7 +51,7 @@
 	bct_list_t *head = bucket(c, req_id);
 	bct_list_t *el;
 
-	bct_list_for_each (el, head) {
+	bct_list_for_each(el, head) {
 		bct_request_t *r = bct_container_of(el, bct_request_t, link);
 
 		if (r->id == req_id)
@@ -86,10 +88,28 @@
 	bct_request_unref(r);
 }
 
+/* What becomes of the key of a request that ended without an answer. */
+static void give_up_key(bct_core_t *c, bct_request_t *r)
+{
+	if (!r->intent)
+		return;
+	if (r->run == BCT_RUN_NOT_RUN) {
+		c->claims.withdraw(c->claims.ctx, r);
+		BCT_LOG(c->log, BCT_EV_KEY_WITHDRAWN, BCT_HEX("request", r->id),
+			BCT_HEX("intent", r->intent));
+	} else {
+		c->claims.abandon(c->claims.ctx, r);
+		BCT_LOG(c->log, BCT_EV_KEY_IN_DOUBT, BCT_HEX("request", r->id),
+			BCT_HEX("intent", r->intent));
+	}
+	r->intent = 0;
+}
+
 static void refuse(bct_core_t *c, bct_request_t *r, bct_refuse_t why, bct_run_t run,
 		   uint32_t retry_after_ms)
 {
 	bct_request_end(r, bct_request_ended_by(why), why, run, retry_after_ms);
+	give_up_key(c, r);
 	retire(c, r);
 }
 
@@ -108,7 +128,8 @@
 }
 
 /* Starts the attempt that the scheduler chose. */
-static void send_attempt(bct_core_t *c, bct_request_t *r, const bct_action_t *act)
+static void send_attempt(bct_core_t *c, bct_request_t *r, const bct_action_t *act,
+			 bct_time_t send_before)
 {
 	const bct_upstream_conf_t *u = upstream_of(c, r, act->upstream_key);
 	bct_attempt_opts_t opts = {
@@ -119,6 +140,7 @@
 			act->kv_source_key ? bct_conf_upstream(c->conf, act->kv_source_key) : NULL,
 		.timeouts = &c->conf->timeouts,
 		.priority = act->priority,
+		.send_before = send_before,
 	};
 	bct_attempt_t *a = NULL;
 	int rc = u ? 0 : -BCT_ENOT_FOUND;
@@ -142,17 +164,37 @@
 	return c->claims.claim && !r->desc.repeatable && r->idempotency_key;
 }
 
-static void dispatch(bct_core_t *c, bct_request_t *r, const bct_action_t *act)
+/* The intent was won for an earlier attempt, which the upstream surely did not run. */
+static void send_again(bct_core_t *c, bct_request_t *r, const bct_action_t *act)
 {
-	if (!needs_claim(c, r)) {
-		send_attempt(c, r, act);
+	if (c->claims.may_send(c->claims.ctx, r)) {
+		send_attempt(c, r, act, bct_clock_now() + RESEND_MS);
 		return;
 	}
+	feed_end(c, act->attempt_id, BCT_OUTCOME_NOT_SENT);
+	refuse(c, r, BCT_REFUSE_LOG_DOWN, BCT_RUN_NOT_RUN, CLAIM_RETRY_MS);
+}
+
+static void ask_claim(bct_core_t *c, bct_request_t *r, const bct_action_t *act)
+{
 	pthread_mutex_lock(&r->lock);
 	r->state = BCT_STATE_INTENT;
 	r->claimed_action = *act;
 	pthread_mutex_unlock(&r->lock);
-	c->claims.claim(c->claims.ctx, r, act->attempt_id);
+	if (!c->claims.claim(c->claims.ctx, r))
+		return;
+	feed_end(c, act->attempt_id, BCT_OUTCOME_NOT_SENT);
+	refuse(c, r, BCT_REFUSE_INTERNAL, BCT_RUN_NOT_RUN, 0);
+}
+
+static void dispatch(bct_core_t *c, bct_request_t *r, const bct_action_t *act)
+{
+	if (!needs_claim(c, r))
+		send_attempt(c, r, act, BCT_TIME_NEVER);
+	else if (r->intent_won)
+		send_again(c, r, act);
+	else
+		ask_claim(c, r, act);
 }
 
 static void cancel_attempt(bct_core_t *c, bct_request_t *r, uint64_t attempt_id)
@@ -241,19 +283,39 @@
 }
 
 /* Whether the attempt still counted for its request; from now on none does. */
-static bool detach(bct_attempt_t *a)
+static bool detach(bct_attempt_t *a, const bct_attempt_end_t *end)
 {
 	bct_request_t *r = a->req;
 	bool current;
 
 	pthread_mutex_lock(&r->lock);
 	current = r->attempt == a;
-	if (current)
+	if (current) {
 		r->attempt = NULL;
+		r->sent_now = false;
+	}
+	r->ran = r->ran || end->may_have_run;
 	pthread_mutex_unlock(&r->lock);
 	return current;
 }
 
+/* The answer is whole. */
+static void complete(bct_core_t *c, bct_request_t *r)
+{
+	if (r->intent)
+		c->claims.finish(c->claims.ctx, r);
+	r->intent = 0;
+	bct_request_end(r, BCT_ENDED_BY_NOBODY, BCT_REFUSE_NONE, BCT_RUN_RAN, 0);
+	retire(c, r);
+}
+
+/* A paused node woke after its deadline, and did not send. */
+static void withhold(bct_core_t *c, bct_request_t *r)
+{
+	BCT_LOG(c->log, BCT_EV_KEY_FENCED, BCT_HEX("request", r->id), BCT_HEX("intent", r->intent));
+	refuse(c, r, BCT_REFUSE_LOG_DOWN, BCT_RUN_NOT_RUN, CLAIM_RETRY_MS);
+}
+
 static void on_end(void *ctx, bct_attempt_t *a, const bct_attempt_end_t *end)
 {
 	bct_core_t *c = ctx;
@@ -262,14 +324,13 @@
 
 	log_failure(c, a, end);
 	pthread_mutex_lock(&c->lock);
-	current = detach(a);
+	current = detach(a, end);
 	bct_sched_attempt_end(c->sched, bct_clock_now(), end);
 	r = find(c, a->req->id);
 	if (r && current && end->outcome == BCT_OUTCOME_OK) {
-		if (needs_claim(c, r))
-			c->claims.outcome(c->claims.ctx, r, a->id, end->outcome);
-		bct_request_end(r, BCT_ENDED_BY_NOBODY, BCT_REFUSE_NONE, BCT_RUN_RAN, 0);
-		retire(c, r);
+		complete(c, r);
+	} else if (r && current && end->outcome == BCT_OUTCOME_NOT_SENT) {
+		withhold(c, r);
 	} else if (end->outcome == BCT_OUTCOME_OK) {
 		bct_counter_inc(&c->stats.late);
 	}
@@ -410,7 +471,7 @@
 	bct_list_t *el, *tmp;
 
 	for (uint32_t i = 0; i < BUCKETS; i++) {
-		bct_list_for_each_safe (el, tmp, &c->buckets[i]) {
+		bct_list_for_each_safe(el, tmp, &c->buckets[i]) {
 			bct_list_del(el);
 			bct_request_unref(bct_container_of(el, bct_request_t, link));
 		}
@@ -505,20 +566,44 @@
 	return rc;
 }
 
+/*
+ * A keyed request that may have been sent goes on without its caller: its outcome is worth more
+ * than the work, since a resend gets it and the key does not stay in doubt.
+ */
+static bool orphan(bct_request_t *r)
+{
+	bool goes_on;
+
+	pthread_mutex_lock(&r->lock);
+	goes_on = r->intent && r->sent_now;
+	if (goes_on) {
+		r->orphaned = true;
+		r->ready = true;
+		bct_request_wake(r);
+	}
+	pthread_mutex_unlock(&r->lock);
+	return goes_on;
+}
+
+static void stop_attempt(bct_request_t *r)
+{
+	pthread_mutex_lock(&r->lock);
+	if (r->attempt)
+		bct_attempt_cancel(r->attempt);
+	pthread_mutex_unlock(&r->lock);
+}
+
 void bct_core_caller_gone(bct_core_t *c, uint64_t req_id)
 {
 	bct_request_t *r;
 
 	pthread_mutex_lock(&c->lock);
 	r = find(c, req_id);
-	if (r) {
+	if (r && !orphan(r)) {
 		bct_sched_cancel(c->sched, bct_clock_now(), req_id);
 		run_actions(c);
-		pthread_mutex_lock(&r->lock);
-		if (r->attempt)
-			bct_attempt_cancel(r->attempt);
-		pthread_mutex_unlock(&r->lock);
-		refuse(c, r, BCT_REFUSE_CALLER_GONE, BCT_RUN_UNKNOWN, 0);
+		stop_attempt(r);
+		refuse(c, r, BCT_REFUSE_CALLER_GONE, BCT_RUN_NOT_RUN, 0);
 	}
 	pthread_mutex_unlock(&c->lock);
 }
@@ -529,47 +614,46 @@
 
 	pthread_mutex_lock(&c->lock);
 	for (uint32_t i = 0; i < BUCKETS; i++) {
-		bct_list_for_each_safe (el, tmp, &c->buckets[i]) {
+		bct_list_for_each_safe(el, tmp, &c->buckets[i]) {
 			bct_request_t *r = bct_container_of(el, bct_request_t, link);
-			bct_run_t run =
-				r->state < BCT_STATE_SENT ? BCT_RUN_NOT_RUN : BCT_RUN_UNKNOWN;
-
 			bct_sched_cancel(c->sched, bct_clock_now(), r->id);
-			refuse(c, r, why, run, 0);
+			refuse(c, r, why, BCT_RUN_NOT_RUN, 0);
 		}
 	}
 	pthread_mutex_unlock(&c->lock);
 }
 
-void bct_core_claimed(bct_core_t *c, uint64_t req_id, uint64_t attempt_id, bct_refuse_t why,
-		      bct_run_t run, uint32_t retry_after_ms)
+bool bct_core_claimed(bct_core_t *c, uint64_t req_id, bct_refuse_t why, bct_run_t run,
+		      uint32_t retry_after_ms, bct_time_t send_before)
 {
 	bct_request_t *r;
-	bool send;
 
 	pthread_mutex_lock(&c->lock);
 	r = find(c, req_id);
-	send = r && why == BCT_REFUSE_NONE && r->claimed_action.attempt_id == attempt_id;
-	if (send) {
-		send_attempt(c, r, &r->claimed_action);
-	} else {
-		feed_end(c, attempt_id, BCT_OUTCOME_NOT_SENT);
-		if (r)
-			refuse(c, r, why, run, retry_after_ms);
+	if (r && why == BCT_REFUSE_NONE) {
+		r->intent_won = true;
+		send_attempt(c, r, &r->claimed_action, send_before);
+	} else if (r) {
+		r->intent = 0;
+		feed_end(c, r->claimed_action.attempt_id, BCT_OUTCOME_NOT_SENT);
+		bct_stats_count_refused(&c->stats, why);
+		refuse(c, r, why, run, retry_after_ms);
 	}
 	run_actions(c);
 	pthread_mutex_unlock(&c->lock);
+	return r != NULL;
 }
 
-void bct_core_replay(bct_core_t *c, uint64_t req_id, uint64_t attempt_id, int status,
-		     const char *content_type, const void *body, uint32_t len_bytes)
+void bct_core_replay(bct_core_t *c, uint64_t req_id, int status, const char *content_type,
+		     const void *body, uint32_t len_bytes)
 {
 	bct_request_t *r;
 
 	pthread_mutex_lock(&c->lock);
-	feed_end(c, attempt_id, BCT_OUTCOME_NOT_SENT);
 	r = find(c, req_id);
 	if (r) {
+		r->intent = 0;
+		feed_end(c, r->claimed_action.attempt_id, BCT_OUTCOME_NOT_SENT);
 		pthread_mutex_lock(&r->lock);
 		r->status = status;
 		snprintf(r->answer_type, sizeof(r->answer_type), "%s", content_type);
--- a/node/core.h
+++ b/node/core.h
@@ -17,12 +17,20 @@
 typedef struct bct_core bct_core_t;
 
 /*
- * Asked before the first byte of a request that may not be repeated. May answer later, from any
- * thread, by bct_core_claimed(). NULL: such requests are sent without asking.
+ * The right to run a keyed request that may not be repeated; node/node_keys.h has it from the log.
+ * Called with the core lock held; must not wait.
  */
 typedef struct bct_claim_ops {
-	void (*claim)(void *ctx, bct_request_t *r, uint64_t attempt_id);
-	void (*outcome)(void *ctx, bct_request_t *r, uint64_t attempt_id, bct_outcome_t outcome);
+	/* Ask; the answer comes by bct_core_claimed() or bct_core_replay(). Sets r->intent. */
+	int (*claim)(void *ctx, bct_request_t *r);
+	/* Whether a won intent still owns its key. */
+	bool (*may_send)(void *ctx, const bct_request_t *r);
+	/* The request was answered: r->status, r->answer_type, r->out. */
+	void (*finish)(void *ctx, const bct_request_t *r);
+	/* The request surely did not run and will not. */
+	void (*withdraw)(void *ctx, const bct_request_t *r);
+	/* The request may have run and its outcome will not be known. */
+	void (*abandon)(void *ctx, const bct_request_t *r);
 	void *ctx;
 } bct_claim_ops_t;
 
@@ -64,15 +72,15 @@
 /*
  * bct_core_claimed(3): the answer to a claim.
  *
- * refuse  NONE: the request may be sent now; otherwise it is answered with this reason, unless
- *         the request was ended meanwhile (a replayed answer)
+ * refuse       NONE: the request may be sent, until send_before; otherwise it is answered so
+ * returns      false if the request has ended meanwhile: a won intent must be withdrawn
  */
-void bct_core_claimed(bct_core_t *c, uint64_t req_id, uint64_t attempt_id, bct_refuse_t refuse,
-		      bct_run_t run, uint32_t retry_after_ms);
+bool bct_core_claimed(bct_core_t *c, uint64_t req_id, bct_refuse_t refuse, bct_run_t run,
+		      uint32_t retry_after_ms, bct_time_t send_before);
 
 /* bct_core_replay(3): answer a request with a kept answer. */
-void bct_core_replay(bct_core_t *c, uint64_t req_id, uint64_t attempt_id, int status,
-		     const char *content_type, const void *body, uint32_t len_bytes);
+void bct_core_replay(bct_core_t *c, uint64_t req_id, int status, const char *content_type,
+		     const void *body, uint32_t len_bytes);
 
 /* Observations and the other nodes' facts, handed to the scheduler under the lock. */
 void bct_core_report(bct_core_t *c, const bct_report_t *r);
--- a/node/front.c
+++ b/node/front.c
@@ -159,34 +159,30 @@
 			     json_pack("{s:s, s:o}", "object", "list", "data", list));
 }
 
-static uint32_t entries_of(bct_front_t *f, const char *domain, bct_entry_address_t *out)
+static json_t *entry_json(const bct_entry_t *e)
 {
-	if (f->opts.entries)
-		return f->opts.entries(f->opts.entries_ctx, domain, out, BCT_ENTRY_MAX);
-	snprintf(out[0].address, sizeof(out[0].address), "%s", f->opts.settings->caller_address);
-	snprintf(out[0].failure_domain, sizeof(out[0].failure_domain), "%s",
-		 f->opts.settings->vm_failure_domain);
-	out[0].port = f->port;
-	return 1;
+	char ip[BCT_ADDR_BYTES];
+
+	bct_addr_ip(&e->addr, ip, sizeof(ip));
+	return json_pack("{s:s, s:i, s:s, s:s}", "address", ip, "port", (int)e->addr.port,
+			 "failure_domain", e->failure_domain, "region", e->region);
 }
 
 static enum MHD_Result answer_entry(exchange_t *x, struct MHD_Connection *c)
 {
 	const char *domain =
 		MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "failure_domain");
-	bct_entry_address_t entries[BCT_ENTRY_MAX];
-	uint32_t n = entries_of(x->front, domain, entries);
+	const bct_front_opts_t *o = &x->front->opts;
+	bct_entry_list_t entries = { 0 };
 	json_t *list = json_array();
 
-	for (uint32_t i = 0; list && i < n; i++)
-		json_array_append_new(list,
-				      json_pack("{s:s, s:i, s:s}", "address", entries[i].address,
-						"port", (int)entries[i].port, "failure_domain",
-						entries[i].failure_domain));
+	o->entries(o->entries_ctx, domain, &entries);
+	for (uint32_t i = 0; list && i < entries.n; i++)
+		json_array_append_new(list, entry_json(&entries.entries[i]));
 	return bct_http_json(c, MHD_HTTP_OK,
 			     json_pack("{s:i, s:o}", "lifetime_ms",
-				       (int)x->front->opts.settings->caller_entry_lifetime_ms,
-				       "addresses", list));
+				       (int)o->settings->caller_entry_lifetime_ms, "addresses",
+				       list));
 }
 
 static bct_refuse_t submit_error(int rc)
@@ -324,7 +320,7 @@
 static enum MHD_Result answer(exchange_t *x, struct MHD_Connection *c)
 {
 	bct_request_t *r = x->req;
-	bool stream, refused;
+	bool stream, refused, orphaned;
 
 	pthread_mutex_lock(&r->lock);
 	if (!r->ready) {
@@ -333,10 +329,13 @@
 		pthread_mutex_unlock(&r->lock);
 		return MHD_YES;
 	}
+	orphaned = r->orphaned;
 	refused = r->done && r->refuse != BCT_REFUSE_NONE;
 	stream = r->stream && (!refused || r->tokens);
 	pthread_mutex_unlock(&r->lock);
 	x->answered = true;
+	if (orphaned)
+		return MHD_NO;
 	if (stream)
 		return start_stream(c, r);
 	/* A request that is not streamed is ready only when it is done; nothing changes it now. */
--- a/node/front.h
+++ b/node/front.h
@@ -4,27 +4,16 @@
 #ifndef BCT_NODE_FRONT_H
 #define BCT_NODE_FRONT_H
 
+#include "coord/entry.h"
 #include "node/core.h"
 
 typedef struct bct_front bct_front_t;
 
-/* One address that callers may use. */
-typedef struct bct_entry_address {
-	char address[BCT_ADDR_BYTES];
-	uint16_t port;
-	char failure_domain[BCT_NAME_BYTES];
-} bct_entry_address_t;
-
-#define BCT_ENTRY_MAX 64
-
 typedef struct bct_front_opts {
 	const bct_settings_t *settings;
 	bct_core_t *core;
-	/*
-	 * Addresses for GET /v1/entry, best first, at most max; domain is the caller's own failure
-	 * domain or NULL. NULL: this node alone.
-	 */
-	uint32_t (*entries)(void *ctx, const char *domain, bct_entry_address_t *out, uint32_t max);
+	/* Addresses for GET /v1/entry; domain is the caller's own failure domain or NULL. */
+	void (*entries)(void *ctx, const char *domain, bct_entry_list_t *out);
 	void *entries_ctx;
 } bct_front_opts_t;
 
--- a/node/front_conn.c
+++ b/node/front_conn.c
@@ -23,7 +23,7 @@
 	bct_list_t *el;
 
 	pthread_mutex_lock(&t->lock);
-	bct_list_for_each (el, &t->conns) {
+	bct_list_for_each(el, &t->conns) {
 		bct_conn_t *c = bct_container_of(el, bct_conn_t, link);
 
 		if (!c->receiving || c->shut || now - c->since < t->receive_timeout_ms)
--- a/node/node.c
+++ b/node/node.c
@@ -5,10 +5,14 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "base/rng.h"
+#include "coord/platform_embedded.h"
+#include "coord/platform_http.h"
 #include "node/admin.h"
 #include "node/core.h"
 #include "node/front.h"
 #include "node/node_config.h"
+#include "node/node_keys.h"
+#include "node/node_peer.h"
 #include "node/poller.h"
 
 #include <ck_pr.h>
@@ -23,16 +27,36 @@
 	bct_node_opts_t opts;
 	uint64_t incarnation;
 	bct_time_t started_wall;
+	bct_platform_t *platform;
 	bct_core_t *core;
 	bct_front_t *front;
 	bct_admin_t *admin;
-	bct_poller_t *poller;
+	bct_node_peer_t *peer; /* NULL: the node runs alone */
 	bct_node_config_t *config;
+	bct_node_keys_t *keys;
+	bct_poller_t *poller;
+	uint32_t wired; /* all parts are there; until then callers and operators are put off */
 	uint32_t draining;
 	bct_time_t drain_until; /* addresses handed out before are valid until then */
 	bct_time_t settled_since;
 };
 
+static bool wired(bct_node_t *n)
+{
+	return ck_pr_load_32(&n->wired) != 0;
+}
+
+static int make_platform(bct_node_t *n)
+{
+	const char *url = n->opts.settings->platform_url;
+	bct_platform_http_opts_t http = { .base_url = url };
+	bct_platform_embedded_opts_t embedded = { 0 };
+
+	if (url[0])
+		return bct_platform_http_new(&http, &n->platform);
+	return bct_platform_embedded_new(&embedded, &n->platform);
+}
+
 static int start_core(bct_node_t *n)
 {
 	bct_core_opts_t opts = {
@@ -44,14 +68,21 @@
 	return bct_core_new(&opts, &n->core);
 }
 
-static int start_poller(bct_node_t *n)
+static int start_peer(bct_node_t *n)
 {
-	bct_poller_opts_t opts = {
+	bct_node_peer_opts_t opts = {
+		.settings = n->opts.settings,
 		.core = n->core,
-		.interval_ms = n->opts.settings->upstream_report_ms,
+		.platform = n->platform,
+		.log = n->opts.log,
+		.incarnation = n->incarnation,
+		.caller_port = bct_node_caller_port(n),
+		.admin_port = bct_node_admin_port(n),
 	};
 
-	return bct_poller_new(&opts, &n->poller);
+	if (!n->opts.settings->peer_secret[0])
+		return 0;
+	return bct_node_peer_new(&opts, &n->peer);
 }
 
 static int start_config(bct_node_t *n)
@@ -60,24 +91,105 @@
 		.settings = n->opts.settings,
 		.log = n->opts.log,
 		.core = n->core,
+		.platform = n->platform,
+		.peer = n->peer,
+		.seed = n->incarnation,
 	};
+	int rc = bct_node_config_new(&opts, &n->config);
 
-	return bct_node_config_new(&opts, &n->config);
+	if (!rc && n->peer)
+		rc = bct_node_peer_start(n->peer, bct_node_config_store(n->config));
+	return rc ? rc : bct_node_config_start(n->config);
 }
 
-/* A node that is stopping is on no list; an empty list tells callers to ask another node. */
-static uint32_t list_entries(void *ctx, const char *domain, bct_entry_address_t *out, uint32_t max)
+/* Alone, every incarnation but this one belongs to an earlier life. */
+static bool incarnation_gone(void *ctx, uint64_t incarnation)
 {
 	bct_node_t *n = ctx;
+
+	if (incarnation == n->incarnation)
+		return false;
+	return n->peer ? bct_node_peer_gone(n->peer, incarnation) : true;
+}
+
+static int start_keys(bct_node_t *n)
+{
+	bct_node_keys_opts_t opts = {
+		.settings = n->opts.settings,
+		.core = n->core,
+		.platform = n->platform,
+		.log = n->opts.log,
+		.incarnation = n->incarnation,
+		.gone = incarnation_gone,
+		.ctx = n,
+	};
+
+	return bct_node_keys_new(&opts, &n->keys);
+}
+
+static uint32_t engines_due(void *ctx, uint64_t *keys, uint32_t max)
+{
+	bct_node_t *n = ctx;
+
+	return bct_peer_watch_due(bct_node_peer(n->peer), keys, max);
+}
+
+static void share_report(void *ctx, const bct_report_t *r)
+{
+	bct_node_t *n = ctx;
+
+	bct_peer_polled(bct_node_peer(n->peer), r);
+}
+
+static void share_events(void *ctx, const bct_cache_event_t *e, uint32_t count)
+{
+	bct_node_t *n = ctx;
+
+	for (uint32_t i = 0; i < count; i++)
+		bct_core_cache_event(n->core, &e[i]);
+	bct_peer_polled_events(bct_node_peer(n->peer), e, count);
+}
+
+static int start_poller(bct_node_t *n)
+{
+	bct_poller_opts_t opts = {
+		.core = n->core,
+		.interval_ms = n->opts.settings->upstream_report_ms,
+		.ctx = n,
+	};
+
+	if (n->peer) {
+		opts.due = engines_due;
+		opts.on_report = share_report;
+		opts.on_cache_events = share_events;
+	}
+	return bct_poller_new(&opts, &n->poller);
+}
+
+static void own_entry(bct_node_t *n, bct_entry_list_t *out)
+{
 	const bct_settings_t *s = n->opts.settings;
+	bct_entry_t *e = &out->entries[0];
 
-	(void)domain;
-	if (!max || ck_pr_load_32(&n->draining))
-		return 0;
-	snprintf(out[0].address, sizeof(out[0].address), "%s", s->caller_address);
-	snprintf(out[0].failure_domain, sizeof(out[0].failure_domain), "%s", s->vm_failure_domain);
-	out[0].port = bct_node_caller_port(n);
-	return 1;
+	if (bct_addr_parse(s->caller_address, bct_node_caller_port(n), &e->addr))
+		return;
+	snprintf(e->failure_domain, sizeof(e->failure_domain), "%s", s->vm_failure_domain);
+	snprintf(e->region, sizeof(e->region), "%s", s->vm_region);
+	e->incarnation = n->incarnation;
+	out->n = 1;
+}
+
+/* A node that is stopping is on no list; an empty list tells callers to ask another node. */
+static void list_entries(void *ctx, const char *domain, bct_entry_list_t *out)
+{
+	bct_node_t *n = ctx;
+
+	if (!wired(n))
+		return;
+	if (n->peer)
+		bct_peer_entry_list(bct_node_peer(n->peer), domain, out);
+	else if (!ck_pr_load_32(&n->draining))
+		own_entry(n, out);
 }
 
 static int listen_failed(bct_node_t *n, int rc, const char *address, uint32_t port)
@@ -106,6 +218,28 @@
 	return 0;
 }
 
+/* The peers are told the ports that callers and operators use, so HTTP comes first. */
+static int start_parts(bct_node_t *n)
+{
+	int rc = make_platform(n);
+
+	if (!rc)
+		rc = start_core(n);
+	if (!rc)
+		rc = start_http(n);
+	if (!rc)
+		rc = start_peer(n);
+	if (!rc)
+		rc = start_keys(n);
+	if (!rc)
+		rc = start_config(n);
+	if (!rc)
+		rc = start_poller(n);
+	if (!rc)
+		ck_pr_store_32(&n->wired, 1);
+	return rc;
+}
+
 int bct_node_new(const bct_node_opts_t *opts, bct_node_t **out)
 {
 	bct_node_t *n = bct_alloc(sizeof(*n));
@@ -116,13 +250,7 @@
 	n->opts = *opts;
 	n->incarnation = bct_random_id();
 	n->started_wall = bct_clock_wall();
-	rc = start_core(n);
-	if (!rc)
-		rc = start_config(n);
-	if (!rc)
-		rc = start_poller(n);
-	if (!rc)
-		rc = start_http(n);
+	rc = start_parts(n);
 	if (rc) {
 		bct_node_free(n);
 		return rc;
@@ -140,6 +268,8 @@
 	if (ck_pr_fas_32(&n->draining, 1))
 		return;
 	n->drain_until = bct_clock_now() + n->opts.settings->caller_entry_lifetime_ms;
+	if (n->peer)
+		bct_peer_set_leaving(bct_node_peer(n->peer));
 	BCT_LOG(n->opts.log, BCT_EV_NODE_STOPPING,
 		BCT_U64("lifetime_ms", n->opts.settings->caller_entry_lifetime_ms),
 		BCT_U64("in_flight", bct_core_in_flight(n->core)));
@@ -152,7 +282,8 @@
 	if (!ck_pr_load_32(&n->draining) || now < n->drain_until)
 		return false;
 	bct_front_quiesce(n->front);
-	if (bct_core_in_flight(n->core) || bct_front_open(n->front)) {
+	if (bct_core_in_flight(n->core) || bct_front_open(n->front) ||
+	    !bct_keys_idle(bct_node_keys(n->keys))) {
 		n->settled_since = 0;
 		return false;
 	}
@@ -162,26 +293,32 @@
 	return now - n->settled_since >= DRAIN_SETTLE_MS;
 }
 
+/* Who calls into others goes first; the core and its workers go before the keys they use. */
 void bct_node_free(bct_node_t *n)
 {
 	if (!n)
 		return;
+	ck_pr_store_32(&n->wired, 0);
 	bct_admin_free(n->admin);
 	bct_poller_free(n->poller);
-	bct_node_config_free(n->config);
+	bct_node_peer_stop(n->peer);
 	if (n->core)
 		bct_core_refuse_all(n->core, BCT_REFUSE_STOPPING);
 	bct_front_free(n->front);
+	bct_node_config_free(n->config);
 	if (n->core)
 		bct_core_stop(n->core);
+	bct_node_keys_free(n->keys);
+	bct_node_peer_free(n->peer);
 	bct_core_free(n->core);
+	bct_platform_free(n->platform);
 	bct_free(n);
 }
 
 bool bct_node_ready(bct_node_t *n)
 {
 	bct_conf_t *conf = bct_core_conf(n->core);
-	bool ready = conf && !ck_pr_load_32(&n->draining);
+	bool ready = conf && wired(n) && !ck_pr_load_32(&n->draining);
 
 	bct_conf_unref(conf);
 	return ready;
@@ -199,8 +336,7 @@
 
 uint16_t bct_node_peer_port(const bct_node_t *n)
 {
-	(void)n;
-	return 0;
+	return n->peer ? bct_peer_port(bct_node_peer(n->peer)) : 0;
 }
 
 bct_core_t *bct_node_core(bct_node_t *n)
@@ -228,17 +364,26 @@
 	return 0;
 }
 
-static json_t *config_json(bct_node_t *n)
+json_t *bct_node_key_show(bct_node_t *n, const char *account, const char *key)
 {
-	bct_conf_t *conf = bct_core_conf(n->core);
-	json_t *doc;
+	if (!wired(n))
+		return NULL;
+	return bct_keys_show(bct_node_keys(n->keys), bct_hash_str(account), key);
+}
 
-	if (!conf)
-		return json_pack("{s:n, s:n}", "revision", "since_ms");
-	doc = json_pack("{s:I, s:I}", "revision", (json_int_t)conf->revision, "since_ms",
-			(json_int_t)bct_core_conf_since(n->core));
-	bct_conf_unref(conf);
-	return doc;
+int bct_node_key_resolve(bct_node_t *n, const char *account, const char *key, bool ran, bool force,
+			 const char *author)
+{
+	int rc = -BCT_ESTATE;
+
+	if (wired(n))
+		rc = bct_keys_resolve(bct_node_keys(n->keys), bct_hash_str(account), key, ran,
+				      force, author);
+	if (!rc)
+		BCT_LOG(n->opts.log, BCT_EV_KEY_RESOLVED, BCT_STR("account", account),
+			BCT_STR("key", key), BCT_U64("ran", ran), BCT_U64("forced", force),
+			BCT_STR("author", author));
+	return rc;
 }
 
 json_t *bct_node_status(bct_node_t *n)
@@ -246,20 +391,25 @@
 	const bct_settings_t *s = n->opts.settings;
 	char incarnation[17];
 
+	if (!wired(n))
+		return json_pack("{s:s, s:s}", "vm", s->vm_name, "state", "starting");
 	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64, n->incarnation);
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:o, s:o, s:o}", "vm", s->vm_name,
-			 "failure_domain", s->vm_failure_domain, "region", s->vm_region,
-			 "incarnation", incarnation, "state",
-			 ck_pr_load_32(&n->draining) ? "leaving" : "serving", "in_flight",
-			 (int)bct_core_in_flight(n->core), "started_ms",
-			 (json_int_t)n->started_wall, "config", config_json(n), "classes",
-			 bct_stats_classes(bct_core_stats(n->core), bct_clock_now()), "engines",
-			 bct_poller_status(n->poller));
+	return json_pack(
+		"{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:o, s:o, s:o, s:o, s:o}", "vm", s->vm_name,
+		"failure_domain", s->vm_failure_domain, "region", s->vm_region, "incarnation",
+		incarnation, "state", ck_pr_load_32(&n->draining) ? "leaving" : "serving",
+		"in_flight", (int)bct_core_in_flight(n->core), "started_ms",
+		(json_int_t)n->started_wall, "config", bct_node_config_status(n->config), "classes",
+		bct_stats_classes(bct_core_stats(n->core), bct_clock_now()), "engines",
+		bct_poller_status(n->poller), "keys", bct_keys_status(bct_node_keys(n->keys)),
+		"members", n->peer ? bct_node_peer_status(n->peer) : json_array());
 }
 
 int bct_node_metrics(bct_node_t *n, bct_buf_t *out)
 {
 	bct_buf_printf(out, "# TYPE bct_in_flight gauge\nbct_in_flight %u\n",
 		       bct_core_in_flight(n->core));
+	if (wired(n) && n->peer)
+		bct_peer_counters_print(bct_node_peer(n->peer), out);
 	return bct_stats_print(bct_core_stats(n->core), out);
 }
--- a/node/node.h
+++ b/node/node.h
@@ -44,6 +44,17 @@
 json_t *bct_node_status(bct_node_t *n);
 int bct_node_metrics(bct_node_t *n, bct_buf_t *out);
 
+/*
+ * bct_node_key_show(3), bct_node_key_resolve(3): an operator's look at, and word on, a key.
+ *
+ * account  name of the client account
+ * returns  a new JSON object, NULL when the account is not known; 0 or the error of
+ *          bct_key_claims_resolve(3)
+ */
+json_t *bct_node_key_show(bct_node_t *n, const char *account, const char *key);
+int bct_node_key_resolve(bct_node_t *n, const char *account, const char *key, bool ran, bool force,
+			 const char *author);
+
 /* bct_node_upstream_leave(3): an operator's order to this node. returns 0 or -BCT_ENOT_FOUND. */
 int bct_node_upstream_leave(bct_node_t *n, const char *name, bool leaving);
 
--- a/node/node_config.c
+++ b/node/node_config.c
@@ -1,5 +1,5 @@
 /*
- * node_config.c - the configuration of a node.
+ * node_config.c - adopts revisions into the core and tells the peers.
  */
 #include "node/node_config.h"
 #include "base/err.h"
@@ -9,8 +9,20 @@
 
 struct bct_node_config {
 	bct_node_config_opts_t opts;
+	bct_config_store_t *store;
 };
 
+static void on_adopted(void *ctx, bct_conf_t *conf)
+{
+	bct_node_config_t *c = ctx;
+
+	/* Without memory the node keeps the old revision, and says so on its status page. */
+	if (bct_core_configure(c->opts.core, conf))
+		return;
+	if (c->opts.peer)
+		bct_node_peer_adopted(c->opts.peer, conf);
+}
+
 static int adopt_file(bct_node_config_t *c, const char *path)
 {
 	bct_conf_t *conf = NULL;
@@ -25,22 +37,30 @@
 		BCT_LOG(c->opts.log, BCT_EV_CONFIG_BAD_RECORD, BCT_STR("error", line));
 		return rc;
 	}
-	rc = bct_core_configure(c->opts.core, conf);
+	on_adopted(c, conf);
 	bct_conf_unref(conf);
-	return rc;
+	return 0;
 }
 
 int bct_node_config_new(const bct_node_config_opts_t *opts, bct_node_config_t **out)
 {
-	const char *path = opts->settings->platform_config_file;
 	bct_node_config_t *c = bct_alloc(sizeof(*c));
-	int rc = 0;
+	bct_config_store_opts_t so = {
+		.platform = opts->platform,
+		.vm_name = opts->settings->vm_name,
+		.seed = opts->seed,
+		.poll_ms = opts->settings->platform_poll_ms,
+		.timeout_ms = opts->settings->platform_timeout_ms,
+		.adopted = on_adopted,
+		.ctx = c,
+		.log = opts->log,
+	};
+	int rc;
 
 	if (!c)
 		return -BCT_ENOMEM;
 	c->opts = *opts;
-	if (path[0])
-		rc = adopt_file(c, path);
+	rc = bct_config_store_new(&so, &c->store);
 	if (rc) {
 		bct_free(c);
 		return rc;
@@ -49,7 +69,46 @@
 	return 0;
 }
 
+int bct_node_config_start(bct_node_config_t *c)
+{
+	const char *path = c->opts.settings->platform_config_file;
+
+	if (path[0])
+		return adopt_file(c, path);
+	return bct_config_store_start(c->store);
+}
+
 void bct_node_config_free(bct_node_config_t *c)
 {
+	if (!c)
+		return;
+	bct_config_store_free(c->store);
 	bct_free(c);
 }
+
+bct_config_store_t *bct_node_config_store(bct_node_config_t *c)
+{
+	return c->store;
+}
+
+json_t *bct_node_config_status(bct_node_config_t *c)
+{
+	bct_conf_t *conf = bct_core_conf(c->opts.core);
+	char digest[BCT_DIGEST_HEX_BYTES] = "";
+	bct_config_status_t st;
+	json_int_t stale;
+	json_t *doc;
+
+	bct_config_store_status(c->store, &st);
+	if (conf)
+		bct_digest_hex(&conf->digest, digest);
+	stale = st.stale_ms == UINT32_MAX ? -1 : (json_int_t)st.stale_ms;
+	doc = json_pack("{s:I, s:s, s:I, s:s, s:I, s:I, s:b}", "revision",
+			(json_int_t)(conf ? conf->revision : 0), "digest", digest, "since_ms",
+			(json_int_t)bct_core_conf_since(c->opts.core), "source",
+			bct_config_source_wire(st.source), "log_revision",
+			(json_int_t)st.log_revision, "log_stale_ms", stale, "diverged",
+			(int)st.diverged);
+	bct_conf_unref(conf);
+	return doc;
+}
--- /dev/null
+++ b/node/node_keys.c
@@ -0,0 +1,147 @@
+/*
+ * node_keys.c - verdicts on keys as answers to callers.
+ */
+#include "node/node_keys.h"
+#include "base/err.h"
+#include "base/mem.h"
+
+#define RETRY_SOON_MS 1000
+#define RETRY_READY_MS 3000
+
+struct bct_node_keys {
+	bct_node_keys_opts_t opts;
+	bct_keys_t *keys;
+};
+
+/* What each verdict but WON and DONE tells the caller. */
+typedef struct verdict_row {
+	bct_refuse_t why;
+	bct_run_t run;
+	uint32_t retry_after_ms;
+} verdict_row_t;
+
+static const verdict_row_t rows[] = {
+	[BCT_CLAIM_DONE] = { BCT_REFUSE_ANSWER_GONE, BCT_RUN_RAN, 0 },
+	[BCT_CLAIM_IN_PROGRESS] = { BCT_REFUSE_IN_PROGRESS, BCT_RUN_UNKNOWN, RETRY_SOON_MS },
+	[BCT_CLAIM_IN_DOUBT] = { BCT_REFUSE_OUTCOME_UNKNOWN, BCT_RUN_UNKNOWN, 0 },
+	[BCT_CLAIM_CONFLICT] = { BCT_REFUSE_KEY_CONFLICT, BCT_RUN_NOT_RUN, 0 },
+	[BCT_CLAIM_LOG_DOWN] = { BCT_REFUSE_LOG_DOWN, BCT_RUN_NOT_RUN, RETRY_SOON_MS },
+	[BCT_CLAIM_NOT_READY] = { BCT_REFUSE_NOT_READY, BCT_RUN_NOT_RUN, RETRY_READY_MS },
+	[BCT_CLAIM_FULL] = { BCT_REFUSE_QUEUE_FULL, BCT_RUN_NOT_RUN, RETRY_SOON_MS },
+};
+
+static void on_verdict(void *ctx, uint64_t req_id, const bct_key_verdict_t *v)
+{
+	bct_node_keys_t *k = ctx;
+	const verdict_row_t *row = &rows[v->result.verdict];
+
+	if (v->result.verdict == BCT_CLAIM_WON)
+		/* A request that ended meanwhile has withdrawn its intent by itself. */
+		bct_core_claimed(k->opts.core, req_id, BCT_REFUSE_NONE, BCT_RUN_NOT_RUN, 0,
+				 v->result.send_before);
+	else if (v->have_answer)
+		bct_core_replay(k->opts.core, req_id, v->status, v->content_type, v->answer,
+				v->answer_bytes);
+	else
+		bct_core_claimed(k->opts.core, req_id, row->why, row->run, row->retry_after_ms, 0);
+}
+
+static int claim(void *ctx, bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+
+	return bct_keys_claim(k->keys, r->account->key, r->idempotency_key, r->desc.digest, r->id,
+			      &r->intent);
+}
+
+static bool may_send(void *ctx, const bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+
+	return bct_keys_may_send(k->keys, r->account->key, r->idempotency_key, r->intent);
+}
+
+static void finish(void *ctx, const bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+
+	bct_keys_finish(k->keys, r->account->key, r->idempotency_key, r->intent, r->status,
+			r->answer_type, r->out.data, (uint32_t)r->out.len_bytes);
+}
+
+static void withdraw(void *ctx, const bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+
+	bct_keys_withdraw(k->keys, r->account->key, r->idempotency_key, r->intent);
+}
+
+static void abandon(void *ctx, const bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+
+	bct_keys_abandon(k->keys, r->account->key, r->idempotency_key, r->intent);
+}
+
+static bool gone(void *ctx, uint64_t incarnation)
+{
+	bct_node_keys_t *k = ctx;
+
+	return k->opts.gone && k->opts.gone(k->opts.ctx, incarnation);
+}
+
+int bct_node_keys_new(const bct_node_keys_opts_t *opts, bct_node_keys_t **out)
+{
+	const bct_settings_t *s = opts->settings;
+	bct_node_keys_t *k = bct_alloc(sizeof(*k));
+	bct_keys_opts_t ko = {
+		.platform = opts->platform,
+		.log = opts->log,
+		.incarnation = opts->incarnation,
+		.n_streams = s->platform_key_streams,
+		.timeout_ms = s->platform_timeout_ms,
+		.poll_ms = s->platform_poll_ms,
+		.commit_ms = s->keys_commit_ms,
+		.claim_ms = s->keys_claim_ms,
+		.run_ms = s->keys_run_ms,
+		.window_ms = s->keys_window_s * BCT_MS_PER_S,
+		.max_claims = s->policy_max_queued,
+		.gone = gone,
+		.verdict = on_verdict,
+		.ctx = k,
+	};
+	bct_claim_ops_t ops = {
+		.claim = claim,
+		.may_send = may_send,
+		.finish = finish,
+		.withdraw = withdraw,
+		.abandon = abandon,
+		.ctx = k,
+	};
+	int rc;
+
+	if (!k)
+		return -BCT_ENOMEM;
+	k->opts = *opts;
+	rc = bct_keys_new(&ko, &k->keys);
+	if (rc) {
+		bct_free(k);
+		return rc;
+	}
+	bct_core_set_claims(opts->core, &ops);
+	*out = k;
+	return 0;
+}
+
+void bct_node_keys_free(bct_node_keys_t *k)
+{
+	if (!k)
+		return;
+	bct_keys_free(k->keys);
+	bct_free(k);
+}
+
+bct_keys_t *bct_node_keys(bct_node_keys_t *k)
+{
+	return k->keys;
+}
--- /dev/null
+++ b/node/node_peer.c
@@ -0,0 +1,370 @@
+/*
+ * node_peer.c - callbacks of the peer thread into the core, and one thread that publishes what
+ * this node says and reads the platform's VM list.
+ */
+#define _GNU_SOURCE
+#include "node/node_peer.h"
+#include "base/err.h"
+#include "base/mem.h"
+
+#include <ck_pr.h>
+#include <pthread.h>
+#include <string.h>
+#include <time.h>
+
+#define PUBLISH_MS 1000
+#define VM_LIST_MS 5000
+#define TICK_MS 100
+#define ITEMS_MAX 4096
+#define MEMBERS_MAX 1024
+#define LOAD_FULL 1000
+
+struct bct_node_peer {
+	bct_node_peer_opts_t opts;
+	bct_peer_t *peer;
+	bct_config_store_t *store;
+	uint32_t stop;
+	pthread_t thread;
+	bool started;
+	uint64_t vm_revision;
+
+	pthread_mutex_t lock;	      /* leaf */
+	bct_config_export_t exported; /* under lock; what is handed to peers */
+};
+
+static void on_fleet(void *ctx, const bct_fleet_t *fleet)
+{
+	bct_node_peer_t *p = ctx;
+
+	bct_core_fleet(p->opts.core, fleet);
+	bct_config_store_set_rank(p->store, fleet->rank);
+}
+
+static void on_total(void *ctx, const bct_total_t *total)
+{
+	bct_node_peer_t *p = ctx;
+
+	bct_core_total(p->opts.core, total);
+}
+
+static void on_report(void *ctx, const bct_report_t *report)
+{
+	bct_node_peer_t *p = ctx;
+
+	bct_core_report(p->opts.core, report);
+}
+
+static void on_cache_event(void *ctx, const bct_cache_event_t *event)
+{
+	bct_node_peer_t *p = ctx;
+
+	bct_core_cache_event(p->opts.core, event);
+}
+
+static void on_upstream_leaving(void *ctx, uint64_t upstream_key, bool leaving)
+{
+	bct_node_peer_t *p = ctx;
+
+	bct_core_leaving(p->opts.core, upstream_key, leaving);
+}
+
+/* The copy handed out must stay the same while a peer fetches it in chunks. */
+static int refresh_export(bct_node_peer_t *p, uint64_t revision)
+{
+	bct_config_export_t fresh;
+	int rc;
+
+	if (p->exported.revision == revision)
+		return 0;
+	memset(&fresh, 0, sizeof(fresh));
+	rc = bct_config_store_export(p->store, &fresh);
+	if (rc)
+		return rc;
+	bct_buf_free(&p->exported.text);
+	p->exported = fresh;
+	return fresh.revision == revision ? 0 : -BCT_ENOT_FOUND;
+}
+
+static int get_config(void *ctx, uint64_t have_revision, uint64_t revision, uint64_t offset,
+		      uint8_t *out, uint32_t max_bytes, bct_peer_config_t *info)
+{
+	bct_node_peer_t *p = ctx;
+	uint64_t left;
+	int rc;
+
+	(void)have_revision;
+	pthread_mutex_lock(&p->lock);
+	rc = refresh_export(p, revision);
+	if (!rc) {
+		info->revision = p->exported.revision;
+		info->digest = p->exported.digest;
+		info->total_bytes = p->exported.text.len_bytes;
+		left = offset < info->total_bytes ? info->total_bytes - offset : 0;
+		rc = (int)(left < max_bytes ? left : max_bytes);
+		memcpy(out, p->exported.text.data + offset, (size_t)rc);
+	}
+	pthread_mutex_unlock(&p->lock);
+	return rc;
+}
+
+static int offer_config(void *ctx, uint64_t have_revision, uint64_t revision,
+			const bct_digest_t *digest, const void *doc, size_t doc_bytes)
+{
+	bct_node_peer_t *p = ctx;
+	bct_config_export_t from = { .revision = revision, .digest = *digest };
+	int rc;
+
+	(void)have_revision;
+	bct_buf_init(&from.text, 0);
+	rc = bct_buf_put(&from.text, doc, doc_bytes);
+	if (!rc)
+		rc = bct_config_store_offer(p->store, &from);
+	bct_buf_free(&from.text);
+	if (!rc)
+		BCT_LOG(p->opts.log, BCT_EV_CONFIG_FROM_PEER, BCT_U64("revision", revision));
+	return rc == -BCT_ESTALE ? 0 : rc;
+}
+
+static const bct_peer_ops_t peer_ops = {
+	.fleet = on_fleet,
+	.total = on_total,
+	.report = on_report,
+	.cache_event = on_cache_event,
+	.upstream_leaving = on_upstream_leaving,
+	.get_config = get_config,
+	.offer_config = offer_config,
+};
+
+static int parse_seed(const char *text, bct_addr_t *out)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[BCT_ADDR_BYTES];
+	size_t len = colon ? (size_t)(colon - text) : 0;
+	unsigned long port = colon ? strtoul(colon + 1, NULL, 10) : 0;
+
+	if (!len || len >= sizeof(ip) || !port || port > UINT16_MAX)
+		return -BCT_EINVAL;
+	if (text[0] == '[' && text[len - 1] == ']') {
+		text++;
+		len -= 2;
+	}
+	snprintf(ip, sizeof(ip), "%.*s", (int)len, text);
+	return bct_addr_parse(ip, (uint16_t)port, out);
+}
+
+static int parse_seeds(const bct_settings_t *s, bct_addr_t *out)
+{
+	for (uint32_t i = 0; i < s->n_peer_seeds; i++) {
+		int rc = parse_seed(s->peer_seeds[i], &out[i]);
+
+		if (rc)
+			return rc;
+	}
+	return 0;
+}
+
+int bct_node_peer_new(const bct_node_peer_opts_t *opts, bct_node_peer_t **out)
+{
+	const bct_settings_t *s = opts->settings;
+	bct_node_peer_t *p = bct_alloc(sizeof(*p));
+	bct_addr_t seeds[64];
+	bct_peer_opts_t po = {
+		.ops = &peer_ops,
+		.ctx = p,
+		.bind_address = s->peer_address,
+		.port = (uint16_t)s->peer_port,
+		.secret = s->peer_secret,
+		.secret_bytes = strlen(s->peer_secret),
+		.name = s->vm_name,
+		.failure_domain = s->vm_failure_domain,
+		.region = s->vm_region,
+		.caller_address = s->caller_address,
+		.caller_port = opts->caller_port,
+		.admin_address = s->admin_address,
+		.admin_port = opts->admin_port,
+		.seeds = seeds,
+		.n_seeds = s->n_peer_seeds,
+		.incarnation = opts->incarnation,
+		.log = opts->log,
+	};
+	int rc = parse_seeds(s, seeds);
+
+	if (!p)
+		return -BCT_ENOMEM;
+	p->opts = *opts;
+	pthread_mutex_init(&p->lock, NULL);
+	if (!rc)
+		rc = bct_peer_new(&po, &p->peer);
+	if (rc) {
+		bct_node_peer_free(p);
+		return rc;
+	}
+	*out = p;
+	return 0;
+}
+
+static void publish(bct_node_peer_t *p, bct_item_t *items)
+{
+	uint32_t n = bct_core_publish(p->opts.core, items, ITEMS_MAX);
+	uint64_t load = (uint64_t)bct_core_in_flight(p->opts.core) * LOAD_FULL /
+			p->opts.settings->policy_max_queued;
+
+	bct_peer_publish(p->peer, items, n);
+	bct_peer_set_load(p->peer, load > LOAD_FULL ? LOAD_FULL : (uint32_t)load);
+}
+
+static void tell_leaving(bct_node_peer_t *p, const bct_vm_list_t *list)
+{
+	bct_conf_t *conf = bct_core_conf(p->opts.core);
+
+	for (uint32_t i = 0; conf && i < list->n; i++) {
+		const bct_vm_t *vm = &list->vms[i];
+		uint64_t key = bct_hash_str(vm->name);
+		const bct_upstream_conf_t *u;
+
+		if (vm->role != BCT_VM_UPSTREAM)
+			continue;
+		u = bct_conf_upstream(conf, key);
+		if (u)
+			bct_core_leaving(p->opts.core, key, vm->leaving || u->leaving);
+	}
+	bct_conf_unref(conf);
+}
+
+static void read_vm_list(bct_node_peer_t *p)
+{
+	bct_vm_list_t list = { 0 };
+
+	if (bct_platform_vms(p->opts.platform, p->opts.settings->platform_timeout_ms, &list))
+		return;
+	/* The list lags and may go back; an older one tells nothing. */
+	if (list.revision > p->vm_revision) {
+		p->vm_revision = list.revision;
+		bct_peer_vm_list(p->peer, &list);
+		tell_leaving(p, &list);
+	}
+	bct_vm_list_free(&list);
+}
+
+static void *publish_main(void *arg)
+{
+	const struct timespec tick = { .tv_nsec = TICK_MS * 1000000L };
+	bct_time_t next_publish = 0, next_list = 0;
+	bct_node_peer_t *p = arg;
+	bct_item_t *items = bct_alloc(sizeof(*items) * ITEMS_MAX);
+
+	while (items && !ck_pr_load_32(&p->stop)) {
+		bct_time_t now = bct_clock_now();
+
+		if (now >= next_publish) {
+			publish(p, items);
+			next_publish = now + PUBLISH_MS;
+		}
+		if (now >= next_list) {
+			read_vm_list(p);
+			next_list = now + VM_LIST_MS;
+		}
+		nanosleep(&tick, NULL);
+	}
+	bct_free(items);
+	return NULL;
+}
+
+int bct_node_peer_start(bct_node_peer_t *p, bct_config_store_t *store)
+{
+	int rc;
+
+	p->store = store;
+	rc = bct_peer_start(p->peer);
+	if (rc)
+		return rc;
+	if (pthread_create(&p->thread, NULL, publish_main, p))
+		return -BCT_ENOMEM;
+	p->started = true;
+	return 0;
+}
+
+void bct_node_peer_stop(bct_node_peer_t *p)
+{
+	if (!p)
+		return;
+	ck_pr_store_32(&p->stop, 1);
+	if (p->started)
+		pthread_join(p->thread, NULL);
+	p->started = false;
+	if (p->peer)
+		bct_peer_stop(p->peer);
+}
+
+void bct_node_peer_free(bct_node_peer_t *p)
+{
+	if (!p)
+		return;
+	bct_node_peer_stop(p);
+	bct_peer_free(p->peer);
+	bct_buf_free(&p->exported.text);
+	pthread_mutex_destroy(&p->lock);
+	bct_free(p);
+}
+
+void bct_node_peer_adopted(bct_node_peer_t *p, const bct_conf_t *conf)
+{
+	uint64_t *keys = bct_alloc(sizeof(*keys) * (conf->n_upstreams + 1));
+	uint32_t n = 0;
+
+	bct_peer_set_revision(p->peer, conf->revision, &conf->digest);
+	if (!keys)
+		return;
+	for (uint32_t i = 0; i < conf->n_upstreams; i++) {
+		if (conf->upstreams[i].kind == BCT_UPSTREAM_ENGINE)
+			keys[n++] = conf->upstreams[i].key;
+	}
+	bct_peer_engines(p->peer, keys, n);
+	bct_free(keys);
+}
+
+bool bct_node_peer_gone(bct_node_peer_t *p, uint64_t incarnation)
+{
+	bct_member_t *m = bct_alloc(sizeof(*m) * MEMBERS_MAX);
+	uint32_t n = m ? bct_peer_members(p->peer, m, MEMBERS_MAX) : 0;
+	bool gone = m != NULL;
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (m[i].incarnation == incarnation)
+			gone = m[i].liveness == BCT_MEMBER_DEAD;
+	}
+	bct_free(m);
+	return gone;
+}
+
+bct_peer_t *bct_node_peer(bct_node_peer_t *p)
+{
+	return p->peer;
+}
+
+static json_t *member_json(const bct_member_t *m)
+{
+	static const char *const names[] = { "alive", "suspect", "dead" };
+	char caller[BCT_ADDR_PORT_BYTES], admin[BCT_ADDR_PORT_BYTES], incarnation[17];
+
+	bct_addr_print(&m->caller, caller, sizeof(caller));
+	bct_addr_print(&m->admin, admin, sizeof(admin));
+	snprintf(incarnation, sizeof(incarnation), "%016llx", (unsigned long long)m->incarnation);
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:b, s:I, s:i, s:s, s:s}", "name", m->name,
+			 "failure_domain", m->failure_domain, "region", m->region, "incarnation",
+			 incarnation, "state", names[m->liveness], "leaving", (int)m->leaving,
+			 "revision", (json_int_t)m->info.revision, "load_permille",
+			 (int)m->info.load_permille, "caller", caller, "admin", admin);
+}
+
+json_t *bct_node_peer_status(bct_node_peer_t *p)
+{
+	bct_member_t *m = bct_alloc(sizeof(*m) * MEMBERS_MAX);
+	uint32_t n = m ? bct_peer_members(p->peer, m, MEMBERS_MAX) : 0;
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; list && i < n; i++)
+		json_array_append_new(list, member_json(&m[i]));
+	bct_free(m);
+	return list;
+}
--- /dev/null
+++ b/node/node_peer.h
@@ -0,0 +1,47 @@
+/*
+ * node_peer.h - connects a node to its peers: membership, fleet totals, engine reports, and the
+ * hand-off of configurations.
+ */
+#ifndef BCT_NODE_NODE_PEER_H
+#define BCT_NODE_NODE_PEER_H
+
+#include "coord/config_store.h"
+#include "coord/peer.h"
+#include "node/core.h"
+
+#include <jansson.h>
+
+typedef struct bct_node_peer bct_node_peer_t;
+
+typedef struct bct_node_peer_opts {
+	const bct_settings_t *settings;
+	bct_core_t *core;
+	bct_platform_t *platform;
+	bct_log_t *log;
+	uint64_t incarnation;
+	uint16_t caller_port;
+	uint16_t admin_port;
+} bct_node_peer_opts_t;
+
+/* bct_node_peer_new(3): open the socket. Nothing is sent before bct_node_peer_start(). */
+int bct_node_peer_new(const bct_node_peer_opts_t *opts, bct_node_peer_t **out);
+
+/* bct_node_peer_start(3): join the fleet; store is where configurations come from and go to. */
+int bct_node_peer_start(bct_node_peer_t *p, bct_config_store_t *store);
+
+/* bct_node_peer_stop(3): no callback comes after it. */
+void bct_node_peer_stop(bct_node_peer_t *p);
+void bct_node_peer_free(bct_node_peer_t *p);
+
+/* bct_node_peer_adopted(3): a configuration is in force on this node. */
+void bct_node_peer_adopted(bct_node_peer_t *p, const bct_conf_t *conf);
+
+/* bct_node_peer_gone(3): whether an incarnation is known to be dead. */
+bool bct_node_peer_gone(bct_node_peer_t *p, uint64_t incarnation);
+
+bct_peer_t *bct_node_peer(bct_node_peer_t *p);
+
+/* bct_node_peer_status(3): a new JSON list of members. */
+json_t *bct_node_peer_status(bct_node_peer_t *p);
+
+#endif
--- a/node/poller.c
+++ b/node/poller.c
@@ -15,13 +15,14 @@
 #define POLL_TIMEOUT_MS 1000L
 #define MAX_ANSWER_BYTES (1 << 20)
 #define EVENTS_AT_ONCE 512
+#define DUE_AT_ONCE 64
+#define TICK_MS 100
 
 typedef struct engine {
 	bct_list_t link;
 	uint64_t key;
 	char name[BCT_NAME_BYTES];
 	char base[128]; /* http://ADDRESS:PORT */
-	bool wanted;
 	bool busy;
 	bool asks_events; /* the transfer under way asks for events, not for the load */
 	CURL *easy;
@@ -38,6 +39,7 @@
 	pthread_t thread;
 	bool started;
 	CURLM *multi;
+	bct_time_t next_round;
 	pthread_mutex_t lock; /* leaf; guards the list and what bct_poller_status shows */
 	bct_list_t engines;
 };
@@ -53,7 +55,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &p->engines) {
+	bct_list_for_each(el, &p->engines) {
 		engine_t *e = bct_container_of(el, engine_t, link);
 
 		if (e->key == key)
@@ -108,40 +110,15 @@
 	bct_free(e);
 }
 
-static bool is_mine(const bct_poller_t *p, const bct_upstream_conf_t *u)
+/* Forgets engines that the configuration does not name any more. */
+static void drop_unknown(bct_poller_t *p, const bct_conf_t *conf)
 {
-	if (u->kind != BCT_UPSTREAM_ENGINE)
-		return false;
-	return !p->opts.mine || p->opts.mine(p->opts.ctx, u->key);
-}
-
-/* Makes the list follow the configuration and the share of engines that this node watches. */
-static void follow_conf(bct_poller_t *p)
-{
-	bct_conf_t *conf = bct_core_conf(p->opts.core);
 	bct_list_t *el, *tmp;
 
-	bct_list_for_each (el, &p->engines)
-		bct_container_of(el, engine_t, link)->wanted = false;
-	for (uint32_t i = 0; conf && i < conf->n_upstreams; i++) {
-		const bct_upstream_conf_t *u = &conf->upstreams[i];
-		engine_t *e;
-
-		if (!is_mine(p, u))
-			continue;
-		e = find(p, u->key);
-		if (!e)
-			e = add(p, u);
-		if (!e)
-			continue;
-		e->wanted = true;
-		set_base(e, u);
-	}
-	bct_conf_unref(conf);
-	bct_list_for_each_safe (el, tmp, &p->engines) {
+	bct_list_for_each_safe(el, tmp, &p->engines) {
 		engine_t *e = bct_container_of(el, engine_t, link);
 
-		if (!e->wanted)
+		if (!bct_conf_upstream(conf, e->key))
 			drop(p, e);
 	}
 }
@@ -178,9 +155,10 @@
 	e->last_ok = bct_clock_now();
 	e->failures = 0;
 	pthread_mutex_unlock(&p->lock);
-	bct_core_report(p->opts.core, &r);
 	if (p->opts.on_report)
 		p->opts.on_report(p->opts.ctx, &r);
+	else
+		bct_core_report(p->opts.core, &r);
 }
 
 static void take_events(bct_poller_t *p, engine_t *e)
@@ -190,12 +168,12 @@
 	int n = bct_cache_events_parse(e->body.data ? e->body.data : "", e->body.len_bytes, ev,
 				       EVENTS_AT_ONCE, &next);
 
-	for (int i = 0; i < n; i++) {
+	for (int i = 0; i < n; i++)
 		ev[i].upstream_key = e->key;
+	if (n > 0 && p->opts.on_cache_events)
+		p->opts.on_cache_events(p->opts.ctx, ev, (uint32_t)n);
+	for (int i = 0; i < n && !p->opts.on_cache_events; i++)
 		bct_core_cache_event(p->opts.core, &ev[i]);
-		if (p->opts.on_cache_event)
-			p->opts.on_cache_event(p->opts.ctx, &ev[i]);
-	}
 	e->next_event = next;
 }
 
@@ -235,35 +213,68 @@
 	}
 }
 
-static void ask_all(bct_poller_t *p)
+static void ask_engine(bct_poller_t *p, const bct_upstream_conf_t *u)
 {
-	bct_list_t *el;
+	engine_t *e = find(p, u->key);
 
-	follow_conf(p);
-	bct_list_for_each (el, &p->engines) {
-		engine_t *e = bct_container_of(el, engine_t, link);
+	if (!e)
+		e = add(p, u);
+	if (!e || e->busy)
+		return;
+	set_base(e, u);
+	ask(p, e, false);
+}
+
+static void ask_due(bct_poller_t *p, const bct_conf_t *conf)
+{
+	uint64_t keys[DUE_AT_ONCE];
+	uint32_t n = p->opts.due(p->opts.ctx, keys, DUE_AT_ONCE);
 
-		if (!e->busy)
-			ask(p, e, false);
+	for (uint32_t i = 0; i < n; i++) {
+		const bct_upstream_conf_t *u = bct_conf_upstream(conf, keys[i]);
+
+		if (u)
+			ask_engine(p, u);
 	}
 }
 
+static void ask_all(bct_poller_t *p, const bct_conf_t *conf)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (now < p->next_round)
+		return;
+	p->next_round = now + p->opts.interval_ms;
+	for (uint32_t i = 0; i < conf->n_upstreams; i++) {
+		if (conf->upstreams[i].kind == BCT_UPSTREAM_ENGINE)
+			ask_engine(p, &conf->upstreams[i]);
+	}
+}
+
+static void ask_engines(bct_poller_t *p)
+{
+	bct_conf_t *conf = bct_core_conf(p->opts.core);
+
+	if (!conf)
+		return;
+	drop_unknown(p, conf);
+	if (p->opts.due)
+		ask_due(p, conf);
+	else
+		ask_all(p, conf);
+	bct_conf_unref(conf);
+}
+
 static void *poller_main(void *arg)
 {
 	bct_poller_t *p = arg;
-	bct_time_t next = 0;
 	int running;
 
 	while (!ck_pr_load_32(&p->stop)) {
-		bct_time_t now = bct_clock_now();
-
-		if (now >= next) {
-			ask_all(p);
-			next = now + p->opts.interval_ms;
-		}
+		ask_engines(p);
 		curl_multi_perform(p->multi, &running);
 		take_answers(p);
-		curl_multi_poll(p->multi, NULL, 0, (int)p->opts.interval_ms / 4 + 1, NULL);
+		curl_multi_poll(p->multi, NULL, 0, TICK_MS, NULL);
 	}
 	return NULL;
 }
@@ -298,7 +309,7 @@
 		curl_multi_wakeup(p->multi);
 		pthread_join(p->thread, NULL);
 	}
-	bct_list_for_each_safe (el, tmp, &p->engines)
+	bct_list_for_each_safe(el, tmp, &p->engines)
 		drop(p, bct_container_of(el, engine_t, link));
 	if (p->multi)
 		curl_multi_cleanup(p->multi);
@@ -323,7 +334,7 @@
 	bct_list_t *el;
 
 	pthread_mutex_lock(&p->lock);
-	bct_list_for_each (el, &p->engines)
+	bct_list_for_each(el, &p->engines)
 		json_array_append_new(list, engine_json(bct_container_of(el, engine_t, link), now));
 	pthread_mutex_unlock(&p->lock);
 	return list;
--- a/node/poller.h
+++ b/node/poller.h
@@ -13,11 +13,11 @@
 typedef struct bct_poller_opts {
 	bct_core_t *core;
 	uint32_t interval_ms;
-	/* Whether this node has to ask the engine now; NULL: it asks every engine. */
-	bool (*mine)(void *ctx, uint64_t upstream_key);
-	/* What was learnt, for the other nodes; may be NULL. */
+	/* Engines that this node has to ask now; NULL: all of them, once in an interval. */
+	uint32_t (*due)(void *ctx, uint64_t *keys, uint32_t max);
+	/* What was learnt. NULL: it goes to the core. */
 	void (*on_report)(void *ctx, const bct_report_t *r);
-	void (*on_cache_event)(void *ctx, const bct_cache_event_t *e);
+	void (*on_cache_events)(void *ctx, const bct_cache_event_t *e, uint32_t n);
 	void *ctx;
 } bct_poller_opts_t;
 
--- a/node/request.c
+++ b/node/request.c
@@ -89,7 +89,7 @@
 		r->ready = true;
 		r->ended_by = by;
 		r->refuse = refuse;
-		r->run = run;
+		r->run = run == BCT_RUN_NOT_RUN && (r->sent_now || r->ran) ? BCT_RUN_UNKNOWN : run;
 		r->retry_after_ms = retry_after_ms;
 		r->cut = refuse != BCT_REFUSE_NONE;
 		if (!r->cut)
@@ -119,6 +119,7 @@
 	case BCT_REFUSE_IN_PROGRESS:
 	case BCT_REFUSE_KEY_CONFLICT:
 	case BCT_REFUSE_KEY_EXPIRED:
+	case BCT_REFUSE_ANSWER_GONE:
 	case BCT_REFUSE_LOG_DOWN:
 		return BCT_ENDED_BY_LOG;
 	case BCT_REFUSE_NOT_READY:
--- a/node/request.h
+++ b/node/request.h
@@ -66,7 +66,12 @@
 	uint32_t tokens;	     /* given to the caller so far, over all attempts */
 	bct_attempt_t *attempt;	     /* the only one whose output counts; holds no reference */
 	bct_action_t claimed_action; /* to be sent once its claim is won */
-	bct_time_t first_token;	     /* BCT_TIME_NEVER until there is one */
+	uint64_t intent;	     /* of its key; 0: none, or given up */
+	bool intent_won;
+	bool sent_now;		/* the current attempt's first byte may be out */
+	bool ran;		/* an earlier attempt may have run */
+	bool orphaned;		/* the caller left, but the request goes on to its outcome */
+	bct_time_t first_token; /* BCT_TIME_NEVER until there is one */
 	bct_time_t last_token;
 	uint32_t max_gap_ms; /* longest time between tokens */
 } bct_request_t;
@@ -80,7 +85,8 @@
 void bct_request_wake(bct_request_t *r);
 
 /*
- * bct_request_end(3): mark a request as ended and wake its connection. The first end counts.
+ * bct_request_end(3): mark a request as ended and wake its connection. The first end counts. A
+ * request that may have run is never told as not run, whatever run says.
  *
  * returns  true if this call ended it
  */
--- a/node/stats.c
+++ b/node/stats.c
@@ -105,6 +105,11 @@
 	pthread_mutex_unlock(&s->lock);
 }
 
+void bct_stats_count_refused(bct_stats_t *s, bct_refuse_t why)
+{
+	bct_counter_inc(&s->refused[why]);
+}
+
 void bct_stats_refused(bct_stats_t *s, bct_refuse_t why, bct_state_t state)
 {
 	bct_ended_by_t by = bct_request_ended_by(why);
--- a/node/stats.h
+++ b/node/stats.h
@@ -65,6 +65,9 @@
 /* bct_stats_refused(3): count a refusal that never became a request. */
 void bct_stats_refused(bct_stats_t *s, bct_refuse_t why, bct_state_t state);
 
+/* bct_stats_count_refused(3): count a reason that the scheduler does not count itself. */
+void bct_stats_count_refused(bct_stats_t *s, bct_refuse_t why);
+
 /* bct_stats_print(3): metrics in the Prometheus text format. returns 0 or the buffer's error. */
 int bct_stats_print(bct_stats_t *s, bct_buf_t *out);
 
--- a/node/transfer.c
+++ b/node/transfer.c
@@ -122,7 +122,23 @@
 	return size * n;
 }
 
-/* The connection is made: from here on the upstream may see the request. */
+/*
+ * The last moment before the first byte. Whoever ends the request sees under the same lock whether
+ * it may have been sent.
+ */
+static bool may_send(bct_attempt_t *a)
+{
+	bct_request_t *r = a->req;
+	bool may;
+
+	pthread_mutex_lock(&r->lock);
+	may = r->attempt == a && !r->done && bct_clock_now() <= a->send_before;
+	if (may)
+		r->sent_now = true;
+	pthread_mutex_unlock(&r->lock);
+	return may;
+}
+
 static int on_connected(void *ctx, char *primary, char *local, int primary_port, int local_port)
 {
 	bct_attempt_t *a = ctx;
@@ -132,11 +148,15 @@
 	(void)local;
 	(void)primary_port;
 	(void)local_port;
-	if (!a->sent) {
-		a->sent = true;
-		a->progress = bct_clock_now();
-		opts->events.sent(opts->events.ctx, a);
+	if (a->sent)
+		return CURL_PREREQFUNC_OK;
+	if (!may_send(a)) {
+		a->withheld = true;
+		return CURL_PREREQFUNC_ABORT;
 	}
+	a->sent = true;
+	a->progress = bct_clock_now();
+	opts->events.sent(opts->events.ctx, a);
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -255,6 +275,7 @@
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(e, CURLOPT_PROXY, "");
+	curl_easy_setopt(e, CURLOPT_PATH_AS_IS, 1L);
 	curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(e, CURLOPT_BUFFERSIZE, (long)RECEIVE_BUFFER_BYTES);
 	curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)a->timeouts.connect_ms);
@@ -338,6 +359,8 @@
 {
 	if (a->cancelled)
 		return BCT_OUTCOME_CANCELLED;
+	if (a->withheld)
+		return BCT_OUTCOME_NOT_SENT;
 	if (a->crossed)
 		return BCT_OUTCOME_CROSSED;
 	if (a->malformed || a->answer.err)
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -107,6 +107,7 @@
 			 opts->kv_source->port);
 	a->priority = opts->priority;
 	a->resume_from = opts->resume_from;
+	a->send_before = opts->send_before;
 	a->timeouts = *opts->timeouts;
 	snprintf(a->id_hex, sizeof(a->id_hex), "%016" PRIx64, a->id);
 	snprintf(a->req_id_hex, sizeof(a->req_id_hex), "%016" PRIx64, a->req->id);
@@ -236,7 +237,7 @@
 	bct_time_t now = bct_clock_now();
 	bct_list_t *el, *tmp;
 
-	bct_list_for_each_safe (el, tmp, &w->running) {
+	bct_list_for_each_safe(el, tmp, &w->running) {
 		bct_attempt_t *a = bct_container_of(el, bct_attempt_t, link);
 
 		if (now < bct_transfer_deadline(a))
@@ -251,7 +252,7 @@
 	bct_list_t *el, *tmp;
 
 	take_orders(w);
-	bct_list_for_each_safe (el, tmp, &w->running) {
+	bct_list_for_each_safe(el, tmp, &w->running) {
 		bct_attempt_t *a = bct_container_of(el, bct_attempt_t, link);
 
 		if (a->easy)
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -34,6 +34,7 @@
 	const bct_timeouts_conf_t *timeouts;
 	uint8_t priority;
 	uint32_t resume_from;
+	bct_time_t send_before; /* the first byte must be out by then; BCT_TIME_NEVER: no limit */
 } bct_attempt_opts_t;
 
 int bct_upstream_pool_new(const bct_upstream_opts_t *opts, bct_upstream_pool_t **out);
--- a/policy/naive.c
+++ b/policy/naive.c
@@ -91,7 +91,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &n->reqs[req_id % NAIVE_BUCKETS]) {
+	bct_list_for_each(el, &n->reqs[req_id % NAIVE_BUCKETS]) {
 		naive_req_t *r = bct_container_of(el, naive_req_t, by_req);
 
 		if (r->desc.req_id == req_id)
@@ -104,7 +104,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &n->running[attempt_id % NAIVE_BUCKETS]) {
+	bct_list_for_each(el, &n->running[attempt_id % NAIVE_BUCKETS]) {
 		naive_req_t *r = bct_container_of(el, naive_req_t, by_attempt);
 
 		if (r->attempt_id == attempt_id)
@@ -119,7 +119,7 @@
 	bct_list_t *el, *tmp;
 
 	for (uint32_t i = 0; i < NAIVE_BUCKETS; i++) {
-		bct_list_for_each_safe (el, tmp, &n->reqs[i])
+		bct_list_for_each_safe(el, tmp, &n->reqs[i])
 			naive_req_free(bct_container_of(el, naive_req_t, by_req));
 	}
 	bct_conf_unref(n->conf);
--- a/policy/reason.h
+++ b/policy/reason.h
@@ -37,6 +37,7 @@
 	DEF(IN_PROGRESS, "in_progress", 409, "the same key is being run")                          \
 	DEF(KEY_CONFLICT, "key_conflict", 409, "the key was used with another request")            \
 	DEF(KEY_EXPIRED, "key_expired", 409, "the key is older than the idempotency window")       \
+	DEF(ANSWER_GONE, "answer_gone", 409, "the request ran before; its answer is not kept")     \
 	DEF(LOG_DOWN, "log_down", 503, "the platform's log cannot be reached")                     \
 	DEF(NOT_READY, "not_ready", 503, "this node has no configuration or key history yet")      \
 	DEF(STOPPING, "stopping", 503, "this node is stopping")                                    \
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -47,7 +47,7 @@
 	bct_list_t *el;
 
 	for (uint32_t i = 0; i < 2; i++) {
-		bct_list_for_each (el, lists[i]) {
+		bct_list_for_each(el, lists[i]) {
 			if (bct_container_of(el, bct_sreq_t, line)->tier > tier)
 				return true;
 		}
