--- /dev/null
+++ b/base/tsan.h
@@ -0,0 +1,17 @@
+/*
+ * tsan.h - tells the thread sanitizer of an order that Concurrency Kit's assembly makes and that it
+ * cannot see. Nothing is generated in other builds.
+ */
+#ifndef BCT_BASE_TSAN_H
+#define BCT_BASE_TSAN_H
+
+#ifdef __SANITIZE_THREAD__
+#include <sanitizer/tsan_interface.h>
+#define BCT_TSAN_RELEASE(addr) __tsan_release((void *)(addr))
+#define BCT_TSAN_ACQUIRE(addr) __tsan_acquire((void *)(addr))
+#else
+#define BCT_TSAN_RELEASE(addr) ((void)(addr))
+#define BCT_TSAN_ACQUIRE(addr) ((void)(addr))
+#endif
+
+#endif
--- a/cmd/chutectl_config.c
+++ b/cmd/chutectl_config.c
@@ -248,7 +248,7 @@
 	json_t *paths = json_array();
 
 	for (u_int i = 0; i < c->objects.objects_len; i++)
-		json_array_append_new(paths, json_string(c->objects.objects_val[i].path));
+		json_array_append_new(paths, json_string(c->objects.objects_val[i].path.path_val));
 	return paths;
 }
 
@@ -270,8 +270,8 @@
 					(json_int_t)c->base_revision, "revision",
 					(json_int_t)res->revision, "verdict",
 					bct_verdict_wire(res->verdict), "repeat", res->repeat,
-					"author", c->author, "wall_ms", (json_int_t)c->wall_ms,
-					"objects", object_paths(c)));
+					"author", c->author.author_val, "wall_ms",
+					(json_int_t)c->wall_ms, "objects", object_paths(c)));
 	bct_config_record_free(&x);
 }
 
--- a/coord/config.h
+++ b/coord/config.h
@@ -121,9 +121,9 @@
 
 /* Objects that differ between two documents. text is NULL for a deletion. */
 typedef struct bct_config_diff {
-	char path[BCT_X_PATH_BYTES + 1];
-	char *text; /* after the change */
-	char *old;  /* before it; NULL: it is new */
+	char path[BCT_X_PATH_BYTES]; /* filled up with NULs */
+	char *text;		     /* after the change; JSON, filled up with spaces */
+	char *old;		     /* before it; NULL: it is new */
 } bct_config_diff_t;
 
 /*
--- a/coord/config_boot.c
+++ b/coord/config_boot.c
@@ -25,11 +25,14 @@
 static bool usable(const bct_config_boot_t *b, const bct_xconfig_record *rec, uint64_t offset)
 {
 	const bct_xconfig_snapshot *snap = &rec->bct_xconfig_record_u.snapshot;
+	u_int len = snap->document.document_len;
 	bct_digest_t digest;
 
 	if (rec->type != BCT_XCONFIG_SNAPSHOT || snap->covered < b->start || snap->covered > offset)
 		return false;
-	bct_digest(snap->document.document_val, snap->document.document_len, &digest);
+	while (len > 0 && snap->document.document_val[len - 1] == ' ')
+		len--;
+	bct_digest(snap->document.document_val, len, &digest);
 	return memcmp(digest.bytes, snap->digest, sizeof(digest.bytes)) == 0;
 }
 
--- a/coord/config_codec.c
+++ b/coord/config_codec.c
@@ -10,6 +10,34 @@
 #include <string.h>
 
 #define RECORD_MAX_BYTES (1024 * 1024)
+#define XDR_UNIT_BYTES 4
+
+static bool terminated(const char *name, u_int len)
+{
+	return len > 0 && name[len - 1] == '\0';
+}
+
+static bool names_terminated(const bct_xconfig_record *r)
+{
+	const bct_xconfig_snapshot *snap = &r->bct_xconfig_record_u.snapshot;
+	const bct_xconfig_change *c = &r->bct_xconfig_record_u.change;
+
+	if (r->type == BCT_XCONFIG_SNAPSHOT)
+		return terminated(snap->writer.writer_val, snap->writer.writer_len);
+	for (u_int i = 0; i < c->objects.objects_len; i++) {
+		const bct_xobject *o = &c->objects.objects_val[i];
+
+		if (!terminated(o->path.path_val, o->path.path_len))
+			return false;
+	}
+	return terminated(c->author.author_val, c->author.author_len);
+}
+
+/* Length of a name as it is written: with one NUL at least, and a multiple of the unit. */
+static u_int name_len(const char *name)
+{
+	return (u_int)(strlen(name) / XDR_UNIT_BYTES + 1) * XDR_UNIT_BYTES;
+}
 
 /* XXX: the XDR library does not tell want of memory from a malformed record. */
 int bct_config_decode(const void *data, uint32_t len_bytes, bct_xconfig_record *out)
@@ -19,7 +47,8 @@
 
 	memset(out, 0, sizeof(*out));
 	xdrmem_create(&xdrs, (char *)data, len_bytes, XDR_DECODE);
-	whole = xdr_bct_xconfig_record(&xdrs, out) && xdr_getpos(&xdrs) == len_bytes;
+	whole = xdr_bct_xconfig_record(&xdrs, out) && xdr_getpos(&xdrs) == len_bytes &&
+		names_terminated(out);
 	xdr_destroy(&xdrs);
 	if (whole)
 		return 0;
@@ -69,18 +98,25 @@
 	bct_xconfig_record rec = { .type = BCT_XCONFIG_SNAPSHOT };
 	bct_xconfig_snapshot *snap = &rec.bct_xconfig_record_u.snapshot;
 	bct_xverdict recent[BCT_CONFIG_RECENT];
+	char name[BCT_X_AUTHOR_BYTES] = { 0 };
 	bct_buf_t text;
 	int rc;
 
+	if (strlen(writer) >= sizeof(name))
+		return -BCT_ETOO_LARGE;
+	memcpy(name, writer, strlen(writer));
 	bct_buf_init(&text, 0);
 	rc = bct_conf_canonical(s->doc, &text);
+	while (!rc && text.len_bytes % XDR_UNIT_BYTES)
+		rc = bct_buf_puts(&text, " ");
 	if (rc)
 		goto out;
 	put_recent(s, recent);
 	snap->covered = s->next;
 	snap->revision = s->revision;
 	memcpy(snap->digest, s->digest.bytes, sizeof(snap->digest));
-	snap->writer = (char *)writer;
+	snap->writer.writer_len = name_len(name);
+	snap->writer.writer_val = name;
 	snap->wall_ms = wall_ms;
 	snap->recent.recent_len = s->n_recent;
 	snap->recent.recent_val = recent;
@@ -95,7 +131,8 @@
 static void objects_from_diff(const bct_config_diff_t *diff, uint32_t n, bct_xobject *out)
 {
 	for (uint32_t i = 0; i < n; i++) {
-		out[i].path = (char *)diff[i].path;
+		out[i].path.path_len = name_len(diff[i].path);
+		out[i].path.path_val = (char *)diff[i].path;
 		out[i].text.text_val = diff[i].text;
 		out[i].text.text_len = diff[i].text ? (u_int)strlen(diff[i].text) : 0;
 	}
@@ -142,24 +179,24 @@
 int bct_config_change_encode(const bct_config_state_t *base, const json_t *doc, uint64_t id,
 			     const char *author, bct_time_t wall_ms, bct_buf_t *out)
 {
-	bct_xconfig_change c = {
-		.id = id,
-		.base_revision = base->revision,
-		.author = (char *)author,
-		.wall_ms = wall_ms,
-	};
+	bct_xconfig_change c = { .id = id, .base_revision = base->revision, .wall_ms = wall_ms };
+	char name[BCT_X_AUTHOR_BYTES] = { 0 };
 	bct_config_diff_t *diff = NULL;
 	uint32_t n = 0;
-	int rc = bct_config_diff(base->doc, doc, &diff, &n);
+	int rc;
 
-	if (rc)
-		return rc;
+	if (strlen(author) >= sizeof(name))
+		return -BCT_ETOO_LARGE;
+	memcpy(name, author, strlen(author));
+	c.author.author_len = name_len(name);
+	c.author.author_val = name;
 	memcpy(c.base_digest, base->digest.bytes, sizeof(c.base_digest));
-	if (n == 0)
+	rc = bct_config_diff(base->doc, doc, &diff, &n);
+	if (!rc && n == 0)
 		rc = -BCT_ESTATE;
-	else if (n > BCT_X_CHANGES || strlen(author) > BCT_X_AUTHOR_BYTES)
+	else if (!rc && n > BCT_X_CHANGES)
 		rc = -BCT_ETOO_LARGE;
-	else
+	else if (!rc)
 		rc = encode_change(base, diff, n, &c, out);
 	bct_config_diff_free(diff, n);
 	return rc;
--- a/coord/config_doc.c
+++ b/coord/config_doc.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define SEPARATOR '/'
+#define TEXT_UNIT_BYTES 4
 
 /* "timeouts" is one object; the other sections hold one object for each name. */
 static const char *const sections[] = { "models", "upstreams", "contracts" };
@@ -64,11 +65,11 @@
 
 static int apply_object(json_t *doc, const bct_xobject *o, bct_json_err_t *err)
 {
-	const char *key;
-	json_t *parent = find_parent(doc, o->path, &key), *value;
+	const char *path = o->path.path_val, *key;
+	json_t *parent = find_parent(doc, path, &key), *value;
 
 	if (!parent)
-		return bct_json_fail(err, BCT_ERANGE, o->path,
+		return bct_json_fail(err, BCT_ERANGE, path,
 				     "allowed: timeouts, or models, upstreams or contracts, '/' "
 				     "and a name");
 	if (o->text.text_len == 0) {
@@ -77,7 +78,7 @@
 	}
 	value = bct_json_parse(o->text.text_val, o->text.text_len, BCT_CONF_MAX_BYTES, err);
 	if (!value) {
-		snprintf(err->path, sizeof(err->path), "%s", o->path);
+		snprintf(err->path, sizeof(err->path), "%s", path);
 		return err->err;
 	}
 	return json_object_set_new(parent, key, value) ? -BCT_ENOMEM : 0;
@@ -107,9 +108,28 @@
 	uint32_t cap;
 } collector_t;
 
+static void release_text(char *text)
+{
+	json_free_t release;
+
+	json_get_alloc_funcs(NULL, &release);
+	release(text);
+}
+
+/* The text of an object, filled up with spaces to the unit of the record. */
 static char *object_text(const json_t *value)
 {
-	return json_dumps(value, JSON_SORT_KEYS | JSON_COMPACT);
+	char *text = json_dumps(value, JSON_SORT_KEYS | JSON_COMPACT);
+	size_t len = text ? strlen(text) : 0;
+	size_t padded = (len + TEXT_UNIT_BYTES - 1) / TEXT_UNIT_BYTES * TEXT_UNIT_BYTES;
+	char *out = text ? bct_alloc(padded + 1) : NULL;
+
+	if (out) {
+		memset(out, ' ', padded);
+		memcpy(out, text, len);
+	}
+	release_text(text);
+	return out;
 }
 
 static int collect(collector_t *c, const char *section, const char *name, const json_t *from,
@@ -127,6 +147,7 @@
 		c->cap = cap;
 	}
 	d = &c->diff[c->n++];
+	memset(d, 0, sizeof(*d));
 	snprintf(d->path, sizeof(d->path), "%s%s%s", section, name ? "/" : "", name ? name : "");
 	d->old = from ? object_text(from) : NULL;
 	d->text = to ? object_text(to) : NULL;
@@ -180,12 +201,9 @@
 
 void bct_config_diff_free(bct_config_diff_t *diff, uint32_t n)
 {
-	json_free_t release;
-
-	json_get_alloc_funcs(NULL, &release);
 	for (uint32_t i = 0; i < n; i++) {
-		release(diff[i].text);
-		release(diff[i].old);
+		bct_free(diff[i].text);
+		bct_free(diff[i].old);
 	}
 	bct_free(diff);
 }
--- a/gen/record.h
+++ b/gen/record.h
@@ -14,7 +14,7 @@
 #endif
 
 #define BCT_X_DIGEST_BYTES 32
-#define BCT_X_AUTHOR_BYTES 63
+#define BCT_X_AUTHOR_BYTES 64
 #define BCT_X_PATH_BYTES 128
 #define BCT_X_DOCUMENT_BYTES 1024000
 #define BCT_X_CHANGES 8192
@@ -27,7 +27,10 @@
 typedef enum bct_xconfig_type bct_xconfig_type;
 
 struct bct_xobject {
-	char *path;
+	struct {
+		u_int path_len;
+		char *path_val;
+	} path;
 	struct {
 		u_int text_len;
 		char *text_val;
@@ -40,7 +43,10 @@
 	u_quad_t base_revision;
 	char base_digest[BCT_X_DIGEST_BYTES];
 	char digest[BCT_X_DIGEST_BYTES];
-	char *author;
+	struct {
+		u_int author_len;
+		char *author_val;
+	} author;
 	quad_t wall_ms;
 	struct {
 		u_int objects_len;
@@ -60,7 +66,10 @@
 	u_quad_t covered;
 	u_quad_t revision;
 	char digest[BCT_X_DIGEST_BYTES];
-	char *writer;
+	struct {
+		u_int writer_len;
+		char *writer_val;
+	} writer;
 	quad_t wall_ms;
 	struct {
 		u_int recent_len;
--- a/gen/record_xdr.c
+++ b/gen/record_xdr.c
@@ -20,7 +20,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->path, BCT_X_PATH_BYTES))
+	 if (!xdr_bytes (xdrs, (char **)&objp->path.path_val, (u_int *) &objp->path.path_len, BCT_X_PATH_BYTES))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, BCT_X_DOCUMENT_BYTES))
 		 return FALSE;
@@ -41,7 +41,7 @@
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->digest, BCT_X_DIGEST_BYTES))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->author, BCT_X_AUTHOR_BYTES))
+	 if (!xdr_bytes (xdrs, (char **)&objp->author.author_val, (u_int *) &objp->author.author_len, BCT_X_AUTHOR_BYTES))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
 		 return FALSE;
@@ -77,7 +77,7 @@
 		 return FALSE;
 	 if (!xdr_opaque (xdrs, objp->digest, BCT_X_DIGEST_BYTES))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->writer, BCT_X_AUTHOR_BYTES))
+	 if (!xdr_bytes (xdrs, (char **)&objp->writer.writer_val, (u_int *) &objp->writer.writer_len, BCT_X_AUTHOR_BYTES))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
 		 return FALSE;
--- a/policy/conf.c
+++ b/policy/conf.c
@@ -3,6 +3,7 @@
  */
 #include "policy/conf.h"
 #include "base/mem.h"
+#include "base/tsan.h"
 
 #include <ck_pr.h>
 
@@ -29,9 +30,11 @@
 
 	if (!c)
 		return;
+	BCT_TSAN_RELEASE(&c->refs);
 	ck_pr_dec_32_zero(&c->refs, &last);
 	if (!last)
 		return;
+	BCT_TSAN_ACQUIRE(&c->refs);
 	for (i = 0; i < c->n_accounts; i++)
 		bct_free(c->accounts[i].classes);
 	bct_free(c->accounts);
--- a/schema/record.x
+++ b/schema/record.x
@@ -2,12 +2,15 @@
  * record.x - records of the configuration stream of the platform's log.
  *
  * A record is one bct_xconfig_record. Records of other streams have schemas of their own.
+ *
+ * Every opaque is padded by its writer to a multiple of four bytes: names with NULs (at least one),
+ * JSON with spaces. The XDR library shares one buffer between threads for padding of its own.
  */
 
 const BCT_X_DIGEST_BYTES = 32;
-const BCT_X_AUTHOR_BYTES = 63;
+const BCT_X_AUTHOR_BYTES = 64;
 const BCT_X_PATH_BYTES = 128;
-const BCT_X_DOCUMENT_BYTES = 1024000;
+const BCT_X_DOCUMENT_BYTES = 1024000;	/* with padding */
 const BCT_X_CHANGES = 8192;
 const BCT_X_RECENT = 256;
 
@@ -18,7 +21,7 @@
 
 /* One object of the document: "timeouts", "models/NAME", "upstreams/NAME", "contracts/NAME". */
 struct bct_xobject {
-	string path<BCT_X_PATH_BYTES>;
+	opaque path<BCT_X_PATH_BYTES>;
 	opaque text<BCT_X_DOCUMENT_BYTES>;	/* JSON; empty: the object is deleted */
 };
 
@@ -27,7 +30,7 @@
 	unsigned hyper base_revision;
 	opaque base_digest[BCT_X_DIGEST_BYTES];
 	opaque digest[BCT_X_DIGEST_BYTES];	/* of the document after the change */
-	string author<BCT_X_AUTHOR_BYTES>;
+	opaque author<BCT_X_AUTHOR_BYTES>;
 	hyper wall_ms;
 	bct_xobject objects<BCT_X_CHANGES>;
 };
@@ -44,7 +47,7 @@
 	unsigned hyper covered;
 	unsigned hyper revision;
 	opaque digest[BCT_X_DIGEST_BYTES];
-	string writer<BCT_X_AUTHOR_BYTES>;
+	opaque writer<BCT_X_AUTHOR_BYTES>;
 	hyper wall_ms;
 	bct_xverdict recent<BCT_X_RECENT>;	/* oldest first */
 	opaque document<BCT_X_DOCUMENT_BYTES>;
