--- a/bench/model_cache.c
+++ b/bench/model_cache.c
@@ -15,7 +15,7 @@
 	bct_list_t *head = cache_bucket(c, hash);
 	bct_list_t *el;
 
-	bct_list_for_each (el, head) {
+	bct_list_for_each(el, head) {
 		bct_model_block_t *b = bct_container_of(el, bct_model_block_t, bucket);
 
 		if (b->hash == hash)
--- a/cmd/chuteload_run.c
+++ b/cmd/chuteload_run.c
@@ -130,7 +130,7 @@
 	if (now_us < l->next_scan_us)
 		return;
 	l->next_scan_us = now_us + SCAN_US;
-	bct_list_for_each_safe (el, tmp, &l->calls) {
+	bct_list_for_each_safe(el, tmp, &l->calls) {
 		load_call_t *call = bct_container_of(el, load_call_t, link);
 
 		if (call->leave_us == 0 || call->leave_us > now_us)
@@ -139,7 +139,7 @@
 		load_call_leave(call);
 		call_free(l, call);
 	}
-	bct_list_for_each_safe (el, tmp, &l->resends) {
+	bct_list_for_each_safe(el, tmp, &l->resends) {
 		load_call_t *call = bct_container_of(el, load_call_t, link);
 
 		if (call->resend_us > now_us)
--- a/coord/key_claims.c
+++ b/coord/key_claims.c
@@ -3,6 +3,7 @@
  */
 #include "coord/key_claims.h"
 #include "base/err.h"
+#include "base/hash.h"
 #include "base/list.h"
 #include "base/mem.h"
 
@@ -603,3 +604,23 @@
 {
 	return c->table;
 }
+
+uint64_t bct_key_claims_fingerprint(const bct_key_claims_t *c)
+{
+	uint64_t h = bct_hash_mix(bct_key_table_fingerprint(c->table), c->ready);
+	bct_list_t *el;
+
+	bct_list_for_each(el, &c->claims) {
+		const claim_t *cl = bct_container_of(el, claim_t, link);
+
+		h = bct_hash_mix(h, cl->intent);
+		h = bct_hash_mix(h, (uint64_t)cl->started * 4 + cl->state);
+	}
+	bct_list_for_each(el, &c->outbox) {
+		const out_entry_t *e = bct_container_of(el, out_entry_t, link);
+
+		h = bct_hash_mix(h, e->x.intent);
+		h = bct_hash_mix(h, (uint64_t)e->retry_at * 16 + e->state * 4 + e->x.body.type);
+	}
+	return h;
+}
--- a/coord/key_claims.h
+++ b/coord/key_claims.h
@@ -124,6 +124,9 @@
 /* bct_key_claims_idle(3): nothing waits to be appended or read back. */
 bool bct_key_claims_idle(const bct_key_claims_t *c);
 
+/* bct_key_claims_fingerprint(3): a hash of the whole state, for explorers that meet it again. */
+uint64_t bct_key_claims_fingerprint(const bct_key_claims_t *c);
+
 const bct_key_table_t *bct_key_claims_table(const bct_key_claims_t *c);
 
 /* bct_key_batch_decode(3): the entries of a record; 0 or -BCT_ECODEC; release with
--- a/coord/key_table.c
+++ b/coord/key_table.c
@@ -3,6 +3,7 @@
  */
 #include "coord/key_table.h"
 #include "base/err.h"
+#include "base/hash.h"
 #include "base/mem.h"
 
 #include <sodium.h>
@@ -318,3 +319,18 @@
 {
 	return t->n_keys;
 }
+
+uint64_t bct_key_table_fingerprint(const bct_key_table_t *t)
+{
+	uint64_t h = 0;
+
+	/* A sum, so that the order of the chains does not matter. */
+	for (uint32_t i = 0; i < t->n_buckets; i++) {
+		for (const bct_key_entry_t *e = t->buckets[i]; e; e = e->next)
+			h += bct_hash_mix(bct_hash(&e->id, sizeof(e->id)),
+					  bct_hash_mix(e->intent, e->state));
+		for (const void_intent_t *v = t->voids[i]; v; v = v->next)
+			h += bct_hash_mix(v->intent, 1);
+	}
+	return h;
+}
--- a/coord/key_table.h
+++ b/coord/key_table.h
@@ -68,6 +68,9 @@
 /* bct_key_table_expire(3): forget keys whose intent is older than the window. */
 void bct_key_table_expire(bct_key_table_t *t, bct_time_t oldest_wall_ms);
 
+/* bct_key_table_fingerprint(3): equal for tables that know the same; read_at does not count. */
+uint64_t bct_key_table_fingerprint(const bct_key_table_t *t);
+
 uint32_t bct_key_table_size(const bct_key_table_t *t);
 
 #endif
--- a/coord/platform_embedded.c
+++ b/coord/platform_embedded.c
@@ -71,7 +71,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &p->streams) {
+	bct_list_for_each(el, &p->streams) {
 		stream_t *s = bct_container_of(el, stream_t, link);
 
 		if (!strcmp(s->name, name))
@@ -325,7 +325,7 @@
 	embedded_t *p = (embedded_t *)base;
 	bct_list_t *el, *tmp;
 
-	bct_list_for_each_safe (el, tmp, &p->streams) {
+	bct_list_for_each_safe(el, tmp, &p->streams) {
 		stream_t *s = bct_container_of(el, stream_t, link);
 
 		expire(s, s->end);
--- a/node/admin.c
+++ b/node/admin.c
@@ -4,6 +4,7 @@
 #include "node/admin.h"
 #include "base/err.h"
 #include "base/hash.h"
+#include "base/json.h"
 #include "base/mem.h"
 #include "node/http.h"
 #include "policy/conf.h"
@@ -14,6 +15,8 @@
 #include <sys/socket.h>
 
 #define UPSTREAMS "/admin/v1/upstreams/"
+#define KEYS "/admin/v1/keys/"
+#define KEY_BYTES 320
 #define MAX_CONNECTIONS 64U
 #define MAX_BODY_BYTES 65536
 
@@ -97,12 +100,87 @@
 	return bct_http_json(c, MHD_HTTP_ACCEPTED, json_pack("{s:b}", "draining", 1));
 }
 
-static enum MHD_Result answer_post(bct_admin_t *a, struct MHD_Connection *c, const char *path)
+/* Splits ACCOUNT/KEY; what may follow is cut off where end points. */
+static bool split_key(const char *rest, const char *end, char *account, char *key, size_t size)
+{
+	const char *slash = strchr(rest, '/');
+
+	if (!slash || slash >= end || (size_t)(slash - rest) >= size)
+		return false;
+	if ((size_t)(end - slash) > size || end == slash + 1)
+		return false;
+	snprintf(account, size, "%.*s", (int)(slash - rest), rest);
+	snprintf(key, size, "%.*s", (int)(end - slash - 1), slash + 1);
+	return true;
+}
+
+/* GET /admin/v1/keys/ACCOUNT/KEY */
+static enum MHD_Result show_key(bct_admin_t *a, struct MHD_Connection *c, const char *rest)
+{
+	char account[KEY_BYTES], key[KEY_BYTES];
+	json_t *doc;
+
+	if (!split_key(rest, rest + strlen(rest), account, key, sizeof(key)))
+		return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
+	doc = bct_node_key_show(a->node, account, key);
+	return doc ? bct_http_json(c, MHD_HTTP_OK, doc) : refuse(c, BCT_REFUSE_NOT_READY);
+}
+
+/* The body of an operator's word: {"outcome": "ran" or "not_run", "force": false} */
+static bool parse_word(const bct_buf_t *body, bool *ran, bool *force)
+{
+	bct_json_err_t err;
+	json_t *doc = bct_json_parse_strict(body->data ? body->data : "", body->len_bytes, &err);
+	const char *outcome = json_string_value(json_object_get(doc, "outcome"));
+	bool ok = outcome && (!strcmp(outcome, "ran") || !strcmp(outcome, "not_run"));
+
+	*ran = ok && !strcmp(outcome, "ran");
+	*force = json_is_true(json_object_get(doc, "force"));
+	json_decref(doc);
+	return ok;
+}
+
+static enum MHD_Result conflict(struct MHD_Connection *c, int rc)
+{
+	return bct_http_json(
+		c, MHD_HTTP_CONFLICT,
+		json_pack("{s:{s:s, s:s}}", "error", "reason", bct_err_name(rc), "message",
+			  rc == -BCT_ESTATE ? "the owner may be alive or merely paused; force says "
+					      "that it will not run the request any more"
+					    : bct_err_text(rc)));
+}
+
+/* POST /admin/v1/keys/ACCOUNT/KEY/resolve */
+static enum MHD_Result resolve_key(bct_admin_t *a, struct MHD_Connection *c, const char *rest,
+				   const bct_buf_t *body)
+{
+	const char *end = rest + strlen(rest) - strlen("/resolve");
+	char account[KEY_BYTES], key[KEY_BYTES];
+	bool ran, force;
+	int rc;
+
+	if (end <= rest || strcmp(end, "/resolve") ||
+	    !split_key(rest, end, account, key, sizeof(key)))
+		return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
+	if (!parse_word(body, &ran, &force))
+		return refuse(c, BCT_REFUSE_BAD_FIELD);
+	rc = bct_node_key_resolve(a->node, account, key, ran, force, "operator");
+	if (rc)
+		return conflict(c, rc);
+	return bct_http_json(
+		c, MHD_HTTP_ACCEPTED,
+		json_pack("{s:s, s:s, s:b}", "account", account, "key", key, "ran", (int)ran));
+}
+
+static enum MHD_Result answer_post(bct_admin_t *a, struct MHD_Connection *c, const char *path,
+				   const bct_buf_t *body)
 {
 	if (!strcmp(path, "/admin/v1/drain"))
 		return order_drain(a, c);
 	if (!strncmp(path, UPSTREAMS, strlen(UPSTREAMS)))
 		return order_upstream(a, c, path + strlen(UPSTREAMS));
+	if (!strncmp(path, KEYS, strlen(KEYS)))
+		return resolve_key(a, c, path + strlen(KEYS), body);
 	return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
 }
 
@@ -110,11 +188,13 @@
 {
 	if (!strcmp(path, "/admin/v1/status"))
 		return bct_http_json(c, MHD_HTTP_OK, bct_node_status(a->node));
+	if (!strncmp(path, KEYS, strlen(KEYS)))
+		return show_key(a, c, path + strlen(KEYS));
 	return refuse(c, BCT_REFUSE_UNKNOWN_PATH);
 }
 
 static enum MHD_Result answer(bct_admin_t *a, struct MHD_Connection *c, const char *method,
-			      const char *path)
+			      const char *path, const bct_buf_t *body)
 {
 	bool get = !strcmp(method, MHD_HTTP_METHOD_GET);
 
@@ -129,7 +209,7 @@
 	if (get)
 		return answer_get(a, c, path);
 	if (!strcmp(method, MHD_HTTP_METHOD_POST))
-		return answer_post(a, c, path);
+		return answer_post(a, c, path, body);
 	return refuse(c, BCT_REFUSE_BAD_METHOD);
 }
 
@@ -158,7 +238,7 @@
 	}
 	if (call->body.err)
 		return refuse(c, BCT_REFUSE_TOO_LARGE);
-	return answer(cls, c, method, url);
+	return answer(cls, c, method, url, &call->body);
 }
 
 static void on_completed(void *cls, struct MHD_Connection *c, void **con_cls,
--- a/node/front.c
+++ b/node/front.c
@@ -85,7 +85,8 @@
 	if (!bct_route_needs_token(x->route))
 		return BCT_REFUSE_NONE;
 	x->conf = bct_core_conf(x->front->opts.core);
-	if (!x->conf)
+	/* Revision 0 is the empty configuration, before anything was published. */
+	if (!x->conf || !x->conf->revision)
 		return BCT_REFUSE_NOT_READY;
 	x->account = bct_find_account(x->conf, bct_http_bearer(c));
 	return x->account ? BCT_REFUSE_NONE : BCT_REFUSE_BAD_TOKEN;
--- a/node/node.c
+++ b/node/node.c
@@ -318,7 +318,7 @@
 bool bct_node_ready(bct_node_t *n)
 {
 	bct_conf_t *conf = bct_core_conf(n->core);
-	bool ready = conf && wired(n) && !ck_pr_load_32(&n->draining);
+	bool ready = conf && conf->revision && wired(n) && !ck_pr_load_32(&n->draining);
 
 	bct_conf_unref(conf);
 	return ready;
--- a/standin/batch.c
+++ b/standin/batch.c
@@ -52,7 +52,7 @@
 	bct_job_t *best = NULL;
 	bct_list_t *el;
 
-	bct_list_for_each (el, &b->waiting) {
+	bct_list_for_each(el, &b->waiting) {
 		bct_job_t *j = bct_container_of(el, bct_job_t, link);
 
 		if (!best ||
@@ -69,7 +69,7 @@
 	bct_job_t *worst = NULL;
 	bct_list_t *el;
 
-	bct_list_for_each (el, &b->running) {
+	bct_list_for_each(el, &b->running) {
 		bct_job_t *j = bct_container_of(el, bct_job_t, link);
 
 		if (j->tier <= tier)
@@ -169,7 +169,7 @@
 		again = false;
 		next_ms = INFINITY;
 		fill_slots(b, now);
-		bct_list_for_each_safe (el, tmp, &b->running) {
+		bct_list_for_each_safe(el, tmp, &b->running) {
 			bct_job_t *j = bct_container_of(el, bct_job_t, link);
 
 			if (decode(b, j, now))
@@ -189,7 +189,7 @@
 	uint64_t n = 0;
 	bct_list_t *el;
 
-	bct_list_for_each (el, &b->running) {
+	bct_list_for_each(el, &b->running) {
 		const bct_job_t *j = bct_container_of(el, bct_job_t, link);
 
 		n += j->prompt_tokens + j->index;
@@ -202,7 +202,7 @@
 	uint64_t n = 0;
 	bct_list_t *el;
 
-	bct_list_for_each (el, &b->waiting)
+	bct_list_for_each(el, &b->waiting)
 		n += bct_container_of(el, bct_job_t, link)->prompt_tokens;
 	return n;
 }
@@ -213,6 +213,6 @@
 
 	for (int i = 0; i < BCT_BATCH_TIERS; i++)
 		out[i] = 0;
-	bct_list_for_each (el, &b->running)
+	bct_list_for_each(el, &b->running)
 		out[bct_container_of(el, bct_job_t, link)->tier - 1]++;
 }
--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -470,7 +470,7 @@
 {
 	bct_list_t *el, *tmp;
 
-	bct_list_for_each_safe (el, tmp, jobs) {
+	bct_list_for_each_safe(el, tmp, jobs) {
 		gen_t *g = bct_container_of(el, bct_job_t, link)->user;
 
 		if (strcmp(g->attempt, attempt) != 0)
--- a/standin/fake_platform.c
+++ b/standin/fake_platform.c
@@ -89,7 +89,7 @@
 	bct_list_t *el;
 	stream_t *s;
 
-	bct_list_for_each (el, &plat.streams) {
+	bct_list_for_each(el, &plat.streams) {
 		s = bct_container_of(el, stream_t, link);
 		if (strcmp(s->name, name) == 0)
 			return s;
--- a/standin/prefix_cache.c
+++ b/standin/prefix_cache.c
@@ -16,7 +16,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &c->blocks) {
+	bct_list_for_each(el, &c->blocks) {
 		block_t *b = bct_container_of(el, block_t, link);
 
 		if (b->hash == hash)
--- a/standin/standin.c
+++ b/standin/standin.c
@@ -88,7 +88,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &srv.reqs) {
+	bct_list_for_each(el, &srv.reqs) {
 		bct_fake_req_t *req = bct_container_of(el, bct_fake_req_t, link);
 
 		if (!req->streaming)
@@ -122,7 +122,7 @@
 {
 	bct_list_t *el;
 
-	bct_list_for_each (el, &srv.reqs) {
+	bct_list_for_each(el, &srv.reqs) {
 		bct_fake_req_t *req = bct_container_of(el, bct_fake_req_t, link);
 
 		if (strncmp(req->path, ADMIN_PREFIX, strlen(ADMIN_PREFIX)) == 0)
@@ -344,7 +344,7 @@
 
 	if (n > 0 || (n < 0 && errno == EAGAIN))
 		return;
-	bct_list_for_each (el, &srv.reqs) {
+	bct_list_for_each(el, &srv.reqs) {
 		bct_fake_req_t *req = bct_container_of(el, bct_fake_req_t, link);
 
 		if (req->fd != fd)
@@ -360,7 +360,7 @@
 	bct_time_t next = BCT_TIME_NEVER;
 	bct_list_t *el;
 
-	bct_list_for_each (el, &srv.reqs) {
+	bct_list_for_each(el, &srv.reqs) {
 		bct_fake_req_t *req = bct_container_of(el, bct_fake_req_t, link);
 
 		if (!req->suspended)
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -91,7 +91,7 @@
 	bct_list_add_tail(&a, &head);
 	bct_list_add_head(&b, &head);
 	cr_assert_eq(head.next, &b);
-	bct_list_for_each_safe (el, tmp, &head) {
+	bct_list_for_each_safe(el, tmp, &head) {
 		bct_list_del(el);
 		seen++;
 	}
