--- a/coord/member.c
+++ b/coord/member.c
@@ -309,7 +309,7 @@
 
 bct_time_t bct_member_tick(bct_member_table_t *t, bct_time_t now)
 {
-	bct_time_t late_ms = now - t->expected_tick;
+	bct_time_t late_ms = now - t->expected_tick, next;
 
 	if (late_ms > 2 * PROBE_INTERVAL_MS)
 		bct_probe_wake(t, now, now - t->last_tick);
@@ -324,11 +324,11 @@
 		bct_gossip_round(t, now);
 	}
 	reap_tick(t, now);
-	t->expected_tick = t->next_gossip;
-	if (t->probe.target && t->probe.deadline < t->expected_tick)
-		t->expected_tick = t->probe.deadline;
-	if (t->next_probe < t->expected_tick)
-		t->expected_tick = t->next_probe;
+	next = t->probe.target ? t->probe.deadline : t->next_probe;
+	if (t->next_gossip < next)
+		next = t->next_gossip;
+	/* What is overdue by itself must not look like a pause of this process. */
+	t->expected_tick = next > now ? next : now;
 	return t->expected_tick;
 }
 
