--- a/coord/handoff.c
+++ b/coord/handoff.c
@@ -91,12 +91,21 @@
 	       (r->data.data_len || r->offset == r->total_bytes);
 }
 
+/* Appends a chunk without what fills it up at the end of the document. */
+static int chunk_put(bct_handoff_t *h, const peer_config_reply *r)
+{
+	uint64_t left_bytes = h->total_bytes - h->doc.len_bytes;
+	size_t len = r->data.data_len;
+
+	return bct_buf_put(&h->doc, r->data.data_val, len < left_bytes ? len : left_bytes);
+}
+
 void bct_handoff_receive(bct_handoff_t *h, bct_time_t now, uint64_t from, uint32_t xid,
 			 const peer_config_reply *r)
 {
 	if (!h->fetching || xid != h->xid || from != h->source.incarnation)
 		return;
-	if (!continues(h, r) || bct_buf_put(&h->doc, r->data.data_val, r->data.data_len)) {
+	if (!continues(h, r) || chunk_put(h, r)) {
 		h->counters.abandoned++;
 		stop_fetch(h);
 		return;
--- a/coord/member_gossip.c
+++ b/coord/member_gossip.c
@@ -11,16 +11,16 @@
 #define ITEM_BYTES 56
 #define RENEW_STEP_MS 5000 /* an expiry moved by less than this is not news */
 
-static uint32_t string_bytes(const char *s)
+static uint32_t padded(const char *name)
 {
-	return 4 + (((uint32_t)strlen(s) + 3) & ~3u);
+	return ((uint32_t)strlen(name) + 3) & ~3u;
 }
 
 static uint32_t desc_bytes(const bct_member_t *m)
 {
-	return string_bytes(m->name) + string_bytes(m->failure_domain) + string_bytes(m->region) +
-	       3 * 8 + m->peer.ip_len_bytes + m->caller.ip_len_bytes + m->admin.ip_len_bytes +
-	       FACT_BYTES + INFO_BYTES;
+	return 3 * 4 + padded(m->name) + padded(m->failure_domain) + padded(m->region) + 3 * 8 +
+	       m->peer.ip_len_bytes + m->caller.ip_len_bytes + m->admin.ip_len_bytes + FACT_BYTES +
+	       INFO_BYTES;
 }
 
 static peer_fact fact_of(const bct_member_t *m)
@@ -84,9 +84,9 @@
 	if (!take_room(b, desc_bytes(m), b->g.descs.descs_len, GOSSIP_DESCS_MAX))
 		return false;
 	b->g.descs.descs_len++;
-	*d = (peer_desc){ .name = m->name,
-			  .failure_domain = m->failure_domain,
-			  .region = m->region,
+	*d = (peer_desc){ .name = { padded(m->name), m->name },
+			  .failure_domain = { padded(m->failure_domain), m->failure_domain },
+			  .region = { padded(m->region), m->region },
 			  .peer = addr_out(&m->peer),
 			  .caller = addr_out(&m->caller),
 			  .admin = addr_out(&m->admin),
@@ -234,6 +234,12 @@
 		bct_member_apply_info(t, s, &info);
 }
 
+static void name_in(const char *data, uint32_t len, char out[BCT_NAME_BYTES])
+{
+	if (len)
+		memcpy(out, data, len < BCT_NAME_BYTES ? len : BCT_NAME_BYTES - 1);
+}
+
 static void merge_desc(bct_member_table_t *t, bct_time_t now, const peer_desc *d)
 {
 	bct_member_t m = { .incarnation = d->fact.incarnation, .number = d->fact.number };
@@ -249,9 +255,10 @@
 	if (!m.incarnation || m.liveness == BCT_MEMBER_DEAD || !addr_in(&d->peer, &m.peer) ||
 	    !addr_in(&d->caller, &m.caller) || !addr_in(&d->admin, &m.admin))
 		return;
-	memcpy(m.name, d->name, strlen(d->name));
-	memcpy(m.failure_domain, d->failure_domain, strlen(d->failure_domain));
-	memcpy(m.region, d->region, strlen(d->region));
+	name_in(d->name.name_val, d->name.name_len, m.name);
+	name_in(d->failure_domain.failure_domain_val, d->failure_domain.failure_domain_len,
+		m.failure_domain);
+	name_in(d->region.region_val, d->region.region_len, m.region);
 	bct_member_add(t, now, &m);
 }
 
--- a/coord/peer_loop.c
+++ b/coord/peer_loop.c
@@ -267,7 +267,8 @@
 	memcpy(r->digest, info.digest.bytes, sizeof(r->digest));
 	r->offset = c->offset;
 	r->total_bytes = info.total_bytes;
-	r->data.data_len = (u_int)n;
+	memset(&data[n], 0, sizeof(data) - (size_t)n);
+	r->data.data_len = ((u_int)n + 3) & ~3u;
 	r->data.data_val = (char *)data;
 	pthread_mutex_lock(&p->lock);
 	outbox_reply(&p->outbox, &e->u.config.from, e->u.config.xid, &reply);
--- a/gen/peer.h
+++ b/gen/peer.h
@@ -15,7 +15,7 @@
 
 #define PEER_PROGRAM 0x20b7c001
 #define PEER_VERSION 1
-#define PEER_NAME_MAX 47
+#define PEER_NAME_MAX 48
 #define PEER_IP_MAX 16
 #define PEER_CHUNK_MAX 960
 #define PEER_ENTRIES_MAX 64
@@ -68,9 +68,18 @@
 typedef struct peer_info peer_info;
 
 struct peer_desc {
-	char *name;
-	char *failure_domain;
-	char *region;
+	struct {
+		u_int name_len;
+		char *name_val;
+	} name;
+	struct {
+		u_int failure_domain_len;
+		char *failure_domain_val;
+	} failure_domain;
+	struct {
+		u_int region_len;
+		char *region_val;
+	} region;
 	peer_addr peer;
 	peer_addr caller;
 	peer_addr admin;
--- a/gen/peer_xdr.c
+++ b/gen/peer_xdr.c
@@ -78,11 +78,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->name, PEER_NAME_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->name.name_val, (u_int *) &objp->name.name_len, PEER_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->failure_domain, PEER_NAME_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->failure_domain.failure_domain_val, (u_int *) &objp->failure_domain.failure_domain_len, PEER_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->region, PEER_NAME_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->region.region_val, (u_int *) &objp->region.region_len, PEER_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_peer_addr (xdrs, &objp->peer))
 		 return FALSE;
--- a/schema/peer.x
+++ b/schema/peer.x
@@ -5,7 +5,7 @@
  */
 const PEER_PROGRAM = 0x20b7c001;
 const PEER_VERSION = 1;
-const PEER_NAME_MAX = 47;
+const PEER_NAME_MAX = 48;
 const PEER_IP_MAX = 16;
 const PEER_CHUNK_MAX = 960;
 const PEER_ENTRIES_MAX = 64;
@@ -53,10 +53,14 @@
 	unsigned hyper digest;
 };
 
+/*
+ * Lengths of opaque fields are multiples of 4, filled up with zeros: libtirpc decodes padding into
+ * one buffer that all threads share.
+ */
 struct peer_desc {
-	string name<PEER_NAME_MAX>;
-	string failure_domain<PEER_NAME_MAX>;
-	string region<PEER_NAME_MAX>;
+	opaque name<PEER_NAME_MAX>;
+	opaque failure_domain<PEER_NAME_MAX>;
+	opaque region<PEER_NAME_MAX>;
 	peer_addr peer;
 	peer_addr caller;
 	peer_addr admin;
@@ -105,6 +109,7 @@
 	unsigned hyper offset;
 };
 
+/* data is filled up with zeros past total_bytes. */
 struct peer_config_reply {
 	unsigned hyper revision;
 	opaque digest[PEER_DIGEST_BYTES];
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -17,7 +17,7 @@
 
 #define SECRET "0123456789abcdef0123456789abcdef"
 #define WAIT_MS 30000
-#define DOC_BYTES 5000
+#define DOC_BYTES 5001 /* the last chunk is filled up on the wire */
 
 /* What one node's callbacks saw. */
 typedef struct node {
