--- a/policy/admit.c
+++ b/policy/admit.c
@@ -9,7 +9,6 @@
 #define ADMIT_RETRY_MIN_MS 100
 #define ADMIT_RETRY_MAX_MS 60000
 #define ADMIT_NO_UPSTREAM_RETRY_MS 2000
-#define ADMIT_RESUME_SLACK_MS 500 /* a broken stream goes on before others start */
 
 /* How long the work at this tier and above will take; a fair time to come back. */
 uint32_t bct_admit_retry_ms(const bct_target_t *t, uint8_t tier)
@@ -30,18 +29,13 @@
 {
 	if (r->state == BCT_REQ_QUEUED)
 		bct_queue_remove(&r->target->tiers[r->tier - 1].queue, &r->item);
-	if (r->state == BCT_REQ_QUEUED || r->state == BCT_REQ_GRANTED || r->state == BCT_REQ_HELD) {
-		c->n_queued--;
-		r->target->n_queued--;
-	}
 	if (r->state == BCT_REQ_HELD && r->up) {
-		r->up->alone = NULL;
-		bct_heap_set(&c->up_wakes, &r->up->wake, 0);
+		bct_up_release(c, r->up);
 		r->up = NULL;
 	}
 	bct_list_del(&r->line);
 	bct_heap_del(&c->timers, &r->timer);
-	r->state = 0;
+	bct_core_state(c, r, BCT_REQ_NEW);
 }
 
 static void admit_release(bct_sreq_t *r)
@@ -71,7 +65,7 @@
 {
 	bct_admit_unqueue(c, r);
 	admit_release(r);
-	r->state = BCT_REQ_REFUSED;
+	bct_core_state(c, r, BCT_REQ_REFUSED);
 	r->refuse = why;
 	r->retry_after_ms = retry_after_ms;
 	r->attempt_id = 0;
@@ -199,12 +193,14 @@
 	/* The account was charged when it was first served. */
 	if (r->first_sent)
 		r->item.cost_tokens = 1;
-	if (r->tokens)
-		r->item.latest_start = now + ADMIT_RESUME_SLACK_MS;
-	r->state = BCT_REQ_QUEUED;
-	c->n_queued++;
-	t->n_queued++;
-	bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
+	r->item.pinned = r->tokens > 0;
+	if (r->granted) {
+		bct_core_state(c, r, BCT_REQ_GRANTED);
+		bct_list_add_tail(&r->line, &t->granted);
+	} else {
+		bct_core_state(c, r, BCT_REQ_QUEUED);
+		bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
+	}
 	if (r->deadline != BCT_TIME_NEVER)
 		bct_heap_set(&c->timers, &r->timer, r->deadline);
 	bct_dispatch_grant(c, now, t);
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -34,7 +34,7 @@
 
 	r->attempt_id = attempt_new_id(c);
 	bct_map_put(&c->attempts, r->attempt_id, r);
-	r->state = BCT_REQ_RUNNING;
+	bct_core_state(c, r, BCT_REQ_RUNNING);
 	r->up = u;
 	r->kv_source_key = route->kv_source_key;
 	r->prefill_tokens = route->prefill_tokens;
@@ -49,7 +49,10 @@
 	bct_list_add_tail(&r->outbox, &c->outbox);
 	c->n_outbox++;
 	tier->n_running++;
+	r->kept = !bct_preempt_allowed(r);
+	tier->n_preemptible += !r->kept;
 	bct_load_sent(&u->load, now, r->prefill_tokens);
+	u->sent_by_tier[bct_core_priority(r) - 1]++;
 	attempt_learn_prefix(c, r);
 	/* A call that may not be repeated is not cut off: its outcome is worth more than time. */
 	if (r->repeatable && r->deadline != BCT_TIME_NEVER)
@@ -59,7 +62,8 @@
 	bct_up_refresh(c, now, u);
 	if (r->retry != BCT_RETRY_NONE && c->opts.retried)
 		bct_counter_inc(&c->opts.retried[r->retry]);
-	bct_core_trace(c, now, BCT_TRACE_DISPATCH, r, u->key, r->retry);
+	bct_core_trace(c, now, BCT_TRACE_DISPATCH, r, u->key,
+		       r->retry | (r->kept ? BCT_TRACE_KEPT : 0));
 }
 
 static void attempt_first_token(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
@@ -88,6 +92,17 @@
 	r->attempt_tokens = total;
 }
 
+static void attempt_count_out(bct_sreq_t *r)
+{
+	bct_tier_t *tier = &r->target->tiers[r->tier - 1];
+
+	tier->n_running--;
+	if (r->stop == BCT_STOP_PREEMPT)
+		r->target->pending_preempts--;
+	if (!r->kept && r->state == BCT_REQ_RUNNING)
+		tier->n_preemptible--;
+}
+
 /* Takes the attempt off every table; the request lives on in no list. */
 static void attempt_detach(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
@@ -101,15 +116,14 @@
 	bct_list_del(&r->line);
 	bct_list_del(&r->up_link);
 	bct_heap_del(&c->timers, &r->timer);
-	r->target->tiers[r->tier - 1].n_running--;
-	if (r->stop == BCT_STOP_PREEMPT)
-		r->target->pending_preempts--;
+	attempt_count_out(r);
 	bct_load_ended(&u->load, now, r->prefill_tokens, r->first_token_at != BCT_TIME_NEVER);
 	if (u->alone == r)
-		u->alone = NULL;
+		bct_up_release(c, u);
 	r->tokens += r->attempt_tokens;
 	r->attempt_tokens = 0;
 	r->up = NULL;
+	bct_core_state(c, r, BCT_REQ_NEW);
 	bct_up_refresh(c, now, u);
 	if (u->alone && !u->load.own)
 		bct_dispatch_alone(c, now, u);
@@ -202,7 +216,9 @@
 	bct_heap_del(&c->timers, &r->timer);
 	if (r->state == BCT_REQ_ENDING)
 		return;
-	r->state = BCT_REQ_ENDING;
+	if (!r->kept)
+		r->target->tiers[r->tier - 1].n_preemptible--;
+	bct_core_state(c, r, BCT_REQ_ENDING);
 	bct_list_add_tail(&r->outbox, &c->outbox);
 	c->n_outbox++;
 }
--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -3,7 +3,9 @@
  */
 #include "policy/sched_int.h"
 
-#define DISPATCH_HOLD_MS 50	   /* until a request that fitted nowhere is looked at again */
+#define DISPATCH_HOLD_MS 50	     /* until a request that fitted nowhere is looked at again */
+#define DISPATCH_SUSPECT_LOOK_MS 250 /* between looks at whether others cleared a suspect */
+#define DISPATCH_ALONE_PART 4
 #define DISPATCH_CREDIT_REQUESTS 2 /* a floor saves up no more than this many requests */
 #define DISPATCH_LEARNT_MIN 20	   /* answers after which a class's length is relied on */
 
@@ -20,7 +22,7 @@
 		bct_queue_remove(&r->target->tiers[r->tier - 1].queue, &r->item);
 	bct_list_del(&r->line);
 	bct_list_add_tail(&r->line, &r->target->held);
-	r->state = BCT_REQ_HELD;
+	bct_core_state(c, r, BCT_REQ_HELD);
 	r->hold_until = until;
 	bct_heap_set(&c->timers, &r->timer, until < r->deadline ? until : r->deadline);
 }
@@ -32,10 +34,10 @@
 
 	bct_list_del(&r->line);
 	if (r->granted) {
-		r->state = BCT_REQ_GRANTED;
+		bct_core_state(c, r, BCT_REQ_GRANTED);
 		bct_list_add_tail(&r->line, &t->granted);
 	} else {
-		r->state = BCT_REQ_QUEUED;
+		bct_core_state(c, r, BCT_REQ_QUEUED);
 		bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
 	}
 	if (r->deadline != BCT_TIME_NEVER)
@@ -71,13 +73,13 @@
 /* Turns saved-up credit into a claim on the next dispatch. */
 void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t)
 {
-	(void)c;
 	for (uint32_t i = 1; i < BCT_TIERS; i++) {
 		bct_tier_t *tier = &t->tiers[i];
 		bct_queue_item_t *it;
 		bct_sreq_t *r;
 
-		if (!tier->queue.n || tier->credit_tokens <= 0 || !higher_waits(t, i))
+		if (!tier->queue.n || tier->n_granted || tier->credit_tokens <= 0 ||
+		    !higher_waits(t, i))
 			continue;
 		it = bct_queue_peek(&tier->queue, now);
 		if (it->cost_tokens > tier->credit_tokens)
@@ -86,7 +88,7 @@
 		tier->credit_tokens -= it->cost_tokens;
 		bct_queue_serve(&tier->queue, it);
 		r->granted = true;
-		r->state = BCT_REQ_GRANTED;
+		bct_core_state(c, r, BCT_REQ_GRANTED);
 		bct_list_add_tail(&r->line, &t->granted);
 	}
 }
@@ -140,8 +142,6 @@
 	if (r->state == BCT_REQ_QUEUED)
 		bct_queue_serve(&t->tiers[r->tier - 1].queue, &r->item);
 	bct_list_del(&r->line);
-	c->n_queued--;
-	t->n_queued--;
 	if (!r->first_sent) {
 		r->first_sent = true;
 		bct_budget_first(&c->budget);
@@ -163,47 +163,91 @@
 	dispatch_start(c, now, r, &route);
 }
 
+/* Suspects never take more than a part of the upstreams. */
+static bool dispatch_may_test(const bct_target_t *t)
+{
+	return t->n_alone < 1 + t->n_ups / DISPATCH_ALONE_PART;
+}
+
 /* A suspect gets an upstream to itself; it waits until that is empty. */
 static void dispatch_suspect(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
-	bct_up_t *u = bct_route_for_suspect(r->target, now, r);
+	bct_time_t test_at =
+		bct_suspect_test_at(&c->suspects, r->desc.digest, c->fleet.nodes, c->fleet.rank);
+	bct_up_t *u;
 
-	if (!u) {
-		bct_dispatch_hold(c, r, now + DISPATCH_HOLD_MS);
+	/* A request crashes an upstream mostly at its start, so those without output go first. */
+	if (r->tokens)
+		test_at += DISPATCH_SUSPECT_LOOK_MS;
+	if (now < test_at) {
+		bct_time_t look = now + DISPATCH_SUSPECT_LOOK_MS;
+
+		bct_dispatch_hold(c, r, look < test_at ? look : test_at);
+		return;
+	}
+	u = dispatch_may_test(r->target) ? bct_route_for_suspect(r->target, now, r) : NULL;
+	if (!u || !bct_suspect_test_begin(&c->suspects, r->desc.digest)) {
+		bct_dispatch_hold(c, r, now + DISPATCH_SUSPECT_LOOK_MS);
 		return;
 	}
 	bct_dispatch_hold(c, r, BCT_TIME_NEVER);
 	r->up = u;
-	u->alone = r;
-	bct_up_refresh(c, now, u);
+	bct_up_reserve(c, now, u, r);
 	if (!u->load.own)
 		bct_dispatch_alone(c, now, u);
 }
 
-/* Sends one request on its way, whatever that is. */
-static void dispatch_one(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+/* What a suspect may do differs from all others; returns whether r was one. */
+static bool dispatch_if_suspect(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
-	bct_suspect_state_t suspect;
-	bct_route_t route;
 	uint32_t left_ms;
 
-	suspect = bct_suspect_state(&c->suspects, now, r->desc.digest, &left_ms);
-	if (suspect == BCT_SUSPECT_POISON) {
+	switch (bct_suspect_state(&c->suspects, now, r->desc.digest, &left_ms)) {
+	case BCT_SUSPECT_POISON:
 		bct_admit_refuse(c, now, r, BCT_REFUSE_POISON, left_ms);
-		return;
-	}
-	if (suspect == BCT_SUSPECT_ALONE) {
+		return true;
+	case BCT_SUSPECT_ALONE:
 		dispatch_suspect(c, now, r);
-		return;
+		return true;
+	default:
+		return false;
 	}
-	route = bct_route_choose(c, now, r->target, r);
-	if (!route.up)
-		bct_dispatch_hold(c, r, now + DISPATCH_HOLD_MS);
-	else if (dispatch_hopeless(now, r, &route))
+}
+
+static void dispatch_on(bct_core_t *c, bct_time_t now, bct_sreq_t *r, const bct_route_t *route)
+{
+	if (dispatch_hopeless(now, r, route))
 		bct_admit_refuse(c, now, r, BCT_REFUSE_TARGET_MISSED,
 				 bct_admit_retry_ms(r->target, r->tier));
 	else
-		dispatch_start(c, now, r, &route);
+		dispatch_start(c, now, r, route);
+}
+
+/* Sends one request on its way, whatever that is. */
+static void dispatch_one(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_route_t route;
+
+	if (dispatch_if_suspect(c, now, r))
+		return;
+	route = bct_route_choose(c, now, r->target, r);
+	if (route.up)
+		dispatch_on(c, now, r, &route);
+	else
+		bct_dispatch_hold(c, r, now + DISPATCH_HOLD_MS);
+}
+
+/* Without an open upstream: to an engine that makes room by itself. Returns whether r left. */
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_route_t route;
+
+	if (dispatch_if_suspect(c, now, r))
+		return true;
+	route = bct_route_over(c, now, r->target, r);
+	if (route.up)
+		dispatch_on(c, now, r, &route);
+	return route.up != NULL;
 }
 
 /* No upstream can be used, and the time to wait for one is over. */
@@ -217,14 +261,14 @@
 
 void bct_dispatch_target(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max)
 {
-	bct_sreq_t *r;
+	bct_sreq_t *r = NULL;
 
 	if (now >= t->unusable_at)
 		dispatch_unusable(c, now, t, max);
 	while (t->n_open && c->n_outbox < max && (r = dispatch_next(t, now)))
 		dispatch_one(c, now, r);
-	if (t->n_open)
+	if (c->n_outbox >= max)
 		bct_dispatch_ready(c, t);
-	else
+	else if (!t->n_open)
 		bct_preempt_target(c, now, t);
 }
--- a/policy/fleet.c
+++ b/policy/fleet.c
@@ -3,8 +3,6 @@
  */
 #include "policy/sched_int.h"
 
-#define FLEET_SHED_HOLD_MS 2000 /* a tier counts as shed this long after the last refusal */
-
 typedef struct writer {
 	bct_item_t *out;
 	uint32_t n;
@@ -38,11 +36,6 @@
 	}
 }
 
-static bool tier_sheds(const bct_tier_t *tier, bct_time_t now)
-{
-	return tier->shed_at != BCT_TIME_NEVER && now - tier->shed_at < FLEET_SHED_HOLD_MS;
-}
-
 static void publish_tier(bct_time_t now, writer_t *w, bct_target_t *t, uint32_t i)
 {
 	bct_tier_t *tier = &t->tiers[i];
@@ -50,15 +43,17 @@
 	bool told = tier->told_queued || tier->told_running;
 	bct_item_t *it;
 
-	if (!tier->queue.n && !tier->n_running && !told && !tier_sheds(tier, now))
+	if (!tier->queue.n && !tier->n_held && !tier->n_running && !told &&
+	    !bct_shed_pressed(tier, now))
 		return;
 	it = writer_add(w, BCT_ITEM_TIER, t->key, i + 1);
 	if (!it)
 		return;
-	it->v[0] = tier->told_queued = tier->queue.n;
+	tier->told_before = tier->told_queued;
+	it->v[0] = tier->told_queued = tier->queue.n + tier->n_held;
 	it->v[1] = tier->told_running = tier->n_running;
 	it->v[2] = oldest ? now - oldest->arrived : 0;
-	it->v[3] = tier_sheds(tier, now);
+	it->v[3] = bct_shed_pressed(tier, now);
 }
 
 static void publish_targets(bct_core_t *c, bct_time_t now, writer_t *w)
@@ -69,8 +64,7 @@
 	while ((t = bct_map_next(&c->targets, &pos))) {
 		for (i = 0; i < BCT_TIERS; i++)
 			publish_tier(now, w, t, i);
-		while (t->shed_level < BCT_TIERS && !tier_sheds(&t->tiers[t->shed_level], now))
-			t->shed_level++;
+		bct_shed_level(c, now, t);
 	}
 }
 
@@ -113,31 +107,54 @@
 	return w.n;
 }
 
+/* The fleet's demand at a tier, and this node's part of it. */
+static double tier_demand(const bct_tier_t *tier, bct_time_t now, double *own)
+{
+	double all = (double)(tier->total.queued + tier->total.running);
+
+	*own = (double)(tier->told_queued + tier->told_running);
+	if (tier->total.at == BCT_TIME_NEVER || now - tier->total.at > BCT_TOTAL_MAX_AGE_MS)
+		return *own = 0;
+	return all < *own ? *own : all;
+}
+
+/* Slots that the floor of a tier keeps for it. */
+static double floor_slots(const bct_target_t *t, const bct_tier_t *tier, double demand)
+{
+	double slots = t->slots * tier->floor_permille / 1000.0;
+
+	if (slots < 1)
+		slots = 1;
+	return slots < demand ? slots : demand;
+}
+
 /*
- * This node's part of the target: capacity goes to the fleet's demand from the highest tier down,
- * within a tier by demand; what is spare is split evenly. The parts of all nodes add up to one.
+ * This node's part of the target: first each tier's floor, then the fleet's demand from the
+ * highest tier down, within a tier by demand; what is spare is split evenly. The parts of all
+ * nodes add up to one.
  */
 static double target_share(const bct_core_t *c, bct_time_t now, const bct_target_t *t)
 {
-	double left = t->slots, mine = 0;
+	double left = t->slots, mine = 0, given[BCT_TIERS], all[BCT_TIERS], own[BCT_TIERS];
+	uint32_t i;
 
-	for (uint32_t i = 0; i < BCT_TIERS; i++) {
-		const bct_tier_t *tier = &t->tiers[i];
-		double own = (double)(tier->told_queued + tier->told_running);
-		double all = (double)(tier->total.queued + tier->total.running);
-		double given;
-
-		if (tier->total.at == BCT_TIME_NEVER || now - tier->total.at > BCT_TOTAL_MAX_AGE_MS)
-			continue;
-		if (all < own)
-			all = own;
-		if (all <= 0)
-			continue;
-		given = all < left ? all : left;
-		mine += given * own / all;
-		left -= given;
+	for (i = 0; i < BCT_TIERS; i++) {
+		all[i] = tier_demand(&t->tiers[i], now, &own[i]);
+		given[i] = floor_slots(t, &t->tiers[i], all[i]);
+		left -= given[i];
+	}
+	for (i = 0; i < BCT_TIERS; i++) {
+		double more = all[i] - given[i];
+
+		if (more > left)
+			more = left > 0 ? left : 0;
+		left -= more;
+		if (all[i] > 0)
+			mine += (given[i] + more) * own[i] / all[i];
 	}
-	return (mine + left / c->fleet.nodes) / t->slots;
+	if (left > 0)
+		mine += left / c->fleet.nodes;
+	return mine / t->slots;
 }
 
 static void total_tier(bct_core_t *c, bct_time_t now, const bct_total_t *total)
@@ -150,10 +167,11 @@
 	t->tiers[tier - 1].total = (bct_tier_total_t){
 		.queued = total->item.v[0],
 		.running = total->item.v[1],
-		.shedding = total->item.v[3],
+		.pressed = total->item.v[3],
 		.nodes = total->nodes,
 		.at = now - total->age_ms,
 	};
+	bct_shed_level(c, now, t);
 	if (c->fleet.nodes <= 1 || !t->slots)
 		return;
 	t->share = target_share(c, now, t);
--- a/policy/preempt.c
+++ b/policy/preempt.c
@@ -9,15 +9,15 @@
 #define PREEMPT_SCAN_MAX 8
 #define PREEMPT_WAIT_DIVISOR 4 /* part of its target that a request waits first */
 
-static bool preemptible(const bct_sreq_t *r)
+/* Whether the attempt that r has just begun may be cancelled for a higher tier. */
+bool bct_preempt_allowed(const bct_sreq_t *r)
 {
-	return r->state == BCT_REQ_RUNNING && r->repeatable && !r->granted && !r->alone &&
-	       r->up->kind == BCT_UPSTREAM_ENGINE && r->up->resumes && bct_up_usable(r->up) &&
-	       r->preempts < PREEMPT_MAX_PER_REQUEST;
+	return r->repeatable && !r->granted && !r->alone && r->up->kind == BCT_UPSTREAM_ENGINE &&
+	       r->up->resumes && r->preempts < PREEMPT_MAX_PER_REQUEST;
 }
 
 /* The newest goes first: the least has been put into it. */
-bct_sreq_t *bct_preempt_victim(const bct_target_t *t, uint8_t tier)
+static bct_sreq_t *preempt_victim(const bct_target_t *t, uint8_t tier)
 {
 	const bct_list_t *running = &t->tiers[tier - 1].running;
 	const bct_list_t *el = running->prev;
@@ -25,7 +25,7 @@
 	for (uint32_t i = 0; el != running && i < PREEMPT_SCAN_MAX; el = el->prev, i++) {
 		bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
 
-		if (preemptible(r))
+		if (!r->kept && r->state == BCT_REQ_RUNNING && bct_up_usable(r->up))
 			return r;
 	}
 	return NULL;
@@ -34,7 +34,7 @@
 static bct_sreq_t *lowest_victim(const bct_target_t *t, uint8_t above_tier)
 {
 	for (uint8_t tier = BCT_TIERS; tier > above_tier; tier--) {
-		bct_sreq_t *r = bct_preempt_victim(t, tier);
+		bct_sreq_t *r = preempt_victim(t, tier);
 
 		if (r)
 			return r;
@@ -54,19 +54,10 @@
 	return NULL;
 }
 
-void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
+static void preempt_for(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *head)
 {
-	bct_sreq_t *head = highest_head(t, now);
 	bct_sreq_t *victim;
-	bct_time_t at;
 
-	if (!head || now >= t->unusable_at)
-		return;
-	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
-	if (now < at) {
-		bct_heap_set(&c->target_wakes, &t->wake, at);
-		return;
-	}
 	while (t->pending_preempts < PREEMPT_PENDING_MAX &&
 	       t->pending_preempts < t->tiers[head->tier - 1].queue.n) {
 		victim = lowest_victim(t, head->tier);
@@ -77,3 +68,29 @@
 		bct_attempt_stop(c, now, victim, BCT_STOP_PREEMPT);
 	}
 }
+
+/* An engine that stops lower tiers by itself is quicker than a cancel and a new start. */
+void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
+{
+	bct_sreq_t *head = highest_head(t, now);
+	bct_time_t at;
+
+	/* The floor's claim delays the higher tiers; it preempts nobody. */
+	if (!bct_list_empty(&t->granted)) {
+		head = bct_container_of(t->granted.next, bct_sreq_t, line);
+		if (bct_dispatch_over(c, now, head))
+			bct_dispatch_ready(c, t);
+		return;
+	}
+	if (!head || !t->n_ups || now >= t->unusable_at)
+		return;
+	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
+	if (now < at) {
+		bct_heap_set(&c->target_wakes, &t->wake, at);
+		return;
+	}
+	if (bct_dispatch_over(c, now, head))
+		bct_dispatch_ready(c, t);
+	else
+		preempt_for(c, now, t, head);
+}
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -39,8 +39,14 @@
 	}
 	it->late = false;
 	it->queued = true;
-	bct_heap_add(&f->fresh, &it->node, it->latest_start);
-	bct_list_add_tail(&it->link, &q->items);
+	if (it->pinned) {
+		bct_heap_add(&f->fresh, &it->node, it->arrived);
+		bct_list_add_head(&it->link, &q->items);
+		q->n_pinned++;
+	} else {
+		bct_heap_add(&f->fresh, &it->node, it->latest_start);
+		bct_list_add_tail(&it->link, &q->items);
+	}
 	q->n++;
 	q->cost_tokens += it->cost_tokens;
 	f->cost_tokens += it->cost_tokens;
@@ -57,6 +63,7 @@
 	bct_list_del(&it->link);
 	it->queued = false;
 	q->n--;
+	q->n_pinned -= it->pinned;
 	q->cost_tokens -= it->cost_tokens;
 	f->cost_tokens -= it->cost_tokens;
 	if (!f->fresh.root && !f->late.root)
@@ -80,7 +87,7 @@
 		bct_flow_t *f = flow_of(q->fresh_flows.root, fresh_node);
 		bct_queue_item_t *it = item_of(f->fresh.root, node);
 
-		if (it->latest_start >= now)
+		if (it->pinned || it->latest_start >= now)
 			return it;
 		queue_make_late(q, it);
 	}
@@ -110,10 +117,19 @@
 	bct_flow_t *f = it->flow;
 
 	q->since_late = it->late ? 0 : q->since_late + 1;
+	bct_queue_remove(q, it);
+	bct_queue_charge(q, f, it->cost_tokens);
+}
+
+void bct_queue_charge(bct_queue_t *q, bct_flow_t *f, int64_t cost_tokens)
+{
 	if (f->vtime_tokens > q->vclock_tokens)
 		q->vclock_tokens = f->vtime_tokens;
-	f->vtime_tokens += it->cost_tokens;
-	bct_queue_remove(q, it);
+	else
+		f->vtime_tokens = q->vclock_tokens;
+	f->vtime_tokens += cost_tokens;
+	if (f->fresh.root || f->late.root)
+		flow_relink(q, f);
 }
 
 bct_queue_item_t *bct_queue_oldest(const bct_queue_t *q)
--- a/policy/queue.h
+++ b/policy/queue.h
@@ -33,6 +33,7 @@
 	bct_time_t arrived;
 	bct_time_t latest_start;
 	int64_t cost_tokens;
+	bool pinned; /* has begun elsewhere: first among its account's, never late */
 	bool late;
 	bool queued;
 } bct_queue_item_t;
@@ -44,6 +45,7 @@
 	int64_t vclock_tokens;
 	int64_t cost_tokens; /* of all items */
 	uint32_t n;
+	uint32_t n_pinned;
 	uint32_t n_flows; /* with items */
 	uint32_t since_late;
 } bct_queue_t;
@@ -67,10 +69,13 @@
 /* bct_queue_serve(3): take an item out and charge its cost to its flow. */
 void bct_queue_serve(bct_queue_t *q, bct_queue_item_t *it);
 
+/* bct_queue_charge(3): a flow is served past the queue. */
+void bct_queue_charge(bct_queue_t *q, bct_flow_t *f, int64_t cost_tokens);
+
 /* bct_queue_late(3): the oldest item of those that bct_queue_peek(3) found late, or NULL. */
 bct_queue_item_t *bct_queue_late(const bct_queue_t *q);
 
-/* bct_queue_oldest(3), bct_queue_newest(3): by arrival; NULL when empty. */
+/* bct_queue_oldest(3), bct_queue_newest(3): by arrival, pinned ones first; NULL when empty. */
 bct_queue_item_t *bct_queue_oldest(const bct_queue_t *q);
 bct_queue_item_t *bct_queue_newest(const bct_queue_t *q);
 
--- a/policy/route.c
+++ b/policy/route.c
@@ -13,6 +13,8 @@
 #define ROUTE_AGE_DOUBLES_MS 4000.0 /* report age at which the predicted wait is doubled */
 #define ROUTE_OTHER_DOMAIN_MS 1.0
 #define ROUTE_OTHER_REGION_MS 60.0
+#define ROUTE_OVER_PART 8      /* of its slots, given beyond them for each tier above the lowest */
+#define ROUTE_OVER_AGE_MS 3000 /* an older report does not show what it runs */
 #define ROUTE_KV_TOKENS_PER_MS 100.0 /* speed of a KV transfer between engines */
 #define ROUTE_KV_SETUP_MS 15.0
 #define ROUTE_SESSION_CACHED 0.5 /* part of a session's prompt taken as cached */
@@ -206,6 +208,42 @@
 	return search_result(&s);
 }
 
+/* Whether the engine would stop lower-tier work for one more request of this priority. */
+static bool makes_room(const bct_up_t *u, uint8_t priority)
+{
+	uint32_t before = 0;
+
+	for (uint32_t i = 0; i < priority; i++)
+		before += u->running_by_tier[i] + u->sent_by_tier[i];
+	return before < u->load.slots;
+}
+
+/* The higher the tier, the more it may send beyond the slots. */
+static bool may_overcommit(const bct_up_t *u, bct_time_t now, uint8_t priority)
+{
+	uint32_t over = 1 + u->load.slots * (BCT_TIERS - priority) / ROUTE_OVER_PART;
+
+	return u->honours_priority && bct_up_usable(u) && now >= u->down_until && !u->alone &&
+	       u->load.own + u->load.others < u->load.slots + over && makes_room(u, priority) &&
+	       now - u->report_at <= ROUTE_OVER_AGE_MS;
+}
+
+/* A full engine that puts a higher tier first by itself, for a request that cannot wait. */
+bct_route_t bct_route_over(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r)
+{
+	search_t s = { .c = c, .now = now, .t = t, .r = r };
+	uint32_t at = bct_rng_below(&c->rng, t->n_ups);
+	uint32_t n = t->n_ups < ROUTE_SCAN_MAX ? t->n_ups : ROUTE_SCAN_MAX;
+
+	for (uint32_t i = 0; i < n; i++) {
+		bct_up_t *u = t->ups[(at + i) % t->n_ups];
+
+		if (may_overcommit(u, now, bct_core_priority(r)))
+			search_try(&s, u);
+	}
+	return search_result(&s);
+}
+
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u)
 {
 	uint32_t tokens = r->desc.prompt_tokens + r->tokens;
--- a/policy/sched.c
+++ b/policy/sched.c
@@ -11,6 +11,42 @@
 	return (bct_core_t *)s;
 }
 
+static bool state_waits(bct_req_state_t s)
+{
+	return s == BCT_REQ_QUEUED || s == BCT_REQ_GRANTED || s == BCT_REQ_HELD;
+}
+
+static bool state_committed(const bct_sreq_t *r)
+{
+	if (r->state == BCT_REQ_QUEUED)
+		return r->tokens > 0;
+	return r->state == BCT_REQ_GRANTED || r->state == BCT_REQ_HELD;
+}
+
+/* What the floor pays for must not be stopped again by the engine. */
+uint8_t bct_core_priority(const bct_sreq_t *r)
+{
+	return r->granted ? 1 : r->tier;
+}
+
+/* The one place where a request's state changes, so that all counts agree with it. */
+void bct_core_state(bct_core_t *c, bct_sreq_t *r, bct_req_state_t state)
+{
+	bct_tier_t *tier = &r->target->tiers[r->tier - 1];
+	int32_t waits = -(int32_t)state_waits(r->state);
+
+	tier->n_committed -= state_committed(r);
+	tier->n_held -= r->state == BCT_REQ_HELD;
+	tier->n_granted -= r->state == BCT_REQ_GRANTED;
+	r->state = state;
+	tier->n_committed += state_committed(r);
+	tier->n_held += state == BCT_REQ_HELD;
+	tier->n_granted += state == BCT_REQ_GRANTED;
+	waits += state_waits(state);
+	c->n_queued += (uint32_t)waits;
+	r->target->n_queued += (uint32_t)waits;
+}
+
 void bct_core_trace(bct_core_t *c, bct_time_t now, bct_trace_type_t type, const bct_sreq_t *r,
 		    uint64_t upstream_key, uint64_t value)
 {
@@ -30,6 +66,20 @@
 		c->opts.trace(c->opts.trace_ctx, &t);
 }
 
+void bct_core_trace_level(bct_core_t *c, bct_time_t now, const bct_target_t *target)
+{
+	bct_trace_t t = {
+		.type = BCT_TRACE_SHED_LEVEL,
+		.now = now,
+		.node_key = c->fleet.node_key,
+		.target_key = target->key,
+		.value = target->shed_level,
+	};
+
+	if (c->opts.trace)
+		c->opts.trace(c->opts.trace_ctx, &t);
+}
+
 bct_limit_fleet_t bct_core_limit_fleet(const bct_core_t *c)
 {
 	uint32_t nodes = c->fleet.nodes ? c->fleet.nodes : 1;
@@ -173,7 +223,7 @@
 	a->upstream_key = r->up ? r->up->key : 0;
 	if (r->state == BCT_REQ_RUNNING) {
 		a->type = BCT_ACTION_DISPATCH;
-		a->priority = r->tier;
+		a->priority = bct_core_priority(r);
 		a->alone = r->alone;
 		a->resume_tokens = r->tokens;
 		a->kv_source_key = r->kv_source_key;
--- a/policy/sched.h
+++ b/policy/sched.h
@@ -144,7 +144,7 @@
 	uint64_t
 		attempt_id; /* unique over nodes and restarts: the node's incarnation is mixed in */
 	uint64_t upstream_key;
-	uint8_t priority;	/* the tier, for an engine that honours it */
+	uint8_t priority;	/* the tier, or 1 where the tier's floor pays for it */
 	bool alone;		/* a suspect: the upstream must run nothing else of ours */
 	uint32_t resume_tokens; /* tokens the caller already has; the engine continues after them */
 	uint64_t kv_source_key; /* engine to import the prefix from; 0: none */
@@ -166,6 +166,9 @@
 } bct_trace_type_t;
 
 #define BCT_TRACE_REPEATABLE 1 /* value of a SUBMIT: the request may be run again */
+#define BCT_TRACE_KEPT                                                             \
+	0x100 /* in a DISPATCH: not preemptible, by the floor's claim or by nature \
+	       */
 
 typedef struct bct_trace {
 	bct_trace_type_t type;
@@ -175,8 +178,8 @@
 	uint64_t account_key;
 	uint64_t target_key;
 	uint64_t upstream_key;
-	/* SUBMIT: BCT_TRACE_REPEATABLE or 0; DISPATCH: bct_retry_t; REFUSE: bct_refuse_t;
-	 * PREEMPT: tier it made way for; END: bct_outcome_t of one attempt */
+	/* SUBMIT: BCT_TRACE_REPEATABLE or 0; DISPATCH: bct_retry_t and BCT_TRACE_KEPT; REFUSE:
+	 * bct_refuse_t; PREEMPT: tier it made way for; END: bct_outcome_t of one attempt */
 	uint64_t value;
 	uint8_t tier;
 } bct_trace_t;
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -47,12 +47,13 @@
 } bct_terms_t;
 
 typedef enum bct_req_state {
-	BCT_REQ_QUEUED = 1, /* in the queue of its tier */
-	BCT_REQ_GRANTED,    /* its tier's floor pays: first in line */
-	BCT_REQ_HELD,	    /* waits for a time or for an upstream of its own */
-	BCT_REQ_RUNNING,    /* an attempt is at an upstream */
-	BCT_REQ_ENDING,	    /* the attempt was cancelled and must still end */
-	BCT_REQ_REFUSED,    /* its REFUSE action waits for poll */
+	BCT_REQ_NEW = 0,
+	BCT_REQ_QUEUED,	 /* in the queue of its tier */
+	BCT_REQ_GRANTED, /* its tier's floor pays: first in line */
+	BCT_REQ_HELD,	 /* waits for a time or for an upstream of its own */
+	BCT_REQ_RUNNING, /* an attempt is at an upstream */
+	BCT_REQ_ENDING,	 /* the attempt was cancelled and must still end */
+	BCT_REQ_REFUSED, /* its REFUSE action waits for poll */
 } bct_req_state_t;
 
 /* Why a running attempt was cancelled; decides what follows its end. */
@@ -73,6 +74,7 @@
 	bool maybe_ran;	 /* an attempt of it may have run */
 	bool granted;	 /* the floor pays for it; never preempted */
 	bool first_sent; /* counted as a first attempt */
+	bool kept;	 /* its attempt is never preempted */
 	bool admitted;	 /* charged to the account's limits */
 	int64_t charged_tokens;
 	bct_time_t deadline;
@@ -108,7 +110,7 @@
 typedef struct bct_tier_total {
 	int64_t queued;
 	int64_t running;
-	int64_t shedding; /* nodes that shed this tier */
+	int64_t pressed; /* nodes on which it waits unbearably long */
 	uint32_t nodes;
 	bct_time_t at; /* BCT_TIME_NEVER: never heard */
 } bct_tier_total_t;
@@ -117,11 +119,18 @@
 	bct_queue_t queue;
 	bct_list_t running;
 	uint32_t n_running;
+	uint32_t n_preemptible; /* of the running ones */
+	uint32_t n_held;
+	uint32_t n_granted;
+	uint32_t n_committed; /* waiting ones that are not shed: the floor or an upstream is
+				 theirs, or their callers have output */
 	uint32_t floor_permille;
-	int64_t credit_tokens; /* the floor's claim on the next dispatch */
-	bct_time_t shed_at;    /* when a request of it was last shed; BCT_TIME_NEVER: never */
+	int64_t credit_tokens;	  /* the floor's claim on the next dispatch */
+	bct_time_t pressed_at;	  /* when its wait last exceeded what is bearable */
+	bct_time_t pressed_since; /* without a pause; BCT_TIME_NEVER: it is not */
 	bct_tier_total_t total;
 	int64_t told_queued; /* as last published */
+	int64_t told_before; /* the time before, which a total may still stand on */
 	int64_t told_running;
 } bct_tier_t;
 
@@ -142,6 +151,7 @@
 	uint32_t n_usable; /* not leaving */
 	uint32_t n_all;	   /* configured, whether used by this node or not */
 	uint32_t slots;	   /* of all of them */
+	uint32_t n_alone;  /* upstreams kept for suspects */
 	uint32_t n_queued;
 	uint32_t pending_preempts;
 	double share; /* of the target's capacity that this node is entitled to */
@@ -170,6 +180,7 @@
 	uint64_t report_seq;
 	bct_time_t report_at;		     /* the time that the latest report describes */
 	uint32_t running_by_tier[BCT_TIERS]; /* as last reported */
+	uint32_t sent_by_tier[BCT_TIERS];    /* by this node since */
 	uint16_t index;			     /* in core.ups; names it in the prefix index */
 	bct_prefix_feed_t feed;
 	bct_list_t attempts; /* newest last */
@@ -225,8 +236,11 @@
 } bct_route_t;
 
 /* sched.c */
+void bct_core_state(bct_core_t *c, bct_sreq_t *r, bct_req_state_t state);
+uint8_t bct_core_priority(const bct_sreq_t *r);
 void bct_core_trace(bct_core_t *c, bct_time_t now, bct_trace_type_t type, const bct_sreq_t *r,
 		    uint64_t upstream_key, uint64_t value);
+void bct_core_trace_level(bct_core_t *c, bct_time_t now, const bct_target_t *t);
 bct_limit_fleet_t bct_core_limit_fleet(const bct_core_t *c);
 
 /* setup.c: objects of the configuration. */
@@ -241,6 +255,8 @@
 void bct_up_share(bct_core_t *c, bct_up_t *u);
 void bct_up_count_usable(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_up_failed(bct_core_t *c, bct_time_t now, bct_up_t *u, uint32_t hold_ms);
+void bct_up_reserve(bct_core_t *c, bct_time_t now, bct_up_t *u, bct_sreq_t *r);
+void bct_up_release(bct_core_t *c, bct_up_t *u);
 void bct_up_answered(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_report(bct_core_t *c, bct_time_t now, const bct_report_t *r);
 void bct_up_leaving(bct_core_t *c, bct_time_t now, uint64_t key, bool leaving);
@@ -257,10 +273,13 @@
 
 /* shed.c: which request gives way when there is too much. */
 bct_refuse_t bct_shed_admit(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
+void bct_shed_level(bct_core_t *c, bct_time_t now, bct_target_t *t);
+bool bct_shed_pressed(const bct_tier_t *tier, bct_time_t now);
 void bct_shed_drained(bct_target_t *t, bct_time_t now, int64_t cost_tokens);
 
 /* dispatch.c: from queue to upstream. */
 void bct_dispatch_target(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max);
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
 void bct_dispatch_ready(bct_core_t *c, bct_target_t *t);
 void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_dispatch_hold(bct_core_t *c, bct_sreq_t *r, bct_time_t until);
@@ -268,7 +287,7 @@
 void bct_dispatch_alone(bct_core_t *c, bct_time_t now, bct_up_t *u);
 
 /* preempt.c: room for a higher tier. */
-bct_sreq_t *bct_preempt_victim(const bct_target_t *t, uint8_t tier);
+bool bct_preempt_allowed(const bct_sreq_t *r);
 void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t);
 
 /* attempt.c: the life of an attempt. */
@@ -283,6 +302,7 @@
 
 /* route.c: which upstream. */
 bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r);
+bct_route_t bct_route_over(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r);
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u);
 bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r);
 
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -48,14 +48,14 @@
 	t->kind = cc->target_kind;
 	t->unusable_at = BCT_TIME_NEVER;
 	t->shed_level = BCT_TIERS;
-	t->share = 1;
+	t->share = 1.0 / (c->fleet.nodes ? c->fleet.nodes : 1);
 	bct_list_init(&t->granted);
 	bct_list_init(&t->held);
 	bct_list_init(&t->ready);
 	for (uint32_t i = 0; i < BCT_TIERS; i++) {
 		bct_queue_init(&t->tiers[i].queue);
 		bct_list_init(&t->tiers[i].running);
-		t->tiers[i].shed_at = BCT_TIME_NEVER;
+		t->tiers[i].pressed_since = BCT_TIME_NEVER;
 		t->tiers[i].total.at = BCT_TIME_NEVER;
 	}
 	return t;
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -6,8 +6,12 @@
 
 #define SHED_PATIENCE_TTFTS 4 /* predicted wait, in targets, that is still taken in */
 #define SHED_PATIENCE_MIN_MS 10000
-#define SHED_STALE_PATIENCE 2 /* factor on the patience while the fleet is out of view */
-#define SHED_HARD_FACTOR 2    /* on max_queued: past it even granted work gives way */
+#define SHED_STALE_PATIENCE 2  /* factor on the patience while the fleet is out of view */
+#define SHED_HARD_FACTOR 2     /* on max_queued: past it even granted work gives way */
+#define SHED_PRESS_MIN_MS 1000 /* overload must last this long to count for the fleet */
+#define SHED_PRESS_GAP_MS 2000 /* after which it is over */
+#define SHED_FLOOR_BORROW_REQUESTS 8
+#define SHED_FLOOR_WAITING_MAX 8 /* the floor's claims that wait for an upstream */
 #define SHED_DRAIN_WINDOW_MS 1000
 #define SHED_DRAIN_SMOOTHING 0.3
 
@@ -29,28 +33,32 @@
 	t->drained_at = now;
 }
 
-static bct_sreq_t *newest_queued(bct_target_t *t, uint8_t above_tier)
+/*
+ * What was queued last in the lowest tier below this one. Where a tier still has committed or
+ * preemptible work, the tiers above it are out of reach.
+ */
+static bct_sreq_t *newest_queued(bct_target_t *t, uint8_t below_tier)
 {
-	for (uint32_t i = BCT_TIERS; i > above_tier; i--) {
-		bct_queue_item_t *it = bct_queue_newest(&t->tiers[i - 1].queue);
+	for (uint32_t i = BCT_TIERS; i > below_tier; i--) {
+		bct_tier_t *tier = &t->tiers[i - 1];
+		bct_queue_item_t *it = bct_queue_newest(&tier->queue);
 
-		if (it)
+		if (it && !it->pinned)
 			return bct_container_of(it, bct_sreq_t, item);
+		if (tier->n_committed || tier->n_preemptible)
+			return NULL;
 	}
 	return NULL;
 }
 
-/* Waiting work of a lower tier that may not be shed: the floor has already paid for it. */
-static bool lower_committed(const bct_target_t *t, uint8_t tier)
+/* Whether work below this tier waits or runs that must go, or end, before the tier is shed. */
+static bool lower_remains(const bct_target_t *t, uint8_t tier)
 {
-	const bct_list_t *lists[] = { &t->granted, &t->held };
-	bct_list_t *el;
+	for (uint32_t i = tier; i < BCT_TIERS; i++) {
+		const bct_tier_t *lower = &t->tiers[i];
 
-	for (uint32_t i = 0; i < 2; i++) {
-		bct_list_for_each (el, lists[i]) {
-			if (bct_container_of(el, bct_sreq_t, line)->tier > tier)
-				return true;
-		}
+		if (lower->queue.n || lower->n_committed || lower->n_preemptible)
+			return true;
 	}
 	return false;
 }
@@ -86,11 +94,19 @@
 }
 
 typedef enum view {
-	VIEW_AGREES = 0, /* every node sheds each lower tier, or none has any of it waiting */
+	VIEW_AGREES = 0, /* no lower-tier work waits on any other node */
 	VIEW_DIFFERS,
 	VIEW_OLD,
 } view_t;
 
+/* In doubt about which of this node's own reports is in the total, more is taken to wait. */
+static bool waiting_elsewhere(const bct_tier_t *tier)
+{
+	int64_t own = tier->told_queued < tier->told_before ? tier->told_queued : tier->told_before;
+
+	return tier->total.queued > own;
+}
+
 static view_t fleet_view(const bct_core_t *c, bct_time_t now, const bct_target_t *t, uint8_t tier)
 {
 	view_t view = VIEW_AGREES;
@@ -105,39 +121,89 @@
 			continue;
 		if (now - total->at > BCT_TOTAL_MAX_AGE_MS)
 			view = VIEW_OLD;
-		else if (total->queued > t->tiers[i].told_queued &&
-			 total->shedding < (int64_t)c->fleet.nodes)
+		else if (waiting_elsewhere(&t->tiers[i]))
 			return VIEW_DIFFERS;
 	}
 	return view;
 }
 
-/* Running work of a lower tier that preemption could still move away. */
-static bool lower_preemptible(const bct_target_t *t, uint8_t tier)
+static void shed_press(bct_tier_t *tier, bct_time_t now)
 {
-	for (uint32_t i = tier; i < BCT_TIERS; i++) {
-		if (t->tiers[i].n_running && bct_preempt_victim(t, (uint8_t)(i + 1)))
-			return true;
+	if (tier->pressed_since == BCT_TIME_NEVER || now - tier->pressed_at > SHED_PRESS_GAP_MS)
+		tier->pressed_since = now;
+	tier->pressed_at = now;
+}
+
+/* A short burst does not count. */
+bool bct_shed_pressed(const bct_tier_t *tier, bct_time_t now)
+{
+	return tier->pressed_since != BCT_TIME_NEVER &&
+	       now - tier->pressed_at <= SHED_PRESS_GAP_MS &&
+	       tier->pressed_at - tier->pressed_since >= SHED_PRESS_MIN_MS;
+}
+
+static bool pressed_anywhere(const bct_tier_t *tier, bct_time_t now)
+{
+	if (bct_shed_pressed(tier, now))
+		return true;
+	return tier->total.at != BCT_TIME_NEVER && tier->total.pressed > 0 &&
+	       now - tier->total.at <= BCT_TOTAL_MAX_AGE_MS;
+}
+
+static void shed_refuse(bct_core_t *c, bct_time_t now, bct_sreq_t *victim, bct_refuse_t why)
+{
+	bct_admit_refuse(c, now, victim, why, bct_admit_retry_ms(victim->target, victim->tier));
+}
+
+/*
+ * The highest tier that waits unbearably long on any node sets the level: below it nothing waits
+ * but what is committed. Called when a total comes and before each publish.
+ */
+void bct_shed_level(bct_core_t *c, bct_time_t now, bct_target_t *t)
+{
+	uint8_t level = 1;
+	bct_sreq_t *r;
+
+	while (level < BCT_TIERS && !pressed_anywhere(&t->tiers[level - 1], now))
+		level++;
+	if (level != t->shed_level) {
+		t->shed_level = level;
+		bct_core_trace_level(c, now, t);
 	}
-	return false;
+	while ((r = newest_queued(t, level)) && fleet_view(c, now, t, r->tier) == VIEW_AGREES)
+		shed_refuse(c, now, r, BCT_REFUSE_SHED);
 }
 
-static void shed_mark(bct_core_t *c, bct_time_t now, const bct_sreq_t *r)
+/*
+ * A tier below the level takes in only what its floor pays for. An account that has had less than
+ * the others of its tier may borrow, so that one busy account does not use up the floor.
+ */
+static bool floor_claims(bct_tier_t *tier, const bct_sreq_t *r)
 {
-	bct_target_t *t = r->target;
+	int64_t cost = r->item.cost_tokens;
+	bool behind = r->item.flow->vtime_tokens <= tier->queue.vclock_tokens;
 
-	t->tiers[r->tier - 1].shed_at = now;
-	if (r->tier - 1 >= t->shed_level)
-		return;
-	t->shed_level = r->tier - 1;
-	bct_core_trace(c, now, BCT_TRACE_SHED_LEVEL, r, 0, t->shed_level);
+	if (tier->n_granted >= SHED_FLOOR_WAITING_MAX)
+		return false;
+	if (tier->credit_tokens < cost &&
+	    (!behind || tier->credit_tokens < -SHED_FLOOR_BORROW_REQUESTS * cost))
+		return false;
+	tier->credit_tokens -= cost;
+	bct_queue_charge(&tier->queue, r->item.flow, cost);
+	return true;
 }
 
-static void shed_queued(bct_core_t *c, bct_time_t now, bct_sreq_t *victim)
+static bct_refuse_t shed_below_level(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
-	shed_mark(c, now, victim);
-	bct_admit_refuse(c, now, victim, BCT_REFUSE_SHED,
-			 bct_admit_retry_ms(victim->target, victim->tier));
+	if (floor_claims(&r->target->tiers[r->tier - 1], r)) {
+		r->granted = true;
+		return BCT_REFUSE_NONE;
+	}
+	if (lower_remains(r->target, r->tier))
+		return BCT_REFUSE_NONE;
+	if (fleet_view(c, now, r->target, r->tier) != VIEW_AGREES)
+		return BCT_REFUSE_NONE;
+	return BCT_REFUSE_SHED;
 }
 
 /* The target is overloaded down to r's tier: the lowest tier goes first. */
@@ -147,18 +213,16 @@
 	bct_sreq_t *victim = newest_queued(t, r->tier);
 	view_t view;
 
-	if (victim) {
-		shed_queued(c, now, victim);
-		return BCT_REFUSE_NONE;
-	}
-	if (lower_committed(t, r->tier) || lower_preemptible(t, r->tier))
+	shed_press(&t->tiers[r->tier - 1], now);
+	if (victim && fleet_view(c, now, t, victim->tier) == VIEW_AGREES)
+		shed_refuse(c, now, victim, BCT_REFUSE_SHED);
+	if (victim || lower_remains(t, r->tier))
 		return BCT_REFUSE_NONE;
 	view = fleet_view(c, now, t, r->tier);
 	if (view == VIEW_DIFFERS)
 		return BCT_REFUSE_NONE;
 	if (view == VIEW_OLD && wait_ms < SHED_STALE_PATIENCE * patience_ms(r))
 		return BCT_REFUSE_NONE;
-	shed_mark(c, now, r);
 	return BCT_REFUSE_SHED;
 }
 
@@ -189,17 +253,51 @@
 	return it ? bct_container_of(it, bct_sreq_t, item) : NULL;
 }
 
-static bct_refuse_t shed_full(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+/* At the hard limit even committed work of a lower tier gives way. */
+static bct_sreq_t *committed_below(bct_target_t *t, uint8_t tier)
+{
+	const bct_list_t *lists[] = { &t->granted, &t->held };
+	bct_sreq_t *best = NULL;
+	bct_list_t *el;
+
+	for (uint32_t i = 0; i < 2; i++) {
+		bct_list_for_each (el, lists[i]) {
+			bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
+
+			if (r->tier > tier && (!best || r->tier > best->tier))
+				best = r;
+		}
+	}
+	for (uint32_t i = BCT_TIERS; !best && i > tier; i--) {
+		bct_queue_item_t *it = bct_queue_newest(&t->tiers[i - 1].queue);
+
+		if (it)
+			best = bct_container_of(it, bct_sreq_t, item);
+	}
+	return best;
+}
+
+/* Every request that could make room for r, in the order in which they must give way. */
+static bct_sreq_t *full_victim(bct_core_t *c, bct_sreq_t *r)
 {
 	bct_sreq_t *victim = newest_queued(r->target, r->tier);
 
 	if (!victim)
 		victim = lowest_anywhere(c, r->tier);
+	if (!victim && c->n_queued >= SHED_HARD_FACTOR * c->opts.max_queued)
+		victim = committed_below(r->target, r->tier);
+	return victim;
+}
+
+static bct_refuse_t shed_full(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	bct_sreq_t *victim = full_victim(c, r);
+
 	if (victim) {
-		shed_queued(c, now, victim);
+		shed_refuse(c, now, victim, BCT_REFUSE_QUEUE_FULL);
 		return BCT_REFUSE_NONE;
 	}
-	if (lower_committed(r->target, r->tier) &&
+	if (lower_remains(r->target, r->tier) &&
 	    c->n_queued < SHED_HARD_FACTOR * c->opts.max_queued)
 		return BCT_REFUSE_NONE;
 	victim = late_of_tier(r->target, r->tier, now);
@@ -216,6 +314,8 @@
 
 	if (c->opts.max_queued && c->n_queued >= c->opts.max_queued)
 		return shed_full(c, now, r);
+	if (r->tier > r->target->shed_level)
+		return shed_below_level(c, now, r);
 	wait_ms = predicted_wait_ms(r->target, r);
 	if (wait_ms > patience_ms(r))
 		return shed_overload(c, now, r, wait_ms);
--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -15,7 +15,8 @@
 	bct_time_t first_at;
 	uint32_t crashes;
 	bool cleared;
-	bool own; /* this node saw it, and tells it */
+	bool own;     /* this node saw it, and tells it */
+	bool testing; /* one request of it has an upstream to itself */
 } suspect_t;
 
 void bct_suspects_free(bct_suspects_t *s)
@@ -128,21 +129,60 @@
 	if (!e)
 		return;
 	if (e->expires <= now)
-		*e = (suspect_t){ .digest = digest, .expires = now + left_ms };
+		*e = (suspect_t){ .digest = digest,
+				  .expires = now + left_ms,
+				  .testing = e->testing };
 	/* An answer elsewhere clears one crash, but two crashes stay. */
 	if (v[2] && v[0] < BCT_SUSPECT_POISON_CRASHES && e->crashes < BCT_SUSPECT_POISON_CRASHES) {
 		e->cleared = true;
 		e->crashes = 0;
 		return;
 	}
+	/* Two nodes saw one crash each, of two upstreams. */
+	if (v[0] == 1 && e->own && e->crashes == 1 && (uint64_t)v[1] != e->upstream_key) {
+		e->crashes = BCT_SUSPECT_POISON_CRASHES;
+		suspect_clear_bystanders(s, e);
+		return;
+	}
 	if (v[0] <= e->crashes || (e->cleared && v[0] < BCT_SUSPECT_POISON_CRASHES))
 		return;
 	e->crashes = (uint32_t)v[0];
 	e->upstream_key = (uint64_t)v[1];
 	e->expires = now + left_ms;
+	e->crashed_at = now;
 	e->cleared = false;
 }
 
+bct_time_t bct_suspect_test_at(const bct_suspects_t *s, uint64_t digest, uint32_t nodes,
+			       uint32_t rank)
+{
+	const suspect_t *e = bct_map_get(&s->map, digest);
+
+	if (!e || nodes <= 1)
+		return 0;
+	if (e->own)
+		return e->crashed_at + BCT_SUSPECT_SPREAD_MS;
+	return e->crashed_at + BCT_SUSPECT_WAIT_MS + (bct_time_t)rank * BCT_SUSPECT_RANK_MS;
+}
+
+bool bct_suspect_test_begin(bct_suspects_t *s, uint64_t digest)
+{
+	suspect_t *e = bct_map_get(&s->map, digest);
+
+	if (!e || e->testing)
+		return false;
+	e->testing = true;
+	return true;
+}
+
+void bct_suspect_test_end(bct_suspects_t *s, uint64_t digest)
+{
+	suspect_t *e = bct_map_get(&s->map, digest);
+
+	if (e)
+		e->testing = false;
+}
+
 bool bct_suspect_publish(bct_suspects_t *s, bct_time_t now, uint32_t *pos, uint64_t *digest,
 			 int64_t v[4])
 {
@@ -167,7 +207,7 @@
 	suspect_t *e;
 
 	while ((e = bct_map_next(&s->map, &pos))) {
-		if (e->expires > now)
+		if (e->expires > now || e->testing)
 			continue;
 		bct_map_del(&s->map, e->digest);
 		bct_free(e);
--- a/policy/suspect.h
+++ b/policy/suspect.h
@@ -1,8 +1,9 @@
 /*
  * suspect.h - requests that may crash the upstream that runs them, by digest of the body.
  *
- * The first crash makes a digest a suspect: it runs alone. A second crash, alone, makes it
- * poison: it is refused on every node until the entry expires. An answer clears it, and so does a
+ * The first crash makes a digest a suspect: it runs alone, on one node of the fleet. A second
+ * crash, alone or on another upstream, makes it poison: every node refuses it until the entry
+ * expires. An answer clears it, and so does a
  * second crash of another digest that was in flight at the same first crash.
  */
 #ifndef BCT_POLICY_SUSPECT_H
@@ -19,6 +20,9 @@
 #define BCT_SUSPECT_POISON_CRASHES 2
 /* Broken connections of one upstream within this time are one crash. */
 #define BCT_SUSPECT_SAME_CRASH_MS 5000
+#define BCT_SUSPECT_SPREAD_MS 3500 /* for news of a crash to reach every node */
+#define BCT_SUSPECT_WAIT_MS 10000  /* for the node that saw the crash to test the suspect */
+#define BCT_SUSPECT_RANK_MS 3000   /* between the tests of other nodes */
 
 typedef enum bct_suspect_state {
 	BCT_SUSPECT_NO = 0,
@@ -52,6 +56,22 @@
 bct_suspect_state_t bct_suspect_state(const bct_suspects_t *s, bct_time_t now, uint64_t digest,
 				      uint32_t *left_ms);
 
+/*
+ * bct_suspect_test_at(3): when this node may run a suspect alone. One node tests it, the one that
+ * saw the crash, once the others had time to hear of it; should it not, the others follow by rank.
+ */
+bct_time_t bct_suspect_test_at(const bct_suspects_t *s, uint64_t digest, uint32_t nodes,
+			       uint32_t rank);
+
+/*
+ * bct_suspect_test_begin(3), bct_suspect_test_end(3): only one request of a digest is tested at a
+ * time.
+ *
+ * returns  whether the test may begin
+ */
+bool bct_suspect_test_begin(bct_suspects_t *s, uint64_t digest);
+void bct_suspect_test_end(bct_suspects_t *s, uint64_t digest);
+
 /* bct_suspect_heard(3): another node's entry; v as in BCT_ITEM_SUSPECT. */
 void bct_suspect_heard(bct_suspects_t *s, bct_time_t now, uint64_t digest, const int64_t v[4]);
 
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -137,6 +137,23 @@
 		up_count_targets(c, now, u);
 }
 
+/* Keeps the upstream for one suspect: no other new work until it is released. */
+void bct_up_reserve(bct_core_t *c, bct_time_t now, bct_up_t *u, bct_sreq_t *r)
+{
+	u->alone = r;
+	r->target->n_alone++;
+	bct_up_refresh(c, now, u);
+}
+
+void bct_up_release(bct_core_t *c, bct_up_t *u)
+{
+	u->alone->target->n_alone--;
+	bct_suspect_test_end(&c->suspects, u->alone->desc.digest);
+	u->alone = NULL;
+	/* Open again with the next poll. */
+	bct_heap_set(&c->up_wakes, &u->wake, 0);
+}
+
 void bct_up_answered(bct_core_t *c, bct_time_t now, bct_up_t *u)
 {
 	bool was_dead = u->failures >= UP_DEAD_FAILURES;
@@ -181,8 +198,10 @@
 	u->report_seq = r->seq;
 	u->report_at = at;
 	bct_load_report(&u->load, at, r->running + r->waiting, r->waiting_tokens);
-	for (uint32_t i = 0; i < BCT_TIERS; i++)
+	for (uint32_t i = 0; i < BCT_TIERS; i++) {
 		u->running_by_tier[i] = r->running_by_tier[i];
+		u->sent_by_tier[i] = 0;
+	}
 	if (r->leaving != u->reports_leaving) {
 		u->reports_leaving = r->leaving;
 		bct_setup_subsets(c, now);
--- /dev/null
+++ b/tests/test_invariant.c
@@ -0,0 +1,197 @@
+/*
+ * test_invariant.c - hand-made bad traces: each breach is found, and nothing else.
+ */
+#include "base/err.h"
+#include "base/mem.h"
+#include "policy/invariant.h"
+
+#include <criterion/criterion.h>
+
+#define NODE_A 1
+#define NODE_B 2
+
+static bct_trace_t line(bct_trace_type_t type, bct_time_t now, uint64_t node, uint64_t req,
+			uint8_t tier, uint64_t value)
+{
+	return (bct_trace_t){ .type = type,
+			      .now = now,
+			      .node_key = node,
+			      .req_id = req,
+			      .account_key = 5,
+			      .target_key = 6,
+			      .upstream_key = 7,
+			      .tier = tier,
+			      .value = value };
+}
+
+#define SUBMIT(now, node, req, tier) line(BCT_TRACE_SUBMIT, now, node, req, tier, 1)
+#define ONCE(now, node, req, tier) line(BCT_TRACE_SUBMIT, now, node, req, tier, 0)
+#define DISPATCH(now, node, req, tier) line(BCT_TRACE_DISPATCH, now, node, req, tier, 0)
+#define KEPT(now, node, req, tier) line(BCT_TRACE_DISPATCH, now, node, req, tier, BCT_TRACE_KEPT)
+#define REFUSE(now, node, req, tier, why) \
+	line(BCT_TRACE_REFUSE, now, node, req, tier, BCT_REFUSE_##why)
+#define PREEMPT(now, node, req, tier, by) line(BCT_TRACE_PREEMPT, now, node, req, tier, by)
+#define END(now, node, req, tier, how) line(BCT_TRACE_END, now, node, req, tier, BCT_OUTCOME_##how)
+
+static const bct_invariant_opts_t opts = { .starve_ms = 1000,
+					   .starve_dispatches = 5,
+					   .view_grace_ms = 100 };
+
+/* Feeds a trace and insists on exactly this breach; BCT_BREACH_COUNT: on none. */
+static void expect(const bct_trace_t *t, uint32_t n, bct_breach_t want)
+{
+	bct_invariant_t *v;
+
+	cr_assert_eq(bct_invariant_new(&opts, &v), 0);
+	for (uint32_t i = 0; i < n; i++)
+		cr_assert_eq(bct_invariant_feed(v, &t[i]), 0);
+	if (want == BCT_BREACH_LOST)
+		bct_invariant_finish(v);
+	for (bct_breach_t b = 0; b < BCT_BREACH_COUNT; b++)
+		cr_assert_eq(bct_invariant_count(v, b), b == want, "%s: %lu", bct_breach_name(b),
+			     (unsigned long)bct_invariant_count(v, b));
+	bct_invariant_free(v);
+}
+
+#define EXPECT(want, ...)                                              \
+	do {                                                           \
+		const bct_trace_t lines[] = { __VA_ARGS__ };           \
+		expect(lines, sizeof(lines) / sizeof(lines[0]), want); \
+	} while (0)
+
+Test(invariant, a_good_trace_has_none)
+{
+	EXPECT(BCT_BREACH_COUNT, SUBMIT(0, NODE_A, 1, 1), SUBMIT(0, NODE_A, 2, 5),
+	       DISPATCH(1, NODE_A, 1, 1), REFUSE(2, NODE_A, 2, 5, SHED), END(3, NODE_A, 1, 1, OK));
+}
+
+Test(invariant, higher_tier_shed_first)
+{
+	EXPECT(BCT_BREACH_SHED_BEFORE_LOWER, SUBMIT(0, NODE_A, 1, 2), SUBMIT(0, NODE_A, 2, 3),
+	       REFUSE(1, NODE_A, 1, 2, SHED));
+	EXPECT(BCT_BREACH_SHED_BEFORE_LOWER, SUBMIT(0, NODE_A, 1, 2), SUBMIT(0, NODE_A, 2, 3),
+	       REFUSE(1, NODE_A, 1, 2, QUEUE_FULL));
+}
+
+Test(invariant, higher_tier_shed_while_lower_runs)
+{
+	EXPECT(BCT_BREACH_SHED_BEFORE_PREEMPT, SUBMIT(0, NODE_A, 1, 2), SUBMIT(0, NODE_A, 2, 3),
+	       DISPATCH(0, NODE_A, 2, 3), REFUSE(1, NODE_A, 1, 2, SHED));
+	EXPECT(BCT_BREACH_COUNT, SUBMIT(0, NODE_A, 1, 2), SUBMIT(0, NODE_A, 2, 3),
+	       KEPT(0, NODE_A, 2, 3), REFUSE(1, NODE_A, 1, 2, SHED));
+}
+
+Test(invariant, shed_while_another_node_keeps_lower)
+{
+	EXPECT(BCT_BREACH_SHED_ACROSS_NODES, SUBMIT(0, NODE_B, 1, 5), SUBMIT(500, NODE_A, 1, 1),
+	       REFUSE(500, NODE_A, 1, 1, SHED));
+	EXPECT(BCT_BREACH_COUNT, SUBMIT(450, NODE_B, 1, 5), SUBMIT(500, NODE_A, 1, 1),
+	       REFUSE(500, NODE_A, 1, 1, SHED));
+}
+
+Test(invariant, preempted_for_its_own_tier)
+{
+	EXPECT(BCT_BREACH_PREEMPT_UPWARDS, SUBMIT(0, NODE_A, 1, 2), DISPATCH(0, NODE_A, 1, 2),
+	       PREEMPT(1, NODE_A, 1, 2, 2));
+}
+
+Test(invariant, preempted_before_a_lower_tier)
+{
+	EXPECT(BCT_BREACH_PREEMPT_BEFORE_LOWER, SUBMIT(0, NODE_A, 1, 3), SUBMIT(0, NODE_A, 2, 4),
+	       DISPATCH(0, NODE_A, 1, 3), DISPATCH(0, NODE_A, 2, 4), PREEMPT(1, NODE_A, 1, 3, 1));
+	EXPECT(BCT_BREACH_COUNT, SUBMIT(0, NODE_A, 1, 3), SUBMIT(0, NODE_A, 2, 4),
+	       DISPATCH(0, NODE_A, 1, 3), DISPATCH(0, NODE_A, 2, 4), PREEMPT(1, NODE_A, 2, 4, 1),
+	       PREEMPT(1, NODE_A, 1, 3, 1), END(2, NODE_A, 2, 4, CANCELLED),
+	       DISPATCH(3, NODE_A, 2, 4));
+}
+
+Test(invariant, two_final_answers)
+{
+	EXPECT(BCT_BREACH_TWO_ANSWERS, SUBMIT(0, NODE_A, 1, 1), REFUSE(1, NODE_A, 1, 1, SHED),
+	       REFUSE(2, NODE_A, 1, 1, SHED));
+	EXPECT(BCT_BREACH_TWO_ANSWERS, SUBMIT(0, NODE_A, 1, 1), DISPATCH(0, NODE_A, 1, 1),
+	       END(1, NODE_A, 1, 1, OK), REFUSE(2, NODE_A, 1, 1, DEADLINE));
+}
+
+Test(invariant, dispatched_after_its_answer)
+{
+	EXPECT(BCT_BREACH_AFTER_ANSWER, SUBMIT(0, NODE_A, 1, 1), REFUSE(1, NODE_A, 1, 1, SHED),
+	       DISPATCH(2, NODE_A, 1, 1));
+}
+
+Test(invariant, two_attempts_at_once)
+{
+	EXPECT(BCT_BREACH_TWO_AT_ONCE, SUBMIT(0, NODE_A, 1, 1), DISPATCH(1, NODE_A, 1, 1),
+	       DISPATCH(2, NODE_A, 1, 1));
+}
+
+Test(invariant, run_twice)
+{
+	EXPECT(BCT_BREACH_RUN_TWICE, ONCE(0, NODE_A, 1, 1), DISPATCH(1, NODE_A, 1, 1),
+	       END(2, NODE_A, 1, 1, RESET), DISPATCH(3, NODE_A, 1, 1));
+	EXPECT(BCT_BREACH_COUNT, ONCE(0, NODE_A, 1, 1), DISPATCH(1, NODE_A, 1, 1),
+	       END(2, NODE_A, 1, 1, CONNECT_FAILED), DISPATCH(3, NODE_A, 1, 1));
+	EXPECT(BCT_BREACH_COUNT, SUBMIT(0, NODE_A, 1, 1), DISPATCH(1, NODE_A, 1, 1),
+	       END(2, NODE_A, 1, 1, RESET), DISPATCH(3, NODE_A, 1, 1));
+}
+
+Test(invariant, unknown_lost_and_out_of_order)
+{
+	EXPECT(BCT_BREACH_UNKNOWN_REQUEST, DISPATCH(0, NODE_A, 9, 1));
+	EXPECT(BCT_BREACH_LOST, SUBMIT(0, NODE_A, 1, 1));
+	EXPECT(BCT_BREACH_OUT_OF_ORDER, SUBMIT(5, NODE_A, 1, 1), SUBMIT(4, NODE_A, 2, 1));
+}
+
+/* Tier 5 waits, or is refused, while tier 1 is served again and again. */
+static uint64_t starved_count(uint32_t dispatches, bct_time_t step_ms, bct_refuse_t refuse)
+{
+	bct_trace_t low = SUBMIT(0, NODE_A, 1, 5), t;
+	bct_invariant_t *v;
+	uint64_t count;
+
+	cr_assert_eq(bct_invariant_new(&opts, &v), 0);
+	bct_invariant_feed(v, &low);
+	if (refuse) {
+		low = line(BCT_TRACE_REFUSE, 0, NODE_A, 1, 5, refuse);
+		bct_invariant_feed(v, &low);
+	}
+	for (uint32_t i = 0; i < dispatches; i++) {
+		t = SUBMIT(i * step_ms, NODE_A, 10 + i, 1);
+		bct_invariant_feed(v, &t);
+		t = DISPATCH(i * step_ms, NODE_A, 10 + i, 1);
+		bct_invariant_feed(v, &t);
+	}
+	t = SUBMIT(dispatches * step_ms, NODE_A, 2, 5);
+	bct_invariant_feed(v, &t);
+	t = REFUSE(dispatches * step_ms, NODE_A, 2, 5, SHED);
+	bct_invariant_feed(v, &t);
+	count = bct_invariant_count(v, BCT_BREACH_STARVED);
+	bct_invariant_free(v);
+	return count;
+}
+
+Test(invariant, starved_class)
+{
+	cr_assert_eq(starved_count(20, 100, BCT_REFUSE_NONE), 1, "it waited");
+	cr_assert_eq(starved_count(20, 100, BCT_REFUSE_SHED), 1, "it was refused for capacity");
+	cr_assert_eq(starved_count(20, 100, BCT_REFUSE_RATE_LIMIT), 0, "its own limit");
+	cr_assert_eq(starved_count(20, 10, BCT_REFUSE_SHED), 0, "not for long enough");
+	cr_assert_eq(starved_count(4, 1000, BCT_REFUSE_SHED), 0, "others were hardly served");
+}
+
+Test(invariant, out_of_memory_takes_nothing_in)
+{
+	bct_trace_t t = SUBMIT(0, NODE_A, 1, 1);
+	bct_invariant_t *v;
+	int err = -BCT_ENOMEM;
+
+	cr_assert_eq(bct_invariant_new(&opts, &v), 0);
+	for (int64_t n = 0; err; n++) {
+		bct_mem_fail_after(n);
+		err = bct_invariant_feed(v, &t);
+		bct_mem_fail_after(-1);
+		cr_assert(err == 0 || err == -BCT_ENOMEM);
+	}
+	cr_assert_eq(bct_invariant_total(v), 0);
+	bct_invariant_free(v);
+}
--- a/tests/util_policy.c
+++ b/tests/util_policy.c
@@ -45,6 +45,7 @@
 	u->prefill_tokens_per_s = 8000;
 	u->decode_tokens_per_s = 40;
 	u->resumes = true;
+	u->honours_priority = true;
 }
 
 bct_conf_t *test_conf(uint32_t accounts, uint32_t engines, uint32_t slots, uint32_t desks)
