--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -51,3 +51,62 @@
 fault() {
 	"$BIN/chuteload" post "$1" /admin/fault "$2" >/dev/null || fail "fault $2 at $1"
 }
+
+# start_backends: two engines and a service, and a configuration for them in $work/conf.json.
+# Sets engine1, engine2, service; extra arguments go to both engines.
+start_backends() {
+	start engine1 fake-engine --model demo-7b --slots 8 --honours-priority --checks-fencing "$@"
+	engine1=$addr
+	start engine2 fake-engine --model demo-7b --slots 8 --honours-priority "$@"
+	engine2=$addr
+	start service fake-service --service-ms 5
+	service=$addr
+	sed -e "s/@ENGINE1_PORT@/${engine1#*:}/" -e "s/@ENGINE2_PORT@/${engine2#*:}/" \
+		-e "s/@SERVICE1_PORT@/${service#*:}/" examples/demo.json >"$work/conf.json"
+	audit="--engine $engine1 --engine $engine2 --service $service"
+}
+
+# start_node NAME: starts chuted; sets pid, caller (its address for callers) and admin.
+start_node() {
+	name=$1
+	cat >"$work/$name.json" <<EOT
+{
+	"vm": { "name": "$name", "failure_domain": "demo-a", "region": "demo" },
+	"caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 500 },
+	"admin": { "port": 0 },
+	"peer": { "port": 0 },
+	"platform": { "config_file": "$work/conf.json" }
+}
+EOT
+	"$BIN/chuted" --config "$work/$name.json" >"$work/$name.out" 2>"$work/$name.err" &
+	pid=$!
+	pids="$pids $pid"
+	wait_for 10 grep -q '^listening' "$work/$name.out" || fail "$name did not start"
+	caller=127.0.0.1:$(sed -n 's/.*caller=\([0-9]*\).*/\1/p' "$work/$name.out")
+	admin=127.0.0.1:$(sed -n 's/.*admin=\([0-9]*\).*/\1/p' "$work/$name.out")
+	wait_for 10 "$BIN/chuteload" get "$caller" /v1/entry || fail "$name does not answer"
+}
+
+# load SCENARIO OPTIONS...: runs the load tool; its table goes to $work/table.
+load() {
+	scenario=$1
+	shift
+	"$BIN/chuteload" run "$scenario" $audit "$@" >"$work/table" 2>"$work/load.err"
+}
+
+# must_pass WHAT SCENARIO OPTIONS...: the load passes its audits.
+must_pass() {
+	what=$1
+	shift
+	load "$@" || fail "$what: $(cat "$work/table" "$work/load.err")"
+}
+
+# column CLASS N: one column of the last table: 3 requests, 4 whole, 10 refused, 11 doubt.
+column() {
+	awk -v class="$1" -v n="$2" '$1 == class { print $n }' "$work/table"
+}
+
+# number ADDRESS PATH KEY: one number of a JSON answer.
+number() {
+	"$BIN/chuteload" get "$1" "$2" | sed -n "s/.*\"$3\": *\([0-9]*\).*/\1/p"
+}
