--- a/coord/key_claims.h
+++ b/coord/key_claims.h
@@ -94,11 +94,11 @@
  * bct_key_claims_resolve(3): an operator's word.
  *
  * force    also while the owner may still be alive
- * returns  0 (a record goes out), -BCT_ENOT_FOUND (not in doubt), -BCT_ESTATE (the owner may be
- *          alive or merely paused: not without force), -BCT_ENOMEM
+ * returns  0 (a record goes out), -BCT_ENOT_FOUND (not in doubt), -BCT_ESTATE (it is to be freed
+ *          and the owner may be alive or merely paused: not without force), -BCT_ENOMEM
  */
-int bct_key_claims_resolve(bct_key_claims_t *c, const bct_key_id_t *id, bool ran, bool force,
-			   const char *author);
+int bct_key_claims_resolve(bct_key_claims_t *c, bct_time_t now, const bct_key_id_t *id, bool ran,
+			   bool force, const char *author);
 
 /*
  * bct_key_claims_batch(3): take the entries to append next.
@@ -124,6 +124,9 @@
 /* bct_key_claims_idle(3): nothing waits to be appended or read back. */
 bool bct_key_claims_idle(const bct_key_claims_t *c);
 
+/* bct_key_claims_fingerprint(3): a hash of the whole state, for explorers that meet it again. */
+uint64_t bct_key_claims_fingerprint(const bct_key_claims_t *c);
+
 const bct_key_table_t *bct_key_claims_table(const bct_key_claims_t *c);
 
 /* bct_key_batch_decode(3): the entries of a record; 0 or -BCT_ECODEC; release with
--- a/coord/key_table.c
+++ b/coord/key_table.c
@@ -3,6 +3,7 @@
  */
 #include "coord/key_table.h"
 #include "base/err.h"
+#include "base/hash.h"
 #include "base/mem.h"
 
 #include <sodium.h>
@@ -192,7 +193,7 @@
 	t->n_keys--;
 }
 
-static int apply_intent(bct_key_table_t *t, uint64_t offset, const bct_key_id_t *id,
+static int apply_intent(bct_key_table_t *t, bct_time_t now, uint64_t offset, const bct_key_id_t *id,
 			const bct_xkey_entry *x)
 {
 	const bct_xkey_intent *in = &x->body.bct_xkey_body_u.intent;
@@ -213,6 +214,7 @@
 	e->intent = x->intent;
 	e->incarnation = in->incarnation;
 	e->wall_ms = in->wall_ms;
+	e->read_at = now;
 	slot = key_slot(t, id);
 	e->next = t->buckets[slot];
 	t->buckets[slot] = e;
@@ -262,7 +264,7 @@
 	return 0;
 }
 
-int bct_key_table_apply(bct_key_table_t *t, uint64_t offset, uint32_t index,
+int bct_key_table_apply(bct_key_table_t *t, bct_time_t now, uint64_t offset, uint32_t index,
 			const bct_xkey_entry *e)
 {
 	bct_key_id_t id;
@@ -270,7 +272,7 @@
 	memcpy(id.hash, e->hash, sizeof(id.hash));
 	switch (e->body.type) {
 	case BCT_XKEY_INTENT:
-		return apply_intent(t, offset, &id, e);
+		return apply_intent(t, now, offset, &id, e);
 	case BCT_XKEY_OUTCOME:
 		apply_outcome(t, offset, index, &id, e);
 		return 0;
@@ -317,3 +319,18 @@
 {
 	return t->n_keys;
 }
+
+uint64_t bct_key_table_fingerprint(const bct_key_table_t *t)
+{
+	uint64_t h = 0;
+
+	/* A sum, so that the order of the chains does not matter. */
+	for (uint32_t i = 0; i < t->n_buckets; i++) {
+		for (const bct_key_entry_t *e = t->buckets[i]; e; e = e->next)
+			h += bct_hash_mix(bct_hash(&e->id, sizeof(e->id)),
+					  bct_hash_mix(e->intent, e->state));
+		for (const void_intent_t *v = t->voids[i]; v; v = v->next)
+			h += bct_hash_mix(v->intent, 1);
+	}
+	return h;
+}
