policy: reserve for urgent tiers, strict preemption order, slow upstreams set apart

Change: tiers that can wait leave an eighth of the slots, no tier is preempted while a lower one runs, slots that a node frees are handed to its own waiting work, slow upstreams take late work only, resumed requests go first in their tier.

--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -4,7 +4,8 @@
 #include "base/hash.h"
 #include "policy/sched_int.h"
 
-#define ATTEMPT_MIN_TOKENS_FOR_SPEED 8 /* a shorter answer says little of the speed */
+#define ATTEMPT_TTFT_GRACE_MS 500 /* a first token this much later is not the engine's fault */
+#define ATTEMPT_LOOK_TOKENS 16	  /* fewer say little of the speed */
 
 /* Unique over nodes and restarts, as the incarnation is mixed in; never 0. */
 static uint64_t attempt_new_id(bct_core_t *c)
@@ -44,15 +45,18 @@
 	r->attempt_tokens = 0;
 	r->sent = false;
 	r->stop = BCT_STOP_NONE;
-	bct_list_add_tail(&r->line, &tier->running);
 	bct_list_add_tail(&r->up_link, &u->attempts);
 	bct_list_add_tail(&r->outbox, &c->outbox);
 	c->n_outbox++;
 	tier->n_running++;
 	r->kept = !bct_preempt_allowed(r);
-	tier->n_preemptible += !r->kept;
+	if (!r->kept) {
+		bct_list_add_tail(&r->line, &tier->preemptible);
+		tier->n_preemptible++;
+	}
 	bct_load_sent(&u->load, now, r->prefill_tokens);
 	u->sent_by_tier[bct_core_priority(r) - 1]++;
+	u->own_by_tier[r->tier - 1]++;
 	attempt_learn_prefix(c, r);
 	/* A call that may not be repeated is not cut off: its outcome is worth more than time. */
 	if (r->repeatable && r->deadline != BCT_TIME_NEVER)
@@ -71,15 +75,30 @@
 	double took_ms = (double)(now - r->dispatched_at);
 
 	r->first_token_at = now;
+	r->mark_at = now;
+	r->mark_tokens = 1;
 	bct_load_first_token(&r->up->load, now, r->prefill_tokens);
-	if (took_ms > r->predicted_ttft_ms)
-		bct_up_progress(r->up, (r->predicted_ttft_ms + 1) / (took_ms + 1));
-	else
-		bct_up_progress(r->up, 1);
+	if (took_ms > r->predicted_ttft_ms + ATTEMPT_TTFT_GRACE_MS)
+		bct_up_progress(r->up, (r->predicted_ttft_ms + ATTEMPT_TTFT_GRACE_MS) / took_ms);
+	bct_up_slow_check(c, now, r->up);
 	if (!r->tokens)
 		bct_core_trace(c, now, BCT_TRACE_FIRST_TOKEN, r, r->up->key, 0);
 }
 
+/* Progress since the last look, against what a full batch should give. */
+static void attempt_look_at_speed(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+{
+	uint32_t made = r->attempt_tokens - r->mark_tokens;
+	double expected = (double)(now - r->mark_at) * r->up->decode_tokens_per_ms;
+
+	if (r->up->kind != BCT_UPSTREAM_ENGINE || made < ATTEMPT_LOOK_TOKENS)
+		return;
+	r->mark_at = now;
+	r->mark_tokens = r->attempt_tokens;
+	bct_up_progress(r->up, made / (expected + 1));
+	bct_up_slow_check(c, now, r->up);
+}
+
 void bct_attempt_tokens(bct_core_t *c, bct_time_t now, uint64_t attempt_id, uint32_t total)
 {
 	bct_sreq_t *r = bct_map_get(&c->attempts, attempt_id);
@@ -90,6 +109,7 @@
 	if (r->first_token_at == BCT_TIME_NEVER)
 		attempt_first_token(c, now, r);
 	r->attempt_tokens = total;
+	attempt_look_at_speed(c, now, r);
 }
 
 static void attempt_count_out(bct_sreq_t *r)
@@ -97,6 +117,7 @@
 	bct_tier_t *tier = &r->target->tiers[r->tier - 1];
 
 	tier->n_running--;
+	r->up->own_by_tier[r->tier - 1]--;
 	if (r->stop == BCT_STOP_PREEMPT)
 		r->target->pending_preempts--;
 	if (!r->kept && r->state == BCT_REQ_RUNNING)
@@ -129,17 +150,6 @@
 		bct_dispatch_alone(c, now, u);
 }
 
-static void attempt_note_speed(bct_time_t now, const bct_sreq_t *r, bct_up_t *u)
-{
-	double expected;
-
-	if (u->kind != BCT_UPSTREAM_ENGINE || r->first_token_at == BCT_TIME_NEVER ||
-	    r->attempt_tokens < ATTEMPT_MIN_TOKENS_FOR_SPEED)
-		return;
-	expected = (double)(now - r->first_token_at) * u->decode_tokens_per_ms;
-	bct_up_progress(u, (r->attempt_tokens + 1) / (expected + 1));
-}
-
 static void attempt_finish(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_outcome_t outcome)
 {
 	if (outcome == BCT_OUTCOME_OK) {
@@ -163,19 +173,29 @@
 	}
 }
 
+/* The slot that this node frees goes to its own waiting work, as far as that is entitled to it. */
+static void attempt_hand_over(bct_core_t *c, bct_time_t now, bct_target_t *t, bct_up_t *u,
+			      uint8_t tier, bct_outcome_t outcome)
+{
+	if (outcome == BCT_OUTCOME_OK || outcome == BCT_OUTCOME_CANCELLED)
+		bct_dispatch_handover(c, now, u, t, tier);
+}
+
 void bct_attempt_end(bct_core_t *c, bct_time_t now, const bct_attempt_end_t *end)
 {
 	bct_sreq_t *r = bct_map_get(&c->attempts, end->attempt_id);
+	bct_target_t *t;
 	bct_stop_t stop;
+	uint8_t tier;
 	bct_up_t *u;
 
 	if (!r)
 		return;
+	t = r->target;
+	tier = r->tier;
 	bct_attempt_tokens(c, now, end->attempt_id, end->tokens);
 	u = r->up;
 	stop = r->stop;
-	if (end->outcome == BCT_OUTCOME_OK)
-		attempt_note_speed(now, r, u);
 	bct_core_trace(c, now, BCT_TRACE_END, r, u->key, end->outcome);
 	attempt_detach(c, now, r);
 	if (end->may_have_run)
@@ -190,6 +210,7 @@
 	} else {
 		bct_retry_decide(c, now, r, u, end);
 	}
+	attempt_hand_over(c, now, t, u, tier, end->outcome);
 }
 
 /* An attempt whose DISPATCH was not handed out yet never was; undo it. */
@@ -216,8 +237,10 @@
 	bct_heap_del(&c->timers, &r->timer);
 	if (r->state == BCT_REQ_ENDING)
 		return;
-	if (!r->kept)
+	if (!r->kept) {
+		bct_list_del(&r->line);
 		r->target->tiers[r->tier - 1].n_preemptible--;
+	}
 	bct_core_state(c, r, BCT_REQ_ENDING);
 	bct_list_add_tail(&r->outbox, &c->outbox);
 	c->n_outbox++;
--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -108,6 +108,26 @@
 	}
 }
 
+/* Where a request may go: what can wait leaves a reserve to what cannot. */
+static bct_set_t dispatch_set(const bct_sreq_t *r)
+{
+	uint8_t urgent = r->target->urgent_tier;
+
+	return !urgent || r->granted || r->tier <= urgent ? BCT_SET_OPEN : BCT_SET_ROOMY;
+}
+
+/* Work that missed its target; a slow upstream can do no more harm to it. */
+static bct_sreq_t *dispatch_late(const bct_target_t *t)
+{
+	for (uint32_t i = 0; i < BCT_TIERS; i++) {
+		bct_queue_item_t *it = bct_queue_late(&t->tiers[i].queue);
+
+		if (it)
+			return bct_container_of(it, bct_sreq_t, item);
+	}
+	return NULL;
+}
+
 /* The next request of the target; still where it waits. */
 static bct_sreq_t *dispatch_next(bct_target_t *t, bct_time_t now)
 {
@@ -131,7 +151,7 @@
 	if (r->deadline == BCT_TIME_NEVER || !r->repeatable || l->n < DISPATCH_LEARNT_MIN ||
 	    route->up->kind != BCT_UPSTREAM_ENGINE)
 		return false;
-	left = bct_length_expect(l, r->tokens, r->desc.max_output_tokens);
+	left = bct_length_high(l, r->tokens, r->desc.max_output_tokens);
 	return now + route->ttft_ms + left / route->up->decode_tokens_per_ms > (double)r->deadline;
 }
 
@@ -224,19 +244,53 @@
 }
 
 /* Sends one request on its way, whatever that is. */
-static void dispatch_one(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+static void dispatch_one(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_set_t set)
 {
 	bct_route_t route;
 
 	if (dispatch_if_suspect(c, now, r))
 		return;
-	route = bct_route_choose(c, now, r->target, r);
+	route = bct_route_choose(c, now, r->target, r, set);
 	if (route.up)
 		dispatch_on(c, now, r, &route);
 	else
 		bct_dispatch_hold(c, r, now + DISPATCH_HOLD_MS);
 }
 
+/* Attempts of this node at the upstream that are at least as important. */
+static uint32_t own_up_to(const bct_up_t *u, uint8_t tier)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < tier; i++)
+		n += u->own_by_tier[i];
+	return n;
+}
+
+/*
+ * An attempt of a tier ended there. Where the upstream is not open, its slot is still this node's
+ * own to fill: with a higher tier, or within the node's part of the upstream.
+ */
+void bct_dispatch_handover(bct_core_t *c, bct_time_t now, bct_up_t *u, bct_target_t *t,
+			   uint8_t tier)
+{
+	bct_sreq_t *r = dispatch_next(t, now);
+	bct_route_t route;
+
+	if (!r || t->sets[dispatch_set(r)].n || !bct_up_usable(u) || u->alone || u->slow ||
+	    now < u->down_until)
+		return;
+	if (r->tier >= tier && own_up_to(u, r->tier) >= u->load.quota)
+		return;
+	if (dispatch_set(r) == BCT_SET_ROOMY && bct_load_room(&u->load) <= bct_up_reserved(u))
+		return;
+	if (dispatch_if_suspect(c, now, r))
+		return;
+	route = bct_route_to(c, now, t, r, u);
+	if (route.up)
+		dispatch_on(c, now, r, &route);
+}
+
 /* Without an open upstream: to an engine that makes room by itself. Returns whether r left. */
 bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
@@ -265,10 +319,12 @@
 
 	if (now >= t->unusable_at)
 		dispatch_unusable(c, now, t, max);
-	while (t->n_open && c->n_outbox < max && (r = dispatch_next(t, now)))
-		dispatch_one(c, now, r);
+	while (c->n_outbox < max && (r = dispatch_next(t, now)) && t->sets[dispatch_set(r)].n)
+		dispatch_one(c, now, r, dispatch_set(r));
+	while (c->n_outbox < max && t->sets[BCT_SET_SLOW].n && (r = dispatch_late(t)))
+		dispatch_one(c, now, r, BCT_SET_SLOW);
 	if (c->n_outbox >= max)
 		bct_dispatch_ready(c, t);
-	else if (!t->n_open)
+	else if (t->n_queued)
 		bct_preempt_target(c, now, t);
 }
--- a/policy/length.c
+++ b/policy/length.c
@@ -52,3 +52,14 @@
 	left = total > done_tokens ? (uint32_t)(total - done_tokens) : 0;
 	return left ? left : 1;
 }
+
+uint32_t bct_length_high(const bct_length_t *l, uint32_t done_tokens, uint32_t max_tokens)
+{
+	double total = l->p90_tokens;
+
+	if (max_tokens && total > max_tokens)
+		total = max_tokens;
+	if (total <= done_tokens)
+		return bct_length_expect(l, done_tokens, max_tokens);
+	return (uint32_t)(total - done_tokens) + 1;
+}
--- a/policy/length.h
+++ b/policy/length.h
@@ -22,4 +22,7 @@
 /* bct_length_expect(3): the median still to come once done_tokens are out; at least 1. */
 uint32_t bct_length_expect(const bct_length_t *l, uint32_t done_tokens, uint32_t max_tokens);
 
+/* bct_length_high(3): the same for what nine in ten answers stay below. */
+uint32_t bct_length_high(const bct_length_t *l, uint32_t done_tokens, uint32_t max_tokens);
+
 #endif
--- a/policy/load.c
+++ b/policy/load.c
@@ -94,11 +94,14 @@
 		l->quota = l->slots;
 }
 
-uint32_t bct_load_free(const bct_load_t *l)
+uint32_t bct_load_room(const bct_load_t *l)
 {
 	uint32_t used = l->own + l->others;
 
-	if (used >= l->slots || l->own >= l->quota)
-		return 0;
-	return l->slots - used < l->quota - l->own ? l->slots - used : l->quota - l->own;
+	return used < l->slots ? l->slots - used : 0;
+}
+
+uint32_t bct_load_free(const bct_load_t *l)
+{
+	return l->own < l->quota ? bct_load_room(l) : 0;
 }
--- a/policy/load.h
+++ b/policy/load.h
@@ -61,6 +61,9 @@
  */
 void bct_load_share(bct_load_t *l, double share, double dice);
 
+/* bct_load_room(3): slots that nobody is known to use. */
+uint32_t bct_load_room(const bct_load_t *l);
+
 /* bct_load_free(3): how many more attempts this node may send now. */
 uint32_t bct_load_free(const bct_load_t *l);
 
--- a/policy/preempt.c
+++ b/policy/preempt.c
@@ -7,7 +7,8 @@
 #define PREEMPT_MAX_PER_REQUEST 2 /* after that it runs to its end */
 #define PREEMPT_PENDING_MAX 4	  /* cancelled for one target and not yet ended */
 #define PREEMPT_SCAN_MAX 8
-#define PREEMPT_WAIT_DIVISOR 4 /* part of its target that a request waits first */
+#define PREEMPT_SUNK_TOKENS_MAX 400 /* output; a longer stream would be too much to lose */
+#define PREEMPT_WAIT_DIVISOR 4	    /* part of its target that a request waits first */
 
 /* Whether the attempt that r has just begun may be cancelled for a higher tier. */
 bool bct_preempt_allowed(const bct_sreq_t *r)
@@ -19,13 +20,14 @@
 /* The newest goes first: the least has been put into it. */
 static bct_sreq_t *preempt_victim(const bct_target_t *t, uint8_t tier)
 {
-	const bct_list_t *running = &t->tiers[tier - 1].running;
-	const bct_list_t *el = running->prev;
+	const bct_list_t *list = &t->tiers[tier - 1].preemptible;
+	const bct_list_t *el = list->prev;
 
-	for (uint32_t i = 0; el != running && i < PREEMPT_SCAN_MAX; el = el->prev, i++) {
+	for (uint32_t i = 0; el != list && i < PREEMPT_SCAN_MAX; el = el->prev, i++) {
 		bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
 
-		if (!r->kept && r->state == BCT_REQ_RUNNING && bct_up_usable(r->up))
+		if (bct_up_usable(r->up) &&
+		    r->tokens + r->attempt_tokens <= PREEMPT_SUNK_TOKENS_MAX)
 			return r;
 	}
 	return NULL;
@@ -34,10 +36,9 @@
 static bct_sreq_t *lowest_victim(const bct_target_t *t, uint8_t above_tier)
 {
 	for (uint8_t tier = BCT_TIERS; tier > above_tier; tier--) {
-		bct_sreq_t *r = preempt_victim(t, tier);
-
-		if (r)
-			return r;
+		/* No higher tier while this one runs at all, even if it cannot be stopped. */
+		if (t->tiers[tier - 1].n_running)
+			return preempt_victim(t, tier);
 	}
 	return NULL;
 }
@@ -54,7 +55,8 @@
 	return NULL;
 }
 
-static void preempt_for(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *head)
+/* Returns whether room for the head is on its way. */
+static bool preempt_for(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *head)
 {
 	bct_sreq_t *victim;
 
@@ -62,14 +64,14 @@
 	       t->pending_preempts < t->tiers[head->tier - 1].queue.n) {
 		victim = lowest_victim(t, head->tier);
 		if (!victim)
-			return;
+			return t->pending_preempts > 0;
 		victim->preempts++;
 		bct_core_trace(c, now, BCT_TRACE_PREEMPT, victim, victim->up->key, head->tier);
 		bct_attempt_stop(c, now, victim, BCT_STOP_PREEMPT);
 	}
+	return true;
 }
 
-/* An engine that stops lower tiers by itself is quicker than a cancel and a new start. */
 void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
 {
 	bct_sreq_t *head = highest_head(t, now);
@@ -89,8 +91,6 @@
 		bct_heap_set(&c->target_wakes, &t->wake, at);
 		return;
 	}
-	if (bct_dispatch_over(c, now, head))
+	if (!preempt_for(c, now, t, head) && bct_dispatch_over(c, now, head))
 		bct_dispatch_ready(c, t);
-	else
-		preempt_for(c, now, t, head);
 }
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -31,22 +31,23 @@
 {
 	bct_flow_t *f = it->flow;
 
-	/* An idle account saves up no claim on the past. */
-	if (!f->fresh.root && !f->late.root) {
-		q->n_flows++;
-		if (f->vtime_tokens < q->vclock_tokens)
-			f->vtime_tokens = q->vclock_tokens;
-	}
 	it->late = false;
 	it->queued = true;
 	if (it->pinned) {
-		bct_heap_add(&f->fresh, &it->node, it->arrived);
+		bct_heap_add(&q->pinned, &it->node, it->arrived);
 		bct_list_add_head(&it->link, &q->items);
 		q->n_pinned++;
-	} else {
-		bct_heap_add(&f->fresh, &it->node, it->latest_start);
-		bct_list_add_tail(&it->link, &q->items);
+		q->n++;
+		return;
+	}
+	/* An idle account saves up no claim on the past. */
+	if (!f->fresh.root && !f->late.root) {
+		q->n_flows++;
+		if (f->vtime_tokens < q->vclock_tokens)
+			f->vtime_tokens = q->vclock_tokens;
 	}
+	bct_heap_add(&f->fresh, &it->node, it->latest_start);
+	bct_list_add_tail(&it->link, &q->items);
 	q->n++;
 	q->cost_tokens += it->cost_tokens;
 	f->cost_tokens += it->cost_tokens;
@@ -59,11 +60,15 @@
 
 	if (!it->queued)
 		return;
-	bct_heap_del(it->late ? &f->late : &f->fresh, &it->node);
 	bct_list_del(&it->link);
 	it->queued = false;
 	q->n--;
-	q->n_pinned -= it->pinned;
+	if (it->pinned) {
+		bct_heap_del(&q->pinned, &it->node);
+		q->n_pinned--;
+		return;
+	}
+	bct_heap_del(it->late ? &f->late : &f->fresh, &it->node);
 	q->cost_tokens -= it->cost_tokens;
 	f->cost_tokens -= it->cost_tokens;
 	if (!f->fresh.root && !f->late.root)
@@ -87,7 +92,7 @@
 		bct_flow_t *f = flow_of(q->fresh_flows.root, fresh_node);
 		bct_queue_item_t *it = item_of(f->fresh.root, node);
 
-		if (it->pinned || it->latest_start >= now)
+		if (it->latest_start >= now)
 			return it;
 		queue_make_late(q, it);
 	}
@@ -98,6 +103,9 @@
 {
 	bct_queue_item_t *fresh = queue_peek_fresh(q, now);
 
+	if (q->pinned.root)
+		return item_of(q->pinned.root, node);
+
 	if (!q->late_flows.root)
 		return fresh;
 	if (fresh && q->since_late < BCT_QUEUE_LATE_TURN)
@@ -116,8 +124,10 @@
 {
 	bct_flow_t *f = it->flow;
 
-	q->since_late = it->late ? 0 : q->since_late + 1;
 	bct_queue_remove(q, it);
+	if (it->pinned)
+		return;
+	q->since_late = it->late ? 0 : q->since_late + 1;
 	bct_queue_charge(q, f, it->cost_tokens);
 }
 
--- a/policy/queue.h
+++ b/policy/queue.h
@@ -33,12 +33,13 @@
 	bct_time_t arrived;
 	bct_time_t latest_start;
 	int64_t cost_tokens;
-	bool pinned; /* has begun elsewhere: first among its account's, never late */
+	bool pinned; /* its caller has output: before all others, never late */
 	bool late;
 	bool queued;
 } bct_queue_item_t;
 
 typedef struct bct_queue {
+	bct_heap_t pinned; /* by arrival; before all others */
 	bct_heap_t fresh_flows;
 	bct_heap_t late_flows;
 	bct_list_t items;
--- a/policy/route.c
+++ b/policy/route.c
@@ -32,6 +32,7 @@
 	bct_time_t now;
 	bct_target_t *t;
 	const bct_sreq_t *r;
+	bct_set_t set;
 	const bct_prefix_entry_t *prefix; /* of the longest known prefix */
 	const bct_prefix_entry_t *session;
 	uint32_t n_prefix;
@@ -120,11 +121,11 @@
 	s->best = (candidate_t){ u, ms, need - cached - more, more };
 }
 
-static bool is_open_for(const bct_up_t *u, const bct_target_t *t)
+static bool is_in(const bct_up_t *u, const bct_target_t *t, bct_set_t set)
 {
 	for (uint32_t k = 0; k < u->n_targets; k++) {
 		if (u->targets[k] == t)
-			return u->open_pos[k] != 0;
+			return u->pos[set][k] != 0;
 	}
 	return false;
 }
@@ -137,7 +138,7 @@
 		if (!e->holders[i].used)
 			continue;
 		u = s->c->by_index[e->holders[i].index];
-		if (e->holders[i].epoch == u->feed.epoch && is_open_for(u, s->t))
+		if (e->holders[i].epoch == u->feed.epoch && is_in(u, s->t, s->set))
 			search_try(s, u);
 	}
 }
@@ -145,12 +146,13 @@
 /* Distinct members of the open set, from a random place on. */
 static void search_open(search_t *s, uint32_t max)
 {
-	uint32_t n = s->t->n_open < max ? s->t->n_open : max;
-	uint32_t at = bct_rng_below(&s->c->rng, s->t->n_open);
-	uint32_t step = s->t->n_open / (n ? n : 1);
+	const bct_up_set_t *set = &s->t->sets[s->set];
+	uint32_t n = set->n < max ? set->n : max;
+	uint32_t at = bct_rng_below(&s->c->rng, set->n);
+	uint32_t step = set->n / (n ? n : 1);
 
 	for (uint32_t i = 0; i < n; i++)
-		search_try(s, s->t->open[(at + i * step) % s->t->n_open]);
+		search_try(s, set->ups[(at + i * step) % set->n]);
 }
 
 /* The engine to import from: a holder of the longest prefix, not too far away. */
@@ -186,16 +188,17 @@
 	return route;
 }
 
-bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r)
+bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
+			     bct_set_t set)
 {
-	search_t s = { .c = c, .now = now, .t = t, .r = r };
+	search_t s = { .c = c, .now = now, .t = t, .r = r, .set = set };
 
 	if (r->desc.n_prefix)
 		s.prefix =
 			bct_prefix_find(&c->prefix, r->desc.prefix, r->desc.n_prefix, &s.n_prefix);
 	if (r->desc.session_key)
 		s.session = bct_map_get(&c->prefix.map, bct_hash_mix(r->desc.session_key, t->key));
-	if (t->n_open) {
+	if (t->sets[set].n) {
 		search_holders(&s, s.prefix);
 		search_holders(&s, s.session);
 		search_open(&s, ROUTE_CHOICES);
@@ -244,6 +247,19 @@
 	return search_result(&s);
 }
 
+/* That upstream or none. */
+bct_route_t bct_route_to(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
+			 bct_up_t *u)
+{
+	search_t s = { .c = c, .now = now, .t = t, .r = r };
+
+	if (r->desc.n_prefix)
+		s.prefix =
+			bct_prefix_find(&c->prefix, r->desc.prefix, r->desc.n_prefix, &s.n_prefix);
+	search_try(&s, u);
+	return search_result(&s);
+}
+
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u)
 {
 	uint32_t tokens = r->desc.prompt_tokens + r->tokens;
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -82,7 +82,7 @@
 	bct_queue_item_t item;
 	bct_heap_node_t timer;
 	bct_list_t outbox;  /* in core.outbox while an action waits */
-	bct_list_t line;    /* in target.granted, target.held or target.running[tier] */
+	bct_list_t line;    /* in target.granted, target.held or tier.preemptible */
 	bct_list_t up_link; /* in upstream.attempts */
 
 	uint64_t attempt_id;
@@ -92,6 +92,8 @@
 	uint32_t prefill_tokens; /* expected of this attempt */
 	uint32_t predicted_ttft_ms;
 	uint32_t attempt_tokens;
+	uint32_t mark_tokens; /* where the speed was last looked at */
+	bct_time_t mark_at;
 	uint32_t tokens; /* output of earlier attempts, which the caller has */
 	bool sent;
 	bool alone;
@@ -117,7 +119,7 @@
 
 typedef struct bct_tier {
 	bct_queue_t queue;
-	bct_list_t running;
+	bct_list_t preemptible; /* running, newest last */
 	uint32_t n_running;
 	uint32_t n_preemptible; /* of the running ones */
 	uint32_t n_held;
@@ -134,6 +136,19 @@
 	int64_t told_running;
 } bct_tier_t;
 
+/* Upstreams of a target that can take one more request. */
+typedef enum bct_set {
+	BCT_SET_OPEN = 0, /* of any tier */
+	BCT_SET_ROOMY,	  /* also of the tiers that leave a reserve to the urgent ones */
+	BCT_SET_SLOW,	  /* only where it is too late for the target anyway */
+	BCT_SETS,
+} bct_set_t;
+
+typedef struct bct_up_set {
+	bct_up_t **ups;
+	uint32_t n;
+} bct_up_set_t;
+
 struct bct_target {
 	uint64_t key;
 	bct_upstream_kind_t kind;
@@ -144,8 +159,8 @@
 	bct_heap_node_t wake;
 	bct_up_t **ups; /* the upstreams that this node uses for it */
 	uint32_t n_ups;
-	bct_up_t **open; /* those that can take one more */
-	uint32_t n_open;
+	bct_up_set_t sets[BCT_SETS];
+	uint8_t urgent_tier; /* the lowest tier whose requests cannot wait for a slot; 0: none */
 	uint32_t cap_ups;
 	uint32_t want_ups; /* of the configuration being put in force */
 	uint32_t n_usable; /* not leaving */
@@ -180,17 +195,20 @@
 	uint64_t report_seq;
 	bct_time_t report_at;		     /* the time that the latest report describes */
 	uint32_t running_by_tier[BCT_TIERS]; /* as last reported */
+	uint32_t own_by_tier[BCT_TIERS];     /* attempts of this node */
 	uint32_t sent_by_tier[BCT_TIERS];    /* by this node since */
 	uint16_t index;			     /* in core.ups; names it in the prefix index */
 	bct_prefix_feed_t feed;
 	bct_list_t attempts; /* newest last */
 	bct_target_t *targets[BCT_MODELS_PER_UPSTREAM];
-	uint32_t open_pos[BCT_MODELS_PER_UPSTREAM]; /* in targets[i]->open, plus 1; 0: not there */
+	/* In targets[i]->sets[set], plus 1; 0: not there. */
+	uint32_t pos[BCT_SETS][BCT_MODELS_PER_UPSTREAM];
 	bool in_subset[BCT_MODELS_PER_UPSTREAM];
 	uint32_t n_targets;
 	bct_time_t down_until; /* after a failure or a busy answer */
 	uint32_t failures;     /* in a row */
 	bct_heap_node_t wake;
+	bool slow;	   /* too slow for the targets of most work */
 	double speed;	   /* observed to expected progress, smoothed; 1: as expected */
 	bct_sreq_t *alone; /* a suspect that has, or waits for, this upstream to itself */
 	int64_t told_outstanding;
@@ -250,6 +268,8 @@
 
 /* upstream.c: health and capacity of upstreams. */
 bool bct_up_usable(const bct_up_t *u);
+uint32_t bct_up_reserved(const bct_up_t *u);
+void bct_up_slow_check(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_share(bct_core_t *c, bct_up_t *u);
@@ -284,6 +304,8 @@
 void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_dispatch_hold(bct_core_t *c, bct_sreq_t *r, bct_time_t until);
 void bct_dispatch_timer(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
+void bct_dispatch_handover(bct_core_t *c, bct_time_t now, bct_up_t *u, bct_target_t *t,
+			   uint8_t tier);
 void bct_dispatch_alone(bct_core_t *c, bct_time_t now, bct_up_t *u);
 
 /* preempt.c: room for a higher tier. */
@@ -301,8 +323,11 @@
 		      const bct_attempt_end_t *end);
 
 /* route.c: which upstream. */
-bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r);
+bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
+			     bct_set_t set);
 bct_route_t bct_route_over(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r);
+bct_route_t bct_route_to(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
+			 bct_up_t *u);
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u);
 bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r);
 
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -14,6 +14,7 @@
 #define SETUP_DECODE_DEFAULT 30	    /* tokens/s of one stream */
 #define SETUP_SUBSET_MIN 16	    /* upstreams of a target that a node uses at least */
 #define SETUP_NODES_PER_UPSTREAM 8  /* that use one upstream, in a large fleet */
+#define SETUP_URGENT_TTFT_MS 2000   /* a target that leaves no time to wait for a slot */
 #define SETUP_FLOOR_MIN_PERMILLE 10 /* no tier is without a floor */
 #define SETUP_FLOOR_MAX_PERMILLE 200
 #define SETUP_LENGTH_GUESS_DIVISOR 4 /* first guess: this part of the most that is allowed */
@@ -54,7 +55,7 @@
 	bct_list_init(&t->ready);
 	for (uint32_t i = 0; i < BCT_TIERS; i++) {
 		bct_queue_init(&t->tiers[i].queue);
-		bct_list_init(&t->tiers[i].running);
+		bct_list_init(&t->tiers[i].preemptible);
 		t->tiers[i].pressed_since = BCT_TIME_NEVER;
 		t->tiers[i].total.at = BCT_TIME_NEVER;
 	}
@@ -151,7 +152,7 @@
 
 static int reserve_target(bct_target_t *t)
 {
-	bct_up_t **ups, **open;
+	bct_up_t **ups;
 
 	if (t->want_ups <= t->cap_ups)
 		return 0;
@@ -159,10 +160,12 @@
 	if (!ups)
 		return -BCT_ENOMEM;
 	t->ups = ups;
-	open = bct_realloc(t->open, t->want_ups * sizeof(*open));
-	if (!open)
-		return -BCT_ENOMEM;
-	t->open = open;
+	for (uint32_t i = 0; i < BCT_SETS; i++) {
+		ups = bct_realloc(t->sets[i].ups, t->want_ups * sizeof(*ups));
+		if (!ups)
+			return -BCT_ENOMEM;
+		t->sets[i].ups = ups;
+	}
 	t->cap_ups = t->want_ups;
 	return 0;
 }
@@ -208,6 +211,9 @@
 	terms->repeatable = cc->repeatable;
 	terms->seen = true;
 	tier = &terms->target->tiers[cc->tier - 1];
+	if (cc->ttft_ms && cc->ttft_ms <= SETUP_URGENT_TTFT_MS &&
+	    cc->tier > terms->target->urgent_tier)
+		terms->target->urgent_tier = cc->tier;
 	if (floor > SETUP_FLOOR_MAX_PERMILLE)
 		floor = SETUP_FLOOR_MAX_PERMILLE;
 	if (floor > tier->floor_permille)
@@ -250,6 +256,7 @@
 	}
 	pos = 0;
 	while ((t = bct_map_next(&c->targets, &pos))) {
+		t->urgent_tier = 0;
 		for (i = 0; i < BCT_TIERS; i++)
 			t->tiers[i].floor_permille = SETUP_FLOOR_MIN_PERMILLE;
 	}
@@ -347,7 +354,9 @@
 	bct_target_t *t;
 
 	while ((t = bct_map_next(&c->targets, &pos))) {
-		t->n_ups = t->n_open = t->n_all = t->n_usable = t->slots = 0;
+		t->n_ups = t->n_all = t->n_usable = t->slots = 0;
+		for (uint32_t i = 0; i < BCT_SETS; i++)
+			t->sets[i].n = 0;
 	}
 }
 
@@ -361,7 +370,8 @@
 	for (i = 0; i < c->n_index; i++) {
 		u = c->by_index[i];
 		for (k = 0; k < u->n_targets; k++) {
-			u->open_pos[k] = 0;
+			for (pos = 0; pos < BCT_SETS; pos++)
+				u->pos[pos][k] = 0;
 			u->targets[k]->n_all++;
 			if (bct_up_usable(u)) {
 				u->targets[k]->n_usable++;
@@ -403,7 +413,8 @@
 
 	while ((t = bct_map_next(&c->targets, &pos))) {
 		bct_free(t->ups);
-		bct_free(t->open);
+		for (uint32_t i = 0; i < BCT_SETS; i++)
+			bct_free(t->sets[i].ups);
 	}
 	bct_map_free(&c->attempts);
 	free_values(&c->reqs);
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -261,7 +261,7 @@
 	bct_list_t *el;
 
 	for (uint32_t i = 0; i < 2; i++) {
-		bct_list_for_each (el, lists[i]) {
+		bct_list_for_each(el, lists[i]) {
 			bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
 
 			if (r->tier > tier && (!best || r->tier > best->tier))
--- a/policy/suspect.h
+++ b/policy/suspect.h
@@ -20,7 +20,7 @@
 #define BCT_SUSPECT_POISON_CRASHES 2
 /* Broken connections of one upstream within this time are one crash. */
 #define BCT_SUSPECT_SAME_CRASH_MS 5000
-#define BCT_SUSPECT_SPREAD_MS 3500 /* for news of a crash to reach every node */
+#define BCT_SUSPECT_SPREAD_MS 5000 /* for news of a crash to reach every node */
 #define BCT_SUSPECT_WAIT_MS 10000  /* for the node that saw the crash to test the suspect */
 #define BCT_SUSPECT_RANK_MS 3000   /* between the tests of other nodes */
 
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -9,6 +9,10 @@
 #define UP_SPEED_SMOOTHING 0.1
 #define UP_SPEED_MIN 0.05
 #define UP_SPEED_MAX 2.0
+#define UP_SLOW_ENTER 0.6
+#define UP_SLOW_LEAVE 0.8
+#define UP_IDLE_RECOVERY 0.002	 /* of the missing speed, with each report while unused */
+#define UP_RESERVE_PART 8	 /* of the slots */
 #define UP_UNUSABLE_HOLD_MS 5000 /* how long requests wait for any upstream to come back */
 
 bool bct_up_usable(const bct_up_t *u)
@@ -21,50 +25,79 @@
 	return u->failures >= UP_DEAD_FAILURES && now < u->down_until;
 }
 
-static void up_open(bct_core_t *c, bct_up_t *u, uint32_t k)
+static void set_add(bct_up_t *u, uint32_t k, bct_set_t set)
 {
-	bct_target_t *t = u->targets[k];
+	bct_up_set_t *s = &u->targets[k]->sets[set];
 
-	if (!u->open_pos[k]) {
-		t->open[t->n_open++] = u;
-		u->open_pos[k] = t->n_open;
-	}
-	bct_dispatch_ready(c, t);
+	if (u->pos[set][k])
+		return;
+	s->ups[s->n++] = u;
+	u->pos[set][k] = s->n;
 }
 
-static void up_close(bct_up_t *u, uint32_t k)
+static void set_del(bct_up_t *u, uint32_t k, bct_set_t set)
 {
 	bct_target_t *t = u->targets[k];
-	uint32_t pos = u->open_pos[k];
+	uint32_t pos = u->pos[set][k];
 	bct_up_t *last;
 
 	if (!pos)
 		return;
-	u->open_pos[k] = 0;
-	last = t->open[--t->n_open];
+	u->pos[set][k] = 0;
+	last = t->sets[set].ups[--t->sets[set].n];
 	if (last == u)
 		return;
-	t->open[pos - 1] = last;
+	t->sets[set].ups[pos - 1] = last;
 	for (uint32_t i = 0; i < last->n_targets; i++) {
 		if (last->targets[i] == t)
-			last->open_pos[i] = pos;
+			last->pos[set][i] = pos;
 	}
 }
 
+static void set_put(bct_up_t *u, uint32_t k, bct_set_t set, bool in)
+{
+	if (in)
+		set_add(u, k, set);
+	else
+		set_del(u, k, set);
+}
+
+/* Slots that the tiers which can wait leave free, so that an urgent request finds one. */
+uint32_t bct_up_reserved(const bct_up_t *u)
+{
+	if (u->kind != BCT_UPSTREAM_ENGINE)
+		return 0;
+	return u->load.slots / UP_RESERVE_PART;
+}
+
 /* Puts the upstream into, or takes it out of, the sets from which requests are routed. */
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u)
 {
-	bool open = bct_up_usable(u) && now >= u->down_until && !u->alone &&
-		    bct_load_free(&u->load) > 0;
+	bool up = bct_up_usable(u) && now >= u->down_until && !u->alone;
+	uint32_t room = up ? bct_load_free(&u->load) : 0;
 
 	for (uint32_t k = 0; k < u->n_targets; k++) {
-		if (open && u->in_subset[k])
-			up_open(c, u, k);
-		else
-			up_close(u, k);
+		uint32_t n = u->in_subset[k] ? room : 0;
+
+		set_put(u, k, BCT_SET_OPEN, n > 0 && !u->slow);
+		set_put(u, k, BCT_SET_ROOMY, n > bct_up_reserved(u) && !u->slow);
+		set_put(u, k, BCT_SET_SLOW, n > 0 && u->slow);
+		if (n)
+			bct_dispatch_ready(c, u->targets[k]);
 	}
 }
 
+/* Two thresholds, so that an upstream does not go to and fro. */
+void bct_up_slow_check(bct_core_t *c, bct_time_t now, bct_up_t *u)
+{
+	bool slow = u->speed < (u->slow ? UP_SLOW_LEAVE : UP_SLOW_ENTER);
+
+	if (slow == u->slow)
+		return;
+	u->slow = slow;
+	bct_up_refresh(c, now, u);
+}
+
 /* This node's part of the upstream: its part of the target, over the upstreams that it uses. */
 void bct_up_share(bct_core_t *c, bct_up_t *u)
 {
@@ -197,6 +230,10 @@
 	}
 	u->report_seq = r->seq;
 	u->report_at = at;
+	if (u->slow && !u->load.own) {
+		u->speed += (1 - u->speed) * UP_IDLE_RECOVERY;
+		bct_up_slow_check(c, now, u);
+	}
 	bct_load_report(&u->load, at, r->running + r->waiting, r->waiting_tokens);
 	for (uint32_t i = 0; i < BCT_TIERS; i++) {
 		u->running_by_tier[i] = r->running_by_tier[i];
