Bad input by name: 34 tests of the callers' HTTP side

Cause: each bad input must get a typed 4xx and never reach an upstream. Change: a node in the test process, two stub upstreams that count connections, raw sockets. Conclusion: framing, UTF-8, limits and never-ending requests are refused before any upstream.

--- /dev/null
+++ b/tests/test_front.c
@@ -0,0 +1,327 @@
+/*
+ * test_front.c - each kind of bad input by name: a typed answer, and nothing reaches an upstream.
+ */
+#include "base/err.h"
+#include "tests/util_node.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define AUTH "Authorization: Bearer " TEST_TOKEN "\r\n"
+#define HOST "Host: x\r\n"
+#define GOOD "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}"
+#define WAIT_MS 5000
+
+/* Sends raw bytes and checks status and reason; status 0: the connection is closed unanswered. */
+static void refused_raw(const void *bytes, size_t len, int status, const char *reason)
+{
+	char want[64];
+	test_node_t t;
+	bct_buf_t out;
+
+	test_node_start(&t, ", \"receive_timeout_ms\": 300, \"max_body_bytes\": 4096");
+	test_exchange(bct_node_caller_port(t.node), bytes, len, WAIT_MS, &out);
+	cr_assert_eq(test_status(&out), status, "status %d: %s", test_status(&out),
+		     out.data ? out.data : "(nothing)");
+	if (reason) {
+		snprintf(want, sizeof(want), "\"reason\":\"%s\"", reason);
+		cr_assert(strstr(out.data, want), "no %s in %s", want, out.data);
+		cr_assert(strstr(out.data, "\"run\":\"not_run\""), "%s", out.data);
+	}
+	cr_assert_eq(test_node_reached(&t), 0, "it reached the upstream");
+	bct_buf_free(&out);
+	test_node_stop(&t);
+}
+
+static void refused(const char *request, int status, const char *reason)
+{
+	refused_raw(request, strlen(request), status, reason);
+}
+
+/* A completion with the body given. */
+static void refused_body(const char *body, int status, const char *reason)
+{
+	char request[8192];
+	int n = snprintf(request, sizeof(request),
+			 "POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH
+			 "Content-Length: %zu\r\n\r\n%s",
+			 strlen(body), body);
+
+	refused_raw(request, (size_t)n, status, reason);
+}
+
+/* A good body under the header lines given. */
+static void refused_headers(const char *headers, int status, const char *reason)
+{
+	char request[8192];
+	int n = snprintf(request, sizeof(request),
+			 "POST /v1/chat/completions HTTP/1.1\r\n%s\r\n" GOOD, headers);
+
+	refused_raw(request, (size_t)n, status, reason);
+}
+
+Test(front, bad_json)
+{
+	refused_body("{\"model\": ", 400, "bad_json");
+}
+
+Test(front, json_that_is_no_object)
+{
+	refused_body("[1, 2]", 400, "bad_json");
+}
+
+Test(front, duplicate_key_in_json)
+{
+	refused_body("{\"model\":\"m\",\"model\":\"m\",\"messages\":[]}", 400, "bad_json");
+}
+
+Test(front, json_too_deep)
+{
+	refused_body("{\"a\":[[[[[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]]]]]}", 400, "bad_json");
+}
+
+Test(front, bytes_that_are_not_utf8)
+{
+	refused_body(
+		"{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"\xff\xfe\"}]}",
+		400, "bad_json");
+}
+
+Test(front, field_of_the_wrong_type)
+{
+	refused_body("{\"model\":7,\"messages\":[]}", 400, "bad_field");
+}
+
+Test(front, stream_that_is_no_boolean)
+{
+	refused_body("{\"model\":\"m\",\"stream\":1,\"messages\":[{\"role\":\"user\","
+		     "\"content\":\"x\"}]}",
+		     400, "bad_field");
+}
+
+Test(front, max_tokens_out_of_range)
+{
+	refused_body("{\"model\":\"m\",\"max_tokens\":-1,\"messages\":[{\"role\":\"user\","
+		     "\"content\":\"x\"}]}",
+		     400, "bad_field");
+}
+
+Test(front, messages_missing)
+{
+	refused_body("{\"model\":\"m\"}", 400, "bad_field");
+}
+
+Test(front, content_of_the_wrong_type)
+{
+	refused_body("{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":3}]}", 400,
+		     "bad_field");
+}
+
+Test(front, unknown_model)
+{
+	refused_body("{\"model\":\"other\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}",
+		     404, "unknown_model");
+}
+
+Test(front, unknown_class)
+{
+	char headers[256];
+
+	snprintf(headers, sizeof(headers), HOST AUTH "Chute-Class: nope\r\nContent-Length: %zu\r\n",
+		 strlen(GOOD));
+	refused_headers(headers, 404, "unknown_class");
+}
+
+Test(front, unknown_account)
+{
+	refused_headers(HOST "Authorization: Bearer wrong\r\nContent-Length: 58\r\n", 401,
+			"bad_token");
+}
+
+Test(front, missing_token)
+{
+	refused_headers(HOST "Content-Length: 58\r\n", 401, "bad_token");
+}
+
+Test(front, token_of_another_scheme)
+{
+	refused_headers(HOST "Authorization: Basic " TEST_TOKEN "\r\nContent-Length: 58\r\n", 401,
+			"bad_token");
+}
+
+Test(front, body_larger_than_allowed)
+{
+	refused("POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH "Content-Length: 999999\r\n\r\n",
+		413, "too_large");
+}
+
+Test(front, chunked_body_larger_than_allowed)
+{
+	static char request[16384];
+	int n = snprintf(request, sizeof(request),
+			 "POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH
+			 "Transfer-Encoding: chunked\r\n\r\n2000\r\n");
+
+	memset(request + n, 'x', 0x2000);
+	n += 0x2000;
+	n += snprintf(request + n, sizeof(request) - (size_t)n, "\r\n0\r\n\r\n");
+	refused_raw(request, (size_t)n, 413, "too_large");
+}
+
+Test(front, headers_larger_than_allowed)
+{
+	static char request[65536];
+	int n = snprintf(request, sizeof(request), "GET /v1/models HTTP/1.1\r\n" HOST "X: ");
+
+	memset(request + n, 'x', 40000);
+	snprintf(request + n + 40000, 16, "\r\n\r\n");
+	refused_raw(request, (size_t)n + 40004, 431, NULL);
+}
+
+Test(front, target_longer_than_allowed)
+{
+	static char request[8192];
+	int n = snprintf(request, sizeof(request), "GET /v1/");
+
+	memset(request + n, 'x', 3000);
+	n += 3000;
+	n += snprintf(request + n, sizeof(request) - (size_t)n, " HTTP/1.1\r\n" HOST "\r\n");
+	refused_raw(request, (size_t)n, 413, "too_large");
+}
+
+Test(front, two_content_lengths)
+{
+	refused_headers(HOST AUTH "Content-Length: 58\r\nContent-Length: 10\r\n", 400,
+			"bad_framing");
+}
+
+Test(front, content_length_beside_chunked)
+{
+	refused_headers(HOST AUTH "Content-Length: 58\r\nTransfer-Encoding: chunked\r\n", 400,
+			"bad_framing");
+}
+
+Test(front, unknown_transfer_coding)
+{
+	refused_headers(HOST AUTH "Transfer-Encoding: gzip, chunked\r\n", 400, "bad_framing");
+}
+
+Test(front, content_length_that_is_no_number)
+{
+	refused_headers(HOST AUTH "Content-Length: +58\r\n", 400, NULL);
+}
+
+Test(front, no_host)
+{
+	refused_headers(AUTH "Content-Length: 58\r\n", 400, NULL);
+}
+
+Test(front, two_hosts)
+{
+	refused_headers(HOST HOST AUTH "Content-Length: 58\r\n", 400, "bad_request");
+}
+
+Test(front, unknown_path)
+{
+	refused("GET /v2/x HTTP/1.1\r\n" HOST AUTH "\r\n", 404, "unknown_path");
+}
+
+Test(front, method_not_allowed)
+{
+	refused("DELETE /v1/models HTTP/1.1\r\n" HOST AUTH "\r\n", 405, "bad_method");
+}
+
+Test(front, unknown_service)
+{
+	refused("GET /v1/services/nope/x HTTP/1.1\r\n" HOST AUTH "\r\n", 404, "unknown_service");
+}
+
+Test(front, idempotency_key_too_long)
+{
+	char request[1024];
+	char key[400];
+
+	memset(key, 'k', sizeof(key) - 1);
+	key[sizeof(key) - 1] = '\0';
+	snprintf(request, sizeof(request),
+		 "POST /v1/services/booking/x HTTP/1.1\r\n" HOST AUTH
+		 "Idempotency-Key: %s\r\nContent-Length: 0\r\n\r\n",
+		 key);
+	refused(request, 400, "bad_field");
+}
+
+Test(front, headers_that_never_end)
+{
+	refused("POST /v1/chat/completions HTTP/1.1\r\nHost: ", 0, NULL);
+}
+
+Test(front, body_that_never_ends)
+{
+	refused("POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH "Content-Length: 500\r\n\r\n{",
+		0, NULL);
+}
+
+/* A byte now and then must not keep a request alive: the limit is for the whole of it. */
+Test(front, headers_that_drip)
+{
+	test_node_t t;
+	char c;
+	int fd;
+
+	test_node_start(&t, ", \"receive_timeout_ms\": 300");
+	fd = test_connect(bct_node_caller_port(t.node));
+	cr_assert_eq(send(fd, "GET / HTTP/1.1\r\nX: ", 19, MSG_NOSIGNAL), 19);
+	for (int i = 0; i < 100; i++) {
+		usleep(20000);
+		if (send(fd, "x", 1, MSG_NOSIGNAL) != 1 || recv(fd, &c, 1, MSG_DONTWAIT) == 0)
+			break;
+		cr_assert_lt(i, 99, "still open");
+	}
+	close(fd);
+	test_node_stop(&t);
+}
+
+Test(front, a_thousand_idle_connections)
+{
+	static int fds[1000];
+	test_node_t t;
+	bct_buf_t out;
+	uint16_t port;
+
+	test_node_start(&t, ", \"receive_timeout_ms\": 60000");
+	port = bct_node_caller_port(t.node);
+	for (int i = 0; i < 1000; i++) {
+		fds[i] = test_connect(port);
+		cr_assert_geq(fds[i], 0, "connection %d", i);
+	}
+	test_exchange(port, "GET /v1/entry HTTP/1.1\r\n" HOST "\r\n", 36, WAIT_MS, &out);
+	cr_assert_eq(test_status(&out), 200);
+	for (int i = 0; i < 1000; i++)
+		close(fds[i]);
+	bct_buf_free(&out);
+	test_node_stop(&t);
+}
+
+/* The check of the checks: a good request does reach the upstream. */
+Test(front, good_request_reaches_the_upstream)
+{
+	char request[512];
+	test_node_t t;
+	bct_buf_t out;
+	int n = snprintf(request, sizeof(request),
+			 "POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH
+			 "Content-Length: %zu\r\n\r\n" GOOD,
+			 strlen(GOOD));
+
+	test_node_start(&t, "");
+	test_exchange(bct_node_caller_port(t.node), request, (size_t)n, WAIT_MS, &out);
+	cr_assert_geq(test_node_reached(&t), 1);
+	/* The stub breaks every connection, as an upstream does that the request crashes. */
+	cr_assert_geq(test_status(&out), 400);
+	bct_buf_free(&out);
+	test_node_stop(&t);
+}
