--- a/node/attempt.h
+++ b/node/attempt.h
@@ -10,7 +10,6 @@
 #include "node/sse.h"
 #include "policy/sched.h"
 
-#include <ck_stack.h>
 #include <curl/curl.h>
 
 /* Orders from other threads to the worker that owns the attempt. */
@@ -21,9 +20,8 @@
 } bct_attempt_order_t;
 
 typedef struct bct_order {
-	ck_stack_entry_t entry;
+	bct_list_t link; /* the worker's inbox, under its lock */
 	bct_attempt_order_t type;
-	uint32_t queued; /* 1 while on a worker's inbox */
 	bct_attempt_t *attempt;
 } bct_order_t;
 
--- a/node/request.c
+++ b/node/request.c
@@ -3,9 +3,9 @@
  */
 #include "node/request.h"
 #include "base/mem.h"
+#include "base/sync.h"
 #include "node/http.h"
 
-#include <ck_pr.h>
 #include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,18 +30,16 @@
 
 bct_request_t *bct_request_ref(bct_request_t *r)
 {
-	ck_pr_inc_32(&r->refs);
+	bct_ref_get(&r->refs);
 	return r;
 }
 
 void bct_request_unref(bct_request_t *r)
 {
-	bool last;
 
 	if (!r)
 		return;
-	ck_pr_dec_32_zero(&r->refs, &last);
-	if (!last)
+	if (!bct_ref_put(&r->refs))
 		return;
 	pthread_mutex_destroy(&r->lock);
 	bct_buf_free(&r->body);
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -5,6 +5,7 @@
 #include "node/upstream.h"
 #include "base/err.h"
 #include "base/mem.h"
+#include "base/sync.h"
 #include "node/transfer.h"
 
 #include <ck_pr.h>
@@ -19,7 +20,8 @@
 	pthread_t thread;
 	bool started;
 	CURLM *multi;
-	ck_stack_t inbox;
+	pthread_mutex_t lock;
+	bct_list_t inbox; /* under lock */
 	bct_list_t running;
 } worker_t;
 
@@ -33,18 +35,16 @@
 
 bct_attempt_t *bct_attempt_ref(bct_attempt_t *a)
 {
-	ck_pr_inc_32(&a->refs);
+	bct_ref_get(&a->refs);
 	return a;
 }
 
 void bct_attempt_unref(bct_attempt_t *a)
 {
-	bool last;
 
 	if (!a)
 		return;
-	ck_pr_dec_32_zero(&a->refs, &last);
-	if (!last)
+	if (!bct_ref_put(&a->refs))
 		return;
 	bct_transfer_free(a);
 	bct_request_unref(a->req);
@@ -60,12 +60,17 @@
 static void give_order(bct_order_t *o)
 {
 	worker_t *w = o->attempt->worker;
+	bool queued;
 
-	if (ck_pr_fas_32(&o->queued, 1))
-		return;
-	bct_attempt_ref(o->attempt);
-	ck_stack_push_upmc(&w->inbox, &o->entry);
-	curl_multi_wakeup(w->multi);
+	pthread_mutex_lock(&w->lock);
+	queued = !bct_list_empty(&o->link);
+	if (!queued) {
+		bct_attempt_ref(o->attempt);
+		bct_list_add_tail(&o->link, &w->inbox);
+	}
+	pthread_mutex_unlock(&w->lock);
+	if (!queued)
+		curl_multi_wakeup(w->multi);
 }
 
 void bct_attempt_cancel(bct_attempt_t *a)
@@ -80,6 +85,7 @@
 
 static void init_order(bct_order_t *o, bct_attempt_order_t type, bct_attempt_t *a)
 {
+	bct_list_init(&o->link);
 	o->type = type;
 	o->attempt = a;
 }
@@ -178,14 +184,11 @@
 		curl_easy_pause(a->easy, CURLPAUSE_CONT);
 }
 
-static void carry_out(worker_t *w, bct_order_t *o)
+static void carry_out(worker_t *w, const bct_order_t *o)
 {
 	bct_attempt_t *a = o->attempt;
-	bct_attempt_order_t type = o->type;
 
-	ck_pr_store_32(&o->queued, 0);
-	ck_pr_fence_memory();
-	switch (type) {
+	switch (o->type) {
 	case BCT_ORDER_START:
 		start_attempt(w, a);
 		return;
@@ -199,21 +202,25 @@
 	bct_attempt_unref(a);
 }
 
-/* The inbox is a stack; orders are carried out in the order they were given. */
-static void take_orders(worker_t *w)
+static bct_order_t *next_order(worker_t *w)
 {
-	ck_stack_entry_t *e = ck_stack_batch_pop_upmc(&w->inbox);
-	ck_stack_entry_t *first = NULL, *next;
+	bct_order_t *o = NULL;
 
-	for (; e; e = next) {
-		next = e->next;
-		e->next = first;
-		first = e;
-	}
-	for (e = first; e; e = next) {
-		next = e->next;
-		carry_out(w, bct_container_of(e, bct_order_t, entry));
+	pthread_mutex_lock(&w->lock);
+	if (!bct_list_empty(&w->inbox)) {
+		o = bct_container_of(w->inbox.next, bct_order_t, link);
+		bct_list_del(&o->link);
 	}
+	pthread_mutex_unlock(&w->lock);
+	return o;
+}
+
+static void take_orders(worker_t *w)
+{
+	bct_order_t *o;
+
+	while ((o = next_order(w)))
+		carry_out(w, o);
 }
 
 static void take_finished(worker_t *w)
@@ -281,7 +288,8 @@
 static int start_worker(bct_upstream_pool_t *p, worker_t *w)
 {
 	w->pool = p;
-	ck_stack_init(&w->inbox);
+	pthread_mutex_init(&w->lock, NULL);
+	bct_list_init(&w->inbox);
 	bct_list_init(&w->running);
 	w->multi = curl_multi_init();
 	if (!w->multi)
@@ -334,6 +342,8 @@
 		}
 		if (w->multi)
 			curl_multi_cleanup(w->multi);
+		if (w->pool)
+			pthread_mutex_destroy(&w->lock);
 	}
 	bct_free(p->workers);
 	bct_free(p);
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -1,7 +1,8 @@
 /*
  * upstream.h - a pool of workers that carry attempts to upstreams over HTTP (libcurl).
  *
- * Other threads talk to a worker only through a lock-free inbox of orders.
+ * Other threads talk to a worker only through its inbox of orders. Lock order: an inbox's lock is a
+ * leaf, taken also under the core lock and a request's lock.
  */
 #ifndef BCT_NODE_UPSTREAM_H
 #define BCT_NODE_UPSTREAM_H
--- a/policy/conf.c
+++ b/policy/conf.c
@@ -3,10 +3,9 @@
  */
 #include "policy/conf.h"
 #include "base/mem.h"
+#include "base/sync.h"
 #include "base/tsan.h"
 
-#include <ck_pr.h>
-
 bct_conf_t *bct_conf_new(void)
 {
 	bct_conf_t *c = bct_alloc(sizeof(*c));
@@ -19,20 +18,18 @@
 bct_conf_t *bct_conf_ref(bct_conf_t *c)
 {
 	if (c)
-		ck_pr_inc_32(&c->refs);
+		bct_ref_get(&c->refs);
 	return c;
 }
 
 void bct_conf_unref(bct_conf_t *c)
 {
-	bool last;
 	uint32_t i;
 
 	if (!c)
 		return;
 	BCT_TSAN_RELEASE(&c->refs);
-	ck_pr_dec_32_zero(&c->refs, &last);
-	if (!last)
+	if (!bct_ref_put(&c->refs))
 		return;
 	BCT_TSAN_ACQUIRE(&c->refs);
 	for (i = 0; i < c->n_accounts; i++)
