--- a/base/event_list.h
+++ b/base/event_list.h
@@ -6,47 +6,48 @@
 #ifndef BCT_BASE_EVENT_LIST_H
 #define BCT_BASE_EVENT_LIST_H
 
-#define BCT_EVENT_LIST(DEF)                                                                     \
-	DEF(NODE_START, 100, INFO, "the node started")                                          \
-	DEF(NODE_STOPPING, 101, INFO, "a planned stop began: off the address list, finishing")  \
-	DEF(NODE_STOPPED, 102, INFO, "the node stopped")                                        \
-	DEF(SETTINGS_BAD, 103, ERROR, "the settings were refused")                              \
-	DEF(SETTINGS_KEPT, 104, WARN, "new settings were refused; the old ones stay in force")  \
-	DEF(SETTINGS_RELOADED, 105, INFO, "settings were checked again")                        \
-	DEF(LISTEN_FAILED, 106, ERROR, "an address could not be listened on")                   \
-	DEF(CONFIG_ADOPTED, 200, INFO, "a configuration revision is in force on this node")     \
-	DEF(CONFIG_REJECTED, 201, WARN, "a published change was rejected")                      \
-	DEF(CONFIG_DIVERGED, 202, ERROR, "this node's configuration digest differs")            \
-	DEF(CONFIG_BAD_RECORD, 203, ERROR, "a configuration record could not be decoded")       \
-	DEF(CONFIG_SNAPSHOT, 204, INFO, "a configuration snapshot was written")                 \
-	DEF(CONFIG_FROM_PEER, 205, INFO, "a configuration revision came from a peer")           \
-	DEF(CONFIG_NONE, 206, WARN, "no configuration could be had yet; callers are refused")   \
-	DEF(MEMBER_ALIVE, 300, INFO, "a VM joined or came back")                                \
-	DEF(MEMBER_SUSPECT, 301, WARN, "a VM does not answer probes")                           \
-	DEF(MEMBER_DEAD, 302, WARN, "a VM was declared dead")                                   \
-	DEF(MEMBER_LEAVING, 303, INFO, "a VM is leaving")                                       \
-	DEF(PEER_AUTH_FAILED, 304, WARN, "a peer's datagram was refused")                       \
-	DEF(REQUEST_ENDED, 400, DEBUG, "a request ended")                                       \
-	DEF(REQUEST_BAD, 401, DEBUG, "a request was refused as malformed")                      \
-	DEF(CONNECTION_REAPED, 402, DEBUG, "a connection was closed for slowness")              \
-	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                     \
-	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")         \
-	DEF(UPSTREAM_CROSSED, 502, ERROR, "an answer for another attempt was dropped")          \
-	DEF(UPSTREAM_STRAGGLER, 503, WARN, "an upstream makes less progress than expected")     \
-	DEF(LOG_DOWN, 600, WARN, "the platform's log cannot be reached")                        \
-	DEF(LOG_UP, 601, INFO, "the platform's log answers again")                              \
-	DEF(LOG_GAP, 602, ERROR, "records expired before this node read them")                  \
-	DEF(KEY_IN_DOUBT, 700, WARN, "an idempotency key has an intent and no outcome")         \
-	DEF(KEY_WITHDRAWN, 701, INFO, "an intent was withdrawn before it was dispatched")       \
-	DEF(KEY_RESOLVED, 702, INFO, "an operator resolved a key in doubt")                     \
-	DEF(KEY_FENCED, 703, WARN, "a paused winner did not dispatch: its deadline had passed") \
-	DEF(LEASE_ACQUIRED, 800, INFO, "this node holds a lease")                               \
-	DEF(LEASE_LOST, 801, WARN, "this node lost a lease")                                    \
-	DEF(ORDER_SENT, 802, INFO, "an order was sent to an engine")                            \
-	DEF(ORDER_FAILED, 803, WARN, "an order to an engine failed")                            \
-	DEF(SHED_LEVEL, 900, WARN, "the shed level changed")                                    \
-	DEF(POISON_SUSPECT, 901, WARN, "a request was running on an upstream that crashed")     \
-	DEF(POISON_REFUSED, 902, WARN, "a request is refused: it crashed two upstreams")        \
+#define BCT_EVENT_LIST(DEF)                                                                       \
+	DEF(NODE_START, 100, INFO, "the node started")                                            \
+	DEF(NODE_STOPPING, 101, INFO, "a planned stop began: off the address list, finishing")    \
+	DEF(NODE_STOPPED, 102, INFO, "the node stopped")                                          \
+	DEF(SETTINGS_BAD, 103, ERROR, "the settings were refused")                                \
+	DEF(SETTINGS_KEPT, 104, WARN, "new settings were refused; the old ones stay in force")    \
+	DEF(SETTINGS_RELOADED, 105, INFO, "settings were checked again")                          \
+	DEF(LISTEN_FAILED, 106, ERROR, "an address could not be listened on")                     \
+	DEF(CONFIG_ADOPTED, 200, INFO, "a configuration revision is in force on this node")       \
+	DEF(CONFIG_REJECTED, 201, WARN, "a published change was rejected")                        \
+	DEF(CONFIG_DIVERGED, 202, ERROR, "this node's configuration digest differs")              \
+	DEF(CONFIG_BAD_RECORD, 203, ERROR, "a configuration record could not be decoded")         \
+	DEF(CONFIG_SNAPSHOT, 204, INFO, "a configuration snapshot was written")                   \
+	DEF(CONFIG_FROM_PEER, 205, INFO, "a configuration revision came from a peer")             \
+	DEF(CONFIG_NONE, 206, WARN, "no configuration could be had yet; callers are refused")     \
+	DEF(MEMBER_ALIVE, 300, INFO, "a VM joined or came back")                                  \
+	DEF(MEMBER_SUSPECT, 301, WARN, "a VM does not answer probes")                             \
+	DEF(MEMBER_DEAD, 302, WARN, "a VM was declared dead")                                     \
+	DEF(MEMBER_LEAVING, 303, INFO, "a VM is leaving")                                         \
+	DEF(PEER_AUTH_FAILED, 304, WARN, "a peer's datagram was refused")                         \
+	DEF(REQUEST_ENDED, 400, DEBUG, "a request ended")                                         \
+	DEF(REQUEST_BAD, 401, DEBUG, "a request was refused as malformed")                        \
+	DEF(CONNECTION_REAPED, 402, DEBUG, "a connection was closed for slowness")                \
+	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                       \
+	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")           \
+	DEF(UPSTREAM_CROSSED, 502, ERROR, "an answer for another attempt was dropped")            \
+	DEF(UPSTREAM_STRAGGLER, 503, WARN, "an upstream makes less progress than expected")       \
+	DEF(LOG_DOWN, 600, WARN, "the platform's log cannot be reached")                          \
+	DEF(LOG_UP, 601, INFO, "the platform's log answers again")                                \
+	DEF(LOG_GAP, 602, ERROR, "records expired before this node read them")                    \
+	DEF(KEY_IN_DOUBT, 700, WARN, "an idempotency key has an intent and no outcome")           \
+	DEF(KEY_WITHDRAWN, 701, INFO, "an intent was withdrawn before it was dispatched")         \
+	DEF(KEY_RESOLVED, 702, INFO, "an operator resolved a key in doubt")                       \
+	DEF(KEY_FENCED, 703, WARN, "a paused winner did not dispatch: its deadline had passed")   \
+	DEF(KEYS_UNWRITTEN, 704, ERROR, "the node stops with outcomes that the log did not take") \
+	DEF(LEASE_ACQUIRED, 800, INFO, "this node holds a lease")                                 \
+	DEF(LEASE_LOST, 801, WARN, "this node lost a lease")                                      \
+	DEF(ORDER_SENT, 802, INFO, "an order was sent to an engine")                              \
+	DEF(ORDER_FAILED, 803, WARN, "an order to an engine failed")                              \
+	DEF(SHED_LEVEL, 900, WARN, "the shed level changed")                                      \
+	DEF(POISON_SUSPECT, 901, WARN, "a request was running on an upstream that crashed")       \
+	DEF(POISON_REFUSED, 902, WARN, "a request is refused: it crashed two upstreams")          \
 	DEF(RETRY_BUDGET, 903, WARN, "the retry budget is spent")
 
 #endif
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -32,6 +32,7 @@
 	{ "keys.commit_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_commit_ms), 0, 0, 0, 10000U, false, "200" },
 	{ "keys.claim_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_claim_ms), 0, 0, 100, 60000U, false, "5000" },
 	{ "keys.run_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_run_ms), 0, 0, 1000, 3600000U, false, "60000" },
+	{ "keys.flush_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_flush_ms), 0, 0, 0, 600000U, false, "15000" },
 	{ "keys.window_s", BCT_SETTING_U32, offsetof(bct_settings_t, keys_window_s), 0, 0, 60, 2000000U, false, "172800" },
 	{ "upstream.threads", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_threads), 0, 0, 1, 64U, false, "2" },
 	{ "upstream.report_ms", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_report_ms), 0, 0, 50, 60000U, false, "500" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -36,6 +36,7 @@
 	uint32_t keys_commit_ms;
 	uint32_t keys_claim_ms;
 	uint32_t keys_run_ms;
+	uint32_t keys_flush_ms;
 	uint32_t keys_window_s;
 	uint32_t upstream_threads;
 	uint32_t upstream_report_ms;
@@ -46,6 +47,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 35
+#define BCT_SETTINGS_COUNT 36
 
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -275,6 +275,19 @@
 		BCT_U64("in_flight", bct_core_in_flight(n->core)));
 }
 
+/* A log that is down must not keep a stopping node for ever; the keys then stay in doubt. */
+static bool keys_settled(bct_node_t *n, bct_time_t now)
+{
+	uint32_t limit = n->opts.settings->keys_flush_ms;
+
+	if (bct_keys_idle(bct_node_keys(n->keys)))
+		return true;
+	if (now - n->settled_since < (bct_time_t)limit)
+		return false;
+	BCT_LOG(n->opts.log, BCT_EV_KEYS_UNWRITTEN, BCT_U64("waited_ms", limit));
+	return true;
+}
+
 bool bct_node_drained(bct_node_t *n)
 {
 	bct_time_t now = bct_clock_now();
@@ -282,15 +295,14 @@
 	if (!ck_pr_load_32(&n->draining) || now < n->drain_until)
 		return false;
 	bct_front_quiesce(n->front);
-	if (bct_core_in_flight(n->core) || bct_front_open(n->front) ||
-	    !bct_keys_idle(bct_node_keys(n->keys))) {
+	if (bct_core_in_flight(n->core) || bct_front_open(n->front)) {
 		n->settled_since = 0;
 		return false;
 	}
 	/* A request may still sit in a connection that was accepted just before. */
 	if (!n->settled_since)
 		n->settled_since = now;
-	return now - n->settled_since >= DRAIN_SETTLE_MS;
+	return now - n->settled_since >= DRAIN_SETTLE_MS && keys_settled(n, now);
 }
 
 /* Who calls into others goes first; the core and its workers go before the keys they use. */
