chutectl status over the fleet, keys by account; three-node test of the configuration

chutectl did not match the node's operator paths, and a node without memory for a new revision was never told of it again. Conclusion: operators see the fleet on one page.

--- a/cmd/chutectl.c
+++ b/cmd/chutectl.c
@@ -36,8 +36,9 @@
 	  "stop a node, cutting off nothing" },
 	{ "leave", "UPSTREAM", 1, 1, ON_NODE, NODE_REQUIRED, ctl_leave,
 	  "no new work for an upstream" },
-	{ "key", "show KEY | resolve KEY ran|not-run", 2, 3, ON_NODE | CTL_OPT_FORCE, NODE_REQUIRED,
-	  ctl_key, "an idempotency key and its outcome" },
+	{ "return", "UPSTREAM", 1, 1, ON_NODE, NODE_REQUIRED, ctl_return, "new work for it again" },
+	{ "key", "show|resolve ACCOUNT KEY [ran|not-run]", 3, 4, ON_NODE | CTL_OPT_FORCE,
+	  NODE_REQUIRED, ctl_key, "an idempotency key and its outcome" },
 	{ "order", "UPSTREAM TYPE [ARG]", 2, 3, ON_NODE, NODE_REQUIRED, ctl_order,
 	  "order an engine: load-model, load-adapter, load-version, set-role" },
 };
@@ -47,7 +48,7 @@
 {
 	fprintf(f, "usage: chutectl COMMAND [ARGUMENTS] [OPTIONS]\n\n");
 	for (size_t i = 0; i < N_COMMANDS; i++)
-		fprintf(f, "  %-10s %-22.22s %s\n", commands[i].name, commands[i].args,
+		fprintf(f, "  %-10s %-22s %s\n", commands[i].name, commands[i].args,
 			commands[i].text);
 	fprintf(f, "\noptions: --json --platform URL --node ADDRESS:PORT --token-file FILE\n"
 		   "  --author NAME --base N --revision N --timeout-ms N --force --version --help\n"
@@ -62,6 +63,8 @@
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
+	if (ctl->quiet)
+		return code;
 	if (ctl->json)
 		ctl_print_json(json_pack("{s:s, s:i}", "error", text, "exit", (int)code));
 	else
--- a/cmd/chutectl.h
+++ b/cmd/chutectl.h
@@ -36,6 +36,7 @@
 
 typedef struct ctl {
 	int json;
+	bool quiet; /* failures are not printed */
 	char *platform_url;
 	char *node; /* ADDRESS:PORT */
 	char *token_file;
@@ -69,6 +70,7 @@
 ctl_exit_t ctl_status(ctl_t *ctl);
 ctl_exit_t ctl_drain(ctl_t *ctl);
 ctl_exit_t ctl_leave(ctl_t *ctl);
+ctl_exit_t ctl_return(ctl_t *ctl);
 ctl_exit_t ctl_key(ctl_t *ctl);
 ctl_exit_t ctl_order(ctl_t *ctl);
 
--- a/cmd/chutectl_node.c
+++ b/cmd/chutectl_node.c
@@ -1,12 +1,12 @@
 /*
- * chutectl_node.c - the commands on a node: drain, leave, key, order.
+ * chutectl_node.c - the commands on a node: drain, leave, return, key, order.
  */
 #include "cmd/chutectl.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#define PATH_BYTES 512
+#define PATH_BYTES 1024
 #define SEGMENT_BYTES 400
 
 /* Percent-encodes one path segment. returns false when it does not fit. */
@@ -28,13 +28,19 @@
 	return n > 0;
 }
 
-static bool make_path(char *out, const char *before, const char *segment, const char *after)
+/* Joins encoded segments to a path below /admin/v1. */
+static bool make_path(char *out, const char *const *segments, int n)
 {
 	char encoded[SEGMENT_BYTES];
+	int at = snprintf(out, PATH_BYTES, "/admin/v1");
 
-	if (!encode_segment(segment, encoded, sizeof(encoded)))
-		return false;
-	snprintf(out, PATH_BYTES, "%s%s%s", before, encoded, after);
+	for (int i = 0; i < n; i++) {
+		if (!encode_segment(segments[i], encoded, sizeof(encoded)))
+			return false;
+		at += snprintf(out + at, (size_t)(PATH_BYTES - at), "/%s", encoded);
+		if (at >= PATH_BYTES)
+			return false;
+	}
 	return true;
 }
 
@@ -78,15 +84,26 @@
 	return post(ctl, "/admin/v1/drain", json_object());
 }
 
-ctl_exit_t ctl_leave(ctl_t *ctl)
+static ctl_exit_t post_upstream(ctl_t *ctl, const char *verb)
 {
+	const char *const segments[] = { "upstreams", ctl->args[0], verb };
 	char path[PATH_BYTES];
 
-	if (!make_path(path, "/admin/v1/upstreams/", ctl->args[0], "/leave"))
+	if (!make_path(path, segments, 3))
 		return ctl_fail(ctl, CTL_USAGE, "the upstream's name is empty or too long");
 	return post(ctl, path, json_object());
 }
 
+ctl_exit_t ctl_leave(ctl_t *ctl)
+{
+	return post_upstream(ctl, "leave");
+}
+
+ctl_exit_t ctl_return(ctl_t *ctl)
+{
+	return post_upstream(ctl, "return");
+}
+
 static ctl_exit_t key_show(ctl_t *ctl, const char *path)
 {
 	json_t *answer = NULL;
@@ -99,20 +116,22 @@
 
 ctl_exit_t ctl_key(ctl_t *ctl)
 {
-	bool show = !strcmp(ctl->args[0], "show") && ctl->n_args == 2;
-	bool resolve = !strcmp(ctl->args[0], "resolve") && ctl->n_args == 3;
+	bool show = !strcmp(ctl->args[0], "show") && ctl->n_args == 3;
+	bool resolve = !strcmp(ctl->args[0], "resolve") && ctl->n_args == 4;
+	const char *segments[] = { "keys", ctl->args[1], ctl->args[2], "resolve" };
 	char path[PATH_BYTES];
 	bool ran;
 
 	if (!show && !resolve)
 		return ctl_fail(ctl, CTL_USAGE,
-				"usage: chutectl key show KEY | key resolve KEY ran|not-run");
-	if (!make_path(path, "/admin/v1/keys/", ctl->args[1], show ? "" : "/resolve"))
-		return ctl_fail(ctl, CTL_USAGE, "the key is empty or too long");
+				"usage: chutectl key show ACCOUNT KEY | "
+				"key resolve ACCOUNT KEY ran|not-run");
+	if (!make_path(path, segments, show ? 3 : 4))
+		return ctl_fail(ctl, CTL_USAGE, "the account or key is empty or too long");
 	if (show)
 		return key_show(ctl, path);
-	ran = !strcmp(ctl->args[2], "ran");
-	if (!ran && strcmp(ctl->args[2], "not-run"))
+	ran = !strcmp(ctl->args[3], "ran");
+	if (!ran && strcmp(ctl->args[3], "not-run"))
 		return ctl_fail(ctl, CTL_USAGE, "a key is resolved as ran or not-run");
 	return post(
 		ctl, path,
--- a/cmd/chutectl_status.c
+++ b/cmd/chutectl_status.c
@@ -16,6 +16,9 @@
 #define SECONDS_PER_MINUTE 60
 #define SECONDS_PER_HOUR 3600
 #define AGE_BYTES 16
+#define LOG_STALE_MS 10000
+#define MEMBERS_ASKED 64 /* since when a revision is in force is asked of each node itself */
+#define MEMBER_TIMEOUT_MS 500
 
 static json_int_t number(const json_t *obj, const char *key)
 {
@@ -51,20 +54,21 @@
 
 static void print_config(const json_t *config)
 {
-	const json_t *log_up = json_object_get(config, "log_up");
+	json_int_t stale_ms = number(config, "log_stale_ms");
 	char age[AGE_BYTES];
 
-	if (!json_is_integer(json_object_get(config, "revision"))) {
+	if (number(config, "revision") == 0) {
 		printf("config   NONE: callers are refused until a revision can be had\n");
 		return;
 	}
 	since_text(number(config, "since_ms"), age);
 	printf("config   revision %" JSON_INTEGER_FORMAT " in force since %s, from %s",
 	       number(config, "revision"), age, text(config, "source"));
-	if (json_is_false(log_up)) {
-		age_text(number(config, "log_stale_ms"), age);
+	age_text(stale_ms, age);
+	if (stale_ms < 0)
+		printf(", LOG NEVER ANSWERED");
+	else if (stale_ms > LOG_STALE_MS)
 		printf(", LOG DOWN for %s", age);
-	}
 	if (json_is_true(json_object_get(config, "diverged")))
 		printf(", DIVERGED (event 202)");
 	putchar('\n');
@@ -137,21 +141,47 @@
 	}
 }
 
-static void print_nodes(const json_t *list)
+/* Wall-clock time since which a member's own revision is in force; 0 when it does not answer. */
+static json_int_t ask_since(const ctl_t *ctl, const json_t *member)
 {
-	const json_t *e;
+	ctl_t other = *ctl;
+	json_t *status = NULL;
+	json_int_t since_ms = 0;
+
+	if (strcmp(text(member, "state"), "alive"))
+		return 0;
+	other.node = (char *)text(member, "admin");
+	other.timeout_ms = MEMBER_TIMEOUT_MS;
+	other.quiet = true;
+	if (ctl_call(&other, "/admin/v1/status", NULL, &status) == CTL_OK)
+		since_ms = number(json_object_get(status, "config"), "since_ms");
+	json_decref(status);
+	return since_ms;
+}
+
+static void print_member(const ctl_t *ctl, const json_t *m, bool ask)
+{
+	bool leaving = json_is_true(json_object_get(m, "leaving"));
 	char age[AGE_BYTES];
+
+	since_text(ask ? ask_since(ctl, m) : 0, age);
+	printf("%-24.24s %-20.20s %-8.8s %8" JSON_INTEGER_FORMAT " %6s %6" JSON_INTEGER_FORMAT
+	       "%%\n",
+	       text(m, "name"), text(m, "failure_domain"), leaving ? "leaving" : text(m, "state"),
+	       number(m, "revision"), age, number(m, "load_permille") / 10);
+}
+
+static void print_members(const ctl_t *ctl, const json_t *list)
+{
+	const json_t *m;
 	size_t i;
 
 	if (json_array_size(list) > 0)
-		printf("\n%-24s %-16s %-8s %8s %6s\n", "node", "failure domain", "state",
-		       "revision", "since");
-	json_array_foreach(list, i, e)
+		printf("\n%-24s %-20s %-8s %8s %6s %7s\n", "node", "failure domain", "state",
+		       "revision", "since", "load");
+	json_array_foreach(list, i, m)
 	{
-		since_text(number(e, "since_ms"), age);
-		printf("%-24.24s %-16.16s %-8.8s %8" JSON_INTEGER_FORMAT " %6s %.12s\n",
-		       text(e, "name"), text(e, "failure_domain"), text(e, "state"),
-		       number(e, "revision"), age, json_object_get(e, "why") ? text(e, "why") : "");
+		print_member(ctl, m, i < MEMBERS_ASKED);
 	}
 }
 
@@ -200,7 +230,7 @@
 	print_head(status);
 	print_classes(json_object_get(status, "classes"));
 	print_shedding(json_object_get(status, "shedding"));
-	print_nodes(json_object_get(status, "nodes"));
+	print_members(ctl, json_object_get(status, "members"));
 	print_upstreams(json_object_get(status, "engines"));
 	json_decref(status);
 	return CTL_OK;
--- a/coord/config_store.c
+++ b/coord/config_store.c
@@ -42,6 +42,7 @@
 	log_side_t side;
 	/* Lock order: adopt_lock, then lock. */
 	pthread_mutex_t adopt_lock; /* held over a change of what is in force and its callback */
+	bool told;		    /* the callback took what is in force; under adopt_lock */
 	pthread_mutex_t lock;	    /* guards all below; never held over a callback or I/O */
 	bct_conf_t *conf;
 	bct_buf_t text; /* canonical; jansson's values are not shared between threads */
@@ -56,6 +57,14 @@
 	return names[s];
 }
 
+/* Tells the callback of what is in force, unless it knows; the caller holds adopt_lock. */
+static void tell(bct_config_store_t *s)
+{
+	if (s->told || !s->conf)
+		return;
+	s->told = !s->opts.adopted || !s->opts.adopted(s->opts.ctx, s->conf);
+}
+
 /*
  * Puts a revision in force and takes over its canonical text; the caller holds adopt_lock and knows
  * that it may be.
@@ -84,8 +93,8 @@
 	bct_digest_hex(&conf->digest, hex);
 	BCT_LOG(s->opts.log, BCT_EV_CONFIG_ADOPTED, BCT_U64("revision", conf->revision),
 		BCT_STR("digest", hex), BCT_STR("source", bct_config_source_wire(source)));
-	if (s->opts.adopted)
-		s->opts.adopted(s->opts.ctx, conf);
+	s->told = false;
+	tell(s);
 }
 
 static void note_diverged(bct_config_store_t *s, const char *what, uint64_t revision)
@@ -122,6 +131,7 @@
 			note_diverged(s, "a peer's document of this revision", st->revision);
 		put_in_force(s, st->conf, &text, BCT_CONFIG_SOURCE_LOG);
 	}
+	tell(s);
 	pthread_mutex_unlock(&s->adopt_lock);
 	bct_buf_free(&text);
 }
@@ -425,6 +435,7 @@
 	} else if (rc == -BCT_EDIVERGED) {
 		note_diverged(s, "a peer's document of this revision", revision);
 	}
+	tell(s);
 	pthread_mutex_unlock(&s->adopt_lock);
 out:
 	bct_buf_free(&text);
--- a/coord/config_store.h
+++ b/coord/config_store.h
@@ -34,9 +34,10 @@
 	/*
 	 * A revision is in force; also called when the log's document replaces a peer's of the same
 	 * revision. Calls are in order of revision and never overlap; offer and free must not be
-	 * called inside.
+	 * called inside. -BCT_ENOMEM: it is called again with the newest revision after a later
+	 * read of the log or offer of a peer.
 	 */
-	void (*adopted)(void *ctx, bct_conf_t *conf);
+	int (*adopted)(void *ctx, bct_conf_t *conf);
 	void *ctx;
 	bct_log_t *log;
 } bct_config_store_opts_t;
--- a/node/node_config.c
+++ b/node/node_config.c
@@ -12,15 +12,15 @@
 	bct_config_store_t *store;
 };
 
-static void on_adopted(void *ctx, bct_conf_t *conf)
+static int on_adopted(void *ctx, bct_conf_t *conf)
 {
 	bct_node_config_t *c = ctx;
+	int rc = bct_core_configure(c->opts.core, conf);
 
-	/* Without memory the node keeps the old revision, and says so on its status page. */
-	if (bct_core_configure(c->opts.core, conf))
-		return;
-	if (c->opts.peer)
+	/* Without memory the node keeps the old revision, and is told of the new one again. */
+	if (!rc && c->opts.peer)
 		bct_node_peer_adopted(c->opts.peer, conf);
+	return rc;
 }
 
 static int adopt_file(bct_node_config_t *c, const char *path)
@@ -37,9 +37,9 @@
 		BCT_LOG(c->opts.log, BCT_EV_CONFIG_BAD_RECORD, BCT_STR("error", line));
 		return rc;
 	}
-	on_adopted(c, conf);
+	rc = on_adopted(c, conf);
 	bct_conf_unref(conf);
-	return 0;
+	return rc;
 }
 
 int bct_node_config_new(const bct_node_config_opts_t *opts, bct_node_config_t **out)
--- /dev/null
+++ b/tests/proc_config.sh
@@ -0,0 +1,86 @@
+#!/bin/sh
+# Three nodes follow published revisions: spread, a log outage, a node that starts while the log is
+# down, and a node killed and replaced. No node is ever seen at a lower revision than before.
+set -eu
+. tests/lib_proc.sh
+
+token=proc-config-token
+echo "$token" >"$work/token"
+hash=$("$BIN/chutectl" hash-token <"$work/token")
+start platform fake-platform
+platform=$addr
+url=http://$addr
+seeds=
+
+# node NAME: starts chuted; sets admin_NAME and pid_NAME, and makes it a seed of the later ones.
+node() {
+	cat >"$work/$1.json" <<EOT
+{ "vm": { "name": "$1", "failure_domain": "fd-$1", "region": "r" },
+  "caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 200 },
+  "admin": { "port": 0, "token_hash": "$hash" },
+  "peer": { "port": 0, "secret": "proc-config-secret", "seeds": [$seeds] },
+  "platform": { "url": "$url", "timeout_ms": 500, "poll_ms": 200 } }
+EOT
+	"$BIN/chuted" --config "$work/$1.json" >"$work/$1.out" 2>"$work/$1.err" &
+	pids="$pids $!"
+	eval "pid_$1=$!"
+	wait_for 5 grep -q '^listening' "$work/$1.out" || fail "$1 did not start"
+	eval "admin_$1=127.0.0.1:$(sed -n 's/.*admin=\([0-9]*\).*/\1/p' "$work/$1.out")"
+	seeds="${seeds:+$seeds, }\"127.0.0.1:$(sed -n 's/.*peer=\([0-9]*\).*/\1/p' "$work/$1.out")\""
+}
+status() {
+	"$BIN/chutectl" status --node "$1" --token-file "$work/token" "$2"
+}
+# at ADDRESS REVISION: whether the node has it in force.
+at() {
+	status "$1" --json >"$work/status" && grep -q "^    \"revision\": $2,\$" "$work/status"
+}
+publish() {
+	echo "{ \"models\": { \"m\": { \"context_tokens\": $1 } } }" >"$work/doc.json"
+	"$BIN/chutectl" publish "$work/doc.json" --platform "$url" >"$work/publish.out" 2>&1
+}
+everywhere() {
+	for a in $1; do
+		wait_for "$3" at "$a" "$2" || fail "$a is not at revision $2: $(cat "$work/status")"
+	done
+}
+
+publish 1 || fail "first publish: $(cat "$work/publish.out")"
+node one
+node two
+everywhere "$admin_one $admin_two" 1 5
+publish 2
+everywhere "$admin_one $admin_two" 2 3
+
+# The log is down: nobody can publish, nodes keep what is in force, and a new node gets it from them.
+fault "$platform" '{"outage": 1}'
+rc=0
+"$BIN/chutectl" publish "$work/doc.json" --platform "$url" --timeout-ms 700 >/dev/null 2>&1 || rc=$?
+[ "$rc" -eq 5 ] || fail "publish in an outage: exit code $rc"
+node three
+everywhere "$admin_one $admin_two $admin_three" 2 5
+status "$admin_three" --json | grep -q '"source": "peer"' || fail "the new node's source"
+fault "$platform" '{"outage": 0}'
+publish 3
+everywhere "$admin_one $admin_two $admin_three" 3 10
+
+# A node is killed without notice; its successor comes up at the revision in force.
+kill -9 "$pid_two"
+publish 4
+node four
+everywhere "$admin_one $admin_three $admin_four" 4 10
+
+"$BIN/chutectl" status --node "$admin_one" --token-file "$work/token" >"$work/page"
+[ "$(awk 'length > 80' "$work/page" | wc -l)" -eq 0 ] || { cat "$work/page"; fail "wider than 80"; }
+grep -q 'revision 4 in force' "$work/page" || { cat "$work/page"; fail "status page"; }
+echo nobody >"$work/wrong"
+rc=0
+"$BIN/chutectl" status --node "$admin_one" --token-file "$work/wrong" >/dev/null 2>&1 || rc=$?
+[ "$rc" -eq 6 ] || fail "wrong token: exit code $rc"
+for n in one two three four; do
+	[ "$(sed -n 's/.*CONFIG_ADOPTED.*revision=\([0-9]*\).*/\1/p' "$work/$n.err" | sort -n)" = \
+	  "$(sed -n 's/.*CONFIG_ADOPTED.*revision=\([0-9]*\).*/\1/p' "$work/$n.err")" ] ||
+		fail "$n went back"
+done
+cat "$work/page"
+echo "proc_config: passed"
--- a/tests/race_config.c
+++ b/tests/race_config.c
@@ -30,12 +30,13 @@
 	exit(1);
 }
 
-static void adopted(void *ctx, bct_conf_t *conf)
+static int adopted(void *ctx, bct_conf_t *conf)
 {
 	uint64_t *seen = ctx;
 
 	check(conf->revision >= *seen, "a revision went back");
 	*seen = conf->revision;
+	return 0;
 }
 
 static void *publish_all(void *arg)
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -18,16 +18,22 @@
 	uint64_t seen;
 	uint32_t context;
 	uint32_t calls;
+	uint32_t refuse; /* so many calls fail for want of memory */
 } node_t;
 
-static void adopted(void *ctx, bct_conf_t *conf)
+static int adopted(void *ctx, bct_conf_t *conf)
 {
 	node_t *n = ctx;
 
 	cr_assert_geq(conf->revision, n->seen, "went back from %lu", n->seen);
+	if (n->refuse > 0) {
+		n->refuse--;
+		return -BCT_ENOMEM;
+	}
 	n->seen = conf->revision;
 	n->context = util_context(conf);
 	n->calls++;
+	return 0;
 }
 
 static void start(node_t *n, bct_platform_t *p, uint32_t snapshot_records)
@@ -92,6 +98,25 @@
 	bct_platform_free(p);
 }
 
+Test(config_store, callback_without_memory_is_told_again)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	node_t n;
+
+	bct_platform_embedded_new(NULL, &p);
+	bct_config_init(&st);
+	publish(p, &st, 10, 1);
+	start(&n, p, 0);
+	n.refuse = 2;
+	run(&n);
+	cr_assert_eq(n.context, 10);
+	cr_assert_eq(n.calls, 1);
+	bct_config_store_free(n.store);
+	bct_config_free(&st);
+	bct_platform_free(p);
+}
+
 Test(config_store, starts_from_a_peer_while_the_log_is_down)
 {
 	bct_platform_t *p;
--- a/tests/test_publish.c
+++ b/tests/test_publish.c
@@ -237,12 +237,13 @@
 	bct_config_free(&s);
 }
 
-static void never_back(void *ctx, bct_conf_t *conf)
+static int never_back(void *ctx, bct_conf_t *conf)
 {
 	uint64_t *seen = ctx;
 
 	cr_assert_gt(conf->revision + 1, *seen);
 	*seen = conf->revision;
+	return 0;
 }
 
 static void run_seed(uint64_t seed, uint32_t fault_in, uint32_t *outcomes)
