--- a/schema/regen.sh
+++ b/schema/regen.sh
@@ -9,6 +9,7 @@
 	(cd schema && rpcgen -C -c -o "../gen/${name}_xdr.c" "$name.x")
 	sed -i "s|#include \"$name.h\"|#include \"gen/$name.h\"|" "gen/${name}_xdr.c"
 done
-make --no-print-directory build/bin/gen_settings build/bin/gen_docs
+make --no-print-directory build/bin/gen_settings build/bin/gen_docs build/bin/gen_configuration
 build/bin/gen_settings
 build/bin/gen_docs
+build/bin/gen_configuration
