policy: a margin for the time to first token, no filling of full engines

Cause: at 1.5 times capacity engines held 3 to 4 waiting requests each, and requests were sent at the last moment of their target. Change: a slot is refilled only where there is room, only urgent tiers may overcommit, and the latest dispatch keeps the learnt nine-in-ten time to first token in hand.

--- a/policy/admit.c
+++ b/policy/admit.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 #include "policy/sched_int.h"
 
+#define ADMIT_MARGIN_DIVISOR 2 /* the most of its target that a request keeps in hand */
 #define ADMIT_RETRY_MIN_MS 100
 #define ADMIT_RETRY_MAX_MS 60000
 #define ADMIT_NO_UPSTREAM_RETRY_MS 2000
@@ -94,6 +95,17 @@
 	return NULL;
 }
 
+/* The latest dispatch that brings the first token in time in nine cases of ten. */
+static bct_time_t admit_latest_start(const bct_terms_t *terms, bct_time_t arrived)
+{
+	double took_ms = terms->target->tiers[terms->tier - 1].first_token_ms.p90_tokens;
+	double most_ms = terms->ttft_ms / ADMIT_MARGIN_DIVISOR;
+
+	if (!terms->ttft_ms)
+		return BCT_TIME_NEVER;
+	return arrived + terms->ttft_ms - (bct_time_t)(took_ms < most_ms ? took_ms : most_ms);
+}
+
 static void admit_fill(bct_sreq_t *r, bct_terms_t *terms, const bct_req_desc_t *desc)
 {
 	uint32_t most = desc->max_output_tokens;
@@ -109,7 +121,7 @@
 	r->deadline = terms->deadline_ms ? desc->arrived + terms->deadline_ms : BCT_TIME_NEVER;
 	r->first_token_at = BCT_TIME_NEVER;
 	r->item.arrived = desc->arrived;
-	r->item.latest_start = terms->ttft_ms ? desc->arrived + terms->ttft_ms : BCT_TIME_NEVER;
+	r->item.latest_start = admit_latest_start(terms, desc->arrived);
 	r->item.cost_tokens =
 		(int64_t)desc->prompt_tokens + bct_length_expect(&terms->length, 0, most);
 	bct_list_init(&r->item.link);
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -75,6 +75,7 @@
 	double took_ms = (double)(now - r->dispatched_at);
 
 	r->first_token_at = now;
+	bct_length_learn(&r->target->tiers[r->tier - 1].first_token_ms, (uint32_t)took_ms);
 	r->mark_at = now;
 	r->mark_tokens = 1;
 	bct_load_first_token(&r->up->load, now, r->prefill_tokens);
--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -280,7 +280,7 @@
 	if (!r || t->sets[dispatch_set(r)].n || !bct_up_usable(u) || u->alone || u->slow ||
 	    now < u->down_until)
 		return;
-	if (r->tier >= tier && own_up_to(u, r->tier) >= u->load.quota)
+	if (r->tier >= tier && (own_up_to(u, r->tier) >= u->load.quota || !bct_load_room(&u->load)))
 		return;
 	if (dispatch_set(r) == BCT_SET_ROOMY && bct_load_room(&u->load) <= bct_up_reserved(u))
 		return;
@@ -298,6 +298,8 @@
 
 	if (dispatch_if_suspect(c, now, r))
 		return true;
+	if (dispatch_set(r) != BCT_SET_OPEN)
+		return false;
 	route = bct_route_over(c, now, r->target, r);
 	if (route.up)
 		dispatch_on(c, now, r, &route);
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -127,9 +127,10 @@
 	uint32_t n_committed; /* waiting ones that are not shed: the floor or an upstream is
 				 theirs, or their callers have output */
 	uint32_t floor_permille;
-	int64_t credit_tokens;	  /* the floor's claim on the next dispatch */
-	bct_time_t pressed_at;	  /* when its wait last exceeded what is bearable */
-	bct_time_t pressed_since; /* without a pause; BCT_TIME_NEVER: it is not */
+	bct_length_t first_token_ms; /* from dispatch, as a running quantile */
+	int64_t credit_tokens;	     /* the floor's claim on the next dispatch */
+	bct_time_t pressed_at;	     /* when its wait last exceeded what is bearable */
+	bct_time_t pressed_since;    /* without a pause; BCT_TIME_NEVER: it is not */
 	bct_tier_total_t total;
 	int64_t told_queued; /* as last published */
 	int64_t told_before; /* the time before, which a total may still stand on */
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -15,6 +15,7 @@
 #define SETUP_SUBSET_MIN 16	    /* upstreams of a target that a node uses at least */
 #define SETUP_NODES_PER_UPSTREAM 8  /* that use one upstream, in a large fleet */
 #define SETUP_URGENT_TTFT_MS 2000   /* a target that leaves no time to wait for a slot */
+#define SETUP_FIRST_TOKEN_MS 50	    /* first guess of an engine's time to first token */
 #define SETUP_FLOOR_MIN_PERMILLE 10 /* no tier is without a floor */
 #define SETUP_FLOOR_MAX_PERMILLE 200
 #define SETUP_LENGTH_GUESS_DIVISOR 4 /* first guess: this part of the most that is allowed */
@@ -55,6 +56,7 @@
 	bct_list_init(&t->ready);
 	for (uint32_t i = 0; i < BCT_TIERS; i++) {
 		bct_queue_init(&t->tiers[i].queue);
+		bct_length_init(&t->tiers[i].first_token_ms, SETUP_FIRST_TOKEN_MS);
 		bct_list_init(&t->tiers[i].preemptible);
 		t->tiers[i].pressed_since = BCT_TIME_NEVER;
 		t->tiers[i].total.at = BCT_TIME_NEVER;
