policy: limits by window and smoothed shares

Cause: accounts well under their limit were refused 30 in 100 times, as a bucket of one or two requests on each of 7 nodes refuses random arrivals and shares followed noisy demand. Change: ten-second windows with a bucket for bursts, demand smoothed, unused limit split evenly, shares grow slowly.

--- a/policy/limit.c
+++ b/policy/limit.c
@@ -1,19 +1,22 @@
 /*
- * limit.c - token buckets filled at a share of the account's rate.
+ * limit.c - a window and a bucket for each rate, both at this node's share of it.
  */
 #include "policy/limit.h"
 
 #include <math.h>
 
-#define LIMIT_DEMAND_SMOOTHING 0.5 /* weight of the latest second */
-#define LIMIT_DEMAND_FLOOR 0.02	   /* requests/s that an idle node is taken to want */
+#define LIMIT_DEMAND_SMOOTHING 0.08 /* weight of the latest second */
+#define LIMIT_DEMAND_FLOOR 0.02	    /* requests/s that an idle node is taken to want */
 #define LIMIT_CONCURRENCY_RETRY_MS 250
 #define LIMIT_DEMAND_IDLE 0.001
+#define LIMIT_RATE_MIN 0.001 /* tokens or requests/s, for a time that is finite */
+#define LIMIT_RETRY_MAX_MS 3600000.0
 
 void bct_limit_init(bct_limit_t *l, bct_time_t now, const bct_limit_fleet_t *f)
 {
 	*l = (bct_limit_t){ .share = 1.0 / f->held };
-	l->requests.filled_at = l->tokens.filled_at = l->published_at = now;
+	l->requests.filled_at = l->tokens.filled_at = now;
+	l->published_at = l->shared_at = now;
 	l->requests.level = 1;
 }
 
@@ -30,24 +33,64 @@
 	l->concurrent = concurrent;
 }
 
-static double bucket_cap(double rate_per_s)
+static double meter_cap(double rate_per_s)
 {
 	return fmax(1, rate_per_s * BCT_LIMIT_BURST_MS / BCT_MS_PER_S);
 }
 
-static void bucket_fill(bct_bucket_t *b, bct_time_t now, double rate_per_s)
+static void meter_advance(bct_meter_t *m, bct_time_t now, double rate_per_s)
 {
-	if (now > b->filled_at)
-		b->level += rate_per_s * (double)(now - b->filled_at) / BCT_MS_PER_S;
-	b->level = fmin(b->level, bucket_cap(rate_per_s));
-	b->filled_at = now;
+	int64_t slot = now / BCT_LIMIT_SLOT_MS;
+
+	if (slot - m->slot > BCT_LIMIT_SLOTS)
+		m->slot = slot - BCT_LIMIT_SLOTS;
+	while (m->slot < slot) {
+		double *oldest = &m->used[++m->slot % BCT_LIMIT_SLOTS];
+
+		m->sum -= *oldest;
+		*oldest = 0;
+	}
+	if (now > m->filled_at)
+		m->level += rate_per_s * (double)(now - m->filled_at) / BCT_MS_PER_S;
+	m->level = fmin(m->level, meter_cap(rate_per_s));
+	m->filled_at = now;
+}
+
+static void meter_use(bct_meter_t *m, double amount)
+{
+	m->used[m->slot % BCT_LIMIT_SLOTS] += amount;
+	m->sum += amount;
+	m->level -= amount;
 }
 
-static uint32_t bucket_wait_ms(const bct_bucket_t *b, double need, double rate_per_s)
+/* How long until so much of the window has passed that need fits under most. */
+static uint32_t meter_window_ms(const bct_meter_t *m, bct_time_t now, double need, double most)
 {
-	double ms = ceil((need - b->level) * BCT_MS_PER_S / fmax(rate_per_s, 1e-3));
+	double sum = m->sum;
+	int64_t slot = m->slot - BCT_LIMIT_SLOTS + 1;
+
+	while (slot < m->slot && sum + need > most)
+		sum -= m->used[slot++ % BCT_LIMIT_SLOTS];
+	return (uint32_t)((slot + BCT_LIMIT_SLOTS - 1) * BCT_LIMIT_SLOT_MS - now);
+}
 
-	return (uint32_t)fmin(fmax(ms, 1), 3600.0 * BCT_MS_PER_S);
+/*
+ * 0 if need fits now, else the time until it would. Less than one whole unit for each window is
+ * rounded up, else an account with a small limit could never send anything.
+ */
+static uint32_t meter_wait_ms(const bct_meter_t *m, bct_time_t now, double need, double rate_per_s)
+{
+	double most = fmax(need, rate_per_s * BCT_LIMIT_WINDOW_MS / BCT_MS_PER_S);
+	uint32_t wait_ms = 0, window_ms;
+
+	if (m->level < need)
+		wait_ms = (uint32_t)fmin(1 + (need - m->level) * BCT_MS_PER_S /
+							 fmax(rate_per_s, LIMIT_RATE_MIN),
+					 LIMIT_RETRY_MAX_MS);
+	if (m->sum + need <= most)
+		return wait_ms;
+	window_ms = meter_window_ms(m, now, need, most);
+	return window_ms > wait_ms ? window_ms : wait_ms;
 }
 
 bct_refuse_t bct_limit_take(bct_limit_t *l, bct_time_t now, int64_t cost_tokens,
@@ -55,26 +98,29 @@
 {
 	double rate = l->requests_per_s * l->share;
 	double token_rate = l->tokens_per_s * l->share;
+	uint32_t wait_ms;
 
 	l->offered++;
 	l->offered_tokens += (uint64_t)cost_tokens;
-	bucket_fill(&l->requests, now, rate);
-	bucket_fill(&l->tokens, now, token_rate);
-	if (l->requests_per_s && l->requests.level < 1) {
-		*retry_after_ms = bucket_wait_ms(&l->requests, 1, rate);
+	meter_advance(&l->requests, now, rate);
+	meter_advance(&l->tokens, now, token_rate);
+	wait_ms = l->requests_per_s ? meter_wait_ms(&l->requests, now, 1, rate) : 0;
+	if (wait_ms) {
+		*retry_after_ms = wait_ms;
 		return BCT_REFUSE_RATE_LIMIT;
 	}
-	/* The level may go below zero, so that one request larger than the bucket can pass. */
-	if (l->tokens_per_s && l->tokens.level <= 0) {
-		*retry_after_ms = bucket_wait_ms(&l->tokens, 1, token_rate);
+	/* One token must fit, not all: a request larger than the bucket can pass on credit. */
+	wait_ms = l->tokens_per_s ? meter_wait_ms(&l->tokens, now, 1, token_rate) : 0;
+	if (wait_ms) {
+		*retry_after_ms = wait_ms;
 		return BCT_REFUSE_TOKEN_LIMIT;
 	}
 	if (l->concurrent && l->running + 1 > l->allowed + 0.5) {
 		*retry_after_ms = LIMIT_CONCURRENCY_RETRY_MS;
 		return BCT_REFUSE_CONCURRENCY_LIMIT;
 	}
-	l->requests.level -= 1;
-	l->tokens.level -= (double)cost_tokens;
+	meter_use(&l->requests, 1);
+	meter_use(&l->tokens, (double)cost_tokens);
 	l->running++;
 	return BCT_REFUSE_NONE;
 }
@@ -83,7 +129,7 @@
 {
 	if (l->running)
 		l->running--;
-	l->tokens.level += (double)refund_tokens;
+	meter_use(&l->tokens, -(double)refund_tokens);
 }
 
 static double smooth(double old, double latest)
@@ -111,21 +157,36 @@
 	v[3] = 0;
 }
 
+/* By demand; what the account leaves unused is split evenly, as the next request may come anywhere.
+ */
+static double limit_share(const bct_limit_t *l, double own_per_s, double total_per_s,
+			  uint32_t nodes)
+{
+	double spare = fmax(0, l->requests_per_s - total_per_s);
+
+	return fmin(1, (own_per_s + spare / nodes) / (total_per_s + spare));
+}
+
 void bct_limit_total(bct_limit_t *l, bct_time_t now, const int64_t v[4], uint32_t age_ms,
 		     const bct_limit_fleet_t *f)
 {
 	double total_per_s = (double)v[0] / 1000;
 	double own = l->published_per_s + LIMIT_DEMAND_FLOOR;
 	double present = (double)f->nodes / f->held;
-	double room;
+	double share, most, room;
 
 	if (age_ms > BCT_LIMIT_TOTAL_MAX_AGE_MS)
 		return;
 	/* The buckets earned at the old share up to now. */
-	bucket_fill(&l->requests, now, l->requests_per_s * l->share);
-	bucket_fill(&l->tokens, now, l->tokens_per_s * l->share);
+	meter_advance(&l->requests, now, l->requests_per_s * l->share);
+	meter_advance(&l->tokens, now, l->tokens_per_s * l->share);
 	total_per_s = fmax(total_per_s, l->published_per_s) + LIMIT_DEMAND_FLOOR * f->nodes;
-	l->share = fmin(1, own / total_per_s) * present;
+	share = limit_share(l, own, total_per_s, f->nodes) * present;
+	/* What others passed lately still counts, so a share that moves here grows slowly. */
+	most = l->share +
+	       BCT_LIMIT_SHARE_GROWTH_PER_S * (double)(now - l->shared_at) / BCT_MS_PER_S;
+	l->share = fmin(share, most);
+	l->shared_at = now;
 	room = fmax(0, l->concurrent * present - (double)v[2]);
 	l->allowed = l->published_running + room * l->share;
 	/* Where all shares round to nothing, the nodes take turns by the second. */
--- a/policy/limit.h
+++ b/policy/limit.h
@@ -18,13 +18,23 @@
 #define BCT_LIMIT_TOTAL_MAX_AGE_MS 5000
 /* How long nodes that vanished are still taken to use their shares. */
 #define BCT_LIMIT_HOLD_MS 60000
+/* No more than the rate allows may pass in any window of this length. */
+#define BCT_LIMIT_WINDOW_MS 10000
+#define BCT_LIMIT_SLOT_MS 500
+#define BCT_LIMIT_SLOTS (BCT_LIMIT_WINDOW_MS / BCT_LIMIT_SLOT_MS + 1)
 /* Work that may come at once, as time at the full rate. */
-#define BCT_LIMIT_BURST_MS 500
+#define BCT_LIMIT_BURST_MS 5000
+/* By how much a share may grow in a second; it falls at once. */
+#define BCT_LIMIT_SHARE_GROWTH_PER_S 0.1
 
-typedef struct bct_bucket {
+/* What passed lately, in slots of time, and a bucket that bounds what comes at once. */
+typedef struct bct_meter {
+	double used[BCT_LIMIT_SLOTS];
+	double sum;
+	int64_t slot; /* number of the latest one since time 0 */
 	double level;
 	bct_time_t filled_at;
-} bct_bucket_t;
+} bct_meter_t;
 
 typedef struct bct_limit {
 	uint32_t requests_per_s; /* 0: no limit; so for all three */
@@ -32,8 +42,8 @@
 	uint32_t concurrent;
 	double share;	/* of the two rates, 0 to 1 */
 	double allowed; /* requests at once on this node */
-	bct_bucket_t requests;
-	bct_bucket_t tokens;
+	bct_meter_t requests;
+	bct_meter_t tokens;
 	uint32_t running;
 	double demand_per_s; /* offered requests, smoothed */
 	double demand_tokens_per_s;
@@ -42,6 +52,7 @@
 	double published_per_s;
 	uint32_t published_running;
 	bct_time_t published_at;
+	bct_time_t shared_at; /* when the share was last worked out */
 } bct_limit_t;
 
 /* What a node knows of the fleet when it works out a share. */
