Upstream workers on epoll, timer thread woken only when it must look earlier

Cause: curl_multi_poll and curl_multi_perform walk all transfers at each wake-up, and every token woke the timer thread. Change: curl_multi_socket_action with epoll; the condition is signalled only when the scheduler's next wake is before the timer's.

--- a/node/core.c
+++ b/node/core.c
@@ -34,6 +34,7 @@
 	/* All below under lock. */
 	pthread_cond_t wake;
 	bool stop;
+	bct_time_t timer_wake; /* when the timer thread looks again by itself */
 	bct_sched_t *sched;
 	bct_conf_t *conf;
 	bct_time_t conf_since;
@@ -244,7 +245,8 @@
 		for (i = 0; i < n; i++)
 			perform(c, &acts[i]);
 	} while (n == ACTIONS_AT_ONCE);
-	pthread_cond_signal(&c->wake);
+	if (bct_sched_next_wake(c->sched) < c->timer_wake)
+		pthread_cond_signal(&c->wake);
 }
 
 static void on_sent(void *ctx, bct_attempt_t *a)
@@ -262,7 +264,8 @@
 
 	pthread_mutex_lock(&c->lock);
 	bct_sched_tokens(c->sched, bct_clock_now(), a->id, total);
-	run_actions(c);
+	if (bct_sched_next_wake(c->sched) < c->timer_wake)
+		run_actions(c);
 	pthread_mutex_unlock(&c->lock);
 }
 
@@ -347,6 +350,7 @@
 		ms = TIMER_MAX_MS;
 	if (ms < TIMER_MIN_MS)
 		ms = TIMER_MIN_MS;
+	c->timer_wake = now + ms;
 	clock_gettime(CLOCK_MONOTONIC, &ts);
 	ts.tv_nsec += (ms % BCT_MS_PER_S) * 1000000;
 	ts.tv_sec += ms / BCT_MS_PER_S + ts.tv_nsec / 1000000000;
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -12,14 +12,22 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
-#define WORKER_WAKE_MS 50
+#define CHECK_MS 50 /* how exactly an attempt's time limits are kept */
+#define EVENTS_AT_ONCE 128
 
 typedef struct bct_upstream_worker {
 	struct bct_upstream_pool *pool;
 	pthread_t thread;
 	bool started;
 	CURLM *multi;
+	int epoll_fd;
+	int wake_fd;	       /* eventfd: an order is waiting */
+	bct_time_t curl_timer; /* when libcurl wants to be called; BCT_TIME_NEVER: it does not */
+	bct_time_t next_check; /* of the attempts' own time limits */
 	pthread_mutex_t lock;
 	bct_list_t inbox; /* under lock */
 	bct_list_t running;
@@ -56,6 +64,15 @@
 	return a->id;
 }
 
+static void wake(const worker_t *w)
+{
+	uint64_t one = 1;
+
+	/* A full counter means that a wake-up is pending already. */
+	if (write(w->wake_fd, &one, sizeof(one)) < 0)
+		return;
+}
+
 /* Puts an order on the worker's inbox, once until the worker has taken it. */
 static void give_order(bct_order_t *o)
 {
@@ -70,7 +87,7 @@
 	}
 	pthread_mutex_unlock(&w->lock);
 	if (!queued)
-		curl_multi_wakeup(w->multi);
+		wake(w);
 }
 
 void bct_attempt_cancel(bct_attempt_t *a)
@@ -269,31 +286,124 @@
 	}
 }
 
+/* libcurl wants to watch a socket, or no longer. */
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
+{
+	struct epoll_event ev = { .data = { .fd = fd } };
+	worker_t *w = ctx;
+
+	(void)easy;
+	(void)socket_ctx;
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		ev.events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		ev.events |= EPOLLOUT;
+	if (epoll_ctl(w->epoll_fd, EPOLL_CTL_MOD, fd, &ev))
+		epoll_ctl(w->epoll_fd, EPOLL_CTL_ADD, fd, &ev);
+	return 0;
+}
+
+static int on_timer(CURLM *multi, long timeout_ms, void *ctx)
+{
+	worker_t *w = ctx;
+
+	(void)multi;
+	w->curl_timer = timeout_ms < 0 ? BCT_TIME_NEVER : bct_clock_now() + timeout_ms;
+	return 0;
+}
+
+static int time_left(const worker_t *w)
+{
+	bct_time_t now = bct_clock_now();
+	bct_time_t until = w->curl_timer < w->next_check ? w->curl_timer : w->next_check;
+
+	return until <= now ? 0 : (int)(until - now);
+}
+
+static void on_ready(worker_t *w, const struct epoll_event *ev)
+{
+	uint64_t count;
+	int running, what = 0;
+
+	if (ev->data.fd == w->wake_fd) {
+		if (read(w->wake_fd, &count, sizeof(count)) < 0)
+			return;
+		take_orders(w);
+		return;
+	}
+	if (ev->events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+		what |= CURL_CSELECT_IN;
+	if (ev->events & EPOLLOUT)
+		what |= CURL_CSELECT_OUT;
+	if (ev->events & EPOLLERR)
+		what |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(w->multi, ev->data.fd, what, &running);
+}
+
+static void run_timers(worker_t *w)
+{
+	bct_time_t now = bct_clock_now();
+	int running;
+
+	if (now >= w->curl_timer) {
+		w->curl_timer = BCT_TIME_NEVER;
+		curl_multi_socket_action(w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	}
+	if (now >= w->next_check) {
+		w->next_check = now + CHECK_MS;
+		check_timeouts(w);
+	}
+}
+
 static void *worker_main(void *arg)
 {
+	struct epoll_event ev[EVENTS_AT_ONCE];
 	worker_t *w = arg;
-	int running;
+	int i, n;
 
 	while (!ck_pr_load_32(&w->pool->stop)) {
-		curl_multi_poll(w->multi, NULL, 0, WORKER_WAKE_MS, NULL);
-		take_orders(w);
-		curl_multi_perform(w->multi, &running);
+		n = epoll_wait(w->epoll_fd, ev, EVENTS_AT_ONCE, time_left(w));
+		for (i = 0; i < n; i++)
+			on_ready(w, &ev[i]);
+		run_timers(w);
 		take_finished(w);
-		check_timeouts(w);
 	}
 	drop_all(w);
 	return NULL;
 }
 
+static int open_descriptors(worker_t *w)
+{
+	struct epoll_event ev = { .events = EPOLLIN };
+
+	w->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	w->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	ev.data.fd = w->wake_fd;
+	if (w->epoll_fd < 0 || w->wake_fd < 0)
+		return -BCT_EIO;
+	return epoll_ctl(w->epoll_fd, EPOLL_CTL_ADD, w->wake_fd, &ev) ? -BCT_EIO : 0;
+}
+
 static int start_worker(bct_upstream_pool_t *p, worker_t *w)
 {
 	w->pool = p;
+	w->curl_timer = BCT_TIME_NEVER;
 	pthread_mutex_init(&w->lock, NULL);
 	bct_list_init(&w->inbox);
 	bct_list_init(&w->running);
+	if (open_descriptors(w))
+		return -BCT_EIO;
 	w->multi = curl_multi_init();
 	if (!w->multi)
 		return -BCT_ENOMEM;
+	curl_multi_setopt(w->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(w->multi, CURLMOPT_SOCKETDATA, w);
+	curl_multi_setopt(w->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
 	if (pthread_create(&w->thread, NULL, worker_main, w))
 		return -BCT_ENOMEM;
 	w->started = true;
@@ -301,6 +411,23 @@
 	return 0;
 }
 
+static void stop_worker(worker_t *w)
+{
+	if (!w->pool)
+		return;
+	if (w->started) {
+		wake(w);
+		pthread_join(w->thread, NULL);
+	}
+	if (w->multi)
+		curl_multi_cleanup(w->multi);
+	if (w->epoll_fd >= 0)
+		close(w->epoll_fd);
+	if (w->wake_fd >= 0)
+		close(w->wake_fd);
+	pthread_mutex_destroy(&w->lock);
+}
+
 int bct_upstream_pool_new(const bct_upstream_opts_t *opts, bct_upstream_pool_t **out)
 {
 	bct_upstream_pool_t *p = bct_alloc(sizeof(*p));
@@ -333,18 +460,8 @@
 	if (!p)
 		return;
 	ck_pr_store_32(&p->stop, 1);
-	for (i = 0; i < p->n_workers; i++) {
-		worker_t *w = &p->workers[i];
-
-		if (w->started) {
-			curl_multi_wakeup(w->multi);
-			pthread_join(w->thread, NULL);
-		}
-		if (w->multi)
-			curl_multi_cleanup(w->multi);
-		if (w->pool)
-			pthread_mutex_destroy(&w->lock);
-	}
+	for (i = 0; i < p->n_workers; i++)
+		stop_worker(&p->workers[i]);
 	bct_free(p->workers);
 	bct_free(p);
 }
