--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -4,14 +4,22 @@
 work=$(mktemp -d)
 pids=
 
-# Stops what this script started, also when it fails.
+# Stops what this script started, also when it fails; what is not gone after 8 s is killed.
 stop_all() {
 	for pid in $pids; do
 		kill "$pid" 2>/dev/null || true
 	done
+	(
+		sleep 8
+		for pid in $pids; do
+			kill -9 "$pid" 2>/dev/null && echo "$0: killed $pid, which did not stop" >&2
+		done
+	) </dev/null >/dev/null &
+	killer=$!
 	for pid in $pids; do
 		wait "$pid" 2>/dev/null || true
 	done
+	kill "$killer" 2>/dev/null || true
 	rm -rf "$work"
 }
 trap stop_all EXIT
@@ -52,9 +60,15 @@
 	"$BIN/chuteload" post "$1" /admin/fault "$2" >/dev/null || fail "fault $2 at $1"
 }
 
-# start_backends: two engines and a service, and a configuration for them in $work/conf.json.
-# Sets engine1, engine2, service; extra arguments go to both engines.
+# BLAKE2b-256 of "demo-operator", the operators' token of these nodes.
+operator_hash=7277fd166ceeb8b440a8bd05ad2bc6f017f665f243076d44dbd508f585c14c8d
+seeds=
+
+# start_backends: the platform, two engines and a service, and a configuration for them, published.
+# Sets platform, engine1, engine2, service; the arguments go to both engines.
 start_backends() {
+	start platform fake-platform
+	platform=$addr
 	start engine1 fake-engine --model demo-7b --slots 8 --honours-priority --checks-fencing "$@"
 	engine1=$addr
 	start engine2 fake-engine --model demo-7b --slots 8 --honours-priority "$@"
@@ -64,18 +78,39 @@
 	sed -e "s/@ENGINE1_PORT@/${engine1#*:}/" -e "s/@ENGINE2_PORT@/${engine2#*:}/" \
 		-e "s/@SERVICE1_PORT@/${service#*:}/" examples/demo.json >"$work/conf.json"
 	audit="--engine $engine1 --engine $engine2 --service $service"
+	printf demo-operator >"$work/token"
+	publish "$work/conf.json"
+}
+
+# publish FILE: makes a document the configuration.
+publish() {
+	"$BIN/chutectl" publish "$1" --platform "http://$platform" --author demo \
+		>"$work/publish.out" 2>&1 || fail "publish: $(cat "$work/publish.out")"
+}
+
+# ctl NODE_ADMIN COMMAND...: an operator's command to one node.
+ctl() {
+	to=$1
+	shift
+	"$BIN/chutectl" "$@" --node "$to" --token-file "$work/token"
+}
+
+# ready: the node that was started last has a configuration and its key history.
+ready() {
+	"$BIN/chuteload" get "$admin" /readyz
 }
 
-# start_node NAME: starts chuted; sets pid, caller (its address for callers) and admin.
+# start_node NAME [DOMAIN]: starts chuted; sets pid, caller (its address for callers) and admin.
+# Nodes started later join by those started earlier.
 start_node() {
 	name=$1
 	cat >"$work/$name.json" <<EOT
 {
-	"vm": { "name": "$name", "failure_domain": "demo-a", "region": "demo" },
+	"vm": { "name": "$name", "failure_domain": "${2:-demo-a}", "region": "demo" },
 	"caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 500 },
-	"admin": { "port": 0 },
-	"peer": { "port": 0 },
-	"platform": { "config_file": "$work/conf.json" }
+	"admin": { "port": 0, "token_hash": "$operator_hash" },
+	"peer": { "port": 0, "secret": "demo-secret-of-the-fleet", "seeds": [$seeds] },
+	"platform": { "url": "http://$platform", "poll_ms": 500 }
 }
 EOT
 	"$BIN/chuted" --config "$work/$name.json" >"$work/$name.out" 2>"$work/$name.err" &
@@ -84,7 +119,8 @@
 	wait_for 10 grep -q '^listening' "$work/$name.out" || fail "$name did not start"
 	caller=127.0.0.1:$(sed -n 's/.*caller=\([0-9]*\).*/\1/p' "$work/$name.out")
 	admin=127.0.0.1:$(sed -n 's/.*admin=\([0-9]*\).*/\1/p' "$work/$name.out")
-	wait_for 10 "$BIN/chuteload" get "$caller" /v1/entry || fail "$name does not answer"
+	seeds="${seeds:+$seeds, }\"127.0.0.1:$(sed -n 's/.*peer=\([0-9]*\).*/\1/p' "$work/$name.out")\""
+	wait_for 10 ready || fail "$name is not ready"
 }
 
 # load SCENARIO OPTIONS...: runs the load tool; its table goes to $work/table.
--- a/tests/proc_drain.sh
+++ b/tests/proc_drain.sh
@@ -5,9 +5,9 @@
 . tests/lib_proc.sh
 
 start_backends --decode-tokens-per-s 100
-start_node n1
+start_node n1 demo-a
 n1=$caller n1_pid=$pid
-start_node n2
+start_node n2 demo-b
 cat >"$work/drain.json" <<EOT
 { "duration_ms": 3000, "drain_ms": 10000, "entries": ["$n1", "$caller"],
   "classes": [
