policy: poison news settles waiting suspects, bystanders cleared on every node

Cause: the poison scenario showed a third crash: a suspect that waited for an emptied upstream was not looked at again when the news of the second crash came, and bystanders on other nodes were tested one by one for up to 88 s. Change: waiting suspects look again every 250 ms, the upstream with least of the node's work is taken, and the news of a second crash clears the bystanders everywhere.

--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -207,6 +207,7 @@
 	} else if (stop != BCT_STOP_NONE && end->outcome == BCT_OUTCOME_CANCELLED) {
 		attempt_stopped(c, now, r, stop);
 	} else if (stop == BCT_STOP_CALLER || end->outcome == BCT_OUTCOME_CANCELLED) {
+		bct_retry_note_crash(c, now, r, u, end);
 		bct_admit_free(c, r);
 	} else {
 		bct_retry_decide(c, now, r, u, end);
--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -47,6 +47,16 @@
 	bct_dispatch_ready(c, t);
 }
 
+/* Other news came while an upstream was being emptied for it. */
+static void dispatch_settled(bct_core_t *c, bct_sreq_t *r)
+{
+	bct_up_t *u = r->up;
+
+	r->up = NULL;
+	bct_up_release(c, u);
+	dispatch_unhold(c, r);
+}
+
 void bct_dispatch_timer(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
 	if (now >= r->deadline && r->state == BCT_REQ_RUNNING)
@@ -54,7 +64,12 @@
 	else if (now >= r->deadline)
 		bct_admit_refuse(c, now, r, BCT_REFUSE_DEADLINE,
 				 bct_admit_retry_ms(r->target, r->tier));
-	else if (r->state == BCT_REQ_HELD && !r->up)
+	else if (r->state == BCT_REQ_HELD && r->up &&
+		 bct_suspect_state(&c->suspects, now, r->desc.digest, NULL) == BCT_SUSPECT_ALONE)
+		bct_dispatch_hold(c, r, now + DISPATCH_SUSPECT_LOOK_MS);
+	else if (r->state == BCT_REQ_HELD && r->up)
+		dispatch_settled(c, r);
+	else if (r->state == BCT_REQ_HELD)
 		dispatch_unhold(c, r);
 	else
 		bct_heap_del(&c->timers, &r->timer);
@@ -178,6 +193,10 @@
 	bct_sreq_t *r = u->alone;
 	bct_route_t route = bct_route_plain(r, u);
 
+	if (bct_suspect_state(&c->suspects, now, r->desc.digest, NULL) != BCT_SUSPECT_ALONE) {
+		dispatch_settled(c, r);
+		return;
+	}
 	r->up = NULL;
 	r->alone = true;
 	dispatch_start(c, now, r, &route);
@@ -210,7 +229,7 @@
 		bct_dispatch_hold(c, r, now + DISPATCH_SUSPECT_LOOK_MS);
 		return;
 	}
-	bct_dispatch_hold(c, r, BCT_TIME_NEVER);
+	bct_dispatch_hold(c, r, now + DISPATCH_SUSPECT_LOOK_MS);
 	r->up = u;
 	bct_up_reserve(c, now, u, r);
 	if (!u->load.own)
--- a/policy/fleet.c
+++ b/policy/fleet.c
@@ -3,6 +3,8 @@
  */
 #include "policy/sched_int.h"
 
+#define FLEET_GRANTED_MS 2000
+
 typedef struct writer {
 	bct_item_t *out;
 	uint32_t n;
@@ -36,6 +38,22 @@
 	}
 }
 
+/* Claims of the floor that wait longer than a moment; the others are as good as dispatched. */
+static uint32_t granted_waiting(const bct_target_t *t, uint32_t i, bct_time_t now)
+{
+	const bct_list_t *el;
+	uint32_t n = 0;
+
+	if (!t->tiers[i].n_granted)
+		return 0;
+	bct_list_for_each(el, &t->granted) {
+		const bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
+
+		n += r->tier == i + 1 && now - r->desc.arrived > FLEET_GRANTED_MS;
+	}
+	return n;
+}
+
 static void publish_tier(bct_time_t now, writer_t *w, bct_target_t *t, uint32_t i)
 {
 	bct_tier_t *tier = &t->tiers[i];
@@ -43,14 +61,16 @@
 	bool told = tier->told_queued || tier->told_running;
 	bct_item_t *it;
 
-	if (!tier->queue.n && !tier->n_held && !tier->n_running && !told &&
+	uint32_t granted = granted_waiting(t, i, now);
+
+	if (!tier->queue.n && !tier->n_held && !granted && !tier->n_running && !told &&
 	    !bct_shed_pressed(tier, now))
 		return;
 	it = writer_add(w, BCT_ITEM_TIER, t->key, i + 1);
 	if (!it)
 		return;
 	tier->told_before = tier->told_queued;
-	it->v[0] = tier->told_queued = tier->queue.n + tier->n_held;
+	it->v[0] = tier->told_queued = tier->queue.n + tier->n_held + granted;
 	it->v[1] = tier->told_running = tier->n_running;
 	it->v[2] = oldest ? now - oldest->arrived : 0;
 	it->v[3] = bct_shed_pressed(tier, now);
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -99,20 +99,27 @@
 	return BCT_REFUSE_NONE;
 }
 
+/* A connection that broke may be a crash, and the request its cause. */
+bct_suspect_state_t bct_retry_note_crash(bct_core_t *c, bct_time_t now, const bct_sreq_t *r,
+					 const bct_up_t *u, const bct_attempt_end_t *end)
+{
+	if (end->outcome != BCT_OUTCOME_RESET || !end->may_have_run)
+		return BCT_SUSPECT_NO;
+	return bct_suspect_crash(&c->suspects, now, r->desc.digest, u->key, r->alone);
+}
+
 /* r is in no list; u is where the attempt was. */
 void bct_retry_decide(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_up_t *u,
 		      const bct_attempt_end_t *end)
 {
-	bct_suspect_state_t suspect = BCT_SUSPECT_NO;
-	bool crash = end->outcome == BCT_OUTCOME_RESET && end->may_have_run;
+	bct_suspect_state_t suspect;
 	uint32_t left_ms = 0;
 	bct_refuse_t no;
 
 	retry_note_upstream(c, now, u, end);
-	if (crash) {
-		bct_suspect_crash(&c->suspects, now, r->desc.digest, u->key, r->alone);
-		suspect = bct_suspect_state(&c->suspects, now, r->desc.digest, &left_ms);
-	}
+	suspect = bct_retry_note_crash(c, now, r, u, end);
+	if (suspect == BCT_SUSPECT_POISON)
+		bct_suspect_state(&c->suspects, now, r->desc.digest, &left_ms);
 	r->retry = retry_reason(r, end->outcome, suspect != BCT_SUSPECT_NO);
 	r->avoid_key = u->key;
 	if (retry_unrun(end)) {
--- a/policy/route.c
+++ b/policy/route.c
@@ -267,7 +267,10 @@
 	return (bct_route_t){ u, 0, tokens, (uint32_t)(tokens / u->prefill_tokens_per_ms) };
 }
 
-/* The same upstream on every node that uses it, so that few of them are emptied for suspects. */
+/*
+ * Where this node has least, as that is empty soonest; among equals the same upstream on every
+ * node, so that few of them are emptied for suspects.
+ */
 bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r)
 {
 	bct_up_t *best = NULL;
@@ -281,7 +284,8 @@
 			continue;
 		if (r->tokens && !u->resumes)
 			continue;
-		if (!best || rank > best_rank) {
+		if (!best || u->load.own < best->load.own ||
+		    (u->load.own == best->load.own && rank > best_rank)) {
 			best = u;
 			best_rank = rank;
 		}
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -320,6 +320,8 @@
 void bct_attempt_stop(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_stop_t why);
 
 /* retry.c: what follows a failed attempt. */
+bct_suspect_state_t bct_retry_note_crash(bct_core_t *c, bct_time_t now, const bct_sreq_t *r,
+					 const bct_up_t *u, const bct_attempt_end_t *end);
 void bct_retry_decide(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_up_t *u,
 		      const bct_attempt_end_t *end);
 
--- a/policy/suspect.c
+++ b/policy/suspect.c
@@ -146,7 +146,13 @@
 	}
 	if (v[0] <= e->crashes || (e->cleared && v[0] < BCT_SUSPECT_POISON_CRASHES))
 		return;
+	if (!e->crashes) {
+		e->first_upstream_key = (uint64_t)v[1];
+		e->first_at = now;
+	}
 	e->crashes = (uint32_t)v[0];
+	if (e->crashes >= BCT_SUSPECT_POISON_CRASHES)
+		suspect_clear_bystanders(s, e);
 	e->upstream_key = (uint64_t)v[1];
 	e->expires = now + left_ms;
 	e->crashed_at = now;
