Totals: half the bytes, homes in balance, rounds; bench of control traffic

bench_member showed that fleet totals did not fit the budget: with a busy load of 56 nodes a total was 31.7 s old and the busiest node carried 20.1 KB/s. Parts are now 20 bytes in place of 40 (hashed id, 16-bit values), groups are equal and no node gets more than its share of homes, values go out in rounds so that datagrams fill up, and a new child alone is told a total that others know.

--- a/bench/vnet.h
+++ b/bench/vnet.h
@@ -15,6 +15,8 @@
 #include <stdint.h>
 
 #define VNET_NODES_MAX 512
+#define VNET_KINDS 8
+#define VNET_UDP_IP_BYTES 28
 
 typedef struct vnet vnet_t;
 
@@ -36,16 +38,20 @@
 	bct_time_t next_tick;
 	uint64_t sent;
 	uint64_t sent_bytes;
+	uint64_t sent_by_kind[VNET_KINDS]; /* bytes, by peer_kind; calls and replies */
 	uint64_t received;
 	uint64_t received_bytes;
 	uint64_t refused; /* by the wire */
 	uint32_t died;	  /* deaths that this node declared or took over from others */
 	uint32_t reports;
-	bct_report_t report; /* the last one handed out */
+	uint64_t report_age_ms; /* sum over them */
+	bct_report_t report;	/* the last one handed out */
 	uint32_t cache_events;
 	uint64_t leaving_upstream;
 	bct_time_t leaving_at;
-	bct_total_t total; /* the last one handed out, of each kind */
+	uint32_t totals_in;
+	uint64_t total_age_ms; /* sum over them */
+	bct_total_t total;     /* the last one handed out */
 	bct_fact_t fact;
 } vnode_t;
 
--- a/coord/totals.c
+++ b/coord/totals.c
@@ -4,51 +4,14 @@
 #include "coord/totals_int.h"
 #include "base/err.h"
 #include "base/mem.h"
-#include "policy/rendezvous.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-static uint32_t bucket_of(const item_id_t *id)
-{
-	return (uint32_t)(bct_hash_mix(bct_hash_mix(id->type, id->key), id->key2) %
-			  BCT_TOTALS_BUCKETS);
-}
-
-/* The group of this node among the leaves; NO_GROUP while parts go straight to the root. */
-static uint32_t own_group(const bct_totals_t *t)
-{
-	uint32_t groups = (t->n_homes + BCT_TOTALS_FANIN - 1) / BCT_TOTALS_FANIN;
-
-	return groups > 1 ? (uint32_t)(bct_hash_mix(t->self, 0) % groups) : NO_GROUP;
-}
-
-/* Where an entry's sum goes: to a middle home or to the root. */
-static uint64_t parent_of(const bct_totals_t *t, const entry_t *e, uint32_t *level, uint32_t *group)
-{
-	uint32_t bucket = bucket_of(&e->id);
-
-	*group = e->level == LEVEL_LEAF ? own_group(t) : e->group;
-	*level = LEVEL_ROOT;
-	if (e->level == LEVEL_LEAF && *group != NO_GROUP) {
-		*level = LEVEL_MIDDLE;
-		return bct_rendezvous_pick(bct_hash_mix(bucket, *group), t->homes, t->n_homes, 0);
-	}
-	return t->roots[bucket];
-}
-
-static int32_t saturate(int64_t v)
-{
-	if (v > INT32_MAX)
-		return INT32_MAX;
-	return v < INT32_MIN ? INT32_MIN : (int32_t)v;
-}
-
 static void enqueue(bct_totals_t *t, bct_time_t now, uint64_t to, bool total, const entry_t *e,
 		    uint32_t level, uint32_t group, const part_t *value)
 {
-	bct_time_t age = (now - value->stamp) / 10;
-	peer_part *p;
+	out_part_t *out;
 
 	if (t->n_out == t->cap_out) {
 		uint32_t cap = t->cap_out ? t->cap_out * 2 : 64;
@@ -59,17 +22,10 @@
 		t->out = v;
 		t->cap_out = cap;
 	}
-	if (age < 0)
-		age = 0;
-	t->out[t->n_out].to = to;
-	t->out[t->n_out].total = total;
-	p = &t->out[t->n_out++].part;
-	p->key = e->id.key;
-	p->key2 = e->id.key2;
-	p->role = e->id.type | level << 8 | group << 16;
-	p->nodes_age = (value->nodes & 0xffff) | (uint32_t)(age < 0xffff ? age : 0xffff) << 16;
-	for (int i = 0; i < BCT_ITEM_VALUES; i++)
-		p->v[i] = saturate(value->v[i]);
+	out = &t->out[t->n_out++];
+	out->to = to;
+	out->total = total;
+	bct_totals_encode(now, e->id, level, group, value, &out->part);
 	t->tokens_bytes -= to == t->self ? 0 : PART_BYTES;
 }
 
@@ -93,7 +49,7 @@
 static void send_up(bct_totals_t *t, bct_time_t now, entry_t *e)
 {
 	uint32_t level, group;
-	uint64_t to = parent_of(t, e, &level, &group);
+	uint64_t to = bct_totals_parent(t, e, &level, &group);
 	bct_time_t since = now - e->up.at;
 	part_t sum;
 
@@ -101,12 +57,13 @@
 		return;
 	bct_totals_sum(e, &sum);
 	if (to == e->up.to && level == e->up.to_level && group == e->up.to_group) {
-		if (since < SEND_MIN_MS ||
-		    (since < REFRESH_MS && !bct_totals_differs(&sum, &e->up)))
+		if (!t->up_round || (since < REFRESH_MS && !bct_totals_differs(&sum, &e->up)))
 			return;
 	} else if (e->up.to) {
 		t->counters.home_moves++;
 		withdraw(t, now, e);
+	} else if (!t->up_round && group != NO_GROUP) {
+		return;
 	}
 	if (!sum.nodes)
 		return;
@@ -117,25 +74,32 @@
 	enqueue(t, now, to, false, e, level, group, &sum);
 }
 
-/* Sends the total to all children: the root's own sum, or what the root told a middle home. */
+/*
+ * Sends the total to the children: the root's own sum, or what the root told a middle home. A child
+ * that has not heard it yet does not wait until it changes.
+ */
 static void send_down(bct_totals_t *t, bct_time_t now, entry_t *e)
 {
 	bct_time_t since = now - e->down.at;
 	part_t total = e->total;
+	bool all;
 
-	if (e->level == LEVEL_LEAF || now < e->hold_until)
+	if (!t->down_round || e->level == LEVEL_LEAF || now < e->hold_until)
 		return;
 	if (e->level == LEVEL_ROOT)
 		bct_totals_sum(e, &total);
-	if (!total.nodes || since < TOTAL_MIN_MS ||
-	    (since < REFRESH_MS && !e->changed && !bct_totals_differs(&total, &e->down)))
+	if (!total.nodes)
 		return;
-	e->changed = false;
-	sent_note(&e->down, now, &total);
+	all = since >= REFRESH_MS || bct_totals_differs(&total, &e->down);
+	if (all)
+		sent_note(&e->down, now, &total);
 	for (uint32_t i = 0; i < e->n; i++) {
-		const part_t *p = &e->parts[i];
+		part_t *p = &e->parts[i];
 		bool leaf = e->level == LEVEL_MIDDLE || p->group == NO_GROUP;
 
+		if (!all && p->told)
+			continue;
+		p->told = true;
 		enqueue(t, now, p->from, true, e, leaf ? LEVEL_LEAF : LEVEL_MIDDLE,
 			leaf ? NO_GROUP : p->group, &total);
 	}
@@ -219,16 +183,40 @@
 	}
 }
 
-/* Hands a total out again with its greater age when no new one came for long. */
-static void hand_out_old(bct_totals_t *t, bct_time_t now, entry_t *e)
+static void total_fill(const entry_t *e, bct_time_t now, bct_total_t *out)
+{
+	out->item = e->item;
+	memcpy(out->item.v, e->total.v, sizeof(out->item.v));
+	out->nodes = e->total.nodes;
+	out->age_ms = (uint32_t)(now - e->total.stamp);
+}
+
+static void hand_out(bct_totals_t *t, bct_time_t now, entry_t *e)
 {
 	bct_total_t total;
 
-	if (e->level != LEVEL_LEAF || !e->total.nodes || now - e->handed_out < 2 * REFRESH_MS)
-		return;
 	e->handed_out = now;
-	if (!bct_totals_get(t, now, (bct_item_type_t)e->id.type, e->id.key, e->id.key2, &total))
-		t->opts.total(t->opts.ctx, &total);
+	total_fill(e, now, &total);
+	t->opts.total(t->opts.ctx, &total);
+}
+
+/* Hands a total out again with its greater age when no new one came for long. */
+static void hand_out_old(bct_totals_t *t, bct_time_t now, entry_t *e)
+{
+	if (e->level == LEVEL_LEAF && e->total.nodes && now - e->handed_out >= 2 * REFRESH_MS)
+		hand_out(t, now, e);
+}
+
+static void rounds_start(bct_totals_t *t, bct_time_t now)
+{
+	bool flat = t->group == NO_GROUP;
+
+	t->up_round = now >= t->next_up;
+	t->down_round = now >= t->next_down;
+	if (t->up_round)
+		t->next_up = now + (flat ? UP_INTERVAL_MS : GROUPS_INTERVAL_MS);
+	if (t->down_round)
+		t->next_down = now + (flat ? DOWN_INTERVAL_MS : GROUPS_INTERVAL_MS);
 }
 
 bct_time_t bct_totals_tick(bct_totals_t *t, bct_time_t now)
@@ -239,6 +227,7 @@
 		return t->next_tick;
 	t->next_tick = now + TICK_MS;
 	tokens_refill(t, now);
+	rounds_start(t, now);
 	for (uint32_t i = 0; i < n; i++) {
 		entry_t *e = t->entries[(t->cursor + i) % n];
 
@@ -265,31 +254,27 @@
 }
 
 /* Takes a total from the home that this node's part is at; others are out of date. */
-static void receive_total(bct_totals_t *t, bct_time_t now, uint64_t from, const item_id_t *id,
-			  const peer_part *p, const part_t *value)
+static void receive_total(bct_totals_t *t, bct_time_t now, uint64_t from, uint64_t id,
+			  uint32_t level, uint32_t group, const part_t *value)
 {
-	entry_t *e = bct_totals_find(t, id, p->role >> 8 & 0xff, p->role >> 16);
-	bct_total_t total;
+	entry_t *e = bct_totals_find(t, id, level, group);
 
 	t->counters.totals_received++;
 	if (!e || e->up.to != from)
 		return;
 	e->total = *value;
-	if (e->level != LEVEL_LEAF)
-		return;
-	e->handed_out = now;
-	if (!bct_totals_get(t, now, (bct_item_type_t)id->type, id->key, id->key2, &total))
-		t->opts.total(t->opts.ctx, &total);
+	if (e->level == LEVEL_LEAF)
+		hand_out(t, now, e);
 }
 
-static void receive_part(bct_totals_t *t, bct_time_t now, uint64_t from, const item_id_t *id,
-			 const peer_part *p, const part_t *value)
+static void receive_part(bct_totals_t *t, bct_time_t now, uint64_t from, uint64_t id,
+			 uint32_t level, uint32_t group, const part_t *value)
 {
-	uint32_t level = p->role >> 8 & 0xff, group = p->role >> 16;
 	uint32_t child = level == LEVEL_ROOT ? group : NO_GROUP;
 	uint32_t own = level == LEVEL_MIDDLE ? group : NO_GROUP;
 	entry_t *e;
 	part_t *part;
+	bool told;
 
 	t->counters.parts_received++;
 	if (!value->nodes) {
@@ -305,9 +290,9 @@
 		t->counters.dropped++;
 		return;
 	}
-	if (!part->nodes)
-		e->changed = true;
+	told = part->told && part->from == from;
 	*part = *value;
+	part->told = told;
 	part->from = from;
 	part->group = child;
 	part->seen = now;
@@ -317,19 +302,16 @@
 {
 	for (uint32_t i = 0; i < msg->parts.parts_len; i++) {
 		const peer_part *p = &msg->parts.parts_val[i];
-		item_id_t id = { .key = p->key, .key2 = p->key2, .type = p->role & 0xff };
-		uint32_t level = p->role >> 8 & 0xff;
-		part_t value = { .nodes = p->nodes_age & 0xffff,
-				 .stamp = now - (bct_time_t)(p->nodes_age >> 16) * 10 };
-
-		for (int j = 0; j < BCT_ITEM_VALUES; j++)
-			value.v[j] = p->v[j];
-		if (id.type >= BCT_ITEM_COUNT || level > LEVEL_ROOT)
+		uint32_t level, group;
+		part_t value;
+
+		bct_totals_decode(now, p, &level, &group, &value);
+		if (msg->total)
+			receive_total(t, now, from, p->id, level, group, &value);
+		else if (level == LEVEL_MIDDLE || level == LEVEL_ROOT)
+			receive_part(t, now, from, p->id, level, group, &value);
+		else
 			t->counters.dropped++;
-		else if (msg->total)
-			receive_total(t, now, from, &id, p, &value);
-		else if (level != LEVEL_LEAF)
-			receive_part(t, now, from, &id, p, &value);
 	}
 }
 
@@ -348,8 +330,8 @@
 
 static int publish_one(bct_totals_t *t, bct_time_t now, const bct_item_t *item)
 {
-	item_id_t id = { .key = item->key, .key2 = item->key2, .type = item->type };
-	entry_t *e = bct_totals_entry(t, now, &id, LEVEL_LEAF, NO_GROUP);
+	uint64_t id = bct_totals_id(item->type, item->key, item->key2);
+	entry_t *e = bct_totals_entry(t, now, id, LEVEL_LEAF, NO_GROUP);
 	part_t *own = e ? bct_totals_part(e, t->self, NO_GROUP, true) : NULL;
 
 	if (!own)
@@ -359,6 +341,7 @@
 	own->nodes = 1;
 	own->stamp = now;
 	memcpy(own->v, item->v, sizeof(own->v));
+	e->item = *item;
 	e->published = true;
 	return 0;
 }
@@ -401,9 +384,7 @@
 	if (!t->n_homes)
 		t->n_homes = bct_member_live(t->opts.members, true, t->homes, BCT_MEMBERS_MAX);
 	t->fleet_changed = now;
-	for (uint32_t b = 0; b < BCT_TOTALS_BUCKETS; b++)
-		t->roots[b] =
-			bct_rendezvous_pick(bct_hash_mix(b, NO_GROUP), t->homes, t->n_homes, 0);
+	bct_totals_homes(t);
 	for (uint32_t i = 0; i < t->n; i++) {
 		if (t->entries[i]->level != LEVEL_LEAF)
 			drop_dead_parts(t, t->entries[i]);
@@ -451,18 +432,11 @@
 int bct_totals_get(const bct_totals_t *t, bct_time_t now, bct_item_type_t type, uint64_t key,
 		   uint64_t key2, bct_total_t *out)
 {
-	item_id_t id = { .key = key, .key2 = key2, .type = type };
-	const entry_t *e = bct_totals_find(t, &id, LEVEL_LEAF, NO_GROUP);
+	const entry_t *e = bct_totals_find(t, bct_totals_id(type, key, key2), LEVEL_LEAF, NO_GROUP);
 
 	if (!e || !e->total.nodes)
 		return -BCT_ENOT_FOUND;
-	memset(out, 0, sizeof(*out));
-	out->item.type = type;
-	out->item.key = key;
-	out->item.key2 = key2;
-	memcpy(out->item.v, e->total.v, sizeof(out->item.v));
-	out->nodes = e->total.nodes;
-	out->age_ms = (uint32_t)(now - e->total.stamp);
+	total_fill(e, now, out);
 	return 0;
 }
 
--- a/coord/totals.h
+++ b/coord/totals.h
@@ -3,14 +3,16 @@
  *
  * Each node publishes its own SUM items. A home, chosen by rendezvous hashing over the live
  * members, adds up the parts of each item and returns the total to the nodes that published it.
- * In a fleet above BCT_TOTALS_FANIN nodes the parts go through one middle level, so that no home
- * hears more than about BCT_TOTALS_FANIN others of an item. Items are spread over
- * BCT_TOTALS_BUCKETS homes, and one datagram carries all that goes to one node.
+ * In a fleet above BCT_TOTALS_FLAT_MAX nodes the parts go through a middle home in the node's group
+ * of about BCT_TOTALS_GROUP, so that no home of a hot item hears of it from every node. Items are
+ * spread over the homes, no node gets more than its share of them, and one datagram carries all
+ * that goes to one node.
  *
- * A part is sent when it changed by more than 1/16, and else at each refresh; it is dropped when
- * its node dies, withdraws it, or falls silent. A total's age is that of its oldest part. While a
- * home is lost the age grows, and the total is handed out again with that age. When a home moves,
- * the new one keeps its totals back until the parts had time to arrive.
+ * A part is sent when it changed by more than 1/8, and else at each refresh; it is dropped when
+ * its node dies, withdraws it, or falls silent. Values travel with a precision of 1/2,048 (exact
+ * below 1,024), once for each level. A total's age is that of its oldest part. While a home is lost
+ * the age grows, and the total is handed out again with that age. When a home moves, the new one
+ * keeps its totals back until the parts had time to arrive.
  */
 #ifndef BCT_COORD_TOTALS_H
 #define BCT_COORD_TOTALS_H
@@ -19,8 +21,8 @@
 #include "coord/wire.h"
 #include "policy/sched.h"
 
-#define BCT_TOTALS_FANIN 20
-#define BCT_TOTALS_BUCKETS 16
+#define BCT_TOTALS_GROUP 16    /* nodes that share their middle homes */
+#define BCT_TOTALS_FLAT_MAX 32 /* up to this many nodes there is no middle level */
 #define BCT_TOTALS_ITEMS_MAX 8192
 
 typedef struct bct_totals bct_totals_t;
@@ -41,7 +43,7 @@
 typedef struct bct_totals_opts {
 	const bct_member_table_t *members;
 	bct_outbox_t *outbox;
-	uint32_t max_bytes_per_s; /* sent; 0: the default of 3,000 */
+	uint32_t max_bytes_per_s; /* sent; 0: the default of 4,000 */
 	void (*total)(void *ctx, const bct_total_t *total);
 	void *ctx;
 } bct_totals_opts_t;
--- a/coord/totals_part.c
+++ b/coord/totals_part.c
@@ -1,29 +1,86 @@
 /*
- * totals_part.c - tables of items and of the parts that their sums are made of.
+ * totals_part.c - tables of items, the parts that their sums are made of, and their wire form.
  */
 #include "coord/totals_int.h"
 #include "base/mem.h"
 
 #include <string.h>
 
-static bool id_eq(const item_id_t *a, const item_id_t *b)
+#define MANTISSA_BITS 10
+#define EXPONENT_MAX 31
+#define AGE_UNIT_MS 50
+#define AGE_MAX_UNITS 4095
+#define NODES_MAX 2047
+
+uint64_t bct_totals_id(bct_item_type_t type, uint64_t key, uint64_t key2)
+{
+	return bct_hash_mix(bct_hash_mix(type, key), key2);
+}
+
+/* A value in 16 bits: exact below 1,024 and within 1/2,048 above. */
+static uint32_t value_encode(int64_t v)
 {
-	return a->key == b->key && a->key2 == b->key2 && a->type == b->type;
+	uint64_t m = v < 0 ? 0 - (uint64_t)v : (uint64_t)v;
+	uint32_t e = 0;
+
+	while (m >> e >= 1u << MANTISSA_BITS && e < EXPONENT_MAX)
+		e++;
+	m = e ? (m + (UINT64_C(1) << (e - 1))) >> e : m;
+	if (m >= 1u << MANTISSA_BITS) {
+		m = e < EXPONENT_MAX ? m >> 1 : (1u << MANTISSA_BITS) - 1;
+		e += e < EXPONENT_MAX;
+	}
+	return (uint32_t)m | e << MANTISSA_BITS | (v < 0 ? 0x8000u : 0);
 }
 
-entry_t *bct_totals_find(const bct_totals_t *t, const item_id_t *id, uint32_t level, uint32_t group)
+static int64_t value_decode(uint32_t bits)
+{
+	int64_t m = bits & ((1u << MANTISSA_BITS) - 1);
+
+	m <<= bits >> MANTISSA_BITS & EXPONENT_MAX;
+	return bits & 0x8000u ? -m : m;
+}
+
+void bct_totals_encode(bct_time_t now, uint64_t id, uint32_t level, uint32_t group,
+		       const part_t *value, peer_part *out)
+{
+	bct_time_t age = now > value->stamp ? (now - value->stamp) / AGE_UNIT_MS : 0;
+	uint32_t nodes = value->nodes < NODES_MAX ? value->nodes : NODES_MAX;
+
+	out->id = id;
+	out->head = level | group << 2 | nodes << 9 |
+		    (uint32_t)(age < AGE_MAX_UNITS ? age : AGE_MAX_UNITS) << 20;
+	out->v01 = value_encode(value->v[0]) | value_encode(value->v[1]) << 16;
+	out->v23 = value_encode(value->v[2]) | value_encode(value->v[3]) << 16;
+}
+
+void bct_totals_decode(bct_time_t now, const peer_part *p, uint32_t *level, uint32_t *group,
+		       part_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	*level = p->head & 3;
+	*group = p->head >> 2 & NO_GROUP;
+	out->nodes = p->head >> 9 & NODES_MAX;
+	out->stamp = now - (bct_time_t)(p->head >> 20) * AGE_UNIT_MS;
+	out->v[0] = value_decode(p->v01 & 0xffff);
+	out->v[1] = value_decode(p->v01 >> 16);
+	out->v[2] = value_decode(p->v23 & 0xffff);
+	out->v[3] = value_decode(p->v23 >> 16);
+}
+
+entry_t *bct_totals_find(const bct_totals_t *t, uint64_t id, uint32_t level, uint32_t group)
 {
 	for (uint32_t i = 0; i < t->n; i++) {
 		entry_t *e = t->entries[i];
 
-		if (id_eq(&e->id, id) && e->level == level && e->group == group)
+		if (e->id == id && e->level == level && e->group == group)
 			return e;
 	}
 	return NULL;
 }
 
 /* Finds or makes an entry; NULL when the table is full or memory is out. */
-entry_t *bct_totals_entry(bct_totals_t *t, bct_time_t now, const item_id_t *id, uint32_t level,
+entry_t *bct_totals_entry(bct_totals_t *t, bct_time_t now, uint64_t id, uint32_t level,
 			  uint32_t group)
 {
 	entry_t *e = bct_totals_find(t, id, level, group);
@@ -42,7 +99,7 @@
 	e = bct_alloc(sizeof(*e));
 	if (!e)
 		return NULL;
-	e->id = *id;
+	e->id = id;
 	e->level = level;
 	e->group = group;
 	if (level != LEVEL_LEAF && now - t->fleet_changed < HOME_HOLD_MS)
@@ -85,7 +142,6 @@
 void bct_totals_drop_part(entry_t *e, uint32_t i)
 {
 	e->parts[i] = e->parts[--e->n];
-	e->changed = true;
 }
 
 void bct_totals_sum(const entry_t *e, part_t *out)
@@ -103,16 +159,20 @@
 	}
 }
 
-/* Whether a value moved far enough to be worth sending before the refresh. */
+static bool moved(int64_t now, int64_t before)
+{
+	int64_t step = now > before ? now - before : before - now;
+
+	return step > (before < 0 ? -before : before) >> CHANGE_SHIFT;
+}
+
+/* Whether a sum moved far enough to be worth sending before the refresh. */
 bool bct_totals_differs(const part_t *now, const sent_t *before)
 {
-	if (now->nodes != before->nodes)
+	if (moved(now->nodes, before->nodes))
 		return true;
 	for (int i = 0; i < BCT_ITEM_VALUES; i++) {
-		int64_t step = now->v[i] - before->v[i];
-		int64_t old = before->v[i] < 0 ? -before->v[i] : before->v[i];
-
-		if ((step < 0 ? -step : step) > old >> CHANGE_SHIFT)
+		if (moved(now->v[i], before->v[i]))
 			return true;
 	}
 	return false;
--- a/gen/peer.h
+++ b/gen/peer.h
@@ -157,11 +157,10 @@
 typedef struct peer_config_reply peer_config_reply;
 
 struct peer_part {
-	u_quad_t key;
-	u_quad_t key2;
-	u_int role;
-	u_int nodes_age;
-	int v[4];
+	u_quad_t id;
+	u_int head;
+	u_int v01;
+	u_int v23;
 };
 typedef struct peer_part peer_part;
 
--- a/gen/peer_xdr.c
+++ b/gen/peer_xdr.c
@@ -217,74 +217,13 @@
 {
 	register int32_t *buf;
 
-	int i;
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->key))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->key2))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, (2 +  4 )* BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->role))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->nodes_age))
-				 return FALSE;
-			 if (!xdr_vector (xdrs, (char *)objp->v, 4,
-				sizeof (int), (xdrproc_t) xdr_int))
-				 return FALSE;
-		} else {
-			IXDR_PUT_U_LONG(buf, objp->role);
-			IXDR_PUT_U_LONG(buf, objp->nodes_age);
-			{
-				register int *genp;
-
-				for (i = 0, genp = objp->v;
-					i < 4; ++i) {
-					IXDR_PUT_LONG(buf, *genp++);
-				}
-			}
-		}
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->key))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->key2))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, (2 +  4 )* BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->role))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->nodes_age))
-				 return FALSE;
-			 if (!xdr_vector (xdrs, (char *)objp->v, 4,
-				sizeof (int), (xdrproc_t) xdr_int))
-				 return FALSE;
-		} else {
-			objp->role = IXDR_GET_U_LONG(buf);
-			objp->nodes_age = IXDR_GET_U_LONG(buf);
-			{
-				register int *genp;
-
-				for (i = 0, genp = objp->v;
-					i < 4; ++i) {
-					*genp++ = IXDR_GET_LONG(buf);
-				}
-			}
-		}
-	 return TRUE;
-	}
-
-	 if (!xdr_u_quad_t (xdrs, &objp->key))
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->key2))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->role))
+	 if (!xdr_u_int (xdrs, &objp->head))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->nodes_age))
+	 if (!xdr_u_int (xdrs, &objp->v01))
 		 return FALSE;
-	 if (!xdr_vector (xdrs, (char *)objp->v, 4,
-		sizeof (int), (xdrproc_t) xdr_int))
+	 if (!xdr_u_int (xdrs, &objp->v23))
 		 return FALSE;
 	return TRUE;
 }
--- a/schema/peer.x
+++ b/schema/peer.x
@@ -120,15 +120,15 @@
 
 /*
  * A summand on its way up (total false) or a sum on its way down.
- * role: item type, the receiver's level << 8, its group << 16
- * nodes_age: nodes in the value (0 withdraws a summand), age in units of 10 ms << 16
+ * head: the receiver's level, group << 2, nodes in the value << 9 (0 withdraws a summand), age in
+ * units of 50 ms << 20
+ * v01, v23: four values, each 10 bits of mantissa, 5 of exponent, 1 of sign; see coord/totals_part.c
  */
 struct peer_part {
-	unsigned hyper key;
-	unsigned hyper key2;
-	unsigned int role;
-	unsigned int nodes_age;
-	int v[4];
+	unsigned hyper id;
+	unsigned int head;
+	unsigned int v01;
+	unsigned int v23;
 };
 
 struct peer_parts {
