--- a/policy/admit.c
+++ b/policy/admit.c
@@ -6,10 +6,10 @@
 #include "base/mem.h"
 #include "policy/sched_int.h"
 
+#define ADMIT_MARGIN_DIVISOR 2 /* the most of its target that a request keeps in hand */
 #define ADMIT_RETRY_MIN_MS 100
 #define ADMIT_RETRY_MAX_MS 60000
 #define ADMIT_NO_UPSTREAM_RETRY_MS 2000
-#define ADMIT_RESUME_SLACK_MS 500 /* a broken stream goes on before others start */
 
 /* How long the work at this tier and above will take; a fair time to come back. */
 uint32_t bct_admit_retry_ms(const bct_target_t *t, uint8_t tier)
@@ -30,18 +30,13 @@
 {
 	if (r->state == BCT_REQ_QUEUED)
 		bct_queue_remove(&r->target->tiers[r->tier - 1].queue, &r->item);
-	if (r->state == BCT_REQ_QUEUED || r->state == BCT_REQ_GRANTED || r->state == BCT_REQ_HELD) {
-		c->n_queued--;
-		r->target->n_queued--;
-	}
 	if (r->state == BCT_REQ_HELD && r->up) {
-		r->up->alone = NULL;
-		bct_heap_set(&c->up_wakes, &r->up->wake, 0);
+		bct_up_release(c, r->up);
 		r->up = NULL;
 	}
 	bct_list_del(&r->line);
 	bct_heap_del(&c->timers, &r->timer);
-	r->state = 0;
+	bct_core_state(c, r, BCT_REQ_NEW);
 }
 
 static void admit_release(bct_sreq_t *r)
@@ -71,7 +66,7 @@
 {
 	bct_admit_unqueue(c, r);
 	admit_release(r);
-	r->state = BCT_REQ_REFUSED;
+	bct_core_state(c, r, BCT_REQ_REFUSED);
 	r->refuse = why;
 	r->retry_after_ms = retry_after_ms;
 	r->attempt_id = 0;
@@ -100,6 +95,17 @@
 	return NULL;
 }
 
+/* The latest dispatch that brings the first token in time in nine cases of ten. */
+static bct_time_t admit_latest_start(const bct_terms_t *terms, bct_time_t arrived)
+{
+	double took_ms = terms->target->tiers[terms->tier - 1].first_token_ms.p90_tokens;
+	double most_ms = terms->ttft_ms / ADMIT_MARGIN_DIVISOR;
+
+	if (!terms->ttft_ms)
+		return BCT_TIME_NEVER;
+	return arrived + terms->ttft_ms - (bct_time_t)(took_ms < most_ms ? took_ms : most_ms);
+}
+
 static void admit_fill(bct_sreq_t *r, bct_terms_t *terms, const bct_req_desc_t *desc)
 {
 	uint32_t most = desc->max_output_tokens;
@@ -115,7 +121,7 @@
 	r->deadline = terms->deadline_ms ? desc->arrived + terms->deadline_ms : BCT_TIME_NEVER;
 	r->first_token_at = BCT_TIME_NEVER;
 	r->item.arrived = desc->arrived;
-	r->item.latest_start = terms->ttft_ms ? desc->arrived + terms->ttft_ms : BCT_TIME_NEVER;
+	r->item.latest_start = admit_latest_start(terms, desc->arrived);
 	r->item.cost_tokens =
 		(int64_t)desc->prompt_tokens + bct_length_expect(&terms->length, 0, most);
 	bct_list_init(&r->item.link);
@@ -199,12 +205,14 @@
 	/* The account was charged when it was first served. */
 	if (r->first_sent)
 		r->item.cost_tokens = 1;
-	if (r->tokens)
-		r->item.latest_start = now + ADMIT_RESUME_SLACK_MS;
-	r->state = BCT_REQ_QUEUED;
-	c->n_queued++;
-	t->n_queued++;
-	bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
+	r->item.pinned = r->tokens > 0;
+	if (r->granted) {
+		bct_core_state(c, r, BCT_REQ_GRANTED);
+		bct_list_add_tail(&r->line, &t->granted);
+	} else {
+		bct_core_state(c, r, BCT_REQ_QUEUED);
+		bct_queue_push(&t->tiers[r->tier - 1].queue, &r->item);
+	}
 	if (r->deadline != BCT_TIME_NEVER)
 		bct_heap_set(&c->timers, &r->timer, r->deadline);
 	bct_dispatch_grant(c, now, t);
--- a/policy/preempt.c
+++ b/policy/preempt.c
@@ -7,25 +7,27 @@
 #define PREEMPT_MAX_PER_REQUEST 2 /* after that it runs to its end */
 #define PREEMPT_PENDING_MAX 4	  /* cancelled for one target and not yet ended */
 #define PREEMPT_SCAN_MAX 8
-#define PREEMPT_WAIT_DIVISOR 4 /* part of its target that a request waits first */
+#define PREEMPT_SUNK_TOKENS_MAX 400 /* output; a longer stream would be too much to lose */
+#define PREEMPT_WAIT_DIVISOR 4	    /* part of its target that a request waits first */
 
-static bool preemptible(const bct_sreq_t *r)
+/* Whether the attempt that r has just begun may be cancelled for a higher tier. */
+bool bct_preempt_allowed(const bct_sreq_t *r)
 {
-	return r->state == BCT_REQ_RUNNING && r->repeatable && !r->granted && !r->alone &&
-	       r->up->kind == BCT_UPSTREAM_ENGINE && r->up->resumes && bct_up_usable(r->up) &&
-	       r->preempts < PREEMPT_MAX_PER_REQUEST;
+	return r->repeatable && !r->granted && !r->alone && r->up->kind == BCT_UPSTREAM_ENGINE &&
+	       r->up->resumes && r->preempts < PREEMPT_MAX_PER_REQUEST;
 }
 
 /* The newest goes first: the least has been put into it. */
-bct_sreq_t *bct_preempt_victim(const bct_target_t *t, uint8_t tier)
+static bct_sreq_t *preempt_victim(const bct_target_t *t, uint8_t tier)
 {
-	const bct_list_t *running = &t->tiers[tier - 1].running;
-	const bct_list_t *el = running->prev;
+	const bct_list_t *list = &t->tiers[tier - 1].preemptible;
+	const bct_list_t *el = list->prev;
 
-	for (uint32_t i = 0; el != running && i < PREEMPT_SCAN_MAX; el = el->prev, i++) {
+	for (uint32_t i = 0; el != list && i < PREEMPT_SCAN_MAX; el = el->prev, i++) {
 		bct_sreq_t *r = bct_container_of(el, bct_sreq_t, line);
 
-		if (preemptible(r))
+		if (bct_up_usable(r->up) &&
+		    r->tokens + r->attempt_tokens <= PREEMPT_SUNK_TOKENS_MAX)
 			return r;
 	}
 	return NULL;
@@ -34,10 +36,9 @@
 static bct_sreq_t *lowest_victim(const bct_target_t *t, uint8_t above_tier)
 {
 	for (uint8_t tier = BCT_TIERS; tier > above_tier; tier--) {
-		bct_sreq_t *r = bct_preempt_victim(t, tier);
-
-		if (r)
-			return r;
+		/* No higher tier while this one runs at all, even if it cannot be stopped. */
+		if (t->tiers[tier - 1].n_running)
+			return preempt_victim(t, tier);
 	}
 	return NULL;
 }
@@ -54,26 +55,42 @@
 	return NULL;
 }
 
-void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
+/* Returns whether room for the head is on its way. */
+static bool preempt_for(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *head)
 {
-	bct_sreq_t *head = highest_head(t, now);
 	bct_sreq_t *victim;
-	bct_time_t at;
 
-	if (!head || now >= t->unusable_at)
-		return;
-	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
-	if (now < at) {
-		bct_heap_set(&c->target_wakes, &t->wake, at);
-		return;
-	}
 	while (t->pending_preempts < PREEMPT_PENDING_MAX &&
 	       t->pending_preempts < t->tiers[head->tier - 1].queue.n) {
 		victim = lowest_victim(t, head->tier);
 		if (!victim)
-			return;
+			return t->pending_preempts > 0;
 		victim->preempts++;
 		bct_core_trace(c, now, BCT_TRACE_PREEMPT, victim, victim->up->key, head->tier);
 		bct_attempt_stop(c, now, victim, BCT_STOP_PREEMPT);
 	}
+	return true;
+}
+
+void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
+{
+	bct_sreq_t *head = highest_head(t, now);
+	bct_time_t at;
+
+	/* The floor's claim delays the higher tiers; it preempts nobody. */
+	if (!bct_list_empty(&t->granted)) {
+		head = bct_container_of(t->granted.next, bct_sreq_t, line);
+		if (bct_dispatch_over(c, now, head))
+			bct_dispatch_ready(c, t);
+		return;
+	}
+	if (!head || !t->n_ups || now >= t->unusable_at)
+		return;
+	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
+	if (now < at) {
+		bct_heap_set(&c->target_wakes, &t->wake, at);
+		return;
+	}
+	if (!preempt_for(c, now, t, head) && bct_dispatch_over(c, now, head))
+		bct_dispatch_ready(c, t);
 }
--- a/policy/queue.c
+++ b/policy/queue.c
@@ -31,14 +31,21 @@
 {
 	bct_flow_t *f = it->flow;
 
+	it->late = false;
+	it->queued = true;
+	if (it->pinned) {
+		bct_heap_add(&q->pinned, &it->node, it->arrived);
+		bct_list_add_head(&it->link, &q->items);
+		q->n_pinned++;
+		q->n++;
+		return;
+	}
 	/* An idle account saves up no claim on the past. */
 	if (!f->fresh.root && !f->late.root) {
 		q->n_flows++;
 		if (f->vtime_tokens < q->vclock_tokens)
 			f->vtime_tokens = q->vclock_tokens;
 	}
-	it->late = false;
-	it->queued = true;
 	bct_heap_add(&f->fresh, &it->node, it->latest_start);
 	bct_list_add_tail(&it->link, &q->items);
 	q->n++;
@@ -53,10 +60,15 @@
 
 	if (!it->queued)
 		return;
-	bct_heap_del(it->late ? &f->late : &f->fresh, &it->node);
 	bct_list_del(&it->link);
 	it->queued = false;
 	q->n--;
+	if (it->pinned) {
+		bct_heap_del(&q->pinned, &it->node);
+		q->n_pinned--;
+		return;
+	}
+	bct_heap_del(it->late ? &f->late : &f->fresh, &it->node);
 	q->cost_tokens -= it->cost_tokens;
 	f->cost_tokens -= it->cost_tokens;
 	if (!f->fresh.root && !f->late.root)
@@ -91,6 +103,9 @@
 {
 	bct_queue_item_t *fresh = queue_peek_fresh(q, now);
 
+	if (q->pinned.root)
+		return item_of(q->pinned.root, node);
+
 	if (!q->late_flows.root)
 		return fresh;
 	if (fresh && q->since_late < BCT_QUEUE_LATE_TURN)
@@ -109,11 +124,22 @@
 {
 	bct_flow_t *f = it->flow;
 
+	bct_queue_remove(q, it);
+	if (it->pinned)
+		return;
 	q->since_late = it->late ? 0 : q->since_late + 1;
+	bct_queue_charge(q, f, it->cost_tokens);
+}
+
+void bct_queue_charge(bct_queue_t *q, bct_flow_t *f, int64_t cost_tokens)
+{
 	if (f->vtime_tokens > q->vclock_tokens)
 		q->vclock_tokens = f->vtime_tokens;
-	f->vtime_tokens += it->cost_tokens;
-	bct_queue_remove(q, it);
+	else
+		f->vtime_tokens = q->vclock_tokens;
+	f->vtime_tokens += cost_tokens;
+	if (f->fresh.root || f->late.root)
+		flow_relink(q, f);
 }
 
 bct_queue_item_t *bct_queue_oldest(const bct_queue_t *q)
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -47,12 +47,13 @@
 } bct_terms_t;
 
 typedef enum bct_req_state {
-	BCT_REQ_QUEUED = 1, /* in the queue of its tier */
-	BCT_REQ_GRANTED,    /* its tier's floor pays: first in line */
-	BCT_REQ_HELD,	    /* waits for a time or for an upstream of its own */
-	BCT_REQ_RUNNING,    /* an attempt is at an upstream */
-	BCT_REQ_ENDING,	    /* the attempt was cancelled and must still end */
-	BCT_REQ_REFUSED,    /* its REFUSE action waits for poll */
+	BCT_REQ_NEW = 0,
+	BCT_REQ_QUEUED,	 /* in the queue of its tier */
+	BCT_REQ_GRANTED, /* its tier's floor pays: first in line */
+	BCT_REQ_HELD,	 /* waits for a time or for an upstream of its own */
+	BCT_REQ_RUNNING, /* an attempt is at an upstream */
+	BCT_REQ_ENDING,	 /* the attempt was cancelled and must still end */
+	BCT_REQ_REFUSED, /* its REFUSE action waits for poll */
 } bct_req_state_t;
 
 /* Why a running attempt was cancelled; decides what follows its end. */
@@ -73,6 +74,7 @@
 	bool maybe_ran;	 /* an attempt of it may have run */
 	bool granted;	 /* the floor pays for it; never preempted */
 	bool first_sent; /* counted as a first attempt */
+	bool kept;	 /* its attempt is never preempted */
 	bool admitted;	 /* charged to the account's limits */
 	int64_t charged_tokens;
 	bct_time_t deadline;
@@ -80,7 +82,7 @@
 	bct_queue_item_t item;
 	bct_heap_node_t timer;
 	bct_list_t outbox;  /* in core.outbox while an action waits */
-	bct_list_t line;    /* in target.granted, target.held or target.running[tier] */
+	bct_list_t line;    /* in target.granted, target.held or tier.preemptible */
 	bct_list_t up_link; /* in upstream.attempts */
 
 	uint64_t attempt_id;
@@ -90,6 +92,8 @@
 	uint32_t prefill_tokens; /* expected of this attempt */
 	uint32_t predicted_ttft_ms;
 	uint32_t attempt_tokens;
+	uint32_t mark_tokens; /* where the speed was last looked at */
+	bct_time_t mark_at;
 	uint32_t tokens; /* output of earlier attempts, which the caller has */
 	bool sent;
 	bool alone;
@@ -108,23 +112,44 @@
 typedef struct bct_tier_total {
 	int64_t queued;
 	int64_t running;
-	int64_t shedding; /* nodes that shed this tier */
+	int64_t pressed; /* nodes on which it waits unbearably long */
 	uint32_t nodes;
 	bct_time_t at; /* BCT_TIME_NEVER: never heard */
 } bct_tier_total_t;
 
 typedef struct bct_tier {
 	bct_queue_t queue;
-	bct_list_t running;
+	bct_list_t preemptible; /* running, newest last */
 	uint32_t n_running;
+	uint32_t n_preemptible; /* of the running ones */
+	uint32_t n_held;
+	uint32_t n_granted;
+	uint32_t n_committed; /* waiting ones that are not shed: the floor or an upstream is
+				 theirs, or their callers have output */
 	uint32_t floor_permille;
-	int64_t credit_tokens; /* the floor's claim on the next dispatch */
-	bct_time_t shed_at;    /* when a request of it was last shed; BCT_TIME_NEVER: never */
+	bct_length_t first_token_ms; /* from dispatch, as a running quantile */
+	int64_t credit_tokens;	     /* the floor's claim on the next dispatch */
+	bct_time_t pressed_at;	     /* when its wait last exceeded what is bearable */
+	bct_time_t pressed_since;    /* without a pause; BCT_TIME_NEVER: it is not */
 	bct_tier_total_t total;
 	int64_t told_queued; /* as last published */
+	int64_t told_before; /* the time before, which a total may still stand on */
 	int64_t told_running;
 } bct_tier_t;
 
+/* Upstreams of a target that can take one more request. */
+typedef enum bct_set {
+	BCT_SET_OPEN = 0, /* of any tier */
+	BCT_SET_ROOMY,	  /* also of the tiers that leave a reserve to the urgent ones */
+	BCT_SET_SLOW,	  /* only where it is too late for the target anyway */
+	BCT_SETS,
+} bct_set_t;
+
+typedef struct bct_up_set {
+	bct_up_t **ups;
+	uint32_t n;
+} bct_up_set_t;
+
 struct bct_target {
 	uint64_t key;
 	bct_upstream_kind_t kind;
@@ -135,13 +160,14 @@
 	bct_heap_node_t wake;
 	bct_up_t **ups; /* the upstreams that this node uses for it */
 	uint32_t n_ups;
-	bct_up_t **open; /* those that can take one more */
-	uint32_t n_open;
+	bct_up_set_t sets[BCT_SETS];
+	uint8_t urgent_tier; /* the lowest tier whose requests cannot wait for a slot; 0: none */
 	uint32_t cap_ups;
 	uint32_t want_ups; /* of the configuration being put in force */
 	uint32_t n_usable; /* not leaving */
 	uint32_t n_all;	   /* configured, whether used by this node or not */
 	uint32_t slots;	   /* of all of them */
+	uint32_t n_alone;  /* upstreams kept for suspects */
 	uint32_t n_queued;
 	uint32_t pending_preempts;
 	double share; /* of the target's capacity that this node is entitled to */
@@ -170,16 +196,20 @@
 	uint64_t report_seq;
 	bct_time_t report_at;		     /* the time that the latest report describes */
 	uint32_t running_by_tier[BCT_TIERS]; /* as last reported */
+	uint32_t own_by_tier[BCT_TIERS];     /* attempts of this node */
+	uint32_t sent_by_tier[BCT_TIERS];    /* by this node since */
 	uint16_t index;			     /* in core.ups; names it in the prefix index */
 	bct_prefix_feed_t feed;
 	bct_list_t attempts; /* newest last */
 	bct_target_t *targets[BCT_MODELS_PER_UPSTREAM];
-	uint32_t open_pos[BCT_MODELS_PER_UPSTREAM]; /* in targets[i]->open, plus 1; 0: not there */
+	/* In targets[i]->sets[set], plus 1; 0: not there. */
+	uint32_t pos[BCT_SETS][BCT_MODELS_PER_UPSTREAM];
 	bool in_subset[BCT_MODELS_PER_UPSTREAM];
 	uint32_t n_targets;
 	bct_time_t down_until; /* after a failure or a busy answer */
 	uint32_t failures;     /* in a row */
 	bct_heap_node_t wake;
+	bool slow;	   /* too slow for the targets of most work */
 	double speed;	   /* observed to expected progress, smoothed; 1: as expected */
 	bct_sreq_t *alone; /* a suspect that has, or waits for, this upstream to itself */
 	int64_t told_outstanding;
@@ -225,8 +255,11 @@
 } bct_route_t;
 
 /* sched.c */
+void bct_core_state(bct_core_t *c, bct_sreq_t *r, bct_req_state_t state);
+uint8_t bct_core_priority(const bct_sreq_t *r);
 void bct_core_trace(bct_core_t *c, bct_time_t now, bct_trace_type_t type, const bct_sreq_t *r,
 		    uint64_t upstream_key, uint64_t value);
+void bct_core_trace_level(bct_core_t *c, bct_time_t now, const bct_target_t *t);
 bct_limit_fleet_t bct_core_limit_fleet(const bct_core_t *c);
 
 /* setup.c: objects of the configuration. */
@@ -236,11 +269,15 @@
 
 /* upstream.c: health and capacity of upstreams. */
 bool bct_up_usable(const bct_up_t *u);
+uint32_t bct_up_reserved(const bct_up_t *u);
+void bct_up_slow_check(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_share(bct_core_t *c, bct_up_t *u);
 void bct_up_count_usable(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_up_failed(bct_core_t *c, bct_time_t now, bct_up_t *u, uint32_t hold_ms);
+void bct_up_reserve(bct_core_t *c, bct_time_t now, bct_up_t *u, bct_sreq_t *r);
+void bct_up_release(bct_core_t *c, bct_up_t *u);
 void bct_up_answered(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_report(bct_core_t *c, bct_time_t now, const bct_report_t *r);
 void bct_up_leaving(bct_core_t *c, bct_time_t now, uint64_t key, bool leaving);
@@ -257,18 +294,23 @@
 
 /* shed.c: which request gives way when there is too much. */
 bct_refuse_t bct_shed_admit(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
+void bct_shed_level(bct_core_t *c, bct_time_t now, bct_target_t *t);
+bool bct_shed_pressed(const bct_tier_t *tier, bct_time_t now);
 void bct_shed_drained(bct_target_t *t, bct_time_t now, int64_t cost_tokens);
 
 /* dispatch.c: from queue to upstream. */
 void bct_dispatch_target(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max);
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
 void bct_dispatch_ready(bct_core_t *c, bct_target_t *t);
 void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_dispatch_hold(bct_core_t *c, bct_sreq_t *r, bct_time_t until);
 void bct_dispatch_timer(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
+void bct_dispatch_handover(bct_core_t *c, bct_time_t now, bct_up_t *u, bct_target_t *t,
+			   uint8_t tier);
 void bct_dispatch_alone(bct_core_t *c, bct_time_t now, bct_up_t *u);
 
 /* preempt.c: room for a higher tier. */
-bct_sreq_t *bct_preempt_victim(const bct_target_t *t, uint8_t tier);
+bool bct_preempt_allowed(const bct_sreq_t *r);
 void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t);
 
 /* attempt.c: the life of an attempt. */
@@ -282,7 +324,11 @@
 		      const bct_attempt_end_t *end);
 
 /* route.c: which upstream. */
-bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r);
+bct_route_t bct_route_choose(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
+			     bct_set_t set);
+bct_route_t bct_route_over(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r);
+bct_route_t bct_route_to(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
+			 bct_up_t *u);
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u);
 bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r);
 
--- a/standin/fake_platform.c
+++ b/standin/fake_platform.c
@@ -89,7 +89,7 @@
 	bct_list_t *el;
 	stream_t *s;
 
-	bct_list_for_each (el, &plat.streams) {
+	bct_list_for_each(el, &plat.streams) {
 		s = bct_container_of(el, stream_t, link);
 		if (strcmp(s->name, name) == 0)
 			return s;
@@ -256,7 +256,8 @@
 	if (plat.hang)
 		return bct_fake_wait(req, BCT_TIME_NEVER);
 	if (plat.refuse)
-		return bct_fake_reply(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL);
+		return bct_fake_reply(req, MHD_HTTP_SERVICE_UNAVAILABLE,
+				      json_pack("{s:b}", "appended", 0));
 	if (hit(&plat.reset))
 		return bct_fake_reset(req);
 	if (plat.slow_ms > 0 && req->step == STEP_NEW) {
