--- a/bench/model.c
+++ b/bench/model.c
@@ -53,6 +53,26 @@
 	bct_free(d->bounces);
 }
 
+/* For the checker of traces, which cannot know that a caller lost its node. */
+static void trace_cut(bct_model_drive_t *d, const bct_model_req_t *r)
+{
+	const bct_model_class_t *k = bct_model_drive_class(d, r);
+
+	if (!d->fleet.trace)
+		return;
+	d->fleet.trace(d->fleet.trace_ctx,
+		       &(bct_trace_t){
+			       .type = BCT_TRACE_END,
+			       .now = d->now,
+			       .node_key = d->fleet.nodes[r->node].key,
+			       .req_id = r->desc.req_id,
+			       .account_key = r->desc.account_key,
+			       .target_key = bct_hash_str(bct_model_pool_name(k->pool)),
+			       .value = BCT_OUTCOME_CANCELLED,
+			       .tier = k->tier,
+		       });
+}
+
 /* A node dies: its callers' connections break, its attempts stop. */
 static void node_death(bct_model_drive_t *d, uint32_t node)
 {
@@ -66,6 +86,7 @@
 			d->result->generated_tokens += bct_model_engine_cancel(
 				&d->engines[r->engine], r->attempt_id, &started);
 		bct_model_drive_set(d, r, BCT_MODEL_CUT);
+		trace_cut(d, r);
 	}
 	bct_model_fleet_kill(&d->fleet, d->now, node);
 }
--- a/bench/model_deploy.h
+++ b/bench/model_deploy.h
@@ -24,6 +24,9 @@
 /* bct_model_account_share(3): permille of the requests that an account sends; few are large. */
 uint32_t bct_model_account_share(const bct_model_deployment_t *d, uint32_t account_idx);
 
+/* bct_model_pool_name(3): the name of the model that a pool serves. */
+const char *bct_model_pool_name(bct_model_pool_t pool);
+
 uint32_t bct_model_engine_count(const bct_model_deployment_t *d);
 bct_model_pool_t bct_model_engine_pool(const bct_model_deployment_t *d, uint32_t engine_idx);
 
--- a/bench/model_drive.c
+++ b/bench/model_drive.c
@@ -68,7 +68,15 @@
 
 /* Engine events. */
 
-static void drive_started(void *ctx, const bct_model_stream_t *s, uint32_t cached_tokens)
+static void drive_prefilling(void *ctx, const bct_model_stream_t *s, uint32_t cached_tokens)
+{
+	bct_model_drive_t *d = ctx;
+
+	d->result->cached_tokens += cached_tokens;
+	d->result->prefilled_tokens += (uint64_t)s->prefill_left;
+}
+
+static void drive_started(void *ctx, const bct_model_stream_t *s)
 {
 	bct_model_drive_t *d = ctx;
 	bct_model_req_t *r = &d->load.reqs[s->req];
@@ -76,8 +84,6 @@
 	r->runs++;
 	if (r->runs > 1 && !r->desc.repeatable)
 		breach(d, BCT_MODEL_BREACH_DOUBLED);
-	d->result->cached_tokens += cached_tokens;
-	d->result->prefilled_tokens += (uint64_t)s->prefill_left;
 }
 
 static void drive_tokens(void *ctx, const bct_model_stream_t *s)
@@ -142,6 +148,7 @@
 }
 
 const bct_model_engine_ops_t bct_model_drive_engine_ops = {
+	.prefilling = drive_prefilling,
 	.started = drive_started,
 	.tokens = drive_tokens,
 	.ended = drive_ended,
