--- a/node/poller.c
+++ b/node/poller.c
@@ -17,6 +17,7 @@
 #define EVENTS_AT_ONCE 512
 #define DUE_AT_ONCE 64
 #define TICK_MS 100
+#define FORGET_MS 10000 /* an engine that was not due for so long is another node's */
 
 typedef struct engine {
 	bct_list_t link;
@@ -28,6 +29,7 @@
 	CURL *easy;
 	bct_buf_t body;
 	uint64_t next_event;
+	bct_time_t last_ask;
 	bct_time_t last_ok; /* 0: never */
 	uint32_t failures;  /* in a row */
 	bct_report_t report;
@@ -84,6 +86,7 @@
 		return NULL;
 	}
 	e->key = u->key;
+	e->last_ask = bct_clock_now();
 	snprintf(e->name, sizeof(e->name), "%s", u->name);
 	bct_buf_init(&e->body, MAX_ANSWER_BYTES);
 	curl_easy_setopt(e->easy, CURLOPT_PRIVATE, (char *)e);
@@ -110,15 +113,16 @@
 	bct_free(e);
 }
 
-/* Forgets engines that the configuration does not name any more. */
+/* Forgets engines that the configuration does not name any more, or that others watch now. */
 static void drop_unknown(bct_poller_t *p, const bct_conf_t *conf)
 {
+	bct_time_t now = bct_clock_now();
 	bct_list_t *el, *tmp;
 
 	bct_list_for_each_safe(el, tmp, &p->engines) {
 		engine_t *e = bct_container_of(el, engine_t, link);
 
-		if (!bct_conf_upstream(conf, e->key))
+		if (!bct_conf_upstream(conf, e->key) || now - e->last_ask > FORGET_MS)
 			drop(p, e);
 	}
 }
@@ -219,7 +223,10 @@
 
 	if (!e)
 		e = add(p, u);
-	if (!e || e->busy)
+	if (!e)
+		return;
+	e->last_ask = bct_clock_now();
+	if (e->busy)
 		return;
 	set_base(e, u);
 	ask(p, e, false);
--- /dev/null
+++ b/tests/proc_embed.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# The embedding example runs and its job runs once.
+set -eu
+BIN=${BIN:-build/bin}
+"$BIN/embed" | grep -q 'the job ran 1 time' || { echo "proc_embed: the job did not run once" >&2; exit 1; }
+echo "proc_embed: passed"
