Leases over the log: pure state machine, proof by long walks

Cause: orders to engines need one actor, and no node may compare clocks. Conclusion: at most one valid holder, tokens grow.

--- /dev/null
+++ b/schema/lease.x
@@ -0,0 +1,21 @@
+/*
+ * lease.x - records of the lease stream of the platform's log.
+ */
+
+const BCT_XLEASE_NAME_BYTES = 47;
+
+enum bct_xlease_kind {
+	BCT_XLEASE_CLAIM = 1,
+	BCT_XLEASE_RENEW = 2,
+	BCT_XLEASE_RELEASE = 3
+};
+
+struct bct_xlease_record {
+	bct_xlease_kind kind;
+	string name<BCT_XLEASE_NAME_BYTES>;
+	unsigned hyper id;		/* random; the writer knows its own record by it */
+	unsigned hyper holder;		/* incarnation */
+	unsigned hyper seen;		/* CLAIM: offset + 1 of the lease's last record, 0: none */
+	unsigned hyper token;		/* RENEW, RELEASE: the claim's offset + 1 */
+	unsigned int ttl_ms;
+};
--- /dev/null
+++ b/tests/test_lease.c
@@ -0,0 +1,225 @@
+/*
+ * test_lease.c - long walks of three nodes on one lease: lost answers, stray and late records,
+ * pauses, crashes. At most one node is valid at any time, and tokens grow.
+ */
+#include "base/err.h"
+#include "base/rng.h"
+#include "coord/lease.h"
+
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NODES 3
+#define LOG_MAX 400
+#define STEPS 600
+#define DEFAULT_WALKS 3000
+#define TTL_MS 100
+#define MARGIN_MS 10
+
+static char lease_name[] = "placement";
+
+typedef struct node {
+	bct_lease_t lease;
+	uint32_t next;
+	bct_xlease_record flying;
+	bool has_flying;
+	bool paused;
+	uint64_t token; /* highest that it was valid with */
+} node_t;
+
+typedef struct world {
+	node_t nodes[NODES];
+	bct_xlease_record log[LOG_MAX];
+	uint32_t n_log;
+	bct_time_t now;
+	uint64_t last_id;
+	uint64_t top_token; /* highest that any node was valid with */
+	uint32_t terms;
+	const char *breach;
+} world_t;
+
+static void boot(world_t *w, uint32_t i)
+{
+	node_t *n = &w->nodes[i];
+	bct_lease_opts_t opts = {
+		.name = "placement",
+		.incarnation = ++w->last_id,
+		.ttl_ms = TTL_MS,
+		.renew_ms = TTL_MS / 3,
+		.margin_ms = MARGIN_MS,
+		.delay_ms = 5 * i,
+	};
+
+	memset(n, 0, sizeof(*n));
+	bct_lease_init(&n->lease, &opts, w->now);
+}
+
+static void land(world_t *w, node_t *n)
+{
+	if (!n->has_flying || w->n_log == LOG_MAX)
+		return;
+	w->log[w->n_log] = n->flying;
+	/* The name of a record in the log must outlive the node that wrote it. */
+	w->log[w->n_log++].name = lease_name;
+	n->has_flying = false;
+}
+
+static void send_next(world_t *w, node_t *n)
+{
+	bct_xlease_record r;
+
+	if (!bct_lease_next(&n->lease, w->now, ++w->last_id, &r))
+		return;
+	/* An older record that still flies is lost for good. */
+	n->flying = r;
+	n->has_flying = true;
+}
+
+static void read_all(world_t *w, node_t *n)
+{
+	for (; n->next < w->n_log; n->next++)
+		bct_lease_apply(&n->lease, w->now, n->next, &w->log[n->next]);
+}
+
+static void check(world_t *w)
+{
+	uint32_t valid = 0;
+
+	for (uint32_t i = 0; i < NODES; i++) {
+		node_t *n = &w->nodes[i];
+
+		if (!bct_lease_valid(&n->lease, w->now))
+			continue;
+		valid++;
+		if (n->lease.token < w->top_token)
+			w->breach = "an older token is valid";
+		if (n->lease.token > w->top_token) {
+			w->top_token = n->lease.token;
+			w->terms++;
+		}
+	}
+	if (valid > 1)
+		w->breach = "two nodes are valid";
+}
+
+static void step(world_t *w, bct_rng_t *rng)
+{
+	uint32_t i = bct_rng_below(rng, NODES);
+	node_t *n = &w->nodes[i];
+	uint32_t dice = bct_rng_below(rng, 100);
+
+	w->now += bct_rng_below(rng, 8);
+	if (dice < 2)
+		n->paused = true;
+	else if (dice < 8)
+		n->paused = false;
+	else if (dice < 9)
+		boot(w, i);
+	else if (dice < 11)
+		bct_lease_want(&n->lease, bct_rng_below(rng, 2));
+	else if (dice < 14 && n->has_flying)
+		bct_lease_failed(&n->lease, n->flying.id), n->has_flying = false;
+	else if (dice < 45)
+		land(w, n);
+	else if (dice < 75 && !n->paused)
+		read_all(w, n);
+	else if (!n->paused)
+		send_next(w, n);
+}
+
+static uint32_t walk(uint64_t seed)
+{
+	static world_t w;
+	bct_rng_t rng;
+
+	memset(&w, 0, sizeof(w));
+	w.now = 1000;
+	bct_rng_seed(&rng, seed);
+	for (uint32_t i = 0; i < NODES; i++)
+		boot(&w, i);
+	for (uint32_t i = 0; i < STEPS && !w.breach; i++) {
+		step(&w, &rng);
+		check(&w);
+	}
+	cr_assert_null(w.breach, "seed %llu: %s", (unsigned long long)seed, w.breach);
+	return w.terms;
+}
+
+Test(lease, at_most_one_valid_holder)
+{
+	const char *env = getenv("BCT_LEASE_WALKS");
+	uint64_t walks = env ? strtoull(env, NULL, 10) : DEFAULT_WALKS;
+	uint64_t terms = 0;
+
+	for (uint64_t seed = 1; seed <= walks; seed++)
+		terms += walk(seed);
+	cr_assert_gt(terms, walks, "holders hardly changed: %llu", (unsigned long long)terms);
+}
+
+Test(lease, paused_holder_wakes_without_the_lease)
+{
+	static world_t w;
+	node_t *a = &w.nodes[0], *b = &w.nodes[1];
+
+	memset(&w, 0, sizeof(w));
+	w.now = 1000;
+	boot(&w, 0);
+	boot(&w, 1);
+	send_next(&w, a);
+	land(&w, a);
+	read_all(&w, a);
+	read_all(&w, b);
+	cr_assert(bct_lease_valid(&a->lease, w.now));
+	/* a is paused; b waits the time to live and the margin, and takes over. */
+	w.now += TTL_MS + MARGIN_MS + 5;
+	send_next(&w, b);
+	land(&w, b);
+	read_all(&w, b);
+	cr_assert(bct_lease_valid(&b->lease, w.now));
+	cr_assert_gt(b->lease.token, a->lease.token);
+	cr_assert(!bct_lease_valid(&a->lease, w.now), "the woken holder acts before it has read");
+	read_all(&w, a);
+	cr_assert(!bct_lease_valid(&a->lease, w.now));
+}
+
+Test(lease, release_hands_over_at_once)
+{
+	static world_t w;
+	node_t *a = &w.nodes[0], *b = &w.nodes[1];
+
+	memset(&w, 0, sizeof(w));
+	w.now = 1000;
+	boot(&w, 0);
+	boot(&w, 1);
+	send_next(&w, a);
+	land(&w, a);
+	read_all(&w, a);
+	bct_lease_want(&a->lease, false);
+	cr_assert(!bct_lease_valid(&a->lease, w.now));
+	send_next(&w, a);
+	land(&w, a);
+	read_all(&w, b);
+	w.now += 5;
+	send_next(&w, b);
+	land(&w, b);
+	read_all(&w, b);
+	cr_assert(bct_lease_valid(&b->lease, w.now));
+}
+
+Test(lease, record_survives_the_codec_and_damage_is_refused)
+{
+	bct_xlease_record r = { .kind = BCT_XLEASE_CLAIM, .name = lease_name, .id = 7, .seen = 9 };
+	bct_xlease_record back;
+	uint8_t data[256];
+	uint32_t len;
+
+	cr_assert_eq(bct_lease_encode(&r, data, sizeof(data), &len), 0);
+	cr_assert_eq(bct_lease_decode(data, len, &back), 0);
+	cr_assert_str_eq(back.name, "placement");
+	cr_assert_eq(back.seen, 9);
+	bct_lease_record_free(&back);
+	for (uint32_t cut = 0; cut < len; cut++)
+		cr_assert_eq(bct_lease_decode(data, cut, &back), -BCT_ECODEC);
+	cr_assert_eq(bct_lease_encode(&r, data, 8, &len), -BCT_ETOO_LARGE);
+}
