--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -175,6 +175,56 @@
 	bct_config_free(&s);
 }
 
+/* Everything that builds a record or a state, in a row. returns the first failure. */
+static int encode_and_restore(const bct_config_state_t *s, const json_t *doc)
+{
+	bct_config_state_t restored;
+	bct_config_boot_t boot;
+	bct_buf_t rec;
+	int rc;
+
+	bct_buf_init(&rec, 0);
+	rc = bct_config_change_encode(s, doc, 2, "tester", 1, &rec);
+	bct_buf_clear(&rec);
+	if (!rc)
+		rc = bct_config_snapshot_encode(s, "vm", 1, &rec);
+	if (!rc) {
+		bct_config_boot_init(&boot, 0);
+		boot.next = s->next;
+		bct_config_boot_record(&boot, rec.data, (uint32_t)rec.len_bytes);
+		rc = bct_config_boot_finish(&boot, &restored);
+		bct_config_boot_free(&boot);
+	}
+	if (!rc) {
+		cr_assert_eq(restored.revision, s->revision);
+		cr_assert_eq(memcmp(&restored.digest, &s->digest, sizeof(s->digest)), 0);
+		bct_config_free(&restored);
+	}
+	bct_buf_free(&rec);
+	return rc;
+}
+
+Test(config, want_of_memory_while_encoding_and_starting_is_reported_as_such)
+{
+	bct_config_state_t s;
+	json_t *doc = util_doc(20);
+	int step, rc = -BCT_ENOMEM, failed = 0;
+
+	bct_config_init(&s);
+	change(&s, &s, 10, 1);
+	for (step = 0; rc && step < MEMORY_STEPS; step++) {
+		bct_mem_fail_after(step);
+		rc = encode_and_restore(&s, doc);
+		bct_mem_fail_after(-1);
+		failed += rc != 0;
+		cr_assert(rc == 0 || rc == -BCT_ENOMEM, "step %d: %s", step, bct_err_name(rc));
+	}
+	cr_assert_eq(rc, 0);
+	cr_assert_gt(failed, 10);
+	json_decref(doc);
+	bct_config_free(&s);
+}
+
 /*
  * A log made at random, and what a naive reader makes of it: a list of ids judged and one number.
  * Nobody else in this file knows the order of checks of coord/config.c.
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -2,6 +2,7 @@
  * test_config_store.c - the store over an embedded platform: outages, peers, snapshots, expiry.
  */
 #include "base/err.h"
+#include "base/mem.h"
 #include "coord/conf_json.h"
 #include "coord/config_store.h"
 #include "coord/platform_embedded.h"
@@ -11,6 +12,7 @@
 #include <string.h>
 
 #define STEPS 6
+#define MEMORY_STEPS 80
 
 /* Revisions seen by the callback; a lower one than before fails the test. */
 typedef struct node {
@@ -294,3 +296,27 @@
 	bct_config_free(&st);
 	bct_platform_free(p);
 }
+
+Test(config_store, want_of_memory_at_any_step_delays_but_does_not_lose)
+{
+	for (int step = 0; step < MEMORY_STEPS; step++) {
+		bct_platform_t *p;
+		bct_config_state_t st;
+		node_t n;
+
+		bct_platform_embedded_new(NULL, &p);
+		bct_config_init(&st);
+		publish(p, &st, 10, 1);
+		publish(p, &st, 20, 2);
+		start(&n, p, 1);
+		bct_mem_fail_after(step);
+		run(&n);
+		bct_mem_fail_after(-1);
+		run(&n);
+		cr_assert_eq(n.seen, 2, "step %d", step);
+		cr_assert_eq(n.context, 20, "step %d", step);
+		bct_config_store_free(n.store);
+		bct_config_free(&st);
+		bct_platform_free(p);
+	}
+}
