policy: overcommit only within the target, smaller loans on a floor

Cause: at 3 times capacity up to 63 tier-2 requests sat in engine queues beyond their target, and loans of 8 requests a node gave tier 5 a fifth of the slots. Change: a full engine is used only if the first token is predicted in time, and a tier borrows one request.

--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -5,7 +5,8 @@
 #include "policy/sched_int.h"
 
 #define ATTEMPT_TTFT_GRACE_MS 500 /* a first token this much later is not the engine's fault */
-#define ATTEMPT_LOOK_TOKENS 16	  /* fewer say little of the speed */
+#define ATTEMPT_SERVICE_SMOOTHING 0.02
+#define ATTEMPT_LOOK_TOKENS 16 /* fewer say little of the speed */
 
 /* Unique over nodes and restarts, as the incarnation is mixed in; never 0. */
 static uint64_t attempt_new_id(bct_core_t *c)
@@ -113,10 +114,14 @@
 	attempt_look_at_speed(c, now, r);
 }
 
-static void attempt_count_out(bct_sreq_t *r)
+static void attempt_count_out(bct_time_t now, bct_sreq_t *r)
 {
-	bct_tier_t *tier = &r->target->tiers[r->tier - 1];
+	bct_target_t *t = r->target;
+	bct_tier_t *tier = &t->tiers[r->tier - 1];
 
+	if (r->first_token_at != BCT_TIME_NEVER)
+		t->service_ms += ATTEMPT_SERVICE_SMOOTHING *
+				 ((double)(now - r->dispatched_at) - t->service_ms);
 	tier->n_running--;
 	r->up->own_by_tier[r->tier - 1]--;
 	if (r->stop == BCT_STOP_PREEMPT)
@@ -138,7 +143,7 @@
 	bct_list_del(&r->line);
 	bct_list_del(&r->up_link);
 	bct_heap_del(&c->timers, &r->timer);
-	attempt_count_out(r);
+	attempt_count_out(now, r);
 	bct_load_ended(&u->load, now, r->prefill_tokens, r->first_token_at != BCT_TIME_NEVER);
 	if (u->alone == r)
 		bct_up_release(c, u);
--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -128,7 +128,7 @@
 {
 	uint8_t urgent = r->target->urgent_tier;
 
-	return !urgent || r->granted || r->tier <= urgent ? BCT_SET_OPEN : BCT_SET_ROOMY;
+	return r->granted || r->tier <= urgent ? BCT_SET_OPEN : BCT_SET_ROOMY;
 }
 
 /* Work that missed its target; a slow upstream can do no more harm to it. */
@@ -301,7 +301,8 @@
 		return;
 	if (r->tier >= tier && (own_up_to(u, r->tier) >= u->load.quota || !bct_load_room(&u->load)))
 		return;
-	if (dispatch_set(r) == BCT_SET_ROOMY && bct_load_room(&u->load) <= bct_up_reserved(u))
+	if (dispatch_set(r) == BCT_SET_ROOMY && r->tier >= tier &&
+	    bct_load_room(&u->load) <= bct_up_reserved(u, t))
 		return;
 	if (dispatch_if_suspect(c, now, r))
 		return;
@@ -310,19 +311,23 @@
 		dispatch_on(c, now, r, &route);
 }
 
-/* Without an open upstream: to an engine that makes room by itself. Returns whether r left. */
-bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
+/*
+ * Without an open upstream: to an engine that makes room by itself, if the first token is
+ * predicted within a time. Returns whether r left.
+ */
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r, double within_ms)
 {
 	bct_route_t route;
 
 	if (dispatch_if_suspect(c, now, r))
 		return true;
-	if (dispatch_set(r) != BCT_SET_OPEN)
+	if (r->target->urgent_tier && dispatch_set(r) != BCT_SET_OPEN)
 		return false;
 	route = bct_route_over(c, now, r->target, r);
-	if (route.up)
-		dispatch_on(c, now, r, &route);
-	return route.up != NULL;
+	if (!route.up || route.ttft_ms > within_ms)
+		return false;
+	dispatch_on(c, now, r, &route);
+	return true;
 }
 
 /* No upstream can be used, and the time to wait for one is over. */
--- a/policy/preempt.c
+++ b/policy/preempt.c
@@ -8,6 +8,7 @@
 #define PREEMPT_PENDING_MAX 4	  /* cancelled for one target and not yet ended */
 #define PREEMPT_SCAN_MAX 8
 #define PREEMPT_SUNK_TOKENS_MAX 400 /* output; a longer stream would be too much to lose */
+#define PREEMPT_ANY_MS 1e9	    /* however long it takes */
 #define PREEMPT_WAIT_DIVISOR 4	    /* part of its target that a request waits first */
 
 /* Whether the attempt that r has just begun may be cancelled for a higher tier. */
@@ -75,22 +76,24 @@
 void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
 {
 	bct_sreq_t *head = highest_head(t, now);
+	double within_ms;
 	bct_time_t at;
 
 	/* The floor's claim delays the higher tiers; it preempts nobody. */
 	if (!bct_list_empty(&t->granted)) {
 		head = bct_container_of(t->granted.next, bct_sreq_t, line);
-		if (bct_dispatch_over(c, now, head))
+		if (bct_dispatch_over(c, now, head, PREEMPT_ANY_MS))
 			bct_dispatch_ready(c, t);
 		return;
 	}
 	if (!head || !t->n_ups || now >= t->unusable_at)
 		return;
+	within_ms = (double)(head->desc.arrived + head->terms->ttft_ms - now);
 	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
 	if (now < at) {
 		bct_heap_set(&c->target_wakes, &t->wake, at);
 		return;
 	}
-	if (!preempt_for(c, now, t, head) && bct_dispatch_over(c, now, head))
+	if (!preempt_for(c, now, t, head) && bct_dispatch_over(c, now, head, within_ms))
 		bct_dispatch_ready(c, t);
 }
--- a/policy/route.c
+++ b/policy/route.c
@@ -91,6 +91,11 @@
 	double busy = (double)(l->own + l->others) / l->slots;
 	double age_ms = u->report_at ? (double)(s->now - u->report_at) : 0;
 	double ms = ahead / u->prefill_tokens_per_ms + busy * ROUTE_BATCH_MS;
+	uint32_t used = l->own + l->others;
+
+	/* Each slot ends on its own; a full engine frees one after a part of a service time. */
+	if (used >= l->slots)
+		ms += (used - l->slots + 1) * s->t->service_ms / l->slots;
 
 	return ms * (1 + age_ms / ROUTE_AGE_DOUBLES_MS);
 }
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -139,8 +139,8 @@
 
 /* Upstreams of a target that can take one more request. */
 typedef enum bct_set {
-	BCT_SET_OPEN = 0, /* of any tier */
-	BCT_SET_ROOMY,	  /* also of the tiers that leave a reserve to the urgent ones */
+	BCT_SET_OPEN = 0, /* urgent */
+	BCT_SET_ROOMY,	  /* of any tier: within this node's part and beyond the reserve */
 	BCT_SET_SLOW,	  /* only where it is too late for the target anyway */
 	BCT_SETS,
 } bct_set_t;
@@ -161,7 +161,9 @@
 	bct_up_t **ups; /* the upstreams that this node uses for it */
 	uint32_t n_ups;
 	bct_up_set_t sets[BCT_SETS];
-	uint8_t urgent_tier; /* the lowest tier whose requests cannot wait for a slot; 0: none */
+	uint8_t urgent_tier; /* the lowest tier that goes before others and cannot wait; 0: none */
+	uint8_t lowest_tier; /* of its classes */
+	double service_ms;   /* that an attempt takes, smoothed */
 	uint32_t cap_ups;
 	uint32_t want_ups; /* of the configuration being put in force */
 	uint32_t n_usable; /* not leaving */
@@ -269,7 +271,7 @@
 
 /* upstream.c: health and capacity of upstreams. */
 bool bct_up_usable(const bct_up_t *u);
-uint32_t bct_up_reserved(const bct_up_t *u);
+uint32_t bct_up_reserved(const bct_up_t *u, const bct_target_t *t);
 void bct_up_slow_check(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u);
@@ -300,7 +302,7 @@
 
 /* dispatch.c: from queue to upstream. */
 void bct_dispatch_target(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max);
-bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r, double within_ms);
 void bct_dispatch_ready(bct_core_t *c, bct_target_t *t);
 void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_dispatch_hold(bct_core_t *c, bct_sreq_t *r, bct_time_t until);
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -213,6 +213,8 @@
 	terms->repeatable = cc->repeatable;
 	terms->seen = true;
 	tier = &terms->target->tiers[cc->tier - 1];
+	if (cc->tier > terms->target->lowest_tier)
+		terms->target->lowest_tier = cc->tier;
 	if (cc->ttft_ms && cc->ttft_ms <= SETUP_URGENT_TTFT_MS &&
 	    cc->tier > terms->target->urgent_tier)
 		terms->target->urgent_tier = cc->tier;
@@ -258,12 +260,24 @@
 	}
 	pos = 0;
 	while ((t = bct_map_next(&c->targets, &pos))) {
-		t->urgent_tier = 0;
+		t->urgent_tier = t->lowest_tier = 0;
 		for (i = 0; i < BCT_TIERS; i++)
 			t->tiers[i].floor_permille = SETUP_FLOOR_MIN_PERMILLE;
 	}
 }
 
+/* Where everything is urgent, nothing is. */
+static void setup_urgent(bct_core_t *c)
+{
+	uint32_t pos = 0;
+	bct_target_t *t;
+
+	while ((t = bct_map_next(&c->targets, &pos))) {
+		if (t->urgent_tier == t->lowest_tier)
+			t->urgent_tier = 0;
+	}
+}
+
 int bct_setup_configure(bct_core_t *c, bct_time_t now, bct_conf_t *conf)
 {
 	uint32_t i, k;
@@ -281,6 +295,7 @@
 	}
 	for (i = 0; i < conf->n_upstreams; i++)
 		apply_upstream(c, &conf->upstreams[i]);
+	setup_urgent(c);
 	bct_conf_ref(conf);
 	bct_conf_unref(c->conf);
 	c->conf = conf;
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -10,8 +10,8 @@
 #define SHED_HARD_FACTOR 2     /* on max_queued: past it even granted work gives way */
 #define SHED_PRESS_MIN_MS 1000 /* overload must last this long to count for the fleet */
 #define SHED_PRESS_GAP_MS 2000 /* after which it is over */
-#define SHED_FLOOR_BORROW_REQUESTS 8
-#define SHED_FLOOR_WAITING_MAX 8 /* the floor's claims that wait for an upstream */
+#define SHED_FLOOR_BORROW_REQUESTS 1
+#define SHED_FLOOR_WAITING_MAX 2 /* the floor's claims that wait for an upstream */
 #define SHED_DRAIN_WINDOW_MS 1000
 #define SHED_DRAIN_SMOOTHING 0.3
 
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -63,9 +63,9 @@
 }
 
 /* Slots that the tiers which can wait leave free, so that an urgent request finds one. */
-uint32_t bct_up_reserved(const bct_up_t *u)
+uint32_t bct_up_reserved(const bct_up_t *u, const bct_target_t *t)
 {
-	if (u->kind != BCT_UPSTREAM_ENGINE)
+	if (u->kind != BCT_UPSTREAM_ENGINE || !t->urgent_tier)
 		return 0;
 	return u->load.slots / UP_RESERVE_PART;
 }
@@ -74,15 +74,18 @@
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u)
 {
 	bool up = bct_up_usable(u) && now >= u->down_until && !u->alone;
-	uint32_t room = up ? bct_load_free(&u->load) : 0;
 
 	for (uint32_t k = 0; k < u->n_targets; k++) {
-		uint32_t n = u->in_subset[k] ? room : 0;
-
-		set_put(u, k, BCT_SET_OPEN, n > 0 && !u->slow);
-		set_put(u, k, BCT_SET_ROOMY, n > bct_up_reserved(u) && !u->slow);
-		set_put(u, k, BCT_SET_SLOW, n > 0 && u->slow);
-		if (n)
+		const bct_target_t *t = u->targets[k];
+		bool in = up && u->in_subset[k];
+		uint32_t room = in ? bct_load_room(&u->load) : 0;
+		uint32_t free = in ? bct_load_free(&u->load) : 0;
+
+		/* What is urgent may go wherever there is room, whoever else is entitled to it. */
+		set_put(u, k, BCT_SET_OPEN, free > 0 && !u->slow);
+		set_put(u, k, BCT_SET_ROOMY, free > bct_up_reserved(u, t) && !u->slow);
+		set_put(u, k, BCT_SET_SLOW, free > 0 && u->slow);
+		if (room)
 			bct_dispatch_ready(c, u->targets[k]);
 	}
 }
