--- a/gen/settings.c
+++ b/gen/settings.c
@@ -34,6 +34,8 @@
 	{ "keys.run_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_run_ms), 0, 0, 1000, 3600000U, false, "60000" },
 	{ "keys.flush_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_flush_ms), 0, 0, 0, 600000U, false, "15000" },
 	{ "keys.window_s", BCT_SETTING_U32, offsetof(bct_settings_t, keys_window_s), 0, 0, 60, 2000000U, false, "172800" },
+	{ "placement.interval_ms", BCT_SETTING_U32, offsetof(bct_settings_t, placement_interval_ms), 0, 0, 100, 600000U, false, "5000" },
+	{ "placement.lease_ms", BCT_SETTING_U32, offsetof(bct_settings_t, placement_lease_ms), 0, 0, 500, 600000U, false, "15000" },
 	{ "upstream.threads", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_threads), 0, 0, 1, 64U, false, "2" },
 	{ "upstream.report_ms", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_report_ms), 0, 0, 50, 60000U, false, "500" },
 	{ "upstream.max_answer_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_max_answer_bytes), 0, 0, 1024, 268435456U, false, "8388608" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -38,6 +38,8 @@
 	uint32_t keys_run_ms;
 	uint32_t keys_flush_ms;
 	uint32_t keys_window_s;
+	uint32_t placement_interval_ms;
+	uint32_t placement_lease_ms;
 	uint32_t upstream_threads;
 	uint32_t upstream_report_ms;
 	uint32_t upstream_max_answer_bytes;
@@ -47,6 +49,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 36
+#define BCT_SETTINGS_COUNT 38
 
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -13,6 +13,7 @@
 #include "node/node_config.h"
 #include "node/node_keys.h"
 #include "node/node_peer.h"
+#include "node/node_placement.h"
 #include "node/poller.h"
 
 #include <ck_pr.h>
@@ -35,6 +36,7 @@
 	bct_node_config_t *config;
 	bct_node_keys_t *keys;
 	bct_poller_t *poller;
+	bct_node_placement_t *placement;
 	uint32_t wired; /* all parts are there; until then callers and operators are put off */
 	uint32_t draining;
 	bct_time_t drain_until; /* addresses handed out before are valid until then */
@@ -166,6 +168,19 @@
 	return bct_poller_new(&opts, &n->poller);
 }
 
+static int start_placement(bct_node_t *n)
+{
+	bct_node_placement_opts_t opts = {
+		.settings = n->opts.settings,
+		.core = n->core,
+		.platform = n->platform,
+		.log = n->opts.log,
+		.incarnation = n->incarnation,
+	};
+
+	return bct_node_placement_new(&opts, &n->placement);
+}
+
 static void own_entry(bct_node_t *n, bct_entry_list_t *out)
 {
 	const bct_settings_t *s = n->opts.settings;
@@ -235,6 +250,8 @@
 		rc = start_config(n);
 	if (!rc)
 		rc = start_poller(n);
+	if (!rc)
+		rc = start_placement(n);
 	if (!rc)
 		ck_pr_store_32(&n->wired, 1);
 	return rc;
@@ -270,6 +287,7 @@
 	n->drain_until = bct_clock_now() + n->opts.settings->caller_entry_lifetime_ms;
 	if (n->peer)
 		bct_peer_set_leaving(bct_node_peer(n->peer));
+	bct_node_placement_leave(n->placement);
 	BCT_LOG(n->opts.log, BCT_EV_NODE_STOPPING,
 		BCT_U64("lifetime_ms", n->opts.settings->caller_entry_lifetime_ms),
 		BCT_U64("in_flight", bct_core_in_flight(n->core)));
@@ -312,6 +330,7 @@
 		return;
 	ck_pr_store_32(&n->wired, 0);
 	bct_admin_free(n->admin);
+	bct_node_placement_free(n->placement);
 	bct_poller_free(n->poller);
 	bct_node_peer_stop(n->peer);
 	if (n->core)
@@ -406,15 +425,17 @@
 	if (!wired(n))
 		return json_pack("{s:s, s:s}", "vm", s->vm_name, "state", "starting");
 	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64, n->incarnation);
-	return json_pack(
-		"{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:o, s:o, s:o, s:o, s:o}", "vm", s->vm_name,
-		"failure_domain", s->vm_failure_domain, "region", s->vm_region, "incarnation",
-		incarnation, "state", ck_pr_load_32(&n->draining) ? "leaving" : "serving",
-		"in_flight", (int)bct_core_in_flight(n->core), "started_ms",
-		(json_int_t)n->started_wall, "config", bct_node_config_status(n->config), "classes",
-		bct_stats_classes(bct_core_stats(n->core), bct_clock_now()), "engines",
-		bct_poller_status(n->poller), "keys", bct_keys_status(bct_node_keys(n->keys)),
-		"members", n->peer ? bct_node_peer_status(n->peer) : json_array());
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:o, s:o, s:o, s:o, s:o, s:o}", "vm",
+			 s->vm_name, "failure_domain", s->vm_failure_domain, "region", s->vm_region,
+			 "incarnation", incarnation, "state",
+			 ck_pr_load_32(&n->draining) ? "leaving" : "serving", "in_flight",
+			 (int)bct_core_in_flight(n->core), "started_ms",
+			 (json_int_t)n->started_wall, "config", bct_node_config_status(n->config),
+			 "classes", bct_stats_classes(bct_core_stats(n->core), bct_clock_now()),
+			 "engines", bct_poller_status(n->poller), "keys",
+			 bct_keys_status(bct_node_keys(n->keys)), "placement",
+			 bct_node_placement_status(n->placement), "members",
+			 n->peer ? bct_node_peer_status(n->peer) : json_array());
 }
 
 int bct_node_metrics(bct_node_t *n, bct_buf_t *out)
