--- /dev/null
+++ b/coord/config_snapshot.c
@@ -0,0 +1,64 @@
+/*
+ * config_snapshot.c - the time at which a node writes a snapshot.
+ */
+#include "coord/config_snapshot.h"
+
+#include <string.h>
+
+#define JITTER_MS 500
+
+void bct_snapshot_plan_init(bct_snapshot_plan_t *p, uint32_t max_records, uint32_t interval_ms,
+			    uint64_t seed)
+{
+	memset(p, 0, sizeof(*p));
+	p->max_records = max_records;
+	p->interval_ms = interval_ms;
+	bct_rng_seed(&p->rng, seed);
+	bct_snapshot_plan_forget(p);
+}
+
+void bct_snapshot_plan_forget(bct_snapshot_plan_t *p)
+{
+	p->seen = false;
+	p->write_at = BCT_TIME_NEVER;
+}
+
+void bct_snapshot_plan_seen(bct_snapshot_plan_t *p, bct_time_t now, uint64_t offset,
+			    bct_time_t age_ms)
+{
+	/* A wrong age only moves the next snapshot. */
+	if (age_ms < 0)
+		age_ms = 0;
+	if (age_ms > p->interval_ms)
+		age_ms = p->interval_ms;
+	p->seen = true;
+	p->offset = offset;
+	p->at = now - age_ms;
+	p->write_at = BCT_TIME_NEVER;
+}
+
+bool bct_snapshot_plan_due(const bct_snapshot_plan_t *p, bct_time_t now, uint64_t next,
+			   uint64_t oldest)
+{
+	if (!p->seen)
+		return oldest > 0 || next >= p->max_records;
+	return p->offset < oldest || next - p->offset > p->max_records ||
+	       now - p->at >= p->interval_ms;
+}
+
+bool bct_snapshot_plan_turn(bct_snapshot_plan_t *p, bct_time_t now, bool due, uint32_t rank,
+			    uint32_t delay_ms)
+{
+	if (!due) {
+		p->write_at = BCT_TIME_NEVER;
+		return false;
+	}
+	if (p->write_at == BCT_TIME_NEVER)
+		p->write_at = now + delay_ms + (bct_time_t)rank * BCT_SNAPSHOT_RANK_DELAY_MS +
+			      bct_rng_below(&p->rng, JITTER_MS);
+	if (now < p->write_at)
+		return false;
+	/* Unless it is seen in the log, it is tried again. */
+	p->write_at = now + BCT_SNAPSHOT_RANK_DELAY_MS;
+	return true;
+}
--- a/coord/config_store.c
+++ b/coord/config_store.c
@@ -7,10 +7,10 @@
 #include "coord/config_store.h"
 #include "base/err.h"
 #include "base/mem.h"
-#include "base/rng.h"
 #include "coord/conf_json.h"
 #include "coord/config.h"
 #include "coord/config_boot.h"
+#include "coord/config_snapshot.h"
 
 #include <pthread.h>
 #include <stdio.h>
@@ -19,8 +19,7 @@
 #define TIMEOUT_MS 2000
 #define SNAPSHOT_RECORDS 64
 #define SNAPSHOT_INTERVAL_MS (60 * 60 * BCT_MS_PER_S)
-#define SNAPSHOT_RANK_DELAY_MS 2000
-#define SNAPSHOT_JITTER_MS 500
+#define RESCUE_DELAY_MS (60 * BCT_MS_PER_S)
 
 /* The follower's thread alone uses this. */
 typedef struct log_side {
@@ -28,11 +27,7 @@
 	bct_config_boot_t boot;
 	bct_config_state_t state;
 	bool has_state;
-	bool has_snapshot; /* one was seen, or written, at snapshot_offset */
-	uint64_t snapshot_offset;
-	bct_time_t snapshot_at;
-	bct_time_t snapshot_due; /* when this node writes one; 0: none is due */
-	bct_rng_t rng;
+	bct_snapshot_plan_t plan;
 } log_side_t;
 
 struct bct_config_store {
@@ -136,22 +131,6 @@
 	bct_buf_free(&text);
 }
 
-static void note_snapshot(log_side_t *side, uint64_t offset, bct_time_t wall_ms,
-			  uint32_t interval_ms)
-{
-	bct_time_t age_ms = bct_clock_wall() - wall_ms;
-
-	/* Clocks of two VMs may differ; a wrong age only moves the next snapshot. */
-	if (age_ms < 0)
-		age_ms = 0;
-	if (age_ms > interval_ms)
-		age_ms = interval_ms;
-	side->has_snapshot = true;
-	side->snapshot_offset = offset;
-	side->snapshot_at = bct_clock_now() - age_ms;
-	side->snapshot_due = 0;
-}
-
 static void log_verdict(bct_config_store_t *s, const bct_config_result_t *r)
 {
 	if (r->verdict == BCT_VERDICT_ACCEPTED || r->repeat)
@@ -182,7 +161,8 @@
 	else if (rc == -BCT_EDIVERGED)
 		note_diverged(s, "a snapshot in the log", res.revision);
 	else if (res.type == BCT_XCONFIG_SNAPSHOT)
-		note_snapshot(&s->side, rec->offset, res.wall_ms, s->opts.snapshot_interval_ms);
+		bct_snapshot_plan_seen(&s->side.plan, bct_clock_now(), rec->offset,
+				       bct_clock_wall() - res.wall_ms);
 	else
 		log_verdict(s, &res);
 	return 0;
@@ -196,25 +176,29 @@
 	bct_config_boot_free(&s->side.boot);
 	bct_config_boot_init(&s->side.boot, oldest);
 	s->side.booting = true;
+	bct_snapshot_plan_forget(&s->side.plan);
 	return oldest;
 }
 
-/* Takes the state that the boot found. returns false while there is none yet. */
+/*
+ * Takes the state that the boot found. returns false while the log has none; want of memory is not
+ * that, and is tried again after the next read.
+ */
 static bool finish_boot(bct_config_store_t *s)
 {
 	log_side_t *side = &s->side;
 	bct_config_state_t found;
+	int rc = bct_config_boot_finish(&side->boot, &found);
 
-	if (bct_config_boot_finish(&side->boot, &found))
-		return false;
+	if (rc)
+		return rc != -BCT_EEXPIRED;
 	if (side->has_state && found.revision < side->state.revision)
 		note_diverged(s, "the log went back", found.revision);
 	if (side->has_state)
 		bct_config_free(&side->state);
 	side->state = found;
 	side->has_state = true;
-	side->has_snapshot = false;
-	side->snapshot_due = 0;
+	bct_snapshot_plan_forget(&side->plan);
 	side->booting = false;
 	bct_config_boot_free(&side->boot);
 	bct_log_follower_seek(s->follower, side->state.next);
@@ -231,69 +215,90 @@
 	return diverged;
 }
 
-static bool snapshot_is_due(bct_config_store_t *s, uint64_t oldest)
+static uint32_t rank_of(bct_config_store_t *s)
 {
-	const log_side_t *side = &s->side;
-	uint64_t since = side->has_snapshot ? side->state.next - side->snapshot_offset - 1
-					    : side->state.next;
-
-	if (side->state.revision == 0 || is_diverged(s))
-		return false;
-	if (since >= s->opts.snapshot_records ||
-	    (side->has_snapshot && side->snapshot_offset < oldest))
-		return true;
-	if (!side->has_snapshot)
-		return oldest > 0;
-	return bct_clock_now() - side->snapshot_at >= s->opts.snapshot_interval_ms;
+	uint32_t rank;
+
+	pthread_mutex_lock(&s->lock);
+	rank = s->rank;
+	pthread_mutex_unlock(&s->lock);
+	return rank;
 }
 
-static void write_snapshot(bct_config_store_t *s)
+static void write_snapshot(bct_config_store_t *s, const bct_config_state_t *state)
 {
 	uint64_t offset = 0;
 	bct_buf_t rec;
 	int rc;
 
 	bct_buf_init(&rec, 0);
-	rc = bct_config_snapshot_encode(&s->side.state, s->vm_name, bct_clock_wall(), &rec);
+	rc = bct_config_snapshot_encode(state, s->vm_name, bct_clock_wall(), &rec);
 	if (!rc)
 		rc = bct_platform_append(s->opts.platform, BCT_STREAM_CONFIG, rec.data,
 					 (uint32_t)rec.len_bytes, s->opts.timeout_ms, &offset);
 	bct_buf_free(&rec);
 	/* It counts once it is read back; a lost answer makes no difference. */
-	BCT_LOG(s->opts.log, BCT_EV_CONFIG_SNAPSHOT, BCT_U64("revision", s->side.state.revision),
-		BCT_U64("covered", s->side.state.next), BCT_ERR("result", rc));
+	BCT_LOG(s->opts.log, BCT_EV_CONFIG_SNAPSHOT, BCT_U64("revision", state->revision),
+		BCT_U64("covered", state->next), BCT_ERR("result", rc));
 }
 
 static void consider_snapshot(bct_config_store_t *s, uint64_t oldest)
 {
+	const bct_config_state_t *st = &s->side.state;
 	bct_time_t now = bct_clock_now();
-	uint32_t rank;
+	bool due = st->revision > 0 && !is_diverged(s) &&
+		   bct_snapshot_plan_due(&s->side.plan, now, st->next, oldest);
 
-	if (!snapshot_is_due(s, oldest)) {
-		s->side.snapshot_due = 0;
-		return;
-	}
-	if (s->side.snapshot_due == 0) {
-		pthread_mutex_lock(&s->lock);
-		rank = s->rank;
-		pthread_mutex_unlock(&s->lock);
-		s->side.snapshot_due = now + (bct_time_t)rank * SNAPSHOT_RANK_DELAY_MS +
-				       bct_rng_below(&s->side.rng, SNAPSHOT_JITTER_MS);
+	if (bct_snapshot_plan_turn(&s->side.plan, now, due, rank_of(s), 0))
+		write_snapshot(s, st);
+}
+
+/* The state as if the log had ended here with what a peer put in force. */
+static int state_from_peer(bct_config_store_t *s, uint64_t end, bct_config_state_t *out)
+{
+	bct_config_export_t e;
+	bct_json_err_t err;
+	int rc = bct_config_store_export(s, &e);
+
+	memset(out, 0, sizeof(*out));
+	if (!rc) {
+		out->doc = bct_json_parse(e.text.data, e.text.len_bytes, BCT_CONF_MAX_BYTES, &err);
+		rc = out->doc ? 0 : err.err;
 	}
-	if (now < s->side.snapshot_due)
+	out->next = end;
+	out->revision = e.revision;
+	out->digest = e.digest;
+	bct_buf_free(&e.text);
+	return rc;
+}
+
+/*
+ * All records that made the present state have expired and no node wrote a snapshot in time, as
+ * when the log was away for longer than it keeps records and all VMs were replaced meanwhile. No
+ * node can publish or follow then, unless one that has the state from a peer writes it down. It
+ * waits first, so that every node has taken the highest revision from the others.
+ */
+static void consider_rescue(bct_config_store_t *s, uint64_t end)
+{
+	bct_config_state_t state;
+	bct_digest_t digest;
+	bool due = bct_config_store_revision(s, &digest) > 0 && !is_diverged(s);
+
+	if (!bct_snapshot_plan_turn(&s->side.plan, bct_clock_now(), due, rank_of(s),
+				    s->opts.rescue_delay_ms))
 		return;
-	write_snapshot(s);
-	/* Without an answer it is tried again, no sooner than any other node would. */
-	s->side.snapshot_due = now + SNAPSHOT_RANK_DELAY_MS;
+	if (!state_from_peer(s, end, &state))
+		write_snapshot(s, &state);
+	bct_config_free(&state);
 }
 
 static void on_caught_up(void *ctx, uint64_t end, uint64_t oldest)
 {
 	bct_config_store_t *s = ctx;
 
-	(void)end;
 	if (s->side.booting) {
-		finish_boot(s);
+		if (!finish_boot(s))
+			consider_rescue(s, end);
 		return;
 	}
 	adopt_from_log(s);
@@ -314,6 +319,8 @@
 		o->snapshot_records = SNAPSHOT_RECORDS;
 	if (o->snapshot_interval_ms == 0)
 		o->snapshot_interval_ms = SNAPSHOT_INTERVAL_MS;
+	if (o->rescue_delay_ms == 0)
+		o->rescue_delay_ms = RESCUE_DELAY_MS;
 }
 
 int bct_config_store_new(const bct_config_store_opts_t *opts, bct_config_store_t **out)
@@ -340,7 +347,8 @@
 		bct_free(s);
 		return rc;
 	}
-	bct_rng_seed(&s->side.rng, opts->seed);
+	bct_snapshot_plan_init(&s->side.plan, s->opts.snapshot_records,
+			       s->opts.snapshot_interval_ms, opts->seed);
 	bct_config_boot_init(&s->side.boot, 0);
 	s->side.booting = true;
 	pthread_mutex_init(&s->adopt_lock, NULL);
--- a/tests/proc_config.sh
+++ b/tests/proc_config.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Three nodes follow published revisions: spread, a log outage, a node that starts while the log is
-# down, and a node killed and replaced. No node is ever seen at a lower revision than before.
+# down, a node killed and replaced, and one paused. No node is ever seen at a lower revision than before.
 set -eu
 . tests/lib_proc.sh
 
@@ -70,9 +70,17 @@
 node four
 everywhere "$admin_one $admin_three $admin_four" 4 10
 
+# A node sleeps through two revisions and wakes: it goes on from where it was.
+kill -STOP "$pid_three"
+publish 5
+publish 6
+everywhere "$admin_one $admin_four" 6 10
+kill -CONT "$pid_three"
+everywhere "$admin_three" 6 10
+
 "$BIN/chutectl" status --node "$admin_one" --token-file "$work/token" >"$work/page"
 [ "$(awk 'length > 80' "$work/page" | wc -l)" -eq 0 ] || { cat "$work/page"; fail "wider than 80"; }
-grep -q 'revision 4 in force' "$work/page" || { cat "$work/page"; fail "status page"; }
+grep -q 'revision 6 in force' "$work/page" || { cat "$work/page"; fail "status page"; }
 echo nobody >"$work/wrong"
 rc=0
 "$BIN/chutectl" status --node "$admin_one" --token-file "$work/wrong" >/dev/null 2>&1 || rc=$?
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -38,6 +38,19 @@
 	return 0;
 }
 
+/* A platform and the state of a replica that has read all of its log. */
+static void begin(bct_platform_t **p, bct_config_state_t *st)
+{
+	cr_assert_eq(bct_platform_embedded_new(NULL, p), 0);
+	cr_assert_eq(bct_config_init(st), 0);
+}
+
+static void end(bct_platform_t *p, bct_config_state_t *st)
+{
+	bct_config_free(st);
+	bct_platform_free(p);
+}
+
 static void start(node_t *n, bct_platform_t *p, uint32_t snapshot_records)
 {
 	memset(n, 0, sizeof(*n));
@@ -45,6 +58,7 @@
 			     &(bct_config_store_opts_t){ .platform = p,
 							 .vm_name = "vm-1",
 							 .snapshot_records = snapshot_records,
+							 .rescue_delay_ms = 1,
 							 .adopted = adopted,
 							 .ctx = n },
 			     &n->store),
@@ -57,7 +71,7 @@
 		bct_config_store_step(n->store, 0);
 }
 
-/* The state of a replica that has read all of the log. */
+/* Appends an accepted change. */
 static void publish(bct_platform_t *p, bct_config_state_t *st, uint32_t context, uint64_t id)
 {
 	bct_config_result_t res;
@@ -77,8 +91,7 @@
 	bct_config_status_t status;
 	node_t n;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	start(&n, p, 0);
 	cr_assert_null(bct_config_store_current(n.store));
 	publish(p, &st, 10, 1);
@@ -96,8 +109,7 @@
 	cr_assert_eq(n.context, 20);
 	cr_assert_eq(n.calls, 2);
 	bct_config_store_free(n.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
 }
 
 Test(config_store, callback_without_memory_is_told_again)
@@ -106,8 +118,7 @@
 	bct_config_state_t st;
 	node_t n;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	publish(p, &st, 10, 1);
 	start(&n, p, 0);
 	n.refuse = 2;
@@ -115,8 +126,7 @@
 	cr_assert_eq(n.context, 10);
 	cr_assert_eq(n.calls, 1);
 	bct_config_store_free(n.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
 }
 
 Test(config_store, starts_from_a_peer_while_the_log_is_down)
@@ -127,8 +137,7 @@
 	bct_config_status_t status;
 	node_t a, b;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	publish(p, &st, 10, 1);
 	publish(p, &st, 20, 2);
 	start(&a, p, 0);
@@ -156,8 +165,7 @@
 	cr_assert_not(status.diverged);
 	bct_config_store_free(a.store);
 	bct_config_store_free(b.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
 }
 
 Test(config_store, log_that_lags_behind_a_peer_does_not_revert)
@@ -167,8 +175,7 @@
 	bct_config_export_t e;
 	node_t a, b;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	publish(p, &st, 10, 1);
 	publish(p, &st, 20, 2);
 	start(&a, p, 0);
@@ -183,8 +190,7 @@
 	bct_buf_free(&e.text);
 	bct_config_store_free(a.store);
 	bct_config_store_free(b.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
 }
 
 Test(config_store, peers_wrong_document_gives_way_to_the_log_and_is_reported)
@@ -198,8 +204,7 @@
 	bct_json_err_t err;
 	node_t n;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	publish(p, &st, 10, 1);
 	start(&n, p, 0);
 	cr_assert_eq(bct_conf_from_json(doc, 1, &err, &conf), 0);
@@ -217,8 +222,7 @@
 	bct_conf_unref(conf);
 	json_decref(doc);
 	bct_config_store_free(n.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
 }
 
 /* Steps until the log has a snapshot: its writer waits a moment, so that one node writes it. */
@@ -244,8 +248,7 @@
 	bct_config_status_t status;
 	node_t a, b;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	publish(p, &st, 10, 1);
 	publish(p, &st, 20, 2);
 	publish(p, &st, 30, 3);
@@ -264,8 +267,7 @@
 	cr_assert_not(status.diverged);
 	bct_config_store_free(a.store);
 	bct_config_store_free(b.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
 }
 
 Test(config_store, expired_log_without_a_snapshot_leaves_a_new_node_to_its_peers)
@@ -275,8 +277,7 @@
 	bct_config_export_t e;
 	node_t a, b;
 
-	bct_platform_embedded_new(NULL, &p);
-	bct_config_init(&st);
+	begin(&p, &st);
 	publish(p, &st, 10, 1);
 	start(&a, p, 0);
 	run(&a);
@@ -293,8 +294,40 @@
 	bct_buf_free(&e.text);
 	bct_config_store_free(a.store);
 	bct_config_store_free(b.store);
-	bct_config_free(&st);
-	bct_platform_free(p);
+	end(p, &st);
+}
+
+Test(config_store, state_that_only_peers_have_is_written_back_to_an_expired_log)
+{
+	bct_platform_t *p;
+	bct_config_state_t st;
+	bct_config_export_t e;
+	bct_config_status_t status;
+	node_t a, b;
+
+	begin(&p, &st);
+	publish(p, &st, 10, 1);
+	publish(p, &st, 20, 2);
+	start(&a, p, 0);
+	run(&a);
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ .outage = true });
+	start(&b, p, 0);
+	cr_assert_eq(bct_config_store_export(a.store, &e), 0);
+	cr_assert_eq(bct_config_store_offer(b.store, &e), 0);
+	bct_buf_free(&e.text);
+	bct_config_store_free(a.store);
+	bct_platform_embedded_set_fault(p, &(bct_embedded_fault_t){ 0 });
+	bct_platform_embedded_expire(p, BCT_STREAM_CONFIG, 2);
+	run_until_end(&b, p, 3);
+	st.next++;
+	publish(p, &st, 30, 3);
+	run(&b);
+	bct_config_store_status(b.store, &status);
+	cr_assert_eq(b.context, 30);
+	cr_assert_eq(status.source, BCT_CONFIG_SOURCE_LOG);
+	cr_assert_not(status.diverged);
+	bct_config_store_free(b.store);
+	end(p, &st);
 }
 
 Test(config_store, want_of_memory_at_any_step_delays_but_does_not_lose)
@@ -304,8 +337,7 @@
 		bct_config_state_t st;
 		node_t n;
 
-		bct_platform_embedded_new(NULL, &p);
-		bct_config_init(&st);
+		begin(&p, &st);
 		publish(p, &st, 10, 1);
 		publish(p, &st, 20, 2);
 		start(&n, p, 1);
@@ -316,7 +348,6 @@
 		cr_assert_eq(n.seen, 2, "step %d", step);
 		cr_assert_eq(n.context, 20, "step %d", step);
 		bct_config_store_free(n.store);
-		bct_config_free(&st);
-		bct_platform_free(p);
+		end(p, &st);
 	}
 }
