policy: larger reserve, no overcommit but for floors, lengths learnt by tier

Cause: at 3 times capacity 3.1 to 6.1% of tokens were wasted on answers cut by their deadline, as an account's class on one node had too few answers to know its length; overcommitted requests hid behind engine queues. Change: a tier's lengths stand in until a class has 20 answers, cut answers are learnt too, only the floor's claims go to a full engine, a fifth of the slots is kept for urgent tiers, and where all tiers are urgent the upper half is.

--- a/policy/admit.c
+++ b/policy/admit.c
@@ -123,7 +123,7 @@
 	r->item.arrived = desc->arrived;
 	r->item.latest_start = admit_latest_start(terms, desc->arrived);
 	r->item.cost_tokens =
-		(int64_t)desc->prompt_tokens + bct_length_expect(&terms->length, 0, most);
+		(int64_t)desc->prompt_tokens + bct_length_expect(bct_core_length(terms), 0, most);
 	bct_list_init(&r->item.link);
 	bct_list_init(&r->outbox);
 	bct_list_init(&r->line);
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -156,10 +156,16 @@
 		bct_dispatch_alone(c, now, u);
 }
 
+static void attempt_learn_length(const bct_sreq_t *r)
+{
+	bct_length_learn(&r->terms->length, r->tokens);
+	bct_length_learn(&r->target->tiers[r->tier - 1].length, r->tokens);
+}
+
 static void attempt_finish(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_outcome_t outcome)
 {
 	if (outcome == BCT_OUTCOME_OK) {
-		bct_length_learn(&r->terms->length, r->tokens);
+		attempt_learn_length(r);
 		bct_suspect_clear(&c->suspects, now, r->desc.digest);
 	}
 	bct_admit_free(c, r);
@@ -171,6 +177,9 @@
 	if (stop == BCT_STOP_CALLER) {
 		bct_admit_free(c, r);
 	} else if (stop == BCT_STOP_DEADLINE) {
+		/* It would have been longer still; leaving it out would flatter the class. */
+		if (r->tokens > bct_core_length(r->terms)->p50_tokens)
+			attempt_learn_length(r);
 		bct_admit_refuse(c, now, r, BCT_REFUSE_DEADLINE,
 				 bct_admit_retry_ms(r->target, r->tier));
 	} else {
--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -7,7 +7,6 @@
 #define DISPATCH_SUSPECT_LOOK_MS 250 /* between looks at whether others cleared a suspect */
 #define DISPATCH_ALONE_PART 4
 #define DISPATCH_CREDIT_REQUESTS 2 /* a floor saves up no more than this many requests */
-#define DISPATCH_LEARNT_MIN 20	   /* answers after which a class's length is relied on */
 
 void bct_dispatch_ready(bct_core_t *c, bct_target_t *t)
 {
@@ -160,10 +159,10 @@
 /* The learnt length says that its deadline would cut it off: tokens spent on it are wasted. */
 static bool dispatch_hopeless(bct_time_t now, const bct_sreq_t *r, const bct_route_t *route)
 {
-	const bct_length_t *l = &r->terms->length;
+	const bct_length_t *l = bct_core_length(r->terms);
 	double left;
 
-	if (r->deadline == BCT_TIME_NEVER || !r->repeatable || l->n < DISPATCH_LEARNT_MIN ||
+	if (r->deadline == BCT_TIME_NEVER || !r->repeatable || l->n < BCT_LENGTH_KNOWN ||
 	    route->up->kind != BCT_UPSTREAM_ENGINE)
 		return false;
 	left = bct_length_high(l, r->tokens, r->desc.max_output_tokens);
@@ -311,23 +310,17 @@
 		dispatch_on(c, now, r, &route);
 }
 
-/*
- * Without an open upstream: to an engine that makes room by itself, if the first token is
- * predicted within a time. Returns whether r left.
- */
-bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r, double within_ms)
+/* The floor's claim, to a full engine that makes room by itself. Returns whether r left. */
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
 	bct_route_t route;
 
 	if (dispatch_if_suspect(c, now, r))
 		return true;
-	if (r->target->urgent_tier && dispatch_set(r) != BCT_SET_OPEN)
-		return false;
 	route = bct_route_over(c, now, r->target, r);
-	if (!route.up || route.ttft_ms > within_ms)
-		return false;
-	dispatch_on(c, now, r, &route);
-	return true;
+	if (route.up)
+		dispatch_on(c, now, r, &route);
+	return route.up != NULL;
 }
 
 /* No upstream can be used, and the time to wait for one is over. */
--- a/policy/length.h
+++ b/policy/length.h
@@ -7,6 +7,8 @@
 
 #include <stdint.h>
 
+#define BCT_LENGTH_KNOWN 20 /* answers after which the quantiles are relied on */
+
 typedef struct bct_length {
 	double p50_tokens;
 	double p90_tokens;
--- a/policy/preempt.c
+++ b/policy/preempt.c
@@ -8,8 +8,8 @@
 #define PREEMPT_PENDING_MAX 4	  /* cancelled for one target and not yet ended */
 #define PREEMPT_SCAN_MAX 8
 #define PREEMPT_SUNK_TOKENS_MAX 400 /* output; a longer stream would be too much to lose */
-#define PREEMPT_ANY_MS 1e9	    /* however long it takes */
-#define PREEMPT_WAIT_DIVISOR 4	    /* part of its target that a request waits first */
+
+#define PREEMPT_WAIT_DIVISOR 4 /* part of its target that a request waits first */
 
 /* Whether the attempt that r has just begun may be cancelled for a higher tier. */
 bool bct_preempt_allowed(const bct_sreq_t *r)
@@ -56,8 +56,7 @@
 	return NULL;
 }
 
-/* Returns whether room for the head is on its way. */
-static bool preempt_for(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *head)
+static void preempt_for(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *head)
 {
 	bct_sreq_t *victim;
 
@@ -65,35 +64,31 @@
 	       t->pending_preempts < t->tiers[head->tier - 1].queue.n) {
 		victim = lowest_victim(t, head->tier);
 		if (!victim)
-			return t->pending_preempts > 0;
+			return;
 		victim->preempts++;
 		bct_core_trace(c, now, BCT_TRACE_PREEMPT, victim, victim->up->key, head->tier);
 		bct_attempt_stop(c, now, victim, BCT_STOP_PREEMPT);
 	}
-	return true;
 }
 
 void bct_preempt_target(bct_core_t *c, bct_time_t now, bct_target_t *t)
 {
 	bct_sreq_t *head = highest_head(t, now);
-	double within_ms;
 	bct_time_t at;
 
 	/* The floor's claim delays the higher tiers; it preempts nobody. */
 	if (!bct_list_empty(&t->granted)) {
 		head = bct_container_of(t->granted.next, bct_sreq_t, line);
-		if (bct_dispatch_over(c, now, head, PREEMPT_ANY_MS))
+		if (bct_dispatch_over(c, now, head))
 			bct_dispatch_ready(c, t);
 		return;
 	}
 	if (!head || !t->n_ups || now >= t->unusable_at)
 		return;
-	within_ms = (double)(head->desc.arrived + head->terms->ttft_ms - now);
 	at = head->desc.arrived + head->terms->ttft_ms / PREEMPT_WAIT_DIVISOR;
 	if (now < at) {
 		bct_heap_set(&c->target_wakes, &t->wake, at);
 		return;
 	}
-	if (!preempt_for(c, now, t, head) && bct_dispatch_over(c, now, head, within_ms))
-		bct_dispatch_ready(c, t);
+	preempt_for(c, now, t, head);
 }
--- a/policy/sched.c
+++ b/policy/sched.c
@@ -29,6 +29,15 @@
 	return r->granted ? 1 : r->tier;
 }
 
+/* What is best known of a class's answers. */
+const bct_length_t *bct_core_length(const bct_terms_t *terms)
+{
+	const bct_length_t *all = &terms->target->tiers[terms->tier - 1].length;
+
+	return terms->length.n < BCT_LENGTH_KNOWN && all->n > terms->length.n ? all
+									      : &terms->length;
+}
+
 /* The one place where a request's state changes, so that all counts agree with it. */
 void bct_core_state(bct_core_t *c, bct_sreq_t *r, bct_req_state_t state)
 {
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -127,6 +127,7 @@
 	uint32_t n_committed; /* waiting ones that are not shed: the floor or an upstream is
 				 theirs, or their callers have output */
 	uint32_t floor_permille;
+	bct_length_t length; /* of all its classes, until one has answers enough of its own */
 	bct_length_t first_token_ms; /* from dispatch, as a running quantile */
 	int64_t credit_tokens;	     /* the floor's claim on the next dispatch */
 	bct_time_t pressed_at;	     /* when its wait last exceeded what is bearable */
@@ -259,6 +260,7 @@
 /* sched.c */
 void bct_core_state(bct_core_t *c, bct_sreq_t *r, bct_req_state_t state);
 uint8_t bct_core_priority(const bct_sreq_t *r);
+const bct_length_t *bct_core_length(const bct_terms_t *terms);
 void bct_core_trace(bct_core_t *c, bct_time_t now, bct_trace_type_t type, const bct_sreq_t *r,
 		    uint64_t upstream_key, uint64_t value);
 void bct_core_trace_level(bct_core_t *c, bct_time_t now, const bct_target_t *t);
@@ -302,7 +304,7 @@
 
 /* dispatch.c: from queue to upstream. */
 void bct_dispatch_target(bct_core_t *c, bct_time_t now, bct_target_t *t, uint32_t max);
-bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r, double within_ms);
+bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
 void bct_dispatch_ready(bct_core_t *c, bct_target_t *t);
 void bct_dispatch_grant(bct_core_t *c, bct_time_t now, bct_target_t *t);
 void bct_dispatch_hold(bct_core_t *c, bct_sreq_t *r, bct_time_t until);
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -56,6 +56,7 @@
 	bct_list_init(&t->ready);
 	for (uint32_t i = 0; i < BCT_TIERS; i++) {
 		bct_queue_init(&t->tiers[i].queue);
+		bct_length_init(&t->tiers[i].length, SETUP_LENGTH_GUESS);
 		bct_length_init(&t->tiers[i].first_token_ms, SETUP_FIRST_TOKEN_MS);
 		bct_list_init(&t->tiers[i].preemptible);
 		t->tiers[i].pressed_since = BCT_TIME_NEVER;
@@ -266,7 +267,7 @@
 	}
 }
 
-/* Where everything is urgent, nothing is. */
+/* Where every tier is urgent, the upper half of them goes before the others. */
 static void setup_urgent(bct_core_t *c)
 {
 	uint32_t pos = 0;
@@ -274,7 +275,7 @@
 
 	while ((t = bct_map_next(&c->targets, &pos))) {
 		if (t->urgent_tier == t->lowest_tier)
-			t->urgent_tier = 0;
+			t->urgent_tier = t->lowest_tier / 2;
 	}
 }
 
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -12,7 +12,7 @@
 #define UP_SLOW_ENTER 0.6
 #define UP_SLOW_LEAVE 0.8
 #define UP_IDLE_RECOVERY 0.002	 /* of the missing speed, with each report while unused */
-#define UP_RESERVE_PART 8	 /* of the slots */
+#define UP_RESERVE_PART 5	 /* of the slots */
 #define UP_UNUSABLE_HOLD_MS 5000 /* how long requests wait for any upstream to come back */
 
 bool bct_up_usable(const bct_up_t *u)
