--- a/Makefile
+++ b/Makefile
@@ -117,6 +117,10 @@
 bench-policy: $(BIN)/bench_policy
 	$(Q)$(BIN)/bench_policy
 
+# Every fault at every step, on real processes; writes docs/FAULTS.md.
+faults: programs
+	$(Q)BIN=$(BIN) sh bench/faults.sh
+
 tsan:
 	$(Q)$(MAKE) --no-print-directory SAN=thread programs races
 	$(Q)BIN=build/san-thread/bin sh tests/run_race_tests.sh
--- a/cmd/chuteload.c
+++ b/cmd/chuteload.c
@@ -25,6 +25,7 @@
 	const char *seed;
 	int duration_ms;
 	int direct;
+	int node_dies;
 	int version;
 	load_addresses_t entries, nodes, engines, services;
 	const char *headers[MAX_HEADERS + 1]; /* ends with NULL */
@@ -67,6 +68,7 @@
 		sc->duration_ms = (uint32_t)o->duration_ms;
 	if (o->label)
 		snprintf(sc->label, sizeof(sc->label), "%s", o->label);
+	sc->node_dies = sc->node_dies || o->node_dies;
 	sc->direct = sc->direct || o->direct;
 	if (!sc->direct)
 		return;
@@ -209,6 +211,8 @@
 		{ "duration-ms", 0, POPT_ARG_INT, &o.duration_ms, 0, "time of arrivals", "MS" },
 		{ "label", 0, POPT_ARG_STRING, &o.label, 0, "name of the run in reports", "NAME" },
 		{ "direct", 0, POPT_ARG_NONE, &o.direct, 0, "drive the engines themselves", NULL },
+		{ "node-dies", 0, POPT_ARG_NONE, &o.node_dies, 0,
+		  "a node is killed: callers start broken streams again", NULL },
 		{ "json", 0, POPT_ARG_STRING, &o.json_path, 0, "write the result", "FILE" },
 		{ "output", 'o', POPT_ARG_STRING, &o.output, 0, "write the report", "FILE" },
 		{ "version", 0, POPT_ARG_NONE, &o.version, 0, "print the version", NULL },
--- a/cmd/chuteload.h
+++ b/cmd/chuteload.h
@@ -106,6 +106,7 @@
 	uint64_t seed;
 	uint32_t duration_ms;
 	uint32_t drain_ms;	  /* how long answers are waited for after the last arrival */
+	bool node_dies;		  /* a node is killed: callers start broken streams again */
 	bool direct;		  /* drive engines themselves, with the headers of a node */
 	load_addresses_t entries; /* nodes that are asked for addresses */
 	load_addresses_t nodes;	  /* used as they are when there are no entries */
--- a/cmd/chuteload_call.c
+++ b/cmd/chuteload_call.c
@@ -12,6 +12,7 @@
 
 #define MAX_ANSWER_BYTES (16u << 20)
 #define PERMILLE 1000
+#define CONNECT_TRIES 10
 #define FILLER "the tenant reports that the boiler failed again and the hall is cold "
 
 static bool chance(bct_rng_t *rng, uint32_t permille)
@@ -427,18 +428,33 @@
 	return false;
 }
 
+/* The caller cannot know whether a call without a key ran in a node that died. */
+static void end_unknown(load_call_t *call)
+{
+	call->cls->result->unknown++;
+	count_reason(call, "connection_broken");
+	count_second(call, false);
+}
+
 /* No answer at all, or half of one. */
 static bool end_broken(load_call_t *call, CURLcode code)
 {
 	load_result_t *r = call->cls->result;
 	const load_class_t *c = call->cls;
+	bool node_dies = call->run->sc->node_dies;
 	bool unsent = code == CURLE_COULDNT_CONNECT;
-	bool may_repeat = unsent || c->keyed || c->model[0];
+	bool may_repeat = c->keyed || c->model[0];
 
-	if (call->first_us == 0 && may_repeat && call->sendings <= c->resends) {
-		if (!unsent)
-			call->run->told[call->told].sent_twice = true;
+	/* What was never sent can go to another address without harm. */
+	if (unsent && call->sendings <= CONNECT_TRIES)
 		return true;
+	if ((call->first_us == 0 || node_dies) && may_repeat && call->sendings <= c->resends) {
+		call->run->told[call->told].sent_twice = true;
+		return true;
+	}
+	if (node_dies && !may_repeat) {
+		end_unknown(call);
+		return false;
 	}
 	count_second(call, false);
 	if (call->first_us) {
@@ -497,6 +513,8 @@
 	bct_buf_clear(&call->in);
 	call->has_error = false;
 	call->end_marker = false;
+	call->first_us = 0;
+	load_check_init(&call->check, call->check.prompt_key, call->check.len);
 	call->resend_us = now_us + (uint64_t)call->sendings * LOAD_RESEND_MS * LOAD_US_PER_MS;
 	call->cls->result->resent++;
 	return true;
--- a/cmd/chuteload_scenario.c
+++ b/cmd/chuteload_scenario.c
@@ -73,6 +73,7 @@
 	S("seed", U64, seed, 0),
 	S("duration_ms", U32, duration_ms, DURATION_MAX_MS),
 	S("drain_ms", U32, drain_ms, DURATION_MAX_MS),
+	S("node_dies", BOOL, node_dies, 0),
 	S("direct", BOOL, direct, 0),
 	S("entries", ADDRESSES, entries, 0),
 	S("nodes", ADDRESSES, nodes, 0),
