--- a/standin/fake_engine.c
+++ b/standin/fake_engine.c
@@ -1,17 +1,13 @@
 /*
  * fake_engine.c - a model engine as docs/ENGINE.md describes it.
  */
-#include "standin/answer.h"
-#include "standin/batch.h"
-#include "standin/standin.h"
+#include "standin/generation.h"
 
 #include "base/mem.h"
 #include "base/rng.h"
 
 #include <string.h>
 
-#define ATTEMPT_BYTES 17
-#define TIER_DEFAULT 3
 #define KV_BYTES_PER_TOKEN 131072
 #define POISON_DOWN_MS 300
 #define CROSSED_ATTEMPT "00000000deadbeef"
@@ -25,20 +21,6 @@
 	uint64_t tokens_then;
 } load_report_t;
 
-/* One generation request; lives as long as its HTTP request. */
-typedef struct gen {
-	bct_job_t job;
-	bct_fake_req_t *req;
-	char attempt[ATTEMPT_BYTES];
-	uint64_t answer_key; /* the prompt's key, unless the answer is crossed */
-	const char *finish;
-	bool chat;
-	bool stream;
-	int64_t reset_at; /* token index at which the stream is reset; 0: never */
-	bool wrong;	  /* the answer is malformed */
-	bool no_done;	  /* the stream ends without [DONE] */
-} gen_t;
-
 static struct {
 	bct_batch_t batch;
 	uint64_t boot_id;
@@ -86,30 +68,15 @@
 	{ NULL, NULL },
 };
 
-static bool hit(int64_t *count)
-{
-	if (*count <= 0)
-		return false;
-	(*count)--;
-	return true;
-}
-
-static void count_up(json_t *table, const char *key)
-{
-	json_int_t n = json_integer_value(json_object_get(table, key));
-
-	json_object_set_new(table, key, json_integer(n + 1));
-}
-
 static void on_start(bct_job_t *j)
 {
-	gen_t *g = j->user;
+	bct_gen_t *g = j->user;
 	char hex[17];
 
 	snprintf(hex, sizeof(hex), "%016" PRIx64, j->prompt_key);
-	count_up(eng.prompts, hex);
+	bct_fake_count(eng.prompts, hex);
 	if (g->attempt[0])
-		count_up(eng.attempts, g->attempt);
+		bct_fake_count(eng.attempts, g->attempt);
 }
 
 static void crash(bct_time_t down_ms)
@@ -130,29 +97,7 @@
 	bct_fake_drop_all();
 }
 
-static void stream_event(const gen_t *g, const char *text, bool last)
-{
-	char line[512], usage[128] = "", finish[16] = "null";
-
-	if (last) {
-		snprintf(finish, sizeof(finish), "\"%s\"", g->finish);
-		snprintf(usage, sizeof(usage),
-			 ",\"usage\":{\"prompt_tokens\":%" PRIu32 ",\"completion_tokens\":%" PRIu32
-			 "}",
-			 g->job.prompt_tokens, g->job.len);
-	}
-	snprintf(line, sizeof(line),
-		 g->chat ? "data: "
-			   "{\"id\":\"cmpl-%s\",\"object\":\"chat.completion.chunk\",\"choices\":"
-			   "[{\"index\":0,\"delta\":{\"content\":\"%s\"},\"finish_reason\":%s}]%s}"
-			   "\n\n"
-			 : "data: {\"id\":\"cmpl-%s\",\"object\":\"text_completion\",\"choices\":"
-			   "[{\"index\":0,\"text\":\"%s\",\"finish_reason\":%s}]%s}\n\n",
-		 g->attempt, text, finish, usage);
-	bct_fake_stream_put(g->req, line);
-}
-
-static void stream_token(gen_t *g)
+static void stream_token(bct_gen_t *g)
 {
 	char text[BCT_ANSWER_TOKEN_BYTES] = "";
 	bct_job_t *j = &g->job;
@@ -164,7 +109,7 @@
 		bct_fake_stream_end(g->req, true);
 		return;
 	}
-	stream_event(g, text, j->ended);
+	bct_gen_event(g, text, j->ended);
 	if (j->ended && !g->no_done)
 		bct_fake_stream_put(g->req, "data: [DONE]\n\n");
 	if (j->ended)
@@ -173,7 +118,7 @@
 
 static void on_token(bct_job_t *j)
 {
-	gen_t *g = j->user;
+	bct_gen_t *g = j->user;
 
 	if (j->poison) {
 		crash(POISON_DOWN_MS);
@@ -190,149 +135,36 @@
 		bct_fake_wake(g->req);
 }
 
-/* Appends the text of the prompt: "prompt", or the contents of all messages. */
-static bool prompt_text(const json_t *body, bct_buf_t *out)
-{
-	const json_t *messages = json_object_get(body, "messages");
-	const char *prompt = json_string_value(json_object_get(body, "prompt"));
-
-	if (prompt)
-		return bct_buf_puts(out, prompt) == 0;
-	if (!json_is_array(messages))
-		return false;
-	for (size_t i = 0; i < json_array_size(messages); i++) {
-		const json_t *m = json_array_get(messages, i);
-		const char *content = json_string_value(json_object_get(m, "content"));
-
-		if (content)
-			bct_buf_puts(out, content);
-	}
-	return out->err == 0 && out->data;
-}
-
-/* The length comes from the prompt, where only the load tool and the engine look for it. */
-static void answer_length(gen_t *g, const json_t *body, const char *prompt)
+static void job_faults(bct_gen_t *g)
 {
-	const char *mark = strstr(prompt, BCT_ANSWER_LEN_MARKER);
-	json_int_t max = json_integer_value(json_object_get(body, "max_tokens"));
-	uint32_t len = BCT_ANSWER_DEFAULT_TOKENS;
-
-	if (mark)
-		len = (uint32_t)strtoul(mark + strlen(BCT_ANSWER_LEN_MARKER), NULL, 10);
-	g->finish = "stop";
-	if (max > 0 && max < (json_int_t)len) {
-		len = (uint32_t)max;
-		g->finish = "length";
-	}
-	g->job.len = len;
-}
-
-static void job_from_headers(gen_t *g)
-{
-	const char *prio = bct_fake_header(g->req, "Chute-Priority");
-	const char *from = bct_fake_header(g->req, "Chute-Resume-From");
-	const char *prefix = bct_fake_header(g->req, "Chute-Prefix");
-	const char *attempt = bct_fake_header(g->req, "Chute-Attempt");
-	long tier = prio ? strtol(prio, NULL, 10) : TIER_DEFAULT;
-	bct_job_t *j = &g->job;
-	char *end;
-
-	j->tier = tier >= 1 && tier <= BCT_BATCH_TIERS ? (uint8_t)tier : TIER_DEFAULT;
-	j->resume_from = from ? (uint32_t)strtoul(from, NULL, 10) : 0;
-	if (j->resume_from > j->len)
-		j->resume_from = j->len;
-	j->index = j->resume_from;
-	j->kv_sent = bct_fake_header(g->req, "Chute-Kv-From") != NULL;
-	snprintf(g->attempt, sizeof(g->attempt), "%s", attempt ? attempt : "");
-	while (prefix && *prefix && j->n_blocks < BCT_JOB_BLOCKS) {
-		uint64_t block = strtoull(prefix, &end, 16);
-
-		if (end == prefix)
-			break;
-		j->blocks[j->n_blocks++] = block;
-		prefix = *end == ',' ? end + 1 : end;
-	}
-}
-
-static void job_faults(gen_t *g)
-{
-	if (eng.reset > 0 && g->stream && hit(&eng.reset))
+	if (eng.reset > 0 && g->stream && bct_fake_hit(&eng.reset))
 		g->reset_at = eng.reset_token > 0 ? eng.reset_token : 1;
-	g->wrong = hit(&eng.wrong);
-	g->no_done = g->stream && hit(&eng.no_done);
-	if (hit(&eng.crossed)) {
+	g->wrong = bct_fake_hit(&eng.wrong);
+	g->no_done = g->stream && bct_fake_hit(&eng.no_done);
+	if (bct_fake_hit(&eng.crossed)) {
 		snprintf(g->attempt, sizeof(g->attempt), "%s", CROSSED_ATTEMPT);
 		g->answer_key = ~g->answer_key;
 	}
 }
 
-static gen_t *gen_new(bct_fake_req_t *req)
+static enum MHD_Result answer_whole(bct_gen_t *g)
 {
-	json_t *body = json_loadb(req->body.data, req->body.len_bytes, 0, NULL);
-	gen_t *g = bct_alloc(sizeof(*g));
-	bct_buf_t prompt;
-
-	bct_buf_init(&prompt, 0);
-	if (!g || !prompt_text(body, &prompt)) {
-		bct_free(g);
-		g = NULL;
-		goto out;
-	}
-	g->req = req;
-	g->job.user = g;
-	bct_list_init(&g->job.link);
-	g->chat = strcmp(req->path, "/v1/chat/completions") == 0;
-	g->stream = json_is_true(json_object_get(body, "stream"));
-	g->job.prompt_key = bct_hash(prompt.data, prompt.len_bytes);
-	g->answer_key = g->job.prompt_key;
-	g->job.prompt_tokens = (uint32_t)(prompt.len_bytes / BCT_PROMPT_BYTES_PER_TOKEN) + 1;
-	g->job.poison = strstr(prompt.data, BCT_ANSWER_POISON_MARKER) != NULL;
-	answer_length(g, body, prompt.data);
-	job_from_headers(g);
-	job_faults(g);
-	req->user = g;
-out:
-	bct_buf_free(&prompt);
-	json_decref(body);
-	return g;
-}
-
-static enum MHD_Result answer_whole(gen_t *g)
-{
-	char text[BCT_ANSWER_TOKEN_BYTES], id[32];
-	json_t *choice, *body;
-	bct_buf_t all;
-
 	if (!g->job.ended)
 		return bct_fake_wait(g->req, BCT_TIME_NEVER);
 	if (g->wrong)
 		return bct_fake_reply_as(g->req, MHD_HTTP_OK, json_string("oops"), g->attempt,
 					 NULL);
-	bct_buf_init(&all, 0);
-	for (uint32_t i = g->job.resume_from; i < g->job.len; i++) {
-		bct_answer_token(g->answer_key, i, text);
-		bct_buf_puts(&all, text);
-	}
-	snprintf(id, sizeof(id), "cmpl-%s", g->attempt);
-	if (g->chat)
-		choice = json_pack("{sis{ssss}ss}", "index", 0, "message", "role", "assistant",
-				   "content", all.data ? all.data : "", "finish_reason", g->finish);
-	else
-		choice = json_pack("{sissss}", "index", 0, "text", all.data ? all.data : "",
-				   "finish_reason", g->finish);
-	body = json_pack("{sss[o]s{sIsI}}", "id", id, "choices", choice, "usage", "prompt_tokens",
-			 (json_int_t)g->job.prompt_tokens, "completion_tokens",
-			 (json_int_t)g->job.len);
-	bct_buf_free(&all);
-	return bct_fake_reply_as(g->req, MHD_HTTP_OK, body, g->attempt, NULL);
+	return bct_fake_reply_as(g->req, MHD_HTTP_OK, bct_gen_answer(g), g->attempt, NULL);
 }
 
 static enum MHD_Result gen_begin(bct_fake_req_t *req)
 {
-	gen_t *g = gen_new(req);
+	bct_gen_t *g = bct_gen_new(req);
 
 	if (!g)
 		return bct_fake_reply(req, MHD_HTTP_BAD_REQUEST, NULL);
+	req->user = g;
+	job_faults(g);
 	bct_batch_add(&eng.batch, &g->job);
 	bct_fake_kick();
 	req->step = 2;
@@ -360,12 +192,12 @@
 	if (draining())
 		return bct_fake_reply(req, MHD_HTTP_CONFLICT,
 				      json_pack("{ss}", "error", "leaving"));
-	if (hit(&eng.busy) ||
+	if (bct_fake_hit(&eng.busy) ||
 	    (eng.max_waiting > 0 && eng.batch.n_waiting >= (uint32_t)eng.max_waiting))
 		return bct_fake_reply_as(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, attempt, "1");
-	if (hit(&eng.error))
+	if (bct_fake_hit(&eng.error))
 		return bct_fake_reply(req, MHD_HTTP_INTERNAL_SERVER_ERROR, NULL);
-	if (hit(&eng.late)) {
+	if (bct_fake_hit(&eng.late)) {
 		req->step = 1;
 		return bct_fake_wait(req, bct_clock_now() + eng.late_ms);
 	}
@@ -471,7 +303,7 @@
 	bct_list_t *el, *tmp;
 
 	bct_list_for_each_safe(el, tmp, jobs) {
-		gen_t *g = bct_container_of(el, bct_job_t, link)->user;
+		bct_gen_t *g = bct_container_of(el, bct_job_t, link)->user;
 
 		if (strcmp(g->attempt, attempt) != 0)
 			continue;
@@ -583,7 +415,7 @@
 
 static void done(bct_fake_req_t *req)
 {
-	gen_t *g = req->user;
+	bct_gen_t *g = req->user;
 
 	if (!g)
 		return;
--- a/standin/fake_service.c
+++ b/standin/fake_service.c
@@ -36,21 +36,6 @@
 	{ NULL, NULL },
 };
 
-static bool hit(int64_t *count)
-{
-	if (*count <= 0)
-		return false;
-	(*count)--;
-	return true;
-}
-
-static void count_up(json_t *table, const char *key)
-{
-	json_int_t n = json_integer_value(json_object_get(table, key));
-
-	json_object_set_new(table, key, json_integer(n + 1));
-}
-
 static void request_key(bct_fake_req_t *req, char out[KEY_BYTES])
 {
 	const char *key = bct_fake_header(req, "Idempotency-Key");
@@ -70,9 +55,9 @@
 {
 	const char *attempt = bct_fake_header(req, "Chute-Attempt");
 
-	count_up(svc.runs, key);
+	bct_fake_count(svc.runs, key);
 	if (attempt)
-		count_up(svc.attempts, attempt);
+		bct_fake_count(svc.attempts, attempt);
 	svc.total++;
 }
 
@@ -81,7 +66,7 @@
 	json_t *body = json_pack("{sssssI}", "key", key, "path", req->path, "run",
 				 json_integer_value(json_object_get(svc.runs, key)));
 
-	if (hit(&svc.crossed))
+	if (bct_fake_hit(&svc.crossed))
 		return bct_fake_reply_as(req, MHD_HTTP_OK, body, "00000000deadbeef", NULL);
 	return bct_fake_reply(req, MHD_HTTP_OK, body);
 }
@@ -95,16 +80,16 @@
 		return answer(req, key);
 	if (svc.down)
 		return bct_fake_reset(req);
-	if (hit(&svc.busy))
+	if (bct_fake_hit(&svc.busy))
 		return bct_fake_reply_as(req, MHD_HTTP_SERVICE_UNAVAILABLE, NULL,
 					 bct_fake_header(req, "Chute-Attempt"), "1");
 	run(req, key);
 	req->step = 1;
-	if (hit(&svc.reset_after))
+	if (bct_fake_hit(&svc.reset_after))
 		return bct_fake_reset(req);
-	if (hit(&svc.close_after_read))
+	if (bct_fake_hit(&svc.close_after_read))
 		return MHD_NO;
-	if (hit(&svc.hang))
+	if (bct_fake_hit(&svc.hang))
 		return bct_fake_wait(req, BCT_TIME_NEVER);
 	if (svc.service_ms + svc.slow_ms > 0)
 		return bct_fake_wait(req, bct_clock_now() + svc.service_ms + svc.slow_ms);
--- a/standin/standin.c
+++ b/standin/standin.c
@@ -51,6 +51,21 @@
 	return s ? strtoll(s, NULL, 10) : fallback;
 }
 
+bool bct_fake_hit(int64_t *count)
+{
+	if (*count <= 0)
+		return false;
+	(*count)--;
+	return true;
+}
+
+void bct_fake_count(json_t *table, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(table, key));
+
+	json_object_set_new(table, key, json_integer(n + 1));
+}
+
 void bct_fake_kick(void)
 {
 	uint64_t one = 1;
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -78,6 +78,12 @@
 const char *bct_fake_arg(bct_fake_req_t *req, const char *name);
 int64_t bct_fake_arg_int(bct_fake_req_t *req, const char *name, int64_t fallback);
 
+/* bct_fake_hit(3): whether a fault that hits the next N requests hits this one; counts it down. */
+bool bct_fake_hit(int64_t *count);
+
+/* bct_fake_count(3): add 1 to a key of a table of numbers. */
+void bct_fake_count(json_t *table, const char *key);
+
 /* bct_fake_is(3): whether the request has this method and path. */
 bool bct_fake_is(const bct_fake_req_t *req, const char *method, const char *path);
 
