Model engines: prefix cache keeps heads, KV import is real

The model dropped the first block of a prefix before the later ones, which an engine's cache does not do, and it ignored kv_source_key, so the scheduler counted on transfers that never took place. Change: blocks become recent from the last to the first; a stream with a source imports the prefix in the time of a transfer.

--- a/bench/model_cache.c
+++ b/bench/model_cache.c
@@ -57,18 +57,23 @@
 		bct_list_init(&c->buckets[i]);
 }
 
-uint32_t bct_model_cache_match(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n)
+uint32_t bct_model_cache_peek(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n)
 {
-	uint32_t i;
+	uint32_t found = 0;
 
-	for (i = 0; i < n; i++) {
-		bct_model_block_t *b = cache_find(c, prefix[i]);
+	while (found < n && cache_find(c, prefix[found]))
+		found++;
+	return found;
+}
 
-		if (!b)
-			break;
-		cache_touch(c, b);
-	}
-	return i;
+uint32_t bct_model_cache_match(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n)
+{
+	uint32_t found = bct_model_cache_peek(c, prefix, n);
+
+	/* The first block becomes the most recent: it is no use to keep a block without it. */
+	for (uint32_t i = found; i > 0; i--)
+		cache_touch(c, cache_find(c, prefix[i - 1]));
+	return found;
 }
 
 /* An unused entry, or the least recently used one after its block was dropped. */
@@ -87,15 +92,15 @@
 
 void bct_model_cache_add(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n)
 {
-	for (uint32_t i = 0; i < n; i++) {
-		bct_model_block_t *b = cache_find(c, prefix[i]);
+	for (uint32_t i = n; i > 0; i--) {
+		bct_model_block_t *b = cache_find(c, prefix[i - 1]);
 
 		if (b) {
 			cache_touch(c, b);
 			continue;
 		}
 		b = cache_take(c);
-		b->hash = prefix[i];
+		b->hash = prefix[i - 1];
 		bct_list_add_head(&b->lru, &c->lru);
 		bct_list_add_head(&b->bucket, cache_bucket(c, b->hash));
 		c->event(c->ctx, b->hash, true);
--- a/bench/model_cache.h
+++ b/bench/model_cache.h
@@ -37,6 +37,9 @@
 /* bct_model_cache_match(3): how many leading blocks of a prompt are cached; they become recent. */
 uint32_t bct_model_cache_match(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n);
 
+/* bct_model_cache_peek(3): as match, but nothing becomes recent. */
+uint32_t bct_model_cache_peek(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n);
+
 /* bct_model_cache_add(3): cache all blocks of a prompt. */
 void bct_model_cache_add(bct_model_cache_t *c, const uint64_t *prefix, uint32_t n);
 
--- a/bench/model_drive.c
+++ b/bench/model_drive.c
@@ -205,6 +205,7 @@
 		.kv_tokens = r->desc.prompt_tokens + r->desc.max_output_tokens,
 		.n_prefix = r->desc.n_prefix,
 		.prefix = r->desc.prefix,
+		.kv_source = a->kv_source_key ? find_engine(d, a->kv_source_key) : NULL,
 	};
 }
 
--- a/bench/model_engine.c
+++ b/bench/model_engine.c
@@ -130,14 +130,29 @@
 	return true;
 }
 
-static void engine_start(bct_model_engine_t *e, uint32_t waiting)
+/* Blocks that the stream need not prefill: the engine's own, or those of an import. */
+static uint32_t engine_cached_blocks(bct_model_engine_t *e, bct_time_t now, bct_model_stream_t *s)
+{
+	uint32_t own = bct_model_cache_match(&e->cache, s->prefix, s->n_prefix);
+	uint32_t other = 0, tokens;
+
+	if (s->kv_source && !s->kv_source->down && !s->begun)
+		other = bct_model_cache_peek(&s->kv_source->cache, s->prefix, s->n_prefix);
+	if (other <= own)
+		return own;
+	tokens = (other - own) * BCT_PREFIX_BLOCK_TOKENS;
+	s->ready_at = now + BCT_MODEL_KV_SETUP_MS + tokens / BCT_MODEL_KV_TOKENS_PER_MS;
+	return other;
+}
+
+static void engine_start(bct_model_engine_t *e, bct_time_t now, uint32_t waiting)
 {
 	bct_model_stream_t *s = &e->running[e->n_running++];
 	uint32_t cached;
 
 	*s = e->waiting[waiting];
 	e->waiting[waiting] = e->waiting[--e->n_waiting];
-	cached = bct_model_cache_match(&e->cache, s->prefix, s->n_prefix) * BCT_PREFIX_BLOCK_TOKENS;
+	cached = engine_cached_blocks(e, now, s) * BCT_PREFIX_BLOCK_TOKENS;
 	s->prefill_left = s->prompt_tokens + s->resume_tokens + s->produced - cached;
 	/* The last token of a prompt is always computed. */
 	if (s->prefill_left < 1)
@@ -149,7 +164,7 @@
 	s->begun = true;
 }
 
-static void engine_admit(bct_model_engine_t *e)
+static void engine_admit(bct_model_engine_t *e, bct_time_t now)
 {
 	while (e->n_waiting) {
 		uint32_t first = engine_first_waiting(e);
@@ -159,18 +174,18 @@
 			if (!engine_preempt(e, s.priority))
 				return;
 		}
-		engine_start(e, first);
+		engine_start(e, now, first);
 	}
 }
 
-static bct_model_stream_t *engine_next_prefill(bct_model_engine_t *e)
+static bct_model_stream_t *engine_next_prefill(bct_model_engine_t *e, bct_time_t now)
 {
 	bct_model_stream_t *next = NULL;
 
 	for (uint32_t i = 0; i < e->n_running; i++) {
 		bct_model_stream_t *s = &e->running[i];
 
-		if (s->prefill_left > 0 && (!next || stream_before(s, next)))
+		if (s->prefill_left > 0 && now >= s->ready_at && (!next || stream_before(s, next)))
 			next = s;
 	}
 	return next;
@@ -190,7 +205,7 @@
 	double budget = e->conf->prefill_tokens_per_s * e->speed / TICKS_PER_S;
 	bct_model_stream_t *s;
 
-	while (budget > 0 && (s = engine_next_prefill(e))) {
+	while (budget > 0 && (s = engine_next_prefill(e, now))) {
 		double part = s->prefill_left < budget ? s->prefill_left : budget;
 
 		s->prefill_left -= part;
@@ -264,7 +279,7 @@
 	}
 	if (e->hung)
 		return;
-	engine_admit(e);
+	engine_admit(e, now);
 	if (!engine_prefill(e, now))
 		return;
 	tokens = engine_decode(e);
--- a/bench/model_engine.h
+++ b/bench/model_engine.h
@@ -3,6 +3,7 @@
  * one prefill rate shared by all streams, a decode rate for each stream that falls as the batch
  * fills, a prefix cache, a waiting queue in order of priority, and faults. Running work of a lower
  * priority makes room for a higher one; it waits, and its prompt and output are prefilled again.
+ * A prefix can be imported from another engine's cache, in the time of a transfer.
  */
 #ifndef BCT_BENCH_MODEL_ENGINE_H
 #define BCT_BENCH_MODEL_ENGINE_H
@@ -12,7 +13,9 @@
 
 #define BCT_MODEL_WAITING_MAX 64 /* one more is refused as busy */
 #define BCT_MODEL_RUNNING_MAX 64
-#define BCT_MODEL_RESTART_MS 8000 /* after a poison request crashed it */
+#define BCT_MODEL_KV_SETUP_MS 20
+#define BCT_MODEL_KV_TOKENS_PER_MS 100 /* between engines */
+#define BCT_MODEL_RESTART_MS 8000      /* after a poison request crashed it */
 
 /* One attempt on an engine. */
 typedef struct bct_model_stream {
@@ -27,8 +30,10 @@
 	uint32_t kv_tokens;	/* reserved while it runs */
 	uint8_t n_prefix;
 	const uint64_t *prefix;
+	struct bct_model_engine *kv_source; /* to import the prefix from, or NULL */
 	/* State once it has begun to run. */
 	bool begun;
+	bct_time_t ready_at; /* when its import is done */
 	double prefill_left;
 	double decode_part; /* of the next token */
 	uint32_t produced;
