A keyed request is told not_run only when the key is known free

Cause: a resend of a booking whose first send had run was shed and told not_run (one misreport in tests/proc_at_most_once.sh, reset_after). Change: a resend of a taken key gets the key's answer without a place in the queue; a refusal of a keyed request says not_run only by a current view of the log in which the key is free, or when the caller says that this is its first send.

--- a/coord/key_claims.c
+++ b/coord/key_claims.c
@@ -257,6 +257,19 @@
 	return NULL;
 }
 
+bct_claim_verdict_t bct_key_claims_peek(const bct_key_claims_t *c, bct_time_t wall,
+					const bct_key_id_t *id, uint64_t body, uint64_t own_intent)
+{
+	const bct_key_entry_t *e = bct_key_table_find(c->table, id);
+	bct_claim_result_t r;
+
+	if (!c->ready)
+		return BCT_CLAIM_NOT_READY;
+	if (!e || e->intent == own_intent)
+		return BCT_CLAIM_PENDING;
+	return judge(c, e, body, wall, &r);
+}
+
 bct_claim_verdict_t bct_key_claims_begin(bct_key_claims_t *c, bct_time_t now, bct_time_t wall,
 					 const bct_key_id_t *id, uint64_t body, uint64_t intent,
 					 bct_claim_result_t *result)
--- a/coord/key_claims.h
+++ b/coord/key_claims.h
@@ -72,6 +72,14 @@
 /* bct_key_claims_result(3): take the next result. returns false when there is none. */
 bool bct_key_claims_result(bct_key_claims_t *c, bct_claim_result_t *out);
 
+/*
+ * bct_key_claims_peek(3): what begin would say, without asking for the key.
+ *
+ * returns  PENDING: the key is free as far as this node has read
+ */
+bct_claim_verdict_t bct_key_claims_peek(const bct_key_claims_t *c, bct_time_t wall,
+					const bct_key_id_t *id, uint64_t body, uint64_t own_intent);
+
 /* bct_key_claims_may_send(3): whether a won intent still owns its key. */
 bool bct_key_claims_may_send(const bct_key_claims_t *c, uint64_t intent);
 
--- a/coord/keys.c
+++ b/coord/keys.c
@@ -1,5 +1,5 @@
 /*
- * keys.c - follower and appender threads of the key streams.
+ * keys.c - one follower of the log and one appender thread for each key stream.
  */
 #define _GNU_SOURCE
 #include "coord/keys.h"
@@ -8,6 +8,7 @@
 #include "base/list.h"
 #include "base/mem.h"
 #include "base/rng.h"
+#include "coord/log_follower.h"
 
 #include <ck_pr.h>
 #include <inttypes.h>
@@ -31,17 +32,16 @@
 typedef struct stream {
 	bct_keys_t *keys;
 	char name[32];
-	pthread_t reader, appender;
-	bool reader_started, appender_started;
+	bct_log_follower_t *follower;
+	pthread_t appender;
+	bool appender_started;
 
 	pthread_mutex_t lock;
 	/* All below under lock. */
 	pthread_cond_t wake;
 	bct_key_claims_t *claims;
 	bct_list_t cookies;
-	uint64_t next; /* offset to read from */
 	bool caught_up;
-	bool down;
 	uint64_t appends;
 	uint64_t entries;
 } stream_t;
@@ -151,85 +151,53 @@
 	}
 }
 
-static void note_health(stream_t *s, int rc)
+static int on_record(void *ctx, const bct_record_t *rec)
 {
-	bool down = rc != 0;
-
-	if (down == s->down)
-		return;
-	s->down = down;
-	BCT_LOG(s->keys->opts.log, down ? BCT_EV_LOG_DOWN : BCT_EV_LOG_UP,
-		BCT_STR("stream", s->name), BCT_ERR("error", rc));
-}
-
-/* Applies what was read. Call with the lock held. returns 0 or -BCT_ENOMEM. */
-static int apply_records(stream_t *s, const bct_records_t *recs)
-{
-	bct_time_t now = bct_clock_now();
-
-	for (uint32_t i = 0; i < recs->n; i++) {
-		const bct_record_t *r = &recs->records[i];
-		int rc = bct_key_claims_apply(s->claims, now, r->offset, r->data, r->len_bytes);
+	stream_t *s = ctx;
+	int rc;
 
-		if (rc == -BCT_ENOMEM)
-			return rc;
-		s->next = r->offset + 1;
-	}
-	return 0;
+	pthread_mutex_lock(&s->lock);
+	rc = bct_key_claims_apply(s->claims, bct_clock_now(), rec->offset, rec->data,
+				  rec->len_bytes);
+	tell_all(s);
+	pthread_mutex_unlock(&s->lock);
+	return rc == -BCT_ENOMEM ? rc : 0;
 }
 
 /*
  * Records below the oldest that are kept are older than the idempotency window, which the
  * operators set to at most what the log keeps; reading goes on with the oldest.
  */
-static void skip_expired(stream_t *s, const bct_records_t *recs)
+static uint64_t on_lost(void *ctx, uint64_t position, uint64_t oldest)
 {
-	if (s->next)
+	stream_t *s = ctx;
+
+	if (position)
 		BCT_LOG(s->keys->opts.log, BCT_EV_LOG_GAP, BCT_STR("stream", s->name),
-			BCT_U64("from", s->next), BCT_U64("oldest", recs->oldest));
-	s->next = recs->oldest;
+			BCT_U64("from", position), BCT_U64("oldest", oldest));
+	return oldest;
 }
 
-static void read_once(stream_t *s)
+static void on_caught_up(void *ctx, uint64_t end, uint64_t oldest)
 {
-	bct_keys_opts_t *o = &s->keys->opts;
-	uint32_t wait = s->caught_up ? o->poll_ms : 0;
-	bct_records_t recs = { 0 };
-	uint64_t from = s->next;
-	int rc;
+	stream_t *s = ctx;
 
-	pthread_mutex_unlock(&s->lock);
-	rc = bct_platform_read(o->platform, s->name, from, READ_BYTES, wait, o->timeout_ms + wait,
-			       &recs);
+	(void)end;
+	(void)oldest;
 	pthread_mutex_lock(&s->lock);
-	note_health(s, rc == -BCT_EEXPIRED ? 0 : rc);
-	if (rc == -BCT_EEXPIRED) {
-		skip_expired(s, &recs);
-	} else if (!rc) {
-		rc = apply_records(s, &recs);
-		if (!rc && !recs.n && !s->caught_up) {
-			s->caught_up = true;
-			bct_key_claims_ready(s->claims, true);
-		}
+	if (!s->caught_up) {
+		s->caught_up = true;
+		bct_key_claims_ready(s->claims, true);
 	}
-	bct_records_free(&recs);
-	bct_key_claims_tick(s->claims, bct_clock_now(), bct_clock_wall());
-	tell_all(s);
-	if (rc && rc != -BCT_EEXPIRED)
-		wait_ms(s, DOWN_MS);
-}
-
-static void *reader_main(void *arg)
-{
-	stream_t *s = arg;
-
-	pthread_mutex_lock(&s->lock);
-	while (!stopping(s->keys))
-		read_once(s);
 	pthread_mutex_unlock(&s->lock);
-	return NULL;
 }
 
+static const bct_log_follower_ops_t follower_ops = {
+	.record = on_record,
+	.lost = on_lost,
+	.caught_up = on_caught_up,
+};
+
 /* Appends one batch; returns whether there was one. */
 static bool append_once(stream_t *s)
 {
@@ -278,6 +246,24 @@
 	return NULL;
 }
 
+static int start_follower(stream_t *s)
+{
+	const bct_keys_opts_t *o = &s->keys->opts;
+	bct_log_follower_opts_t opts = {
+		.platform = o->platform,
+		.stream = s->name,
+		.poll_ms = o->poll_ms,
+		.timeout_ms = o->timeout_ms,
+		.seed = o->incarnation,
+		.ops = &follower_ops,
+		.ctx = s,
+		.log = o->log,
+	};
+	int rc = bct_log_follower_new(&opts, &s->follower);
+
+	return rc ? rc : bct_log_follower_start(s->follower);
+}
+
 static int start_stream(bct_keys_t *k, uint32_t i)
 {
 	stream_t *s = &k->streams[i];
@@ -305,9 +291,9 @@
 	rc = bct_key_claims_new(&opts, &s->claims);
 	if (rc)
 		return rc;
-	if (pthread_create(&s->reader, NULL, reader_main, s))
-		return -BCT_ENOMEM;
-	s->reader_started = true;
+	rc = start_follower(s);
+	if (rc)
+		return rc;
 	if (pthread_create(&s->appender, NULL, appender_main, s))
 		return -BCT_ENOMEM;
 	s->appender_started = true;
@@ -344,10 +330,9 @@
 	pthread_mutex_lock(&s->lock);
 	pthread_cond_broadcast(&s->wake);
 	pthread_mutex_unlock(&s->lock);
-	if (s->reader_started)
-		pthread_join(s->reader, NULL);
 	if (s->appender_started)
 		pthread_join(s->appender, NULL);
+	bct_log_follower_free(s->follower);
 	bct_list_for_each_safe(el, tmp, &s->cookies)
 		bct_free(bct_container_of(el, cookie_t, link));
 	bct_key_claims_free(s->claims);
@@ -398,6 +383,22 @@
 	return rc;
 }
 
+bct_claim_verdict_t bct_keys_peek(bct_keys_t *k, uint64_t account_key, const char *key,
+				  uint64_t body, uint64_t own_intent, bool *current)
+{
+	bct_log_health_t health;
+	bct_claim_verdict_t v;
+	bct_key_id_t id;
+	stream_t *s = stream_of(k, account_key, key, &id);
+
+	bct_log_follower_health(s->follower, &health);
+	pthread_mutex_lock(&s->lock);
+	*current = health.up && s->caught_up;
+	v = bct_key_claims_peek(s->claims, bct_clock_wall(), &id, body, own_intent);
+	pthread_mutex_unlock(&s->lock);
+	return v;
+}
+
 void bct_keys_finish(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t intent,
 		     int status, const char *type, const void *answer, uint32_t len_bytes)
 {
@@ -520,6 +521,7 @@
 {
 	uint64_t appends = 0, entries = 0, known = 0;
 	bool ready = true, down = false;
+	bct_log_health_t health;
 
 	for (uint32_t i = 0; i < k->n_streams; i++) {
 		stream_t *s = &k->streams[i];
@@ -529,8 +531,9 @@
 		entries += s->entries;
 		known += bct_key_table_size(bct_key_claims_table(s->claims));
 		ready = ready && s->caught_up;
-		down = down || s->down;
 		pthread_mutex_unlock(&s->lock);
+		bct_log_follower_health(s->follower, &health);
+		down = down || !health.up;
 	}
 	return json_pack("{s:b, s:b, s:I, s:I, s:I}", "ready", (int)ready, "log_down", (int)down,
 			 "keys", (json_int_t)known, "appends", (json_int_t)appends, "entries",
--- a/coord/keys.h
+++ b/coord/keys.h
@@ -61,6 +61,15 @@
 int bct_keys_claim(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t body,
 		   uint64_t cookie, uint64_t *intent);
 
+/*
+ * bct_keys_peek(3): what is known of a key now. own_intent does not count against it; 0: none.
+ *
+ * current  set to whether the log was read to its end and still answers
+ * returns  PENDING: free as far as this node has read; else as bct_key_claims_begin(3)
+ */
+bct_claim_verdict_t bct_keys_peek(bct_keys_t *k, uint64_t account_key, const char *key,
+				  uint64_t body, uint64_t own_intent, bool *current);
+
 /* The intent's end; see coord/key_claims.h. id is that of the claim's key. */
 void bct_keys_finish(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t intent,
 		     int status, const char *type, const void *answer, uint32_t len_bytes);
--- a/node/core.c
+++ b/node/core.c
@@ -94,7 +94,7 @@
 {
 	if (!r->intent)
 		return;
-	if (r->run == BCT_RUN_NOT_RUN) {
+	if (!r->may_have_run) {
 		c->claims.withdraw(c->claims.ctx, r);
 		BCT_LOG(c->log, BCT_EV_KEY_WITHDRAWN, BCT_HEX("request", r->id),
 			BCT_HEX("intent", r->intent));
@@ -106,9 +106,17 @@
 	r->intent = 0;
 }
 
+static bool needs_claim(const bct_core_t *c, const bct_request_t *r)
+{
+	return c->claims.claim && !r->desc.repeatable && r->idempotency_key;
+}
+
+/* A caller takes not_run for all its sends of a key, so it is said only of a key known as free. */
 static void refuse(bct_core_t *c, bct_request_t *r, bct_refuse_t why, bct_run_t run,
 		   uint32_t retry_after_ms)
 {
+	if (run == BCT_RUN_NOT_RUN && needs_claim(c, r) && !c->claims.vouch(c->claims.ctx, r))
+		run = BCT_RUN_UNKNOWN;
 	bct_request_end(r, bct_request_ended_by(why), why, run, retry_after_ms);
 	give_up_key(c, r);
 	retire(c, r);
@@ -160,11 +168,6 @@
 		feed_end(c, act->attempt_id, BCT_OUTCOME_CONNECT_FAILED);
 }
 
-static bool needs_claim(const bct_core_t *c, const bct_request_t *r)
-{
-	return c->claims.claim && !r->desc.repeatable && r->idempotency_key;
-}
-
 /* The intent was won for an earlier attempt, which the upstream surely did not run. */
 static void send_again(bct_core_t *c, bct_request_t *r, const bct_action_t *act)
 {
@@ -555,16 +558,39 @@
 	return bct_hash_mix(c->incarnation, ck_pr_faa_64(&c->last_id, 1));
 }
 
+static void enter(bct_core_t *c, bct_request_t *r)
+{
+	bct_list_add_tail(&bct_request_ref(r)->link, bucket(c, r->id));
+	c->in_flight++;
+}
+
+/* A resend of a key that is taken gets the key's answer at once, whatever the load. */
+static int submit_taken(bct_core_t *c, bct_request_t *r)
+{
+	int rc;
+
+	enter(c, r);
+	r->bypasses = true;
+	r->state = BCT_STATE_INTENT;
+	rc = c->claims.claim(c->claims.ctx, r);
+	if (rc)
+		refuse(c, r, BCT_REFUSE_INTERNAL, BCT_RUN_UNKNOWN, 0);
+	return 0;
+}
+
 int bct_core_submit(bct_core_t *c, bct_request_t *r)
 {
 	int rc;
 
 	pthread_mutex_lock(&c->lock);
-	rc = bct_sched_submit(c->sched, bct_clock_now(), &r->desc);
-	if (!rc) {
-		bct_list_add_tail(&bct_request_ref(r)->link, bucket(c, r->id));
-		c->in_flight++;
-		run_actions(c);
+	if (needs_claim(c, r) && c->claims.taken(c->claims.ctx, r)) {
+		rc = submit_taken(c, r);
+	} else {
+		rc = bct_sched_submit(c->sched, bct_clock_now(), &r->desc);
+		if (!rc) {
+			enter(c, r);
+			run_actions(c);
+		}
 	}
 	pthread_mutex_unlock(&c->lock);
 	return rc;
@@ -634,7 +660,10 @@
 
 	pthread_mutex_lock(&c->lock);
 	r = find(c, req_id);
-	if (r && why == BCT_REFUSE_NONE) {
+	if (r && why == BCT_REFUSE_NONE && r->bypasses) {
+		/* The key was freed meanwhile; the next send finds it free. */
+		refuse(c, r, BCT_REFUSE_IN_PROGRESS, BCT_RUN_NOT_RUN, CLAIM_RETRY_MS);
+	} else if (r && why == BCT_REFUSE_NONE) {
 		r->intent_won = true;
 		send_attempt(c, r, &r->claimed_action, send_before);
 	} else if (r) {
--- a/node/core.h
+++ b/node/core.h
@@ -21,6 +21,10 @@
  * Called with the core lock held; must not wait.
  */
 typedef struct bct_claim_ops {
+	/* Whether the key is taken already, so that the request needs no place in the queue. */
+	bool (*taken)(void *ctx, const bct_request_t *r);
+	/* Whether no send of the key is known to have run, by a view of the log that is current. */
+	bool (*vouch)(void *ctx, const bct_request_t *r);
 	/* Ask; the answer comes by bct_core_claimed() or bct_core_replay(). Sets r->intent. */
 	int (*claim)(void *ctx, bct_request_t *r);
 	/* Whether a won intent still owns its key. */
--- a/node/front_route.c
+++ b/node/front_route.c
@@ -172,6 +172,7 @@
 		return BCT_REFUSE_BAD_FIELD;
 	if (!copy_text(key, &r->idempotency_key))
 		return BCT_REFUSE_INTERNAL;
+	r->first_send = bct_http_header(in->conn, "Chute-First-Send") != NULL;
 	if (!copy_text(bct_http_header(in->conn, MHD_HTTP_HEADER_CONTENT_TYPE), &r->content_type))
 		return BCT_REFUSE_INTERNAL;
 	if (bct_buf_put(&r->body, in->body->data, in->body->len_bytes))
--- a/node/node_keys.c
+++ b/node/node_keys.c
@@ -46,6 +46,29 @@
 		bct_core_claimed(k->opts.core, req_id, row->why, row->run, row->retry_after_ms, 0);
 }
 
+static bool taken(void *ctx, const bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+	bool current;
+
+	return bct_keys_peek(k->keys, r->account->key, r->idempotency_key, r->desc.digest, 0,
+			     &current) != BCT_CLAIM_PENDING;
+}
+
+static bool vouch(void *ctx, const bct_request_t *r)
+{
+	bct_node_keys_t *k = ctx;
+	bct_claim_verdict_t v;
+	bool current;
+
+	v = bct_keys_peek(k->keys, r->account->key, r->idempotency_key, r->desc.digest, r->intent,
+			  &current);
+	/* Another request under this key says nothing of this one, which surely did not run. */
+	if (v == BCT_CLAIM_CONFLICT)
+		return true;
+	return v == BCT_CLAIM_PENDING && (current || r->first_send);
+}
+
 static int claim(void *ctx, bct_request_t *r)
 {
 	bct_node_keys_t *k = ctx;
@@ -111,6 +134,8 @@
 		.ctx = k,
 	};
 	bct_claim_ops_t ops = {
+		.taken = taken,
+		.vouch = vouch,
 		.claim = claim,
 		.may_send = may_send,
 		.finish = finish,
--- a/node/request.c
+++ b/node/request.c
@@ -87,7 +87,8 @@
 		r->ready = true;
 		r->ended_by = by;
 		r->refuse = refuse;
-		r->run = run == BCT_RUN_NOT_RUN && (r->sent_now || r->ran) ? BCT_RUN_UNKNOWN : run;
+		r->may_have_run = r->sent_now || r->ran;
+		r->run = run == BCT_RUN_NOT_RUN && r->may_have_run ? BCT_RUN_UNKNOWN : run;
 		r->retry_after_ms = retry_after_ms;
 		r->cut = refuse != BCT_REFUSE_NONE;
 		if (!r->cut)
--- a/node/request.h
+++ b/node/request.h
@@ -41,6 +41,7 @@
 	char *path; /* below the service, with the query; NULL for completions */
 	char *content_type;
 	char *idempotency_key;
+	bool first_send; /* the caller says that it has not sent this key before */
 	char model[BCT_NAME_BYTES];
 	bct_buf_t body; /* for the upstream */
 
@@ -68,9 +69,11 @@
 	bct_action_t claimed_action; /* to be sent once its claim is won */
 	uint64_t intent;	     /* of its key; 0: none, or given up */
 	bool intent_won;
-	bool sent_now;		/* the current attempt's first byte may be out */
-	bool ran;		/* an earlier attempt may have run */
-	bool orphaned;		/* the caller left, but the request goes on to its outcome */
+	bool sent_now;	   /* the current attempt's first byte may be out */
+	bool ran;	   /* an earlier attempt may have run */
+	bool may_have_run; /* when it ended */
+	bool bypasses;	   /* its key is taken: it waits for the key's answer, not in the queue */
+	bool orphaned;	   /* the caller left, but the request goes on to its outcome */
 	bct_time_t first_token; /* BCT_TIME_NEVER until there is one */
 	bct_time_t last_token;
 	uint32_t max_gap_ms; /* longest time between tokens */
