Speed of a queue is measured only while work waits; first look at the log does not wait

Cause: after four resets a single booking service answered 0 of 32 keyed calls: the measured speed held the time in which the upstream was away, was never measured again at light load, and every call was shed for a predicted wait that was not there. Ruled out: the upstream's back-off itself (at most 2 s here). Also: keyed calls were not_ready for poll_ms after a start, since the first read of an empty stream waited. Change: an empty queue forgets the speed; the follower's first reads do not wait; readyz tells keys_ready; process tests stop nodes before what they write to.

--- a/coord/log_follower.c
+++ b/coord/log_follower.c
@@ -208,6 +208,14 @@
 	return !stop;
 }
 
+static bool caught_up(bct_log_follower_t *f)
+{
+	bct_log_health_t health;
+
+	bct_log_follower_health(f, &health);
+	return health.caught_up;
+}
+
 static void *run(void *arg)
 {
 	bct_log_follower_t *f = arg;
@@ -215,11 +223,13 @@
 
 	while (pause_ms(f, wait_ms)) {
 		bct_time_t begun = bct_clock_now();
-		int rc = bct_log_follower_step(f, f->opts.poll_ms);
+		/* The first look at the end must not wait for something new. */
+		uint32_t hold_ms = caught_up(f) ? f->opts.poll_ms : 0;
+		int rc = bct_log_follower_step(f, hold_ms);
 
 		wait_ms = rc < 0 ? bct_log_follower_backoff_ms(f) : 0;
 		/* A platform that does not hold its answer is not asked all the time. */
-		if (rc == 0 && bct_clock_now() - begun < f->opts.poll_ms / 2)
+		if (rc == 0 && bct_clock_now() - begun < hold_ms / 2)
 			wait_ms = f->opts.poll_ms / 2;
 	}
 	return NULL;
--- a/node/admin.c
+++ b/node/admin.c
@@ -57,7 +57,8 @@
 	bool ready = bct_node_ready(a->node);
 
 	return bct_http_json(c, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
-			     json_pack("{s:b}", "ready", (int)ready));
+			     json_pack("{s:b, s:b}", "ready", (int)ready, "keys_ready",
+				       (int)bct_node_keys_ready(a->node)));
 }
 
 static enum MHD_Result answer_metrics(bct_admin_t *a, struct MHD_Connection *c)
--- a/node/node.c
+++ b/node/node.c
@@ -355,6 +355,11 @@
 	return ready;
 }
 
+bool bct_node_keys_ready(bct_node_t *n)
+{
+	return wired(n) && bct_keys_ready(bct_node_keys(n->keys));
+}
+
 uint16_t bct_node_caller_port(const bct_node_t *n)
 {
 	return n->front ? bct_front_port(n->front) : 0;
--- a/node/node.h
+++ b/node/node.h
@@ -33,6 +33,9 @@
 void bct_node_free(bct_node_t *n);
 
 bool bct_node_ready(bct_node_t *n);
+
+/* bct_node_keys_ready(3): whether the idempotency window has been read; keyed calls wait for it. */
+bool bct_node_keys_ready(bct_node_t *n);
 uint16_t bct_node_caller_port(const bct_node_t *n);
 uint16_t bct_node_admin_port(const bct_node_t *n);
 uint16_t bct_node_peer_port(const bct_node_t *n);
--- a/policy/admit.c
+++ b/policy/admit.c
@@ -201,6 +201,8 @@
 {
 	bct_target_t *t = r->target;
 
+	if (!t->n_queued && bct_list_empty(&t->granted))
+		bct_shed_busy(t, now);
 	r->attempt_id = 0;
 	/* The account was charged when it was first served. */
 	if (r->first_sent)
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -15,6 +15,17 @@
 #define SHED_DRAIN_WINDOW_MS 1000
 #define SHED_DRAIN_SMOOTHING 0.3
 
+/*
+ * Work begins to wait. That the queues were empty shows that the speed sufficed, so what was
+ * measured before, perhaps while an upstream was away, does not count any more.
+ */
+void bct_shed_busy(bct_target_t *t, bct_time_t now)
+{
+	t->drain_tokens_per_ms = 0;
+	t->drained_tokens = 0;
+	t->drained_at = now;
+}
+
 /* Speed at which the target's queues empty through this node. */
 void bct_shed_drained(bct_target_t *t, bct_time_t now, int64_t cost_tokens)
 {
--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -6,7 +6,12 @@
 
 # Stops what this script started, also when it fails; what is not gone after 8 s is killed.
 stop_all() {
+	# The youngest first: nodes stop while what they write to is still there.
+	young_first=
 	for pid in $pids; do
+		young_first="$pid $young_first"
+	done
+	for pid in $young_first; do
 		kill "$pid" 2>/dev/null || true
 	done
 	(
@@ -97,7 +102,7 @@
 
 # ready: the node that was started last has a configuration and its key history.
 ready() {
-	"$BIN/chuteload" get "$admin" /readyz
+	"$BIN/chuteload" get "$admin" /readyz | grep -q '"ready":true,"keys_ready":true'
 }
 
 # start_node NAME [DOMAIN]: starts chuted; sets pid, caller (its address for callers) and admin.
@@ -110,6 +115,7 @@
 	"caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 500 },
 	"admin": { "port": 0, "token_hash": "$operator_hash" },
 	"peer": { "port": 0, "secret": "demo-secret-of-the-fleet", "seeds": [$seeds] },
+	"keys": { "flush_ms": 1000 },
 	"platform": { "url": "http://$platform", "poll_ms": 500 }
 }
 EOT
