Reports by request, and a first word of a new revision that travels at once

Watchers worked out from a shared hash who wants which report, which routing does not use: its subset weighs failure domains. Nodes now tell watcher and backup what they want (bct_peer_want; the old subset is the default), a reader that lost a keyframe gets it again, and watchers share engines evenly. A newer revision is gossiped at once and fetched from a random holder.

--- a/bench/vnet.c
+++ b/bench/vnet.c
@@ -319,7 +319,7 @@
 	if (kind == PEER_PARTS)
 		bct_totals_receive(n->totals, now, msg->from, &msg->u.call.peer_call_u.parts);
 	else if (kind == PEER_REPORTS)
-		bct_watch_receive(n->watch, now, &msg->u.call.peer_call_u.reports);
+		bct_watch_receive(n->watch, now, msg->from, &msg->u.call.peer_call_u.reports);
 	else
 		bct_member_receive(n->members, now, src, msg);
 }
--- a/coord/member.c
+++ b/coord/member.c
@@ -129,6 +129,18 @@
 	return news;
 }
 
+/* Queues a member's info. The first word of a new revision travels at once, the rest with probes.
+ */
+static void info_spread(bct_member_table_t *t, slot_t *s)
+{
+	s->tx_info = bct_member_tx_limit(t) / 2;
+	s->info_urgent = s->m.info.revision > t->newest_revision;
+	if (!s->info_urgent)
+		return;
+	t->newest_revision = s->m.info.revision;
+	s->tx_info = bct_member_tx_limit(t);
+}
+
 void bct_member_apply_info(bct_member_table_t *t, slot_t *s, const bct_member_info_t *info)
 {
 	bool revised = info->revision != s->m.info.revision;
@@ -136,7 +148,7 @@
 	if (s == t->self || info->seq <= s->m.info.seq)
 		return;
 	s->m.info = *info;
-	s->tx_info = bct_member_tx_limit(t) / 2;
+	info_spread(t, s);
 	if (revised)
 		emit(t, BCT_MEMBER_INFO, s);
 }
@@ -304,7 +316,7 @@
 	t->next_info_at = now + INFO_INTERVAL_MS + (bct_time_t)t->n_live * INFO_PER_MEMBER_MS;
 	*own = t->next_info;
 	own->seq = seq + 1;
-	t->self->tx_info = bct_member_tx_limit(t) / 2;
+	info_spread(t, t->self);
 }
 
 bct_time_t bct_member_tick(bct_member_table_t *t, bct_time_t now)
--- a/coord/member_gossip.c
+++ b/coord/member_gossip.c
@@ -176,8 +176,10 @@
 			return true;
 	}
 	for (uint32_t i = 0; i < t->n; i++) {
-		if (t->slots[i]->tx_fact ||
-		    (t->slots[i]->tx_desc && t->slots[i]->m.liveness != BCT_MEMBER_DEAD))
+		const slot_t *s = t->slots[i];
+
+		if (s->tx_fact || (s->tx_info && s->info_urgent) ||
+		    (s->tx_desc && s->m.liveness != BCT_MEMBER_DEAD))
 			return true;
 	}
 	return false;
--- a/coord/member_int.h
+++ b/coord/member_int.h
@@ -40,7 +40,8 @@
 	uint8_t tx_fact;
 	uint8_t tx_desc;
 	uint8_t tx_info;
-	bool unlisted; /* the VM list does not name it */
+	bool info_urgent; /* the first word of a new revision */
+	bool unlisted;	  /* the VM list does not name it */
 	bct_time_t suspect_until;
 	bct_time_t flapped;
 } slot_t;
@@ -91,7 +92,8 @@
 	uint32_t n_live; /* not dead */
 	uint32_t health; /* 0: this node's own probes work */
 	uint32_t xid;
-	uint32_t gossip_at; /* slot that the next datagram's news starts from */
+	uint64_t newest_revision; /* of all members */
+	uint32_t gossip_at;	  /* slot that the next datagram's news starts from */
 	probe_t probe;
 	uint64_t *order; /* incarnations in this round's order of probing */
 	uint32_t n_order;
--- a/coord/peer.c
+++ b/coord/peer.c
@@ -91,13 +91,6 @@
 	bct_peer_event(ctx, &e);
 }
 
-static bool on_interested(void *ctx, uint64_t node_key, uint64_t upstream_key)
-{
-	bct_peer_t *p = ctx;
-
-	return p->opts.ops->interested(p->opts.ctx, node_key, upstream_key);
-}
-
 static int on_offer(void *ctx, uint64_t have_revision, uint64_t revision,
 		    const bct_digest_t *digest, const void *doc, size_t doc_bytes)
 {
@@ -179,7 +172,6 @@
 	bct_totals_opts_t totals = { .outbox = &p->outbox, .total = on_total, .ctx = p };
 	bct_watch_opts_t watch = { .outbox = &p->outbox,
 				   .subset = p->opts.subset,
-				   .interested = p->opts.ops->interested ? on_interested : NULL,
 				   .report = on_report,
 				   .cache_event = on_cache_event,
 				   .leaving = on_leaving,
@@ -367,6 +359,13 @@
 	return err;
 }
 
+void bct_peer_want(bct_peer_t *p, const uint64_t *keys, uint32_t n)
+{
+	pthread_mutex_lock(&p->lock);
+	bct_watch_want(p->watch, bct_clock_now(), keys, n);
+	pthread_mutex_unlock(&p->lock);
+}
+
 uint32_t bct_peer_watch_due(bct_peer_t *p, uint64_t *out, uint32_t max)
 {
 	uint32_t n;
--- a/coord/peer.h
+++ b/coord/peer.h
@@ -51,9 +51,6 @@
 	 */
 	int (*offer_config)(void *ctx, uint64_t have_revision, uint64_t revision,
 			    const bct_digest_t *digest, const void *doc, size_t doc_bytes);
-	/* Whether a node wants an engine's reports; NULL: bct_subset_contains(). Called with the
-	 * peer's lock held: it must be quick and must not call bct_peer_*. */
-	bool (*interested)(void *ctx, uint64_t node_key, uint64_t upstream_key);
 } bct_peer_ops_t;
 
 typedef struct bct_peer_opts {
@@ -121,6 +118,7 @@
 
 /* Engine reports: see watch.h. bct_peer_polled() also makes a report callback on this node. */
 int bct_peer_engines(bct_peer_t *p, const uint64_t *keys, uint32_t n);
+void bct_peer_want(bct_peer_t *p, const uint64_t *keys, uint32_t n);
 uint32_t bct_peer_watch_due(bct_peer_t *p, uint64_t *out, uint32_t max);
 void bct_peer_polled(bct_peer_t *p, const bct_report_t *report);
 void bct_peer_polled_events(bct_peer_t *p, const bct_cache_event_t *events, uint32_t n);
--- a/coord/peer_int.h
+++ b/coord/peer_int.h
@@ -70,7 +70,7 @@
 
 	/*
 	 * Guards all below but what is marked. It is a leaf lock: no other lock is taken and no
-	 * callback is made (but ops->interested) while it is held.
+	 * callback is made while it is held.
 	 */
 	pthread_mutex_t lock;
 	bct_wire_t *wire;
--- a/coord/peer_loop.c
+++ b/coord/peer_loop.c
@@ -118,7 +118,7 @@
 		bct_totals_receive(p->totals, now, msg->from, &msg->u.call.peer_call_u.parts);
 		break;
 	case PEER_REPORTS:
-		bct_watch_receive(p->watch, now, &msg->u.call.peer_call_u.reports);
+		bct_watch_receive(p->watch, now, msg->from, &msg->u.call.peer_call_u.reports);
 		break;
 	default:
 		bct_member_receive(p->members, now, src, msg);
@@ -163,21 +163,27 @@
 	}
 }
 
-/* Offers of newer configurations are read from the member table. */
+static bool better_source(const bct_member_t *m, const bct_member_t *best, const char *region)
+{
+	if (!best || m->info.revision != best->info.revision)
+		return !best || m->info.revision > best->info.revision;
+	return !strcmp(m->region, region) && strcmp(best->region, region);
+}
+
+/* Looks for a newer configuration; of equal sources a random one, so that all serve. */
 static void look_for_config(bct_peer_t *p, bct_time_t now)
 {
 	const bct_member_t *self = bct_member_self(p->members);
+	uint32_t n = bct_member_count(p->members);
+	uint32_t start = bct_rng_below(&p->rng, n);
 	const bct_member_t *best = NULL;
 
 	bct_handoff_have(&p->handoff, p->info.revision);
-	for (uint32_t i = 0; i < bct_member_count(p->members); i++) {
-		const bct_member_t *m = bct_member_at(p->members, i);
+	for (uint32_t i = 0; i < n; i++) {
+		const bct_member_t *m = bct_member_at(p->members, (start + i) % n);
 
-		if (m->liveness != BCT_MEMBER_ALIVE || m->info.revision <= p->info.revision)
-			continue;
-		if (!best || m->info.revision > best->info.revision ||
-		    (m->info.revision == best->info.revision && !strcmp(m->region, self->region) &&
-		     strcmp(best->region, self->region)))
+		if (m->liveness == BCT_MEMBER_ALIVE && m->info.revision > p->info.revision &&
+		    better_source(m, best, self->region))
 			best = m;
 	}
 	if (best)
--- a/coord/watch.c
+++ b/coord/watch.c
@@ -24,72 +24,75 @@
 	return lo < w->n && w->engines[lo].key == key ? &w->engines[lo] : NULL;
 }
 
-bool bct_watch_wants(const bct_watch_t *w, uint64_t node_key, uint64_t upstream_key)
+/*
+ * Finds the two best candidates of an engine. A node that watches its share already is
+ * no candidate for watcher, so that none has much more to poll and send than another.
+ */
+static void pick_watchers(engine_t *e, const uint64_t *live, uint32_t *load, uint32_t n,
+			  uint32_t share)
 {
-	if (w->opts.interested)
-		return w->opts.interested(w->opts.ctx, node_key, upstream_key);
-	return bct_subset_contains(node_key, upstream_key, w->keys, w->n, w->opts.subset);
-}
+	uint64_t best = 0, second = 0;
+	uint32_t first = n;
 
-/* Lists the members that want a watched engine's reports; the backup always does. */
-static void interested_list(bct_watch_t *w, engine_t *e, uint64_t backup)
-{
-	uint32_t members = bct_member_count(w->opts.members);
-	uint64_t *list = bct_realloc(e->interested, members * sizeof(*list));
+	for (uint32_t i = 0; i < n; i++) {
+		uint64_t score = bct_rendezvous_score(e->key, live[i]);
 
-	if (!list)
-		return;
-	e->interested = list;
-	e->n_interested = 0;
-	for (uint32_t i = 0; i < members; i++) {
-		const bct_member_t *m = bct_member_at(w->opts.members, i);
+		if (load[i] < share && (first == n || score > best)) {
+			first = i;
+			best = score;
+		}
+	}
+	e->watchers[0] = first < n ? live[first] : 0;
+	e->watchers[1] = 0;
+	for (uint32_t i = 0; i < n; i++) {
+		uint64_t score = bct_rendezvous_score(e->key, live[i]);
 
-		if (m->liveness == BCT_MEMBER_DEAD || m->incarnation == w->self)
-			continue;
-		if (m->incarnation == backup || bct_watch_wants(w, m->node_key, e->key))
-			list[e->n_interested++] = m->incarnation;
+		if (i != first && (!e->watchers[1] || score > second)) {
+			e->watchers[1] = live[i];
+			second = score;
+		}
 	}
+	if (first < n)
+		load[first]++;
 }
 
-/* A new watcher, or a new reader, needs a keyframe. */
-static void engine_assign(bct_watch_t *w, bct_time_t now, engine_t *e, const uint64_t *live,
-			  uint32_t n)
+static void engine_assign(bct_watch_t *w, bct_time_t now, engine_t *e)
 {
-	uint64_t first = bct_rendezvous_pick(e->key, live, n, 0);
-	uint64_t second = bct_rendezvous_pick(e->key, live, n, first);
-	watch_role_t role = first == w->self	? ROLE_WATCHER
-			    : second == w->self ? ROLE_BACKUP
-						: ROLE_NONE;
-
+	watch_role_t role = ROLE_NONE;
+
+	if (e->watchers[0] == w->self)
+		role = ROLE_WATCHER;
+	else if (e->watchers[1] == w->self)
+		role = ROLE_BACKUP;
+	if (role != e->role)
+		e->keyframe_sent = now - KEYFRAME_MS;
 	if (role != ROLE_NONE && e->role == ROLE_NONE) {
 		e->next_poll = now;
 		e->heard = now;
 	}
 	e->role = role;
-	if (role == ROLE_NONE) {
-		bct_free(e->interested);
-		e->interested = NULL;
-		e->n_interested = 0;
-		e->pending = false;
-		return;
-	}
-	e->keyframe_sent = now - KEYFRAME_MS;
-	interested_list(w, e, role == ROLE_WATCHER ? second : first);
+	e->pending = e->pending && role != ROLE_NONE;
 }
 
 void bct_watch_fleet(bct_watch_t *w, bct_time_t now)
 {
 	uint64_t *live = bct_alloc(BCT_MEMBERS_MAX * sizeof(*live));
-	uint32_t n;
+	uint32_t *load = bct_alloc(BCT_MEMBERS_MAX * sizeof(*load));
+	uint32_t n, share;
 
-	if (!live)
-		return;
+	if (!live || !load)
+		goto out;
 	n = bct_member_live(w->opts.members, false, live, BCT_MEMBERS_MAX);
 	if (!n)
 		n = bct_member_live(w->opts.members, true, live, BCT_MEMBERS_MAX);
-	for (uint32_t i = 0; i < w->n; i++)
-		engine_assign(w, now, &w->engines[i], live, n);
+	share = n ? (w->n + n - 1) / n : 0;
+	for (uint32_t i = 0; i < w->n; i++) {
+		pick_watchers(&w->engines[i], live, load, n, share);
+		engine_assign(w, now, &w->engines[i]);
+	}
+out:
 	bct_free(live);
+	bct_free(load);
 }
 
 static int key_cmp(const void *a, const void *b)
@@ -102,7 +105,7 @@
 static void engines_free(engine_t *engines, uint32_t n)
 {
 	for (uint32_t i = 0; i < n; i++)
-		bct_free(engines[i].interested);
+		bct_free(engines[i].readers);
 	bct_free(engines);
 }
 
@@ -128,15 +131,18 @@
 
 		if (old) {
 			engines[i] = *old;
-			old->interested = NULL;
+			old->readers = NULL;
 		}
 		engines[i].key = sorted[i];
+		if (!old)
+			engines[i].told_at = now - WANT_REFRESH_MS;
 	}
 	engines_free(w->engines, w->n);
 	bct_free(w->keys);
 	w->engines = engines;
 	w->keys = sorted;
 	w->n = n;
+	bct_watch_wanted(w);
 	bct_watch_fleet(w, now);
 	return 0;
 }
@@ -218,6 +224,16 @@
 	return now - (bct_time_t)r->age_ms > e->sampled;
 }
 
+/* A keyframe that was sent again may be older than the report known, and is still needed. */
+static bool keyframe_is_new(const engine_t *e, bct_time_t now, const bct_report_t *r)
+{
+	if (!e->has_keyframe)
+		return true;
+	if (r->boot_id == e->keyframe.boot_id)
+		return r->seq >= e->keyframe.seq || e->keyframe_missed;
+	return report_is_new(e, now, r);
+}
+
 static bool adopt(bct_watch_t *w, bct_time_t now, engine_t *e, const bct_report_t *r)
 {
 	if (!report_is_new(e, now, r)) {
@@ -280,6 +296,7 @@
 		if (!e->has_keyframe || e->keyframe.boot_id != p->boot_id ||
 		    e->keyframe.seq != p->key_seq) {
 			w->counters.no_keyframe++;
+			e->keyframe_missed = now;
 			return;
 		}
 		bct_report_fields(&e->keyframe, values);
@@ -294,15 +311,20 @@
 	r.seq = p->seq;
 	r.age_ms = p->age_ms;
 	bct_report_set_fields(&r, values);
-	if (whole && (!e->has_keyframe || report_is_new(e, now, &r) || e->last.seq == r.seq)) {
+	if (whole && keyframe_is_new(e, now, &r)) {
 		e->keyframe = r;
 		e->has_keyframe = true;
+		e->keyframe_missed = 0;
 	}
 	adopt(w, now, e, &r);
 }
 
-void bct_watch_receive(bct_watch_t *w, bct_time_t now, const peer_reports *msg)
+void bct_watch_receive(bct_watch_t *w, bct_time_t now, uint64_t from, const peer_reports *msg)
 {
+	for (uint32_t i = 0; i < msg->wants.wants_len; i++)
+		bct_watch_add_reader(w, now, from, msg->wants.wants_val[i]);
+	for (uint32_t i = 0; i < msg->lost.lost_len; i++)
+		bct_watch_lost(w, from, msg->lost.lost_val[i]);
 	for (uint32_t i = 0; i < msg->reports.reports_len; i++)
 		receive_report(w, now, &msg->reports.reports_val[i]);
 	for (uint32_t i = 0; i < msg->events.events_len; i++) {
@@ -330,9 +352,13 @@
 	if (w->tokens_bytes > rate * BURST_MS / BCT_MS_PER_S)
 		w->tokens_bytes = rate * BURST_MS / BCT_MS_PER_S;
 	for (uint32_t i = 0; i < w->n; i++) {
-		if (w->engines[i].leaving && w->engines[i].leaving_until <= now)
-			set_leaving(w, &w->engines[i], false);
+		engine_t *e = &w->engines[i];
+
+		bct_watch_expire_readers(w, now, e);
+		if (e->leaving && e->leaving_until <= now)
+			set_leaving(w, e, false);
 	}
+	bct_watch_send_wants(w, now);
 	bct_watch_send(w, now);
 	return w->next_tick;
 }
@@ -364,6 +390,7 @@
 		return;
 	engines_free(w->engines, w->n);
 	bct_free(w->keys);
+	bct_free(w->wants);
 	bct_free(w);
 }
 
@@ -372,7 +399,7 @@
 	uint64_t bytes = sizeof(*w) + w->n * (sizeof(engine_t) + sizeof(uint64_t));
 
 	for (uint32_t i = 0; i < w->n; i++)
-		bytes += w->engines[i].n_interested * sizeof(uint64_t);
+		bytes += w->engines[i].cap_readers * sizeof(reader_t);
 	return bytes;
 }
 
--- a/coord/watch.h
+++ b/coord/watch.h
@@ -2,11 +2,11 @@
  * watch.h - engine reports without everybody polling every engine, as a pure state machine.
  *
  * Each engine has a watcher and a backup, chosen by rendezvous hashing over the live members that
- * are not leaving. The watcher polls the engine and sends its report to the nodes that are
- * interested in it: a whole report (keyframe) now and then, and between them only the fields that
- * differ from the keyframe, so that a lost datagram spoils nothing but itself. The backup polls
- * when it has heard no report for a while. An engine's notice that it is leaving is spread to all
- * nodes by gossip.
+ * are not leaving. Every node tells both, from time to time, that it wants the engine's reports.
+ * The watcher polls the engine and sends them: a whole report (keyframe) now and then, and between
+ * them only the fields that differ from the keyframe, so that a lost datagram spoils nothing but
+ * itself. The backup polls when it has heard no report for a while, and already knows the readers.
+ * An engine's notice that it is leaving is spread to all nodes by gossip.
  */
 #ifndef BCT_COORD_WATCH_H
 #define BCT_COORD_WATCH_H
@@ -16,7 +16,7 @@
 #include "policy/sched.h"
 
 #define BCT_WATCH_ENGINES_MAX 4096
-#define BCT_WATCH_SUBSET 32 /* engines that a node is interested in, unless told otherwise */
+#define BCT_WATCH_SUBSET 32 /* engines whose reports a node wants, unless told otherwise */
 
 typedef struct bct_watch bct_watch_t;
 
@@ -36,10 +36,8 @@
 typedef struct bct_watch_opts {
 	bct_member_table_t *members;
 	bct_outbox_t *outbox;
-	uint32_t subset;	  /* size of bct_subset_contains(); 0: BCT_WATCH_SUBSET */
+	uint32_t subset;	  /* engines wanted by default; 0: BCT_WATCH_SUBSET */
 	uint32_t max_bytes_per_s; /* sent; 0: the default of 2,500 */
-	/* Whether a node wants an engine's reports; NULL: bct_subset_contains(). */
-	bool (*interested)(void *ctx, uint64_t node_key, uint64_t upstream_key);
 	void (*report)(void *ctx, const bct_report_t *report);
 	void (*cache_event)(void *ctx, const bct_cache_event_t *event);
 	void (*leaving)(void *ctx, uint64_t upstream_key, bool leaving);
@@ -57,6 +55,12 @@
  */
 int bct_watch_engines(bct_watch_t *w, bct_time_t now, const uint64_t *keys, uint32_t n);
 
+/*
+ * bct_watch_want(3): the engines whose reports this node wants, all of them. Before the first call
+ * and for keys = NULL they are those of bct_subset_contains().
+ */
+void bct_watch_want(bct_watch_t *w, bct_time_t now, const uint64_t *keys, uint32_t n);
+
 /* bct_watch_fleet(3): the member table changed. */
 void bct_watch_fleet(bct_watch_t *w, bct_time_t now);
 
@@ -75,8 +79,8 @@
 void bct_watch_polled_events(bct_watch_t *w, bct_time_t now, const bct_cache_event_t *events,
 			     uint32_t n);
 
-/* bct_watch_receive(3): reports and cache events of another watcher. */
-void bct_watch_receive(bct_watch_t *w, bct_time_t now, const peer_reports *msg);
+/* bct_watch_receive(3): what another node reports, or wants. */
+void bct_watch_receive(bct_watch_t *w, bct_time_t now, uint64_t from, const peer_reports *msg);
 
 /* bct_watch_fact(3): a fact of type BCT_FACT_UPSTREAM_LEAVING came by gossip. */
 void bct_watch_fact(bct_watch_t *w, bct_time_t now, const bct_fact_t *fact);
--- a/coord/watch_int.h
+++ b/coord/watch_int.h
@@ -7,7 +7,7 @@
 #include "coord/watch.h"
 
 #define POLL_INTERVAL_MS 1000
-#define BACKUP_SILENCE_MS 3000 /* a backup polls after this time without a report */
+#define BACKUP_SILENCE_MS 8000 /* a backup polls after this time without a report */
 #define TICK_MS 200
 #define KEYFRAME_MS 10000
 #define REFRESH_MS 3000 /* an unchanged report is sent again, so that its age stays low */
@@ -28,6 +28,19 @@
 	ROLE_BACKUP,
 } watch_role_t;
 
+#define WANT_REFRESH_MS 20000 /* a wish is told again */
+#define WANT_RETRY_MS 2000    /* the same while nothing is heard of the engine */
+#define WANT_SILENCE_MS 10000
+#define WANT_AGAIN_MS 1000 /* and while a keyframe is missing */
+#define WANT_KEEP_MS 50000 /* and forgotten after this time */
+
+/* A node that wants an engine's reports. */
+typedef struct reader {
+	uint64_t incarnation;
+	bct_time_t until;
+	bool needs_keyframe;
+} reader_t;
+
 /* What this node knows of one engine. */
 typedef struct engine {
 	uint64_t key;
@@ -47,8 +60,15 @@
 	bct_time_t leaving_until;
 	bct_time_t leaving_spread;
 	uint64_t leaving_boot;
-	uint64_t *interested; /* incarnations that want its reports, of a watched engine */
-	uint32_t n_interested;
+	uint64_t watchers[2]; /* watcher and backup, by incarnation */
+	bool wanted;	      /* by this node */
+	uint64_t told[2];     /* who was told so */
+	bct_time_t told_at;
+	bct_time_t keyframe_missed; /* when a delta came whose keyframe did not */
+	bct_time_t keyframe_sampled;
+	reader_t *readers;
+	uint32_t n_readers;
+	uint32_t cap_readers;
 } engine_t;
 
 struct bct_watch {
@@ -56,7 +76,9 @@
 	uint64_t self;
 	engine_t *engines; /* by key */
 	uint32_t n;
-	uint64_t *keys; /* the same keys, for bct_subset_contains() */
+	uint64_t *keys;	 /* the same keys, for bct_subset_contains() */
+	uint64_t *wants; /* as told by bct_watch_want(); NULL: the default subset */
+	uint32_t n_wants;
 	uint32_t due_at;
 	uint32_t send_at;
 	bct_cache_event_t events[EVENTS_QUEUED_MAX];
@@ -70,11 +92,17 @@
 
 /* watch.c */
 engine_t *bct_watch_engine(const bct_watch_t *w, uint64_t key);
-bool bct_watch_wants(const bct_watch_t *w, uint64_t node_key, uint64_t upstream_key);
 
 /* watch_send.c */
 void bct_report_fields(const bct_report_t *r, uint32_t out[PEER_REPORT_FIELDS]);
 void bct_report_set_fields(bct_report_t *r, const uint32_t v[PEER_REPORT_FIELDS]);
 void bct_watch_send(bct_watch_t *w, bct_time_t now);
 
+/* watch_want.c */
+void bct_watch_wanted(bct_watch_t *w);
+void bct_watch_send_wants(bct_watch_t *w, bct_time_t now);
+void bct_watch_add_reader(bct_watch_t *w, bct_time_t now, uint64_t from, uint64_t key);
+void bct_watch_lost(bct_watch_t *w, uint64_t from, uint64_t key);
+void bct_watch_expire_readers(bct_watch_t *w, bct_time_t now, engine_t *e);
+
 #endif
--- a/coord/watch_send.c
+++ b/coord/watch_send.c
@@ -61,38 +61,48 @@
 	return now - e->keyframe_sent >= KEYFRAME_MS || now - e->sent >= REFRESH_MS || differs(e);
 }
 
+/* Writes what differs between a report and a base (NULL: nothing is known) into a message. */
+static void message_fill(const bct_report_t *r, const bct_report_t *base, bct_time_t age_ms,
+			 peer_report *p, uint32_t *values)
+{
+	uint32_t v[PEER_REPORT_FIELDS], old[PEER_REPORT_FIELDS] = { 0 };
+
+	if (base)
+		bct_report_fields(base, old);
+	bct_report_fields(r, v);
+	memset(p, 0, sizeof(*p));
+	p->upstream_key = r->upstream_key;
+	p->boot_id = r->boot_id;
+	p->seq = r->seq;
+	p->key_seq = base ? base->seq : r->seq;
+	p->age_ms = (uint32_t)age_ms;
+	p->values.values_val = values;
+	for (uint32_t i = 0; i < PEER_REPORT_FIELDS; i++) {
+		if (v[i] == old[i])
+			continue;
+		p->mask |= 1u << i;
+		values[p->values.values_len++] = v[i];
+	}
+}
+
 /* Builds the message of one engine: whole, or what differs from the keyframe. */
 static void report_build(bct_watch_t *w, bct_time_t now, engine_t *e, peer_report *p,
 			 uint32_t *values)
 {
-	uint32_t v[PEER_REPORT_FIELDS], base[PEER_REPORT_FIELDS] = { 0 };
 	bool whole =
 		now - e->keyframe_sent >= KEYFRAME_MS || e->keyframe.boot_id != e->last.boot_id;
 
+	message_fill(&e->last, whole ? NULL : &e->keyframe, now - e->sampled, p, values);
 	if (whole) {
 		e->keyframe = e->last;
+		e->keyframe_sampled = e->sampled;
 		e->has_keyframe = true;
 		e->keyframe_sent = now;
 		w->counters.keyframes_sent++;
 	} else {
-		bct_report_fields(&e->keyframe, base);
 		w->counters.deltas_sent++;
 	}
-	bct_report_fields(&e->last, v);
-	memcpy(e->sent_values, v, sizeof(v));
-	memset(p, 0, sizeof(*p));
-	p->upstream_key = e->key;
-	p->boot_id = e->last.boot_id;
-	p->seq = e->last.seq;
-	p->key_seq = e->keyframe.seq;
-	p->age_ms = (uint32_t)(now - e->sampled);
-	p->values.values_val = values;
-	for (uint32_t i = 0; i < PEER_REPORT_FIELDS; i++) {
-		if (v[i] == base[i])
-			continue;
-		p->mask |= 1u << i;
-		values[p->values.values_len++] = v[i];
-	}
+	bct_report_fields(&e->last, e->sent_values);
 	e->pending = false;
 	e->sent = now;
 }
@@ -130,8 +140,8 @@
 
 static bool has(const engine_t *e, uint64_t incarnation)
 {
-	for (uint32_t i = 0; i < e->n_interested; i++) {
-		if (e->interested[i] == incarnation)
+	for (uint32_t i = 0; i < e->n_readers; i++) {
+		if (e->readers[i].incarnation == incarnation)
 			return true;
 	}
 	return false;
@@ -159,7 +169,7 @@
 	w->counters.events_sent++;
 }
 
-/* Sends one member all that it is interested in, in as few datagrams as it fits. */
+/* Sends one member all that it wants, in as few datagrams as it fits. */
 static void send_member(bct_watch_t *w, round_t *r, const bct_member_t *m)
 {
 	for (uint32_t i = 0; i < r->n; i++) {
@@ -191,11 +201,39 @@
 		}
 		r->engines[r->n] = e;
 		report_build(w, now, e, &r->reports[r->n], r->values[r->n]);
-		left_bytes -= (int64_t)e->n_interested * (DATAGRAM_BYTES + REPORT_BYTES);
+		left_bytes -= (int64_t)e->n_readers * (DATAGRAM_BYTES + REPORT_BYTES);
 		r->n++;
 	}
 }
 
+/* Sends the keyframe in use again to a reader that has missed it. */
+static void keyframe_resend(bct_watch_t *w, bct_time_t now, engine_t *e, reader_t *reader)
+{
+	const bct_member_t *m = bct_member_find(w->opts.members, reader->incarnation);
+	uint32_t values[PEER_REPORT_FIELDS];
+	peer_report report;
+	round_t r = { .batch = &report, .batch_reports = 1, .batch_bytes = REPORT_BYTES };
+
+	reader->needs_keyframe = false;
+	if (!m || !e->has_keyframe || e->role == ROLE_NONE)
+		return;
+	message_fill(&e->keyframe, NULL, now - e->keyframe_sampled, &report, values);
+	w->counters.keyframes_sent++;
+	batch_send(w, m, &r);
+}
+
+static void keyframes_resend(bct_watch_t *w, bct_time_t now)
+{
+	for (uint32_t i = 0; i < w->n; i++) {
+		engine_t *e = &w->engines[i];
+
+		for (uint32_t j = 0; j < e->n_readers; j++) {
+			if (e->readers[j].needs_keyframe)
+				keyframe_resend(w, now, e, &e->readers[j]);
+		}
+	}
+}
+
 void bct_watch_send(bct_watch_t *w, bct_time_t now)
 {
 	engine_t *engines[PEER_ENTRIES_MAX];
@@ -211,6 +249,7 @@
 
 	if (w->tokens_bytes <= 0)
 		return;
+	keyframes_resend(w, now);
 	round_fill(w, now, &r);
 	if (!r.n && !w->n_events)
 		return;
--- a/gen/peer.h
+++ b/gen/peer.h
@@ -204,6 +204,14 @@
 		u_int events_len;
 		peer_cache_event *events_val;
 	} events;
+	struct {
+		u_int wants_len;
+		u_quad_t *wants_val;
+	} wants;
+	struct {
+		u_int lost_len;
+		u_quad_t *lost_val;
+	} lost;
 };
 typedef struct peer_reports peer_reports;
 
--- a/gen/peer_xdr.c
+++ b/gen/peer_xdr.c
@@ -291,6 +291,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->events.events_val, (u_int *) &objp->events.events_len, PEER_ENTRIES_MAX,
 		sizeof (peer_cache_event), (xdrproc_t) xdr_peer_cache_event))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->wants.wants_val, (u_int *) &objp->wants.wants_len, PEER_ENTRIES_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->lost.lost_val, (u_int *) &objp->lost.lost_len, PEER_ENTRIES_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/peer.x
+++ b/schema/peer.x
@@ -154,9 +154,15 @@
 	unsigned int op;
 };
 
+/*
+ * wants: engines whose reports the sender wants from the receiver for some time.
+ * lost: those of which it misses the keyframe too.
+ */
 struct peer_reports {
 	peer_report reports<PEER_ENTRIES_MAX>;
 	peer_cache_event events<PEER_ENTRIES_MAX>;
+	unsigned hyper wants<PEER_ENTRIES_MAX>;
+	unsigned hyper lost<PEER_ENTRIES_MAX>;
 };
 
 union peer_call switch (peer_kind kind) {
