Totals fair under the byte budget, quicker joins, refused datagrams logged

bench_member found that an item could wait for ever once the byte budget was spent (28 nodes: a doubled value was not known everywhere after 60 s) and that mass starts waited for the 10 s sync. Items now stay due until they were looked at, and the first syncs come after 1, 2, 4 and 8 s. Event 304 is written at most every 10 s.

--- a/coord/member.c
+++ b/coord/member.c
@@ -263,7 +263,8 @@
 	}
 	t->last_tick = now;
 	t->expected_tick = now;
-	t->next_sync = now + SYNC_INTERVAL_MS;
+	t->sync_interval_ms = SYNC_FIRST_MS;
+	t->next_sync = now + SYNC_FIRST_MS;
 	*out = t;
 	return 0;
 }
--- a/coord/member_int.h
+++ b/coord/member_int.h
@@ -19,6 +19,7 @@
 #define GOSSIP_BUDGET_BYTES 764 /* leaves room for a longest own description */
 #define JOIN_INTERVAL_MS 500
 #define CONTACT_INTERVAL_MS 10000 /* between tries of seeds and of the dead */
+#define SYNC_FIRST_MS 1000	  /* doubled after each sync, up to SYNC_INTERVAL_MS */
 #define SYNC_INTERVAL_MS 10000
 #define SYNC_PER_MEMBER_MS 100 /* the sync interval grows with the fleet */
 #define SYNC_REQUEST_MS 500    /* at most one sync for an unknown sender in this time */
@@ -117,6 +118,7 @@
 	bct_time_t next_info_at;
 	bct_time_t sync_asked;
 	bct_time_t next_reap;
+	bct_time_t sync_interval_ms;
 	uint32_t sync_xid;
 	bct_member_counters_t counters;
 };
--- a/coord/member_probe.c
+++ b/coord/member_probe.c
@@ -336,12 +336,16 @@
 
 void bct_sync_tick(bct_member_table_t *t, bct_time_t now)
 {
+	bct_time_t longest_ms = SYNC_INTERVAL_MS + (bct_time_t)t->n_live * SYNC_PER_MEMBER_MS;
 	const slot_t *s;
 	bct_dest_t to;
 
 	if (now < t->next_sync)
 		return;
-	t->next_sync = now + SYNC_INTERVAL_MS + (bct_time_t)t->n_live * SYNC_PER_MEMBER_MS;
+	t->next_sync = now + t->sync_interval_ms;
+	t->sync_interval_ms *= 2;
+	if (t->sync_interval_ms > longest_ms)
+		t->sync_interval_ms = longest_ms;
 	s = bct_probe_random(t, 0);
 	if (!s)
 		return;
--- a/coord/peer_int.h
+++ b/coord/peer_int.h
@@ -20,6 +20,7 @@
 	EVENT_REPORT,
 	EVENT_CACHE,
 	EVENT_LEAVING,
+	EVENT_REFUSED,
 	EVENT_CONFIG_CALL,
 	EVENT_CONFIG_REPLY,
 } event_type_t;
@@ -40,6 +41,10 @@
 			uint64_t key;
 			bool leaving;
 		} leaving;
+		struct {
+			bct_addr_t src;
+			int err;
+		} refused;
 		struct {
 			bct_dest_t from;
 			uint32_t xid;
@@ -82,6 +87,7 @@
 	bct_member_info_t info;
 	bool fleet_dirty;
 	bct_time_t fleet_next;
+	bct_time_t refused_next; /* when a refused datagram may be logged again */
 
 	/* Of the peer's thread alone. */
 	events_t taken; /* events being delivered */
--- a/coord/peer_loop.c
+++ b/coord/peer_loop.c
@@ -15,6 +15,7 @@
 #define FLEET_INTERVAL_MS 200  /* between two reactions to changes of membership */
 #define CONFIG_CHUNKS_PER_S 1000
 #define WAIT_MAX_MS 1000
+#define REFUSED_LOG_MS 10000 /* at most one log line on refused datagrams in this time */
 
 static socklen_t addr_to_sockaddr(const bct_addr_t *a, struct sockaddr_storage *ss)
 {
@@ -126,14 +127,22 @@
 	}
 }
 
-static void count_refused(bct_peer_t *p, int err)
+static void refused(bct_peer_t *p, bct_time_t now, const bct_addr_t *src, int err)
 {
+	event_t e = { .type = EVENT_REFUSED };
+
 	if (err == -BCT_EAUTH)
 		bct_counter_inc(&p->counters[BCT_PEER_BAD_MAC]);
 	else if (err == -BCT_EREPLAY)
 		bct_counter_inc(&p->counters[BCT_PEER_REPLAYED]);
 	else
 		bct_counter_inc(&p->counters[BCT_PEER_MALFORMED]);
+	if (now < p->refused_next)
+		return;
+	p->refused_next = now + REFUSED_LOG_MS;
+	e.u.refused.src = *src;
+	e.u.refused.err = err;
+	bct_peer_event(p, &e);
 }
 
 static void receive_all(bct_peer_t *p, bct_time_t now)
@@ -152,12 +161,12 @@
 			return;
 		bct_counter_inc(&p->counters[BCT_PEER_RECEIVED]);
 		bct_counter_add(&p->counters[BCT_PEER_RECEIVED_BYTES], (uint64_t)len);
+		addr_from_sockaddr(&ss, &src);
 		err = bct_wire_open(p->wire, data, (size_t)len, &msg);
 		if (err) {
-			count_refused(p, err);
+			refused(p, now, &src, err);
 			continue;
 		}
-		addr_from_sockaddr(&ss, &src);
 		dispatch(p, now, &src, &msg);
 		bct_wire_msg_free(&msg);
 	}
@@ -245,6 +254,15 @@
 		BCT_HEX("incarnation", m->incarnation), BCT_U64("number", m->number));
 }
 
+static void log_refused(bct_peer_t *p, const event_t *e)
+{
+	char addr[BCT_ADDR_PORT_BYTES];
+
+	bct_addr_print(&e->u.refused.src, addr, sizeof(addr));
+	BCT_LOG(p->opts.log, BCT_EV_PEER_AUTH_FAILED, BCT_STR("address", addr),
+		BCT_ERR("reason", e->u.refused.err));
+}
+
 /* Serves a chunk of the configuration, at a limited rate for all peers together. */
 static void serve_config(bct_peer_t *p, bct_time_t now, const event_t *e)
 {
@@ -318,6 +336,9 @@
 		if (ops->upstream_leaving)
 			ops->upstream_leaving(ctx, e->u.leaving.key, e->u.leaving.leaving);
 		break;
+	case EVENT_REFUSED:
+		log_refused(p, e);
+		break;
 	case EVENT_CONFIG_CALL:
 		serve_config(p, now, e);
 		break;
--- a/coord/totals.c
+++ b/coord/totals.c
@@ -45,24 +45,31 @@
 	s->at = now;
 }
 
+static bct_time_t refresh_ms(const bct_totals_t *t)
+{
+	return t->group == NO_GROUP ? REFRESH_MS : REFRESH_GROUPS_MS;
+}
+
 /* Sends an entry's sum to its parent when it changed, was not refreshed, or the parent moved. */
 static void send_up(bct_totals_t *t, bct_time_t now, entry_t *e)
 {
 	uint32_t level, group;
 	uint64_t to = bct_totals_parent(t, e, &level, &group);
 	bct_time_t since = now - e->up.at;
+	bool due = e->due_up;
 	part_t sum;
 
+	e->due_up = false;
 	if (!to || e->level == LEVEL_ROOT || now < e->hold_until)
 		return;
 	bct_totals_sum(e, &sum);
 	if (to == e->up.to && level == e->up.to_level && group == e->up.to_group) {
-		if (!t->up_round || (since < REFRESH_MS && !bct_totals_differs(&sum, &e->up)))
+		if (!due || (since < refresh_ms(t) && !bct_totals_differs(&sum, &e->up)))
 			return;
 	} else if (e->up.to) {
 		t->counters.home_moves++;
 		withdraw(t, now, e);
-	} else if (!t->up_round && group != NO_GROUP) {
+	} else if (!due && group != NO_GROUP) {
 		return;
 	}
 	if (!sum.nodes)
@@ -82,15 +89,16 @@
 {
 	bct_time_t since = now - e->down.at;
 	part_t total = e->total;
-	bool all;
+	bool due = e->due_down, all;
 
-	if (!t->down_round || e->level == LEVEL_LEAF || now < e->hold_until)
+	e->due_down = false;
+	if (!due || e->level == LEVEL_LEAF || now < e->hold_until)
 		return;
 	if (e->level == LEVEL_ROOT)
 		bct_totals_sum(e, &total);
 	if (!total.nodes)
 		return;
-	all = since >= REFRESH_MS || bct_totals_differs(&total, &e->down);
+	all = since >= refresh_ms(t) || bct_totals_differs(&total, &e->down);
 	if (all)
 		sent_note(&e->down, now, &total);
 	for (uint32_t i = 0; i < e->n; i++) {
@@ -203,20 +211,24 @@
 /* Hands a total out again with its greater age when no new one came for long. */
 static void hand_out_old(bct_totals_t *t, bct_time_t now, entry_t *e)
 {
-	if (e->level == LEVEL_LEAF && e->total.nodes && now - e->handed_out >= 2 * REFRESH_MS)
+	if (e->level == LEVEL_LEAF && e->total.nodes && now - e->handed_out >= 2 * refresh_ms(t))
 		hand_out(t, now, e);
 }
 
+/* Begins a round of sending up, or down, when it is time. */
 static void rounds_start(bct_totals_t *t, bct_time_t now)
 {
-	bool flat = t->group == NO_GROUP;
-
-	t->up_round = now >= t->next_up;
-	t->down_round = now >= t->next_down;
-	if (t->up_round)
-		t->next_up = now + (flat ? UP_INTERVAL_MS : GROUPS_INTERVAL_MS);
-	if (t->down_round)
-		t->next_down = now + (flat ? DOWN_INTERVAL_MS : GROUPS_INTERVAL_MS);
+	bool small = t->n_homes <= FLEET_SMALL;
+	bool up = now >= t->next_up, down = now >= t->next_down;
+
+	if (up)
+		t->next_up = now + (small ? UP_INTERVAL_MS : FLEET_INTERVAL_MS);
+	if (down)
+		t->next_down = now + (small ? DOWN_INTERVAL_MS : FLEET_INTERVAL_MS);
+	for (uint32_t i = 0; i < t->n; i++) {
+		t->entries[i]->due_up |= up;
+		t->entries[i]->due_down |= down;
+	}
 }
 
 bct_time_t bct_totals_tick(bct_totals_t *t, bct_time_t now)
--- a/coord/totals_home.c
+++ b/coord/totals_home.c
@@ -46,7 +46,7 @@
 	uint32_t at = 0, first, end;
 
 	t->group = NO_GROUP;
-	t->n_roots = ROOT_BUCKETS;
+	t->n_roots = t->n_homes <= FLEET_SMALL ? ROOT_BUCKETS_SMALL : ROOT_BUCKETS;
 	if (t->n_homes > BCT_TOTALS_FLAT_MAX) {
 		while (at + 1 < t->n_homes && t->homes[at] < t->self)
 			at++;
--- a/coord/totals_int.h
+++ b/coord/totals_int.h
@@ -12,17 +12,20 @@
 /* Values go out in rounds, so that a datagram holds all that one node is to be told. */
 #define UP_INTERVAL_MS 1000
 #define DOWN_INTERVAL_MS 400
-#define GROUPS_INTERVAL_MS 2000 /* both, in a fleet with groups */
-#define REFRESH_MS 4000		/* a value that did not change is sent again */
-#define EXPIRE_MS 16000		/* a part that is not refreshed is dropped */
-#define HOME_HOLD_MS 2500	/* a new home waits for the parts to arrive */
-#define CHANGE_SHIFT 3		/* a change above 1/8 is sent before the refresh */
+#define FLEET_SMALL 10	       /* up to this many nodes rounds are that short */
+#define FLEET_INTERVAL_MS 2000 /* both, in a larger fleet */
+#define REFRESH_MS 4000	       /* a value that did not change is sent again */
+#define REFRESH_GROUPS_MS 6000 /* the same in a fleet with groups */
+#define EXPIRE_MS 16000	       /* a part that is not refreshed is dropped */
+#define HOME_HOLD_MS 2500      /* a new home waits for the parts to arrive */
+#define CHANGE_SHIFT 3	       /* a change above 1/8 is sent before the refresh */
 #define PART_BYTES 20
 #define PARTS_PER_DATAGRAM 54
-#define DATAGRAM_BYTES 112  /* RPC header, envelope, MAC, UDP and IP */
-#define MIDDLE_BUCKETS 8    /* middle homes in a group */
-#define ROOT_BUCKETS 16	    /* roots in a fleet without groups */
-#define ROOT_BUCKETS_MAX 64 /* roots in a fleet with groups; a multiple of MIDDLE_BUCKETS */
+#define DATAGRAM_BYTES 112   /* RPC header, envelope, MAC, UDP and IP */
+#define MIDDLE_BUCKETS 8     /* middle homes in a group */
+#define ROOT_BUCKETS_SMALL 8 /* roots in a small fleet */
+#define ROOT_BUCKETS 16	     /* roots in a larger one without groups */
+#define ROOT_BUCKETS_MAX 64  /* roots in a fleet with groups */
 
 /* Levels: a part starts at a leaf; a middle home and the root add up. */
 enum { LEVEL_LEAF = 0, LEVEL_MIDDLE = 1, LEVEL_ROOT = 2 };
@@ -59,6 +62,8 @@
 	uint32_t n;
 	uint32_t cap;
 	bool published; /* leaf: in the last publish */
+	bool due_up;	/* not looked at since the round began; the byte budget may delay it */
+	bool due_down;
 	bct_time_t hold_until;
 	sent_t up;
 	sent_t down;
@@ -94,8 +99,6 @@
 	bct_time_t next_tick;
 	bct_time_t next_up;
 	bct_time_t next_down;
-	bool up_round; /* this tick is one of sending up, or down */
-	bool down_round;
 	uint32_t xid;
 	bct_totals_counters_t counters;
 };
