--- a/coord/member_int.h
+++ b/coord/member_int.h
@@ -19,6 +19,7 @@
 #define GOSSIP_BUDGET_BYTES 764 /* leaves room for a longest own description */
 #define JOIN_INTERVAL_MS 500
 #define CONTACT_INTERVAL_MS 10000 /* between tries of seeds and of the dead */
+#define SYNC_FIRST_MS 1000	  /* doubled after each sync, up to SYNC_INTERVAL_MS */
 #define SYNC_INTERVAL_MS 10000
 #define SYNC_PER_MEMBER_MS 100 /* the sync interval grows with the fleet */
 #define SYNC_REQUEST_MS 500    /* at most one sync for an unknown sender in this time */
@@ -40,7 +41,8 @@
 	uint8_t tx_fact;
 	uint8_t tx_desc;
 	uint8_t tx_info;
-	bool unlisted; /* the VM list does not name it */
+	bool info_urgent; /* the first word of a new revision */
+	bool unlisted;	  /* the VM list does not name it */
 	bct_time_t suspect_until;
 	bct_time_t flapped;
 } slot_t;
@@ -91,7 +93,8 @@
 	uint32_t n_live; /* not dead */
 	uint32_t health; /* 0: this node's own probes work */
 	uint32_t xid;
-	uint32_t gossip_at; /* slot that the next datagram's news starts from */
+	uint64_t newest_revision; /* of all members */
+	uint32_t gossip_at;	  /* slot that the next datagram's news starts from */
 	probe_t probe;
 	uint64_t *order; /* incarnations in this round's order of probing */
 	uint32_t n_order;
@@ -115,6 +118,7 @@
 	bct_time_t next_info_at;
 	bct_time_t sync_asked;
 	bct_time_t next_reap;
+	bct_time_t sync_interval_ms;
 	uint32_t sync_xid;
 	bct_member_counters_t counters;
 };
