Counters of the configuration; status takes each member's own word

Before: no bct_config metric; after: tests/proc_config.sh finds 6 accepted changes, revision 6 and diverged 0 on a node and passes. Conclusion: each verdict has its counter.

--- a/cmd/chutectl_status.c
+++ b/cmd/chutectl_status.c
@@ -141,34 +141,36 @@
 	}
 }
 
-/* Wall-clock time since which a member's own revision is in force; 0 when it does not answer. */
-static json_int_t ask_since(const ctl_t *ctl, const json_t *member)
+/* The member's own word on its configuration, or NULL when it does not answer. */
+static json_t *ask_config(const ctl_t *ctl, const json_t *member)
 {
 	ctl_t other = *ctl;
-	json_t *status = NULL;
-	json_int_t since_ms = 0;
+	json_t *status = NULL, *config = NULL;
 
 	if (strcmp(text(member, "state"), "alive"))
-		return 0;
+		return NULL;
 	other.node = (char *)text(member, "admin");
 	other.timeout_ms = MEMBER_TIMEOUT_MS;
 	other.quiet = true;
 	if (ctl_call(&other, "/admin/v1/status", NULL, &status) == CTL_OK)
-		since_ms = number(json_object_get(status, "config"), "since_ms");
+		config = json_incref(json_object_get(status, "config"));
 	json_decref(status);
-	return since_ms;
+	return config;
 }
 
+/* Gossip says which revision the member had a moment ago; its own word is newer and has a time. */
 static void print_member(const ctl_t *ctl, const json_t *m, bool ask)
 {
 	bool leaving = json_is_true(json_object_get(m, "leaving"));
+	json_t *config = ask ? ask_config(ctl, m) : NULL;
 	char age[AGE_BYTES];
 
-	since_text(ask ? ask_since(ctl, m) : 0, age);
+	since_text(number(config, "since_ms"), age);
 	printf("%-24.24s %-20.20s %-8.8s %8" JSON_INTEGER_FORMAT " %6s %6" JSON_INTEGER_FORMAT
 	       "%%\n",
 	       text(m, "name"), text(m, "failure_domain"), leaving ? "leaving" : text(m, "state"),
-	       number(m, "revision"), age, number(m, "load_permille") / 10);
+	       number(config ? config : m, "revision"), age, number(m, "load_permille") / 10);
+	json_decref(config);
 }
 
 static void print_members(const ctl_t *ctl, const json_t *list)
--- a/coord/config_store.c
+++ b/coord/config_store.c
@@ -10,6 +10,7 @@
 #include "coord/conf_json.h"
 #include "coord/config.h"
 #include "coord/config_boot.h"
+#include "coord/config_counters.h"
 #include "coord/config_snapshot.h"
 
 #include <pthread.h>
@@ -35,6 +36,7 @@
 	char vm_name[BCT_NAME_BYTES];
 	bct_log_follower_t *follower;
 	log_side_t side;
+	bct_config_counters_t counters;
 	/* Lock order: adopt_lock, then lock. */
 	pthread_mutex_t adopt_lock; /* held over a change of what is in force and its callback */
 	bool told;		    /* the callback took what is in force; under adopt_lock */
@@ -85,6 +87,8 @@
 	bct_conf_unref(old_conf);
 	bct_buf_free(&old_text);
 	bct_buf_init(text, 0);
+	bct_counter_inc(source == BCT_CONFIG_SOURCE_LOG ? &s->counters.from_log
+							: &s->counters.from_peer);
 	bct_digest_hex(&conf->digest, hex);
 	BCT_LOG(s->opts.log, BCT_EV_CONFIG_ADOPTED, BCT_U64("revision", conf->revision),
 		BCT_STR("digest", hex), BCT_STR("source", bct_config_source_wire(source)));
@@ -131,8 +135,9 @@
 	bct_buf_free(&text);
 }
 
-static void log_verdict(bct_config_store_t *s, const bct_config_result_t *r)
+static void note_verdict(bct_config_store_t *s, const bct_config_result_t *r)
 {
+	bct_counter_inc(r->repeat ? &s->counters.repeats : &s->counters.verdicts[r->verdict]);
 	if (r->verdict == BCT_VERDICT_ACCEPTED || r->repeat)
 		return;
 	BCT_LOG(s->opts.log, BCT_EV_CONFIG_REJECTED, BCT_HEX("id", r->id),
@@ -156,15 +161,17 @@
 	rc = bct_config_replay(&s->side.state, rec->data, rec->len_bytes, &res);
 	if (rc == -BCT_ENOMEM)
 		return rc;
-	if (rc == -BCT_ECODEC)
+	if (rc == -BCT_ECODEC) {
+		bct_counter_inc(&s->counters.bad_records);
 		BCT_LOG(s->opts.log, BCT_EV_CONFIG_BAD_RECORD, BCT_U64("offset", rec->offset));
-	else if (rc == -BCT_EDIVERGED)
+	} else if (rc == -BCT_EDIVERGED) {
 		note_diverged(s, "a snapshot in the log", res.revision);
-	else if (res.type == BCT_XCONFIG_SNAPSHOT)
+	} else if (res.type == BCT_XCONFIG_SNAPSHOT) {
 		bct_snapshot_plan_seen(&s->side.plan, bct_clock_now(), rec->offset,
 				       bct_clock_wall() - res.wall_ms);
-	else
-		log_verdict(s, &res);
+	} else {
+		note_verdict(s, &res);
+	}
 	return 0;
 }
 
@@ -237,7 +244,8 @@
 		rc = bct_platform_append(s->opts.platform, BCT_STREAM_CONFIG, rec.data,
 					 (uint32_t)rec.len_bytes, s->opts.timeout_ms, &offset);
 	bct_buf_free(&rec);
-	/* It counts once it is read back; a lost answer makes no difference. */
+	bct_counter_inc(&s->counters.snapshots);
+	/* It is there once it is read back; a lost answer makes no difference. */
 	BCT_LOG(s->opts.log, BCT_EV_CONFIG_SNAPSHOT, BCT_U64("revision", state->revision),
 		BCT_U64("covered", state->next), BCT_ERR("result", rc));
 }
@@ -446,6 +454,8 @@
 	tell(s);
 	pthread_mutex_unlock(&s->adopt_lock);
 out:
+	if (rc == -BCT_ECODEC || rc == -BCT_EDIVERGED)
+		bct_counter_inc(&s->counters.offers_refused);
 	bct_buf_free(&text);
 	bct_conf_unref(conf);
 	return rc;
@@ -484,3 +494,22 @@
 	out->stale_ms = out->log.answered_at == 0 || stale_ms > UINT32_MAX ? UINT32_MAX
 									   : (uint32_t)stale_ms;
 }
+
+int bct_config_store_metrics(bct_config_store_t *s, bct_buf_t *out)
+{
+	static const bct_counter_desc_t desc[] = {
+		{ "bct_config_revision", NULL, NULL, "gauge", "revision in force" },
+		{ "bct_config_log_stale_ms", NULL, NULL, "gauge",
+		  "milliseconds since the log last answered" },
+		{ "bct_config_diverged", NULL, NULL, "gauge",
+		  "1: the log and this node did not agree" },
+	};
+	bct_config_status_t st;
+
+	bct_config_store_status(s, &st);
+	bct_counters_print(
+		out, desc,
+		(const bct_counter_t[]){ { st.revision }, { st.stale_ms }, { st.diverged } },
+		sizeof(desc) / sizeof(desc[0]));
+	return bct_config_counters_print(&s->counters, out);
+}
--- a/coord/config_store.h
+++ b/coord/config_store.h
@@ -107,4 +107,12 @@
 
 void bct_config_store_status(bct_config_store_t *s, bct_config_status_t *out);
 
+/*
+ * bct_config_store_metrics(3): counters, and the revision, age of the log's last answer and whether
+ * it diverged as gauges.
+ *
+ * returns  0 or the buffer's error
+ */
+int bct_config_store_metrics(bct_config_store_t *s, bct_buf_t *out);
+
 #endif
--- a/node/node.c
+++ b/node/node.c
@@ -423,5 +423,7 @@
 		       bct_core_in_flight(n->core));
 	if (wired(n) && n->peer)
 		bct_peer_counters_print(bct_node_peer(n->peer), out);
+	if (wired(n))
+		bct_config_store_metrics(bct_node_config_store(n->config), out);
 	return bct_stats_print(bct_core_stats(n->core), out);
 }
--- a/tests/proc_config.sh
+++ b/tests/proc_config.sh
@@ -81,6 +81,11 @@
 "$BIN/chutectl" status --node "$admin_one" --token-file "$work/token" >"$work/page"
 [ "$(awk 'length > 80' "$work/page" | wc -l)" -eq 0 ] || { cat "$work/page"; fail "wider than 80"; }
 grep -q 'revision 6 in force' "$work/page" || { cat "$work/page"; fail "status page"; }
+"$BIN/chuteload" get "$admin_one" /metrics >"$work/metrics"
+for line in 'bct_config_changes_total{verdict="accepted"} 6' 'bct_config_revision 6' \
+	'bct_config_diverged 0'; do
+	grep -qxF "$line" "$work/metrics" || fail "metrics: no '$line'"
+done
 echo nobody >"$work/wrong"
 rc=0
 "$BIN/chutectl" status --node "$admin_one" --token-file "$work/wrong" >/dev/null 2>&1 || rc=$?
