--- a/coord/config_boot.c
+++ b/coord/config_boot.c
@@ -16,8 +16,8 @@
 
 void bct_config_boot_free(bct_config_boot_t *b)
 {
-	if (b->found)
-		bct_config_record_free(&b->newest);
+	for (uint32_t i = 0; i < b->n_kept; i++)
+		bct_config_record_free(&b->kept[i]);
 	memset(b, 0, sizeof(*b));
 }
 
@@ -47,18 +47,20 @@
 		bct_config_record_free(&rec);
 		return;
 	}
-	if (b->found)
-		bct_config_record_free(&b->newest);
-	b->newest = rec;
-	b->found = true;
+	if (b->n_kept == BCT_BOOT_SNAPSHOTS) {
+		bct_config_record_free(&b->kept[0]);
+		memmove(&b->kept[0], &b->kept[1], sizeof(b->kept) - sizeof(b->kept[0]));
+		b->n_kept--;
+	}
+	b->kept[b->n_kept++] = rec;
 }
 
 int bct_config_boot_finish(bct_config_boot_t *b, bct_config_state_t *out)
 {
 	int rc = -BCT_ECODEC;
 
-	if (b->found)
-		rc = bct_config_from_snapshot(&b->newest.bct_xconfig_record_u.snapshot, out);
+	for (uint32_t i = 0; i < b->n_kept && rc == -BCT_ECODEC; i++)
+		rc = bct_config_from_snapshot(&b->kept[i].bct_xconfig_record_u.snapshot, out);
 	if (rc != -BCT_ECODEC)
 		return rc;
 	return b->start == 0 ? bct_config_init(out) : -BCT_EEXPIRED;
--- a/coord/config_store.c
+++ b/coord/config_store.c
@@ -21,6 +21,7 @@
 #define SNAPSHOT_RECORDS 64
 #define SNAPSHOT_INTERVAL_MS (60 * 60 * BCT_MS_PER_S)
 #define RESCUE_DELAY_MS (60 * BCT_MS_PER_S)
+#define DIVERGED_RANKS 32 /* how many ranks later a node in doubt writes a snapshot */
 
 /* The follower's thread alone uses this. */
 typedef struct log_side {
@@ -212,22 +213,16 @@
 	return true;
 }
 
-static bool is_diverged(bct_config_store_t *s)
-{
-	bool diverged;
-
-	pthread_mutex_lock(&s->lock);
-	diverged = s->status.diverged;
-	pthread_mutex_unlock(&s->lock);
-	return diverged;
-}
-
-static uint32_t rank_of(bct_config_store_t *s)
+/*
+ * One bad record makes every node report that it diverged, so that cannot keep a node from writing;
+ * but whoever has no such doubt goes first.
+ */
+static uint32_t snapshot_rank(bct_config_store_t *s)
 {
 	uint32_t rank;
 
 	pthread_mutex_lock(&s->lock);
-	rank = s->rank;
+	rank = s->rank + (s->status.diverged ? DIVERGED_RANKS : 0);
 	pthread_mutex_unlock(&s->lock);
 	return rank;
 }
@@ -254,10 +249,9 @@
 {
 	const bct_config_state_t *st = &s->side.state;
 	bct_time_t now = bct_clock_now();
-	bool due = st->revision > 0 && !is_diverged(s) &&
-		   bct_snapshot_plan_due(&s->side.plan, now, st->next, oldest);
+	bool due = st->revision > 0 && bct_snapshot_plan_due(&s->side.plan, now, st->next, oldest);
 
-	if (bct_snapshot_plan_turn(&s->side.plan, now, due, rank_of(s), 0))
+	if (bct_snapshot_plan_turn(&s->side.plan, now, due, snapshot_rank(s), 0))
 		write_snapshot(s, st);
 }
 
@@ -290,9 +284,9 @@
 {
 	bct_config_state_t state;
 	bct_digest_t digest;
-	bool due = bct_config_store_revision(s, &digest) > 0 && !is_diverged(s);
+	bool due = bct_config_store_revision(s, &digest) > 0;
 
-	if (!bct_snapshot_plan_turn(&s->side.plan, bct_clock_now(), due, rank_of(s),
+	if (!bct_snapshot_plan_turn(&s->side.plan, bct_clock_now(), due, snapshot_rank(s),
 				    s->opts.rescue_delay_ms))
 		return;
 	if (!state_from_peer(s, end, &state))
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -225,6 +225,56 @@
 	bct_config_free(&s);
 }
 
+/* Reads records from offset 1 on, as when the first has expired. */
+static int boot_from(const bct_buf_t *log, uint32_t n, bct_config_state_t *out)
+{
+	bct_config_boot_t boot;
+	int rc;
+
+	bct_config_boot_init(&boot, 1);
+	for (uint32_t i = 1; i < n; i++)
+		bct_config_boot_record(&boot, log[i].data, (uint32_t)log[i].len_bytes);
+	rc = bct_config_boot_finish(&boot, out);
+	bct_config_boot_free(&boot);
+	return rc;
+}
+
+Test(config, wrong_snapshot_that_is_the_newest_is_found_out_and_not_started_from)
+{
+	bct_config_state_t s, wrong, late;
+	bct_config_result_t res;
+	bct_buf_t log[4];
+	uint32_t i;
+
+	bct_config_init(&s);
+	bct_config_init(&wrong);
+	change(&s, &s, 10, 1);
+	change(&wrong, &wrong, 99, 1);
+	for (i = 0; i < 4; i++)
+		bct_buf_init(&log[i], 0);
+	for (i = 1; i < 4; i++) {
+		bct_config_state_t *from = i < 3 ? &s : &wrong;
+
+		from->next = i;
+		cr_assert_eq(bct_config_snapshot_encode(from, "vm", 1, &log[i]), 0);
+	}
+	cr_assert_eq(boot_from(log, 4, &late), 0);
+	cr_assert_eq(late.next, 1);
+	for (i = 1; i < 4; i++)
+		cr_assert_eq(
+			bct_config_replay(&late, log[i].data, (uint32_t)log[i].len_bytes, &res),
+			i < 3 ? 0 : -BCT_EDIVERGED);
+	cr_assert_eq(util_context(late.conf), 10);
+	/* One whose text was cut on the way is passed over altogether. */
+	log[1].data[log[1].len_bytes - 8] ^= 1;
+	bct_config_free(&late);
+	cr_assert_eq(boot_from(log, 2, &late), -BCT_EEXPIRED);
+	for (i = 0; i < 4; i++)
+		bct_buf_free(&log[i]);
+	bct_config_free(&s);
+	bct_config_free(&wrong);
+}
+
 /*
  * A log made at random, and what a naive reader makes of it: a list of ids judged and one number.
  * Nobody else in this file knows the order of checks of coord/config.c.
--- a/tests/test_config_store.c
+++ b/tests/test_config_store.c
@@ -4,6 +4,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "coord/conf_json.h"
+#include "coord/config_snapshot.h"
 #include "coord/config_store.h"
 #include "coord/platform_embedded.h"
 #include "tests/util_config.h"
@@ -84,6 +85,30 @@
 	bct_buf_free(&rec);
 }
 
+Test(config_snapshot, due_by_records_time_and_expiry_and_the_lowest_rank_writes_first)
+{
+	bct_snapshot_plan_t p;
+	bct_time_t now = 1000000;
+
+	bct_snapshot_plan_init(&p, 64, 3600000, 1);
+	cr_assert_not(bct_snapshot_plan_due(&p, now, 10, 0));
+	cr_assert(bct_snapshot_plan_due(&p, now, 10, 1));
+	cr_assert(bct_snapshot_plan_due(&p, now, 64, 0));
+	bct_snapshot_plan_seen(&p, now, 64, 0);
+	cr_assert_not(bct_snapshot_plan_due(&p, now, 128, 64));
+	cr_assert(bct_snapshot_plan_due(&p, now, 129, 64));
+	cr_assert(bct_snapshot_plan_due(&p, now, 66, 65));
+	cr_assert_not(bct_snapshot_plan_due(&p, now + 3599999, 65, 0));
+	cr_assert(bct_snapshot_plan_due(&p, now + 3600000, 65, 0));
+	/* Rank 3 waits 6 s and some jitter; a snapshot seen meanwhile takes its turn away. */
+	cr_assert_not(bct_snapshot_plan_turn(&p, now, true, 3, 0));
+	cr_assert_not(bct_snapshot_plan_turn(&p, now + 5999, true, 3, 0));
+	cr_assert(bct_snapshot_plan_turn(&p, now + 6500, true, 3, 0));
+	cr_assert_not(bct_snapshot_plan_turn(&p, now + 6600, true, 3, 0));
+	bct_snapshot_plan_seen(&p, now + 6700, 130, 0);
+	cr_assert_not(bct_snapshot_plan_turn(&p, now + 9000, true, 3, 0));
+}
+
 Test(config_store, follows_the_log_and_survives_an_outage)
 {
 	bct_platform_t *p;
