Log follower: gaps inside a read are lost records too; sleeping stands once

A read whose offsets skipped told its user of the loss but not the log lines, and could count as caught up. It now goes the same way as an expired position. bct_clock_sleep and bct_clock_until replace three copies.

--- a/base/clock.h
+++ b/base/clock.h
@@ -5,6 +5,7 @@
 #define BCT_BASE_CLOCK_H
 
 #include <stdint.h>
+#include <time.h>
 
 typedef int64_t bct_time_t;
 
@@ -25,4 +26,10 @@
  */
 bct_time_t bct_clock_wall(void);
 
+/* bct_clock_sleep(3): let the calling thread sleep. */
+void bct_clock_sleep(uint32_t ms);
+
+/* bct_clock_until(3): CLOCK_MONOTONIC in so many milliseconds, for pthread_cond_timedwait(3). */
+void bct_clock_until(uint32_t ms, struct timespec *out);
+
 #endif
--- a/coord/config_publish.c
+++ b/coord/config_publish.c
@@ -7,13 +7,11 @@
 #include "coord/config_boot.h"
 
 #include <string.h>
-#include <time.h>
 
 #define TIMEOUT_MS 10000
 #define CALL_TIMEOUT_MS 2000
 #define RETRY_MS 500
 #define READ_MAX_BYTES (1024 * 1024)
-#define NS_PER_MS 1000000L
 
 const char *bct_publish_outcome_wire(bct_publish_outcome_t o)
 {
@@ -153,13 +151,6 @@
 		p->may_be_sent = true;
 }
 
-static void sleep_ms(uint32_t ms)
-{
-	struct timespec ts = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * NS_PER_MS };
-
-	nanosleep(&ts, NULL);
-}
-
 /* Appends and reads until the log has decided or time is up; a gap in the log ends it too. */
 static int run(publish_t *p)
 {
@@ -181,7 +172,7 @@
 		if (now >= p->deadline)
 			break;
 		if (rc <= 0 && now < next_append)
-			sleep_ms((uint32_t)(next_append - now));
+			bct_clock_sleep((uint32_t)(next_append - now));
 	}
 	p->out->outcome = p->may_be_sent ? BCT_PUBLISH_UNKNOWN : BCT_PUBLISH_NOT_SENT;
 	return p->may_be_sent ? 0 : -BCT_EUNAVAILABLE;
@@ -197,7 +188,7 @@
 					 &p->state);
 		if (rc != -BCT_EUNAVAILABLE || bct_clock_now() + p->retry_ms >= p->deadline)
 			return rc;
-		sleep_ms(p->retry_ms);
+		bct_clock_sleep(p->retry_ms);
 	}
 }
 
--- a/coord/log_follower.c
+++ b/coord/log_follower.c
@@ -9,7 +9,6 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #define STREAM_NAME_BYTES 65
 #define POLL_MS 1000
@@ -19,7 +18,6 @@
 #define BACKOFF_FIRST_MS 100
 #define BACKOFF_MAX_MS 5000
 #define BACKOFF_MAX_SHIFT 6
-#define NS_PER_MS 1000000L
 
 struct bct_log_follower {
 	bct_log_follower_opts_t opts;
@@ -111,8 +109,7 @@
 
 		/* An offset that is skipped was dropped between two reads. */
 		if (r->records[i].offset != f->position) {
-			f->position =
-				f->opts.ops->lost(f->opts.ctx, f->position, r->records[i].offset);
+			lose(f, r->records[i].offset);
 			return (int)i;
 		}
 		rc = f->opts.ops->record(f->opts.ctx, &r->records[i]);
@@ -193,13 +190,7 @@
 	struct timespec until;
 	bool stop;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += ms / BCT_MS_PER_S;
-	until.tv_nsec += (long)(ms % BCT_MS_PER_S) * NS_PER_MS;
-	if (until.tv_nsec >= BCT_MS_PER_S * NS_PER_MS) {
-		until.tv_nsec -= BCT_MS_PER_S * NS_PER_MS;
-		until.tv_sec++;
-	}
+	bct_clock_until(ms, &until);
 	pthread_mutex_lock(&f->lock);
 	while (!f->stop && ms && !pthread_cond_timedwait(&f->stop_cond, &f->lock, &until))
 		;
--- a/coord/platform_embedded.c
+++ b/coord/platform_embedded.c
@@ -9,11 +9,9 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #define STREAM_NAME_BYTES 65
 #define RECORD_MAX_BYTES (1024 * 1024)
-#define NS_PER_MS 1000000L
 #define WEIGHT_BYTES (1024 * 1024 * 1024ULL)
 
 typedef struct entry {
@@ -40,14 +38,6 @@
 	bct_vm_list_t vms;
 } embedded_t;
 
-static void sleep_ms(uint32_t ms)
-{
-	struct timespec ts = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * NS_PER_MS };
-
-	if (ms)
-		nanosleep(&ts, NULL);
-}
-
 /* The delay runs before the lock is taken, so that slow calls overlap as they would elsewhere. */
 static embedded_t *enter(bct_platform_t *base)
 {
@@ -57,7 +47,8 @@
 	pthread_mutex_lock(&p->lock);
 	delay_ms = p->fault.delay_ms;
 	pthread_mutex_unlock(&p->lock);
-	sleep_ms(delay_ms);
+	if (delay_ms)
+		bct_clock_sleep(delay_ms);
 	pthread_mutex_lock(&p->lock);
 	return p;
 }
@@ -201,13 +192,7 @@
 {
 	struct timespec until;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += wait_ms / BCT_MS_PER_S;
-	until.tv_nsec += (long)(wait_ms % BCT_MS_PER_S) * NS_PER_MS;
-	if (until.tv_nsec >= BCT_MS_PER_S * NS_PER_MS) {
-		until.tv_nsec -= BCT_MS_PER_S * NS_PER_MS;
-		until.tv_sec++;
-	}
+	bct_clock_until(wait_ms, &until);
 	for (;;) {
 		const stream_t *s = find_stream(p, name);
 
