--- a/coord/conf_json.c
+++ b/coord/conf_json.c
@@ -8,6 +8,7 @@
 #include "coord/json_reader.h"
 
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
