Process tests stop nodes before what they need

Cause: with all processes stopped at once nodes drained against a dead log, and cells took 8 s longer. Change: lib_proc.sh stops nodes first, then the stand-ins; the matrix writes its page by awk, VERBOSE shows a cell's table.

--- a/bench/fault_cell.sh
+++ b/bench/fault_cell.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # fault_cell.sh STEP FAULT [SEED]: one cell of the fault matrix on processes of its own. Most
 # requests stand at STEP when FAULT strikes, 800 ms into a mixed load on two nodes. A fault that
-# ends in +log comes with an outage of the log. Prints "STEP|FAULT|VERDICT|what was seen".
+# ends in +log comes with an outage of the log. Prints "STEP|FAULT|VERDICT|what was seen". With VERBOSE set, the table too.
 set -eu
 step=$1 fault=$2 seed=${3:-1}
 . tests/lib_proc.sh
@@ -87,6 +87,7 @@
 if [ "$fault" = node-stop ]; then
 	wait "$n1_pid" || verdict=BROKEN
 fi
+if [ -n "${VERBOSE:-}" ]; then cat "$work/table" >&2; fi
 seen=$(awk 'NR > 1 && $1 ~ /^(draft|archive|notes|book|unkeyed)$/ { n += $3; ok += $4; no += $10; un += $11 }
 	END { printf "%d requests: %d whole, %d refused, %d in doubt", n, ok, no, un }' "$work/table")
 faults=$(sed -n 's/^FAULT //p' "$work/table" | tr '\n' ';')
--- a/bench/faults.sh
+++ b/bench/faults.sh
@@ -39,7 +39,7 @@
 | step | fault | promise | seen |
 |---|---|---|---|
 EOT
-	sort "$out" | sed 's/^/| /; s/|/ | /g; s/^ | *//; s/  */ /g; s/^| */| /; s/$/ |/; s/^\([^|]\)/| \1/'
+	sort "$out" | awk -F'|' '{ printf "| %s | %s | %s | %s |\n", $1, $2, $3, $4 }'
 } >docs/FAULTS.md
 echo "$held of $all cells held; see docs/FAULTS.md"
 [ "$held" -eq "$all" ]
--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -3,23 +3,31 @@
 BIN=${BIN:-build/bin}
 work=$(mktemp -d)
 pids=
+node_pids=
 
-# Stops what this script started, also when it fails; what is not gone after 8 s is killed.
-stop_all() {
-	for pid in $pids; do
+# stop_pids PID...: stops processes of this script; what is not gone after 8 s is killed.
+stop_pids() {
+	for pid in "$@"; do
 		kill "$pid" 2>/dev/null || true
 	done
 	(
-		sleep 8
-		for pid in $pids; do
+		sleep 8 2>/dev/null
+		for pid in "$@"; do
 			kill -9 "$pid" 2>/dev/null && echo "$0: killed $pid, which did not stop" >&2
 		done
 	) </dev/null >/dev/null &
 	killer=$!
-	for pid in $pids; do
+	for pid in "$@"; do
 		wait "$pid" 2>/dev/null || true
 	done
 	kill "$killer" 2>/dev/null || true
+}
+
+# Stops what this script started, also when it fails. Nodes go first: they finish in flight what
+# needs the others.
+stop_all() {
+	stop_pids $node_pids
+	stop_pids $pids
 	rm -rf "$work"
 }
 trap stop_all EXIT
@@ -115,7 +123,7 @@
 EOT
 	"$BIN/chuted" --config "$work/$name.json" >"$work/$name.out" 2>"$work/$name.err" &
 	pid=$!
-	pids="$pids $pid"
+	node_pids="$node_pids $pid"
 	wait_for 10 grep -q '^listening' "$work/$name.out" || fail "$name did not start"
 	caller=127.0.0.1:$(sed -n 's/.*caller=\([0-9]*\).*/\1/p' "$work/$name.out")
 	admin=127.0.0.1:$(sed -n 's/.*admin=\([0-9]*\).*/\1/p' "$work/$name.out")
