--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -7,7 +7,6 @@
 #define DISPATCH_SUSPECT_LOOK_MS 250 /* between looks at whether others cleared a suspect */
 #define DISPATCH_ALONE_PART 4
 #define DISPATCH_CREDIT_REQUESTS 2 /* a floor saves up no more than this many requests */
-#define DISPATCH_LEARNT_MIN 20	   /* answers after which a class's length is relied on */
 
 void bct_dispatch_ready(bct_core_t *c, bct_target_t *t)
 {
@@ -128,7 +127,7 @@
 {
 	uint8_t urgent = r->target->urgent_tier;
 
-	return !urgent || r->granted || r->tier <= urgent ? BCT_SET_OPEN : BCT_SET_ROOMY;
+	return r->granted || r->tier <= urgent ? BCT_SET_OPEN : BCT_SET_ROOMY;
 }
 
 /* Work that missed its target; a slow upstream can do no more harm to it. */
@@ -160,10 +159,10 @@
 /* The learnt length says that its deadline would cut it off: tokens spent on it are wasted. */
 static bool dispatch_hopeless(bct_time_t now, const bct_sreq_t *r, const bct_route_t *route)
 {
-	const bct_length_t *l = &r->terms->length;
+	const bct_length_t *l = bct_core_length(r->terms);
 	double left;
 
-	if (r->deadline == BCT_TIME_NEVER || !r->repeatable || l->n < DISPATCH_LEARNT_MIN ||
+	if (r->deadline == BCT_TIME_NEVER || !r->repeatable || l->n < BCT_LENGTH_KNOWN ||
 	    route->up->kind != BCT_UPSTREAM_ENGINE)
 		return false;
 	left = bct_length_high(l, r->tokens, r->desc.max_output_tokens);
@@ -301,7 +300,8 @@
 		return;
 	if (r->tier >= tier && (own_up_to(u, r->tier) >= u->load.quota || !bct_load_room(&u->load)))
 		return;
-	if (dispatch_set(r) == BCT_SET_ROOMY && bct_load_room(&u->load) <= bct_up_reserved(u))
+	if (dispatch_set(r) == BCT_SET_ROOMY && r->tier >= tier &&
+	    bct_load_room(&u->load) <= bct_up_reserved(u, t))
 		return;
 	if (dispatch_if_suspect(c, now, r))
 		return;
@@ -310,15 +310,13 @@
 		dispatch_on(c, now, r, &route);
 }
 
-/* Without an open upstream: to an engine that makes room by itself. Returns whether r left. */
+/* The floor's claim, to a full engine that makes room by itself. Returns whether r left. */
 bool bct_dispatch_over(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
 	bct_route_t route;
 
 	if (dispatch_if_suspect(c, now, r))
 		return true;
-	if (dispatch_set(r) != BCT_SET_OPEN)
-		return false;
 	route = bct_route_over(c, now, r->target, r);
 	if (route.up)
 		dispatch_on(c, now, r, &route);
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -127,6 +127,7 @@
 	uint32_t n_committed; /* waiting ones that are not shed: the floor or an upstream is
 				 theirs, or their callers have output */
 	uint32_t floor_permille;
+	bct_length_t length; /* of all its classes, until one has answers enough of its own */
 	bct_length_t first_token_ms; /* from dispatch, as a running quantile */
 	int64_t credit_tokens;	     /* the floor's claim on the next dispatch */
 	bct_time_t pressed_at;	     /* when its wait last exceeded what is bearable */
@@ -139,8 +140,8 @@
 
 /* Upstreams of a target that can take one more request. */
 typedef enum bct_set {
-	BCT_SET_OPEN = 0, /* of any tier */
-	BCT_SET_ROOMY,	  /* also of the tiers that leave a reserve to the urgent ones */
+	BCT_SET_OPEN = 0, /* urgent */
+	BCT_SET_ROOMY,	  /* of any tier: within this node's part and beyond the reserve */
 	BCT_SET_SLOW,	  /* only where it is too late for the target anyway */
 	BCT_SETS,
 } bct_set_t;
@@ -161,7 +162,9 @@
 	bct_up_t **ups; /* the upstreams that this node uses for it */
 	uint32_t n_ups;
 	bct_up_set_t sets[BCT_SETS];
-	uint8_t urgent_tier; /* the lowest tier whose requests cannot wait for a slot; 0: none */
+	uint8_t urgent_tier; /* the lowest tier that goes before others and cannot wait; 0: none */
+	uint8_t lowest_tier; /* of its classes */
+	double service_ms;   /* that an attempt takes, smoothed */
 	uint32_t cap_ups;
 	uint32_t want_ups; /* of the configuration being put in force */
 	uint32_t n_usable; /* not leaving */
@@ -257,6 +260,7 @@
 /* sched.c */
 void bct_core_state(bct_core_t *c, bct_sreq_t *r, bct_req_state_t state);
 uint8_t bct_core_priority(const bct_sreq_t *r);
+const bct_length_t *bct_core_length(const bct_terms_t *terms);
 void bct_core_trace(bct_core_t *c, bct_time_t now, bct_trace_type_t type, const bct_sreq_t *r,
 		    uint64_t upstream_key, uint64_t value);
 void bct_core_trace_level(bct_core_t *c, bct_time_t now, const bct_target_t *t);
@@ -269,7 +273,7 @@
 
 /* upstream.c: health and capacity of upstreams. */
 bool bct_up_usable(const bct_up_t *u);
-uint32_t bct_up_reserved(const bct_up_t *u);
+uint32_t bct_up_reserved(const bct_up_t *u, const bct_target_t *t);
 void bct_up_slow_check(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u);
