--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -6,6 +6,8 @@
 
 #define ATTEMPT_TTFT_GRACE_MS 500 /* a first token this much later is not the engine's fault */
 #define ATTEMPT_SERVICE_SMOOTHING 0.02
+#define ATTEMPT_TTFT_WEIGHT 0.1 /* of one look in the upstream's speed */
+#define ATTEMPT_PACE_WEIGHT 0.4
 #define ATTEMPT_LOOK_TOKENS 16 /* fewer say little of the speed */
 
 /* Unique over nodes and restarts, as the incarnation is mixed in; never 0. */
@@ -81,7 +83,8 @@
 	r->mark_tokens = 1;
 	bct_load_first_token(&r->up->load, now, r->prefill_tokens);
 	if (took_ms > r->predicted_ttft_ms + ATTEMPT_TTFT_GRACE_MS)
-		bct_up_progress(r->up, (r->predicted_ttft_ms + ATTEMPT_TTFT_GRACE_MS) / took_ms);
+		bct_up_progress(r->up, (r->predicted_ttft_ms + ATTEMPT_TTFT_GRACE_MS) / took_ms,
+				ATTEMPT_TTFT_WEIGHT);
 	bct_up_slow_check(c, now, r->up);
 	if (!r->tokens)
 		bct_core_trace(c, now, BCT_TRACE_FIRST_TOKEN, r, r->up->key, 0);
@@ -97,7 +100,7 @@
 		return;
 	r->mark_at = now;
 	r->mark_tokens = r->attempt_tokens;
-	bct_up_progress(r->up, made / (expected + 1));
+	bct_up_progress(r->up, made / (expected + 1), ATTEMPT_PACE_WEIGHT);
 	bct_up_slow_check(c, now, r->up);
 }
 
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -67,7 +67,7 @@
 static uint32_t meter_window_ms(const bct_meter_t *m, bct_time_t now, double need, double most)
 {
 	double sum = m->sum;
-	int64_t slot = m->slot - BCT_LIMIT_SLOTS + 1;
+	int64_t slot = m->slot < BCT_LIMIT_SLOTS ? 0 : m->slot - BCT_LIMIT_SLOTS + 1;
 
 	while (slot < m->slot && sum + need > most)
 		sum -= m->used[slot++ % BCT_LIMIT_SLOTS];
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -4,9 +4,10 @@
  */
 #include "policy/sched_int.h"
 
-#define RETRY_TRIES_MAX 3  /* attempts that may have run */
-#define RETRY_UNRUN_MAX 64 /* attempts that surely did not */
-#define RETRY_BUSY_MS 200  /* where a busy upstream names no time */
+#define RETRY_TRIES_MAX 3	 /* attempts that may have run */
+#define RETRY_UNRUN_MAX 64	 /* attempts that surely did not */
+#define RETRY_SILENCE_WEIGHT 0.3 /* of one timeout or stall in the upstream's speed */
+#define RETRY_BUSY_MS 200	 /* where a busy upstream names no time */
 #define RETRY_BUSY_MAX_MS 10000
 #define RETRY_BUDGET_MS 1000 /* after which the budget has earned more */
 
@@ -56,7 +57,7 @@
 		break;
 	case BCT_OUTCOME_TIMEOUT:
 	case BCT_OUTCOME_STALLED:
-		bct_up_progress(u, 0);
+		bct_up_progress(u, 0, RETRY_SILENCE_WEIGHT);
 		break;
 	default:
 		break;
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -285,7 +285,7 @@
 void bct_up_answered(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_report(bct_core_t *c, bct_time_t now, const bct_report_t *r);
 void bct_up_leaving(bct_core_t *c, bct_time_t now, uint64_t key, bool leaving);
-void bct_up_progress(bct_up_t *u, double observed_to_expected);
+void bct_up_progress(bct_up_t *u, double observed_to_expected, double weight);
 
 /* admit.c: the way in, and every refusal. */
 int bct_admit_submit(bct_core_t *c, bct_time_t now, const bct_req_desc_t *desc);
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -6,7 +6,6 @@
 #define UP_BACKOFF_MIN_MS 250
 #define UP_BACKOFF_MAX_MS 8000
 #define UP_DEAD_FAILURES 3 /* in a row, after which it does not count as usable */
-#define UP_SPEED_SMOOTHING 0.1
 #define UP_SPEED_MIN 0.05
 #define UP_SPEED_MAX 2.0
 #define UP_SLOW_ENTER 0.6
@@ -260,11 +259,11 @@
 	bct_setup_subsets(c, now);
 }
 
-void bct_up_progress(bct_up_t *u, double observed_to_expected)
+void bct_up_progress(bct_up_t *u, double observed_to_expected, double weight)
 {
 	if (observed_to_expected > UP_SPEED_MAX)
 		observed_to_expected = UP_SPEED_MAX;
-	u->speed += UP_SPEED_SMOOTHING * (observed_to_expected - u->speed);
+	u->speed += weight * (observed_to_expected - u->speed);
 	if (u->speed < UP_SPEED_MIN)
 		u->speed = UP_SPEED_MIN;
 }
