--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -79,7 +79,8 @@
 
 	r->first_token_at = now;
 	bct_length_learn(&r->target->tiers[r->tier - 1].first_token_ms, (uint32_t)took_ms);
-	r->mark_at = now;
+	r->mark_at = r->progress_at = now;
+	r->mark_gap_ms = 0;
 	r->mark_tokens = 1;
 	bct_load_first_token(&r->up->load, now, r->prefill_tokens);
 	if (took_ms > r->predicted_ttft_ms + ATTEMPT_TTFT_GRACE_MS)
@@ -90,15 +91,27 @@
 		bct_core_trace(c, now, BCT_TRACE_FIRST_TOKEN, r, r->up->key, 0);
 }
 
-/* Progress since the last look, against what a full batch should give. */
+static void attempt_note_gap(bct_time_t now, bct_sreq_t *r)
+{
+	if (now - r->progress_at > r->mark_gap_ms)
+		r->mark_gap_ms = now - r->progress_at;
+	r->progress_at = now;
+}
+
+/*
+ * Progress since the last look, against what a full batch should give. The longest gap is left
+ * out: the engine may have stopped this stream for a higher tier.
+ */
 static void attempt_look_at_speed(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
 	uint32_t made = r->attempt_tokens - r->mark_tokens;
-	double expected = (double)(now - r->mark_at) * r->up->decode_tokens_per_ms;
+	double expected;
 
 	if (r->up->kind != BCT_UPSTREAM_ENGINE || made < ATTEMPT_LOOK_TOKENS)
 		return;
+	expected = (double)(now - r->mark_at - r->mark_gap_ms) * r->up->decode_tokens_per_ms;
 	r->mark_at = now;
+	r->mark_gap_ms = 0;
 	r->mark_tokens = r->attempt_tokens;
 	bct_up_progress(r->up, made / (expected + 1), ATTEMPT_PACE_WEIGHT);
 	bct_up_slow_check(c, now, r->up);
@@ -114,6 +127,7 @@
 	if (r->first_token_at == BCT_TIME_NEVER)
 		attempt_first_token(c, now, r);
 	r->attempt_tokens = total;
+	attempt_note_gap(now, r);
 	attempt_look_at_speed(c, now, r);
 }
 
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -94,7 +94,9 @@
 	uint32_t attempt_tokens;
 	uint32_t mark_tokens; /* where the speed was last looked at */
 	bct_time_t mark_at;
-	uint32_t tokens; /* output of earlier attempts, which the caller has */
+	bct_time_t mark_gap_ms; /* the longest silence since then */
+	bct_time_t progress_at; /* of the latest token */
+	uint32_t tokens;	/* output of earlier attempts, which the caller has */
 	bool sent;
 	bool alone;
 	bct_stop_t stop;
