--- a/policy/limit.c
+++ b/policy/limit.c
@@ -9,7 +9,8 @@
 #define LIMIT_DEMAND_FLOOR 0.02	    /* requests/s that an idle node is taken to want */
 #define LIMIT_CONCURRENCY_RETRY_MS 250
 #define LIMIT_DEMAND_IDLE 0.001
-#define LIMIT_RATE_MIN 0.001 /* tokens or requests/s, for a time that is finite */
+#define LIMIT_RATE_MIN 0.001  /* tokens or requests/s, for a time that is finite */
+#define LIMIT_LEVEL_FULL 1e15 /* cut to the bucket's size at its first use */
 #define LIMIT_RETRY_MAX_MS 3600000.0
 
 void bct_limit_init(bct_limit_t *l, bct_time_t now, const bct_limit_fleet_t *f)
@@ -18,6 +19,7 @@
 	l->requests.filled_at = l->tokens.filled_at = now;
 	l->published_at = l->shared_at = now;
 	l->requests.level = 1;
+	l->tokens.level = LIMIT_LEVEL_FULL;
 }
 
 void bct_limit_set(bct_limit_t *l, uint32_t requests_per_s, uint32_t tokens_per_s,
