--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -302,6 +302,7 @@
 bct_refuse_t bct_shed_admit(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
 void bct_shed_level(bct_core_t *c, bct_time_t now, bct_target_t *t);
 bool bct_shed_pressed(const bct_tier_t *tier, bct_time_t now);
+void bct_shed_restart(bct_target_t *t, bct_time_t now);
 void bct_shed_busy(bct_target_t *t, bct_time_t now);
 void bct_shed_drained(bct_target_t *t, bct_time_t now, int64_t cost_tokens);
 
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -15,6 +15,13 @@
 #define SHED_DRAIN_WINDOW_MS 1000
 #define SHED_DRAIN_SMOOTHING 0.3
 
+/* What was counted so far says nothing of the speed. */
+void bct_shed_restart(bct_target_t *t, bct_time_t now)
+{
+	t->drained_tokens = 0;
+	t->drained_at = now;
+}
+
 /*
  * Work begins to wait. That the queues were empty shows that the speed sufficed, so what was
  * measured before, perhaps while an upstream was away, does not count any more.
@@ -22,8 +29,7 @@
 void bct_shed_busy(bct_target_t *t, bct_time_t now)
 {
 	t->drain_tokens_per_ms = 0;
-	t->drained_tokens = 0;
-	t->drained_at = now;
+	bct_shed_restart(t, now);
 }
 
 /* Speed at which the target's queues empty through this node. */
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -146,6 +146,9 @@
 /* The pause after a failure or a busy answer is over. */
 void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u)
 {
+	/* While it was away, nothing could be learnt of how fast its targets' queues empty. */
+	for (uint32_t i = 0; i < u->n_targets; i++)
+		bct_shed_restart(u->targets[i], now);
 	if (now < u->down_until)
 		bct_heap_set(&c->up_wakes, &u->wake, u->down_until);
 	bct_up_refresh(c, now, u);
