Status page keeps to 80 columns with the longest names

A long failure domain or a diverged node made lines wider than 80. Conclusion: the page fits an operator's terminal.

--- a/cmd/chutectl_status.c
+++ b/cmd/chutectl_status.c
@@ -69,9 +69,9 @@
 		printf(", LOG NEVER ANSWERED");
 	else if (stale_ms > LOG_STALE_MS)
 		printf(", LOG DOWN for %s", age);
-	if (json_is_true(json_object_get(config, "diverged")))
-		printf(", DIVERGED (event 202)");
 	putchar('\n');
+	if (json_is_true(json_object_get(config, "diverged")))
+		printf("         DIVERGED: the log and this node did not agree, see event 202\n");
 }
 
 static void print_head(const json_t *status)
@@ -79,7 +79,7 @@
 	char age[AGE_BYTES];
 
 	since_text(number(status, "started_ms"), age);
-	printf("vm       %.24s in %.24s, %s, %" JSON_INTEGER_FORMAT " in flight, up %s\n",
+	printf("vm       %.18s in %.18s, %.8s, %" JSON_INTEGER_FORMAT " in flight, up %s\n",
 	       text(status, "vm"), text(status, "failure_domain"), text(status, "state"),
 	       number(status, "in_flight"), age);
 	print_config(json_object_get(status, "config"));
@@ -135,7 +135,7 @@
 	json_array_foreach(list, i, e)
 	{
 		since_text(number(e, "since_ms"), age);
-		printf("%s%.24s sheds tiers above %" JSON_INTEGER_FORMAT " since %s: %.30s\n",
+		printf("%s%.24s sheds tiers above %" JSON_INTEGER_FORMAT " since %s: %.20s\n",
 		       i ? "" : "\nshedding\n", text(e, "target"), number(e, "level"), age,
 		       text(e, "reason"));
 	}
--- a/tests/proc_config.sh
+++ b/tests/proc_config.sh
@@ -15,7 +15,7 @@
 # node NAME: starts chuted; sets admin_NAME and pid_NAME, and makes it a seed of the later ones.
 node() {
 	cat >"$work/$1.json" <<EOT
-{ "vm": { "name": "$1", "failure_domain": "fd-$1", "region": "r" },
+{ "vm": { "name": "$1", "failure_domain": "$1-in-a-building-with-a-rather-long-name", "region": "r" },
   "caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 200 },
   "admin": { "port": 0, "token_hash": "$hash" },
   "peer": { "port": 0, "secret": "proc-config-secret", "seeds": [$seeds] },
