--- a/coord/config_publish.c
+++ b/coord/config_publish.c
@@ -178,7 +178,8 @@
 	return p->may_be_sent ? 0 : -BCT_EUNAVAILABLE;
 }
 
-/* Reads the log, again and again while it cannot be reached and there is time. */
+/* Reads the log, again and again while it cannot be reached or expires meanwhile and there is time.
+ */
 static int read_base(publish_t *p)
 {
 	int rc;
@@ -186,7 +187,8 @@
 	for (;;) {
 		rc = bct_config_read_log(p->opts->platform, p->call_timeout_ms, NULL, NULL,
 					 &p->state);
-		if (rc != -BCT_EUNAVAILABLE || bct_clock_now() + p->retry_ms >= p->deadline)
+		if ((rc != -BCT_EUNAVAILABLE && rc != -BCT_EEXPIRED) ||
+		    bct_clock_now() + p->retry_ms >= p->deadline)
 			return rc;
 		bct_clock_sleep(p->retry_ms);
 	}
--- a/tests/test_publish.c
+++ b/tests/test_publish.c
@@ -23,17 +23,18 @@
 
 /*
  * An embedded platform behind seeded faults. An append may be kept back and take effect later, also
- * after its caller has given up; between any two calls of one operator another one may get in.
+ * after its caller has given up; between any two calls of one operator another one may get in, and
+ * old records may expire once a snapshot covers them. The archive keeps all of them for the checks.
  */
 typedef struct chaos {
 	bct_platform_t base;
 	bct_platform_t *log;
+	bct_platform_t *archive;
 	bct_rng_t rng;
 	uint32_t fault_in; /* one call in so many fails in some way; 0: none does */
 	bct_buf_t late[LATE_MAX];
 	uint32_t n_late;
 	uint64_t rival_id;
-	bool in_rival;
 } chaos_t;
 
 static bool chance(chaos_t *c, uint32_t in)
@@ -41,6 +42,12 @@
 	return in && bct_rng_below(&c->rng, in) == 0;
 }
 
+static int append_both(chaos_t *c, const void *data, uint32_t len_bytes, uint64_t *offset)
+{
+	bct_platform_append(c->archive, BCT_STREAM_CONFIG, data, len_bytes, 0, offset);
+	return bct_platform_append(c->log, BCT_STREAM_CONFIG, data, len_bytes, 0, offset);
+}
+
 static void release_late(chaos_t *c)
 {
 	uint64_t offset;
@@ -48,11 +55,26 @@
 	if (c->n_late == 0)
 		return;
 	c->n_late--;
-	bct_platform_append(c->log, BCT_STREAM_CONFIG, c->late[c->n_late].data,
-			    (uint32_t)c->late[c->n_late].len_bytes, 0, &offset);
+	append_both(c, c->late[c->n_late].data, (uint32_t)c->late[c->n_late].len_bytes, &offset);
 	bct_buf_free(&c->late[c->n_late]);
 }
 
+/* Records expire, but never those that the newest snapshot does not cover. */
+static void expire_old(chaos_t *c)
+{
+	bct_config_state_t s;
+	uint64_t offset = 0;
+	bct_buf_t rec;
+
+	cr_assert_eq(bct_config_read_log(c->archive, 0, NULL, NULL, &s), 0);
+	bct_buf_init(&rec, 0);
+	cr_assert_eq(bct_config_snapshot_encode(&s, "vm", 1, &rec), 0);
+	append_both(c, rec.data, (uint32_t)rec.len_bytes, &offset);
+	bct_platform_embedded_expire(c->log, BCT_STREAM_CONFIG, s.next);
+	bct_buf_free(&rec);
+	bct_config_free(&s);
+}
+
 /* Another operator reads the log and appends its change at once; at times it writes a snapshot. */
 static void rival(chaos_t *c)
 {
@@ -61,19 +83,16 @@
 	uint64_t offset;
 	bct_buf_t rec;
 
-	c->in_rival = true;
-	cr_assert_eq(bct_config_read_log(c->log, 0, NULL, NULL, &s), 0);
+	cr_assert_eq(bct_config_read_log(c->archive, 0, NULL, NULL, &s), 0);
 	bct_buf_init(&rec, 0);
 	if (chance(c, 3))
 		bct_config_snapshot_encode(&s, "vm", 1, &rec);
 	else if (util_context(s.conf) != context)
 		util_change(&s, context, c->rival_id++, &rec);
 	if (rec.data)
-		bct_platform_append(c->log, BCT_STREAM_CONFIG, rec.data, (uint32_t)rec.len_bytes, 0,
-				    &offset);
+		append_both(c, rec.data, (uint32_t)rec.len_bytes, &offset);
 	bct_buf_free(&rec);
 	bct_config_free(&s);
-	c->in_rival = false;
 }
 
 static void between_calls(chaos_t *c)
@@ -82,6 +101,8 @@
 		release_late(c);
 	if (chance(c, c->fault_in * 2))
 		rival(c);
+	if (chance(c, c->fault_in * 4))
+		expire_old(c);
 }
 
 static int keep_back(chaos_t *c, const void *data, uint32_t len_bytes)
@@ -99,6 +120,8 @@
 	chaos_t *c = (chaos_t *)base;
 	int rc;
 
+	(void)stream;
+	(void)timeout_ms;
 	between_calls(c);
 	if (chance(c, c->fault_in))
 		return -BCT_EUNAVAILABLE;
@@ -106,9 +129,9 @@
 		return -BCT_EUNKNOWN_OUTCOME;
 	if (chance(c, c->fault_in))
 		return keep_back(c, data, len_bytes);
-	rc = bct_platform_append(c->log, stream, data, len_bytes, timeout_ms, offset);
+	rc = append_both(c, data, len_bytes, offset);
 	if (chance(c, c->fault_in))
-		bct_platform_append(c->log, stream, data, len_bytes, timeout_ms, offset);
+		append_both(c, data, len_bytes, offset);
 	return chance(c, c->fault_in) ? -BCT_EUNKNOWN_OUTCOME : rc;
 }
 
@@ -138,6 +161,7 @@
 	memset(c, 0, sizeof(*c));
 	c->base.ops = &chaos_ops;
 	bct_platform_embedded_new(NULL, &c->log);
+	bct_platform_embedded_new(NULL, &c->archive);
 	bct_rng_seed(&c->rng, seed);
 	c->fault_in = fault_in;
 	c->rival_id = 1;
@@ -202,7 +226,7 @@
 	truth_t truth = { .state = &s, .told = t };
 
 	bct_config_init(&s);
-	while (bct_config_read_on(c->log, &s, 0, 0, collect, &truth) > 0)
+	while (bct_config_read_on(c->archive, &s, 0, 0, collect, &truth) > 0)
 		;
 	switch (t->outcome) {
 	case BCT_PUBLISH_ACCEPTED:
@@ -223,7 +247,7 @@
 	bct_config_free(&s);
 }
 
-/* A store that followed all along, under the same faults, ends where a fresh reader ends. */
+/* A store that followed all along, under the same faults, ends where a reader of it all ends. */
 static void check_store(chaos_t *c, bct_config_store_t *store, uint64_t seed)
 {
 	bct_config_state_t s;
@@ -231,7 +255,9 @@
 
 	for (int i = 0; i < 200; i++)
 		bct_config_store_step(store, 0);
-	cr_assert_eq(bct_config_read_log(c->log, 0, NULL, NULL, &s), 0);
+	bct_config_init(&s);
+	while (bct_config_read_on(c->archive, &s, 0, 0, NULL, NULL) > 0)
+		;
 	cr_assert_eq(bct_config_store_revision(store, &digest), s.revision, "seed %lu", seed);
 	cr_assert_eq(memcmp(&digest, &s.digest, sizeof(digest)), 0, "seed %lu", seed);
 	bct_config_free(&s);
@@ -274,6 +300,7 @@
 	check_store(&c, store, seed);
 	bct_config_store_free(store);
 	bct_platform_free(c.log);
+	bct_platform_free(c.archive);
 }
 
 Test(publish, nobody_is_told_wrongly_whatever_fails)
