--- a/node/node.c
+++ b/node/node.c
@@ -355,6 +355,11 @@
 	return ready;
 }
 
+bool bct_node_keys_ready(bct_node_t *n)
+{
+	return wired(n) && bct_keys_ready(bct_node_keys(n->keys));
+}
+
 uint16_t bct_node_caller_port(const bct_node_t *n)
 {
 	return n->front ? bct_front_port(n->front) : 0;
@@ -444,5 +449,7 @@
 		       bct_core_in_flight(n->core));
 	if (wired(n) && n->peer)
 		bct_peer_counters_print(bct_node_peer(n->peer), out);
+	if (wired(n))
+		bct_config_store_metrics(bct_node_config_store(n->config), out);
 	return bct_stats_print(bct_core_stats(n->core), out);
 }
