--- a/bench/vnet.h
+++ b/bench/vnet.h
@@ -44,8 +44,7 @@
 	uint64_t refused; /* by the wire */
 	uint32_t died;	  /* deaths that this node declared or took over from others */
 	uint32_t reports;
-	uint64_t report_age_ms; /* sum over them */
-	bct_report_t report;	/* the last one handed out */
+	bct_report_t report; /* the last one handed out */
 	uint32_t cache_events;
 	uint64_t leaving_upstream;
 	bct_time_t leaving_at;
--- a/coord/peer.h
+++ b/coord/peer.h
@@ -3,8 +3,7 @@
  * engine reports and the hand-off of configurations.
  *
  * Calls may come from any thread and never wait for the network. Callbacks come from the peer's own
- * thread, one at a time, with no lock of this module held, so they may call back into it. Calls
- * made inside bct_peer_new() make no callback before bct_peer_start().
+ * thread, one at a time, with no lock of this module held, so they may call back into it.
  */
 #ifndef BCT_COORD_PEER_H
 #define BCT_COORD_PEER_H
