--- a/node/request.c
+++ b/node/request.c
@@ -3,9 +3,9 @@
  */
 #include "node/request.h"
 #include "base/mem.h"
+#include "base/sync.h"
 #include "node/http.h"
 
-#include <ck_pr.h>
 #include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,18 +30,16 @@
 
 bct_request_t *bct_request_ref(bct_request_t *r)
 {
-	ck_pr_inc_32(&r->refs);
+	bct_ref_get(&r->refs);
 	return r;
 }
 
 void bct_request_unref(bct_request_t *r)
 {
-	bool last;
 
 	if (!r)
 		return;
-	ck_pr_dec_32_zero(&r->refs, &last);
-	if (!last)
+	if (!bct_ref_put(&r->refs))
 		return;
 	pthread_mutex_destroy(&r->lock);
 	bct_buf_free(&r->body);
@@ -89,7 +87,8 @@
 		r->ready = true;
 		r->ended_by = by;
 		r->refuse = refuse;
-		r->run = run == BCT_RUN_NOT_RUN && (r->sent_now || r->ran) ? BCT_RUN_UNKNOWN : run;
+		r->may_have_run = r->sent_now || r->ran;
+		r->run = run == BCT_RUN_NOT_RUN && r->may_have_run ? BCT_RUN_UNKNOWN : run;
 		r->retry_after_ms = retry_after_ms;
 		r->cut = refuse != BCT_REFUSE_NONE;
 		if (!r->cut)
--- a/policy/conf.c
+++ b/policy/conf.c
@@ -3,8 +3,8 @@
  */
 #include "policy/conf.h"
 #include "base/mem.h"
-
-#include <ck_pr.h>
+#include "base/sync.h"
+#include "base/tsan.h"
 
 bct_conf_t *bct_conf_new(void)
 {
@@ -18,20 +18,20 @@
 bct_conf_t *bct_conf_ref(bct_conf_t *c)
 {
 	if (c)
-		ck_pr_inc_32(&c->refs);
+		bct_ref_get(&c->refs);
 	return c;
 }
 
 void bct_conf_unref(bct_conf_t *c)
 {
-	bool last;
 	uint32_t i;
 
 	if (!c)
 		return;
-	ck_pr_dec_32_zero(&c->refs, &last);
-	if (!last)
+	BCT_TSAN_RELEASE(&c->refs);
+	if (!bct_ref_put(&c->refs))
 		return;
+	BCT_TSAN_ACQUIRE(&c->refs);
 	for (i = 0; i < c->n_accounts; i++)
 		bct_free(c->accounts[i].classes);
 	bct_free(c->accounts);
