--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -223,7 +223,7 @@
 		bct_dispatch_hold(c, r, look < test_at ? look : test_at);
 		return;
 	}
-	u = dispatch_may_test(r->target) ? bct_route_for_suspect(r->target, now, r) : NULL;
+	u = dispatch_may_test(r->target) ? bct_route_for_suspect(c, r->target, now, r) : NULL;
 	if (!u || !bct_suspect_test_begin(&c->suspects, r->desc.digest)) {
 		bct_dispatch_hold(c, r, now + DISPATCH_SUSPECT_LOOK_MS);
 		return;
--- a/policy/route.c
+++ b/policy/route.c
@@ -17,6 +17,7 @@
 #define ROUTE_OVER_AGE_MS 3000 /* an older report does not show what it runs */
 #define ROUTE_KV_TOKENS_PER_MS 100.0 /* speed of a KV transfer between engines */
 #define ROUTE_KV_SETUP_MS 15.0
+#define ROUTE_TEST_GONE_MS 20000 /* without a report; no node waits to test a suspect there */
 #define ROUTE_SESSION_CACHED 0.5 /* part of a session's prompt taken as cached */
 #define ROUTE_SERVICE_MS 20.0	 /* a plain service's answer, until speed says else */
 
@@ -272,28 +273,67 @@
 	return (bct_route_t){ u, 0, tokens, (uint32_t)(tokens / u->prefill_tokens_per_ms) };
 }
 
+/* Place of an upstream in an order that all nodes agree on. */
+static uint32_t route_place(const bct_target_t *t, const bct_up_t *u)
+{
+	uint32_t place = 0;
+
+	for (uint32_t i = 0; i < t->n_ups; i++)
+		place += t->ups[i]->key < u->key;
+	return place;
+}
+
+/* Where every node uses all upstreams, each node tests suspects on its own part of them. */
+static bool route_is_own_test(const bct_core_t *c, const bct_target_t *t, const bct_up_t *u)
+{
+	uint32_t parts = c->fleet.nodes < t->n_ups ? c->fleet.nodes : t->n_ups;
+
+	if (parts <= 1 || t->n_ups != t->n_all)
+		return true;
+	return route_place(t, u) % parts == c->fleet.rank % parts;
+}
+
+static bool route_may_test(const bct_sreq_t *r, const bct_up_t *u)
+{
+	return bct_up_usable(u) && (!r->tokens || u->resumes);
+}
+
+/* It may be down for a moment, but it has told of itself not long ago. */
+static bool route_is_around(const bct_up_t *u, bct_time_t now)
+{
+	return !u->report_at || now - u->report_at <= ROUTE_TEST_GONE_MS;
+}
+
+/* Where this node has least, as that is empty soonest. */
+static bool route_tests_sooner(const bct_sreq_t *r, const bct_up_t *a, const bct_up_t *b)
+{
+	if (a->load.own != b->load.own)
+		return a->load.own < b->load.own;
+	return bct_hash_mix(r->desc.digest, a->key) > bct_hash_mix(r->desc.digest, b->key);
+}
+
 /*
- * Where this node has least, as that is empty soonest; among equals the same upstream on every
- * node, so that few of them are emptied for suspects.
+ * Two nodes that test on one upstream at a time would blame each other's request for the crash, so
+ * a node waits for its own part, unless nothing of that may come back soon.
  */
-bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r)
+bct_up_t *bct_route_for_suspect(const bct_core_t *c, bct_target_t *t, bct_time_t now,
+				const bct_sreq_t *r)
 {
 	bct_up_t *best = NULL;
-	uint64_t best_rank = 0;
+	bool own_part = false;
 
+	for (uint32_t i = 0; i < t->n_ups; i++)
+		own_part |= route_is_own_test(c, t, t->ups[i]) && route_may_test(r, t->ups[i]) &&
+			    route_is_around(t->ups[i], now);
 	for (uint32_t i = 0; i < t->n_ups; i++) {
 		bct_up_t *u = t->ups[i];
-		uint64_t rank = bct_hash_mix(r->desc.digest, u->key);
 
-		if (!bct_up_usable(u) || u->alone || now < u->down_until)
+		if (!route_may_test(r, u) || u->alone || now < u->down_until)
 			continue;
-		if (r->tokens && !u->resumes)
+		if (own_part && !route_is_own_test(c, t, u))
 			continue;
-		if (!best || u->load.own < best->load.own ||
-		    (u->load.own == best->load.own && rank > best_rank)) {
+		if (!best || route_tests_sooner(r, u, best))
 			best = u;
-			best_rank = rank;
-		}
 	}
 	return best;
 }
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -338,7 +338,8 @@
 bct_route_t bct_route_to(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
 			 bct_up_t *u);
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u);
-bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r);
+bct_up_t *bct_route_for_suspect(const bct_core_t *c, bct_target_t *t, bct_time_t now,
+				const bct_sreq_t *r);
 
 /* fleet.c: what nodes tell each other. */
 void bct_fleet_total(bct_core_t *c, bct_time_t now, const bct_total_t *t);
