policy: an upstream counts as slow earlier and recovers slower

Cause: a straggler at a third of its speed, lightly loaded, makes 0.5 to 0.7 of the pace of a full batch, which the threshold of 0.6 let pass, and idle recovery brought it back to all tiers after some 20 s.

--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -8,9 +8,9 @@
 #define UP_DEAD_FAILURES 3 /* in a row, after which it does not count as usable */
 #define UP_SPEED_MIN 0.05
 #define UP_SPEED_MAX 2.0
-#define UP_SLOW_ENTER 0.6
-#define UP_SLOW_LEAVE 0.8
-#define UP_IDLE_RECOVERY 0.002	 /* of the missing speed, with each report while unused */
+#define UP_SLOW_ENTER 0.75
+#define UP_SLOW_LEAVE 0.9
+#define UP_IDLE_RECOVERY 0.0005	 /* of the missing speed, with each report while unused */
 #define UP_RESERVE_PART 5	 /* of the slots */
 #define UP_UNUSABLE_HOLD_MS 5000 /* how long requests wait for any upstream to come back */
 
