policy: reserve by slot turnover, work weighed by output, turns on the floor

Cause: a fixed reserve cost the desk pool work without need; prompts counted like output made a floor pay for too few long requests; accounts got their part of a floor by luck. Change: the reserve follows slot turnover against the shortest target, prompt tokens cost a sixteenth, and accounts borrow on the floor in turn.

--- a/policy/admit.c
+++ b/policy/admit.c
@@ -6,7 +6,8 @@
 #include "base/mem.h"
 #include "policy/sched_int.h"
 
-#define ADMIT_MARGIN_DIVISOR 2 /* the most of its target that a request keeps in hand */
+#define ADMIT_MARGIN_DIVISOR 2	/* the most of its target that a request keeps in hand */
+#define ADMIT_PROMPT_DIVISOR 16 /* prompt tokens that cost an engine as much as one of output */
 #define ADMIT_RETRY_MIN_MS 100
 #define ADMIT_RETRY_MAX_MS 60000
 #define ADMIT_NO_UPSTREAM_RETRY_MS 2000
@@ -122,8 +123,9 @@
 	r->first_token_at = BCT_TIME_NEVER;
 	r->item.arrived = desc->arrived;
 	r->item.latest_start = admit_latest_start(terms, desc->arrived);
-	r->item.cost_tokens =
-		(int64_t)desc->prompt_tokens + bct_length_expect(bct_core_length(terms), 0, most);
+	r->charged_tokens = bct_length_expect(bct_core_length(terms), 0, most);
+	r->item.cost_tokens = r->charged_tokens + desc->prompt_tokens / ADMIT_PROMPT_DIVISOR;
+	r->charged_tokens += desc->prompt_tokens;
 	bct_list_init(&r->item.link);
 	bct_list_init(&r->outbox);
 	bct_list_init(&r->line);
@@ -163,11 +165,10 @@
 	*retry_after_ms = bct_admit_retry_ms(t, r->tier);
 	if (now >= r->deadline)
 		return BCT_REFUSE_DEADLINE;
-	no = bct_limit_take(&r->terms->account->limit, now, r->item.cost_tokens, retry_after_ms);
+	no = bct_limit_take(&r->terms->account->limit, now, r->charged_tokens, retry_after_ms);
 	if (no != BCT_REFUSE_NONE)
 		return no;
 	r->admitted = true;
-	r->charged_tokens = r->item.cost_tokens;
 	*retry_after_ms = bct_admit_retry_ms(t, r->tier);
 	return bct_shed_admit(c, now, r);
 }
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -28,6 +28,7 @@
 
 typedef struct bct_acct {
 	uint64_t key;
+	uint32_t index; /* in the configuration: the same on every node */
 	bct_limit_t limit;
 	bool seen; /* in the configuration being put in force */
 } bct_acct_t;
@@ -132,6 +133,8 @@
 	bct_length_t length; /* of all its classes, until one has answers enough of its own */
 	bct_length_t first_token_ms; /* from dispatch, as a running quantile */
 	int64_t credit_tokens;	     /* the floor's claim on the next dispatch */
+	uint32_t turn;		     /* index of the account that may borrow on the floor */
+	bct_time_t turn_at;	     /* since when */
 	bct_time_t pressed_at;	     /* when its wait last exceeded what is bearable */
 	bct_time_t pressed_since;    /* without a pause; BCT_TIME_NEVER: it is not */
 	bct_tier_total_t total;
@@ -166,7 +169,8 @@
 	bct_up_set_t sets[BCT_SETS];
 	uint8_t urgent_tier; /* the lowest tier that goes before others and cannot wait; 0: none */
 	uint8_t lowest_tier; /* of its classes */
-	double service_ms;   /* that an attempt takes, smoothed */
+	uint32_t urgent_ttft_ms; /* the shortest target of its classes */
+	double service_ms;	 /* that an attempt takes, smoothed */
 	uint32_t cap_ups;
 	uint32_t want_ups; /* of the configuration being put in force */
 	uint32_t n_usable; /* not leaving */
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -216,6 +216,9 @@
 	tier = &terms->target->tiers[cc->tier - 1];
 	if (cc->tier > terms->target->lowest_tier)
 		terms->target->lowest_tier = cc->tier;
+	if (cc->ttft_ms &&
+	    (!terms->target->urgent_ttft_ms || cc->ttft_ms < terms->target->urgent_ttft_ms))
+		terms->target->urgent_ttft_ms = cc->ttft_ms;
 	if (cc->ttft_ms && cc->ttft_ms <= SETUP_URGENT_TTFT_MS &&
 	    cc->tier > terms->target->urgent_tier)
 		terms->target->urgent_tier = cc->tier;
@@ -262,6 +265,7 @@
 	pos = 0;
 	while ((t = bct_map_next(&c->targets, &pos))) {
 		t->urgent_tier = t->lowest_tier = 0;
+		t->urgent_ttft_ms = 0;
 		for (i = 0; i < BCT_TIERS; i++)
 			t->tiers[i].floor_permille = SETUP_FLOOR_MIN_PERMILLE;
 	}
@@ -290,6 +294,7 @@
 		const bct_account_conf_t *ac = &conf->accounts[i];
 		bct_acct_t *a = bct_map_get(&c->accounts, ac->key);
 
+		a->index = i;
 		bct_limit_set(&a->limit, ac->requests_per_s, ac->tokens_per_s, ac->concurrent);
 		for (k = 0; k < ac->n_classes; k++)
 			apply_class(c, a, &ac->classes[k]);
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -6,10 +6,11 @@
 
 #define SHED_PATIENCE_TTFTS 4 /* predicted wait, in targets, that is still taken in */
 #define SHED_PATIENCE_MIN_MS 10000
-#define SHED_STALE_PATIENCE 2  /* factor on the patience while the fleet is out of view */
-#define SHED_HARD_FACTOR 2     /* on max_queued: past it even granted work gives way */
-#define SHED_PRESS_MIN_MS 1000 /* overload must last this long to count for the fleet */
-#define SHED_PRESS_GAP_MS 2000 /* after which it is over */
+#define SHED_STALE_PATIENCE 2	/* factor on the patience while the fleet is out of view */
+#define SHED_HARD_FACTOR 2	/* on max_queued: past it even granted work gives way */
+#define SHED_PRESS_MIN_MS 1000	/* overload must last this long to count for the fleet */
+#define SHED_PRESS_GAP_MS 2000	/* after which it is over */
+#define SHED_FLOOR_TURN_MS 5000 /* that a turn waits for a request of its account */
 #define SHED_FLOOR_BORROW_REQUESTS 1
 #define SHED_FLOOR_WAITING_MAX 2 /* the floor's claims that wait for an upstream */
 #define SHED_DRAIN_WINDOW_MS 1000
@@ -174,28 +175,50 @@
 		shed_refuse(c, now, r, BCT_REFUSE_SHED);
 }
 
+/* Whether it is the turn of r's account to borrow on the floor. */
+static bool floor_turn(const bct_core_t *c, bct_tier_t *tier, bct_time_t now, const bct_sreq_t *r)
+{
+	uint32_t accounts = c->conf->n_accounts ? c->conf->n_accounts : 1;
+	uint32_t nodes = c->fleet.nodes ? c->fleet.nodes : 1;
+
+	/* The nodes begin at different accounts, so that together they come round sooner. */
+	if (!tier->turn_at)
+		tier->turn = (uint32_t)((uint64_t)c->fleet.rank * accounts / nodes);
+	if (!tier->turn_at || now - tier->turn_at >= SHED_FLOOR_TURN_MS) {
+		tier->turn += tier->turn_at != 0;
+		tier->turn_at = now;
+	}
+	return r->terms->account->index == tier->turn % accounts;
+}
+
 /*
- * A tier below the level takes in only what its floor pays for. An account that has had less than
- * the others of its tier may borrow, so that one busy account does not use up the floor.
+ * A tier below the level takes in only what its floor pays for. The accounts may borrow in turn, so
+ * that a busy one does not use up the floor.
  */
-static bool floor_claims(bct_tier_t *tier, const bct_sreq_t *r)
+static bool floor_claims(bct_core_t *c, bct_tier_t *tier, bct_time_t now, const bct_sreq_t *r)
 {
 	int64_t cost = r->item.cost_tokens;
-	bool behind = r->item.flow->vtime_tokens <= tier->queue.vclock_tokens;
+	bool turn;
 
 	if (tier->n_granted >= SHED_FLOOR_WAITING_MAX)
 		return false;
-	if (tier->credit_tokens < cost &&
-	    (!behind || tier->credit_tokens < -SHED_FLOOR_BORROW_REQUESTS * cost))
+	if (tier->credit_tokens < -SHED_FLOOR_BORROW_REQUESTS * cost)
+		return false;
+	turn = floor_turn(c, tier, now, r);
+	if (!turn && tier->credit_tokens < cost)
 		return false;
 	tier->credit_tokens -= cost;
+	if (turn) {
+		tier->turn++;
+		tier->turn_at = now;
+	}
 	bct_queue_charge(&tier->queue, r->item.flow, cost);
 	return true;
 }
 
 static bct_refuse_t shed_below_level(bct_core_t *c, bct_time_t now, bct_sreq_t *r)
 {
-	if (floor_claims(&r->target->tiers[r->tier - 1], r)) {
+	if (floor_claims(c, &r->target->tiers[r->tier - 1], now, r)) {
 		r->granted = true;
 		return BCT_REFUSE_NONE;
 	}
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -11,7 +11,8 @@
 #define UP_SLOW_ENTER 0.6
 #define UP_SLOW_LEAVE 0.8
 #define UP_IDLE_RECOVERY 0.002	 /* of the missing speed, with each report while unused */
-#define UP_RESERVE_PART 5	 /* of the slots */
+#define UP_RESERVE_PART 4	 /* of the slots, at most */
+#define UP_RESERVE_TURNS 4	 /* slots that should turn over within an urgent target */
 #define UP_UNUSABLE_HOLD_MS 5000 /* how long requests wait for any upstream to come back */
 
 bool bct_up_usable(const bct_up_t *u)
@@ -64,9 +65,16 @@
 /* Slots that the tiers which can wait leave free, so that an urgent request finds one. */
 uint32_t bct_up_reserved(const bct_up_t *u, const bct_target_t *t)
 {
+	double turn_ms = t->service_ms / u->load.slots;
+	double need;
+
 	if (u->kind != BCT_UPSTREAM_ENGINE || !t->urgent_tier)
 		return 0;
-	return u->load.slots / UP_RESERVE_PART;
+	/* Where slots turn over quickly, an urgent request gets one in time without a reserve. */
+	need = t->urgent_ttft_ms ? turn_ms * UP_RESERVE_TURNS / t->urgent_ttft_ms : 1;
+	if (need > 1)
+		need = 1;
+	return (uint32_t)(need * u->load.slots / UP_RESERVE_PART + 0.5);
 }
 
 /* Puts the upstream into, or takes it out of, the sets from which requests are routed. */
