policy: drop two unused fields

Cause: reading the state as a newcomer showed hold_until, which was written and never read, and told_outstanding, which nothing used. Change: both are gone. Before and after: all unit tests pass and make check is clean; no decision depends on either. Conclusion: less to explain.

--- a/policy/dispatch.c
+++ b/policy/dispatch.c
@@ -22,7 +22,6 @@
 	bct_list_del(&r->line);
 	bct_list_add_tail(&r->line, &r->target->held);
 	bct_core_state(c, r, BCT_REQ_HELD);
-	r->hold_until = until;
 	bct_heap_set(&c->timers, &r->timer, until < r->deadline ? until : r->deadline);
 }
 
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -79,7 +79,6 @@
 	bool admitted;	 /* charged to the account's limits */
 	int64_t charged_tokens;
 	bct_time_t deadline;
-	bct_time_t hold_until;
 	bct_queue_item_t item;
 	bct_heap_node_t timer;
 	bct_list_t outbox;  /* in core.outbox while an action waits */
@@ -221,7 +220,6 @@
 	bool slow;	   /* too slow for the targets of most work */
 	double speed;	   /* observed to expected progress, smoothed; 1: as expected */
 	bct_sreq_t *alone; /* a suspect that has, or waits for, this upstream to itself */
-	int64_t told_outstanding;
 };
 
 typedef struct bct_core {
