--- a/coord/totals.h
+++ b/coord/totals.h
@@ -13,6 +13,9 @@
  * below 1,024), once for each level. A total's age is that of its oldest part. While a home is lost
  * the age grows, and the total is handed out again with that age. When a home moves, the new one
  * keeps its totals back until the parts had time to arrive.
+ *
+ * XXX: in fleets above 56 nodes in which every value moves, homes reach their byte budget, and a
+ * change of a total takes up to half a minute; see docs/CAPACITY.md.
  */
 #ifndef BCT_COORD_TOTALS_H
 #define BCT_COORD_TOTALS_H
