--- a/cmd/chutectl_status.c
+++ b/cmd/chutectl_status.c
@@ -69,9 +69,9 @@
 		printf(", LOG NEVER ANSWERED");
 	else if (stale_ms > LOG_STALE_MS)
 		printf(", LOG DOWN for %s", age);
-	if (json_is_true(json_object_get(config, "diverged")))
-		printf(", DIVERGED (event 202)");
 	putchar('\n');
+	if (json_is_true(json_object_get(config, "diverged")))
+		printf("         DIVERGED: the log and this node did not agree, see event 202\n");
 }
 
 static void print_head(const json_t *status)
@@ -79,7 +79,7 @@
 	char age[AGE_BYTES];
 
 	since_text(number(status, "started_ms"), age);
-	printf("vm       %.24s in %.24s, %s, %" JSON_INTEGER_FORMAT " in flight, up %s\n",
+	printf("vm       %.18s in %.18s, %.8s, %" JSON_INTEGER_FORMAT " in flight, up %s\n",
 	       text(status, "vm"), text(status, "failure_domain"), text(status, "state"),
 	       number(status, "in_flight"), age);
 	print_config(json_object_get(status, "config"));
@@ -135,40 +135,42 @@
 	json_array_foreach(list, i, e)
 	{
 		since_text(number(e, "since_ms"), age);
-		printf("%s%.24s sheds tiers above %" JSON_INTEGER_FORMAT " since %s: %.30s\n",
+		printf("%s%.24s sheds tiers above %" JSON_INTEGER_FORMAT " since %s: %.20s\n",
 		       i ? "" : "\nshedding\n", text(e, "target"), number(e, "level"), age,
 		       text(e, "reason"));
 	}
 }
 
-/* Wall-clock time since which a member's own revision is in force; 0 when it does not answer. */
-static json_int_t ask_since(const ctl_t *ctl, const json_t *member)
+/* The member's own word on its configuration, or NULL when it does not answer. */
+static json_t *ask_config(const ctl_t *ctl, const json_t *member)
 {
 	ctl_t other = *ctl;
-	json_t *status = NULL;
-	json_int_t since_ms = 0;
+	json_t *status = NULL, *config = NULL;
 
 	if (strcmp(text(member, "state"), "alive"))
-		return 0;
+		return NULL;
 	other.node = (char *)text(member, "admin");
 	other.timeout_ms = MEMBER_TIMEOUT_MS;
 	other.quiet = true;
 	if (ctl_call(&other, "/admin/v1/status", NULL, &status) == CTL_OK)
-		since_ms = number(json_object_get(status, "config"), "since_ms");
+		config = json_incref(json_object_get(status, "config"));
 	json_decref(status);
-	return since_ms;
+	return config;
 }
 
+/* Gossip says which revision the member had a moment ago; its own word is newer and has a time. */
 static void print_member(const ctl_t *ctl, const json_t *m, bool ask)
 {
 	bool leaving = json_is_true(json_object_get(m, "leaving"));
+	json_t *config = ask ? ask_config(ctl, m) : NULL;
 	char age[AGE_BYTES];
 
-	since_text(ask ? ask_since(ctl, m) : 0, age);
+	since_text(number(config, "since_ms"), age);
 	printf("%-24.24s %-20.20s %-8.8s %8" JSON_INTEGER_FORMAT " %6s %6" JSON_INTEGER_FORMAT
 	       "%%\n",
 	       text(m, "name"), text(m, "failure_domain"), leaving ? "leaving" : text(m, "state"),
-	       number(m, "revision"), age, number(m, "load_permille") / 10);
+	       number(config ? config : m, "revision"), age, number(m, "load_permille") / 10);
+	json_decref(config);
 }
 
 static void print_members(const ctl_t *ctl, const json_t *list)
--- a/coord/log_follower.c
+++ b/coord/log_follower.c
@@ -9,7 +9,6 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 #define STREAM_NAME_BYTES 65
 #define POLL_MS 1000
@@ -19,7 +18,6 @@
 #define BACKOFF_FIRST_MS 100
 #define BACKOFF_MAX_MS 5000
 #define BACKOFF_MAX_SHIFT 6
-#define NS_PER_MS 1000000L
 
 struct bct_log_follower {
 	bct_log_follower_opts_t opts;
@@ -111,8 +109,7 @@
 
 		/* An offset that is skipped was dropped between two reads. */
 		if (r->records[i].offset != f->position) {
-			f->position =
-				f->opts.ops->lost(f->opts.ctx, f->position, r->records[i].offset);
+			lose(f, r->records[i].offset);
 			return (int)i;
 		}
 		rc = f->opts.ops->record(f->opts.ctx, &r->records[i]);
@@ -193,13 +190,7 @@
 	struct timespec until;
 	bool stop;
 
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += ms / BCT_MS_PER_S;
-	until.tv_nsec += (long)(ms % BCT_MS_PER_S) * NS_PER_MS;
-	if (until.tv_nsec >= BCT_MS_PER_S * NS_PER_MS) {
-		until.tv_nsec -= BCT_MS_PER_S * NS_PER_MS;
-		until.tv_sec++;
-	}
+	bct_clock_until(ms, &until);
 	pthread_mutex_lock(&f->lock);
 	while (!f->stop && ms && !pthread_cond_timedwait(&f->stop_cond, &f->lock, &until))
 		;
@@ -208,6 +199,14 @@
 	return !stop;
 }
 
+static bool caught_up(bct_log_follower_t *f)
+{
+	bct_log_health_t health;
+
+	bct_log_follower_health(f, &health);
+	return health.caught_up;
+}
+
 static void *run(void *arg)
 {
 	bct_log_follower_t *f = arg;
@@ -215,11 +214,13 @@
 
 	while (pause_ms(f, wait_ms)) {
 		bct_time_t begun = bct_clock_now();
-		int rc = bct_log_follower_step(f, f->opts.poll_ms);
+		/* The first look at the end must not wait for something new. */
+		uint32_t hold_ms = caught_up(f) ? f->opts.poll_ms : 0;
+		int rc = bct_log_follower_step(f, hold_ms);
 
 		wait_ms = rc < 0 ? bct_log_follower_backoff_ms(f) : 0;
 		/* A platform that does not hold its answer is not asked all the time. */
-		if (rc == 0 && bct_clock_now() - begun < f->opts.poll_ms / 2)
+		if (rc == 0 && bct_clock_now() - begun < hold_ms / 2)
 			wait_ms = f->opts.poll_ms / 2;
 	}
 	return NULL;
--- a/coord/member.c
+++ b/coord/member.c
@@ -30,14 +30,22 @@
 	return i < t->n && t->slots[i]->m.incarnation == incarnation ? t->slots[i] : NULL;
 }
 
-/* Transmissions after which gossip has reached everybody but for a chance of about e^-limit. */
-uint8_t bct_member_tx_limit(const bct_member_table_t *t)
+static uint8_t log2_of(uint32_t n)
 {
-	uint8_t limit = 3;
+	uint8_t bits = 0;
+
+	for (; n > 1; n >>= 1)
+		bits++;
+	return bits;
+}
 
-	for (uint32_t n = t->n_live; n; n >>= 1)
-		limit++;
-	return limit;
+/*
+ * How often a member passes on a piece of news. Receivers are drawn at random, so a member is
+ * missed by all with a chance of about e^-limit; it would learn the news from a probe or a sync.
+ */
+uint8_t bct_member_tx_limit(const bct_member_table_t *t)
+{
+	return (uint8_t)(TX_BASE + 2 * log2_of(t->n_live));
 }
 
 static void emit(bct_member_table_t *t, bct_member_event_type_t type, const slot_t *s)
@@ -48,11 +56,7 @@
 
 static bct_time_t suspect_ms(const bct_member_table_t *t)
 {
-	bct_time_t ms = SUSPECT_BASE_MS;
-
-	for (uint32_t n = t->n_live; n > 1; n >>= 1)
-		ms += SUSPECT_DOUBLE_MS;
-	return ms;
+	return SUSPECT_BASE_MS + SUSPECT_DOUBLE_MS * (bct_time_t)log2_of(t->n_live);
 }
 
 static void slot_flapped(slot_t *s, bct_time_t now)
@@ -129,6 +133,18 @@
 	return news;
 }
 
+/* Queues a member's info. The first word of a new revision travels at once, the rest with probes.
+ */
+static void info_spread(bct_member_table_t *t, slot_t *s)
+{
+	s->tx_info = TX_INFO_BASE + log2_of(t->n_live) / 2;
+	s->info_urgent = s->m.info.revision > t->newest_revision;
+	if (!s->info_urgent)
+		return;
+	t->newest_revision = s->m.info.revision;
+	s->tx_info = bct_member_tx_limit(t);
+}
+
 void bct_member_apply_info(bct_member_table_t *t, slot_t *s, const bct_member_info_t *info)
 {
 	bool revised = info->revision != s->m.info.revision;
@@ -136,7 +152,7 @@
 	if (s == t->self || info->seq <= s->m.info.seq)
 		return;
 	s->m.info = *info;
-	s->tx_info = bct_member_tx_limit(t) / 2;
+	info_spread(t, s);
 	if (revised)
 		emit(t, BCT_MEMBER_INFO, s);
 }
@@ -251,7 +267,8 @@
 	}
 	t->last_tick = now;
 	t->expected_tick = now;
-	t->next_sync = now + SYNC_INTERVAL_MS;
+	t->sync_interval_ms = SYNC_FIRST_MS;
+	t->next_sync = now + SYNC_FIRST_MS;
 	*out = t;
 	return 0;
 }
@@ -304,7 +321,7 @@
 	t->next_info_at = now + INFO_INTERVAL_MS + (bct_time_t)t->n_live * INFO_PER_MEMBER_MS;
 	*own = t->next_info;
 	own->seq = seq + 1;
-	t->self->tx_info = bct_member_tx_limit(t) / 2;
+	info_spread(t, t->self);
 }
 
 bct_time_t bct_member_tick(bct_member_table_t *t, bct_time_t now)
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -94,7 +94,9 @@
 	uint32_t attempt_tokens;
 	uint32_t mark_tokens; /* where the speed was last looked at */
 	bct_time_t mark_at;
-	uint32_t tokens; /* output of earlier attempts, which the caller has */
+	bct_time_t mark_gap_ms; /* the longest silence since then */
+	bct_time_t progress_at; /* of the latest token */
+	uint32_t tokens;	/* output of earlier attempts, which the caller has */
 	bool sent;
 	bool alone;
 	bct_stop_t stop;
@@ -285,7 +287,7 @@
 void bct_up_answered(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_report(bct_core_t *c, bct_time_t now, const bct_report_t *r);
 void bct_up_leaving(bct_core_t *c, bct_time_t now, uint64_t key, bool leaving);
-void bct_up_progress(bct_up_t *u, double observed_to_expected);
+void bct_up_progress(bct_up_t *u, double observed_to_expected, double weight);
 
 /* admit.c: the way in, and every refusal. */
 int bct_admit_submit(bct_core_t *c, bct_time_t now, const bct_req_desc_t *desc);
@@ -300,6 +302,8 @@
 bct_refuse_t bct_shed_admit(bct_core_t *c, bct_time_t now, bct_sreq_t *r);
 void bct_shed_level(bct_core_t *c, bct_time_t now, bct_target_t *t);
 bool bct_shed_pressed(const bct_tier_t *tier, bct_time_t now);
+void bct_shed_restart(bct_target_t *t, bct_time_t now);
+void bct_shed_busy(bct_target_t *t, bct_time_t now);
 void bct_shed_drained(bct_target_t *t, bct_time_t now, int64_t cost_tokens);
 
 /* dispatch.c: from queue to upstream. */
@@ -336,7 +340,8 @@
 bct_route_t bct_route_to(bct_core_t *c, bct_time_t now, bct_target_t *t, const bct_sreq_t *r,
 			 bct_up_t *u);
 bct_route_t bct_route_plain(const bct_sreq_t *r, bct_up_t *u);
-bct_up_t *bct_route_for_suspect(bct_target_t *t, bct_time_t now, const bct_sreq_t *r);
+bct_up_t *bct_route_for_suspect(const bct_core_t *c, bct_target_t *t, bct_time_t now,
+				const bct_sreq_t *r);
 
 /* fleet.c: what nodes tell each other. */
 void bct_fleet_total(bct_core_t *c, bct_time_t now, const bct_total_t *t);
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -6,12 +6,11 @@
 #define UP_BACKOFF_MIN_MS 250
 #define UP_BACKOFF_MAX_MS 8000
 #define UP_DEAD_FAILURES 3 /* in a row, after which it does not count as usable */
-#define UP_SPEED_SMOOTHING 0.1
 #define UP_SPEED_MIN 0.05
 #define UP_SPEED_MAX 2.0
-#define UP_SLOW_ENTER 0.6
-#define UP_SLOW_LEAVE 0.8
-#define UP_IDLE_RECOVERY 0.002	 /* of the missing speed, with each report while unused */
+#define UP_SLOW_ENTER 0.75
+#define UP_SLOW_LEAVE 0.9
+#define UP_IDLE_RECOVERY 0.0005	 /* of the missing speed, with each report while unused */
 #define UP_RESERVE_PART 5	 /* of the slots */
 #define UP_UNUSABLE_HOLD_MS 5000 /* how long requests wait for any upstream to come back */
 
@@ -147,6 +146,9 @@
 /* The pause after a failure or a busy answer is over. */
 void bct_up_back(bct_core_t *c, bct_time_t now, bct_up_t *u)
 {
+	/* While it was away, nothing could be learnt of how fast its targets' queues empty. */
+	for (uint32_t i = 0; i < u->n_targets; i++)
+		bct_shed_restart(u->targets[i], now);
 	if (now < u->down_until)
 		bct_heap_set(&c->up_wakes, &u->wake, u->down_until);
 	bct_up_refresh(c, now, u);
@@ -260,11 +262,11 @@
 	bct_setup_subsets(c, now);
 }
 
-void bct_up_progress(bct_up_t *u, double observed_to_expected)
+void bct_up_progress(bct_up_t *u, double observed_to_expected, double weight)
 {
 	if (observed_to_expected > UP_SPEED_MAX)
 		observed_to_expected = UP_SPEED_MAX;
-	u->speed += UP_SPEED_SMOOTHING * (observed_to_expected - u->speed);
+	u->speed += weight * (observed_to_expected - u->speed);
 	if (u->speed < UP_SPEED_MIN)
 		u->speed = UP_SPEED_MIN;
 }
--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -105,7 +105,7 @@
 
 # ready: the node that was started last has a configuration and its key history.
 ready() {
-	"$BIN/chuteload" get "$admin" /readyz
+	"$BIN/chuteload" get "$admin" /readyz | grep -q '"ready":true,"keys_ready":true'
 }
 
 # start_node NAME [DOMAIN]: starts chuted; sets pid, caller (its address for callers) and admin.
@@ -118,6 +118,7 @@
 	"caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 500 },
 	"admin": { "port": 0, "token_hash": "$operator_hash" },
 	"peer": { "port": 0, "secret": "demo-secret-of-the-fleet", "seeds": [$seeds] },
+	"keys": { "flush_ms": 1000 },
 	"platform": { "url": "http://$platform", "poll_ms": 500 }
 }
 EOT
--- a/tests/proc_config.sh
+++ b/tests/proc_config.sh
@@ -15,7 +15,7 @@
 # node NAME: starts chuted; sets admin_NAME and pid_NAME, and makes it a seed of the later ones.
 node() {
 	cat >"$work/$1.json" <<EOT
-{ "vm": { "name": "$1", "failure_domain": "fd-$1", "region": "r" },
+{ "vm": { "name": "$1", "failure_domain": "$1-in-a-building-with-a-rather-long-name", "region": "r" },
   "caller": { "address": "127.0.0.1", "port": 0, "entry_lifetime_ms": 200 },
   "admin": { "port": 0, "token_hash": "$hash" },
   "peer": { "port": 0, "secret": "proc-config-secret", "seeds": [$seeds] },
@@ -81,6 +81,11 @@
 "$BIN/chutectl" status --node "$admin_one" --token-file "$work/token" >"$work/page"
 [ "$(awk 'length > 80' "$work/page" | wc -l)" -eq 0 ] || { cat "$work/page"; fail "wider than 80"; }
 grep -q 'revision 6 in force' "$work/page" || { cat "$work/page"; fail "status page"; }
+"$BIN/chuteload" get "$admin_one" /metrics >"$work/metrics"
+for line in 'bct_config_changes_total{verdict="accepted"} 6' 'bct_config_revision 6' \
+	'bct_config_diverged 0'; do
+	grep -qxF "$line" "$work/metrics" || fail "metrics: no '$line'"
+done
 echo nobody >"$work/wrong"
 rc=0
 "$BIN/chutectl" status --node "$admin_one" --token-file "$work/wrong" >/dev/null 2>&1 || rc=$?
