lib_proc.sh stops its programs after a broken pipe too

Cause: three runs of proc_poison whose output went to head left six programs each: the shell died of SIGPIPE before its exit trap. Change: the trap covers HUP and PIPE as well.

--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -31,7 +31,7 @@
 	rm -rf "$work"
 }
 trap stop_all EXIT
-trap 'exit 1' INT TERM
+trap 'exit 1' HUP INT PIPE TERM
 
 fail() {
 	echo "$0: $*" >&2
