--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -245,6 +245,7 @@
 		.requests = COST_REQUESTS,
 		.seed = 1,
 	};
+	char dispatched[BCT_NAME_BYTES];
 	double v[COLUMNS];
 	int err = bct_model_cost(&o, bct_naive_new, &out[NAIVE]);
 
@@ -255,6 +256,10 @@
 	for (uint32_t c = 0; c < COLUMNS; c++)
 		v[c] = out[c].decision_us;
 	row(b, name, "us", v, "<= 10 us", v[POLICY] <= TARGET_DECISION_US);
+	for (uint32_t c = 0; c < COLUMNS; c++)
+		v[c] = percent(out[c].dispatched, COST_REQUESTS);
+	snprintf(dispatched, sizeof(dispatched), "  dispatched, %u/%u", engines, accounts);
+	row(b, dispatched, "%", v, "", -1);
 	return 0;
 }
 
--- a/bench/model_deploy.c
+++ b/bench/model_deploy.c
@@ -6,7 +6,7 @@
 
 #include <stdio.h>
 
-#define LIMIT_NONE 1000000
+#define LIMIT_NONE 1000000000
 
 static const char *const pool_names[BCT_MODEL_POOLS] = { "draft", "desk" };
 
