--- a/bench/model.c
+++ b/bench/model.c
@@ -91,13 +91,12 @@
 	bct_model_fleet_kill(&d->fleet, d->now, node);
 }
 
-static int fault_node(bct_model_drive_t *d, const bct_model_fault_t *f, uint32_t node, bool begins)
+static int fault_node(bct_model_drive_t *d, uint32_t node, bool begins)
 {
 	if (node >= d->fleet.n || !d->fleet.nodes[node].sched == begins)
 		return 0;
 	if (!begins)
 		return bct_model_fleet_start(&d->fleet, d->now, node);
-	(void)f;
 	node_death(d, node);
 	return 0;
 }
@@ -128,7 +127,7 @@
 		uint32_t at = f->first + i * step;
 
 		if (f->type == BCT_MODEL_NODE_DEATH)
-			err = fault_node(d, f, at, begins);
+			err = fault_node(d, at, begins);
 		else if (at < d->n_engines)
 			fault_engine(d, f, at, begins);
 	}
