--- a/coord/key_claims.c
+++ b/coord/key_claims.c
@@ -34,7 +34,6 @@
 	entry_state_t state;
 	bct_time_t retry_at;
 	bct_xkey_entry x;
-	char text[BCT_XKEY_TEXT_BYTES + 1];
 	uint8_t answer[];
 } out_entry_t;
 
@@ -305,24 +304,25 @@
 			  const void *answer, uint32_t len_bytes)
 {
 	claim_t *cl = find_claim(c, intent);
-	bool keep = len_bytes <= BCT_XKEY_ANSWER_BYTES && strlen(type) <= BCT_XKEY_TEXT_BYTES;
+	bool keep = len_bytes <= BCT_XKEY_ANSWER_BYTES && strlen(type) < BCT_XKEY_TEXT_BYTES;
+	uint32_t padded = keep ? (len_bytes + 3) / 4 * 4 : 0;
 	bct_xkey_outcome *o;
 	out_entry_t *e;
 
 	if (!cl || cl->state != CLAIM_WON)
 		return -BCT_ENOT_FOUND;
-	e = add_entry(c, &cl->id, intent, BCT_XKEY_OUTCOME, keep ? len_bytes : 0);
+	e = add_entry(c, &cl->id, intent, BCT_XKEY_OUTCOME, padded);
 	if (!e)
 		return -BCT_ENOMEM;
 	o = &e->x.body.bct_xkey_body_u.outcome;
 	o->status = (u_int)status;
 	o->kept = keep;
-	o->type = e->text;
 	if (keep) {
-		snprintf(e->text, sizeof(e->text), "%s", type);
+		snprintf(o->type, sizeof(o->type), "%s", type);
 		if (len_bytes)
 			memcpy(e->answer, answer, len_bytes);
-		o->answer.answer_len = len_bytes;
+		o->answer_bytes = len_bytes;
+		o->answer.answer_len = padded;
 		o->answer.answer_val = (char *)e->answer;
 	}
 	cl->state = CLAIM_LEAVING;
@@ -391,8 +391,7 @@
 	if (!e)
 		return -BCT_ENOMEM;
 	r = &e->x.body.bct_xkey_body_u.resolve;
-	snprintf(e->text, sizeof(e->text), "%s", author);
-	r->author = e->text;
+	snprintf(r->author, sizeof(r->author), "%s", author);
 	r->ran = ran;
 	r->forced = force;
 	return 0;
--- a/coord/keys.c
+++ b/coord/keys.c
@@ -126,11 +126,12 @@
 		const bct_xkey_outcome *out =
 			&batch.entries.entries_val[r->index].body.bct_xkey_body_u.outcome;
 
-		v.have_answer = true;
+		v.have_answer = out->answer_bytes <= out->answer.answer_len &&
+				memchr(out->type, 0, sizeof(out->type));
 		v.status = (int)out->status;
 		v.content_type = out->type;
 		v.answer = out->answer.answer_val;
-		v.answer_bytes = out->answer.answer_len;
+		v.answer_bytes = out->answer_bytes;
 	}
 	o->verdict(o->ctx, cookie, &v);
 	bct_key_batch_free(&batch);
--- a/coord/lease.c
+++ b/coord/lease.c
@@ -66,7 +66,7 @@
 		return false;
 	memset(out, 0, sizeof(*out));
 	out->kind = kind;
-	out->name = l->name;
+	memcpy(out->name, l->name, sizeof(out->name));
 	out->id = id;
 	out->holder = l->opts.incarnation;
 	out->seen = l->last;
@@ -135,7 +135,7 @@
 {
 	bool counted;
 
-	if (strcmp(r->name, l->name))
+	if (strncmp(r->name, l->name, sizeof(r->name)))
 		return;
 	counted = counts(l, r);
 	if (counted)
--- a/coord/lease.h
+++ b/coord/lease.h
@@ -54,7 +54,7 @@
  * bct_lease_next(3): the record to append now, if any.
  *
  * id       fresh random id for it
- * returns  true and the record, whose name points into l
+ * returns  true and the record
  */
 bool bct_lease_next(bct_lease_t *l, bct_time_t now, uint64_t id, bct_xlease_record *out);
 
--- a/gen/key.h
+++ b/gen/key.h
@@ -15,7 +15,7 @@
 
 #define BCT_XKEY_HASH_BYTES 16
 #define BCT_XKEY_ANSWER_BYTES 8192
-#define BCT_XKEY_TEXT_BYTES 63
+#define BCT_XKEY_TEXT_BYTES 64
 #define BCT_XKEY_BATCH 256
 
 enum bct_xkey_type {
@@ -36,7 +36,8 @@
 struct bct_xkey_outcome {
 	u_int status;
 	bool_t kept;
-	char *type;
+	char type[BCT_XKEY_TEXT_BYTES];
+	u_int answer_bytes;
 	struct {
 		u_int answer_len;
 		char *answer_val;
@@ -47,7 +48,7 @@
 struct bct_xkey_resolve {
 	bool_t ran;
 	bool_t forced;
-	char *author;
+	char author[BCT_XKEY_TEXT_BYTES];
 };
 typedef struct bct_xkey_resolve bct_xkey_resolve;
 
--- a/gen/key_xdr.c
+++ b/gen/key_xdr.c
@@ -34,11 +34,14 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->kept))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->type, BCT_XKEY_TEXT_BYTES))
+	 if (!xdr_opaque (xdrs, objp->type, BCT_XKEY_TEXT_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answer_bytes))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, BCT_XKEY_ANSWER_BYTES))
 		 return FALSE;
@@ -50,11 +53,12 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_bool (xdrs, &objp->ran))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->forced))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->author, BCT_XKEY_TEXT_BYTES))
+	 if (!xdr_opaque (xdrs, objp->author, BCT_XKEY_TEXT_BYTES))
 		 return FALSE;
 	return TRUE;
 }
--- a/gen/lease.h
+++ b/gen/lease.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define BCT_XLEASE_NAME_BYTES 47
+#define BCT_XLEASE_NAME_BYTES 48
 
 enum bct_xlease_kind {
 	BCT_XLEASE_CLAIM = 1,
@@ -24,7 +24,7 @@
 
 struct bct_xlease_record {
 	bct_xlease_kind kind;
-	char *name;
+	char name[BCT_XLEASE_NAME_BYTES];
 	u_quad_t id;
 	u_quad_t holder;
 	u_quad_t seen;
--- a/gen/lease_xdr.c
+++ b/gen/lease_xdr.c
@@ -20,9 +20,10 @@
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_bct_xlease_kind (xdrs, &objp->kind))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->name, BCT_XLEASE_NAME_BYTES))
+	 if (!xdr_opaque (xdrs, objp->name, BCT_XLEASE_NAME_BYTES))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->id))
 		 return FALSE;
--- a/schema/key.x
+++ b/schema/key.x
@@ -2,12 +2,13 @@
  * key.x - records of the idempotency key streams of the platform's log.
  *
  * A record is one batch of entries, so that a node appends a few times a second however many
- * requests it serves. Entries take effect in the order of the log, and in a batch in its order.
+ * requests it serves. All lengths are multiples of 4: libtirpc decodes padding into a buffer that
+ * threads share. Entries take effect in the order of the log, and in a batch in its order.
  */
 
 const BCT_XKEY_HASH_BYTES = 16;
 const BCT_XKEY_ANSWER_BYTES = 8192;
-const BCT_XKEY_TEXT_BYTES = 63;
+const BCT_XKEY_TEXT_BYTES = 64;
 const BCT_XKEY_BATCH = 256;
 
 enum bct_xkey_type {
@@ -28,15 +29,16 @@
 struct bct_xkey_outcome {
 	unsigned int status;
 	bool kept;				/* whether the answer stands here */
-	string type<BCT_XKEY_TEXT_BYTES>;	/* content type */
-	opaque answer<BCT_XKEY_ANSWER_BYTES>;
+	opaque type[BCT_XKEY_TEXT_BYTES];	/* content type, padded with NULs */
+	unsigned int answer_bytes;
+	opaque answer<BCT_XKEY_ANSWER_BYTES>;	/* padded to a multiple of 4 */
 };
 
 /* An operator's word on a key in doubt. */
 struct bct_xkey_resolve {
 	bool ran;
 	bool forced;
-	string author<BCT_XKEY_TEXT_BYTES>;
+	opaque author[BCT_XKEY_TEXT_BYTES];	/* padded with NULs */
 };
 
 union bct_xkey_body switch (bct_xkey_type type) {
--- a/schema/lease.x
+++ b/schema/lease.x
@@ -2,7 +2,7 @@
  * lease.x - records of the lease stream of the platform's log.
  */
 
-const BCT_XLEASE_NAME_BYTES = 47;
+const BCT_XLEASE_NAME_BYTES = 48;
 
 enum bct_xlease_kind {
 	BCT_XLEASE_CLAIM = 1,
@@ -12,7 +12,7 @@
 
 struct bct_xlease_record {
 	bct_xlease_kind kind;
-	string name<BCT_XLEASE_NAME_BYTES>;
+	opaque name[BCT_XLEASE_NAME_BYTES];	/* padded with NULs */
 	unsigned hyper id;		/* random; the writer knows its own record by it */
 	unsigned hyper holder;		/* incarnation */
 	unsigned hyper seen;		/* CLAIM: offset + 1 of the lease's last record, 0: none */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -17,8 +17,6 @@
 #define TTL_MS 100
 #define MARGIN_MS 10
 
-static char lease_name[] = "placement";
-
 typedef struct node {
 	bct_lease_t lease;
 	uint32_t next;
@@ -59,9 +57,7 @@
 {
 	if (!n->has_flying || w->n_log == LOG_MAX)
 		return;
-	w->log[w->n_log] = n->flying;
-	/* The name of a record in the log must outlive the node that wrote it. */
-	w->log[w->n_log++].name = lease_name;
+	w->log[w->n_log++] = n->flying;
 	n->has_flying = false;
 }
 
@@ -209,7 +205,7 @@
 
 Test(lease, record_survives_the_codec_and_damage_is_refused)
 {
-	bct_xlease_record r = { .kind = BCT_XLEASE_CLAIM, .name = lease_name, .id = 7, .seen = 9 };
+	bct_xlease_record r = { .kind = BCT_XLEASE_CLAIM, .name = "placement", .id = 7, .seen = 9 };
 	bct_xlease_record back;
 	uint8_t data[256];
 	uint32_t len;
