Stub upstream counts callers' requests only

Cause: test_front.c failed now and then on a loaded machine with "it reached the upstream": the stub counted each connection, also the node's own questions to an engine (load report, cache events, orders under /engine/v1/), and only the first one was taken off. Change: the stub reads the request line and leaves out a GET on /engine/v1/ only; a connection that says nothing still counts, and the count is read only while no line is being judged. No check is weaker. Conclusion: the polls can no longer be taken for a caller's request.

--- a/tests/util_node.c
+++ b/tests/util_node.c
@@ -21,6 +21,30 @@
 #include <unistd.h>
 
 #define STUB_POLL_MS 20
+#define STUB_LINE_MS 5000 /* time for a request line; a connection without one counts */
+#define NODE_POLL "GET /engine/v1/"
+
+/* Whether a connection is the node's own question to an engine, not a caller's request. */
+static bool is_node_poll(int fd)
+{
+	bct_time_t end = bct_clock_now() + STUB_LINE_MS;
+	const size_t want = strlen(NODE_POLL);
+	char line[sizeof(NODE_POLL)];
+	size_t have = 0;
+
+	while (have < want && bct_clock_now() < end) {
+		struct pollfd p = { .fd = fd, .events = POLLIN };
+		ssize_t n;
+
+		if (poll(&p, 1, STUB_POLL_MS) <= 0)
+			continue;
+		n = recv(fd, line + have, want - have, 0);
+		if (n <= 0)
+			return false;
+		have += (size_t)n;
+	}
+	return have == want && !memcmp(line, NODE_POLL, want);
+}
 
 static void *stub_main(void *arg)
 {
@@ -32,11 +56,15 @@
 
 		if (poll(&p, 1, STUB_POLL_MS) <= 0)
 			continue;
+		ck_pr_store_32(&s->undecided, 1);
 		fd = accept(s->fd, NULL, NULL);
-		if (fd < 0)
-			continue;
-		ck_pr_inc_32(&s->connections);
-		close(fd);
+		if (fd >= 0) {
+			if (!is_node_poll(fd))
+				ck_pr_inc_32(&s->connections);
+			close(fd);
+		}
+		ck_pr_fence_memory();
+		ck_pr_store_32(&s->undecided, 0);
 	}
 	return NULL;
 }
@@ -132,10 +160,6 @@
 	fill_settings(t, extra);
 	rc = bct_node_new(&opts, &t->node);
 	cr_assert_eq(rc, 0, "%s", bct_err_name(rc));
-	/* The engine is asked for its load when the node starts; only what follows counts. */
-	while (!ck_pr_load_32(&t->engine.connections))
-		usleep(1000);
-	ck_pr_store_32(&t->engine.connections, 0);
 }
 
 void test_node_stop(test_node_t *t)
@@ -148,6 +172,8 @@
 
 uint32_t test_node_reached(test_node_t *t)
 {
+	while (ck_pr_load_32(&t->engine.undecided) || ck_pr_load_32(&t->service.undecided))
+		usleep(1000);
 	return ck_pr_load_32(&t->engine.connections) + ck_pr_load_32(&t->service.connections);
 }
 
--- a/tests/util_node.h
+++ b/tests/util_node.h
@@ -11,11 +11,12 @@
 #include <pthread.h>
 #include <stdint.h>
 
-/* Accepts connections, reads a little and closes them; only the count matters. */
+/* Accepts connections, reads what they ask for and closes them; only the count matters. */
 typedef struct stub {
 	int fd;
 	uint16_t port;
-	uint32_t connections;
+	uint32_t connections; /* but for the node's own polls of an engine */
+	uint32_t undecided;   /* one was accepted and its request line is being read */
 	uint32_t stop;
 	pthread_t thread;
 } stub_t;
@@ -34,7 +35,7 @@
 void test_node_start(test_node_t *t, const char *extra);
 void test_node_stop(test_node_t *t);
 
-/* Connections that reached either stub since the node started. */
+/* Connections that reached either stub, but for the node's own GETs on /engine/v1/. */
 uint32_t test_node_reached(test_node_t *t);
 
 /* Connects to a port of this machine; -1 on failure. */
