Fuzz targets: make fuzz, and a fixed-seed replay in make test

Cause: nothing fed the parsers and decoders hostile bytes. Change: ten targets in tests/fuzz with small corpora; make fuzz runs them under clang's libFuzzer with address and undefined sanitizers, tests/test_fuzz_replay.c runs the cases and 2,000 mutations for each target by a fixed seed without libFuzzer. Found and mended, each with its case in the corpus: a log record whose path is not UTF-8 was taken for want of memory, so that replay stood still on it for ever (coord/config_doc.c); an engine's id spelt with escapes led to a read through a null pointer, a pretty-printed event broke the caller's stream, a long finish reason was cut inside a character and then failed the whole answer (node/answer.c); a record with id 0 counted as one's own lease record (coord/lease.c); a peer datagram with credentials leaked them (coord/wire.c). A sanitized program now ends at undefined behaviour instead of printing it. Conclusion: a record could wedge the configuration of every node; now it is refused with a reason.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,8 @@
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
 
+# What a sanitizer reports fails the program; else undefined behaviour is only printed.
+export UBSAN_OPTIONS ?= halt_on_error=1:print_stacktrace=1
 SANFLAGS := $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith \
 	-Wwrite-strings -Wvla
@@ -33,6 +35,7 @@
 STANDIN_COMMON := $(filter-out standin/fake_%,$(STANDIN_SRCS))
 TEST_SRCS := $(sort $(wildcard tests/test_*.c))
 TEST_COMMON := $(sort $(wildcard tests/util_*.c))
+FUZZ_SRCS := $(sort $(wildcard tests/fuzz/fuzz_*.c))
 RACE_SRCS := $(sort $(wildcard tests/race_*.c))
 BENCH_SRCS := $(sort $(wildcard bench/bench_*.c))
 BENCH_COMMON := $(filter-out bench/bench_%,$(sort $(wildcard bench/*.c)))
@@ -51,6 +54,7 @@
 TESTS := $(patsubst tests/%.c,$(BIN)/%,$(TEST_SRCS))
 RACES := $(patsubst tests/%.c,$(BIN)/%,$(RACE_SRCS))
 BENCHES := $(patsubst bench/%.c,$(BIN)/%,$(BENCH_SRCS))
+FUZZERS := $(patsubst tests/fuzz/%.c,$(BIN)/%,$(FUZZ_SRCS))
 
 .PHONY: all programs test unit demo bench bench-policy check format tsan faults gen install clean deps
 all: deps programs $(SOLIB)
@@ -91,6 +95,7 @@
 	$(link)
 $(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(NODE_LIB) $(LIB)
 	$(link) -lcriterion
+$(BIN)/test_fuzz_replay: $(call obj,$(FUZZ_SRCS))
 $(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
 	$(link)
 $(BIN)/bench_%: $(B)/obj/bench/bench_%.o $(call obj,$(BENCH_COMMON)) $(NODE_LIB) $(LIB)
@@ -127,8 +132,26 @@
 .PHONY: races
 races: $(RACES)
 
+# Each fuzz target for a while, under clang's sanitizers; .ci/packages-fuzz names what it needs.
+FUZZ_SECONDS ?= 20
+FUZZ_SEED ?= 1
+FUZZ_JOBS ?= 4
+FUZZ_SAN := fuzzer-no-link,address,undefined
+fuzz:
+	$(Q)$(MAKE) --no-print-directory CC=clang SAN=$(FUZZ_SAN) fuzzers
+	$(Q)BIN=build/san-$(subst $(comma),-,$(FUZZ_SAN))/bin SECONDS_EACH=$(FUZZ_SECONDS) \
+		SEED=$(FUZZ_SEED) JOBS=$(FUZZ_JOBS) sh tests/fuzz/run.sh
+fuzzers: $(FUZZERS)
+$(B)/fuzz/%.o: tests/fuzz/%.c
+	@mkdir -p $(dir $@)
+	$(Q)$(CC) $(ALL_CFLAGS) -DBCT_LIBFUZZER -MMD -MP -c $< -o $@
+$(BIN)/fuzz_%: $(B)/fuzz/fuzz_%.o $(NODE_LIB) $(LIB)
+	@mkdir -p $(BIN)
+	$(Q)$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
+.PHONY: fuzz fuzzers
+
 C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] cmd/*.[ch] \
-	standin/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
+	standin/*.[ch] tests/*.[ch] tests/fuzz/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
 
 check:
 	$(Q)clang-format --dry-run -Werror $(C_FILES)
@@ -160,4 +183,4 @@
 clean:
 	rm -rf build
 
--include $(shell find $(B)/obj -name '*.d' 2>/dev/null)
+-include $(shell find $(B)/obj $(B)/fuzz -name '*.d' 2>/dev/null)
--- a/coord/config_doc.c
+++ b/coord/config_doc.c
@@ -63,15 +63,23 @@
 	return NULL;
 }
 
+/* Names are ASCII; the JSON library fails on a key that is not UTF-8 as it does without memory. */
+static bool is_ascii(const char *s)
+{
+	while (*s && (unsigned char)*s < 0x80)
+		s++;
+	return !*s;
+}
+
 static int apply_object(json_t *doc, const bct_xobject *o, bct_json_err_t *err)
 {
 	const char *path = o->path.path_val, *key;
 	json_t *parent = find_parent(doc, path, &key), *value;
 
-	if (!parent)
+	if (!parent || !is_ascii(path))
 		return bct_json_fail(err, BCT_ERANGE, path,
 				     "allowed: timeouts, or models, upstreams or contracts, '/' "
-				     "and a name");
+				     "and an ASCII name");
 	if (o->text.text_len == 0) {
 		json_object_del(parent, key);
 		return 0;
--- a/coord/lease.c
+++ b/coord/lease.c
@@ -111,7 +111,7 @@
 /* An own record came back: the time to live runs from before it was sent. */
 static void follow_own(bct_lease_t *l, bct_time_t now, const bct_xlease_record *r, bool counted)
 {
-	bool own = r->id == l->flying_id;
+	bool own = l->flying_id && r->id == l->flying_id;
 
 	if (own)
 		l->flying_id = 0;
--- a/coord/wire.c
+++ b/coord/wire.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define WINDOW_BITS 1024 /* how far datagrams of one sender may be reordered */
@@ -190,12 +191,18 @@
 	reply_header(&header, 0);
 	if (out->is_reply) {
 		ok = xdr_replymsg(x, &header) && header.rm_reply.rp_stat == MSG_ACCEPTED &&
-		     header.acpted_rply.ar_stat == SUCCESS;
+		     header.acpted_rply.ar_stat == SUCCESS &&
+		     header.acpted_rply.ar_verf.oa_length == 0;
+		if (header.rm_reply.rp_stat == MSG_ACCEPTED)
+			free(header.acpted_rply.ar_verf.oa_base);
 	} else {
 		memset(&header, 0, sizeof(header));
 		ok = xdr_callmsg(x, &header) && header.rm_call.cb_prog == PEER_PROGRAM &&
 		     header.rm_call.cb_vers == PEER_VERSION &&
 		     header.rm_call.cb_cred.oa_length == 0 && header.rm_call.cb_verf.oa_length == 0;
+		/* The RPC library's memory; none of ours carries any. */
+		free(header.rm_call.cb_cred.oa_base);
+		free(header.rm_call.cb_verf.oa_base);
 	}
 	out->xid = header.rm_xid;
 	return ok ? 0 : -BCT_ECODEC;
--- a/node/answer.c
+++ b/node/answer.c
@@ -11,6 +11,7 @@
 #include "base/json.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -37,16 +38,37 @@
 	return strcmp(id + strlen(ID_PREFIX), a->id_hex) ? -BCT_ECONFLICT : 0;
 }
 
-/* Appends the event with the attempt's id replaced by the request's. */
+/* Line ends between JSON tokens would end the caller's event too early; a space means the same. */
+static void join_lines(char *text, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (text[i] == '\n' || text[i] == '\r')
+			text[i] = ' ';
+	}
+}
+
+/*
+ * Appends the event with the attempt's id replaced by the request's. An id that is spelt with
+ * escapes passes check_id() but cannot be replaced in place: malformed, and nothing is appended.
+ */
 static int put_event(bct_request_t *r, const bct_attempt_t *a, const char *data, size_t len)
 {
-	const char *at = memmem(data, len, a->id_hex, ID_HEX_LEN);
-	size_t before = (size_t)(at - data);
+	char id[sizeof(ID_PREFIX) + ID_HEX_LEN];
+	const char *at;
+	size_t before, start;
 
+	snprintf(id, sizeof(id), "%s%s", ID_PREFIX, a->id_hex);
+	at = memmem(data, len, id, strlen(id));
+	if (!at)
+		return -BCT_ECODEC;
+	at += strlen(ID_PREFIX);
+	before = (size_t)(at - data);
+	start = r->out.len_bytes;
 	bct_buf_puts(&r->out, "data: ");
 	bct_buf_put(&r->out, data, before);
 	bct_buf_put(&r->out, a->req_id_hex, ID_HEX_LEN);
-	bct_buf_put(&r->out, at + ID_HEX_LEN, len - before - ID_HEX_LEN);
+	if (!bct_buf_put(&r->out, at + ID_HEX_LEN, len - before - ID_HEX_LEN))
+		join_lines(r->out.data + start, r->out.len_bytes - start);
 	return bct_buf_puts(&r->out, "\n\n");
 }
 
@@ -62,14 +84,26 @@
 	r->tokens++;
 }
 
+/* Cut to the field at the end of a character, so that it stays UTF-8. */
+static void take_reason(bct_request_t *r, const char *reason)
+{
+	size_t len = strnlen(reason, sizeof(r->finish_reason) - 1);
+
+	while (len && ((unsigned char)reason[len] & 0xc0) == 0x80)
+		len--;
+	memcpy(r->finish_reason, reason, len);
+	r->finish_reason[len] = '\0';
+}
+
 static void take_usage(bct_request_t *r, json_t *chunk, json_t *choice)
 {
 	const char *reason = json_string_value(json_object_get(choice, "finish_reason"));
 	json_t *prompt = json_object_get(json_object_get(chunk, "usage"), "prompt_tokens");
 
 	if (reason)
-		snprintf(r->finish_reason, sizeof(r->finish_reason), "%s", reason);
-	if (json_is_integer(prompt))
+		take_reason(r, reason);
+	if (json_is_integer(prompt) && json_integer_value(prompt) >= 0 &&
+	    json_integer_value(prompt) <= INT32_MAX)
 		r->prompt_tokens = (uint32_t)json_integer_value(prompt);
 }
 
--- /dev/null
+++ b/tests/fuzz/fuzz_answer.c
@@ -0,0 +1,74 @@
+/*
+ * fuzz_answer.c - an engine's events, cut at 0x1e, on a streamed and on a collected request: what
+ * was refused adds nothing, the end is always reached, a streamed answer holds only
+ * data lines, and a collected one is JSON.
+ */
+#define _GNU_SOURCE
+#include "base/err.h"
+#include "base/json.h"
+#include "node/answer.h"
+#include "tests/fuzz/fuzz.h"
+
+#include <string.h>
+
+#define ATTEMPT_ID "00000000000000aa"
+#define EVENT_END 0x1e
+#define REQUEST_ID "00000000000000bb"
+
+static void feed(bct_attempt_t *a, const char *data, size_t size)
+{
+	const char *end = data + size;
+
+	while (data < end) {
+		const char *nl = memchr(data, EVENT_END, (size_t)(end - data));
+		const char *stop = nl ? nl : end;
+		size_t before = a->req->out.len_bytes;
+
+		if (bct_answer_event(a, data, (size_t)(stop - data), 1))
+			BCT_FUZZ_CHECK(a->req->out.len_bytes == before);
+		data = stop + 1;
+	}
+}
+
+static void check_lines(const bct_buf_t *out)
+{
+	const char *line = out->data, *nl;
+
+	while ((nl = strchr(line, '\n'))) {
+		BCT_FUZZ_CHECK(nl == line || !strncmp(line, "data: ", 6));
+		line = nl + 1;
+	}
+	BCT_FUZZ_CHECK(!*line);
+}
+
+static void run(const uint8_t *data, size_t size, bool stream, bct_request_kind_t kind)
+{
+	bct_request_t *r = bct_request_new(1, NULL);
+	bct_attempt_t a = { .req = r, .id_hex = ATTEMPT_ID, .req_id_hex = REQUEST_ID };
+	bct_json_err_t err;
+	json_t *doc;
+
+	BCT_FUZZ_CHECK(r != NULL);
+	r->attempt = &a;
+	r->stream = stream;
+	r->kind = kind;
+	feed(&a, (const char *)data, size);
+	BCT_FUZZ_CHECK(!bct_answer_finish(&a));
+	if (stream) {
+		check_lines(&r->out);
+	} else {
+		doc = bct_json_parse_strict(r->out.data, r->out.len_bytes, &err);
+		BCT_FUZZ_CHECK(doc != NULL);
+		json_decref(doc);
+	}
+	r->attempt = NULL;
+	bct_request_unref(r);
+}
+
+BCT_FUZZ(answer)
+{
+	run(data, size, true, BCT_REQUEST_COMPLETION);
+	run(data, size, false, BCT_REQUEST_CHAT);
+	run(data, size, false, BCT_REQUEST_COMPLETION);
+	return 0;
+}
