chuteload frees the option texts that it does not keep

Cause: make SAN=address,undefined test failed in seven process tests, five of them at least by LeakSanitizer ending chuteload with an error: popt hands out a copy of each option's text, and addresses were copied once more. Change: the text is freed unless it is a header line, which is kept. Measured under the sanitizers: proc_at_most_once and proc_caller_gone failed before and pass now; proc_config_restart and proc_drain still fail for other reasons.

--- a/cmd/chuteload.c
+++ b/cmd/chuteload.c
@@ -9,6 +9,7 @@
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define EXIT_AUDIT 1
@@ -222,8 +223,13 @@
 	int opt, rc = 0;
 
 	poptSetOtherOptionHelp(ctx, USAGE);
-	while (rc == 0 && (opt = poptGetNextOpt(ctx)) > 0)
-		rc = take_option(&o, opt, poptGetOptArg(ctx));
+	while (rc == 0 && (opt = poptGetNextOpt(ctx)) > 0) {
+		char *text = poptGetOptArg(ctx);
+
+		rc = take_option(&o, opt, text);
+		if (opt != OPT_HEADER) /* a header is kept, an address is copied */
+			free(text);
+	}
 	if (rc < 0 || opt < -1) {
 		fprintf(stderr, "chuteload: %s: %s\n", poptBadOption(ctx, 0),
 			rc < 0 ? bct_err_text(rc) : poptStrerror(opt));
