--- a/node/upstream.c
+++ b/node/upstream.c
@@ -147,6 +147,8 @@
 		return -BCT_ENOMEM;
 	*out = a;
 	give_order(&a->start);
+	/* The order's reference is the worker's; the end event comes before it is given up. */
+	bct_attempt_unref(a);
 	return 0;
 }
 
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -44,7 +44,8 @@
 void bct_upstream_pool_free(bct_upstream_pool_t *p);
 
 /*
- * bct_upstream_start(3): start an attempt. The caller gets a reference.
+ * bct_upstream_start(3): start an attempt. out gets no reference: it is good until the end event,
+ * which the caller can hold up by a lock that the event takes.
  *
  * returns  0 or -BCT_ENOMEM; after 0, end is called once for it, whatever happens
  */
