--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -180,7 +180,8 @@
 	uint32_t pending_preempts;
 	double share; /* of the target's capacity that this node is entitled to */
 	double drain_tokens_per_ms;
-	bct_time_t drained_at;
+	bct_time_t drained_at; /* start of the window in which tokens are counted */
+	bct_time_t emptied_at; /* last work taken from the queues */
 	int64_t drained_tokens;
 	bct_time_t unusable_at; /* since when no upstream can be used; BCT_TIME_NEVER: some can */
 	uint8_t shed_level;	/* tiers above this number are shed */
--- a/policy/shed.c
+++ b/policy/shed.c
@@ -24,11 +24,17 @@
 }
 
 /*
- * Work begins to wait. That the queues were empty shows that the speed sufficed, so what was
- * measured before, perhaps while an upstream was away, does not count any more.
+ * Work begins to wait. The time in which nothing waited does not count; when it was long, what was
+ * measured before, perhaps while an upstream was away, does not count either.
  */
 void bct_shed_busy(bct_target_t *t, bct_time_t now)
 {
+	bct_time_t idle = now - t->emptied_at;
+
+	if (idle < SHED_DRAIN_WINDOW_MS) {
+		t->drained_at += idle;
+		return;
+	}
 	t->drain_tokens_per_ms = 0;
 	bct_shed_restart(t, now);
 }
@@ -39,6 +45,7 @@
 	bct_time_t dt = now - t->drained_at;
 	double rate;
 
+	t->emptied_at = now;
 	t->drained_tokens += cost_tokens;
 	if (dt < SHED_DRAIN_WINDOW_MS)
 		return;
