--- a/coord/keys.c
+++ b/coord/keys.c
@@ -16,7 +16,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define READ_BYTES (256 * 1024)
 #define DOWN_MS 200 /* pause after a failed read */
@@ -69,13 +68,10 @@
 
 static void wait_ms(stream_t *s, int64_t ms)
 {
-	struct timespec ts;
+	struct timespec until;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_nsec += (ms % BCT_MS_PER_S) * 1000000;
-	ts.tv_sec += ms / BCT_MS_PER_S + ts.tv_nsec / 1000000000;
-	ts.tv_nsec %= 1000000000;
-	pthread_cond_timedwait(&s->wake, &s->lock, &ts);
+	bct_clock_until((uint32_t)ms, &until);
+	pthread_cond_timedwait(&s->wake, &s->lock, &until);
 }
 
 static bool take_cookie(stream_t *s, uint64_t intent, uint64_t *out)
--- a/coord/lease_service.c
+++ b/coord/lease_service.c
@@ -10,7 +10,6 @@
 
 #include <ck_pr.h>
 #include <pthread.h>
-#include <time.h>
 
 #define RECORD_BYTES 256
 #define TICK_MS 100
@@ -124,12 +123,11 @@
 
 static void *appender_main(void *arg)
 {
-	const struct timespec tick = { .tv_nsec = TICK_MS * 1000000L };
 	bct_lease_service_t *s = arg;
 
 	while (!ck_pr_load_32(&s->stop)) {
 		append_next(s);
-		nanosleep(&tick, NULL);
+		bct_clock_sleep(TICK_MS);
 	}
 	return NULL;
 }
--- a/node/node_peer.c
+++ b/node/node_peer.c
@@ -10,7 +10,6 @@
 #include <ck_pr.h>
 #include <pthread.h>
 #include <string.h>
-#include <time.h>
 
 #define PUBLISH_MS 1000
 #define VM_LIST_MS 5000
@@ -248,7 +247,6 @@
 
 static void *publish_main(void *arg)
 {
-	const struct timespec tick = { .tv_nsec = TICK_MS * 1000000L };
 	bct_time_t next_publish = 0, next_list = 0;
 	bct_node_peer_t *p = arg;
 	bct_item_t *items = bct_alloc(sizeof(*items) * ITEMS_MAX);
@@ -264,7 +262,7 @@
 			read_vm_list(p);
 			next_list = now + VM_LIST_MS;
 		}
-		nanosleep(&tick, NULL);
+		bct_clock_sleep(TICK_MS);
 	}
 	bct_free(items);
 	return NULL;
--- a/node/node_placement.c
+++ b/node/node_placement.c
@@ -19,7 +19,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define LOOK_TIMEOUT_MS 1000L
 #define MAX_ANSWER_BYTES 65536
@@ -265,7 +264,6 @@
 
 static void *placement_main(void *arg)
 {
-	const struct timespec tick = { .tv_nsec = TICK_MS * 1000000L };
 	bct_node_placement_t *p = arg;
 	bct_time_t next = 0;
 
@@ -276,7 +274,7 @@
 			reconcile(p);
 			next = bct_clock_now() + p->opts.settings->placement_interval_ms;
 		}
-		nanosleep(&tick, NULL);
+		bct_clock_sleep(TICK_MS);
 	}
 	return NULL;
 }
