--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -77,6 +77,18 @@
 	return (uint32_t)(need * u->load.slots / UP_RESERVE_PART + 0.5);
 }
 
+/* Slow is relative: where no upstream of the target is better, none is set apart. */
+static bool up_set_apart(const bct_up_t *u, const bct_target_t *t, bct_time_t now)
+{
+	for (uint32_t i = 0; u->slow && i < t->n_ups; i++) {
+		const bct_up_t *other = t->ups[i];
+
+		if (!other->slow && bct_up_usable(other) && now >= other->down_until)
+			return true;
+	}
+	return false;
+}
+
 /* Puts the upstream into, or takes it out of, the sets from which requests are routed. */
 void bct_up_refresh(bct_core_t *c, bct_time_t now, bct_up_t *u)
 {
@@ -87,11 +99,12 @@
 		bool in = up && u->in_subset[k];
 		uint32_t room = in ? bct_load_room(&u->load) : 0;
 		uint32_t free = in ? bct_load_free(&u->load) : 0;
+		bool apart = up_set_apart(u, t, now);
 
 		/* What is urgent may go wherever there is room, whoever else is entitled to it. */
-		set_put(u, k, BCT_SET_OPEN, free > 0 && !u->slow);
-		set_put(u, k, BCT_SET_ROOMY, free > bct_up_reserved(u, t) && !u->slow);
-		set_put(u, k, BCT_SET_SLOW, free > 0 && u->slow);
+		set_put(u, k, BCT_SET_OPEN, free > 0 && !apart);
+		set_put(u, k, BCT_SET_ROOMY, free > bct_up_reserved(u, t) && !apart);
+		set_put(u, k, BCT_SET_SLOW, free > 0 && apart);
 		if (room)
 			bct_dispatch_ready(c, u->targets[k]);
 	}
@@ -105,6 +118,11 @@
 	if (slow == u->slow)
 		return;
 	u->slow = slow;
+	/* Whether the others are set apart may depend on this one. */
+	for (uint32_t k = 0; k < u->n_targets; k++) {
+		for (uint32_t i = 0; i < u->targets[k]->n_ups; i++)
+			bct_up_refresh(c, now, u->targets[k]->ups[i]);
+	}
 	bct_up_refresh(c, now, u);
 }
 
