Planned stop by operator: the end of the address lifetime is set before it is seen

Cause: make tsan saw main read drain_until while the operators' thread set it; a stop by chutectl drain could have closed its listener at once instead of after the addresses' lifetime.

--- a/node/node.c
+++ b/node/node.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "base/rng.h"
+#include "base/sync.h"
 #include "coord/platform_embedded.h"
 #include "coord/platform_http.h"
 #include "node/admin.h"
@@ -38,14 +39,37 @@
 	bct_poller_t *poller;
 	bct_node_placement_t *placement;
 	uint32_t wired; /* all parts are there; until then callers and operators are put off */
-	uint32_t draining;
+	uint32_t drain_begun;
+	uint32_t draining;	/* drain_until is set */
 	bct_time_t drain_until; /* addresses handed out before are valid until then */
 	bct_time_t settled_since;
 };
 
+/* Sees what was written before the flag was set. */
+static bool flag_is_set(uint32_t *flag)
+{
+	if (!ck_pr_load_32(flag))
+		return false;
+	ck_pr_fence_acquire();
+	BCT_HAPPENS_AFTER(flag);
+	return true;
+}
+
+static void set_flag(uint32_t *flag)
+{
+	BCT_HAPPENS_BEFORE(flag);
+	ck_pr_fence_release();
+	ck_pr_store_32(flag, 1);
+}
+
 static bool wired(bct_node_t *n)
 {
-	return ck_pr_load_32(&n->wired) != 0;
+	return flag_is_set(&n->wired);
+}
+
+static bool draining(bct_node_t *n)
+{
+	return flag_is_set(&n->draining);
 }
 
 static int make_platform(bct_node_t *n)
@@ -203,7 +227,7 @@
 		return;
 	if (n->peer)
 		bct_peer_entry_list(bct_node_peer(n->peer), domain, out);
-	else if (!ck_pr_load_32(&n->draining))
+	else if (!draining(n))
 		own_entry(n, out);
 }
 
@@ -253,7 +277,7 @@
 	if (!rc)
 		rc = start_placement(n);
 	if (!rc)
-		ck_pr_store_32(&n->wired, 1);
+		set_flag(&n->wired);
 	return rc;
 }
 
@@ -282,9 +306,10 @@
 
 void bct_node_drain(bct_node_t *n)
 {
-	if (ck_pr_fas_32(&n->draining, 1))
+	if (ck_pr_fas_32(&n->drain_begun, 1))
 		return;
 	n->drain_until = bct_clock_now() + n->opts.settings->caller_entry_lifetime_ms;
+	set_flag(&n->draining);
 	if (n->peer)
 		bct_peer_set_leaving(bct_node_peer(n->peer));
 	bct_node_placement_leave(n->placement);
@@ -310,7 +335,7 @@
 {
 	bct_time_t now = bct_clock_now();
 
-	if (!ck_pr_load_32(&n->draining) || now < n->drain_until)
+	if (!draining(n) || now < n->drain_until)
 		return false;
 	bct_front_quiesce(n->front);
 	if (bct_core_in_flight(n->core) || bct_front_open(n->front)) {
@@ -349,7 +374,7 @@
 bool bct_node_ready(bct_node_t *n)
 {
 	bct_conf_t *conf = bct_core_conf(n->core);
-	bool ready = conf && conf->revision && wired(n) && !ck_pr_load_32(&n->draining);
+	bool ready = conf && conf->revision && wired(n) && !draining(n);
 
 	bct_conf_unref(conf);
 	return ready;
@@ -432,9 +457,8 @@
 	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64, n->incarnation);
 	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:o, s:o, s:o, s:o, s:o, s:o}", "vm",
 			 s->vm_name, "failure_domain", s->vm_failure_domain, "region", s->vm_region,
-			 "incarnation", incarnation, "state",
-			 ck_pr_load_32(&n->draining) ? "leaving" : "serving", "in_flight",
-			 (int)bct_core_in_flight(n->core), "started_ms",
+			 "incarnation", incarnation, "state", draining(n) ? "leaving" : "serving",
+			 "in_flight", (int)bct_core_in_flight(n->core), "started_ms",
 			 (json_int_t)n->started_wall, "config", bct_node_config_status(n->config),
 			 "classes", bct_stats_classes(bct_core_stats(n->core), bct_clock_now()),
 			 "engines", bct_poller_status(n->poller), "keys",
