--- a/node/core.c
+++ b/node/core.c
@@ -193,10 +193,6 @@
 		bct_core_run(c);
 	}
 	pthread_mutex_unlock(&c->lock);
-	if (!rc)
-		BCT_LOG(c->log, BCT_EV_CONFIG_ADOPTED, BCT_U64("revision", conf->revision),
-			BCT_U64("upstreams", conf->n_upstreams),
-			BCT_U64("accounts", conf->n_accounts));
 	return rc;
 }
 
--- a/node/node_config.c
+++ b/node/node_config.c
@@ -38,6 +38,9 @@
 		return rc;
 	}
 	rc = on_adopted(c, conf);
+	if (!rc)
+		BCT_LOG(c->opts.log, BCT_EV_CONFIG_ADOPTED, BCT_U64("revision", conf->revision),
+			BCT_STR("file", path));
 	bct_conf_unref(conf);
 	return rc;
 }
--- a/node/node_peer.c
+++ b/node/node_peer.c
@@ -119,8 +119,6 @@
 	if (!rc)
 		rc = bct_config_store_offer(p->store, &from);
 	bct_buf_free(&from.text);
-	if (!rc)
-		BCT_LOG(p->opts.log, BCT_EV_CONFIG_FROM_PEER, BCT_U64("revision", revision));
 	return rc == -BCT_ESTALE ? 0 : rc;
 }
 
