--- a/Makefile
+++ b/Makefile
@@ -1,18 +1,21 @@
 # buckthornchute - flat build. Variables: SAN=address,undefined|thread, V=1, PREFIX, DESTDIR.
 CC ?= gcc
 SAN ?=
+# The platform builds into target/; set BUILD to put everything elsewhere.
+BUILD ?= build
 PREFIX ?= /usr/local
 DESTDIR ?=
 VERSION := 0.1.0
 
 comma := ,
-B := build$(if $(SAN),/san-$(subst $(comma),-,$(SAN)))
+B := $(BUILD)$(if $(SAN),/san-$(subst $(comma),-,$(SAN)))
 BIN := $(B)/bin
 Q := $(if $(V),,@)
 
-PKGS := libmicrohttpd libcurl libtirpc ck jansson libsodium libxxhash popt
+PKGS := libmicrohttpd libcurl libtirpc ck jansson libsodium libxxhash popt libevent_core libevent_extra
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm
+# http-parser has no pkg-config file.
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm
 
 # What a sanitizer reports fails the program; else undefined behaviour is only printed.
 export UBSAN_OPTIONS ?= halt_on_error=1:print_stacktrace=1
@@ -28,6 +31,8 @@
 LIB_DIRS := base policy coord gen
 LIB_SRCS := $(sort $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c)))
 NODE_SRCS := $(sort $(wildcard node/*.c))
+GATE_SRCS := $(sort $(wildcard gate/*.c))
+PLATFORM_SRCS := $(sort $(wildcard platform/*.c))
 CTL_SRCS := $(sort $(wildcard cmd/chutectl*.c))
 LOAD_SRCS := $(sort $(wildcard cmd/chuteload*.c))
 STANDIN_SRCS := $(sort $(wildcard standin/*.c))
@@ -46,8 +51,10 @@
 LIB := $(B)/libbuckthornchute.a
 SOLIB := $(B)/libbuckthornchute.so
 NODE_LIB := $(B)/libnode.a
+GATE_LIB := $(B)/libgate.a
+PLATFORM_LIB := $(B)/libplatform.a
 
-PROGRAMS := $(if $(wildcard cmd/chuted.c),$(BIN)/chuted) $(if $(CTL_SRCS),$(BIN)/chutectl) \
+PROGRAMS := $(BIN)/chuted $(BIN)/chutegate $(if $(CTL_SRCS),$(BIN)/chutectl) \
 	$(if $(LOAD_SRCS),$(BIN)/chuteload) \
 	$(patsubst standin/fake_%.c,$(BIN)/fake-%,$(STANDIN_MAINS)) \
 	$(if $(wildcard examples/embed.c),$(BIN)/embed)
@@ -81,9 +88,18 @@
 	@rm -f $@
 	$(Q)ar rcs $@ $^
 
+$(GATE_LIB): $(call obj,$(GATE_SRCS))
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+$(PLATFORM_LIB): $(call obj,$(PLATFORM_SRCS))
+	@rm -f $@
+	$(Q)ar rcs $@ $^
+
 link = @mkdir -p $(BIN); $(CC) $(ALL_CFLAGS) $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
 
-$(BIN)/chuted: $(call obj,cmd/chuted.c) $(NODE_LIB) $(LIB)
+$(BIN)/chuted: $(call obj,cmd/chuted.c cmd/daemon.c) $(NODE_LIB) $(LIB)
+	$(link)
+$(BIN)/chutegate: $(call obj,cmd/chutegate.c cmd/daemon.c) $(PLATFORM_LIB) $(GATE_LIB) $(LIB)
 	$(link)
 $(BIN)/chutectl: $(call obj,$(CTL_SRCS)) $(LIB)
 	$(link)
@@ -93,7 +109,7 @@
 	$(link)
 $(BIN)/fake-%: $(B)/obj/standin/fake_%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
 	$(link)
-$(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(NODE_LIB) $(LIB)
+$(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(PLATFORM_LIB) $(GATE_LIB) $(NODE_LIB) $(LIB)
 	$(link) -lcriterion
 $(BIN)/test_fuzz_replay: $(call obj,$(FUZZ_SRCS))
 $(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
@@ -150,7 +166,7 @@
 	$(Q)$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
 .PHONY: fuzz fuzzers
 
-C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] cmd/*.[ch] \
+C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] gate/*.[ch] platform/*.[ch] cmd/*.[ch] \
 	standin/*.[ch] tests/*.[ch] tests/fuzz/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
 
 check:
--- a/base/event_list.h
+++ b/base/event_list.h
@@ -21,6 +21,8 @@
 	DEF(CONFIG_SNAPSHOT, 204, INFO, "a configuration snapshot was written")                   \
 	DEF(CONFIG_FROM_PEER, 205, INFO, "a configuration revision came from a peer")             \
 	DEF(CONFIG_NONE, 206, WARN, "no configuration could be had yet; callers are refused")     \
+	DEF(ROUTES_ADOPTED, 210, INFO, "a table of routes is in force on this gateway")           \
+	DEF(ROUTES_REFUSED, 211, WARN, "a table of routes was not taken over")                    \
 	DEF(MEMBER_ALIVE, 300, INFO, "a VM joined or came back")                                  \
 	DEF(MEMBER_SUSPECT, 301, WARN, "a VM does not answer probes")                             \
 	DEF(MEMBER_DEAD, 302, WARN, "a VM was declared dead")                                     \
@@ -29,13 +31,20 @@
 	DEF(REQUEST_ENDED, 400, DEBUG, "a request ended")                                         \
 	DEF(REQUEST_BAD, 401, DEBUG, "a request was refused as malformed")                        \
 	DEF(CONNECTION_REAPED, 402, DEBUG, "a connection was closed for slowness")                \
+	DEF(GATE_REQUEST_ENDED, 410, INFO, "a gateway's request ended")                           \
+	DEF(GATE_REQUEST_BAD, 411, INFO, "a gateway refused a request as malformed or late")      \
+	DEF(GATE_ATTEMPT_FAILED, 412, INFO, "an attempt at an upstream failed")                   \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                       \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")           \
 	DEF(UPSTREAM_CROSSED, 502, ERROR, "an answer for another attempt was dropped")            \
 	DEF(UPSTREAM_STRAGGLER, 503, WARN, "an upstream makes less progress than expected")       \
+	DEF(UPSTREAM_PRESENCE, 510, INFO, "an upstream came, is draining, lapsed or is gone")     \
 	DEF(LOG_DOWN, 600, WARN, "the platform's log cannot be reached")                          \
 	DEF(LOG_UP, 601, INFO, "the platform's log answers again")                                \
 	DEF(LOG_GAP, 602, ERROR, "records expired before this node read them")                    \
+	DEF(REGISTRY_DOWN, 610, WARN, "the registry does not answer")                             \
+	DEF(REGISTRY_UP, 611, INFO, "the registry answers")                                       \
+	DEF(REGISTRY_UNREADABLE, 612, WARN, "a registry record is not understood")                \
 	DEF(KEY_IN_DOUBT, 700, WARN, "an idempotency key has an intent and no outcome")           \
 	DEF(KEY_WITHDRAWN, 701, INFO, "an intent was withdrawn before it was dispatched")         \
 	DEF(KEY_RESOLVED, 702, INFO, "an operator resolved a key in doubt")                       \
--- /dev/null
+++ b/cmd/daemon.c
@@ -0,0 +1,100 @@
+/*
+ * daemon.c - options, settings and the log of a daemon.
+ */
+#include "cmd/daemon.h"
+#include "base/err.h"
+
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_SETTINGS_BYTES (1 << 20)
+
+int bct_daemon_options(const char *name, int argc, const char **argv, bct_daemon_options_t *o)
+{
+	struct poptOption table[] = {
+		{ "config", 'c', POPT_ARG_STRING, &o->config, 0, "settings file", "FILE" },
+		{ "check", 0, POPT_ARG_NONE, &o->check, 0, "check the settings and exit", NULL },
+		{ "log-level", 0, POPT_ARG_STRING, &o->log_level, 0,
+		  "error, warn, info or debug; overrides the settings", "LEVEL" },
+		{ "log-format", 0, POPT_ARG_STRING, &o->log_format, 0,
+		  "text or json; overrides the settings", "FORMAT" },
+		{ "version", 0, POPT_ARG_NONE, &o->version, 0, "print the version and exit", NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext ctx = poptGetContext(name, argc, argv, table, 0);
+	int rc = poptGetNextOpt(ctx);
+
+	if (rc < -1)
+		fprintf(stderr, "%s: %s: %s\n", name, poptBadOption(ctx, 0), poptStrerror(rc));
+	else if (poptPeekArg(ctx))
+		fprintf(stderr, "%s: unexpected argument: %s\n", name, poptPeekArg(ctx));
+	else
+		rc = 0;
+	poptFreeContext(ctx);
+	return rc ? -BCT_EINVAL : 0;
+}
+
+/* Rules that a table of types and ranges cannot state. */
+static int check_meaning(const bct_settings_t *s, bct_json_err_t *err)
+{
+	if (!s->vm_name[0])
+		return bct_json_fail(err, BCT_ERANGE, "vm.name", "must not be empty");
+	if (bct_level_parse(s->log_level) < 0)
+		return bct_json_fail(err, BCT_ERANGE, "log.level",
+				     "must be error, warn, info or debug");
+	if (strcmp(s->log_format, "text") && strcmp(s->log_format, "json"))
+		return bct_json_fail(err, BCT_ERANGE, "log.format", "must be text or json");
+	if (s->admin_token_hash[0] && strlen(s->admin_token_hash) != 64)
+		return bct_json_fail(err, BCT_ERANGE, "admin.token_hash",
+				     "must be empty or 64 hexadecimal digits");
+	return 0;
+}
+
+int bct_daemon_settings(const char *path, bct_settings_t *out)
+{
+	bct_json_err_t err;
+	char line[1024];
+	json_t *doc = bct_json_load(path, MAX_SETTINGS_BYTES, &err);
+	int rc = doc ? 0 : err.err;
+
+	memset(out, 0, sizeof(*out));
+	if (!rc)
+		rc = bct_settings_fill(bct_settings_table, BCT_SETTINGS_COUNT, doc, out, &err);
+	if (!rc)
+		rc = check_meaning(out, &err);
+	json_decref(doc);
+	if (rc) {
+		bct_json_err_print(&err, path, line, sizeof(line));
+		fprintf(stderr, "event=%d %s\n", BCT_EV_SETTINGS_BAD, line);
+	}
+	return rc;
+}
+
+int bct_daemon_log(const bct_daemon_options_t *o, const bct_settings_t *s, FILE *stream,
+		   bct_log_t **out)
+{
+	const char *format = o->log_format ? o->log_format : s->log_format;
+	int level = bct_level_parse(o->log_level ? o->log_level : s->log_level);
+	bct_log_opts_t opts = {
+		.format = strcmp(format, "json") ? BCT_LOG_TEXT : BCT_LOG_JSON,
+		.name = s->vm_name,
+		.stream = stream,
+	};
+
+	if (level < 0 || (strcmp(format, "json") && strcmp(format, "text"))) {
+		fprintf(stderr, "--log-level or --log-format has an unknown value\n");
+		return -BCT_EINVAL;
+	}
+	opts.level = (bct_level_t)level;
+	return bct_log_new(&opts, out);
+}
+
+void bct_daemon_options_free(bct_daemon_options_t *o)
+{
+	free(o->config);
+	free(o->log_level);
+	free(o->log_format);
+}
+
--- /dev/null
+++ b/cmd/daemon.h
@@ -0,0 +1,29 @@
+/*
+ * daemon.h - what the daemons' main programs share: options, settings and the log.
+ */
+#ifndef BCT_CMD_DAEMON_H
+#define BCT_CMD_DAEMON_H
+
+#include "base/event.h"
+#include "gen/settings.h"
+
+typedef struct bct_daemon_options {
+	char *config;
+	char *log_level;
+	char *log_format;
+	int check;
+	int version;
+} bct_daemon_options_t;
+
+/* bct_daemon_options(3): read the command line; faults are printed. returns 0 or -BCT_EINVAL. */
+int bct_daemon_options(const char *name, int argc, const char **argv, bct_daemon_options_t *o);
+void bct_daemon_options_free(bct_daemon_options_t *o);
+
+/* bct_daemon_settings(3): load and check a settings file; faults are printed. */
+int bct_daemon_settings(const char *path, bct_settings_t *out);
+
+/* bct_daemon_log(3): the log as options and settings want it; stream NULL: standard error. */
+int bct_daemon_log(const bct_daemon_options_t *o, const bct_settings_t *s, FILE *stream,
+		   bct_log_t **out);
+
+#endif
--- a/coord/addr.c
+++ b/coord/addr.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 int bct_addr_parse(const char *ip, uint16_t port, bct_addr_t *out)
@@ -40,3 +41,20 @@
 	return a->port == b->port && a->ip_len_bytes == b->ip_len_bytes &&
 	       memcmp(a->ip, b->ip, a->ip_len_bytes) == 0;
 }
+
+int bct_addr_parse_port(const char *text, bct_addr_t *out)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[BCT_ADDR_BYTES];
+	size_t len = colon ? (size_t)(colon - text) : 0;
+	unsigned long port = colon ? strtoul(colon + 1, NULL, 10) : 0;
+
+	if (!len || len >= sizeof(ip) || !port || port > UINT16_MAX)
+		return -BCT_EINVAL;
+	if (text[0] == '[' && text[len - 1] == ']') {
+		text++;
+		len -= 2;
+	}
+	snprintf(ip, sizeof(ip), "%.*s", (int)len, text);
+	return bct_addr_parse(ip, (uint16_t)port, out);
+}
--- /dev/null
+++ b/gate/answer.c
@@ -0,0 +1,102 @@
+/*
+ * answer.c - writes answers to callers: the gateway's own, and upstreams' with their headers.
+ */
+#include "gate/gate_int.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 401:
+		return "Unauthorized";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Unknown";
+	}
+}
+
+static void put_connection(bct_client_t *c, struct evbuffer *out)
+{
+	if (c->close_after)
+		evbuffer_add_printf(out, "Connection: close\r\n");
+}
+
+void bct_answer_own(bct_client_t *c, const bct_answer_opts_t *o)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n", o->status,
+			    reason_of(o->status));
+	evbuffer_add_printf(out, "Content-Length: %zu\r\n", strlen(o->text) + 1);
+	if (o->retry_after_ms)
+		evbuffer_add_printf(out, "Retry-After: %u.%03u\r\n",
+				    o->retry_after_ms / BCT_MS_PER_S,
+				    o->retry_after_ms % BCT_MS_PER_S);
+	put_connection(c, out);
+	evbuffer_add_printf(out, "\r\n%s\n", o->text);
+}
+
+int bct_head_copy(const bct_http_msg_t *m, bct_buf_t *out)
+{
+	for (uint32_t i = 0; i < m->n_headers; i++) {
+		if (!bct_http_is_hop(m->headers[i].name))
+			bct_buf_printf(out, "%s: %s\r\n", m->headers[i].name, m->headers[i].value);
+	}
+	return out->err;
+}
+
+void bct_answer_head(bct_client_t *c, const bct_http_msg_t *m, int64_t body_bytes)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	bct_buf_t lines;
+
+	bct_buf_init(&lines, 0);
+	bct_head_copy(m, &lines);
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", m->status, reason_of(m->status));
+	if (lines.len_bytes)
+		evbuffer_add(out, lines.data, lines.len_bytes);
+	if (body_bytes < 0)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+	else
+		evbuffer_add_printf(out, "Content-Length: %" PRId64 "\r\n", body_bytes);
+	put_connection(c, out);
+	evbuffer_add(out, "\r\n", 2);
+	bct_buf_free(&lines);
+}
+
+void bct_answer_chunk(bct_client_t *c, struct evbuffer *data)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	if (!evbuffer_get_length(data))
+		return;
+	evbuffer_add_printf(out, "%zx\r\n", evbuffer_get_length(data));
+	evbuffer_add_buffer(out, data);
+	evbuffer_add(out, "\r\n", 2);
+}
+
+void bct_answer_last_chunk(bct_client_t *c)
+{
+	evbuffer_add(bufferevent_get_output(c->bev), "0\r\n\r\n", 5);
+}
--- /dev/null
+++ b/gate/counters.h
@@ -0,0 +1,49 @@
+/*
+ * counters.h - the gateway's counters and latency histograms.
+ */
+#ifndef BCT_GATE_COUNTERS_H
+#define BCT_GATE_COUNTERS_H
+
+#include "base/counter.h"
+#include "base/histogram.h"
+
+/* DEF(name, metric, label value or NULL, type, help) */
+#define BCT_GATE_COUNTER_LIST(DEF)                                                                \
+	DEF(REQUESTS, "bct_gate_requests_total", NULL, "counter", "Requests read whole")          \
+	DEF(SENDS, "bct_gate_sends_total", "first", "counter", "Requests sent to an upstream")    \
+	DEF(RESENDS, "bct_gate_sends_total", "again", "counter", "Requests sent to an upstream")  \
+	DEF(CONNECTS, "bct_gate_connects_total", NULL, "counter", "Connections opened upstream")  \
+	DEF(RETRY_CONNECT, "bct_gate_faults_total", "connect", "counter", "Attempts that failed") \
+	DEF(RETRY_BROKEN, "bct_gate_faults_total", "broken", "counter", "Attempts that failed")   \
+	DEF(RETRY_BAD, "bct_gate_faults_total", "bad_answer", "counter", "Attempts that failed")  \
+	DEF(RETRY_SILENT, "bct_gate_faults_total", "silent", "counter", "Attempts that failed")   \
+	DEF(RETRY_NOT_RUN, "bct_gate_faults_total", "not_run", "counter", "Attempts that failed") \
+	DEF(RETRY_ERROR, "bct_gate_faults_total", "error", "counter", "Attempts that failed")     \
+	DEF(BUDGET_SPENT, "bct_gate_budget_spent_total", NULL, "counter",                         \
+	    "Retries not made because the budget was spent")                                      \
+	DEF(RESUMES, "bct_gate_resumes_total", NULL, "counter",                                   \
+	    "Streams continued at another upstream")                                              \
+	DEF(REGISTRY_CALLS, "bct_gate_registry_calls_total", NULL, "counter", "Registry calls")   \
+	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
+	    "Answers that belonged to no request")
+
+typedef enum bct_gate_counter {
+#define DEF(name, metric, label, type, help) BCT_GATE_##name,
+	BCT_GATE_COUNTER_LIST(DEF)
+#undef DEF
+		BCT_GATE_COUNTER_COUNT
+} bct_gate_counter_t;
+
+#define BCT_GATE_ENDS_MAX 32
+
+typedef struct bct_gate_counters {
+	bct_counter_t values[BCT_GATE_COUNTER_COUNT];
+	bct_counter_t ends[BCT_GATE_ENDS_MAX];
+} bct_gate_counters_t;
+
+#define BCT_GATE_COUNT(g, which) bct_counter_inc(&(g)->counters.values[BCT_GATE_##which])
+
+/* bct_gate_counters_print(3): all counters in the Prometheus text format. */
+int bct_gate_counters_print(const bct_gate_counters_t *c, bct_buf_t *out);
+
+#endif
--- /dev/null
+++ b/gate/feed.c
@@ -0,0 +1,282 @@
+/*
+ * feed.c - follows the registry on a thread of its own and hands what it reads to the event loop.
+ *
+ * Each topic is listed once and then read from the listing's end; when records expired unread it is
+ * listed again. Reads are paced instead of held open: upstreams write heartbeats all the time, and
+ * a held read would return for each of them.
+ */
+#include "base/err.h"
+#include "base/mem.h"
+#include "gate/gate_int.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define RETRY_MIN_MS 100
+#define RETRY_MAX_MS 800
+
+typedef struct delivery {
+	bct_list_t link;
+	bct_registry_topic_t topic;
+	bct_registry_batch_t batch;
+	bool listing;
+	int rc; /* of the call */
+} delivery_t;
+
+struct bct_feed {
+	bct_gate_t *gate;
+	pthread_t thread;
+	bool started;
+	int wake_fd; /* the thread has delivered something */
+	struct event *wake;
+	pthread_mutex_t lock; /* guards all below */
+	pthread_cond_t stop_cond;
+	bct_list_t deliveries;
+	bool stop;
+	/* Of the thread. */
+	bool listed[BCT_REGISTRY_TOPICS];
+	uint64_t next[BCT_REGISTRY_TOPICS];
+	/* Of the event loop. */
+	bool up;
+	bool known; /* up was told once */
+};
+
+static void deliver(bct_feed_t *f, delivery_t *d)
+{
+	uint64_t one = 1;
+
+	pthread_mutex_lock(&f->lock);
+	bct_list_add_tail(&d->link, &f->deliveries);
+	pthread_mutex_unlock(&f->lock);
+	if (write(f->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN)
+		BCT_LOG(f->gate->log, BCT_EV_REGISTRY_DOWN, BCT_STR("what", "wake"));
+}
+
+/* One call for one topic. returns the call's error. */
+static int read_topic(bct_feed_t *f, bct_registry_topic_t t)
+{
+	bct_registry_t *r = f->gate->opts.registry;
+	uint32_t timeout_ms = f->gate->settings->platform_timeout_ms;
+	delivery_t *d = bct_alloc(sizeof(*d));
+	int rc;
+
+	if (!d)
+		return -BCT_ENOMEM;
+	d->topic = t;
+	d->listing = !f->listed[t];
+	bct_list_init(&d->link);
+	BCT_GATE_COUNT(f->gate, REGISTRY_CALLS);
+	rc = d->listing ? r->ops->list(r, t, timeout_ms, &d->batch) :
+			  r->ops->changes(r, t, f->next[t], timeout_ms, &d->batch);
+	d->rc = rc;
+	if (!rc) {
+		f->listed[t] = true;
+		f->next[t] = d->batch.next;
+	} else if (rc == -BCT_EEXPIRED) {
+		f->listed[t] = false;
+	}
+	deliver(f, d);
+	return rc;
+}
+
+/* Waits unless the feed is being stopped. returns false when it is. */
+static bool wait_ms(bct_feed_t *f, uint32_t ms)
+{
+	struct timespec until;
+	bool stop;
+
+	bct_clock_until(ms, &until);
+	pthread_mutex_lock(&f->lock);
+	while (!f->stop && ms && !pthread_cond_timedwait(&f->stop_cond, &f->lock, &until))
+		;
+	stop = f->stop;
+	pthread_mutex_unlock(&f->lock);
+	return !stop;
+}
+
+static void *run(void *arg)
+{
+	bct_feed_t *f = arg;
+	uint32_t pause = 0, retry = RETRY_MIN_MS;
+
+	while (wait_ms(f, pause)) {
+		int rc = read_topic(f, BCT_REGISTRY_ROUTES);
+		int rc2 = read_topic(f, BCT_REGISTRY_UPSTREAMS);
+
+		if (rc == -BCT_EEXPIRED || rc2 == -BCT_EEXPIRED) {
+			pause = 0;
+		} else if (rc || rc2) {
+			pause = retry;
+			retry = retry * 2 < RETRY_MAX_MS ? retry * 2 : RETRY_MAX_MS;
+		} else {
+			pause = f->gate->settings->platform_poll_ms;
+			retry = RETRY_MIN_MS;
+		}
+	}
+	return NULL;
+}
+
+static void note_health(bct_feed_t *f, int rc)
+{
+	bool up = !rc || rc == -BCT_EEXPIRED;
+
+	bct_gate_upstreams_registry(&f->gate->upstreams, bct_clock_now(), up);
+	if (f->known && up == f->up)
+		return;
+	f->known = true;
+	f->up = up;
+	if (up)
+		BCT_LOG(f->gate->log, BCT_EV_REGISTRY_UP,
+			BCT_U64("version", f->gate->routes ? f->gate->routes->version : 0));
+	else
+		BCT_LOG(f->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", rc));
+}
+
+static void adopt(bct_gate_t *g, bct_registry_change_t *c)
+{
+	uint64_t had = g->routes ? g->routes->version : 0;
+
+	if (g->routes && c->table->version <= had) {
+		if (c->table->version < had)
+			BCT_LOG(g->log, BCT_EV_ROUTES_REFUSED, BCT_U64("version", c->table->version),
+				BCT_U64("in_force", had), BCT_STR("why", "older"));
+		return;
+	}
+	bct_gate_routes_unref(g->routes);
+	g->routes = c->table;
+	c->table = NULL;
+	BCT_LOG(g->log, BCT_EV_ROUTES_ADOPTED, BCT_U64("version", g->routes->version),
+		BCT_U64("was", had), BCT_U64("routes", g->routes->n_routes),
+		BCT_U64("services", g->routes->n_services),
+		BCT_U64("accounts", g->routes->n_accounts));
+}
+
+static void log_upstream(bct_gate_t *g, const char *id)
+{
+	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&g->upstreams, id);
+
+	if (!u)
+		return;
+	BCT_LOG(g->log, BCT_EV_UPSTREAM_PRESENCE, BCT_STR("upstream", id),
+		BCT_U64("presence", u->presence), BCT_STR("service", u->entry.service),
+		BCT_STR("address", u->entry.ip), BCT_U64("port", u->entry.port),
+		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
+}
+
+static void apply_change(bct_gate_t *g, bct_registry_change_t *c)
+{
+	bct_time_t now = bct_clock_now();
+
+	switch (c->kind) {
+	case BCT_REGISTRY_TABLE:
+		adopt(g, c);
+		break;
+	case BCT_REGISTRY_ENTRY:
+		if (bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) == 1)
+			log_upstream(g, c->entry.id);
+		break;
+	case BCT_REGISTRY_REMOVED:
+		if (bct_gate_upstreams_remove(&g->upstreams, now, c->name))
+			log_upstream(g, c->name);
+		break;
+	case BCT_REGISTRY_UNREADABLE:
+		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("name", c->name));
+		break;
+	}
+}
+
+static void apply(bct_feed_t *f, delivery_t *d)
+{
+	bct_gate_t *g = f->gate;
+	bool listing = !d->rc && d->listing && d->topic == BCT_REGISTRY_UPSTREAMS;
+
+	note_health(f, d->rc);
+	if (listing)
+		bct_gate_upstreams_list_begin(&g->upstreams);
+	for (uint32_t i = 0; i < d->batch.n; i++)
+		apply_change(g, &d->batch.changes[i]);
+	if (listing)
+		bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now());
+}
+
+static void on_wake(evutil_socket_t fd, short what, void *ctx)
+{
+	bct_feed_t *f = ctx;
+	bct_list_t *el, *tmp, got;
+	uint64_t n;
+
+	(void)what;
+	if (read(fd, &n, sizeof(n)) < 0 && errno != EAGAIN)
+		return;
+	bct_list_init(&got);
+	pthread_mutex_lock(&f->lock);
+	bct_list_for_each_safe(el, tmp, &f->deliveries) {
+		bct_list_del(el);
+		bct_list_add_tail(el, &got);
+	}
+	pthread_mutex_unlock(&f->lock);
+	bct_list_for_each_safe(el, tmp, &got) {
+		delivery_t *d = bct_container_of(el, delivery_t, link);
+
+		apply(f, d);
+		bct_registry_batch_free(&d->batch);
+		bct_free(d);
+	}
+}
+
+int bct_feed_new(bct_gate_t *g, bct_feed_t **out)
+{
+	bct_feed_t *f = bct_alloc(sizeof(*f));
+	pthread_condattr_t attr;
+
+	if (!f)
+		return -BCT_ENOMEM;
+	f->gate = g;
+	bct_list_init(&f->deliveries);
+	pthread_mutex_init(&f->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&f->stop_cond, &attr);
+	pthread_condattr_destroy(&attr);
+	f->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	if (f->wake_fd >= 0)
+		f->wake = event_new(g->base, f->wake_fd, EV_READ | EV_PERSIST, on_wake, f);
+	if (!f->wake || event_add(f->wake, NULL) || pthread_create(&f->thread, NULL, run, f)) {
+		bct_feed_free(f);
+		return -BCT_EIO;
+	}
+	f->started = true;
+	*out = f;
+	return 0;
+}
+
+void bct_feed_free(bct_feed_t *f)
+{
+	bct_list_t *el, *tmp;
+
+	if (!f)
+		return;
+	pthread_mutex_lock(&f->lock);
+	f->stop = true;
+	pthread_cond_signal(&f->stop_cond);
+	pthread_mutex_unlock(&f->lock);
+	if (f->started)
+		pthread_join(f->thread, NULL);
+	bct_list_for_each_safe(el, tmp, &f->deliveries) {
+		delivery_t *d = bct_container_of(el, delivery_t, link);
+
+		bct_list_del(el);
+		bct_registry_batch_free(&d->batch);
+		bct_free(d);
+	}
+	if (f->wake)
+		event_free(f->wake);
+	if (f->wake_fd >= 0)
+		close(f->wake_fd);
+	pthread_cond_destroy(&f->stop_cond);
+	pthread_mutex_destroy(&f->lock);
+	bct_free(f);
+}
--- /dev/null
+++ b/gate/fleet.c
@@ -0,0 +1,57 @@
+/*
+ * fleet.c - the other nodes: which of them callers may use, and how many share a budget.
+ */
+#include "base/err.h"
+#include "gate/gate_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Settings name seeds by any port of theirs; the peer port is the same on all nodes. */
+static int parse_seeds(const bct_settings_t *s, bct_addr_t *out)
+{
+	for (uint32_t i = 0; i < s->n_peer_seeds; i++) {
+		char ip[BCT_ADDR_BYTES] = "";
+		size_t len = strcspn(s->peer_seeds[i], ":");
+
+		if (len >= sizeof(ip))
+			return -BCT_EINVAL;
+		memcpy(ip, s->peer_seeds[i], len);
+		if (bct_addr_parse(ip, (uint16_t)s->peer_port, &out[i]))
+			return -BCT_EINVAL;
+	}
+	return 0;
+}
+
+static const bct_peer_ops_t peer_ops = { 0 };
+
+int bct_fleet_join(bct_gate_t *g)
+{
+	const bct_settings_t *s = g->settings;
+	bct_addr_t seeds[64];
+	bct_peer_opts_t o = {
+		.ops = &peer_ops,
+		.ctx = g,
+		.bind_address = s->peer_address,
+		.port = (uint16_t)s->peer_port,
+		.secret = s->peer_secret,
+		.secret_bytes = strlen(s->peer_secret),
+		.name = s->vm_name,
+		.failure_domain = s->vm_failure_domain,
+		.region = s->vm_region,
+		.caller_address = s->caller_address,
+		.caller_port = g->listen.port,
+		.seeds = seeds,
+		.n_seeds = s->n_peer_seeds,
+		.log = g->log,
+	};
+	int rc;
+
+	g->nodes = 1;
+	if (!s->peer_secret[0])
+		return 0;
+	rc = parse_seeds(s, seeds);
+	if (!rc)
+		rc = bct_peer_new(&o, &g->peer);
+	return rc ? rc : bct_peer_start(g->peer);
+}
--- /dev/null
+++ b/gate/gate.c
@@ -0,0 +1,185 @@
+/*
+ * gate.c - wiring, the periodic work, and the planned stop.
+ */
+#include "gate/gate.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "base/rng.h"
+#include "gate/gate_int.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define TICK_MS 100
+/* Callers may keep an address three times as long as they were told. */
+#define LIFETIMES_KEPT 3
+#define STOP_MARGIN_MS 500 /* before the platform kills */
+
+static void release_upstream(void *ctx, bct_gate_upstream_t *u)
+{
+	(void)ctx;
+	bct_free(u->connections);
+	u->connections = NULL;
+}
+
+static void drain(bct_gate_t *g)
+{
+	if (g->draining)
+		return;
+	g->draining = true;
+	g->drain_begun = bct_clock_now();
+	if (g->peer)
+		bct_peer_set_leaving(g->peer);
+	BCT_LOG(g->log, BCT_EV_NODE_STOPPING, BCT_U64("requests", g->n_exchanges),
+		BCT_U64("connections", g->n_clients));
+}
+
+static void on_signal(evutil_socket_t sig, short what, void *ctx)
+{
+	bct_gate_t *g = ctx;
+
+	(void)what;
+	if (sig == SIGHUP)
+		BCT_LOG(g->log, BCT_EV_SETTINGS_RELOADED, BCT_STR("file", "unchanged while running"));
+	else
+		drain(g);
+}
+
+/* Addresses that were handed out have lapsed: connections end, and then the process. */
+static void drain_step(bct_gate_t *g)
+{
+	bct_time_t passed = bct_clock_now() - g->drain_begun;
+	bct_time_t kept = (bct_time_t)g->settings->caller_entry_lifetime_ms * LIFETIMES_KEPT;
+
+	if (passed >= kept) {
+		bct_clients_stop_listening(g);
+		bct_clients_close_idle(g);
+	}
+	if ((passed >= kept && !g->n_clients) ||
+	    passed >= (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS)
+		event_base_loopbreak(g->base);
+}
+
+static void count_nodes(bct_gate_t *g)
+{
+	bct_fleet_t fleet;
+
+	if (!g->peer)
+		return;
+	bct_peer_fleet(g->peer, &fleet);
+	g->nodes = fleet.nodes ? fleet.nodes : 1;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+	bct_gate_t *g = ctx;
+	bct_list_t *el;
+
+	(void)fd;
+	(void)what;
+	bct_list_for_each(el, &g->upstreams.all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		bct_upconns_expire(g, u, u->presence >= BCT_GATE_LAPSED);
+	}
+	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
+	count_nodes(g);
+	if (g->draining)
+		drain_step(g);
+}
+
+static int start_events(bct_gate_t *g)
+{
+	static const int signals[] = { SIGTERM, SIGINT, SIGHUP };
+	struct timeval tick = { 0, TICK_MS * 1000 };
+
+	g->base = event_base_new();
+	if (!g->base)
+		return -BCT_ENOMEM;
+	for (size_t i = 0; i < 3; i++) {
+		g->signals[i] = evsignal_new(g->base, signals[i], on_signal, g);
+		if (!g->signals[i] || event_add(g->signals[i], NULL))
+			return -BCT_ENOMEM;
+	}
+	g->tick = event_new(g->base, -1, EV_PERSIST, on_tick, g);
+	return g->tick && !event_add(g->tick, &tick) ? 0 : -BCT_ENOMEM;
+}
+
+int bct_gate_new(const bct_gate_opts_t *opts, bct_gate_t **out)
+{
+	bct_gate_t *g = bct_alloc(sizeof(*g));
+	int rc;
+
+	if (!g)
+		return -BCT_ENOMEM;
+	g->opts = *opts;
+	g->settings = opts->settings;
+	g->wire = opts->wire;
+	g->log = opts->log;
+	bct_list_init(&g->clients);
+	bct_gate_upstreams_init(&g->upstreams);
+	g->upstreams.release = release_upstream;
+	bct_gate_picker_init(&g->picker, &g->upstreams,
+			     g->settings->gate_prefill_tokens_per_s, bct_random_id());
+	rc = bct_addr_parse_port(g->settings->gate_listen, &g->listen);
+	if (!rc)
+		rc = start_events(g);
+	if (!rc)
+		rc = bct_fleet_join(g);
+	if (!rc)
+		rc = bct_local_new(g, &g->local);
+	if (!rc)
+		rc = bct_clients_listen(g);
+	if (!rc)
+		rc = bct_feed_new(g, &g->feed);
+	if (rc) {
+		bct_gate_free(g);
+		return rc;
+	}
+	BCT_LOG(g->log, BCT_EV_NODE_START, BCT_STR("vm", g->settings->vm_name),
+		BCT_STR("listen", g->settings->gate_listen));
+	*out = g;
+	return 0;
+}
+
+void bct_gate_run(bct_gate_t *g)
+{
+	event_base_dispatch(g->base);
+	BCT_LOG(g->log, BCT_EV_NODE_STOPPED, BCT_U64("requests", g->n_exchanges),
+		BCT_U64("connections", g->n_clients));
+}
+
+void bct_gate_free(bct_gate_t *g)
+{
+	bct_list_t *el;
+	uint32_t pos = 0;
+	void *b;
+
+	if (!g)
+		return;
+	bct_feed_free(g->feed);
+	bct_clients_free(g);
+	bct_list_for_each(el, &g->upstreams.all)
+		bct_upconns_expire(g, bct_container_of(el, bct_gate_upstream_t, link), true);
+	bct_local_free(g->local);
+	if (g->peer) {
+		bct_peer_stop(g->peer);
+		bct_peer_free(g->peer);
+	}
+	bct_gate_picker_free(&g->picker);
+	bct_gate_upstreams_free(&g->upstreams);
+	while ((b = bct_map_next(&g->budgets, &pos)) != NULL)
+		bct_free(b);
+	bct_map_free(&g->budgets);
+	bct_gate_routes_unref(g->routes);
+	for (size_t i = 0; i < 3; i++) {
+		if (g->signals[i])
+			event_free(g->signals[i]);
+	}
+	if (g->tick)
+		event_free(g->tick);
+	if (g->base)
+		event_base_free(g->base);
+	bct_registry_free(g->opts.registry);
+	bct_free(g);
+}
--- /dev/null
+++ b/gate/http_msg.c
@@ -0,0 +1,342 @@
+/*
+ * http_msg.c - the raw head is checked and cut here; http-parser decides on lengths and chunks.
+ */
+#include "gate/http_msg.h"
+#include "base/err.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+#define STATUS_CONTINUE_MAX 199 /* interim answers; 101 is never asked for */
+#define HEAD_END "\r\n\r\n"
+#define HEAD_END_BYTES 4
+
+void bct_http_msg_init(bct_http_msg_t *m, enum http_parser_type type)
+{
+	memset(m, 0, sizeof(*m));
+	bct_buf_init(&m->text, 0);
+	http_parser_init(&m->parser, type);
+	m->parser.data = m;
+}
+
+void bct_http_msg_free(bct_http_msg_t *m)
+{
+	bct_buf_free(&m->text);
+}
+
+void bct_http_msg_next(bct_http_msg_t *m)
+{
+	http_parser_init(&m->parser, (enum http_parser_type)m->parser.type);
+	m->parser.data = m;
+	bct_buf_clear(&m->text);
+	m->state = BCT_HTTP_HEAD;
+	m->n_headers = 0;
+	m->method = m->target = NULL;
+	m->status = 0;
+	m->until_close = m->head_only = false;
+	m->err = 0;
+}
+
+static bool is_token(const char *s, const char *end)
+{
+	if (s == end)
+		return false;
+	for (; s < end; s++) {
+		if (!isalnum((unsigned char)*s) && !strchr("!#$%&'*+-.^_`|~", *s))
+			return false;
+	}
+	return true;
+}
+
+static bool is_text(const char *s, const char *end)
+{
+	for (; s < end; s++) {
+		unsigned char c = (unsigned char)*s;
+
+		if ((c < 0x20 && c != '\t') || c == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+static bool all_digits(const char *s, const char *end)
+{
+	while (s < end && (*s == ' ' || *s == '\t'))
+		s++;
+	while (end > s && (end[-1] == ' ' || end[-1] == '\t'))
+		end--;
+	if (s == end)
+		return false;
+	for (; s < end; s++) {
+		if (!isdigit((unsigned char)*s))
+			return false;
+	}
+	return true;
+}
+
+static bool name_is(const char *s, const char *end, const char *name)
+{
+	return (size_t)(end - s) == strlen(name) && !strncasecmp(s, name, strlen(name));
+}
+
+/* Headers that decide on the framing, counted over one head. */
+typedef struct framing {
+	uint32_t lengths;
+	uint32_t codings;
+	uint32_t hosts;
+} framing_t;
+
+static int check_header(const char *line, const char *end, framing_t *f)
+{
+	const char *colon = memchr(line, ':', (size_t)(end - line));
+
+	if (!colon || !is_token(line, colon) || !is_text(colon + 1, end))
+		return -BCT_ECODEC;
+	if (name_is(line, colon, "Content-Length")) {
+		f->lengths++;
+		return all_digits(colon + 1, end) ? 0 : -BCT_ECODEC;
+	}
+	f->codings += name_is(line, colon, "Transfer-Encoding");
+	f->hosts += name_is(line, colon, "Host");
+	return 0;
+}
+
+static int check_first_line(const char *line, const char *end, bool request)
+{
+	const char *space = memchr(line, ' ', (size_t)(end - line));
+	const char *last = end;
+
+	if (!space || !is_text(line, end))
+		return -BCT_ECODEC;
+	if (!request)
+		return (size_t)(end - line) >= 12 && !memcmp(line, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
+	while (last > line && last[-1] != ' ')
+		last--;
+	if (last - 1 <= space || !is_token(line, space))
+		return -BCT_ECODEC;
+	if (memchr(space + 1, ' ', (size_t)(last - 1 - (space + 1))))
+		return -BCT_ECODEC;
+	return (size_t)(end - last) == 8 && !memcmp(last, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
+}
+
+int bct_http_head_check(const char *head, size_t len_bytes, bool request)
+{
+	const char *at = head, *stop = head + len_bytes - 2;
+	framing_t f = { 0 };
+	bool first = true;
+
+	while (at < stop) {
+		const char *cr = memchr(at, '\r', (size_t)(stop + 1 - at));
+		int rc;
+
+		if (!cr || cr[1] != '\n')
+			return -BCT_ECODEC;
+		rc = first ? check_first_line(at, cr, request) : check_header(at, cr, &f);
+		if (rc)
+			return rc;
+		first = false;
+		at = cr + 2;
+	}
+	if (f.lengths > 1 || f.codings > 1 || (f.lengths && f.codings))
+		return -BCT_ECODEC;
+	return request && f.hosts != 1 ? -BCT_ECODEC : 0;
+}
+
+/* Turns "Name: value\r\n" in place into two strings. */
+static int cut_headers(bct_http_msg_t *m, char *at, char *stop)
+{
+	while (at < stop) {
+		char *cr = strstr(at, "\r\n"), *colon, *value;
+
+		if (m->n_headers == BCT_HTTP_HEADERS_MAX)
+			return -BCT_ETOO_LARGE;
+		*cr = '\0';
+		colon = strchr(at, ':');
+		*colon = '\0';
+		value = colon + 1 + strspn(colon + 1, " \t");
+		while (cr > value && (cr[-1] == ' ' || cr[-1] == '\t'))
+			*--cr = '\0';
+		m->headers[m->n_headers].name = at;
+		m->headers[m->n_headers].value = value;
+		m->n_headers++;
+		at = value + strlen(value) + 1;
+		while (at < stop && *at != '\n')
+			at++;
+		at++;
+	}
+	return 0;
+}
+
+static int cut_head(bct_http_msg_t *m)
+{
+	char *line = m->text.data, *end = strstr(line, "\r\n"), *space;
+
+	*end = '\0';
+	space = strchr(line, ' ');
+	if (m->parser.type == HTTP_REQUEST) {
+		*space = '\0';
+		m->method = line;
+		m->target = space + 1;
+		space = strchr(space + 1, ' ');
+		*space = '\0';
+	}
+	return cut_headers(m, end + 2, m->text.data + m->text.len_bytes - 2);
+}
+
+static int on_headers(http_parser *p)
+{
+	bct_http_msg_t *m = p->data;
+
+	m->status = p->status_code;
+	/* An answer is never taken as a change of protocol, and neither is a request. */
+	p->upgrade = 0;
+	if (p->type == HTTP_RESPONSE)
+		m->until_close = !(p->flags & (F_CHUNKED | F_CONTENTLENGTH)) && !m->head_only;
+	m->keep_alive = http_should_keep_alive(p);
+	return m->head_only ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	bct_http_msg_t *m = p->data;
+
+	if (!m->on_body)
+		return 0;
+	m->err = m->on_body(m->ctx, at, len);
+	return m->err ? 1 : 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	bct_http_msg_t *m = p->data;
+
+	m->state = BCT_HTTP_DONE;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static bct_http_state_t fail(bct_http_msg_t *m, int err)
+{
+	if (!m->err)
+		m->err = err;
+	m->state = BCT_HTTP_FAILED;
+	return m->state;
+}
+
+static bct_http_state_t execute(bct_http_msg_t *m, const char *data, size_t len, size_t *taken)
+{
+	enum http_errno e;
+
+	*taken = http_parser_execute(&m->parser, &callbacks, data, len);
+	e = HTTP_PARSER_ERRNO(&m->parser);
+	if (e != HPE_OK && e != HPE_PAUSED)
+		return fail(m, -BCT_ECODEC);
+	return m->state;
+}
+
+/* Length of the head with its empty line; 0 while it is not complete. */
+static size_t head_bytes(struct evbuffer *in)
+{
+	struct evbuffer_ptr at = evbuffer_search(in, HEAD_END, HEAD_END_BYTES, NULL);
+
+	return at.pos < 0 ? 0 : (size_t)at.pos + HEAD_END_BYTES;
+}
+
+/* Nothing of a head but an empty line may come before the first line. */
+static void skip_empty_lines(bct_http_msg_t *m, struct evbuffer *in)
+{
+	char two[2];
+
+	while (m->parser.type == HTTP_REQUEST && evbuffer_copyout(in, two, 2) == 2 &&
+	       two[0] == '\r' && two[1] == '\n')
+		evbuffer_drain(in, 2);
+}
+
+static bct_http_state_t read_head(bct_http_msg_t *m, struct evbuffer *in, size_t max)
+{
+	size_t len, taken;
+	unsigned char *head;
+	int rc;
+
+	skip_empty_lines(m, in);
+	len = head_bytes(in);
+	if (len > max || (!len && evbuffer_get_length(in) > max))
+		return fail(m, -BCT_ETOO_LARGE);
+	if (!len)
+		return m->state;
+	head = evbuffer_pullup(in, (ev_ssize_t)len);
+	if (!head || bct_buf_put(&m->text, head, len))
+		return fail(m, -BCT_ENOMEM);
+	if (memchr(head, '\0', len) ||
+	    bct_http_head_check((const char *)head, len, m->parser.type == HTTP_REQUEST))
+		return fail(m, -BCT_ECODEC);
+	m->state = BCT_HTTP_BODY;
+	execute(m, (const char *)head, len, &taken);
+	if (m->state == BCT_HTTP_FAILED)
+		return m->state;
+	evbuffer_drain(in, len);
+	rc = cut_head(m);
+	return rc ? fail(m, rc) : m->state;
+}
+
+static bool is_interim(const bct_http_msg_t *m)
+{
+	return m->parser.type == HTTP_RESPONSE && m->status <= STATUS_CONTINUE_MAX;
+}
+
+bct_http_state_t bct_http_msg_read(bct_http_msg_t *m, struct evbuffer *in, size_t max_head_bytes)
+{
+	while (m->state == BCT_HTTP_HEAD) {
+		if (read_head(m, in, max_head_bytes) != BCT_HTTP_DONE || !is_interim(m))
+			return m->state;
+		bct_http_msg_next(m);
+	}
+	while (m->state == BCT_HTTP_BODY && evbuffer_get_length(in)) {
+		struct evbuffer_iovec v;
+		size_t taken;
+
+		evbuffer_peek(in, -1, NULL, &v, 1);
+		execute(m, v.iov_base, v.iov_len, &taken);
+		evbuffer_drain(in, taken);
+	}
+	return m->state;
+}
+
+bct_http_state_t bct_http_msg_eof(bct_http_msg_t *m)
+{
+	size_t taken;
+
+	if (m->state == BCT_HTTP_BODY && m->until_close)
+		return execute(m, "", 0, &taken);
+	return m->state == BCT_HTTP_DONE ? m->state : fail(m, -BCT_ECODEC);
+}
+
+const char *bct_http_msg_header(const bct_http_msg_t *m, const char *name)
+{
+	for (uint32_t i = 0; i < m->n_headers; i++) {
+		if (!strcasecmp(m->headers[i].name, name))
+			return m->headers[i].value;
+	}
+	return NULL;
+}
+
+bool bct_http_is_hop(const char *name)
+{
+	static const char *const hop[] = { "Connection", "Keep-Alive",	     "Proxy-Connection",
+					   "TE",	 "Trailer",	     "Transfer-Encoding",
+					   "Upgrade",	 "Content-Length",   "Expect",
+					   "Proxy-Authenticate", "Proxy-Authorization" };
+
+	for (size_t i = 0; i < sizeof(hop) / sizeof(hop[0]); i++) {
+		if (!strcasecmp(name, hop[i]))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/gate/upstream_conn.c
@@ -0,0 +1,330 @@
+/*
+ * upstream_conn.c - connections to upstreams: opened when none is idle, kept for a while after a
+ * whole answer, and never used again after anything out of order.
+ */
+#include "base/err.h"
+#include "base/mem.h"
+#include "gate/gate_int.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define HEAD_MAX_BYTES (64 * 1024)
+#define IDLE_DEFAULT_MS 4000 /* when the upstream does not say how long it keeps a connection */
+#define IDLE_MAX_MS 8000
+#define IDLE_PERMILLE 500 /* of the time that the upstream names */
+#define USER_TIMEOUT_MS 1500 /* unacknowledged output for this long: the upstream is gone */
+#define INPUT_MAX_BYTES (256 * 1024)
+
+typedef struct idle_list {
+	bct_list_t conns; /* most recently used first */
+} idle_list_t;
+
+static idle_list_t *idle_of(bct_gate_upstream_t *u)
+{
+	idle_list_t *l = u->connections;
+
+	if (l)
+		return l;
+	l = bct_alloc(sizeof(*l));
+	if (!l)
+		return NULL;
+	bct_list_init(&l->conns);
+	u->connections = l;
+	return l;
+}
+
+void bct_upconn_close(bct_upconn_t *c)
+{
+	bct_list_del(&c->link);
+	if (c->x)
+		c->x->conn = NULL;
+	bufferevent_free(c->bev);
+	bct_http_msg_free(&c->msg);
+	c->upstream->refs--;
+	bct_free(c);
+}
+
+/* The current answer belongs to another request; what follows it may be ours. */
+static void skip_answer(bct_upconn_t *c)
+{
+	BCT_GATE_COUNT(c->gate, ANSWERS_SKIPPED);
+	BCT_LOG(c->gate->log, BCT_EV_UPSTREAM_CROSSED, BCT_STR("request", c->x->call.id),
+		BCT_STR("upstream", c->upstream->entry.id), BCT_I64("status", c->msg.status));
+	c->discards = true;
+}
+
+static bool is_ours(bct_upconn_t *c)
+{
+	bct_wire_answer_t a;
+
+	c->gate->wire->decode_answer(&c->msg, &a);
+	return !a.call_id || !strcmp(a.call_id, c->x->call.id);
+}
+
+static int on_body(void *ctx, const char *data, size_t len)
+{
+	bct_upconn_t *c = ctx;
+
+	if (c->discards || !c->x)
+		return 0;
+	return bct_exchange_body(c->x, data, len);
+}
+
+/* A head has come. returns false when the connection is gone. */
+static bool take_head(bct_upconn_t *c)
+{
+	if (!is_ours(c)) {
+		if (c->msg.until_close) {
+			bct_exchange_fault(c->x, BCT_FAULT_BAD_ANSWER);
+			return false;
+		}
+		skip_answer(c);
+		return true;
+	}
+	return bct_exchange_head(c->x);
+}
+
+/* A whole message has come. returns false when there is nothing more to read here. */
+static bool take_end(bct_upconn_t *c)
+{
+	if (!c->discards) {
+		bct_exchange_complete(c->x);
+		return false;
+	}
+	c->discards = false;
+	bct_http_msg_next(&c->msg);
+	return true;
+}
+
+static void read_answer(bct_upconn_t *c)
+{
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+
+	while (evbuffer_get_length(in)) {
+		bool had_head = c->msg.state != BCT_HTTP_HEAD;
+		bct_http_state_t s = bct_http_msg_read(&c->msg, in, HEAD_MAX_BYTES);
+
+		if (s == BCT_HTTP_FAILED) {
+			bct_exchange_fault(c->x, BCT_FAULT_BAD_ANSWER);
+			return;
+		}
+		if (s == BCT_HTTP_HEAD)
+			return;
+		if (!had_head && !take_head(c))
+			return;
+		if (s == BCT_HTTP_DONE && !take_end(c))
+			return;
+		if (s == BCT_HTTP_BODY && had_head)
+			return;
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	bct_upconn_t *c = ctx;
+
+	(void)bev;
+	if (!c->x) {
+		/* Nothing was asked: these bytes belong to no request. */
+		bct_upconn_close(c);
+		return;
+	}
+	c->received = true;
+	c->x->progress_at = bct_clock_now();
+	read_answer(c);
+}
+
+static void ended(bct_upconn_t *c, bool in_order)
+{
+	if (!c->x) {
+		bct_upconn_close(c);
+		return;
+	}
+	if (!c->connected) {
+		bct_exchange_fault(c->x, BCT_FAULT_CONNECT);
+		return;
+	}
+	if (in_order && c->msg.state == BCT_HTTP_BODY && !c->discards &&
+	    bct_http_msg_eof(&c->msg) == BCT_HTTP_DONE) {
+		bct_exchange_complete(c->x);
+		return;
+	}
+	bct_exchange_fault(c->x, BCT_FAULT_BROKEN);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	bct_upconn_t *c = ctx;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED) {
+		c->connected = true;
+		if (c->x)
+			bct_exchange_connected(c->x);
+		return;
+	}
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		ended(c, what & BEV_EVENT_EOF);
+}
+
+static void set_options(evutil_socket_t fd)
+{
+	int user_timeout_ms = USER_TIMEOUT_MS, on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
+}
+
+static int start_connect(bct_upconn_t *c)
+{
+	const bct_gate_entry_t *e = &c->upstream->entry;
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(e->port) };
+
+	if (inet_pton(AF_INET, e->ip, &sa.sin_addr) != 1)
+		return -BCT_EINVAL;
+	if (bufferevent_socket_connect(c->bev, (struct sockaddr *)&sa, sizeof(sa)))
+		return -BCT_EUNAVAILABLE;
+	set_options(bufferevent_getfd(c->bev));
+	return 0;
+}
+
+static bct_upconn_t *open_new(bct_gate_t *g, bct_gate_upstream_t *u)
+{
+	bct_upconn_t *c = bct_alloc(sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->gate = g;
+	c->upstream = u;
+	bct_list_init(&c->link);
+	bct_http_msg_init(&c->msg, HTTP_RESPONSE);
+	c->msg.on_body = on_body;
+	c->msg.ctx = c;
+	c->opened = bct_clock_now();
+	c->bev = bufferevent_socket_new(g->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	if (!c->bev) {
+		bct_free(c);
+		return NULL;
+	}
+	u->refs++;
+	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX_BYTES);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	BCT_GATE_COUNT(g, CONNECTS);
+	if (start_connect(c)) {
+		bct_upconn_close(c);
+		return NULL;
+	}
+	return c;
+}
+
+static bct_upconn_t *take_idle(bct_gate_upstream_t *u)
+{
+	idle_list_t *l = u->connections;
+	bct_time_t now = bct_clock_now();
+
+	while (l && !bct_list_empty(&l->conns)) {
+		bct_upconn_t *c = bct_container_of(l->conns.next, bct_upconn_t, link);
+
+		bct_list_del(&c->link);
+		if (now - c->idle_since < c->idle_limit_ms &&
+		    !evbuffer_get_length(bufferevent_get_input(c->bev)))
+			return c;
+		bct_upconn_close(c);
+	}
+	return NULL;
+}
+
+bct_upconn_t *bct_upconn_get(bct_gate_t *g, bct_gate_upstream_t *u, bct_exchange_t *x)
+{
+	bct_upconn_t *c = take_idle(u);
+
+	if (c) {
+		c->reused = true;
+		c->received = false;
+		bct_http_msg_next(&c->msg);
+	} else {
+		c = open_new(g, u);
+	}
+	if (c)
+		c->x = x;
+	return c;
+}
+
+int bct_upconn_send(bct_upconn_t *c, const bct_buf_t *head, struct evbuffer *body)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	size_t len = evbuffer_get_length(body);
+
+	c->sent_at = bct_clock_now();
+	c->msg.head_only = c->x && !strncmp(c->x->head.data, "HEAD ", 5);
+	if (evbuffer_add(out, head->data, head->len_bytes))
+		return -BCT_ENOMEM;
+	if (len && evbuffer_add(out, evbuffer_pullup(body, -1), len))
+		return -BCT_ENOMEM;
+	return 0;
+}
+
+static bool reusable(const bct_upconn_t *c)
+{
+	return c->msg.state == BCT_HTTP_DONE && c->msg.keep_alive && !c->msg.until_close &&
+	       !evbuffer_get_length(bufferevent_get_input(c->bev)) &&
+	       !evbuffer_get_length(bufferevent_get_output(c->bev));
+}
+
+static bct_time_t idle_limit(bct_upconn_t *c)
+{
+	bct_time_t ms = IDLE_DEFAULT_MS;
+	bct_wire_answer_t a;
+
+	c->gate->wire->decode_answer(&c->msg, &a);
+	if (a.idle_ms >= 0)
+		ms = a.idle_ms * IDLE_PERMILLE / BCT_MS_PER_S;
+	return ms < IDLE_MAX_MS ? ms : IDLE_MAX_MS;
+}
+
+void bct_upconn_done(bct_upconn_t *c)
+{
+	idle_list_t *l = idle_of(c->upstream);
+
+	if (c->x)
+		c->x->conn = NULL;
+	c->x = NULL;
+	if (!l || !reusable(c) || c->upstream->presence >= BCT_GATE_LAPSED) {
+		bct_upconn_close(c);
+		return;
+	}
+	c->idle_since = bct_clock_now();
+	c->idle_limit_ms = idle_limit(c);
+	bufferevent_enable(c->bev, EV_READ);
+	bct_list_add_head(&c->link, &l->conns);
+}
+
+void bct_upconn_pause(bct_upconn_t *c, bool pause)
+{
+	if (pause)
+		bufferevent_disable(c->bev, EV_READ);
+	else
+		bufferevent_enable(c->bev, EV_READ);
+}
+
+void bct_upconns_expire(bct_gate_t *g, bct_gate_upstream_t *u, bool all)
+{
+	idle_list_t *l = u->connections;
+	bct_time_t now = bct_clock_now();
+	bct_list_t *el, *tmp;
+
+	(void)g;
+	if (!l)
+		return;
+	bct_list_for_each_safe(el, tmp, &l->conns) {
+		bct_upconn_t *c = bct_container_of(el, bct_upconn_t, link);
+
+		if (all || now - c->idle_since >= c->idle_limit_ms)
+			bct_upconn_close(c);
+	}
+}
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -43,12 +43,20 @@
 	uint32_t upstream_threads;
 	uint32_t upstream_report_ms;
 	uint32_t upstream_max_answer_bytes;
+	char gate_listen[64];
+	char gate_resolve[64];
+	char gate_readiness[64];
+	uint32_t gate_grace_ms;
+	uint32_t gate_budget_window_ms;
+	uint32_t gate_budget_ratio_permille;
+	uint32_t gate_budget_allowance;
+	uint32_t gate_prefill_tokens_per_s;
 	uint32_t policy_max_queued;
 	char log_level[8];
 	char log_format[8];
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 38
+#define BCT_SETTINGS_COUNT 46
 
 #endif
--- a/node/node_peer.c
+++ b/node/node_peer.c
@@ -132,27 +132,10 @@
 	.offer_config = offer_config,
 };
 
-static int parse_seed(const char *text, bct_addr_t *out)
-{
-	const char *colon = strrchr(text, ':');
-	char ip[BCT_ADDR_BYTES];
-	size_t len = colon ? (size_t)(colon - text) : 0;
-	unsigned long port = colon ? strtoul(colon + 1, NULL, 10) : 0;
-
-	if (!len || len >= sizeof(ip) || !port || port > UINT16_MAX)
-		return -BCT_EINVAL;
-	if (text[0] == '[' && text[len - 1] == ']') {
-		text++;
-		len -= 2;
-	}
-	snprintf(ip, sizeof(ip), "%.*s", (int)len, text);
-	return bct_addr_parse(ip, (uint16_t)port, out);
-}
-
 static int parse_seeds(const bct_settings_t *s, bct_addr_t *out)
 {
 	for (uint32_t i = 0; i < s->n_peer_seeds; i++) {
-		int rc = parse_seed(s->peer_seeds[i], &out[i]);
+		int rc = bct_addr_parse_port(s->peer_seeds[i], &out[i]);
 
 		if (rc)
 			return rc;
--- /dev/null
+++ b/policy/gate_budget.c
@@ -0,0 +1,57 @@
+/*
+ * gate_budget.c - counts in cells of a twentieth of the window; the oldest cell is dropped whole.
+ */
+#include "policy/gate_budget.h"
+#include "base/err.h"
+
+#include <string.h>
+
+#define PERMILLE 1000
+#define SPARE 2 /* nodes that do not see each other count too few nodes */
+
+void bct_gate_budget_init(bct_gate_budget_t *b, const bct_gate_budget_opts_t *opts)
+{
+	memset(b, 0, sizeof(*b));
+	b->opts = *opts;
+}
+
+static void advance(bct_gate_budget_t *b, bct_time_t now)
+{
+	int64_t cell = now / (b->opts.window_ms / BCT_GATE_BUDGET_CELLS);
+
+	if (cell - b->cell >= BCT_GATE_BUDGET_CELLS)
+		b->cell = cell - BCT_GATE_BUDGET_CELLS;
+	while (b->cell < cell) {
+		b->cell++;
+		b->first[b->cell % BCT_GATE_BUDGET_CELLS] = 0;
+		b->repeats[b->cell % BCT_GATE_BUDGET_CELLS] = 0;
+	}
+}
+
+static uint32_t sum(const uint32_t *cells)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < BCT_GATE_BUDGET_CELLS; i++)
+		n += cells[i];
+	return n;
+}
+
+void bct_gate_budget_first(bct_gate_budget_t *b, bct_time_t now)
+{
+	advance(b, now);
+	b->first[b->cell % BCT_GATE_BUDGET_CELLS]++;
+}
+
+int bct_gate_budget_take(bct_gate_budget_t *b, bct_time_t now, uint32_t nodes)
+{
+	uint32_t most;
+
+	advance(b, now);
+	most = (uint32_t)((uint64_t)sum(b->first) * b->opts.ratio_permille / PERMILLE) +
+	       b->opts.allowance / SPARE / (nodes ? nodes : 1);
+	if (sum(b->repeats) >= most)
+		return -BCT_EBUDGET;
+	b->repeats[b->cell % BCT_GATE_BUDGET_CELLS]++;
+	return 0;
+}
--- /dev/null
+++ b/policy/gate_pick.c
@@ -0,0 +1,268 @@
+/*
+ * gate_pick.c - one pass over the upstreams of a service; the least cost wins.
+ */
+#include "policy/gate_pick.h"
+#include "base/hash.h"
+#include "base/mem.h"
+#include "policy/rendezvous.h"
+
+#include <string.h>
+
+#define PERMILLE 1000
+#define ENGINES_MAX 256 /* upstreams of one service that are looked at */
+#define PREFIX_PARTS_MAX 4096
+#define PREFIX_KEEP_MS 20000 /* an unused part is evicted by then under full load */
+#define SERVICE_WORK_MS 20   /* of one request at a plain service, for comparing queues */
+#define LANE_COST_MS 250     /* for each lane that an engine lies off the request's own */
+#define STREAM_COST_MS 1     /* each running stream slows a step a little */
+#define FAR_COST_MS 4	     /* another failure domain: latency and traffic between domains */
+#define JITTER_MS 3	     /* breaks ties, so that nodes do not all choose the same */
+#define PEER_LOAD_MAX_AGE_MS 1000
+#define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
+
+typedef struct candidate {
+	bct_gate_upstream_t *u;
+	uint64_t order;
+	uint32_t position;
+} candidate_t;
+
+void bct_gate_picker_init(bct_gate_picker_t *p, bct_gate_upstreams_t *upstreams,
+			  uint32_t prefill_tokens_per_s, uint64_t seed)
+{
+	memset(p, 0, sizeof(*p));
+	p->upstreams = upstreams;
+	p->prefill_tokens_per_s = prefill_tokens_per_s;
+	bct_gate_prefix_init(&p->prefix, PREFIX_PARTS_MAX, PREFIX_KEEP_MS);
+	bct_rng_seed(&p->rng, seed);
+}
+
+void bct_gate_picker_free(bct_gate_picker_t *p)
+{
+	uint32_t pos = 0;
+	void *lanes;
+
+	while ((lanes = bct_map_next(&p->lanes, &pos)) != NULL)
+		bct_free(lanes);
+	bct_map_free(&p->lanes);
+	bct_gate_prefix_free(&p->prefix);
+}
+
+static bool was_tried(const bct_gate_ask_t *ask, const bct_gate_upstream_t *u)
+{
+	for (uint32_t i = 0; i < ask->n_tried; i++) {
+		if (ask->tried[i] == u)
+			return true;
+	}
+	return false;
+}
+
+static uint32_t collect(const bct_gate_picker_t *p, uint64_t service_key, candidate_t *out)
+{
+	bct_list_t *el;
+	uint32_t n = 0;
+
+	bct_list_for_each(el, &p->upstreams->all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (n == ENGINES_MAX)
+			break;
+		if (!bct_gate_upstream_takes(u, service_key))
+			continue;
+		out[n].u = u;
+		out[n].order = bct_rendezvous_score(ORDER_KEY, u->key);
+		n++;
+	}
+	return n;
+}
+
+static void number(candidate_t *c, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		c[i].position = 0;
+		for (uint32_t j = 0; j < n; j++)
+			c[i].position += c[j].order < c[i].order;
+	}
+}
+
+static bct_gate_lanes_t *lanes_of(bct_gate_picker_t *p, uint64_t service_key)
+{
+	bct_gate_lanes_t *l = bct_map_get(&p->lanes, service_key);
+
+	if (l)
+		return l;
+	l = bct_alloc(sizeof(*l));
+	if (l && bct_map_put(&p->lanes, service_key, l)) {
+		bct_free(l);
+		l = NULL;
+	}
+	return l;
+}
+
+/* The engine of the request's lane that a part is kept on when nothing else decides. */
+static const bct_gate_upstream_t *home_of(uint64_t part, const candidate_t *c, uint32_t n,
+					  const bct_gate_lanes_t *l, uint32_t gap_ms)
+{
+	const bct_gate_upstream_t *best = NULL;
+	uint64_t best_score = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		uint64_t score = bct_rendezvous_score(part, c[i].u->key);
+
+		if (l && bct_gate_lanes_distance(l, gap_ms, c[i].position))
+			continue;
+		if (!best || score > best_score) {
+			best = c[i].u;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/* The last part that other requests share too; the parts before it are shared with it. */
+static uint32_t shared_parts(const bct_gate_picker_t *p, const bct_gate_ask_t *ask)
+{
+	uint32_t n = ask->n_parts;
+
+	while (n > 1 && !bct_gate_prefix_shared(&p->prefix, ask->parts[n - 1].id))
+		n--;
+	/* The first time, the part before the last is the best guess. */
+	if (n < ask->n_parts - 1 && ask->n_parts > 1)
+		n = ask->n_parts - 1;
+	return n;
+}
+
+static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now,
+			      const bct_gate_ask_t *ask, const bct_gate_upstream_t *u, bool home,
+			      uint32_t n_shared)
+{
+	uint32_t tokens = 0;
+
+	for (uint32_t i = 0; i < ask->n_parts; i++) {
+		bool here = bct_gate_prefix_holds(&p->prefix, now, ask->parts[i].id, u->key);
+
+		if (!here && !(home && i < n_shared))
+			break;
+		tokens += ask->parts[i].tokens;
+	}
+	return tokens < ask->prompt_tokens ? tokens : ask->prompt_tokens;
+}
+
+static uint32_t peer_load(bct_time_t now, const bct_gate_upstream_t *u, uint32_t value)
+{
+	return now - u->peer_at < PEER_LOAD_MAX_AGE_MS ? value : 0;
+}
+
+static uint32_t wait_of(bct_time_t now, const bct_gate_upstream_t *u, bool engine)
+{
+	uint32_t running = u->running + peer_load(now, u, u->peer_running);
+
+	if (!engine)
+		return running * SERVICE_WORK_MS;
+	return u->prefill_ms + peer_load(now, u, u->peer_prefill_ms) + running * STREAM_COST_MS;
+}
+
+/* A failed request costs its caller about two objectives. */
+static uint64_t fail_cost(const bct_gate_ask_t *ask, const bct_gate_upstream_t *u)
+{
+	return (uint64_t)u->fail_permille * ask->target_ms * 2 / PERMILLE;
+}
+
+typedef struct scored {
+	bct_gate_choice_t choice;
+	uint64_t cost;
+	bool avoided;
+} scored_t;
+
+static void score(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+		  const candidate_t *c, const bct_gate_upstream_t *home, uint32_t n_shared,
+		  const bct_gate_lanes_t *l, scored_t *out)
+{
+	bct_gate_upstream_t *u = c->u;
+	uint32_t uncached;
+
+	memset(out, 0, sizeof(*out));
+	out->choice.upstream = u;
+	out->choice.wait_ms = wait_of(now, u, ask->engine);
+	if (ask->engine) {
+		out->choice.cached_tokens =
+			cached_tokens(p, now, ask, u, u == home, n_shared);
+		uncached = ask->prompt_tokens - out->choice.cached_tokens;
+		out->choice.work_ms =
+			(uint32_t)((uint64_t)uncached * PERMILLE / p->prefill_tokens_per_s);
+		if (l)
+			out->choice.lane_distance =
+				bct_gate_lanes_distance(l, ask->gap_ms, c->position);
+	}
+	out->cost = ((uint64_t)out->choice.wait_ms + out->choice.work_ms + SERVICE_WORK_MS) *
+		    u->slow_permille / PERMILLE;
+	out->cost += (uint64_t)out->choice.lane_distance * LANE_COST_MS;
+	out->cost += fail_cost(ask, u);
+	if (ask->zone && strcmp(ask->zone, u->entry.zone) != 0)
+		out->cost += FAR_COST_MS;
+	out->cost += bct_rng_below(&p->rng, JITTER_MS);
+	out->avoided = now < u->avoid_until;
+}
+
+static bool better(const scored_t *a, const scored_t *b)
+{
+	if (!b->choice.upstream)
+		return true;
+	if (a->avoided != b->avoided)
+		return b->avoided;
+	return a->cost < b->cost;
+}
+
+void bct_gate_pick(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+		   bct_gate_choice_t *out)
+{
+	candidate_t c[ENGINES_MAX];
+	uint32_t n = collect(p, ask->service_key, c), n_shared = 0;
+	bct_gate_lanes_t *l = ask->engine ? lanes_of(p, ask->service_key) : NULL;
+	const bct_gate_upstream_t *home = NULL;
+	scored_t best = { 0 }, s;
+
+	if (ask->engine)
+		number(c, n);
+	if (l)
+		bct_gate_lanes_update(l, now, n);
+	if (ask->n_parts) {
+		n_shared = shared_parts(p, ask);
+		home = home_of(ask->parts[n_shared - 1].id, c, n, l, ask->gap_ms);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		if (was_tried(ask, c[i].u))
+			continue;
+		score(p, now, ask, &c[i], home, n_shared, l, &s);
+		if (better(&s, &best))
+			best = s;
+	}
+	*out = best.choice;
+	out->candidates = n;
+}
+
+void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+			const bct_gate_choice_t *c)
+{
+	bct_gate_lanes_t *l = ask->engine ? lanes_of(p, ask->service_key) : NULL;
+
+	c->upstream->running++;
+	c->upstream->prefill_ms += c->work_ms;
+	if (l)
+		bct_gate_lanes_work(l, ask->gap_ms, c->work_ms);
+	bct_gate_prefix_sent(&p->prefix, now, ask->parts, ask->n_parts, c->upstream->key);
+}
+
+void bct_gate_pick_began(bct_gate_upstream_t *u, uint32_t work_ms)
+{
+	u->prefill_ms -= work_ms < u->prefill_ms ? work_ms : u->prefill_ms;
+	u->streams++;
+}
+
+void bct_gate_pick_ended(bct_gate_upstream_t *u, uint32_t work_ms, bool began)
+{
+	if (began)
+		u->streams -= u->streams ? 1 : 0;
+	else
+		u->prefill_ms -= work_ms < u->prefill_ms ? work_ms : u->prefill_ms;
+	u->running -= u->running ? 1 : 0;
+}
--- /dev/null
+++ b/policy/gate_pick.h
@@ -0,0 +1,60 @@
+/*
+ * gate_pick.h - chooses the upstream for a request: predicted time to the first byte, what is
+ * cached where, whom it would disturb, and who has been failing. Pure.
+ */
+#ifndef BCT_POLICY_GATE_PICK_H
+#define BCT_POLICY_GATE_PICK_H
+
+#include "base/rng.h"
+#include "policy/gate_lanes.h"
+#include "policy/gate_prefix.h"
+#include "policy/gate_upstreams.h"
+
+#define BCT_GATE_TRIED 8
+
+typedef struct bct_gate_ask {
+	uint64_t service_key;
+	bool engine;
+	uint32_t target_ms;
+	uint32_t gap_ms;
+	const bct_gate_part_t *parts;
+	uint32_t n_parts;
+	uint32_t prompt_tokens;
+	const char *zone; /* of this node */
+	const bct_gate_upstream_t *tried[BCT_GATE_TRIED];
+	uint32_t n_tried;
+} bct_gate_ask_t;
+
+typedef struct bct_gate_choice {
+	bct_gate_upstream_t *upstream; /* NULL: there is none */
+	uint32_t work_ms;	       /* predicted time to read the prompt there */
+	uint32_t wait_ms;	       /* predicted time before that */
+	uint32_t cached_tokens;
+	uint32_t lane_distance;
+	uint32_t candidates;
+} bct_gate_choice_t;
+
+typedef struct bct_gate_picker {
+	bct_gate_upstreams_t *upstreams;
+	bct_gate_prefix_t prefix;
+	bct_map_t lanes;	      /* service key: bct_gate_lanes_t */
+	uint32_t prefill_tokens_per_s; /* of an engine at its usual pace */
+	bct_rng_t rng;
+} bct_gate_picker_t;
+
+void bct_gate_picker_init(bct_gate_picker_t *p, bct_gate_upstreams_t *upstreams,
+			  uint32_t prefill_tokens_per_s, uint64_t seed);
+void bct_gate_picker_free(bct_gate_picker_t *p);
+
+/* bct_gate_pick(3): choose; nothing is counted yet. */
+void bct_gate_pick(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+		   bct_gate_choice_t *out);
+
+/* bct_gate_pick_sent(3), bct_gate_pick_began(3), bct_gate_pick_ended(3): the chosen upstream was
+ * sent the request; its output began; it ended. began tells whether output had begun. */
+void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+			const bct_gate_choice_t *c);
+void bct_gate_pick_began(bct_gate_upstream_t *u, uint32_t work_ms);
+void bct_gate_pick_ended(bct_gate_upstream_t *u, uint32_t work_ms, bool began);
+
+#endif
--- /dev/null
+++ b/policy/gate_prefix.c
@@ -0,0 +1,112 @@
+/*
+ * gate_prefix.c - one entry for each part, with the upstreams that it went to last.
+ */
+#include "policy/gate_prefix.h"
+#include "base/mem.h"
+
+#include <string.h>
+
+typedef struct entry {
+	bct_list_t link;
+	uint64_t part;
+	uint32_t uses;
+	uint64_t holder[BCT_GATE_HOLDERS];
+	bct_time_t at[BCT_GATE_HOLDERS];
+} entry_t;
+
+void bct_gate_prefix_init(bct_gate_prefix_t *p, uint32_t max_parts, uint32_t keep_ms)
+{
+	memset(p, 0, sizeof(*p));
+	bct_list_init(&p->lru);
+	p->max = max_parts;
+	p->keep_ms = keep_ms;
+}
+
+static void drop_oldest(bct_gate_prefix_t *p)
+{
+	entry_t *e = bct_container_of(p->lru.prev, entry_t, link);
+
+	bct_map_del(&p->by_part, e->part);
+	bct_list_del(&e->link);
+	bct_free(e);
+	p->n--;
+}
+
+void bct_gate_prefix_free(bct_gate_prefix_t *p)
+{
+	while (p->n)
+		drop_oldest(p);
+	bct_map_free(&p->by_part);
+}
+
+static entry_t *find_or_make(bct_gate_prefix_t *p, uint64_t part)
+{
+	entry_t *e = bct_map_get(&p->by_part, part);
+
+	if (e) {
+		bct_list_del(&e->link);
+		bct_list_add_head(&e->link, &p->lru);
+		return e;
+	}
+	if (p->n >= p->max)
+		drop_oldest(p);
+	e = bct_alloc(sizeof(*e));
+	if (!e)
+		return NULL;
+	e->part = part;
+	if (bct_map_put(&p->by_part, part, e)) {
+		bct_free(e);
+		return NULL;
+	}
+	bct_list_add_head(&e->link, &p->lru);
+	p->n++;
+	return e;
+}
+
+static void note(entry_t *e, bct_time_t now, uint64_t upstream_key)
+{
+	uint32_t slot = 0;
+
+	for (uint32_t i = 0; i < BCT_GATE_HOLDERS; i++) {
+		if (e->holder[i] == upstream_key) {
+			slot = i;
+			break;
+		}
+		if (e->at[i] < e->at[slot])
+			slot = i;
+	}
+	e->holder[slot] = upstream_key;
+	e->at[slot] = now;
+	e->uses++;
+}
+
+void bct_gate_prefix_sent(bct_gate_prefix_t *p, bct_time_t now, const bct_gate_part_t *parts,
+			  uint32_t n, uint64_t upstream_key)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		entry_t *e = find_or_make(p, parts[i].id);
+
+		if (!e)
+			return;
+		note(e, now, upstream_key);
+	}
+}
+
+bool bct_gate_prefix_holds(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
+			   uint64_t upstream_key)
+{
+	const entry_t *e = bct_map_get(&p->by_part, part);
+
+	for (uint32_t i = 0; e && i < BCT_GATE_HOLDERS; i++) {
+		if (e->holder[i] == upstream_key)
+			return now - e->at[i] < (bct_time_t)p->keep_ms;
+	}
+	return false;
+}
+
+bool bct_gate_prefix_shared(const bct_gate_prefix_t *p, uint64_t part)
+{
+	const entry_t *e = bct_map_get(&p->by_part, part);
+
+	return e && e->uses > 1;
+}
--- /dev/null
+++ b/policy/gate_routes.c
@@ -0,0 +1,222 @@
+/*
+ * gate_routes.c - tables grow while they are built; look-ups go by hash of host and of API key.
+ */
+#include "policy/gate_routes.h"
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/mem.h"
+#include "base/sync.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+bct_gate_routes_t *bct_gate_routes_new(uint64_t version)
+{
+	bct_gate_routes_t *t = bct_alloc(sizeof(*t));
+
+	if (!t)
+		return NULL;
+	t->version = version;
+	t->refs = 1;
+	return t;
+}
+
+bct_gate_routes_t *bct_gate_routes_ref(bct_gate_routes_t *t)
+{
+	bct_ref_get(&t->refs);
+	return t;
+}
+
+void bct_gate_routes_unref(bct_gate_routes_t *t)
+{
+	if (!t || !bct_ref_put(&t->refs))
+		return;
+	for (uint32_t i = 0; i < t->n_routes; i++) {
+		bct_free(t->routes[i].name);
+		bct_free(t->routes[i].host);
+		bct_free(t->routes[i].prefix);
+	}
+	for (uint32_t i = 0; i < t->n_services; i++)
+		bct_free(t->services[i].name);
+	for (uint32_t i = 0; i < t->n_accounts; i++)
+		bct_free(t->accounts[i].name);
+	for (uint32_t i = 0; i < t->n_keys; i++)
+		bct_free(t->keys[i].secret);
+	bct_free(t->routes);
+	bct_free(t->services);
+	bct_free(t->accounts);
+	bct_free(t->keys);
+	bct_map_free(&t->by_host);
+	bct_map_free(&t->by_secret);
+	bct_free(t);
+}
+
+/* Makes room for one more element of an array whose capacity is the next power of two. */
+static void *grow(void *array, uint32_t n, size_t size)
+{
+	if (n & (n - 1))
+		return array;
+	return bct_realloc(array, size * (n ? (size_t)n * 2 : 1));
+}
+
+int bct_gate_routes_add_service(bct_gate_routes_t *t, const bct_gate_service_t *s)
+{
+	bct_gate_service_t *a = grow(t->services, t->n_services, sizeof(*a));
+	char *name = bct_strdup(s->name);
+
+	if (a)
+		t->services = a;
+	if (!a || !name) {
+		bct_free(name);
+		return -BCT_ENOMEM;
+	}
+	a[t->n_services] = *s;
+	a[t->n_services].name = name;
+	a[t->n_services].key = bct_hash_str(name);
+	return (int)t->n_services++;
+}
+
+int bct_gate_routes_add_route(bct_gate_routes_t *t, const bct_gate_route_t *r)
+{
+	bct_gate_route_t *a = grow(t->routes, t->n_routes, sizeof(*a)), *own;
+
+	if (!a)
+		return -BCT_ENOMEM;
+	t->routes = a;
+	own = &a[t->n_routes];
+	*own = *r;
+	own->name = bct_strdup(r->name);
+	own->host = bct_strdup(r->host);
+	own->prefix = bct_strdup(r->prefix);
+	if (!own->name || !own->host || !own->prefix) {
+		bct_free(own->name);
+		bct_free(own->host);
+		bct_free(own->prefix);
+		return -BCT_ENOMEM;
+	}
+	own->key = bct_hash_str(own->name);
+	own->prefix_bytes = strlen(own->prefix);
+	own->weight_sum = 0;
+	for (uint32_t i = 0; i < own->n_splits; i++)
+		own->weight_sum += own->splits[i].weight;
+	return (int)t->n_routes++;
+}
+
+int bct_gate_routes_add_account(bct_gate_routes_t *t, const bct_gate_account_t *acc)
+{
+	bct_gate_account_t *a = grow(t->accounts, t->n_accounts, sizeof(*a));
+	char *name = bct_strdup(acc->name);
+
+	if (a)
+		t->accounts = a;
+	if (!a || !name) {
+		bct_free(name);
+		return -BCT_ENOMEM;
+	}
+	a[t->n_accounts] = *acc;
+	a[t->n_accounts].name = name;
+	return (int)t->n_accounts++;
+}
+
+int bct_gate_routes_add_key(bct_gate_routes_t *t, const char *secret, uint32_t account)
+{
+	bct_gate_api_key_t *a = grow(t->keys, t->n_keys, sizeof(*a));
+	char *own = bct_strdup(secret);
+
+	if (a)
+		t->keys = a;
+	if (!a || !own) {
+		bct_free(own);
+		return -BCT_ENOMEM;
+	}
+	a[t->n_keys] = (bct_gate_api_key_t){ .secret = own, .account = account };
+	return (int)t->n_keys++;
+}
+
+int bct_gate_routes_service(const bct_gate_routes_t *t, const char *name)
+{
+	for (uint32_t i = 0; i < t->n_services; i++) {
+		if (!strcmp(t->services[i].name, name))
+			return (int)i;
+	}
+	return -BCT_ENOT_FOUND;
+}
+
+static int by_host_then_prefix(const void *a, const void *b)
+{
+	const bct_gate_route_t *x = a, *y = b;
+	int rc = strcasecmp(x->host, y->host);
+
+	if (rc)
+		return rc;
+	if (x->prefix_bytes != y->prefix_bytes)
+		return x->prefix_bytes > y->prefix_bytes ? -1 : 1;
+	return strcmp(x->prefix, y->prefix);
+}
+
+/* Host names do not differ by case. */
+static uint64_t host_key(const char *host, size_t len)
+{
+	char low[256];
+
+	if (len > sizeof(low))
+		return 0;
+	for (size_t i = 0; i < len; i++)
+		low[i] = (char)(host[i] >= 'A' && host[i] <= 'Z' ? host[i] + 'a' - 'A' : host[i]);
+	return bct_hash(low, len);
+}
+
+int bct_gate_routes_seal(bct_gate_routes_t *t)
+{
+	int rc = 0;
+
+	if (t->n_routes)
+		qsort(t->routes, t->n_routes, sizeof(*t->routes), by_host_then_prefix);
+	for (uint32_t i = 0; !rc && i < t->n_routes; i++) {
+		bct_gate_route_t *r = &t->routes[i];
+
+		if (!i || strcasecmp(r->host, t->routes[i - 1].host) != 0)
+			rc = bct_map_put(&t->by_host, host_key(r->host, strlen(r->host)), r);
+	}
+	for (uint32_t i = 0; !rc && i < t->n_keys; i++)
+		rc = bct_map_put(&t->by_secret, bct_hash_str(t->keys[i].secret), &t->keys[i]);
+	return rc;
+}
+
+const bct_gate_route_t *bct_gate_routes_match(const bct_gate_routes_t *t, const char *host,
+					      size_t host_bytes, const char *path,
+					      size_t path_bytes)
+{
+	const bct_gate_route_t *r = bct_map_get(&t->by_host, host_key(host, host_bytes));
+	const bct_gate_route_t *end = t->routes + t->n_routes;
+
+	for (; r && r < end; r++) {
+		if (strlen(r->host) != host_bytes || strncasecmp(r->host, host, host_bytes) != 0)
+			return NULL;
+		if (r->prefix_bytes <= path_bytes && !memcmp(r->prefix, path, r->prefix_bytes))
+			return r;
+	}
+	return NULL;
+}
+
+const bct_gate_account_t *bct_gate_routes_account(const bct_gate_routes_t *t, const char *secret)
+{
+	const bct_gate_api_key_t *k = bct_map_get(&t->by_secret, bct_hash_str(secret));
+
+	if (!k || strcmp(k->secret, secret) != 0)
+		return NULL;
+	return &t->accounts[k->account];
+}
+
+uint32_t bct_gate_route_split(const bct_gate_route_t *r, uint64_t draw)
+{
+	uint64_t at = r->weight_sum ? draw % r->weight_sum : 0;
+
+	for (uint32_t i = 0; i < r->n_splits; i++) {
+		if (at < r->splits[i].weight)
+			return r->splits[i].service;
+		at -= r->splits[i].weight;
+	}
+	return r->n_splits ? r->splits[0].service : 0;
+}
--- /dev/null
+++ b/policy/gate_upstreams.c
@@ -0,0 +1,219 @@
+/*
+ * gate_upstreams.c - registry entries in, presence out; failures and pace as moving averages.
+ */
+#include "policy/gate_upstreams.h"
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/mem.h"
+
+#include <string.h>
+
+#define PERMILLE 1000
+#define AVERAGE_WEIGHT 8 /* a new observation counts an eighth */
+#define AVOID_STRIKES 2	 /* failures in a row before an upstream is set aside */
+#define SLOW_FLOOR_MS 20 /* shorter predictions say nothing about pace */
+#define SLOW_MAX_PERMILLE 20000
+
+void bct_gate_upstreams_init(bct_gate_upstreams_t *t)
+{
+	memset(t, 0, sizeof(*t));
+	bct_list_init(&t->all);
+}
+
+static void drop(bct_gate_upstreams_t *t, bct_gate_upstream_t *u)
+{
+	if (t->release)
+		t->release(t->ctx, u);
+	bct_list_del(&u->link);
+	t->n--;
+	bct_free(u);
+}
+
+void bct_gate_upstreams_free(bct_gate_upstreams_t *t)
+{
+	while (!bct_list_empty(&t->all))
+		drop(t, bct_container_of(t->all.next, bct_gate_upstream_t, link));
+	bct_map_free(&t->by_id);
+}
+
+bct_gate_upstream_t *bct_gate_upstreams_find(const bct_gate_upstreams_t *t, const char *id)
+{
+	return bct_map_get(&t->by_id, bct_hash_str(id));
+}
+
+static void set_presence(bct_gate_upstream_t *u, bct_time_t now, bct_gate_presence_t p)
+{
+	if (u->presence == p)
+		return;
+	u->presence = p;
+	u->since = now;
+}
+
+static bct_gate_upstream_t *add(bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
+{
+	bct_gate_upstream_t *u = bct_alloc(sizeof(*u));
+
+	if (!u)
+		return NULL;
+	u->key = bct_hash_str(e->id);
+	u->slow_permille = PERMILLE;
+	bct_list_init(&u->link);
+	if (bct_map_put(&t->by_id, u->key, u)) {
+		bct_free(u);
+		return NULL;
+	}
+	bct_list_add_tail(&u->link, &t->all);
+	t->n++;
+	return u;
+}
+
+/* A later start under the same id knows nothing of the one before. */
+static void forget(bct_gate_upstream_t *u)
+{
+	u->misplaced = false;
+	u->fail_permille = 0;
+	u->strikes = 0;
+	u->avoid_until = 0;
+	u->slow_permille = PERMILLE;
+}
+
+static bool is_older(const bct_gate_entry_t *e, const bct_gate_entry_t *than)
+{
+	if (e->born_ms != than->born_ms)
+		return e->born_ms < than->born_ms;
+	return e->sequence < than->sequence;
+}
+
+int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e)
+{
+	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, e->id);
+	bct_gate_presence_t p = e->draining ? BCT_GATE_DRAINING : BCT_GATE_READY;
+	bool changed;
+
+	if (u && is_older(e, &u->entry))
+		return -BCT_ESTALE;
+	if (!u) {
+		u = add(t, e);
+		if (!u)
+			return -BCT_ENOMEM;
+	} else if (u->entry.born_ms != e->born_ms || u->entry.port != e->port ||
+		   strcmp(u->entry.ip, e->ip) != 0) {
+		forget(u);
+	} else if (p == BCT_GATE_READY && u->presence == BCT_GATE_DRAINING) {
+		/* One start never takes back that it leaves. */
+		p = BCT_GATE_DRAINING;
+	}
+	changed = u->presence != p || strcmp(u->entry.service, e->service) != 0;
+	u->entry = *e;
+	u->service_key = bct_hash_str(e->service);
+	u->pass = t->pass;
+	set_presence(u, now, p);
+	return changed;
+}
+
+/* Entries may lapse while the registry is away although the upstream lives. */
+static bool in_lapse(const bct_gate_upstreams_t *t, bct_time_t now)
+{
+	return t->registry_back && now < t->registry_back + BCT_GATE_LAPSE_GRACE_MS;
+}
+
+static void leave(bct_gate_upstreams_t *t, bct_time_t now, bct_gate_upstream_t *u)
+{
+	if (u->presence == BCT_GATE_READY && in_lapse(t, now))
+		set_presence(u, now, BCT_GATE_LAPSED);
+	else if (u->presence != BCT_GATE_LAPSED)
+		set_presence(u, now, BCT_GATE_GONE);
+}
+
+int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id)
+{
+	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, id);
+
+	if (!u || u->presence >= BCT_GATE_LAPSED)
+		return 0;
+	leave(t, now, u);
+	return 1;
+}
+
+void bct_gate_upstreams_list_begin(bct_gate_upstreams_t *t)
+{
+	t->pass++;
+}
+
+void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now)
+{
+	bct_list_t *el;
+
+	bct_list_for_each(el, &t->all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (u->pass != t->pass && u->presence < BCT_GATE_LAPSED)
+			leave(t, now, u);
+	}
+}
+
+void bct_gate_upstreams_registry(bct_gate_upstreams_t *t, bct_time_t now, bool answers)
+{
+	if (!answers) {
+		t->registry_lost = true;
+	} else if (t->registry_lost) {
+		t->registry_lost = false;
+		t->registry_back = now;
+	}
+}
+
+void bct_gate_upstreams_sweep(bct_gate_upstreams_t *t, bct_time_t now)
+{
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe(el, tmp, &t->all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (u->presence == BCT_GATE_LAPSED && !in_lapse(t, now))
+			set_presence(u, now, BCT_GATE_GONE);
+		if (u->presence != BCT_GATE_GONE || u->refs)
+			continue;
+		bct_map_del(&t->by_id, u->key);
+		drop(t, u);
+	}
+}
+
+bool bct_gate_upstream_takes(const bct_gate_upstream_t *u, uint64_t service_key)
+{
+	return u->service_key == service_key && !u->misplaced &&
+	       (u->presence == BCT_GATE_READY || u->presence == BCT_GATE_LAPSED);
+}
+
+static uint32_t average(uint32_t old, uint32_t seen)
+{
+	return (old * (AVERAGE_WEIGHT - 1) + seen) / AVERAGE_WEIGHT;
+}
+
+void bct_gate_upstream_result(bct_gate_upstream_t *u, bct_time_t now, bool ok)
+{
+	uint32_t ms = BCT_GATE_AVOID_FIRST_MS;
+
+	u->fail_permille = average(u->fail_permille, ok ? 0 : PERMILLE);
+	if (ok) {
+		u->strikes = 0;
+		return;
+	}
+	u->strikes++;
+	if (u->strikes < AVOID_STRIKES)
+		return;
+	for (uint32_t i = AVOID_STRIKES; i < u->strikes && ms < BCT_GATE_AVOID_MAX_MS; i++)
+		ms *= 2;
+	u->avoid_until = now + ms;
+}
+
+void bct_gate_upstream_timing(bct_gate_upstream_t *u, uint32_t predicted_ms, uint32_t observed_ms)
+{
+	uint64_t ratio;
+
+	if (predicted_ms < SLOW_FLOOR_MS)
+		predicted_ms = SLOW_FLOOR_MS;
+	ratio = (uint64_t)observed_ms * PERMILLE / predicted_ms;
+	u->slow_permille = average(
+		u->slow_permille,
+		(uint32_t)(ratio > SLOW_MAX_PERMILLE ? SLOW_MAX_PERMILLE : ratio));
+}
