--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -97,4 +97,3 @@
 	free(o->log_level);
 	free(o->log_format);
 }
-
--- a/coord/registry.h
+++ b/coord/registry.h
@@ -17,9 +17,9 @@
 } bct_registry_topic_t;
 
 typedef enum bct_registry_kind {
-	BCT_REGISTRY_TABLE = 1, /* a configuration */
-	BCT_REGISTRY_ENTRY,	/* an upstream's entry */
-	BCT_REGISTRY_REMOVED,	/* the entry of `name` is gone */
+	BCT_REGISTRY_TABLE = 1,	 /* a configuration */
+	BCT_REGISTRY_ENTRY,	 /* an upstream's entry */
+	BCT_REGISTRY_REMOVED,	 /* the entry of `name` is gone */
 	BCT_REGISTRY_UNREADABLE, /* a record of `name` that is not understood */
 } bct_registry_kind_t;
 
--- a/gate/client.c
+++ b/gate/client.c
@@ -13,10 +13,10 @@
 #include <sys/socket.h>
 
 #define BACKLOG 512
-#define INPUT_MAX_BYTES (256 * 1024)  /* kept unread while a request is in progress */
-#define OUTPUT_LOW_BYTES (32 * 1024)  /* below this a paused upstream goes on */
-#define LINGER_MS 1000		      /* for the caller to close after a last answer */
-#define USER_TIMEOUT_MS 5000	      /* unacknowledged output for this long ends a connection */
+#define INPUT_MAX_BYTES (256 * 1024) /* kept unread while a request is in progress */
+#define OUTPUT_LOW_BYTES (32 * 1024) /* below this a paused upstream goes on */
+#define LINGER_MS 1000		     /* for the caller to close after a last answer */
+#define USER_TIMEOUT_MS 5000	     /* unacknowledged output for this long ends a connection */
 /* Before a configuration is known. */
 #define DEFAULT_HEADER_BYTES 16384
 #define DEFAULT_BODY_BYTES (4 * 1024 * 1024)
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -8,12 +8,12 @@
 
 #include <string.h>
 
-#define CONNECTS_MAX 4	   /* upstreams that may refuse a connection before a request is given up */
+#define CONNECTS_MAX 4 /* upstreams that may refuse a connection before a request is given up */
 #define NOT_READY_RETRY_MS 500
 #define NO_UPSTREAM_RETRY_MS 400
 #define FULL_RETRY_MS 150 /* a full upstream frees a place within a few service times */
 #define FULL_RETRY_SPREAD_MS 150
-#define CONNECT_TIMEOUT_MS 300 /* a round trip and the handshake take a few milliseconds */
+#define CONNECT_TIMEOUT_MS 300	  /* a round trip and the handshake take a few milliseconds */
 #define SAFE_SILENCE_PERMILLE 500 /* of the objective: then a safe request is asked elsewhere */
 #define STREAM_SILENCE_PERMILLE 2000
 #define GAP_SILENCE_FACTOR 4 /* pauses between events that a resumable stream may take */
@@ -115,11 +115,11 @@
 	uint32_t spread = bct_rng_below(&x->gate->picker.rng, FULL_RETRY_SPREAD_MS);
 
 	if (x->may_have_run) {
-		bct_exchange_refuse(x, BCT_GATE_END_UNKNOWN_OUTCOME,
-				    &(bct_answer_opts_t){
-					    .status = 502,
-					    .text = "the upstream's answer was lost; the request "
-						    "may have run" });
+		bct_exchange_refuse(
+			x, BCT_GATE_END_UNKNOWN_OUTCOME,
+			&(bct_answer_opts_t){ .status = 502,
+					      .text = "the upstream's answer was lost; the request "
+						      "may have run" });
 		return;
 	}
 	bct_exchange_refuse(x, BCT_GATE_END_NOT_RUN,
@@ -389,10 +389,11 @@
 	const char *host = bct_http_msg_header(m, "Host");
 
 	if (!x->gate->routes) {
-		bct_exchange_refuse(x, BCT_GATE_END_NOT_READY,
-				    &(bct_answer_opts_t){ .status = 503,
-							  .retry_after_ms = NOT_READY_RETRY_MS,
-							  .text = "no configuration is known yet" });
+		bct_exchange_refuse(
+			x, BCT_GATE_END_NOT_READY,
+			&(bct_answer_opts_t){ .status = 503,
+					      .retry_after_ms = NOT_READY_RETRY_MS,
+					      .text = "no configuration is known yet" });
 		return false;
 	}
 	x->routes = bct_gate_routes_ref(x->gate->routes);
--- a/gate/exchange_int.h
+++ b/gate/exchange_int.h
@@ -1,6 +1,6 @@
 /*
- * exchange_int.h - between the two halves of an exchange: admission and dispatch in exchange.c, what
- * upstreams answer in attempt.c.
+ * exchange_int.h - between the two halves of an exchange: admission and dispatch in exchange.c,
+ * what upstreams answer in attempt.c.
  */
 #ifndef BCT_GATE_EXCHANGE_INT_H
 #define BCT_GATE_EXCHANGE_INT_H
--- a/gate/feed.c
+++ b/gate/feed.c
@@ -69,8 +69,8 @@
 	d->listing = !f->listed[t];
 	bct_list_init(&d->link);
 	BCT_GATE_COUNT(f->gate, REGISTRY_CALLS);
-	rc = d->listing ? r->ops->list(r, t, timeout_ms, &d->batch) :
-			  r->ops->changes(r, t, f->next[t], timeout_ms, &d->batch);
+	rc = d->listing ? r->ops->list(r, t, timeout_ms, &d->batch)
+			: r->ops->changes(r, t, f->next[t], timeout_ms, &d->batch);
 	d->rc = rc;
 	if (!rc) {
 		f->listed[t] = true;
@@ -141,8 +141,9 @@
 
 	if (g->routes && c->table->version <= had) {
 		if (c->table->version < had)
-			BCT_LOG(g->log, BCT_EV_ROUTES_REFUSED, BCT_U64("version", c->table->version),
-				BCT_U64("in_force", had), BCT_STR("why", "older"));
+			BCT_LOG(g->log, BCT_EV_ROUTES_REFUSED,
+				BCT_U64("version", c->table->version), BCT_U64("in_force", had),
+				BCT_STR("why", "older"));
 		return;
 	}
 	bct_gate_routes_unref(g->routes);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -40,7 +40,8 @@
 
 	(void)what;
 	if (sig == SIGHUP)
-		BCT_LOG(g->log, BCT_EV_SETTINGS_RELOADED, BCT_STR("file", "unchanged while running"));
+		BCT_LOG(g->log, BCT_EV_SETTINGS_RELOADED,
+			BCT_STR("file", "unchanged while running"));
 	else
 		drain(g);
 }
@@ -119,8 +120,8 @@
 	bct_list_init(&g->clients);
 	bct_gate_upstreams_init(&g->upstreams);
 	g->upstreams.release = release_upstream;
-	bct_gate_picker_init(&g->picker, &g->upstreams,
-			     g->settings->gate_prefill_tokens_per_s, bct_random_id());
+	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
+			     bct_random_id());
 	rc = bct_addr_parse_port(g->settings->gate_listen, &g->listen);
 	if (!rc)
 		rc = start_events(g);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -89,9 +89,9 @@
 	struct evbuffer *body; /* of the request that is being read */
 	bct_exchange_t *x;     /* in progress, or NULL */
 	bool too_large;
-	bool begun;	/* a byte of the next request has come */
+	bool begun;	  /* a byte of the next request has come */
 	bool close_after; /* no further request is taken */
-	bool closing;	/* the last answer is on its way out */
+	bool closing;	  /* the last answer is on its way out */
 };
 
 /* bct_client_answered(3): the exchange is over; cut: its answer is not whole. */
@@ -123,8 +123,8 @@
 	bct_exchange_t *x; /* NULL: idle */
 	bool connected;
 	bool reused;
-	bool received;	/* a byte of an answer has come */
-	bool discards;	/* the answer being read belongs to no request of ours */
+	bool received; /* a byte of an answer has come */
+	bool discards; /* the answer being read belongs to no request of ours */
 	bct_time_t opened;
 	bct_time_t sent_at;
 	bct_time_t idle_since;
--- a/gate/http_msg.c
+++ b/gate/http_msg.c
@@ -329,10 +329,17 @@
 
 bool bct_http_is_hop(const char *name)
 {
-	static const char *const hop[] = { "Connection", "Keep-Alive",	     "Proxy-Connection",
-					   "TE",	 "Trailer",	     "Transfer-Encoding",
-					   "Upgrade",	 "Content-Length",   "Expect",
-					   "Proxy-Authenticate", "Proxy-Authorization" };
+	static const char *const hop[] = { "Connection",
+					   "Keep-Alive",
+					   "Proxy-Connection",
+					   "TE",
+					   "Trailer",
+					   "Transfer-Encoding",
+					   "Upgrade",
+					   "Content-Length",
+					   "Expect",
+					   "Proxy-Authenticate",
+					   "Proxy-Authorization" };
 
 	for (size_t i = 0; i < sizeof(hop) / sizeof(hop[0]); i++) {
 		if (!strcasecmp(name, hop[i]))
--- a/gate/local.c
+++ b/gate/local.c
@@ -94,7 +94,8 @@
 	n = list_addresses(g, domain, &list, text, addresses);
 	bct_buf_init(&out, 0);
 	if (n)
-		g->wire->encode_addresses(addresses, n, g->settings->caller_entry_lifetime_ms, &out);
+		g->wire->encode_addresses(addresses, n, g->settings->caller_entry_lifetime_ms,
+					  &out);
 	reply(req, n && !out.err ? 200 : 503, "application/json", &out);
 	bct_buf_free(&out);
 	evhttp_clear_headers(&args);
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -15,7 +15,7 @@
 #define HEAD_MAX_BYTES (64 * 1024)
 #define IDLE_DEFAULT_MS 4000 /* when the upstream does not say how long it keeps a connection */
 #define IDLE_MAX_MS 8000
-#define IDLE_PERMILLE 500 /* of the time that the upstream names */
+#define IDLE_PERMILLE 500    /* of the time that the upstream names */
 #define USER_TIMEOUT_MS 1500 /* unacknowledged output for this long: the upstream is gone */
 #define INPUT_MAX_BYTES (256 * 1024)
 
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -17,9 +17,9 @@
 
 /* What a caller says of its request. */
 typedef struct bct_wire_call {
-	char id[BCT_WIRE_ID_BYTES]; /* of this try; empty: none */
+	char id[BCT_WIRE_ID_BYTES];	    /* of this try; empty: none */
 	char secret[BCT_WIRE_SECRET_BYTES]; /* API key; empty: none */
-	int64_t wait_ms; /* how long the caller waits; negative: not told */
+	int64_t wait_ms;		    /* how long the caller waits; negative: not told */
 	uint32_t prompt_tokens;
 	uint32_t max_output_tokens;
 	uint32_t likely_output_tokens; /* the caller's estimate; 0: none */
--- a/policy/gate_lanes.c
+++ b/policy/gate_lanes.c
@@ -41,9 +41,9 @@
 	for (uint32_t i = 0; i < l->n; i++) {
 		bct_gate_lane_t *a = &l->lanes[i];
 
-		a->work = a->work > 0 ? a->work * AVERAGE_KEEP +
-						a->fresh / seconds * (1 - AVERAGE_KEEP) :
-					a->fresh / seconds;
+		a->work = a->work > 0
+				  ? a->work * AVERAGE_KEEP + a->fresh / seconds * (1 - AVERAGE_KEEP)
+				  : a->fresh / seconds;
 		a->fresh = 0;
 		sum += a->work;
 	}
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -131,9 +131,8 @@
 	return n;
 }
 
-static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now,
-			      const bct_gate_ask_t *ask, const bct_gate_upstream_t *u, bool home,
-			      uint32_t n_shared)
+static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+			      const bct_gate_upstream_t *u, bool home, uint32_t n_shared)
 {
 	uint32_t tokens = 0;
 
@@ -184,8 +183,7 @@
 	out->choice.upstream = u;
 	out->choice.wait_ms = wait_of(now, u, ask->engine);
 	if (ask->engine) {
-		out->choice.cached_tokens =
-			cached_tokens(p, now, ask, u, u == home, n_shared);
+		out->choice.cached_tokens = cached_tokens(p, now, ask, u, u == home, n_shared);
 		uncached = ask->prompt_tokens - out->choice.cached_tokens;
 		out->choice.work_ms =
 			(uint32_t)((uint64_t)uncached * PERMILLE / p->prefill_tokens_per_s);
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -37,7 +37,7 @@
 typedef struct bct_gate_picker {
 	bct_gate_upstreams_t *upstreams;
 	bct_gate_prefix_t prefix;
-	bct_map_t lanes;	      /* service key: bct_gate_lanes_t */
+	bct_map_t lanes;	       /* service key: bct_gate_lanes_t */
 	uint32_t prefill_tokens_per_s; /* of an engine at its usual pace */
 	bct_rng_t rng;
 } bct_gate_picker_t;
--- a/policy/gate_prefix.h
+++ b/policy/gate_prefix.h
@@ -12,7 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BCT_GATE_PARTS 16 /* of one prompt */
+#define BCT_GATE_PARTS 16  /* of one prompt */
 #define BCT_GATE_HOLDERS 4 /* upstreams remembered for each part */
 
 /* A part of a prompt; its id stands for the same tokens wherever it comes. */
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -45,8 +45,8 @@
 	uint64_t key; /* hash of the name */
 	size_t prefix_bytes;
 	bct_gate_kind_t kind;
-	bool resumable; /* a stream that another upstream may continue */
-	bool open;	/* needs no API key */
+	bool resumable;	    /* a stream that another upstream may continue */
+	bool open;	    /* needs no API key */
 	bool prefix_cached; /* requests name the parts of their prompt */
 	uint32_t attempts;  /* upstreams that one request may be sent to */
 	uint32_t timeout_ms;
@@ -87,7 +87,7 @@
 	uint32_t n_accounts;
 	bct_gate_api_key_t *keys;
 	uint32_t n_keys;
-	bool needs_keys; /* the configuration lists client accounts */
+	bool needs_keys;   /* the configuration lists client accounts */
 	bct_map_t by_host; /* hash of the host: its first route */
 	bct_map_t by_secret;
 	uint32_t refs;
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -213,7 +213,7 @@
 	if (predicted_ms < SLOW_FLOOR_MS)
 		predicted_ms = SLOW_FLOOR_MS;
 	ratio = (uint64_t)observed_ms * PERMILLE / predicted_ms;
-	u->slow_permille = average(
-		u->slow_permille,
-		(uint32_t)(ratio > SLOW_MAX_PERMILLE ? SLOW_MAX_PERMILLE : ratio));
+	u->slow_permille =
+		average(u->slow_permille,
+			(uint32_t)(ratio > SLOW_MAX_PERMILLE ? SLOW_MAX_PERMILLE : ratio));
 }
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -29,7 +29,7 @@
 	uint32_t slots;
 	uint32_t cold_ms; /* how much longer it stays slow after its start */
 	bool draining;
-	int64_t born_ms; /* start of the process, Unix time; 0: not told */
+	int64_t born_ms;   /* start of the process, Unix time; 0: not told */
 	uint64_t sequence; /* grows with each write of one start */
 } bct_gate_entry_t;
 
@@ -52,9 +52,9 @@
 	uint32_t pass;	  /* of the last listing that named it */
 
 	/* Load that this node has placed there. */
-	uint32_t running;	  /* requests sent and not ended */
-	uint32_t prefill_ms;	  /* predicted work of those without output yet */
-	uint32_t streams;	  /* those with output */
+	uint32_t running;    /* requests sent and not ended */
+	uint32_t prefill_ms; /* predicted work of those without output yet */
+	uint32_t streams;    /* those with output */
 	/* Load that the other nodes reported, see gate_share.h. */
 	uint32_t peer_running;
 	uint32_t peer_prefill_ms;
@@ -64,7 +64,8 @@
 	uint32_t fail_permille; /* moving average of failed requests */
 	uint32_t strikes;	/* failures in a row */
 	bct_time_t avoid_until; /* nothing new before, if there is another upstream */
-	uint32_t slow_permille; /* moving average of observed over predicted time to the first byte */
+	uint32_t slow_permille; /* moving average of observed over predicted time to the first byte
+				 */
 	void *connections;	/* idle connections, owned by the I/O layer */
 } bct_gate_upstream_t;
 
