Gateways tell each other load and prefix placement; lanes count the time that streams hold slots

Ruled out: the engines' own cache events: a busy engine answers at once, and such calls are priced. Change: share.x datagrams at 100 ms, longer with more nodes; decode time and headroom in the lanes; long prompts pay more to enter a tighter lane.

--- a/gate/counters.h
+++ b/gate/counters.h
@@ -24,6 +24,10 @@
 	DEF(RESUMES, "bct_gate_resumes_total", NULL, "counter",                                   \
 	    "Streams continued at another upstream")                                              \
 	DEF(REGISTRY_CALLS, "bct_gate_registry_calls_total", NULL, "counter", "Registry calls")   \
+	DEF(SHARES_DROPPED, "bct_gate_shares_dropped_total", NULL, "counter",                     \
+	    "Load datagrams that could not be sent")                                              \
+	DEF(SHARES_REFUSED, "bct_gate_shares_refused_total", NULL, "counter",                     \
+	    "Load datagrams that were forged, old or malformed")                                  \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
 	    "Answers that belonged to no request")
 
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "base/mem.h"
 #include "gate/exchange_int.h"
+#include "gate/share.h"
 
 #include <string.h>
 
@@ -52,7 +53,7 @@
 		BCT_U64("cached_tokens", x->choice.cached_tokens),
 		BCT_U64("predicted_wait_ms", x->choice.wait_ms),
 		BCT_U64("predicted_work_ms", x->choice.work_ms),
-		BCT_U64("lane_distance", x->choice.lane_distance),
+		BCT_I64("lane_distance", x->choice.lane_distance),
 		BCT_I64("first_byte_ms", x->first_byte_at ? x->first_byte_at - x->arrived : -1),
 		BCT_I64("total_ms", now - x->arrived), BCT_U64("events", x->events.count));
 }
@@ -263,6 +264,16 @@
 	bct_buf_puts(out, "\r\n");
 }
 
+/* The other nodes learn where the shared part of the prompt is now. */
+static void tell_placed(bct_exchange_t *x)
+{
+	uint32_t n = bct_gate_pick_shared(&x->gate->picker, &x->ask);
+
+	if (n)
+		bct_share_placed(x->gate->share, x->ask.parts[n - 1].id,
+				 x->choice.upstream->key);
+}
+
 /* Sends the request on the chosen upstream's connection. returns 0 or -BCT_EUNAVAILABLE. */
 static int send_attempt(bct_exchange_t *x)
 {
@@ -274,6 +285,7 @@
 	x->conn = out.err ? NULL : bct_upconn_get(x->gate, x->choice.upstream, x);
 	if (x->conn) {
 		bct_gate_pick_sent(&x->gate->picker, bct_clock_now(), &x->ask, &x->choice);
+		tell_placed(x);
 		rc = bct_upconn_send(x->conn, &out, x->body);
 		if (rc)
 			bct_exchange_drop_attempt(x);
@@ -414,6 +426,15 @@
 	return false;
 }
 
+/* The caller's estimate is often far off, the most that it allows is a bound only. */
+static uint32_t expected_output(const bct_wire_call_t *c)
+{
+	if (!c->likely_output_tokens)
+		return c->max_output_tokens / 2;
+	return c->likely_output_tokens < c->max_output_tokens ? c->likely_output_tokens :
+								c->max_output_tokens;
+}
+
 static void fill_ask(bct_exchange_t *x)
 {
 	bct_gate_t *g = x->gate;
@@ -429,6 +450,8 @@
 		.parts = x->call.parts,
 		.n_parts = x->call.n_parts,
 		.prompt_tokens = x->call.prompt_tokens,
+		.output_tokens = expected_output(&x->call),
+		.slots = s->slots,
 		.zone = g->settings->vm_failure_domain,
 	};
 	if (x->call.wait_ms >= 0)
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 #include "base/rng.h"
 #include "gate/gate_int.h"
+#include "gate/share.h"
 
 #include <signal.h>
 #include <string.h>
@@ -121,12 +122,14 @@
 	bct_gate_upstreams_init(&g->upstreams);
 	g->upstreams.release = release_upstream;
 	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
-			     bct_random_id());
+			     g->settings->gate_step_us, bct_random_id());
 	rc = bct_addr_parse_port(g->settings->gate_listen, &g->listen);
 	if (!rc)
 		rc = start_events(g);
 	if (!rc)
 		rc = bct_fleet_join(g);
+	if (!rc && g->peer && g->settings->gate_share_port)
+		rc = bct_share_new(g, &g->share);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -163,6 +166,7 @@
 	bct_list_for_each(el, &g->upstreams.all)
 		bct_upconns_expire(g, bct_container_of(el, bct_gate_upstream_t, link), true);
 	bct_local_free(g->local);
+	bct_share_free(g->share);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -20,6 +20,7 @@
 typedef struct bct_upconn bct_upconn_t;
 typedef struct bct_feed bct_feed_t;
 typedef struct bct_local bct_local_t;
+typedef struct bct_share bct_share_t;
 
 /* Whom the end of a request is charged to, and in which state it was. */
 #define BCT_GATE_END_LIST(DEF)                                            \
@@ -66,7 +67,8 @@
 	uint32_t n_exchanges;
 	bct_feed_t *feed;
 	bct_local_t *local;
-	bct_peer_t *peer; /* NULL: alone */
+	bct_peer_t *peer;   /* NULL: alone */
+	bct_share_t *share; /* NULL: alone */
 	uint32_t nodes;	  /* live ones, this one included */
 	bct_gate_counters_t counters;
 	bool draining;
--- /dev/null
+++ b/gate/share.c
@@ -0,0 +1,325 @@
+/*
+ * share.c - encodes by libtirpc's XDR, authenticates by libsodium.
+ */
+#include "gate/share.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "gen/share.h"
+#include "policy/gate_peers.h"
+
+#include <netinet/in.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define DATAGRAM_BYTES 1400
+#define MAC_BYTES 16
+#define INTERVAL_MIN_MS 100
+#define DATAGRAMS_PER_S 80 /* that one node sends, whatever their number */
+#define KEEP_INTERVALS 4   /* a peer's load is forgotten when so many were missed */
+#define KEEP_MIN_MS 500
+#define REFRESH_MS 500 /* between two looks at the membership */
+#define MEMBERS_MAX 512
+
+typedef struct peer {
+	uint64_t incarnation;
+	struct sockaddr_in sa;
+	uint64_t seq; /* highest received */
+} peer_t;
+
+struct bct_share {
+	bct_gate_t *gate;
+	int fd;
+	struct event *readable;
+	struct event *timer;
+	uint8_t key[crypto_generichash_KEYBYTES];
+	uint64_t seq;
+	peer_t peers[MEMBERS_MAX];
+	uint32_t n_peers;
+	bct_time_t refreshed;
+	share_placed placed[SHARE_PLACED_MAX];
+	uint32_t n_placed;
+	bct_gate_peers_t loads;
+};
+
+void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key)
+{
+	if (!s || s->n_placed == SHARE_PLACED_MAX)
+		return;
+	s->placed[s->n_placed++] = (share_placed){ .part = part, .upstream = upstream_key };
+}
+
+static uint64_t seq_of(const peer_t *old, uint32_t n, uint64_t incarnation)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (old[i].incarnation == incarnation)
+			return old[i].seq;
+	}
+	return 0;
+}
+
+/* Takes over the live nodes; what was received from each is kept. */
+static void refresh(bct_share_t *s)
+{
+	bct_member_t *m = bct_alloc(sizeof(*m) * MEMBERS_MAX);
+	peer_t *old = bct_alloc(sizeof(s->peers));
+	uint32_t n_old = s->n_peers, n = 0;
+
+	if (m && old) {
+		memcpy(old, s->peers, sizeof(s->peers));
+		n = bct_peer_members(s->gate->peer, m, MEMBERS_MAX);
+		s->n_peers = 0;
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		peer_t *p = &s->peers[s->n_peers];
+
+		if (m[i].liveness == BCT_MEMBER_DEAD || m[i].peer.ip_len_bytes != 4 ||
+		    m[i].incarnation == bct_peer_incarnation(s->gate->peer))
+			continue;
+		p->incarnation = m[i].incarnation;
+		p->seq = seq_of(old, n_old, p->incarnation);
+		p->sa.sin_family = AF_INET;
+		p->sa.sin_port = htons((uint16_t)s->gate->settings->gate_share_port);
+		memcpy(&p->sa.sin_addr, m[i].peer.ip, 4);
+		s->n_peers++;
+	}
+	bct_free(old);
+	bct_free(m);
+	s->refreshed = bct_clock_now();
+}
+
+static uint32_t interval_ms(const bct_share_t *s)
+{
+	uint32_t ms = s->n_peers * BCT_MS_PER_S / DATAGRAMS_PER_S;
+
+	return ms > INTERVAL_MIN_MS ? ms : INTERVAL_MIN_MS;
+}
+
+/* Upstreams that this node has work on, and those that it had when it last told. */
+static uint32_t collect_loads(bct_share_t *s, share_load *out)
+{
+	bct_list_t *el;
+	uint32_t n = 0;
+
+	bct_list_for_each(el, &s->gate->upstreams.all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (n == SHARE_LOADS_MAX)
+			break;
+		if (!u->running && !u->shared)
+			continue;
+		u->shared = u->running != 0;
+		out[n++] = (share_load){ .upstream = u->key,
+					 .running = u->running,
+					 .prefill_ms = u->prefill_ms };
+	}
+	return n;
+}
+
+static void seal(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac)
+{
+	crypto_generichash(mac, MAC_BYTES, data, len, s->key, sizeof(s->key));
+}
+
+/* returns the datagram's length, or 0 when it does not fit. */
+static size_t encode(bct_share_t *s, share_news *news, uint8_t *out)
+{
+	size_t len = 0;
+	XDR x;
+
+	xdrmem_create(&x, (char *)out, DATAGRAM_BYTES - MAC_BYTES, XDR_ENCODE);
+	if (xdr_share_news(&x, news))
+		len = xdr_getpos(&x);
+	xdr_destroy(&x);
+	if (!len)
+		return 0;
+	seal(s, out, len, out + len);
+	return len + MAC_BYTES;
+}
+
+static void send_round(bct_share_t *s)
+{
+	share_load loads[SHARE_LOADS_MAX];
+	share_news news = { .from = bct_peer_incarnation(s->gate->peer), .seq = ++s->seq };
+	uint8_t out[DATAGRAM_BYTES];
+	size_t len;
+
+	news.loads.loads_val = loads;
+	news.loads.loads_len = collect_loads(s, loads);
+	news.placed.placed_val = s->placed;
+	news.placed.placed_len = s->n_placed;
+	if (!news.loads.loads_len && !s->n_placed)
+		return;
+	len = encode(s, &news, out);
+	s->n_placed = 0;
+	for (uint32_t i = 0; len && i < s->n_peers; i++) {
+		if (sendto(s->fd, out, len, MSG_DONTWAIT, (struct sockaddr *)&s->peers[i].sa,
+			   sizeof(s->peers[i].sa)) < 0)
+			BCT_GATE_COUNT(s->gate, SHARES_DROPPED);
+	}
+}
+
+static void set_timer(bct_share_t *s)
+{
+	uint32_t ms = interval_ms(s);
+	struct timeval tv = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * 1000 };
+
+	event_add(s->timer, &tv);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	bct_share_t *s = ctx;
+	bct_time_t now = bct_clock_now();
+	uint32_t keep = interval_ms(s) * KEEP_INTERVALS;
+
+	(void)fd;
+	(void)what;
+	if (now - s->refreshed >= REFRESH_MS)
+		refresh(s);
+	s->loads.keep_ms = keep > KEEP_MIN_MS ? keep : KEEP_MIN_MS;
+	bct_gate_peers_sweep(&s->loads, now, &s->gate->upstreams);
+	send_round(s);
+	set_timer(s);
+}
+
+/* Only news of a live node that are newer than its last are taken. */
+static bool is_fresh(bct_share_t *s, const share_news *news)
+{
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		peer_t *p = &s->peers[i];
+
+		if (p->incarnation != news->from)
+			continue;
+		if (news->seq <= p->seq)
+			return false;
+		p->seq = news->seq;
+		return true;
+	}
+	return false;
+}
+
+static void take(bct_share_t *s, const share_news *news)
+{
+	bct_time_t now = bct_clock_now();
+
+	for (uint32_t i = 0; i < news->loads.loads_len; i++) {
+		const share_load *l = &news->loads.loads_val[i];
+		bct_gate_peer_load_t load = {
+			.peer = news->from,
+			.upstream_key = l->upstream,
+			.running = l->running,
+			.prefill_ms = l->prefill_ms,
+		};
+
+		bct_gate_peers_load(&s->loads, now, &s->gate->upstreams, &load);
+	}
+	for (uint32_t i = 0; i < news->placed.placed_len; i++) {
+		bct_gate_part_t part = { .id = news->placed.placed_val[i].part };
+
+		bct_gate_prefix_sent(&s->gate->picker.prefix, now, &part, 1,
+				     news->placed.placed_val[i].upstream);
+	}
+}
+
+static bool authentic(const bct_share_t *s, const uint8_t *data, size_t len)
+{
+	uint8_t mac[MAC_BYTES];
+
+	if (len <= MAC_BYTES)
+		return false;
+	seal(s, data, len - MAC_BYTES, mac);
+	return !sodium_memcmp(mac, data + len - MAC_BYTES, MAC_BYTES);
+}
+
+static void on_datagram(bct_share_t *s, uint8_t *data, size_t len)
+{
+	share_news news = { 0 };
+	XDR x;
+
+	if (!authentic(s, data, len)) {
+		BCT_GATE_COUNT(s->gate, SHARES_REFUSED);
+		return;
+	}
+	xdrmem_create(&x, (char *)data, (u_int)(len - MAC_BYTES), XDR_DECODE);
+	if (xdr_share_news(&x, &news) && is_fresh(s, &news))
+		take(s, &news);
+	else
+		BCT_GATE_COUNT(s->gate, SHARES_REFUSED);
+	xdr_free((xdrproc_t)xdr_share_news, (char *)&news);
+	xdr_destroy(&x);
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *ctx)
+{
+	uint8_t data[DATAGRAM_BYTES];
+	ssize_t n;
+
+	(void)what;
+	while ((n = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
+		on_datagram(ctx, data, (size_t)n);
+}
+
+static int open_socket(bct_share_t *s)
+{
+	const bct_settings_t *set = s->gate->settings;
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	bct_addr_t at;
+
+	if (bct_addr_parse(set->peer_address, (uint16_t)set->gate_share_port, &at) ||
+	    at.ip_len_bytes != 4)
+		return -BCT_EINVAL;
+	sa.sin_port = htons(at.port);
+	memcpy(&sa.sin_addr, at.ip, 4);
+	s->fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (s->fd < 0 || bind(s->fd, (struct sockaddr *)&sa, sizeof(sa))) {
+		BCT_LOG(s->gate->log, BCT_EV_LISTEN_FAILED, BCT_STR("address", set->peer_address),
+			BCT_U64("port", set->gate_share_port));
+		return -BCT_EIO;
+	}
+	return 0;
+}
+
+int bct_share_new(bct_gate_t *g, bct_share_t **out)
+{
+	const char *secret = g->settings->peer_secret;
+	bct_share_t *s = bct_alloc(sizeof(*s));
+	int rc;
+
+	if (!s)
+		return -BCT_ENOMEM;
+	s->gate = g;
+	s->fd = -1;
+	bct_gate_peers_init(&s->loads, KEEP_MIN_MS);
+	crypto_generichash(s->key, sizeof(s->key), (const uint8_t *)secret, strlen(secret), NULL,
+			   0);
+	rc = open_socket(s);
+	if (!rc) {
+		s->readable = event_new(g->base, s->fd, EV_READ | EV_PERSIST, on_readable, s);
+		s->timer = evtimer_new(g->base, on_timer, s);
+		rc = s->readable && s->timer && !event_add(s->readable, NULL) ? 0 : -BCT_ENOMEM;
+	}
+	if (rc) {
+		bct_share_free(s);
+		return rc;
+	}
+	set_timer(s);
+	*out = s;
+	return 0;
+}
+
+void bct_share_free(bct_share_t *s)
+{
+	if (!s)
+		return;
+	if (s->readable)
+		event_free(s->readable);
+	if (s->timer)
+		event_free(s->timer);
+	if (s->fd >= 0)
+		close(s->fd);
+	bct_gate_peers_free(&s->loads);
+	sodium_memzero(s->key, sizeof(s->key));
+	bct_free(s);
+}
--- /dev/null
+++ b/gate/share.h
@@ -0,0 +1,19 @@
+/*
+ * share.h - tells the other gateways what this one has placed on upstreams, and listens to them.
+ *
+ * One datagram to each live node at an interval that grows with their number, so that a node's
+ * traffic for it is bounded. Lost datagrams are replaced by the next.
+ */
+#ifndef BCT_GATE_SHARE_H
+#define BCT_GATE_SHARE_H
+
+#include "gate/gate_int.h"
+
+/* bct_share_new(3): open the socket. returns 0, -BCT_EINVAL, -BCT_EIO or -BCT_ENOMEM. */
+int bct_share_new(bct_gate_t *g, bct_share_t **out);
+void bct_share_free(bct_share_t *s);
+
+/* bct_share_placed(3): a shared prompt part was sent to an upstream. */
+void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key);
+
+#endif
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -46,17 +46,19 @@
 	char gate_listen[64];
 	char gate_resolve[64];
 	char gate_readiness[64];
+	uint32_t gate_share_port;
 	uint32_t gate_grace_ms;
 	uint32_t gate_budget_window_ms;
 	uint32_t gate_budget_ratio_permille;
 	uint32_t gate_budget_allowance;
 	uint32_t gate_prefill_tokens_per_s;
+	uint32_t gate_step_us;
 	uint32_t policy_max_queued;
 	char log_level[8];
 	char log_format[8];
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 46
+#define BCT_SETTINGS_COUNT 48
 
 #endif
--- a/policy/gate_lanes.c
+++ b/policy/gate_lanes.c
@@ -8,7 +8,8 @@
 
 #define UPDATE_MS 1000
 #define AVERAGE_KEEP 0.8   /* of the old average at each update */
-#define FLOOR_SHARE 0.12   /* of all work, so that a quiet lane keeps an engine in reserve */
+#define FLOOR_SHARE 0.05   /* of all work, so that a quiet lane keeps an engine in reserve */
+#define HEADROOM_MS 400.0  /* a lane for this pause gets twice the engines that its work fills */
 #define ROUND_INERTIA 0.65 /* an engine changes lanes when its share is off by more */
 
 static bct_gate_lane_t *lane_of(bct_gate_lanes_t *l, uint32_t gap_ms)
@@ -50,18 +51,25 @@
 	return sum;
 }
 
+/* Tight streams need idle time around them; long prompts can queue. */
+static double weight_of(const bct_gate_lane_t *a, double sum)
+{
+	return a->work * (1 + HEADROOM_MS / (a->gap_ms ? a->gap_ms : HEADROOM_MS)) +
+	       sum * FLOOR_SHARE;
+}
+
 static void cut(bct_gate_lanes_t *l, double sum, uint32_t engines)
 {
 	double total = 0, upto = 0;
 	uint32_t first = 0;
 
 	for (uint32_t i = 0; i < l->n; i++)
-		total += l->lanes[i].work + sum * FLOOR_SHARE;
+		total += weight_of(&l->lanes[i], sum);
 	for (uint32_t i = 0; i < l->n; i++) {
 		bct_gate_lane_t *a = &l->lanes[i];
 		uint32_t left = l->n - 1 - i, end = a->first + a->n;
 
-		upto += (a->work + sum * FLOOR_SHARE) / total * engines;
+		upto += weight_of(a, sum) / total * engines;
 		if (engines != l->engines || fabs(upto - end) > ROUND_INERTIA)
 			end = (uint32_t)lround(upto);
 		if (end < first + 1)
@@ -100,7 +108,7 @@
 	l->engines = engines;
 }
 
-uint32_t bct_gate_lanes_distance(const bct_gate_lanes_t *l, uint32_t gap_ms, uint32_t position)
+int32_t bct_gate_lanes_distance(const bct_gate_lanes_t *l, uint32_t gap_ms, uint32_t position)
 {
 	uint32_t own = 0, at = 0;
 
@@ -110,5 +118,5 @@
 		return 0;
 	while (at + 1 < l->n && position >= l->lanes[at].first + l->lanes[at].n)
 		at++;
-	return own > at ? own - at : at - own;
+	return (int32_t)at - (int32_t)own;
 }
--- a/policy/gate_lanes.h
+++ b/policy/gate_lanes.h
@@ -42,7 +42,8 @@
  * bct_gate_lanes_distance(3): how many lanes an engine lies off the request's own.
  *
  * position  of the engine in the common order
+ * returns   0 in its own lane, positive in lanes for longer pauses, negative in tighter ones
  */
-uint32_t bct_gate_lanes_distance(const bct_gate_lanes_t *l, uint32_t gap_ms, uint32_t position);
+int32_t bct_gate_lanes_distance(const bct_gate_lanes_t *l, uint32_t gap_ms, uint32_t position);
 
 #endif
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -9,15 +9,18 @@
 #include <string.h>
 
 #define PERMILLE 1000
+#define US_PER_MS 1000
 #define ENGINES_MAX 256 /* upstreams of one service that are looked at */
 #define PREFIX_PARTS_MAX 4096
 #define PREFIX_KEEP_MS 20000 /* an unused part is evicted by then under full load */
 #define SERVICE_WORK_MS 20   /* of one request at a plain service, for comparing queues */
-#define LANE_COST_MS 250     /* for each lane that an engine lies off the request's own */
+#define LOOSER_COST_MS 250   /* for each lane that suits longer pauses: long prompts are there */
+#define TIGHTER_COST_MS 1000 /* for each lane that suits shorter pauses: streams stall there */
 #define STREAM_COST_MS 1     /* each running stream slows a step a little */
+#define CROWDED_COST_MS 20   /* each request over most of the slots waits for one to end */
+#define CROWDED_PERMILLE 800
 #define FAR_COST_MS 4	     /* another failure domain: latency and traffic between domains */
 #define JITTER_MS 3	     /* breaks ties, so that nodes do not all choose the same */
-#define PEER_LOAD_MAX_AGE_MS 1000
 #define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
 
 typedef struct candidate {
@@ -27,11 +30,12 @@
 } candidate_t;
 
 void bct_gate_picker_init(bct_gate_picker_t *p, bct_gate_upstreams_t *upstreams,
-			  uint32_t prefill_tokens_per_s, uint64_t seed)
+			  uint32_t prefill_tokens_per_s, uint32_t step_us, uint64_t seed)
 {
 	memset(p, 0, sizeof(*p));
 	p->upstreams = upstreams;
 	p->prefill_tokens_per_s = prefill_tokens_per_s;
+	p->step_us = step_us;
 	bct_gate_prefix_init(&p->prefix, PREFIX_PARTS_MAX, PREFIX_KEEP_MS);
 	bct_rng_seed(&p->rng, seed);
 }
@@ -118,8 +122,7 @@
 	return best;
 }
 
-/* The last part that other requests share too; the parts before it are shared with it. */
-static uint32_t shared_parts(const bct_gate_picker_t *p, const bct_gate_ask_t *ask)
+uint32_t bct_gate_pick_shared(const bct_gate_picker_t *p, const bct_gate_ask_t *ask)
 {
 	uint32_t n = ask->n_parts;
 
@@ -131,33 +134,32 @@
 	return n;
 }
 
-static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
-			      const bct_gate_upstream_t *u, bool home, uint32_t n_shared)
+/* Parts up to the deepest one that the upstream holds; that one implies those before it. */
+static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now,
+			      const bct_gate_ask_t *ask, const bct_gate_upstream_t *u, bool home,
+			      uint32_t n_shared)
 {
-	uint32_t tokens = 0;
+	uint32_t held = home ? n_shared : 0, tokens = 0;
 
-	for (uint32_t i = 0; i < ask->n_parts; i++) {
-		bool here = bct_gate_prefix_holds(&p->prefix, now, ask->parts[i].id, u->key);
-
-		if (!here && !(home && i < n_shared))
-			break;
-		tokens += ask->parts[i].tokens;
+	for (uint32_t i = ask->n_parts; i > held; i--) {
+		if (bct_gate_prefix_holds(&p->prefix, now, ask->parts[i - 1].id, u->key))
+			held = i;
 	}
+	for (uint32_t i = 0; i < held; i++)
+		tokens += ask->parts[i].tokens;
 	return tokens < ask->prompt_tokens ? tokens : ask->prompt_tokens;
 }
 
-static uint32_t peer_load(bct_time_t now, const bct_gate_upstream_t *u, uint32_t value)
-{
-	return now - u->peer_at < PEER_LOAD_MAX_AGE_MS ? value : 0;
-}
-
-static uint32_t wait_of(bct_time_t now, const bct_gate_upstream_t *u, bool engine)
+static uint32_t wait_of(const bct_gate_upstream_t *u, const bct_gate_ask_t *ask)
 {
-	uint32_t running = u->running + peer_load(now, u, u->peer_running);
+	uint32_t running = u->running + u->peer_running;
+	uint32_t roomy = ask->slots * CROWDED_PERMILLE / PERMILLE;
+	uint32_t wait;
 
-	if (!engine)
+	if (!ask->engine)
 		return running * SERVICE_WORK_MS;
-	return u->prefill_ms + peer_load(now, u, u->peer_prefill_ms) + running * STREAM_COST_MS;
+	wait = u->prefill_ms + u->peer_prefill_ms + running * STREAM_COST_MS;
+	return running > roomy ? wait + (running - roomy) * CROWDED_COST_MS : wait;
 }
 
 /* A failed request costs its caller about two objectives. */
@@ -166,6 +168,12 @@
 	return (uint64_t)u->fail_permille * ask->target_ms * 2 / PERMILLE;
 }
 
+static uint64_t lane_cost(int32_t distance)
+{
+	return distance >= 0 ? (uint64_t)distance * LOOSER_COST_MS :
+			       (uint64_t)-distance * TIGHTER_COST_MS;
+}
+
 typedef struct scored {
 	bct_gate_choice_t choice;
 	uint64_t cost;
@@ -181,7 +189,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->choice.upstream = u;
-	out->choice.wait_ms = wait_of(now, u, ask->engine);
+	out->choice.wait_ms = wait_of(u, ask);
 	if (ask->engine) {
 		out->choice.cached_tokens = cached_tokens(p, now, ask, u, u == home, n_shared);
 		uncached = ask->prompt_tokens - out->choice.cached_tokens;
@@ -193,7 +201,7 @@
 	}
 	out->cost = ((uint64_t)out->choice.wait_ms + out->choice.work_ms + SERVICE_WORK_MS) *
 		    u->slow_permille / PERMILLE;
-	out->cost += (uint64_t)out->choice.lane_distance * LANE_COST_MS;
+	out->cost += lane_cost(out->choice.lane_distance);
 	out->cost += fail_cost(ask, u);
 	if (ask->zone && strcmp(ask->zone, u->entry.zone) != 0)
 		out->cost += FAR_COST_MS;
@@ -224,7 +232,7 @@
 	if (l)
 		bct_gate_lanes_update(l, now, n);
 	if (ask->n_parts) {
-		n_shared = shared_parts(p, ask);
+		n_shared = bct_gate_pick_shared(p, ask);
 		home = home_of(ask->parts[n_shared - 1].id, c, n, l, ask->gap_ms);
 	}
 	for (uint32_t i = 0; i < n; i++) {
@@ -238,6 +246,14 @@
 	out->candidates = n;
 }
 
+/* A stream's share of its engine while it runs, as time of the whole engine. */
+static uint32_t output_work(const bct_gate_picker_t *p, const bct_gate_ask_t *ask)
+{
+	uint64_t us = (uint64_t)ask->output_tokens * p->step_us;
+
+	return ask->slots ? (uint32_t)(us / ask->slots / US_PER_MS) : 0;
+}
+
 void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
 			const bct_gate_choice_t *c)
 {
@@ -246,7 +262,7 @@
 	c->upstream->running++;
 	c->upstream->prefill_ms += c->work_ms;
 	if (l)
-		bct_gate_lanes_work(l, ask->gap_ms, c->work_ms);
+		bct_gate_lanes_work(l, ask->gap_ms, c->work_ms + output_work(p, ask));
 	bct_gate_prefix_sent(&p->prefix, now, ask->parts, ask->n_parts, c->upstream->key);
 }
 
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -20,6 +20,8 @@
 	const bct_gate_part_t *parts;
 	uint32_t n_parts;
 	uint32_t prompt_tokens;
+	uint32_t output_tokens; /* expected */
+	uint32_t slots;		/* of an engine of the service */
 	const char *zone; /* of this node */
 	const bct_gate_upstream_t *tried[BCT_GATE_TRIED];
 	uint32_t n_tried;
@@ -30,7 +32,7 @@
 	uint32_t work_ms;	       /* predicted time to read the prompt there */
 	uint32_t wait_ms;	       /* predicted time before that */
 	uint32_t cached_tokens;
-	uint32_t lane_distance;
+	int32_t lane_distance;
 	uint32_t candidates;
 } bct_gate_choice_t;
 
@@ -39,17 +41,25 @@
 	bct_gate_prefix_t prefix;
 	bct_map_t lanes;	       /* service key: bct_gate_lanes_t */
 	uint32_t prefill_tokens_per_s; /* of an engine at its usual pace */
+	uint32_t step_us;	      /* between two tokens of a stream on a full engine */
 	bct_rng_t rng;
 } bct_gate_picker_t;
 
 void bct_gate_picker_init(bct_gate_picker_t *p, bct_gate_upstreams_t *upstreams,
-			  uint32_t prefill_tokens_per_s, uint64_t seed);
+			  uint32_t prefill_tokens_per_s, uint32_t step_us, uint64_t seed);
 void bct_gate_picker_free(bct_gate_picker_t *p);
 
 /* bct_gate_pick(3): choose; nothing is counted yet. */
 void bct_gate_pick(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
 		   bct_gate_choice_t *out);
 
+/*
+ * bct_gate_pick_shared(3): how many parts of the prompt other requests share too.
+ *
+ * returns  0 without parts, else at least 1; the parts before the last shared one are shared with it
+ */
+uint32_t bct_gate_pick_shared(const bct_gate_picker_t *p, const bct_gate_ask_t *ask);
+
 /* bct_gate_pick_sent(3), bct_gate_pick_began(3), bct_gate_pick_ended(3): the chosen upstream was
  * sent the request; its output began; it ended. began tells whether output had begun. */
 void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
