Cached prompts are copied between engines instead of being read again

Ruled out: sticking to one engine for a part (uneven engines make long outputs miss their deadline). Change: the choice looks up who holds the deepest known part and asks the chosen engine to copy it when that is twice as quick as reading. Cost of a choice: predicted time and half of the engine time. Conclusion: choice by load and copies go together.

--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -19,6 +19,7 @@
 #define STREAM_SILENCE_PERMILLE 2000
 #define GAP_SILENCE_FACTOR 4 /* pauses between events that a resumable stream may take */
 #define SILENCE_MIN_MS 40
+#define BITS_PER_BYTE 8
 
 static void exchange_free(bct_exchange_t *x)
 {
@@ -51,6 +52,7 @@
 		BCT_U64("connects_failed", x->connects), BCT_U64("fault", x->last_fault),
 		BCT_U64("prompt_tokens", x->call.prompt_tokens),
 		BCT_U64("cached_tokens", x->choice.cached_tokens),
+		BCT_STR("copied_from", x->choice.source ? x->choice.source->entry.id : ""),
 		BCT_U64("predicted_wait_ms", x->choice.wait_ms),
 		BCT_U64("predicted_work_ms", x->choice.work_ms),
 		BCT_I64("lane_distance", x->choice.lane_distance),
@@ -255,6 +257,10 @@
 		.after_event = x->events.has_id ? x->events.last_id : x->call.after_event,
 	};
 
+	if (x->choice.source) {
+		o.fetch_ip = x->choice.source->entry.ip;
+		o.fetch_port = x->choice.source->entry.port;
+	}
 	if (x->account && x->account->priority != BCT_GATE_NO_PRIORITY)
 		o.priority = (uint8_t)x->account->priority;
 	bct_buf_put(out, x->head.data, x->head.len_bytes);
@@ -435,6 +441,15 @@
 								c->max_output_tokens;
 }
 
+/* Time to copy one token's KV cache between engines. */
+static uint32_t copy_token_ns(const bct_gate_service_t *s)
+{
+	if (!s->link_mbps)
+		return 0;
+	return (uint32_t)((uint64_t)s->kv_token_bytes * BITS_PER_BYTE * BCT_MS_PER_S /
+			  s->link_mbps) + 1;
+}
+
 static void fill_ask(bct_exchange_t *x)
 {
 	bct_gate_t *g = x->gate;
@@ -452,6 +467,7 @@
 		.prompt_tokens = x->call.prompt_tokens,
 		.output_tokens = expected_output(&x->call),
 		.slots = s->slots,
+		.copy_token_ns = copy_token_ns(s),
 		.zone = g->settings->vm_failure_domain,
 	};
 	if (x->call.wait_ms >= 0)
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -38,6 +38,8 @@
 	bool engine;
 	bool resumes;
 	uint64_t after_event;
+	const char *fetch_ip; /* engine to copy the prompt's KV cache from; NULL: none */
+	uint16_t fetch_port;
 } bct_wire_order_t;
 
 /* What an upstream's answer says of itself. */
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -10,6 +10,7 @@
 
 #define PERMILLE 1000
 #define US_PER_MS 1000
+#define NS_PER_MS 1000000
 #define ENGINES_MAX 256 /* upstreams of one service that are looked at */
 #define PREFIX_PARTS_MAX 4096
 #define PREFIX_KEEP_MS 20000 /* an unused part is evicted by then under full load */
@@ -20,6 +21,10 @@
 #define CROWDED_COST_MS 20   /* each request over most of the slots waits for one to end */
 #define CROWDED_PERMILLE 800
 #define FAR_COST_MS 4	     /* another failure domain: latency and traffic between domains */
+#define WORK_PERMILLE 500    /* of the time that a prompt takes, on top of that time */
+#define NOT_HOME_COST_MS 15  /* keeps a part on few engines when nothing else decides */
+#define COPY_SETUP_MS 5	     /* before a copy between engines flows */
+#define COPY_MARGIN 2	     /* a copy must be so many times quicker than reading */
 #define JITTER_MS 3	     /* breaks ties, so that nodes do not all choose the same */
 #define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
 
@@ -134,22 +139,58 @@
 	return n;
 }
 
-/* Parts up to the deepest one that the upstream holds; that one implies those before it. */
-static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now,
-			      const bct_gate_ask_t *ask, const bct_gate_upstream_t *u, bool home,
-			      uint32_t n_shared)
+static uint32_t tokens_upto(const bct_gate_ask_t *ask, uint32_t parts)
 {
-	uint32_t held = home ? n_shared : 0, tokens = 0;
+	uint32_t tokens = 0;
 
-	for (uint32_t i = ask->n_parts; i > held; i--) {
-		if (bct_gate_prefix_holds(&p->prefix, now, ask->parts[i - 1].id, u->key))
-			held = i;
-	}
-	for (uint32_t i = 0; i < held; i++)
+	for (uint32_t i = 0; i < parts; i++)
 		tokens += ask->parts[i].tokens;
 	return tokens < ask->prompt_tokens ? tokens : ask->prompt_tokens;
 }
 
+/* Tokens up to the deepest part that the upstream holds; that one implies those before it. */
+static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now,
+			      const bct_gate_ask_t *ask, const bct_gate_upstream_t *u)
+{
+	uint32_t i = ask->n_parts;
+
+	while (i && !bct_gate_prefix_holds(&p->prefix, now, ask->parts[i - 1].id, u->key))
+		i--;
+	return tokens_upto(ask, i);
+}
+
+/* Where the most of a prompt is cached now. */
+typedef struct source {
+	bct_gate_upstream_t *upstream; /* NULL: nowhere */
+	uint32_t tokens;
+} source_t;
+
+static bct_gate_upstream_t *holder_of(const bct_gate_picker_t *p, bct_time_t now, uint64_t part,
+				      const candidate_t *c, uint32_t n)
+{
+	for (uint32_t i = 0; i < BCT_GATE_HOLDERS; i++) {
+		uint64_t key = bct_gate_prefix_holder(&p->prefix, now, part, i);
+
+		for (uint32_t j = 0; key && j < n; j++) {
+			if (c[j].u->key == key && now >= c[j].u->avoid_until)
+				return c[j].u;
+		}
+	}
+	return NULL;
+}
+
+static source_t find_source(const bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+			    const candidate_t *c, uint32_t n)
+{
+	source_t s = { 0 };
+
+	for (uint32_t i = ask->n_parts; ask->copy_token_ns && i && !s.upstream; i--) {
+		s.upstream = holder_of(p, now, ask->parts[i - 1].id, c, n);
+		s.tokens = tokens_upto(ask, i);
+	}
+	return s;
+}
+
 static uint32_t wait_of(const bct_gate_upstream_t *u, const bct_gate_ask_t *ask)
 {
 	uint32_t running = u->running + u->peer_running;
@@ -168,6 +209,15 @@
 	return (uint64_t)u->fail_permille * ask->target_ms * 2 / PERMILLE;
 }
 
+/* Engine time is what the fleet runs out of: reading a prompt again costs more than its time. */
+static uint64_t time_cost(const bct_gate_upstream_t *u, const bct_gate_choice_t *c)
+{
+	uint64_t first_ms = ((uint64_t)c->wait_ms + c->work_ms + SERVICE_WORK_MS) *
+			    u->slow_permille / PERMILLE;
+
+	return first_ms + c->work_ms * WORK_PERMILLE / PERMILLE;
+}
+
 static uint64_t lane_cost(int32_t distance)
 {
 	return distance >= 0 ? (uint64_t)distance * LOOSER_COST_MS :
@@ -180,29 +230,58 @@
 	bool avoided;
 } scored_t;
 
-static void score(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
-		  const candidate_t *c, const bct_gate_upstream_t *home, uint32_t n_shared,
-		  const bct_gate_lanes_t *l, scored_t *out)
+/* What is known before the single upstreams are looked at. */
+typedef struct common {
+	const bct_gate_ask_t *ask;
+	const bct_gate_lanes_t *lanes;
+	const bct_gate_upstream_t *home;
+	source_t source;
+} common_t;
+
+static uint32_t read_ms(const bct_gate_picker_t *p, uint32_t tokens)
 {
+	return (uint32_t)((uint64_t)tokens * PERMILLE / p->prefill_tokens_per_s);
+}
+
+/* Time to have the prompt in the engine: what it lacks is read, or copied where that is quicker. */
+static void predict_work(const bct_gate_picker_t *p, bct_time_t now, const common_t *k,
+			 bct_gate_choice_t *c)
+{
+	const bct_gate_ask_t *ask = k->ask;
+	uint32_t here = cached_tokens(p, now, ask, c->upstream), copied, copy_ms;
+
+	c->cached_tokens = here;
+	c->work_ms = read_ms(p, ask->prompt_tokens - here);
+	if (!k->source.upstream || k->source.upstream == c->upstream || k->source.tokens <= here)
+		return;
+	copied = k->source.tokens - here;
+	copy_ms = COPY_SETUP_MS + (uint32_t)((uint64_t)copied * ask->copy_token_ns / NS_PER_MS);
+	if (copy_ms * COPY_MARGIN >= read_ms(p, copied))
+		return;
+	c->source = k->source.upstream;
+	c->cached_tokens = k->source.tokens;
+	c->work_ms = read_ms(p, ask->prompt_tokens - k->source.tokens) + copy_ms;
+}
+
+static void score(bct_gate_picker_t *p, bct_time_t now, const common_t *k, const candidate_t *c,
+		  scored_t *out)
+{
+	const bct_gate_ask_t *ask = k->ask;
 	bct_gate_upstream_t *u = c->u;
-	uint32_t uncached;
 
 	memset(out, 0, sizeof(*out));
 	out->choice.upstream = u;
 	out->choice.wait_ms = wait_of(u, ask);
-	if (ask->engine) {
-		out->choice.cached_tokens = cached_tokens(p, now, ask, u, u == home, n_shared);
-		uncached = ask->prompt_tokens - out->choice.cached_tokens;
-		out->choice.work_ms =
-			(uint32_t)((uint64_t)uncached * PERMILLE / p->prefill_tokens_per_s);
-		if (l)
-			out->choice.lane_distance =
-				bct_gate_lanes_distance(l, ask->gap_ms, c->position);
-	}
-	out->cost = ((uint64_t)out->choice.wait_ms + out->choice.work_ms + SERVICE_WORK_MS) *
-		    u->slow_permille / PERMILLE;
+	if (ask->engine)
+		predict_work(p, now, k, &out->choice);
+	if (k->lanes)
+		out->choice.lane_distance =
+			bct_gate_lanes_distance(k->lanes, ask->gap_ms, c->position);
+	out->cost = time_cost(u, &out->choice);
 	out->cost += lane_cost(out->choice.lane_distance);
 	out->cost += fail_cost(ask, u);
+	if (k->home && u != k->home)
+		out->cost += NOT_HOME_COST_MS;
 	if (ask->zone && strcmp(ask->zone, u->entry.zone) != 0)
 		out->cost += FAR_COST_MS;
 	out->cost += bct_rng_below(&p->rng, JITTER_MS);
@@ -222,23 +301,24 @@
 		   bct_gate_choice_t *out)
 {
 	candidate_t c[ENGINES_MAX];
-	uint32_t n = collect(p, ask->service_key, c), n_shared = 0;
+	uint32_t n = collect(p, ask->service_key, c);
 	bct_gate_lanes_t *l = ask->engine ? lanes_of(p, ask->service_key) : NULL;
-	const bct_gate_upstream_t *home = NULL;
+	common_t k = { .ask = ask, .lanes = l };
 	scored_t best = { 0 }, s;
+	uint32_t n_shared = bct_gate_pick_shared(p, ask);
 
 	if (ask->engine)
 		number(c, n);
 	if (l)
 		bct_gate_lanes_update(l, now, n);
-	if (ask->n_parts) {
-		n_shared = bct_gate_pick_shared(p, ask);
-		home = home_of(ask->parts[n_shared - 1].id, c, n, l, ask->gap_ms);
+	if (n_shared) {
+		k.home = home_of(ask->parts[n_shared - 1].id, c, n, l, ask->gap_ms);
+		k.source = find_source(p, now, ask, c, n);
 	}
 	for (uint32_t i = 0; i < n; i++) {
 		if (was_tried(ask, c[i].u))
 			continue;
-		score(p, now, ask, &c[i], home, n_shared, l, &s);
+		score(p, now, &k, &c[i], &s);
 		if (better(&s, &best))
 			best = s;
 	}
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -22,7 +22,8 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens; /* expected */
 	uint32_t slots;		/* of an engine of the service */
-	const char *zone; /* of this node */
+	uint32_t copy_token_ns; /* to copy a token's KV cache between engines; 0: not possible */
+	const char *zone;	/* of this node */
 	const bct_gate_upstream_t *tried[BCT_GATE_TRIED];
 	uint32_t n_tried;
 } bct_gate_ask_t;
@@ -32,6 +33,7 @@
 	uint32_t work_ms;	       /* predicted time to read the prompt there */
 	uint32_t wait_ms;	       /* predicted time before that */
 	uint32_t cached_tokens;
+	bct_gate_upstream_t *source; /* to copy a cached part of the prompt from; NULL: none */
 	int32_t lane_distance;
 	uint32_t candidates;
 } bct_gate_choice_t;
--- a/policy/gate_prefix.c
+++ b/policy/gate_prefix.c
@@ -104,6 +104,16 @@
 	return false;
 }
 
+uint64_t bct_gate_prefix_holder(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
+				uint32_t i)
+{
+	const entry_t *e = bct_map_get(&p->by_part, part);
+
+	if (!e || i >= BCT_GATE_HOLDERS || now - e->at[i] >= (bct_time_t)p->keep_ms)
+		return 0;
+	return e->holder[i];
+}
+
 bool bct_gate_prefix_shared(const bct_gate_prefix_t *p, uint64_t part)
 {
 	const entry_t *e = bct_map_get(&p->by_part, part);
--- a/policy/gate_prefix.h
+++ b/policy/gate_prefix.h
@@ -40,6 +40,11 @@
 bool bct_gate_prefix_holds(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
 			   uint64_t upstream_key);
 
+/* bct_gate_prefix_holder(3): the i-th upstream that was sent the part lately; 0 when there is none.
+ */
+uint64_t bct_gate_prefix_holder(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
+				uint32_t i);
+
 /* bct_gate_prefix_shared(3): whether the part has come in more than one request lately. */
 bool bct_gate_prefix_shared(const bct_gate_prefix_t *p, uint64_t part);
 
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -31,6 +31,8 @@
 	uint32_t slots;		  /* requests that an engine runs at once */
 	uint32_t kv_tokens;	  /* KV cache of an engine */
 	uint32_t tokens_per_event;
+	uint32_t kv_token_bytes; /* KV cache of one token, for copies between engines */
+	uint32_t link_mbps;	 /* of an engine, for such copies; 0: there are none */
 } bct_gate_service_t;
 
 typedef struct bct_gate_split {
