--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -277,7 +277,7 @@
 
 	if (n)
 		bct_share_placed(x->gate->share, x->ask.parts[n - 1].id,
-				 x->choice.upstream->key);
+				 x->choice.upstream->key, x->choice.wait_ms + x->choice.work_ms);
 }
 
 /* Sends the request on the chosen upstream's connection. returns 0 or -BCT_EUNAVAILABLE. */
--- a/gate/share.c
+++ b/gate/share.c
@@ -43,11 +43,15 @@
 	bct_gate_peers_t loads;
 };
 
-void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key)
+void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key, uint32_t ready_ms)
 {
 	if (!s || s->n_placed == SHARE_PLACED_MAX)
 		return;
-	s->placed[s->n_placed++] = (share_placed){ .part = part, .upstream = upstream_key };
+	s->placed[s->n_placed++] = (share_placed){
+		.part = part,
+		.upstream = upstream_key,
+		.ready_ms = ready_ms,
+	};
 }
 
 static uint64_t seq_of(const peer_t *old, uint32_t n, uint64_t incarnation)
@@ -216,10 +220,11 @@
 		bct_gate_peers_load(&s->loads, now, &s->gate->upstreams, &load);
 	}
 	for (uint32_t i = 0; i < news->placed.placed_len; i++) {
-		bct_gate_part_t part = { .id = news->placed.placed_val[i].part };
+		const share_placed *p = &news->placed.placed_val[i];
+		bct_gate_part_t part = { .id = p->part };
+		bct_gate_holder_t h = { .upstream_key = p->upstream, .ready = now + p->ready_ms };
 
-		bct_gate_prefix_sent(&s->gate->picker.prefix, now, &part, 1,
-				     news->placed.placed_val[i].upstream);
+		bct_gate_prefix_sent(&s->gate->picker.prefix, now, &part, 1, &h);
 	}
 }
 
--- a/gate/share.h
+++ b/gate/share.h
@@ -13,7 +13,7 @@
 int bct_share_new(bct_gate_t *g, bct_share_t **out);
 void bct_share_free(bct_share_t *s);
 
-/* bct_share_placed(3): a shared prompt part was sent to an upstream. */
-void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key);
+/* bct_share_placed(3): a shared prompt part was sent to an upstream, which has read it by then. */
+void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key, uint32_t ready_ms);
 
 #endif
--- a/gen/share.h
+++ b/gen/share.h
@@ -26,6 +26,7 @@
 struct share_placed {
 	u_quad_t part;
 	u_quad_t upstream;
+	u_int ready_ms;
 };
 typedef struct share_placed share_placed;
 
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -28,6 +28,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ready_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -343,7 +343,9 @@
 	c->upstream->prefill_ms += c->work_ms;
 	if (l)
 		bct_gate_lanes_work(l, ask->gap_ms, c->work_ms + output_work(p, ask));
-	bct_gate_prefix_sent(&p->prefix, now, ask->parts, ask->n_parts, c->upstream->key);
+	bct_gate_prefix_sent(&p->prefix, now, ask->parts, ask->n_parts,
+			     &(bct_gate_holder_t){ .upstream_key = c->upstream->key,
+						   .ready = now + c->wait_ms + c->work_ms });
 }
 
 void bct_gate_pick_began(bct_gate_upstream_t *u, uint32_t work_ms)
--- a/policy/gate_prefix.c
+++ b/policy/gate_prefix.c
@@ -10,8 +10,7 @@
 	bct_list_t link;
 	uint64_t part;
 	uint32_t uses;
-	uint64_t holder[BCT_GATE_HOLDERS];
-	bct_time_t at[BCT_GATE_HOLDERS];
+	bct_gate_holder_t holders[BCT_GATE_HOLDERS];
 } entry_t;
 
 void bct_gate_prefix_init(bct_gate_prefix_t *p, uint32_t max_parts, uint32_t keep_ms)
@@ -63,43 +62,49 @@
 	return e;
 }
 
-static void note(entry_t *e, bct_time_t now, uint64_t upstream_key)
+static void note(entry_t *e, bct_time_t now, const bct_gate_holder_t *h)
 {
-	uint32_t slot = 0;
+	bct_gate_holder_t *slot = &e->holders[0];
 
+	e->uses++;
 	for (uint32_t i = 0; i < BCT_GATE_HOLDERS; i++) {
-		if (e->holder[i] == upstream_key) {
-			slot = i;
-			break;
+		if (e->holders[i].upstream_key == h->upstream_key) {
+			/* What is there already stays there while it is read once more. */
+			e->holders[i].sent = now;
+			return;
 		}
-		if (e->at[i] < e->at[slot])
-			slot = i;
+		if (e->holders[i].sent < slot->sent)
+			slot = &e->holders[i];
 	}
-	e->holder[slot] = upstream_key;
-	e->at[slot] = now;
-	e->uses++;
+	*slot = *h;
+	slot->sent = now;
 }
 
 void bct_gate_prefix_sent(bct_gate_prefix_t *p, bct_time_t now, const bct_gate_part_t *parts,
-			  uint32_t n, uint64_t upstream_key)
+			  uint32_t n, const bct_gate_holder_t *h)
 {
 	for (uint32_t i = 0; i < n; i++) {
 		entry_t *e = find_or_make(p, parts[i].id);
 
 		if (!e)
 			return;
-		note(e, now, upstream_key);
+		note(e, now, h);
 	}
 }
 
+static bool is_kept(const bct_gate_prefix_t *p, bct_time_t now, const bct_gate_holder_t *h)
+{
+	return h->upstream_key && now - h->sent < (bct_time_t)p->keep_ms;
+}
+
 bool bct_gate_prefix_holds(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
 			   uint64_t upstream_key)
 {
 	const entry_t *e = bct_map_get(&p->by_part, part);
 
 	for (uint32_t i = 0; e && i < BCT_GATE_HOLDERS; i++) {
-		if (e->holder[i] == upstream_key)
-			return now - e->at[i] < (bct_time_t)p->keep_ms;
+		if (e->holders[i].upstream_key == upstream_key)
+			return is_kept(p, now, &e->holders[i]);
 	}
 	return false;
 }
@@ -109,9 +114,10 @@
 {
 	const entry_t *e = bct_map_get(&p->by_part, part);
 
-	if (!e || i >= BCT_GATE_HOLDERS || now - e->at[i] >= (bct_time_t)p->keep_ms)
+	if (!e || i >= BCT_GATE_HOLDERS || !is_kept(p, now, &e->holders[i]) ||
+	    now < e->holders[i].ready)
 		return 0;
-	return e->holder[i];
+	return e->holders[i].upstream_key;
 }
 
 bool bct_gate_prefix_shared(const bct_gate_prefix_t *p, uint64_t part)
--- a/policy/gate_prefix.h
+++ b/policy/gate_prefix.h
@@ -21,6 +21,13 @@
 	uint32_t tokens;
 } bct_gate_part_t;
 
+/* An upstream that a part was sent to. */
+typedef struct bct_gate_holder {
+	uint64_t upstream_key;
+	bct_time_t sent;
+	bct_time_t ready; /* it has read the part by then */
+} bct_gate_holder_t;
+
 typedef struct bct_gate_prefix {
 	bct_map_t by_part;
 	bct_list_t lru; /* most recent first */
@@ -32,16 +39,16 @@
 void bct_gate_prefix_init(bct_gate_prefix_t *p, uint32_t max_parts, uint32_t keep_ms);
 void bct_gate_prefix_free(bct_gate_prefix_t *p);
 
-/* bct_gate_prefix_sent(3): a prompt was sent to an upstream. Without memory nothing is kept. */
+/* bct_gate_prefix_sent(3): a prompt was sent to an upstream; h->sent is ignored. Without memory
+ * nothing is kept. */
 void bct_gate_prefix_sent(bct_gate_prefix_t *p, bct_time_t now, const bct_gate_part_t *parts,
-			  uint32_t n, uint64_t upstream_key);
+			  uint32_t n, const bct_gate_holder_t *h);
 
 /* bct_gate_prefix_holds(3): whether the upstream was sent the part lately. */
 bool bct_gate_prefix_holds(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
 			   uint64_t upstream_key);
 
-/* bct_gate_prefix_holder(3): the i-th upstream that was sent the part lately; 0 when there is none.
- */
+/* bct_gate_prefix_holder(3): the i-th upstream that has read the part lately; 0: none. */
 uint64_t bct_gate_prefix_holder(const bct_gate_prefix_t *p, bct_time_t now, uint64_t part,
 				uint32_t i);
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -17,6 +17,7 @@
 struct share_placed {
 	unsigned hyper part;
 	unsigned hyper upstream;
+	unsigned int ready_ms;	/* until the upstream has read it, from when this was sent */
 };
 
 struct share_news {
