--- a/gate/feed.c
+++ b/gate/feed.c
@@ -135,6 +135,22 @@
 		BCT_LOG(f->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", rc));
 }
 
+static void expect_streams(bct_gate_t *g)
+{
+	const bct_gate_routes_t *t = g->routes;
+
+	for (uint32_t i = 0; i < t->n_routes; i++) {
+		const bct_gate_route_t *r = &t->routes[i];
+
+		for (uint32_t j = 0; j < r->n_splits; j++) {
+			const bct_gate_service_t *s = &t->services[r->splits[j].service];
+
+			if (s->engine && r->kind == BCT_GATE_STREAM)
+				bct_gate_pick_expect(&g->picker, s->key, r->target_gap_ms);
+		}
+	}
+}
+
 static void adopt(bct_gate_t *g, bct_registry_change_t *c)
 {
 	uint64_t had = g->routes ? g->routes->version : 0;
@@ -149,6 +165,7 @@
 	bct_gate_routes_unref(g->routes);
 	g->routes = c->table;
 	c->table = NULL;
+	expect_streams(g);
 	BCT_LOG(g->log, BCT_EV_ROUTES_ADOPTED, BCT_U64("version", g->routes->version),
 		BCT_U64("was", had), BCT_U64("routes", g->routes->n_routes),
 		BCT_U64("services", g->routes->n_services),
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -70,6 +70,7 @@
 		return;
 	bct_peer_fleet(g->peer, &fleet);
 	g->nodes = fleet.nodes ? fleet.nodes : 1;
+	g->picker.nodes = g->nodes;
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
--- a/policy/gate_lanes.c
+++ b/policy/gate_lanes.c
@@ -7,9 +7,9 @@
 #include <string.h>
 
 #define UPDATE_MS 1000
-#define AVERAGE_KEEP 0.8   /* of the old average at each update */
-#define FLOOR_SHARE 0.05   /* of all work, so that a quiet lane keeps an engine in reserve */
-#define HEADROOM_MS 400.0  /* a lane for this pause gets twice the engines that its work fills */
+#define AVERAGE_KEEP 0.6   /* of the old average at each update */
+#define FLOOR_ENGINES 0.3  /* beside what the work needs, for its unevenness */
+#define HEADROOM_MS 150.0  /* a lane for this pause gets twice the engines that its work fills */
 #define ROUND_INERTIA 0.65 /* an engine changes lanes when its share is off by more */
 
 static bct_gate_lane_t *lane_of(bct_gate_lanes_t *l, uint32_t gap_ms)
@@ -35,76 +35,75 @@
 	lane_of(l, gap_ms)->fresh += work_ms;
 }
 
-static double averaged_sum(bct_gate_lanes_t *l, double seconds)
+static void average(bct_gate_lanes_t *l, double seconds)
 {
-	double sum = 0;
-
 	for (uint32_t i = 0; i < l->n; i++) {
 		bct_gate_lane_t *a = &l->lanes[i];
+		double now = a->fresh / seconds;
 
-		a->work = a->work > 0
-				  ? a->work * AVERAGE_KEEP + a->fresh / seconds * (1 - AVERAGE_KEEP)
-				  : a->fresh / seconds;
+		a->work = a->work > 0 ? a->work * AVERAGE_KEEP + now * (1 - AVERAGE_KEEP) : now;
 		a->fresh = 0;
-		sum += a->work;
 	}
-	return sum;
 }
 
-/* Tight streams need idle time around them; long prompts can queue. */
-static double weight_of(const bct_gate_lane_t *a, double sum)
+/* Engines that a lane needs. Tight streams need idle time around them; long prompts can queue. */
+static double need_of(const bct_gate_lanes_t *l, const bct_gate_lane_t *a)
+{
+	double headroom = 1 + HEADROOM_MS / (a->gap_ms ? a->gap_ms : HEADROOM_MS);
+
+	return a->work * l->nodes * headroom / BCT_MS_PER_S + FLOOR_ENGINES;
+}
+
+static uint32_t clamp_end(const bct_gate_lanes_t *l, uint32_t i, uint32_t first, uint32_t end,
+			  uint32_t engines)
 {
-	return a->work * (1 + HEADROOM_MS / (a->gap_ms ? a->gap_ms : HEADROOM_MS)) +
-	       sum * FLOOR_SHARE;
+	uint32_t after = l->n - 1 - i;
+
+	if (!after)
+		return engines;
+	if (end < first + 1)
+		end = first + 1;
+	return end > engines - after ? engines - after : end;
 }
 
-static void cut(bct_gate_lanes_t *l, double sum, uint32_t engines)
+static void cut(bct_gate_lanes_t *l, uint32_t engines)
 {
 	double total = 0, upto = 0;
 	uint32_t first = 0;
 
 	for (uint32_t i = 0; i < l->n; i++)
-		total += weight_of(&l->lanes[i], sum);
+		total += need_of(l, &l->lanes[i]);
 	for (uint32_t i = 0; i < l->n; i++) {
 		bct_gate_lane_t *a = &l->lanes[i];
-		uint32_t left = l->n - 1 - i, end = a->first + a->n;
+		uint32_t end = a->first + a->n;
 
-		upto += weight_of(a, sum) / total * engines;
+		upto += need_of(l, a) / total * engines;
 		if (engines != l->engines || fabs(upto - end) > ROUND_INERTIA)
 			end = (uint32_t)lround(upto);
-		if (end < first + 1)
-			end = first + 1;
-		if (end > engines - left)
-			end = engines - left;
-		if (i == l->n - 1)
-			end = engines;
+		end = clamp_end(l, i, first, end, engines);
 		a->first = first;
 		a->n = end - first;
 		first = end;
 	}
 }
 
-void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines)
+void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines, uint32_t nodes)
 {
-	bct_time_t passed = now - l->updated;
-	double sum;
+	bct_time_t passed = l->updated ? now - l->updated : UPDATE_MS;
 
 	if (passed < UPDATE_MS && engines == l->engines)
 		return;
-	if (!l->updated)
-		passed = UPDATE_MS;
-	sum = passed >= UPDATE_MS ? averaged_sum(l, (double)passed / BCT_MS_PER_S) : 0;
-	if (passed >= UPDATE_MS)
+	l->nodes = nodes;
+	if (passed >= UPDATE_MS) {
+		average(l, (double)passed / BCT_MS_PER_S);
 		l->updated = now;
-	for (uint32_t i = 0; !sum && i < l->n; i++)
-		sum += l->lanes[i].work;
-	if (l->n < 2 || engines <= l->n || sum <= 0) {
+	}
+	if (l->n > 1 && engines > l->n) {
+		cut(l, engines);
+	} else {
 		for (uint32_t i = 0; i < l->n; i++)
 			l->lanes[i].n = 0;
-		l->engines = engines;
-		return;
 	}
-	cut(l, sum, engines);
 	l->engines = engines;
 }
 
--- a/policy/gate_lanes.h
+++ b/policy/gate_lanes.h
@@ -19,7 +19,7 @@
 
 typedef struct bct_gate_lane {
 	uint32_t gap_ms; /* requests that allow this pause; tighter lanes first */
-	double work;	 /* ms of engine time a second, moving average */
+	double work;	 /* ms of engine time a second that this node sends, moving average */
 	double fresh;	 /* since the last update */
 	uint32_t first;	 /* index of its first engine */
 	uint32_t n;	 /* engines; 0: none, all lanes share all */
@@ -29,14 +29,20 @@
 	bct_gate_lane_t lanes[BCT_GATE_LANES];
 	uint32_t n;
 	uint32_t engines; /* that the lanes were cut for */
+	uint32_t nodes;	  /* that send to them */
 	bct_time_t updated;
 } bct_gate_lanes_t;
 
 /* bct_gate_lanes_work(3): a request that allows this pause brings so much engine time. */
 void bct_gate_lanes_work(bct_gate_lanes_t *l, uint32_t gap_ms, uint32_t work_ms);
 
-/* bct_gate_lanes_update(3): cut the lanes anew; called at every choice, works once a second. */
-void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines);
+/*
+ * bct_gate_lanes_update(3): cut the lanes anew; called at every choice, works once a second.
+ *
+ * engines  that take work now
+ * nodes    live nodes; each is taken to send as much as this one
+ */
+void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines, uint32_t nodes);
 
 /*
  * bct_gate_lanes_distance(3): how many lanes an engine lies off the request's own.
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -41,6 +41,7 @@
 	p->upstreams = upstreams;
 	p->prefill_tokens_per_s = prefill_tokens_per_s;
 	p->step_us = step_us;
+	p->nodes = 1;
 	bct_gate_prefix_init(&p->prefix, PREFIX_PARTS_MAX, PREFIX_KEEP_MS);
 	bct_rng_seed(&p->rng, seed);
 }
@@ -107,6 +108,14 @@
 	return l;
 }
 
+void bct_gate_pick_expect(bct_gate_picker_t *p, uint64_t service_key, uint32_t gap_ms)
+{
+	bct_gate_lanes_t *l = lanes_of(p, service_key);
+
+	if (l)
+		bct_gate_lanes_work(l, gap_ms, 0);
+}
+
 /* The engine of the request's lane that a part is kept on when nothing else decides. */
 static const bct_gate_upstream_t *home_of(uint64_t part, const candidate_t *c, uint32_t n,
 					  const bct_gate_lanes_t *l, uint32_t gap_ms)
@@ -310,7 +319,7 @@
 	if (ask->engine)
 		number(c, n);
 	if (l)
-		bct_gate_lanes_update(l, now, n);
+		bct_gate_lanes_update(l, now, n, p->nodes);
 	if (n_shared) {
 		k.home = home_of(ask->parts[n_shared - 1].id, c, n, l, ask->gap_ms);
 		k.source = find_source(p, now, ask, c, n);
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -44,6 +44,7 @@
 	bct_map_t lanes;	       /* service key: bct_gate_lanes_t */
 	uint32_t prefill_tokens_per_s; /* of an engine at its usual pace */
 	uint32_t step_us;	      /* between two tokens of a stream on a full engine */
+	uint32_t nodes; /* live ones of the fleet */
 	bct_rng_t rng;
 } bct_gate_picker_t;
 
@@ -51,6 +52,9 @@
 			  uint32_t prefill_tokens_per_s, uint32_t step_us, uint64_t seed);
 void bct_gate_picker_free(bct_gate_picker_t *p);
 
+/* bct_gate_pick_expect(3): requests that allow this pause will come to the service. */
+void bct_gate_pick_expect(bct_gate_picker_t *p, uint64_t service_key, uint32_t gap_ms);
+
 /* bct_gate_pick(3): choose; nothing is counted yet. */
 void bct_gate_pick(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
 		   bct_gate_choice_t *out);
