--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -25,12 +25,13 @@
 
 static void log_fault(bct_exchange_t *x, const char *what, bool again)
 {
-	const bct_gate_upstream_t *u = x->choice.upstream;
+	const bct_gate_upstream_t *u =
+		bct_gate_upstreams_find(&x->gate->upstreams, x->upstream_id);
 
 	BCT_LOG(x->gate->log, BCT_EV_GATE_ATTEMPT_FAILED, BCT_STR("request", x->call.id),
-		BCT_STR("what", what), BCT_STR("upstream", u->entry.id),
-		BCT_U64("attempts", x->attempts), BCT_U64("upstream_running", u->running),
-		BCT_U64("upstream_strikes", u->strikes), BCT_I64("again", again),
+		BCT_STR("what", what), BCT_STR("upstream", x->upstream_id),
+		BCT_U64("attempts", x->attempts), BCT_U64("upstream_running", u ? u->running : 0),
+		BCT_U64("upstream_strikes", u ? u->strikes : 0), BCT_I64("again", again),
 		BCT_I64("ms", bct_clock_now() - x->arrived));
 }
 
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -41,18 +41,17 @@
 static void log_end(bct_exchange_t *x, bct_gate_end_t end)
 {
 	bct_time_t now = bct_clock_now();
-	const bct_gate_upstream_t *u = x->choice.upstream;
 
 	BCT_LOG(x->gate->log, BCT_EV_GATE_REQUEST_ENDED, BCT_STR("request", x->call.id),
 		BCT_STR("how", bct_gate_end_name(end)), BCT_I64("status", x->status),
 		BCT_STR("route", x->route ? x->route->name : ""),
 		BCT_STR("account", x->account ? x->account->name : ""),
 		BCT_U64("version", x->routes ? x->routes->version : 0),
-		BCT_STR("upstream", u ? u->entry.id : ""), BCT_U64("attempts", x->attempts),
+		BCT_STR("upstream", x->upstream_id), BCT_U64("attempts", x->attempts),
 		BCT_U64("connects_failed", x->connects), BCT_U64("fault", x->last_fault),
 		BCT_U64("prompt_tokens", x->call.prompt_tokens),
 		BCT_U64("cached_tokens", x->choice.cached_tokens),
-		BCT_STR("copied_from", x->choice.source ? x->choice.source->entry.id : ""),
+		BCT_STR("copied_from", x->source_id),
 		BCT_U64("predicted_wait_ms", x->choice.wait_ms),
 		BCT_U64("predicted_work_ms", x->choice.work_ms),
 		BCT_I64("lane_distance", x->choice.lane_distance),
@@ -300,10 +299,17 @@
 	return rc;
 }
 
-static void note_tried(bct_exchange_t *x)
+static void copy_id(char *out, const bct_gate_upstream_t *u)
+{
+	memcpy(out, u ? u->entry.id : "", u ? sizeof(u->entry.id) : 1);
+}
+
+static void note_choice(bct_exchange_t *x)
 {
 	if (x->ask.n_tried < BCT_GATE_TRIED)
-		x->ask.tried[x->ask.n_tried++] = x->choice.upstream;
+		x->ask.tried[x->ask.n_tried++] = x->choice.upstream->key;
+	copy_id(x->upstream_id, x->choice.upstream);
+	copy_id(x->source_id, x->choice.source);
 }
 
 /* An attempt reached an upstream's connection: from here on the request may run. */
@@ -337,7 +343,7 @@
 		bct_gate_pick(&x->gate->picker, now, &x->ask, &x->choice);
 		if (!x->choice.upstream)
 			break;
-		note_tried(x);
+		note_choice(x);
 		if (!send_attempt(x)) {
 			if (x->conn->connected)
 				bct_exchange_connected(x);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -164,7 +164,9 @@
 	uint32_t service;
 	bct_wire_call_t call;
 	bct_gate_ask_t ask;
-	bct_gate_choice_t choice;
+	bct_gate_choice_t choice; /* of the current attempt; its upstreams may be gone after it */
+	char upstream_id[BCT_GATE_ID_BYTES]; /* of the last attempt */
+	char source_id[BCT_GATE_ID_BYTES];   /* that it copied from */
 	bct_buf_t head; /* method, target and headers that are forwarded as they came */
 	struct evbuffer *body;
 	struct evbuffer *answer; /* of an answer that is forwarded whole */
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -60,7 +60,7 @@
 static bool was_tried(const bct_gate_ask_t *ask, const bct_gate_upstream_t *u)
 {
 	for (uint32_t i = 0; i < ask->n_tried; i++) {
-		if (ask->tried[i] == u)
+		if (ask->tried[i] == u->key)
 			return true;
 	}
 	return false;
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -24,7 +24,7 @@
 	uint32_t slots;		/* of an engine of the service */
 	uint32_t copy_token_ns; /* to copy a token's KV cache between engines; 0: not possible */
 	const char *zone;	/* of this node */
-	const bct_gate_upstream_t *tried[BCT_GATE_TRIED];
+	uint64_t tried[BCT_GATE_TRIED]; /* keys of upstreams */
 	uint32_t n_tried;
 } bct_gate_ask_t;
 
