--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -25,8 +25,7 @@
 
 static void log_fault(bct_exchange_t *x, const char *what, bool again)
 {
-	const bct_gate_upstream_t *u =
-		bct_gate_upstreams_find(&x->gate->upstreams, x->upstream_id);
+	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&x->gate->upstreams, x->upstream_id);
 
 	BCT_LOG(x->gate->log, BCT_EV_GATE_ATTEMPT_FAILED, BCT_STR("request", x->call.id),
 		BCT_STR("what", what), BCT_STR("upstream", x->upstream_id),
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -275,8 +275,8 @@
 	uint32_t n = bct_gate_pick_shared(&x->gate->picker, &x->ask);
 
 	if (n)
-		bct_share_placed(x->gate->share, x->ask.parts[n - 1].id,
-				 x->choice.upstream->key, x->choice.wait_ms + x->choice.work_ms);
+		bct_share_placed(x->gate->share, x->ask.parts[n - 1].id, x->choice.upstream->key,
+				 x->choice.wait_ms + x->choice.work_ms);
 }
 
 /* Sends the request on the chosen upstream's connection. returns 0 or -BCT_EUNAVAILABLE. */
@@ -443,8 +443,8 @@
 {
 	if (!c->likely_output_tokens)
 		return c->max_output_tokens / 2;
-	return c->likely_output_tokens < c->max_output_tokens ? c->likely_output_tokens :
-								c->max_output_tokens;
+	return c->likely_output_tokens < c->max_output_tokens ? c->likely_output_tokens
+							      : c->max_output_tokens;
 }
 
 /* Time to copy one token's KV cache between engines. */
@@ -453,7 +453,8 @@
 	if (!s->link_mbps)
 		return 0;
 	return (uint32_t)((uint64_t)s->kv_token_bytes * BITS_PER_BYTE * BCT_MS_PER_S /
-			  s->link_mbps) + 1;
+			  s->link_mbps) +
+	       1;
 }
 
 static void fill_ask(bct_exchange_t *x)
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -69,7 +69,7 @@
 	bct_local_t *local;
 	bct_peer_t *peer;   /* NULL: alone */
 	bct_share_t *share; /* NULL: alone */
-	uint32_t nodes;	  /* live ones, this one included */
+	uint32_t nodes;	    /* live ones, this one included */
 	bct_gate_counters_t counters;
 	bool draining;
 	bct_time_t drain_begun;
--- a/policy/gate_peers.h
+++ b/policy/gate_peers.h
@@ -1,8 +1,9 @@
 /*
  * gate_peers.h - the load that other gateways say they have placed on upstreams. Pure.
  *
- * Upstreams' own reports are some hundred ms old and every node reads the same ones; what peers have
- * sent since then is known sooner from the peers. A report replaces the one before it, and lapses.
+ * Upstreams' own reports are some hundred ms old and every node reads the same ones; what peers
+ * have sent since then is known sooner from the peers. A report replaces the one before it, and
+ * lapses.
  */
 #ifndef BCT_POLICY_GATE_PEERS_H
 #define BCT_POLICY_GATE_PEERS_H
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -20,12 +20,12 @@
 #define STREAM_COST_MS 1     /* each running stream slows a step a little */
 #define CROWDED_COST_MS 20   /* each request over most of the slots waits for one to end */
 #define CROWDED_PERMILLE 800
-#define FAR_COST_MS 4	     /* another failure domain: latency and traffic between domains */
-#define WORK_PERMILLE 500    /* of the time that a prompt takes, on top of that time */
-#define NOT_HOME_COST_MS 15  /* keeps a part on few engines when nothing else decides */
-#define COPY_SETUP_MS 5	     /* before a copy between engines flows */
-#define COPY_MARGIN 2	     /* a copy must be so many times quicker than reading */
-#define JITTER_MS 3	     /* breaks ties, so that nodes do not all choose the same */
+#define FAR_COST_MS 4		  /* another failure domain: latency and traffic between domains */
+#define WORK_PERMILLE 500	  /* of the time that a prompt takes, on top of that time */
+#define NOT_HOME_COST_MS 15	  /* keeps a part on few engines when nothing else decides */
+#define COPY_SETUP_MS 5		  /* before a copy between engines flows */
+#define COPY_MARGIN 2		  /* a copy must be so many times quicker than reading */
+#define JITTER_MS 3		  /* breaks ties, so that nodes do not all choose the same */
 #define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
 
 typedef struct candidate {
@@ -158,8 +158,8 @@
 }
 
 /* Tokens up to the deepest part that the upstream holds; that one implies those before it. */
-static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now,
-			      const bct_gate_ask_t *ask, const bct_gate_upstream_t *u)
+static uint32_t cached_tokens(const bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
+			      const bct_gate_upstream_t *u)
 {
 	uint32_t i = ask->n_parts;
 
@@ -221,16 +221,16 @@
 /* Engine time is what the fleet runs out of: reading a prompt again costs more than its time. */
 static uint64_t time_cost(const bct_gate_upstream_t *u, const bct_gate_choice_t *c)
 {
-	uint64_t first_ms = ((uint64_t)c->wait_ms + c->work_ms + SERVICE_WORK_MS) *
-			    u->slow_permille / PERMILLE;
+	uint64_t first_ms =
+		((uint64_t)c->wait_ms + c->work_ms + SERVICE_WORK_MS) * u->slow_permille / PERMILLE;
 
 	return first_ms + c->work_ms * WORK_PERMILLE / PERMILLE;
 }
 
 static uint64_t lane_cost(int32_t distance)
 {
-	return distance >= 0 ? (uint64_t)distance * LOOSER_COST_MS :
-			       (uint64_t)-distance * TIGHTER_COST_MS;
+	return distance >= 0 ? (uint64_t)distance * LOOSER_COST_MS
+			     : (uint64_t)-distance * TIGHTER_COST_MS;
 }
 
 typedef struct scored {
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -43,8 +43,8 @@
 	bct_gate_prefix_t prefix;
 	bct_map_t lanes;	       /* service key: bct_gate_lanes_t */
 	uint32_t prefill_tokens_per_s; /* of an engine at its usual pace */
-	uint32_t step_us;	      /* between two tokens of a stream on a full engine */
-	uint32_t nodes; /* live ones of the fleet */
+	uint32_t step_us;	       /* between two tokens of a stream on a full engine */
+	uint32_t nodes;		       /* live ones of the fleet */
 	bct_rng_t rng;
 } bct_gate_picker_t;
 
@@ -62,7 +62,8 @@
 /*
  * bct_gate_pick_shared(3): how many parts of the prompt other requests share too.
  *
- * returns  0 without parts, else at least 1; the parts before the last shared one are shared with it
+ * returns  0 without parts, else at least 1; the parts before the last shared one are shared with
+ * it
  */
 uint32_t bct_gate_pick_shared(const bct_gate_picker_t *p, const bct_gate_ask_t *ask);
 
--- a/policy/gate_routes.c
+++ b/policy/gate_routes.c
@@ -28,21 +28,27 @@
 	return t;
 }
 
+/* The table owns its strings; nobody else may change them. */
+static void free_text(const char *s)
+{
+	bct_free((void *)(uintptr_t)s);
+}
+
 void bct_gate_routes_unref(bct_gate_routes_t *t)
 {
 	if (!t || !bct_ref_put(&t->refs))
 		return;
 	for (uint32_t i = 0; i < t->n_routes; i++) {
-		bct_free(t->routes[i].name);
-		bct_free(t->routes[i].host);
-		bct_free(t->routes[i].prefix);
+		free_text(t->routes[i].name);
+		free_text(t->routes[i].host);
+		free_text(t->routes[i].prefix);
 	}
 	for (uint32_t i = 0; i < t->n_services; i++)
-		bct_free(t->services[i].name);
+		free_text(t->services[i].name);
 	for (uint32_t i = 0; i < t->n_accounts; i++)
-		bct_free(t->accounts[i].name);
+		free_text(t->accounts[i].name);
 	for (uint32_t i = 0; i < t->n_keys; i++)
-		bct_free(t->keys[i].secret);
+		free_text(t->keys[i].secret);
 	bct_free(t->routes);
 	bct_free(t->services);
 	bct_free(t->accounts);
@@ -90,9 +96,9 @@
 	own->host = bct_strdup(r->host);
 	own->prefix = bct_strdup(r->prefix);
 	if (!own->name || !own->host || !own->prefix) {
-		bct_free(own->name);
-		bct_free(own->host);
-		bct_free(own->prefix);
+		free_text(own->name);
+		free_text(own->host);
+		free_text(own->prefix);
 		return -BCT_ENOMEM;
 	}
 	own->key = bct_hash_str(own->name);
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -24,7 +24,7 @@
 } bct_gate_kind_t;
 
 typedef struct bct_gate_service {
-	char *name;
+	const char *name;
 	uint64_t key;
 	uint32_t max_connections; /* that one upstream accepts from all callers */
 	bool engine;		  /* a model engine: prompts, KV cache, priorities */
@@ -41,10 +41,10 @@
 } bct_gate_split_t;
 
 typedef struct bct_gate_route {
-	char *name;
-	char *host;
-	char *prefix; /* begins and ends with a slash */
-	uint64_t key; /* hash of the name */
+	const char *name;
+	const char *host;
+	const char *prefix; /* begins and ends with a slash */
+	uint64_t key;	    /* hash of the name */
 	size_t prefix_bytes;
 	bct_gate_kind_t kind;
 	bool resumable;	    /* a stream that another upstream may continue */
@@ -61,12 +61,12 @@
 } bct_gate_route_t;
 
 typedef struct bct_gate_account {
-	char *name;
+	const char *name;
 	int32_t priority; /* goes before the route's, or BCT_GATE_NO_PRIORITY */
 } bct_gate_account_t;
 
 typedef struct bct_gate_api_key {
-	char *secret;
+	const char *secret;
 	uint32_t account;
 } bct_gate_api_key_t;
 
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -55,7 +55,7 @@
 	uint32_t running;    /* requests sent and not ended */
 	uint32_t prefill_ms; /* predicted work of those without output yet */
 	uint32_t streams;    /* those with output */
-	bool shared;		  /* the other nodes were told of it */
+	bool shared;	     /* the other nodes were told of it */
 	/* Load that the other nodes reported, see gate_peers.h. */
 	uint32_t peer_running;
 	uint32_t peer_prefill_ms;
--- /dev/null
+++ b/tests/test_adapter.c
@@ -0,0 +1,158 @@
+/*
+ * test_adapter.c - the platform's documents and headers: what is understood, and what names
+ * nothing.
+ */
+#include "base/err.h"
+#include "platform/adapter.h"
+#include "platform/decode.h"
+
+#include <criterion/criterion.h>
+#include <event2/buffer.h>
+#include <string.h>
+
+#define ENTRY                                                                          \
+	"{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","             \
+	"\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0," \
+	"\"sequence\":4,\"born\":1700000000000}"
+
+static int decode(const char *id, const char *text, bct_gate_entry_t *e)
+{
+	return bct_decode_entry(id, text, strlen(text), e);
+}
+
+Test(adapter, entry)
+{
+	bct_gate_entry_t e;
+
+	cr_assert_eq(decode("i-1", ENTRY, &e), 0);
+	cr_assert_str_eq(e.ip, "10.0.0.9");
+	cr_assert_eq(e.port, 8080);
+	cr_assert_eq(e.born_ms, 1700000000000);
+	cr_assert_eq(e.sequence, 4);
+	cr_assert_not(e.draining);
+}
+
+Test(adapter, entries_of_other_writers_name_no_upstream)
+{
+	static const char *const bad[] = {
+		"",
+		"{",
+		"[]",
+		"7",
+		"{\"service\":\"s\"}",
+		"\xff\xfe",
+		"{\"service\":1,\"address\":\"10.0.0.9:8080\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"ready\",\"sequence\":1}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"ready\",\"sequence\":1}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:99999\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"ready\",\"sequence\":1}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80x\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"ready\",\"sequence\":1}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"odd\",\"sequence\":1}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"ready\",\"sequence\":\"1\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+		"\"state\":\"ready\",\"sequence\":1,\"born\":1.5}",
+	};
+	bct_gate_entry_t e;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		cr_assert_eq(decode("i-1", bad[i], &e), -BCT_ECODEC, "%s", bad[i]);
+	cr_assert_eq(decode("", ENTRY, &e), -BCT_ECODEC);
+}
+
+Test(adapter, configurations_that_are_not_whole_are_refused)
+{
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"version\":1}",
+		"{\"version\":\"1\",\"routes\":[],\"services\":[]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"r\"}],\"services\":[]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"service\":\"none\"}],\"services\":[]}",
+	};
+	bct_gate_routes_t *t = NULL;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		cr_assert_lt(bct_decode_routes(bad[i], strlen(bad[i]), &t), 0, "%s", bad[i]);
+	cr_assert_null(t);
+}
+
+static void read_head(bct_http_msg_t *m, enum http_parser_type type, const char *text)
+{
+	struct evbuffer *in = evbuffer_new();
+
+	bct_http_msg_init(m, type);
+	evbuffer_add(in, text, strlen(text));
+	bct_http_msg_read(m, in, 4096);
+	evbuffer_free(in);
+}
+
+Test(adapter, calls)
+{
+	bct_wire_call_t call;
+	bct_http_msg_t m;
+
+	read_head(&m, HTTP_REQUEST,
+		  "POST /a HTTP/1.1\r\nHost: h\r\nX-Buckthornchute-Request-Attempt-Id: 9c\r\n"
+		  "X-Buckthornchute-Token-Counts: 1460,80\r\nApi-Key: k\r\nLast-Event-Id: 7\r\n"
+		  "X-Buckthornchute-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410, e4402b7d:250\r\n"
+		  "X-Buckthornchute-Deadline-Milliseconds: 8000\r\n\r\n");
+	bct_adapter_wire()->decode_call(&m, &call);
+	cr_assert_str_eq(call.id, "9c");
+	cr_assert_str_eq(call.secret, "k");
+	cr_assert_eq(call.wait_ms, 8000);
+	cr_assert_eq(call.prompt_tokens, 1460);
+	cr_assert_eq(call.max_output_tokens, 80);
+	cr_assert_eq(call.n_parts, 3);
+	cr_assert_eq(call.parts[2].id, 0xe4402b7d);
+	cr_assert_eq(call.parts[2].tokens, 250);
+	cr_assert(call.resumes);
+	cr_assert_eq(call.after_event, 7);
+	bct_http_msg_free(&m);
+	read_head(&m, HTTP_REQUEST, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+	bct_adapter_wire()->decode_call(&m, &call);
+	cr_assert_eq(call.wait_ms, -1);
+	cr_assert_eq(call.n_parts, 0);
+	cr_assert_not(call.resumes);
+	bct_http_msg_free(&m);
+}
+
+Test(adapter, answers)
+{
+	bct_wire_answer_t a;
+	bct_http_msg_t m;
+
+	read_head(&m, HTTP_RESPONSE,
+		  "HTTP/1.1 200 OK\r\nX-Buckthornchute-Request-Attempt-Id: 9c\r\n"
+		  "X-Buckthornchute-Server-Seal: s\r\nKeep-Alive: timeout=5\r\n"
+		  "Content-Length: 0\r\n\r\n");
+	bct_adapter_wire()->decode_answer(&m, &a);
+	cr_assert(a.sealed && !a.not_run && !a.misplaced);
+	cr_assert_str_eq(a.call_id, "9c");
+	cr_assert_eq(a.idle_ms, 5000);
+	bct_http_msg_free(&m);
+	read_head(&m, HTTP_RESPONSE, "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n");
+	bct_adapter_wire()->decode_answer(&m, &a);
+	cr_assert(a.misplaced && a.not_run);
+	bct_http_msg_free(&m);
+	read_head(&m, HTTP_RESPONSE, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+	bct_adapter_wire()->decode_answer(&m, &a);
+	cr_assert_not(a.not_run);
+	bct_http_msg_free(&m);
+}
+
+Test(adapter, addresses)
+{
+	const char *const list[] = { "10.0.0.1:80", "10.0.0.2:80" };
+	bct_buf_t out;
+
+	bct_buf_init(&out, 0);
+	bct_adapter_wire()->encode_addresses(list, 2, 1500, &out);
+	cr_assert_str_eq(out.data,
+			 "{\"addresses\":[\"10.0.0.1:80\",\"10.0.0.2:80\"],\"ttl_s\":1.5}");
+	bct_buf_free(&out);
+}
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,400 @@
+/*
+ * test_gate.c - a whole gateway against upstreams that misbehave: what callers are told, and how
+ * often a request runs.
+ */
+#include "base/clock.h"
+#include "tests/util_gate.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct expect {
+	const char *method;
+	const char *path;
+	const char *script;
+	int status;
+	uint32_t runs;
+	const char *body; /* contained in the answer, or NULL */
+} expect_t;
+
+static void check_all(const expect_t *e, size_t n)
+{
+	test_gate_t t;
+
+	test_gate_start(&t);
+	for (size_t i = 0; i < n; i++) {
+		char id[32];
+		bct_buf_t out;
+		int status;
+
+		snprintf(id, sizeof(id), "call-%zu", i);
+		status = test_gate_call(&t, e[i].method, e[i].path, id, e[i].script, &out);
+		cr_assert_eq(status, e[i].status, "%s %s: %s", e[i].path, e[i].script, out.data);
+		cr_assert_eq(test_gate_runs(&t, id), e[i].runs, "%s %s: %u runs", e[i].path,
+			     e[i].script, test_gate_runs(&t, id));
+		if (e[i].body)
+			cr_assert(strstr(out.data, e[i].body), "%s %s: %s", e[i].path, e[i].script,
+				  out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+/* At most one run of what may not be repeated; a refusal with 503 only when it did not run. */
+Test(gate, unsafe_runs_once)
+{
+	static const expect_t e[] = {
+		{ "POST", "/unsafe/a", "ok", 200, 1, "body" },
+		{ "POST", "/unsafe/a", "error", 500, 1, "bad" },
+		{ "POST", "/unsafe/a", "reset", 502, 1, NULL },
+		{ "POST", "/unsafe/a", "cut", 502, 1, NULL },
+		{ "POST", "/unsafe/a", "noseal", 502, 1, NULL },
+		{ "POST", "/unsafe/a", "notrun", 503, 1, "Retry-After" },
+		{ "POST", "/unsafe/a", "wrong", 503, 1, "Retry-After" },
+	};
+
+	check_all(e, sizeof(e) / sizeof(e[0]));
+}
+
+Test(gate, safe_is_asked_elsewhere)
+{
+	static const expect_t e[] = {
+		{ "GET", "/safe/a", "error,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "reset,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "cut,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "noseal,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "silent,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "notrun,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "wrong,ok", 200, 2, "body" },
+		{ "GET", "/safe/a", "error,error", 500, 2, "bad" },
+		{ "GET", "/safe/a", "reset,reset", 502, 2, NULL },
+	};
+
+	check_all(e, sizeof(e) / sizeof(e[0]));
+}
+
+/* An answer to another call belongs to nobody; bytes behind an answer poison the connection. */
+Test(gate, foreign_answers_reach_nobody)
+{
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "f1", "foreign", &out), 200);
+	cr_assert(!strstr(out.data, "theirs"), "%s", out.data);
+	bct_buf_free(&out);
+	for (int i = 0; i < 5; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "x%d", i);
+		cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", id, "extra", &out), 200);
+		cr_assert(!strstr(out.data, "more"), "%s", out.data);
+		bct_buf_free(&out);
+		cr_assert_eq(test_gate_runs(&t, id), 1);
+	}
+	test_gate_stop(&t);
+}
+
+static uint32_t count(const char *text, const char *what)
+{
+	uint32_t n = 0;
+
+	for (const char *at = text; (at = strstr(at, what)) != NULL; at++)
+		n++;
+	return n;
+}
+
+/* Events come once and in order; only a whole stream ends as a whole answer. */
+Test(gate, streams)
+{
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	cr_assert_eq(test_gate_call(&t, "POST", "/stream/a", "s1", "stream", &out), 200);
+	cr_assert_eq(count(out.data, "data: e"), 5);
+	cr_assert(strstr(out.data, "\r\n0\r\n\r\n"));
+	bct_buf_free(&out);
+	/* Not resumable: cut short, and not a complete answer. */
+	test_gate_call(&t, "POST", "/stream/a", "s2", "streamcut,stream", &out);
+	cr_assert_eq(count(out.data, "data: e"), 2, "%s", out.data);
+	cr_assert(!strstr(out.data, "\r\n0\r\n\r\n"));
+	cr_assert_eq(test_gate_runs(&t, "s2"), 1);
+	bct_buf_free(&out);
+	test_gate_call(&t, "POST", "/stream/a", "s3", "streamhalf", &out);
+	cr_assert_eq(count(out.data, "id: "), 1, "%s", out.data);
+	cr_assert(!strstr(out.data, "\r\n0\r\n\r\n"));
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+Test(gate, resumable_streams_go_on_elsewhere)
+{
+	static const char *const scripts[] = { "streamcut,stream", "streamhalf,stream",
+					       "streamquiet,stream", "reset,stream" };
+	test_gate_t t;
+
+	test_gate_start(&t);
+	for (int i = 0; i < 4; i++) {
+		char id[16];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "r%d", i);
+		cr_assert_eq(test_gate_call(&t, "POST", "/resume/a", id, scripts[i], &out), 200);
+		for (int e = 1; e <= 5; e++) {
+			char event[16];
+
+			snprintf(event, sizeof(event), "data: e%d\n", e);
+			cr_assert_eq(count(out.data, event), 1, "%s: %s in %s", scripts[i], event,
+				     out.data);
+		}
+		cr_assert(strstr(out.data, "\r\n0\r\n\r\n"));
+		cr_assert_eq(count(out.data, "HTTP/1.1 200"), 1);
+		cr_assert_eq(test_gate_runs(&t, id), 2);
+		cr_assert_neq(strcmp(test_gate_run(&t, id, 0)->upstream_id,
+				     test_gate_run(&t, id, 1)->upstream_id),
+			      0);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+/* What only the gateway may say is said by it, whatever the caller sent. */
+Test(gate, headers_to_upstreams)
+{
+	static const char request[] =
+		"POST /unsafe/q?x=1 HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+		"Api-Key: k1\r\nX-Buckthornchute-Request-Attempt-Id: hd\r\n"
+		"X-Buckthornchute-Tenant: mallory\r\nX-Buckthornchute-Hold: 1\r\n"
+		"X-Buckthornchute-Pin-Milliseconds: 1\r\nKv-From: 1.2.3.4:5/6\r\n"
+		"X-Buckthornchute-Expected-Instance: other\r\nX-Mine: kept\r\n"
+		"X-Buckthornchute-Deadline-Milliseconds: 800\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+	const gate_run_t *run;
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	test_gate_raw(&t, request, sizeof(request) - 1, 3000, &out);
+	cr_assert(strstr(out.data, "200 OK"), "%s", out.data);
+	run = test_gate_run(&t, "hd", 0);
+	cr_assert(strstr(run->head, "POST /unsafe/q?x=1 HTTP/1.1\r\n"));
+	cr_assert(strstr(run->head, "Tenant: acme\r\n"));
+	cr_assert(strstr(run->head, "Expected-Instance: d-0\r\n"));
+	cr_assert(strstr(run->head, "X-Mine: kept\r\n"));
+	cr_assert(!strstr(run->head, "mallory") && !strstr(run->head, "Hold") &&
+		  !strstr(run->head, "Pin-") && !strstr(run->head, "Kv-From") &&
+		  !strstr(run->head, "Api-Key") && !strstr(run->head, "chunked"));
+	cr_assert_str_eq(run->body, "abcde");
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+/* A caller that leaves ends its work at the upstream within half a second. */
+Test(gate, caller_leaves)
+{
+	static const char request[] =
+		"POST /unsafe/a HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+		"X-Buckthornchute-Request-Attempt-Id: gone\r\nX-Script: silent\r\n"
+		"Content-Length: 0\r\n\r\n";
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	test_gate_raw(&t, request, sizeof(request) - 1, 200, &out);
+	bct_buf_free(&out);
+	bct_clock_sleep(500);
+	cr_assert_eq(test_gate_runs(&t, "gone"), 1);
+	cr_assert(test_gate_run(&t, "gone", 0)->gone);
+	test_gate_stop(&t);
+}
+
+/* The route's time limit ends a request that an upstream does not answer. */
+Test(gate, time_limit)
+{
+	test_gate_t t;
+	bct_buf_t out;
+	bct_time_t begun;
+
+	test_gate_start(&t);
+	begun = bct_clock_now();
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "t1", "silent", &out), 504);
+	cr_assert(bct_clock_now() - begun >= 1000);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+Test(gate, who_may_ask_for_what)
+{
+	static const struct {
+		const char *request;
+		const char *answer;
+	} cases[] = {
+		{ "GET /none/ HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n", "404" },
+		{ "GET /safe/ HTTP/1.1\r\nHost: other\r\nApi-Key: k1\r\n", "404" },
+		{ "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nApi-Key: k2\r\n", "401" },
+		{ "GET /safe/ HTTP/1.1\r\nHost: h.example\r\n", "401" },
+	};
+	test_gate_t t;
+
+	test_gate_start(&t);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char text[512];
+		bct_buf_t out;
+		int n = snprintf(text, sizeof(text), "%sConnection: close\r\n\r\n",
+				 cases[i].request);
+
+		test_gate_raw(&t, text, (size_t)n, 3000, &out);
+		cr_assert(!strncmp(out.data + 9, cases[i].answer, 3), "%s: %s", cases[i].request,
+			  out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+/* Requests that two readers could understand differently reach nobody. */
+Test(gate, bad_framing_reaches_nobody)
+{
+#define BAD(x)                   \
+	{                        \
+		x, sizeof(x) - 1 \
+	}
+	static const struct {
+		const char *bytes;
+		size_t len;
+	} cases[] = {
+		BAD("POST /unsafe/ HTTP/1.1\nHost: h.example\nContent-Length: 0\n\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\nContent-Length: 0\r\n\r\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nA: b\r\n c\r\n\r\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length : 3\r\n\r\nabc"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: +3\r\n\r\nabc"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3, 3\r\n\r\nabc"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+		    "Content-Length: 3\r\n\r\nabc"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: "
+		    "odd\r\n\r\nabc"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nA: b\0c\r\n\r\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nHost: h.example\r\n\r\n"),
+		BAD("POST /unsafe/ HTTP/1.1\r\n\r\n"),
+		BAD("POST  /unsafe/ HTTP/1.1\r\nHost: h.example\r\n\r\n"),
+		BAD("nonsense\r\n\r\n"),
+	};
+#undef BAD
+	test_gate_t t;
+
+	test_gate_start(&t);
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		uint32_t before = t.n_runs;
+		bct_buf_t out;
+
+		test_gate_raw(&t, cases[i].bytes, cases[i].len, 1500, &out);
+		cr_assert(!strncmp(out.data, "HTTP/1.1 4", 10), "%s: %s", cases[i].bytes, out.data);
+		cr_assert_eq(count(out.data, "HTTP/1.1"), 1);
+		cr_assert_eq(t.n_runs, before, "%s reached an upstream", cases[i].bytes);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+Test(gate, sizes_and_times_are_bounded)
+{
+	char big[9000];
+	test_gate_t t;
+	bct_buf_t out;
+	int n;
+
+	test_gate_start(&t);
+	n = snprintf(big, sizeof(big), "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nA: ");
+	memset(big + n, 'a', 5000);
+	test_gate_raw(&t, big, (size_t)n + 5000, 2000, &out);
+	cr_assert(strstr(out.data, "431"), "%s", out.data);
+	bct_buf_free(&out);
+	n = snprintf(big, sizeof(big),
+		     "POST /unsafe/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5000\r\n\r\n");
+	memset(big + n, 'a', 5000);
+	test_gate_raw(&t, big, (size_t)n + 5000, 2000, &out);
+	cr_assert(strstr(out.data, "413"), "%s", out.data);
+	bct_buf_free(&out);
+	test_gate_raw(&t, "GET /safe/ HT", 13, 3000, &out);
+	cr_assert(strstr(out.data, "408"), "%s", out.data);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+/* Two requests in one packet get two answers, in order. */
+Test(gate, kept_connections)
+{
+	static const char two[] =
+		"GET /safe/1 HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+		"X-Buckthornchute-Request-Attempt-Id: p1\r\n\r\n"
+		"GET /safe/2 HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+		"X-Buckthornchute-Request-Attempt-Id: p2\r\nConnection: close\r\n\r\n";
+	test_gate_t t;
+	bct_buf_t out;
+	const char *first, *second;
+
+	test_gate_start(&t);
+	test_gate_raw(&t, two, sizeof(two) - 1, 3000, &out);
+	first = strstr(out.data, "Attempt-Id: p1");
+	second = strstr(out.data, "Attempt-Id: p2");
+	cr_assert(first && second && first < second, "%s", out.data);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+/* Before a configuration is known nothing is denied: the caller is asked to come back. */
+Test(gate, not_ready)
+{
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start_down(&t);
+	cr_assert_eq(test_gate_call(&t, "GET", "/safe/a", "n1", "ok", &out), 503);
+	cr_assert(strstr(out.data, "Retry-After"));
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+/* A version takes effect whole and is never taken back; one that is not understood is left out. */
+Test(gate, configuration_never_goes_back)
+{
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	test_gate_publish(&t, test_gate_config(5, "desk"));
+	cr_assert_eq(test_gate_call(&t, "GET", "/safe/a", "v5", "ok", &out), 200);
+	bct_buf_free(&out);
+	cr_assert_str_eq(test_gate_run(&t, "v5", 0)->upstream_id, "d-0");
+	test_gate_publish(&t, test_gate_config(4, "model"));
+	test_gate_call(&t, "GET", "/safe/a", "v4", "ok", &out);
+	bct_buf_free(&out);
+	cr_assert_str_eq(test_gate_run(&t, "v4", 0)->upstream_id, "d-0");
+	test_gate_publish(&t, "{\"version\":9,\"routes\":[{\"name\":1}],\"services\":[]}");
+	cr_assert_eq(test_gate_call(&t, "GET", "/safe/a", "v9", "ok", &out), 200);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
+/* A service whose only upstream is gone refuses at once and truthfully. */
+Test(gate, no_upstream)
+{
+	test_gate_t t;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	pthread_mutex_lock(&t.lock);
+	t.desk_listed = false;
+	pthread_mutex_unlock(&t.lock);
+	bct_clock_sleep(300);
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "u1", "ok", &out), 503);
+	cr_assert(strstr(out.data, "Retry-After"));
+	cr_assert_eq(test_gate_runs(&t, "u1"), 0);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
--- /dev/null
+++ b/tests/test_gate_policy.c
@@ -0,0 +1,417 @@
+/*
+ * test_gate_policy.c - the gateway's pure decisions: routes, upstreams, budget, prefixes, lanes and
+ * the choice of an upstream. Each load test names the pattern that it is about.
+ */
+#include "base/err.h"
+#include "base/rng.h"
+#include "policy/gate_budget.h"
+#include "policy/gate_peers.h"
+#include "policy/gate_pick.h"
+#include "policy/gate_routes.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SERVICE "model"
+
+static bct_gate_routes_t *table(void)
+{
+	bct_gate_routes_t *t = bct_gate_routes_new(3);
+	bct_gate_route_t r = { .name = "a", .host = "h", .prefix = "/x/", .n_splits = 2 };
+
+	bct_gate_routes_add_service(t, &(bct_gate_service_t){ .name = "s0" });
+	bct_gate_routes_add_service(t, &(bct_gate_service_t){ .name = "s1" });
+	r.splits[0] = (bct_gate_split_t){ .service = 0, .weight = 90 };
+	r.splits[1] = (bct_gate_split_t){ .service = 1, .weight = 10 };
+	bct_gate_routes_add_route(t, &r);
+	r.name = "b";
+	r.prefix = "/x/y/";
+	bct_gate_routes_add_route(t, &r);
+	r.name = "c";
+	r.host = "other";
+	r.prefix = "/";
+	bct_gate_routes_add_route(t, &r);
+	bct_gate_routes_add_account(t, &(bct_gate_account_t){ .name = "acme", .priority = -1 });
+	bct_gate_routes_add_key(t, "k", 0);
+	bct_gate_routes_seal(t);
+	return t;
+}
+
+static const char *match(const bct_gate_routes_t *t, const char *host, const char *path)
+{
+	const bct_gate_route_t *r =
+		bct_gate_routes_match(t, host, strlen(host), path, strlen(path));
+
+	return r ? r->name : "-";
+}
+
+Test(gate_routes, longest_prefix_of_the_host)
+{
+	bct_gate_routes_t *t = table();
+
+	cr_assert_str_eq(match(t, "h", "/x/1"), "a");
+	cr_assert_str_eq(match(t, "H", "/x/y/1"), "b");
+	cr_assert_str_eq(match(t, "h", "/x/y"), "a");
+	cr_assert_str_eq(match(t, "h", "/x"), "-");
+	cr_assert_str_eq(match(t, "h", "/"), "-");
+	cr_assert_str_eq(match(t, "other", "/x/"), "c");
+	cr_assert_str_eq(match(t, "h2", "/x/"), "-");
+	cr_assert_str_eq(bct_gate_routes_account(t, "k")->name, "acme");
+	cr_assert_null(bct_gate_routes_account(t, "K"));
+	cr_assert_null(bct_gate_routes_account(t, ""));
+	bct_gate_routes_unref(t);
+}
+
+Test(gate_routes, splits_follow_weights)
+{
+	bct_gate_routes_t *t = table();
+	uint32_t n = 0;
+
+	for (uint64_t i = 0; i < 1000; i++)
+		n += bct_gate_route_split(&t->routes[0], i) == 1;
+	cr_assert_eq(n, 100);
+	bct_gate_routes_unref(t);
+}
+
+static bct_gate_entry_t entry(const char *id, int64_t born_ms, uint64_t sequence)
+{
+	bct_gate_entry_t e = { .service = SERVICE, .zone = "z", .ip = "10.0.0.1", .port = 80 };
+
+	snprintf(e.id, sizeof(e.id), "%s", id);
+	e.born_ms = born_ms;
+	e.sequence = sequence;
+	return e;
+}
+
+Test(gate_upstreams, old_news_change_nothing)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry("i", 100, 5);
+
+	bct_gate_upstreams_init(&t);
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 1, &e), 1);
+	e = entry("i", 100, 4);
+	e.draining = true;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 2, &e), -BCT_ESTALE);
+	e = entry("i", 99, 50);
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 3, &e), -BCT_ESTALE);
+	cr_assert_eq(bct_gate_upstreams_find(&t, "i")->presence, BCT_GATE_READY);
+	/* A new start counts anew and knows nothing of before. */
+	bct_gate_upstreams_find(&t, "i")->misplaced = true;
+	e = entry("i", 101, 1);
+	cr_assert_geq(bct_gate_upstreams_apply(&t, 4, &e), 0);
+	cr_assert_not(bct_gate_upstreams_find(&t, "i")->misplaced);
+	bct_gate_upstreams_free(&t);
+}
+
+Test(gate_upstreams, leaving_is_not_taken_back_by_one_start)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry("i", 100, 5);
+
+	bct_gate_upstreams_init(&t);
+	e.draining = true;
+	bct_gate_upstreams_apply(&t, 1, &e);
+	e = entry("i", 100, 6);
+	bct_gate_upstreams_apply(&t, 2, &e);
+	cr_assert_not(bct_gate_upstream_takes(bct_gate_upstreams_find(&t, "i"),
+					      bct_gate_upstreams_find(&t, "i")->service_key));
+	e = entry("i", 200, 1);
+	bct_gate_upstreams_apply(&t, 3, &e);
+	cr_assert(bct_gate_upstream_takes(bct_gate_upstreams_find(&t, "i"),
+					  bct_gate_upstreams_find(&t, "i")->service_key));
+	bct_gate_upstreams_free(&t);
+}
+
+/* What lapsed while the registry was away is used until it should be back; what left is not. */
+Test(gate_upstreams, lapses_in_an_outage)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry("i", 100, 5);
+	bct_gate_upstream_t *u;
+
+	bct_gate_upstreams_init(&t);
+	bct_gate_upstreams_apply(&t, 1, &e);
+	u = bct_gate_upstreams_find(&t, "i");
+	u->refs = 1; /* keeps it from being freed */
+	bct_gate_upstreams_registry(&t, 1000, false);
+	bct_gate_upstreams_registry(&t, 5000, true);
+	bct_gate_upstreams_remove(&t, 5100, "i");
+	cr_assert(bct_gate_upstream_takes(u, u->service_key));
+	bct_gate_upstreams_sweep(&t, 5000 + BCT_GATE_LAPSE_GRACE_MS - 1);
+	cr_assert(bct_gate_upstream_takes(u, u->service_key));
+	bct_gate_upstreams_sweep(&t, 5000 + BCT_GATE_LAPSE_GRACE_MS);
+	cr_assert_not(bct_gate_upstream_takes(u, u->service_key));
+	/* In calm times a removal counts at once. */
+	e = entry("i", 100, 9);
+	bct_gate_upstreams_apply(&t, 9000, &e);
+	cr_assert(bct_gate_upstream_takes(u, u->service_key));
+	bct_gate_upstreams_remove(&t, 20000, "i");
+	cr_assert_not(bct_gate_upstream_takes(u, u->service_key));
+	bct_gate_upstreams_free(&t);
+}
+
+Test(gate_upstreams, a_listing_removes_what_it_does_not_name)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t a = entry("a", 1, 1), b = entry("b", 1, 1);
+
+	bct_gate_upstreams_init(&t);
+	bct_gate_upstreams_apply(&t, 1, &a);
+	bct_gate_upstreams_apply(&t, 1, &b);
+	bct_gate_upstreams_list_begin(&t);
+	bct_gate_upstreams_apply(&t, 2, &b);
+	bct_gate_upstreams_list_end(&t, 2);
+	bct_gate_upstreams_sweep(&t, 3);
+	cr_assert_null(bct_gate_upstreams_find(&t, "a"));
+	cr_assert_not_null(bct_gate_upstreams_find(&t, "b"));
+	bct_gate_upstreams_free(&t);
+}
+
+/* In any window the repeats of all nodes stay under the fleet's bound, however they come. */
+Test(gate_budget, any_window_keeps_the_bound)
+{
+	enum { NODES = 7, WINDOW_MS = 10000, END_MS = 60000 };
+	static uint32_t first[END_MS], repeats[END_MS];
+	bct_gate_budget_opts_t o = { WINDOW_MS, 150, 54 };
+	bct_gate_budget_t b[NODES];
+	uint32_t sum_first = 0, sum_repeats = 0;
+	bct_rng_t rng;
+
+	bct_rng_seed(&rng, 3);
+	for (int i = 0; i < NODES; i++)
+		bct_gate_budget_init(&b[i], &o);
+	for (int t = 0; t < END_MS; t++) {
+		bct_gate_budget_t *node = &b[bct_rng_below(&rng, NODES)];
+
+		if (bct_rng_below(&rng, 40) == 0) {
+			bct_gate_budget_first(node, t + 100000);
+			first[t]++;
+		}
+		/* Everything wants to be sent again, much more often than it is sent. */
+		if (!bct_gate_budget_take(node, t + 100000, NODES))
+			repeats[t]++;
+	}
+	for (int t = 0; t < END_MS; t++) {
+		sum_first += first[t];
+		sum_repeats += repeats[t];
+		if (t >= WINDOW_MS) {
+			sum_first -= first[t - WINDOW_MS];
+			sum_repeats -= repeats[t - WINDOW_MS];
+			cr_assert_leq(sum_repeats, sum_first / 5 + 54, "at %d: %u of %u", t,
+				      sum_repeats, sum_first);
+		}
+	}
+}
+
+typedef struct world {
+	bct_gate_upstreams_t upstreams;
+	bct_gate_picker_t picker;
+	bct_time_t now;
+} world_t;
+
+static void world_init(world_t *w, uint32_t engines)
+{
+	memset(w, 0, sizeof(*w));
+	w->now = 100000;
+	bct_gate_upstreams_init(&w->upstreams);
+	bct_gate_picker_init(&w->picker, &w->upstreams, 30000, 8000, 1);
+	for (uint32_t i = 0; i < engines; i++) {
+		bct_gate_entry_t e;
+		char id[16];
+
+		snprintf(id, sizeof(id), "i-%u", i);
+		e = entry(id, 1, 1);
+		bct_gate_upstreams_apply(&w->upstreams, w->now, &e);
+	}
+}
+
+static void world_free(world_t *w)
+{
+	bct_gate_picker_free(&w->picker);
+	bct_gate_upstreams_free(&w->upstreams);
+}
+
+static bct_gate_ask_t ask_of(const world_t *w, uint32_t gap_ms, const bct_gate_part_t *parts,
+			     uint32_t n_parts)
+{
+	bct_gate_ask_t a = {
+		.service_key = bct_gate_upstreams_find(&w->upstreams, "i-0")->service_key,
+		.engine = true,
+		.target_ms = 500,
+		.gap_ms = gap_ms,
+		.parts = parts,
+		.n_parts = n_parts,
+		.output_tokens = 100,
+		.slots = 64,
+		.copy_token_ns = 1200,
+		.zone = "z",
+	};
+
+	for (uint32_t i = 0; i < n_parts; i++)
+		a.prompt_tokens += parts[i].tokens;
+	return a;
+}
+
+static bct_gate_upstream_t *place(world_t *w, const bct_gate_ask_t *a, bct_gate_choice_t *c)
+{
+	bct_gate_pick(&w->picker, w->now, a, c);
+	cr_assert_not_null(c->upstream);
+	bct_gate_pick_sent(&w->picker, w->now, a, c);
+	return c->upstream;
+}
+
+/* Burst of long prompts beside short streams: hardly any stream shares an engine with them. */
+Test(gate_pick, long_prompts_stay_off_tight_streams)
+{
+	uint32_t long_on[16] = { 0 }, tight_on[16] = { 0 }, mixed = 0, tight = 0;
+	world_t w;
+
+	world_init(&w, 9);
+	bct_gate_pick_expect(&w.picker, bct_gate_upstreams_find(&w.upstreams, "i-0")->service_key,
+			     250);
+	bct_gate_pick_expect(&w.picker, bct_gate_upstreams_find(&w.upstreams, "i-0")->service_key,
+			     1000);
+	for (uint64_t i = 0; i < 400; i++) {
+		bool is_long = i % 2;
+		bct_gate_part_t parts[] = { { 7, 2500 }, { 1000 + i, is_long ? 4000 : 100 } };
+		bct_gate_ask_t a =
+			is_long ? ask_of(&w, 1000, parts, 2) : ask_of(&w, 250, parts + 1, 1);
+		bct_gate_choice_t c;
+		bct_gate_upstream_t *u = place(&w, &a, &c);
+
+		(is_long ? long_on : tight_on)[atoi(u->entry.id + 2)]++;
+		w.now += 25;
+		bct_gate_pick_began(u, c.work_ms);
+		bct_gate_pick_ended(u, c.work_ms, true);
+	}
+	for (int i = 0; i < 9; i++) {
+		tight += tight_on[i];
+		if (long_on[i] > 4)
+			mixed += tight_on[i];
+	}
+	cr_assert_leq(mixed * 20, tight, "%u of %u streams beside long prompts", mixed, tight);
+	world_free(&w);
+}
+
+/* One hot prefix: it spreads with the load, and is copied instead of read again. */
+Test(gate_pick, a_hot_prefix_makes_no_hot_spot)
+{
+	uint32_t on[16] = { 0 }, most = 0, read_again = 0;
+	world_t w;
+
+	world_init(&w, 9);
+	for (uint64_t i = 0; i < 180; i++) {
+		bct_gate_part_t parts[] = { { 5, 6000 }, { 1000 + i, 1000 } };
+		bct_gate_ask_t a = ask_of(&w, 1000, parts, 2);
+		bct_gate_choice_t c;
+		uint32_t k = (uint32_t)atoi(place(&w, &a, &c)->entry.id + 2);
+
+		on[k]++;
+		/* Only the first may read the shared part. */
+		read_again += i > 0 && c.cached_tokens < 6000;
+		w.now += 300;
+		/* Nothing ends: the load piles up. */
+		bct_gate_pick_began(c.upstream, c.work_ms);
+	}
+	for (int i = 0; i < 9; i++)
+		most = on[i] > most ? on[i] : most;
+	cr_assert_leq(most, 2 * 180 / 9, "%u of 180 on one engine", most);
+	cr_assert_eq(read_again, 0);
+	world_free(&w);
+}
+
+/* A prompt that is still being read somewhere is no source for a copy. */
+Test(gate_pick, copies_come_from_where_the_prompt_was_read)
+{
+	bct_gate_part_t parts[] = { { 5, 6000 }, { 6, 1000 } };
+	bct_gate_choice_t c;
+	bct_gate_ask_t a;
+	world_t w;
+
+	world_init(&w, 3);
+	a = ask_of(&w, 1000, parts, 2);
+	place(&w, &a, &c);
+	a.tried[a.n_tried++] = c.upstream->key;
+	bct_gate_pick(&w.picker, w.now, &a, &c);
+	cr_assert_null(c.source);
+	bct_gate_pick(&w.picker, w.now + 2000, &a, &c);
+	cr_assert_not_null(c.source);
+	cr_assert_eq(c.cached_tokens, 7000);
+	world_free(&w);
+}
+
+/* Engines grey: one that fails in a row is left alone while another is there, and tried later. */
+Test(gate_pick, failing_upstreams_are_avoided)
+{
+	bct_gate_choice_t c;
+	bct_gate_upstream_t *bad;
+	bct_gate_ask_t a;
+	world_t w;
+
+	world_init(&w, 3);
+	a = ask_of(&w, 250, NULL, 0);
+	bad = bct_gate_upstreams_find(&w.upstreams, "i-1");
+	bct_gate_upstream_result(bad, w.now, false);
+	bct_gate_upstream_result(bad, w.now, false);
+	for (int i = 0; i < 50; i++) {
+		bct_gate_pick(&w.picker, w.now, &a, &c);
+		cr_assert_neq(c.upstream, bad);
+	}
+	/* When it is the only one left it is used all the same. */
+	a.tried[0] = bct_gate_upstreams_find(&w.upstreams, "i-0")->key;
+	a.tried[1] = bct_gate_upstreams_find(&w.upstreams, "i-2")->key;
+	a.n_tried = 2;
+	bct_gate_pick(&w.picker, w.now, &a, &c);
+	cr_assert_eq(c.upstream, bad);
+	a.n_tried = 3;
+	a.tried[2] = bad->key;
+	bct_gate_pick(&w.picker, w.now, &a, &c);
+	cr_assert_null(c.upstream);
+	world_free(&w);
+}
+
+/* Other nodes' load counts like one's own, is replaced by newer news, and lapses. */
+Test(gate_peers, load_of_other_nodes)
+{
+	bct_gate_upstream_t *u;
+	bct_gate_peers_t p;
+	world_t w;
+
+	world_init(&w, 2);
+	u = bct_gate_upstreams_find(&w.upstreams, "i-0");
+	bct_gate_peers_init(&p, 500);
+	for (uint64_t peer = 1; peer <= 3; peer++)
+		bct_gate_peers_load(&p, 0, &w.upstreams,
+				    &(bct_gate_peer_load_t){ peer, u->key, 10, 100 });
+	cr_assert_eq(u->peer_running, 30);
+	bct_gate_peers_load(&p, 400, &w.upstreams, &(bct_gate_peer_load_t){ 2, u->key, 4, 40 });
+	cr_assert_eq(u->peer_running, 24);
+	cr_assert_eq(u->peer_prefill_ms, 240);
+	bct_gate_peers_sweep(&p, 600, &w.upstreams);
+	cr_assert_eq(u->peer_running, 4);
+	bct_gate_peers_sweep(&p, 900, &w.upstreams);
+	cr_assert_eq(u->peer_running, 0);
+	cr_assert_eq(u->peer_prefill_ms, 0);
+	bct_gate_peers_free(&p);
+	world_free(&w);
+}
+
+Test(gate_prefix, the_least_recently_used_part_goes)
+{
+	bct_gate_holder_t h = { .upstream_key = 9 };
+	bct_gate_prefix_t p;
+
+	bct_gate_prefix_init(&p, 2, 1000);
+	for (uint64_t id = 1; id <= 3; id++)
+		bct_gate_prefix_sent(&p, 10, &(bct_gate_part_t){ id, 1 }, 1, &h);
+	cr_assert_not(bct_gate_prefix_holds(&p, 11, 1, 9));
+	cr_assert(bct_gate_prefix_holds(&p, 11, 2, 9));
+	cr_assert(bct_gate_prefix_holds(&p, 11, 3, 9));
+	cr_assert_not(bct_gate_prefix_holds(&p, 1010, 3, 9), "it lapses");
+	cr_assert_not(bct_gate_prefix_shared(&p, 3));
+	bct_gate_prefix_sent(&p, 12, &(bct_gate_part_t){ 3, 1 }, 1, &h);
+	cr_assert(bct_gate_prefix_shared(&p, 3));
+	bct_gate_prefix_free(&p);
+}
--- /dev/null
+++ b/tests/util_gate.c
@@ -0,0 +1,532 @@
+/*
+ * util_gate.c - threads for the gateway and for each connection to an upstream.
+ */
+#define _GNU_SOURCE
+#include "tests/util_gate.h"
+#include "base/clock.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "platform/adapter.h"
+#include "platform/decode.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEAD "X-Buckthornchute-"
+#define READY_MS 5000
+#define QUIET_MS 3000 /* a silent upstream keeps its connection so long */
+
+typedef struct memory_registry {
+	bct_registry_t base;
+	test_gate_t *t;
+} memory_registry_t;
+
+typedef struct conn {
+	gate_upstream_t *u;
+	int fd;
+} conn_t;
+
+const char *test_gate_config(uint64_t version, const char *safe_service)
+{
+	static __thread char text[8192];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":%llu,\"routes\":["
+		 "{\"name\":\"safe\",\"host\":\"h.example\",\"path_prefix\":\"/safe/\","
+		 "\"kind\":\"safe\",\"timeout_ms\":1500,\"target_latency_ms\":200,\"priority\":2,"
+		 "\"service\":\"%s\",\"attempts\":2},"
+		 "{\"name\":\"unsafe\",\"host\":\"h.example\",\"path_prefix\":\"/unsafe/\","
+		 "\"kind\":\"unsafe\",\"timeout_ms\":1000,\"target_latency_ms\":200,"
+		 "\"priority\":2,\"service\":\"desk\",\"attempts\":1},"
+		 "{\"name\":\"stream\",\"host\":\"h.example\",\"path_prefix\":\"/stream/\","
+		 "\"kind\":\"stream\",\"timeout_ms\":2500,\"target_latency_ms\":300,"
+		 "\"priority\":0,\"service\":\"model\",\"attempts\":1,\"target_gap_ms\":250},"
+		 "{\"name\":\"resume\",\"host\":\"h.example\",\"path_prefix\":\"/resume/\","
+		 "\"kind\":\"stream\",\"timeout_ms\":2500,\"target_latency_ms\":300,"
+		 "\"priority\":1,\"service\":\"model\",\"attempts\":2,\"target_gap_ms\":100,"
+		 "\"stream_resumption\":true}],"
+		 "\"services\":[{\"name\":\"desk\"},{\"name\":\"model\",\"engine\":{\"slots\":64,"
+		 "\"kv_cache_tokens\":230682,\"kv_token_bytes\":163840,\"link_mbps\":1100000.0}}],"
+		 "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":4096,"
+		 "\"header_timeout_ms\":400,\"idle_timeout_ms\":2000},"
+		 "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}",
+		 (unsigned long long)version, safe_service);
+	return text;
+}
+
+static void add_entry(bct_registry_batch_t *b, const gate_upstream_t *u)
+{
+	bct_registry_change_t *c = &b->changes[b->n++];
+	char text[512];
+	int n = snprintf(text, sizeof(text),
+			 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
+			 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+			 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
+			 u->service, u->port);
+
+	c->kind = BCT_REGISTRY_ENTRY;
+	cr_assert_eq(bct_decode_entry(u->id, text, (size_t)n, &c->entry), 0);
+}
+
+static int list(bct_registry_t *r, bct_registry_topic_t topic, uint32_t timeout_ms,
+		bct_registry_batch_t *out)
+{
+	test_gate_t *t = ((memory_registry_t *)r)->t;
+	int rc = 0;
+
+	(void)timeout_ms;
+	memset(out, 0, sizeof(*out));
+	pthread_mutex_lock(&t->lock);
+	out->changes = bct_alloc(sizeof(*out->changes) * 8);
+	if (t->down) {
+		rc = -BCT_EUNAVAILABLE;
+	} else if (topic == BCT_REGISTRY_ROUTES) {
+		out->n = 1;
+		out->changes[0].kind = BCT_REGISTRY_TABLE;
+		if (bct_decode_routes(t->config, strlen(t->config), &out->changes[0].table))
+			out->changes[0].kind = BCT_REGISTRY_UNREADABLE;
+	} else {
+		for (uint32_t i = 0; i < GATE_UPSTREAMS; i++)
+			add_entry(out, &t->engines[i]);
+		if (t->desk_listed)
+			add_entry(out, &t->desk);
+	}
+	pthread_mutex_unlock(&t->lock);
+	if (rc)
+		bct_registry_batch_free(out);
+	return rc;
+}
+
+/* Every read is a new listing. */
+static int changes(bct_registry_t *r, bct_registry_topic_t topic, uint64_t from,
+		   uint32_t timeout_ms, bct_registry_batch_t *out)
+{
+	(void)r;
+	(void)topic;
+	(void)from;
+	(void)timeout_ms;
+	memset(out, 0, sizeof(*out));
+	return -BCT_EEXPIRED;
+}
+
+static void destroy(bct_registry_t *r)
+{
+	bct_free(r);
+}
+
+static const bct_registry_ops_t registry_ops = {
+	.destroy = destroy,
+	.list = list,
+	.changes = changes,
+};
+
+static void get_header(const char *head, const char *name, char *out, size_t size)
+{
+	const char *at = strcasestr(head, name);
+
+	out[0] = '\0';
+	if (!at)
+		return;
+	at += strlen(name);
+	at += strspn(at, ": ");
+	snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
+}
+
+/* Reads one request. returns false when the connection ended. */
+static bool read_request(int fd, char *buf, size_t size, size_t *have, gate_run_t *run)
+{
+	size_t head, body;
+	char *end;
+
+	buf[*have] = '\0';
+	while (!(end = strstr(buf, "\r\n\r\n"))) {
+		ssize_t n = recv(fd, buf + *have, size - 1 - *have, 0);
+
+		if (n <= 0)
+			return false;
+		*have += (size_t)n;
+		buf[*have] = '\0';
+	}
+	head = (size_t)(end - buf) + 4;
+	snprintf(run->head, sizeof(run->head), "%.*s", (int)head, buf);
+	get_header(run->head, "\nContent-Length", run->body, sizeof(run->body));
+	body = strtoul(run->body, NULL, 10);
+	while (*have < head + body) {
+		ssize_t n = recv(fd, buf + *have, size - 1 - *have, 0);
+
+		if (n <= 0)
+			return false;
+		*have += (size_t)n;
+	}
+	snprintf(run->body, sizeof(run->body), "%.*s", (int)body, buf + head);
+	*have -= head + body;
+	memmove(buf, buf + head + body, *have);
+	return true;
+}
+
+static void put(int fd, const char *text)
+{
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+static void put_answer(int fd, const char *status, const char *call_id, const char *extra,
+		       const char *body, size_t send_bytes)
+{
+	char text[2048];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 %s\r\n" HEAD "Request-Attempt-Id: %s\r\n%sContent-Length: %zu\r\n\r\n"
+		 "%.*s",
+		 status, call_id, extra, strlen(body), (int)send_bytes, body);
+	put(fd, text);
+}
+
+#define SEAL HEAD "Server-Seal: s\r\n"
+
+static void put_event(int fd, int id)
+{
+	char event[64], text[96];
+	int n = snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", id, id);
+
+	snprintf(text, sizeof(text), "%x\r\n%s\r\n", n, event);
+	put(fd, text);
+}
+
+static void reset(int fd)
+{
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+/* Waits for the gateway to close. returns whether it did. */
+static bool wait_closed(int fd, uint32_t ms)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	char c;
+
+	return poll(&p, 1, (int)ms) == 1 && recv(fd, &c, 1, MSG_DONTWAIT) <= 0;
+}
+
+/* Streams events after `from`. returns whether the connection may go on. */
+static bool stream(int fd, const char *word, const gate_run_t *run)
+{
+	char last[32], text[512];
+	int from;
+
+	get_header(run->head, "\nLast-Event-Id", last, sizeof(last));
+	from = atoi(last);
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\n" HEAD "Request-Attempt-Id: %s\r\n" SEAL
+		 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 run->call_id);
+	put(fd, text);
+	for (int i = from + 1; i <= 5; i++) {
+		put_event(fd, i);
+		if (!strcmp(word, "streamcut") && i == 2) {
+			bct_clock_sleep(50);
+			reset(fd);
+			return false;
+		}
+		if (!strcmp(word, "streamhalf") && i == 1) {
+			put(fd, "9\r\nid: 2\ndat\r\n0\r\n\r\n");
+			return false;
+		}
+		if (!strcmp(word, "streamquiet") && i == 2) {
+			wait_closed(fd, QUIET_MS);
+			return false;
+		}
+	}
+	put(fd, "0\r\n\r\n");
+	return true;
+}
+
+/* returns whether the connection may go on */
+static bool behave(conn_t *c, const char *word, gate_run_t *run)
+{
+	const char *id = run->call_id;
+
+	if (!strncmp(word, "stream", 6))
+		return stream(c->fd, word, run);
+	if (!strcmp(word, "error")) {
+		put_answer(c->fd, "500 Oops", id, SEAL, "bad", 3);
+	} else if (!strcmp(word, "notrun")) {
+		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\n", "", 0);
+	} else if (!strcmp(word, "wrong")) {
+		put_answer(c->fd, "421 Misdirected", id, "", "", 0);
+	} else if (!strcmp(word, "noseal")) {
+		put_answer(c->fd, "200 OK", id, "", "body", 4);
+	} else if (!strcmp(word, "foreign")) {
+		put_answer(c->fd, "200 OK", "another", SEAL, "theirs", 6);
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	} else if (!strcmp(word, "extra")) {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+		put_answer(c->fd, "200 OK", id, SEAL, "more", 4);
+	} else if (!strcmp(word, "cut")) {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 2);
+		return false;
+	} else if (!strcmp(word, "reset")) {
+		reset(c->fd);
+		return false;
+	} else if (!strcmp(word, "silent")) {
+		run->gone = wait_closed(c->fd, QUIET_MS);
+		return false;
+	} else {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	}
+	return true;
+}
+
+/* The word of the script for this arrival; counts it. */
+static gate_run_t *note_run(conn_t *c, const gate_run_t *in, char *word, size_t size)
+{
+	test_gate_t *t = c->u->gate;
+	char script[128], *save = NULL, *at;
+	gate_run_t *run;
+	uint32_t n = 0;
+
+	pthread_mutex_lock(&t->lock);
+	for (uint32_t i = 0; i < t->n_runs; i++)
+		n += !strcmp(t->runs[i].call_id, in->call_id);
+	run = &t->runs[t->n_runs < GATE_RUNS_MAX - 1 ? t->n_runs++ : GATE_RUNS_MAX - 1];
+	*run = *in;
+	snprintf(run->upstream_id, sizeof(run->upstream_id), "%s", c->u->id);
+	pthread_mutex_unlock(&t->lock);
+	get_header(in->head, "\nX-Script", script, sizeof(script));
+	at = strtok_r(script, ", ", &save);
+	snprintf(word, size, "%s", at ? at : "ok");
+	while (n-- && (at = strtok_r(NULL, ", ", &save)) != NULL)
+		snprintf(word, size, "%s", at);
+	return run;
+}
+
+static void *serve_conn(void *arg)
+{
+	conn_t *c = arg;
+	char buf[16384], word[32];
+	size_t have = 0;
+	gate_run_t in;
+
+	memset(&in, 0, sizeof(in));
+	while (read_request(c->fd, buf, sizeof(buf), &have, &in)) {
+		gate_run_t *run;
+
+		get_header(in.head, "\n" HEAD "Request-Attempt-Id", in.call_id, sizeof(in.call_id));
+		run = note_run(c, &in, word, sizeof(word));
+		if (!behave(c, word, run))
+			break;
+	}
+	close(c->fd);
+	free(c);
+	return NULL;
+}
+
+static void *serve_upstream(void *arg)
+{
+	gate_upstream_t *u = arg;
+
+	for (;;) {
+		conn_t *c = malloc(sizeof(*c));
+		pthread_t thread;
+
+		c->u = u;
+		c->fd = accept(u->fd, NULL, NULL);
+		if (c->fd < 0 || pthread_create(&thread, NULL, serve_conn, c)) {
+			free(c);
+			return NULL;
+		}
+		pthread_detach(thread);
+		pthread_mutex_lock(&u->gate->lock);
+		u->gate->connections++;
+		pthread_mutex_unlock(&u->gate->lock);
+	}
+}
+
+static int listen_any(uint16_t *port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	cr_assert_eq(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	cr_assert_eq(listen(fd, 64), 0);
+	getsockname(fd, (struct sockaddr *)&sa, &len);
+	*port = ntohs(sa.sin_port);
+	return fd;
+}
+
+static void start_upstream(test_gate_t *t, gate_upstream_t *u, const char *id, const char *service)
+{
+	snprintf(u->id, sizeof(u->id), "%s", id);
+	u->service = service;
+	u->gate = t;
+	u->fd = listen_any(&u->port);
+	cr_assert_eq(pthread_create(&u->thread, NULL, serve_upstream, u), 0);
+}
+
+static void *run_gate(void *arg)
+{
+	test_gate_t *t = arg;
+
+	bct_gate_run(t->gate);
+	return NULL;
+}
+
+static void fill_settings(test_gate_t *t)
+{
+	bct_settings_t *s = &t->settings;
+
+	/* The port is free again by the time that the gateway takes it. */
+	close(listen_any(&t->port));
+	snprintf(s->vm_name, sizeof(s->vm_name), "test");
+	snprintf(s->vm_failure_domain, sizeof(s->vm_failure_domain), "z");
+	snprintf(s->gate_listen, sizeof(s->gate_listen), "127.0.0.1:%u", t->port);
+	s->caller_entry_lifetime_ms = 100;
+	s->platform_timeout_ms = 500;
+	s->platform_poll_ms = 20;
+	s->gate_grace_ms = 4000;
+	s->gate_budget_window_ms = 10000;
+	s->gate_budget_ratio_permille = 150;
+	s->gate_budget_allowance = 40;
+	s->gate_prefill_tokens_per_s = 30000;
+	s->gate_step_us = 8000;
+}
+
+static void start(test_gate_t *t, bool down)
+{
+	memory_registry_t *r = bct_alloc(sizeof(*r));
+	bct_gate_opts_t o = { .settings = &t->settings, .wire = bct_adapter_wire() };
+	char id[16];
+
+	memset(t, 0, sizeof(*t));
+	signal(SIGPIPE, SIG_IGN);
+	pthread_mutex_init(&t->lock, NULL);
+	t->down = down;
+	t->desk_listed = true;
+	snprintf(t->config, sizeof(t->config), "%s", test_gate_config(1, "model"));
+	for (int i = 0; i < GATE_UPSTREAMS; i++) {
+		snprintf(id, sizeof(id), "e-%d", i);
+		start_upstream(t, &t->engines[i], id, "model");
+	}
+	start_upstream(t, &t->desk, "d-0", "desk");
+	fill_settings(t);
+	r->base.ops = &registry_ops;
+	r->t = t;
+	o.registry = &r->base;
+	cr_assert_eq(bct_gate_new(&o, &t->gate), 0);
+	cr_assert_eq(pthread_create(&t->thread, NULL, run_gate, t), 0);
+}
+
+void test_gate_start_down(test_gate_t *t)
+{
+	start(t, true);
+}
+
+/* Tries until a request is answered by an upstream of the version given. */
+static void wait_ready(test_gate_t *t)
+{
+	for (bct_time_t end = bct_clock_now() + READY_MS; bct_clock_now() < end;) {
+		bct_buf_t out;
+		int status = test_gate_call(t, "GET", "/safe/ready", "ready", "ok", &out);
+
+		bct_buf_free(&out);
+		if (status == 200)
+			return;
+		bct_clock_sleep(10);
+	}
+	cr_assert_fail("the gateway did not get ready");
+}
+
+void test_gate_start(test_gate_t *t)
+{
+	start(t, false);
+	wait_ready(t);
+}
+
+void test_gate_publish(test_gate_t *t, const char *config)
+{
+	pthread_mutex_lock(&t->lock);
+	snprintf(t->config, sizeof(t->config), "%s", config);
+	pthread_mutex_unlock(&t->lock);
+	/* Ten listings of the gateway's feed. */
+	bct_clock_sleep(300);
+}
+
+void test_gate_stop(test_gate_t *t)
+{
+	kill(getpid(), SIGTERM);
+	pthread_join(t->thread, NULL);
+	bct_gate_free(t->gate);
+}
+
+void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(t->port) };
+	bct_time_t end = bct_clock_now() + wait_ms;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char buf[4096];
+	ssize_t n;
+
+	bct_buf_init(out, 0);
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+		send(fd, bytes, len, MSG_NOSIGNAL);
+	for (;;) {
+		struct pollfd p = { .fd = fd, .events = POLLIN };
+		bct_time_t left = end - bct_clock_now();
+
+		if (left <= 0 || poll(&p, 1, (int)left) <= 0)
+			break;
+		n = recv(fd, buf, sizeof(buf), 0);
+		if (n <= 0)
+			break;
+		bct_buf_put(out, buf, (size_t)n);
+	}
+	if (!out->data)
+		bct_buf_puts(out, "");
+	close(fd);
+}
+
+int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
+		   const char *script, bct_buf_t *out)
+{
+	bool post = !strcmp(method, "POST");
+	char text[1024];
+	int n = snprintf(text, sizeof(text),
+			 "%s %s HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+			 "Api-Key: k1\r\n" HEAD "Request-Attempt-Id: %s\r\n" HEAD
+			 "Deadline-Milliseconds: 3000\r\nX-Script: %s\r\n%s\r\n%s",
+			 method, path, call_id, script, post ? "Content-Length: 5\r\n" : "",
+			 post ? "hello" : "");
+
+	test_gate_raw(t, text, (size_t)n, READY_MS, out);
+	return strncmp(out->data, "HTTP/1.1 ", 9) ? 0 : atoi(out->data + 9);
+}
+
+uint32_t test_gate_runs(test_gate_t *t, const char *call_id)
+{
+	uint32_t n = 0;
+
+	pthread_mutex_lock(&t->lock);
+	for (uint32_t i = 0; i < t->n_runs; i++)
+		n += !strcmp(t->runs[i].call_id, call_id);
+	pthread_mutex_unlock(&t->lock);
+	return n;
+}
+
+const gate_run_t *test_gate_run(test_gate_t *t, const char *call_id, uint32_t which)
+{
+	for (uint32_t i = 0; i < t->n_runs; i++) {
+		if (!strcmp(t->runs[i].call_id, call_id) && !which--)
+			return &t->runs[i];
+	}
+	return NULL;
+}
