Two readers ask the registry and tell the other gateways

Cause: every node asked the store every 0.8 s; at 69 nodes calls are the largest price, and they grow with nodes. Ruled out: a held read (it returns for every heartbeat); an elected reader (needs a lease and a hand-over). Change: policy/gate_follow: the two lowest ranks ask, all compare versions and digests in the load datagrams and ask themselves when something is missing or no reader reaches the registry.

--- a/gate/feed.c
+++ b/gate/feed.c
@@ -1,13 +1,16 @@
 /*
  * feed.c - follows the registry on a thread of its own and hands what it reads to the event loop.
  *
+ * The event loop says what is due (policy/gate_follow.h); the thread makes the calls, which block.
  * Each topic is listed once and then read from the listing's end; when records expired unread it is
  * listed again. Reads are paced instead of held open: upstreams write heartbeats all the time, and
  * a held read would return for each of them.
  */
 #include "base/err.h"
 #include "base/mem.h"
-#include "gate/gate_int.h"
+#include "gate/feed.h"
+#include "gate/share.h"
+#include "policy/gate_follow.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -15,9 +18,6 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-#define RETRY_MIN_MS 100
-#define RETRY_MAX_MS 800
-
 typedef struct delivery {
 	bct_list_t link;
 	bct_registry_topic_t topic;
@@ -33,13 +33,16 @@
 	int wake_fd; /* the thread has delivered something */
 	struct event *wake;
 	pthread_mutex_t lock; /* guards all below */
-	pthread_cond_t stop_cond;
+	pthread_cond_t due_cond;
 	bct_list_t deliveries;
+	bct_gate_due_t due; /* what the thread is to ask */
+	bool busy;	    /* it is asking */
 	bool stop;
 	/* Of the thread. */
 	bool listed[BCT_REGISTRY_TOPICS];
 	uint64_t next[BCT_REGISTRY_TOPICS];
 	/* Of the event loop. */
+	bct_gate_follow_t follow;
 	bool up;
 	bool known; /* up was told once */
 };
@@ -52,7 +55,7 @@
 	bct_list_add_tail(&d->link, &f->deliveries);
 	pthread_mutex_unlock(&f->lock);
 	if (write(f->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN)
-		BCT_LOG(f->gate->log, BCT_EV_REGISTRY_DOWN, BCT_STR("what", "wake"));
+		BCT_LOG(f->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", -BCT_EIO));
 }
 
 /* One call for one topic. returns the call's error. */
@@ -82,48 +85,82 @@
 	return rc;
 }
 
-/* Waits unless the feed is being stopped. returns false when it is. */
-static bool wait_ms(bct_feed_t *f, uint32_t ms)
+/* Waits until something is due. returns false when the feed is being stopped. */
+static bool next_due(bct_feed_t *f, bct_gate_due_t *due)
 {
-	struct timespec until;
 	bool stop;
 
-	bct_clock_until(ms, &until);
 	pthread_mutex_lock(&f->lock);
-	while (!f->stop && ms && !pthread_cond_timedwait(&f->stop_cond, &f->lock, &until))
-		;
+	f->busy = false;
+	while (!f->stop && !f->due.routes && !f->due.upstreams)
+		pthread_cond_wait(&f->due_cond, &f->lock);
+	*due = f->due;
+	memset(&f->due, 0, sizeof(f->due));
+	f->busy = true;
 	stop = f->stop;
 	pthread_mutex_unlock(&f->lock);
 	return !stop;
 }
 
+/* Reads a topic, and lists it at once when records expired unread. */
+static void ask(bct_feed_t *f, bct_registry_topic_t t, bool list)
+{
+	if (list)
+		f->listed[t] = false;
+	if (read_topic(f, t) == -BCT_EEXPIRED)
+		read_topic(f, t);
+}
+
 static void *run(void *arg)
 {
 	bct_feed_t *f = arg;
-	uint32_t pause = 0, retry = RETRY_MIN_MS;
-
-	while (wait_ms(f, pause)) {
-		int rc = read_topic(f, BCT_REGISTRY_ROUTES);
-		int rc2 = read_topic(f, BCT_REGISTRY_UPSTREAMS);
-
-		if (rc == -BCT_EEXPIRED || rc2 == -BCT_EEXPIRED) {
-			pause = 0;
-		} else if (rc || rc2) {
-			pause = retry;
-			retry = retry * 2 < RETRY_MAX_MS ? retry * 2 : RETRY_MAX_MS;
-		} else {
-			pause = f->gate->settings->platform_poll_ms;
-			retry = RETRY_MIN_MS;
-		}
+	bct_gate_due_t due;
+
+	while (next_due(f, &due)) {
+		if (due.routes)
+			ask(f, BCT_REGISTRY_ROUTES, due.list);
+		if (due.upstreams)
+			ask(f, BCT_REGISTRY_UPSTREAMS, due.list);
 	}
 	return NULL;
 }
 
+void bct_feed_tick(bct_feed_t *f)
+{
+	bct_gate_t *g = f->gate;
+	bct_gate_own_t own = {
+		.rank = g->rank,
+		.routes_version = g->routes ? g->routes->version : 0,
+		.upstreams_digest = bct_gate_upstreams_digest(&g->upstreams),
+	};
+	bct_gate_due_t due;
+
+	pthread_mutex_lock(&f->lock);
+	if (!f->busy && !f->due.routes && !f->due.upstreams) {
+		due = bct_gate_follow_due(&f->follow, bct_clock_now(), &own);
+		f->due = due;
+		if (due.routes || due.upstreams)
+			pthread_cond_signal(&f->due_cond);
+	}
+	pthread_mutex_unlock(&f->lock);
+}
+
+void bct_feed_heard(bct_feed_t *f, const bct_gate_heard_t *h)
+{
+	bct_gate_follow_heard(&f->follow, h);
+}
+
+bct_time_t bct_feed_answered_at(const bct_feed_t *f)
+{
+	return f->follow.answered_at;
+}
+
 static void note_health(bct_feed_t *f, int rc)
 {
 	bool up = !rc || rc == -BCT_EEXPIRED;
 
 	bct_gate_upstreams_registry(&f->gate->upstreams, bct_clock_now(), up);
+	bct_gate_follow_answer(&f->follow, bct_clock_now(), up);
 	if (f->known && up == f->up)
 		return;
 	f->known = true;
@@ -184,7 +221,7 @@
 		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
 }
 
-static void apply_change(bct_gate_t *g, bct_registry_change_t *c)
+void bct_feed_apply(bct_gate_t *g, bct_registry_change_t *c, bool tell)
 {
 	bct_time_t now = bct_clock_now();
 
@@ -193,12 +230,18 @@
 		adopt(g, c);
 		break;
 	case BCT_REGISTRY_ENTRY:
-		if (bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) == 1)
-			log_upstream(g, c->entry.id);
+		if (bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) != 1)
+			break;
+		log_upstream(g, c->entry.id);
+		if (tell)
+			bct_share_change(g->share, c);
 		break;
 	case BCT_REGISTRY_REMOVED:
-		if (bct_gate_upstreams_remove(&g->upstreams, now, c->name))
-			log_upstream(g, c->name);
+		if (!bct_gate_upstreams_remove(&g->upstreams, now, c->name))
+			break;
+		log_upstream(g, c->name);
+		if (tell)
+			bct_share_change(g->share, c);
 		break;
 	case BCT_REGISTRY_UNREADABLE:
 		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("name", c->name));
@@ -215,7 +258,7 @@
 	if (listing)
 		bct_gate_upstreams_list_begin(&g->upstreams);
 	for (uint32_t i = 0; i < d->batch.n; i++)
-		apply_change(g, &d->batch.changes[i]);
+		bct_feed_apply(g, &d->batch.changes[i], !d->listing);
 	if (listing)
 		bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now());
 }
@@ -248,17 +291,14 @@
 int bct_feed_new(bct_gate_t *g, bct_feed_t **out)
 {
 	bct_feed_t *f = bct_alloc(sizeof(*f));
-	pthread_condattr_t attr;
 
 	if (!f)
 		return -BCT_ENOMEM;
 	f->gate = g;
 	bct_list_init(&f->deliveries);
 	pthread_mutex_init(&f->lock, NULL);
-	pthread_condattr_init(&attr);
-	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-	pthread_cond_init(&f->stop_cond, &attr);
-	pthread_condattr_destroy(&attr);
+	pthread_cond_init(&f->due_cond, NULL);
+	bct_gate_follow_init(&f->follow, g->settings->platform_poll_ms);
 	f->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (f->wake_fd >= 0)
 		f->wake = event_new(g->base, f->wake_fd, EV_READ | EV_PERSIST, on_wake, f);
@@ -279,7 +319,7 @@
 		return;
 	pthread_mutex_lock(&f->lock);
 	f->stop = true;
-	pthread_cond_signal(&f->stop_cond);
+	pthread_cond_signal(&f->due_cond);
 	pthread_mutex_unlock(&f->lock);
 	if (f->started)
 		pthread_join(f->thread, NULL);
@@ -294,7 +334,7 @@
 		event_free(f->wake);
 	if (f->wake_fd >= 0)
 		close(f->wake_fd);
-	pthread_cond_destroy(&f->stop_cond);
+	pthread_cond_destroy(&f->due_cond);
 	pthread_mutex_destroy(&f->lock);
 	bct_free(f);
 }
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -5,7 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "base/rng.h"
-#include "gate/gate_int.h"
+#include "gate/feed.h"
 #include "gate/share.h"
 
 #include <signal.h>
@@ -71,6 +71,7 @@
 	bct_peer_fleet(g->peer, &fleet);
 	g->nodes = fleet.nodes ? fleet.nodes : 1;
 	g->picker.nodes = g->nodes;
+	g->rank = fleet.rank;
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
@@ -87,6 +88,7 @@
 	}
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	count_nodes(g);
+	bct_feed_tick(g->feed);
 	if (g->draining)
 		drain_step(g);
 }
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -70,6 +70,7 @@
 	bct_peer_t *peer;   /* NULL: alone */
 	bct_share_t *share; /* NULL: alone */
 	uint32_t nodes;	    /* live ones, this one included */
+	uint32_t rank; /* of this one among them, from 0 */
 	bct_gate_counters_t counters;
 	bool draining;
 	bct_time_t drain_begun;
@@ -203,10 +204,6 @@
 void bct_exchange_complete(bct_exchange_t *x);
 void bct_exchange_flushed(bct_exchange_t *x);
 
-/* feed.c: follows the registry on a thread of its own. */
-int bct_feed_new(bct_gate_t *g, bct_feed_t **out);
-void bct_feed_free(bct_feed_t *f);
-
 /* local.c: addresses for callers, readiness and metrics. */
 int bct_local_new(bct_gate_t *g, bct_local_t **out);
 void bct_local_free(bct_local_t *l);
--- a/gate/share.c
+++ b/gate/share.c
@@ -2,6 +2,7 @@
  * share.c - encodes by libtirpc's XDR, authenticates by libsodium.
  */
 #include "gate/share.h"
+#include "gate/feed.h"
 #include "base/err.h"
 #include "base/mem.h"
 #include "gen/share.h"
@@ -19,6 +20,7 @@
 #define DATAGRAMS_PER_S 80 /* that one node sends, whatever their number */
 #define KEEP_INTERVALS 4   /* a peer's load is forgotten when so many were missed */
 #define KEEP_MIN_MS 500
+#define IDLE_INTERVAL_MS 250 /* between datagrams of a reader without load */
 #define REFRESH_MS 500 /* between two looks at the membership */
 #define MEMBERS_MAX 512
 
@@ -38,6 +40,7 @@
 	peer_t peers[MEMBERS_MAX];
 	uint32_t n_peers;
 	bct_time_t refreshed;
+	bct_time_t spoke;
 	share_placed placed[SHARE_PLACED_MAX];
 	uint32_t n_placed;
 	bct_gate_peers_t loads;
@@ -142,26 +145,111 @@
 	return len + MAC_BYTES;
 }
 
-static void send_round(bct_share_t *s)
+static void send_all(bct_share_t *s, share_news *news)
 {
-	share_load loads[SHARE_LOADS_MAX];
-	share_news news = { .from = bct_peer_incarnation(s->gate->peer), .seq = ++s->seq };
 	uint8_t out[DATAGRAM_BYTES];
+	bct_gate_t *g = s->gate;
+	bct_time_t age = bct_clock_now() - bct_feed_answered_at(g->feed);
 	size_t len;
 
+	news->from = bct_peer_incarnation(g->peer);
+	news->seq = ++s->seq;
+	news->routes_version = g->routes ? g->routes->version : 0;
+	news->upstreams_digest = bct_gate_upstreams_digest(&g->upstreams);
+	news->registry_age_ms = (u_int)(age < UINT32_MAX ? age : UINT32_MAX);
+	len = encode(s, news, out);
+	for (uint32_t i = 0; len && i < s->n_peers; i++) {
+		if (sendto(s->fd, out, len, MSG_DONTWAIT, (struct sockaddr *)&s->peers[i].sa,
+			   sizeof(s->peers[i].sa)) < 0)
+			BCT_GATE_COUNT(g, SHARES_DROPPED);
+	}
+}
+
+static void send_round(bct_share_t *s)
+{
+	share_load loads[SHARE_LOADS_MAX];
+	share_news news = { 0 };
+	bct_time_t now = bct_clock_now();
+
 	news.loads.loads_val = loads;
 	news.loads.loads_len = collect_loads(s, loads);
 	news.placed.placed_val = s->placed;
 	news.placed.placed_len = s->n_placed;
-	if (!news.loads.loads_len && !s->n_placed)
+	/* Only readers speak when there is no load: the others hear from them what is in force. */
+	if (!news.loads.loads_len && !s->n_placed &&
+	    (s->gate->rank >= BCT_GATE_READERS || now - s->spoke < IDLE_INTERVAL_MS))
 		return;
-	len = encode(s, &news, out);
+	s->spoke = now;
+	send_all(s, &news);
 	s->n_placed = 0;
-	for (uint32_t i = 0; len && i < s->n_peers; i++) {
-		if (sendto(s->fd, out, len, MSG_DONTWAIT, (struct sockaddr *)&s->peers[i].sa,
-			   sizeof(s->peers[i].sa)) < 0)
-			BCT_GATE_COUNT(s->gate, SHARES_DROPPED);
+}
+
+void bct_share_change(bct_share_t *s, const bct_registry_change_t *c)
+{
+	const bct_gate_entry_t *e = &c->entry;
+	share_news news = { 0 };
+	share_entry x = { 0 };
+
+	if (!s)
+		return;
+	x.removed = c->kind == BCT_REGISTRY_REMOVED;
+	memcpy(x.id, x.removed ? c->name : e->id, sizeof(x.id));
+	if (!x.removed) {
+		memcpy(x.service, e->service, sizeof(x.service));
+		memcpy(x.zone, e->zone, sizeof(x.zone));
+		memcpy(x.ip, e->ip, sizeof(x.ip));
 	}
+	x.port = e->port;
+	x.slots = e->slots;
+	x.cold_ms = e->cold_ms;
+	x.draining = e->draining;
+	x.born_ms = e->born_ms;
+	x.sequence = e->sequence;
+	news.entries.entries_val = &x;
+	news.entries.entries_len = 1;
+	send_all(s, &news);
+}
+
+/* Decoded names end with a NUL, whatever came. */
+static void take_name(char *out, const char *in, size_t size)
+{
+	memcpy(out, in, size);
+	out[size - 1] = '\0';
+}
+
+static void take_change(bct_share_t *s, const share_entry *x)
+{
+	bct_registry_change_t c = { 0 };
+	bct_gate_entry_t *e = &c.entry;
+
+	c.kind = x->removed ? BCT_REGISTRY_REMOVED : BCT_REGISTRY_ENTRY;
+	take_name(c.name, x->id, sizeof(c.name));
+	take_name(e->id, x->id, sizeof(e->id));
+	take_name(e->service, x->service, sizeof(e->service));
+	take_name(e->zone, x->zone, sizeof(e->zone));
+	take_name(e->ip, x->ip, sizeof(e->ip));
+	e->port = (uint16_t)x->port;
+	e->slots = x->slots;
+	e->cold_ms = x->cold_ms;
+	e->draining = x->draining;
+	e->born_ms = x->born_ms;
+	e->sequence = x->sequence;
+	bct_feed_apply(s->gate, &c, false);
+}
+
+/* What the sender knows of the registry. */
+static void take_versions(bct_share_t *s, bct_time_t now, const share_news *news)
+{
+	bct_gate_heard_t h = {
+		.at = now,
+		.registry_at = now - news->registry_age_ms,
+		.routes_version = news->routes_version,
+		.upstreams_digest = news->upstreams_digest,
+	};
+
+	for (uint32_t i = 0; i < news->entries.entries_len; i++)
+		take_change(s, &news->entries.entries_val[i]);
+	bct_feed_heard(s->gate->feed, &h);
 }
 
 static void set_timer(bct_share_t *s)
@@ -208,6 +296,7 @@
 {
 	bct_time_t now = bct_clock_now();
 
+	take_versions(s, now, news);
 	for (uint32_t i = 0; i < news->loads.loads_len; i++) {
 		const share_load *l = &news->loads.loads_val[i];
 		bct_gate_peer_load_t load = {
--- a/gen/share.h
+++ b/gen/share.h
@@ -15,6 +15,9 @@
 
 #define SHARE_LOADS_MAX 48
 #define SHARE_PLACED_MAX 32
+#define SHARE_ENTRIES_MAX 3
+#define SHARE_NAME_BYTES 64
+#define SHARE_IP_BYTES 48
 
 struct share_load {
 	u_quad_t upstream;
@@ -30,9 +33,31 @@
 };
 typedef struct share_placed share_placed;
 
+struct share_entry {
+	char id[SHARE_NAME_BYTES];
+	char service[SHARE_NAME_BYTES];
+	char zone[SHARE_NAME_BYTES];
+	char ip[SHARE_IP_BYTES];
+	u_int port;
+	u_int slots;
+	u_int cold_ms;
+	bool_t draining;
+	bool_t removed;
+	quad_t born_ms;
+	u_quad_t sequence;
+};
+typedef struct share_entry share_entry;
+
 struct share_news {
 	u_quad_t from;
 	u_quad_t seq;
+	u_quad_t routes_version;
+	u_quad_t upstreams_digest;
+	u_int registry_age_ms;
+	struct {
+		u_int entries_len;
+		share_entry *entries_val;
+	} entries;
 	struct {
 		u_int loads_len;
 		share_load *loads_val;
@@ -49,11 +74,13 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_share_load (XDR *, share_load*);
 extern  bool_t xdr_share_placed (XDR *, share_placed*);
+extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_news (XDR *, share_news*);
 
 #else /* K&R C */
 extern bool_t xdr_share_load ();
 extern bool_t xdr_share_placed ();
+extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_news ();
 
 #endif /* K&R C */
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -33,6 +33,108 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_entry (XDR *xdrs, share_entry *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_opaque (xdrs, objp->id, SHARE_NAME_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->service, SHARE_NAME_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->zone, SHARE_NAME_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->ip, SHARE_IP_BYTES))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->removed))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->port);
+		IXDR_PUT_U_LONG(buf, objp->slots);
+		IXDR_PUT_U_LONG(buf, objp->cold_ms);
+		IXDR_PUT_BOOL(buf, objp->draining);
+		IXDR_PUT_BOOL(buf, objp->removed);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_opaque (xdrs, objp->id, SHARE_NAME_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->service, SHARE_NAME_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->zone, SHARE_NAME_BYTES))
+			 return FALSE;
+		 if (!xdr_opaque (xdrs, objp->ip, SHARE_IP_BYTES))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->port))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->removed))
+				 return FALSE;
+
+		} else {
+		objp->port = IXDR_GET_U_LONG(buf);
+		objp->slots = IXDR_GET_U_LONG(buf);
+		objp->cold_ms = IXDR_GET_U_LONG(buf);
+		objp->draining = IXDR_GET_BOOL(buf);
+		objp->removed = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_quad_t (xdrs, &objp->born_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_opaque (xdrs, objp->id, SHARE_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->service, SHARE_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->zone, SHARE_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_opaque (xdrs, objp->ip, SHARE_IP_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->removed))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_news (XDR *xdrs, share_news *objp)
 {
@@ -42,6 +144,15 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->seq))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->routes_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->upstreams_digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->registry_age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, SHARE_ENTRIES_MAX,
+		sizeof (share_entry), (xdrproc_t) xdr_share_entry))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, SHARE_LOADS_MAX,
 		sizeof (share_load), (xdrproc_t) xdr_share_load))
 		 return FALSE;
--- /dev/null
+++ b/policy/gate_follow.c
@@ -0,0 +1,65 @@
+/*
+ * gate_follow.c - readers by rank, everybody else by comparison.
+ */
+#include "policy/gate_follow.h"
+
+#include <string.h>
+
+#define FRESH_MS 1000	 /* a reader's word is enough while its registry answered that lately */
+#define DIFFERS_MS 400	 /* a change is on its way to us for so long at most */
+#define READ_ON_MS 3000	 /* after a longer pause a listing is smaller than what changed */
+#define RETRY_MIN_MS 200 /* between calls that fail */
+#define RETRY_MAX_SHIFT 2U
+
+void bct_gate_follow_init(bct_gate_follow_t *f, uint32_t interval_ms)
+{
+	memset(f, 0, sizeof(*f));
+	f->interval_ms = interval_ms;
+}
+
+void bct_gate_follow_heard(bct_gate_follow_t *f, const bct_gate_heard_t *h)
+{
+	if (h->registry_at >= f->heard.registry_at)
+		f->heard = *h;
+}
+
+static void compare(bct_gate_follow_t *f, bct_time_t now, const bct_gate_own_t *own)
+{
+	if (own->upstreams_digest == f->heard.upstreams_digest)
+		f->differs_since = 0;
+	else if (!f->differs_since)
+		f->differs_since = now;
+}
+
+static uint32_t pause_ms(const bct_gate_follow_t *f)
+{
+	uint32_t shift = f->failures < RETRY_MAX_SHIFT ? f->failures : RETRY_MAX_SHIFT;
+
+	return f->failures ? (uint32_t)RETRY_MIN_MS << shift : f->interval_ms;
+}
+
+bct_gate_due_t bct_gate_follow_due(bct_gate_follow_t *f, bct_time_t now, const bct_gate_own_t *own)
+{
+	bool fresh = now - f->heard.registry_at < FRESH_MS;
+	bool reader = own->rank < BCT_GATE_READERS || !fresh;
+	bct_gate_due_t due = { 0 };
+
+	compare(f, now, own);
+	if (f->asked_at && now - f->asked_at < (reader ? pause_ms(f) : RETRY_MIN_MS))
+		return due;
+	due.routes = reader || f->heard.routes_version > own->routes_version;
+	due.upstreams = reader || (f->differs_since && now - f->differs_since >= DIFFERS_MS);
+	due.list = now - f->answered_at > READ_ON_MS || !reader;
+	if (due.routes || due.upstreams)
+		f->asked_at = now;
+	if (due.upstreams)
+		f->differs_since = 0;
+	return due;
+}
+
+void bct_gate_follow_answer(bct_gate_follow_t *f, bct_time_t now, bool ok)
+{
+	f->failures = ok ? 0 : f->failures + 1;
+	if (ok)
+		f->answered_at = now;
+}
--- /dev/null
+++ b/policy/gate_follow.h
@@ -0,0 +1,60 @@
+/*
+ * gate_follow.h - when a node asks the registry itself, and when its peers' word is enough. Pure.
+ *
+ * A few nodes of the lowest ranks, the readers, ask at every interval and tell the others what
+ * changed. Every other node compares versions with what it hears and asks only when something is
+ * missing, or when no reader has been heard of that reaches the registry. So the calls do not grow
+ * with the number of nodes, and no reader has to be elected or replaced.
+ */
+#ifndef BCT_POLICY_GATE_FOLLOW_H
+#define BCT_POLICY_GATE_FOLLOW_H
+
+#include "base/clock.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define BCT_GATE_READERS 2 /* one may be cut off from the registry */
+
+/* What a peer said last. */
+typedef struct bct_gate_heard {
+	bct_time_t at;
+	bct_time_t registry_at; /* its last answer of the registry, by our clock */
+	uint64_t routes_version;
+	uint64_t upstreams_digest;
+} bct_gate_heard_t;
+
+typedef struct bct_gate_follow {
+	uint32_t interval_ms; /* of a reader */
+	bct_gate_heard_t heard; /* of the peer that has asked the registry last */
+	bct_time_t asked_at;
+	bct_time_t answered_at; /* the registry's last answer to this node */
+	bct_time_t differs_since; /* upstreams differ from the peer's; 0: they do not */
+	uint32_t failures;	  /* of own calls in a row */
+} bct_gate_follow_t;
+
+typedef struct bct_gate_own {
+	uint32_t rank; /* of this node among the live ones, from 0 */
+	uint64_t routes_version;
+	uint64_t upstreams_digest;
+} bct_gate_own_t;
+
+/* What is to be asked now. */
+typedef struct bct_gate_due {
+	bool routes;
+	bool upstreams;
+	bool list; /* a full listing of the upstreams, not what changed */
+} bct_gate_due_t;
+
+void bct_gate_follow_init(bct_gate_follow_t *f, uint32_t interval_ms);
+
+/* bct_gate_follow_heard(3): a peer told its versions. */
+void bct_gate_follow_heard(bct_gate_follow_t *f, const bct_gate_heard_t *h);
+
+/* bct_gate_follow_due(3): called often; what it names is taken as asked. */
+bct_gate_due_t bct_gate_follow_due(bct_gate_follow_t *f, bct_time_t now, const bct_gate_own_t *own);
+
+/* bct_gate_follow_answer(3): how an own call ended. */
+void bct_gate_follow_answer(bct_gate_follow_t *f, bct_time_t now, bool ok);
+
+#endif
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -162,6 +162,21 @@
 	}
 }
 
+uint64_t bct_gate_upstreams_digest(const bct_gate_upstreams_t *t)
+{
+	uint64_t sum = 0;
+	bct_list_t *el;
+
+	bct_list_for_each(el, &t->all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+		uint64_t state = (uint64_t)u->entry.born_ms * 4 + u->presence;
+
+		if (u->presence < BCT_GATE_LAPSED)
+			sum += bct_hash_mix(u->key, state);
+	}
+	return sum;
+}
+
 void bct_gate_upstreams_sweep(bct_gate_upstreams_t *t, bct_time_t now)
 {
 	bct_list_t *el, *tmp;
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -112,6 +112,9 @@
 /* bct_gate_upstreams_registry(3): the registry answers, or does not. */
 void bct_gate_upstreams_registry(bct_gate_upstreams_t *t, bct_time_t now, bool answers);
 
+/* bct_gate_upstreams_digest(3): equal for tables that list the same starts in the same states. */
+uint64_t bct_gate_upstreams_digest(const bct_gate_upstreams_t *t);
+
 /* bct_gate_upstreams_sweep(3): end lapses that are over and free what is gone and unused. */
 void bct_gate_upstreams_sweep(bct_gate_upstreams_t *t, bct_time_t now);
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -5,6 +5,9 @@
  */
 const SHARE_LOADS_MAX = 48;
 const SHARE_PLACED_MAX = 32;
+const SHARE_ENTRIES_MAX = 3;
+const SHARE_NAME_BYTES = 64;
+const SHARE_IP_BYTES = 48;
 
 /* All that the sender has placed on one upstream now. */
 struct share_load {
@@ -20,9 +23,28 @@
 	unsigned int ready_ms;	/* until the upstream has read it, from when this was sent */
 };
 
+/* A change of the registry that the sender has read. Names are filled up with NULs. */
+struct share_entry {
+	opaque id[SHARE_NAME_BYTES];
+	opaque service[SHARE_NAME_BYTES];
+	opaque zone[SHARE_NAME_BYTES];
+	opaque ip[SHARE_IP_BYTES];
+	unsigned int port;
+	unsigned int slots;
+	unsigned int cold_ms;
+	bool draining;
+	bool removed;		/* only the id counts */
+	hyper born_ms;
+	unsigned hyper sequence;
+};
+
 struct share_news {
 	unsigned hyper from;	/* incarnation of the sender */
 	unsigned hyper seq;	/* grows with each datagram of one sender */
+	unsigned hyper routes_version;	/* in force at the sender */
+	unsigned hyper upstreams_digest; /* of the upstreams that the sender knows */
+	unsigned int registry_age_ms;	/* since the sender's last answer of the registry */
+	share_entry entries<SHARE_ENTRIES_MAX>;
 	share_load loads<SHARE_LOADS_MAX>;
 	share_placed placed<SHARE_PLACED_MAX>;
 };
