Lanes are cut by the work of all nodes; load datagrams carry twice as many upstreams

Cause: each node cut lanes by its own sample, a sixty-ninth of the traffic, so lanes differed between nodes; datagrams of busy nodes did not fit and were not sent; readers' words counted as stale between two datagrams and all nodes asked the store. Change: lane work in the datagrams, sums by gate_peers for upstreams and lanes; upstreams by half their key; freshness counts the time between two words.

--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -50,6 +50,7 @@
 		BCT_STR("upstream", x->upstream_id), BCT_U64("attempts", x->attempts),
 		BCT_U64("connects_failed", x->connects), BCT_U64("fault", x->last_fault),
 		BCT_U64("prompt_tokens", x->call.prompt_tokens),
+		BCT_U64("output_tokens", x->ask.output_tokens),
 		BCT_U64("cached_tokens", x->choice.cached_tokens),
 		BCT_STR("copied_from", x->source_id),
 		BCT_U64("predicted_wait_ms", x->choice.wait_ms),
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -71,7 +71,7 @@
 	bct_peer_t *peer;   /* NULL: alone */
 	bct_share_t *share; /* NULL: alone */
 	uint32_t nodes;	    /* live ones, this one included */
-	uint32_t rank; /* of this one among them, from 0 */
+	uint32_t rank;	    /* of this one among them, from 0 */
 	bct_gate_counters_t counters;
 	bool draining;
 	bct_time_t drain_begun;
@@ -182,11 +182,11 @@
 	uint32_t connects;	  /* upstreams that could not be connected to */
 	bool may_have_run;
 	bool earlier_may_have_run; /* by attempts before the current one */
-	bool streaming;	   /* the current answer is a stream of events */
-	bool answer_begun; /* the caller has part of the answer */
-	bool counted;	   /* first send counted in the budget */
-	bool began;	   /* output of the current attempt has begun */
-	bool patient;	   /* silence no longer leads to another attempt */
+	bool streaming;		   /* the current answer is a stream of events */
+	bool answer_begun;	   /* the caller has part of the answer */
+	bool counted;		   /* first send counted in the budget */
+	bool began;		   /* output of the current attempt has begun */
+	bool patient;		   /* silence no longer leads to another attempt */
 	int status;
 	bct_attempt_fault_t last_fault;
 };
--- a/gate/share.c
+++ b/gate/share.c
@@ -18,10 +18,14 @@
 #define MAC_BYTES 16
 #define INTERVAL_MIN_MS 100
 #define DATAGRAMS_PER_S 80 /* that one node sends, whatever their number */
-#define KEEP_INTERVALS 4   /* a peer's load is forgotten when so many were missed */
+#define PREFILL_BITS 20
+#define PREFILL_MAX ((1U << PREFILL_BITS) - 1)
+#define RUNNING_MAX ((1U << (32 - PREFILL_BITS)) - 1)
+#define KEEP_INTERVALS 4 /* a peer's load is forgotten when so many were missed */
 #define KEEP_MIN_MS 500
+#define LANE_KEEP_FACTOR 4   /* a lane's work changes slowly; a node may have nothing to say */
 #define IDLE_INTERVAL_MS 250 /* between datagrams of a reader without load */
-#define REFRESH_MS 500 /* between two looks at the membership */
+#define REFRESH_MS 500	     /* between two looks at the membership */
 #define MEMBERS_MAX 512
 
 typedef struct peer {
@@ -43,7 +47,8 @@
 	bct_time_t spoke;
 	share_placed placed[SHARE_PLACED_MAX];
 	uint32_t n_placed;
-	bct_gate_peers_t loads;
+	bct_gate_peers_t loads; /* about upstreams: running, prefill_ms */
+	bct_gate_peers_t lanes; /* about lanes: work */
 };
 
 void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key, uint32_t ready_ms)
@@ -52,7 +57,7 @@
 		return;
 	s->placed[s->n_placed++] = (share_placed){
 		.part = part,
-		.upstream = upstream_key,
+		.upstream = (uint32_t)upstream_key,
 		.ready_ms = ready_ms,
 	};
 }
@@ -96,13 +101,18 @@
 	s->refreshed = bct_clock_now();
 }
 
-static uint32_t interval_ms(const bct_share_t *s)
+uint32_t bct_share_interval_ms(const bct_share_t *s)
 {
-	uint32_t ms = s->n_peers * BCT_MS_PER_S / DATAGRAMS_PER_S;
+	uint32_t ms = (s ? s->n_peers : 0) * BCT_MS_PER_S / DATAGRAMS_PER_S;
 
 	return ms > INTERVAL_MIN_MS ? ms : INTERVAL_MIN_MS;
 }
 
+static uint32_t least(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
 /* Upstreams that this node has work on, and those that it had when it last told. */
 static uint32_t collect_loads(bct_share_t *s, share_load *out)
 {
@@ -117,13 +127,66 @@
 		if (!u->running && !u->shared)
 			continue;
 		u->shared = u->running != 0;
-		out[n++] = (share_load){ .upstream = u->key,
-					 .running = u->running,
-					 .prefill_ms = u->prefill_ms };
+		out[n].upstream = (uint32_t)u->key;
+		out[n].running_prefill = least(u->running, RUNNING_MAX) << PREFILL_BITS |
+					 least(u->prefill_ms, PREFILL_MAX);
+		n++;
 	}
 	return n;
 }
 
+static uint64_t lane_subject(uint64_t service, uint32_t gap_ms)
+{
+	return service + gap_ms;
+}
+
+/* The work of all lanes of all services, as far as it fits. */
+static uint32_t collect_lanes(bct_share_t *s, share_lane *out)
+{
+	const bct_gate_routes_t *t = s->gate->routes;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; t && i < t->n_services; i++) {
+		uint64_t key = t->services[i].key;
+		bct_gate_lanes_t *l =
+			t->services[i].engine ? bct_gate_pick_lanes(&s->gate->picker, key) : NULL;
+
+		for (uint32_t j = 0; l && j < l->n && n < SHARE_LANES_MAX; j++)
+			out[n++] = (share_lane){ .service = key,
+						 .gap_ms = l->lanes[j].gap_ms,
+						 .work_ms_per_s = (u_int)l->lanes[j].work };
+	}
+	return n;
+}
+
+static void add_load(void *ctx, uint64_t subject, const uint32_t *difference)
+{
+	bct_gate_t *g = ctx;
+	bct_gate_upstream_t *u = bct_gate_upstreams_short(&g->upstreams, (uint32_t)subject);
+
+	if (!u)
+		return;
+	u->peer_running += (int32_t)difference[0];
+	u->peer_prefill_ms += (int32_t)difference[1];
+}
+
+/* Lanes are few: the one with this subject is looked for. */
+static void add_lane(void *ctx, uint64_t subject, const uint32_t *difference)
+{
+	bct_gate_t *g = ctx;
+	const bct_gate_routes_t *t = g->routes;
+
+	for (uint32_t i = 0; t && i < t->n_services; i++) {
+		uint64_t key = t->services[i].key;
+		bct_gate_lanes_t *l = bct_gate_pick_lanes(&g->picker, key);
+
+		for (uint32_t j = 0; l && j < l->n; j++) {
+			if (lane_subject(key, l->lanes[j].gap_ms) == subject)
+				l->lanes[j].peer_work += difference[0];
+		}
+	}
+}
+
 static void seal(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac)
 {
 	crypto_generichash(mac, MAC_BYTES, data, len, s->key, sizeof(s->key));
@@ -158,6 +221,8 @@
 	news->upstreams_digest = bct_gate_upstreams_digest(&g->upstreams);
 	news->registry_age_ms = (u_int)(age < UINT32_MAX ? age : UINT32_MAX);
 	len = encode(s, news, out);
+	if (!len)
+		BCT_GATE_COUNT(g, SHARES_DROPPED);
 	for (uint32_t i = 0; len && i < s->n_peers; i++) {
 		if (sendto(s->fd, out, len, MSG_DONTWAIT, (struct sockaddr *)&s->peers[i].sa,
 			   sizeof(s->peers[i].sa)) < 0)
@@ -168,9 +233,12 @@
 static void send_round(bct_share_t *s)
 {
 	share_load loads[SHARE_LOADS_MAX];
+	share_lane lanes[SHARE_LANES_MAX];
 	share_news news = { 0 };
 	bct_time_t now = bct_clock_now();
 
+	news.lanes.lanes_val = lanes;
+	news.lanes.lanes_len = collect_lanes(s, lanes);
 	news.loads.loads_val = loads;
 	news.loads.loads_len = collect_loads(s, loads);
 	news.placed.placed_val = s->placed;
@@ -254,7 +322,7 @@
 
 static void set_timer(bct_share_t *s)
 {
-	uint32_t ms = interval_ms(s);
+	uint32_t ms = bct_share_interval_ms(s);
 	struct timeval tv = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * 1000 };
 
 	event_add(s->timer, &tv);
@@ -264,14 +332,16 @@
 {
 	bct_share_t *s = ctx;
 	bct_time_t now = bct_clock_now();
-	uint32_t keep = interval_ms(s) * KEEP_INTERVALS;
+	uint32_t keep = bct_share_interval_ms(s) * KEEP_INTERVALS;
 
 	(void)fd;
 	(void)what;
 	if (now - s->refreshed >= REFRESH_MS)
 		refresh(s);
 	s->loads.keep_ms = keep > KEEP_MIN_MS ? keep : KEEP_MIN_MS;
-	bct_gate_peers_sweep(&s->loads, now, &s->gate->upstreams);
+	s->lanes.keep_ms = s->loads.keep_ms * LANE_KEEP_FACTOR;
+	bct_gate_peers_sweep(&s->loads, now);
+	bct_gate_peers_sweep(&s->lanes, now);
 	send_round(s);
 	set_timer(s);
 }
@@ -299,20 +369,31 @@
 	take_versions(s, now, news);
 	for (uint32_t i = 0; i < news->loads.loads_len; i++) {
 		const share_load *l = &news->loads.loads_val[i];
-		bct_gate_peer_load_t load = {
-			.peer = news->from,
-			.upstream_key = l->upstream,
-			.running = l->running,
-			.prefill_ms = l->prefill_ms,
-		};
-
-		bct_gate_peers_load(&s->loads, now, &s->gate->upstreams, &load);
+		bct_gate_peer_report_t r = { .peer = news->from, .subject = l->upstream };
+
+		r.v[0] = l->running_prefill >> PREFILL_BITS;
+		r.v[1] = l->running_prefill & PREFILL_MAX;
+		/* One that is not known here yet is told again while it has load. */
+		if (bct_gate_upstreams_short(&s->gate->upstreams, l->upstream))
+			bct_gate_peers_report(&s->loads, now, &r);
+	}
+	for (uint32_t i = 0; i < news->lanes.lanes_len; i++) {
+		const share_lane *l = &news->lanes.lanes_val[i];
+		uint64_t subject = lane_subject(l->service, l->gap_ms);
+		bct_gate_peer_report_t r = { news->from, subject, { l->work_ms_per_s, 0 } };
+
+		bct_gate_peers_report(&s->lanes, now, &r);
 	}
 	for (uint32_t i = 0; i < news->placed.placed_len; i++) {
 		const share_placed *p = &news->placed.placed_val[i];
 		bct_gate_part_t part = { .id = p->part };
-		bct_gate_holder_t h = { .upstream_key = p->upstream, .ready = now + p->ready_ms };
+		const bct_gate_upstream_t *u =
+			bct_gate_upstreams_short(&s->gate->upstreams, p->upstream);
+		bct_gate_holder_t h = { .ready = now + p->ready_ms };
 
+		if (!u)
+			continue;
+		h.upstream_key = u->key;
 		bct_gate_prefix_sent(&s->gate->picker.prefix, now, &part, 1, &h);
 	}
 }
@@ -385,7 +466,8 @@
 		return -BCT_ENOMEM;
 	s->gate = g;
 	s->fd = -1;
-	bct_gate_peers_init(&s->loads, KEEP_MIN_MS);
+	bct_gate_peers_init(&s->loads, KEEP_MIN_MS, add_load, g);
+	bct_gate_peers_init(&s->lanes, KEEP_MIN_MS, add_lane, g);
 	crypto_generichash(s->key, sizeof(s->key), (const uint8_t *)secret, strlen(secret), NULL,
 			   0);
 	rc = open_socket(s);
@@ -414,6 +496,7 @@
 	if (s->fd >= 0)
 		close(s->fd);
 	bct_gate_peers_free(&s->loads);
+	bct_gate_peers_free(&s->lanes);
 	sodium_memzero(s->key, sizeof(s->key));
 	bct_free(s);
 }
--- a/gate/share.h
+++ b/gate/share.h
@@ -16,6 +16,9 @@
 /* bct_share_placed(3): a shared prompt part was sent to an upstream, which has read it by then. */
 void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key, uint32_t ready_ms);
 
+/* bct_share_interval_ms(3): between two datagrams to one node; s may be NULL. */
+uint32_t bct_share_interval_ms(const bct_share_t *s);
+
 /* bct_share_change(3): tell all nodes at once of a change that the registry told this one. */
 void bct_share_change(bct_share_t *s, const bct_registry_change_t *c);
 
--- a/gen/share.h
+++ b/gen/share.h
@@ -13,26 +13,33 @@
 extern "C" {
 #endif
 
-#define SHARE_LOADS_MAX 48
+#define SHARE_LOADS_MAX 64
 #define SHARE_PLACED_MAX 32
+#define SHARE_LANES_MAX 8
 #define SHARE_ENTRIES_MAX 3
 #define SHARE_NAME_BYTES 64
 #define SHARE_IP_BYTES 48
 
 struct share_load {
-	u_quad_t upstream;
-	u_int running;
-	u_int prefill_ms;
+	u_int upstream;
+	u_int running_prefill;
 };
 typedef struct share_load share_load;
 
 struct share_placed {
 	u_quad_t part;
-	u_quad_t upstream;
+	u_int upstream;
 	u_int ready_ms;
 };
 typedef struct share_placed share_placed;
 
+struct share_lane {
+	u_quad_t service;
+	u_int gap_ms;
+	u_int work_ms_per_s;
+};
+typedef struct share_lane share_lane;
+
 struct share_entry {
 	char id[SHARE_NAME_BYTES];
 	char service[SHARE_NAME_BYTES];
@@ -58,6 +65,10 @@
 		u_int entries_len;
 		share_entry *entries_val;
 	} entries;
+	struct {
+		u_int lanes_len;
+		share_lane *lanes_val;
+	} lanes;
 	struct {
 		u_int loads_len;
 		share_load *loads_val;
@@ -74,12 +85,14 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_share_load (XDR *, share_load*);
 extern  bool_t xdr_share_placed (XDR *, share_placed*);
+extern  bool_t xdr_share_lane (XDR *, share_lane*);
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_news (XDR *, share_news*);
 
 #else /* K&R C */
 extern bool_t xdr_share_load ();
 extern bool_t xdr_share_placed ();
+extern bool_t xdr_share_lane ();
 extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_news ();
 
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -10,11 +10,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+	 if (!xdr_u_int (xdrs, &objp->upstream))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->running))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->prefill_ms))
+	 if (!xdr_u_int (xdrs, &objp->running_prefill))
 		 return FALSE;
 	return TRUE;
 }
@@ -26,13 +24,27 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->part))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+	 if (!xdr_u_int (xdrs, &objp->upstream))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ready_ms))
 		 return FALSE;
 	return TRUE;
 }
 
+bool_t
+xdr_share_lane (XDR *xdrs, share_lane *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gap_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->work_ms_per_s))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_entry (XDR *xdrs, share_entry *objp)
 {
@@ -153,6 +165,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, SHARE_ENTRIES_MAX,
 		sizeof (share_entry), (xdrproc_t) xdr_share_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->lanes.lanes_val, (u_int *) &objp->lanes.lanes_len, SHARE_LANES_MAX,
+		sizeof (share_lane), (xdrproc_t) xdr_share_lane))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, SHARE_LOADS_MAX,
 		sizeof (share_load), (xdrproc_t) xdr_share_load))
 		 return FALSE;
--- a/policy/gate_follow.c
+++ b/policy/gate_follow.c
@@ -5,10 +5,10 @@
 
 #include <string.h>
 
-#define FRESH_MS 1000	 /* a reader's word is enough while its registry answered that lately */
-#define DIFFERS_MS 400	 /* a change is on its way to us for so long at most */
-#define READ_ON_MS 3000	 /* after a longer pause a listing is smaller than what changed */
-#define RETRY_MIN_MS 200 /* between calls that fail */
+#define FRESH_SLACK_MS 400 /* for an answer of the registry and for the way between nodes */
+#define DIFFERS_MS 400	   /* a change is on its way to us for so long at most */
+#define READ_ON_MS 3000	   /* after a longer pause a listing is smaller than what changed */
+#define RETRY_MIN_MS 200   /* between calls that fail */
 #define RETRY_MAX_SHIFT 2U
 
 void bct_gate_follow_init(bct_gate_follow_t *f, uint32_t interval_ms)
@@ -40,7 +40,8 @@
 
 bct_gate_due_t bct_gate_follow_due(bct_gate_follow_t *f, bct_time_t now, const bct_gate_own_t *own)
 {
-	bool fresh = now - f->heard.registry_at < FRESH_MS;
+	bct_time_t fresh_ms = (bct_time_t)f->interval_ms + f->hear_ms + FRESH_SLACK_MS;
+	bool fresh = f->heard.at && now - f->heard.registry_at < fresh_ms;
 	bool reader = own->rank < BCT_GATE_READERS || !fresh;
 	bct_gate_due_t due = { 0 };
 
--- a/policy/gate_follow.h
+++ b/policy/gate_follow.h
@@ -25,10 +25,11 @@
 } bct_gate_heard_t;
 
 typedef struct bct_gate_follow {
-	uint32_t interval_ms; /* of a reader */
+	uint32_t interval_ms;	/* of a reader */
+	uint32_t hear_ms;	/* between two words of one peer */
 	bct_gate_heard_t heard; /* of the peer that has asked the registry last */
 	bct_time_t asked_at;
-	bct_time_t answered_at; /* the registry's last answer to this node */
+	bct_time_t answered_at;	  /* the registry's last answer to this node */
 	bct_time_t differs_since; /* upstreams differ from the peer's; 0: they do not */
 	uint32_t failures;	  /* of own calls in a row */
 } bct_gate_follow_t;
--- a/policy/gate_lanes.c
+++ b/policy/gate_lanes.c
@@ -6,14 +6,14 @@
 #include <math.h>
 #include <string.h>
 
-#define UPDATE_MS 1000
-#define AVERAGE_KEEP 0.6   /* of the old average at each update */
+#define UPDATE_MS 500
+#define AVERAGE_KEEP 0.75   /* of the old average at each update */
 #define TIGHT_SHARE_MAX 0.4 /* of all engines, for one lane while engines are short */
-#define FLOOR_ENGINES 0.3  /* beside what the work needs, for its unevenness */
-#define HEADROOM_MS 150.0  /* a lane for this pause gets twice the engines that its work fills */
-#define ROUND_INERTIA 0.65 /* an engine changes lanes when its share is off by more */
+#define FLOOR_ENGINES 0.3   /* beside what the work needs, for its unevenness */
+#define HEADROOM_MS 150.0   /* a lane for this pause gets twice the engines that its work fills */
+#define ROUND_INERTIA 0.65  /* an engine changes lanes when its share is off by more */
 
-static bct_gate_lane_t *lane_of(bct_gate_lanes_t *l, uint32_t gap_ms)
+bct_gate_lane_t *bct_gate_lanes_find(bct_gate_lanes_t *l, uint32_t gap_ms)
 {
 	uint32_t at = 0;
 
@@ -33,7 +33,7 @@
 
 void bct_gate_lanes_work(bct_gate_lanes_t *l, uint32_t gap_ms, uint32_t work_ms)
 {
-	lane_of(l, gap_ms)->fresh += work_ms;
+	bct_gate_lanes_find(l, gap_ms)->fresh += work_ms;
 }
 
 static void average(bct_gate_lanes_t *l, double seconds)
@@ -48,11 +48,11 @@
 }
 
 /* Engines that a lane needs. Tight streams need idle time around them; long prompts can queue. */
-static double need_of(const bct_gate_lanes_t *l, const bct_gate_lane_t *a)
+static double need_of(const bct_gate_lane_t *a)
 {
 	double headroom = 1 + HEADROOM_MS / (a->gap_ms ? a->gap_ms : HEADROOM_MS);
 
-	return a->work * l->nodes * headroom / BCT_MS_PER_S + FLOOR_ENGINES;
+	return (a->work + a->peer_work) * headroom / BCT_MS_PER_S + FLOOR_ENGINES;
 }
 
 static uint32_t clamp_end(const bct_gate_lanes_t *l, uint32_t i, uint32_t first, uint32_t end,
@@ -72,10 +72,9 @@
  * streams would all stall, get what they need up to a part of all engines; the loosest lane's
  * requests can wait or come back.
  */
-static double share_of(const bct_gate_lanes_t *l, const bct_gate_lane_t *a, double total,
-		       uint32_t engines)
+static double share_of(const bct_gate_lane_t *a, double total, uint32_t engines)
 {
-	double need = need_of(l, a), most = engines * TIGHT_SHARE_MAX;
+	double need = need_of(a), most = engines * TIGHT_SHARE_MAX;
 
 	if (total <= engines)
 		return need / total * engines;
@@ -88,12 +87,12 @@
 	uint32_t first = 0;
 
 	for (uint32_t i = 0; i < l->n; i++)
-		total += need_of(l, &l->lanes[i]);
+		total += need_of(&l->lanes[i]);
 	for (uint32_t i = 0; i < l->n; i++) {
 		bct_gate_lane_t *a = &l->lanes[i];
 		uint32_t end = a->first + a->n;
 
-		upto += share_of(l, a, total, engines);
+		upto += share_of(a, total, engines);
 		if (engines != l->engines || fabs(upto - end) > ROUND_INERTIA)
 			end = (uint32_t)lround(upto);
 		end = clamp_end(l, i, first, end, engines);
@@ -103,13 +102,12 @@
 	}
 }
 
-void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines, uint32_t nodes)
+void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines)
 {
 	bct_time_t passed = l->updated ? now - l->updated : UPDATE_MS;
 
 	if (passed < UPDATE_MS && engines == l->engines)
 		return;
-	l->nodes = nodes;
 	if (passed >= UPDATE_MS) {
 		average(l, (double)passed / BCT_MS_PER_S);
 		l->updated = now;
--- a/policy/gate_lanes.h
+++ b/policy/gate_lanes.h
@@ -18,18 +18,18 @@
 #define BCT_GATE_LANES 4
 
 typedef struct bct_gate_lane {
-	uint32_t gap_ms; /* requests that allow this pause; tighter lanes first */
-	double work;	 /* ms of engine time a second that this node sends, moving average */
-	double fresh;	 /* since the last update */
-	uint32_t first;	 /* index of its first engine */
-	uint32_t n;	 /* engines; 0: none, all lanes share all */
+	uint32_t gap_ms;    /* requests that allow this pause; tighter lanes first */
+	double work;	    /* ms of engine time a second that this node sends, moving average */
+	uint32_t peer_work; /* that the other nodes say they send */
+	double fresh;	    /* since the last update */
+	uint32_t first;	    /* index of its first engine */
+	uint32_t n;	    /* engines; 0: none, all lanes share all */
 } bct_gate_lane_t;
 
 typedef struct bct_gate_lanes {
 	bct_gate_lane_t lanes[BCT_GATE_LANES];
 	uint32_t n;
 	uint32_t engines; /* that the lanes were cut for */
-	uint32_t nodes;	  /* that send to them */
 	bct_time_t updated;
 } bct_gate_lanes_t;
 
@@ -40,9 +40,11 @@
  * bct_gate_lanes_update(3): cut the lanes anew; called at every choice, works once a second.
  *
  * engines  that take work now
- * nodes    live nodes; each is taken to send as much as this one
  */
-void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines, uint32_t nodes);
+void bct_gate_lanes_update(bct_gate_lanes_t *l, bct_time_t now, uint32_t engines);
+
+/* bct_gate_lanes_find(3): the lane of a pause; it is made when there is none. */
+bct_gate_lane_t *bct_gate_lanes_find(bct_gate_lanes_t *l, uint32_t gap_ms);
 
 /*
  * bct_gate_lanes_distance(3): how many lanes an engine lies off the request's own.
--- a/policy/gate_peers.c
+++ b/policy/gate_peers.c
@@ -1,5 +1,5 @@
 /*
- * gate_peers.c - one report for each pair of peer and upstream; sums are kept at the upstreams.
+ * gate_peers.c - one report for each pair of peer and subject; sums change by differences.
  */
 #include "policy/gate_peers.h"
 #include "base/hash.h"
@@ -7,93 +7,94 @@
 
 #include <string.h>
 
-typedef struct report {
+typedef struct kept {
 	bct_list_t link;
 	uint64_t key;
-	uint64_t upstream_key;
-	uint32_t running;
-	uint32_t prefill_ms;
+	bct_gate_peer_report_t report;
 	bct_time_t at;
-} report_t;
+} kept_t;
 
-void bct_gate_peers_init(bct_gate_peers_t *p, uint32_t keep_ms)
+void bct_gate_peers_init(bct_gate_peers_t *p, uint32_t keep_ms,
+			 void (*add)(void *ctx, uint64_t subject, const uint32_t *difference),
+			 void *ctx)
 {
 	memset(p, 0, sizeof(*p));
 	bct_list_init(&p->by_age);
 	p->keep_ms = keep_ms;
+	p->add = add;
+	p->ctx = ctx;
 }
 
-static void forget(bct_gate_peers_t *p, report_t *r)
+static void forget(bct_gate_peers_t *p, kept_t *k)
 {
-	bct_map_del(&p->reports, r->key);
-	bct_list_del(&r->link);
-	bct_free(r);
+	bct_map_del(&p->reports, k->key);
+	bct_list_del(&k->link);
+	bct_free(k);
 }
 
 void bct_gate_peers_free(bct_gate_peers_t *p)
 {
-	while (!bct_list_empty(&p->by_age))
-		forget(p, bct_container_of(p->by_age.next, report_t, link));
+	while (p->by_age.next && !bct_list_empty(&p->by_age))
+		forget(p, bct_container_of(p->by_age.next, kept_t, link));
 	bct_map_free(&p->reports);
 }
 
-/* Replaces what a report adds to the sums at its upstream. */
-static void replace(bct_gate_upstream_t *u, report_t *r, uint32_t running, uint32_t prefill_ms)
+/* Replaces what a report adds to the sums of its subject. */
+static void replace(bct_gate_peers_t *p, kept_t *k, const uint32_t *v)
 {
-	if (u) {
-		u->peer_running += running - r->running;
-		u->peer_prefill_ms += prefill_ms - r->prefill_ms;
+	uint32_t difference[BCT_GATE_PEER_VALUES];
+
+	for (uint32_t i = 0; i < BCT_GATE_PEER_VALUES; i++) {
+		difference[i] = v[i] - k->report.v[i];
+		k->report.v[i] = v[i];
 	}
-	r->running = running;
-	r->prefill_ms = prefill_ms;
+	p->add(p->ctx, k->report.subject, difference);
 }
 
-static report_t *find_or_make(bct_gate_peers_t *p, const bct_gate_peer_load_t *l)
+static kept_t *find_or_make(bct_gate_peers_t *p, const bct_gate_peer_report_t *r)
 {
-	uint64_t key = bct_hash_mix(l->peer, l->upstream_key);
-	report_t *r = bct_map_get(&p->reports, key);
+	uint64_t key = bct_hash_mix(r->peer, r->subject);
+	kept_t *k = bct_map_get(&p->reports, key);
 
-	if (r) {
-		bct_list_del(&r->link);
-		return r;
+	if (k) {
+		bct_list_del(&k->link);
+		return k;
 	}
-	r = bct_alloc(sizeof(*r));
-	if (!r)
+	k = bct_alloc(sizeof(*k));
+	if (!k)
 		return NULL;
-	r->key = key;
-	r->upstream_key = l->upstream_key;
-	bct_list_init(&r->link);
-	if (bct_map_put(&p->reports, key, r)) {
-		bct_free(r);
+	k->key = key;
+	k->report.peer = r->peer;
+	k->report.subject = r->subject;
+	bct_list_init(&k->link);
+	if (bct_map_put(&p->reports, key, k)) {
+		bct_free(k);
 		return NULL;
 	}
-	return r;
+	return k;
 }
 
-void bct_gate_peers_load(bct_gate_peers_t *p, bct_time_t now, bct_gate_upstreams_t *t,
-			 const bct_gate_peer_load_t *l)
+void bct_gate_peers_report(bct_gate_peers_t *p, bct_time_t now, const bct_gate_peer_report_t *r)
 {
-	bct_gate_upstream_t *u = bct_map_get(&t->by_id, l->upstream_key);
-	report_t *r;
+	kept_t *k = find_or_make(p, r);
 
-	if (!u)
-		return;
-	r = find_or_make(p, l);
-	if (!r)
+	if (!k)
 		return;
-	r->at = now;
-	bct_list_add_tail(&r->link, &p->by_age);
-	replace(u, r, l->running, l->prefill_ms);
+	k->at = now;
+	bct_list_add_tail(&k->link, &p->by_age);
+	replace(p, k, r->v);
 }
 
-void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now, bct_gate_upstreams_t *t)
+void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now)
 {
+	static const uint32_t nothing[BCT_GATE_PEER_VALUES];
+
 	while (!bct_list_empty(&p->by_age)) {
-		report_t *r = bct_container_of(p->by_age.next, report_t, link);
+		kept_t *k = bct_container_of(p->by_age.next, kept_t, link);
 
-		if (now - r->at < (bct_time_t)p->keep_ms)
+		if (now - k->at < (bct_time_t)p->keep_ms)
 			return;
-		replace(bct_map_get(&t->by_id, r->upstream_key), r, 0, 0);
-		forget(p, r);
+		replace(p, k, nothing);
+		forget(p, k);
 	}
 }
--- a/policy/gate_peers.h
+++ b/policy/gate_peers.h
@@ -1,5 +1,6 @@
 /*
- * gate_peers.h - the load that other gateways say they have placed on upstreams. Pure.
+ * gate_peers.h - sums of what other gateways report about themselves: the load that each has placed
+ * on an upstream, the work that each brings to a lane. Pure.
  *
  * Upstreams' own reports are some hundred ms old and every node reads the same ones; what peers
  * have sent since then is known sooner from the peers. A report replaces the one before it, and
@@ -8,29 +9,39 @@
 #ifndef BCT_POLICY_GATE_PEERS_H
 #define BCT_POLICY_GATE_PEERS_H
 
-#include "policy/gate_upstreams.h"
+#include "base/clock.h"
+#include "base/list.h"
+#include "base/map.h"
+
+#include <stdint.h>
+
+#define BCT_GATE_PEER_VALUES 2
+
+/* What one peer says about one subject. */
+typedef struct bct_gate_peer_report {
+	uint64_t peer;
+	uint64_t subject;
+	uint32_t v[BCT_GATE_PEER_VALUES];
+} bct_gate_peer_report_t;
 
 typedef struct bct_gate_peers {
-	bct_map_t reports; /* of one peer about one upstream */
+	bct_map_t reports; /* of one peer about one subject */
 	bct_list_t by_age; /* oldest first */
 	uint32_t keep_ms;
+	/* Adds to the sums of a subject, which may be gone; differences wrap around. */
+	void (*add)(void *ctx, uint64_t subject, const uint32_t *difference);
+	void *ctx;
 } bct_gate_peers_t;
 
-typedef struct bct_gate_peer_load {
-	uint64_t peer;
-	uint64_t upstream_key;
-	uint32_t running;
-	uint32_t prefill_ms;
-} bct_gate_peer_load_t;
-
-void bct_gate_peers_init(bct_gate_peers_t *p, uint32_t keep_ms);
+void bct_gate_peers_init(bct_gate_peers_t *p, uint32_t keep_ms,
+			 void (*add)(void *ctx, uint64_t subject, const uint32_t *difference),
+			 void *ctx);
 void bct_gate_peers_free(bct_gate_peers_t *p);
 
-/* bct_gate_peers_load(3): a peer's load; about an unknown upstream it is dropped. */
-void bct_gate_peers_load(bct_gate_peers_t *p, bct_time_t now, bct_gate_upstreams_t *t,
-			 const bct_gate_peer_load_t *l);
+/* bct_gate_peers_report(3): a report came. Without memory it is dropped. */
+void bct_gate_peers_report(bct_gate_peers_t *p, bct_time_t now, const bct_gate_peer_report_t *r);
 
 /* bct_gate_peers_sweep(3): forget reports that were not renewed. */
-void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now, bct_gate_upstreams_t *t);
+void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now);
 
 #endif
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -20,20 +20,20 @@
 #define STREAM_COST_MS 1     /* each running stream slows a step a little */
 #define CROWDED_COST_MS 20   /* each request over most of the slots waits for one to end */
 #define CROWDED_PERMILLE 800
-#define FAR_COST_MS 4		  /* another failure domain: latency and traffic between domains */
-#define WORK_PERMILLE 500	  /* of the time that a prompt takes, on top of that time */
-#define NOT_HOME_COST_MS 15	  /* keeps a part on few engines when nothing else decides */
-#define COPY_SETUP_MS 5		  /* before a copy between engines flows */
-#define COPY_MARGIN 2		  /* a copy must be so many times quicker than reading */
-#define JITTER_MS 3		  /* breaks ties, so that nodes do not all choose the same */
-#define LATE_FACTOR 2	      /* times the objective: a first byte later than that helps nobody */
+#define FAR_COST_MS 4		/* another failure domain: latency and traffic between domains */
+#define WORK_PERMILLE 500	/* of the time that a prompt takes, on top of that time */
+#define NOT_HOME_COST_MS 15	/* keeps a part on few engines when nothing else decides */
+#define COPY_SETUP_MS 5		/* before a copy between engines flows */
+#define COPY_MARGIN 2		/* a copy must be so many times quicker than reading */
+#define JITTER_MS 3		/* breaks ties, so that nodes do not all choose the same */
+#define LATE_FACTOR 2		/* times the objective: a first byte later than that helps nobody */
 #define FIRST_BYTE_PERMILLE 400 /* of the time left, the rest is for the output */
-#define BACK_MIN_MS 200	      /* before a refused caller comes back */
-#define BACK_PART 4	      /* of the time left: callers wait for a third at most */
-#define NODES_IN_STEP 12      /* up to so many nodes, news of load are fresh enough for all */
-#define SAMPLE 6	      /* upstreams that one decision looks at above that */
-#define SAMPLE_OUTSIDE 2      /* of them outside the request's lane */
-#define DRAWS_FACTOR 2	      /* draws for each upstream before a sample stays small */
+#define BACK_MIN_MS 200		/* before a refused caller comes back */
+#define BACK_PART 4		/* of the time left: callers wait for a third at most */
+#define NODES_IN_STEP 12	/* up to so many nodes, news of load are fresh enough for all */
+#define SAMPLE 6		/* upstreams that one decision looks at above that */
+#define SAMPLE_OUTSIDE 2	/* of them outside the request's lane */
+#define DRAWS_FACTOR 2		/* draws for each upstream before a sample stays small */
 #define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
 
 typedef struct candidate {
@@ -130,8 +130,8 @@
 		c[i].looked_at = all || c[i].u == k->home || c[i].u == k->source.upstream;
 	for (uint32_t i = 0; !all && drawn < SAMPLE && i < n * DRAWS_FACTOR; i++) {
 		candidate_t *one = &c[bct_rng_below(&p->rng, n)];
-		bool own = !k->lanes || !bct_gate_lanes_distance(k->lanes, k->ask->gap_ms,
-								 one->position);
+		bool own = !k->lanes ||
+			   !bct_gate_lanes_distance(k->lanes, k->ask->gap_ms, one->position);
 
 		if (one->looked_at || (!own && drawn < SAMPLE - SAMPLE_OUTSIDE))
 			continue;
@@ -140,7 +140,7 @@
 	}
 }
 
-static bct_gate_lanes_t *lanes_of(bct_gate_picker_t *p, uint64_t service_key)
+bct_gate_lanes_t *bct_gate_pick_lanes(bct_gate_picker_t *p, uint64_t service_key)
 {
 	bct_gate_lanes_t *l = bct_map_get(&p->lanes, service_key);
 
@@ -156,7 +156,7 @@
 
 void bct_gate_pick_expect(bct_gate_picker_t *p, uint64_t service_key, uint32_t gap_ms)
 {
-	bct_gate_lanes_t *l = lanes_of(p, service_key);
+	bct_gate_lanes_t *l = bct_gate_pick_lanes(p, service_key);
 
 	if (l)
 		bct_gate_lanes_work(l, gap_ms, 0);
@@ -240,15 +240,21 @@
 	return s;
 }
 
+/* Sums of differences may be off for a moment when an upstream comes back under its id. */
+static uint32_t peer_part(int32_t sum)
+{
+	return sum > 0 ? (uint32_t)sum : 0;
+}
+
 static uint32_t wait_of(const bct_gate_upstream_t *u, const bct_gate_ask_t *ask)
 {
-	uint32_t running = u->running + u->peer_running;
+	uint32_t running = u->running + peer_part(u->peer_running);
 	uint32_t roomy = ask->slots * CROWDED_PERMILLE / PERMILLE;
 	uint32_t wait;
 
 	if (!ask->engine)
 		return running * SERVICE_WORK_MS;
-	wait = u->prefill_ms + u->peer_prefill_ms + running * STREAM_COST_MS;
+	wait = u->prefill_ms + peer_part(u->peer_prefill_ms) + running * STREAM_COST_MS;
 	return running > roomy ? wait + (running - roomy) * CROWDED_COST_MS : wait;
 }
 
@@ -330,9 +336,9 @@
 	if (k->lanes)
 		out->choice.lane_distance =
 			bct_gate_lanes_distance(k->lanes, ask->gap_ms, c->position);
-	out->choice.first_ms = (uint32_t)(((uint64_t)out->choice.wait_ms + out->choice.work_ms +
-					   SERVICE_WORK_MS) *
-					  u->slow_permille / PERMILLE);
+	out->choice.first_ms =
+		(uint32_t)(((uint64_t)out->choice.wait_ms + out->choice.work_ms + SERVICE_WORK_MS) *
+			   u->slow_permille / PERMILLE);
 	out->cost = time_cost(&out->choice);
 	out->cost += lane_cost(out->choice.lane_distance);
 	out->cost += fail_cost(ask, u);
@@ -358,7 +364,7 @@
 {
 	candidate_t c[ENGINES_MAX];
 	uint32_t n = collect(p, ask->service_key, c);
-	bct_gate_lanes_t *l = ask->engine ? lanes_of(p, ask->service_key) : NULL;
+	bct_gate_lanes_t *l = ask->engine ? bct_gate_pick_lanes(p, ask->service_key) : NULL;
 	common_t k = { .ask = ask, .lanes = l };
 	scored_t best = { 0 }, s;
 	uint32_t n_shared = bct_gate_pick_shared(p, ask);
@@ -366,7 +372,7 @@
 	if (ask->engine)
 		number(c, n);
 	if (l)
-		bct_gate_lanes_update(l, now, n, p->nodes);
+		bct_gate_lanes_update(l, now, n);
 	if (n_shared) {
 		k.home = home_of(ask->parts[n_shared - 1].id, c, n, l, ask->gap_ms);
 		k.source = find_source(p, now, ask, c, n);
@@ -394,7 +400,7 @@
 void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
 			const bct_gate_choice_t *c)
 {
-	bct_gate_lanes_t *l = ask->engine ? lanes_of(p, ask->service_key) : NULL;
+	bct_gate_lanes_t *l = ask->engine ? bct_gate_pick_lanes(p, ask->service_key) : NULL;
 
 	c->upstream->running++;
 	c->upstream->prefill_ms += c->work_ms;
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -32,7 +32,7 @@
 	bct_gate_upstream_t *upstream; /* NULL: there is none */
 	uint32_t work_ms;	       /* predicted time to read the prompt there */
 	uint32_t wait_ms;	       /* predicted time before that */
-	uint32_t first_ms;	       /* predicted time to the first byte, at the pace seen there */
+	uint32_t first_ms; /* predicted time to the first byte, at the pace seen there */
 	uint32_t cached_tokens;
 	bct_gate_upstream_t *source; /* to copy a cached part of the prompt from; NULL: none */
 	int32_t lane_distance;
@@ -56,6 +56,9 @@
 /* bct_gate_pick_expect(3): requests that allow this pause will come to the service. */
 void bct_gate_pick_expect(bct_gate_picker_t *p, uint64_t service_key, uint32_t gap_ms);
 
+/* bct_gate_pick_lanes(3): the lanes of a service; NULL without memory. */
+bct_gate_lanes_t *bct_gate_pick_lanes(bct_gate_picker_t *p, uint64_t service_key);
+
 /* bct_gate_pick(3): choose; nothing is counted yet. */
 void bct_gate_pick(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
 		   bct_gate_choice_t *out);
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -34,6 +34,7 @@
 	while (!bct_list_empty(&t->all))
 		drop(t, bct_container_of(t->all.next, bct_gate_upstream_t, link));
 	bct_map_free(&t->by_id);
+	bct_map_free(&t->by_short);
 }
 
 bct_gate_upstream_t *bct_gate_upstreams_find(const bct_gate_upstreams_t *t, const char *id)
@@ -41,6 +42,11 @@
 	return bct_map_get(&t->by_id, bct_hash_str(id));
 }
 
+bct_gate_upstream_t *bct_gate_upstreams_short(const bct_gate_upstreams_t *t, uint32_t half)
+{
+	return bct_map_get(&t->by_short, half);
+}
+
 static void set_presence(bct_gate_upstream_t *u, bct_time_t now, bct_gate_presence_t p)
 {
 	if (u->presence == p)
@@ -58,7 +64,8 @@
 	u->key = bct_hash_str(e->id);
 	u->slow_permille = PERMILLE;
 	bct_list_init(&u->link);
-	if (bct_map_put(&t->by_id, u->key, u)) {
+	if (bct_map_put(&t->by_id, u->key, u) || bct_map_put(&t->by_short, (uint32_t)u->key, u)) {
+		bct_map_del(&t->by_id, u->key);
 		bct_free(u);
 		return NULL;
 	}
@@ -189,6 +196,7 @@
 		if (u->presence != BCT_GATE_GONE || u->refs)
 			continue;
 		bct_map_del(&t->by_id, u->key);
+		bct_map_del(&t->by_short, (uint32_t)u->key);
 		drop(t, u);
 	}
 }
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -57,8 +57,8 @@
 	uint32_t streams;    /* those with output */
 	bool shared;	     /* the other nodes were told of it */
 	/* Load that the other nodes reported, see gate_peers.h. */
-	uint32_t peer_running;
-	uint32_t peer_prefill_ms;
+	int32_t peer_running;
+	int32_t peer_prefill_ms;
 
 	/* What requests experienced. */
 	uint32_t fail_permille; /* moving average of failed requests */
@@ -73,6 +73,7 @@
 	bct_list_t all;
 	uint32_t n;
 	bct_map_t by_id;
+	bct_map_t by_short; /* lower half of the key, as datagrams carry it */
 	uint32_t pass;
 	bct_time_t registry_back; /* end of the last outage; 0: none yet */
 	bool registry_lost;
@@ -120,6 +121,9 @@
 
 bct_gate_upstream_t *bct_gate_upstreams_find(const bct_gate_upstreams_t *t, const char *id);
 
+/* bct_gate_upstreams_short(3): by the lower half of its key; NULL when there is none. */
+bct_gate_upstream_t *bct_gate_upstreams_short(const bct_gate_upstreams_t *t, uint32_t half);
+
 /* bct_gate_upstream_takes(3): whether new requests of the service may be sent there. */
 bool bct_gate_upstream_takes(const bct_gate_upstream_t *u, uint64_t service_key);
 
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -372,30 +372,34 @@
 	world_free(&w);
 }
 
+static void add_up(void *ctx, uint64_t subject, const uint32_t *difference)
+{
+	uint32_t *sums = ctx;
+
+	cr_assert_eq(subject, 7);
+	sums[0] += difference[0];
+	sums[1] += difference[1];
+}
+
 /* Other nodes' load counts like one's own, is replaced by newer news, and lapses. */
 Test(gate_peers, load_of_other_nodes)
 {
-	bct_gate_upstream_t *u;
+	uint32_t sums[2] = { 0 };
 	bct_gate_peers_t p;
-	world_t w;
 
-	world_init(&w, 2);
-	u = bct_gate_upstreams_find(&w.upstreams, "i-0");
-	bct_gate_peers_init(&p, 500);
+	bct_gate_peers_init(&p, 500, add_up, sums);
 	for (uint64_t peer = 1; peer <= 3; peer++)
-		bct_gate_peers_load(&p, 0, &w.upstreams,
-				    &(bct_gate_peer_load_t){ peer, u->key, 10, 100 });
-	cr_assert_eq(u->peer_running, 30);
-	bct_gate_peers_load(&p, 400, &w.upstreams, &(bct_gate_peer_load_t){ 2, u->key, 4, 40 });
-	cr_assert_eq(u->peer_running, 24);
-	cr_assert_eq(u->peer_prefill_ms, 240);
-	bct_gate_peers_sweep(&p, 600, &w.upstreams);
-	cr_assert_eq(u->peer_running, 4);
-	bct_gate_peers_sweep(&p, 900, &w.upstreams);
-	cr_assert_eq(u->peer_running, 0);
-	cr_assert_eq(u->peer_prefill_ms, 0);
+		bct_gate_peers_report(&p, 0, &(bct_gate_peer_report_t){ peer, 7, { 10, 100 } });
+	cr_assert_eq(sums[0], 30);
+	bct_gate_peers_report(&p, 400, &(bct_gate_peer_report_t){ 2, 7, { 4, 40 } });
+	cr_assert_eq(sums[0], 24);
+	cr_assert_eq(sums[1], 240);
+	bct_gate_peers_sweep(&p, 600);
+	cr_assert_eq(sums[0], 4);
+	bct_gate_peers_sweep(&p, 900);
+	cr_assert_eq(sums[0], 0);
+	cr_assert_eq(sums[1], 0);
 	bct_gate_peers_free(&p);
-	world_free(&w);
 }
 
 Test(gate_prefix, the_least_recently_used_part_goes)
