Log lines are bounded by rate, never waited for; failed requests have an event of their own; latency summaries

Cause: a full pipe could have held up the event loop, and a flood of good requests would have hidden the failed ones. Test: event/a_reader_that_stops_delays_nobody, event/one_event_does_not_drown_the_others.

--- a/base/event.c
+++ b/base/event.c
@@ -8,18 +8,44 @@
 #include "base/mem.h"
 
 #include <ck_pr.h>
+#include <fcntl.h>
 #include <inttypes.h>
+#include <pthread.h>
 #include <string.h>
+#include <unistd.h>
 
 #define LINE_MAX_BYTES 4096
+#define EVENTS_MAX 1000 /* event numbers are below */
+
+/* Lines of one event in the current second. */
+typedef struct quota {
+	bct_time_t second;
+	uint32_t lines;
+	uint32_t left_out;
+} quota_t;
 
 struct bct_log {
 	FILE *stream;
 	int level;
 	bct_log_format_t format;
 	char name[64];
+	bool lossy;
+	uint32_t lines_per_s;
+	pthread_mutex_t lock; /* a leaf; guards all below */
+	bool cut;	      /* the last line was written in part */
+	uint64_t dropped;     /* all */
+	uint64_t dropped_new; /* not yet told */
+	quota_t quotas[EVENTS_MAX];
 };
 
+static void make_nonblocking(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+}
+
 int bct_log_new(const bct_log_opts_t *opts, bct_log_t **out)
 {
 	bct_log_t *log = bct_alloc(sizeof(*log));
@@ -30,15 +56,34 @@
 	log->level = (int)opts->level;
 	log->format = opts->format;
 	snprintf(log->name, sizeof(log->name), "%s", opts->name ? opts->name : "-");
+	log->lossy = opts->lossy;
+	log->lines_per_s = opts->lines_per_s;
+	pthread_mutex_init(&log->lock, NULL);
+	if (log->lossy)
+		make_nonblocking(fileno(log->stream));
 	*out = log;
 	return 0;
 }
 
 void bct_log_free(bct_log_t *log)
 {
+	if (log)
+		pthread_mutex_destroy(&log->lock);
 	bct_free(log);
 }
 
+uint64_t bct_log_dropped(bct_log_t *log)
+{
+	uint64_t n;
+
+	if (!log)
+		return 0;
+	pthread_mutex_lock(&log->lock);
+	n = log->dropped;
+	pthread_mutex_unlock(&log->lock);
+	return n;
+}
+
 void bct_log_set_level(bct_log_t *log, bct_level_t level)
 {
 	ck_pr_store_int(&log->level, (int)level);
@@ -158,16 +203,82 @@
 	bct_buf_puts(b, log->format == BCT_LOG_JSON ? "}\n" : "\n");
 }
 
-void bct_log_write(bct_log_t *log, bct_event_t ev, const bct_field_t *fields)
+/* Writes what the stream takes at once. A line in part is ended before the next one. */
+static void write_lossy(bct_log_t *log, const bct_buf_t *line)
 {
-	bct_buf_t line;
+	int fd = fileno(log->stream);
+	ssize_t n;
 
-	if (!log || (int)bct_event_level(ev) > ck_pr_load_int(&log->level))
+	if (log->cut && write(fd, "\n", 1) == 1)
+		log->cut = false;
+	n = log->cut ? -1 : write(fd, line->data, line->len_bytes);
+	if (n == (ssize_t)line->len_bytes)
 		return;
+	log->cut = log->cut || n > 0;
+	log->dropped++;
+	log->dropped_new++;
+}
+
+static void write_line(bct_log_t *log, bct_event_t ev, const bct_field_t *fields)
+{
+	bct_buf_t line;
+
 	bct_buf_init(&line, LINE_MAX_BYTES);
 	put_line(&line, log, ev, fields);
-	if (!line.err)
+	if (!line.err && log->lossy) {
+		write_lossy(log, &line);
+	} else if (!line.err) {
 		fwrite(line.data, 1, line.len_bytes, log->stream);
-	fflush(log->stream);
+		fflush(log->stream);
+	}
 	bct_buf_free(&line);
 }
+
+#define ONE_FIELD(...) ((const bct_field_t[]){ __VA_ARGS__, { BCT_FIELD_END, NULL, { 0 } } })
+
+static void tell_dropped(bct_log_t *log)
+{
+	uint64_t n = log->dropped_new;
+
+	if (!n)
+		return;
+	log->dropped_new = 0;
+	write_line(log, BCT_EV_LOG_DROPPED, ONE_FIELD(BCT_U64("lines", n)));
+	/* If that one was dropped too, the count goes on from what it would have told. */
+	if (log->dropped_new)
+		log->dropped_new += n - 1;
+}
+
+/* Whether another line of the event fits into this second; tells what was left out before. */
+static bool within_quota(bct_log_t *log, bct_event_t ev)
+{
+	bct_time_t second = bct_clock_now() / BCT_MS_PER_S;
+	quota_t *q = &log->quotas[(uint32_t)ev % EVENTS_MAX];
+	uint32_t left_out = q->left_out;
+
+	if (!log->lines_per_s)
+		return true;
+	if (q->second != second) {
+		*q = (quota_t){ .second = second };
+		if (left_out)
+			write_line(log, BCT_EV_LOG_LIMITED,
+				   ONE_FIELD(BCT_I64("of_event", ev), BCT_U64("lines", left_out)));
+	}
+	if (q->lines < log->lines_per_s) {
+		q->lines++;
+		return true;
+	}
+	q->left_out++;
+	return false;
+}
+
+void bct_log_write(bct_log_t *log, bct_event_t ev, const bct_field_t *fields)
+{
+	if (!log || (int)bct_event_level(ev) > ck_pr_load_int(&log->level))
+		return;
+	pthread_mutex_lock(&log->lock);
+	tell_dropped(log);
+	if (within_quota(log, ev))
+		write_line(log, ev, fields);
+	pthread_mutex_unlock(&log->lock);
+}
--- a/base/event.h
+++ b/base/event.h
@@ -8,6 +8,7 @@
 #ifndef BCT_BASE_EVENT_H
 #define BCT_BASE_EVENT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -94,6 +95,10 @@
 	bct_level_t level;
 	bct_log_format_t format;
 	const char *name; /* printed with each line: the VM's name */
+	/* Never wait for the reader: lines that the stream does not take at once are dropped and
+	 * counted. The stream's descriptor is made non-blocking. */
+	bool lossy;
+	uint32_t lines_per_s; /* of one event; further ones are counted instead; 0: no limit */
 } bct_log_opts_t;
 
 /*
@@ -103,6 +108,9 @@
  */
 int bct_log_new(const bct_log_opts_t *opts, bct_log_t **out);
 void bct_log_free(bct_log_t *log);
+/* bct_log_dropped(3): lines that the stream did not take since the start; 0 for a NULL log. */
+uint64_t bct_log_dropped(bct_log_t *log);
+
 void bct_log_set_level(bct_log_t *log, bct_level_t level);
 
 /* bct_log_write(3): write one event; a NULL log drops it. Fields end with BCT_FIELD_END. */
--- a/base/event_list.h
+++ b/base/event_list.h
@@ -14,6 +14,8 @@
 	DEF(SETTINGS_KEPT, 104, WARN, "new settings were refused; the old ones stay in force")    \
 	DEF(SETTINGS_RELOADED, 105, INFO, "settings were checked again")                          \
 	DEF(LISTEN_FAILED, 106, ERROR, "an address could not be listened on")                     \
+	DEF(LOG_DROPPED, 107, WARN, "log lines were dropped, as the reader was too slow")         \
+	DEF(LOG_LIMITED, 108, INFO, "log lines of one event were left out, past its rate")        \
 	DEF(CONFIG_ADOPTED, 200, INFO, "a configuration revision is in force on this node")       \
 	DEF(CONFIG_REJECTED, 201, WARN, "a published change was rejected")                        \
 	DEF(CONFIG_DIVERGED, 202, ERROR, "this node's configuration digest differs")              \
@@ -32,6 +34,7 @@
 	DEF(REQUEST_BAD, 401, DEBUG, "a request was refused as malformed")                        \
 	DEF(CONNECTION_REAPED, 402, DEBUG, "a connection was closed for slowness")                \
 	DEF(GATE_REQUEST_ENDED, 410, INFO, "a gateway's request ended")                           \
+	DEF(GATE_REQUEST_FAILED, 413, INFO, "a gateway's request ended without a good answer")    \
 	DEF(GATE_REQUEST_BAD, 411, INFO, "a gateway refused a request as malformed or late")      \
 	DEF(GATE_ATTEMPT_FAILED, 412, INFO, "an attempt at an upstream failed")                   \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                       \
--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -81,6 +81,8 @@
 		.format = strcmp(format, "json") ? BCT_LOG_TEXT : BCT_LOG_JSON,
 		.name = s->vm_name,
 		.stream = stream,
+		.lossy = stream != NULL,
+		.lines_per_s = s->log_lines_per_s,
 	};
 
 	if (level < 0 || (strcmp(format, "json") && strcmp(format, "text"))) {
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -22,7 +22,8 @@
 /* bct_daemon_settings(3): load and check a settings file; faults are printed. */
 int bct_daemon_settings(const char *path, bct_settings_t *out);
 
-/* bct_daemon_log(3): the log as options and settings want it; stream NULL: standard error. */
+/* bct_daemon_log(3): the log as options and settings want it. stream NULL: standard error; any
+ * other is never waited for. */
 int bct_daemon_log(const bct_daemon_options_t *o, const bct_settings_t *s, FILE *stream,
 		   bct_log_t **out);
 
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -40,9 +40,18 @@
 
 #define BCT_GATE_ENDS_MAX 32
 
+#define BCT_GATE_KINDS 3 /* safe, unsafe, stream */
+
+/* Of requests that ended well, from their last byte on. */
+typedef struct bct_gate_latency {
+	bct_hist_t first_byte_ms;
+	bct_hist_t total_ms;
+} bct_gate_latency_t;
+
 typedef struct bct_gate_counters {
 	bct_counter_t values[BCT_GATE_COUNTER_COUNT];
 	bct_counter_t ends[BCT_GATE_ENDS_MAX];
+	bct_gate_latency_t latency[BCT_GATE_KINDS];
 } bct_gate_counters_t;
 
 #define BCT_GATE_COUNT(g, which) bct_counter_inc(&(g)->counters.values[BCT_GATE_##which])
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -41,8 +41,10 @@
 static void log_end(bct_exchange_t *x, bct_gate_end_t end)
 {
 	bct_time_t now = bct_clock_now();
+	bct_event_t ev =
+		end == BCT_GATE_END_OK ? BCT_EV_GATE_REQUEST_ENDED : BCT_EV_GATE_REQUEST_FAILED;
 
-	BCT_LOG(x->gate->log, BCT_EV_GATE_REQUEST_ENDED, BCT_STR("request", x->call.id),
+	BCT_LOG(x->gate->log, ev, BCT_STR("request", x->call.id),
 		BCT_STR("how", bct_gate_end_name(end)), BCT_I64("status", x->status),
 		BCT_STR("route", x->route ? x->route->name : ""),
 		BCT_STR("account", x->account ? x->account->name : ""),
@@ -60,6 +62,17 @@
 		BCT_I64("total_ms", now - x->arrived), BCT_U64("events", x->events.count));
 }
 
+static void measure(bct_exchange_t *x, bct_gate_end_t end)
+{
+	bct_gate_latency_t *l;
+
+	if (!x->route || end != BCT_GATE_END_OK)
+		return;
+	l = &x->gate->counters.latency[x->route->kind - 1];
+	bct_hist_add(&l->first_byte_ms, (uint64_t)(x->first_byte_at - x->arrived));
+	bct_hist_add(&l->total_ms, (uint64_t)(bct_clock_now() - x->arrived));
+}
+
 /* Takes the attempt off its upstream. The connection is closed or kept by the caller. */
 static void settle_load(bct_exchange_t *x)
 {
@@ -94,6 +107,7 @@
 	bct_exchange_drop_attempt(x);
 	bct_counter_inc(&x->gate->counters.ends[end]);
 	log_end(x, end);
+	measure(x, end);
 	exchange_free(x);
 	if (c)
 		bct_client_answered(c, cut);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -14,7 +14,7 @@
 #define TICK_MS 100
 /* Callers may keep an address three times as long as they were told. */
 #define LIFETIMES_KEPT 3
-#define STOP_MARGIN_MS 500 /* before the platform kills */
+#define STOP_MARGIN_MS 500 /* before the platform kills, beside a registry call that runs */
 
 static void release_upstream(void *ctx, bct_gate_upstream_t *u)
 {
@@ -58,7 +58,8 @@
 		bct_clients_close_idle(g);
 	}
 	if ((passed >= kept && !g->n_clients) ||
-	    passed >= (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS)
+	    passed >= (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS -
+			      (bct_time_t)g->settings->platform_timeout_ms)
 		event_base_loopbreak(g->base);
 }
 
--- a/gate/local.c
+++ b/gate/local.c
@@ -51,6 +51,8 @@
 
 	bct_buf_init(&out, 0);
 	bct_gate_counters_print(&l->gate->counters, &out);
+	bct_buf_printf(&out, "bct_log_dropped_total %llu\n",
+		       (unsigned long long)bct_log_dropped(l->gate->log));
 	if (l->gate->peer)
 		bct_peer_counters_print(l->gate->peer, &out);
 	reply(req, 200, "text/plain; version=0.0.4", &out);
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -51,5 +51,6 @@
 	{ "gate.step_us", BCT_SETTING_U32, offsetof(bct_settings_t, gate_step_us), 0, 0, 1, 10000000U, false, "8000" },
 	{ "policy.max_queued", BCT_SETTING_U32, offsetof(bct_settings_t, policy_max_queued), 0, 0, 16, 1000000U, false, "10000" },
 	{ "log.level", BCT_SETTING_STRING, offsetof(bct_settings_t, log_level), 0, 8, 0, 0U, false, "info" },
+	{ "log.lines_per_s", BCT_SETTING_U32, offsetof(bct_settings_t, log_lines_per_s), 0, 0, 0, 1000000U, false, "0" },
 	{ "log.format", BCT_SETTING_STRING, offsetof(bct_settings_t, log_format), 0, 8, 0, 0U, false, "text" },
 };
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -55,10 +55,11 @@
 	uint32_t gate_step_us;
 	uint32_t policy_max_queued;
 	char log_level[8];
+	uint32_t log_lines_per_s;
 	char log_format[8];
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 48
+#define BCT_SETTINGS_COUNT 49
 
 #endif
