--- a/base/event.c
+++ b/base/event.c
@@ -236,6 +236,7 @@
 
 #define ONE_FIELD(...) ((const bct_field_t[]){ __VA_ARGS__, { BCT_FIELD_END, NULL, { 0 } } })
 
+/* A line that could not be told stays counted; the telling itself is not. */
 static void tell_dropped(bct_log_t *log)
 {
 	uint64_t n = log->dropped_new;
@@ -244,9 +245,10 @@
 		return;
 	log->dropped_new = 0;
 	write_line(log, BCT_EV_LOG_DROPPED, ONE_FIELD(BCT_U64("lines", n)));
-	/* If that one was dropped too, the count goes on from what it would have told. */
-	if (log->dropped_new)
-		log->dropped_new += n - 1;
+	if (!log->dropped_new)
+		return;
+	log->dropped--;
+	log->dropped_new = n;
 }
 
 /* Whether another line of the event fits into this second; tells what was left out before. */
