Urgency is by client account, then by route

Change: rank by (account, route), spread over the levels that the wire has. Test: gate_routes/rank_is_by_account_then_route.

--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -265,7 +265,6 @@
 		.upstream_id = x->choice.upstream->entry.id,
 		.account = x->account ? x->account->name : NULL,
 		.wait_ms = left > 0 ? (uint32_t)left : 1,
-		.priority = x->route->priority,
 		.engine = x->ask.engine,
 		.resumes = x->call.resumes || x->events.has_id,
 		.after_event = x->events.has_id ? x->events.last_id : x->call.after_event,
@@ -275,8 +274,7 @@
 		o.fetch_ip = x->choice.source->entry.ip;
 		o.fetch_port = x->choice.source->entry.port;
 	}
-	if (x->account && x->account->priority != BCT_GATE_NO_PRIORITY)
-		o.priority = (uint8_t)x->account->priority;
+	o.rank = bct_gate_routes_rank(x->routes, x->route, x->account, &o.levels);
 	bct_buf_put(out, x->head.data, x->head.len_bytes);
 	x->gate->wire->encode_order(&o, out);
 	if (post || evbuffer_get_length(x->body))
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -34,7 +34,8 @@
 	const char *upstream_id; /* only this process may run it */
 	const char *account;	 /* NULL: none */
 	uint32_t wait_ms;	 /* what is left */
-	uint8_t priority;	 /* 0 goes first */
+	uint32_t rank;		 /* in the order of urgency, 0 first */
+	uint32_t levels;	 /* one more than the highest rank */
 	bool engine;
 	bool resumes;
 	uint64_t after_event;
--- a/policy/gate_routes.c
+++ b/policy/gate_routes.c
@@ -177,6 +177,15 @@
 {
 	int rc = 0;
 
+	t->route_levels = t->account_levels = 1;
+	for (uint32_t i = 0; i < t->n_routes; i++) {
+		if (t->routes[i].priority >= t->route_levels)
+			t->route_levels = t->routes[i].priority + 1U;
+	}
+	for (uint32_t i = 0; i < t->n_accounts; i++) {
+		if (t->accounts[i].priority >= (int32_t)t->account_levels)
+			t->account_levels = (uint32_t)t->accounts[i].priority + 1;
+	}
 	if (t->n_routes)
 		qsort(t->routes, t->n_routes, sizeof(*t->routes), by_host_then_prefix);
 	for (uint32_t i = 0; !rc && i < t->n_routes; i++) {
@@ -215,6 +224,15 @@
 	return &t->accounts[k->account];
 }
 
+uint32_t bct_gate_routes_rank(const bct_gate_routes_t *t, const bct_gate_route_t *r,
+			      const bct_gate_account_t *account, uint32_t *levels)
+{
+	uint32_t first = account && account->priority > 0 ? (uint32_t)account->priority : 0;
+
+	*levels = t->route_levels * t->account_levels;
+	return first * t->route_levels + r->priority;
+}
+
 uint32_t bct_gate_route_split(const bct_gate_route_t *r, uint64_t draw)
 {
 	uint64_t at = r->weight_sum ? draw % r->weight_sum : 0;
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -62,7 +62,7 @@
 
 typedef struct bct_gate_account {
 	const char *name;
-	int32_t priority; /* goes before the route's, or BCT_GATE_NO_PRIORITY */
+	int32_t priority; /* compared before the route's; or BCT_GATE_NO_PRIORITY */
 } bct_gate_account_t;
 
 typedef struct bct_gate_api_key {
@@ -89,8 +89,10 @@
 	uint32_t n_accounts;
 	bct_gate_api_key_t *keys;
 	uint32_t n_keys;
-	bool needs_keys;   /* the configuration lists client accounts */
-	bct_map_t by_host; /* hash of the host: its first route */
+	bool needs_keys;	 /* the configuration lists client accounts */
+	uint32_t route_levels;	 /* one more than the highest priority number of a route */
+	uint32_t account_levels; /* the same of a client account */
+	bct_map_t by_host;	 /* hash of the host: its first route */
 	bct_map_t by_secret;
 	uint32_t refs;
 } bct_gate_routes_t;
@@ -130,6 +132,16 @@
 /* bct_gate_routes_account(3): the client account of an API key, or NULL. */
 const bct_gate_account_t *bct_gate_routes_account(const bct_gate_routes_t *t, const char *secret);
 
+/*
+ * bct_gate_routes_rank(3): the place of a request in the order of urgency, 0 first: by the client
+ * account's priority, then by the route's. An account without a priority counts as the first.
+ *
+ * account  or NULL
+ * levels   set to one more than the highest rank that there is
+ */
+uint32_t bct_gate_routes_rank(const bct_gate_routes_t *t, const bct_gate_route_t *r,
+			      const bct_gate_account_t *account, uint32_t *levels);
+
 /*
  * bct_gate_route_split(3): the service for one request.
  *
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -74,6 +74,33 @@
 	bct_gate_routes_unref(t);
 }
 
+/* Requests of one account keep the order of their routes; an account's priority goes before. */
+Test(gate_routes, rank_is_by_account_then_route)
+{
+	bct_gate_routes_t *t = bct_gate_routes_new(1);
+	uint32_t levels, last = 0;
+
+	bct_gate_routes_add_service(t, &(bct_gate_service_t){ .name = "s" });
+	for (uint8_t p = 0; p < 3; p++)
+		bct_gate_routes_add_route(
+			t, &(bct_gate_route_t){
+				   .name = "r", .host = "h", .prefix = "/", .priority = p });
+	for (int32_t p = 0; p < 3; p++)
+		bct_gate_routes_add_account(t, &(bct_gate_account_t){ .name = "a", .priority = p });
+	bct_gate_routes_seal(t);
+	for (uint32_t a = 0; a < 3; a++) {
+		for (uint32_t r = 0; r < 3; r++) {
+			uint32_t rank =
+				bct_gate_routes_rank(t, &t->routes[r], &t->accounts[a], &levels);
+
+			cr_assert_eq(rank, last++);
+		}
+	}
+	cr_assert_eq(levels, 9);
+	cr_assert_eq(bct_gate_routes_rank(t, &t->routes[2], NULL, &levels), 2);
+	bct_gate_routes_unref(t);
+}
+
 static bct_gate_entry_t entry(const char *id, int64_t born_ms, uint64_t sequence)
 {
 	bct_gate_entry_t e = { .service = SERVICE, .zone = "z", .ip = "10.0.0.1", .port = 80 };
