A fault soak of our own: real gateways, faults from outside, promises checked from what callers and upstreams see

Change: soak/ (make soak SEED= RUNS= SECONDS=): signals, loopback proxies that delay, reset, silence or cut one way in front of every upstream and of each node's way to the store, changes of routes and upstreams, all nodes killed; checks TWICE, REFUSED, MIXED, ORDER, UNASKED, DRAIN, DENIED, CONFIG (final answer in time) and RECOVER.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 LIB_DIRS := base policy coord gen
 LIB_SRCS := $(sort $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c)))
 NODE_SRCS := $(sort $(wildcard node/*.c))
+SOAK_SRCS := $(sort $(wildcard soak/*.c))
 GATE_SRCS := $(sort $(wildcard gate/*.c))
 PLATFORM_SRCS := $(sort $(wildcard platform/*.c))
 CTL_SRCS := $(sort $(wildcard cmd/chutectl*.c))
@@ -105,6 +106,8 @@
 	$(link)
 $(BIN)/chuteload: $(call obj,$(LOAD_SRCS)) $(LIB)
 	$(link)
+$(BIN)/soak: $(call obj,$(SOAK_SRCS)) $(LIB)
+	$(link)
 $(BIN)/embed: $(call obj,examples/embed.c) $(LIB)
 	$(link)
 $(BIN)/fake-%: $(B)/obj/standin/fake_%.o $(call obj,$(STANDIN_COMMON)) $(LIB)
@@ -122,7 +125,7 @@
 
 # Every unit test, then the tests on real processes.
 test: deps
-	$(Q)$(MAKE) --no-print-directory programs unit
+	$(Q)$(MAKE) --no-print-directory programs $(BIN)/soak unit
 	$(Q)BIN=$(BIN) sh tests/run_process_tests.sh
 
 unit: $(TESTS)
@@ -142,6 +145,14 @@
 faults: programs
 	$(Q)BIN=$(BIN) sh bench/faults.sh
 
+# Real gateways under random faults: RUNS seeds from SEED on, SECONDS of faults each.
+SEED ?= 1
+RUNS ?= 1
+SECONDS ?= 10
+soak: programs $(BIN)/soak
+	$(Q)BIN=$(BIN) SEED=$(SEED) RUNS=$(RUNS) SECONDS_EACH=$(SECONDS) sh soak/run.sh
+.PHONY: soak
+
 tsan: programs
 	$(Q)$(MAKE) --no-print-directory SAN=thread programs races
 	$(Q)BIN=$(BIN) SAN_BIN=build/san-thread/bin sh tests/run_race_tests.sh
@@ -166,7 +177,7 @@
 	$(Q)$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
 .PHONY: fuzz fuzzers
 
-C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] gate/*.[ch] platform/*.[ch] cmd/*.[ch] \
+C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] gate/*.[ch] platform/*.[ch] soak/*.[ch] cmd/*.[ch] \
 	standin/*.[ch] tests/*.[ch] tests/fuzz/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
 
 check:
--- /dev/null
+++ b/soak/caller.c
@@ -0,0 +1,241 @@
+/*
+ * caller.c - callers that keep connections open until the node is gone, and judge every answer.
+ */
+#include "soak/soak.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER_BYTES 16384
+#define ANSWER_SLACK_MS 500 /* past the route's time limit */
+#define EVENTS 6
+#define PAUSE_MS 20
+#define CONNECT_MS 1000
+
+typedef struct caller {
+	soak_t *soak;
+	int fd; /* -1: no connection */
+	uint32_t node;
+	bct_rng_t rng;
+	char buf[ANSWER_BYTES];
+	size_t have;
+} caller_t;
+
+typedef struct answer {
+	int status; /* 0: the connection ended without one */
+	bool whole;
+	bool late;
+	const char *body;
+} answer_t;
+
+static void hang_up(caller_t *c)
+{
+	if (c->fd >= 0)
+		close(c->fd);
+	c->fd = -1;
+	c->have = 0;
+}
+
+static bool dial(caller_t *c)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	struct timeval tv = { CONNECT_MS / 1000, 0 };
+
+	c->node = bct_rng_below(&c->rng, SOAK_NODES);
+	sa.sin_port = htons(c->soak->port_base);
+	inet_pton(AF_INET, c->soak->nodes[c->node].ip, &sa.sin_addr);
+	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(c->fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof(tv));
+	if (connect(c->fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+		return true;
+	hang_up(c);
+	return false;
+}
+
+/* Whether the answer in the buffer is complete by its own framing. */
+static bool is_whole(caller_t *c, answer_t *a)
+{
+	char *head_end, *length;
+
+	c->buf[c->have] = '\0';
+	head_end = strstr(c->buf, "\r\n\r\n");
+	if (!head_end)
+		return false;
+	a->body = head_end + 4;
+	length = strstr(c->buf, "Content-Length: ");
+	if (length && length < head_end)
+		return c->have >= (size_t)(a->body - c->buf) + strtoul(length + 16, NULL, 10);
+	return strstr(a->body, "\r\n0\r\n\r\n") != NULL;
+}
+
+static void read_answer(caller_t *c, answer_t *a)
+{
+	bct_time_t until = bct_clock_now() + SOAK_TIMEOUT_MS + ANSWER_SLACK_MS;
+
+	while (!(a->whole = is_whole(c, a)) && c->have < sizeof(c->buf) - 1) {
+		struct pollfd p = { .fd = c->fd, .events = POLLIN };
+		bct_time_t left = until - bct_clock_now();
+		ssize_t n;
+
+		if (left <= 0) {
+			a->late = true;
+			break;
+		}
+		if (poll(&p, 1, (int)left) <= 0)
+			continue;
+		n = recv(c->fd, c->buf + c->have, sizeof(c->buf) - 1 - c->have, 0);
+		if (n <= 0)
+			break;
+		c->have += (size_t)n;
+	}
+	c->buf[c->have] = '\0';
+	if (!strncmp(c->buf, "HTTP/1.1 ", 9))
+		a->status = atoi(c->buf + 9);
+}
+
+/* Events stand once and in order, and all of them in an answer that is whole. */
+static void check_events(caller_t *c, const char *id, const answer_t *a)
+{
+	const char *at = a->body ? a->body : "";
+	int last = 0;
+
+	while ((at = strstr(at, "id: ")) != NULL) {
+		int n = atoi(at + 4);
+		char want[64];
+
+		snprintf(want, sizeof(want), "id: %d\ndata: %s.%d\n", n, id, n);
+		if (n != last + 1)
+			soak_violation(c->soak, "ORDER", "%s: event %d after %d", id, n, last);
+		if (strncmp(at, want, strlen(want)) != 0)
+			soak_violation(c->soak, "MIXED", "%s: event of another", id);
+		last = n;
+		at += 4;
+	}
+	if (a->whole && last != EVENTS)
+		soak_violation(c->soak, "ORDER", "%s ends as whole after event %d", id, last);
+}
+
+static bool is_calm(soak_t *s, uint32_t node)
+{
+	bct_time_t at;
+
+	pthread_mutex_lock(&s->lock);
+	at = s->fault_at > s->nodes[node].disturbed_at ? s->fault_at : s->nodes[node].disturbed_at;
+	pthread_mutex_unlock(&s->lock);
+	return bct_clock_now() > at + SOAK_CALM_MS;
+}
+
+static void check_success(caller_t *c, const char *id, char kind, const answer_t *a)
+{
+	char echo[64];
+
+	snprintf(echo, sizeof(echo), "Attempt-Id: %s\r\n", id);
+	if (!strstr(c->buf, "Server-Seal: s\r\n") || !strstr(c->buf, echo))
+		soak_violation(c->soak, "MIXED", "%s: answer of another: %.200s", id, c->buf);
+	if (kind == 't' || kind == 'r')
+		check_events(c, id, a);
+	else if (a->whole && strcmp(a->body, id) != 0)
+		soak_violation(c->soak, "MIXED", "%s: body %.40s", id, a->body);
+}
+
+static void judge(caller_t *c, uint32_t i, const char *id, char kind, const answer_t *a)
+{
+	soak_t *s = c->soak;
+	bool ok = a->status == 200 && a->whole, broken = false;
+
+	if (a->status == 200)
+		check_success(c, id, kind, a);
+	pthread_mutex_lock(&s->lock);
+	if (a->status == 503) {
+		s->calls[i].promised = kind == 'u' || kind == 't';
+		broken = s->calls[i].promised && s->calls[i].runs;
+	}
+	s->ok += ok;
+	s->refused += a->status == 503;
+	s->failed += !ok && a->status != 503;
+	pthread_mutex_unlock(&s->lock);
+	if (broken)
+		soak_violation(s, "REFUSED", "%s: refused and has run", id);
+	if (a->status == 401 || a->status == 404)
+		soak_violation(s, "DENIED", "%s: %d", id, a->status);
+	if (!is_calm(s, c->node))
+		return;
+	if (a->late)
+		soak_violation(s, "CONFIG", "%s: no final answer past its time", id);
+	pthread_mutex_lock(&s->lock);
+	s->calm_ok += ok;
+	s->calm_bad += !ok;
+	pthread_mutex_unlock(&s->lock);
+}
+
+static uint32_t new_call(soak_t *s, char kind)
+{
+	uint32_t i;
+
+	pthread_mutex_lock(&s->lock);
+	i = s->n_calls;
+	if (i < SOAK_CALLS_MAX) {
+		s->calls[i].kind = (uint8_t)kind;
+		s->n_calls++;
+	}
+	pthread_mutex_unlock(&s->lock);
+	return i;
+}
+
+static void call(caller_t *c)
+{
+	static const char kinds[] = { 's', 'u', 't', 'r' };
+	static const char *const paths[] = { "safe", "unsafe", "stream", "resume" };
+	uint32_t k = bct_rng_below(&c->rng, 4), i = new_call(c->soak, kinds[k]);
+	char id[SOAK_ID_BYTES], text[512];
+	answer_t a = { 0 };
+	int n;
+
+	if (i >= SOAK_CALLS_MAX)
+		return;
+	snprintf(id, sizeof(id), "c-%u", i);
+	n = snprintf(text, sizeof(text),
+		     "GET /%s/x HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+		     "X-Buckthornchute-Request-Attempt-Id: %s\r\n"
+		     "X-Buckthornchute-Deadline-Milliseconds: 5000\r\n%s\r\n",
+		     paths[k], id, k >= 2 ? "X-Buckthornchute-Token-Counts: 100,24\r\n" : "");
+	c->have = 0;
+	if (send(c->fd, text, (size_t)n, MSG_NOSIGNAL) != n) {
+		hang_up(c);
+		return;
+	}
+	read_answer(c, &a);
+	judge(c, i, id, kinds[k], &a);
+	if (!a.whole || strstr(c->buf, "Connection: close"))
+		hang_up(c);
+}
+
+void *soak_caller(void *arg)
+{
+	soak_t *s = arg;
+	caller_t *c = calloc(1, sizeof(*c));
+	bool over = false;
+
+	c->soak = s;
+	c->fd = -1;
+	pthread_mutex_lock(&s->lock);
+	bct_rng_seed(&c->rng, s->seed ^ ((uint64_t)bct_rng_below(&s->rng, 1U << 30) << 16));
+	pthread_mutex_unlock(&s->lock);
+	while (!over) {
+		if (c->fd >= 0 || dial(c))
+			call(c);
+		bct_clock_sleep(PAUSE_MS);
+		pthread_mutex_lock(&s->lock);
+		over = s->over;
+		pthread_mutex_unlock(&s->lock);
+	}
+	hang_up(c);
+	free(c);
+	return NULL;
+}
--- /dev/null
+++ b/soak/faults.c
@@ -0,0 +1,159 @@
+/*
+ * faults.c - one fault after another, from outside the processes; each may come while others last.
+ */
+#include "soak/soak.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define DOWN_MS 800 /* a killed node starts again after up to so long */
+
+void soak_node_start(soak_t *s, soak_node_t *n)
+{
+	pid_t pid = fork();
+
+	if (pid == 0) {
+		int fd = open(n->log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+		dup2(fd, 1);
+		dup2(fd, 2);
+		execl(s->program, s->program, "--config", n->settings_path, (char *)NULL);
+		_exit(127);
+	}
+	n->pid = pid;
+	n->stopping = n->paused = false;
+}
+
+/* Reaps what ended and starts it again when its time has come. Call with the lock held. */
+void soak_nodes_tend(soak_t *s)
+{
+	bct_time_t now = bct_clock_now();
+
+	for (int i = 0; i < SOAK_NODES; i++) {
+		soak_node_t *n = &s->nodes[i];
+
+		if (n->pid && waitpid(n->pid, NULL, WNOHANG) == n->pid) {
+			n->pid = 0;
+			n->disturbed_at = now;
+			n->restart_at = now + bct_rng_below(&s->rng, DOWN_MS);
+		}
+		if (!n->pid && now >= n->restart_at)
+			soak_node_start(s, n);
+	}
+}
+
+static void signal_node(soak_t *s, uint32_t what)
+{
+	soak_node_t *n = &s->nodes[bct_rng_below(&s->rng, SOAK_NODES)];
+
+	if (!n->pid)
+		return;
+	n->disturbed_at = bct_clock_now();
+	if (what == 0) {
+		kill(n->pid, SIGKILL);
+	} else if (what == 1) {
+		kill(n->pid, SIGTERM);
+	} else if (what == 2) {
+		kill(n->pid, SIGHUP);
+	} else {
+		kill(n->pid, n->paused ? SIGCONT : SIGSTOP);
+		n->paused = !n->paused;
+	}
+}
+
+static void herd_kill(soak_t *s)
+{
+	for (int i = 0; i < SOAK_NODES; i++) {
+		if (s->nodes[i].pid)
+			kill(s->nodes[i].pid, SIGKILL);
+		s->nodes[i].disturbed_at = bct_clock_now();
+	}
+}
+
+static void upstream_fault(soak_t *s)
+{
+	soak_upstream_t *u = &s->upstreams[bct_rng_below(&s->rng, SOAK_UPSTREAMS)];
+	bct_time_t now = bct_clock_now();
+
+	s->offset++;
+	u->sequence++;
+	switch (bct_rng_below(&s->rng, 5)) {
+	case 0:
+		u->draining = true;
+		u->left_at = now;
+		break;
+	case 1:
+		u->gone = true;
+		u->left_at = now;
+		break;
+	case 2:
+		/* A later start under the same id knows nothing of before. */
+		u->draining = u->gone = u->down = false;
+		u->left_at = 0;
+		u->born++;
+		u->sequence = 1;
+		break;
+	case 3:
+		u->down = !u->down;
+		break;
+	default:
+		u->proxy.link = bct_rng_below(&s->rng, SOAK_LINK_KINDS);
+	}
+}
+
+static void config_fault(soak_t *s)
+{
+	s->version += 1 + bct_rng_below(&s->rng, 3);
+	s->moved = !s->moved;
+	s->moved_at = bct_clock_now();
+	s->offset++;
+}
+
+/* Call with the lock held. */
+void soak_fault(soak_t *s)
+{
+	uint32_t what = bct_rng_below(&s->rng, 20);
+
+	s->fault_at = bct_clock_now();
+	if (what < 8)
+		signal_node(s, what % 4);
+	else if (what == 8)
+		herd_kill(s);
+	else if (what < 14)
+		upstream_fault(s);
+	else if (what < 17)
+		config_fault(s);
+	else
+		s->nodes[bct_rng_below(&s->rng, SOAK_NODES)].store.link =
+			bct_rng_below(&s->rng, SOAK_LINK_KINDS);
+}
+
+/* Ends all faults. Call with the lock held. */
+void soak_heal(soak_t *s)
+{
+	s->calm = true;
+	s->fault_at = bct_clock_now();
+	s->offset++;
+	for (int i = 0; i < SOAK_NODES; i++) {
+		soak_node_t *n = &s->nodes[i];
+
+		n->store.link = SOAK_LINK_OK;
+		if (n->pid && n->paused)
+			kill(n->pid, SIGCONT);
+		n->paused = false;
+	}
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
+		soak_upstream_t *u = &s->upstreams[i];
+
+		u->proxy.link = SOAK_LINK_OK;
+		u->draining = u->gone = u->down = false;
+		u->left_at = 0;
+		u->born++;
+		u->sequence = 1;
+	}
+}
--- /dev/null
+++ b/soak/main.c
@@ -0,0 +1,197 @@
+/*
+ * main.c - soak --seed N --seconds S: faults for S seconds, then calm, in which callers must be
+ * served again. Exit code 1 when a promise was broken.
+ */
+#include "soak/soak.h"
+
+#include <popt.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define FAULT_MIN_MS 150
+#define FAULT_SPREAD_MS 700
+#define WARM_MS 1500  /* before the first fault */
+#define HEAL_MS 12000 /* recovery_s: by then callers are served again */
+#define CALM_MS 4000  /* in which that is measured */
+#define SERVED_MIN_PERCENT 90
+#define GRACE_MS 8000
+
+void soak_violation(soak_t *s, const char *promise, const char *fmt, ...)
+{
+	char text[512];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	pthread_mutex_lock(&s->lock);
+	if (s->violations++ < 20)
+		printf("soak: %s broken at %lld ms: %s\n", promise,
+		       (long long)(bct_clock_now() - s->begun), text);
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void write_settings(soak_t *s, soak_node_t *n, int i)
+{
+	FILE *f;
+
+	snprintf(n->ip, sizeof(n->ip), "127.0.7.%d", i + 1);
+	snprintf(n->settings_path, sizeof(n->settings_path), "%s/n%d.json", s->dir, i);
+	snprintf(n->log_path, sizeof(n->log_path), "%s/n%d.log", s->dir, i);
+	f = fopen(n->settings_path, "w");
+	if (!f)
+		abort();
+	fprintf(f,
+		"{\"vm\":{\"name\":\"n%d\",\"failure_domain\":\"z\",\"region\":\"r\"},"
+		"\"caller\":{\"address\":\"%s\",\"entry_lifetime_ms\":300},"
+		"\"peer\":{\"address\":\"%s\",\"port\":%u,\"secret\":\"soak-soak-soak-soak\","
+		"\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]},"
+		"\"platform\":{\"url\":\"127.0.0.1:%u\",\"timeout_ms\":500,\"poll_ms\":300},"
+		"\"gate\":{\"listen\":\"%s:%u\",\"resolve\":\"%s:%u\",\"share_port\":%u,"
+		"\"grace_ms\":%d,\"budget_allowance\":1000},"
+		"\"log\":{\"format\":\"json\"}}",
+		i, n->ip, n->ip, s->port_base + 2, n->store.port, n->ip, s->port_base, n->ip,
+		s->port_base + 1, s->port_base + 3, GRACE_MS);
+	fclose(f);
+}
+
+static void set_up(soak_t *s)
+{
+	pthread_mutex_init(&s->lock, NULL);
+	bct_rng_seed(&s->rng, s->seed);
+	s->calls = calloc(SOAK_CALLS_MAX, sizeof(*s->calls));
+	s->version = 1;
+	s->offset = 1;
+	s->begun = s->fault_at = bct_clock_now();
+	close(soak_listen("127.0.7.1", 0, &s->port_base));
+	snprintf(s->dir, sizeof(s->dir), "/tmp/soak-%d-%llu", getpid(),
+		 (unsigned long long)s->seed);
+	if (!s->calls || mkdir(s->dir, 0700))
+		abort();
+	soak_store_start(s);
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
+		soak_upstream_t *u = &s->upstreams[i];
+
+		snprintf(u->id, sizeof(u->id), "i-%d", i);
+		u->service = i < SOAK_UPSTREAMS - 2 ? "model" : "desk";
+		u->soak = s;
+		u->born = 1000;
+		u->sequence = 1;
+		soak_upstream_start(u);
+	}
+	for (int i = 0; i < SOAK_NODES; i++) {
+		s->nodes[i].store.soak = s;
+		s->nodes[i].store.target_port = s->store_port;
+		soak_proxy_start(&s->nodes[i].store, "127.0.0.1");
+		write_settings(s, &s->nodes[i], i);
+		soak_node_start(s, &s->nodes[i]);
+	}
+}
+
+/* Runs faults, or none, until a time. */
+static void pass(soak_t *s, bct_time_t until, bool faults)
+{
+	bct_time_t next = bct_clock_now();
+
+	while (bct_clock_now() < until) {
+		pthread_mutex_lock(&s->lock);
+		soak_nodes_tend(s);
+		if (faults && bct_clock_now() >= next) {
+			soak_fault(s);
+			next = bct_clock_now() + FAULT_MIN_MS +
+			       bct_rng_below(&s->rng, FAULT_SPREAD_MS);
+		}
+		pthread_mutex_unlock(&s->lock);
+		bct_clock_sleep(20);
+	}
+}
+
+static void check_recovery(soak_t *s)
+{
+	uint32_t ok = s->calm_ok, all = s->calm_ok + s->calm_bad;
+
+	if (!all || ok * 100 < all * SERVED_MIN_PERCENT)
+		soak_violation(s, "RECOVER", "%u of %u served in the calm at the end", ok, all);
+}
+
+static void tear_down(soak_t *s)
+{
+	for (int i = 0; i < SOAK_NODES; i++) {
+		if (!s->nodes[i].pid)
+			continue;
+		kill(s->nodes[i].pid, SIGKILL);
+		waitpid(s->nodes[i].pid, NULL, 0);
+	}
+	if (s->violations) {
+		printf("soak: logs are kept in %s\n", s->dir);
+		return;
+	}
+	for (int i = 0; i < SOAK_NODES; i++) {
+		unlink(s->nodes[i].settings_path);
+		unlink(s->nodes[i].log_path);
+	}
+	rmdir(s->dir);
+}
+
+static int run(soak_t *s)
+{
+	pthread_t callers[SOAK_CALLERS];
+	bct_time_t now;
+
+	set_up(s);
+	for (int i = 0; i < SOAK_CALLERS; i++)
+		pthread_create(&callers[i], NULL, soak_caller, s);
+	now = bct_clock_now();
+	pass(s, now + WARM_MS, false);
+	pass(s, now + WARM_MS + (bct_time_t)s->seconds * BCT_MS_PER_S, true);
+	pthread_mutex_lock(&s->lock);
+	soak_heal(s);
+	pthread_mutex_unlock(&s->lock);
+	pass(s, bct_clock_now() + HEAL_MS, false);
+	pthread_mutex_lock(&s->lock);
+	s->calm_ok = s->calm_bad = 0;
+	pthread_mutex_unlock(&s->lock);
+	pass(s, bct_clock_now() + CALM_MS, false);
+	pthread_mutex_lock(&s->lock);
+	s->over = true;
+	pthread_mutex_unlock(&s->lock);
+	for (int i = 0; i < SOAK_CALLERS; i++)
+		pthread_join(callers[i], NULL);
+	check_recovery(s);
+	tear_down(s);
+	printf("soak: seed %llu, %u calls: %u ok, %u refused, %u failed; calm %u of %u; %u "
+	       "broken\n",
+	       (unsigned long long)s->seed, s->n_calls, s->ok, s->refused, s->failed, s->calm_ok,
+	       s->calm_ok + s->calm_bad, s->violations);
+	return s->violations ? 1 : 0;
+}
+
+int main(int argc, const char **argv)
+{
+	static soak_t s = { .seconds = 10, .program = "build/bin/chutegate" };
+	long seed = 1, seconds = 10;
+	struct poptOption table[] = {
+		{ "seed", 0, POPT_ARG_LONG, &seed, 0, "seed of the run", "N" },
+		{ "seconds", 0, POPT_ARG_LONG, &seconds, 0, "time with faults", "S" },
+		{ "program", 0, POPT_ARG_STRING, &s.program, 0, "gateway to run", "PATH" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext ctx = poptGetContext("soak", argc, argv, table, 0);
+
+	if (poptGetNextOpt(ctx) < -1 || poptPeekArg(ctx) || sodium_init() < 0) {
+		poptPrintUsage(ctx, stderr, 0);
+		return 2;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	s.seed = (uint64_t)seed;
+	s.seconds = (uint32_t)seconds;
+	return run(&s);
+}
--- /dev/null
+++ b/soak/proxy.c
@@ -0,0 +1,142 @@
+/*
+ * proxy.c - a loopback proxy whose connections can be delayed, reset, silenced or cut one way.
+ */
+#include "soak/soak.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define DELAY_MS 120
+#define POLL_MS 20
+
+typedef struct pair {
+	soak_proxy_t *proxy;
+	int near_fd; /* of whoever connected */
+	int far_fd;
+} pair_t;
+
+int soak_listen(const char *ip, uint16_t port, uint16_t *out)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
+
+	inet_pton(AF_INET, ip, &sa.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (fd < 0 || bind(fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(fd, 256))
+		return -1;
+	getsockname(fd, (struct sockaddr *)&sa, &len);
+	*out = ntohs(sa.sin_port);
+	return fd;
+}
+
+static void reset(int fd)
+{
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+static soak_link_t link_of(soak_proxy_t *p)
+{
+	soak_link_t l;
+
+	pthread_mutex_lock(&p->soak->lock);
+	l = p->link;
+	pthread_mutex_unlock(&p->soak->lock);
+	return l;
+}
+
+/* Moves bytes one way. returns false when that side has ended. */
+static bool pump(int from, int to, bool drop)
+{
+	char buf[8192];
+	ssize_t n = recv(from, buf, sizeof(buf), 0);
+
+	if (n <= 0)
+		return false;
+	return drop || send(to, buf, (size_t)n, MSG_NOSIGNAL) == n;
+}
+
+static void *run_pair(void *arg)
+{
+	pair_t *c = arg;
+	struct pollfd fds[2] = { { .fd = c->near_fd, .events = POLLIN },
+				 { .fd = c->far_fd, .events = POLLIN } };
+	bool open = true;
+
+	while (open) {
+		soak_link_t l = link_of(c->proxy);
+
+		if (l == SOAK_LINK_RESET) {
+			reset(c->near_fd);
+			reset(c->far_fd);
+			break;
+		}
+		if (l == SOAK_LINK_SILENT) {
+			bct_clock_sleep(POLL_MS);
+			continue;
+		}
+		if (poll(fds, 2, POLL_MS) <= 0)
+			continue;
+		if (l == SOAK_LINK_DELAY)
+			bct_clock_sleep(DELAY_MS);
+		if (fds[0].revents)
+			open = pump(c->near_fd, c->far_fd, false);
+		if (open && fds[1].revents)
+			open = pump(c->far_fd, c->near_fd, l == SOAK_LINK_ONE_WAY);
+	}
+	close(c->near_fd);
+	close(c->far_fd);
+	free(c);
+	return NULL;
+}
+
+static int connect_target(const soak_proxy_t *p)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(p->target_port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static void *run_proxy(void *arg)
+{
+	soak_proxy_t *p = arg;
+
+	for (;;) {
+		pair_t *c = calloc(1, sizeof(*c));
+		pthread_t thread;
+
+		c->proxy = p;
+		c->near_fd = accept(p->listen_fd, NULL, NULL);
+		c->far_fd = c->near_fd < 0 ? -1 : connect_target(p);
+		if (c->far_fd >= 0 && !pthread_create(&thread, NULL, run_pair, c)) {
+			pthread_detach(thread);
+			continue;
+		}
+		if (c->near_fd >= 0)
+			close(c->near_fd);
+		free(c);
+	}
+	return NULL;
+}
+
+void soak_proxy_start(soak_proxy_t *p, const char *ip)
+{
+	pthread_t thread;
+
+	p->listen_fd = soak_listen(ip, 0, &p->port);
+	if (p->listen_fd < 0 || pthread_create(&thread, NULL, run_proxy, p))
+		abort();
+	pthread_detach(thread);
+}
--- /dev/null
+++ b/soak/upstream.c
@@ -0,0 +1,236 @@
+/*
+ * upstream.c - an upstream that counts runs and answers well, badly or not at all.
+ */
+#include "soak/soak.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define EVENTS 6
+#define EVENT_GAP_MS 40
+#define BAD_PERCENT 12 /* of answers */
+#define SILENT_MS 2500
+#define HEAD "X-Buckthornchute-"
+
+typedef struct conn {
+	soak_upstream_t *u;
+	int fd;
+} conn_t;
+
+typedef struct request {
+	char id[SOAK_ID_BYTES];
+	char path[64];
+	char expected[32];
+	int after; /* Last-Event-Id */
+} request_t;
+
+static void copy_header(const char *head, const char *name, char *out, size_t size)
+{
+	const char *at = strstr(head, name);
+
+	out[0] = '\0';
+	if (at)
+		snprintf(out, size, "%.*s", (int)strcspn(at + strlen(name), "\r"),
+			 at + strlen(name));
+}
+
+/* Reads one request without a body. returns false at the end of the connection. */
+static bool read_request(int fd, request_t *r)
+{
+	char buf[8192], number[24];
+	size_t have = 0;
+
+	for (;;) {
+		ssize_t n = recv(fd, buf + have, sizeof(buf) - 1 - have, 0);
+
+		if (n <= 0)
+			return false;
+		have += (size_t)n;
+		buf[have] = '\0';
+		if (strstr(buf, "\r\n\r\n"))
+			break;
+	}
+	if (sscanf(buf, "%*s %63s", r->path) != 1)
+		return false;
+	copy_header(buf, HEAD "Request-Attempt-Id: ", r->id, sizeof(r->id));
+	copy_header(buf, HEAD "Expected-Instance: ", r->expected, sizeof(r->expected));
+	copy_header(buf, "Last-Event-Id: ", number, sizeof(number));
+	r->after = atoi(number);
+	return true;
+}
+
+static bool put(int fd, const char *text)
+{
+	return send(fd, text, strlen(text), MSG_NOSIGNAL) == (ssize_t)strlen(text);
+}
+
+static bool put_head(int fd, const request_t *r, const char *status, const char *more)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text), "HTTP/1.1 %s\r\n" HEAD "Request-Attempt-Id: %s\r\n%s\r\n",
+		 status, r->id, more);
+	return put(fd, text);
+}
+
+static void check_arrival(soak_upstream_t *u, const request_t *r, bct_time_t now)
+{
+	soak_t *s = u->soak;
+	bct_time_t left_at, calm_since;
+
+	pthread_mutex_lock(&s->lock);
+	left_at = u->left_at;
+	calm_since = s->fault_at;
+	pthread_mutex_unlock(&s->lock);
+	if (left_at && now > left_at + SOAK_DRAIN_MS + SOAK_CALM_MS &&
+	    now > calm_since + SOAK_DRAIN_MS + SOAK_CALM_MS)
+		soak_violation(s, "DRAIN", "%s reached %s %lld ms after it left", r->id, u->id,
+			       (long long)(now - left_at));
+}
+
+/* Counts a run. A second run of what may run once is seen here. */
+static void note_run(soak_upstream_t *u, const request_t *r)
+{
+	soak_t *s = u->soak;
+	uint32_t i = (uint32_t)strtoul(r->id + 2, NULL, 10);
+	soak_call_t call = { 0 };
+
+	pthread_mutex_lock(&s->lock);
+	if (i < s->n_calls) {
+		s->calls[i].runs++;
+		call = s->calls[i];
+	}
+	pthread_mutex_unlock(&s->lock);
+	if (!call.runs)
+		soak_violation(s, "UNASKED", "%s was never sent", r->id);
+	if (call.runs > 1 && (call.kind == 'u' || call.kind == 't'))
+		soak_violation(s, "TWICE", "%s ran %u times", r->id, call.runs);
+	if (call.promised)
+		soak_violation(s, "REFUSED", "%s ran after it was refused", r->id);
+}
+
+static bool stream(conn_t *c, const request_t *r, uint32_t bad)
+{
+	if (!put_head(c->fd, r, "200 OK",
+		      HEAD "Server-Seal: s\r\nContent-Type: text/event-stream\r\n"
+			   "Transfer-Encoding: chunked\r\n"))
+		return false;
+	for (int i = r->after + 1; i <= EVENTS; i++) {
+		char event[64], text[96];
+		int n = snprintf(event, sizeof(event), "id: %d\ndata: %s.%d\n\n", i, r->id, i);
+
+		snprintf(text, sizeof(text), "%x\r\n%s\r\n", n, event);
+		if (!put(c->fd, text))
+			return false;
+		bct_clock_sleep(EVENT_GAP_MS);
+		if (bad == 1 && i == 3)
+			return false;
+		if (bad == 2 && i == 2) {
+			put(c->fd, "6\r\nid: 3\n\r\n0\r\n\r\n");
+			return false;
+		}
+	}
+	return put(c->fd, "0\r\n\r\n");
+}
+
+/* returns whether the connection may go on */
+static bool answer(conn_t *c, const request_t *r, uint32_t bad)
+{
+	char body[SOAK_ID_BYTES + 64];
+
+	if (!strncmp(r->path, "/stream/", 8) || !strncmp(r->path, "/resume/", 8))
+		return stream(c, r, bad);
+	if (bad == 1)
+		return false;
+	if (bad == 2)
+		return put_head(c->fd, r, "500 Bad",
+				HEAD "Server-Seal: s\r\nContent-Length: 0\r\n");
+	if (bad == 3)
+		return put_head(c->fd, r, "200 OK",
+				HEAD "Server-Seal: s\r\nContent-Length: 9\r\n") &&
+		       false;
+	if (bad == 4) {
+		bct_clock_sleep(SILENT_MS);
+		return false;
+	}
+	if (bad == 5) {
+		request_t other = { .id = "c-other" };
+
+		put_head(c->fd, &other, "200 OK", HEAD "Server-Seal: s\r\nContent-Length: 0\r\n");
+	}
+	snprintf(body, sizeof(body), HEAD "Server-Seal: s\r\nContent-Length: %zu\r\n",
+		 strlen(r->id));
+	return put_head(c->fd, r, "200 OK", body) && put(c->fd, r->id);
+}
+
+static void *serve_conn(void *arg)
+{
+	conn_t *c = arg;
+	soak_t *s = c->u->soak;
+	request_t r;
+
+	while (read_request(c->fd, &r)) {
+		uint32_t bad, full;
+		bool down, calm;
+
+		pthread_mutex_lock(&s->lock);
+		bad = bct_rng_below(&s->rng, 100) < BAD_PERCENT ? 1 + bct_rng_below(&s->rng, 5) : 0;
+		full = bct_rng_below(&s->rng, 30);
+		down = c->u->down;
+		calm = s->calm;
+		pthread_mutex_unlock(&s->lock);
+		if (down)
+			break;
+		check_arrival(c->u, &r, bct_clock_now());
+		if (strcmp(r.expected, c->u->id) != 0) {
+			put_head(c->fd, &r, "421 Other", "Content-Length: 0\r\n");
+			continue;
+		}
+		if (!full && !calm) {
+			put_head(c->fd, &r, "503 Full",
+				 HEAD "Not-Executed: 1\r\nContent-Length: 0\r\n");
+			continue;
+		}
+		note_run(c->u, &r);
+		if (!answer(c, &r, calm ? 0 : bad))
+			break;
+	}
+	close(c->fd);
+	free(c);
+	return NULL;
+}
+
+static void *serve(void *arg)
+{
+	soak_upstream_t *u = arg;
+	int listen_fd = soak_listen("127.0.0.1", 0, &u->port);
+
+	u->proxy.target_port = u->port;
+	for (;;) {
+		conn_t *c = calloc(1, sizeof(*c));
+		pthread_t thread;
+
+		c->u = u;
+		c->fd = accept(listen_fd, NULL, NULL);
+		if (c->fd < 0 || pthread_create(&thread, NULL, serve_conn, c)) {
+			free(c);
+			continue;
+		}
+		pthread_detach(thread);
+	}
+	return NULL;
+}
+
+void soak_upstream_start(soak_upstream_t *u)
+{
+	pthread_t thread;
+
+	u->proxy.soak = u->soak;
+	if (pthread_create(&thread, NULL, serve, u))
+		abort();
+	pthread_detach(thread);
+	soak_proxy_start(&u->proxy, "127.0.0.1");
+}
