--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "base/mem.h"
 #include "gate/exchange_int.h"
+#include "gate/feed.h"
 #include "gate/share.h"
 
 #include <string.h>
@@ -49,6 +50,8 @@
 		BCT_STR("route", x->route ? x->route->name : ""),
 		BCT_STR("account", x->account ? x->account->name : ""),
 		BCT_U64("version", x->routes ? x->routes->version : 0),
+		BCT_I64("registry_age_ms", bct_feed_age_ms(x->gate->feed, now)),
+		BCT_U64("nodes", x->gate->nodes),
 		BCT_STR("upstream", x->upstream_id), BCT_U64("attempts", x->attempts),
 		BCT_U64("connects_failed", x->connects), BCT_U64("fault", x->last_fault),
 		BCT_U64("prompt_tokens", x->call.prompt_tokens),
--- a/gate/feed.c
+++ b/gate/feed.c
@@ -151,6 +151,13 @@
 	bct_gate_follow_heard(&f->follow, h);
 }
 
+bct_time_t bct_feed_age_ms(const bct_feed_t *f, bct_time_t now)
+{
+	bct_time_t own = f->follow.answered_at, heard = f->follow.heard.registry_at;
+
+	return now - (own > heard ? own : heard);
+}
+
 bct_time_t bct_feed_answered_at(const bct_feed_t *f)
 {
 	return f->follow.answered_at;
--- a/gate/feed.h
+++ b/gate/feed.h
@@ -19,6 +19,9 @@
 /* bct_feed_answered_at(3): when the registry last answered this node; 0: never. */
 bct_time_t bct_feed_answered_at(const bct_feed_t *f);
 
+/* bct_feed_age_ms(3): age of what this node knows of the registry, by itself or from a peer. */
+bct_time_t bct_feed_age_ms(const bct_feed_t *f, bct_time_t now);
+
 /* bct_feed_apply(3): take in one change; tell: pass it on to the peers if it is news here. */
 void bct_feed_apply(bct_gate_t *g, bct_registry_change_t *c, bool tell);
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -165,8 +165,8 @@
 
 	if (!g)
 		return;
-	bct_feed_free(g->feed);
 	bct_clients_free(g);
+	bct_feed_free(g->feed);
 	bct_list_for_each(el, &g->upstreams.all)
 		bct_upconns_expire(g, bct_container_of(el, bct_gate_upstream_t, link), true);
 	bct_local_free(g->local);
--- a/soak/main.c
+++ b/soak/main.c
@@ -21,7 +21,7 @@
 #define HEAL_MS 12000 /* recovery_s: by then callers are served again */
 #define CALM_MS 4000  /* in which that is measured */
 #define SERVED_MIN_PERCENT 90
-#define GRACE_MS 8000
+#define GRACE_MS 8000U
 
 void soak_violation(soak_t *s, const char *promise, const char *fmt, ...)
 {
@@ -55,10 +55,10 @@
 		"\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]},"
 		"\"platform\":{\"url\":\"127.0.0.1:%u\",\"timeout_ms\":500,\"poll_ms\":300},"
 		"\"gate\":{\"listen\":\"%s:%u\",\"resolve\":\"%s:%u\",\"share_port\":%u,"
-		"\"grace_ms\":%d,\"budget_allowance\":1000},"
+		"\"grace_ms\":%u,\"budget_allowance\":1000},"
 		"\"log\":{\"format\":\"json\"}}",
-		i, n->ip, n->ip, s->port_base + 2, n->store.port, n->ip, s->port_base, n->ip,
-		s->port_base + 1, s->port_base + 3, GRACE_MS);
+		i, n->ip, n->ip, s->port_base + 2U, n->store.port, n->ip, s->port_base, n->ip,
+		s->port_base + 1U, s->port_base + 3U, GRACE_MS);
 	fclose(f);
 }
 
