--- /dev/null
+++ b/tests/test_gate_follow.c
@@ -0,0 +1,139 @@
+/*
+ * test_gate_follow.c - who asks the registry when: calls do not grow with nodes, and nobody waits
+ * for a reader that has lost the registry.
+ */
+#include "policy/gate_follow.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define INTERVAL_MS 700
+#define HEAR_MS 100
+#define TICK_MS 100
+
+/* Nodes that hear the reader of rank 0 every tick; answers of the registry come at once. */
+typedef struct fleet {
+	bct_gate_follow_t nodes[70];
+	uint32_t n;
+	uint64_t version; /* at the registry */
+	uint64_t known[70];
+	uint32_t calls;
+	bool reader_cut; /* both readers have lost the registry */
+} fleet_t;
+
+static void fleet_init(fleet_t *f, uint32_t n)
+{
+	memset(f, 0, sizeof(*f));
+	f->n = n;
+	f->version = 1;
+	for (uint32_t i = 0; i < n; i++) {
+		bct_gate_follow_init(&f->nodes[i], INTERVAL_MS);
+		f->nodes[i].hear_ms = HEAR_MS;
+	}
+}
+
+static void ask(fleet_t *f, uint32_t i, bct_time_t now)
+{
+	bct_gate_own_t own = { .rank = i,
+			       .routes_version = f->known[i],
+			       .upstreams_digest = f->known[i] };
+	bct_gate_due_t due = bct_gate_follow_due(&f->nodes[i], now, &own);
+
+	if (!due.routes && !due.upstreams)
+		return;
+	f->calls++;
+	if (f->reader_cut && i < BCT_GATE_READERS) {
+		bct_gate_follow_answer(&f->nodes[i], now, false);
+		return;
+	}
+	bct_gate_follow_answer(&f->nodes[i], now, true);
+	f->known[i] = f->version;
+}
+
+static void step(fleet_t *f, bct_time_t now)
+{
+	for (uint32_t i = 0; i < f->n; i++)
+		ask(f, i, now);
+	for (uint32_t r = 0; r < BCT_GATE_READERS && r < f->n; r++) {
+		bct_gate_heard_t h = { .at = now,
+				       .registry_at = f->nodes[r].answered_at,
+				       .routes_version = f->known[r],
+				       .upstreams_digest = f->known[r] };
+
+		for (uint32_t i = 0; i < f->n; i++) {
+			if (i != r)
+				bct_gate_follow_heard(&f->nodes[i], &h);
+		}
+	}
+}
+
+static bct_time_t run(fleet_t *f, bct_time_t from, bct_time_t ms)
+{
+	for (bct_time_t now = from; now < from + ms; now += TICK_MS)
+		step(f, now);
+	return from + ms;
+}
+
+Test(gate_follow, calls_do_not_grow_with_nodes)
+{
+	uint32_t calls[2];
+
+	for (int i = 0; i < 2; i++) {
+		fleet_t f;
+		bct_time_t now;
+
+		fleet_init(&f, i ? 70 : 7);
+		now = run(&f, 100000, 3000);
+		f.calls = 0;
+		run(&f, now, 60000);
+		calls[i] = f.calls;
+	}
+	cr_assert_eq(calls[0], calls[1], "%u and %u", calls[0], calls[1]);
+	cr_assert_leq(calls[1], BCT_GATE_READERS * (60000 / INTERVAL_MS + 1));
+}
+
+/* A change reaches every node well within two seconds. */
+Test(gate_follow, a_change_is_known_everywhere)
+{
+	fleet_t f;
+	bct_time_t now;
+
+	fleet_init(&f, 7);
+	now = run(&f, 100000, 3000);
+	f.version = 2;
+	run(&f, now, 1800);
+	for (uint32_t i = 0; i < f.n; i++)
+		cr_assert_eq(f.known[i], 2, "node %u", i);
+}
+
+/* Readers that lost the registry are not waited for. */
+Test(gate_follow, readers_may_lose_the_registry)
+{
+	fleet_t f;
+	bct_time_t now;
+
+	fleet_init(&f, 7);
+	now = run(&f, 100000, 3000);
+	f.reader_cut = true;
+	f.version = 2;
+	run(&f, now, 1800);
+	for (uint32_t i = BCT_GATE_READERS; i < f.n; i++)
+		cr_assert_eq(f.known[i], 2, "node %u", i);
+}
+
+/* A node that hears nobody asks for itself, and less often while it fails. */
+Test(gate_follow, alone)
+{
+	bct_gate_own_t own = { .rank = 5 };
+	bct_gate_follow_t f;
+	uint32_t calls = 0;
+
+	bct_gate_follow_init(&f, INTERVAL_MS);
+	for (bct_time_t now = 100000; now < 110000; now += TICK_MS) {
+		if (!bct_gate_follow_due(&f, now, &own).routes)
+			continue;
+		calls++;
+		bct_gate_follow_answer(&f, now, false);
+	}
+	cr_assert(calls >= 10 && calls <= 30, "%u calls in 10 s", calls);
+}
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -446,3 +446,59 @@
 	cr_assert(bct_gate_prefix_shared(&p, 3));
 	bct_gate_prefix_free(&p);
 }
+
+static bct_gate_lanes_t lanes_of_work(uint32_t tight_ms, uint32_t loose_ms, uint32_t engines)
+{
+	bct_gate_lanes_t l = { 0 };
+	bct_time_t now = 1000;
+
+	for (int i = 0; i < 40; i++) {
+		bct_gate_lanes_work(&l, 250, tight_ms / 2);
+		bct_gate_lanes_work(&l, 1000, loose_ms / 2);
+		now += 500;
+		bct_gate_lanes_update(&l, now, engines);
+	}
+	return l;
+}
+
+/* Capacity down and demand up: the tight lane keeps what it needs, the loose one waits. */
+Test(gate_lanes, tight_streams_keep_their_engines_in_a_shortage)
+{
+	bct_gate_lanes_t calm = lanes_of_work(3000, 6000, 20);
+	bct_gate_lanes_t busy = lanes_of_work(3000, 30000, 20);
+
+	cr_assert_geq(calm.lanes[0].n, 4);
+	cr_assert_geq(busy.lanes[0].n, 4, "%u engines", busy.lanes[0].n);
+	cr_assert_eq(busy.lanes[0].n + busy.lanes[1].n, 20);
+	cr_assert_eq(bct_gate_lanes_distance(&busy, 250, 0), 0);
+	cr_assert_eq(bct_gate_lanes_distance(&busy, 250, 19), 1);
+	cr_assert_eq(bct_gate_lanes_distance(&busy, 1000, 0), -1);
+}
+
+/* Fewer engines than lanes, or one lane: no lanes at all. */
+Test(gate_lanes, few_engines_are_shared)
+{
+	bct_gate_lanes_t l = lanes_of_work(3000, 6000, 2);
+
+	cr_assert_eq(bct_gate_lanes_distance(&l, 250, 1), 0);
+	cr_assert_eq(bct_gate_lanes_distance(&l, 1000, 0), 0);
+}
+
+/* Demand past capacity: refused at once, with a return that follows the excess; never when free. */
+Test(gate_pick, overload_is_refused_by_the_objective)
+{
+	bct_gate_ask_t a = { .engine = true, .target_ms = 500 };
+	bct_gate_choice_t c = { .first_ms = 20 };
+
+	cr_assert_eq(bct_gate_pick_overload(&a, &c, 4000), 0);
+	c.first_ms = 1000;
+	cr_assert_eq(bct_gate_pick_overload(&a, &c, 4000), 0);
+	c.first_ms = 1400;
+	cr_assert_eq(bct_gate_pick_overload(&a, &c, 4000), 400);
+	c.first_ms = 9000;
+	cr_assert_eq(bct_gate_pick_overload(&a, &c, 4000), 1000, "a quarter of the time left");
+	c.first_ms = 900;
+	cr_assert_gt(bct_gate_pick_overload(&a, &c, 2000), 0, "little time is left");
+	a.engine = false;
+	cr_assert_eq(bct_gate_pick_overload(&a, &c, 2000), 0);
+}
