--- a/gate/share.c
+++ b/gate/share.c
@@ -17,7 +17,10 @@
 #define DATAGRAM_BYTES 1400
 #define MAC_BYTES 16
 #define INTERVAL_MIN_MS 100
-#define DATAGRAMS_PER_S 80 /* that one node sends, whatever their number */
+#define DATAGRAMS_PER_S 80     /* that one node sends, whatever their number */
+#define FULL_AUDIENCE 100      /* above so many nodes, load is told to a few only */
+#define CROWD_INTERVAL_MS 2000 /* then the control traffic of a node stays under 13 KB/s */
+#define CROWD_AUDIENCE 16
 #define PREFILL_BITS 20
 #define PREFILL_MAX ((1U << PREFILL_BITS) - 1)
 #define RUNNING_MAX ((1U << (32 - PREFILL_BITS)) - 1)
@@ -101,10 +104,18 @@
 	s->refreshed = bct_clock_now();
 }
 
+/* Whether there are too many nodes for each to tell all others of its load. */
+static bool is_crowd(const bct_share_t *s)
+{
+	return s && s->n_peers > FULL_AUDIENCE;
+}
+
 uint32_t bct_share_interval_ms(const bct_share_t *s)
 {
 	uint32_t ms = (s ? s->n_peers : 0) * BCT_MS_PER_S / DATAGRAMS_PER_S;
 
+	if (is_crowd(s))
+		return CROWD_INTERVAL_MS;
 	return ms > INTERVAL_MIN_MS ? ms : INTERVAL_MIN_MS;
 }
 
@@ -208,11 +219,13 @@
 	return len + MAC_BYTES;
 }
 
-static void send_all(bct_share_t *s, share_news *news)
+/* Tells n peers, from one drawn at random on. */
+static void send_some(bct_share_t *s, share_news *news, uint32_t n)
 {
 	uint8_t out[DATAGRAM_BYTES];
 	bct_gate_t *g = s->gate;
 	bct_time_t age = bct_clock_now() - bct_feed_answered_at(g->feed);
+	uint32_t first = bct_rng_below(&g->picker.rng, s->n_peers);
 	size_t len;
 
 	news->from = bct_peer_incarnation(g->peer);
@@ -223,13 +236,25 @@
 	len = encode(s, news, out);
 	if (!len)
 		BCT_GATE_COUNT(g, SHARES_DROPPED);
-	for (uint32_t i = 0; len && i < s->n_peers; i++) {
-		if (sendto(s->fd, out, len, MSG_DONTWAIT, (struct sockaddr *)&s->peers[i].sa,
-			   sizeof(s->peers[i].sa)) < 0)
+	for (uint32_t i = 0; len && i < n; i++) {
+		const peer_t *p = &s->peers[(first + i) % s->n_peers];
+
+		if (sendto(s->fd, out, len, MSG_DONTWAIT, (const struct sockaddr *)&p->sa,
+			   sizeof(p->sa)) < 0)
 			BCT_GATE_COUNT(g, SHARES_DROPPED);
 	}
 }
 
+/* In a crowd, readers tell all nodes what is in force, and each node tells a few its load. */
+static void send_in_crowd(bct_share_t *s, share_news *news)
+{
+	share_news versions = { 0 };
+
+	if (s->gate->rank < BCT_GATE_READERS)
+		send_some(s, &versions, s->n_peers);
+	send_some(s, news, CROWD_AUDIENCE);
+}
+
 static void send_round(bct_share_t *s)
 {
 	share_load loads[SHARE_LOADS_MAX];
@@ -248,7 +273,10 @@
 	    (s->gate->rank >= BCT_GATE_READERS || now - s->spoke < IDLE_INTERVAL_MS))
 		return;
 	s->spoke = now;
-	send_all(s, &news);
+	if (is_crowd(s))
+		send_in_crowd(s, &news);
+	else
+		send_some(s, &news, s->n_peers);
 	s->n_placed = 0;
 }
 
@@ -275,7 +303,7 @@
 	x.sequence = e->sequence;
 	news.entries.entries_val = &x;
 	news.entries.entries_len = 1;
-	send_all(s, &news);
+	send_some(s, &news, s->n_peers);
 }
 
 /* Decoded names end with a NUL, whatever came. */
--- a/soak/main.c
+++ b/soak/main.c
@@ -22,6 +22,8 @@
 #define CALM_MS 4000  /* in which that is measured */
 #define SERVED_MIN_PERCENT 90
 #define GRACE_MS 8000U
+#define PORT_BASE 18200 /* below the ports that the system gives out */
+#define NET_HOSTS 250
 
 void soak_violation(soak_t *s, const char *promise, const char *fmt, ...)
 {
@@ -42,7 +44,7 @@
 {
 	FILE *f;
 
-	snprintf(n->ip, sizeof(n->ip), "127.0.7.%d", i + 1);
+	snprintf(n->ip, sizeof(n->ip), "%s.%d", s->net, i + 1);
 	snprintf(n->settings_path, sizeof(n->settings_path), "%s/n%d.json", s->dir, i);
 	snprintf(n->log_path, sizeof(n->log_path), "%s/n%d.log", s->dir, i);
 	f = fopen(n->settings_path, "w");
@@ -51,14 +53,16 @@
 	fprintf(f,
 		"{\"vm\":{\"name\":\"n%d\",\"failure_domain\":\"z\",\"region\":\"r\"},"
 		"\"caller\":{\"address\":\"%s\",\"entry_lifetime_ms\":300},"
+		"\"admin\":{\"address\":\"%s\",\"port\":%u},"
 		"\"peer\":{\"address\":\"%s\",\"port\":%u,\"secret\":\"soak-soak-soak-soak\","
-		"\"seeds\":[\"127.0.7.1:1\",\"127.0.7.2:1\"]},"
+		"\"seeds\":[\"%s.1:1\",\"%s.2:1\"]},"
 		"\"platform\":{\"url\":\"127.0.0.1:%u\",\"timeout_ms\":500,\"poll_ms\":300},"
 		"\"gate\":{\"listen\":\"%s:%u\",\"resolve\":\"%s:%u\",\"share_port\":%u,"
 		"\"grace_ms\":%u,\"budget_allowance\":1000},"
 		"\"log\":{\"format\":\"json\"}}",
-		i, n->ip, n->ip, s->port_base + 2U, n->store.port, n->ip, s->port_base, n->ip,
-		s->port_base + 1U, s->port_base + 3U, GRACE_MS);
+		i, n->ip, n->ip, s->port_base + 4U, n->ip, s->port_base + 2U, s->net, s->net,
+		n->store.port, n->ip, s->port_base, n->ip, s->port_base + 1U, s->port_base + 3U,
+		GRACE_MS);
 	fclose(f);
 }
 
@@ -70,7 +74,11 @@
 	s->version = 1;
 	s->offset = 1;
 	s->begun = s->fault_at = bct_clock_now();
-	close(soak_listen("127.0.7.1", 0, &s->port_base));
+	/* Runs beside each other have addresses of their own; the ports are no one's ephemeral
+	 * ones. */
+	s->port_base = PORT_BASE;
+	snprintf(s->net, sizeof(s->net), "127.%d.%d", 1 + getpid() / NET_HOSTS % NET_HOSTS,
+		 1 + getpid() % NET_HOSTS);
 	snprintf(s->dir, sizeof(s->dir), "/tmp/soak-%d-%llu", getpid(),
 		 (unsigned long long)s->seed);
 	if (!s->calls || mkdir(s->dir, 0700))
--- a/soak/run.sh
+++ b/soak/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Runs the soak for RUNS seeds from SEED on, four at a time; prints one line each, fails if any failed.
 set -u
-BIN=${BIN:-build/bin} SEED=${SEED:-1} RUNS=${RUNS:-1} SECONDS_EACH=${SECONDS_EACH:-10} JOBS=${JOBS:-4}
+BIN=${BIN:-build/bin} SEED=${SEED:-1} RUNS=${RUNS:-1} SECONDS_EACH=${SECONDS_EACH:-10} JOBS=${JOBS:-8}
 out=$(mktemp -d)
 seq "$SEED" $((SEED + RUNS - 1)) | xargs -P "$JOBS" -I{} sh -c \
 	"'$BIN/soak' --seed {} --seconds '$SECONDS_EACH' --program '$BIN/chutegate' >'$out/{}' 2>&1 || touch '$out/{}.failed'"
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -66,7 +66,7 @@
 } soak_upstream_t;
 
 typedef struct soak_node {
-	char ip[16];
+	char ip[40];
 	char settings_path[128];
 	char log_path[128];
 	pid_t pid; /* 0: not running */
@@ -82,6 +82,7 @@
 	uint32_t seconds;
 	const char *program;
 	char dir[64];
+	char net[32]; /* first three numbers of the nodes' addresses */
 	uint16_t port_base;
 	uint16_t store_port;
 	bct_time_t begun;
