--- a/gate/gate.c
+++ b/gate/gate.c
@@ -41,8 +41,8 @@
 
 	(void)what;
 	if (sig == SIGHUP)
-		BCT_LOG(g->log, BCT_EV_SETTINGS_RELOADED,
-			BCT_STR("file", "unchanged while running"));
+		BCT_LOG(g->log, BCT_EV_SETTINGS_KEPT,
+			BCT_STR("why", "a gateway reads its settings at start only"));
 	else
 		drain(g);
 }
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -386,7 +386,6 @@
 			best = s;
 	}
 	*out = best.choice;
-	out->candidates = n;
 }
 
 /* A stream's share of its engine while it runs, as time of the whole engine. */
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -36,7 +36,6 @@
 	uint32_t cached_tokens;
 	bct_gate_upstream_t *source; /* to copy a cached part of the prompt from; NULL: none */
 	int32_t lane_distance;
-	uint32_t candidates;
 } bct_gate_choice_t;
 
 typedef struct bct_gate_picker {
