--- a/gate/client.c
+++ b/gate/client.c
@@ -42,13 +42,13 @@
 	event_add(c->timer, &tv);
 }
 
-static void client_free(bct_client_t *c)
+static void client_free(bct_client_t *c, bct_gate_end_t end)
 {
 	bct_exchange_t *x = c->x;
 
 	c->x = NULL;
 	if (x)
-		bct_exchange_abandon(x);
+		bct_exchange_abandon(x, end);
 	bct_list_del(&c->link);
 	c->gate->n_clients--;
 	event_free(c->timer);
@@ -142,7 +142,7 @@
 	if (!c->body)
 		c->body = evbuffer_new();
 	if (!c->body) {
-		client_free(c);
+		client_free(c, BCT_GATE_END_CALLER_LEFT);
 		return;
 	}
 	bct_http_msg_read(&c->msg, in, l.max_header_bytes);
@@ -186,7 +186,7 @@
 {
 	(void)bev;
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		client_free(ctx);
+		client_free(ctx, BCT_GATE_END_CALLER_LEFT);
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *ctx)
@@ -196,7 +196,7 @@
 	(void)fd;
 	(void)what;
 	if (c->closing || !c->begun)
-		client_free(c);
+		client_free(c, BCT_GATE_END_CALLER_LEFT);
 	else
 		refuse(c, 408, "the request did not come in time");
 }
@@ -301,5 +301,6 @@
 {
 	bct_clients_stop_listening(g);
 	while (!bct_list_empty(&g->clients))
-		client_free(bct_container_of(g->clients.next, bct_client_t, link));
+		client_free(bct_container_of(g->clients.next, bct_client_t, link),
+			    BCT_GATE_END_STOPPING);
 }
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -537,13 +537,8 @@
 	bct_exchange_dispatch(x);
 }
 
-void bct_exchange_abandon(bct_exchange_t *x)
+void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end)
 {
 	x->client = NULL;
-	bct_exchange_end(x, BCT_GATE_END_CALLER_LEFT, true);
-}
-
-void bct_exchange_stop(bct_exchange_t *x)
-{
-	bct_exchange_end(x, BCT_GATE_END_STOPPING, true);
+	bct_exchange_end(x, end, true);
 }
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -193,9 +193,8 @@
 
 /* bct_exchange_start(3): a whole request came; body passes to the exchange. */
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body);
-/* bct_exchange_abandon(3): the caller left. */
-void bct_exchange_abandon(bct_exchange_t *x);
-void bct_exchange_stop(bct_exchange_t *x);
+/* bct_exchange_abandon(3): its connection is gone: the caller left, or this node stops. */
+void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end);
 
 /* Called by the connection that carries the attempt. */
 void bct_exchange_connected(bct_exchange_t *x);
--- a/gate/local.c
+++ b/gate/local.c
@@ -92,7 +92,7 @@
 
 	query = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
 	if (query && !evhttp_parse_query_str(query, &args))
-		domain = evhttp_find_header(&args, "zone");
+		domain = evhttp_find_header(&args, g->wire->resolve_domain);
 	n = list_addresses(g, domain, &list, text, addresses);
 	bct_buf_init(&out, 0);
 	if (n)
--- a/gate/share.c
+++ b/gate/share.c
@@ -19,7 +19,7 @@
 #define INTERVAL_MIN_MS 100
 #define DATAGRAMS_PER_S 80     /* that one node sends, whatever their number */
 #define FULL_AUDIENCE 100      /* above so many nodes, load is told to a few only */
-#define CROWD_INTERVAL_MS 2000 /* then the control traffic of a node stays under 13 KB/s */
+#define CROWD_INTERVAL_MS 2000 /* then a node that is no reader sends under 13 KB/s */
 #define CROWD_AUDIENCE 16
 #define PREFILL_BITS 20
 #define PREFILL_MAX ((1U << PREFILL_BITS) - 1)
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -60,6 +60,7 @@
 	int (*encode_order)(const bct_wire_order_t *o, bct_buf_t *out);
 	void (*decode_answer)(const bct_http_msg_t *m, bct_wire_answer_t *out);
 	const char *resolve_path;   /* callers ask here which addresses to use */
+	const char *resolve_domain; /* its query argument that names the caller's failure domain */
 	const char *readiness_path; /* 200 while the node takes new connections */
 	/* The answer to resolve_path. */
 	int (*encode_addresses)(const char *const *addresses, uint32_t n, uint32_t lifetime_ms,
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -26,11 +26,8 @@
 typedef struct bct_gate_service {
 	const char *name;
 	uint64_t key;
-	uint32_t max_connections; /* that one upstream accepts from all callers */
-	bool engine;		  /* a model engine: prompts, KV cache, priorities */
-	uint32_t slots;		  /* requests that an engine runs at once */
-	uint32_t kv_tokens;	  /* KV cache of an engine */
-	uint32_t tokens_per_event;
+	bool engine;		 /* a model engine: prompts, KV cache, priorities */
+	uint32_t slots;		 /* requests that an engine runs at once */
 	uint32_t kv_token_bytes; /* KV cache of one token, for copies between engines */
 	uint32_t link_mbps;	 /* of an engine, for such copies; 0: there are none */
 } bct_gate_service_t;
@@ -47,10 +44,9 @@
 	uint64_t key;	    /* hash of the name */
 	size_t prefix_bytes;
 	bct_gate_kind_t kind;
-	bool resumable;	    /* a stream that another upstream may continue */
-	bool open;	    /* needs no API key */
-	bool prefix_cached; /* requests name the parts of their prompt */
-	uint32_t attempts;  /* upstreams that one request may be sent to */
+	bool resumable;	   /* a stream that another upstream may continue */
+	bool open;	   /* needs no API key */
+	uint32_t attempts; /* upstreams that one request may be sent to */
 	uint32_t timeout_ms;
 	uint32_t target_ms;	/* latency objective: whole answer, or first event */
 	uint32_t target_gap_ms; /* longest pause between events; 0: none */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -133,12 +133,23 @@
 			bct_rng_below(&s->rng, SOAK_LINK_KINDS);
 }
 
-/* Ends all faults. Call with the lock held. */
+static void heal_upstream(soak_upstream_t *u)
+{
+	u->proxy.link = SOAK_LINK_OK;
+	u->draining = u->gone = u->down = false;
+	u->left_at = 0;
+	u->born++;
+	u->sequence = 1;
+}
+
+/*
+ * Ends all faults, with a last change of the routes and a last upstream that leaves: in the calm
+ * after it the bounds in time of both are checked. Call with the lock held.
+ */
 void soak_heal(soak_t *s)
 {
 	s->calm = true;
 	s->fault_at = bct_clock_now();
-	s->offset++;
 	for (int i = 0; i < SOAK_NODES; i++) {
 		soak_node_t *n = &s->nodes[i];
 
@@ -147,13 +158,9 @@
 			kill(n->pid, SIGCONT);
 		n->paused = false;
 	}
-	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
-		soak_upstream_t *u = &s->upstreams[i];
-
-		u->proxy.link = SOAK_LINK_OK;
-		u->draining = u->gone = u->down = false;
-		u->left_at = 0;
-		u->born++;
-		u->sequence = 1;
-	}
+	for (int i = 0; i < SOAK_UPSTREAMS; i++)
+		heal_upstream(&s->upstreams[i]);
+	config_fault(s);
+	s->upstreams[0].draining = true;
+	s->upstreams[0].left_at = s->fault_at;
 }
--- a/soak/upstream.c
+++ b/soak/upstream.c
@@ -76,17 +76,30 @@
 	return put(fd, text);
 }
 
+/* A change counts once nodes that were disturbed had time to be in touch again. */
+static bool is_due(bct_time_t now, bct_time_t changed_at, bct_time_t calm_since, uint32_t bound_ms)
+{
+	bct_time_t since = changed_at > calm_since ? changed_at : calm_since;
+
+	return now > since + bound_ms + SOAK_CALM_MS;
+}
+
 static void check_arrival(soak_upstream_t *u, const request_t *r, bct_time_t now)
 {
 	soak_t *s = u->soak;
-	bct_time_t left_at, calm_since;
+	bct_time_t left_at, calm_since, moved_at;
+	bool moved;
 
 	pthread_mutex_lock(&s->lock);
 	left_at = u->left_at;
 	calm_since = s->fault_at;
+	moved_at = s->moved_at;
+	moved = s->moved;
 	pthread_mutex_unlock(&s->lock);
-	if (left_at && now > left_at + SOAK_DRAIN_MS + SOAK_CALM_MS &&
-	    now > calm_since + SOAK_DRAIN_MS + SOAK_CALM_MS)
+	if (!strncmp(r->path, "/safe/", 6) && strcmp(u->service, moved ? "desk" : "model") != 0 &&
+	    is_due(now, moved_at, calm_since, SOAK_CONFIG_MS + SOAK_TIMEOUT_MS))
+		soak_violation(s, "CONFIG", "%s reached %s by an older route", r->id, u->id);
+	if (left_at && is_due(now, left_at, calm_since, SOAK_DRAIN_MS))
 		soak_violation(s, "DRAIN", "%s reached %s %lld ms after it left", r->id, u->id,
 			       (long long)(now - left_at));
 }
