Gateway: limits of waiting follow steady overload and urgency

Cause: on the grown sites a long queue at the engines is read mostly in vain. One limit (0.4 of the time left) for a burst and for steady overload is too late for the second.

Change: policy/gate_refuse decides, with the share of the last seconds' requests that would wait beyond the limit of steady overload; the order of urgency within a service is kept without talk: nothing is refused at a prediction at which less urgent work was sent in the last half second. The limit and the overload seen are in the request's last log line.

--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -59,6 +59,8 @@
 		BCT_STR("copied_from", x->source_id),
 		BCT_U64("predicted_wait_ms", x->choice.wait_ms),
 		BCT_U64("predicted_work_ms", x->choice.work_ms),
+		BCT_U64("first_byte_limit_ms", x->verdict.limit_ms),
+		BCT_U64("overload_permille", x->verdict.overload_permille),
 		BCT_I64("lane_distance", x->choice.lane_distance),
 		BCT_I64("first_byte_ms", x->first_byte_at ? x->first_byte_at - x->arrived : -1),
 		BCT_I64("total_ms", now - x->arrived), BCT_U64("events", x->events.count));
@@ -268,6 +270,8 @@
 		.account = x->account ? x->account->name : NULL,
 		.wait_ms = left > 0 ? (uint32_t)left : 1,
 		.engine = x->ask.engine,
+		.rank = x->rank,
+		.levels = x->levels,
 		.resumes = x->call.resumes || x->events.has_id,
 		.after_event = x->events.has_id ? x->events.last_id : x->call.after_event,
 	};
@@ -276,7 +280,6 @@
 		o.fetch_ip = x->choice.source->entry.ip;
 		o.fetch_port = x->choice.source->entry.port;
 	}
-	o.rank = bct_gate_routes_rank(x->routes, x->route, x->account, &o.levels);
 	bct_buf_put(out, x->head.data, x->head.len_bytes);
 	x->gate->wire->encode_order(&o, out);
 	if (post || evbuffer_get_length(x->body))
@@ -350,12 +353,21 @@
 /* Refuses a request that came to a fleet without room. returns whether it was refused. */
 static bool shed(bct_exchange_t *x, bct_time_t now)
 {
-	bct_time_t left = until_of(x) - now;
+	bct_gate_demand_t d = {
+		.service_key = x->ask.service_key,
+		.rank = x->rank,
+		.levels = x->levels,
+		.target_ms = x->ask.target_ms,
+		.left_ms = (uint32_t)(until_of(x) - now),
+		.delay_ms = x->choice.delay_ms,
+		.first_ms = x->choice.first_ms,
+	};
 	uint32_t back;
 
-	if (x->attempts)
+	if (x->attempts || !x->ask.engine)
 		return false;
-	back = bct_gate_pick_overload(&x->ask, &x->choice, (uint32_t)left);
+	x->verdict = bct_gate_refuse(&x->gate->refuse, now, &d);
+	back = x->verdict.back_ms;
 	if (!back)
 		return false;
 	back += bct_rng_below(&x->gate->picker.rng, back / 2 + 1);
@@ -514,6 +526,7 @@
 		.copy_token_ns = copy_token_ns(s),
 		.zone = g->settings->vm_failure_domain,
 	};
+	x->rank = bct_gate_routes_rank(x->routes, x->route, x->account, &x->levels);
 	if (x->call.wait_ms >= 0)
 		x->caller_until = x->arrived + x->call.wait_ms;
 	x->route_until = x->arrived + x->route->timeout_ms;
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -11,6 +11,7 @@
 #include "gate/gate.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_pick.h"
+#include "policy/gate_refuse.h"
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -62,6 +63,7 @@
 	bct_gate_routes_t *routes; /* NULL until a configuration is known */
 	bct_gate_upstreams_t upstreams;
 	bct_gate_picker_t picker;
+	bct_gate_refuse_t refuse;
 	bct_map_t budgets; /* service key: bct_gate_budget_t */
 	bct_list_t clients;
 	uint32_t n_clients;
@@ -166,7 +168,10 @@
 	uint32_t service;
 	bct_wire_call_t call;
 	bct_gate_ask_t ask;
-	bct_gate_choice_t choice; /* of the current attempt; its upstreams may be gone after it */
+	uint32_t rank;		    /* of urgency, 0 first */
+	uint32_t levels;	    /* one more than the highest rank */
+	bct_gate_verdict_t verdict; /* whether it was refused for want of room */
+	bct_gate_choice_t choice;   /* of the current attempt; its upstreams may be gone after it */
 	char upstream_id[BCT_GATE_ID_BYTES]; /* of the last attempt */
 	char source_id[BCT_GATE_ID_BYTES];   /* that it copied from */
 	bct_buf_t head; /* method, target and headers that are forwarded as they came */
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -20,20 +20,16 @@
 #define STREAM_COST_MS 1     /* each running stream slows a step a little */
 #define CROWDED_COST_MS 20   /* each request over most of the slots waits for one to end */
 #define CROWDED_PERMILLE 800
-#define FAR_COST_MS 4		/* another failure domain: latency and traffic between domains */
-#define WORK_PERMILLE 500	/* of the time that a prompt takes, on top of that time */
-#define NOT_HOME_COST_MS 15	/* keeps a part on few engines when nothing else decides */
-#define COPY_SETUP_MS 5		/* before a copy between engines flows */
-#define COPY_MARGIN 2		/* a copy must be so many times quicker than reading */
-#define JITTER_MS 3		/* breaks ties, so that nodes do not all choose the same */
-#define LATE_FACTOR 2		/* times the objective: a first byte later than that helps nobody */
-#define FIRST_BYTE_PERMILLE 400 /* of the time left, the rest is for the output */
-#define BACK_MIN_MS 200		/* before a refused caller comes back */
-#define BACK_PART 4		/* of the time left: callers wait for a third at most */
-#define NODES_IN_STEP 12	/* up to so many nodes, news of load are fresh enough for all */
-#define SAMPLE 6		/* upstreams that one decision looks at above that */
-#define SAMPLE_OUTSIDE 2	/* of them outside the request's lane */
-#define DRAWS_FACTOR 2		/* draws for each upstream before a sample stays small */
+#define FAR_COST_MS 4		  /* another failure domain: latency and traffic between domains */
+#define WORK_PERMILLE 500	  /* of the time that a prompt takes, on top of that time */
+#define NOT_HOME_COST_MS 15	  /* keeps a part on few engines when nothing else decides */
+#define COPY_SETUP_MS 5		  /* before a copy between engines flows */
+#define COPY_MARGIN 2		  /* a copy must be so many times quicker than reading */
+#define JITTER_MS 3		  /* breaks ties, so that nodes do not all choose the same */
+#define NODES_IN_STEP 12	  /* up to so many nodes, news of load are fresh enough for all */
+#define SAMPLE 6		  /* upstreams that one decision looks at above that */
+#define SAMPLE_OUTSIDE 2	  /* of them outside the request's lane */
+#define DRAWS_FACTOR 2		  /* draws for each upstream before a sample stays small */
 #define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
 
 typedef struct candidate {
@@ -270,21 +266,6 @@
 	return c->first_ms + (uint64_t)c->work_ms * WORK_PERMILLE / PERMILLE;
 }
 
-uint32_t bct_gate_pick_overload(const bct_gate_ask_t *ask, const bct_gate_choice_t *c,
-				uint32_t left_ms)
-{
-	uint32_t late = ask->target_ms * LATE_FACTOR;
-	uint32_t most = left_ms * FIRST_BYTE_PERMILLE / PERMILLE;
-	uint32_t limit = late < most ? late : most, back;
-
-	if (!ask->engine || c->first_ms <= limit)
-		return 0;
-	back = c->first_ms - limit;
-	if (back < BACK_MIN_MS)
-		back = BACK_MIN_MS;
-	return back < left_ms / BACK_PART ? back : left_ms / BACK_PART;
-}
-
 static uint64_t lane_cost(int32_t distance)
 {
 	return distance >= 0 ? (uint64_t)distance * LOOSER_COST_MS
@@ -322,6 +303,11 @@
 	c->work_ms = read_ms(p, ask->prompt_tokens - k->source.tokens) + copy_ms;
 }
 
+static uint32_t at_pace(const bct_gate_upstream_t *u, uint32_t ms)
+{
+	return (uint32_t)((uint64_t)ms * u->slow_permille / PERMILLE);
+}
+
 static void score(bct_gate_picker_t *p, bct_time_t now, const common_t *k, const candidate_t *c,
 		  scored_t *out)
 {
@@ -336,9 +322,9 @@
 	if (k->lanes)
 		out->choice.lane_distance =
 			bct_gate_lanes_distance(k->lanes, ask->gap_ms, c->position);
+	out->choice.delay_ms = at_pace(u, out->choice.wait_ms);
 	out->choice.first_ms =
-		(uint32_t)(((uint64_t)out->choice.wait_ms + out->choice.work_ms + SERVICE_WORK_MS) *
-			   u->slow_permille / PERMILLE);
+		out->choice.delay_ms + at_pace(u, out->choice.work_ms + SERVICE_WORK_MS);
 	out->cost = time_cost(&out->choice);
 	out->cost += lane_cost(out->choice.lane_distance);
 	out->cost += fail_cost(ask, u);
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -32,6 +32,7 @@
 	bct_gate_upstream_t *upstream; /* NULL: there is none */
 	uint32_t work_ms;	       /* predicted time to read the prompt there */
 	uint32_t wait_ms;	       /* predicted time before that */
+	uint32_t delay_ms;	       /* wait_ms at the pace seen there */
 	uint32_t first_ms; /* predicted time to the first byte, at the pace seen there */
 	uint32_t cached_tokens;
 	bct_gate_upstream_t *source; /* to copy a cached part of the prompt from; NULL: none */
@@ -70,16 +71,6 @@
  */
 uint32_t bct_gate_pick_shared(const bct_gate_picker_t *p, const bct_gate_ask_t *ask);
 
-/*
- * bct_gate_pick_overload(3): whether a request should be refused now rather than sent, as it would
- * most likely miss its objective by far and keep others from theirs.
- *
- * left_ms  that the caller will still wait
- * returns  0 to send it, else after how many ms the caller should come back
- */
-uint32_t bct_gate_pick_overload(const bct_gate_ask_t *ask, const bct_gate_choice_t *c,
-				uint32_t left_ms);
-
 /* bct_gate_pick_sent(3), bct_gate_pick_began(3), bct_gate_pick_ended(3): the chosen upstream was
  * sent the request; its output began; it ended. began tells whether output had begun. */
 void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_ask_t *ask,
