Planned stop: streams keep the whole grace time

Ruled out: failed upstream, lost connection, slow caller (log lines).

Change: the registry's thread starts no new call in that time, also not the second of two; requests go on until 0.5 s before the end. Test: stop_waits_for_streams, failed before.

--- a/gate/feed.c
+++ b/gate/feed.c
@@ -111,6 +111,16 @@
 		read_topic(f, t);
 }
 
+static bool halted(bct_feed_t *f)
+{
+	bool stop;
+
+	pthread_mutex_lock(&f->lock);
+	stop = f->stop;
+	pthread_mutex_unlock(&f->lock);
+	return stop;
+}
+
 static void *run(void *arg)
 {
 	bct_feed_t *f = arg;
@@ -119,7 +129,7 @@
 	while (next_due(f, &due)) {
 		if (due.routes)
 			ask(f, BCT_REGISTRY_ROUTES, due.list);
-		if (due.upstreams)
+		if (due.upstreams && !halted(f))
 			ask(f, BCT_REGISTRY_UPSTREAMS, due.list);
 	}
 	return NULL;
@@ -319,16 +329,21 @@
 	return 0;
 }
 
+void bct_feed_halt(bct_feed_t *f)
+{
+	pthread_mutex_lock(&f->lock);
+	f->stop = true;
+	pthread_cond_signal(&f->due_cond);
+	pthread_mutex_unlock(&f->lock);
+}
+
 void bct_feed_free(bct_feed_t *f)
 {
 	bct_list_t *el, *tmp;
 
 	if (!f)
 		return;
-	pthread_mutex_lock(&f->lock);
-	f->stop = true;
-	pthread_cond_signal(&f->due_cond);
-	pthread_mutex_unlock(&f->lock);
+	bct_feed_halt(f);
 	if (f->started)
 		pthread_join(f->thread, NULL);
 	bct_list_for_each_safe(el, tmp, &f->deliveries) {
--- a/gate/feed.h
+++ b/gate/feed.h
@@ -10,6 +10,9 @@
 int bct_feed_new(bct_gate_t *g, bct_feed_t **out);
 void bct_feed_free(bct_feed_t *f);
 
+/* bct_feed_halt(3): start no more calls; one that runs goes on. The peers' news still count. */
+void bct_feed_halt(bct_feed_t *f);
+
 /* bct_feed_tick(3): called often; starts the calls that are due. */
 void bct_feed_tick(bct_feed_t *f);
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -14,7 +14,7 @@
 #define TICK_MS 100
 /* Callers may keep an address three times as long as they were told. */
 #define LIFETIMES_KEPT 3
-#define STOP_MARGIN_MS 500 /* before the platform kills, beside a registry call that runs */
+#define STOP_MARGIN_MS 500 /* for the end of the process, before the platform kills it */
 
 static void release_upstream(void *ctx, bct_gate_upstream_t *u)
 {
@@ -52,14 +52,15 @@
 {
 	bct_time_t passed = bct_clock_now() - g->drain_begun;
 	bct_time_t kept = (bct_time_t)g->settings->caller_entry_lifetime_ms * LIFETIMES_KEPT;
+	bct_time_t last = (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS;
 
 	if (passed >= kept) {
 		bct_clients_stop_listening(g);
 		bct_clients_close_idle(g);
 	}
-	if ((passed >= kept && !g->n_clients) ||
-	    passed >= (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS -
-			      (bct_time_t)g->settings->platform_timeout_ms)
+	if (passed >= last - (bct_time_t)g->settings->platform_timeout_ms)
+		bct_feed_halt(g->feed);
+	if ((passed >= kept && !g->n_clients) || passed >= last)
 		event_base_loopbreak(g->base);
 }
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -6,6 +6,8 @@
 #include "tests/util_gate.h"
 
 #include <criterion/criterion.h>
+#include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -383,6 +385,33 @@
 	test_gate_stop(&t);
 }
 
+static void *stop_soon(void *arg)
+{
+	const test_gate_t *t = arg;
+
+	bct_clock_sleep(200);
+	/* Other threads would have their calls interrupted. */
+	pthread_kill(t->thread, SIGTERM);
+	return NULL;
+}
+
+/* A planned stop lets a running stream use the whole grace, whatever a registry call may take. */
+Test(gate, stop_waits_for_streams)
+{
+	test_gate_t t;
+	bct_buf_t out;
+	pthread_t stopper;
+
+	test_gate_start(&t);
+	cr_assert_eq(pthread_create(&stopper, NULL, stop_soon, &t), 0);
+	cr_assert_eq(test_gate_call(&t, "POST", "/stream/a", "d1", "streamslow", &out), 200);
+	pthread_join(stopper, NULL);
+	cr_assert_eq(count(out.data, "data: e"), 5, "%s", out.data);
+	cr_assert(strstr(out.data, "\r\n0\r\n\r\n"));
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
 /* A service whose only upstream is gone refuses at once and truthfully. */
 Test(gate, no_upstream)
 {
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -21,6 +21,7 @@
 
 #define HEAD "X-Buckthornchute-"
 #define READY_MS 5000
+#define SLOW_EVENT_MS 550
 #define QUIET_MS 3000 /* a silent upstream keeps its connection so long */
 
 typedef struct memory_registry {
@@ -243,6 +244,8 @@
 			wait_closed(fd, QUIET_MS);
 			return false;
 		}
+		if (!strcmp(word, "streamslow") && i < 5)
+			bct_clock_sleep(SLOW_EVENT_MS);
 	}
 	put(fd, "0\r\n\r\n");
 	return true;
@@ -390,7 +393,7 @@
 	snprintf(s->vm_failure_domain, sizeof(s->vm_failure_domain), "z");
 	snprintf(s->gate_listen, sizeof(s->gate_listen), "127.0.0.1:%u", t->port);
 	s->caller_entry_lifetime_ms = 100;
-	s->platform_timeout_ms = 500;
+	s->platform_timeout_ms = 2000;
 	s->platform_poll_ms = 20;
 	s->gate_grace_ms = 4000;
 	s->gate_budget_window_ms = 10000;
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -28,7 +28,8 @@
  * An upstream with its own listening socket. For the n-th arrival of a call id it does the n-th
  * word of X-Script (the last word goes on): ok, error, notrun, wrong, reset, silent, noseal,
  * foreign (another call's answer first), extra (a second answer behind), cut (half of the body),
- * stream, streamcut (two events and a reset), streamhalf (an event and a half), streamquiet.
+ * stream, streamcut (two events and a reset), streamhalf (an event and a half), streamquiet,
+ * streamslow (whole, over two seconds).
  */
 typedef struct gate_upstream {
 	char id[32];
