chutectl explain: from a request's id to its cause

Cause: the way from an id to a cause was three walks by hand in OPERATIONS; an on-call engineer had to know the events and the codes.

Ruled out: a service that collects logs (nothing may be set aside for control); guessing from metrics (they do not know requests).

--- a/cmd/chutectl.c
+++ b/cmd/chutectl.c
@@ -13,6 +13,7 @@
 
 #define TIMEOUT_MS 10000
 #define FAIL_BYTES 1024
+#define LOGS_MAX 1024 /* files that one command reads */
 
 #define ON_LOG (CTL_OPT_PLATFORM | CTL_OPT_TIMEOUT)
 #define ON_NODE (CTL_OPT_NODE | CTL_OPT_TOKEN_FILE | CTL_OPT_TIMEOUT)
@@ -41,6 +42,8 @@
 	  NODE_REQUIRED, ctl_key, "an idempotency key and its outcome" },
 	{ "order", "UPSTREAM TYPE [ARG]", 2, 3, ON_NODE, NODE_REQUIRED, ctl_order,
 	  "order an engine: load-model, load-adapter, load-version, set-role" },
+	{ "explain", "REQUEST [LOG...]", 1, LOGS_MAX, 0, 0, ctl_explain,
+	  "what became of a request, and why, from nodes' logs or standard input" },
 };
 #define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
 
--- a/cmd/chutectl.h
+++ b/cmd/chutectl.h
@@ -73,6 +73,7 @@
 ctl_exit_t ctl_return(ctl_t *ctl);
 ctl_exit_t ctl_key(ctl_t *ctl);
 ctl_exit_t ctl_order(ctl_t *ctl);
+ctl_exit_t ctl_explain(ctl_t *ctl);
 
 /* ctl_fail(): one line on standard error, or an object with --json. returns code. */
 ctl_exit_t ctl_fail(const ctl_t *ctl, ctl_exit_t code, const char *fmt, ...)
--- /dev/null
+++ b/cmd/chutectl_explain.c
@@ -0,0 +1,286 @@
+/*
+ * chutectl_explain.c - the life of a request from the log lines of several nodes.
+ */
+#include "cmd/chutectl.h"
+#include "cmd/explain_cause.h"
+#include "base/err.h"
+#include "base/event.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BEFORE_MS 3000 /* of what its nodes saw is shown before the request's first line */
+#define AFTER_MS 1000
+#define CONTEXT_MAX 200000 /* lines about nodes and upstreams that are kept while reading */
+
+typedef struct search {
+	const char *id;
+	json_t *lines;	 /* about the request */
+	json_t *context; /* about nodes, routes, registry and upstreams */
+	uint64_t read;	 /* lines */
+	uint64_t bad;	 /* lines with an object that is not JSON */
+	uint64_t left_out;
+} search_t;
+
+static json_int_t number(const json_t *line, const char *key)
+{
+	return json_integer_value(json_object_get(line, key));
+}
+
+static const char *text(const json_t *line, const char *key)
+{
+	const char *s = json_string_value(json_object_get(line, key));
+
+	return s ? s : "";
+}
+
+static bool is_context(json_int_t event)
+{
+	switch (event) {
+	case BCT_EV_NODE_START:
+	case BCT_EV_NODE_STOPPING:
+	case BCT_EV_NODE_STOPPED:
+	case BCT_EV_ROUTES_ADOPTED:
+	case BCT_EV_ROUTES_REFUSED:
+	case BCT_EV_MEMBER_SUSPECT:
+	case BCT_EV_MEMBER_DEAD:
+	case BCT_EV_UPSTREAM_PRESENCE:
+	case BCT_EV_REGISTRY_DOWN:
+	case BCT_EV_REGISTRY_UP:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void keep(search_t *s, json_t *line)
+{
+	if (!strcmp(text(line, "request"), s->id))
+		json_array_append(s->lines, line);
+	else if (!is_context(number(line, "event")))
+		return;
+	else if (json_array_size(s->context) < CONTEXT_MAX)
+		json_array_append(s->context, line);
+	else
+		s->left_out++;
+}
+
+/* Anything may stand before the object: a collector's own time or the node's name. */
+static void take_line(search_t *s, const char *raw)
+{
+	const char *object = strchr(raw, '{');
+	json_t *line;
+
+	s->read++;
+	if (!object)
+		return;
+	line = json_loads(object, JSON_DISABLE_EOF_CHECK, NULL);
+	if (!json_is_object(line))
+		s->bad++;
+	else
+		keep(s, line);
+	json_decref(line);
+}
+
+static void take_stream(search_t *s, FILE *f)
+{
+	char *line = NULL;
+	size_t size = 0;
+
+	while (getline(&line, &size, f) >= 0)
+		take_line(s, line);
+	free(line);
+}
+
+static ctl_exit_t read_logs(const ctl_t *ctl, search_t *s)
+{
+	if (ctl->n_args == 1)
+		take_stream(s, stdin);
+	for (int i = 1; i < ctl->n_args; i++) {
+		FILE *f = fopen(ctl->args[i], "r");
+
+		if (!f)
+			return ctl_fail(ctl, CTL_INVALID, "%s: %s", ctl->args[i], strerror(errno));
+		take_stream(s, f);
+		fclose(f);
+	}
+	return CTL_OK;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const json_t *const *x = a, *const *y = b;
+	json_int_t s = number(*x, "time_ms"), t = number(*y, "time_ms");
+
+	return (s > t) - (s < t);
+}
+
+/* returns a new array in order of time. */
+static json_t *sorted(const json_t *lines)
+{
+	size_t n = json_array_size(lines);
+	json_t **all = calloc(n + 1, sizeof(json_t *)), *out = json_array();
+
+	for (size_t i = 0; all && i < n; i++)
+		all[i] = json_array_get(lines, i);
+	if (all)
+		qsort(all, n, sizeof(json_t *), by_time);
+	for (size_t i = 0; all && i < n; i++)
+		json_array_append(out, all[i]);
+	free(all);
+	return out;
+}
+
+/* Whether one of the request's lines names the upstream. */
+static bool names_upstream(const json_t *lines, const char *upstream)
+{
+	size_t i;
+	json_t *l;
+
+	json_array_foreach(lines, i, l)
+	{
+		if (!strcmp(text(l, "upstream"), upstream) ||
+		    !strcmp(text(l, "copied_from"), upstream))
+			return true;
+	}
+	return false;
+}
+
+static bool names_vm(const json_t *lines, const char *vm)
+{
+	size_t i;
+	json_t *l;
+
+	json_array_foreach(lines, i, l)
+	{
+		if (!strcmp(text(l, "vm"), vm))
+			return true;
+	}
+	return false;
+}
+
+/* What the request's own nodes saw around it, of its upstreams only. */
+static json_t *select_context(const search_t *s, const json_t *lines)
+{
+	json_int_t from = number(json_array_get(lines, 0), "time_ms") - BEFORE_MS;
+	json_int_t to = number(json_array_get(lines, json_array_size(lines) - 1), "time_ms");
+	json_t *near = json_array(), *out, *l;
+	size_t i;
+
+	json_array_foreach(s->context, i, l)
+	{
+		json_int_t at = number(l, "time_ms");
+
+		if (at < from || at > to + AFTER_MS || !names_vm(lines, text(l, "vm")))
+			continue;
+		if (number(l, "event") == BCT_EV_UPSTREAM_PRESENCE &&
+		    !names_upstream(lines, text(l, "upstream")))
+			continue;
+		json_array_append(near, l);
+	}
+	out = sorted(near);
+	json_decref(near);
+	return out;
+}
+
+static bool is_envelope(const char *key)
+{
+	static const char *const keys[] = { "time_ms", "vm", "level", "event", "name", "request" };
+
+	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		if (!strcmp(keys[i], key))
+			return true;
+	}
+	return false;
+}
+
+static void print_line(json_t *line)
+{
+	char at[CTL_TIME_BYTES];
+	json_int_t ms = number(line, "time_ms");
+	const char *key;
+	json_t *v;
+
+	ctl_wall_text(ms, at);
+	at[strlen(at) - 1] = '\0';
+	printf("%s.%03dZ %s %s", at, (int)(ms % BCT_MS_PER_S), text(line, "vm"),
+	       text(line, "name"));
+	json_object_foreach(line, key, v)
+	{
+		if (is_envelope(key))
+			continue;
+		printf(" %s=", key);
+		if (json_is_string(v))
+			fputs(json_string_value(v), stdout);
+		else
+			json_dumpf(v, stdout, JSON_ENCODE_ANY);
+	}
+	putchar('\n');
+}
+
+static void print_lines(const char *title, const json_t *lines)
+{
+	size_t i;
+	json_t *l;
+
+	if (!json_array_size(lines))
+		return;
+	printf("%s\n", title);
+	json_array_foreach(lines, i, l)
+	{
+		print_line(l);
+	}
+	putchar('\n');
+}
+
+static void print_all(const ctl_t *ctl, const search_t *s, json_t *lines, json_t *context)
+{
+	bct_buf_t cause;
+
+	bct_buf_init(&cause, 0);
+	explain_cause(lines, context, &cause);
+	if (ctl->json) {
+		ctl_print_json(json_pack("{s:s, s:O, s:O, s:s, s:I, s:I, s:I}", "request", s->id,
+					 "lines", lines, "context", context, "cause", cause.data,
+					 "read", (json_int_t)s->read, "unreadable",
+					 (json_int_t)s->bad, "left_out", (json_int_t)s->left_out));
+	} else {
+		print_lines("the request:", lines);
+		print_lines("what its nodes saw around it:", context);
+		printf("cause: %s\n", cause.data);
+		if (s->bad || s->left_out)
+			printf("unreadable lines: %llu, left out: %llu\n",
+			       (unsigned long long)s->bad, (unsigned long long)s->left_out);
+	}
+	bct_buf_free(&cause);
+}
+
+static ctl_exit_t explain(const ctl_t *ctl, search_t *s)
+{
+	ctl_exit_t code = read_logs(ctl, s);
+	json_t *lines, *context;
+
+	if (code != CTL_OK)
+		return code;
+	if (!json_array_size(s->lines))
+		return ctl_fail(ctl, CTL_REFUSED, "no line names request %s in %llu lines", s->id,
+				(unsigned long long)s->read);
+	lines = sorted(s->lines);
+	context = select_context(s, lines);
+	print_all(ctl, s, lines, context);
+	json_decref(lines);
+	json_decref(context);
+	return CTL_OK;
+}
+
+ctl_exit_t ctl_explain(ctl_t *ctl)
+{
+	search_t s = { .id = ctl->args[0], .lines = json_array(), .context = json_array() };
+	ctl_exit_t code = explain(ctl, &s);
+
+	json_decref(s.lines);
+	json_decref(s.context);
+	return code;
+}
