Large fleets tell their load through hubs, in rounds of 50 ms

Cause: on the grown sites each node told all 74 others its load in turns of 0.9 s at up to 112 KB/s; news that old send many nodes to the same engine and make predictions worthless.

Change: above 13 nodes, about the square root of the nodes are hubs, chosen from the live nodes alone; each node tells its hub, hubs tell each other and their nodes, what has not changed is told each fifth round only. One decision looks at four upstreams instead of six.

--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -290,14 +290,29 @@
 	bct_buf_puts(out, "\r\n");
 }
 
+/* Whether the upstream held the first n parts of the prompt when it was chosen. */
+static bool was_cached(const bct_exchange_t *x, uint32_t n)
+{
+	uint32_t tokens = 0;
+
+	for (uint32_t i = 0; i < n; i++)
+		tokens += x->ask.parts[i].tokens;
+	return !x->choice.source && x->choice.cached_tokens >= tokens;
+}
+
 /* The other nodes learn where the shared part of the prompt is now. */
 static void tell_placed(bct_exchange_t *x)
 {
 	uint32_t n = bct_gate_pick_shared(&x->gate->picker, &x->ask);
 
-	if (n)
-		bct_share_placed(x->gate->share, x->ask.parts[n - 1].id, x->choice.upstream->key,
-				 x->choice.wait_ms + x->choice.work_ms);
+	if (!n)
+		return;
+	bct_share_placed(x->gate->share, &(bct_share_placement_t){
+						 .part = x->ask.parts[n - 1].id,
+						 .upstream_key = x->choice.upstream->key,
+						 .ready_ms = x->choice.wait_ms + x->choice.work_ms,
+						 .known = was_cached(x, n),
+					 });
 }
 
 /* Sends the request on the chosen upstream's connection. returns 0 or -BCT_EUNAVAILABLE. */
--- a/gate/feed.c
+++ b/gate/feed.c
@@ -147,7 +147,7 @@
 
 	pthread_mutex_lock(&f->lock);
 	if (!f->busy && !f->due.routes && !f->due.upstreams) {
-		f->follow.hear_ms = bct_share_interval_ms(g->share);
+		f->follow.hear_ms = bct_share_versions_ms(g->share);
 		due = bct_gate_follow_due(&f->follow, bct_clock_now(), &own);
 		f->due = due;
 		if (due.routes || due.upstreams)
--- a/gate/share.c
+++ b/gate/share.c
@@ -1,13 +1,11 @@
 /*
  * share.c - encodes by libtirpc's XDR, authenticates by libsodium.
  */
-#include "gate/share.h"
+#include "gate/share_int.h"
 #include "gate/crash.h"
 #include "gate/feed.h"
 #include "base/err.h"
 #include "base/mem.h"
-#include "gen/share.h"
-#include "policy/gate_peers.h"
 
 #include <netinet/in.h>
 #include <sodium.h>
@@ -17,58 +15,12 @@
 
 #define DATAGRAM_BYTES 1400
 #define MAC_BYTES 16
-#define INTERVAL_MIN_MS 100
-#define DATAGRAMS_PER_S 80     /* that one node sends, whatever their number */
-#define FULL_AUDIENCE 100      /* above so many nodes, load is told to a few only */
-#define CROWD_INTERVAL_MS 2000 /* then a node that is no reader sends under 13 KB/s */
-#define CROWD_AUDIENCE 16
-#define PREFILL_BITS 20
-#define PREFILL_MAX ((1U << PREFILL_BITS) - 1)
-#define RUNNING_MAX ((1U << (32 - PREFILL_BITS)) - 1)
-#define KEEP_INTERVALS 4 /* a peer's load is forgotten when so many were missed */
-#define KEEP_MIN_MS 500
-#define LANE_KEEP_FACTOR 4   /* a lane's work changes slowly; a node may have nothing to say */
-#define IDLE_INTERVAL_MS 250 /* between datagrams of a reader without load */
-#define CRASH_ROUNDS 3	     /* that the same crash is told in */
-#define REFRESH_MS 500	     /* between two looks at the membership */
-#define MEMBERS_MAX 512
-
-typedef struct peer {
-	uint64_t incarnation;
-	struct sockaddr_in sa;
-	uint64_t seq; /* highest received */
-} peer_t;
-
-struct bct_share {
-	bct_gate_t *gate;
-	int fd;
-	struct event *readable;
-	struct event *timer;
-	uint8_t key[crypto_generichash_KEYBYTES];
-	uint64_t seq;
-	peer_t peers[MEMBERS_MAX];
-	uint32_t n_peers;
-	bct_time_t refreshed;
-	bct_time_t spoke;
-	share_placed placed[SHARE_PLACED_MAX];
-	uint32_t n_placed;
-	share_crash crashes[SHARE_CRASHES_MAX];
-	uint32_t n_crashes;
-	uint32_t crash_rounds;	/* in which they have been told */
-	bct_gate_peers_t loads; /* about upstreams: running, prefill_ms */
-	bct_gate_peers_t lanes; /* about lanes: work */
-};
-
-void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key, uint32_t ready_ms)
-{
-	if (!s || s->n_placed == SHARE_PLACED_MAX)
-		return;
-	s->placed[s->n_placed++] = (share_placed){
-		.part = part,
-		.upstream = (uint32_t)upstream_key,
-		.ready_ms = ready_ms,
-	};
-}
+#define INTERVAL_MS 100	   /* between two rounds of a small fleet */
+#define HUB_INTERVAL_MS 50 /* the same where news take three steps */
+#define DIRECT_NODES 12	   /* up to so many other nodes, each tells all */
+#define VERSIONS_PER_S 80  /* datagrams of a reader of the registry that tell what is in force */
+#define CRASH_ROUNDS 3	   /* that the same crash is told in */
+#define REFRESH_MS 500	   /* between two looks at the membership */
 
 void bct_share_crash(bct_share_t *s, uint64_t digest, uint32_t upstream)
 {
@@ -82,7 +34,7 @@
 	s->crash_rounds = 0;
 }
 
-static uint64_t seq_of(const peer_t *old, uint32_t n, uint64_t incarnation)
+static uint64_t seq_of(const bct_share_peer_t *old, uint32_t n, uint64_t incarnation)
 {
 	for (uint32_t i = 0; i < n; i++) {
 		if (old[i].incarnation == incarnation)
@@ -91,20 +43,31 @@
 	return 0;
 }
 
+static void choose_hubs(bct_share_t *s)
+{
+	uint64_t nodes[BCT_SHARE_PEERS_MAX + 1];
+	uint64_t self = bct_peer_incarnation(s->gate->peer);
+
+	for (uint32_t i = 0; i < s->n_peers; i++)
+		nodes[i] = s->peers[i].incarnation;
+	nodes[s->n_peers] = self;
+	bct_gate_hubs_choose(&s->hubs, nodes, s->n_peers + 1, self);
+}
+
 /* Takes over the live nodes; what was received from each is kept. */
 static void refresh(bct_share_t *s)
 {
-	bct_member_t *m = bct_alloc(sizeof(*m) * MEMBERS_MAX);
-	peer_t *old = bct_alloc(sizeof(s->peers));
+	bct_member_t *m = bct_alloc(sizeof(*m) * BCT_SHARE_PEERS_MAX);
+	bct_share_peer_t *old = bct_alloc(sizeof(s->peers));
 	uint32_t n_old = s->n_peers, n = 0;
 
 	if (m && old) {
 		memcpy(old, s->peers, sizeof(s->peers));
-		n = bct_peer_members(s->gate->peer, m, MEMBERS_MAX);
+		n = bct_peer_members(s->gate->peer, m, BCT_SHARE_PEERS_MAX);
 		s->n_peers = 0;
 	}
 	for (uint32_t i = 0; i < n; i++) {
-		peer_t *p = &s->peers[s->n_peers];
+		bct_share_peer_t *p = &s->peers[s->n_peers];
 
 		if (m[i].liveness == BCT_MEMBER_DEAD || m[i].peer.ip_len_bytes != 4 ||
 		    m[i].incarnation == bct_peer_incarnation(s->gate->peer))
@@ -116,103 +79,28 @@
 		memcpy(&p->sa.sin_addr, m[i].peer.ip, 4);
 		s->n_peers++;
 	}
+	choose_hubs(s);
 	bct_free(old);
 	bct_free(m);
 	s->refreshed = bct_clock_now();
 }
 
-/* Whether there are too many nodes for each to tell all others of its load. */
-static bool is_crowd(const bct_share_t *s)
+bool bct_share_uses_hubs(const bct_share_t *s)
 {
-	return s && s->n_peers > FULL_AUDIENCE;
+	return s && s->n_peers > DIRECT_NODES;
 }
 
 uint32_t bct_share_interval_ms(const bct_share_t *s)
 {
-	uint32_t ms = (s ? s->n_peers : 0) * BCT_MS_PER_S / DATAGRAMS_PER_S;
-
-	if (is_crowd(s))
-		return CROWD_INTERVAL_MS;
-	return ms > INTERVAL_MIN_MS ? ms : INTERVAL_MIN_MS;
+	return bct_share_uses_hubs(s) ? HUB_INTERVAL_MS : INTERVAL_MS;
 }
 
-static uint32_t least(uint32_t a, uint32_t b)
+/* Between two words of a reader to all nodes, however many they are. */
+uint32_t bct_share_versions_ms(const bct_share_t *s)
 {
-	return a < b ? a : b;
-}
-
-/* Upstreams that this node has work on, and those that it had when it last told. */
-static uint32_t collect_loads(bct_share_t *s, share_load *out)
-{
-	bct_list_t *el;
-	uint32_t n = 0;
-
-	bct_list_for_each(el, &s->gate->upstreams.all) {
-		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
-
-		if (n == SHARE_LOADS_MAX)
-			break;
-		if (!u->running && !u->shared)
-			continue;
-		u->shared = u->running != 0;
-		out[n].upstream = (uint32_t)u->key;
-		out[n].running_prefill = least(u->running, RUNNING_MAX) << PREFILL_BITS |
-					 least(u->prefill_ms, PREFILL_MAX);
-		n++;
-	}
-	return n;
-}
+	uint32_t ms = (s ? s->n_peers : 0) * BCT_MS_PER_S / VERSIONS_PER_S;
 
-static uint64_t lane_subject(uint64_t service, uint32_t gap_ms)
-{
-	return service + gap_ms;
-}
-
-/* The work of all lanes of all services, as far as it fits. */
-static uint32_t collect_lanes(bct_share_t *s, share_lane *out)
-{
-	const bct_gate_routes_t *t = s->gate->routes;
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; t && i < t->n_services; i++) {
-		uint64_t key = t->services[i].key;
-		bct_gate_lanes_t *l =
-			t->services[i].engine ? bct_gate_pick_lanes(&s->gate->picker, key) : NULL;
-
-		for (uint32_t j = 0; l && j < l->n && n < SHARE_LANES_MAX; j++)
-			out[n++] = (share_lane){ .service = key,
-						 .gap_ms = l->lanes[j].gap_ms,
-						 .work_ms_per_s = (u_int)l->lanes[j].work };
-	}
-	return n;
-}
-
-static void add_load(void *ctx, uint64_t subject, const uint32_t *difference)
-{
-	bct_gate_t *g = ctx;
-	bct_gate_upstream_t *u = bct_gate_upstreams_short(&g->upstreams, (uint32_t)subject);
-
-	if (!u)
-		return;
-	u->peer_running += (int32_t)difference[0];
-	u->peer_prefill_ms += (int32_t)difference[1];
-}
-
-/* Lanes are few: the one with this subject is looked for. */
-static void add_lane(void *ctx, uint64_t subject, const uint32_t *difference)
-{
-	bct_gate_t *g = ctx;
-	const bct_gate_routes_t *t = g->routes;
-
-	for (uint32_t i = 0; t && i < t->n_services; i++) {
-		uint64_t key = t->services[i].key;
-		bct_gate_lanes_t *l = bct_gate_pick_lanes(&g->picker, key);
-
-		for (uint32_t j = 0; l && j < l->n; j++) {
-			if (lane_subject(key, l->lanes[j].gap_ms) == subject)
-				l->lanes[j].peer_work += difference[0];
-		}
-	}
+	return ms > INTERVAL_MS ? ms : INTERVAL_MS;
 }
 
 static void seal(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac)
@@ -236,13 +124,10 @@
 	return len + MAC_BYTES;
 }
 
-/* Tells n peers, from one drawn at random on. */
-static void send_some(bct_share_t *s, share_news *news, uint32_t n)
+static size_t complete(bct_share_t *s, share_news *news, uint8_t *out)
 {
-	uint8_t out[DATAGRAM_BYTES];
 	bct_gate_t *g = s->gate;
 	bct_time_t age = bct_clock_now() - bct_feed_answered_at(g->feed);
-	uint32_t first = bct_rng_below(&g->picker.rng, s->n_peers);
 	size_t len;
 
 	news->from = bct_peer_incarnation(g->peer);
@@ -253,23 +138,45 @@
 	len = encode(s, news, out);
 	if (!len)
 		BCT_GATE_COUNT(g, SHARES_DROPPED);
-	for (uint32_t i = 0; len && i < n; i++) {
-		const peer_t *p = &s->peers[(first + i) % s->n_peers];
+	return len;
+}
 
-		if (sendto(s->fd, out, len, MSG_DONTWAIT, (const struct sockaddr *)&p->sa,
-			   sizeof(p->sa)) < 0)
-			BCT_GATE_COUNT(g, SHARES_DROPPED);
-	}
+static void send_datagram(bct_share_t *s, const uint8_t *data, size_t len,
+			  const bct_share_peer_t *to)
+{
+	const struct sockaddr *sa = (const struct sockaddr *)&to->sa;
+
+	if (len && sendto(s->fd, data, len, MSG_DONTWAIT, sa, sizeof(to->sa)) < 0)
+		BCT_GATE_COUNT(s->gate, SHARES_DROPPED);
+}
+
+void bct_share_send(bct_share_t *s, share_news *news, const bct_share_peer_t *to)
+{
+	uint8_t out[DATAGRAM_BYTES];
+
+	send_datagram(s, out, complete(s, news, out), to);
+}
+
+void bct_share_send_all(bct_share_t *s, share_news *news)
+{
+	uint8_t out[DATAGRAM_BYTES];
+	size_t len = complete(s, news, out);
+	uint32_t first = bct_rng_below(&s->gate->picker.rng, s->n_peers);
+
+	for (uint32_t i = 0; i < s->n_peers; i++)
+		send_datagram(s, out, len, &s->peers[(first + i) % s->n_peers]);
 }
 
-/* In a crowd, readers tell all nodes what is in force, and each node tells a few its load. */
-static void send_in_crowd(bct_share_t *s, share_news *news)
+/* In a large fleet, hubs tell of load only; readers tell all what is in force. */
+static void send_versions(bct_share_t *s, bct_time_t now)
 {
-	share_news versions = { 0 };
+	share_news news = { 0 };
 
-	if (s->gate->rank < BCT_GATE_READERS)
-		send_some(s, &versions, s->n_peers);
-	send_some(s, news, CROWD_AUDIENCE);
+	if (!bct_share_uses_hubs(s) || s->gate->rank >= BCT_GATE_READERS ||
+	    now - s->versions_told < bct_share_versions_ms(s))
+		return;
+	s->versions_told = now;
+	bct_share_send_all(s, &news);
 }
 
 /* Crashes are told to all, in more than one round, as datagrams are lost. */
@@ -281,36 +188,11 @@
 		return;
 	news.crashes.crashes_val = s->crashes;
 	news.crashes.crashes_len = s->n_crashes;
-	send_some(s, &news, s->n_peers);
+	bct_share_send_all(s, &news);
 	if (++s->crash_rounds >= CRASH_ROUNDS)
 		s->n_crashes = 0;
 }
 
-static void send_round(bct_share_t *s)
-{
-	share_load loads[SHARE_LOADS_MAX];
-	share_lane lanes[SHARE_LANES_MAX];
-	share_news news = { 0 };
-	bct_time_t now = bct_clock_now();
-
-	news.lanes.lanes_val = lanes;
-	news.lanes.lanes_len = collect_lanes(s, lanes);
-	news.loads.loads_val = loads;
-	news.loads.loads_len = collect_loads(s, loads);
-	news.placed.placed_val = s->placed;
-	news.placed.placed_len = s->n_placed;
-	/* Only readers speak when there is no load: the others hear from them what is in force. */
-	if (!news.loads.loads_len && !s->n_placed &&
-	    (s->gate->rank >= BCT_GATE_READERS || now - s->spoke < IDLE_INTERVAL_MS))
-		return;
-	s->spoke = now;
-	if (is_crowd(s))
-		send_in_crowd(s, &news);
-	else
-		send_some(s, &news, s->n_peers);
-	s->n_placed = 0;
-}
-
 void bct_share_change(bct_share_t *s, const bct_registry_change_t *c)
 {
 	const bct_gate_entry_t *e = &c->entry;
@@ -334,7 +216,7 @@
 	x.sequence = e->sequence;
 	news.entries.entries_val = &x;
 	news.entries.entries_len = 1;
-	send_some(s, &news, s->n_peers);
+	bct_share_send_all(s, &news);
 }
 
 /* Decoded names end with a NUL, whatever came. */
@@ -391,18 +273,13 @@
 {
 	bct_share_t *s = ctx;
 	bct_time_t now = bct_clock_now();
-	uint32_t keep = bct_share_interval_ms(s) * KEEP_INTERVALS;
-
 	(void)fd;
 	(void)what;
 	if (now - s->refreshed >= REFRESH_MS)
 		refresh(s);
-	s->loads.keep_ms = keep > KEEP_MIN_MS ? keep : KEEP_MIN_MS;
-	s->lanes.keep_ms = s->loads.keep_ms * LANE_KEEP_FACTOR;
-	bct_gate_peers_sweep(&s->loads, now);
-	bct_gate_peers_sweep(&s->lanes, now);
 	send_crashes(s);
-	send_round(s);
+	send_versions(s, now);
+	bct_share_load_round(s, now);
 	set_timer(s);
 }
 
@@ -410,7 +287,7 @@
 static bool is_fresh(bct_share_t *s, const share_news *news)
 {
 	for (uint32_t i = 0; i < s->n_peers; i++) {
-		peer_t *p = &s->peers[i];
+		bct_share_peer_t *p = &s->peers[i];
 
 		if (p->incarnation != news->from)
 			continue;
@@ -430,35 +307,7 @@
 	for (uint32_t i = 0; i < news->crashes.crashes_len; i++)
 		bct_crash_heard(s->gate, news->crashes.crashes_val[i].digest,
 				news->crashes.crashes_val[i].upstream);
-	for (uint32_t i = 0; i < news->loads.loads_len; i++) {
-		const share_load *l = &news->loads.loads_val[i];
-		bct_gate_peer_report_t r = { .peer = news->from, .subject = l->upstream };
-
-		r.v[0] = l->running_prefill >> PREFILL_BITS;
-		r.v[1] = l->running_prefill & PREFILL_MAX;
-		/* One that is not known here yet is told again while it has load. */
-		if (bct_gate_upstreams_short(&s->gate->upstreams, l->upstream))
-			bct_gate_peers_report(&s->loads, now, &r);
-	}
-	for (uint32_t i = 0; i < news->lanes.lanes_len; i++) {
-		const share_lane *l = &news->lanes.lanes_val[i];
-		uint64_t subject = lane_subject(l->service, l->gap_ms);
-		bct_gate_peer_report_t r = { news->from, subject, { l->work_ms_per_s, 0 } };
-
-		bct_gate_peers_report(&s->lanes, now, &r);
-	}
-	for (uint32_t i = 0; i < news->placed.placed_len; i++) {
-		const share_placed *p = &news->placed.placed_val[i];
-		bct_gate_part_t part = { .id = p->part };
-		const bct_gate_upstream_t *u =
-			bct_gate_upstreams_short(&s->gate->upstreams, p->upstream);
-		bct_gate_holder_t h = { .ready = now + p->ready_ms };
-
-		if (!u)
-			continue;
-		h.upstream_key = u->key;
-		bct_gate_prefix_sent(&s->gate->picker.prefix, now, &part, 1, &h);
-	}
+	bct_share_load_take(s, now, news);
 }
 
 static bool authentic(const bct_share_t *s, const uint8_t *data, size_t len)
@@ -529,8 +378,7 @@
 		return -BCT_ENOMEM;
 	s->gate = g;
 	s->fd = -1;
-	bct_gate_peers_init(&s->loads, KEEP_MIN_MS, add_load, g);
-	bct_gate_peers_init(&s->lanes, KEEP_MIN_MS, add_lane, g);
+	bct_share_load_init(s);
 	crypto_generichash(s->key, sizeof(s->key), (const uint8_t *)secret, strlen(secret), NULL,
 			   0);
 	rc = open_socket(s);
@@ -558,8 +406,7 @@
 		event_free(s->timer);
 	if (s->fd >= 0)
 		close(s->fd);
-	bct_gate_peers_free(&s->loads);
-	bct_gate_peers_free(&s->lanes);
+	bct_share_load_free(s);
 	sodium_memzero(s->key, sizeof(s->key));
 	bct_free(s);
 }
--- a/gate/share.h
+++ b/gate/share.h
@@ -13,8 +13,16 @@
 int bct_share_new(bct_gate_t *g, bct_share_t **out);
 void bct_share_free(bct_share_t *s);
 
-/* bct_share_placed(3): a shared prompt part was sent to an upstream, which has read it by then. */
-void bct_share_placed(bct_share_t *s, uint64_t part, uint64_t upstream_key, uint32_t ready_ms);
+/* A shared prompt part that was sent to an upstream. */
+typedef struct bct_share_placement {
+	uint64_t part;
+	uint64_t upstream_key;
+	uint32_t ready_ms; /* until the upstream has read it */
+	bool known;	   /* it was there before */
+} bct_share_placement_t;
+
+/* bct_share_placed(3): tell the other nodes of a placement with the next round. */
+void bct_share_placed(bct_share_t *s, const bct_share_placement_t *p);
 
 /*
  * bct_share_crash(3): an upstream's connection broke under the request with this digest, or, with
@@ -22,8 +30,10 @@
  */
 void bct_share_crash(bct_share_t *s, uint64_t digest, uint32_t upstream);
 
-/* bct_share_interval_ms(3): between two datagrams to one node; s may be NULL. */
+/* bct_share_interval_ms(3): between two rounds; s may be NULL. */
 uint32_t bct_share_interval_ms(const bct_share_t *s);
+/* bct_share_versions_ms(3): between two words of a reader of the registry; s may be NULL. */
+uint32_t bct_share_versions_ms(const bct_share_t *s);
 
 /* bct_share_change(3): tell all nodes at once of a change that the registry told this one. */
 void bct_share_change(bct_share_t *s, const bct_registry_change_t *c);
--- a/gen/share.h
+++ b/gen/share.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define SHARE_LOADS_MAX 64
+#define SHARE_LOADS_MAX 128
 #define SHARE_PLACED_MAX 32
 #define SHARE_LANES_MAX 8
 #define SHARE_ENTRIES_MAX 3
@@ -63,6 +63,7 @@
 typedef struct share_crash share_crash;
 
 struct share_news {
+	u_int view;
 	u_quad_t from;
 	u_quad_t seq;
 	u_quad_t routes_version;
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -164,6 +164,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_int (xdrs, &objp->view))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->from))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->seq))
--- a/policy/gate_peers.c
+++ b/policy/gate_peers.c
@@ -85,6 +85,13 @@
 	replace(p, k, r->v);
 }
 
+const uint32_t *bct_gate_peers_of(const bct_gate_peers_t *p, uint64_t peer, uint64_t subject)
+{
+	const kept_t *k = bct_map_get(&p->reports, bct_hash_mix(peer, subject));
+
+	return k ? k->report.v : NULL;
+}
+
 void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now)
 {
 	static const uint32_t nothing[BCT_GATE_PEER_VALUES];
--- a/policy/gate_peers.h
+++ b/policy/gate_peers.h
@@ -41,6 +41,9 @@
 /* bct_gate_peers_report(3): a report came. Without memory it is dropped. */
 void bct_gate_peers_report(bct_gate_peers_t *p, bct_time_t now, const bct_gate_peer_report_t *r);
 
+/* bct_gate_peers_of(3): what a peer last reported about a subject, or NULL. */
+const uint32_t *bct_gate_peers_of(const bct_gate_peers_t *p, uint64_t peer, uint64_t subject);
+
 /* bct_gate_peers_sweep(3): forget reports that were not renewed. */
 void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now);
 
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -27,7 +27,7 @@
 #define COPY_MARGIN 2		  /* a copy must be so many times quicker than reading */
 #define JITTER_MS 3		  /* breaks ties, so that nodes do not all choose the same */
 #define NODES_IN_STEP 12	  /* up to so many nodes, news of load are fresh enough for all */
-#define SAMPLE 6		  /* upstreams that one decision looks at above that */
+#define SAMPLE 4		  /* upstreams that one decision looks at above that */
 #define SAMPLE_OUTSIDE 2	  /* of them outside the request's lane */
 #define DRAWS_FACTOR 2		  /* draws for each upstream before a sample stays small */
 #define ORDER_KEY 0x6c616e6573ULL /* any constant, the same on all nodes */
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -52,10 +52,12 @@
 	uint32_t pass;	  /* of the last listing that named it */
 
 	/* Load that this node has placed there. */
-	uint32_t running;    /* requests sent and not ended */
-	uint32_t prefill_ms; /* predicted work of those without output yet */
-	uint32_t streams;    /* those with output */
-	bool shared;	     /* the other nodes were told of it */
+	uint32_t running;	  /* requests sent and not ended */
+	uint32_t prefill_ms;	  /* predicted work of those without output yet */
+	uint32_t streams;	  /* those with output */
+	bool shared;		  /* the other nodes were told of it */
+	uint32_t told_running;	  /* at this node and those that report to it, when last told */
+	uint32_t told_prefill_ms; /* the same */
 	/* Load that the other nodes reported, see gate_peers.h. */
 	int32_t peer_running;
 	int32_t peer_prefill_ms;
--- a/schema/share.x
+++ b/schema/share.x
@@ -3,7 +3,7 @@
  * upstreams, and which prompt parts it has sent where. schema/regen.sh makes gen/share.h and
  * gen/share_xdr.c of it. A datagram is one share_news and a MAC over it; losing one does no harm.
  */
-const SHARE_LOADS_MAX = 64;
+const SHARE_LOADS_MAX = 128;
 const SHARE_PLACED_MAX = 32;
 const SHARE_LANES_MAX = 8;
 const SHARE_ENTRIES_MAX = 3;
@@ -53,6 +53,7 @@
 };
 
 struct share_news {
+	unsigned int view;	/* whose load it tells: gate/share_int.h */
 	unsigned hyper from;	/* incarnation of the sender */
 	unsigned hyper seq;	/* grows with each datagram of one sender */
 	unsigned hyper routes_version;	/* in force at the sender */
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -21,7 +21,9 @@
 	DEF(sse)           \
 	DEF(answer)        \
 	DEF(body)          \
-	DEF(report)
+	DEF(report)        \
+	DEF(http_msg)      \
+	DEF(gate_events)
 
 #ifdef BCT_LIBFUZZER
 #define BCT_FUZZ(name)                                                \
