--- a/Makefile
+++ b/Makefile
@@ -145,12 +145,13 @@
 faults: programs
 	$(Q)BIN=$(BIN) sh bench/faults.sh
 
-# Real gateways under random faults: RUNS seeds from SEED on, SECONDS of faults each.
+# NODES real gateways under random faults: RUNS seeds from SEED on, SECONDS of faults each.
 SEED ?= 1
 RUNS ?= 1
+NODES ?= 4
 SECONDS ?= 10
 soak: programs $(BIN)/soak
-	$(Q)BIN=$(BIN) SEED=$(SEED) RUNS=$(RUNS) SECONDS_EACH=$(SECONDS) sh soak/run.sh
+	$(Q)BIN=$(BIN) SEED=$(SEED) RUNS=$(RUNS) SECONDS_EACH=$(SECONDS) NODES=$(NODES) sh soak/run.sh
 .PHONY: soak
 
 tsan: programs
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -47,7 +47,7 @@
 	struct sockaddr_in sa = { .sin_family = AF_INET };
 	struct timeval tv = { CONNECT_MS / 1000, 0 };
 
-	c->node = bct_rng_below(&c->rng, SOAK_NODES);
+	c->node = bct_rng_below(&c->rng, c->soak->n_nodes);
 	sa.sin_port = htons(c->soak->port_base);
 	inet_pton(AF_INET, c->soak->nodes[c->node].ip, &sa.sin_addr);
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -34,7 +34,7 @@
 {
 	bct_time_t now = bct_clock_now();
 
-	for (int i = 0; i < SOAK_NODES; i++) {
+	for (int i = 0; i < s->n_nodes; i++) {
 		soak_node_t *n = &s->nodes[i];
 
 		if (n->pid && waitpid(n->pid, NULL, WNOHANG) == n->pid) {
@@ -49,7 +49,7 @@
 
 static void signal_node(soak_t *s, uint32_t what)
 {
-	soak_node_t *n = &s->nodes[bct_rng_below(&s->rng, SOAK_NODES)];
+	soak_node_t *n = &s->nodes[bct_rng_below(&s->rng, s->n_nodes)];
 
 	if (!n->pid)
 		return;
@@ -68,7 +68,7 @@
 
 static void herd_kill(soak_t *s)
 {
-	for (int i = 0; i < SOAK_NODES; i++) {
+	for (int i = 0; i < s->n_nodes; i++) {
 		if (s->nodes[i].pid)
 			kill(s->nodes[i].pid, SIGKILL);
 		s->nodes[i].disturbed_at = bct_clock_now();
@@ -129,7 +129,7 @@
 	else if (what < 17)
 		soak_move(s);
 	else
-		s->nodes[bct_rng_below(&s->rng, SOAK_NODES)].store.link =
+		s->nodes[bct_rng_below(&s->rng, s->n_nodes)].store.link =
 			bct_rng_below(&s->rng, SOAK_LINK_KINDS);
 }
 
@@ -150,7 +150,7 @@
 {
 	s->calm = true;
 	s->fault_at = bct_clock_now();
-	for (int i = 0; i < SOAK_NODES; i++) {
+	for (int i = 0; i < s->n_nodes; i++) {
 		soak_node_t *n = &s->nodes[i];
 
 		n->store.link = SOAK_LINK_OK;
--- a/soak/main.c
+++ b/soak/main.c
@@ -1,6 +1,6 @@
 /*
- * main.c - soak --seed N --seconds S: faults for S seconds, then calm, in which callers must be
- * served again. Exit code 1 when a promise was broken.
+ * main.c - soak --seed N --seconds S --nodes N: faults for S seconds, then calm, in which callers
+ * must be served again. Exit code 1 when a promise was broken.
  */
 #include "soak/soak.h"
 
@@ -94,7 +94,7 @@
 		u->sequence = 1;
 		soak_upstream_start(u);
 	}
-	for (int i = 0; i < SOAK_NODES; i++) {
+	for (int i = 0; i < s->n_nodes; i++) {
 		s->nodes[i].store.soak = s;
 		s->nodes[i].store.target_port = s->store_port;
 		soak_proxy_start(&s->nodes[i].store, "127.0.0.1");
@@ -131,7 +131,7 @@
 
 static void tear_down(soak_t *s)
 {
-	for (int i = 0; i < SOAK_NODES; i++) {
+	for (int i = 0; i < s->n_nodes; i++) {
 		if (!s->nodes[i].pid)
 			continue;
 		kill(s->nodes[i].pid, SIGKILL);
@@ -141,7 +141,7 @@
 		printf("soak: logs are kept in %s\n", s->dir);
 		return;
 	}
-	for (int i = 0; i < SOAK_NODES; i++) {
+	for (int i = 0; i < s->n_nodes; i++) {
 		unlink(s->nodes[i].settings_path);
 		unlink(s->nodes[i].log_path);
 	}
@@ -186,16 +186,18 @@
 int main(int argc, const char **argv)
 {
 	static soak_t s = { .seconds = 10, .program = "build/bin/chutegate" };
-	long seed = 1, seconds = 10;
+	long seed = 1, seconds = 10, nodes = 4;
 	struct poptOption table[] = {
 		{ "seed", 0, POPT_ARG_LONG, &seed, 0, "seed of the run", "N" },
 		{ "seconds", 0, POPT_ARG_LONG, &seconds, 0, "time with faults", "S" },
+		{ "nodes", 0, POPT_ARG_LONG, &nodes, 0, "gateway processes, 2 to 200", "N" },
 		{ "program", 0, POPT_ARG_STRING, &s.program, 0, "gateway to run", "PATH" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext ctx = poptGetContext("soak", argc, argv, table, 0);
 
-	if (poptGetNextOpt(ctx) < -1 || poptPeekArg(ctx) || sodium_init() < 0) {
+	if (poptGetNextOpt(ctx) < -1 || poptPeekArg(ctx) || sodium_init() < 0 || nodes < 2 ||
+	    nodes > SOAK_NODES_MAX) {
 		poptPrintUsage(ctx, stderr, 0);
 		return 2;
 	}
@@ -203,5 +205,6 @@
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	s.seed = (uint64_t)seed;
 	s.seconds = (uint32_t)seconds;
+	s.n_nodes = (int)nodes;
 	return run(&s);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -16,7 +16,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define SOAK_NODES 4
+#define SOAK_NODES_MAX 200
 #define SOAK_UPSTREAMS 5 /* the last two serve the plain service */
 #define SOAK_CALLERS 12
 #define SOAK_CALLS_MAX 200000
@@ -80,6 +80,7 @@
 typedef struct soak {
 	uint64_t seed;
 	uint32_t seconds;
+	int n_nodes;
 	const char *program;
 	char dir[64];
 	char net[32]; /* first three numbers of the nodes' addresses */
@@ -90,7 +91,7 @@
 	bct_rng_t rng;
 	bool over; /* callers stop */
 	bool calm; /* no more faults */
-	soak_node_t nodes[SOAK_NODES];
+	soak_node_t nodes[SOAK_NODES_MAX];
 	soak_upstream_t upstreams[SOAK_UPSTREAMS];
 	uint64_t version;
 	bool moved; /* the safe route goes to the other service */
