Gateway: one file each for the start, the dispatch and the ends of a request

Ruled out: a new layer; the functions moved as they were.

Change: exchange.c keeps admission and time limits, dispatch.c the choice, refusals and sending, exchange_end.c the ends with their log line.

--- /dev/null
+++ b/gate/exchange_end.c
@@ -0,0 +1,155 @@
+/*
+ * exchange_end.c - the ways in which a request ends, each with one log line and a true answer.
+ */
+#include "gate/exchange_int.h"
+#include "gate/feed.h"
+#include "base/mem.h"
+
+#define FULL_RETRY_MS 150 /* a full upstream frees a place within a few service times */
+#define FULL_RETRY_SPREAD_MS 150
+
+void bct_exchange_free(bct_exchange_t *x)
+{
+	bct_gate_t *g = x->gate;
+
+	if (x->timer)
+		event_free(x->timer);
+	if (x->body)
+		evbuffer_free(x->body);
+	if (x->answer)
+		evbuffer_free(x->answer);
+	bct_events_free(&x->events);
+	bct_buf_free(&x->head);
+	bct_gate_routes_unref(x->routes);
+	g->n_exchanges--;
+	bct_free(x);
+}
+
+static void log_end(bct_exchange_t *x, bct_gate_end_t end)
+{
+	bct_time_t now = bct_clock_now();
+	bct_event_t ev =
+		end == BCT_GATE_END_OK ? BCT_EV_GATE_REQUEST_ENDED : BCT_EV_GATE_REQUEST_FAILED;
+
+	BCT_LOG(x->gate->log, ev, BCT_STR("request", x->call.id),
+		BCT_STR("how", bct_gate_end_name(end)), BCT_I64("status", x->status),
+		BCT_STR("route", x->route ? x->route->name : ""),
+		BCT_STR("account", x->account ? x->account->name : ""),
+		BCT_U64("version", x->routes ? x->routes->version : 0),
+		BCT_I64("registry_age_ms", bct_feed_age_ms(x->gate->feed, now)),
+		BCT_U64("nodes", x->gate->nodes), BCT_STR("upstream", x->upstream_id),
+		BCT_U64("attempts", x->attempts), BCT_U64("connects_failed", x->connects),
+		BCT_U64("fault", x->last_fault), BCT_U64("prompt_tokens", x->call.prompt_tokens),
+		BCT_U64("output_tokens", x->ask.output_tokens),
+		BCT_U64("cached_tokens", x->choice.cached_tokens),
+		BCT_STR("copied_from", x->source_id),
+		BCT_U64("predicted_wait_ms", x->choice.wait_ms),
+		BCT_U64("predicted_work_ms", x->choice.work_ms),
+		BCT_U64("first_byte_limit_ms", x->verdict.limit_ms),
+		BCT_U64("overload_permille", x->verdict.overload_permille),
+		BCT_I64("lane_distance", x->choice.lane_distance),
+		BCT_I64("first_byte_ms", x->first_byte_at ? x->first_byte_at - x->arrived : -1),
+		BCT_I64("total_ms", now - x->arrived), BCT_U64("events", x->events.count));
+}
+
+static void measure(bct_exchange_t *x, bct_gate_end_t end)
+{
+	bct_gate_latency_t *l;
+
+	if (!x->route || end != BCT_GATE_END_OK)
+		return;
+	l = &x->gate->counters.latency[x->route->kind - 1];
+	bct_hist_add(&l->first_byte_ms, (uint64_t)(x->first_byte_at - x->arrived));
+	bct_hist_add(&l->total_ms, (uint64_t)(bct_clock_now() - x->arrived));
+}
+
+/* Takes the attempt off its upstream. The connection is closed or kept by the caller. */
+static void settle_load(bct_exchange_t *x)
+{
+	if (x->conn)
+		bct_gate_pick_ended(x->conn->upstream, x->choice.work_ms, x->began);
+	x->began = false;
+}
+
+void bct_exchange_drop_attempt(bct_exchange_t *x)
+{
+	bct_upconn_t *c = x->conn;
+
+	if (!c)
+		return;
+	settle_load(x);
+	bct_upconn_close(c);
+}
+
+void bct_exchange_keep_attempt(bct_exchange_t *x)
+{
+	bct_upconn_t *c = x->conn;
+
+	settle_load(x);
+	bct_upconn_done(c);
+}
+
+/* The one way out: logs, counts, releases, and lets the caller's connection go on. */
+void bct_exchange_end(bct_exchange_t *x, bct_gate_end_t end, bool cut)
+{
+	bct_client_t *c = x->client;
+
+	bct_exchange_drop_attempt(x);
+	bct_counter_inc(&x->gate->counters.ends[end]);
+	log_end(x, end);
+	measure(x, end);
+	bct_exchange_free(x);
+	if (c)
+		bct_client_answered(c, cut);
+}
+
+void bct_exchange_refuse(bct_exchange_t *x, bct_gate_end_t end, const bct_answer_opts_t *o)
+{
+	/* Nothing may reach the upstream after the caller was told how it ended. */
+	bct_exchange_drop_attempt(x);
+	x->status = o->status;
+	if (x->answer_begun) {
+		bct_exchange_end(x, BCT_GATE_END_CUT, true);
+		return;
+	}
+	bct_answer_own(x->client, o);
+	bct_exchange_end(x, end, false);
+}
+
+/* Gives a request up that cannot be sent again. */
+void bct_exchange_give_up(bct_exchange_t *x)
+{
+	uint32_t spread = bct_rng_below(&x->gate->picker.rng, FULL_RETRY_SPREAD_MS);
+
+	if (x->may_have_run) {
+		bct_exchange_refuse(
+			x, BCT_GATE_END_UNKNOWN_OUTCOME,
+			&(bct_answer_opts_t){ .status = 502,
+					      .text = "the upstream's answer was lost; the request "
+						      "may have run" });
+		return;
+	}
+	bct_exchange_refuse(x, BCT_GATE_END_NOT_RUN,
+			    &(bct_answer_opts_t){ .status = 503,
+						  .retry_after_ms = FULL_RETRY_MS + spread,
+						  .text = "the request was not run" });
+}
+
+void bct_exchange_out_of_time(bct_exchange_t *x)
+{
+	if (x->may_have_run)
+		bct_exchange_refuse(x, BCT_GATE_END_TIMEOUT_RUNNING,
+				    &(bct_answer_opts_t){ .status = 504,
+							  .text = "time ran out at the upstream" });
+	else
+		bct_exchange_refuse(x, BCT_GATE_END_TIMEOUT_WAITING,
+				    &(bct_answer_opts_t){ .status = 503,
+							  .text = "time ran out; the request was "
+								  "not run" });
+}
+
+void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end)
+{
+	x->client = NULL;
+	bct_exchange_end(x, end, true);
+}
--- a/gate/exchange_int.h
+++ b/gate/exchange_int.h
@@ -1,6 +1,6 @@
 /*
- * exchange_int.h - between the two halves of an exchange: admission and dispatch in exchange.c,
- * what upstreams answer in attempt.c.
+ * exchange_int.h - between the parts of an exchange: admission and time limits in exchange.c, the
+ * choice of an upstream in dispatch.c, what upstreams answer in attempt.c, ends in exchange_end.c.
  */
 #ifndef BCT_GATE_EXCHANGE_INT_H
 #define BCT_GATE_EXCHANGE_INT_H
@@ -18,7 +18,17 @@
 void bct_exchange_drop_attempt(bct_exchange_t *x);
 void bct_exchange_keep_attempt(bct_exchange_t *x);
 
+/* bct_exchange_until(3): when the request's time is over, for its caller or by its route. */
+static inline bct_time_t bct_exchange_until(const bct_exchange_t *x)
+{
+	return x->caller_until < x->route_until ? x->caller_until : x->route_until;
+}
+
+/* bct_exchange_free(3): without an answer or a log line; for the ends, and for a failed start. */
+void bct_exchange_free(bct_exchange_t *x);
+
 /* The ends. x is gone afterwards. */
+void bct_exchange_out_of_time(bct_exchange_t *x);
 void bct_exchange_end(bct_exchange_t *x, bct_gate_end_t end, bool cut);
 void bct_exchange_refuse(bct_exchange_t *x, bct_gate_end_t end, const bct_answer_opts_t *o);
 void bct_exchange_give_up(bct_exchange_t *x);
