Hubs: rounds grow longer with what a hub has to tell

Cause: at 350 nodes and 770 upstreams a hub would send 37 others up to seven datagrams, twenty times a second, more than a link of 10 Mbit/s carries. And what did not change lapsed between whole tellings once rounds were longer than 125 ms.

Ruled out: more hubs (their mesh grows with the square); fewer entries (sums must be whole).

Change: a round is at least as long as 800 datagrams a second allow; a load lapses after two whole tellings. At 75 nodes rounds stay at 50 ms.

--- a/gate/share.c
+++ b/gate/share.c
@@ -15,12 +15,13 @@
 
 #define DATAGRAM_BYTES 1400
 #define MAC_BYTES 16
-#define INTERVAL_MS 100	   /* between two rounds of a small fleet */
-#define HUB_INTERVAL_MS 50 /* the same where news take three steps */
-#define DIRECT_NODES 12	   /* up to so many other nodes, each tells all */
-#define VERSIONS_PER_S 80  /* datagrams of a reader of the registry that tell what is in force */
-#define CRASH_ROUNDS 3	   /* that the same crash is told in */
-#define REFRESH_MS 500	   /* between two looks at the membership */
+#define INTERVAL_MS 100		/* between two rounds of a small fleet */
+#define HUB_DATAGRAMS_PER_S 800 /* of a hub at most: 8 Mbit/s, under the slowest links of 10 */
+#define HUB_INTERVAL_MS 50	/* the same where news take three steps */
+#define DIRECT_NODES 12		/* up to so many other nodes, each tells all */
+#define VERSIONS_PER_S 80 /* datagrams of a reader of the registry that tell what is in force */
+#define CRASH_ROUNDS 3	  /* that the same crash is told in */
+#define REFRESH_MS 500	  /* between two looks at the membership */
 
 void bct_share_crash(bct_share_t *s, uint64_t digest, uint32_t upstream)
 {
@@ -90,9 +91,18 @@
 	return s && s->n_peers > DIRECT_NODES;
 }
 
+/* A hub tells about twice as many others as there are hubs; the rounds are the same for all. */
+static uint32_t hub_interval_ms(const bct_share_t *s)
+{
+	uint32_t datagrams = 2 * s->hubs.n * bct_share_load_datagrams(s);
+	uint32_t ms = datagrams * BCT_MS_PER_S / HUB_DATAGRAMS_PER_S;
+
+	return ms > HUB_INTERVAL_MS ? ms : HUB_INTERVAL_MS;
+}
+
 uint32_t bct_share_interval_ms(const bct_share_t *s)
 {
-	return bct_share_uses_hubs(s) ? HUB_INTERVAL_MS : INTERVAL_MS;
+	return bct_share_uses_hubs(s) ? hub_interval_ms(s) : INTERVAL_MS;
 }
 
 /* Between two words of a reader to all nodes, however many they are. */
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -61,6 +61,8 @@
 void bct_share_load_free(bct_share_t *s);
 /* bct_share_load_round(3): forget what is old, and tell. */
 void bct_share_load_round(bct_share_t *s, bct_time_t now);
+/* bct_share_load_datagrams(3): that the whole load takes now. */
+uint32_t bct_share_load_datagrams(const bct_share_t *s);
 /* bct_share_load_take(3): take in what a peer tells. */
 void bct_share_load_take(bct_share_t *s, bct_time_t now, const share_news *news);
 
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -10,7 +10,8 @@
 #define PREFILL_BITS 20
 #define PREFILL_MAX ((1U << PREFILL_BITS) - 1)
 #define RUNNING_MAX ((1U << (32 - PREFILL_BITS)) - 1)
-#define KEEP_INTERVALS 4 /* a peer's load is forgotten when so many were missed */
+#define KEEP_INTERVALS 4 /* a load is forgotten when it was missing in so many rounds */
+#define KEEP_WHOLE 2	 /* the same in whole tellings of a hub */
 #define KEEP_MIN_MS 500
 #define LANE_KEEP_FACTOR 4     /* a lane's work changes slowly; a node may have nothing to say */
 #define IDLE_INTERVAL_MS 250   /* between datagrams of a reader without load */
@@ -277,9 +278,17 @@
 		tell_all(s, &r, now);
 }
 
+uint32_t bct_share_load_datagrams(const bct_share_t *s)
+{
+	uint32_t upstreams = least(s->gate->upstreams.by_id.n, LOADS_MAX);
+
+	return upstreams / SHARE_LOADS_MAX + 1;
+}
+
 void bct_share_load_round(bct_share_t *s, bct_time_t now)
 {
-	uint32_t keep = bct_share_interval_ms(s) * KEEP_INTERVALS;
+	uint32_t rounds = bct_share_uses_hubs(s) ? WHOLE_EVERY * KEEP_WHOLE : KEEP_INTERVALS;
+	uint32_t keep = bct_share_interval_ms(s) * rounds;
 
 	s->loads.keep_ms = keep > KEEP_MIN_MS ? keep : KEEP_MIN_MS;
 	s->lanes.keep_ms = s->loads.keep_ms * LANE_KEEP_FACTOR;
