--- a/cmd/chutectl_explain.c
+++ b/cmd/chutectl_explain.c
@@ -24,18 +24,6 @@
 	uint64_t left_out;
 } search_t;
 
-static json_int_t number(const json_t *line, const char *key)
-{
-	return json_integer_value(json_object_get(line, key));
-}
-
-static const char *text(const json_t *line, const char *key)
-{
-	const char *s = json_string_value(json_object_get(line, key));
-
-	return s ? s : "";
-}
-
 static bool is_context(json_int_t event)
 {
 	switch (event) {
@@ -57,9 +45,9 @@
 
 static void keep(search_t *s, json_t *line)
 {
-	if (!strcmp(text(line, "request"), s->id))
+	if (!strcmp(explain_text(line, "request"), s->id))
 		json_array_append(s->lines, line);
-	else if (!is_context(number(line, "event")))
+	else if (!is_context(explain_number(line, "event")))
 		return;
 	else if (json_array_size(s->context) < CONTEXT_MAX)
 		json_array_append(s->context, line);
@@ -112,7 +100,7 @@
 static int by_time(const void *a, const void *b)
 {
 	const json_t *const *x = a, *const *y = b;
-	json_int_t s = number(*x, "time_ms"), t = number(*y, "time_ms");
+	json_int_t s = explain_number(*x, "time_ms"), t = explain_number(*y, "time_ms");
 
 	return (s > t) - (s < t);
 }
@@ -141,8 +129,8 @@
 
 	json_array_foreach(lines, i, l)
 	{
-		if (!strcmp(text(l, "upstream"), upstream) ||
-		    !strcmp(text(l, "copied_from"), upstream))
+		if (!strcmp(explain_text(l, "upstream"), upstream) ||
+		    !strcmp(explain_text(l, "copied_from"), upstream))
 			return true;
 	}
 	return false;
@@ -155,7 +143,7 @@
 
 	json_array_foreach(lines, i, l)
 	{
-		if (!strcmp(text(l, "vm"), vm))
+		if (!strcmp(explain_text(l, "vm"), vm))
 			return true;
 	}
 	return false;
@@ -164,19 +152,20 @@
 /* What the request's own nodes saw around it, of its upstreams only. */
 static json_t *select_context(const search_t *s, const json_t *lines)
 {
-	json_int_t from = number(json_array_get(lines, 0), "time_ms") - BEFORE_MS;
-	json_int_t to = number(json_array_get(lines, json_array_size(lines) - 1), "time_ms");
+	json_int_t from = explain_number(json_array_get(lines, 0), "time_ms") - BEFORE_MS;
+	json_int_t to =
+		explain_number(json_array_get(lines, json_array_size(lines) - 1), "time_ms");
 	json_t *near = json_array(), *out, *l;
 	size_t i;
 
 	json_array_foreach(s->context, i, l)
 	{
-		json_int_t at = number(l, "time_ms");
+		json_int_t at = explain_number(l, "time_ms");
 
-		if (at < from || at > to + AFTER_MS || !names_vm(lines, text(l, "vm")))
+		if (at < from || at > to + AFTER_MS || !names_vm(lines, explain_text(l, "vm")))
 			continue;
-		if (number(l, "event") == BCT_EV_UPSTREAM_PRESENCE &&
-		    !names_upstream(lines, text(l, "upstream")))
+		if (explain_number(l, "event") == BCT_EV_UPSTREAM_PRESENCE &&
+		    !names_upstream(lines, explain_text(l, "upstream")))
 			continue;
 		json_array_append(near, l);
 	}
@@ -199,14 +188,14 @@
 static void print_line(json_t *line)
 {
 	char at[CTL_TIME_BYTES];
-	json_int_t ms = number(line, "time_ms");
+	json_int_t ms = explain_number(line, "time_ms");
 	const char *key;
 	json_t *v;
 
 	ctl_wall_text(ms, at);
 	at[strlen(at) - 1] = '\0';
-	printf("%s.%03dZ %s %s", at, (int)(ms % BCT_MS_PER_S), text(line, "vm"),
-	       text(line, "name"));
+	printf("%s.%03dZ %s %s", at, (int)(ms % BCT_MS_PER_S), explain_text(line, "vm"),
+	       explain_text(line, "name"));
 	json_object_foreach(line, key, v)
 	{
 		if (is_envelope(key))
--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -14,12 +14,12 @@
 	void (*explain)(const json_t *last, bct_buf_t *out);
 } ending_t;
 
-static json_int_t number(const json_t *line, const char *key)
+json_int_t explain_number(const json_t *line, const char *key)
 {
 	return json_integer_value(json_object_get(line, key));
 }
 
-static const char *text(const json_t *line, const char *key)
+const char *explain_text(const json_t *line, const char *key)
 {
 	const char *s = json_string_value(json_object_get(line, key));
 
@@ -29,31 +29,33 @@
 static void ok(const json_t *l, bct_buf_t *out)
 {
 	bct_buf_printf(out, "It was answered well by %s after %" JSON_INTEGER_FORMAT " ms",
-		       text(l, "upstream"), number(l, "total_ms"));
-	bct_buf_printf(out, ", in %" JSON_INTEGER_FORMAT " attempts.", number(l, "attempts"));
+		       explain_text(l, "upstream"), explain_number(l, "total_ms"));
+	bct_buf_printf(out, ", in %" JSON_INTEGER_FORMAT " attempts.",
+		       explain_number(l, "attempts"));
 }
 
 static void upstream_error(const json_t *l, bct_buf_t *out)
 {
 	bct_buf_printf(out, "Upstream %s answered with status %" JSON_INTEGER_FORMAT " of its own.",
-		       text(l, "upstream"), number(l, "status"));
+		       explain_text(l, "upstream"), explain_number(l, "status"));
 }
 
 static void caller_left(const json_t *l, bct_buf_t *out)
 {
 	bct_buf_printf(out, "The caller closed its connection after %" JSON_INTEGER_FORMAT " ms",
-		       number(l, "total_ms"));
-	if (!number(l, "attempts"))
+		       explain_number(l, "total_ms"));
+	if (!explain_number(l, "attempts"))
 		bct_buf_puts(out, ", before any upstream was asked.");
-	else if (number(l, "first_byte_ms") < 0)
+	else if (explain_number(l, "first_byte_ms") < 0)
 		bct_buf_printf(out,
 			       ", while %s had not begun to answer; predicted were "
 			       "%" JSON_INTEGER_FORMAT " ms of waiting and %" JSON_INTEGER_FORMAT
 			       " ms of reading.",
-			       text(l, "upstream"), number(l, "predicted_wait_ms"),
-			       number(l, "predicted_work_ms"));
+			       explain_text(l, "upstream"), explain_number(l, "predicted_wait_ms"),
+			       explain_number(l, "predicted_work_ms"));
 	else
-		bct_buf_printf(out, ", in the middle of the answer of %s.", text(l, "upstream"));
+		bct_buf_printf(out, ", in the middle of the answer of %s.",
+			       explain_text(l, "upstream"));
 }
 
 static void not_ready(const json_t *l, bct_buf_t *out)
@@ -68,7 +70,7 @@
 	bct_buf_printf(out,
 		       "Version %" JSON_INTEGER_FORMAT
 		       " of the configuration, in force on the node, has no route for it.",
-		       number(l, "version"));
+		       explain_number(l, "version"));
 }
 
 static void bad_key(const json_t *l, bct_buf_t *out)
@@ -76,7 +78,7 @@
 	bct_buf_printf(out,
 		       "Its API key is missing or not in version %" JSON_INTEGER_FORMAT
 		       " of the configuration, in force on the node.",
-		       number(l, "version"));
+		       explain_number(l, "version"));
 }
 
 static void no_upstream(const json_t *l, bct_buf_t *out)
@@ -91,11 +93,13 @@
 	bct_buf_printf(out,
 		       "The fleet had no room: the best upstream had %" JSON_INTEGER_FORMAT
 		       " ms of work before it and %" JSON_INTEGER_FORMAT " ms for it",
-		       number(l, "predicted_wait_ms"), number(l, "predicted_work_ms"));
+		       explain_number(l, "predicted_wait_ms"),
+		       explain_number(l, "predicted_work_ms"));
 	bct_buf_printf(out,
 		       ", past the limit of %" JSON_INTEGER_FORMAT
 		       " ms (overload %" JSON_INTEGER_FORMAT " permille). It did not run.",
-		       number(l, "first_byte_limit_ms"), number(l, "overload_permille"));
+		       explain_number(l, "first_byte_limit_ms"),
+		       explain_number(l, "overload_permille"));
 }
 
 static void poison(const json_t *l, bct_buf_t *out)
@@ -110,7 +114,7 @@
 	bct_buf_printf(out,
 		       "No upstream ran it: asked %" JSON_INTEGER_FORMAT ", not reached "
 		       "%" JSON_INTEGER_FORMAT " (lines 412 say how each failed).",
-		       number(l, "attempts"), number(l, "connects_failed"));
+		       explain_number(l, "attempts"), explain_number(l, "connects_failed"));
 }
 
 static void unknown_outcome(const json_t *l, bct_buf_t *out)
@@ -118,7 +122,7 @@
 	bct_buf_printf(out,
 		       "It was sent to %s and the answer was lost; it may have run, and its route "
 		       "does not allow another attempt, or none was left.",
-		       text(l, "upstream"));
+		       explain_text(l, "upstream"));
 }
 
 static void timeout_waiting(const json_t *l, bct_buf_t *out)
@@ -126,7 +130,7 @@
 	bct_buf_printf(out,
 		       "Its time was over after %" JSON_INTEGER_FORMAT
 		       " ms before any upstream took it; it did not run.",
-		       number(l, "total_ms"));
+		       explain_number(l, "total_ms"));
 }
 
 static void timeout_running(const json_t *l, bct_buf_t *out)
@@ -134,8 +138,9 @@
 	bct_buf_printf(out,
 		       "Its time was over after %" JSON_INTEGER_FORMAT
 		       " ms and %s had not answered; predicted were %" JSON_INTEGER_FORMAT " ms.",
-		       number(l, "total_ms"), text(l, "upstream"),
-		       number(l, "predicted_wait_ms") + number(l, "predicted_work_ms"));
+		       explain_number(l, "total_ms"), explain_text(l, "upstream"),
+		       explain_number(l, "predicted_wait_ms") +
+			       explain_number(l, "predicted_work_ms"));
 }
 
 static void cut(const json_t *l, bct_buf_t *out)
@@ -144,10 +149,11 @@
 		       "The answer of %s began after %" JSON_INTEGER_FORMAT
 		       " ms and broke off after %" JSON_INTEGER_FORMAT
 		       " events and %" JSON_INTEGER_FORMAT " ms",
-		       text(l, "upstream"), number(l, "first_byte_ms"), number(l, "events"),
-		       number(l, "total_ms"));
-	bct_buf_puts(out, number(l, "status") == 504 ? ": its time was over."
-						     : ": the upstream's connection failed.");
+		       explain_text(l, "upstream"), explain_number(l, "first_byte_ms"),
+		       explain_number(l, "events"), explain_number(l, "total_ms"));
+	bct_buf_puts(out, explain_number(l, "status") == 504
+				  ? ": its time was over."
+				  : ": the upstream's connection failed.");
 }
 
 static void stopping(const json_t *l, bct_buf_t *out)
@@ -155,7 +161,7 @@
 	bct_buf_printf(out,
 		       "The node was asked to stop and its grace time ended while %s was still at "
 		       "work on it.",
-		       *text(l, "upstream") ? text(l, "upstream") : "no upstream");
+		       *explain_text(l, "upstream") ? explain_text(l, "upstream") : "no upstream");
 }
 
 static const ending_t endings[] = {
@@ -183,7 +189,7 @@
 	for (size_t i = json_array_size(lines); i; i--) {
 		const json_t *l = json_array_get(lines, i - 1);
 
-		if (*text(l, "how"))
+		if (*explain_text(l, "how"))
 			return l;
 	}
 	return NULL;
@@ -197,11 +203,12 @@
 
 	json_array_foreach(lines, i, l)
 	{
-		if (number(l, "event") != BCT_EV_GATE_ATTEMPT_FAILED)
+		if (explain_number(l, "event") != BCT_EV_GATE_ATTEMPT_FAILED)
 			continue;
 		bct_buf_printf(out,
 			       " Before that, %s failed it (%s) at %" JSON_INTEGER_FORMAT " ms.",
-			       text(l, "upstream"), text(l, "what"), number(l, "ms"));
+			       explain_text(l, "upstream"), explain_text(l, "what"),
+			       explain_number(l, "ms"));
 	}
 }
 
@@ -214,19 +221,19 @@
 
 	json_array_foreach(context, i, l)
 	{
-		json_int_t to = number(l, "presence");
+		json_int_t to = explain_number(l, "presence");
 
-		if (number(l, "event") == BCT_EV_UPSTREAM_PRESENCE && to >= 2 && to <= 4 &&
-		    !strcmp(text(l, "upstream"), text(end, "upstream")))
-			bct_buf_printf(out, " The node saw %s become %s.", text(l, "upstream"),
-				       presences[to]);
-		if (number(l, "event") == BCT_EV_REGISTRY_DOWN)
+		if (explain_number(l, "event") == BCT_EV_UPSTREAM_PRESENCE && to >= 2 && to <= 4 &&
+		    !strcmp(explain_text(l, "upstream"), explain_text(end, "upstream")))
+			bct_buf_printf(out, " The node saw %s become %s.",
+				       explain_text(l, "upstream"), presences[to]);
+		if (explain_number(l, "event") == BCT_EV_REGISTRY_DOWN)
 			bct_buf_puts(out, " The node had lost the registry.");
 	}
-	if (number(end, "registry_age_ms") > STALE_MS)
+	if (explain_number(end, "registry_age_ms") > STALE_MS)
 		bct_buf_printf(out,
 			       " What it knew of the registry was %" JSON_INTEGER_FORMAT " ms old.",
-			       number(end, "registry_age_ms"));
+			       explain_number(end, "registry_age_ms"));
 }
 
 void explain_cause(const json_t *lines, const json_t *context, bct_buf_t *out)
@@ -240,11 +247,11 @@
 		return;
 	}
 	for (size_t i = 0; i < N_ENDINGS; i++) {
-		if (!strcmp(endings[i].how, text(end, "how")))
+		if (!strcmp(endings[i].how, explain_text(end, "how")))
 			endings[i].explain(end, out);
 	}
 	if (!out->len_bytes)
-		bct_buf_printf(out, "It ended as %s.", text(end, "how"));
+		bct_buf_printf(out, "It ended as %s.", explain_text(end, "how"));
 	explain_attempts(lines, out);
 	explain_context(end, context, out);
 }
--- a/cmd/explain_cause.h
+++ b/cmd/explain_cause.h
@@ -7,6 +7,10 @@
 #include "base/buf.h"
 #include "base/json.h"
 
+/* explain_number(3), explain_text(3): a field of a log line; 0 or "" without it. */
+json_int_t explain_number(const json_t *line, const char *key);
+const char *explain_text(const json_t *line, const char *key);
+
 /*
  * explain_cause(3): the cause, and where to look next.
  *
--- a/tests/lib_proc.sh
+++ b/tests/lib_proc.sh
@@ -156,3 +156,16 @@
 number() {
 	"$BIN/chuteload" get "$1" "$2" | sed -n "s/.*\"$3\": *\([0-9]*\).*/\1/p"
 }
+
+# expect CODE COMMAND...: runs chutectl, its output goes to $work/out.
+expect() {
+	want=$1
+	shift
+	rc=0
+	"$BIN/chutectl" "$@" >"$work/out" 2>"$work/ctl.err" || rc=$?
+	[ "$rc" -eq "$want" ] || { cat "$work/out"; fail "chutectl $*: exit code $rc, not $want"; }
+}
+# says TEXT: that is in the output of the last expect.
+says() {
+	grep -q "$1" "$work/out" "$work/ctl.err" || { cat "$work/out"; fail "no '$1'"; }
+}
--- a/tests/proc_chutectl.sh
+++ b/tests/proc_chutectl.sh
@@ -10,17 +10,6 @@
 doc() {
 	echo "{ \"models\": { \"m\": { \"context_tokens\": $1 } } } // test" >"$work/$1.json"
 }
-# expect CODE COMMAND...: runs chutectl, its output goes to $work/out.
-expect() {
-	want=$1
-	shift
-	rc=0
-	"$BIN/chutectl" "$@" >"$work/out" 2>"$work/ctl.err" || rc=$?
-	[ "$rc" -eq "$want" ] || { cat "$work/out"; fail "chutectl $*: exit code $rc, not $want"; }
-}
-says() {
-	grep -q "$1" "$work/out" "$work/ctl.err" || { cat "$work/out"; fail "no '$1'"; }
-}
 
 for file in examples/nyaymitra.json examples/harrowgate.json; do
 	expect 0 validate $file
--- a/tests/proc_explain.sh
+++ b/tests/proc_explain.sh
@@ -3,17 +3,6 @@
 set -eu
 . tests/lib_proc.sh
 
-# expect CODE COMMAND...: runs chutectl, its output goes to $work/out.
-expect() {
-	want=$1
-	shift
-	rc=0
-	"$BIN/chutectl" "$@" >"$work/out" 2>"$work/ctl.err" || rc=$?
-	[ "$rc" -eq "$want" ] || { cat "$work/out"; fail "chutectl $*: exit code $rc, not $want"; }
-}
-says() {
-	grep -q "$1" "$work/out" "$work/ctl.err" || { cat "$work/out"; fail "no '$1'"; }
-}
 silent_on() {
 	! grep -q "$1" "$work/out" || { cat "$work/out"; fail "there is '$1'"; }
 }
