Soak: builds under the sanitizers, and frees what it parsed

Cause: gcc's sanitizer build refused the format of a node's address, and the leak checker named the soak's own options.

Change: the address takes a byte; poptFreeContext.

--- a/soak/main.c
+++ b/soak/main.c
@@ -44,7 +44,7 @@
 {
 	FILE *f;
 
-	snprintf(n->ip, sizeof(n->ip), "%s.%d", s->net, i + 1);
+	snprintf(n->ip, sizeof(n->ip), "%s.%u", s->net, (uint8_t)(i + 1));
 	snprintf(n->settings_path, sizeof(n->settings_path), "%s/n%d.json", s->dir, i);
 	snprintf(n->log_path, sizeof(n->log_path), "%s/n%d.log", s->dir, i);
 	f = fopen(n->settings_path, "w");
@@ -199,8 +199,10 @@
 	if (poptGetNextOpt(ctx) < -1 || poptPeekArg(ctx) || sodium_init() < 0 || nodes < 2 ||
 	    nodes > SOAK_NODES_MAX) {
 		poptPrintUsage(ctx, stderr, 0);
+		poptFreeContext(ctx);
 		return 2;
 	}
+	poptFreeContext(ctx);
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	s.seed = (uint64_t)seed;
