Nodes compare upstreams with a peer's word only while it is news

Cause: a node that follows compares its upstreams with the last word of a reader. In large fleets that word is up to 3.7 s old; what the node has been told since makes the two differ, and it listed all upstreams again, each 0.6 s while changes kept coming.

Change: only what did not change here since the peer spoke is held against its word; while changes keep coming a lost one is looked for each 3 s, or each two words. Tests: churn_is_not_listed_over_and_over (failed before), a_lost_change_is_found.

--- a/policy/gate_follow.c
+++ b/policy/gate_follow.c
@@ -7,6 +7,7 @@
 
 #define FRESH_SLACK_MS 400 /* for an answer of the registry and for the way between nodes */
 #define DIFFERS_MS 400	   /* a change is on its way to us for so long at most */
+#define UNLIKE_MS 3000	   /* while changes keep coming, a lost one is looked for so often */
 #define READ_ON_MS 3000	   /* after a longer pause a listing is smaller than what changed */
 #define RETRY_MIN_MS 200   /* between calls that fail */
 #define RETRY_MAX_SHIFT 2U
@@ -23,14 +24,39 @@
 		f->heard = *h;
 }
 
+/* What changed here since the peer spoke may be news to the peer: only a later word tells. */
 static void compare(bct_gate_follow_t *f, bct_time_t now, const bct_gate_own_t *own)
 {
-	if (own->upstreams_digest == f->heard.upstreams_digest)
+	bool moved = own->upstreams_digest != f->own_then;
+
+	if (f->heard.at != f->compared_at) {
+		f->compared_at = f->heard.at;
+		f->own_then = own->upstreams_digest;
+	}
+	if (own->upstreams_digest == f->heard.upstreams_digest) {
+		f->differs_since = 0;
+		f->unlike_since = 0;
+		return;
+	}
+	if (!f->unlike_since)
+		f->unlike_since = now;
+	if (moved)
 		f->differs_since = 0;
 	else if (!f->differs_since)
 		f->differs_since = now;
 }
 
+static bool lasts(bct_time_t since, bct_time_t now, uint32_t ms)
+{
+	return since && now - since >= (bct_time_t)ms;
+}
+
+/* Long enough for the peer to have spoken in between. */
+static uint32_t unlike_ms(const bct_gate_follow_t *f)
+{
+	return 2 * f->hear_ms > UNLIKE_MS ? 2 * f->hear_ms : UNLIKE_MS;
+}
+
 static uint32_t pause_ms(const bct_gate_follow_t *f)
 {
 	uint32_t shift = f->failures < RETRY_MAX_SHIFT ? f->failures : RETRY_MAX_SHIFT;
@@ -49,12 +75,13 @@
 	if (f->asked_at && now - f->asked_at < (reader ? pause_ms(f) : RETRY_MIN_MS))
 		return due;
 	due.routes = reader || f->heard.routes_version > own->routes_version;
-	due.upstreams = reader || (f->differs_since && now - f->differs_since >= DIFFERS_MS);
+	due.upstreams = reader || lasts(f->differs_since, now, DIFFERS_MS) ||
+			lasts(f->unlike_since, now, unlike_ms(f));
 	due.list = now - f->answered_at > READ_ON_MS || !reader;
 	if (due.routes || due.upstreams)
 		f->asked_at = now;
 	if (due.upstreams)
-		f->differs_since = 0;
+		f->differs_since = f->unlike_since = 0;
 	return due;
 }
 
--- a/policy/gate_follow.h
+++ b/policy/gate_follow.h
@@ -30,7 +30,10 @@
 	bct_gate_heard_t heard; /* of the peer that has asked the registry last */
 	bct_time_t asked_at;
 	bct_time_t answered_at;	  /* the registry's last answer to this node */
-	bct_time_t differs_since; /* upstreams differ from the peer's; 0: they do not */
+	bct_time_t compared_at;	  /* f->heard.at of the word that own_then stands beside */
+	uint64_t own_then;	  /* own upstreams when the peer spoke */
+	bct_time_t differs_since; /* own_then, still true, differs from the peer's; 0: no */
+	bct_time_t unlike_since;  /* never alike since; 0: alike */
 	uint32_t failures;	  /* of own calls in a row */
 } bct_gate_follow_t;
 
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -137,3 +137,44 @@
 	}
 	cr_assert(calls >= 10 && calls <= 30, "%u calls in 10 s", calls);
 }
+
+/* Follows for a time; own upstreams change each change_ms, a peer speaks each hear_ms. */
+static uint32_t listings(uint32_t change_ms, uint32_t hear_ms, uint64_t behind)
+{
+	bct_gate_own_t own = { .rank = 5, .upstreams_digest = 1 };
+	bct_gate_follow_t f;
+	uint32_t n = 0;
+
+	bct_gate_follow_init(&f, INTERVAL_MS);
+	f.hear_ms = hear_ms;
+	for (uint32_t ms = 0; ms < 30000; ms += TICK_MS) {
+		bct_time_t now = 100000 + ms;
+
+		if (change_ms && ms % change_ms == 0)
+			own.upstreams_digest++;
+		if (ms % hear_ms == 0)
+			bct_gate_follow_heard(
+				&f, &(bct_gate_heard_t){ .at = now,
+							 .registry_at = now,
+							 .upstreams_digest =
+								 own.upstreams_digest + behind });
+		if (ms >= 1000)
+			n += bct_gate_follow_due(&f, now, &own).upstreams;
+	}
+	return n;
+}
+
+/* A rolling release of hundreds of upstreams: each node is told, and lists nothing again. */
+Test(gate_follow, churn_is_not_listed_over_and_over)
+{
+	cr_assert_eq(listings(300, 900, 0), 0);
+	cr_assert_eq(listings(500, 3700, 0), 0);
+	cr_assert_eq(listings(100, 100, 0), 0);
+}
+
+/* A change that was told and lost is found, also while others keep coming. */
+Test(gate_follow, a_lost_change_is_found)
+{
+	cr_assert_gt(listings(0, 900, 7), 10);
+	cr_assert_gt(listings(300, 900, 7), 5);
+}
