Changes that a reader learned by a listing reach all nodes

The others found it by comparing, 0.6 to 3.6 s later; an upstream that left got requests past its bound.

Change: readers tell what a listing changed, but for their first; hubs pass changes on, so that a burst does not fill the reader's link; hubs also pass on how old the reader's word is, so that a node compares with it each 50 ms; a lost change is looked for after 0.8 s of unlike words.

--- a/gate/feed.c
+++ b/gate/feed.c
@@ -44,7 +44,8 @@
 	/* Of the event loop. */
 	bct_gate_follow_t follow;
 	bool up;
-	bool known; /* up was told once */
+	bool known;	      /* up was told once */
+	bool knows_upstreams; /* by a first listing */
 };
 
 static void deliver(bct_feed_t *f, delivery_t *d)
@@ -267,18 +268,22 @@
 	}
 }
 
+/* A reader tells what it learned, also by a listing after a gap; not the listing of its start. */
 static void apply(bct_feed_t *f, delivery_t *d)
 {
 	bct_gate_t *g = f->gate;
 	bool listing = !d->rc && d->listing && d->topic == BCT_REGISTRY_UPSTREAMS;
+	bool tell = !d->listing || (f->knows_upstreams && g->rank < BCT_GATE_READERS);
 
 	note_health(f, d->rc);
 	if (listing)
 		bct_gate_upstreams_list_begin(&g->upstreams);
 	for (uint32_t i = 0; i < d->batch.n; i++)
-		bct_feed_apply(g, &d->batch.changes[i], !d->listing);
-	if (listing)
-		bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now());
+		bct_feed_apply(g, &d->batch.changes[i], tell);
+	if (!listing)
+		return;
+	bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now());
+	f->knows_upstreams = true;
 }
 
 static void on_wake(evutil_socket_t fd, short what, void *ctx)
--- a/gate/share.c
+++ b/gate/share.c
@@ -137,9 +137,12 @@
 static size_t complete(bct_share_t *s, share_news *news, uint8_t *out)
 {
 	bct_gate_t *g = s->gate;
-	bct_time_t age = bct_clock_now() - bct_feed_answered_at(g->feed);
+	bct_time_t now = bct_clock_now(), age = now - bct_feed_answered_at(g->feed);
 	size_t len;
 
+	/* What a hub knows is as old as the word of a reader that it heard. */
+	if (news->view != BCT_GATE_VIEW_OWN)
+		age = bct_feed_age_ms(g->feed, now);
 	news->from = bct_peer_incarnation(g->peer);
 	news->seq = ++s->seq;
 	news->routes_version = g->routes ? g->routes->version : 0;
@@ -203,6 +206,45 @@
 		s->n_crashes = 0;
 }
 
+static void send_to_own_nodes(bct_share_t *s, share_news *news)
+{
+	uint64_t self = bct_peer_incarnation(s->gate->peer);
+
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		const bct_share_peer_t *p = &s->peers[i];
+
+		if (!bct_gate_hubs_has(&s->hubs, p->incarnation) &&
+		    bct_gate_hubs_of(&s->hubs, p->incarnation) == self)
+			bct_share_send(s, news, p);
+	}
+}
+
+/* A burst of changes to all would fill the link of the reader: hubs pass them on. */
+static void tell_change(bct_share_t *s, share_news *news)
+{
+	if (!bct_share_uses_hubs(s)) {
+		bct_share_send_all(s, news);
+		return;
+	}
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		if (bct_gate_hubs_has(&s->hubs, s->peers[i].incarnation))
+			bct_share_send(s, news, &s->peers[i]);
+	}
+	send_to_own_nodes(s, news);
+}
+
+/* As a hub: changes that a reader told, to the nodes of this hub. */
+static void relay_changes(bct_share_t *s, const share_news *from)
+{
+	share_news news = { .view = BCT_GATE_VIEW_REST };
+
+	if (!from->entries.entries_len || from->view != BCT_GATE_VIEW_OWN ||
+	    !bct_share_uses_hubs(s) || s->hubs.own != bct_peer_incarnation(s->gate->peer))
+		return;
+	news.entries = from->entries;
+	send_to_own_nodes(s, &news);
+}
+
 void bct_share_change(bct_share_t *s, const bct_registry_change_t *c)
 {
 	const bct_gate_entry_t *e = &c->entry;
@@ -226,7 +268,7 @@
 	x.sequence = e->sequence;
 	news.entries.entries_val = &x;
 	news.entries.entries_len = 1;
-	bct_share_send_all(s, &news);
+	tell_change(s, &news);
 }
 
 /* Decoded names end with a NUL, whatever came. */
@@ -318,6 +360,7 @@
 		bct_crash_heard(s->gate, news->crashes.crashes_val[i].digest,
 				news->crashes.crashes_val[i].upstream);
 	bct_share_load_take(s, now, news);
+	relay_changes(s, news);
 }
 
 static bool authentic(const bct_share_t *s, const uint8_t *data, size_t len)
--- a/policy/gate_follow.c
+++ b/policy/gate_follow.c
@@ -7,7 +7,8 @@
 
 #define FRESH_SLACK_MS 400 /* for an answer of the registry and for the way between nodes */
 #define DIFFERS_MS 400	   /* a change is on its way to us for so long at most */
-#define UNLIKE_MS 3000	   /* while changes keep coming, a lost one is looked for so often */
+#define UNLIKE_MS 800	   /* while changes keep coming, a lost one is looked for so often */
+#define SAME_ANSWER_MS 100 /* ages that nodes pass on are not exact */
 #define READ_ON_MS 3000	   /* after a longer pause a listing is smaller than what changed */
 #define RETRY_MIN_MS 200   /* between calls that fail */
 #define RETRY_MAX_SHIFT 2U
@@ -20,8 +21,10 @@
 
 void bct_gate_follow_heard(bct_gate_follow_t *f, const bct_gate_heard_t *h)
 {
-	if (h->registry_at >= f->heard.registry_at)
-		f->heard = *h;
+	if (h->registry_at + SAME_ANSWER_MS < f->heard.registry_at)
+		return;
+	f->word_gap_ms = (uint32_t)(f->heard.at ? h->at - f->heard.at : 0);
+	f->heard = *h;
 }
 
 /* What changed here since the peer spoke may be news to the peer: only a later word tells. */
@@ -54,7 +57,9 @@
 /* Long enough for the peer to have spoken in between. */
 static uint32_t unlike_ms(const bct_gate_follow_t *f)
 {
-	return 2 * f->hear_ms > UNLIKE_MS ? 2 * f->hear_ms : UNLIKE_MS;
+	uint32_t gap_ms = f->word_gap_ms ? f->word_gap_ms : f->hear_ms;
+
+	return 2 * gap_ms > UNLIKE_MS ? 2 * gap_ms : UNLIKE_MS;
 }
 
 static uint32_t pause_ms(const bct_gate_follow_t *f)
--- a/policy/gate_follow.h
+++ b/policy/gate_follow.h
@@ -30,6 +30,7 @@
 	bct_gate_heard_t heard; /* of the peer that has asked the registry last */
 	bct_time_t asked_at;
 	bct_time_t answered_at;	  /* the registry's last answer to this node */
+	uint32_t word_gap_ms;	  /* between the last two words */
 	bct_time_t compared_at;	  /* f->heard.at of the word that own_then stands beside */
 	uint64_t own_then;	  /* own upstreams when the peer spoke */
 	bct_time_t differs_since; /* own_then, still true, differs from the peer's; 0: no */
