A version of the routes once heard is asked for, whoever speaks next

Ruled out: lost words of the reader (told to all besides).

Change: the highest version heard stays. Test: a_version_once_heard_is_asked_for, failed before.

--- a/policy/gate_follow.c
+++ b/policy/gate_follow.c
@@ -21,10 +21,17 @@
 
 void bct_gate_follow_heard(bct_gate_follow_t *f, const bct_gate_heard_t *h)
 {
+	uint64_t version = f->heard.routes_version;
+
+	/* Versions only grow, and a hub may not have adopted the reader's yet. */
+	if (h->routes_version > version)
+		version = h->routes_version;
+	f->heard.routes_version = version;
 	if (h->registry_at + SAME_ANSWER_MS < f->heard.registry_at)
 		return;
 	f->word_gap_ms = (uint32_t)(f->heard.at ? h->at - f->heard.at : 0);
 	f->heard = *h;
+	f->heard.routes_version = version;
 }
 
 /* What changed here since the peer spoke may be news to the peer: only a later word tells. */
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -178,3 +178,19 @@
 	cr_assert_gt(listings(0, 900, 7), 10);
 	cr_assert_gt(listings(300, 900, 7), 5);
 }
+
+/* A hub passes on a reader's word before it has adopted the version that the reader told. */
+Test(gate_follow, a_version_once_heard_is_asked_for)
+{
+	bct_gate_own_t own = { .rank = 5, .routes_version = 1 };
+	bct_gate_follow_t f;
+
+	bct_gate_follow_init(&f, INTERVAL_MS);
+	bct_gate_follow_heard(
+		&f,
+		&(bct_gate_heard_t){ .at = 100000, .registry_at = 100000, .routes_version = 2 });
+	bct_gate_follow_heard(
+		&f,
+		&(bct_gate_heard_t){ .at = 100020, .registry_at = 100000, .routes_version = 1 });
+	cr_assert(bct_gate_follow_due(&f, 100100, &own).routes);
+}
