Tests of gateways listen where no other process can

Ruled out: the gateway (it reported the address as taken, as it should).

Change: each test process has addresses of its own in 127.0.0.0/8 by its id and ports below those that the system gives out, as the soak has.

Figures: test_gate and test_gate_fleet, six of each at once: all pass.

--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -21,6 +21,10 @@
 
 #define HEAD "X-Buckthornchute-"
 #define READY_MS 5000
+#define CALLER_PORT 18000U
+#define PEER_PORT 18001U
+#define SHARE_PORT 18002U
+#define NET_HOSTS 250U
 #define SLOW_EVENT_MS 550
 #define QUIET_MS 3000 /* a silent upstream keeps its connection so long */
 
@@ -385,23 +389,26 @@
 	return NULL;
 }
 
-static uint16_t free_port(void)
+/*
+ * An address of this process alone, as tests run beside each other: with ports that the system does
+ * not give out, nobody can take the gateway's before it listens.
+ */
+static void own_address(char *out, size_t size, uint32_t i)
 {
-	uint16_t port;
+	uint32_t pid = (uint32_t)getpid();
 
-	close(listen_any(&port));
-	return port;
+	snprintf(out, size, "127.%u.%u.%u", (uint8_t)(1 + pid / NET_HOSTS % NET_HOSTS),
+		 (uint8_t)(1 + pid % NET_HOSTS), (uint8_t)(i + 1));
 }
 
-static void fill_settings(test_gate_t *t)
+static void fill_settings(test_gate_t *t, uint32_t i)
 {
 	bct_settings_t *s = &t->settings;
 
-	/* The port is free again by the time that the gateway takes it. */
-	t->port = free_port();
+	own_address(t->ip, sizeof(t->ip), i);
 	snprintf(s->vm_name, sizeof(s->vm_name), "test");
 	snprintf(s->vm_failure_domain, sizeof(s->vm_failure_domain), "z");
-	snprintf(s->gate_listen, sizeof(s->gate_listen), "127.0.0.1:%u", t->port);
+	snprintf(s->gate_listen, sizeof(s->gate_listen), "%s:%u", t->ip, CALLER_PORT);
 	s->caller_entry_lifetime_ms = 100;
 	s->platform_timeout_ms = 2000;
 	s->platform_poll_ms = 20;
@@ -438,34 +445,38 @@
 	cr_assert_eq(pthread_create(&t->thread, NULL, run_gate, t), 0);
 }
 
-static void init(test_gate_t *t)
+static void init(test_gate_t *t, uint32_t i)
 {
 	memset(t, 0, sizeof(*t));
 	signal(SIGPIPE, SIG_IGN);
 	pthread_mutex_init(&t->lock, NULL);
 	t->desk_listed = true;
 	snprintf(t->config, sizeof(t->config), "%s", test_gate_config(1, "model"));
-	fill_settings(t);
+	fill_settings(t, i);
 }
 
 static void start(test_gate_t *t, bool down)
 {
-	init(t);
+	init(t, 0);
 	t->down = down;
 	start_upstreams(t);
 	start_gate(t, t);
 }
 
-static void fill_peer(bct_settings_t *s, uint32_t i, uint16_t peer_port, uint16_t share_port)
+static void fill_peer(test_gate_t *t, uint32_t i)
 {
+	bct_settings_t *s = &t->settings;
+	char first[sizeof(t->ip)];
+
+	own_address(first, sizeof(first), 0);
 	snprintf(s->vm_name, sizeof(s->vm_name), "test-%u", i);
-	snprintf(s->peer_address, sizeof(s->peer_address), "127.0.1.%u", (uint8_t)(i + 1));
-	snprintf(s->caller_address, sizeof(s->caller_address), "%s", s->peer_address);
+	snprintf(s->peer_address, sizeof(s->peer_address), "%s", t->ip);
+	snprintf(s->caller_address, sizeof(s->caller_address), "%s", t->ip);
 	snprintf(s->peer_secret, sizeof(s->peer_secret), "a secret of the test");
-	snprintf(s->peer_seeds[0], sizeof(s->peer_seeds[0]), "127.0.1.1:1");
+	snprintf(s->peer_seeds[0], sizeof(s->peer_seeds[0]), "%s:%u", first, PEER_PORT);
 	s->n_peer_seeds = 1;
-	s->peer_port = peer_port;
-	s->gate_share_port = share_port;
+	s->peer_port = PEER_PORT;
+	s->gate_share_port = SHARE_PORT;
 }
 
 void test_gate_start_down(test_gate_t *t)
@@ -496,14 +507,12 @@
 
 void test_gate_start_fleet(test_gate_t *t, uint32_t n)
 {
-	uint16_t peer_port = free_port(), share_port = free_port();
-
-	init(&t[0]);
+	init(&t[0], 0);
 	start_upstreams(&t[0]);
 	for (uint32_t i = 0; i < n; i++) {
 		if (i)
-			init(&t[i]);
-		fill_peer(&t[i].settings, i, peer_port, share_port);
+			init(&t[i], i);
+		fill_peer(&t[i], i);
 		start_gate(&t[i], &t[0]);
 	}
 	for (uint32_t i = 0; i < n; i++)
@@ -528,14 +537,14 @@
 
 void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(t->port) };
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(CALLER_PORT) };
 	bct_time_t end = bct_clock_now() + wait_ms;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	char buf[4096];
 	ssize_t n;
 
 	bct_buf_init(out, 0);
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	inet_pton(AF_INET, t->ip, &sa.sin_addr);
 	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
 		send(fd, bytes, len, MSG_NOSIGNAL);
 	for (;;) {
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -46,7 +46,7 @@
 	pthread_t thread;
 	gate_upstream_t engines[GATE_UPSTREAMS];
 	gate_upstream_t desk;
-	uint16_t port;
+	char ip[16];	      /* that it listens on */
 	pthread_mutex_t lock; /* guards all below */
 	gate_run_t runs[GATE_RUNS_MAX];
 	uint32_t n_runs;
