--- a/coord/registry.h
+++ b/coord/registry.h
@@ -7,15 +7,10 @@
 #ifndef BCT_COORD_REGISTRY_H
 #define BCT_COORD_REGISTRY_H
 
+#include "policy/gate_poll.h"
 #include "policy/gate_routes.h"
 #include "policy/gate_upstreams.h"
 
-typedef enum bct_registry_topic {
-	BCT_REGISTRY_ROUTES = 0, /* configurations of the gateway */
-	BCT_REGISTRY_UPSTREAMS,
-	BCT_REGISTRY_TOPICS, /* number of topics */
-} bct_registry_topic_t;
-
 typedef enum bct_registry_kind {
 	BCT_REGISTRY_TABLE = 1,	 /* a configuration, in `table` */
 	BCT_REGISTRY_ENTRY,	 /* an upstream, in `entry` */
@@ -26,8 +21,9 @@
 typedef struct bct_registry_change {
 	bct_registry_kind_t kind;
 	char name[BCT_GATE_ID_BYTES];
+	uint64_t position;	  /* of the record in the topic's log; 0: unknown */
 	bct_gate_routes_t *table; /* holds a reference; NULL for other kinds */
-	bct_gate_entry_t entry;
+	bct_gate_entry_t entry;	  /* with the same position */
 } bct_registry_change_t;
 
 typedef struct bct_registry_batch {
@@ -49,6 +45,12 @@
 	 */
 	int (*changes)(bct_registry_t *r, bct_registry_topic_t topic, uint64_t from,
 		       uint32_t timeout_ms, bct_registry_batch_t *out);
+	/*
+	 * Decodes a configuration in the form in which the registry holds it, as another node
+	 * received it. May be called from any thread. Returns 0, -BCT_ECODEC or -BCT_ENOMEM.
+	 */
+	int (*decode_routes)(bct_registry_t *r, const char *text, size_t len_bytes,
+			     bct_gate_routes_t **out);
 } bct_registry_ops_t;
 
 struct bct_registry {
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -24,6 +24,8 @@
 	DEF(RESUMES, "bct_gate_resumes_total", NULL, "counter",                                   \
 	    "Streams continued at another upstream")                                              \
 	DEF(REGISTRY_CALLS, "bct_gate_registry_calls_total", NULL, "counter", "Registry calls")   \
+	DEF(PULLS, "bct_gate_pulls_total", NULL, "counter",                                       \
+	    "Times that routes or upstreams were requested from a peer")                          \
 	DEF(SHARES_DROPPED, "bct_gate_shares_dropped_total", NULL, "counter",                     \
 	    "Load datagrams that could not be sent")                                              \
 	DEF(SHARES_REFUSED, "bct_gate_shares_refused_total", NULL, "counter",                     \
--- a/gate/fleet.c
+++ b/gate/fleet.c
@@ -35,6 +35,8 @@
 		.ops = &peer_ops,
 		.ctx = g,
 		.caller_port = g->listen.port,
+		.admin_address = s->admin_port ? s->admin_address : NULL,
+		.admin_port = (uint16_t)s->admin_port,
 		.seeds = seeds,
 		.log = g->log,
 	};
--- a/gate/local.c
+++ b/gate/local.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/gate_int.h"
+#include "gate/pull.h"
 
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -153,6 +154,8 @@
 		rc = start_server(l, s->gate_readiness, g->wire->readiness_path, on_readiness);
 	if (!rc && s->admin_port)
 		rc = start_server(l, metrics, "/metrics", on_metrics);
+	if (!rc && s->admin_port)
+		bct_pull_serve(g, l->servers[l->n - 1]);
 	if (rc) {
 		bct_local_free(l);
 		return rc;
--- /dev/null
+++ b/gate/pull.c
@@ -0,0 +1,289 @@
+/*
+ * pull.c - a pull is a GET request of libevent's HTTP client. Its body is an XDR structure followed
+ * by a MAC; a MAC of the request shows the server that a node of the fleet asks, as configurations
+ * contain API keys.
+ */
+#include "gate/pull.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "gate/share_int.h"
+
+#include <event2/buffer.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_S 1
+#define ANSWER_MAX_BYTES (8 * 1024 * 1024)
+#define AUTHORIZATION_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
+#define STATUS_OK 200
+#define STATUS_FORBIDDEN 403
+#define STATUS_UNAVAILABLE 503
+
+/* By bct_registry_topic_t. */
+static const char *const paths[] = { "/peer/routes", "/peer/upstreams" };
+
+/* One pull in progress. */
+typedef struct pull {
+	bct_pull_t *owner;
+	bct_registry_topic_t topic;
+	struct evhttp_connection *conn; /* NULL: none in progress */
+} pull_t;
+
+struct bct_pull {
+	bct_gate_t *gate;
+	bct_pull_fn on_result;
+	void *ctx;
+	pull_t pulls[BCT_REGISTRY_TOPICS];
+};
+
+/* "INCARNATION MAC" of a request of this topic by the node, in hexadecimal. */
+static void authorization(const bct_share_t *s, bct_registry_topic_t topic, uint64_t node,
+			  char *out)
+{
+	uint8_t mac[BCT_SHARE_MAC_BYTES];
+	char text[64];
+	int n = snprintf(text, sizeof(text), "%s %016llx", paths[topic], (unsigned long long)node);
+
+	bct_share_mac(s, (const uint8_t *)text, (size_t)n, mac);
+	n = snprintf(out, AUTHORIZATION_BYTES, "%016llx ", (unsigned long long)node);
+	for (uint32_t i = 0; i < BCT_SHARE_MAC_BYTES; i++)
+		n += snprintf(out + n, AUTHORIZATION_BYTES - (size_t)n, "%02x", mac[i]);
+}
+
+static int decode_routes(bct_gate_t *g, XDR *x, bct_registry_batch_t *out)
+{
+	bct_registry_t *r = g->opts.registry;
+	share_routes m = { 0 };
+	int rc = -BCT_ECODEC;
+
+	if (xdr_share_routes(x, &m))
+		rc = r->ops->decode_routes(r, m.record.record_val, m.record.record_len,
+					   &out->changes[0].table);
+	xdr_free((xdrproc_t)xdr_share_routes, (char *)&m);
+	out->changes[0].kind = BCT_REGISTRY_TABLE;
+	out->n = rc ? 0 : 1;
+	return rc;
+}
+
+static int decode_upstreams(XDR *x, bct_registry_batch_t *out)
+{
+	share_upstreams m = { 0 };
+	int rc = xdr_share_upstreams(x, &m) ? 0 : -BCT_ECODEC;
+
+	if (!rc && m.entries.entries_len) {
+		bct_free(out->changes);
+		out->changes = bct_alloc(sizeof(*out->changes) * m.entries.entries_len);
+		rc = out->changes ? 0 : -BCT_ENOMEM;
+	}
+	for (uint32_t i = 0; !rc && i < m.entries.entries_len; i++)
+		bct_share_decode_entry(&m.entries.entries_val[i], &out->changes[out->n++]);
+	out->next = m.position;
+	xdr_free((xdrproc_t)xdr_share_upstreams, (char *)&m);
+	return rc;
+}
+
+static int decode(bct_gate_t *g, bct_registry_topic_t topic, struct evbuffer *body,
+		  bct_registry_batch_t *out)
+{
+	size_t len = evbuffer_get_length(body);
+	uint8_t *data = evbuffer_pullup(body, -1);
+	int rc;
+	XDR x;
+
+	if (!data || !bct_share_authentic(g->share, data, len))
+		return -BCT_ECODEC;
+	out->changes = bct_alloc(sizeof(*out->changes));
+	if (!out->changes)
+		return -BCT_ENOMEM;
+	xdrmem_create(&x, (char *)data, (u_int)(len - BCT_SHARE_MAC_BYTES), XDR_DECODE);
+	rc = topic == BCT_REGISTRY_ROUTES ? decode_routes(g, &x, out) : decode_upstreams(&x, out);
+	xdr_destroy(&x);
+	return rc;
+}
+
+/* req is NULL after a timeout or if the connection failed. */
+static void on_answer(struct evhttp_request *req, void *ctx)
+{
+	pull_t *one = ctx;
+	bct_pull_t *p = one->owner;
+	bct_registry_batch_t batch = { 0 };
+	int rc = -BCT_EUNAVAILABLE;
+
+	one->conn = NULL;
+	if (req && evhttp_request_get_response_code(req) == STATUS_OK)
+		rc = decode(p->gate, one->topic, evhttp_request_get_input_buffer(req), &batch);
+	p->on_result(p->ctx, one->topic, &batch, rc);
+	bct_registry_batch_free(&batch);
+}
+
+static struct evhttp_connection *open_conn(bct_gate_t *g, const bct_addr_t *to)
+{
+	char ip[BCT_ADDR_BYTES];
+	struct evhttp_connection *conn;
+
+	bct_addr_print_ip(to, ip, sizeof(ip));
+	conn = evhttp_connection_base_new(g->base, NULL, ip, to->port);
+	if (!conn)
+		return NULL;
+	evhttp_connection_set_timeout(conn, TIMEOUT_S);
+	evhttp_connection_set_max_body_size(conn, ANSWER_MAX_BYTES);
+	evhttp_connection_free_on_completion(conn);
+	return conn;
+}
+
+int bct_pull_start(bct_pull_t *p, bct_registry_topic_t topic, uint64_t peer)
+{
+	bct_gate_t *g = p->gate;
+	pull_t *one = &p->pulls[topic];
+	char auth[AUTHORIZATION_BYTES];
+	struct evhttp_request *req;
+	bct_addr_t to;
+
+	if (one->conn)
+		return -BCT_ESTATE;
+	if (!bct_share_admin_address(g->share, peer, &to))
+		return -BCT_ENOT_FOUND;
+	one->conn = open_conn(g, &to);
+	req = one->conn ? evhttp_request_new(on_answer, one) : NULL;
+	if (!req) {
+		if (one->conn)
+			evhttp_connection_free(one->conn);
+		one->conn = NULL;
+		return -BCT_ENOMEM;
+	}
+	authorization(g->share, topic, bct_peer_incarnation(g->peer), auth);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Authorization", auth);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
+	BCT_GATE_COUNT(g, PULLS);
+	/* On failure libevent frees the request and calls on_answer() later or never. */
+	if (!evhttp_make_request(one->conn, req, EVHTTP_REQ_GET, paths[topic]))
+		return 0;
+	one->conn = NULL;
+	return -BCT_EUNAVAILABLE;
+}
+
+int bct_pull_new(bct_gate_t *g, bct_pull_fn on_result, void *ctx, bct_pull_t **out)
+{
+	bct_pull_t *p = bct_alloc(sizeof(*p));
+
+	if (!p)
+		return -BCT_ENOMEM;
+	p->gate = g;
+	p->on_result = on_result;
+	p->ctx = ctx;
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
+		p->pulls[i].owner = p;
+		p->pulls[i].topic = (bct_registry_topic_t)i;
+	}
+	*out = p;
+	return 0;
+}
+
+static void ignore_result(void *ctx, bct_registry_topic_t topic, bct_registry_batch_t *batch,
+			  int rc)
+{
+	(void)ctx;
+	(void)topic;
+	(void)batch;
+	(void)rc;
+}
+
+void bct_pull_free(bct_pull_t *p)
+{
+	if (!p)
+		return;
+	p->on_result = ignore_result;
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
+		if (p->pulls[i].conn)
+			evhttp_connection_free(p->pulls[i].conn);
+	}
+	bct_free(p);
+}
+
+/* Whether the request was made by a node that knows the secret. */
+static bool is_authorized(bct_gate_t *g, struct evhttp_request *req, bct_registry_topic_t topic)
+{
+	const char *got =
+		evhttp_find_header(evhttp_request_get_input_headers(req), "Authorization");
+	char want[AUTHORIZATION_BYTES];
+
+	if (!g->share || !got || strlen(got) != AUTHORIZATION_BYTES - 1)
+		return false;
+	authorization(g->share, topic, strtoull(got, NULL, 16), want);
+	return !sodium_memcmp(got, want, AUTHORIZATION_BYTES - 1);
+}
+
+/* Encodes with `proc`, appends the MAC and sends the answer. */
+static void reply(bct_gate_t *g, struct evhttp_request *req, xdrproc_t proc, void *m)
+{
+	size_t size = xdr_sizeof(proc, m);
+	uint8_t *data = bct_alloc(size + BCT_SHARE_MAC_BYTES);
+	struct evbuffer *out = evbuffer_new();
+	int status = STATUS_UNAVAILABLE;
+	XDR x;
+
+	if (data && out) {
+		xdrmem_create(&x, (char *)data, (u_int)size, XDR_ENCODE);
+		if (proc(&x, m)) {
+			bct_share_mac(g->share, data, size, data + size);
+			evbuffer_add(out, data, size + BCT_SHARE_MAC_BYTES);
+			status = STATUS_OK;
+		}
+		xdr_destroy(&x);
+	}
+	evhttp_send_reply(req, status, NULL, out);
+	if (out)
+		evbuffer_free(out);
+	bct_free(data);
+}
+
+static void on_routes(struct evhttp_request *req, void *ctx)
+{
+	bct_gate_t *g = ctx;
+	share_routes m = { 0 };
+
+	if (!is_authorized(g, req, BCT_REGISTRY_ROUTES)) {
+		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
+		return;
+	}
+	if (!g->routes || !g->routes->record) {
+		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
+		return;
+	}
+	m.record.record_val = g->routes->record;
+	m.record.record_len = (u_int)g->routes->record_bytes;
+	reply(g, req, (xdrproc_t)xdr_share_routes, &m);
+}
+
+static void on_upstreams(struct evhttp_request *req, void *ctx)
+{
+	bct_gate_t *g = ctx;
+	share_upstreams m = { .position = g->upstreams.position };
+	bct_list_t *el;
+
+	if (!is_authorized(g, req, BCT_REGISTRY_UPSTREAMS)) {
+		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
+		return;
+	}
+	m.entries.entries_val = bct_alloc(sizeof(share_entry) * (g->upstreams.n + 1));
+	if (!m.entries.entries_val) {
+		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
+		return;
+	}
+	bct_list_for_each(el, &g->upstreams.all) {
+		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (u->presence < BCT_GATE_LAPSED)
+			bct_share_encode_entry(u, &m.entries.entries_val[m.entries.entries_len++]);
+	}
+	reply(g, req, (xdrproc_t)xdr_share_upstreams, &m);
+	bct_free(m.entries.entries_val);
+}
+
+void bct_pull_serve(bct_gate_t *g, struct evhttp *server)
+{
+	evhttp_set_cb(server, paths[BCT_REGISTRY_ROUTES], on_routes, g);
+	evhttp_set_cb(server, paths[BCT_REGISTRY_UPSTREAMS], on_upstreams, g);
+}
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -1,17 +1,17 @@
 /*
  * registry_sync.c - reads the registry on a thread of its own and passes results to the event loop.
  *
- * The event loop decides what is due (policy/gate_poll.h), and the thread makes the blocking
- * calls. Each topic is listed once and then read from the end of the listing. If records expired
- * before they were read, it is listed again. The topics are polled at an interval instead of by
- * long polls: upstreams write heartbeats all the time, and a long poll would return for each of
- * them.
+ * The event loop decides what is due (policy/gate_poll.h); the thread makes the blocking calls, and
+ * pull.c the requests to peers. Each topic is listed once and then read from the end of the
+ * listing. If records expired before they were read, it is listed again. The topics are polled at
+ * an interval instead of by long polls: upstreams write heartbeats all the time, and a long poll
+ * would return for each of them.
  */
 #include "base/err.h"
 #include "base/mem.h"
+#include "gate/pull.h"
 #include "gate/registry_sync.h"
 #include "gate/share.h"
-#include "policy/gate_poll.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -37,17 +37,20 @@
 	pthread_mutex_t lock; /* guards results, due, busy and stop */
 	pthread_cond_t due_cond;
 	bct_list_t results;
-	bct_gate_due_t due; /* calls that the thread is to make */
-	bool busy;	    /* the thread is making calls */
+	bct_gate_poll_act_t due[BCT_REGISTRY_TOPICS]; /* calls that the thread is to make */
+	bool busy;				      /* the thread is making calls */
 	bool stop;
 	/* Used by the thread only. */
 	bool listed[BCT_REGISTRY_TOPICS];
 	uint64_t next[BCT_REGISTRY_TOPICS]; /* position to read changes from */
 	/* Used by the event loop only. */
 	bct_gate_poll_t poll;
-	bool up;	      /* the registry answered the last call */
-	bool up_known;	      /* up has been set */
-	bool knows_upstreams; /* the first listing has been applied */
+	bct_pull_t *pull;
+	bool up;		 /* the registry answered the last call */
+	bool up_known;		 /* up has been set */
+	bool knows_upstreams;	 /* the first listing has been applied */
+	bool notify_peers;	 /* what is being applied is news from the registry */
+	uint64_t upstreams_next; /* position of the registry's last answer on upstreams */
 };
 
 static void push_result(bct_registry_sync_t *s, result_t *d)
@@ -88,17 +91,22 @@
 	return rc;
 }
 
+static bool any_due(const bct_registry_sync_t *s)
+{
+	return s->due[BCT_REGISTRY_ROUTES] || s->due[BCT_REGISTRY_UPSTREAMS];
+}
+
 /* Waits until a call is due. returns false after bct_registry_sync_stop(3). */
-static bool next_due(bct_registry_sync_t *s, bct_gate_due_t *due)
+static bool next_due(bct_registry_sync_t *s, bct_gate_poll_act_t *due)
 {
 	bool stop;
 
 	pthread_mutex_lock(&s->lock);
 	s->busy = false;
-	while (!s->stop && !s->due.routes && !s->due.upstreams)
+	while (!s->stop && !any_due(s))
 		pthread_cond_wait(&s->due_cond, &s->lock);
-	*due = s->due;
-	memset(&s->due, 0, sizeof(s->due));
+	memcpy(due, s->due, sizeof(s->due));
+	memset(s->due, 0, sizeof(s->due));
 	s->busy = true;
 	stop = s->stop;
 	pthread_mutex_unlock(&s->lock);
@@ -127,62 +135,98 @@
 static void *run(void *arg)
 {
 	bct_registry_sync_t *s = arg;
-	bct_gate_due_t due;
+	bct_gate_poll_act_t due[BCT_REGISTRY_TOPICS];
 
-	while (next_due(s, &due)) {
-		if (due.routes)
-			sync_topic(s, BCT_REGISTRY_ROUTES, due.list);
-		if (due.upstreams && !is_stopped(s))
-			sync_topic(s, BCT_REGISTRY_UPSTREAMS, due.list);
+	while (next_due(s, due)) {
+		for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
+			if (due[i] && !is_stopped(s))
+				sync_topic(s, (bct_registry_topic_t)i,
+					   due[i] == BCT_GATE_POLL_LIST);
+		}
 	}
 	return NULL;
 }
 
+/* Tells the table of upstreams whether the registry answers any node of the fleet. */
+static void note_registry(bct_registry_sync_t *s)
+{
+	bct_time_t now = bct_clock_now();
+	bool lost = bct_gate_poll_lost(&s->poll, now, BCT_REGISTRY_UPSTREAMS);
+
+	bct_gate_upstreams_set_registry(&s->gate->upstreams, now, !lost);
+}
+
+static void start_pull(bct_registry_sync_t *s, bct_registry_topic_t topic, uint64_t from)
+{
+	int rc = bct_pull_start(s->pull, topic, from);
+
+	if (!rc)
+		return;
+	bct_gate_poll_pulled(&s->poll, topic, false);
+	BCT_LOG(s->gate->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_HEX("peer", from),
+		BCT_ERR("error", rc));
+}
+
 void bct_registry_sync_tick(bct_registry_sync_t *s)
 {
 	bct_gate_t *g = s->gate;
+	bct_time_t now = bct_clock_now();
 	bct_gate_local_versions_t local = {
 		.rank = g->rank,
 		.routes_version = g->routes ? g->routes->version : 0,
 		.upstreams_digest = bct_gate_upstreams_digest(&g->upstreams),
 	};
-	bct_gate_due_t due;
 
+	note_registry(s);
 	pthread_mutex_lock(&s->lock);
-	if (!s->busy && !s->due.routes && !s->due.upstreams) {
-		s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
-		due = bct_gate_poll_due(&s->poll, bct_clock_now(), &local);
-		s->due = due;
-		if (due.routes || due.upstreams)
-			pthread_cond_signal(&s->due_cond);
+	local.busy = s->busy || any_due(s);
+	s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS && !s->stop; i++) {
+		bct_registry_topic_t topic = (bct_registry_topic_t)i;
+		bct_gate_due_t due = bct_gate_poll_due(&s->poll, now, topic, &local);
+
+		if (due.act == BCT_GATE_POLL_PULL)
+			start_pull(s, topic, due.from);
+		else
+			s->due[i] = due.act ? due.act : s->due[i];
 	}
+	if (any_due(s))
+		pthread_cond_signal(&s->due_cond);
 	pthread_mutex_unlock(&s->lock);
 }
 
 void bct_registry_sync_peer_versions(bct_registry_sync_t *s, const bct_gate_peer_versions_t *h)
 {
 	bct_gate_poll_received(&s->poll, h);
+	note_registry(s);
 }
 
 bct_time_t bct_registry_sync_age_ms(const bct_registry_sync_t *s, bct_time_t now)
 {
-	bct_time_t local = s->poll.answered_at, peer = s->poll.latest.registry_answered_at;
+	bct_time_t routes = bct_registry_sync_read(s, BCT_REGISTRY_ROUTES, false).answered_at;
+	bct_time_t upstreams = bct_registry_sync_read(s, BCT_REGISTRY_UPSTREAMS, false).answered_at;
 
-	return now - (local > peer ? local : peer);
+	return now - (routes < upstreams ? routes : upstreams);
+}
+
+bct_gate_read_t bct_registry_sync_read(const bct_registry_sync_t *s, bct_registry_topic_t topic,
+				       bool own_only)
+{
+	return bct_gate_poll_latest(&s->poll, topic, own_only);
 }
 
-bct_time_t bct_registry_sync_answered_at(const bct_registry_sync_t *s)
+bool bct_registry_sync_reads(const bct_registry_sync_t *s)
 {
-	return s->poll.answered_at;
+	return bct_gate_poll_reads(&s->poll, bct_clock_now());
 }
 
 /* An answer that records expired shows that the registry is reachable, too. */
-static void note_health(bct_registry_sync_t *s, int rc)
+static void note_health(bct_registry_sync_t *s, bct_registry_topic_t topic, int rc)
 {
 	bool up = !rc || rc == -BCT_EEXPIRED;
 
-	bct_gate_upstreams_set_registry(&s->gate->upstreams, bct_clock_now(), up);
-	bct_gate_poll_result(&s->poll, bct_clock_now(), up);
+	bct_gate_poll_result(&s->poll, bct_clock_now(), topic, up);
+	note_registry(s);
 	if (s->up_known && up == s->up)
 		return;
 	s->up_known = true;
@@ -245,6 +289,16 @@
 		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
 }
 
+/* Logs the new state of an upstream and sends it to the peers. */
+static void upstream_changed(bct_gate_t *g, const char *id, bool notify_peers)
+{
+	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&g->upstreams, id);
+
+	log_upstream(g, id);
+	if (u && notify_peers)
+		bct_share_upstream_change(g->share, u);
+}
+
 void bct_registry_sync_apply(bct_gate_t *g, bct_registry_change_t *c, bool notify_peers)
 {
 	bct_time_t now = bct_clock_now();
@@ -254,18 +308,12 @@
 		adopt(g, c);
 		break;
 	case BCT_REGISTRY_ENTRY:
-		if (bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) != 1)
-			break;
-		log_upstream(g, c->entry.id);
-		if (notify_peers)
-			bct_share_registry_change(g->share, c);
+		if (bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) == 1)
+			upstream_changed(g, c->entry.id, notify_peers);
 		break;
 	case BCT_REGISTRY_REMOVED:
-		if (!bct_gate_upstreams_remove(&g->upstreams, now, c->name))
-			break;
-		log_upstream(g, c->name);
-		if (notify_peers)
-			bct_share_registry_change(g->share, c);
+		if (bct_gate_upstreams_remove(&g->upstreams, now, c->name, c->position))
+			upstream_changed(g, c->name, notify_peers);
 		break;
 	case BCT_REGISTRY_UNREADABLE:
 		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("name", c->name));
@@ -274,40 +322,81 @@
 }
 
 /*
- * Called for an upstream that a listing lacks. A poller sends the removal to the peers, unless the
+ * Called for an upstream that a listing lacks. The removal is sent to the peers, unless the
  * upstream may be missing because of an outage of the registry.
  */
 static void on_unlisted(void *ctx, const bct_gate_upstream_t *u)
 {
 	bct_gate_t *g = ctx;
-	bct_registry_change_t c = { .kind = BCT_REGISTRY_REMOVED };
 
-	log_upstream(g, u->entry.id);
-	if (u->presence != BCT_GATE_GONE || g->rank >= BCT_GATE_POLLERS)
+	upstream_changed(g, u->entry.id,
+			 g->registry_sync->notify_peers && u->presence == BCT_GATE_GONE);
+}
+
+/* Applies a full listing, or changes, of the registry or of a peer. */
+static void apply_batch(bct_registry_sync_t *s, bct_registry_topic_t topic, bct_registry_batch_t *b,
+			bool listing)
+{
+	bct_gate_t *g = s->gate;
+
+	listing = listing && topic == BCT_REGISTRY_UPSTREAMS;
+	if (listing)
+		bct_gate_upstreams_list_begin(&g->upstreams);
+	for (uint32_t i = 0; i < b->n; i++)
+		bct_registry_sync_apply(g, &b->changes[i], s->notify_peers);
+	if (listing)
+		bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now(), b->next);
+	else if (topic == BCT_REGISTRY_UPSTREAMS)
+		bct_gate_upstreams_reached(&g->upstreams, b->next);
+	if (listing)
+		s->knows_upstreams = true;
+}
+
+/* A log that ends before a position that it had reached was replaced by another one. */
+static void check_replaced(bct_registry_sync_t *s, const result_t *d)
+{
+	if (d->topic != BCT_REGISTRY_UPSTREAMS)
 		return;
-	memcpy(c.name, u->entry.id, sizeof(c.name));
-	bct_share_registry_change(g->share, &c);
+	if (d->batch.next < s->upstreams_next)
+		bct_gate_upstreams_log_replaced(&s->gate->upstreams);
+	s->upstreams_next = d->batch.next;
 }
 
 /*
  * Applies the result of a call. Changes are sent to the peers. Those of a listing are sent by
- * pollers of the registry only, and never those of the first listing of upstreams after the start.
+ * readers of the registry only, and never those of the first listing of upstreams after the start.
  */
 static void apply(bct_registry_sync_t *s, result_t *d)
 {
-	bct_gate_t *g = s->gate;
-	bool listing = !d->rc && d->listing && d->topic == BCT_REGISTRY_UPSTREAMS;
-	bool notify_peers = !d->listing || (s->knows_upstreams && g->rank < BCT_GATE_POLLERS);
-
-	note_health(s, d->rc);
-	if (listing)
-		bct_gate_upstreams_list_begin(&g->upstreams);
-	for (uint32_t i = 0; i < d->batch.n; i++)
-		bct_registry_sync_apply(g, &d->batch.changes[i], notify_peers);
-	if (!listing)
+	note_health(s, d->topic, d->rc);
+	if (d->rc)
 		return;
-	bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now());
-	s->knows_upstreams = true;
+	check_replaced(s, d);
+	s->notify_peers = !d->listing ||
+			  (s->knows_upstreams && bct_gate_poll_is_reader(&s->poll, bct_clock_now(),
+									 d->topic, s->gate->rank));
+	apply_batch(s, d->topic, &d->batch, d->listing);
+	s->notify_peers = false;
+}
+
+/* Applies what a peer answered to a pull. */
+static void on_pulled(void *ctx, bct_registry_topic_t topic, bct_registry_batch_t *batch, int rc)
+{
+	bct_registry_sync_t *s = ctx;
+	bct_gate_t *g = s->gate;
+	uint64_t before = g->routes ? g->routes->version : 0;
+	uint64_t digest = bct_gate_upstreams_digest(&g->upstreams);
+	bool helped;
+
+	if (!rc)
+		apply_batch(s, topic, batch, true);
+	if (topic == BCT_REGISTRY_ROUTES)
+		helped = g->routes && g->routes->version > before;
+	else
+		helped = bct_gate_upstreams_digest(&g->upstreams) != digest;
+	bct_gate_poll_pulled(&s->poll, topic, helped);
+	if (rc)
+		BCT_LOG(g->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_ERR("error", rc));
 }
 
 /* Applies the queued results. */
@@ -349,10 +438,12 @@
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_cond_init(&s->due_cond, NULL);
 	bct_gate_poll_init(&s->poll, g->settings->platform_poll_ms);
+	s->poll.self = g->peer ? bct_peer_incarnation(g->peer) : 0;
 	s->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (s->wake_fd >= 0)
 		s->wake = event_new(g->base, s->wake_fd, EV_READ | EV_PERSIST, on_wake, s);
-	if (!s->wake || event_add(s->wake, NULL) || pthread_create(&s->thread, NULL, run, s)) {
+	if (bct_pull_new(g, on_pulled, s, &s->pull) || !s->wake || event_add(s->wake, NULL) ||
+	    pthread_create(&s->thread, NULL, run, s)) {
 		bct_registry_sync_free(s);
 		return -BCT_EIO;
 	}
@@ -378,6 +469,7 @@
 	bct_registry_sync_stop(s);
 	if (s->started)
 		pthread_join(s->thread, NULL);
+	bct_pull_free(s->pull);
 	bct_list_for_each_safe(el, tmp, &s->results) {
 		result_t *d = bct_container_of(el, result_t, link);
 
--- a/gate/registry_sync.h
+++ b/gate/registry_sync.h
@@ -23,12 +23,19 @@
 /* bct_registry_sync_peer_versions(3): process the versions that a peer has sent. */
 void bct_registry_sync_peer_versions(bct_registry_sync_t *s, const bct_gate_peer_versions_t *h);
 
-/* bct_registry_sync_answered_at(3): when the registry last answered this node; 0: never. */
-bct_time_t bct_registry_sync_answered_at(const bct_registry_sync_t *s);
+/*
+ * bct_registry_sync_read(3): the latest answer of the registry on a topic that is known here;
+ * own_only: leave out those that peers advertised.
+ */
+bct_gate_read_t bct_registry_sync_read(const bct_registry_sync_t *s, bct_registry_topic_t topic,
+				       bool own_only);
+
+/* bct_registry_sync_reads(3): whether this node has had a recent answer of the registry itself. */
+bool bct_registry_sync_reads(const bct_registry_sync_t *s);
 
 /*
- * bct_registry_sync_age_ms(3): time since the registry last answered this node or the peer that
- * reported the latest answer.
+ * bct_registry_sync_age_ms(3): time since the latest known answer of the registry, to this node or
+ * to a peer; on the topic for which it is older.
  */
 bct_time_t bct_registry_sync_age_ms(const bct_registry_sync_t *s, bct_time_t now);
 
--- a/gate/share.c
+++ b/gate/share.c
@@ -15,15 +15,15 @@
 #include <unistd.h>
 
 #define DATAGRAM_BYTES 1400
-#define MAC_BYTES 16
 #define INTERVAL_MS 100 /* between two rounds in a small fleet */
 /* Upper limit of a hub: 8 Mbit/s, to stay below the 10 Mbit/s of the slowest links. */
 #define HUB_DATAGRAMS_PER_S 800
-#define HUB_INTERVAL_MS 50 /* shortest interval with hubs, where an update takes three hops */
-#define DIRECT_NODES 12	   /* other nodes up to which each node sends to all others */
-#define VERSIONS_PER_S 80  /* datagrams with versions that a poller of the registry sends */
-#define CRASH_ROUNDS 3	   /* in which the same crash is sent */
-#define REFRESH_MS 500	   /* between two reads of the membership */
+#define HUB_INTERVAL_MS 50  /* shortest interval with hubs, where an update takes three hops */
+#define DIRECT_NODES 12	    /* other nodes up to which each node sends to all others */
+#define VERSIONS_PER_S 80   /* datagrams with versions that a reader of the registry sends */
+#define HUB_VERSIONS_MS 200 /* between two versions that it sends to the hubs, which relay them */
+#define CRASH_ROUNDS 3	    /* in which the same crash is sent */
+#define REFRESH_MS 500	    /* between two reads of the membership */
 
 void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t upstream)
 {
@@ -88,6 +88,7 @@
 		p->sa.sin_family = AF_INET;
 		p->sa.sin_port = htons((uint16_t)s->gate->settings->gate_share_port);
 		memcpy(&p->sa.sin_addr, m[i].peer.ip, 4);
+		p->admin = m[i].admin;
 		s->n_peers++;
 	}
 	choose_hubs(s);
@@ -129,17 +130,33 @@
 	return bct_share_uses_hubs(s) ? hub_interval_ms(s) : INTERVAL_MS;
 }
 
-/* Grows with the number of nodes, as a poller sends its versions to all of them. */
 uint32_t bct_share_versions_interval_ms(const bct_share_t *s)
 {
-	uint32_t ms = (s ? s->n_peers : 0) * BCT_MS_PER_S / VERSIONS_PER_S;
+	return bct_share_uses_hubs(s) ? HUB_VERSIONS_MS + hub_interval_ms(s) : INTERVAL_MS;
+}
+
+/* Between versions sent to all nodes; grows with their number. */
+static uint32_t all_versions_interval_ms(const bct_share_t *s)
+{
+	uint32_t ms = s->n_peers * BCT_MS_PER_S / VERSIONS_PER_S;
 
-	return ms > INTERVAL_MS ? ms : INTERVAL_MS;
+	return ms > HUB_VERSIONS_MS ? ms : HUB_VERSIONS_MS;
 }
 
-static void compute_mac(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac)
+bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out)
 {
-	crypto_generichash(mac, MAC_BYTES, data, len, s->key, sizeof(s->key));
+	for (uint32_t i = 0; s && i < s->n_peers; i++) {
+		if (s->peers[i].incarnation != incarnation)
+			continue;
+		*out = s->peers[i].admin;
+		return out->ip_len_bytes != 0 && out->port != 0;
+	}
+	return false;
+}
+
+void bct_share_mac(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac)
+{
+	crypto_generichash(mac, BCT_SHARE_MAC_BYTES, data, len, s->key, sizeof(s->key));
 }
 
 /* returns the length of the datagram in bytes, or 0 if the update does not fit. */
@@ -148,31 +165,47 @@
 	size_t len = 0;
 	XDR x;
 
-	xdrmem_create(&x, (char *)out, DATAGRAM_BYTES - MAC_BYTES, XDR_ENCODE);
+	xdrmem_create(&x, (char *)out, DATAGRAM_BYTES - BCT_SHARE_MAC_BYTES, XDR_ENCODE);
 	if (xdr_share_update(&x, update))
 		len = xdr_getpos(&x);
 	xdr_destroy(&x);
 	if (!len)
 		return 0;
-	compute_mac(s, out, len, out + len);
-	return len + MAC_BYTES;
+	bct_share_mac(s, out, len, out + len);
+	return len + BCT_SHARE_MAC_BYTES;
+}
+
+/* The latest answer on a topic to state in a message of this view. */
+static share_read read_of(const bct_gate_t *g, bct_gate_view_t view, bct_registry_topic_t topic,
+			  bct_time_t now)
+{
+	bct_gate_read_t own = bct_registry_sync_read(g->registry_sync, topic, true);
+	bct_gate_read_t any = bct_registry_sync_read(g->registry_sync, topic, false);
+	bct_time_t age = bct_gate_hubs_age_ms(view, now - own.answered_at, now - any.answered_at);
+	share_read r = { .age_ms = SHARE_NEVER, .reader = any.reader };
+
+	if (age != now - any.answered_at)
+		r.reader = own.reader;
+	if (age < now && age < (bct_time_t)SHARE_NEVER)
+		r.age_ms = (u_int)age;
+	return r;
 }
 
 /* Adds the sender's state to an update. returns as encode(). */
 static size_t fill_in_and_encode(bct_share_t *s, share_update *update, uint8_t *out)
 {
 	bct_gate_t *g = s->gate;
-	bct_time_t now = bct_clock_now(),
-		   local_ms = now - bct_registry_sync_answered_at(g->registry_sync);
-	bct_time_t age = bct_gate_hubs_age_ms(update->view, local_ms,
-					      bct_registry_sync_age_ms(g->registry_sync, now));
+	bct_time_t now = bct_clock_now();
 	size_t len;
 
 	update->from = bct_peer_incarnation(g->peer);
 	update->seq = ++s->seq;
 	update->routes_version = g->routes ? g->routes->version : 0;
 	update->upstreams_digest = bct_gate_upstreams_digest(&g->upstreams);
-	update->registry_age_ms = (u_int)(age < UINT32_MAX ? age : UINT32_MAX);
+	update->upstreams_position = g->upstreams.position;
+	for (uint32_t i = 0; i < SHARE_TOPICS; i++)
+		update->reads[i] =
+			read_of(g, (bct_gate_view_t)update->view, (bct_registry_topic_t)i, now);
 	len = encode(s, update, out);
 	if (!len)
 		BCT_GATE_COUNT(g, SHARES_DROPPED);
@@ -207,19 +240,31 @@
 		send_datagram(s, out, len, &s->peers[(first + i) % s->n_peers]);
 }
 
+static void send_to_hubs(bct_share_t *s, share_update *update)
+{
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		if (bct_gate_hubs_has(&s->hubs, s->peers[i].incarnation))
+			bct_share_send(s, update, &s->peers[i]);
+	}
+}
+
 /*
- * In a large fleet load passes through hubs. Pollers of the registry therefore send their versions
- * to all nodes in separate datagrams.
+ * In a large fleet load passes through hubs. Readers of the registry therefore send their versions
+ * in separate datagrams: often to the hubs, which relay them, and now and then to all nodes.
  */
 static void send_versions(bct_share_t *s, bct_time_t now)
 {
 	share_update update = { 0 };
 
-	if (!bct_share_uses_hubs(s) || s->gate->rank >= BCT_GATE_POLLERS ||
-	    now - s->versions_sent_at < bct_share_versions_interval_ms(s))
+	if (!bct_share_uses_hubs(s) || !bct_registry_sync_reads(s->gate->registry_sync))
 		return;
-	s->versions_sent_at = now;
-	bct_share_send_all(s, &update);
+	if (now - s->versions_sent_at >= all_versions_interval_ms(s)) {
+		s->versions_sent_at = s->hub_versions_sent_at = now;
+		bct_share_send_all(s, &update);
+	} else if (now - s->hub_versions_sent_at >= HUB_VERSIONS_MS) {
+		s->hub_versions_sent_at = now;
+		send_to_hubs(s, &update);
+	}
 }
 
 /* Crashes are sent to all nodes in several rounds, as datagrams may be lost. */
@@ -254,10 +299,7 @@
 		bct_share_send_all(s, update);
 		return;
 	}
-	for (uint32_t i = 0; i < s->n_peers; i++) {
-		if (bct_gate_hubs_has(&s->hubs, s->peers[i].incarnation))
-			bct_share_send(s, update, &s->peers[i]);
-	}
+	send_to_hubs(s, update);
 	send_to_local_cluster(s, update);
 }
 
@@ -272,27 +314,32 @@
 	send_to_local_cluster(s, &update);
 }
 
-void bct_share_registry_change(bct_share_t *s, const bct_registry_change_t *c)
+void bct_share_encode_entry(const bct_gate_upstream_t *u, share_entry *out)
+{
+	const bct_gate_entry_t *e = &u->entry;
+
+	memcpy(out->id, e->id, sizeof(out->id));
+	memcpy(out->service, e->service, sizeof(out->service));
+	memcpy(out->zone, e->zone, sizeof(out->zone));
+	memcpy(out->ip, e->ip, sizeof(out->ip));
+	out->port = e->port;
+	out->slots = e->slots;
+	out->cold_ms = e->cold_ms;
+	out->draining = u->presence == BCT_GATE_DRAINING;
+	out->removed = u->presence >= BCT_GATE_LAPSED;
+	out->born_ms = e->born_ms;
+	out->sequence = e->sequence;
+	out->position = e->position;
+}
+
+void bct_share_upstream_change(bct_share_t *s, const bct_gate_upstream_t *u)
 {
-	const bct_gate_entry_t *e = &c->entry;
 	share_update update = { 0 };
 	share_entry x = { 0 };
 
 	if (!s)
 		return;
-	x.removed = c->kind == BCT_REGISTRY_REMOVED;
-	memcpy(x.id, x.removed ? c->name : e->id, sizeof(x.id));
-	if (!x.removed) {
-		memcpy(x.service, e->service, sizeof(x.service));
-		memcpy(x.zone, e->zone, sizeof(x.zone));
-		memcpy(x.ip, e->ip, sizeof(x.ip));
-	}
-	x.port = e->port;
-	x.slots = e->slots;
-	x.cold_ms = e->cold_ms;
-	x.draining = e->draining;
-	x.born_ms = e->born_ms;
-	x.sequence = e->sequence;
+	bct_share_encode_entry(u, &x);
 	update.entries.entries_val = &x;
 	update.entries.entries_len = 1;
 	send_change(s, &update);
@@ -305,13 +352,14 @@
 	out[size - 1] = '\0';
 }
 
-static void apply_change(bct_share_t *s, const share_entry *x)
+void bct_share_decode_entry(const share_entry *x, bct_registry_change_t *out)
 {
-	bct_registry_change_t c = { 0 };
-	bct_gate_entry_t *e = &c.entry;
+	bct_gate_entry_t *e = &out->entry;
 
-	c.kind = x->removed ? BCT_REGISTRY_REMOVED : BCT_REGISTRY_ENTRY;
-	copy_name(c.name, x->id, sizeof(c.name));
+	memset(out, 0, sizeof(*out));
+	out->kind = x->removed ? BCT_REGISTRY_REMOVED : BCT_REGISTRY_ENTRY;
+	out->position = x->position;
+	copy_name(out->name, x->id, sizeof(out->name));
 	copy_name(e->id, x->id, sizeof(e->id));
 	copy_name(e->service, x->service, sizeof(e->service));
 	copy_name(e->zone, x->zone, sizeof(e->zone));
@@ -322,23 +370,44 @@
 	e->draining = x->draining;
 	e->born_ms = x->born_ms;
 	e->sequence = x->sequence;
-	bct_registry_sync_apply(s->gate, &c, false);
+	e->position = x->position;
+}
+
+static bct_gate_read_t received_read(const share_read *r, bct_time_t now)
+{
+	bct_gate_read_t read = { .reader = r->reader };
+
+	if (r->age_ms != SHARE_NEVER && (bct_time_t)r->age_ms < now)
+		read.answered_at = now - r->age_ms;
+	return read;
 }
 
-/* Applies the registry changes and versions of the sender. */
+/*
+ * Applies the versions and registry changes of the sender. The versions come first: they tell
+ * whether the registry was lost, on which the meaning of a removal depends.
+ */
 static void apply_versions(bct_share_t *s, bct_time_t now, const share_update *update)
 {
+	bct_gate_t *g = s->gate;
 	bct_gate_peer_versions_t h = {
 		.received_at = now,
-		.registry_answered_at = now - update->registry_age_ms,
+		.from = update->from,
 		.routes_version = update->routes_version,
 		.upstreams_digest = update->upstreams_digest,
 	};
 
-	for (uint32_t i = 0; i < update->entries.entries_len; i++)
-		apply_change(s, &update->entries.entries_val[i]);
+	for (uint32_t i = 0; i < SHARE_TOPICS; i++)
+		h.reads[i] = received_read(&update->reads[i], now);
 	if (update->view != BCT_GATE_VIEW_REST || bct_share_load_accepts(s, update))
-		bct_registry_sync_peer_versions(s->gate->registry_sync, &h);
+		bct_registry_sync_peer_versions(g->registry_sync, &h);
+	for (uint32_t i = 0; i < update->entries.entries_len; i++) {
+		bct_registry_change_t c;
+
+		bct_share_decode_entry(&update->entries.entries_val[i], &c);
+		bct_registry_sync_apply(g, &c, false);
+	}
+	if (update->upstreams_digest == bct_gate_upstreams_digest(&g->upstreams))
+		bct_gate_upstreams_reached(&g->upstreams, update->upstreams_position);
 }
 
 static void set_timer(bct_share_t *s)
@@ -392,14 +461,14 @@
 	relay_changes(s, update);
 }
 
-static bool authentic(const bct_share_t *s, const uint8_t *data, size_t len)
+bool bct_share_authentic(const bct_share_t *s, const uint8_t *data, size_t len)
 {
-	uint8_t mac[MAC_BYTES];
+	uint8_t mac[BCT_SHARE_MAC_BYTES];
 
-	if (len <= MAC_BYTES)
+	if (len <= BCT_SHARE_MAC_BYTES)
 		return false;
-	compute_mac(s, data, len - MAC_BYTES, mac);
-	return !sodium_memcmp(mac, data + len - MAC_BYTES, MAC_BYTES);
+	bct_share_mac(s, data, len - BCT_SHARE_MAC_BYTES, mac);
+	return !sodium_memcmp(mac, data + len - BCT_SHARE_MAC_BYTES, BCT_SHARE_MAC_BYTES);
 }
 
 static void on_datagram(bct_share_t *s, uint8_t *data, size_t len)
@@ -407,11 +476,11 @@
 	share_update update = { 0 };
 	XDR x;
 
-	if (!authentic(s, data, len)) {
+	if (!bct_share_authentic(s, data, len)) {
 		BCT_GATE_COUNT(s->gate, SHARES_REFUSED);
 		return;
 	}
-	xdrmem_create(&x, (char *)data, (u_int)(len - MAC_BYTES), XDR_DECODE);
+	xdrmem_create(&x, (char *)data, (u_int)(len - BCT_SHARE_MAC_BYTES), XDR_DECODE);
 	if (xdr_share_update(&x, &update) && is_fresh(s, &update))
 		apply_update(s, &update);
 	else
--- a/gate/share.h
+++ b/gate/share.h
@@ -36,13 +36,15 @@
 /* bct_share_interval_ms(3): time between two rounds; s may be NULL. */
 uint32_t bct_share_interval_ms(const bct_share_t *s);
 /*
- * bct_share_versions_interval_ms(3): time between two messages in which a poller of the registry
- * sends its versions; s may be NULL.
+ * bct_share_versions_interval_ms(3): longest time between two messages in which a node receives the
+ * versions of a reader of the registry; s may be NULL.
  */
 uint32_t bct_share_versions_interval_ms(const bct_share_t *s);
 
-/* bct_share_registry_change(3): send a change that this node read from the registry to all nodes.
+/*
+ * bct_share_upstream_change(3): send the state of an upstream, as this node learned it from the
+ * registry, to all nodes.
  */
-void bct_share_registry_change(bct_share_t *s, const bct_registry_change_t *c);
+void bct_share_upstream_change(bct_share_t *s, const bct_gate_upstream_t *u);
 
 #endif
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -12,13 +12,15 @@
 #include <netinet/in.h>
 
 #define BCT_SHARE_PEERS_MAX 512
-#define BCT_SHARE_KEY_BYTES 32	    /* key size of libsodium's generic hash */
+#define BCT_SHARE_KEY_BYTES 32 /* key size of libsodium's generic hash */
+#define BCT_SHARE_MAC_BYTES 16
 #define BCT_SHARE_PLACEMENTS_MAX 64 /* placements sent in one round at most */
 
 typedef struct bct_share_peer {
 	uint64_t incarnation;
 	struct sockaddr_in sa;
-	uint64_t seq; /* highest received */
+	bct_addr_t admin; /* ip_len_bytes 0: none */
+	uint64_t seq;	  /* highest received */
 } bct_share_peer_t;
 
 typedef struct bct_share_placements {
@@ -38,7 +40,8 @@
 	bct_time_t peers_refreshed_at;
 	bct_time_t load_sent_at; /* in a small fleet */
 	uint32_t rounds;
-	bct_time_t versions_sent_at;
+	bct_time_t versions_sent_at;	 /* to all nodes */
+	bct_time_t hub_versions_sent_at; /* to the hubs */
 	share_crash crashes[SHARE_CRASHES_MAX];
 	uint32_t n_crashes;
 	uint32_t crash_rounds; /* rounds that have sent the latest of them */
@@ -56,6 +59,19 @@
 void bct_share_send(bct_share_t *s, share_update *update, const bct_share_peer_t *to);
 void bct_share_send_all(bct_share_t *s, share_update *update);
 
+/* bct_share_mac(3): the keyed hash of data, BCT_SHARE_MAC_BYTES long. */
+void bct_share_mac(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac);
+
+/* bct_share_authentic(3): whether data ends with the MAC of what is before it. */
+bool bct_share_authentic(const bct_share_t *s, const uint8_t *data, size_t len);
+
+/* bct_share_encode_entry(3), bct_share_decode_entry(3): an upstream, on the wire. */
+void bct_share_encode_entry(const bct_gate_upstream_t *u, share_entry *out);
+void bct_share_decode_entry(const share_entry *x, bct_registry_change_t *out);
+
+/* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
+bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
+
 /* bct_share_uses_hubs(3): whether the fleet is too large for each node to send to all others. */
 bool bct_share_uses_hubs(const bct_share_t *s);
 
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -15,7 +15,7 @@
 #define KEEP_FULL_REPORTS 2 /* the same with hubs, in full reports */
 #define KEEP_MIN_MS 500
 #define LANE_KEEP_FACTOR 4     /* lane work changes slowly and idle nodes send nothing */
-#define IDLE_INTERVAL_MS 250   /* between datagrams of a poller of the registry without load */
+#define IDLE_INTERVAL_MS 250   /* between datagrams of a reader of the registry without load */
 #define LOADS_MAX 1024	       /* upstreams reported in one round at most */
 #define LOADS_BESIDE_PLACED 64 /* that fit in a datagram with placements */
 #define FULL_REPORT_ROUNDS 5   /* one round in this many sends all load, the others changes */
@@ -231,11 +231,12 @@
 	update.placed.placed_val = s->placements.list;
 	update.placed.placed_len = min_u32(s->placements.n, SHARE_PLACED_MAX);
 	/*
-	 * Without load only pollers of the registry send: from them the other nodes receive the
+	 * Without load only readers of the registry send: from them the other nodes receive the
 	 * versions in force.
 	 */
 	if (!r->n_loads && !s->placements.n &&
-	    (s->gate->rank >= BCT_GATE_POLLERS || now - s->load_sent_at < IDLE_INTERVAL_MS))
+	    (!bct_registry_sync_reads(s->gate->registry_sync) ||
+	     now - s->load_sent_at < IDLE_INTERVAL_MS))
 		return;
 	s->load_sent_at = now;
 	bct_share_send_all(s, &update);
--- a/gen/share.h
+++ b/gen/share.h
@@ -18,6 +18,8 @@
 #define SHARE_LANES_MAX 8
 #define SHARE_ENTRIES_MAX 3
 #define SHARE_CRASHES_MAX 32
+#define SHARE_TOPICS 2
+#define SHARE_NEVER 0xffffffff
 #define SHARE_NAME_BYTES 64
 #define SHARE_IP_BYTES 48
 
@@ -53,6 +55,7 @@
 	bool_t removed;
 	quad_t born_ms;
 	u_quad_t sequence;
+	u_quad_t position;
 };
 typedef struct share_entry share_entry;
 
@@ -62,13 +65,20 @@
 };
 typedef struct share_crash share_crash;
 
+struct share_read {
+	u_int age_ms;
+	u_quad_t reader;
+};
+typedef struct share_read share_read;
+
 struct share_update {
 	u_int view;
 	u_quad_t from;
 	u_quad_t seq;
 	u_quad_t routes_version;
 	u_quad_t upstreams_digest;
-	u_int registry_age_ms;
+	u_quad_t upstreams_position;
+	share_read reads[SHARE_TOPICS];
 	struct {
 		u_int entries_len;
 		share_entry *entries_val;
@@ -92,6 +102,23 @@
 };
 typedef struct share_update share_update;
 
+struct share_routes {
+	struct {
+		u_int record_len;
+		char *record_val;
+	} record;
+};
+typedef struct share_routes share_routes;
+
+struct share_upstreams {
+	u_quad_t position;
+	struct {
+		u_int entries_len;
+		share_entry *entries_val;
+	} entries;
+};
+typedef struct share_upstreams share_upstreams;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -100,7 +127,10 @@
 extern  bool_t xdr_share_lane (XDR *, share_lane*);
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_crash (XDR *, share_crash*);
+extern  bool_t xdr_share_read (XDR *, share_read*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
+extern  bool_t xdr_share_routes (XDR *, share_routes*);
+extern  bool_t xdr_share_upstreams (XDR *, share_upstreams*);
 
 #else /* K&R C */
 extern bool_t xdr_share_load ();
@@ -108,7 +138,10 @@
 extern bool_t xdr_share_lane ();
 extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_crash ();
+extern bool_t xdr_share_read ();
 extern bool_t xdr_share_update ();
+extern bool_t xdr_share_routes ();
+extern bool_t xdr_share_upstreams ();
 
 #endif /* K&R C */
 
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -85,6 +85,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->position))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_opaque (xdrs, objp->id, SHARE_NAME_BYTES))
@@ -119,6 +121,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->position))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -144,6 +148,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -159,11 +165,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_read (XDR *xdrs, share_read *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->reader))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_update (XDR *xdrs, share_update *objp)
 {
 	register int32_t *buf;
 
+	int i;
 	 if (!xdr_u_int (xdrs, &objp->view))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->from))
@@ -174,7 +193,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->upstreams_digest))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->registry_age_ms))
+	 if (!xdr_u_quad_t (xdrs, &objp->upstreams_position))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->reads, SHARE_TOPICS,
+		sizeof (share_read), (xdrproc_t) xdr_share_read))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, SHARE_ENTRIES_MAX,
 		sizeof (share_entry), (xdrproc_t) xdr_share_entry))
@@ -193,3 +215,26 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_share_routes (XDR *xdrs, share_routes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, ~0))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_share_upstreams (XDR *xdrs, share_upstreams *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
+		sizeof (share_entry), (xdrproc_t) xdr_share_entry))
+		 return FALSE;
+	return TRUE;
+}
--- a/policy/gate_poll.c
+++ b/policy/gate_poll.c
@@ -1,17 +1,19 @@
 /*
- * gate_poll.c - pollers are the nodes of lowest rank; the others poll when their versions and those
- * received from peers stay different.
+ * gate_poll.c - readers are the nodes of lowest rank that the registry answers; the others pull
+ * from peers when their versions and those advertised stay different.
  */
 #include "policy/gate_poll.h"
 
 #include <string.h>
 
 #define FRESH_SLACK_MS 400	/* for the registry's answer and the delay between nodes */
+#define TAKEOVER_STEP_MS 200	/* pause before the next larger group of nodes takes over */
 #define PROPAGATION_MS 400	/* longest delay until a change reaches this node by message */
 #define UNEQUAL_MIN_MS 800	/* least wait for a lost change while other changes keep coming */
 #define AGE_ERROR_MS 100	/* ages that nodes relay are not exact */
 #define CHANGES_MAX_AGE_MS 3000 /* after a longer pause a listing is smaller than the changes */
-#define RETRY_MIN_MS 200   /* base of the back-off after failures; least pause of a non-poller */
+#define LOST_AFTER_MS 3000	/* all nodes have taken over by then, also in a large fleet */
+#define RETRY_MIN_MS 200   /* base of the back-off after failures; least pause of a non-reader */
 #define RETRY_MAX_SHIFT 2U /* the pause after failures doubles up to this shift */
 
 void bct_gate_poll_init(bct_gate_poll_t *p, uint32_t interval_ms)
@@ -20,20 +22,32 @@
 	p->interval_ms = interval_ms;
 }
 
+/* An echo of this node's own answer says nothing new. */
+static void note_read(bct_gate_poll_t *p, bct_registry_topic_t topic, const bct_gate_read_t *r)
+{
+	bct_gate_read_t *latest = &p->topics[topic].peer_read;
+
+	if (r->reader != p->self && r->answered_at > latest->answered_at)
+		*latest = *r;
+}
+
 void bct_gate_poll_received(bct_gate_poll_t *p, const bct_gate_peer_versions_t *v)
 {
-	uint64_t version = p->latest.routes_version;
+	const bct_gate_read_t *seen = &p->topics[BCT_REGISTRY_UPSTREAMS].peer_read;
+	const bct_gate_read_t *read = &v->reads[BCT_REGISTRY_UPSTREAMS];
 
-	/* Versions only grow; a hub may relay a message before it adopts the poller's version. */
-	if (v->routes_version > version)
-		version = v->routes_version;
-	p->latest.routes_version = version;
-	if (v->registry_answered_at + AGE_ERROR_MS < p->latest.registry_answered_at)
+	if (v->routes_version >= p->highest_version) {
+		p->highest_version = v->routes_version;
+		p->highest_from = v->from;
+	}
+	note_read(p, BCT_REGISTRY_ROUTES, &v->reads[BCT_REGISTRY_ROUTES]);
+	if (!read->answered_at || read->answered_at + AGE_ERROR_MS < seen->answered_at)
 		return;
-	p->message_gap_ms =
-		(uint32_t)(p->latest.received_at ? v->received_at - p->latest.received_at : 0);
-	p->latest = *v;
-	p->latest.routes_version = version;
+	note_read(p, BCT_REGISTRY_UPSTREAMS, read);
+	p->message_gap_ms = (uint32_t)(p->received_at ? v->received_at - p->received_at : 0);
+	p->received_at = v->received_at;
+	p->received_from = v->from;
+	p->received_digest = v->upstreams_digest;
 }
 
 /*
@@ -44,11 +58,11 @@
 {
 	bool changed = local->upstreams_digest != p->local_digest_then;
 
-	if (p->latest.received_at != p->compared_at) {
-		p->compared_at = p->latest.received_at;
+	if (p->received_at != p->compared_at) {
+		p->compared_at = p->received_at;
 		p->local_digest_then = local->upstreams_digest;
 	}
-	if (local->upstreams_digest == p->latest.upstreams_digest) {
+	if (!p->received_at || local->upstreams_digest == p->received_digest) {
 		p->differs_since = 0;
 		p->unequal_since = 0;
 		return;
@@ -74,40 +88,148 @@
 	return 2 * gap_ms > UNEQUAL_MIN_MS ? 2 * gap_ms : UNEQUAL_MIN_MS;
 }
 
-/* Pause of a poller between two polls: its interval, or the back-off after failures. */
-static uint32_t poll_pause_ms(const bct_gate_poll_t *p)
+/* Whether a peer has newer data on the topic than this node. */
+static bool is_behind(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+		      const bct_gate_local_versions_t *local)
+{
+	if (topic == BCT_REGISTRY_ROUTES)
+		return p->highest_version > local->routes_version;
+	return has_lasted(p->differs_since, now, PROPAGATION_MS) ||
+	       has_lasted(p->unequal_since, now, unequal_limit_ms(p));
+}
+
+/* Age up to which an answer counts as recent. */
+static uint32_t fresh_ms(const bct_gate_poll_t *p)
+{
+	return p->interval_ms + p->message_interval_ms + FRESH_SLACK_MS;
+}
+
+/* Readers take over at once, the next ranks in groups that double. */
+static uint32_t takeover_delay_ms(uint32_t rank)
 {
-	uint32_t shift = p->consecutive_failures < RETRY_MAX_SHIFT ? p->consecutive_failures
+	uint32_t group = 0;
+
+	for (uint32_t r = rank / BCT_GATE_READERS; r > 1; r /= 2)
+		group++;
+	return group * TAKEOVER_STEP_MS;
+}
+
+static bool is_recent(const bct_gate_poll_t *p, bct_time_t now, bct_time_t answered_at)
+{
+	return answered_at && now - answered_at < (bct_time_t)fresh_ms(p);
+}
+
+bool bct_gate_poll_is_reader(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+			     uint32_t rank)
+{
+	const bct_gate_topic_poll_t *t = &p->topics[topic];
+	const bct_gate_read_t *peer = &t->peer_read;
+	bct_time_t latest = peer->answered_at > t->answered_at ? peer->answered_at : t->answered_at;
+
+	if (rank < BCT_GATE_READERS)
+		return true;
+	if (is_recent(p, now, t->answered_at))
+		return !is_recent(p, now, peer->answered_at) || peer->reader > p->self;
+	return !latest || now - latest >= (bct_time_t)fresh_ms(p) + takeover_delay_ms(rank);
+}
+
+/* Pause of a reader between two polls: its interval, or the back-off after failures. */
+static uint32_t poll_pause_ms(const bct_gate_poll_t *p, const bct_gate_topic_poll_t *t)
+{
+	uint32_t shift = t->consecutive_failures < RETRY_MAX_SHIFT ? t->consecutive_failures
 								   : RETRY_MAX_SHIFT;
 
-	return p->consecutive_failures ? (uint32_t)RETRY_MIN_MS << shift : p->interval_ms;
+	return t->consecutive_failures ? (uint32_t)RETRY_MIN_MS << shift : p->interval_ms;
 }
 
-bct_gate_due_t bct_gate_poll_due(bct_gate_poll_t *p, bct_time_t now,
-				 const bct_gate_local_versions_t *local)
+static bct_gate_poll_act_t poll_act(const bct_gate_topic_poll_t *t, bct_time_t now)
+{
+	return now - t->answered_at > CHANGES_MAX_AGE_MS ? BCT_GATE_POLL_LIST
+							 : BCT_GATE_POLL_CHANGES;
+}
+
+/* A node that is behind asks a peer, and the registry every other time, as long as it answers. */
+static bct_gate_due_t catch_up(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+			       bool busy)
 {
-	bct_time_t fresh_ms = (bct_time_t)p->interval_ms + p->message_interval_ms + FRESH_SLACK_MS;
-	bool fresh = p->latest.received_at && now - p->latest.registry_answered_at < fresh_ms;
-	bool poller = local->rank < BCT_GATE_POLLERS || !fresh;
-	bct_gate_due_t due = { 0 };
+	bct_gate_topic_poll_t *t = &p->topics[topic];
+	bct_gate_due_t due = { .act = BCT_GATE_POLL_PULL };
 
-	compare(p, now, local);
-	if (p->polled_at && now - p->polled_at < (poller ? poll_pause_ms(p) : RETRY_MIN_MS))
+	if (t->pull_failed && !t->consecutive_failures && !busy) {
+		t->pull_failed = false;
+		t->polled_at = now;
+		due.act = BCT_GATE_POLL_LIST;
 		return due;
-	due.routes = poller || p->latest.routes_version > local->routes_version;
-	due.upstreams = poller || has_lasted(p->differs_since, now, PROPAGATION_MS) ||
-			has_lasted(p->unequal_since, now, unequal_limit_ms(p));
-	due.list = now - p->answered_at > CHANGES_MAX_AGE_MS || !poller;
-	if (due.routes || due.upstreams)
-		p->polled_at = now;
-	if (due.upstreams)
+	}
+	t->pulled_at = now;
+	due.from = topic == BCT_REGISTRY_ROUTES ? p->highest_from : p->received_from;
+	return due;
+}
+
+/* Whether an action at that time, if any, was long enough ago. */
+static bool has_paused(bct_time_t at, bct_time_t now)
+{
+	return !at || now - at >= RETRY_MIN_MS;
+}
+
+bct_gate_due_t bct_gate_poll_due(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+				 const bct_gate_local_versions_t *local)
+{
+	bct_gate_topic_poll_t *t = &p->topics[topic];
+	bool reader = bct_gate_poll_is_reader(p, now, topic, local->rank);
+	bool reads_well = reader && !t->consecutive_failures;
+	bct_gate_due_t due = { .act = BCT_GATE_POLL_NONE };
+
+	if (topic == BCT_REGISTRY_UPSTREAMS)
+		compare(p, now, local);
+	if (reader && !local->busy &&
+	    (!t->polled_at || has_lasted(t->polled_at, now, poll_pause_ms(p, t)))) {
+		due.act = poll_act(t, now);
+		t->polled_at = now;
+	} else if (!reads_well && is_behind(p, now, topic, local) &&
+		   has_paused(t->pulled_at, now) && has_paused(t->polled_at, now)) {
+		due = catch_up(p, now, topic, local->busy);
+	}
+	if (due.act != BCT_GATE_POLL_NONE && topic == BCT_REGISTRY_UPSTREAMS)
 		p->differs_since = p->unequal_since = 0;
 	return due;
 }
 
-void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bool ok)
+void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic, bool ok)
 {
-	p->consecutive_failures = ok ? 0 : p->consecutive_failures + 1;
+	bct_gate_topic_poll_t *t = &p->topics[topic];
+
+	t->consecutive_failures = ok ? 0 : t->consecutive_failures + 1;
 	if (ok)
-		p->answered_at = now;
+		t->answered_at = now;
+}
+
+void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool ok)
+{
+	p->topics[topic].pull_failed = !ok;
+}
+
+bct_gate_read_t bct_gate_poll_latest(const bct_gate_poll_t *p, bct_registry_topic_t topic,
+				     bool own_only)
+{
+	const bct_gate_topic_poll_t *t = &p->topics[topic];
+	bct_gate_read_t own = { .answered_at = t->answered_at, .reader = p->self };
+
+	return own_only || own.answered_at >= t->peer_read.answered_at ? own : t->peer_read;
+}
+
+bool bct_gate_poll_reads(const bct_gate_poll_t *p, bct_time_t now)
+{
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
+		if (is_recent(p, now, p->topics[i].answered_at))
+			return true;
+	}
+	return false;
+}
+
+bool bct_gate_poll_lost(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic)
+{
+	bct_time_t latest = bct_gate_poll_latest(p, topic, false).answered_at;
+
+	return latest && now - latest > LOST_AFTER_MS;
 }
--- a/policy/gate_poll.h
+++ b/policy/gate_poll.h
@@ -1,12 +1,14 @@
 /*
- * gate_poll.h - decides when a node polls the registry itself and when the versions that its peers
- * advertise are enough. Pure: no I/O and no clock.
+ * gate_poll.h - decides where a node gets the newest routes and upstreams from: from the registry,
+ * or from a peer that is ahead. Pure: no I/O and no clock.
  *
- * The few nodes of lowest rank, the pollers, poll at every interval and send the other nodes what
- * changed, whether they learned it from a list of changes or from a full listing. Every other node
- * compares its versions with those it receives, and polls only when something is missing or when no
- * message shows that a poller still reaches the registry. So the number of calls does not grow with
- * the number of nodes, and no poller has to be elected or replaced.
+ * Each topic of the registry is tracked by itself, since the registry may answer a node on one and
+ * refuse it on another. The nodes of lowest rank, the readers, poll a topic at every interval and
+ * advertise what they have. Every other node compares its versions with those advertised, and pulls
+ * the topic from the advertising peer when it is behind. If no recent answer on a topic is known,
+ * nodes take over in the order of their ranks, a larger group after each pause, until one of them
+ * gets an answer and advertises it. So the number of calls does not grow with the number of nodes,
+ * a node that the registry refuses is served by its peers, and no reader has to be elected.
  */
 #ifndef BCT_POLICY_GATE_POLL_H
 #define BCT_POLICY_GATE_POLL_H
@@ -16,32 +18,54 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BCT_GATE_POLLERS 2 /* two, because one may be cut off from the registry */
+#define BCT_GATE_READERS 2 /* two, because one may be cut off from the registry */
+
+typedef enum bct_registry_topic {
+	BCT_REGISTRY_ROUTES = 0, /* configurations of the gateway */
+	BCT_REGISTRY_UPSTREAMS,
+	BCT_REGISTRY_TOPICS, /* number of topics */
+} bct_registry_topic_t;
+
+/* An answer of the registry on one topic. */
+typedef struct bct_gate_read {
+	bct_time_t answered_at; /* on the local clock; 0: none */
+	uint64_t reader;	/* incarnation of the node that received it */
+} bct_gate_read_t;
 
 /* Versions that a peer advertised in one message. */
 typedef struct bct_gate_peer_versions {
 	bct_time_t received_at;
-	bct_time_t registry_answered_at; /* last answer of the registry to it, on the local clock */
+	uint64_t from; /* incarnation of the peer */
+	bct_gate_read_t reads[BCT_REGISTRY_TOPICS];
 	uint64_t routes_version;
 	uint64_t upstreams_digest;
 } bct_gate_peer_versions_t;
 
-typedef struct bct_gate_poll {
-	uint32_t interval_ms;	      /* between two polls of a poller */
-	uint32_t message_interval_ms; /* between two messages of one peer; set by the caller */
-	/*
-	 * From the peer with the latest answer of the registry, or from the hub that relays it;
-	 * routes_version is the highest received from any peer. received_at is 0 before the first.
-	 */
-	bct_gate_peer_versions_t latest;
-	bct_time_t polled_at;	       /* last poll of this node; 0: none yet */
-	bct_time_t answered_at;	       /* last answer of the registry to this node */
-	uint32_t message_gap_ms;       /* between the last two messages accepted; 0: unknown */
-	bct_time_t compared_at;	       /* latest.received_at when local_digest_then was taken */
-	uint64_t local_digest_then;    /* digest of the local upstreams at that message */
-	bct_time_t differs_since;      /* unchanged local upstreams differ from the peer's; 0: no */
-	bct_time_t unequal_since;      /* the digests have not been equal since; 0: equal */
+/* State of one topic. */
+typedef struct bct_gate_topic_poll {
+	bct_gate_read_t peer_read;     /* latest answer that a peer advertised */
+	bct_time_t answered_at;	       /* last answer to this node */
+	bct_time_t polled_at;	       /* last call of this node to the registry; 0: none yet */
+	bct_time_t pulled_at;	       /* last pull of this node from a peer; 0: none yet */
 	uint32_t consecutive_failures; /* of this node's polls */
+	bool pull_failed;	       /* the last pull did not help: the registry is next */
+} bct_gate_topic_poll_t;
+
+typedef struct bct_gate_poll {
+	uint64_t self;		      /* incarnation of this node; set by the caller */
+	uint32_t interval_ms;	      /* between two polls of a reader */
+	uint32_t message_interval_ms; /* between two messages of a reader; set by the caller */
+	bct_gate_topic_poll_t topics[BCT_REGISTRY_TOPICS];
+	uint64_t highest_version;   /* of routes, received from any peer */
+	uint64_t highest_from;	    /* the last peer that advertised it */
+	bct_time_t received_at;	    /* of the message with the latest upstreams; 0: none yet */
+	uint64_t received_from;	    /* its sender */
+	uint64_t received_digest;   /* of its upstreams */
+	uint32_t message_gap_ms;    /* between the last two such messages; 0: unknown */
+	bct_time_t compared_at;	    /* received_at when local_digest_then was taken */
+	uint64_t local_digest_then; /* digest of the local upstreams at that message */
+	bct_time_t differs_since;   /* unchanged local upstreams differ from the peer's; 0: no */
+	bct_time_t unequal_since;   /* the digests have not been equal since; 0: equal */
 } bct_gate_poll_t;
 
 /* State of this node. */
@@ -49,13 +73,20 @@
 	uint32_t rank; /* among the live nodes, from 0 */
 	uint64_t routes_version;
 	uint64_t upstreams_digest;
+	bool busy; /* a call to the registry is in progress: no other can start */
 } bct_gate_local_versions_t;
 
-/* What to poll now. */
+typedef enum bct_gate_poll_act {
+	BCT_GATE_POLL_NONE = 0,
+	BCT_GATE_POLL_CHANGES, /* the registry's changes since the last answer */
+	BCT_GATE_POLL_LIST,    /* a full listing of the registry */
+	BCT_GATE_POLL_PULL,    /* everything, from a peer */
+} bct_gate_poll_act_t;
+
+/* What to do now on one topic. */
 typedef struct bct_gate_due {
-	bool routes;
-	bool upstreams;
-	bool list; /* a full listing rather than the changes since the last poll */
+	bct_gate_poll_act_t act;
+	uint64_t from; /* BCT_GATE_POLL_PULL: incarnation of the peer */
 } bct_gate_due_t;
 
 void bct_gate_poll_init(bct_gate_poll_t *p, uint32_t interval_ms);
@@ -64,13 +95,36 @@
 void bct_gate_poll_received(bct_gate_poll_t *p, const bct_gate_peer_versions_t *v);
 
 /*
- * bct_gate_poll_due(3): decides what to poll; to be called often. The caller must poll what it
- * returns, as that counts as polled from now on.
+ * bct_gate_poll_due(3): decides what to do on a topic; to be called often. The caller must do what
+ * it returns, as that counts as done from now on.
  */
-bct_gate_due_t bct_gate_poll_due(bct_gate_poll_t *p, bct_time_t now,
+bct_gate_due_t bct_gate_poll_due(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
 				 const bct_gate_local_versions_t *local);
 
-/* bct_gate_poll_result(3): processes the result of a poll of this node. */
-void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bool ok);
+/* bct_gate_poll_is_reader(3): whether this node is to poll the registry on a topic. */
+bool bct_gate_poll_is_reader(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+			     uint32_t rank);
+
+/* bct_gate_poll_result(3): processes the result of a call of this node to the registry. */
+void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic, bool ok);
+
+/* bct_gate_poll_pulled(3): processes the result of a pull from a peer. */
+void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool ok);
+
+/*
+ * bct_gate_poll_latest(3): returns the latest answer of the registry on a topic that is known here;
+ * own_only: leave out those of peers.
+ */
+bct_gate_read_t bct_gate_poll_latest(const bct_gate_poll_t *p, bct_registry_topic_t topic,
+				     bool own_only);
+
+/* bct_gate_poll_reads(3): whether this node has had a recent answer and is to advertise it. */
+bool bct_gate_poll_reads(const bct_gate_poll_t *p, bct_time_t now);
+
+/*
+ * bct_gate_poll_lost(3): whether no node is known to have had an answer on a topic for so long that
+ * the registry counts as lost.
+ */
+bool bct_gate_poll_lost(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic);
 
 #endif
--- a/policy/gate_routes.c
+++ b/policy/gate_routes.c
@@ -53,11 +53,22 @@
 	bct_free(t->services);
 	bct_free(t->accounts);
 	bct_free(t->keys);
+	bct_free(t->record);
 	bct_map_free(&t->by_host);
 	bct_map_free(&t->by_secret);
 	bct_free(t);
 }
 
+int bct_gate_routes_set_record(bct_gate_routes_t *t, const char *text, size_t len_bytes)
+{
+	t->record = bct_alloc(len_bytes + 1);
+	if (!t->record)
+		return -BCT_ENOMEM;
+	memcpy(t->record, text, len_bytes);
+	t->record_bytes = len_bytes;
+	return 0;
+}
+
 /* Makes room for one more element in an array whose capacity is the next power of two. */
 static void *grow(void *array, uint32_t n, size_t size)
 {
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -90,6 +90,8 @@
 	uint32_t account_levels; /* the same for client accounts */
 	bct_map_t by_host;	 /* hash of the lower-case host: its first route */
 	bct_map_t by_secret;	 /* hash of the secret: bct_gate_api_key_t */
+	char *record; /* as read from the registry, for nodes that can't read it; NULL: unknown */
+	size_t record_bytes;
 	uint32_t refs;
 } bct_gate_routes_t;
 
@@ -112,6 +114,9 @@
 /* bct_gate_routes_service(3): returns the index of a service by name, or -BCT_ENOT_FOUND. */
 int bct_gate_routes_service(const bct_gate_routes_t *t, const char *name);
 
+/* bct_gate_routes_set_record(3): keep a copy of the table's encoded form; 0 or -BCT_ENOMEM. */
+int bct_gate_routes_set_record(bct_gate_routes_t *t, const char *text, size_t len_bytes);
+
 /* bct_gate_routes_seal(3): sorts and indexes the table; returns 0 or -BCT_ENOMEM. */
 int bct_gate_routes_seal(bct_gate_routes_t *t);
 
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -48,10 +48,12 @@
 	return bct_map_get(&t->by_short, half);
 }
 
-static void set_presence(bct_gate_upstream_t *u, bct_time_t now, bct_gate_presence_t p)
+static void set_presence(bct_gate_upstreams_t *t, bct_gate_upstream_t *u, bct_time_t now,
+			 bct_gate_presence_t p)
 {
 	if (u->presence == p)
 		return;
+	t->digest_stale = true;
 	u->presence = p;
 	u->since = now;
 }
@@ -87,18 +89,44 @@
 
 static bool is_older(const bct_gate_entry_t *e, const bct_gate_entry_t *than)
 {
+	if (e->position && e->position < than->position)
+		return true;
 	if (e->born_ms != than->born_ms)
 		return e->born_ms < than->born_ms;
 	return e->sequence < than->sequence;
 }
 
+static void note_removal(bct_gate_upstreams_t *t, uint64_t key, uint64_t position)
+{
+	bct_gate_removal_t *r = &t->removals[t->n_removals % BCT_GATE_REMOVALS];
+
+	if (!position)
+		return;
+	*r = (bct_gate_removal_t){ .key = key, .position = position };
+	t->n_removals++;
+}
+
+/* Whether the entry, which is not in the table, was removed after it had been written. */
+static bool was_removed(const bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
+{
+	uint64_t key = bct_hash_str(e->id);
+
+	for (uint32_t i = 0; i < BCT_GATE_REMOVALS && i < t->n_removals; i++) {
+		if (t->removals[i].key == key && e->position <= t->removals[i].position)
+			return e->position != 0;
+	}
+	return false;
+}
+
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e)
 {
 	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, e->id);
 	bct_gate_presence_t p = e->draining ? BCT_GATE_DRAINING : BCT_GATE_READY;
 	bool changed;
 
-	if (u && is_older(e, &u->entry))
+	if (u)
+		u->list_pass = t->list_pass;
+	if (u ? is_older(e, &u->entry) : was_removed(t, e))
 		return -BCT_ESTALE;
 	if (!u) {
 		u = add(t, e);
@@ -111,11 +139,12 @@
 		/* A run that is draining stays so: only a new run becomes ready again. */
 		p = BCT_GATE_DRAINING;
 	}
+	t->digest_stale = t->digest_stale || u->entry.born_ms != e->born_ms;
 	changed = u->presence != p || strcmp(u->entry.service, e->service) != 0;
 	u->entry = *e;
 	u->service_key = bct_hash_str(e->service);
 	u->list_pass = t->list_pass;
-	set_presence(u, now, p);
+	set_presence(t, u, now, p);
 	return changed;
 }
 
@@ -128,17 +157,23 @@
 static void mark_absent(bct_gate_upstreams_t *t, bct_time_t now, bct_gate_upstream_t *u)
 {
 	if (u->presence == BCT_GATE_READY && in_lapse_grace(t, now))
-		set_presence(u, now, BCT_GATE_LAPSED);
+		set_presence(t, u, now, BCT_GATE_LAPSED);
 	else if (u->presence != BCT_GATE_LAPSED)
-		set_presence(u, now, BCT_GATE_GONE);
+		set_presence(t, u, now, BCT_GATE_GONE);
 }
 
-int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id)
+int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id,
+			      uint64_t position)
 {
 	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, id);
 
+	if (u && position && position < u->entry.position)
+		return 0;
+	note_removal(t, bct_hash_str(id), position);
 	if (!u || u->presence >= BCT_GATE_LAPSED)
 		return 0;
+	if (position)
+		u->entry.position = position;
 	mark_absent(t, now, u);
 	return 1;
 }
@@ -148,19 +183,41 @@
 	t->list_pass++;
 }
 
-void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now)
+void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now, uint64_t position)
 {
 	bct_list_t *el;
 
 	bct_list_for_each(el, &t->all) {
 		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
-		if (u->list_pass == t->list_pass || u->presence >= BCT_GATE_LAPSED)
+		if (u->list_pass == t->list_pass || u->presence >= BCT_GATE_LAPSED ||
+		    (position && u->entry.position >= position))
 			continue;
+		if (position) {
+			u->entry.position = position - 1;
+			note_removal(t, u->key, position - 1);
+		}
 		mark_absent(t, now, u);
 		if (t->on_unlisted)
 			t->on_unlisted(t->ctx, u);
 	}
+	bct_gate_upstreams_reached(t, position);
+}
+
+void bct_gate_upstreams_reached(bct_gate_upstreams_t *t, uint64_t position)
+{
+	if (position > t->position)
+		t->position = position;
+}
+
+void bct_gate_upstreams_log_replaced(bct_gate_upstreams_t *t)
+{
+	bct_list_t *el;
+
+	bct_list_for_each(el, &t->all)
+		bct_container_of(el, bct_gate_upstream_t, link)->entry.position = 0;
+	t->position = 0;
+	t->n_removals = 0;
 }
 
 void bct_gate_upstreams_set_registry(bct_gate_upstreams_t *t, bct_time_t now, bool answers)
@@ -173,11 +230,13 @@
 	}
 }
 
-uint64_t bct_gate_upstreams_digest(const bct_gate_upstreams_t *t)
+uint64_t bct_gate_upstreams_digest(bct_gate_upstreams_t *t)
 {
 	uint64_t sum = 0;
 	bct_list_t *el;
 
+	if (!t->digest_stale)
+		return t->digest;
 	bct_list_for_each(el, &t->all) {
 		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 		uint64_t state = (uint64_t)u->entry.born_ms * 4 + u->presence;
@@ -185,6 +244,8 @@
 		if (u->presence < BCT_GATE_LAPSED)
 			sum += bct_hash_mix(u->key, state);
 	}
+	t->digest = sum;
+	t->digest_stale = false;
 	return sum;
 }
 
@@ -196,7 +257,7 @@
 		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
 		if (u->presence == BCT_GATE_LAPSED && !in_lapse_grace(t, now))
-			set_presence(u, now, BCT_GATE_GONE);
+			set_presence(t, u, now, BCT_GATE_GONE);
 		if (u->presence != BCT_GATE_GONE || u->refs)
 			continue;
 		bct_map_del(&t->by_id, u->key);
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -31,6 +31,7 @@
 	bool draining;
 	int64_t born_ms;   /* start of the process, Unix time; 0: unknown */
 	uint64_t sequence; /* grows with each write by the same run */
+	uint64_t position; /* of its record in the registry's log; 0: unknown */
 } bct_gate_entry_t;
 
 typedef enum bct_gate_presence {
@@ -74,6 +75,14 @@
 	void *connections; /* idle connections, owned by the I/O layer */
 } bct_gate_upstream_t;
 
+#define BCT_GATE_REMOVALS 1024 /* remembered; more than a release of the whole fleet causes */
+
+/* A removed entry. A listing or message that is older must not bring it back. */
+typedef struct bct_gate_removal {
+	uint64_t key;
+	uint64_t position; /* records of the entry up to here are void */
+} bct_gate_removal_t;
+
 typedef struct bct_gate_upstreams {
 	bct_list_t all;
 	uint32_t n;
@@ -82,6 +91,12 @@
 	uint32_t list_pass;	     /* number of the current or last listing */
 	bct_time_t registry_back_at; /* end of the registry's last outage; 0: none yet */
 	bool registry_lost;	     /* the registry does not answer */
+	/* The table reflects all records of the registry's log before it; 0: unknown. */
+	uint64_t position;
+	uint64_t digest;				/* see bct_gate_upstreams_digest(3) */
+	bool digest_stale;				/* to be computed again */
+	bct_gate_removal_t removals[BCT_GATE_REMOVALS]; /* a ring */
+	uint32_t n_removals;				/* written in all */
 	/* Called before an upstream is freed; may be NULL. */
 	void (*release)(void *ctx, bct_gate_upstream_t *u);
 	/* Called for a known upstream that a full listing does not contain; may be NULL. */
@@ -103,23 +118,34 @@
  * bct_gate_upstreams_apply(3): adds or updates an upstream from a registry entry.
  *
  * returns  1 if its presence or service changed, 0 if not, -BCT_ESTALE for an entry with an older
- *          start time or sequence number, -BCT_ENOMEM
+ *          start time, sequence number or position, or one that was removed later, -BCT_ENOMEM
  */
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e);
 
 /*
  * bct_gate_upstreams_remove(3): processes the removal of a registry entry.
  *
- * returns  1 if the upstream was in use until now, else 0
+ * position  of the removal in the registry's log; 0: unknown
+ * returns   1 if the upstream was in use until now, else 0, also if its entry is newer
  */
-int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id);
+int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id,
+			      uint64_t position);
 
 /*
  * bct_gate_upstreams_list_begin(3), bct_gate_upstreams_list_end(3): enclose the entries of a full
- * listing; upstreams that it does not contain are removed at its end.
+ * listing of the registry or of a peer; upstreams that it does not contain are removed at its end,
+ * unless their entries are newer than the listing.
+ *
+ * position  in the registry's log before which the listing is complete; 0: unknown
  */
 void bct_gate_upstreams_list_begin(bct_gate_upstreams_t *t);
-void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now);
+void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now, uint64_t position);
+
+/* bct_gate_upstreams_reached(3): the table reflects all records before the position. */
+void bct_gate_upstreams_reached(bct_gate_upstreams_t *t, uint64_t position);
+
+/* bct_gate_upstreams_log_replaced(3): positions known so far have no meaning any more. */
+void bct_gate_upstreams_log_replaced(bct_gate_upstreams_t *t);
 
 /* bct_gate_upstreams_set_registry(3): records whether the registry answers. */
 void bct_gate_upstreams_set_registry(bct_gate_upstreams_t *t, bct_time_t now, bool answers);
@@ -128,7 +154,7 @@
  * bct_gate_upstreams_digest(3): returns a digest that is equal for tables with the same upstreams,
  * start times and presence. Lapsed and gone ones are left out.
  */
-uint64_t bct_gate_upstreams_digest(const bct_gate_upstreams_t *t);
+uint64_t bct_gate_upstreams_digest(bct_gate_upstreams_t *t);
 
 /*
  * bct_gate_upstreams_sweep(3): removes lapsed upstreams after the grace period, and frees those
--- a/schema/share.x
+++ b/schema/share.x
@@ -9,6 +9,8 @@
 const SHARE_LANES_MAX = 8;
 const SHARE_ENTRIES_MAX = 3;
 const SHARE_CRASHES_MAX = 32;
+const SHARE_TOPICS = 2;
+const SHARE_NEVER = 0xffffffff;
 const SHARE_NAME_BYTES = 64;
 const SHARE_IP_BYTES = 48;
 
@@ -48,6 +50,7 @@
 	bool removed;		/* only the id is used */
 	hyper born_ms;
 	unsigned hyper sequence;
+	unsigned hyper position;	/* of the record in the registry's log */
 };
 
 /*
@@ -59,16 +62,35 @@
 	unsigned int upstream;
 };
 
+/* The latest answer of the registry on one topic that the sender knows of, see gate_hubs.h. */
+struct share_read {
+	unsigned int age_ms;	/* SHARE_NEVER: none */
+	unsigned hyper reader;	/* incarnation of the node that received it */
+};
+
 struct share_update {
 	unsigned int view;	/* which nodes' load it covers: bct_gate_view_t */
 	unsigned hyper from;	/* incarnation of the sender */
 	unsigned hyper seq;	/* increases with each datagram of one sender */
 	unsigned hyper routes_version;	/* in force at the sender */
 	unsigned hyper upstreams_digest; /* of the upstreams that the sender knows */
-	unsigned int registry_age_ms;	/* since the registry last answered, see gate_hubs.h */
+	unsigned hyper upstreams_position; /* they reflect the registry's log up to here */
+	share_read reads[SHARE_TOPICS];	/* by bct_registry_topic_t */
 	share_entry entries<SHARE_ENTRIES_MAX>;
 	share_lane lanes<SHARE_LANES_MAX>;
 	share_load loads<SHARE_LOADS_MAX>;
 	share_placed placed<SHARE_PLACED_MAX>;
 	share_crash crashes<SHARE_CRASHES_MAX>;
 };
+
+/*
+ * Answers to a node that pulls a topic from a peer over HTTP. A MAC follows, as in a datagram.
+ */
+struct share_routes {
+	opaque record<>;	/* the configuration as the registry holds it */
+};
+
+struct share_upstreams {
+	unsigned hyper position; /* the entries reflect the registry's log up to here */
+	share_entry entries<>;
+};
--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <string.h>
 
 #define SMALL_FLEET 3
 #define LARGE_FLEET 16 /* more gateways than exchange load without hubs */
@@ -106,6 +107,87 @@
 	assert_non_pollers_lose_upstream(SMALL_FLEET, "gone");
 }
 
+/* Makes the registry unavailable to all gateways but the one of the highest rank. */
+static void disconnect_all_but_last(uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (gates[i].gate->rank != n - 1)
+			set_flag(&gates[i].down, true);
+	}
+}
+
+static uint64_t routes_version(uint32_t i)
+{
+	return gates[i].gate->routes->version;
+}
+
+/* Waits until the gateway serves by the routes of the version. */
+static bool gets_routes(uint32_t i, uint64_t version)
+{
+	bct_time_t end = bct_clock_now() + TIMEOUT_MS;
+
+	while (routes_version(i) != version && bct_clock_now() < end)
+		bct_clock_sleep(50);
+	return routes_version(i) == version;
+}
+
+/*
+ * The registry refuses all nodes but one, both readers included: the one takes over, and the others
+ * get routes and upstreams from it or from each other.
+ */
+static void one_node_reaches_the_registry(uint32_t n)
+{
+	test_gate_start_fleet(gates, n);
+	wait_until_joined(n);
+	disconnect_all_but_last(n);
+	/* Long enough for the readers' last answers to be no longer recent. */
+	bct_clock_sleep(3000);
+	test_gate_publish(&gates[0], test_gate_config(2, "desk"));
+	set_flag(&gates[0].desk_listed, false);
+	for (uint32_t i = 0; i < n; i++) {
+		char name[24];
+
+		cr_assert(gets_routes(i, 2), "gateway %u of %u has version %llu", i, n,
+			  (unsigned long long)routes_version(i));
+		snprintf(name, sizeof(name), "alone%u", i);
+		cr_assert(loses_upstream(&gates[i], name), "gateway %u of %u", i, n);
+	}
+}
+
+Test(gate_fleet, one_node_of_a_small_fleet_reaches_the_registry)
+{
+	one_node_reaches_the_registry(SMALL_FLEET);
+}
+
+Test(gate_fleet, one_node_of_a_large_fleet_reaches_the_registry)
+{
+	one_node_reaches_the_registry(LARGE_FLEET);
+}
+
+/* Configurations contain API keys: only a node of the fleet, which knows the secret, gets them. */
+Test(gate_fleet, a_pull_needs_the_secret)
+{
+	static const char *const headers[] = {
+		"",
+		"Authorization: 0000000000000001 00000000000000000000000000000000\r\n",
+		"Authorization: 1\r\n",
+	};
+
+	test_gate_start_fleet(gates, SMALL_FLEET);
+	for (uint32_t i = 0; i < 3; i++) {
+		char text[256];
+		bct_buf_t out;
+
+		snprintf(text, sizeof(text),
+			 "GET /peer/routes HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n",
+			 headers[i]);
+		test_gate_admin(&gates[0], text, TIMEOUT_MS, &out);
+		cr_assert_eq(strncmp(out.data, "HTTP/1.1 403", 12), 0, "%s", out.data);
+		cr_assert_null(strstr(out.data, "api_keys"));
+		bct_buf_free(&out);
+	}
+}
+
 Test(gate_fleet, hubs_relay_changes)
 {
 	test_gate_start_fleet(gates, LARGE_FLEET);
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -1,71 +1,124 @@
 /*
- * test_gate_follow.c - which nodes poll the registry when (policy/gate_poll): the number of calls
- * does not grow with the number of nodes, and no node waits for a poller that cannot reach the
- * registry.
+ * test_gate_follow.c - where each node gets routes and upstreams from (policy/gate_poll): the
+ * number of calls to the registry does not grow with the number of nodes, no node waits for a
+ * reader that the registry refuses, and a node that it refuses is served by its peers.
  */
+#include "base/rng.h"
 #include "policy/gate_poll.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
 
 #define INTERVAL_MS 700
-#define MESSAGE_MS 100
+#define MESSAGE_MS 200
 #define TICK_MS 100
+#define NODES_MAX 200
+/*
+ * In force on every node within the smallest bound of the deployments, 2000 ms, while all is well;
+ * 5000 ms more while the registry refuses some of the nodes.
+ */
+#define IN_FORCE_MS 2000
+#define IN_FORCE_REFUSED_MS 7000
 
-/* Nodes that receive a message from each poller every tick; the registry answers at once. */
+/* A node of the simulated fleet. Its data on a topic is one number, as the registry's. */
+typedef struct node {
+	bct_gate_poll_t poll;
+	uint64_t data[BCT_REGISTRY_TOPICS];
+	bool refused[BCT_REGISTRY_TOPICS]; /* by the registry */
+	bool cut;			   /* neither sends nor receives messages */
+	bool frozen;			   /* does nothing */
+	uint32_t calls[BCT_REGISTRY_TOPICS];
+	uint32_t pulls;
+} node_t;
+
+/* Readers send a message to all nodes every MESSAGE_MS; it arrives in the next tick. */
 typedef struct fleet {
-	bct_gate_poll_t nodes[70];
+	node_t nodes[NODES_MAX];
 	uint32_t n;
-	uint64_t version;   /* at the registry */
-	uint64_t known[70]; /* version at each node */
-	uint32_t calls;
-	bool pollers_disconnected; /* no poller can reach the registry */
+	uint64_t data[BCT_REGISTRY_TOPICS]; /* at the registry */
+	bool pull_fails;		    /* no pull gets an answer */
 } fleet_t;
 
+static fleet_t fleet;
+
+static uint64_t incarnation(uint32_t i)
+{
+	return 1000 + i;
+}
+
 static void fleet_init(fleet_t *f, uint32_t n)
 {
 	memset(f, 0, sizeof(*f));
 	f->n = n;
-	f->version = 1;
+	f->data[0] = f->data[1] = 1;
 	for (uint32_t i = 0; i < n; i++) {
-		bct_gate_poll_init(&f->nodes[i], INTERVAL_MS);
-		f->nodes[i].message_interval_ms = MESSAGE_MS;
+		bct_gate_poll_init(&f->nodes[i].poll, INTERVAL_MS);
+		f->nodes[i].poll.self = incarnation(i);
+		f->nodes[i].poll.message_interval_ms = MESSAGE_MS;
 	}
 }
 
-static void poll_registry(fleet_t *f, uint32_t i, bct_time_t now)
+static void call_registry(fleet_t *f, node_t *d, bct_time_t now, bct_registry_topic_t t)
 {
-	bct_gate_local_versions_t local = { .rank = i,
-					    .routes_version = f->known[i],
-					    .upstreams_digest = f->known[i] };
-	bct_gate_due_t due = bct_gate_poll_due(&f->nodes[i], now, &local);
+	d->calls[t]++;
+	if (!d->refused[t])
+		d->data[t] = f->data[t];
+	bct_gate_poll_result(&d->poll, now, t, !d->refused[t]);
+}
 
-	if (!due.routes && !due.upstreams)
-		return;
-	f->calls++;
-	if (f->pollers_disconnected && i < BCT_GATE_POLLERS) {
-		bct_gate_poll_result(&f->nodes[i], now, false);
+static void pull(fleet_t *f, node_t *d, bct_registry_topic_t t, uint64_t from)
+{
+	node_t *peer = &f->nodes[from - incarnation(0)];
+	bool ok = from >= incarnation(0) && from < incarnation(f->n) && !f->pull_fails &&
+		  !peer->cut && !peer->frozen && !d->cut && peer->data[t] > d->data[t];
+
+	d->pulls++;
+	if (ok)
+		d->data[t] = peer->data[t];
+	bct_gate_poll_pulled(&d->poll, t, ok);
+}
+
+static void act(fleet_t *f, uint32_t i, bct_time_t now)
+{
+	node_t *d = &f->nodes[i];
+	bct_gate_local_versions_t local = { .rank = i, .routes_version = d->data[0] };
+
+	for (uint32_t t = 0; t < BCT_REGISTRY_TOPICS && !d->frozen; t++) {
+		bct_gate_due_t due;
+
+		local.upstreams_digest = d->data[1];
+		due = bct_gate_poll_due(&d->poll, now, (bct_registry_topic_t)t, &local);
+		if (due.act == BCT_GATE_POLL_PULL)
+			pull(f, d, (bct_registry_topic_t)t, due.from);
+		else if (due.act)
+			call_registry(f, d, now, (bct_registry_topic_t)t);
+	}
+}
+
+static void send_versions(fleet_t *f, uint32_t from, bct_time_t now)
+{
+	const node_t *d = &f->nodes[from];
+	bct_gate_peer_versions_t v = { .received_at = now,
+				       .from = incarnation(from),
+				       .routes_version = d->data[0],
+				       .upstreams_digest = d->data[1] };
+
+	if (d->cut || d->frozen || !bct_gate_poll_reads(&d->poll, now))
 		return;
+	for (uint32_t t = 0; t < BCT_REGISTRY_TOPICS; t++)
+		v.reads[t] = bct_gate_poll_latest(&d->poll, (bct_registry_topic_t)t, true);
+	for (uint32_t i = 0; i < f->n; i++) {
+		if (i != from && !f->nodes[i].cut && !f->nodes[i].frozen)
+			bct_gate_poll_received(&f->nodes[i].poll, &v);
 	}
-	bct_gate_poll_result(&f->nodes[i], now, true);
-	f->known[i] = f->version;
 }
 
 static void step(fleet_t *f, bct_time_t now)
 {
 	for (uint32_t i = 0; i < f->n; i++)
-		poll_registry(f, i, now);
-	for (uint32_t r = 0; r < BCT_GATE_POLLERS && r < f->n; r++) {
-		bct_gate_peer_versions_t h = { .received_at = now,
-					       .registry_answered_at = f->nodes[r].answered_at,
-					       .routes_version = f->known[r],
-					       .upstreams_digest = f->known[r] };
-
-		for (uint32_t i = 0; i < f->n; i++) {
-			if (i != r)
-				bct_gate_poll_received(&f->nodes[i], &h);
-		}
-	}
+		act(f, i, now);
+	for (uint32_t i = 0; i < f->n && now % MESSAGE_MS == 0; i++)
+		send_versions(f, i, now);
 }
 
 static bct_time_t run(fleet_t *f, bct_time_t from, bct_time_t ms)
@@ -75,51 +128,248 @@
 	return from + ms;
 }
 
+static uint32_t calls(const fleet_t *f)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < f->n; i++)
+		n += f->nodes[i].calls[0] + f->nodes[i].calls[1];
+	return n;
+}
+
+static void reset_calls(fleet_t *f)
+{
+	for (uint32_t i = 0; i < f->n; i++) {
+		memset(f->nodes[i].calls, 0, sizeof(f->nodes[i].calls));
+		f->nodes[i].pulls = 0;
+	}
+}
+
+/* Checks that all nodes that are not cut or frozen have what the registry has. */
+static void assert_current(const fleet_t *f, const char *what)
+{
+	for (uint32_t i = 0; i < f->n; i++) {
+		const node_t *d = &f->nodes[i];
+
+		if (d->cut || d->frozen)
+			continue;
+		cr_assert_eq(d->data[0], f->data[0], "%s: routes of node %u", what, i);
+		cr_assert_eq(d->data[1], f->data[1], "%s: upstreams of node %u", what, i);
+	}
+}
+
+static void publish(fleet_t *f)
+{
+	f->data[0]++;
+	f->data[1]++;
+}
+
 Test(gate_follow, calls_do_not_grow_with_nodes)
 {
-	uint32_t calls[2];
+	uint32_t n[2];
 
 	for (int i = 0; i < 2; i++) {
-		fleet_t f;
 		bct_time_t now;
 
-		fleet_init(&f, i ? 70 : 7);
-		now = run(&f, 100000, 3000);
-		f.calls = 0;
-		run(&f, now, 60000);
-		calls[i] = f.calls;
+		fleet_init(&fleet, i ? 195 : 7);
+		now = run(&fleet, 100000, 3000);
+		reset_calls(&fleet);
+		for (int j = 0; j < 12; j++) {
+			now = run(&fleet, now, 5000);
+			publish(&fleet);
+		}
+		n[i] = calls(&fleet);
 	}
-	cr_assert_eq(calls[0], calls[1], "%u and %u", calls[0], calls[1]);
-	cr_assert_leq(calls[1], BCT_GATE_POLLERS * (60000 / INTERVAL_MS + 1));
+	cr_assert_eq(n[0], n[1], "%u and %u", n[0], n[1]);
+	cr_assert_leq(n[1], BCT_REGISTRY_TOPICS * BCT_GATE_READERS * (60000 / INTERVAL_MS + 1));
 }
 
-/* A change reaches every node within 1800 ms. */
 Test(gate_follow, a_change_is_known_everywhere)
 {
-	fleet_t f;
 	bct_time_t now;
 
-	fleet_init(&f, 7);
-	now = run(&f, 100000, 3000);
-	f.version = 2;
-	run(&f, now, 1800);
-	for (uint32_t i = 0; i < f.n; i++)
-		cr_assert_eq(f.known[i], 2, "node %u", i);
+	fleet_init(&fleet, 195);
+	now = run(&fleet, 100000, 3000);
+	publish(&fleet);
+	run(&fleet, now, IN_FORCE_MS);
+	assert_current(&fleet, "a change");
 }
 
-/* When the pollers lose the registry, the other nodes poll it themselves. */
-Test(gate_follow, pollers_may_lose_the_registry)
+/* Makes the registry refuse a node on the topics that are set in the mask. */
+static void refuse(node_t *d, uint32_t mask)
+{
+	for (uint32_t t = 0; t < BCT_REGISTRY_TOPICS; t++)
+		d->refused[t] = (mask >> t & 1) != 0;
+}
+
+/* With both readers refused, others take over, and a change still reaches every node. */
+Test(gate_follow, both_readers_are_refused)
+{
+	for (uint32_t mask = 1; mask <= 3; mask++) {
+		bct_time_t now;
+
+		fleet_init(&fleet, 87);
+		now = run(&fleet, 100000, 3000);
+		refuse(&fleet.nodes[0], mask);
+		refuse(&fleet.nodes[1], mask);
+		for (int i = 0; i < 4; i++) {
+			publish(&fleet);
+			now = run(&fleet, now, i ? IN_FORCE_MS : IN_FORCE_REFUSED_MS);
+			assert_current(&fleet, "both readers refused");
+		}
+	}
+}
+
+/*
+ * One topic fails while the other is answered: an answer on one must not make the other count as
+ * recent.
+ */
+Test(gate_follow, an_answer_counts_for_its_topic_only)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 87);
+	now = run(&fleet, 100000, 3000);
+	for (uint32_t i = 0; i < fleet.n; i++)
+		refuse(&fleet.nodes[i], 1);
+	now = run(&fleet, now, 6000);
+	for (uint32_t i = 0; i < fleet.n; i++) {
+		bct_gate_poll_t *p = &fleet.nodes[i].poll;
+
+		cr_assert(bct_gate_poll_lost(p, now, BCT_REGISTRY_ROUTES), "node %u", i);
+		cr_assert_not(bct_gate_poll_lost(p, now, BCT_REGISTRY_UPSTREAMS), "node %u", i);
+	}
+	refuse(&fleet.nodes[50], 0);
+	publish(&fleet);
+	run(&fleet, now, IN_FORCE_REFUSED_MS);
+	assert_current(&fleet, "one node is answered");
+}
+
+/* A third of the nodes are refused; which third is drawn at random. */
+Test(gate_follow, a_third_is_refused)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		bct_time_t now;
+		bct_rng_t rng;
+
+		bct_rng_seed(&rng, seed);
+		fleet_init(&fleet, 87);
+		now = run(&fleet, 100000, 3000);
+		for (uint32_t i = 0; i < fleet.n; i++)
+			refuse(&fleet.nodes[i], bct_rng_below(&rng, 3) ? 0 : 3);
+		publish(&fleet);
+		now = run(&fleet, now, IN_FORCE_REFUSED_MS);
+		assert_current(&fleet, "a third refused");
+		reset_calls(&fleet);
+		run(&fleet, now, 10000);
+		/* Refused readers go on trying, some others have taken over; the rest keep out. */
+		cr_assert_leq(calls(&fleet), 4 * BCT_REGISTRY_TOPICS * 10000 / 700 * 2, "%u",
+			      calls(&fleet));
+	}
+}
+
+/* All nodes notice at the same time that the readers are gone; they must not all call at once. */
+Test(gate_follow, takeover_is_staggered)
 {
-	fleet_t f;
 	bct_time_t now;
 
-	fleet_init(&f, 7);
-	now = run(&f, 100000, 3000);
-	f.pollers_disconnected = true;
-	f.version = 2;
-	run(&f, now, 1800);
-	for (uint32_t i = BCT_GATE_POLLERS; i < f.n; i++)
-		cr_assert_eq(f.known[i], 2, "node %u", i);
+	fleet_init(&fleet, 195);
+	now = run(&fleet, 100000, 3000);
+	refuse(&fleet.nodes[0], 3);
+	refuse(&fleet.nodes[1], 3);
+	reset_calls(&fleet);
+	run(&fleet, now, 5000);
+	cr_assert_leq(calls(&fleet), 100, "%u calls of 195 nodes", calls(&fleet));
+}
+
+/* A node that starts while the registry refuses it gets everything from its peers. */
+Test(gate_follow, a_node_joins_while_refused)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 30);
+	fleet.nodes[29].frozen = true;
+	now = run(&fleet, 100000, 10000);
+	publish(&fleet);
+	refuse(&fleet.nodes[29], 3);
+	fleet.nodes[29].frozen = false;
+	run(&fleet, now, IN_FORCE_MS);
+	assert_current(&fleet, "join");
+}
+
+/* Readers that freeze or are cut off are replaced; when they are back they catch up. */
+Test(gate_follow, readers_freeze_or_are_cut)
+{
+	for (int cut = 0; cut < 2; cut++) {
+		bct_time_t now;
+
+		fleet_init(&fleet, 40);
+		now = run(&fleet, 100000, 3000);
+		for (uint32_t i = 0; i < BCT_GATE_READERS; i++)
+			*(cut ? &fleet.nodes[i].cut : &fleet.nodes[i].frozen) = true;
+		publish(&fleet);
+		now = run(&fleet, now, IN_FORCE_MS + 2000);
+		assert_current(&fleet, "readers gone");
+		for (uint32_t i = 0; i < BCT_GATE_READERS; i++)
+			fleet.nodes[i].cut = fleet.nodes[i].frozen = false;
+		publish(&fleet);
+		run(&fleet, now, IN_FORCE_MS);
+		assert_current(&fleet, "readers back");
+	}
+}
+
+/* While pulls fail, a node that the registry answers gets the change from it. */
+Test(gate_follow, pulls_fail)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 20);
+	now = run(&fleet, 100000, 3000);
+	fleet.pull_fails = true;
+	publish(&fleet);
+	run(&fleet, now, IN_FORCE_MS);
+	assert_current(&fleet, "pulls fail");
+}
+
+/* The registry is lost for all and comes back: calls are few meanwhile, and it is noticed. */
+Test(gate_follow, registry_is_lost)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 195);
+	now = run(&fleet, 100000, 3000);
+	for (uint32_t i = 0; i < fleet.n; i++)
+		refuse(&fleet.nodes[i], 3);
+	now = run(&fleet, now, 20000);
+	for (uint32_t i = 0; i < fleet.n; i++) {
+		cr_assert(bct_gate_poll_lost(&fleet.nodes[i].poll, now, BCT_REGISTRY_UPSTREAMS));
+		refuse(&fleet.nodes[i], 0);
+	}
+	publish(&fleet);
+	now = run(&fleet, now, IN_FORCE_MS);
+	assert_current(&fleet, "registry back");
+	for (uint32_t i = 0; i < fleet.n; i++)
+		cr_assert_not(
+			bct_gate_poll_lost(&fleet.nodes[i].poll, now, BCT_REGISTRY_UPSTREAMS));
+}
+
+/* The takeover of nodes that are no readers ends when the readers are answered again. */
+Test(gate_follow, takeover_ends)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 87);
+	now = run(&fleet, 100000, 3000);
+	refuse(&fleet.nodes[0], 3);
+	refuse(&fleet.nodes[1], 3);
+	now = run(&fleet, now, 8000);
+	refuse(&fleet.nodes[0], 0);
+	refuse(&fleet.nodes[1], 0);
+	now = run(&fleet, now, 4000);
+	reset_calls(&fleet);
+	run(&fleet, now, 10000);
+	for (uint32_t i = BCT_GATE_READERS; i < fleet.n; i++)
+		cr_assert_eq(fleet.nodes[i].calls[0] + fleet.nodes[i].calls[1], 0, "node %u", i);
 }
 
 /* A node that receives no messages polls itself, and less often while its polls fail. */
@@ -127,22 +377,22 @@
 {
 	bct_gate_local_versions_t local = { .rank = 5 };
 	bct_gate_poll_t f;
-	uint32_t calls = 0;
+	uint32_t n = 0;
 
 	bct_gate_poll_init(&f, INTERVAL_MS);
 	for (bct_time_t now = 100000; now < 110000; now += TICK_MS) {
-		if (!bct_gate_poll_due(&f, now, &local).routes)
+		if (!bct_gate_poll_due(&f, now, BCT_REGISTRY_ROUTES, &local).act)
 			continue;
-		calls++;
-		bct_gate_poll_result(&f, now, false);
+		n++;
+		bct_gate_poll_result(&f, now, BCT_REGISTRY_ROUTES, false);
 	}
-	cr_assert(calls >= 10 && calls <= 30, "%u calls in 10 s", calls);
+	cr_assert(n >= 10 && n <= 30, "%u calls in 10 s", n);
 }
 
 /*
- * Counts the listings of a node that is no poller. Its upstreams change every change_ms (0: never),
- * a peer sends a message every message_interval_ms, and the peer's digest differs from the node's
- * by behind.
+ * Counts the pulls and listings of a node that is no reader. Its upstreams change every change_ms
+ * (0: never), a peer sends a message every message_interval_ms, and the peer's digest differs from
+ * the node's by behind.
  */
 static uint32_t listings(uint32_t change_ms, uint32_t message_interval_ms, uint64_t behind)
 {
@@ -161,10 +411,11 @@
 			bct_gate_poll_received(
 				&f, &(bct_gate_peer_versions_t){
 					    .received_at = now,
-					    .registry_answered_at = now,
+					    .from = 1,
+					    .reads = { { now, 1 }, { now, 1 } },
 					    .upstreams_digest = local.upstreams_digest + behind });
 		if (ms >= 1000)
-			n += bct_gate_poll_due(&f, now, &local).upstreams;
+			n += bct_gate_poll_due(&f, now, BCT_REGISTRY_UPSTREAMS, &local).act != 0;
 	}
 	return n;
 }
@@ -180,7 +431,7 @@
 	cr_assert_eq(listings(100, 100, 0), 0);
 }
 
-/* A change whose message was lost is found by polling, also while other changes keep coming. */
+/* A change whose message was lost is found, also while other changes keep coming. */
 Test(gate_follow, a_lost_change_is_found)
 {
 	/* Within 2 s each time, in the 29 s that are counted. */
@@ -189,18 +440,42 @@
 	cr_assert_geq(listings(300, 100, 7), 14);
 }
 
-/* A hub may relay a poller's message with its own, older version; the newer one still counts. */
-Test(gate_follow, a_version_once_received_is_polled)
+/* A hub may relay a reader's message with its own, older version; the newer one still counts. */
+Test(gate_follow, a_version_once_received_is_fetched)
 {
 	bct_gate_local_versions_t local = { .rank = 5, .routes_version = 1 };
+	bct_gate_peer_versions_t v = { .received_at = 100000,
+				       .from = 7,
+				       .reads = { { 100000, 7 }, { 100000, 7 } },
+				       .routes_version = 2 };
+	bct_gate_due_t due;
 	bct_gate_poll_t f;
 
 	bct_gate_poll_init(&f, INTERVAL_MS);
-	bct_gate_poll_received(&f, &(bct_gate_peer_versions_t){ .received_at = 100000,
-								.registry_answered_at = 100000,
-								.routes_version = 2 });
-	bct_gate_poll_received(&f, &(bct_gate_peer_versions_t){ .received_at = 100020,
-								.registry_answered_at = 100000,
-								.routes_version = 1 });
-	cr_assert(bct_gate_poll_due(&f, 100100, &local).routes);
+	bct_gate_poll_received(&f, &v);
+	v.received_at = 100020;
+	v.from = 8;
+	v.routes_version = 1;
+	bct_gate_poll_received(&f, &v);
+	due = bct_gate_poll_due(&f, 100100, BCT_REGISTRY_ROUTES, &local);
+	cr_assert_eq(due.act, BCT_GATE_POLL_PULL);
+	cr_assert_eq(due.from, 7);
+}
+
+/* The age of the data that a node states never becomes younger by the exchange of messages. */
+Test(gate_follow, ages_grow_while_the_registry_is_silent)
+{
+	bct_time_t now, end;
+
+	fleet_init(&fleet, 20);
+	now = run(&fleet, 100000, 3000);
+	for (uint32_t i = 0; i < fleet.n; i++)
+		refuse(&fleet.nodes[i], 3);
+	end = run(&fleet, now, 10000);
+	for (uint32_t i = 0; i < fleet.n; i++) {
+		bct_gate_read_t r =
+			bct_gate_poll_latest(&fleet.nodes[i].poll, BCT_REGISTRY_ROUTES, false);
+
+		cr_assert_geq(end - r.answered_at, 10000, "node %u", i);
+	}
 }
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -167,7 +167,7 @@
 	u->refs = 1; /* keeps it from being freed */
 	bct_gate_upstreams_set_registry(&t, 1000, false);
 	bct_gate_upstreams_set_registry(&t, 5000, true);
-	bct_gate_upstreams_remove(&t, 5100, "i");
+	bct_gate_upstreams_remove(&t, 5100, "i", 0);
 	cr_assert(bct_gate_upstream_accepts(u, u->service_key));
 	bct_gate_upstreams_sweep(&t, 5000 + BCT_GATE_LAPSE_GRACE_MS - 1);
 	cr_assert(bct_gate_upstream_accepts(u, u->service_key));
@@ -177,7 +177,7 @@
 	e = entry("i", 100, 9);
 	bct_gate_upstreams_apply(&t, 9000, &e);
 	cr_assert(bct_gate_upstream_accepts(u, u->service_key));
-	bct_gate_upstreams_remove(&t, 20000, "i");
+	bct_gate_upstreams_remove(&t, 20000, "i", 0);
 	cr_assert_not(bct_gate_upstream_accepts(u, u->service_key));
 	bct_gate_upstreams_free(&t);
 }
@@ -192,13 +192,102 @@
 	bct_gate_upstreams_apply(&t, 1, &b);
 	bct_gate_upstreams_list_begin(&t);
 	bct_gate_upstreams_apply(&t, 2, &b);
-	bct_gate_upstreams_list_end(&t, 2);
+	bct_gate_upstreams_list_end(&t, 2, 0);
 	bct_gate_upstreams_sweep(&t, 3);
 	cr_assert_null(bct_gate_upstreams_find(&t, "a"));
 	cr_assert_not_null(bct_gate_upstreams_find(&t, "b"));
 	bct_gate_upstreams_free(&t);
 }
 
+static bct_gate_entry_t entry_at(const char *id, uint64_t position)
+{
+	bct_gate_entry_t e = entry(id, 1, position);
+
+	e.position = position;
+	return e;
+}
+
+/* A listing of a peer whose table is older neither brings back nor removes what is newer here. */
+Test(gate_upstreams, an_older_listing_undoes_nothing)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t gone = entry_at("gone", 5), stays = entry_at("stays", 6);
+	bct_gate_entry_t latest = entry_at("new", 20);
+
+	bct_gate_upstreams_init(&t);
+	bct_gate_upstreams_apply(&t, 1, &gone);
+	bct_gate_upstreams_apply(&t, 1, &stays);
+	cr_assert_eq(bct_gate_upstreams_remove(&t, 2, "gone", 12), 1);
+	bct_gate_upstreams_sweep(&t, 3);
+	bct_gate_upstreams_apply(&t, 3, &latest);
+	bct_gate_upstreams_list_begin(&t);
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 4, &gone), -BCT_ESTALE);
+	bct_gate_upstreams_apply(&t, 4, &stays);
+	bct_gate_upstreams_list_end(&t, 4, 10);
+	bct_gate_upstreams_sweep(&t, 5);
+	cr_assert_null(bct_gate_upstreams_find(&t, "gone"));
+	cr_assert_not_null(bct_gate_upstreams_find(&t, "stays"));
+	cr_assert_not_null(bct_gate_upstreams_find(&t, "new"));
+	/* A listing that reaches past the entry removes it, and its record does not come back. */
+	bct_gate_upstreams_list_begin(&t);
+	bct_gate_upstreams_apply(&t, 6, &stays);
+	bct_gate_upstreams_list_end(&t, 6, 21);
+	bct_gate_upstreams_sweep(&t, 7);
+	cr_assert_null(bct_gate_upstreams_find(&t, "new"));
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 8, &latest), -BCT_ESTALE);
+	cr_assert_eq(t.position, 21);
+	bct_gate_upstreams_free(&t);
+}
+
+/* Messages may overtake each other: a removal of the run before does not remove the next one. */
+Test(gate_upstreams, a_late_removal_is_ignored)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry_at("i", 5);
+
+	bct_gate_upstreams_init(&t);
+	bct_gate_upstreams_apply(&t, 1, &e);
+	e = entry_at("i", 9);
+	e.born_ms = 2;
+	bct_gate_upstreams_apply(&t, 2, &e);
+	cr_assert_eq(bct_gate_upstreams_remove(&t, 3, "i", 7), 0);
+	cr_assert_eq(bct_gate_upstreams_find(&t, "i")->presence, BCT_GATE_READY);
+	/* A registry whose log was replaced starts over. */
+	bct_gate_upstreams_log_replaced(&t);
+	e.position = 1;
+	e.draining = true;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 4, &e), 1);
+	bct_gate_upstreams_free(&t);
+}
+
+/* The digest follows each change of presence and each new run. */
+Test(gate_upstreams, the_digest_follows_changes)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry_at("i", 5);
+	uint64_t seen[5];
+
+	bct_gate_upstreams_init(&t);
+	seen[0] = bct_gate_upstreams_digest(&t);
+	bct_gate_upstreams_apply(&t, 1, &e);
+	seen[1] = bct_gate_upstreams_digest(&t);
+	e = entry_at("i", 6);
+	bct_gate_upstreams_apply(&t, 2, &e);
+	cr_assert_eq(bct_gate_upstreams_digest(&t), seen[1]);
+	e.born_ms = 7;
+	bct_gate_upstreams_apply(&t, 3, &e);
+	seen[2] = bct_gate_upstreams_digest(&t);
+	e.draining = true;
+	bct_gate_upstreams_apply(&t, 4, &e);
+	seen[3] = bct_gate_upstreams_digest(&t);
+	bct_gate_upstreams_remove(&t, 5, "i", 8);
+	seen[4] = bct_gate_upstreams_digest(&t);
+	for (int i = 1; i < 4; i++)
+		cr_assert_neq(seen[i], seen[i - 1]);
+	cr_assert_eq(seen[4], seen[0]);
+	bct_gate_upstreams_free(&t);
+}
+
 /*
  * In any window the retries of all nodes together stay within the fleet's bound, however they are
  * spread over the nodes.
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -25,6 +25,7 @@
 #define CALLER_PORT 18000U
 #define PEER_PORT 18001U
 #define SHARE_PORT 18002U
+#define ADMIN_PORT 18003U
 #define NET_HOSTS 250U	  /* values used of an address octet */
 #define SLOW_EVENT_MS 550 /* between events of "streamslow" */
 #define QUIET_MS 3000	  /* how long a silent upstream keeps its connection open */
@@ -124,6 +125,13 @@
 	return -BCT_EEXPIRED;
 }
 
+static int decode_routes(bct_registry_t *r, const char *text, size_t len_bytes,
+			 bct_gate_routes_t **out)
+{
+	(void)r;
+	return bct_decode_routes(text, len_bytes, out);
+}
+
 static void destroy(bct_registry_t *r)
 {
 	bct_free(r);
@@ -133,6 +141,7 @@
 	.destroy = destroy,
 	.list = list,
 	.changes = changes,
+	.decode_routes = decode_routes,
 };
 
 static void get_header(const char *head, const char *name, char *out, size_t size)
@@ -479,6 +488,8 @@
 	s->n_peer_seeds = 1;
 	s->peer_port = PEER_PORT;
 	s->gate_share_port = SHARE_PORT;
+	snprintf(s->admin_address, sizeof(s->admin_address), "%s", t->ip);
+	s->admin_port = ADMIN_PORT;
 }
 
 void test_gate_start_down(test_gate_t *t)
@@ -537,9 +548,10 @@
 	bct_gate_free(t->gate);
 }
 
-void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out)
+static void raw_at(const test_gate_t *t, uint16_t port, const char *bytes, size_t len,
+		   uint32_t wait_ms, bct_buf_t *out)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(CALLER_PORT) };
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
 	bct_time_t end = bct_clock_now() + wait_ms;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	char buf[4096];
@@ -565,6 +577,16 @@
 	close(fd);
 }
 
+void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out)
+{
+	raw_at(t, CALLER_PORT, bytes, len, wait_ms, out);
+}
+
+void test_gate_admin(test_gate_t *t, const char *bytes, uint32_t wait_ms, bct_buf_t *out)
+{
+	raw_at(t, ADMIN_PORT, bytes, strlen(bytes), wait_ms, out);
+}
+
 int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
 		   const char *script, bct_buf_t *out)
 {
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -89,6 +89,9 @@
 /* Sends raw bytes on a new connection and reads until it ends or wait_ms have passed. */
 void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out);
 
+/* Sends bytes to the administration address, as test_gate_raw() does to that for callers. */
+void test_gate_admin(test_gate_t *t, const char *bytes, uint32_t wait_ms, bct_buf_t *out);
+
 /* Sends one request with "Connection: close". Returns the status, or 0 without a response. */
 int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
 		   const char *script, bct_buf_t *out);
