--- a/base/settings.c
+++ b/base/settings.c
@@ -29,6 +29,21 @@
 	return 0;
 }
 
+static int set_number(const bct_setting_desc_t *d, void *out, json_t *v, bct_json_err_t *err)
+{
+	double n = json_number_value(v);
+	uint32_t value;
+
+	if (!json_is_number(v))
+		return bct_json_fail(err, BCT_ETYPE, d->path, "must be a number");
+	if (!(n >= (double)d->min && n <= (double)d->max))
+		return bct_json_fail(err, BCT_ERANGE, d->path, "%g is not within %u to %u", n,
+				     d->min, d->max);
+	value = (uint32_t)n;
+	memcpy(field_at(d, out), &value, sizeof(value));
+	return 0;
+}
+
 static int set_bool(const bct_setting_desc_t *d, void *out, json_t *v, bct_json_err_t *err)
 {
 	bool value = json_is_true(v);
@@ -81,6 +96,8 @@
 		return copy_string(d, field_at(d, out), v, err);
 	case BCT_SETTING_U32:
 		return set_u32(d, out, v, err);
+	case BCT_SETTING_NUMBER:
+		return set_number(d, out, v, err);
 	case BCT_SETTING_BOOL:
 		return set_bool(d, out, v, err);
 	case BCT_SETTING_LIST:
@@ -99,6 +116,7 @@
 		return;
 	switch (d->type) {
 	case BCT_SETTING_U32:
+	case BCT_SETTING_NUMBER:
 		number = (uint32_t)strtoul(d->def, NULL, 10);
 		memcpy(field_at(d, out), &number, sizeof(number));
 		break;
--- a/base/settings.h
+++ b/base/settings.h
@@ -14,6 +14,7 @@
 typedef enum bct_setting_type {
 	BCT_SETTING_STRING = 1, /* char[size] */
 	BCT_SETTING_U32,
+	BCT_SETTING_NUMBER, /* a fraction is allowed; rounded down to uint32_t */
 	BCT_SETTING_BOOL,
 	BCT_SETTING_LIST, /* char[max][size], and a uint32_t count of entries at count_offset */
 } bct_setting_type_t;
@@ -24,8 +25,8 @@
 	size_t offset;	     /* of the value in the struct */
 	size_t count_offset; /* LIST only */
 	uint32_t size;	     /* bytes of a string with its NUL */
-	uint32_t min;	     /* U32: smallest value */
-	uint32_t max;	     /* U32: largest value; LIST: most entries */
+	uint32_t min;	     /* U32, NUMBER: smallest value */
+	uint32_t max;	     /* U32, NUMBER: largest value; LIST: most entries */
 	bool required;
 	const char *def; /* default as text; NULL: none (required, or a list) */
 } bct_setting_desc_t;
--- a/schema/gen_settings.c
+++ b/schema/gen_settings.c
@@ -40,7 +40,7 @@
 	field_name(row, name, sizeof(name));
 	if (!strcmp(type, "string"))
 		fprintf(f, "\tchar %s[%lld];\n", name, num(row, "size"));
-	else if (!strcmp(type, "u32"))
+	else if (!strcmp(type, "u32") || !strcmp(type, "number"))
 		fprintf(f, "\tuint32_t %s;\n", name);
 	else if (!strcmp(type, "bool"))
 		fprintf(f, "\tbool %s;\n", name);
@@ -71,6 +71,8 @@
 		return "STRING";
 	if (!strcmp(type, "u32"))
 		return "U32";
+	if (!strcmp(type, "number"))
+		return "NUMBER";
 	return strcmp(type, "bool") ? "LIST" : "BOOL";
 }
 
@@ -115,7 +117,7 @@
 {
 	const char *type = str(row, "type");
 
-	if (!strcmp(type, "u32"))
+	if (!strcmp(type, "u32") || !strcmp(type, "number"))
 		fprintf(f, "%lld to %lld", num(row, "min"), num(row, "max"));
 	else if (!strcmp(type, "string"))
 		fprintf(f, "under %lld bytes", num(row, "size"));
