Membership: suspicions and refutations go before descriptions

Cause: 195 machines start at once; for seconds each datagram is full of descriptions of new members, and statuses wait for their turn in the rotation of slots.

Change: statuses that tell of a suspicion, a refutation, a death or a leaving member come first, in up to half of the datagram; a suspect is pinged directly in the last 1.6 s before its deadline.

--- a/coord/member.c
+++ b/coord/member.c
@@ -297,14 +297,21 @@
 	bct_free(t);
 }
 
-/* Declares suspects dead that did not refute in time. */
+/*
+ * Declares suspects dead that did not refute in time. Shortly before, each is pinged, as gossip may
+ * have failed to bring it the suspicion or to bring back its refutation.
+ */
 static void suspects_tick(bct_member_table_t *t, bct_time_t now)
 {
 	for (uint32_t i = 0; i < t->n; i++) {
 		slot_t *s = t->slots[i];
 
-		if (s->m.liveness == BCT_MEMBER_SUSPECT && now >= s->suspect_deadline)
+		if (s->m.liveness != BCT_MEMBER_SUSPECT)
+			continue;
+		if (now >= s->suspect_deadline)
 			bct_member_apply_status(t, now, s, s->m.number, BCT_MEMBER_DEAD, false);
+		else
+			bct_probe_confirm(t, now, s);
 	}
 }
 
--- a/coord/member_gossip.c
+++ b/coord/member_gossip.c
@@ -147,10 +147,32 @@
 	}
 }
 
+/* Whether a pending status tells of a suspicion, a refutation, a death or a leaving member. */
+static bool is_pressing(const slot_t *s)
+{
+	return s->tx_status && (s->m.liveness != BCT_MEMBER_ALIVE || s->m.number || s->m.leaving);
+}
+
+/*
+ * Adds statuses that cannot wait until the descriptions of a mass start are sent: a suspect that
+ * does not hear of it, or whose refutation is late, is declared dead.
+ */
+static void put_pressing_statuses(bct_member_table_t *t, gossip_buf_t *b)
+{
+	uint32_t budget_end = b->remaining_bytes / 2;
+
+	for (uint32_t i = 0; i < t->n && b->remaining_bytes > budget_end; i++) {
+		slot_t *s = t->slots[(t->gossip_start + i) % t->n];
+
+		if (is_pressing(s) && bct_gossip_put_status(b, s))
+			s->tx_status--;
+	}
+}
+
 /*
  * Fills a datagram for one member. In this order, until the budget is spent: the receiver's own
- * status if it is not believed alive, so that it can refute; facts; member updates, each datagram
- * starting one slot further; infos.
+ * status if it is not believed alive, so that it can refute; facts; pressing statuses, in up to
+ * half of the rest; member updates, each datagram starting one slot further; infos.
  */
 void bct_gossip_fill(bct_member_table_t *t, bct_time_t now, uint64_t target, gossip_buf_t *b)
 {
@@ -166,6 +188,7 @@
 			f->tx--;
 	}
 	t->gossip_start = t->gossip_start + 1 < t->n ? t->gossip_start + 1 : 0;
+	put_pressing_statuses(t, b);
 	for (uint32_t i = 0; i < t->n; i++)
 		put_member_update(b, t->slots[(t->gossip_start + i) % t->n]);
 	for (uint32_t i = 0; i < t->n; i++) {
--- a/coord/member_int.h
+++ b/coord/member_int.h
@@ -8,10 +8,12 @@
 #include "coord/member.h"
 
 #define PROBE_INTERVAL_MS 1000
-#define ACK_TIMEOUT_MS 300     /* of a direct probe at health 0; see ack_timeout_ms() */
-#define INDIRECT_PROBES 3      /* helpers asked to probe a silent target */
-#define SUSPECT_BASE_MS 2000   /* base of a suspect's time to refute */
-#define SUSPECT_DOUBLE_MS 500  /* added for each doubling of the fleet */
+#define ACK_TIMEOUT_MS 300    /* of a direct probe at health 0; see ack_timeout_ms() */
+#define INDIRECT_PROBES 3     /* helpers asked to probe a silent target */
+#define SUSPECT_BASE_MS 2000  /* base of a suspect's time to refute */
+#define SUSPECT_DOUBLE_MS 500 /* added for each doubling of the fleet */
+#define CONFIRM_MS 1600	      /* before a suspect's deadline: from here on it is pinged directly */
+#define CONFIRM_INTERVAL_MS 500
 #define HEALTH_MAX 3	       /* limit of bct_member_table.health */
 #define GOSSIP_INTERVAL_MS 200 /* between rounds while there are urgent updates */
 #define GOSSIP_FANOUT 3
@@ -46,7 +48,8 @@
 	bool info_urgent; /* it announces a revision not seen before */
 	bool unlisted;	  /* not named by the VM list */
 	bct_time_t suspect_deadline;
-	bct_time_t last_flap; /* last return to alive */
+	bct_time_t next_confirm; /* ping to a suspect, before it is declared dead */
+	bct_time_t last_flap;	 /* last return to alive */
 } slot_t;
 
 typedef struct fact_slot {
@@ -153,6 +156,8 @@
 /* member_probe.c */
 void bct_probe_tick(bct_member_table_t *t, bct_time_t now);
 void bct_probe_resumed(bct_member_table_t *t, bct_time_t now, bct_time_t paused_ms);
+/* bct_probe_confirm(3): ping a suspect if its deadline is near, so that it can refute. */
+void bct_probe_confirm(bct_member_table_t *t, bct_time_t now, slot_t *s);
 void bct_probe_ping(bct_member_table_t *t, bct_time_t now, const bct_dest_t *to);
 slot_t *bct_probe_random(bct_member_table_t *t, uint64_t except);
 void bct_probe_acked(bct_member_table_t *t, bct_time_t now, const bct_wire_msg_t *msg);
--- a/coord/member_probe.c
+++ b/coord/member_probe.c
@@ -48,6 +48,21 @@
 	ping_xid(t, now, to, ++t->xid);
 }
 
+void bct_probe_confirm(bct_member_table_t *t, bct_time_t now, slot_t *s)
+{
+	peer_call c = { .kind = PEER_PING };
+	bct_dest_t to = dest_of(s);
+	gossip_buf_t b;
+
+	if (now < s->suspect_deadline - CONFIRM_MS || now < s->next_confirm)
+		return;
+	s->next_confirm = now + CONFIRM_INTERVAL_MS;
+	bct_gossip_begin(t, &b, GOSSIP_BUDGET_BYTES);
+	bct_gossip_put_status(&b, s);
+	c.peer_call_u.ping = b.g;
+	call(t, &to, ++t->xid, &c);
+}
+
 /* Draws a random probe order for the next round. */
 static void probe_order_shuffle(bct_member_table_t *t)
 {
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -104,6 +104,30 @@
 	vnet_free(net);
 }
 
+/*
+ * All nodes of a large fleet start at the same time, so that for seconds every datagram is full of
+ * descriptions of new members. A few nodes are too busy to answer meanwhile. They refute in time:
+ * suspicions and refutations do not wait behind the descriptions.
+ */
+Test(member, a_mass_start_declares_no_busy_node_dead)
+{
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		vnet_t *net = vnet_new(seed);
+
+		net->loss_permille = 10;
+		vnet_start_all(net, 195);
+		for (uint32_t i = 0; i < 20; i++) {
+			vnet_run(net, 200);
+			vnet_pause(net, i * 9, true);
+			vnet_run(net, 1500);
+			vnet_pause(net, i * 9, false);
+		}
+		vnet_run(net, 10000);
+		cr_assert_eq(deaths(net), 0, "seed %lu: %u deaths", seed, deaths(net));
+		vnet_free(net);
+	}
+}
+
 /*
  * A process resumed after suspension has missed all answers meanwhile. It must refute its own death
  * and must not have others declared dead.
