Load exchange at size: silent hubs are passed over, news is relayed once

Links of the hubs were full, and all nodes declared them dead. - Nodes compared with the reader that sends to all, and pulled 31 KB from it at once; a hub stated the age of the reader's answer though its own table lagged, so its nodes pulled and listed for ever.

Change: a hub that is silent for six rounds (300 ms) is passed over by its nodes and the other hubs until it is heard; a leaving node is no hub; nodes keep a hub's last sums for 1.5 s. Only readers advertise and send changes, hubs relay what is news to them. A node states the answer that its data matches; pulls that did not help back off; a node serves at most 256 KB of pulls a second. PULLED and PULL_FAILED are logged.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -61,6 +61,7 @@
 	DEF(REGISTRY_UP, 611, INFO, "the registry answers")                                     \
 	DEF(REGISTRY_UNREADABLE, 612, WARN, "a registry record could not be decoded")           \
 	DEF(PULL_FAILED, 613, WARN, "routes or upstreams could not be pulled from a peer")      \
+	DEF(PULLED, 614, INFO, "routes or upstreams were pulled from a peer")                   \
 	DEF(KEY_IN_DOUBT, 700, WARN, "an idempotency key has an intent but no outcome")         \
 	DEF(KEY_WITHDRAWN, 701, INFO, "an intent was withdrawn: its request did not run")       \
 	DEF(KEY_RESOLVED, 702, INFO, "an operator resolved a key in doubt")                     \
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -80,6 +80,8 @@
 	uint32_t nodes;	    /* live nodes including this one */
 	uint32_t rank;	    /* of this node among them, from 0 */
 	bct_gate_counters_t counters;
+	bct_time_t pulls_served_since; /* start of the current second of answers to pulls */
+	size_t pulls_served_bytes;     /* in that second */
 	bool draining;
 	bct_time_t drain_started;
 	uint64_t draw; /* selects a service of a split route */
--- a/gate/pull.c
+++ b/gate/pull.c
@@ -17,6 +17,7 @@
 #define TIMEOUT_S 1
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define AUTHORIZATION_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
+#define SERVED_BYTES_PER_S (256 * 1024) /* a tenth of the slowest links */
 #define STATUS_OK 200
 #define STATUS_FORBIDDEN 403
 #define STATUS_UNAVAILABLE 503
@@ -215,11 +216,26 @@
 	return !sodium_memcmp(got, want, AUTHORIZATION_BYTES - 1);
 }
 
+/* Whether an answer of this size fits into what may be served in the current second. */
+static bool may_serve(bct_gate_t *g, size_t bytes)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (now - g->pulls_served_since >= BCT_MS_PER_S) {
+		g->pulls_served_since = now;
+		g->pulls_served_bytes = 0;
+	}
+	if (g->pulls_served_bytes && g->pulls_served_bytes + bytes > SERVED_BYTES_PER_S)
+		return false;
+	g->pulls_served_bytes += bytes;
+	return true;
+}
+
 /* Encodes with `proc`, appends the MAC and sends the answer. */
 static void reply(bct_gate_t *g, struct evhttp_request *req, xdrproc_t proc, void *m)
 {
 	size_t size = xdr_sizeof(proc, m);
-	uint8_t *data = bct_alloc(size + BCT_SHARE_MAC_BYTES);
+	uint8_t *data = may_serve(g, size) ? bct_alloc(size + BCT_SHARE_MAC_BYTES) : NULL;
 	struct evbuffer *out = evbuffer_new();
 	int status = STATUS_UNAVAILABLE;
 	XDR x;
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -215,9 +215,9 @@
 	return bct_gate_poll_latest(&s->poll, topic, own_only);
 }
 
-bool bct_registry_sync_reads(const bct_registry_sync_t *s)
+bool bct_registry_sync_advertises(const bct_registry_sync_t *s)
 {
-	return bct_gate_poll_reads(&s->poll, bct_clock_now());
+	return bct_gate_poll_advertises(&s->poll, bct_clock_now(), s->gate->rank);
 }
 
 /* An answer that records expired shows that the registry is reachable, too. */
@@ -299,26 +299,28 @@
 		bct_share_upstream_change(g->share, u);
 }
 
-void bct_registry_sync_apply(bct_gate_t *g, bct_registry_change_t *c, bool notify_peers)
+bool bct_registry_sync_apply(bct_gate_t *g, bct_registry_change_t *c, bool notify_peers)
 {
 	bct_time_t now = bct_clock_now();
+	bool changed = false;
 
 	switch (c->kind) {
 	case BCT_REGISTRY_TABLE:
 		adopt(g, c);
 		break;
 	case BCT_REGISTRY_ENTRY:
-		if (bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) == 1)
-			upstream_changed(g, c->entry.id, notify_peers);
+		changed = bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) == 1;
 		break;
 	case BCT_REGISTRY_REMOVED:
-		if (bct_gate_upstreams_remove(&g->upstreams, now, c->name, c->position))
-			upstream_changed(g, c->name, notify_peers);
+		changed = bct_gate_upstreams_remove(&g->upstreams, now, c->name, c->position) == 1;
 		break;
 	case BCT_REGISTRY_UNREADABLE:
 		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("name", c->name));
 		break;
 	}
+	if (changed)
+		upstream_changed(g, c->name, notify_peers);
+	return changed;
 }
 
 /*
@@ -363,8 +365,8 @@
 }
 
 /*
- * Applies the result of a call. Changes are sent to the peers. Those of a listing are sent by
- * readers of the registry only, and never those of the first listing of upstreams after the start.
+ * Applies the result of a call. Readers send the changes to the peers, but not those of the first
+ * listing after the start: if all nodes that start did so, they would saturate their links.
  */
 static void apply(bct_registry_sync_t *s, result_t *d)
 {
@@ -372,9 +374,8 @@
 	if (d->rc)
 		return;
 	check_replaced(s, d);
-	s->notify_peers = !d->listing ||
-			  (s->knows_upstreams && bct_gate_poll_is_reader(&s->poll, bct_clock_now(),
-									 d->topic, s->gate->rank));
+	s->notify_peers = s->knows_upstreams && bct_gate_poll_is_reader(&s->poll, bct_clock_now(),
+									d->topic, s->gate->rank);
 	apply_batch(s, d->topic, &d->batch, d->listing);
 	s->notify_peers = false;
 }
@@ -386,6 +387,7 @@
 	bct_gate_t *g = s->gate;
 	uint64_t before = g->routes ? g->routes->version : 0;
 	uint64_t digest = bct_gate_upstreams_digest(&g->upstreams);
+	uint32_t n = batch->n;
 	bool helped;
 
 	if (!rc)
@@ -397,6 +399,10 @@
 	bct_gate_poll_pulled(&s->poll, topic, helped);
 	if (rc)
 		BCT_LOG(g->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_ERR("error", rc));
+	else
+		BCT_LOG(g->log, BCT_EV_PULLED, BCT_U64("topic", topic), BCT_U64("records", n),
+			BCT_U64("helped", helped),
+			BCT_U64("version", g->routes ? g->routes->version : 0));
 }
 
 /* Applies the queued results. */
--- a/gate/registry_sync.h
+++ b/gate/registry_sync.h
@@ -30,8 +30,8 @@
 bct_gate_read_t bct_registry_sync_read(const bct_registry_sync_t *s, bct_registry_topic_t topic,
 				       bool own_only);
 
-/* bct_registry_sync_reads(3): whether this node has had a recent answer of the registry itself. */
-bool bct_registry_sync_reads(const bct_registry_sync_t *s);
+/* bct_registry_sync_advertises(3): whether this node reads the registry for the others. */
+bool bct_registry_sync_advertises(const bct_registry_sync_t *s);
 
 /*
  * bct_registry_sync_age_ms(3): time since the latest known answer of the registry, to this node or
@@ -39,8 +39,11 @@
  */
 bct_time_t bct_registry_sync_age_ms(const bct_registry_sync_t *s, bct_time_t now);
 
-/* bct_registry_sync_apply(3): apply a change; notify_peers: send it to the peers if it is new here.
+/*
+ * bct_registry_sync_apply(3): apply a change; notify_peers: send it to the peers if it is new here.
+ *
+ * returns  whether it changed an upstream's presence
  */
-void bct_registry_sync_apply(bct_gate_t *g, bct_registry_change_t *c, bool notify_peers);
+bool bct_registry_sync_apply(bct_gate_t *g, bct_registry_change_t *c, bool notify_peers);
 
 #endif
--- a/gate/share.c
+++ b/gate/share.c
@@ -19,6 +19,8 @@
 /* Upper limit of a hub: 8 Mbit/s, to stay below the 10 Mbit/s of the slowest links. */
 #define HUB_DATAGRAMS_PER_S 800
 #define HUB_INTERVAL_MS 50  /* shortest interval with hubs, where an update takes three hops */
+#define HUB_SILENT_ROUNDS 6 /* without a message, after which a hub is passed over */
+#define HUB_SILENT_MIN_MS 300
 #define DIRECT_NODES 12	    /* other nodes up to which each node sends to all others */
 #define VERSIONS_PER_S 80   /* datagrams with versions that a reader of the registry sends */
 #define HUB_VERSIONS_MS 200 /* between two versions that it sends to the hubs, which relay them */
@@ -46,20 +48,33 @@
 	return 0;
 }
 
+/* Notes that the hub of this node was another one before. */
+static void hub_changed(bct_share_t *s, uint64_t before, const char *why)
+{
+	if (s->hubs.local_hub == before || !bct_share_uses_hubs(s))
+		return;
+	if (!s->previous_hub)
+		s->previous_hub = before;
+	BCT_LOG(s->gate->log, BCT_EV_HUB_CHANGED, BCT_HEX("hub", s->hubs.local_hub),
+		BCT_HEX("was", before), BCT_STR("why", why),
+		BCT_U64("is_hub", s->hubs.local_hub == s->hubs.self), BCT_U64("hubs", s->hubs.n),
+		BCT_U64("nodes", s->n_peers + 1));
+}
+
+/* A node that is leaving is no hub, so that its nodes change to another one before it ends. */
 static void choose_hubs(bct_share_t *s)
 {
 	uint64_t nodes[BCT_SHARE_PEERS_MAX + 1];
 	uint64_t self = bct_peer_incarnation(s->gate->peer), before = s->hubs.local_hub;
+	uint32_t n = 0;
 
-	for (uint32_t i = 0; i < s->n_peers; i++)
-		nodes[i] = s->peers[i].incarnation;
-	nodes[s->n_peers] = self;
-	bct_gate_hubs_choose(&s->hubs, nodes, s->n_peers + 1, self);
-	if (s->hubs.local_hub == before || !bct_share_uses_hubs(s))
-		return;
-	BCT_LOG(s->gate->log, BCT_EV_HUB_CHANGED, BCT_HEX("hub", s->hubs.local_hub),
-		BCT_HEX("was", before), BCT_U64("is_hub", s->hubs.local_hub == self),
-		BCT_U64("hubs", s->hubs.n), BCT_U64("nodes", s->n_peers + 1));
+	for (uint32_t i = 0; i < s->n_peers; i++) {
+		if (!s->peers[i].leaving)
+			nodes[n++] = s->peers[i].incarnation;
+	}
+	nodes[n++] = self;
+	bct_gate_hubs_choose(&s->hubs, bct_clock_now(), nodes, n, self);
+	hub_changed(s, before, "members");
 }
 
 /*
@@ -89,6 +104,7 @@
 		p->sa.sin_port = htons((uint16_t)s->gate->settings->gate_share_port);
 		memcpy(&p->sa.sin_addr, m[i].peer.ip, 4);
 		p->admin = m[i].admin;
+		p->leaving = m[i].leaving;
 		s->n_peers++;
 	}
 	choose_hubs(s);
@@ -125,6 +141,41 @@
 	return ms > HUB_INTERVAL_MS ? ms : HUB_INTERVAL_MS;
 }
 
+/* How long a hub may be silent; several rounds, as datagrams are lost and nodes are slow. */
+static uint32_t hub_silence_ms(const bct_share_t *s)
+{
+	uint32_t ms = hub_interval_ms(s) * HUB_SILENT_ROUNDS;
+
+	return ms > HUB_SILENT_MIN_MS ? ms : HUB_SILENT_MIN_MS;
+}
+
+bool bct_share_hears_hub(const bct_share_t *s, bct_time_t now)
+{
+	return bct_share_uses_hubs(s) && !bct_share_is_hub(s) &&
+	       bct_gate_hubs_hears(&s->hubs, now, hub_silence_ms(s));
+}
+
+/* Passes over hubs that fell silent. What a silent hub has reported to other hubs is dropped, as
+ * its nodes report to them now. */
+static void watch_hubs(bct_share_t *s, bct_time_t now)
+{
+	uint64_t before = s->hubs.local_hub;
+	bct_time_t late_ms = now - s->round_at;
+
+	s->round_at = now;
+	if (!bct_share_uses_hubs(s))
+		return;
+	if (late_ms >= hub_silence_ms(s) / 2)
+		bct_gate_hubs_resumed(&s->hubs, now);
+	if (!bct_gate_hubs_watch(&s->hubs, now, hub_silence_ms(s)))
+		return;
+	hub_changed(s, before, "silent");
+	for (uint32_t i = 0; i < s->hubs.n && bct_share_is_hub(s); i++) {
+		if (s->hubs.silent[i])
+			bct_gate_peers_forget(&s->loads, s->hubs.hubs[i]);
+	}
+}
+
 uint32_t bct_share_interval_ms(const bct_share_t *s)
 {
 	return bct_share_uses_hubs(s) ? hub_interval_ms(s) : INTERVAL_MS;
@@ -256,7 +307,7 @@
 {
 	share_update update = { 0 };
 
-	if (!bct_share_uses_hubs(s) || !bct_registry_sync_reads(s->gate->registry_sync))
+	if (!bct_share_uses_hubs(s) || !bct_registry_sync_advertises(s->gate->registry_sync))
 		return;
 	if (now - s->versions_sent_at >= all_versions_interval_ms(s)) {
 		s->versions_sent_at = s->hub_versions_sent_at = now;
@@ -303,14 +354,15 @@
 	send_to_local_cluster(s, update);
 }
 
-/* At a hub: forwards the changes that a poller sent to the nodes of this hub's cluster. */
-static void relay_changes(bct_share_t *s, const share_update *from)
+/* At a hub: forwards news that a reader sent to the nodes of this hub's cluster. */
+static void relay_news(bct_share_t *s, const share_update *from, share_entry *news, uint32_t n)
 {
 	share_update update = { .view = BCT_GATE_VIEW_REST };
 
-	if (!from->entries.entries_len || from->view != BCT_GATE_VIEW_LOCAL || !bct_share_is_hub(s))
+	if (!n || from->view != BCT_GATE_VIEW_LOCAL || !bct_share_is_hub(s))
 		return;
-	update.entries = from->entries;
+	update.entries.entries_val = news;
+	update.entries.entries_len = n;
 	send_to_local_cluster(s, &update);
 }
 
@@ -382,6 +434,33 @@
 	return read;
 }
 
+/*
+ * Whether to compare with the sender's versions. A node that hears its hub leaves it at that: if
+ * all nodes pulled from the reader that sends to all of them, its link would be saturated.
+ */
+static bool counts_versions(const bct_share_t *s, bct_time_t now, const share_update *update)
+{
+	if (update->view == BCT_GATE_VIEW_REST)
+		return bct_share_load_accepts(s, update);
+	return !bct_share_hears_hub(s, now);
+}
+
+/* Applies changes of the registry. What is no news here was relayed before. */
+static void apply_entries(bct_share_t *s, const share_update *update)
+{
+	share_entry news[SHARE_ENTRIES_MAX];
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < update->entries.entries_len; i++) {
+		bct_registry_change_t c;
+
+		bct_share_decode_entry(&update->entries.entries_val[i], &c);
+		if (bct_registry_sync_apply(s->gate, &c, false))
+			news[n++] = update->entries.entries_val[i];
+	}
+	relay_news(s, update, news, n);
+}
+
 /*
  * Applies the versions and registry changes of the sender. The versions come first: they tell
  * whether the registry was lost, on which the meaning of a removal depends.
@@ -398,14 +477,9 @@
 
 	for (uint32_t i = 0; i < SHARE_TOPICS; i++)
 		h.reads[i] = received_read(&update->reads[i], now);
-	if (update->view != BCT_GATE_VIEW_REST || bct_share_load_accepts(s, update))
+	if (counts_versions(s, now, update))
 		bct_registry_sync_peer_versions(g->registry_sync, &h);
-	for (uint32_t i = 0; i < update->entries.entries_len; i++) {
-		bct_registry_change_t c;
-
-		bct_share_decode_entry(&update->entries.entries_val[i], &c);
-		bct_registry_sync_apply(g, &c, false);
-	}
+	apply_entries(s, update);
 	if (update->upstreams_digest == bct_gate_upstreams_digest(&g->upstreams))
 		bct_gate_upstreams_reached(&g->upstreams, update->upstreams_position);
 }
@@ -427,6 +501,7 @@
 	(void)what;
 	if (now - s->peers_refreshed_at >= REFRESH_MS)
 		refresh_peers(s);
+	watch_hubs(s, now);
 	send_crashes(s);
 	send_versions(s, now);
 	bct_share_load_round(s, now);
@@ -453,12 +528,12 @@
 {
 	bct_time_t now = bct_clock_now();
 
+	bct_gate_hubs_heard(&s->hubs, now, update->from);
 	apply_versions(s, now, update);
 	for (uint32_t i = 0; i < update->crashes.crashes_len; i++)
 		bct_crash_peer_report(s->gate, update->crashes.crashes_val[i].digest,
 				      update->crashes.crashes_val[i].upstream);
 	bct_share_load_apply(s, now, update);
-	relay_changes(s, update);
 }
 
 bool bct_share_authentic(const bct_share_t *s, const uint8_t *data, size_t len)
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -20,7 +20,8 @@
 	uint64_t incarnation;
 	struct sockaddr_in sa;
 	bct_addr_t admin; /* ip_len_bytes 0: none */
-	uint64_t seq;	  /* highest received */
+	bool leaving;
+	uint64_t seq; /* highest received */
 } bct_share_peer_t;
 
 typedef struct bct_share_placements {
@@ -46,8 +47,10 @@
 	uint32_t n_crashes;
 	uint32_t crash_rounds; /* rounds that have sent the latest of them */
 	bct_gate_hubs_t hubs;
-	bct_gate_peers_t loads;		       /* reports on upstreams: running, prefill_ms */
-	bct_gate_peers_t lanes;		       /* reports on lanes: work */
+	uint64_t previous_hub;	/* whose reports count until the first one of the next; 0: none */
+	bct_time_t round_at;	/* of the last round */
+	bct_gate_peers_t loads; /* reports on upstreams: running, prefill_ms */
+	bct_gate_peers_t lanes; /* reports on lanes: work */
 	bct_share_placements_t placements;     /* of this node; at a hub also of its cluster */
 	bct_share_placements_t hub_placements; /* at a hub: those that other hubs sent */
 };
@@ -76,6 +79,8 @@
 bool bct_share_uses_hubs(const bct_share_t *s);
 
 bool bct_share_is_hub(const bct_share_t *s);
+/* bct_share_hears_hub(3): whether this node, which is no hub, receives what its hub relays. */
+bool bct_share_hears_hub(const bct_share_t *s, bct_time_t now);
 /* bct_share_in_local_cluster(3): whether a peer, itself no hub, reports to this node as its hub. */
 bool bct_share_in_local_cluster(const bct_share_t *s, const bct_share_peer_t *p);
 
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -11,8 +11,9 @@
 #define PREFILL_BITS 20 /* of share_load.running_prefill */
 #define PREFILL_MAX ((1U << PREFILL_BITS) - 1)
 #define RUNNING_MAX ((1U << (32 - PREFILL_BITS)) - 1)
-#define KEEP_INTERVALS 4    /* rounds without a report after which a peer's load expires */
-#define KEEP_FULL_REPORTS 2 /* the same with hubs, in full reports */
+#define KEEP_INTERVALS 4     /* rounds without a report after which a peer's load expires */
+#define KEEP_FULL_REPORTS 2  /* the same with hubs, in full reports, at a hub */
+#define KEEP_FULL_AT_NODES 6 /* and at the others: until another hub has taken over */
 #define KEEP_MIN_MS 500
 #define LANE_KEEP_FACTOR 4     /* lane work changes slowly and idle nodes send nothing */
 #define IDLE_INTERVAL_MS 250   /* between datagrams of a reader of the registry without load */
@@ -235,7 +236,7 @@
 	 * versions in force.
 	 */
 	if (!r->n_loads && !s->placements.n &&
-	    (!bct_registry_sync_reads(s->gate->registry_sync) ||
+	    (!bct_registry_sync_advertises(s->gate->registry_sync) ||
 	     now - s->load_sent_at < IDLE_INTERVAL_MS))
 		return;
 	s->load_sent_at = now;
@@ -302,8 +303,8 @@
 
 void bct_share_load_round(bct_share_t *s, bct_time_t now)
 {
-	uint32_t rounds =
-		bct_share_uses_hubs(s) ? FULL_REPORT_ROUNDS * KEEP_FULL_REPORTS : KEEP_INTERVALS;
+	uint32_t reports = bct_share_is_hub(s) ? KEEP_FULL_REPORTS : KEEP_FULL_AT_NODES;
+	uint32_t rounds = bct_share_uses_hubs(s) ? FULL_REPORT_ROUNDS * reports : KEEP_INTERVALS;
 	uint32_t keep = bct_share_interval_ms(s) * rounds;
 
 	s->loads.keep_ms = keep > KEEP_MIN_MS ? keep : KEEP_MIN_MS;
@@ -376,6 +377,11 @@
 {
 	if (!bct_share_load_accepts(s, update))
 		return;
+	if (s->previous_hub && update->from == s->hubs.local_hub) {
+		bct_gate_peers_forget(&s->loads, s->previous_hub);
+		bct_gate_peers_forget(&s->lanes, s->previous_hub);
+		s->previous_hub = 0;
+	}
 	apply_loads(s, now, update);
 	apply_lanes(s, now, update);
 	apply_placements(s, now, update);
--- a/policy/gate_hubs.h
+++ b/policy/gate_hubs.h
@@ -7,6 +7,10 @@
  * all other nodes. So an update takes three steps to reach every node; per round a node sends one
  * message, and a hub as many as it has nodes and other hubs. The choice depends on the set of live
  * nodes only, and a node that joins or leaves moves few others to another hub.
+ *
+ * The membership takes seconds to declare a node dead. Hubs therefore watch each other, and each
+ * node its hub: one that falls silent is passed over at once, until it is heard again. Its nodes
+ * turn to the hub that scores next for them, which has noticed the silence at about the same time.
  */
 #ifndef BCT_POLICY_GATE_HUBS_H
 #define BCT_POLICY_GATE_HUBS_H
@@ -28,19 +32,41 @@
 
 typedef struct bct_gate_hubs {
 	uint64_t hubs[BCT_GATE_HUBS_MAX];
+	bct_time_t heard_at[BCT_GATE_HUBS_MAX]; /* last message, or when it became a hub */
+	bool silent[BCT_GATE_HUBS_MAX];		/* passed over */
 	uint32_t n;
+	uint64_t self;
 	uint64_t local_hub; /* hub of this node; this node itself if it is a hub */
 } bct_gate_hubs_t;
 
 /*
- * bct_gate_hubs_choose(3): chooses the hubs for a set of live nodes.
+ * bct_gate_hubs_choose(3): chooses the hubs for a set of live nodes. Hubs that were chosen before
+ * stay silent or heard.
  *
  * nodes  all n live nodes, including this one
  * self   this node
  */
-void bct_gate_hubs_choose(bct_gate_hubs_t *h, const uint64_t *nodes, uint32_t n, uint64_t self);
+void bct_gate_hubs_choose(bct_gate_hubs_t *h, bct_time_t now, const uint64_t *nodes, uint32_t n,
+			  uint64_t self);
+
+/* bct_gate_hubs_heard(3): a message of a node arrived, which may be a hub. */
+void bct_gate_hubs_heard(bct_gate_hubs_t *h, bct_time_t now, uint64_t from);
+
+/*
+ * bct_gate_hubs_watch(3): passes over hubs that have been silent for limit_ms: at a hub all other
+ * hubs, elsewhere the hub of this node. To be called in each round.
+ *
+ * returns  whether a hub is newly passed over
+ */
+bool bct_gate_hubs_watch(bct_gate_hubs_t *h, bct_time_t now, uint32_t limit_ms);
+
+/* bct_gate_hubs_resumed(3): this process was suspended; no hub counts as silent for that. */
+void bct_gate_hubs_resumed(bct_gate_hubs_t *h, bct_time_t now);
+
+/* bct_gate_hubs_hears(3): whether the hub of this node was heard within limit_ms. */
+bool bct_gate_hubs_hears(const bct_gate_hubs_t *h, bct_time_t now, uint32_t limit_ms);
 
-/* bct_gate_hubs_of(3): returns the hub of any node; of a hub, that hub itself. */
+/* bct_gate_hubs_of(3): returns the hub of any node, not a silent one; of a hub, that hub itself. */
 uint64_t bct_gate_hubs_of(const bct_gate_hubs_t *h, uint64_t node);
 
 /* bct_gate_hubs_has(3): returns whether a node is a hub. */
--- a/policy/gate_peers.c
+++ b/policy/gate_peers.c
@@ -94,9 +94,24 @@
 	return e ? e->report.v : NULL;
 }
 
+static const uint32_t zero[BCT_GATE_PEER_VALUES];
+
+void bct_gate_peers_forget(bct_gate_peers_t *p, uint64_t peer)
+{
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe(el, tmp, &p->by_age) {
+		entry_t *e = bct_container_of(el, entry_t, link);
+
+		if (e->report.peer != peer)
+			continue;
+		replace_values(p, e, zero);
+		drop(p, e);
+	}
+}
+
 void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now)
 {
-	static const uint32_t zero[BCT_GATE_PEER_VALUES];
 
 	while (!bct_list_empty(&p->by_age)) {
 		entry_t *e = bct_container_of(p->by_age.next, entry_t, link);
--- a/policy/gate_peers.h
+++ b/policy/gate_peers.h
@@ -48,6 +48,9 @@
  */
 const uint32_t *bct_gate_peers_of(const bct_gate_peers_t *p, uint64_t peer, uint64_t subject);
 
+/* bct_gate_peers_forget(3): drops all reports of a peer and subtracts them from the sums. */
+void bct_gate_peers_forget(bct_gate_peers_t *p, uint64_t peer);
+
 /* bct_gate_peers_sweep(3): drops expired reports and subtracts them from the sums. */
 void bct_gate_peers_sweep(bct_gate_peers_t *p, bct_time_t now);
 
--- a/policy/gate_poll.c
+++ b/policy/gate_poll.c
@@ -15,6 +15,7 @@
 #define LOST_AFTER_MS 3000	/* all nodes have taken over by then, also in a large fleet */
 #define RETRY_MIN_MS 200   /* base of the back-off after failures; least pause of a non-reader */
 #define RETRY_MAX_SHIFT 2U /* the pause after failures doubles up to this shift */
+#define PULL_MAX_SHIFT 3U  /* the same after pulls that did not help */
 
 void bct_gate_poll_init(bct_gate_poll_t *p, uint32_t interval_ms)
 {
@@ -22,13 +23,15 @@
 	p->interval_ms = interval_ms;
 }
 
-/* An echo of this node's own answer says nothing new. */
-static void note_read(bct_gate_poll_t *p, bct_registry_topic_t topic, const bct_gate_read_t *r)
+/* An echo of this node's own answer says nothing new. Returns whether the answer is the latest. */
+static bool note_read(bct_gate_poll_t *p, bct_registry_topic_t topic, const bct_gate_read_t *r)
 {
 	bct_gate_read_t *latest = &p->topics[topic].peer_read;
 
-	if (r->reader != p->self && r->answered_at > latest->answered_at)
-		*latest = *r;
+	if (r->reader == p->self || r->answered_at <= latest->answered_at)
+		return false;
+	*latest = *r;
+	return true;
 }
 
 void bct_gate_poll_received(bct_gate_poll_t *p, const bct_gate_peer_versions_t *v)
@@ -40,13 +43,15 @@
 		p->highest_version = v->routes_version;
 		p->highest_from = v->from;
 	}
-	note_read(p, BCT_REGISTRY_ROUTES, &v->reads[BCT_REGISTRY_ROUTES]);
+	if (note_read(p, BCT_REGISTRY_ROUTES, &v->reads[BCT_REGISTRY_ROUTES]))
+		p->peer_version = v->routes_version;
 	if (!read->answered_at || read->answered_at + AGE_ERROR_MS < seen->answered_at)
 		return;
 	note_read(p, BCT_REGISTRY_UPSTREAMS, read);
 	p->message_gap_ms = (uint32_t)(p->received_at ? v->received_at - p->received_at : 0);
 	p->received_at = v->received_at;
 	p->received_from = v->from;
+	p->received_read = *read;
 	p->received_digest = v->upstreams_digest;
 }
 
@@ -75,6 +80,24 @@
 		p->differs_since = now;
 }
 
+static void hold(bct_gate_topic_poll_t *t, const bct_gate_read_t *r)
+{
+	if (r->answered_at > t->held.answered_at)
+		t->held = *r;
+	t->unhelpful_pulls = 0;
+}
+
+/* Notes which advertised answers the local data matches. */
+static void note_held(bct_gate_poll_t *p, const bct_gate_local_versions_t *local)
+{
+	bct_gate_topic_poll_t *routes = &p->topics[BCT_REGISTRY_ROUTES];
+
+	if (local->routes_version >= p->peer_version)
+		hold(routes, &routes->peer_read);
+	if (p->received_at && local->upstreams_digest == p->received_digest)
+		hold(&p->topics[BCT_REGISTRY_UPSTREAMS], &p->received_read);
+}
+
 static bool has_lasted(bct_time_t since, bct_time_t now, uint32_t ms)
 {
 	return since && now - since >= (bct_time_t)ms;
@@ -155,8 +178,8 @@
 	bct_gate_topic_poll_t *t = &p->topics[topic];
 	bct_gate_due_t due = { .act = BCT_GATE_POLL_PULL };
 
-	if (t->pull_failed && !t->consecutive_failures && !busy) {
-		t->pull_failed = false;
+	if (t->ask_registry && !t->consecutive_failures && !busy) {
+		t->ask_registry = false;
 		t->polled_at = now;
 		due.act = BCT_GATE_POLL_LIST;
 		return due;
@@ -166,10 +189,13 @@
 	return due;
 }
 
-/* Whether an action at that time, if any, was long enough ago. */
-static bool has_paused(bct_time_t at, bct_time_t now)
+/* Whether the pause after the last call or pull is over; longer the more pulls did not help. */
+static bool may_catch_up(const bct_gate_topic_poll_t *t, bct_time_t now)
 {
-	return !at || now - at >= RETRY_MIN_MS;
+	uint32_t shift = t->unhelpful_pulls < PULL_MAX_SHIFT ? t->unhelpful_pulls : PULL_MAX_SHIFT;
+	bct_time_t last = t->pulled_at > t->polled_at ? t->pulled_at : t->polled_at;
+
+	return !last || now - last >= (bct_time_t)RETRY_MIN_MS << shift;
 }
 
 bct_gate_due_t bct_gate_poll_due(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
@@ -182,12 +208,12 @@
 
 	if (topic == BCT_REGISTRY_UPSTREAMS)
 		compare(p, now, local);
+	note_held(p, local);
 	if (reader && !local->busy &&
 	    (!t->polled_at || has_lasted(t->polled_at, now, poll_pause_ms(p, t)))) {
 		due.act = poll_act(t, now);
 		t->polled_at = now;
-	} else if (!reads_well && is_behind(p, now, topic, local) &&
-		   has_paused(t->pulled_at, now) && has_paused(t->polled_at, now)) {
+	} else if (!reads_well && is_behind(p, now, topic, local) && may_catch_up(t, now)) {
 		due = catch_up(p, now, topic, local->busy);
 	}
 	if (due.act != BCT_GATE_POLL_NONE && topic == BCT_REGISTRY_UPSTREAMS)
@@ -204,9 +230,12 @@
 		t->answered_at = now;
 }
 
-void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool ok)
+void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool helped)
 {
-	p->topics[topic].pull_failed = !ok;
+	bct_gate_topic_poll_t *t = &p->topics[topic];
+
+	t->ask_registry = !helped;
+	t->unhelpful_pulls = helped ? 0 : t->unhelpful_pulls + 1;
 }
 
 bct_gate_read_t bct_gate_poll_latest(const bct_gate_poll_t *p, bct_registry_topic_t topic,
@@ -215,13 +244,14 @@
 	const bct_gate_topic_poll_t *t = &p->topics[topic];
 	bct_gate_read_t own = { .answered_at = t->answered_at, .reader = p->self };
 
-	return own_only || own.answered_at >= t->peer_read.answered_at ? own : t->peer_read;
+	return own_only || own.answered_at >= t->held.answered_at ? own : t->held;
 }
 
-bool bct_gate_poll_reads(const bct_gate_poll_t *p, bct_time_t now)
+bool bct_gate_poll_advertises(const bct_gate_poll_t *p, bct_time_t now, uint32_t rank)
 {
 	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
-		if (is_recent(p, now, p->topics[i].answered_at))
+		if (is_recent(p, now, p->topics[i].answered_at) &&
+		    bct_gate_poll_is_reader(p, now, (bct_registry_topic_t)i, rank))
 			return true;
 	}
 	return false;
@@ -229,7 +259,9 @@
 
 bool bct_gate_poll_lost(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic)
 {
-	bct_time_t latest = bct_gate_poll_latest(p, topic, false).answered_at;
+	const bct_gate_topic_poll_t *t = &p->topics[topic];
+	bct_time_t peer = t->peer_read.answered_at;
+	bct_time_t latest = peer > t->answered_at ? peer : t->answered_at;
 
 	return latest && now - latest > LOST_AFTER_MS;
 }
--- a/policy/gate_poll.h
+++ b/policy/gate_poll.h
@@ -44,11 +44,13 @@
 /* State of one topic. */
 typedef struct bct_gate_topic_poll {
 	bct_gate_read_t peer_read;     /* latest answer that a peer advertised */
+	bct_gate_read_t held;	       /* the answer that this node's data is known to match */
 	bct_time_t answered_at;	       /* last answer to this node */
 	bct_time_t polled_at;	       /* last call of this node to the registry; 0: none yet */
 	bct_time_t pulled_at;	       /* last pull of this node from a peer; 0: none yet */
 	uint32_t consecutive_failures; /* of this node's polls */
-	bool pull_failed;	       /* the last pull did not help: the registry is next */
+	uint32_t unhelpful_pulls;      /* in a row, in which nothing changed */
+	bool ask_registry;	       /* the last pull did not help: the registry is next */
 } bct_gate_topic_poll_t;
 
 typedef struct bct_gate_poll {
@@ -56,10 +58,12 @@
 	uint32_t interval_ms;	      /* between two polls of a reader */
 	uint32_t message_interval_ms; /* between two messages of a reader; set by the caller */
 	bct_gate_topic_poll_t topics[BCT_REGISTRY_TOPICS];
-	uint64_t highest_version;   /* of routes, received from any peer */
-	uint64_t highest_from;	    /* the last peer that advertised it */
-	bct_time_t received_at;	    /* of the message with the latest upstreams; 0: none yet */
-	uint64_t received_from;	    /* its sender */
+	uint64_t highest_version; /* of routes, received from any peer */
+	uint64_t highest_from;	  /* the last peer that advertised it */
+	uint64_t peer_version;	  /* of routes, advertised with the latest answer on them */
+	bct_time_t received_at;	  /* of the message with the latest upstreams; 0: none yet */
+	uint64_t received_from;	  /* its sender */
+	bct_gate_read_t received_read;
 	uint64_t received_digest;   /* of its upstreams */
 	uint32_t message_gap_ms;    /* between the last two such messages; 0: unknown */
 	bct_time_t compared_at;	    /* received_at when local_digest_then was taken */
@@ -108,18 +112,20 @@
 /* bct_gate_poll_result(3): processes the result of a call of this node to the registry. */
 void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic, bool ok);
 
-/* bct_gate_poll_pulled(3): processes the result of a pull from a peer. */
-void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool ok);
+/* bct_gate_poll_pulled(3): processes the result of a pull from a peer: whether it changed data. */
+void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool helped);
 
 /*
- * bct_gate_poll_latest(3): returns the latest answer of the registry on a topic that is known here;
- * own_only: leave out those of peers.
+ * bct_gate_poll_latest(3): returns the latest answer of the registry on a topic that this node's
+ * data is known to match. A node that knows of a later answer but lags behind does not state it.
+ *
+ * own_only  leave out answers that peers received
  */
 bct_gate_read_t bct_gate_poll_latest(const bct_gate_poll_t *p, bct_registry_topic_t topic,
 				     bool own_only);
 
-/* bct_gate_poll_reads(3): whether this node has had a recent answer and is to advertise it. */
-bool bct_gate_poll_reads(const bct_gate_poll_t *p, bct_time_t now);
+/* bct_gate_poll_advertises(3): whether this node is a reader that has had a recent answer. */
+bool bct_gate_poll_advertises(const bct_gate_poll_t *p, bct_time_t now, uint32_t rank);
 
 /*
  * bct_gate_poll_lost(3): whether no node is known to have had an answer on a topic for so long that
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -103,7 +103,7 @@
 				       .routes_version = d->data[0],
 				       .upstreams_digest = d->data[1] };
 
-	if (d->cut || d->frozen || !bct_gate_poll_reads(&d->poll, now))
+	if (d->cut || d->frozen || !bct_gate_poll_advertises(&d->poll, now, from))
 		return;
 	for (uint32_t t = 0; t < BCT_REGISTRY_TOPICS; t++)
 		v.reads[t] = bct_gate_poll_latest(&d->poll, (bct_registry_topic_t)t, true);
@@ -440,6 +440,73 @@
 	cr_assert_geq(listings(300, 100, 7), 14);
 }
 
+/* A peer whose data never matches is not asked over and over; nor is the registry. */
+Test(gate_follow, pulls_that_do_not_help_are_rare)
+{
+	bct_gate_local_versions_t local = { .rank = 5, .upstreams_digest = 1 };
+	bct_gate_peer_versions_t v = { .from = 7, .upstreams_digest = 2 };
+	bct_gate_poll_t f;
+	uint32_t n = 0;
+
+	bct_gate_poll_init(&f, INTERVAL_MS);
+	f.self = 9;
+	f.message_interval_ms = MESSAGE_MS;
+	for (bct_time_t now = 100000; now < 130000; now += TICK_MS) {
+		bct_gate_due_t due;
+
+		v.received_at = now;
+		v.reads[0] = v.reads[1] = (bct_gate_read_t){ now, 7 };
+		bct_gate_poll_received(&f, &v);
+		due = bct_gate_poll_due(&f, now, BCT_REGISTRY_UPSTREAMS, &local);
+		n += due.act != BCT_GATE_POLL_NONE;
+		if (due.act == BCT_GATE_POLL_PULL)
+			bct_gate_poll_pulled(&f, BCT_REGISTRY_UPSTREAMS, false);
+		else if (due.act)
+			bct_gate_poll_result(&f, now, BCT_REGISTRY_UPSTREAMS, true);
+	}
+	cr_assert_leq(n, 30, "%u calls and pulls in 30 s", n);
+}
+
+/*
+ * A node that relays what readers advertise, but whose own data lags behind, states the answer that
+ * its data matches: else its receivers would believe in old data.
+ */
+Test(gate_follow, a_lagging_relay_states_its_own_age)
+{
+	bct_gate_local_versions_t local = { .rank = 5, .routes_version = 1, .upstreams_digest = 1 };
+	bct_gate_peer_versions_t v = { .received_at = 100000,
+				       .from = 7,
+				       .reads = { { 100000, 7 }, { 100000, 7 } },
+				       .routes_version = 1,
+				       .upstreams_digest = 1 };
+	bct_gate_poll_t f;
+
+	bct_gate_poll_init(&f, INTERVAL_MS);
+	for (int topic = 0; topic < BCT_REGISTRY_TOPICS; topic++) {
+		bct_registry_topic_t t = (bct_registry_topic_t)topic;
+
+		bct_gate_poll_received(&f, &v);
+		bct_gate_poll_due(&f, 100100, t, &local);
+		cr_assert_eq(bct_gate_poll_latest(&f, t, false).answered_at, 100000);
+	}
+	v.received_at = v.reads[0].answered_at = v.reads[1].answered_at = 101000;
+	v.routes_version = v.upstreams_digest = 2;
+	bct_gate_poll_received(&f, &v);
+	for (int topic = 0; topic < BCT_REGISTRY_TOPICS; topic++) {
+		bct_registry_topic_t t = (bct_registry_topic_t)topic;
+
+		bct_gate_poll_due(&f, 101100, t, &local);
+		cr_assert_eq(bct_gate_poll_latest(&f, t, false).answered_at, 100000);
+	}
+	local.routes_version = local.upstreams_digest = 2;
+	for (int topic = 0; topic < BCT_REGISTRY_TOPICS; topic++) {
+		bct_registry_topic_t t = (bct_registry_topic_t)topic;
+
+		bct_gate_poll_due(&f, 101200, t, &local);
+		cr_assert_eq(bct_gate_poll_latest(&f, t, false).answered_at, 101000);
+	}
+}
+
 /* A hub may relay a reader's message with its own, older version; the newer one still counts. */
 Test(gate_follow, a_version_once_received_is_fetched)
 {
--- a/tests/test_gate_hubs.c
+++ b/tests/test_gate_hubs.c
@@ -11,6 +11,8 @@
 #define FLEET 75
 #define UPSTREAM 7
 #define KEEP_MS 500
+#define SILENT_MS 300
+#define KEEP_AT_NODES_MS 1500
 
 static uint64_t nodes[NODES + 1];
 
@@ -27,13 +29,13 @@
 
 	for (uint32_t k = 0; k < 5; k++) {
 		uint32_t n = sizes[k], of[BCT_GATE_HUBS_MAX] = { 0 };
-		bct_gate_hubs_t first, h;
+		bct_gate_hubs_t first = { 0 }, h = { 0 };
 
-		bct_gate_hubs_choose(&first, nodes, n, nodes[0]);
+		bct_gate_hubs_choose(&first, 0, nodes, n, nodes[0]);
 		cr_assert_geq(first.n * first.n, n);
 		cr_assert_lt((first.n - 1) * (first.n - 1), n);
 		for (uint32_t i = 0; i < n; i++) {
-			bct_gate_hubs_choose(&h, nodes, n, nodes[i]);
+			bct_gate_hubs_choose(&h, 0, nodes, n, nodes[i]);
 			cr_assert_arr_eq(h.hubs, first.hubs, sizeof(h.hubs));
 			cr_assert(bct_gate_hubs_has(&h, h.local_hub));
 			cr_assert_eq(h.local_hub == nodes[i], bct_gate_hubs_has(&h, nodes[i]));
@@ -60,10 +62,10 @@
 				live[n++] = nodes[i];
 		}
 		for (uint32_t i = 0; i < n; i++) {
-			bct_gate_hubs_t before, after;
+			bct_gate_hubs_t before = { 0 }, after = { 0 };
 
-			bct_gate_hubs_choose(&before, nodes, 75, live[i]);
-			bct_gate_hubs_choose(&after, live, n, live[i]);
+			bct_gate_hubs_choose(&before, 0, nodes, 75, live[i]);
+			bct_gate_hubs_choose(&after, 0, live, n, live[i]);
 			moved += before.local_hub != after.local_hub;
 		}
 	}
@@ -79,6 +81,7 @@
 typedef struct sim_node {
 	bct_gate_hubs_t hubs;
 	bct_gate_peers_t reports;
+	uint64_t previous_hub; /* as bct_share.previous_hub */
 	uint32_t load;
 	int32_t received;
 	bool dead;
@@ -99,7 +102,7 @@
 	for (uint32_t i = 0; i < FLEET; i++) {
 		fleet[i].load = i + 1;
 		bct_gate_peers_init(&fleet[i].reports, KEEP_MS, add_up, &fleet[i]);
-		bct_gate_hubs_choose(&fleet[i].hubs, nodes, FLEET, nodes[i]);
+		bct_gate_hubs_choose(&fleet[i].hubs, 0, nodes, FLEET, nodes[i]);
 	}
 }
 
@@ -118,8 +121,32 @@
 
 	bct_gate_hubs_excluded(&a->hubs, &a->reports, view, nodes[to], UPSTREAM, out);
 	r.v[0] = (uint32_t)(a->load + received - out[0]);
-	if (!b->dead && bct_gate_hubs_accepts(&b->hubs, nodes[to], view, nodes[from]))
-		bct_gate_peers_report(&b->reports, now, &r);
+	if (b->dead)
+		return;
+	bct_gate_hubs_heard(&b->hubs, now, nodes[from]);
+	if (!bct_gate_hubs_accepts(&b->hubs, nodes[to], view, nodes[from]))
+		return;
+	if (b->previous_hub && nodes[from] == b->hubs.local_hub) {
+		bct_gate_peers_forget(&b->reports, b->previous_hub);
+		b->previous_hub = 0;
+	}
+	bct_gate_peers_report(&b->reports, now, &r);
+}
+
+/* Passes over silent hubs, as gate/share.c does. */
+static void watch(bct_time_t now, uint32_t i)
+{
+	sim_node_t *a = &fleet[i];
+	uint64_t before = a->hubs.local_hub;
+
+	if (!bct_gate_hubs_watch(&a->hubs, now, SILENT_MS))
+		return;
+	if (a->hubs.local_hub != before)
+		a->previous_hub = before;
+	for (uint32_t j = 0; j < a->hubs.n && a->hubs.local_hub == nodes[i]; j++) {
+		if (a->hubs.silent[j])
+			bct_gate_peers_forget(&a->reports, a->hubs.hubs[j]);
+	}
 }
 
 /* Sends the messages of one node's round, as gate/share_load.c does. */
@@ -147,8 +174,10 @@
 	for (uint32_t r = 0; r < n; r++) {
 		now += 50;
 		for (uint32_t i = 0; i < FLEET; i++) {
-			if (!fleet[i].dead)
-				send_round(now, i);
+			if (fleet[i].dead)
+				continue;
+			watch(now, i);
+			send_round(now, i);
 		}
 	}
 	return now;
@@ -199,13 +228,70 @@
 			live[n++] = nodes[i];
 	}
 	for (uint32_t i = 0; i < FLEET; i++) {
-		bct_gate_hubs_choose(&fleet[i].hubs, live, n, nodes[i]);
+		bct_gate_hubs_choose(&fleet[i].hubs, now, live, n, nodes[i]);
 		now = run_rounds(now, 1);
 	}
 	run_rounds(now, KEEP_MS / 50 + 3);
 	expect_exact("after a hub's death");
 }
 
+static uint32_t index_of_node(uint64_t node)
+{
+	uint32_t i = 0;
+
+	while (nodes[i] != node)
+		i++;
+	return i;
+}
+
+static void keep_reports(void)
+{
+	for (uint32_t i = 0; i < FLEET; i++) {
+		bool hub = fleet[i].hubs.local_hub == nodes[i];
+
+		fleet[i].reports.keep_ms = hub ? KEEP_MS : KEEP_AT_NODES_MS;
+	}
+}
+
+/*
+ * Three hubs are killed at once and no node learns it from the membership. While that lasts no node
+ * takes the upstream for idle, and after half a second and the hubs' time to forget dead nodes all
+ * sums are exact.
+ */
+Test(gate_hubs, killed_hubs_are_passed_over, .init = start_fleet, .fini = stop_fleet)
+{
+	bct_time_t now = run_rounds(0, 3);
+
+	keep_reports();
+	for (uint32_t k = 0; k < 3; k++)
+		fleet[index_of_node(fleet[0].hubs.hubs[k])].dead = true;
+	for (uint32_t r = 0; r < 40; r++) {
+		now = run_rounds(now, 1);
+		for (uint32_t i = 0; i < FLEET; i++) {
+			if (!fleet[i].dead)
+				cr_assert_gt(fleet[i].received, total() / 2,
+					     "round %u: node %u believes in %d of %d", r, i,
+					     fleet[i].received, total());
+		}
+	}
+	expect_exact("2 s after three hubs' deaths");
+}
+
+/* A hub that was suspended is used again once it is heard. */
+Test(gate_hubs, a_silent_hub_comes_back, .init = start_fleet, .fini = stop_fleet)
+{
+	bct_time_t now = run_rounds(0, 3);
+	uint32_t hub = index_of_node(fleet[0].hubs.hubs[0]);
+
+	keep_reports();
+	fleet[hub].dead = true;
+	now = run_rounds(now, 40);
+	fleet[hub].dead = false;
+	bct_gate_hubs_resumed(&fleet[hub].hubs, now);
+	run_rounds(now, 40);
+	expect_exact("after the hub's return");
+}
+
 /*
  * A hub states to other hubs only the age of the registry's last answer to itself. Otherwise hubs
  * would pass an old answer back and forth, and its stated age would never grow.
