Registry: a failed pull goes to the registry at once, old failures don't count

All nodes had failed at the store in its outage (18 to 26 s); from then on no non-reader asked it again, as a failure stayed until the next success. In the config storm after it hubs served 256 KB of pulls a second and refused the rest, and refused pullers backed off up to 1.6 s: front-zone-b-5 kept version 41 from 30.2 to 33.4 s.

Change: a failure speaks against the registry for 1.5 s; a pull that got no answer is followed by a listing after 200 ms; only pulls that were answered and changed nothing back off.

--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -162,7 +162,7 @@
 
 	if (!rc)
 		return;
-	bct_gate_poll_pulled(&s->poll, topic, false);
+	bct_gate_poll_pulled(&s->poll, topic, BCT_GATE_PULL_FAILED);
 	BCT_LOG(s->gate->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_HEX("peer", from),
 		BCT_ERR("error", rc));
 }
@@ -396,7 +396,10 @@
 		helped = g->routes && g->routes->version > before;
 	else
 		helped = bct_gate_upstreams_digest(&g->upstreams) != digest;
-	bct_gate_poll_pulled(&s->poll, topic, helped);
+	bct_gate_poll_pulled(&s->poll, topic,
+			     rc	      ? BCT_GATE_PULL_FAILED
+			     : helped ? BCT_GATE_PULL_HELPED
+				      : BCT_GATE_PULL_UNHELPFUL);
 	if (rc)
 		BCT_LOG(g->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_ERR("error", rc));
 	else
--- a/policy/gate_poll.c
+++ b/policy/gate_poll.c
@@ -13,9 +13,10 @@
 #define AGE_ERROR_MS 100	/* ages that nodes relay are not exact */
 #define CHANGES_MAX_AGE_MS 3000 /* after a longer pause a listing is smaller than the changes */
 #define LOST_AFTER_MS 3000	/* all nodes have taken over by then, also in a large fleet */
-#define RETRY_MIN_MS 200   /* base of the back-off after failures; least pause of a non-reader */
-#define RETRY_MAX_SHIFT 2U /* the pause after failures doubles up to this shift */
-#define PULL_MAX_SHIFT 3U  /* the same after pulls that did not help */
+#define RETRY_MIN_MS 200     /* base of the back-off after failures; least pause of a non-reader */
+#define RETRY_MAX_SHIFT 2U   /* the pause after failures doubles up to this shift */
+#define PULL_MAX_SHIFT 3U    /* the same after pulls that did not help */
+#define REFUSED_KEEP_MS 1500 /* how long a failed poll speaks against asking the registry again */
 
 void bct_gate_poll_init(bct_gate_poll_t *p, uint32_t interval_ms)
 {
@@ -171,6 +172,12 @@
 							 : BCT_GATE_POLL_CHANGES;
 }
 
+/* Whether the registry did not answer this node lately. */
+static bool is_refused(const bct_gate_topic_poll_t *t, bct_time_t now)
+{
+	return t->consecutive_failures && now - t->failed_at < REFUSED_KEEP_MS;
+}
+
 /* A node that is behind asks a peer, and the registry every other time, as long as it answers. */
 static bct_gate_due_t catch_up(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
 			       bool busy)
@@ -178,7 +185,7 @@
 	bct_gate_topic_poll_t *t = &p->topics[topic];
 	bct_gate_due_t due = { .act = BCT_GATE_POLL_PULL };
 
-	if (t->ask_registry && !t->consecutive_failures && !busy) {
+	if (t->ask_registry && !is_refused(t, now) && !busy) {
 		t->ask_registry = false;
 		t->polled_at = now;
 		due.act = BCT_GATE_POLL_LIST;
@@ -226,16 +233,18 @@
 	bct_gate_topic_poll_t *t = &p->topics[topic];
 
 	t->consecutive_failures = ok ? 0 : t->consecutive_failures + 1;
+	if (!ok)
+		t->failed_at = now;
 	if (ok)
 		t->answered_at = now;
 }
 
-void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool helped)
+void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bct_gate_pulled_t r)
 {
 	bct_gate_topic_poll_t *t = &p->topics[topic];
 
-	t->ask_registry = !helped;
-	t->unhelpful_pulls = helped ? 0 : t->unhelpful_pulls + 1;
+	t->ask_registry = r != BCT_GATE_PULL_HELPED;
+	t->unhelpful_pulls = r == BCT_GATE_PULL_UNHELPFUL ? t->unhelpful_pulls + 1 : 0;
 }
 
 bct_gate_read_t bct_gate_poll_latest(const bct_gate_poll_t *p, bct_registry_topic_t topic,
--- a/policy/gate_poll.h
+++ b/policy/gate_poll.h
@@ -49,6 +49,7 @@
 	bct_time_t polled_at;	       /* last call of this node to the registry; 0: none yet */
 	bct_time_t pulled_at;	       /* last pull of this node from a peer; 0: none yet */
 	uint32_t consecutive_failures; /* of this node's polls */
+	bct_time_t failed_at;	       /* last one of them */
 	uint32_t unhelpful_pulls;      /* in a row, in which nothing changed */
 	bool ask_registry;	       /* the last pull did not help: the registry is next */
 } bct_gate_topic_poll_t;
@@ -112,8 +113,15 @@
 /* bct_gate_poll_result(3): processes the result of a call of this node to the registry. */
 void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic, bool ok);
 
-/* bct_gate_poll_pulled(3): processes the result of a pull from a peer: whether it changed data. */
-void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bool helped);
+/* Result of a pull from a peer. */
+typedef enum bct_gate_pulled {
+	BCT_GATE_PULL_HELPED = 0,
+	BCT_GATE_PULL_UNHELPFUL, /* it was answered and nothing changed */
+	BCT_GATE_PULL_FAILED,	 /* no answer, or the peer has too many to answer */
+} bct_gate_pulled_t;
+
+/* bct_gate_poll_pulled(3): processes the result of a pull. */
+void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bct_gate_pulled_t r);
 
 /*
  * bct_gate_poll_latest(3): returns the latest answer of the registry on a topic that this node's
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -75,7 +75,7 @@
 	d->pulls++;
 	if (ok)
 		d->data[t] = peer->data[t];
-	bct_gate_poll_pulled(&d->poll, t, ok);
+	bct_gate_poll_pulled(&d->poll, t, ok ? BCT_GATE_PULL_HELPED : BCT_GATE_PULL_FAILED);
 }
 
 static void act(fleet_t *f, uint32_t i, bct_time_t now)
@@ -331,6 +331,31 @@
 	assert_current(&fleet, "pulls fail");
 }
 
+/*
+ * The registry was lost for all nodes and is back, and a storm of changes keeps peers too busy to
+ * answer pulls: a failure of long ago does not keep a node from asking the registry.
+ */
+Test(gate_follow, pulls_fail_after_an_outage)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 75);
+	now = run(&fleet, 100000, 3000);
+	for (uint32_t i = 0; i < fleet.n; i++)
+		refuse(&fleet.nodes[i], 3);
+	now = run(&fleet, now, 8000);
+	for (uint32_t i = 0; i < fleet.n; i++)
+		refuse(&fleet.nodes[i], 0);
+	now = run(&fleet, now, 4000);
+	fleet.pull_fails = true;
+	for (int i = 0; i < 10; i++) {
+		publish(&fleet);
+		now = run(&fleet, now, 300);
+	}
+	run(&fleet, now, IN_FORCE_MS);
+	assert_current(&fleet, "a storm after an outage");
+}
+
 /* The registry is lost for all and comes back: calls are few meanwhile, and it is noticed. */
 Test(gate_follow, registry_is_lost)
 {
@@ -460,7 +485,7 @@
 		due = bct_gate_poll_due(&f, now, BCT_REGISTRY_UPSTREAMS, &local);
 		n += due.act != BCT_GATE_POLL_NONE;
 		if (due.act == BCT_GATE_POLL_PULL)
-			bct_gate_poll_pulled(&f, BCT_REGISTRY_UPSTREAMS, false);
+			bct_gate_poll_pulled(&f, BCT_REGISTRY_UPSTREAMS, BCT_GATE_PULL_UNHELPFUL);
 		else if (due.act)
 			bct_gate_poll_result(&f, now, BCT_REGISTRY_UPSTREAMS, true);
 	}
