--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -96,10 +96,22 @@
 		       explain_number(l, "predicted_wait_ms"),
 		       explain_number(l, "predicted_work_ms"));
 	bct_buf_printf(out,
-		       ", over the limit of %" JSON_INTEGER_FORMAT
-		       " ms (overload %" JSON_INTEGER_FORMAT " permille). It did not run.",
+		       ", against a limit of %" JSON_INTEGER_FORMAT
+		       " ms (overload %" JSON_INTEGER_FORMAT " permille).",
 		       explain_number(l, "first_byte_limit_ms"),
 		       explain_number(l, "overload_permille"));
+	if (explain_number(l, "ahead_permille"))
+		bct_buf_printf(
+			out,
+			" Of the wait only work that is as urgent counts: %" JSON_INTEGER_FORMAT
+			" permille.",
+			explain_number(l, "ahead_permille"));
+	if (explain_number(l, "predicted_output_ms"))
+		bct_buf_printf(out,
+			       " Its output was predicted to take %" JSON_INTEGER_FORMAT
+			       " ms more; it is refused if it can't end before the deadline.",
+			       explain_number(l, "predicted_output_ms"));
+	bct_buf_puts(out, " It did not run.");
 }
 
 static void poison(const json_t *l, bct_buf_t *out)
--- a/tests/proc_explain.sh
+++ b/tests/proc_explain.sh
@@ -9,7 +9,7 @@
 }
 
 cat >"$work/a.log" <<'LOG'
-   1.2 a {"time_ms":1000000,"vm":"a","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"over","how":"OVERLOAD","status":503,"version":9,"registry_age_ms":81,"upstream":"","attempts":0,"predicted_wait_ms":1865,"predicted_work_ms":154,"first_byte_limit_ms":900,"overload_permille":700}
+   1.2 a {"time_ms":1000000,"vm":"a","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"over","how":"OVERLOAD","status":503,"version":9,"registry_age_ms":81,"upstream":"","attempts":0,"predicted_wait_ms":1865,"predicted_work_ms":154,"first_byte_limit_ms":900,"overload_permille":700,"ahead_permille":620,"predicted_output_ms":7400}
    1.3 a {"time_ms":1000900,"vm":"a","level":"info","event":510,"name":"UPSTREAM_PRESENCE","upstream":"i-1","presence":4}
    1.3 a {"time_ms":1000901,"vm":"a","level":"info","event":510,"name":"UPSTREAM_PRESENCE","upstream":"i-9","presence":4}
    1.4 a {"time_ms":1001000,"vm":"a","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"lost","how":"UNKNOWN_OUTCOME","status":502,"version":9,"registry_age_ms":5000,"upstream":"i-1","attempts":1,"fault":2,"total_ms":1}
@@ -24,7 +24,7 @@
 LOG
 
 expect_exit 0 explain over "$work/a.log" "$work/b.log"
-output_has 'cause: The fleet had no capacity: the best upstream had a predicted wait of 1865 ms and prefill of 154 ms, over the limit of 900 ms'
+output_has 'cause: The fleet had no capacity: the best upstream had a predicted wait of 1865 ms and prefill of 154 ms, against a limit of 900 ms (overload 700 permille). Of the wait only work that is as urgent counts: 620 permille. Its output was predicted to take 7400 ms more; it is refused if it can.t end before the deadline. It did not run.'
 output_has 'unreadable lines: 1'
 
 expect_exit 0 explain lost "$work/a.log" "$work/b.log"
