--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -75,6 +75,7 @@
 /* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
 bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
 
+/* share_hubs.c */
 /* bct_share_uses_hubs(3): whether the fleet is too large for each node to send to all others. */
 bool bct_share_uses_hubs(const bct_share_t *s);
 
@@ -84,6 +85,26 @@
 /* bct_share_in_local_cluster(3): whether a peer, itself no hub, reports to this node as its hub. */
 bool bct_share_in_local_cluster(const bct_share_t *s, const bct_share_peer_t *p);
 
+/* bct_share_choose_hubs(3): choose the hubs after a change of the live nodes. */
+void bct_share_choose_hubs(bct_share_t *s);
+/* bct_share_watch_hubs(3): pass over hubs that fell silent; called once a round. */
+void bct_share_watch_hubs(bct_share_t *s, bct_time_t now);
+/*
+ * bct_share_hub_interval_ms(3): time between two rounds with hubs. Grows with the datagrams that a
+ * hub sends in a round.
+ */
+uint32_t bct_share_hub_interval_ms(const bct_share_t *s);
+
+/* share_registry.c */
+#define BCT_SHARE_HUB_VERSIONS_MS 200 /* between versions that a reader sends to the hubs */
+
+/* bct_share_fill_reads(3): state the registry's latest answers, by the view of the update. */
+void bct_share_fill_reads(bct_share_t *s, share_update *update);
+/* bct_share_send_versions(3): a reader of a large fleet advertises its versions, if it is time. */
+void bct_share_send_versions(bct_share_t *s, bct_time_t now);
+/* bct_share_apply_versions(3): apply the versions and upstream changes that a peer sent. */
+void bct_share_apply_versions(bct_share_t *s, bct_time_t now, const share_update *update);
+
 /* share_load.c: sending and receiving of load. */
 void bct_share_load_init(bct_share_t *s);
 void bct_share_load_free(bct_share_t *s);
