--- a/gate/share_registry.c
+++ b/gate/share_registry.c
@@ -79,7 +79,7 @@
 
 /*
  * In a large fleet the hubs relay changes, as sending a burst of changes to all nodes would
- * saturate the poller's link.
+ * saturate the reader's link.
  */
 static void send_change(bct_share_t *s, share_update *update)
 {
--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -22,7 +22,7 @@
 	pthread_mutex_unlock(&gates[0].lock);
 }
 
-/* Waits until each gateway has all others as live members, so that two of them are pollers. */
+/* Waits until each gateway has all others as live members, so that two of them are readers. */
 static void wait_until_joined(uint32_t n)
 {
 	bct_time_t end = bct_clock_now() + TIMEOUT_MS;
@@ -39,16 +39,16 @@
 	bct_clock_sleep(1500);
 }
 
-static bool is_poller(uint32_t i)
+static bool is_reader(uint32_t i)
 {
 	return gates[i].gate->rank < 2;
 }
 
-/* Makes the registry unavailable to all but the pollers: the others learn changes from peers. */
-static void disconnect_non_pollers(uint32_t n)
+/* Makes the registry unavailable to all but the readers: the others learn changes from peers. */
+static void disconnect_non_readers(uint32_t n)
 {
 	for (uint32_t i = 0; i < n; i++) {
-		if (!is_poller(i))
+		if (!is_reader(i))
 			set_flag(&gates[i].down, true);
 	}
 }
@@ -73,28 +73,28 @@
 	return false;
 }
 
-static void assert_non_pollers_lose_upstream(uint32_t n, const char *what)
+static void assert_non_readers_lose_upstream(uint32_t n, const char *what)
 {
 	for (uint32_t i = 0; i < n; i++) {
 		char name[24];
 
 		snprintf(name, sizeof(name), "%s%u", what, i);
-		cr_assert(is_poller(i) || loses_upstream(&gates[i], name),
+		cr_assert(is_reader(i) || loses_upstream(&gates[i], name),
 			  "%s: gateway %u of %u still has an upstream", what, i, n);
 	}
 }
 
 /*
- * A change can reach a poller by a listing instead of a read of changes, as after a gap in the
+ * A change can reach a reader by a listing instead of a read of changes, as after a gap in the
  * registry's history. The other nodes must receive it all the same.
  */
 Test(gate_fleet, change_found_by_listing_is_sent)
 {
 	test_gate_start_fleet(gates, SMALL_FLEET);
 	wait_until_joined(SMALL_FLEET);
-	disconnect_non_pollers(SMALL_FLEET);
+	disconnect_non_readers(SMALL_FLEET);
 	set_flag(&gates[0].desk_drains, true);
-	assert_non_pollers_lose_upstream(SMALL_FLEET, "drains");
+	assert_non_readers_lose_upstream(SMALL_FLEET, "drains");
 }
 
 /* An upstream that is missing from a listing counts as removed; the removal must be sent, too. */
@@ -102,9 +102,9 @@
 {
 	test_gate_start_fleet(gates, SMALL_FLEET);
 	wait_until_joined(SMALL_FLEET);
-	disconnect_non_pollers(SMALL_FLEET);
+	disconnect_non_readers(SMALL_FLEET);
 	set_flag(&gates[0].desk_listed, false);
-	assert_non_pollers_lose_upstream(SMALL_FLEET, "gone");
+	assert_non_readers_lose_upstream(SMALL_FLEET, "gone");
 }
 
 /* Makes the registry unavailable to all gateways but the one of the highest rank. */
@@ -192,9 +192,9 @@
 {
 	test_gate_start_fleet(gates, LARGE_FLEET);
 	wait_until_joined(LARGE_FLEET);
-	disconnect_non_pollers(LARGE_FLEET);
+	disconnect_non_readers(LARGE_FLEET);
 	set_flag(&gates[0].desk_drains, true);
-	assert_non_pollers_lose_upstream(LARGE_FLEET, "hubs");
+	assert_non_readers_lose_upstream(LARGE_FLEET, "hubs");
 }
 
 /* Running requests at all upstreams, as reported by the other gateways. */
