--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -11,14 +11,15 @@
 
 #define INTERVAL_MS 700
 #define MESSAGE_MS 200
+#define SMALL_MESSAGE_MS 100 /* what nodes of a small fleet count with */
 #define TICK_MS 100
 #define NODES_MAX 200
 /*
- * In force on every node within the smallest bound of the deployments, 2000 ms, while all is well;
- * 5000 ms more while the registry refuses some of the nodes.
+ * In force on every node before the smallest bound of the deployments, 2000 ms, while all is well;
+ * 5000 ms more while the registry refuses some of the nodes of a large fleet.
  */
-#define IN_FORCE_MS 2000
-#define IN_FORCE_REFUSED_MS 7000
+#define IN_FORCE_MS 1800
+#define IN_FORCE_REFUSED_MS 6800
 
 /* A node of the simulated fleet. Its data on a topic is one number, as the registry's. */
 typedef struct node {
@@ -202,6 +203,22 @@
 		d->refused[t] = (mask >> t & 1) != 0;
 }
 
+/* When the readers of a small fleet lose the registry, the others read it themselves in time. */
+Test(gate_follow, readers_may_lose_the_registry)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 7);
+	for (uint32_t i = 0; i < fleet.n; i++)
+		fleet.nodes[i].poll.message_interval_ms = SMALL_MESSAGE_MS;
+	now = run(&fleet, 100000, 3000);
+	refuse(&fleet.nodes[0], 3);
+	refuse(&fleet.nodes[1], 3);
+	publish(&fleet);
+	run(&fleet, now, IN_FORCE_MS);
+	assert_current(&fleet, "readers of a small fleet refused");
+}
+
 /* With both readers refused, others take over, and a change still reaches every node. */
 Test(gate_follow, both_readers_are_refused)
 {
