Registry: size, source and duration of each fetch in the log

Change: ROUTES_ADOPTED names bytes, source, fetch_ms; REGISTRY_DOWN and PULL_FAILED name topic, took_ms, received_bytes. No decision changes.

--- a/coord/registry.h
+++ b/coord/registry.h
@@ -29,7 +29,8 @@
 typedef struct bct_registry_batch {
 	bct_registry_change_t *changes;
 	uint32_t n;
-	uint64_t next; /* position to continue reading at */
+	uint64_t next;	       /* position to continue reading at */
+	size_t received_bytes; /* of the answers, also of a failed call */
 } bct_registry_batch_t;
 
 typedef struct bct_registry bct_registry_t;
--- a/gate/pull.c
+++ b/gate/pull.c
@@ -113,6 +113,8 @@
 	int rc = -BCT_EUNAVAILABLE;
 
 	one->conn = NULL;
+	if (req)
+		batch.received_bytes = evbuffer_get_length(evhttp_request_get_input_buffer(req));
 	if (req && evhttp_request_get_response_code(req) == STATUS_OK)
 		rc = decode(p->gate, one->topic, evhttp_request_get_input_buffer(req), &batch);
 	p->on_result(p->ctx, one->topic, &batch, rc);
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -26,6 +26,7 @@
 	bct_registry_batch_t batch;
 	bool listing; /* of the topic, else changes */
 	int rc;	      /* of the call */
+	bct_time_t started_at;
 } result_t;
 
 struct bct_registry_sync {
@@ -46,10 +47,13 @@
 	/* Used by the event loop only. */
 	bct_gate_poll_t poll;
 	bct_pull_t *pull;
-	bool up;		 /* the registry answered the last call */
-	bool up_known;		 /* up has been set */
-	bool knows_upstreams;	 /* the first listing has been applied */
-	bool notify_peers;	 /* what is being applied is news from the registry */
+	bool up;	      /* the registry answered the last call */
+	bool up_known;	      /* up has been set */
+	bool knows_upstreams; /* the first listing has been applied */
+	bool notify_peers;    /* what is being applied is news from the registry */
+	const char *source;   /* of what is being applied, for the log */
+	bct_time_t fetch_ms;  /* how long it took to fetch */
+	bct_time_t pull_started_at[BCT_REGISTRY_TOPICS];
 	uint64_t upstreams_next; /* position of the registry's last answer on upstreams */
 };
 
@@ -75,6 +79,7 @@
 	if (!d)
 		return -BCT_ENOMEM;
 	d->topic = t;
+	d->started_at = bct_clock_now();
 	d->listing = !s->listed[t];
 	bct_list_init(&d->link);
 	BCT_GATE_COUNT(s->gate, REGISTRY_CALLS);
@@ -160,8 +165,10 @@
 {
 	int rc = bct_pull_start(s->pull, topic, from);
 
-	if (!rc)
+	if (!rc) {
+		s->pull_started_at[topic] = bct_clock_now();
 		return;
+	}
 	bct_gate_poll_pulled(&s->poll, topic, BCT_GATE_PULL_FAILED);
 	BCT_LOG(s->gate->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_HEX("peer", from),
 		BCT_ERR("error", rc));
@@ -221,11 +228,12 @@
 }
 
 /* An answer that records expired shows that the registry is reachable, too. */
-static void note_health(bct_registry_sync_t *s, bct_registry_topic_t topic, int rc)
+static void note_health(bct_registry_sync_t *s, const result_t *d)
 {
-	bool up = !rc || rc == -BCT_EEXPIRED;
+	bct_time_t now = bct_clock_now();
+	bool up = !d->rc || d->rc == -BCT_EEXPIRED;
 
-	bct_gate_poll_result(&s->poll, bct_clock_now(), topic, up);
+	bct_gate_poll_result(&s->poll, now, d->topic, up);
 	note_registry(s);
 	if (s->up_known && up == s->up)
 		return;
@@ -235,7 +243,10 @@
 		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_UP,
 			BCT_U64("version", s->gate->routes ? s->gate->routes->version : 0));
 	else
-		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", rc));
+		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", d->rc),
+			BCT_U64("topic", d->topic), BCT_U64("listing", d->listing),
+			BCT_I64("took_ms", now - d->started_at),
+			BCT_U64("received_bytes", d->batch.received_bytes));
 }
 
 /* Announces to the picker the lanes of streaming routes to engines. */
@@ -274,7 +285,10 @@
 	BCT_LOG(g->log, BCT_EV_ROUTES_ADOPTED, BCT_U64("version", g->routes->version),
 		BCT_U64("was", old_version), BCT_U64("routes", g->routes->n_routes),
 		BCT_U64("services", g->routes->n_services),
-		BCT_U64("accounts", g->routes->n_accounts));
+		BCT_U64("accounts", g->routes->n_accounts),
+		BCT_U64("bytes", g->routes->record_bytes),
+		BCT_STR("source", g->registry_sync->source),
+		BCT_I64("fetch_ms", g->registry_sync->fetch_ms));
 }
 
 static void log_upstream(bct_gate_t *g, const char *id)
@@ -370,10 +384,12 @@
  */
 static void apply(bct_registry_sync_t *s, result_t *d)
 {
-	note_health(s, d->topic, d->rc);
+	note_health(s, d);
 	if (d->rc)
 		return;
 	check_replaced(s, d);
+	s->source = d->listing ? "listing" : "changes";
+	s->fetch_ms = bct_clock_now() - d->started_at;
 	s->notify_peers = s->knows_upstreams && bct_gate_poll_is_reader(&s->poll, bct_clock_now(),
 									d->topic, s->gate->rank);
 	apply_batch(s, d->topic, &d->batch, d->listing);
@@ -390,6 +406,8 @@
 	uint32_t n = batch->n;
 	bool helped;
 
+	s->source = "peer";
+	s->fetch_ms = bct_clock_now() - s->pull_started_at[topic];
 	if (!rc)
 		apply_batch(s, topic, batch, true);
 	if (topic == BCT_REGISTRY_ROUTES)
@@ -401,10 +419,13 @@
 			     : helped ? BCT_GATE_PULL_HELPED
 				      : BCT_GATE_PULL_UNHELPFUL);
 	if (rc)
-		BCT_LOG(g->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_ERR("error", rc));
+		BCT_LOG(g->log, BCT_EV_PULL_FAILED, BCT_U64("topic", topic), BCT_ERR("error", rc),
+			BCT_I64("took_ms", s->fetch_ms),
+			BCT_U64("received_bytes", batch->received_bytes));
 	else
 		BCT_LOG(g->log, BCT_EV_PULLED, BCT_U64("topic", topic), BCT_U64("records", n),
-			BCT_U64("helped", helped),
+			BCT_I64("took_ms", s->fetch_ms),
+			BCT_U64("received_bytes", batch->received_bytes), BCT_U64("helped", helped),
 			BCT_U64("version", g->routes ? g->routes->version : 0));
 }
 
