--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -30,6 +30,9 @@
 	bool frozen;			   /* does nothing */
 	uint32_t calls[BCT_REGISTRY_TOPICS];
 	uint32_t pulls;
+	bct_time_t pulled_at; /* start of a pull of routes in progress; 0: none */
+	uint64_t pulled_from;
+	uint32_t overlaps; /* times that routes were fetched while a pull was in progress */
 } node_t;
 
 /* Readers send a message to all nodes every MESSAGE_MS; it arrives in the next tick. */
@@ -38,6 +41,7 @@
 	uint32_t n;
 	uint64_t data[BCT_REGISTRY_TOPICS]; /* at the registry */
 	bool pull_fails;		    /* no pull gets an answer */
+	uint32_t routes_pull_ms;	    /* how long a pull of routes takes */
 } fleet_t;
 
 static fleet_t fleet;
@@ -79,10 +83,37 @@
 	bct_gate_poll_pulled(&d->poll, t, ok ? BCT_GATE_PULL_HELPED : BCT_GATE_PULL_FAILED);
 }
 
+/* Starts a pull, which ends at once unless pulls of routes take time. */
+static void start_pull(fleet_t *f, node_t *d, bct_time_t now, bct_registry_topic_t t, uint64_t from)
+{
+	if (t != BCT_REGISTRY_ROUTES || !f->routes_pull_ms) {
+		pull(f, d, t, from);
+		return;
+	}
+	if (d->pulled_at) {
+		d->overlaps++;
+		bct_gate_poll_pulled(&d->poll, t, BCT_GATE_PULL_FAILED);
+		return;
+	}
+	d->pulled_at = now;
+	d->pulled_from = from;
+}
+
+static void end_pull(fleet_t *f, node_t *d, bct_time_t now)
+{
+	if (!d->pulled_at || now - d->pulled_at < (bct_time_t)f->routes_pull_ms)
+		return;
+	d->pulled_at = 0;
+	pull(f, d, BCT_REGISTRY_ROUTES, d->pulled_from);
+}
+
 static void act(fleet_t *f, uint32_t i, bct_time_t now)
 {
 	node_t *d = &f->nodes[i];
-	bct_gate_local_versions_t local = { .rank = i, .routes_version = d->data[0] };
+	bct_gate_local_versions_t local = { .rank = i };
+
+	end_pull(f, d, now);
+	local.routes_version = d->data[0];
 
 	for (uint32_t t = 0; t < BCT_REGISTRY_TOPICS && !d->frozen; t++) {
 		bct_gate_due_t due;
@@ -90,8 +121,10 @@
 		local.upstreams_digest = d->data[1];
 		due = bct_gate_poll_due(&d->poll, now, (bct_registry_topic_t)t, &local);
 		if (due.act == BCT_GATE_POLL_PULL)
-			pull(f, d, (bct_registry_topic_t)t, due.from);
-		else if (due.act)
+			start_pull(f, d, now, (bct_registry_topic_t)t, due.from);
+		else if (due.act && d->pulled_at && t == BCT_REGISTRY_ROUTES)
+			d->overlaps++;
+		if (due.act && due.act != BCT_GATE_POLL_PULL)
 			call_registry(f, d, now, (bct_registry_topic_t)t);
 	}
 }
@@ -348,6 +381,24 @@
 	assert_current(&fleet, "pulls fail");
 }
 
+/*
+ * A configuration of 4,000 routes on links of 10 Mbit/s: a pull lasts longer than the pause between
+ * two decisions. A pull in progress is no reason to fetch the same once more.
+ */
+Test(gate_follow, a_pull_in_progress_is_waited_for)
+{
+	bct_time_t now;
+
+	fleet_init(&fleet, 75);
+	now = run(&fleet, 100000, 3000);
+	fleet.routes_pull_ms = 900;
+	publish(&fleet);
+	run(&fleet, now, IN_FORCE_MS + 900);
+	assert_current(&fleet, "slow pulls");
+	for (uint32_t i = 0; i < fleet.n; i++)
+		cr_assert_eq(fleet.nodes[i].overlaps, 0, "node %u: %u", i, fleet.nodes[i].overlaps);
+}
+
 /*
  * The registry was lost for all nodes and is back, and a storm of changes keeps peers too busy to
  * answer pulls: a failure of long ago does not keep a node from asking the registry.
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,129 @@
+/*
+ * test_store.c - client of the platform's store against a server that answers slowly.
+ */
+#include "base/err.h"
+#include "platform/store.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TIMEOUT_MS 1000
+#define PAUSE_US 100000 /* between two parts of an answer */
+#define VALUE_BYTES 64000
+#define PREFIX_BYTES (16 + 4 + 2) /* offsets, length of the record, and its key "k" */
+
+/* Answers one request. */
+typedef struct server {
+	int fd;
+	uint16_t port;
+	pthread_t thread;
+	uint32_t parts; /* in which the body is sent */
+	uint32_t sent;	/* of them; then the server falls silent until the client leaves */
+} server_t;
+
+static char body[PREFIX_BYTES + VALUE_BYTES];
+
+static void put_big_endian(char *at, uint32_t v)
+{
+	for (int i = 0; i < 4; i++)
+		at[i] = (char)(v >> (24 - 8 * i));
+}
+
+static void *serve(void *arg)
+{
+	server_t *s = arg;
+	int fd = accept(s->fd, NULL, NULL);
+	char buf[2048];
+	size_t at = 0, part = sizeof(body) / s->parts + 1;
+
+	if (read(fd, buf, sizeof(buf)) <= 0)
+		return NULL;
+	dprintf(fd, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", sizeof(body));
+	for (uint32_t i = 0; i < s->sent && at < sizeof(body); i++) {
+		size_t n = sizeof(body) - at < part ? sizeof(body) - at : part;
+
+		if (send(fd, body + at, n, MSG_NOSIGNAL) != (ssize_t)n)
+			break;
+		at += n;
+		usleep(PAUSE_US);
+	}
+	while (read(fd, buf, sizeof(buf)) > 0)
+		;
+	close(fd);
+	return NULL;
+}
+
+static void start(server_t *s)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+
+	memset(body, 0, sizeof(body));
+	put_big_endian(body + 4, 1); /* the end offset */
+	put_big_endian(body + 16, 2 + VALUE_BYTES);
+	body[20] = 1;
+	memset(body + 21, 'k', 1 + VALUE_BYTES);
+	s->fd = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert_eq(bind(s->fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	cr_assert_eq(listen(s->fd, 4), 0);
+	getsockname(s->fd, (struct sockaddr *)&sa, &len);
+	s->port = ntohs(sa.sin_port);
+	pthread_create(&s->thread, NULL, serve, s);
+}
+
+static int on_record(void *ctx, const bct_store_record_t *r)
+{
+	*(size_t *)ctx = r->value_bytes;
+	return 0;
+}
+
+static int read_log(server_t *s, size_t *value_bytes)
+{
+	char address[64];
+	bct_store_t *store;
+	uint64_t next = 0;
+	int rc;
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u", s->port);
+	cr_assert_eq(bct_store_new(address, &store), 0);
+	rc = bct_store_read(store, "keyed.op", 0, TIMEOUT_MS, on_record, value_bytes, &next);
+	bct_store_free(store);
+	pthread_join(s->thread, NULL);
+	close(s->fd);
+	return rc;
+}
+
+/* A configuration of 1 MB on a link of 10 Mbit/s: it takes longer than a call may be silent. */
+Test(store, a_large_answer_on_a_slow_link_arrives)
+{
+	server_t s = { .parts = 20, .sent = 20 };
+	size_t value_bytes = 0;
+
+	start(&s);
+	cr_assert_eq(read_log(&s, &value_bytes), 0);
+	cr_assert_eq(value_bytes, VALUE_BYTES);
+}
+
+Test(store, a_silent_store_is_given_up)
+{
+	server_t s = { .parts = 20, .sent = 0 };
+	size_t value_bytes = 0;
+
+	start(&s);
+	cr_assert_eq(read_log(&s, &value_bytes), -BCT_EUNAVAILABLE);
+}
+
+Test(store, an_answer_that_stops_is_given_up)
+{
+	server_t s = { .parts = 20, .sent = 5 };
+	size_t value_bytes = 0;
+
+	start(&s);
+	cr_assert_eq(read_log(&s, &value_bytes), -BCT_EUNAVAILABLE);
+}
