Store client: a call ends when nothing arrives, not after one second in all

Cause: platform.timeout_ms bounded a whole call. At 10 Mbit/s a listing of 4,200 routes (1.08 MB) takes longer: it was ended after 1000 ms with 97 of 100 bytes received and begun again, by all nodes at once. Class: a fixed time limit on a transfer whose size grows. Evidence: took_ms 1000 and received_bytes 966000 to 1064884 of REGISTRY_DOWN. Why it works: a slow link costs the time of one transfer, not of two or three.

--- a/coord/registry.h
+++ b/coord/registry.h
@@ -2,7 +2,8 @@
  * registry.h - interface to the registry in which the gateway's configuration and its upstreams are
  * published. It has two topics of named records, and keeps the newest record of each name.
  *
- * Calls block for up to timeout_ms. All calls on one registry come from the same thread.
+ * A call ends when nothing has arrived for timeout_ms; a large answer may take longer in all. All
+ * calls on one registry come from the same thread, but for cancel.
  */
 #ifndef BCT_COORD_REGISTRY_H
 #define BCT_COORD_REGISTRY_H
@@ -37,6 +38,8 @@
 
 typedef struct bct_registry_ops {
 	void (*destroy)(bct_registry_t *r);
+	/* Ends the call in progress, and later ones at once. May be called from any thread. */
+	void (*cancel)(bct_registry_t *r);
 	/* Gets the newest record of each name. */
 	int (*list)(bct_registry_t *r, bct_registry_topic_t topic, uint32_t timeout_ms,
 		    bct_registry_batch_t *out);
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -497,6 +497,7 @@
 	if (!s)
 		return;
 	bct_registry_sync_stop(s);
+	s->gate->opts.registry->ops->cancel(s->gate->opts.registry);
 	if (s->started)
 		pthread_join(s->thread, NULL);
 	bct_pull_free(s->pull);
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -137,7 +137,14 @@
 	bct_free(r);
 }
 
+/* Calls do not block. */
+static void cancel(bct_registry_t *r)
+{
+	(void)r;
+}
+
 static const bct_registry_ops_t registry_ops = {
+	.cancel = cancel,
 	.destroy = destroy,
 	.list = list,
 	.changes = changes,
