Registry: a pull in progress is waited for

Cause: the decision did not know that a pull was in progress. Every 200 ms it started another one, which failed with ESTATE, which counted as a failed pull, which sent the node to the registry for a whole listing: two copies on one link of 10 Mbit/s. Class: one transfer is taken for two. Change: policy/gate_poll keeps that a pull runs until its end is reported, 8 s at most.

--- a/policy/gate_poll.c
+++ b/policy/gate_poll.c
@@ -16,6 +16,7 @@
 #define RETRY_MIN_MS 200     /* base of the back-off after failures; least pause of a non-reader */
 #define RETRY_MAX_SHIFT 2U   /* the pause after failures doubles up to this shift */
 #define PULL_MAX_SHIFT 3U    /* the same after pulls that did not help */
+#define PULL_MAX_MS 8000     /* a pull whose end was not reported counts as ended */
 #define REFUSED_KEEP_MS 1500 /* how long a failed poll speaks against asking the registry again */
 
 void bct_gate_poll_init(bct_gate_poll_t *p, uint32_t interval_ms)
@@ -192,16 +193,22 @@
 		return due;
 	}
 	t->pulled_at = now;
+	t->pulling = true;
 	due.from = topic == BCT_REGISTRY_ROUTES ? p->highest_from : p->received_from;
 	return due;
 }
 
-/* Whether the pause after the last call or pull is over; longer the more pulls did not help. */
+/*
+ * Whether no pull is in progress and the pause after the last call or pull is over; longer the more
+ * pulls did not help.
+ */
 static bool may_catch_up(const bct_gate_topic_poll_t *t, bct_time_t now)
 {
 	uint32_t shift = t->unhelpful_pulls < PULL_MAX_SHIFT ? t->unhelpful_pulls : PULL_MAX_SHIFT;
 	bct_time_t last = t->pulled_at > t->polled_at ? t->pulled_at : t->polled_at;
 
+	if (t->pulling && now - t->pulled_at < PULL_MAX_MS)
+		return false;
 	return !last || now - last >= (bct_time_t)RETRY_MIN_MS << shift;
 }
 
@@ -243,6 +250,7 @@
 {
 	bct_gate_topic_poll_t *t = &p->topics[topic];
 
+	t->pulling = false;
 	t->ask_registry = r != BCT_GATE_PULL_HELPED;
 	t->unhelpful_pulls = r == BCT_GATE_PULL_UNHELPFUL ? t->unhelpful_pulls + 1 : 0;
 }
--- a/policy/gate_poll.h
+++ b/policy/gate_poll.h
@@ -48,6 +48,7 @@
 	bct_time_t answered_at;	       /* last answer to this node */
 	bct_time_t polled_at;	       /* last call of this node to the registry; 0: none yet */
 	bct_time_t pulled_at;	       /* last pull of this node from a peer; 0: none yet */
+	bool pulling;		       /* it has not ended */
 	uint32_t consecutive_failures; /* of this node's polls */
 	bct_time_t failed_at;	       /* last one of them */
 	uint32_t unhelpful_pulls;      /* in a row, in which nothing changed */
@@ -120,7 +121,7 @@
 	BCT_GATE_PULL_FAILED,	 /* no answer, or the peer has too many to answer */
 } bct_gate_pulled_t;
 
-/* bct_gate_poll_pulled(3): processes the result of a pull. */
+/* bct_gate_poll_pulled(3): processes the result of a pull, also of one that did not start. */
 void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bct_gate_pulled_t r);
 
 /*
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -497,6 +497,7 @@
 	f.message_interval_ms = message_interval_ms;
 	for (uint32_t ms = 0; ms < 30000; ms += TICK_MS) {
 		bct_time_t now = 100000 + ms;
+		bct_gate_poll_act_t act;
 
 		if (change_ms && ms % change_ms == 0)
 			local.upstreams_digest++;
@@ -507,8 +508,12 @@
 					    .from = 1,
 					    .reads = { { now, 1 }, { now, 1 } },
 					    .upstreams_digest = local.upstreams_digest + behind });
-		if (ms >= 1000)
-			n += bct_gate_poll_due(&f, now, BCT_REGISTRY_UPSTREAMS, &local).act != 0;
+		if (ms < 1000)
+			continue;
+		act = bct_gate_poll_due(&f, now, BCT_REGISTRY_UPSTREAMS, &local).act;
+		n += act != BCT_GATE_POLL_NONE;
+		if (act == BCT_GATE_POLL_PULL)
+			bct_gate_poll_pulled(&f, BCT_REGISTRY_UPSTREAMS, BCT_GATE_PULL_HELPED);
 	}
 	return n;
 }
