Pulls: routes are packed, and a hub may serve all of its nodes within a second

Cause: a pull carried the whole text; at 256 KB/s a node served one copy of 800 KB a second. The rest was refused and listed the registry, all at once, 1.08 MB each in base64. Class: work grows with size times nodes through a few links. Change: base/pack (zstd) packs the routes once for each version; a node serves 512 KB/s. Peers of an older build fail to decode and list.

--- a/gate/gate.c
+++ b/gate/gate.c
@@ -194,6 +194,7 @@
 		bct_free(b);
 	bct_map_free(&g->budgets);
 	bct_gate_routes_unref(g->routes);
+	bct_packed_free(&g->packed_routes);
 	for (size_t i = 0; i < 3; i++) {
 		if (g->signals[i])
 			event_free(g->signals[i]);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -6,6 +6,7 @@
 #define BCT_GATE_GATE_INT_H
 
 #include "base/clock.h"
+#include "base/pack.h"
 #include "coord/peer.h"
 #include "gate/counters.h"
 #include "gate/sse.h"
@@ -84,6 +85,8 @@
 	bct_gate_counters_t counters;
 	bct_time_t pulls_served_since; /* start of the current second of answers to pulls */
 	size_t pulls_served_bytes;     /* in that second */
+	bct_packed_t packed_routes;    /* what pulls of routes are answered with */
+	uint64_t packed_version;       /* of the routes it was made from */
 	bool draining;
 	bct_time_t drain_started;
 	uint64_t draw; /* selects a service of a split route */
--- a/gate/pull.c
+++ b/gate/pull.c
@@ -1,11 +1,13 @@
 /*
  * pull.c - a pull is a GET request of libevent's HTTP client. Its body is an XDR structure followed
  * by a MAC; a MAC of the request shows the server that a node of the fleet asks, as configurations
- * contain API keys.
+ * contain API keys. A configuration is sent packed, since all nodes fetch it at about the same
+ * time.
  */
 #include "gate/pull.h"
 #include "base/err.h"
 #include "base/mem.h"
+#include "base/pack.h"
 #include "gate/share_int.h"
 
 #include <event2/buffer.h>
@@ -17,7 +19,6 @@
 #define TIMEOUT_S 1
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define AUTHORIZATION_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
-#define SERVED_BYTES_PER_S (256 * 1024) /* a tenth of the slowest links */
 #define STATUS_OK 200
 #define STATUS_FORBIDDEN 403
 #define STATUS_UNAVAILABLE 503
@@ -57,11 +58,18 @@
 {
 	bct_registry_t *r = g->opts.registry;
 	share_routes m = { 0 };
-	int rc = -BCT_ECODEC;
-
-	if (xdr_share_routes(x, &m))
-		rc = r->ops->decode_routes(r, m.record.record_val, m.record.record_len,
-					   &out->changes[0].table);
+	bct_packed_t packed;
+	char *text = NULL;
+	int rc = xdr_share_routes(x, &m) ? 0 : -BCT_ECODEC;
+
+	packed = (bct_packed_t){ .data = m.packed.packed_val,
+				 .len_bytes = m.packed.packed_len,
+				 .unpacked_bytes = m.unpacked_bytes };
+	if (!rc)
+		rc = bct_unpack(&packed, ANSWER_MAX_BYTES, &text);
+	if (!rc)
+		rc = r->ops->decode_routes(r, text, packed.unpacked_bytes, &out->changes[0].table);
+	bct_free(text);
 	xdr_free((xdrproc_t)xdr_share_routes, (char *)&m);
 	out->changes[0].kind = BCT_REGISTRY_TABLE;
 	out->n = rc ? 0 : 1;
@@ -227,7 +235,7 @@
 		g->pulls_served_since = now;
 		g->pulls_served_bytes = 0;
 	}
-	if (g->pulls_served_bytes && g->pulls_served_bytes + bytes > SERVED_BYTES_PER_S)
+	if (g->pulls_served_bytes && g->pulls_served_bytes + bytes > BCT_PULL_SERVED_BYTES_PER_S)
 		return false;
 	g->pulls_served_bytes += bytes;
 	return true;
@@ -257,21 +265,40 @@
 	bct_free(data);
 }
 
+/* The routes in force, packed once for each version; NULL if there are none or memory is short. */
+static const bct_packed_t *packed_routes(bct_gate_t *g)
+{
+	const bct_gate_routes_t *t = g->routes;
+
+	if (!t || !t->record)
+		return NULL;
+	if (g->packed_routes.data && g->packed_version == t->version)
+		return &g->packed_routes;
+	bct_packed_free(&g->packed_routes);
+	if (bct_pack(t->record, t->record_bytes, &g->packed_routes))
+		return NULL;
+	g->packed_version = t->version;
+	return &g->packed_routes;
+}
+
 static void on_routes(struct evhttp_request *req, void *ctx)
 {
 	bct_gate_t *g = ctx;
+	const bct_packed_t *packed;
 	share_routes m = { 0 };
 
 	if (!is_authorized(g, req, BCT_REGISTRY_ROUTES)) {
 		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
 		return;
 	}
-	if (!g->routes || !g->routes->record) {
+	packed = packed_routes(g);
+	if (!packed) {
 		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
 		return;
 	}
-	m.record.record_val = g->routes->record;
-	m.record.record_len = (u_int)g->routes->record_bytes;
+	m.unpacked_bytes = (u_int)packed->unpacked_bytes;
+	m.packed.packed_val = packed->data;
+	m.packed.packed_len = (u_int)packed->len_bytes;
 	reply(g, req, (xdrproc_t)xdr_share_routes, &m);
 }
 
--- a/gate/pull.h
+++ b/gate/pull.h
@@ -10,6 +10,9 @@
 
 #include <event2/http.h>
 
+/* What a node serves in answers to pulls; two fifths of the slowest links, 10 Mbit/s. */
+#define BCT_PULL_SERVED_BYTES_PER_S (512 * 1024)
+
 typedef struct bct_pull bct_pull_t;
 
 /*
--- a/gen/share.h
+++ b/gen/share.h
@@ -105,10 +105,11 @@
 typedef struct share_update share_update;
 
 struct share_routes {
+	u_int unpacked_bytes;
 	struct {
-		u_int record_len;
-		char *record_val;
-	} record;
+		u_int packed_len;
+		char *packed_val;
+	} packed;
 };
 typedef struct share_routes share_routes;
 
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -278,7 +278,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_bytes (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, ~0))
+	 if (!xdr_u_int (xdrs, &objp->unpacked_bytes))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->packed.packed_val, (u_int *) &objp->packed.packed_len, ~0))
 		 return FALSE;
 	return TRUE;
 }
--- a/schema/share.x
+++ b/schema/share.x
@@ -92,7 +92,8 @@
  * Answers to a node that pulls a topic from a peer over HTTP. A MAC follows, as in a datagram.
  */
 struct share_routes {
-	opaque record<>;	/* the configuration as the registry holds it */
+	unsigned int unpacked_bytes;
+	opaque packed<>;	/* the configuration as the registry holds it, see base/pack.h */
 };
 
 struct share_upstreams {
