Registry: a thread for each topic, so that upstreams don't wait for routes

Cause: one thread read both topics in turn. While a configuration of 800 KB came in, a second and more, no news of engines was read, and both readers fetch it at the same time. Test: a_long_read_of_routes_holds_up_no_upstreams failed before (an engine that drained was used for 15 s), passes.

--- a/coord/registry.h
+++ b/coord/registry.h
@@ -3,7 +3,7 @@
  * published. It has two topics of named records, and keeps the newest record of each name.
  *
  * A call ends when nothing has arrived for timeout_ms; a large answer may take longer in all. All
- * calls on one registry come from the same thread, but for cancel.
+ * calls on one topic come from the same thread, but for cancel.
  */
 #ifndef BCT_COORD_REGISTRY_H
 #define BCT_COORD_REGISTRY_H
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -1,11 +1,12 @@
 /*
- * registry_sync.c - reads the registry on a thread of its own and passes results to the event loop.
+ * registry_sync.c - reads the registry on threads of its own and passes results to the event loop.
  *
- * The event loop decides what is due (policy/gate_poll.h); the thread makes the blocking calls, and
- * pull.c the requests to peers. Each topic is listed once and then read from the end of the
- * listing. If records expired before they were read, it is listed again. The topics are polled at
- * an interval instead of by long polls: upstreams write heartbeats all the time, and a long poll
- * would return for each of them.
+ * The event loop decides what is due (policy/gate_poll.h); a thread for each topic makes the
+ * blocking calls, so that a long transfer on one topic holds up no news on the other, and pull.c
+ * the requests to peers. Each topic is listed once and then read from the end of the listing. If
+ * records expired before they were read, it is listed again. The topics are polled at an interval
+ * instead of by long polls: upstreams write heartbeats all the time, and a long poll would return
+ * for each of them.
  */
 #include "base/err.h"
 #include "base/mem.h"
@@ -29,26 +30,34 @@
 	bct_time_t started_at;
 } result_t;
 
-struct bct_registry_sync {
-	bct_gate_t *gate;
+/* Makes the calls on one topic. The lock of the owner guards due and busy. */
+typedef struct reader {
+	bct_registry_sync_t *owner;
+	bct_registry_topic_t topic;
 	pthread_t thread;
 	bool started;
+	pthread_cond_t due_cond;
+	bct_gate_poll_act_t due; /* the call that the thread is to make */
+	bool busy;		 /* it is making one */
+	/* Used by the thread only. */
+	bool listed;
+	uint64_t next; /* position to read changes from */
+	/* Used by the event loop only. */
+	bool up;       /* the registry answered the last call */
+	bool up_known; /* up has been set */
+} reader_t;
+
+struct bct_registry_sync {
+	bct_gate_t *gate;
+	reader_t readers[BCT_REGISTRY_TOPICS];
 	int wake_fd; /* eventfd: results are queued */
 	struct event *wake;
-	pthread_mutex_t lock; /* guards results, due, busy and stop */
-	pthread_cond_t due_cond;
+	pthread_mutex_t lock; /* guards results and stop */
 	bct_list_t results;
-	bct_gate_poll_act_t due[BCT_REGISTRY_TOPICS]; /* calls that the thread is to make */
-	bool busy;				      /* the thread is making calls */
 	bool stop;
-	/* Used by the thread only. */
-	bool listed[BCT_REGISTRY_TOPICS];
-	uint64_t next[BCT_REGISTRY_TOPICS]; /* position to read changes from */
 	/* Used by the event loop only. */
 	bct_gate_poll_t poll;
 	bct_pull_t *pull;
-	bool up;	      /* the registry answered the last call */
-	bool up_known;	      /* up has been set */
 	bool knows_upstreams; /* the first listing has been applied */
 	bool notify_peers;    /* what is being applied is news from the registry */
 	const char *source;   /* of what is being applied, for the log */
@@ -68,9 +77,10 @@
 		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", -BCT_EIO));
 }
 
-/* Makes one call for one topic and queues its result. returns the error of the call. */
-static int read_topic(bct_registry_sync_t *s, bct_registry_topic_t t)
+/* Makes one call and queues its result. returns the error of the call. */
+static int read_topic(reader_t *reader)
 {
+	bct_registry_sync_t *s = reader->owner;
 	bct_registry_t *r = s->gate->opts.registry;
 	uint32_t timeout_ms = s->gate->settings->platform_timeout_ms;
 	result_t *d = bct_alloc(sizeof(*d));
@@ -78,76 +88,53 @@
 
 	if (!d)
 		return -BCT_ENOMEM;
-	d->topic = t;
+	d->topic = reader->topic;
 	d->started_at = bct_clock_now();
-	d->listing = !s->listed[t];
+	d->listing = !reader->listed;
 	bct_list_init(&d->link);
 	BCT_GATE_COUNT(s->gate, REGISTRY_CALLS);
-	rc = d->listing ? r->ops->list(r, t, timeout_ms, &d->batch)
-			: r->ops->changes(r, t, s->next[t], timeout_ms, &d->batch);
+	rc = d->listing ? r->ops->list(r, d->topic, timeout_ms, &d->batch)
+			: r->ops->changes(r, d->topic, reader->next, timeout_ms, &d->batch);
 	d->rc = rc;
 	if (!rc) {
-		s->listed[t] = true;
-		s->next[t] = d->batch.next;
+		reader->listed = true;
+		reader->next = d->batch.next;
 	} else if (rc == -BCT_EEXPIRED) {
-		s->listed[t] = false;
+		reader->listed = false;
 	}
 	push_result(s, d);
 	return rc;
 }
 
-static bool any_due(const bct_registry_sync_t *s)
-{
-	return s->due[BCT_REGISTRY_ROUTES] || s->due[BCT_REGISTRY_UPSTREAMS];
-}
-
 /* Waits until a call is due. returns false after bct_registry_sync_stop(3). */
-static bool next_due(bct_registry_sync_t *s, bct_gate_poll_act_t *due)
+static bool next_due(reader_t *reader, bct_gate_poll_act_t *due)
 {
+	bct_registry_sync_t *s = reader->owner;
 	bool stop;
 
 	pthread_mutex_lock(&s->lock);
-	s->busy = false;
-	while (!s->stop && !any_due(s))
-		pthread_cond_wait(&s->due_cond, &s->lock);
-	memcpy(due, s->due, sizeof(s->due));
-	memset(s->due, 0, sizeof(s->due));
-	s->busy = true;
+	reader->busy = false;
+	while (!s->stop && !reader->due)
+		pthread_cond_wait(&reader->due_cond, &s->lock);
+	*due = reader->due;
+	reader->due = BCT_GATE_POLL_NONE;
+	reader->busy = true;
 	stop = s->stop;
 	pthread_mutex_unlock(&s->lock);
 	return !stop;
 }
 
-/* Reads a topic, and lists it at once if records expired before they were read. */
-static void sync_topic(bct_registry_sync_t *s, bct_registry_topic_t t, bool list)
-{
-	if (list)
-		s->listed[t] = false;
-	if (read_topic(s, t) == -BCT_EEXPIRED)
-		read_topic(s, t);
-}
-
-static bool is_stopped(bct_registry_sync_t *s)
-{
-	bool stop;
-
-	pthread_mutex_lock(&s->lock);
-	stop = s->stop;
-	pthread_mutex_unlock(&s->lock);
-	return stop;
-}
-
+/* Reads the topic, and lists it at once if records expired before they were read. */
 static void *run(void *arg)
 {
-	bct_registry_sync_t *s = arg;
-	bct_gate_poll_act_t due[BCT_REGISTRY_TOPICS];
-
-	while (next_due(s, due)) {
-		for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
-			if (due[i] && !is_stopped(s))
-				sync_topic(s, (bct_registry_topic_t)i,
-					   due[i] == BCT_GATE_POLL_LIST);
-		}
+	reader_t *reader = arg;
+	bct_gate_poll_act_t due;
+
+	while (next_due(reader, &due)) {
+		if (due == BCT_GATE_POLL_LIST)
+			reader->listed = false;
+		if (read_topic(reader) == -BCT_EEXPIRED)
+			read_topic(reader);
 	}
 	return NULL;
 }
@@ -186,19 +173,20 @@
 
 	note_registry(s);
 	pthread_mutex_lock(&s->lock);
-	local.busy = s->busy || any_due(s);
 	s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
 	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS && !s->stop; i++) {
-		bct_registry_topic_t topic = (bct_registry_topic_t)i;
-		bct_gate_due_t due = bct_gate_poll_due(&s->poll, now, topic, &local);
+		reader_t *reader = &s->readers[i];
+		bct_gate_due_t due;
 
+		local.busy = reader->busy || reader->due;
+		due = bct_gate_poll_due(&s->poll, now, reader->topic, &local);
 		if (due.act == BCT_GATE_POLL_PULL)
-			start_pull(s, topic, due.from);
-		else
-			s->due[i] = due.act ? due.act : s->due[i];
+			start_pull(s, reader->topic, due.from);
+		else if (due.act)
+			reader->due = due.act;
+		if (reader->due)
+			pthread_cond_signal(&reader->due_cond);
 	}
-	if (any_due(s))
-		pthread_cond_signal(&s->due_cond);
 	pthread_mutex_unlock(&s->lock);
 }
 
@@ -230,17 +218,18 @@
 /* An answer that records expired shows that the registry is reachable, too. */
 static void note_health(bct_registry_sync_t *s, const result_t *d)
 {
+	reader_t *reader = &s->readers[d->topic];
 	bct_time_t now = bct_clock_now();
 	bool up = !d->rc || d->rc == -BCT_EEXPIRED;
 
 	bct_gate_poll_result(&s->poll, now, d->topic, up);
 	note_registry(s);
-	if (s->up_known && up == s->up)
+	if (reader->up_known && up == reader->up)
 		return;
-	s->up_known = true;
-	s->up = up;
+	reader->up_known = true;
+	reader->up = up;
 	if (up)
-		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_UP,
+		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_UP, BCT_U64("topic", d->topic),
 			BCT_U64("version", s->gate->routes ? s->gate->routes->version : 0));
 	else
 		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", d->rc),
@@ -455,6 +444,16 @@
 	}
 }
 
+static int start_reader(bct_registry_sync_t *s, bct_registry_topic_t topic)
+{
+	reader_t *reader = &s->readers[topic];
+
+	reader->owner = s;
+	reader->topic = topic;
+	reader->started = !pthread_create(&reader->thread, NULL, run, reader);
+	return reader->started ? 0 : -BCT_EIO;
+}
+
 int bct_registry_sync_new(bct_gate_t *g, bct_registry_sync_t **out)
 {
 	bct_registry_sync_t *s = bct_alloc(sizeof(*s));
@@ -466,18 +465,18 @@
 	g->upstreams.ctx = g;
 	bct_list_init(&s->results);
 	pthread_mutex_init(&s->lock, NULL);
-	pthread_cond_init(&s->due_cond, NULL);
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
+		pthread_cond_init(&s->readers[i].due_cond, NULL);
 	bct_gate_poll_init(&s->poll, g->settings->platform_poll_ms);
 	s->poll.self = g->peer ? bct_peer_incarnation(g->peer) : 0;
 	s->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (s->wake_fd >= 0)
 		s->wake = event_new(g->base, s->wake_fd, EV_READ | EV_PERSIST, on_wake, s);
 	if (bct_pull_new(g, on_pulled, s, &s->pull) || !s->wake || event_add(s->wake, NULL) ||
-	    pthread_create(&s->thread, NULL, run, s)) {
+	    start_reader(s, BCT_REGISTRY_ROUTES) || start_reader(s, BCT_REGISTRY_UPSTREAMS)) {
 		bct_registry_sync_free(s);
 		return -BCT_EIO;
 	}
-	s->started = true;
 	*out = s;
 	return 0;
 }
@@ -486,7 +485,8 @@
 {
 	pthread_mutex_lock(&s->lock);
 	s->stop = true;
-	pthread_cond_signal(&s->due_cond);
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
+		pthread_cond_signal(&s->readers[i].due_cond);
 	pthread_mutex_unlock(&s->lock);
 }
 
@@ -498,8 +498,10 @@
 		return;
 	bct_registry_sync_stop(s);
 	s->gate->opts.registry->ops->cancel(s->gate->opts.registry);
-	if (s->started)
-		pthread_join(s->thread, NULL);
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
+		if (s->readers[i].started)
+			pthread_join(s->readers[i].thread, NULL);
+	}
 	bct_pull_free(s->pull);
 	bct_list_for_each_safe(el, tmp, &s->results) {
 		result_t *d = bct_container_of(el, result_t, link);
@@ -512,7 +514,8 @@
 		event_free(s->wake);
 	if (s->wake_fd >= 0)
 		close(s->wake_fd);
-	pthread_cond_destroy(&s->due_cond);
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
+		pthread_cond_destroy(&s->readers[i].due_cond);
 	pthread_mutex_destroy(&s->lock);
 	bct_free(s);
 }
--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -107,6 +107,23 @@
 	assert_non_readers_lose_upstream(SMALL_FLEET, "gone");
 }
 
+/*
+ * A configuration that takes seconds to transfer, while engines are replaced: the upstreams must
+ * not wait for the routes.
+ */
+Test(gate_fleet, a_long_read_of_routes_holds_up_no_upstreams)
+{
+	test_gate_start_fleet(gates, SMALL_FLEET);
+	wait_until_joined(SMALL_FLEET);
+	disconnect_non_readers(SMALL_FLEET);
+	set_flag(&gates[0].routes_hang, true);
+	bct_clock_sleep(2 * gates[0].settings.platform_poll_ms);
+	set_flag(&gates[0].desk_drains, true);
+	assert_non_readers_lose_upstream(SMALL_FLEET, "drains");
+	set_flag(&gates[0].routes_hang, false);
+	pthread_cond_broadcast(&gates[0].routes_resume);
+}
+
 /* Makes the registry unavailable to all gateways but the one of the highest rank. */
 static void disconnect_all_but_last(uint32_t n)
 {
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -93,6 +93,8 @@
 	(void)timeout_ms;
 	memset(out, 0, sizeof(*out));
 	pthread_mutex_lock(&t->lock);
+	while (topic == BCT_REGISTRY_ROUTES && t->routes_hang && !t->cancelled)
+		pthread_cond_wait(&t->routes_resume, &t->lock);
 	out->changes = bct_alloc(sizeof(*out->changes) * 8);
 	if (m->reader->down) {
 		rc = -BCT_EUNAVAILABLE;
@@ -137,10 +139,14 @@
 	bct_free(r);
 }
 
-/* Calls do not block. */
 static void cancel(bct_registry_t *r)
 {
-	(void)r;
+	test_gate_t *t = ((memory_registry_t *)r)->t;
+
+	pthread_mutex_lock(&t->lock);
+	t->cancelled = true;
+	pthread_cond_broadcast(&t->routes_resume);
+	pthread_mutex_unlock(&t->lock);
 }
 
 static const bct_registry_ops_t registry_ops = {
@@ -468,6 +474,7 @@
 	memset(t, 0, sizeof(*t));
 	signal(SIGPIPE, SIG_IGN);
 	pthread_mutex_init(&t->lock, NULL);
+	pthread_cond_init(&t->routes_resume, NULL);
 	t->desk_listed = true;
 	snprintf(t->config, sizeof(t->config), "%s", test_gate_config(1, "model"));
 	fill_settings(t, i);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -67,6 +67,9 @@
 	char config[8192];    /* configuration in the registry, JSON */
 	bool down;	      /* the registry does not answer this gateway */
 	bool desk_listed;
+	bool routes_hang; /* calls on routes do not return until it is cleared or cancelled */
+	bool cancelled;
+	pthread_cond_t routes_resume;
 	bool desk_drains;
 	bool stop;
 } test_gate_t;
