Upstreams: what an answer states about a limit is decoded and logged

Change: the adapter decodes Server-Limit (a decimal number; several or malformed ones are ignored and reported); event UPSTREAM_NOTICE when an upstream states something else than in its last answer. No decision changes.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/notice.h"
 
 #include <string.h>
 
@@ -154,6 +155,7 @@
 	bct_wire_answer_t a;
 
 	x->gate->wire->decode_answer(&x->conn->msg, &a);
+	bct_notice_received(x, &a.notice);
 	if (a.not_run || a.identity_mismatch) {
 		handle_not_run(x, &a);
 		return false;
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -7,6 +7,7 @@
 
 #include "base/buf.h"
 #include "gate/http_msg.h"
+#include "policy/gate_notice.h"
 #include "policy/gate_prefix.h"
 
 #include <stdbool.h>
@@ -45,6 +46,7 @@
 
 /* Metadata of an upstream's answer, decoded from its head. */
 typedef struct bct_wire_answer {
+	bct_gate_notice_t notice;
 	const char *call_id;	/* the request that it answers; NULL: not given */
 	bool sealed;		/* has the header with the upstream's MAC; not verified */
 	bool not_run;		/* the upstream has not run the request and will not run it */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -8,6 +8,7 @@
 
 #include <criterion/criterion.h>
 #include <event2/buffer.h>
+#include <stdio.h>
 #include <string.h>
 
 #define ENTRY                                                                          \
@@ -146,6 +147,42 @@
 	bct_http_msg_free(&m);
 }
 
+static bct_gate_notice_t notice_of(const char *headers)
+{
+	bct_wire_answer_t a;
+	bct_http_msg_t m;
+	char text[512];
+
+	snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", headers);
+	read_head(&m, HTTP_RESPONSE, text);
+	bct_adapter_wire()->decode_answer(&m, &a);
+	bct_http_msg_free(&m);
+	return a.notice;
+}
+
+/* An upstream names its limit as a decimal number; anything else is ignored and reported. */
+Test(adapter, limits)
+{
+	static const char *const bad[] = {
+		"Server-Limit: \r\n",	  "Server-Limit: -1\r\n",
+		"Server-Limit: 1e3\r\n",  "Server-Limit: 1,5\r\n",
+		"Server-Limit: nan\r\n",  "Server-Limit: 0x10\r\n",
+		"Server-Limit: 1.\r\n",	  "Server-Limit: 99999999999\r\n",
+		"Server-Limit: many\r\n", "Server-Limit: 1\r\nServer-Limit: 2\r\n",
+	};
+
+	cr_assert_not(notice_of("").limits);
+	cr_assert_not(notice_of("").malformed);
+	cr_assert_eq(notice_of("Server-Limit: 1.8\r\n").limit_mrps, 1800);
+	cr_assert_eq(notice_of("server-limit: 12\r\n").limit_mrps, 12000);
+	cr_assert_eq(notice_of("Server-Limit: 0.25\r\n").limit_mrps, 250);
+	cr_assert(notice_of("Server-Limit: 0\r\n").limits);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		cr_assert_not(notice_of(bad[i]).limits, "%s", bad[i]);
+		cr_assert(notice_of(bad[i]).malformed, "%s", bad[i]);
+	}
+}
+
 Test(adapter, addresses)
 {
 	const char *const list[] = { "10.0.0.1:80", "10.0.0.2:80" };
