--- /dev/null
+++ b/tests/test_gate_notice.c
@@ -0,0 +1,53 @@
+/*
+ * test_gate_notice.c - what upstreams state about themselves in their answers is followed.
+ */
+#include "base/clock.h"
+#include "tests/util_gate.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define WINDOW_MS 4000
+#define WINDOW_EXTRA 5 /* requests beyond one and a half times the limit in the window */
+#define REQUESTS 40
+#define LIMIT_RPS 1
+
+static test_gate_t t;
+
+/* Sends requests whose answers name a limit of LIMIT_RPS. returns the number that got an answer. */
+static uint32_t send_limited(uint32_t n, const char *name)
+{
+	uint32_t answered = 0;
+
+	for (uint32_t i = 0; i < n; i++) {
+		char id[48];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "%s-%u", name, i);
+		answered += test_gate_call(&t, "POST", "/unsafe/a", id, "limit", &out) == 200;
+		bct_buf_free(&out);
+	}
+	return answered;
+}
+
+/*
+ * An engine in need names the rate that it accepts: it must get no more than that from then on,
+ * however many requests are there for it.
+ */
+Test(gate_notice, a_named_limit_is_kept)
+{
+	bct_time_t start, elapsed_ms;
+	uint32_t answered;
+
+	test_gate_start(&t);
+	cr_assert_eq(send_limited(1, "first"), 1);
+	start = bct_clock_now();
+	answered = send_limited(REQUESTS, "later");
+	elapsed_ms = bct_clock_now() - start;
+	if (elapsed_ms < WINDOW_MS)
+		elapsed_ms = WINDOW_MS;
+	cr_assert_leq(answered, WINDOW_EXTRA + LIMIT_RPS * elapsed_ms * 3 / 2 / BCT_MS_PER_S,
+		      "%u requests in %lld ms", answered, (long long)elapsed_ms);
+	test_gate_stop(&t);
+}
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -31,6 +31,7 @@
  *   ok           complete, sealed response
  *   error        500
  *   notrun       503 with the header that states that the request was not run
+ *   limit        as ok, and names a limit of one request per second
  *   wrong        421: the request was meant for another process
  *   reset        connection reset without a response
  *   silent       no response
