Upstreams: one that states its leaving in an answer gets no new requests

Change: the adapter decodes Server-Leaving; policy/gate_upstreams keeps it for that run of the upstream, whatever the registry lists; it goes to all nodes with the reports on limits, which name the run they belong to. An answer on a connection from before the upstream's present run is not counted. Another value than 1 is ignored and reported. Tests: leaving_with_a_success, _an_error, _a_refusal, _a_stream failed before (request 0 after the statement was served), pass; an_unreadable_statement_is_ignored, a_stated_leaving_is_sent (fleet), a_stated_leaving_is_final_for_one_run.

--- a/gate/notice.c
+++ b/gate/notice.c
@@ -5,12 +5,6 @@
 #include "gate/exchange_int.h"
 #include "gate/share.h"
 
-static bool is_equal(const bct_gate_notice_t *a, const bct_gate_notice_t *b)
-{
-	return a->limits == b->limits && a->limit_mrps == b->limit_mrps &&
-	       a->malformed == b->malformed;
-}
-
 static void assign_part(bct_gate_t *g, bct_gate_upstream_t *u)
 {
 	uint64_t live[BCT_SHARE_NODES_MAX];
@@ -29,35 +23,65 @@
 		BCT_U64("nodes", g->nodes), BCT_U64("running", u->running));
 }
 
-/* Logs a statement that could not be read; each time that it differs from the last one. */
+static void log_leaving(bct_gate_t *g, const bct_gate_upstream_t *u, const char *request,
+			uint64_t from)
+{
+	BCT_LOG(g->log, BCT_EV_UPSTREAM_LEAVING, BCT_STR("upstream", u->entry.id),
+		BCT_STR("request", request), BCT_HEX("peer", from),
+		BCT_U64("presence", u->presence), BCT_U64("sequence", u->entry.sequence),
+		BCT_U64("running", u->running));
+}
+
+/* Logs that statements could not be read, once until an answer is readable again. */
 static void note_malformed(bct_exchange_t *x, bct_gate_upstream_t *u, const bct_gate_notice_t *n)
 {
-	if (is_equal(n, &u->notice))
-		return;
-	u->notice = *n;
-	if (n->malformed)
+	if (n->malformed && !u->notice_malformed)
 		BCT_LOG(x->gate->log, BCT_EV_UPSTREAM_NOTICE_BAD, BCT_STR("upstream", u->entry.id),
 			BCT_STR("request", x->call.id));
+	u->notice_malformed = n->malformed;
 }
 
-void bct_notice_received(bct_exchange_t *x, const bct_gate_notice_t *n)
+/* returns whether the limit changed */
+static bool note_limit(bct_exchange_t *x, bct_gate_upstream_t *u, const bct_gate_notice_t *n)
 {
-	bct_gate_upstream_t *u = x->conn->upstream;
 	bct_gate_limit_report_t r = { .named = n->limits, .mrps = n->limit_mrps };
 
-	note_malformed(x, u, n);
-	if (n->malformed)
-		return;
 	if (!bct_gate_limit_answered(&u->limit, bct_clock_now(), x->conn->sent_at, n->limits,
 				     n->limit_mrps))
-		return;
+		return false;
 	assign_part(x->gate, u);
 	log_limit(x->gate, u, x->call.id, 0, &r);
-	bct_share_notice_changed(x->gate->share, u, &r);
+	return true;
+}
+
+/* returns whether that is news */
+static bool note_leaving(bct_exchange_t *x, bct_gate_upstream_t *u)
+{
+	if (!bct_gate_upstream_leaves(u, bct_clock_now(), true))
+		return false;
+	log_leaving(x->gate, u, x->call.id, 0);
+	return true;
+}
+
+void bct_notice_received(bct_exchange_t *x, const bct_gate_notice_t *n)
+{
+	bct_gate_upstream_t *u = x->conn->upstream;
+	bool news = false;
+
+	/* The connection may lead to an earlier run of the upstream. */
+	if (x->conn->born_ms != u->entry.born_ms)
+		return;
+	note_malformed(x, u, n);
+	if (n->limits || !n->malformed)
+		news = note_limit(x, u, n);
+	if (n->leaves)
+		news = note_leaving(x, u) || news;
+	if (news)
+		bct_share_notice_changed(x->gate->share, u);
 }
 
-bool bct_notice_reported(bct_gate_t *g, bct_gate_upstream_t *u, const bct_gate_limit_report_t *r,
-			 uint64_t from)
+bool bct_notice_limit_reported(bct_gate_t *g, bct_gate_upstream_t *u,
+			       const bct_gate_limit_report_t *r, uint64_t from)
 {
 	bool named = u->limit.named;
 	uint32_t mrps = u->limit.mrps;
@@ -71,6 +95,14 @@
 	return true;
 }
 
+bool bct_notice_leaving_reported(bct_gate_t *g, bct_gate_upstream_t *u, uint64_t from)
+{
+	if (!bct_gate_upstream_leaves(u, bct_clock_now(), false))
+		return false;
+	log_leaving(g, u, "", from);
+	return true;
+}
+
 void bct_notice_assign_limits(bct_gate_t *g)
 {
 	uint64_t live[BCT_SHARE_NODES_MAX];
--- a/gate/notice.h
+++ b/gate/notice.h
@@ -11,13 +11,14 @@
 void bct_notice_received(bct_exchange_t *x, const bct_gate_notice_t *n);
 
 /*
- * bct_notice_reported(3): process the report of a peer.
+ * bct_notice_limit_reported(3), bct_notice_leaving_reported(3): process the report of a peer.
  *
  * from     incarnation of the peer
  * returns  whether it is news that other nodes may lack
  */
-bool bct_notice_reported(bct_gate_t *g, bct_gate_upstream_t *u, const bct_gate_limit_report_t *r,
-			 uint64_t from);
+bool bct_notice_limit_reported(bct_gate_t *g, bct_gate_upstream_t *u,
+			       const bct_gate_limit_report_t *r, uint64_t from);
+bool bct_notice_leaving_reported(bct_gate_t *g, bct_gate_upstream_t *u, uint64_t from);
 
 /* bct_notice_assign_limits(3): compute this node's part of each limit; call it periodically. */
 void bct_notice_assign_limits(bct_gate_t *g);
--- a/gate/share.h
+++ b/gate/share.h
@@ -33,9 +33,8 @@
  */
 void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t upstream);
 
-/* bct_share_notice_changed(3): send a limit that an upstream has just named, or lifted, to all. */
-void bct_share_notice_changed(bct_share_t *s, const bct_gate_upstream_t *u,
-			      const bct_gate_limit_report_t *r);
+/* bct_share_notice_changed(3): send to all nodes what an upstream has just stated to this one. */
+void bct_share_notice_changed(bct_share_t *s, const bct_gate_upstream_t *u);
 
 #define BCT_SHARE_NODES_MAX 513 /* nodes of a fleet that are known, including this one */
 
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -121,9 +121,9 @@
 void bct_share_send_to_local_cluster(bct_share_t *s, share_update *update);
 
 /* share_notice.c */
-/* bct_share_notice_round(3): announce limits of upstreams, if it is time. */
+/* bct_share_notice_round(3): announce what upstreams state about themselves, if it is time. */
 void bct_share_notice_round(bct_share_t *s, bct_time_t now);
-/* bct_share_notice_apply(3): apply the limits that a peer sent. */
+/* bct_share_notice_apply(3): apply what a peer sent about that. */
 void bct_share_notice_apply(bct_share_t *s, const share_update *update);
 
 /* share_load.c: sending and receiving of load. */
--- a/gen/share.h
+++ b/gen/share.h
@@ -76,8 +76,10 @@
 
 struct share_notice {
 	u_int upstream;
+	quad_t born_ms;
 	u_int limit_mrps;
-	u_int age_ms;
+	u_int limit_age_ms;
+	bool_t leaving;
 };
 typedef struct share_notice share_notice;
 
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -241,9 +241,13 @@
 
 	 if (!xdr_u_int (xdrs, &objp->upstream))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->limit_mrps))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
+	 if (!xdr_u_int (xdrs, &objp->limit_age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
 	return TRUE;
 }
--- a/policy/gate_limit.c
+++ b/policy/gate_limit.c
@@ -126,17 +126,11 @@
 }
 
 /* An owner keeps its limit known; a node that found it lifted says so for a while. */
-bool bct_gate_limit_announces(const bct_gate_limit_t *l, bct_time_t now,
-			      bct_gate_limit_report_t *out)
+bool bct_gate_limit_announces(const bct_gate_limit_t *l, bct_time_t now)
 {
 	if (!l->own || !l->observed_at)
 		return false;
-	if (l->named ? !l->owner : now - l->observed_at >= LIFTED_KEEP_MS)
-		return false;
-	*out = (bct_gate_limit_report_t){ .named = l->named,
-					  .mrps = l->mrps,
-					  .age_ms = (uint32_t)(now - l->observed_at) };
-	return true;
+	return l->named ? l->owner : now - l->observed_at < LIFTED_KEEP_MS;
 }
 
 uint32_t bct_gate_limit_wait_ms(bct_gate_limit_t *l, bct_time_t now)
--- a/policy/gate_limit.h
+++ b/policy/gate_limit.h
@@ -76,11 +76,8 @@
 
 /*
  * bct_gate_limit_announces(3): whether this node is to tell the others what it knows, periodically.
- *
- * out  receives the report
  */
-bool bct_gate_limit_announces(const bct_gate_limit_t *l, bct_time_t now,
-			      bct_gate_limit_report_t *out);
+bool bct_gate_limit_announces(const bct_gate_limit_t *l, bct_time_t now);
 
 /*
  * bct_gate_limit_wait_ms(3): returns the time until this node may send a request there; 0 if it may
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -85,8 +85,10 @@
 	u->consecutive_failures = 0;
 	u->avoid_until = 0;
 	u->slow_permille = PERMILLE;
-	memset(&u->notice, 0, sizeof(u->notice));
+	u->notice_malformed = false;
 	memset(&u->limit, 0, sizeof(u->limit));
+	u->leaving = false;
+	u->leaving_own = false;
 }
 
 static bool is_older(const bct_gate_entry_t *e, const bct_gate_entry_t *than)
@@ -270,10 +272,21 @@
 
 bool bct_gate_upstream_accepts(const bct_gate_upstream_t *u, uint64_t service_key)
 {
-	return u->service_key == service_key && !u->identity_mismatch &&
+	return u->service_key == service_key && !u->identity_mismatch && !u->leaving &&
 	       (u->presence == BCT_GATE_READY || u->presence == BCT_GATE_LAPSED);
 }
 
+bool bct_gate_upstream_leaves(bct_gate_upstream_t *u, bct_time_t now, bool own)
+{
+	bool news = !u->leaving;
+
+	if (news)
+		u->leaving_since = now;
+	u->leaving = true;
+	u->leaving_own = u->leaving_own || own;
+	return news;
+}
+
 static uint32_t average(uint32_t old, uint32_t latest)
 {
 	return (old * (AVERAGE_WEIGHT - 1) + latest) / AVERAGE_WEIGHT;
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -13,7 +13,6 @@
 #include "base/list.h"
 #include "base/map.h"
 #include "policy/gate_limit.h"
-#include "policy/gate_notice.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -74,8 +73,11 @@
 	bct_time_t avoid_until; /* until then, used only if there is no other upstream */
 	uint32_t slow_permille; /* observed over predicted time to first byte; moving average */
 
-	bct_gate_notice_t notice; /* of its last answer to this node */
+	bool notice_malformed; /* statements of its last answer could not be read */
 	bct_gate_limit_t limit;
+	bool leaving;		  /* it states so in its answers; final for one run */
+	bool leaving_own;	  /* in an answer to this node */
+	bct_time_t leaving_since; /* when this node learned of it */
 
 	void *connections; /* idle connections, owned by the I/O layer */
 } bct_gate_upstream_t;
@@ -175,6 +177,15 @@
 /* bct_gate_upstream_accepts(3): returns whether new requests of the service may be sent there. */
 bool bct_gate_upstream_accepts(const bct_gate_upstream_t *u, uint64_t service_key);
 
+/*
+ * bct_gate_upstream_leaves(3): the upstream stated that it is leaving; from now on it accepts no
+ * requests, whatever the registry lists, until another run of it is listed.
+ *
+ * own      in an answer to this node, not to a peer
+ * returns  whether that is news
+ */
+bool bct_gate_upstream_leaves(bct_gate_upstream_t *u, bct_time_t now, bool own);
+
 /* bct_gate_upstream_result(3): records that a request succeeded or that the upstream failed it. */
 void bct_gate_upstream_result(bct_gate_upstream_t *u, bct_time_t now, bool ok);
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -74,11 +74,13 @@
 	unsigned hyper reader;	/* incarnation of the node that received it */
 };
 
-/* The limit that an upstream named in an answer, or that it named none. */
+/* What an upstream stated about itself in its answers. */
 struct share_notice {
 	unsigned int upstream;
-	unsigned int limit_mrps;	/* requests per 1000 s; SHARE_NEVER: none */
-	unsigned int age_ms;	/* of the answer */
+	hyper born_ms;		/* the run of the upstream that stated it */
+	unsigned int limit_mrps;	/* requests per 1000 s; SHARE_NEVER: it names none */
+	unsigned int limit_age_ms;	/* of the answer; SHARE_NEVER: nothing is known of a limit */
+	bool leaving;
 };
 
 struct share_update {
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -183,6 +183,17 @@
 	}
 }
 
+Test(adapter, leaving)
+{
+	cr_assert_not(notice_of("").leaves);
+	cr_assert(notice_of("Server-Leaving: 1\r\n").leaves);
+	cr_assert_not(notice_of("Server-Leaving: 0\r\n").leaves);
+	cr_assert_not(notice_of("Server-Leaving: true\r\n").leaves);
+	cr_assert(notice_of("Server-Leaving: 11\r\n").malformed);
+	/* One statement that can't be read doesn't hide the other. */
+	cr_assert(notice_of("Server-Limit: x\r\nServer-Leaving: 1\r\n").leaves);
+}
+
 Test(adapter, addresses)
 {
 	const char *const list[] = { "10.0.0.1:80", "10.0.0.2:80" };
--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -124,6 +124,25 @@
 	pthread_cond_broadcast(&gates[0].routes_resume);
 }
 
+/* An engine states to one node that it leaves, and the registry lists it as ready: all nodes know.
+ */
+Test(gate_fleet, a_stated_leaving_is_sent)
+{
+	bct_buf_t out;
+
+	test_gate_start_fleet(gates, SMALL_FLEET);
+	wait_until_joined(SMALL_FLEET);
+	cr_assert_eq(test_gate_call(&gates[1], "POST", "/unsafe/a", "leaves", "leaving", &out),
+		     200);
+	bct_buf_free(&out);
+	for (uint32_t i = 0; i < SMALL_FLEET; i++) {
+		char name[24];
+
+		snprintf(name, sizeof(name), "left%u", i);
+		cr_assert(loses_upstream(&gates[i], name), "gateway %u", i);
+	}
+}
+
 /* Makes the registry unavailable to all gateways but the one of the highest rank. */
 static void disconnect_all_but_last(uint32_t n)
 {
--- a/tests/test_gate_limit.c
+++ b/tests/test_gate_limit.c
@@ -153,9 +153,11 @@
 {
 	for (uint32_t i = 0; i < n_nodes; i++) {
 		for (uint32_t e = 0; e < n_engines && !dead[i]; e++) {
-			bct_gate_limit_report_t r;
+			const bct_gate_limit_t *l = &limits[i][e];
+			bct_gate_limit_report_t r = { l->named, l->mrps,
+						      (uint32_t)(now - l->observed_at) };
 
-			if (bct_gate_limit_announces(&limits[i][e], now, &r))
+			if (bct_gate_limit_announces(l, now))
 				report(i, e, &r);
 		}
 	}
--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -51,3 +51,80 @@
 		      "%u requests in %lld ms", answered, (long long)elapsed_ms);
 	test_gate_stop(&t);
 }
+
+/* Whether the only upstream of a service gets a request that is sent now. */
+static bool reaches_upstream(const char *path, const char *id)
+{
+	bct_buf_t out;
+	int status = test_gate_call(&t, "POST", path, id, "ok", &out);
+
+	bct_buf_free(&out);
+	return status == 200;
+}
+
+/*
+ * An engine states that it leaves in the answer to any request, however that ends: it gets no new
+ * request from then on, though the registry lists it as ready all the while.
+ */
+static void assert_leaves(const char *action)
+{
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	cr_assert(reaches_upstream("/unsafe/a", "before"));
+	test_gate_call(&t, "POST", "/unsafe/a", "leaves", action, &out);
+	bct_buf_free(&out);
+	for (int i = 0; i < 5; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "after-%d", i);
+		cr_assert_not(reaches_upstream("/unsafe/a", id), "%s: request %d", action, i);
+		bct_clock_sleep(3 * t.settings.platform_poll_ms);
+	}
+	test_gate_stop(&t);
+}
+
+Test(gate_notice, leaving_with_a_success)
+{
+	assert_leaves("leaving");
+}
+
+Test(gate_notice, leaving_with_an_error)
+{
+	assert_leaves("leaving500");
+}
+
+Test(gate_notice, leaving_with_a_refusal)
+{
+	assert_leaves("leaving503");
+}
+
+/* Each of the engines states it in the head of a stream, which ends as usual. */
+Test(gate_notice, leaving_with_a_stream)
+{
+	uint32_t whole = 0;
+
+	test_gate_start(&t);
+	for (int i = 0; i < 5; i++) {
+		char id[32];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "stream-%d", i);
+		if (test_gate_call(&t, "POST", "/stream/a", id, "streamleaving", &out) == 200)
+			whole += strstr(out.data, "e5") != NULL;
+		bct_buf_free(&out);
+	}
+	cr_assert_eq(whole, GATE_UPSTREAMS);
+	test_gate_stop(&t);
+}
+
+Test(gate_notice, an_unreadable_statement_is_ignored)
+{
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	test_gate_call(&t, "POST", "/unsafe/a", "odd", "leavingbad", &out);
+	bct_buf_free(&out);
+	cr_assert(reaches_upstream("/unsafe/a", "after"));
+	test_gate_stop(&t);
+}
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -151,6 +151,29 @@
 	bct_gate_upstreams_free(&t);
 }
 
+/* What an upstream states about itself holds for that run of it, whatever its entries say. */
+Test(gate_upstreams, a_stated_leaving_is_final_for_one_run)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry("i", 100, 5);
+	bct_gate_upstream_t *u;
+
+	bct_gate_upstreams_init(&t);
+	bct_gate_upstreams_apply(&t, 1, &e);
+	u = bct_gate_upstreams_find(&t, "i");
+	cr_assert(bct_gate_upstream_leaves(u, 2, true));
+	cr_assert_not(bct_gate_upstream_leaves(u, 3, false));
+	u->limit.named = true;
+	e.sequence = 6;
+	bct_gate_upstreams_apply(&t, 4, &e);
+	cr_assert_not(bct_gate_upstream_accepts(u, u->service_key));
+	e = entry("i", 200, 1);
+	bct_gate_upstreams_apply(&t, 5, &e);
+	cr_assert(bct_gate_upstream_accepts(u, u->service_key));
+	cr_assert_not(u->limit.named);
+	bct_gate_upstreams_free(&t);
+}
+
 /*
  * An upstream whose entry expired during an outage of the registry stays in use for the grace
  * period after the outage, so that it can register again.
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -255,8 +255,8 @@
 	from = atoi(last);
 	snprintf(text, sizeof(text),
 		 "HTTP/1.1 200 OK\r\n" HEAD "Request-Attempt-Id: %s\r\n" SEAL
-		 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		 run->call_id);
+		 "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 run->call_id, strcmp(action, "streamleaving") ? "" : "Server-Leaving: 1\r\n");
 	put(fd, text);
 	for (int i = from + 1; i <= 5; i++) {
 		put_event(fd, i);
@@ -293,6 +293,15 @@
 		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\n", "", 0);
 	} else if (!strcmp(action, "limit")) {
 		put_answer(c->fd, "200 OK", id, SEAL "Server-Limit: 1\r\n", "body", 4);
+	} else if (!strcmp(action, "leaving")) {
+		put_answer(c->fd, "200 OK", id, SEAL "Server-Leaving: 1\r\n", "body", 4);
+	} else if (!strcmp(action, "leaving500")) {
+		put_answer(c->fd, "500 Oops", id, SEAL "Server-Leaving: 1\r\n", "bad", 3);
+	} else if (!strcmp(action, "leaving503")) {
+		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\nServer-Leaving: 1\r\n",
+			   "", 0);
+	} else if (!strcmp(action, "leavingbad")) {
+		put_answer(c->fd, "200 OK", id, SEAL "Server-Leaving: soon\r\n", "body", 4);
 	} else if (!strcmp(action, "wrong")) {
 		put_answer(c->fd, "421 Misdirected", id, "", "", 0);
 	} else if (!strcmp(action, "noseal")) {
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -32,6 +32,9 @@
  *   error        500
  *   notrun       503 with the header that states that the request was not run
  *   limit        as ok, and names a limit of one request per second
+ *   leaving, leaving500, leaving503
+ *                as ok, error and notrun, and states that the upstream is leaving
+ *   leavingbad   as ok, and states it in a way that can't be read
  *   wrong        421: the request was meant for another process
  *   reset        connection reset without a response
  *   silent       no response
@@ -43,6 +46,7 @@
  *   streamcut    two events, then a reset
  *   streamhalf   one event and a half, then a proper end of the body
  *   streamquiet  two events, then silence
+ *   streamleaving  five events; the head states that the upstream is leaving
  *   streamslow   five events over more than two seconds
  */
 typedef struct gate_upstream {
