Upstreams: a peer that lags revives none that was removed before

What callers could see: requests at an engine that is gone, after a node had listed the registry without it. Cause: an entry of an upstream that is not in the table was accepted unless this node itself had seen its removal. A node that lists the registry after the removal has not; a pull from a peer that lags then brings the entry back until the next difference is found. Change: an entry from before the position that the table reflects is outdated if the table lacks it. Test: a_lagging_peer_revives_nothing failed before, passes.

--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -123,6 +123,15 @@
 	return false;
 }
 
+/*
+ * Whether an entry of an upstream that is not in the table is outdated: it was removed later, also
+ * if this node never saw it.
+ */
+static bool is_outdated(const bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
+{
+	return (e->position && e->position < t->position) || was_removed(t, e);
+}
+
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e)
 {
 	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, e->id);
@@ -131,7 +140,7 @@
 
 	if (u)
 		u->list_pass = t->list_pass;
-	if (u ? is_older(e, &u->entry) : was_removed(t, e))
+	if (u ? is_older(e, &u->entry) : is_outdated(t, e))
 		return -BCT_ESTALE;
 	if (!u) {
 		u = add(t, e);
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -151,6 +151,22 @@
 	bct_gate_upstreams_free(&t);
 }
 
+/* A peer that lags sends an upstream that was removed before this node listed the registry. */
+Test(gate_upstreams, a_lagging_peer_revives_nothing)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry("gone", 100, 5);
+
+	bct_gate_upstreams_init(&t);
+	bct_gate_upstreams_list_begin(&t);
+	bct_gate_upstreams_list_end(&t, 1, 7);
+	e.position = 4;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 2, &e), -BCT_ESTALE);
+	e.position = 7;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 3, &e), 1);
+	bct_gate_upstreams_free(&t);
+}
+
 /* A second, shorter pause does not end the first; a new run of the upstream has none. */
 Test(gate_upstreams, the_longer_pause_counts)
 {
