Registry: positions are of an era, and a copy revives nothing

Cause: a position was an offset alone. Change: policy/gate_position, era and offset in one number, in entries, removals, tables, pulls and datagrams, so that any position of a later era is newer. The adapter reads Store-Era; a read across eras lists anew; an answer of an earlier era than is known, also from peers, counts as none. On a new era entries that the copy lacks have the time of an outage to return. A run that was removed returns only with a sequence number that it has written since. Routes were never taken back in a boot, and are not. A missing era is as before; a malformed one too, with a line in the log. The gateway keeps nothing of its own in the store.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -65,6 +65,9 @@
 	DEF(REGISTRY_DOWN, 610, WARN, "the registry does not answer")                              \
 	DEF(REGISTRY_UP, 611, INFO, "the registry answers")                                        \
 	DEF(REGISTRY_UNREADABLE, 612, WARN, "a registry record could not be decoded")              \
+	DEF(REGISTRY_ERA, 615, WARN,                                                               \
+	    "the registry states a higher era: it came back from a copy, or is new here")          \
+	DEF(REGISTRY_ERA_BAD, 616, WARN, "the registry states an era that cannot be read")         \
 	DEF(PULL_FAILED, 613, WARN, "routes or upstreams could not be pulled from a peer")         \
 	DEF(PULLED, 614, INFO, "routes or upstreams were pulled from a peer")                      \
 	DEF(KEY_IN_DOUBT, 700, WARN, "an idempotency key has an intent but no outcome")            \
--- a/coord/registry.h
+++ b/coord/registry.h
@@ -22,16 +22,17 @@
 typedef struct bct_registry_change {
 	bct_registry_kind_t kind;
 	char name[BCT_GATE_ID_BYTES];
-	uint64_t position;	  /* of the record in the topic's log; 0: unknown */
-	bct_gate_routes_t *table; /* holds a reference; NULL for other kinds */
-	bct_gate_entry_t entry;	  /* with the same position */
+	bct_gate_position_t position; /* of the record in the topic's log; 0: unknown */
+	bct_gate_routes_t *table;     /* holds a reference; NULL for other kinds */
+	bct_gate_entry_t entry;	      /* with the same position */
 } bct_registry_change_t;
 
 typedef struct bct_registry_batch {
 	bct_registry_change_t *changes;
 	uint32_t n;
-	uint64_t next;	       /* position to continue reading at */
-	size_t received_bytes; /* of the answers, also of a failed call */
+	bct_gate_position_t next; /* position to continue reading at */
+	bool era_malformed;	  /* the registry stated an era that can't be read */
+	size_t received_bytes;	  /* of the answers, also of a failed call */
 } bct_registry_batch_t;
 
 typedef struct bct_registry bct_registry_t;
@@ -45,9 +46,9 @@
 		    bct_registry_batch_t *out);
 	/*
 	 * Gets the records from a position on. Returns -BCT_EEXPIRED when some of them are no
-	 * longer kept; the caller then has to call list again.
+	 * longer kept, or the registry is in another era; the caller then has to call list again.
 	 */
-	int (*changes)(bct_registry_t *r, bct_registry_topic_t topic, uint64_t from,
+	int (*changes)(bct_registry_t *r, bct_registry_topic_t topic, bct_gate_position_t from,
 		       uint32_t timeout_ms, bct_registry_batch_t *out);
 	/*
 	 * Decodes a configuration in the form in which the registry holds it, as another node
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -41,7 +41,7 @@
 	bool busy;		 /* it is making one */
 	/* Used by the thread only. */
 	bool listed;
-	uint64_t next; /* position to read changes from */
+	bct_gate_position_t next; /* to read changes from */
 	/* Used by the event loop only. */
 	bool up;       /* the registry answered the last call */
 	bool up_known; /* up has been set */
@@ -63,7 +63,9 @@
 	const char *source;   /* of what is being applied, for the log */
 	bct_time_t fetch_ms;  /* how long it took to fetch */
 	bct_time_t pull_started_at[BCT_REGISTRY_TOPICS];
-	uint64_t upstreams_next; /* position of the registry's last answer on upstreams */
+	bct_gate_position_t upstreams_next; /* of the registry's last answer on upstreams */
+	uint64_t era;			    /* highest that is known; 0: none */
+	bool era_malformed;		    /* the last answer stated one that can't be read */
 };
 
 static void push_result(bct_registry_sync_t *s, result_t *d)
@@ -357,6 +359,41 @@
 		s->knows_upstreams = true;
 }
 
+void bct_registry_sync_note_era(bct_registry_sync_t *s, uint64_t era, const char *source)
+{
+	uint64_t was = s->era;
+
+	if (era <= was)
+		return;
+	s->era = era;
+	BCT_LOG(s->gate->log, BCT_EV_REGISTRY_ERA, BCT_U64("era", era), BCT_U64("was", was),
+		BCT_STR("source", source),
+		BCT_U64("version", s->gate->routes ? s->gate->routes->version : 0),
+		BCT_U64("upstreams", s->gate->upstreams.n));
+	if (was)
+		bct_gate_upstreams_new_era(&s->gate->upstreams, bct_clock_now());
+}
+
+/*
+ * Notes the era of an answer. One of an earlier era than is known counts as none: its records may
+ * have been replaced.
+ */
+static void check_era(bct_registry_sync_t *s, result_t *d)
+{
+	uint64_t era = bct_gate_position_era(d->batch.next);
+
+	if (d->batch.era_malformed && !s->era_malformed)
+		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_ERA_BAD, BCT_U64("topic", d->topic),
+			BCT_U64("era", s->era));
+	s->era_malformed = d->batch.era_malformed;
+	if (d->rc)
+		return;
+	if (era < s->era)
+		d->rc = -BCT_ESTALE;
+	else
+		bct_registry_sync_note_era(s, era, "registry");
+}
+
 /* A log that ends before a position that it had reached was replaced by another one. */
 static void check_replaced(bct_registry_sync_t *s, const result_t *d)
 {
@@ -373,6 +410,7 @@
  */
 static void apply(bct_registry_sync_t *s, result_t *d)
 {
+	check_era(s, d);
 	note_health(s, d);
 	if (d->rc)
 		return;
--- a/gate/registry_sync.h
+++ b/gate/registry_sync.h
@@ -39,6 +39,12 @@
  */
 bct_time_t bct_registry_sync_age_ms(const bct_registry_sync_t *s, bct_time_t now);
 
+/*
+ * bct_registry_sync_note_era(3): process an era of the registry that an answer or a peer stated. A
+ * higher one than known means that the registry came back from a copy.
+ */
+void bct_registry_sync_note_era(bct_registry_sync_t *s, uint64_t era, const char *source);
+
 /*
  * bct_registry_sync_apply(3): apply a change; notify_peers: send it to the peers if it is new here.
  *
--- a/gate/share_registry.c
+++ b/gate/share_registry.c
@@ -208,6 +208,8 @@
 		.upstreams_digest = update->upstreams_digest,
 	};
 
+	bct_registry_sync_note_era(g->registry_sync,
+				   bct_gate_position_era(update->upstreams_position), "peer");
 	for (uint32_t i = 0; i < SHARE_TOPICS; i++)
 		h.reads[i] = received_read(&update->reads[i], now);
 	if (counts_versions(s, now, update))
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -101,35 +101,79 @@
 	return e->sequence < than->sequence;
 }
 
-static void note_removal(bct_gate_upstreams_t *t, uint64_t key, uint64_t position)
+/* e: the last entry of what was removed; NULL if it is not known here. */
+static void note_removal(bct_gate_upstreams_t *t, uint64_t key, const bct_gate_entry_t *e,
+			 bct_gate_position_t position)
 {
 	bct_gate_removal_t *r = &t->removals[t->n_removals % BCT_GATE_REMOVALS];
 
 	if (!position)
 		return;
 	*r = (bct_gate_removal_t){ .key = key, .position = position };
+	if (e) {
+		r->born_ms = e->born_ms;
+		r->sequence = e->sequence;
+	}
 	t->n_removals++;
 }
 
-/* Whether the entry, which is not in the table, was removed after it had been written. */
-static bool was_removed(const bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
+/* Whether the removal voids an entry of the same upstream. */
+static bool voids(const bct_gate_removal_t *r, const bct_gate_entry_t *e)
+{
+	if (!e->position)
+		return false;
+	if (e->position <= r->position)
+		return true;
+	/* In a later era the entry may stand in the copy, from before it was removed. */
+	return bct_gate_position_era(e->position) > bct_gate_position_era(r->position) &&
+	       e->born_ms == r->born_ms && e->sequence <= r->sequence;
+}
+
+/* The entry is older than the removal: its sequence number does not show a later life. */
+static void raise_sequence(bct_gate_removal_t *r, const bct_gate_entry_t *e)
+{
+	if (e->born_ms < r->born_ms || (e->born_ms == r->born_ms && e->sequence <= r->sequence))
+		return;
+	r->born_ms = e->born_ms;
+	r->sequence = e->sequence;
+}
+
+/* Whether the entry was removed after it had been written. */
+static bool was_removed(bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
 {
 	uint64_t key = bct_hash_str(e->id);
+	bool removed = false;
 
 	for (uint32_t i = 0; i < BCT_GATE_REMOVALS && i < t->n_removals; i++) {
-		if (t->removals[i].key == key && e->position <= t->removals[i].position)
-			return e->position != 0;
+		bct_gate_removal_t *r = &t->removals[i];
+
+		if (r->key != key || !voids(r, e))
+			continue;
+		raise_sequence(r, e);
+		removed = true;
 	}
-	return false;
+	return removed;
+}
+
+/* Whether the table, which lacks the upstream, reflects records after the entry. Remembers that. */
+static bool was_passed(bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
+{
+	if (!e->position || e->position >= t->position)
+		return false;
+	note_removal(t, bct_hash_str(e->id), e, t->position - 1);
+	return true;
 }
 
 /*
- * Whether an entry of an upstream that is not in the table is outdated: it was removed later, also
- * if this node never saw it.
+ * Whether an entry is outdated. That of an upstream that is not in the table was removed later,
+ * also if this node never saw it.
  */
-static bool is_outdated(const bct_gate_upstreams_t *t, const bct_gate_entry_t *e)
+static bool is_outdated(bct_gate_upstreams_t *t, const bct_gate_upstream_t *u,
+			const bct_gate_entry_t *e)
 {
-	return (e->position && e->position < t->position) || was_removed(t, e);
+	if (!u)
+		return was_removed(t, e) || was_passed(t, e);
+	return is_older(e, &u->entry) || (u->presence >= BCT_GATE_LAPSED && was_removed(t, e));
 }
 
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e)
@@ -140,7 +184,7 @@
 
 	if (u)
 		u->list_pass = t->list_pass;
-	if (u ? is_older(e, &u->entry) : is_outdated(t, e))
+	if (is_outdated(t, u, e))
 		return -BCT_ESTALE;
 	if (!u) {
 		u = add(t, e);
@@ -177,13 +221,13 @@
 }
 
 int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id,
-			      uint64_t position)
+			      bct_gate_position_t position)
 {
 	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, id);
 
 	if (u && position && position < u->entry.position)
 		return 0;
-	note_removal(t, bct_hash_str(id), position);
+	note_removal(t, bct_hash_str(id), u ? &u->entry : NULL, position);
 	if (!u || u->presence >= BCT_GATE_LAPSED)
 		return 0;
 	if (position)
@@ -197,7 +241,8 @@
 	t->list_pass++;
 }
 
-void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now, uint64_t position)
+void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now,
+				 bct_gate_position_t position)
 {
 	bct_list_t *el;
 
@@ -209,7 +254,7 @@
 			continue;
 		if (position) {
 			u->entry.position = position - 1;
-			note_removal(t, u->key, position - 1);
+			note_removal(t, u->key, &u->entry, position - 1);
 		}
 		mark_absent(t, now, u);
 		if (t->on_unlisted)
@@ -218,7 +263,7 @@
 	bct_gate_upstreams_reached(t, position);
 }
 
-void bct_gate_upstreams_reached(bct_gate_upstreams_t *t, uint64_t position)
+void bct_gate_upstreams_reached(bct_gate_upstreams_t *t, bct_gate_position_t position)
 {
 	if (position > t->position)
 		t->position = position;
@@ -234,6 +279,11 @@
 	t->n_removals = 0;
 }
 
+void bct_gate_upstreams_new_era(bct_gate_upstreams_t *t, bct_time_t now)
+{
+	t->registry_back_at = now;
+}
+
 void bct_gate_upstreams_set_registry(bct_gate_upstreams_t *t, bct_time_t now, bool answers)
 {
 	if (!answers) {
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -13,6 +13,7 @@
 #include "base/list.h"
 #include "base/map.h"
 #include "policy/gate_limit.h"
+#include "policy/gate_position.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -30,9 +31,9 @@
 	uint32_t slots;	  /* requests that it runs at once */
 	uint32_t cold_ms; /* remaining time for which it is slow after its start */
 	bool draining;
-	int64_t born_ms;   /* start of the process, Unix time; 0: unknown */
-	uint64_t sequence; /* grows with each write by the same run */
-	uint64_t position; /* of its record in the registry's log; 0: unknown */
+	int64_t born_ms;	      /* start of the process, Unix time; 0: unknown */
+	uint64_t sequence;	      /* grows with each write by the same run */
+	bct_gate_position_t position; /* of its record in the registry's log; 0: unknown */
 } bct_gate_entry_t;
 
 typedef enum bct_gate_presence {
@@ -88,7 +89,9 @@
 /* A removed entry. A listing or message that is older must not bring it back. */
 typedef struct bct_gate_removal {
 	uint64_t key;
-	uint64_t position; /* records of the entry up to here are void */
+	bct_gate_position_t position; /* records of the entry up to here are void */
+	int64_t born_ms;	      /* the run that was removed, and its last sequence number */
+	uint64_t sequence;
 } bct_gate_removal_t;
 
 typedef struct bct_gate_upstreams {
@@ -100,7 +103,7 @@
 	bct_time_t registry_back_at; /* end of the registry's last outage; 0: none yet */
 	bool registry_lost;	     /* the registry does not answer */
 	/* The table reflects all records of the registry's log before it; 0: unknown. */
-	uint64_t position;
+	bct_gate_position_t position;
 	uint64_t digest;				/* see bct_gate_upstreams_digest(3) */
 	bool digest_stale;				/* to be computed again */
 	bct_gate_removal_t removals[BCT_GATE_REMOVALS]; /* a ring */
@@ -137,7 +140,7 @@
  * returns   1 if the upstream was in use until now, else 0, also if its entry is newer
  */
 int bct_gate_upstreams_remove(bct_gate_upstreams_t *t, bct_time_t now, const char *id,
-			      uint64_t position);
+			      bct_gate_position_t position);
 
 /*
  * bct_gate_upstreams_list_begin(3), bct_gate_upstreams_list_end(3): enclose the entries of a full
@@ -147,14 +150,24 @@
  * position  in the registry's log before which the listing is complete; 0: unknown
  */
 void bct_gate_upstreams_list_begin(bct_gate_upstreams_t *t);
-void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now, uint64_t position);
+void bct_gate_upstreams_list_end(bct_gate_upstreams_t *t, bct_time_t now,
+				 bct_gate_position_t position);
 
 /* bct_gate_upstreams_reached(3): the table reflects all records before the position. */
-void bct_gate_upstreams_reached(bct_gate_upstreams_t *t, uint64_t position);
+void bct_gate_upstreams_reached(bct_gate_upstreams_t *t, bct_gate_position_t position);
 
-/* bct_gate_upstreams_log_replaced(3): positions known so far have no meaning any more. */
+/*
+ * bct_gate_upstreams_log_replaced(3): the registry's log was replaced by another one, and the
+ * registry states no era: positions known so far have no meaning any more.
+ */
 void bct_gate_upstreams_log_replaced(bct_gate_upstreams_t *t);
 
+/*
+ * bct_gate_upstreams_new_era(3): the registry came back from a copy. Upstreams whose entries the
+ * copy lacks have the same time to register again as after an outage.
+ */
+void bct_gate_upstreams_new_era(bct_gate_upstreams_t *t, bct_time_t now);
+
 /* bct_gate_upstreams_set_registry(3): records whether the registry answers. */
 void bct_gate_upstreams_set_registry(bct_gate_upstreams_t *t, bct_time_t now, bool answers);
 
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -2,6 +2,7 @@
  * test_store.c - client of the platform's store against a server that answers slowly.
  */
 #include "base/err.h"
+#include "platform/adapter.h"
 #include "platform/store.h"
 
 #include <arpa/inet.h>
@@ -22,8 +23,9 @@
 	int fd;
 	uint16_t port;
 	pthread_t thread;
-	uint32_t parts; /* in which the body is sent */
-	uint32_t sent;	/* of them; then the server falls silent until the client leaves */
+	uint32_t parts;	     /* in which the body is sent */
+	uint32_t sent;	     /* of them; then the server falls silent until the client leaves */
+	const char *headers; /* further ones */
 } server_t;
 
 static char body[PREFIX_BYTES + VALUE_BYTES];
@@ -43,7 +45,8 @@
 
 	if (read(fd, buf, sizeof(buf)) <= 0)
 		return NULL;
-	dprintf(fd, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", sizeof(body));
+	dprintf(fd, "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n",
+		s->headers ? s->headers : "", sizeof(body));
 	for (uint32_t i = 0; i < s->sent && at < sizeof(body); i++) {
 		size_t n = sizeof(body) - at < part ? sizeof(body) - at : part;
 
@@ -127,3 +130,55 @@
 	start(&s);
 	cr_assert_eq(read_log(&s, &value_bytes), -BCT_EUNAVAILABLE);
 }
+
+/* Reads changes of the upstreams from a position, from a store that states an era by these headers.
+ */
+static int read_changes(const char *headers, bct_gate_position_t from, bct_registry_batch_t *out)
+{
+	server_t s = { .parts = 1, .sent = 1, .headers = headers };
+	bct_registry_t *r;
+	char address[64];
+	int rc;
+
+	start(&s);
+	snprintf(address, sizeof(address), "127.0.0.1:%u", s.port);
+	cr_assert_eq(bct_adapter_registry(address, &r), 0);
+	rc = r->ops->changes(r, BCT_REGISTRY_UPSTREAMS, from, TIMEOUT_MS, out);
+	bct_registry_free(r);
+	pthread_join(s.thread, NULL);
+	close(s.fd);
+	return rc;
+}
+
+/* Offsets of an earlier era are other records: the topic is listed anew. */
+Test(store, a_change_of_era_voids_offsets)
+{
+	bct_registry_batch_t b;
+
+	cr_assert_eq(read_changes("Store-Era: 4\r\n", bct_gate_position(4, 0), &b), 0);
+	cr_assert_eq(b.next, bct_gate_position(4, 1));
+	cr_assert_eq(b.n, 1);
+	cr_assert_eq(b.changes[0].position, bct_gate_position(4, 0));
+	bct_registry_batch_free(&b);
+	cr_assert_eq(read_changes("Store-Era: 5\r\n", bct_gate_position(4, 0), &b), -BCT_EEXPIRED);
+}
+
+/* Without an era, or with one that can't be read, positions are offsets, as before. */
+Test(store, a_missing_or_malformed_era_counts_as_none)
+{
+	static const char *const bad[] = { "Store-Era: \r\n", "Store-Era: -1\r\n",
+					   "Store-Era: 7x\r\n", "Store-Era: 99999999999999\r\n",
+					   "Store-Era: 1\r\nStore-Era: 2\r\n" };
+	bct_registry_batch_t b;
+
+	cr_assert_eq(read_changes("", 0, &b), 0);
+	cr_assert_not(b.era_malformed);
+	cr_assert_eq(b.next, 1);
+	bct_registry_batch_free(&b);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		cr_assert_eq(read_changes(bad[i], 0, &b), 0, "%s", bad[i]);
+		cr_assert(b.era_malformed, "%s", bad[i]);
+		cr_assert_eq(b.next, 1);
+		bct_registry_batch_free(&b);
+	}
+}
