--- a/Makefile
+++ b/Makefile
@@ -187,6 +187,7 @@
 check:
 	$(Q)clang-format --dry-run -Werror $(C_FILES)
 	$(Q)sh .ci/layers
+	$(Q)awk -f .ci/log_keys $(filter %.c,$(C_FILES))
 	$(Q)cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -I. -j 8 '-DTest(suite,name,...)=static void suite##_##name(void)' \
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
--- a/cmd/chuted.c
+++ b/cmd/chuted.c
@@ -85,7 +85,7 @@
 		fflush(stdout);
 		run(o, n, opts.log, &set);
 		bct_node_free(n);
-		BCT_LOG(opts.log, BCT_EV_NODE_STOPPED, BCT_STR("vm", s->vm_name));
+		BCT_LOG(opts.log, BCT_EV_NODE_STOPPED, BCT_STR("version", BCT_VERSION));
 	} else {
 		fprintf(stderr, "chuted: %s: %s\n", bct_err_name(rc), bct_err_text(rc));
 	}
--- a/coord/peer_loop.c
+++ b/coord/peer_loop.c
@@ -258,7 +258,7 @@
 
 	if (e->u.member.type > BCT_MEMBER_LEAVING)
 		return;
-	BCT_LOG(p->opts.log, events[e->u.member.type], BCT_STR("vm", m->name),
+	BCT_LOG(p->opts.log, events[e->u.member.type], BCT_STR("member", m->name),
 		BCT_HEX("incarnation", m->incarnation), BCT_U64("number", m->number));
 }
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -156,8 +156,7 @@
 		bct_gate_free(g);
 		return rc;
 	}
-	BCT_LOG(g->log, BCT_EV_NODE_START, BCT_STR("vm", g->settings->vm_name),
-		BCT_STR("listen", g->settings->gate_listen));
+	BCT_LOG(g->log, BCT_EV_NODE_START, BCT_STR("listen", g->settings->gate_listen));
 	*out = g;
 	return 0;
 }
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -320,7 +320,7 @@
 		changed = bct_gate_upstreams_remove(&g->upstreams, now, c->name, c->position) == 1;
 		break;
 	case BCT_REGISTRY_UNREADABLE:
-		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("name", c->name));
+		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("record", c->name));
 		break;
 	}
 	if (changed)
