Upstreams: what a new run states counts on a connection opened before it was listed

Cause: statements were dropped on connections opened when an earlier run was listed, for as long as such a connection was reused. A node may well reach a new run before it reads its entry. Change: the time of the request decides: one that was sent since this run became known was answered by it.

--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -138,7 +138,6 @@
 	bct_gate_t *gate;
 	bct_list_t link; /* in the upstream's list of idle connections */
 	bct_gate_upstream_t *upstream;
-	int64_t born_ms; /* run of the upstream that was known when the connection was opened */
 	struct bufferevent *bev;
 	bct_http_msg_t msg;
 	bct_exchange_t *x; /* NULL: idle */
--- a/gate/notice.c
+++ b/gate/notice.c
@@ -78,8 +78,8 @@
 	bct_gate_upstream_t *u = x->conn->upstream;
 	bool news = false;
 
-	/* The connection may lead to an earlier run of the upstream. */
-	if (x->conn->born_ms != u->entry.born_ms)
+	/* An earlier run of the upstream may have got the request. */
+	if (x->conn->sent_at < u->run_since)
 		return;
 	note_malformed(x, u, n);
 	note_pause(x, u, n->pause_ms);
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -78,8 +78,9 @@
 }
 
 /* A later run under the same id, or at another address, does not inherit what was observed. */
-static void reset_observations(bct_gate_upstream_t *u)
+static void reset_observations(bct_gate_upstream_t *u, bct_time_t now)
 {
+	u->run_since = now;
 	u->identity_mismatch = false;
 	u->fail_permille = 0;
 	u->consecutive_failures = 0;
@@ -192,7 +193,7 @@
 			return -BCT_ENOMEM;
 	} else if (u->entry.born_ms != e->born_ms || u->entry.port != e->port ||
 		   strcmp(u->entry.ip, e->ip) != 0) {
-		reset_observations(u);
+		reset_observations(u, now);
 	} else if (p == BCT_GATE_READY && u->presence == BCT_GATE_DRAINING) {
 		/* A run that is draining stays so: only a new run becomes ready again. */
 		p = BCT_GATE_DRAINING;
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -49,8 +49,9 @@
 	uint64_t key; /* hash of the id */
 	uint64_t service_key;
 	bct_gate_presence_t presence;
-	bct_time_t since;	/* time of the last change of presence */
-	uint32_t refs;		/* requests and connections that refer to it */
+	bct_time_t run_since; /* when this run of it, by its start time and address, became known */
+	bct_time_t since;     /* time of the last change of presence */
+	uint32_t refs;	      /* requests and connections that refer to it */
 	bool identity_mismatch; /* another process answered at its address */
 	uint32_t list_pass;	/* number of the last listing that contained it */
 
