Soak: upstreams name limits, state their leaving and ask for pauses; the store returns from a copy

Change: random statements, Retry-After with refusals, and a store whose era rises while offsets are given out again and draining upstreams look ready for a second. At the end one upstream names a limit, another states its leaving: LIMIT and DRAIN are checked there. Entries have their own offsets now; all had 1, which is none that a log gives out.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #define RESTART_DELAY_MAX_MS 800 /* an ended node restarts after a random time below this */
+#define STALE_MS 1000		 /* until upstreams have written their entries again */
 
 void soak_node_start(soak_t *s, soak_node_t *n)
 {
@@ -75,14 +76,57 @@
 	}
 }
 
+void soak_write_entry(soak_upstream_t *u)
+{
+	u->offset = u->soak->offset++;
+	u->sequence++;
+}
+
+/* Ends what the upstream states about itself in its answers. */
+static void clear_statements(soak_upstream_t *u)
+{
+	u->limit_rps = 0;
+	u->states_leaving = false;
+	u->stated_since = 0;
+}
+
+/* Changes what a random upstream states about itself in its answers. */
+static void inject_statement(soak_t *s)
+{
+	soak_upstream_t *u = &s->upstreams[bct_rng_below(&s->rng, SOAK_UPSTREAMS)];
+	uint32_t what = bct_rng_below(&s->rng, 3);
+
+	if (what == 0)
+		u->limit_rps = 1 + bct_rng_below(&s->rng, 4);
+	else if (what == 1)
+		u->limit_rps = 0;
+	else
+		u->states_leaving = true;
+	u->limit_since = 0;
+}
+
+/*
+ * The store comes back from a copy: offsets are given out again, and for a second entries of
+ * draining upstreams are those from before.
+ */
+static void return_from_copy(soak_t *s)
+{
+	s->era++;
+	s->offset = 1;
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
+		s->upstreams[i].offset = s->offset++;
+		if (s->upstreams[i].draining)
+			s->upstreams[i].stale_until = bct_clock_now() + STALE_MS;
+	}
+}
+
 /* Changes the registry entry, process or link of a random upstream. */
 static void inject_upstream_fault(soak_t *s)
 {
 	soak_upstream_t *u = &s->upstreams[bct_rng_below(&s->rng, SOAK_UPSTREAMS)];
 	bct_time_t now = bct_clock_now();
 
-	s->offset++;
-	u->sequence++;
+	soak_write_entry(u);
 	switch (bct_rng_below(&s->rng, 5)) {
 	case 0:
 		u->draining = true;
@@ -96,6 +140,7 @@
 		/* Restart under the same id, without the state of the earlier process. */
 		u->draining = u->deregistered = u->crashed = false;
 		u->leaving_since = 0;
+		clear_statements(u);
 		u->born++;
 		u->sequence = 1;
 		break;
@@ -117,7 +162,7 @@
 
 void soak_inject_fault(soak_t *s)
 {
-	uint32_t what = bct_rng_below(&s->rng, 20);
+	uint32_t what = bct_rng_below(&s->rng, 23);
 
 	s->last_fault_at = bct_clock_now();
 	if (what < 8)
@@ -128,6 +173,10 @@
 		inject_upstream_fault(s);
 	else if (what < 17)
 		soak_change_route(s);
+	else if (what < 19)
+		inject_statement(s);
+	else if (what == 19)
+		return_from_copy(s);
 	else
 		s->nodes[bct_rng_below(&s->rng, s->n_nodes)].store.link =
 			bct_rng_below(&s->rng, SOAK_LINK_KINDS);
@@ -138,13 +187,16 @@
 	u->proxy.link = SOAK_LINK_OK;
 	u->draining = u->deregistered = u->crashed = false;
 	u->leaving_since = 0;
+	clear_statements(u);
+	u->stale_until = 0;
 	u->born++;
-	u->sequence = 1;
+	u->sequence = 0;
+	soak_write_entry(u);
 }
 
 /*
- * Also changes the safe route and drains an upstream: with no more faults, the time bounds of both
- * (SOAK_CONFIG_MS, SOAK_DRAIN_MS) can be checked.
+ * Also changes the safe route, drains an upstream, and lets one name a limit and one state that it
+ * is leaving: with no more faults, the bounds of all four can be checked.
  */
 void soak_clear_faults(soak_t *s)
 {
@@ -163,4 +215,8 @@
 	soak_change_route(s);
 	s->upstreams[0].draining = true;
 	s->upstreams[0].leaving_since = s->last_fault_at;
+	soak_write_entry(&s->upstreams[0]);
+	s->upstreams[1].limit_rps = SOAK_LIMIT_RPS;
+	s->upstreams[1].limit_since = 0;
+	s->upstreams[SOAK_UPSTREAMS - 1].states_leaving = true;
 }
--- a/soak/main.c
+++ b/soak/main.c
@@ -74,7 +74,8 @@
 	bct_rng_seed(&s->rng, s->seed);
 	s->calls = calloc(SOAK_CALLS_MAX, sizeof(*s->calls));
 	s->version = 1;
-	s->offset = 1;
+	s->offset = 2; /* behind the configuration */
+	s->era = 1;
 	s->started_at = s->last_fault_at = bct_clock_now();
 	/* Concurrent runs use different addresses; no ephemeral socket holds these ports. */
 	s->port_base = PORT_BASE;
@@ -93,7 +94,7 @@
 		u->service = i < SOAK_UPSTREAMS - 2 ? "model" : "desk";
 		u->soak = s;
 		u->born = 1000;
-		u->sequence = 1;
+		soak_write_entry(u);
 		soak_upstream_start(u);
 	}
 	for (int i = 0; i < s->n_nodes; i++) {
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -26,6 +26,9 @@
 #define SOAK_CONFIG_MS 2000  /* a configuration change is in force within this time */
 #define SOAK_SETTLE_MS 3000  /* time bounds are checked only this long after the last fault */
 #define SOAK_TIMEOUT_MS 1500 /* timeout_ms of every route */
+#define SOAK_ARRIVALS 64     /* more than a limited upstream may get in SOAK_LIMIT_WINDOW_MS */
+#define SOAK_LIMIT_WINDOW_MS 4000
+#define SOAK_LIMIT_RPS 2
 
 /* State of a loopback proxy, which leads to one upstream, or from one node to the store. */
 typedef enum soak_link {
@@ -57,7 +60,15 @@
 	const char *service; /* "model" (engine) or "desk" (plain service) */
 	uint16_t port;	     /* of the upstream itself; its registry entry names the proxy's port */
 	int64_t born; /* start time in the registry entry; grows with each restart under this id */
-	uint64_t sequence; /* of the registry entry, within one start */
+	uint64_t sequence;	/* of the registry entry, within one start */
+	uint64_t offset;	/* of the registry entry in the store's log */
+	bct_time_t stale_until; /* until then the store shows the entry as before it was draining */
+	uint32_t limit_rps;	/* rate that its answers name; 0: none */
+	bct_time_t limit_since; /* the first of them */
+	bct_time_t arrivals[SOAK_ARRIVALS]; /* times of the latest requests; a ring */
+	uint32_t n_arrivals;
+	bool states_leaving;	 /* its answers state that it is leaving */
+	bct_time_t stated_since; /* the first of them */
 	bool draining;
 	bool deregistered;
 	bool crashed;		  /* closes each connection when a request arrives */
@@ -100,6 +111,7 @@
 	bct_time_t store_bad_at; /* unused */
 	uint64_t history;	 /* unused */
 	uint64_t offset; /* end offset of the store's log; raised by changes and upstream faults */
+	uint64_t era;	 /* of the store; raised when it returns from a copy */
 	bct_time_t last_fault_at; /* last fault of any kind */
 	soak_call_t *calls;
 	uint32_t n_calls;
@@ -129,6 +141,8 @@
 void soak_inject_fault(soak_t *s);
 /* soak_clear_faults(3): end all faults. Call with the lock held. */
 void soak_clear_faults(soak_t *s);
+/* soak_write_entry(3): an upstream writes its registry entry. Call with the lock held. */
+void soak_write_entry(soak_upstream_t *u);
 /* soak_change_route(3): move the safe route to the other service. Call with the lock held. */
 void soak_change_route(soak_t *s);
 /* soak_nodes_supervise(3): reap ended nodes, restart due ones. Call with the lock held. */
--- a/soak/store.c
+++ b/soak/store.c
@@ -50,22 +50,33 @@
 /* Formats an upstream's registry entry, with the port of its proxy. */
 static void format_entry(const soak_upstream_t *u, char *out, size_t size)
 {
+	bool stale = bct_clock_now() < u->stale_until;
+
 	snprintf(out, size,
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
 		 "\"version\":\"v\",\"slots\":16,\"state\":\"%s\",\"cold_remaining_ms\":0,"
 		 "\"sequence\":%llu,\"born\":%lld}",
-		 u->service, u->proxy.port, u->draining ? "draining" : "ready",
-		 (unsigned long long)u->sequence, (long long)u->born);
+		 u->service, u->proxy.port, u->draining && !stale ? "draining" : "ready",
+		 (unsigned long long)u->sequence - stale, (long long)u->born);
 }
 
-static void add_item(struct evbuffer *out, bool first, const char *key, const char *text)
+static void add_item(struct evbuffer *out, bool first, const char *key, const char *text,
+		     uint64_t offset)
 {
 	char encoded[TEXT_BYTES * 2];
 
 	sodium_bin2base64(encoded, sizeof(encoded), (const unsigned char *)text, strlen(text),
 			  sodium_base64_VARIANT_ORIGINAL);
-	evbuffer_add_printf(out, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":1}",
-			    first ? "" : ",", key, encoded);
+	evbuffer_add_printf(out, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%llu}",
+			    first ? "" : ",", key, encoded, (unsigned long long)offset);
+}
+
+static void add_era(const soak_t *s, struct evhttp_request *req)
+{
+	char era[24];
+
+	snprintf(era, sizeof(era), "%llu", (unsigned long long)s->era);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era", era);
 }
 
 /* Lists the newest records: of the configuration (topic keyed.op), else of the registry. */
@@ -80,17 +91,18 @@
 	pthread_mutex_lock(&s->lock);
 	if (config) {
 		format_config(s, text, sizeof(text));
-		add_item(out, true, "config", text);
+		add_item(out, true, "config", text, 1);
 	}
 	for (int i = 0; !config && i < SOAK_UPSTREAMS; i++) {
 		if (s->upstreams[i].deregistered)
 			continue;
 		format_entry(&s->upstreams[i], text, sizeof(text));
-		add_item(out, first, s->upstreams[i].id, text);
+		add_item(out, first, s->upstreams[i].id, text, s->upstreams[i].offset);
 		first = false;
 	}
 	evbuffer_add_printf(out, "],\"more\":false,\"end_offset\":%llu}",
 			    (unsigned long long)s->offset);
+	add_era(s, req);
 	pthread_mutex_unlock(&s->lock);
 	evhttp_send_reply(req, 200, "OK", out);
 	evbuffer_free(out);
@@ -109,6 +121,7 @@
 	changed = at != s->offset;
 	ends[0] = __builtin_bswap64(s->offset);
 	ends[1] = 0;
+	add_era(s, req);
 	pthread_mutex_unlock(&s->lock);
 	if (!changed)
 		evbuffer_add(out, ends, sizeof(ends));
--- a/soak/upstream.c
+++ b/soak/upstream.c
@@ -24,8 +24,9 @@
 typedef struct request {
 	char id[SOAK_ID_BYTES];
 	char path[64];
-	char expected[32]; /* Expected-Instance header: id of the upstream that is meant */
-	int last_event_id; /* of the Last-Event-Id header; 0: none */
+	char expected[32];   /* Expected-Instance header: id of the upstream that is meant */
+	int last_event_id;   /* of the Last-Event-Id header; 0: none */
+	char statements[80]; /* header lines of the upstream about itself */
 } request_t;
 
 static void copy_header(const char *head, const char *name, char *out, size_t size)
@@ -73,8 +74,8 @@
 	char text[512];
 
 	snprintf(text, sizeof(text),
-		 "HTTP/1.1 %s\r\n" HEADER_PREFIX "Request-Attempt-Id: %s\r\n%s\r\n", status, r->id,
-		 more);
+		 "HTTP/1.1 %s\r\n" HEADER_PREFIX "Request-Attempt-Id: %s\r\n%s%s\r\n", status,
+		 r->id, r->statements, more);
 	return send_text(fd, text);
 }
 
@@ -90,6 +91,55 @@
 	return now > since + bound_ms + SOAK_SETTLE_MS;
 }
 
+/* Formats what the upstream states about itself now. The first answers of a kind set its time. */
+static void format_statements(soak_upstream_t *u, char *out, size_t size)
+{
+	bct_time_t now = bct_clock_now();
+	char limit[48] = "";
+
+	if (u->limit_rps) {
+		snprintf(limit, sizeof(limit), "Server-Limit: %u\r\n", u->limit_rps);
+		u->limit_since = u->limit_since ? u->limit_since : now;
+	}
+	if (u->states_leaving)
+		u->stated_since = u->stated_since ? u->stated_since : now;
+	snprintf(out, size, "%s%s", limit, u->states_leaving ? "Server-Leaving: 1\r\n" : "");
+}
+
+/* Notes an arrival. returns the number in the last window, this one included. */
+static uint32_t count_arrivals(soak_upstream_t *u, bct_time_t now)
+{
+	uint32_t n = 0;
+
+	u->arrivals[u->n_arrivals++ % SOAK_ARRIVALS] = now;
+	for (uint32_t i = 0; i < SOAK_ARRIVALS && i < u->n_arrivals; i++)
+		n += now - u->arrivals[i] < SOAK_LIMIT_WINDOW_MS;
+	return n;
+}
+
+/* Checks that the upstream gets no more requests than it has stated that it accepts. */
+static void check_statements(soak_upstream_t *u, const request_t *r, bct_time_t now)
+{
+	soak_t *s = u->soak;
+	bct_time_t limit_since, stated_since, last_fault_at;
+	uint32_t n, allowed;
+
+	pthread_mutex_lock(&s->lock);
+	n = count_arrivals(u, now);
+	allowed = u->limit_rps * SOAK_LIMIT_WINDOW_MS * 3 / 2 / BCT_MS_PER_S + 5;
+	limit_since = u->limit_rps ? u->limit_since : 0;
+	stated_since = u->stated_since;
+	last_fault_at = s->last_fault_at;
+	pthread_mutex_unlock(&s->lock);
+	if (limit_since && n > allowed &&
+	    is_past_bound(now, limit_since, last_fault_at, SOAK_LIMIT_WINDOW_MS))
+		soak_violation(s, "LIMIT", "%s is request %u in 4 s at %s, %u are allowed", r->id,
+			       n, u->id, allowed);
+	if (stated_since && is_past_bound(now, stated_since, last_fault_at, SOAK_DRAIN_MS))
+		soak_violation(s, "DRAIN", "%s reached %s %lld ms after it stated its leaving",
+			       r->id, u->id, (long long)(now - stated_since));
+}
+
 /* Checks that a request did not come by an outdated route or too late to a leaving upstream. */
 static void check_arrival(soak_upstream_t *u, const request_t *r, bct_time_t now)
 {
@@ -187,7 +237,7 @@
 		return false;
 	}
 	if (fault == 5) {
-		request_t other = { .id = "c-other" };
+		request_t other = { .id = "c-other", .statements = "" };
 
 		send_head(c->fd, &other, "200 OK",
 			  HEADER_PREFIX "Server-Seal: s\r\nContent-Length: 0\r\n");
@@ -212,18 +262,21 @@
 								    : 0;
 		capacity_roll = bct_rng_below(&s->rng, 30);
 		crashed = c->u->crashed;
+		format_statements(c->u, r.statements, sizeof(r.statements));
 		faults_ended = s->faults_ended;
 		pthread_mutex_unlock(&s->lock);
 		if (crashed)
 			break;
 		check_arrival(c->u, &r, bct_clock_now());
+		check_statements(c->u, &r, bct_clock_now());
 		if (strcmp(r.expected, c->u->id) != 0) {
 			send_head(c->fd, &r, "421 Other", "Content-Length: 0\r\n");
 			continue;
 		}
 		if (!capacity_roll && !faults_ended) {
 			send_head(c->fd, &r, "503 Full",
-				  HEADER_PREFIX "Not-Executed: 1\r\nContent-Length: 0\r\n");
+				  HEADER_PREFIX "Not-Executed: 1\r\nRetry-After: 0.4\r\n"
+						"Content-Length: 0\r\n");
 			continue;
 		}
 		record_run(c->u, &r);
