Log: members that join at once and upstreams of the first listing share lines

Change: coord/member_log collects joins for half a second (MEMBERS_ALIVE with names and count; one alone keeps MEMBER_ALIVE); the first listing writes UPSTREAMS_LISTED with the ids. Other changes keep a line each. chutectl explain shows limits, pauses and leaving of a request's upstreams, of all of them if it was refused as LIMITED.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -34,6 +34,7 @@
 	DEF(MEMBER_DEAD, 302, WARN, "a VM was declared dead")                                      \
 	DEF(MEMBER_LEAVING, 303, INFO, "a VM is leaving")                                          \
 	DEF(PEER_AUTH_FAILED, 304, WARN, "a peer's datagram was refused")                          \
+	DEF(MEMBERS_ALIVE, 306, INFO, "several VMs joined, or refuted a suspicion or a death")     \
 	DEF(HUB_CHANGED, 305, INFO, "the hub that receives this node's load reports changed")      \
 	DEF(REQUEST_ENDED, 400, DEBUG, "a request ended")                                          \
 	DEF(REQUEST_BAD, 401, DEBUG, "a request was refused as malformed")                         \
@@ -54,6 +55,7 @@
 	DEF(UPSTREAM_STRAGGLER, 503, WARN, "an upstream makes less progress than expected")        \
 	DEF(UPSTREAM_PRESENCE, 510, INFO,                                                          \
 	    "an upstream's presence changed: it came, drains, lapsed or left")                     \
+	DEF(UPSTREAMS_LISTED, 514, INFO, "upstreams that the registry listed at the start")        \
 	DEF(UPSTREAM_LIMIT, 511, INFO,                                                             \
 	    "an upstream named the request rate that it accepts, or named none any more")          \
 	DEF(UPSTREAM_PAUSED, 513, INFO, "an upstream asked this node to send nothing for a while") \
--- a/cmd/chutectl_explain.c
+++ b/cmd/chutectl_explain.c
@@ -25,6 +25,20 @@
 	uint64_t left_out;   /* context lines dropped at CONTEXT_MAX */
 } search_t;
 
+/* Whether events of this number concern one upstream. */
+static bool is_of_upstream(json_int_t event)
+{
+	switch (event) {
+	case BCT_EV_UPSTREAM_PRESENCE:
+	case BCT_EV_UPSTREAM_LEAVING:
+	case BCT_EV_UPSTREAM_LIMIT:
+	case BCT_EV_UPSTREAM_PAUSED:
+		return true;
+	default:
+		return false;
+	}
+}
+
 /* Whether events of this number are shown as context of a request. */
 static bool is_context(json_int_t event)
 {
@@ -36,12 +50,12 @@
 	case BCT_EV_ROUTES_REFUSED:
 	case BCT_EV_MEMBER_SUSPECT:
 	case BCT_EV_MEMBER_DEAD:
-	case BCT_EV_UPSTREAM_PRESENCE:
 	case BCT_EV_REGISTRY_DOWN:
 	case BCT_EV_REGISTRY_UP:
+	case BCT_EV_REGISTRY_ERA:
 		return true;
 	default:
-		return false;
+		return is_of_upstream(event);
 	}
 }
 
@@ -141,6 +155,20 @@
 	return false;
 }
 
+/* Whether the request was refused because of what upstreams had stated about themselves. */
+static bool was_limited(const json_t *lines)
+{
+	size_t i;
+	json_t *l;
+
+	json_array_foreach(lines, i, l)
+	{
+		if (!strcmp(explain_text(l, "how"), "LIMITED"))
+			return true;
+	}
+	return false;
+}
+
 static bool names_vm(const json_t *lines, const char *vm)
 {
 	size_t i;
@@ -157,13 +185,14 @@
 /*
  * Selects the context lines of the VMs that logged the request, from CONTEXT_BEFORE_MS before its
  * first line to CONTEXT_AFTER_MS after its last. Of the upstreams, only those of the request are
- * shown.
+ * shown, or all if their limits or pauses are why it was refused.
  */
 static json_t *select_context(const search_t *s, const json_t *lines)
 {
 	json_int_t from = explain_number(json_array_get(lines, 0), "time_ms") - CONTEXT_BEFORE_MS;
 	json_int_t to =
 		explain_number(json_array_get(lines, json_array_size(lines) - 1), "time_ms");
+	bool limited = was_limited(lines);
 	json_t *near = json_array(), *out, *l;
 	size_t i;
 
@@ -174,7 +203,7 @@
 		if (at < from || at > to + CONTEXT_AFTER_MS ||
 		    !names_vm(lines, explain_text(l, "vm")))
 			continue;
-		if (explain_number(l, "event") == BCT_EV_UPSTREAM_PRESENCE &&
+		if (is_of_upstream(explain_number(l, "event")) && !limited &&
 		    !names_upstream(lines, explain_text(l, "upstream")))
 			continue;
 		json_array_append(near, l);
--- /dev/null
+++ b/coord/member_log.c
@@ -0,0 +1,78 @@
+/*
+ * member_log.c - collects the names of VMs that join for a short time.
+ */
+#include "coord/member_log.h"
+
+#include <string.h>
+
+#define COLLECT_MS 500 /* a fleet that starts at once is joined within a few of these */
+
+static void log_one(const bct_member_log_t *l, bct_event_t ev, const bct_member_t *m)
+{
+	BCT_LOG(l->log, ev, BCT_STR("member", m->name), BCT_HEX("incarnation", m->incarnation),
+		BCT_U64("number", m->number));
+}
+
+static void log_joined(bct_member_log_t *l, bct_time_t now)
+{
+	if (l->n == 1)
+		log_one(l, BCT_EV_MEMBER_ALIVE, &l->last);
+	else if (l->n)
+		BCT_LOG(l->log, BCT_EV_MEMBERS_ALIVE, BCT_U64("count", l->n),
+			BCT_STR("members", l->names), BCT_I64("within_ms", now - l->since));
+	l->n = 0;
+	l->used_bytes = 0;
+}
+
+static void add_joined(bct_member_log_t *l, bct_time_t now, const bct_member_t *m)
+{
+	uint32_t len = (uint32_t)strlen(m->name);
+
+	if (l->used_bytes + 1 + len + 1 > sizeof(l->names))
+		log_joined(l, now);
+	if (!l->n)
+		l->since = now;
+	else
+		l->names[l->used_bytes++] = ',';
+	memcpy(l->names + l->used_bytes, m->name, len + 1);
+	l->used_bytes += len;
+	l->last = *m;
+	l->n++;
+}
+
+void bct_member_log_change(bct_member_log_t *l, bct_time_t now, bct_member_event_type_t type,
+			   const bct_member_t *m)
+{
+	static const bct_event_t events[] = {
+		[BCT_MEMBER_SUSPECTED] = BCT_EV_MEMBER_SUSPECT,
+		[BCT_MEMBER_DIED] = BCT_EV_MEMBER_DEAD,
+		[BCT_MEMBER_LEAVING] = BCT_EV_MEMBER_LEAVING,
+	};
+
+	switch (type) {
+	case BCT_MEMBER_JOINED:
+	case BCT_MEMBER_RETURNED:
+		add_joined(l, now, m);
+		break;
+	case BCT_MEMBER_SUSPECTED:
+	case BCT_MEMBER_DIED:
+	case BCT_MEMBER_LEAVING:
+		/* What is logged later must not seem to have happened later. */
+		log_joined(l, now);
+		log_one(l, events[type], m);
+		break;
+	default:
+		break;
+	}
+}
+
+bct_time_t bct_member_log_flush(bct_member_log_t *l, bct_time_t now, bool all)
+{
+	if (!l->n)
+		return BCT_TIME_NEVER;
+	if (all || now - l->since >= COLLECT_MS) {
+		log_joined(l, now);
+		return BCT_TIME_NEVER;
+	}
+	return l->since + COLLECT_MS;
+}
--- /dev/null
+++ b/coord/member_log.h
@@ -0,0 +1,36 @@
+/*
+ * member_log.h - logs changes of the membership. VMs that join at about the same time, as in a
+ * start of the whole fleet, share one line.
+ */
+#ifndef BCT_COORD_MEMBER_LOG_H
+#define BCT_COORD_MEMBER_LOG_H
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "coord/member.h"
+
+#define BCT_MEMBER_LOG_BYTES 1024 /* names in one line */
+
+/* VMs that joined and are not logged yet. */
+typedef struct bct_member_log {
+	bct_log_t *log;
+	char names[BCT_MEMBER_LOG_BYTES]; /* separated by commas */
+	uint32_t used_bytes;
+	uint32_t n;
+	bct_member_t last; /* the latest of them */
+	bct_time_t since;  /* when the first of them joined */
+} bct_member_log_t;
+
+/* bct_member_log_change(3): log a change; a VM that joined is logged by a later flush. */
+void bct_member_log_change(bct_member_log_t *l, bct_time_t now, bct_member_event_type_t type,
+			   const bct_member_t *m);
+
+/*
+ * bct_member_log_flush(3): log the VMs that joined, if it is time.
+ *
+ * all      log them now, as the process ends
+ * returns  when to call it again; BCT_TIME_NEVER if none is waiting
+ */
+bct_time_t bct_member_log_flush(bct_member_log_t *l, bct_time_t now, bool all);
+
+#endif
--- a/coord/peer.c
+++ b/coord/peer.c
@@ -208,6 +208,7 @@
 		return -BCT_ENOMEM;
 	p->outbox.ops = &bct_peer_outbox_ops;
 	p->opts = *opts;
+	p->member_log.log = opts->log;
 	p->incarnation = opts->incarnation ? opts->incarnation : bct_random_id();
 	p->fd = -1;
 	p->wake_fd = -1;
--- a/coord/peer_int.h
+++ b/coord/peer_int.h
@@ -6,6 +6,7 @@
 #define BCT_COORD_PEER_INT_H
 
 #include "base/counter.h"
+#include "coord/member_log.h"
 #include "coord/handoff.h"
 #include "coord/peer.h"
 #include "coord/totals.h"
@@ -92,6 +93,7 @@
 
 	/* Used by the peer's thread only. */
 	events_t delivering; /* events whose callbacks are being made */
+	bct_member_log_t member_log;
 	bct_handoff_t handoff;
 	int64_t config_tokens;	     /* token bucket: chunks that may be served now */
 	bct_time_t config_tokens_at; /* time of the last refill */
--- a/coord/peer_loop.c
+++ b/coord/peer_loop.c
@@ -245,23 +245,6 @@
 	return next;
 }
 
-static void log_member(bct_peer_t *p, const event_t *e)
-{
-	static const bct_event_t events[] = {
-		[BCT_MEMBER_JOINED] = BCT_EV_MEMBER_ALIVE,
-		[BCT_MEMBER_RETURNED] = BCT_EV_MEMBER_ALIVE,
-		[BCT_MEMBER_SUSPECTED] = BCT_EV_MEMBER_SUSPECT,
-		[BCT_MEMBER_DIED] = BCT_EV_MEMBER_DEAD,
-		[BCT_MEMBER_LEAVING] = BCT_EV_MEMBER_LEAVING,
-	};
-	const bct_member_t *m = &e->u.member.member;
-
-	if (e->u.member.type > BCT_MEMBER_LEAVING)
-		return;
-	BCT_LOG(p->opts.log, events[e->u.member.type], BCT_STR("member", m->name),
-		BCT_HEX("incarnation", m->incarnation), BCT_U64("number", m->number));
-}
-
 static void log_refused(bct_peer_t *p, const event_t *e)
 {
 	char addr[BCT_ADDR_PORT_BYTES];
@@ -324,7 +307,7 @@
 
 	switch (e->type) {
 	case EVENT_MEMBER:
-		log_member(p, e);
+		bct_member_log_change(&p->member_log, now, e->u.member.type, &e->u.member.member);
 		if (ops->member)
 			ops->member(ctx, e->u.member.type, &e->u.member.member);
 		break;
@@ -421,9 +404,11 @@
 			next = min_time(next, p->fleet_next);
 		pthread_mutex_unlock(&p->lock);
 		deliver_all(p, now);
+		next = min_time(next, bct_member_log_flush(&p->member_log, now, false));
 		if (p->handoff.fetching)
 			next = min_time(next, p->handoff.next_chunk);
 		wait_for_input(p, next - bct_clock_now());
 	}
+	bct_member_log_flush(&p->member_log, bct_clock_now(), true);
 	return NULL;
 }
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -16,6 +16,7 @@
 
 #include <errno.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -294,12 +295,40 @@
 		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
 }
 
-/* Logs the new state of an upstream and sends it to the peers. */
+#define LISTED_BYTES 2048 /* ids in one line */
+
+/* Logs the upstreams of the first listing, several in a line. */
+static void log_listed(bct_gate_t *g)
+{
+	char ids[LISTED_BYTES];
+	uint32_t used = 0, n = 0;
+	bct_list_t *el;
+
+	bct_list_for_each(el, &g->upstreams.all) {
+		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+		const char *drains = u->presence == BCT_GATE_DRAINING ? ":draining" : "";
+
+		used += (uint32_t)snprintf(ids + used, sizeof(ids) - used, "%s%s%s", n ? "," : "",
+					   u->entry.id, drains);
+		n++;
+		if (el->next != &g->upstreams.all &&
+		    used + 1 + sizeof(u->entry.id) + sizeof(":draining") < sizeof(ids))
+			continue;
+		BCT_LOG(g->log, BCT_EV_UPSTREAMS_LISTED, BCT_U64("count", n),
+			BCT_STR("upstreams", ids), BCT_U64("of", g->upstreams.n),
+			BCT_STR("source", g->registry_sync->source),
+			BCT_I64("fetch_ms", g->registry_sync->fetch_ms));
+		used = n = 0;
+	}
+}
+
+/* Logs the new state of an upstream, unless it is one of the first listing, and sends it on. */
 static void upstream_changed(bct_gate_t *g, const char *id, bool notify_peers)
 {
 	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&g->upstreams, id);
 
-	log_upstream(g, id);
+	if (g->registry_sync->knows_upstreams)
+		log_upstream(g, id);
 	if (u && notify_peers)
 		bct_share_upstream_change(g->share, u);
 }
@@ -355,8 +384,10 @@
 		bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now(), b->next);
 	else if (topic == BCT_REGISTRY_UPSTREAMS)
 		bct_gate_upstreams_reached(&g->upstreams, b->next);
-	if (listing)
+	if (listing && !s->knows_upstreams) {
 		s->knows_upstreams = true;
+		log_listed(g);
+	}
 }
 
 void bct_registry_sync_note_era(bct_registry_sync_t *s, uint64_t era, const char *source)
--- a/tests/proc_explain.sh
+++ b/tests/proc_explain.sh
@@ -22,6 +22,12 @@
 {"time_ms":1000960,"vm":"b","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"cut","how":"CUT","status":504,"version":4,"registry_age_ms":829,"upstream":"i-7","attempts":1,"first_byte_ms":78,"total_ms":3652,"events":13}
 {"time_ms":1000970,"vm":"b","level":"info","event":412,"name":"GATE_ATTEMPT_FAILED","request":"runs","what":"silent","upstream":"i-3","attempts":1,"again":1,"ms":400}
 LOG
+cat >"$work/c.log" <<'LOG'
+{"time_ms":1000100,"vm":"c","level":"info","event":511,"name":"UPSTREAM_LIMIT","upstream":"i-4","request":"early","named":1,"limit_mrps":1300,"age_ms":0,"owner":0,"share_mrps":0}
+{"time_ms":1000200,"vm":"c","level":"info","event":513,"name":"UPSTREAM_PAUSED","upstream":"i-5","request":"other","pause_ms":2000}
+{"time_ms":1000960,"vm":"c","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"limit","how":"LIMITED","status":503,"version":4,"registry_age_ms":829,"upstream":"","attempts":0,"limited":2,"limited_ms":1240}
+{"time_ms":1000970,"vm":"c","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"never","how":"LIMITED","status":503,"version":4,"registry_age_ms":829,"upstream":"","attempts":0,"limited":1,"limited_ms":4294967295}
+LOG
 
 expect_exit 0 explain over "$work/a.log" "$work/b.log"
 output_has 'cause: The fleet had no capacity: the best upstream had a predicted wait of 1865 ms and prefill of 154 ms, against a limit of 900 ms (overload 700 permille). Of the wait only work that is as urgent counts: 620 permille. Its output was predicted to take 7400 ms more; it is refused if it can.t end before the deadline. It did not run.'
@@ -40,6 +46,13 @@
 expect_exit 0 explain cut "$work/b.log"
 output_has "began after 78 ms and was truncated after 13 events and 3652 ms: the request's deadline passed"
 
+expect_exit 0 explain limit "$work/a.log" "$work/c.log"
+output_has 'It was not run: the limits or pauses that 2 upstreams of its service had named allowed no request of this node for 1240 ms more'
+output_has 'UPSTREAM_LIMIT upstream=i-4'
+output_has 'UPSTREAM_PAUSED upstream=i-5'
+expect_exit 0 explain never "$work/c.log"
+output_has 'which sends no part of them'
+
 expect_exit 0 explain runs "$work/b.log"
 output_has 'No line states how it ended'
 output_has 'An attempt at i-3 failed (silent) at 400 ms'
@@ -55,4 +68,4 @@
 output_has 'request nobody not found in 7 log lines'
 expect_exit 2 explain over "$work/missing.log"
 expect_exit 1 explain
-echo "explain: the causes of five requests were found"
+echo "explain: the causes of seven requests were found"
