gate: the registry's threads in a module of their own

Change: registry_reader makes the calls of one topic and passes results on; moves, no decision changes; each reader has its own lock.

--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -1,6 +1,6 @@
 /*
  * gate_int.h - internals shared by the gateway's files. The event loop's thread owns all of it; the
- * threads of registry_sync.c also use the settings, the registry, the log and the counters.
+ * threads of registry_reader.c also use the settings, the registry, the log and the counters.
  */
 #ifndef BCT_GATE_GATE_INT_H
 #define BCT_GATE_GATE_INT_H
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -1,16 +1,15 @@
 /*
- * registry_sync.c - reads the registry on threads of its own and passes results to the event loop.
+ * registry_sync.c - keeps routes and upstreams in step with the registry.
  *
- * The event loop decides what is due (policy/gate_poll.h); a thread for each topic makes the
- * blocking calls, so that a long transfer on one topic holds up no news on the other, and pull.c
- * the requests to peers. Each topic is listed once and then read from the end of the listing. If
- * records expired before they were read, it is listed again. The topics are polled at an interval
- * instead of by long polls: upstreams write heartbeats all the time, and a long poll would return
- * for each of them.
+ * The event loop decides what is due (policy/gate_poll.h); a thread for each topic makes the calls
+ * (registry_reader.h), so that a long transfer on one topic holds up no news on the other, and
+ * pull.c the requests to peers. The topics are polled at an interval instead of by long polls:
+ * upstreams write heartbeats all the time, and a long poll would return for each of them.
  */
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/pull.h"
+#include "gate/registry_reader.h"
 #include "gate/registry_sync.h"
 #include "gate/share.h"
 
@@ -21,58 +20,40 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-/* The result of one call, on its way from the thread to the event loop. */
-typedef struct result {
-	bct_list_t link;
-	bct_registry_topic_t topic;
-	bct_registry_batch_t batch;
-	bool listing; /* of the topic, else changes */
-	int rc;	      /* of the call */
-	bct_time_t started_at;
-} result_t;
-
-/* Makes the calls on one topic. The lock of the owner guards due and busy. */
-typedef struct reader {
-	bct_registry_sync_t *owner;
-	bct_registry_topic_t topic;
-	pthread_t thread;
-	bool started;
-	pthread_cond_t due_cond;
-	bct_gate_poll_act_t due; /* the call that the thread is to make */
-	bool busy;		 /* it is making one */
-	/* Used by the thread only. */
-	bool listed;
-	bct_gate_position_t next; /* to read changes from */
-	/* Used by the event loop only. */
+/* One topic. */
+typedef struct topic_state {
+	bct_registry_reader_t *reader;
 	bool up;       /* the registry answered the last call */
 	bool up_known; /* up has been set */
-} reader_t;
+	bct_time_t pull_started_at;
+} topic_state_t;
 
 struct bct_registry_sync {
 	bct_gate_t *gate;
-	reader_t readers[BCT_REGISTRY_TOPICS];
-	int wake_fd; /* eventfd: results are queued */
+	topic_state_t topics[BCT_REGISTRY_TOPICS];
+	bool stopped; /* no more calls are made */
+	int wake_fd;  /* eventfd: results are queued */
 	struct event *wake;
-	pthread_mutex_t lock; /* guards results and stop */
+	pthread_mutex_t lock; /* guards results, of bct_registry_result_t */
 	bct_list_t results;
-	bool stop;
-	/* Used by the event loop only. */
 	bct_gate_poll_t poll;
 	bct_pull_t *pull;
-	bool knows_upstreams; /* the first listing has been applied */
-	bool notify_peers;    /* what is being applied is news from the registry */
-	const char *source;   /* of what is being applied, for the log */
-	bct_time_t fetch_ms;  /* how long it took to fetch */
-	bct_time_t pull_started_at[BCT_REGISTRY_TOPICS];
+	bool knows_upstreams;		    /* the first listing has been applied */
+	bool notify_peers;		    /* what is being applied is news from the registry */
+	const char *source;		    /* of what is being applied, for the log */
+	bct_time_t fetch_ms;		    /* how long it took to fetch */
 	bct_gate_position_t upstreams_next; /* of the registry's last answer on upstreams */
 	uint64_t era;			    /* highest that is known; 0: none */
 	bool era_malformed;		    /* the last answer stated one that can't be read */
 };
 
-static void push_result(bct_registry_sync_t *s, result_t *d)
+/* Queues a result for the event loop. Called from the threads. */
+static void on_result(void *ctx, bct_registry_result_t *d)
 {
+	bct_registry_sync_t *s = ctx;
 	uint64_t one = 1;
 
+	BCT_GATE_COUNT(s->gate, REGISTRY_CALLS);
 	pthread_mutex_lock(&s->lock);
 	bct_list_add_tail(&d->link, &s->results);
 	pthread_mutex_unlock(&s->lock);
@@ -80,68 +61,6 @@
 		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_DOWN, BCT_ERR("error", -BCT_EIO));
 }
 
-/* Makes one call and queues its result. returns the error of the call. */
-static int read_topic(reader_t *reader)
-{
-	bct_registry_sync_t *s = reader->owner;
-	bct_registry_t *r = s->gate->opts.registry;
-	uint32_t timeout_ms = s->gate->settings->platform_timeout_ms;
-	result_t *d = bct_alloc(sizeof(*d));
-	int rc;
-
-	if (!d)
-		return -BCT_ENOMEM;
-	d->topic = reader->topic;
-	d->started_at = bct_clock_now();
-	d->listing = !reader->listed;
-	bct_list_init(&d->link);
-	BCT_GATE_COUNT(s->gate, REGISTRY_CALLS);
-	rc = d->listing ? r->ops->list(r, d->topic, timeout_ms, &d->batch)
-			: r->ops->changes(r, d->topic, reader->next, timeout_ms, &d->batch);
-	d->rc = rc;
-	if (!rc) {
-		reader->listed = true;
-		reader->next = d->batch.next;
-	} else if (rc == -BCT_EEXPIRED) {
-		reader->listed = false;
-	}
-	push_result(s, d);
-	return rc;
-}
-
-/* Waits until a call is due. returns false after bct_registry_sync_stop(3). */
-static bool next_due(reader_t *reader, bct_gate_poll_act_t *due)
-{
-	bct_registry_sync_t *s = reader->owner;
-	bool stop;
-
-	pthread_mutex_lock(&s->lock);
-	reader->busy = false;
-	while (!s->stop && !reader->due)
-		pthread_cond_wait(&reader->due_cond, &s->lock);
-	*due = reader->due;
-	reader->due = BCT_GATE_POLL_NONE;
-	reader->busy = true;
-	stop = s->stop;
-	pthread_mutex_unlock(&s->lock);
-	return !stop;
-}
-
-/* Reads the topic, and lists it at once if records expired before they were read. */
-static void *run(void *arg)
-{
-	reader_t *reader = arg;
-	bct_gate_poll_act_t due;
-
-	while (next_due(reader, &due)) {
-		if (due == BCT_GATE_POLL_LIST)
-			reader->listed = false;
-		if (read_topic(reader) == -BCT_EEXPIRED)
-			read_topic(reader);
-	}
-	return NULL;
-}
-
 /* Tells the table of upstreams whether the registry answers any node of the fleet. */
 static void note_registry(bct_registry_sync_t *s)
 {
@@ -156,7 +75,7 @@
 	int rc = bct_pull_start(s->pull, topic, from);
 
 	if (!rc) {
-		s->pull_started_at[topic] = bct_clock_now();
+		s->topics[topic].pull_started_at = bct_clock_now();
 		return;
 	}
 	bct_gate_poll_pulled(&s->poll, topic, BCT_GATE_PULL_FAILED);
@@ -175,22 +94,19 @@
 	};
 
 	note_registry(s);
-	pthread_mutex_lock(&s->lock);
 	s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
-	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS && !s->stop; i++) {
-		reader_t *reader = &s->readers[i];
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS && !s->stopped; i++) {
+		bct_registry_topic_t topic = (bct_registry_topic_t)i;
+		bct_registry_reader_t *reader = s->topics[i].reader;
 		bct_gate_due_t due;
 
-		local.busy = reader->busy || reader->due;
-		due = bct_gate_poll_due(&s->poll, now, reader->topic, &local);
+		local.busy = bct_registry_reader_busy(reader);
+		due = bct_gate_poll_due(&s->poll, now, topic, &local);
 		if (due.act == BCT_GATE_POLL_PULL)
-			start_pull(s, reader->topic, due.from);
+			start_pull(s, topic, due.from);
 		else if (due.act)
-			reader->due = due.act;
-		if (reader->due)
-			pthread_cond_signal(&reader->due_cond);
+			bct_registry_reader_call(reader, due.act);
 	}
-	pthread_mutex_unlock(&s->lock);
 }
 
 void bct_registry_sync_peer_versions(bct_registry_sync_t *s, const bct_gate_peer_versions_t *h)
@@ -219,18 +135,18 @@
 }
 
 /* An answer that records expired shows that the registry is reachable, too. */
-static void note_health(bct_registry_sync_t *s, const result_t *d)
+static void note_health(bct_registry_sync_t *s, const bct_registry_result_t *d)
 {
-	reader_t *reader = &s->readers[d->topic];
+	topic_state_t *t = &s->topics[d->topic];
 	bct_time_t now = bct_clock_now();
 	bool up = !d->rc || d->rc == -BCT_EEXPIRED;
 
 	bct_gate_poll_result(&s->poll, now, d->topic, up);
 	note_registry(s);
-	if (reader->up_known && up == reader->up)
+	if (t->up_known && up == t->up)
 		return;
-	reader->up_known = true;
-	reader->up = up;
+	t->up_known = true;
+	t->up = up;
 	if (up)
 		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_UP, BCT_U64("topic", d->topic),
 			BCT_U64("version", s->gate->routes ? s->gate->routes->version : 0));
@@ -409,7 +325,7 @@
  * Notes the era of an answer. One of an earlier era than is known counts as none: its records may
  * have been replaced.
  */
-static void check_era(bct_registry_sync_t *s, result_t *d)
+static void check_era(bct_registry_sync_t *s, bct_registry_result_t *d)
 {
 	uint64_t era = bct_gate_position_era(d->batch.next);
 
@@ -426,7 +342,7 @@
 }
 
 /* A log that ends before a position that it had reached was replaced by another one. */
-static void check_replaced(bct_registry_sync_t *s, const result_t *d)
+static void check_replaced(bct_registry_sync_t *s, const bct_registry_result_t *d)
 {
 	if (d->topic != BCT_REGISTRY_UPSTREAMS)
 		return;
@@ -439,7 +355,7 @@
  * Applies the result of a call. Readers send the changes to the peers, but not those of the first
  * listing after the start: if all nodes that start did so, they would saturate their links.
  */
-static void apply(bct_registry_sync_t *s, result_t *d)
+static void apply(bct_registry_sync_t *s, bct_registry_result_t *d)
 {
 	check_era(s, d);
 	note_health(s, d);
@@ -465,7 +381,7 @@
 	bool helped;
 
 	s->source = "peer";
-	s->fetch_ms = bct_clock_now() - s->pull_started_at[topic];
+	s->fetch_ms = bct_clock_now() - s->topics[topic].pull_started_at;
 	if (!rc)
 		apply_batch(s, topic, batch, true);
 	if (topic == BCT_REGISTRY_ROUTES)
@@ -505,22 +421,24 @@
 	}
 	pthread_mutex_unlock(&s->lock);
 	bct_list_for_each_safe(el, tmp, &queued) {
-		result_t *d = bct_container_of(el, result_t, link);
+		bct_registry_result_t *d = bct_container_of(el, bct_registry_result_t, link);
 
 		apply(s, d);
-		bct_registry_batch_free(&d->batch);
-		bct_free(d);
+		bct_registry_result_free(d);
 	}
 }
 
 static int start_reader(bct_registry_sync_t *s, bct_registry_topic_t topic)
 {
-	reader_t *reader = &s->readers[topic];
+	bct_registry_reader_opts_t o = {
+		.registry = s->gate->opts.registry,
+		.topic = topic,
+		.timeout_ms = s->gate->settings->platform_timeout_ms,
+		.on_result = on_result,
+		.ctx = s,
+	};
 
-	reader->owner = s;
-	reader->topic = topic;
-	reader->started = !pthread_create(&reader->thread, NULL, run, reader);
-	return reader->started ? 0 : -BCT_EIO;
+	return bct_registry_reader_new(&o, &s->topics[topic].reader);
 }
 
 int bct_registry_sync_new(bct_gate_t *g, bct_registry_sync_t **out)
@@ -534,8 +452,6 @@
 	g->upstreams.ctx = g;
 	bct_list_init(&s->results);
 	pthread_mutex_init(&s->lock, NULL);
-	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
-		pthread_cond_init(&s->readers[i].due_cond, NULL);
 	bct_gate_poll_init(&s->poll, g->settings->platform_poll_ms);
 	s->poll.self = g->peer ? bct_peer_incarnation(g->peer) : 0;
 	s->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
@@ -552,11 +468,9 @@
 
 void bct_registry_sync_stop(bct_registry_sync_t *s)
 {
-	pthread_mutex_lock(&s->lock);
-	s->stop = true;
+	s->stopped = true;
 	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
-		pthread_cond_signal(&s->readers[i].due_cond);
-	pthread_mutex_unlock(&s->lock);
+		bct_registry_reader_stop(s->topics[i].reader);
 }
 
 void bct_registry_sync_free(bct_registry_sync_t *s)
@@ -565,26 +479,20 @@
 
 	if (!s)
 		return;
-	bct_registry_sync_stop(s);
 	s->gate->opts.registry->ops->cancel(s->gate->opts.registry);
-	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++) {
-		if (s->readers[i].started)
-			pthread_join(s->readers[i].thread, NULL);
-	}
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
+		bct_registry_reader_free(s->topics[i].reader);
 	bct_pull_free(s->pull);
 	bct_list_for_each_safe(el, tmp, &s->results) {
-		result_t *d = bct_container_of(el, result_t, link);
+		bct_registry_result_t *d = bct_container_of(el, bct_registry_result_t, link);
 
 		bct_list_del(el);
-		bct_registry_batch_free(&d->batch);
-		bct_free(d);
+		bct_registry_result_free(d);
 	}
 	if (s->wake)
 		event_free(s->wake);
 	if (s->wake_fd >= 0)
 		close(s->wake_fd);
-	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
-		pthread_cond_destroy(&s->readers[i].due_cond);
 	pthread_mutex_destroy(&s->lock);
 	bct_free(s);
 }
