Test: a limit is kept by a fleet with hubs, also by nodes that were only told

Cause: the reports' way through hubs had no test with real nodes. Change: a_limit_is_kept_together in test_gate_fleet, 16 gateways.

--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -143,6 +143,62 @@
 	}
 }
 
+static uint32_t arrivals(void)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&gates[0].lock);
+	n = gates[0].n_runs;
+	pthread_mutex_unlock(&gates[0].lock);
+	return n;
+}
+
+/* Sends requests to all gateways in turn, whose answers name a limit of one request a second. */
+static void send_limited(uint32_t n, const char *name)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		char id[32];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "%s-%u", name, i);
+		test_gate_call(&gates[i % LARGE_FLEET], "POST", "/unsafe/a", id, "limit", &out);
+		bct_buf_free(&out);
+	}
+}
+
+/* Checks what has arrived since a time: one and a half times the limit and five, in 4 s. */
+static void assert_limit_kept(uint32_t before, bct_time_t from, const char *what)
+{
+	bct_time_t elapsed_ms = bct_clock_now() - from;
+	uint32_t n = arrivals() - before;
+
+	if (elapsed_ms < 4000)
+		elapsed_ms = 4000;
+	cr_assert_leq(n, 5 + elapsed_ms * 3 / 2 / BCT_MS_PER_S, "%s: %u requests in %lld ms", what,
+		      n, (long long)elapsed_ms);
+}
+
+/*
+ * An engine names a limit to one node of a fleet with hubs. The others know it before they have
+ * sent it anything, and all together send no more than the limit, though each has requests for it.
+ */
+Test(gate_fleet, a_limit_is_kept_together)
+{
+	bct_time_t from;
+	uint32_t before;
+
+	test_gate_start_fleet(gates, LARGE_FLEET);
+	wait_until_joined(LARGE_FLEET);
+	send_limited(1, "named");
+	bct_clock_sleep(1500);
+	before = arrivals();
+	from = bct_clock_now();
+	send_limited(LARGE_FLEET, "first");
+	assert_limit_kept(before, from, "one request at each node");
+	send_limited(10 * LARGE_FLEET, "many");
+	assert_limit_kept(before, from, "ten requests at each node");
+}
+
 /* Makes the registry unavailable to all gateways but the one of the highest rank. */
 static void disconnect_all_but_last(uint32_t n)
 {
