Log: upstreams that become ready at about the same time share a line

Cause: engines register one after the other at a start, each with a line at each node; the first listing, batched before, holds few of them. Change: base/names collects names for half a second, for members and upstreams; draining, lapsed and gone ones keep a line each, in order.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -55,7 +55,7 @@
 	DEF(UPSTREAM_STRAGGLER, 503, WARN, "an upstream makes less progress than expected")        \
 	DEF(UPSTREAM_PRESENCE, 510, INFO,                                                          \
 	    "an upstream's presence changed: it came, drains, lapsed or left")                     \
-	DEF(UPSTREAMS_LISTED, 514, INFO, "upstreams that the registry listed at the start")        \
+	DEF(UPSTREAMS_READY, 514, INFO, "several upstreams became ready at about the same time")   \
 	DEF(UPSTREAM_LIMIT, 511, INFO,                                                             \
 	    "an upstream named the request rate that it accepts, or named none any more")          \
 	DEF(UPSTREAM_PAUSED, 513, INFO, "an upstream asked this node to send nothing for a while") \
--- a/cmd/chutectl_explain.c
+++ b/cmd/chutectl_explain.c
@@ -53,6 +53,7 @@
 	case BCT_EV_REGISTRY_DOWN:
 	case BCT_EV_REGISTRY_UP:
 	case BCT_EV_REGISTRY_ERA:
+	case BCT_EV_UPSTREAMS_READY:
 		return true;
 	default:
 		return is_of_upstream(event);
@@ -155,6 +156,22 @@
 	return false;
 }
 
+/* Whether one of the request's lines refers to an upstream in a list of ids. */
+static bool names_one_of(const json_t *lines, const char *list)
+{
+	size_t i;
+	json_t *l;
+
+	json_array_foreach(lines, i, l)
+	{
+		const char *id = explain_text(l, "upstream");
+
+		if (*id && strstr(list, id))
+			return true;
+	}
+	return false;
+}
+
 /* Whether the request was refused because of what upstreams had stated about themselves. */
 static bool was_limited(const json_t *lines)
 {
@@ -206,6 +223,9 @@
 		if (is_of_upstream(explain_number(l, "event")) && !limited &&
 		    !names_upstream(lines, explain_text(l, "upstream")))
 			continue;
+		if (explain_number(l, "event") == BCT_EV_UPSTREAMS_READY &&
+		    !names_one_of(lines, explain_text(l, "upstreams")))
+			continue;
 		json_array_append(near, l);
 	}
 	out = sort_by_time(near);
--- a/coord/member_log.c
+++ b/coord/member_log.c
@@ -5,8 +5,6 @@
 
 #include <string.h>
 
-#define COLLECT_MS 500 /* a fleet that starts at once is joined within a few of these */
-
 static void log_one(const bct_member_log_t *l, bct_event_t ev, const bct_member_t *m)
 {
 	BCT_LOG(l->log, ev, BCT_STR("member", m->name), BCT_HEX("incarnation", m->incarnation),
@@ -15,29 +13,24 @@
 
 static void log_joined(bct_member_log_t *l, bct_time_t now)
 {
-	if (l->n == 1)
+	const bct_names_t *joined = &l->joined;
+
+	if (joined->n == 1)
 		log_one(l, BCT_EV_MEMBER_ALIVE, &l->last);
-	else if (l->n)
-		BCT_LOG(l->log, BCT_EV_MEMBERS_ALIVE, BCT_U64("count", l->n),
-			BCT_STR("members", l->names), BCT_I64("within_ms", now - l->since));
-	l->n = 0;
-	l->used_bytes = 0;
+	else if (joined->n)
+		BCT_LOG(l->log, BCT_EV_MEMBERS_ALIVE, BCT_U64("count", joined->n),
+			BCT_STR("members", joined->text),
+			BCT_I64("within_ms", now - joined->since));
+	bct_names_clear(&l->joined);
 }
 
 static void add_joined(bct_member_log_t *l, bct_time_t now, const bct_member_t *m)
 {
-	uint32_t len = (uint32_t)strlen(m->name);
-
-	if (l->used_bytes + 1 + len + 1 > sizeof(l->names))
+	if (!bct_names_add(&l->joined, now, m->name)) {
 		log_joined(l, now);
-	if (!l->n)
-		l->since = now;
-	else
-		l->names[l->used_bytes++] = ',';
-	memcpy(l->names + l->used_bytes, m->name, len + 1);
-	l->used_bytes += len;
+		bct_names_add(&l->joined, now, m->name);
+	}
 	l->last = *m;
-	l->n++;
 }
 
 void bct_member_log_change(bct_member_log_t *l, bct_time_t now, bct_member_event_type_t type,
@@ -68,11 +61,7 @@
 
 bct_time_t bct_member_log_flush(bct_member_log_t *l, bct_time_t now, bool all)
 {
-	if (!l->n)
-		return BCT_TIME_NEVER;
-	if (all || now - l->since >= COLLECT_MS) {
+	if (all || now >= bct_names_due_at(&l->joined))
 		log_joined(l, now);
-		return BCT_TIME_NEVER;
-	}
-	return l->since + COLLECT_MS;
+	return bct_names_due_at(&l->joined);
 }
--- a/coord/member_log.h
+++ b/coord/member_log.h
@@ -7,18 +7,13 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "base/names.h"
 #include "coord/member.h"
 
-#define BCT_MEMBER_LOG_BYTES 1024 /* names in one line */
-
-/* VMs that joined and are not logged yet. */
 typedef struct bct_member_log {
 	bct_log_t *log;
-	char names[BCT_MEMBER_LOG_BYTES]; /* separated by commas */
-	uint32_t used_bytes;
-	uint32_t n;
-	bct_member_t last; /* the latest of them */
-	bct_time_t since;  /* when the first of them joined */
+	bct_names_t joined; /* not logged yet */
+	bct_member_t last;  /* the latest of them */
 } bct_member_log_t;
 
 /* bct_member_log_change(3): log a change; a VM that joined is logged by a later flush. */
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -8,6 +8,7 @@
  */
 #include "base/err.h"
 #include "base/mem.h"
+#include "base/names.h"
 #include "gate/pull.h"
 #include "gate/registry_reader.h"
 #include "gate/registry_sync.h"
@@ -15,7 +16,6 @@
 
 #include <errno.h>
 #include <pthread.h>
-#include <stdio.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -40,6 +40,7 @@
 	bct_pull_t *pull;
 	bool knows_upstreams;		    /* the first listing has been applied */
 	bool notify_peers;		    /* what is being applied is news from the registry */
+	bct_names_t ready;		    /* upstreams that became ready and are not logged yet */
 	const char *source;		    /* of what is being applied, for the log */
 	bct_time_t fetch_ms;		    /* how long it took to fetch */
 	bct_gate_position_t upstreams_next; /* of the registry's last answer on upstreams */
@@ -83,6 +84,33 @@
 		BCT_ERR("error", rc));
 }
 
+static void log_upstream(bct_gate_t *g, const char *id)
+{
+	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&g->upstreams, id);
+
+	if (!u)
+		return;
+	BCT_LOG(g->log, BCT_EV_UPSTREAM_PRESENCE, BCT_STR("upstream", id),
+		BCT_U64("presence", u->presence), BCT_STR("service", u->entry.service),
+		BCT_STR("address", u->entry.ip), BCT_U64("port", u->entry.port),
+		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
+}
+
+/* Logs the upstreams that became ready lately. */
+static void log_ready(bct_registry_sync_t *s, bct_time_t now)
+{
+	bct_log_t *log = s->gate->log;
+
+	if (s->ready.n == 1)
+		log_upstream(s->gate, s->ready.text);
+	else if (s->ready.n)
+		BCT_LOG(log, BCT_EV_UPSTREAMS_READY, BCT_U64("count", s->ready.n),
+			BCT_STR("upstreams", s->ready.text),
+			BCT_I64("within_ms", now - s->ready.since),
+			BCT_U64("known", s->gate->upstreams.n));
+	bct_names_clear(&s->ready);
+}
+
 void bct_registry_sync_tick(bct_registry_sync_t *s)
 {
 	bct_gate_t *g = s->gate;
@@ -94,6 +122,8 @@
 	};
 
 	note_registry(s);
+	if (now >= bct_names_due_at(&s->ready))
+		log_ready(s, now);
 	s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
 	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS && !s->stopped; i++) {
 		bct_registry_topic_t topic = (bct_registry_topic_t)i;
@@ -199,52 +229,24 @@
 		BCT_I64("fetch_ms", g->registry_sync->fetch_ms));
 }
 
-static void log_upstream(bct_gate_t *g, const char *id)
+/* One that becomes ready shares a line with others, as hundreds do at a start. */
+static void log_change(bct_gate_t *g, const char *id, const bct_gate_upstream_t *u)
 {
-	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&g->upstreams, id);
+	bct_registry_sync_t *s = g->registry_sync;
+	bct_time_t now = bct_clock_now();
 
-	if (!u)
+	if (u && u->presence == BCT_GATE_READY && bct_names_add(&s->ready, now, id))
 		return;
-	BCT_LOG(g->log, BCT_EV_UPSTREAM_PRESENCE, BCT_STR("upstream", id),
-		BCT_U64("presence", u->presence), BCT_STR("service", u->entry.service),
-		BCT_STR("address", u->entry.ip), BCT_U64("port", u->entry.port),
-		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
+	log_ready(s, now);
+	log_upstream(g, id);
 }
 
-#define LISTED_BYTES 2048 /* ids in one line */
-
-/* Logs the upstreams of the first listing, several in a line. */
-static void log_listed(bct_gate_t *g)
-{
-	char ids[LISTED_BYTES];
-	uint32_t used = 0, n = 0;
-	bct_list_t *el;
-
-	bct_list_for_each(el, &g->upstreams.all) {
-		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
-		const char *drains = u->presence == BCT_GATE_DRAINING ? ":draining" : "";
-
-		used += (uint32_t)snprintf(ids + used, sizeof(ids) - used, "%s%s%s", n ? "," : "",
-					   u->entry.id, drains);
-		n++;
-		if (el->next != &g->upstreams.all &&
-		    used + 1 + sizeof(u->entry.id) + sizeof(":draining") < sizeof(ids))
-			continue;
-		BCT_LOG(g->log, BCT_EV_UPSTREAMS_LISTED, BCT_U64("count", n),
-			BCT_STR("upstreams", ids), BCT_U64("of", g->upstreams.n),
-			BCT_STR("source", g->registry_sync->source),
-			BCT_I64("fetch_ms", g->registry_sync->fetch_ms));
-		used = n = 0;
-	}
-}
-
-/* Logs the new state of an upstream, unless it is one of the first listing, and sends it on. */
+/* Logs the new state of an upstream and sends it to the peers. */
 static void upstream_changed(bct_gate_t *g, const char *id, bool notify_peers)
 {
 	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&g->upstreams, id);
 
-	if (g->registry_sync->knows_upstreams)
-		log_upstream(g, id);
+	log_change(g, id, u);
 	if (u && notify_peers)
 		bct_share_upstream_change(g->share, u);
 }
@@ -300,10 +302,8 @@
 		bct_gate_upstreams_list_end(&g->upstreams, bct_clock_now(), b->next);
 	else if (topic == BCT_REGISTRY_UPSTREAMS)
 		bct_gate_upstreams_reached(&g->upstreams, b->next);
-	if (listing && !s->knows_upstreams) {
+	if (listing)
 		s->knows_upstreams = true;
-		log_listed(g);
-	}
 }
 
 void bct_registry_sync_note_era(bct_registry_sync_t *s, uint64_t era, const char *source)
