Pulls: the list of upstreams is packed, too

Cause, by numbers: an entry has 330 bytes of padded names, a list of 2,997 0.9 MB, and a node pulls it whenever its digest differs for long. Change: one wire form for both topics, share_pulled; upstreams are packed for each answer. Test: a_list_of_upstreams_is_served_in_a_second; unpacked it would need 18 x 0.25 MB.

--- a/gate/pull.c
+++ b/gate/pull.c
@@ -54,35 +54,31 @@
 		n += snprintf(out + n, AUTHORIZATION_BYTES - (size_t)n, "%02x", mac[i]);
 }
 
-static int decode_routes(bct_gate_t *g, XDR *x, bct_registry_batch_t *out)
+static int decode_routes(bct_gate_t *g, const char *text, size_t len_bytes,
+			 bct_registry_batch_t *out)
 {
 	bct_registry_t *r = g->opts.registry;
-	share_routes m = { 0 };
-	bct_packed_t packed;
-	char *text = NULL;
-	int rc = xdr_share_routes(x, &m) ? 0 : -BCT_ECODEC;
+	int rc;
 
-	packed = (bct_packed_t){ .data = m.packed.packed_val,
-				 .len_bytes = m.packed.packed_len,
-				 .unpacked_bytes = m.unpacked_bytes };
-	if (!rc)
-		rc = bct_unpack(&packed, ANSWER_MAX_BYTES, &text);
-	if (!rc)
-		rc = r->ops->decode_routes(r, text, packed.unpacked_bytes, &out->changes[0].table);
-	bct_free(text);
-	xdr_free((xdrproc_t)xdr_share_routes, (char *)&m);
+	out->changes = bct_alloc(sizeof(*out->changes));
+	if (!out->changes)
+		return -BCT_ENOMEM;
+	rc = r->ops->decode_routes(r, text, len_bytes, &out->changes[0].table);
 	out->changes[0].kind = BCT_REGISTRY_TABLE;
 	out->n = rc ? 0 : 1;
 	return rc;
 }
 
-static int decode_upstreams(XDR *x, bct_registry_batch_t *out)
+static int decode_upstreams(char *data, size_t len_bytes, bct_registry_batch_t *out)
 {
 	share_upstreams m = { 0 };
-	int rc = xdr_share_upstreams(x, &m) ? 0 : -BCT_ECODEC;
+	int rc;
+	XDR x;
 
+	xdrmem_create(&x, data, (u_int)len_bytes, XDR_DECODE);
+	rc = xdr_share_upstreams(&x, &m) ? 0 : -BCT_ECODEC;
+	xdr_destroy(&x);
 	if (!rc && m.entries.entries_len) {
-		bct_free(out->changes);
 		out->changes = bct_alloc(sizeof(*out->changes) * m.entries.entries_len);
 		rc = out->changes ? 0 : -BCT_ENOMEM;
 	}
@@ -93,22 +89,43 @@
 	return rc;
 }
 
+/* Decodes and unpacks an answer whose MAC was checked. */
+static int unpack(uint8_t *data, size_t len_bytes, char **out, size_t *out_bytes)
+{
+	share_pulled m = { 0 };
+	bct_packed_t packed;
+	XDR x;
+	int rc;
+
+	xdrmem_create(&x, (char *)data, (u_int)len_bytes, XDR_DECODE);
+	rc = xdr_share_pulled(&x, &m) ? 0 : -BCT_ECODEC;
+	xdr_destroy(&x);
+	packed = (bct_packed_t){ .data = m.packed.packed_val,
+				 .len_bytes = m.packed.packed_len,
+				 .unpacked_bytes = m.unpacked_bytes };
+	if (!rc)
+		rc = bct_unpack(&packed, ANSWER_MAX_BYTES, out);
+	*out_bytes = packed.unpacked_bytes;
+	xdr_free((xdrproc_t)xdr_share_pulled, (char *)&m);
+	return rc;
+}
+
 static int decode(bct_gate_t *g, bct_registry_topic_t topic, struct evbuffer *body,
 		  bct_registry_batch_t *out)
 {
-	size_t len = evbuffer_get_length(body);
+	size_t len = evbuffer_get_length(body), unpacked_bytes;
 	uint8_t *data = evbuffer_pullup(body, -1);
+	char *unpacked = NULL;
 	int rc;
-	XDR x;
 
 	if (!data || !bct_share_authentic(g->share, data, len))
 		return -BCT_ECODEC;
-	out->changes = bct_alloc(sizeof(*out->changes));
-	if (!out->changes)
-		return -BCT_ENOMEM;
-	xdrmem_create(&x, (char *)data, (u_int)(len - BCT_SHARE_MAC_BYTES), XDR_DECODE);
-	rc = topic == BCT_REGISTRY_ROUTES ? decode_routes(g, &x, out) : decode_upstreams(&x, out);
-	xdr_destroy(&x);
+	rc = unpack(data, len - BCT_SHARE_MAC_BYTES, &unpacked, &unpacked_bytes);
+	if (!rc && topic == BCT_REGISTRY_ROUTES)
+		rc = decode_routes(g, unpacked, unpacked_bytes, out);
+	else if (!rc)
+		rc = decode_upstreams(unpacked, unpacked_bytes, out);
+	bct_free(unpacked);
 	return rc;
 }
 
@@ -241,18 +258,24 @@
 	return true;
 }
 
-/* Encodes with `proc`, appends the MAC and sends the answer. */
-static void reply(bct_gate_t *g, struct evhttp_request *req, xdrproc_t proc, void *m)
+/* Sends the answer, with its MAC. */
+static void reply(bct_gate_t *g, struct evhttp_request *req, const bct_packed_t *packed)
 {
-	size_t size = xdr_sizeof(proc, m);
-	uint8_t *data = may_serve(g, size) ? bct_alloc(size + BCT_SHARE_MAC_BYTES) : NULL;
+	share_pulled m = { .unpacked_bytes = (u_int)packed->unpacked_bytes };
 	struct evbuffer *out = evbuffer_new();
 	int status = STATUS_UNAVAILABLE;
+	uint8_t *data = NULL;
+	size_t size;
 	XDR x;
 
-	if (data && out) {
+	m.packed.packed_val = packed->data;
+	m.packed.packed_len = (u_int)packed->len_bytes;
+	size = xdr_sizeof((xdrproc_t)xdr_share_pulled, &m);
+	if (out && may_serve(g, size))
+		data = bct_alloc(size + BCT_SHARE_MAC_BYTES);
+	if (data) {
 		xdrmem_create(&x, (char *)data, (u_int)size, XDR_ENCODE);
-		if (proc(&x, m)) {
+		if (xdr_share_pulled(&x, &m)) {
 			bct_share_mac(g->share, data, size, data + size);
 			evbuffer_add(out, data, size + BCT_SHARE_MAC_BYTES);
 			status = STATUS_OK;
@@ -285,46 +308,63 @@
 {
 	bct_gate_t *g = ctx;
 	const bct_packed_t *packed;
-	share_routes m = { 0 };
 
 	if (!is_authorized(g, req, BCT_REGISTRY_ROUTES)) {
 		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
 		return;
 	}
 	packed = packed_routes(g);
-	if (!packed) {
+	if (packed)
+		reply(g, req, packed);
+	else
 		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
-		return;
-	}
-	m.unpacked_bytes = (u_int)packed->unpacked_bytes;
-	m.packed.packed_val = packed->data;
-	m.packed.packed_len = (u_int)packed->len_bytes;
-	reply(g, req, (xdrproc_t)xdr_share_routes, &m);
 }
 
-static void on_upstreams(struct evhttp_request *req, void *ctx)
+/* returns 0 or -BCT_ENOMEM */
+static int pack_upstreams(bct_gate_t *g, bct_packed_t *out)
 {
-	bct_gate_t *g = ctx;
 	share_upstreams m = { .position = g->upstreams.position };
+	uint32_t size;
+	char *data;
 	bct_list_t *el;
+	XDR x;
+	int rc = -BCT_ENOMEM;
 
-	if (!is_authorized(g, req, BCT_REGISTRY_UPSTREAMS)) {
-		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
-		return;
-	}
 	m.entries.entries_val = bct_alloc(sizeof(share_entry) * (g->upstreams.n + 1));
-	if (!m.entries.entries_val) {
-		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
-		return;
-	}
+	if (!m.entries.entries_val)
+		return rc;
 	bct_list_for_each(el, &g->upstreams.all) {
 		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
 		if (u->presence < BCT_GATE_LAPSED)
 			bct_share_encode_entry(u, &m.entries.entries_val[m.entries.entries_len++]);
 	}
-	reply(g, req, (xdrproc_t)xdr_share_upstreams, &m);
+	size = (uint32_t)xdr_sizeof((xdrproc_t)xdr_share_upstreams, &m);
+	data = bct_alloc(size);
+	if (data) {
+		xdrmem_create(&x, data, size, XDR_ENCODE);
+		rc = xdr_share_upstreams(&x, &m) ? bct_pack(data, size, out) : -BCT_ENOMEM;
+		xdr_destroy(&x);
+	}
+	bct_free(data);
 	bct_free(m.entries.entries_val);
+	return rc;
+}
+
+static void on_upstreams(struct evhttp_request *req, void *ctx)
+{
+	bct_gate_t *g = ctx;
+	bct_packed_t packed = { 0 };
+
+	if (!is_authorized(g, req, BCT_REGISTRY_UPSTREAMS)) {
+		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
+		return;
+	}
+	if (pack_upstreams(g, &packed))
+		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
+	else
+		reply(g, req, &packed);
+	bct_packed_free(&packed);
 }
 
 void bct_pull_serve(bct_gate_t *g, struct evhttp *server)
--- a/gen/share.h
+++ b/gen/share.h
@@ -118,14 +118,14 @@
 };
 typedef struct share_update share_update;
 
-struct share_routes {
+struct share_pulled {
 	u_int unpacked_bytes;
 	struct {
 		u_int packed_len;
 		char *packed_val;
 	} packed;
 };
-typedef struct share_routes share_routes;
+typedef struct share_pulled share_pulled;
 
 struct share_upstreams {
 	u_quad_t position;
@@ -147,7 +147,7 @@
 extern  bool_t xdr_share_read (XDR *, share_read*);
 extern  bool_t xdr_share_notice (XDR *, share_notice*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
-extern  bool_t xdr_share_routes (XDR *, share_routes*);
+extern  bool_t xdr_share_pulled (XDR *, share_pulled*);
 extern  bool_t xdr_share_upstreams (XDR *, share_upstreams*);
 
 #else /* K&R C */
@@ -159,7 +159,7 @@
 extern bool_t xdr_share_read ();
 extern bool_t xdr_share_notice ();
 extern bool_t xdr_share_update ();
-extern bool_t xdr_share_routes ();
+extern bool_t xdr_share_pulled ();
 extern bool_t xdr_share_upstreams ();
 
 #endif /* K&R C */
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -295,7 +295,7 @@
 }
 
 bool_t
-xdr_share_routes (XDR *xdrs, share_routes *objp)
+xdr_share_pulled (XDR *xdrs, share_pulled *objp)
 {
 	register int32_t *buf;
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -100,11 +100,12 @@
 };
 
 /*
- * Answers to a node that pulls a topic from a peer over HTTP. A MAC follows, as in a datagram.
+ * Answer to a node that pulls a topic from a peer over HTTP. A MAC follows, as in a datagram. What is
+ * packed, see base/pack.h, is the configuration as the registry holds it, or a share_upstreams.
  */
-struct share_routes {
+struct share_pulled {
 	unsigned int unpacked_bytes;
-	opaque packed<>;	/* the configuration as the registry holds it, see base/pack.h */
+	opaque packed<>;
 };
 
 struct share_upstreams {
--- a/tests/test_pack.c
+++ b/tests/test_pack.c
@@ -7,12 +7,16 @@
 #include "base/pack.h"
 #include "base/rng.h"
 #include "gate/pull.h"
+#include "gen/share.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
 
 #define ROUTES 4200
 #define NODES_PER_HUB 9 /* of 75 nodes with 9 hubs */
+#define UPSTREAMS 770
+#define NODES_PER_HUB_AT_SIZE 18 /* of 350 nodes with 19 hubs */
 #define MAX_BYTES (8 * 1024 * 1024)
 
 static void put_name(bct_buf_t *out, bct_rng_t *rng, uint32_t n)
@@ -96,3 +100,53 @@
 	bct_packed_free(&p);
 	bct_buf_free(&text);
 }
+
+/* A list of upstreams as one node sends it to another. Ids are random. */
+static size_t encode_upstreams(char *out, size_t size)
+{
+	share_upstreams m = { .position = 90000 };
+	bct_rng_t rng;
+	size_t len;
+	XDR x;
+
+	bct_rng_seed(&rng, 1);
+	m.entries.entries_len = UPSTREAMS;
+	m.entries.entries_val = bct_alloc(sizeof(share_entry) * UPSTREAMS);
+	for (uint32_t i = 0; i < UPSTREAMS; i++) {
+		share_entry *e = &m.entries.entries_val[i];
+
+		snprintf(e->id, sizeof(e->id), "i-%08x%02x", bct_rng_below(&rng, UINT32_MAX),
+			 bct_rng_below(&rng, 256));
+		snprintf(e->service, sizeof(e->service), "drafting-models");
+		snprintf(e->zone, sizeof(e->zone), "zone-%u", i % 7);
+		snprintf(e->ip, sizeof(e->ip), "10.%u.64.%u", i % 7, i / 7);
+		e->port = 8223;
+		e->slots = 64;
+		e->born_ms = 1779117877000 + bct_rng_below(&rng, 10000000);
+		e->sequence = bct_rng_below(&rng, 1000);
+		e->position = 80000 + bct_rng_below(&rng, 10000);
+	}
+	xdrmem_create(&x, out, (u_int)size, XDR_ENCODE);
+	cr_assert(xdr_share_upstreams(&x, &m));
+	len = xdr_getpos(&x);
+	xdr_destroy(&x);
+	bct_free(m.entries.entries_val);
+	return len;
+}
+
+/*
+ * Engines are replaced all the time in a fleet of 350 nodes and 770 engines: a hub can hand the
+ * whole list to all of its nodes within a second.
+ */
+Test(pack, a_list_of_upstreams_is_served_in_a_second)
+{
+	char *text = bct_alloc(MAX_BYTES);
+	size_t len = encode_upstreams(text, MAX_BYTES);
+	bct_packed_t p = { 0 };
+
+	cr_assert_eq(bct_pack(text, len, &p), 0);
+	cr_assert_leq(NODES_PER_HUB_AT_SIZE * p.len_bytes, BCT_PULL_SERVED_BYTES_PER_S,
+		      "%zu bytes of %zu", p.len_bytes, len);
+	bct_packed_free(&p);
+	bct_free(text);
+}
