Limits: a node that is leaving owns no part

Cause: seen by reading: it counted itself among the owners while the others had divided the limit without it, for as long as it drained. Change: bct_gate_limit_nodes_t says that the node is leaving. Test: a_leaving_node_owns_nothing failed before (1500), passes.

--- a/gate/notice.c
+++ b/gate/notice.c
@@ -5,10 +5,18 @@
 #include "gate/exchange_int.h"
 #include "gate/share.h"
 
+static bct_gate_limit_nodes_t live_nodes(const bct_gate_t *g, uint64_t *live)
+{
+	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(g->share, live);
+
+	nodes.leaving = g->draining;
+	return nodes;
+}
+
 static void assign_part(bct_gate_t *g, bct_gate_upstream_t *u)
 {
 	uint64_t live[BCT_SHARE_NODES_MAX];
-	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(g->share, live);
+	bct_gate_limit_nodes_t nodes = live_nodes(g, live);
 
 	bct_gate_limit_assign(&u->limit, bct_clock_now(), u->key, &nodes);
 }
@@ -117,7 +125,7 @@
 void bct_notice_assign_limits(bct_gate_t *g)
 {
 	uint64_t live[BCT_SHARE_NODES_MAX];
-	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(g->share, live);
+	bct_gate_limit_nodes_t nodes = live_nodes(g, live);
 	bct_time_t now = bct_clock_now();
 	bct_list_t *el;
 
--- a/policy/gate_limit.c
+++ b/policy/gate_limit.c
@@ -116,7 +116,7 @@
 	}
 	add_credit(l, now);
 	owners = count_owners(l, nodes->n);
-	l->owner = position(upstream, nodes) < owners;
+	l->owner = !nodes->leaving && position(upstream, nodes) < owners;
 	if (l->owner)
 		l->share_mrps = effective_mrps(l) / owners;
 	else if (now - l->confirmed_at >= STALE_MS)
--- a/policy/gate_limit.h
+++ b/policy/gate_limit.h
@@ -39,6 +39,7 @@
 	const uint64_t *incarnations;
 	uint32_t n;
 	uint64_t self;
+	bool leaving; /* this node is: the others don't count on it */
 } bct_gate_limit_nodes_t;
 
 /* A limit as nodes report it to each other. */
--- a/tests/test_gate_limit.c
+++ b/tests/test_gate_limit.c
@@ -328,6 +328,21 @@
 	}
 }
 
+/* A node that stops serves on for seconds; the others have divided the limit without it. */
+Test(gate_limit, a_leaving_node_owns_nothing)
+{
+	uint64_t self = 5;
+	bct_gate_limit_nodes_t nodes = { .incarnations = &self, .n = 1, .self = self };
+	bct_gate_limit_t l = { 0 };
+
+	bct_gate_limit_answered(&l, 1000, 900, true, 1500);
+	bct_gate_limit_assign(&l, 1000, 77, &nodes);
+	cr_assert_eq(l.share_mrps, 1500);
+	nodes.leaving = true;
+	bct_gate_limit_assign(&l, 1100, 77, &nodes);
+	cr_assert_eq(l.share_mrps, 0);
+}
+
 /* An answer without a limit to a request from before the limit was named lifts nothing. */
 Test(gate_limit, an_older_request_lifts_nothing)
 {
