--- a/Makefile
+++ b/Makefile
@@ -176,7 +176,7 @@
 $(B)/fuzz/%.o: tests/fuzz/%.c
 	@mkdir -p $(dir $@)
 	$(Q)$(CC) $(ALL_CFLAGS) -DBCT_LIBFUZZER -MMD -MP -c $< -o $@
-$(BIN)/fuzz_%: $(B)/fuzz/fuzz_%.o $(GATE_LIB) $(NODE_LIB) $(LIB)
+$(BIN)/fuzz_%: $(B)/fuzz/fuzz_%.o $(PLATFORM_LIB) $(GATE_LIB) $(NODE_LIB) $(LIB)
 	@mkdir -p $(BIN)
 	$(Q)$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
 .PHONY: fuzz fuzzers
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -23,7 +23,9 @@
 	DEF(body)          \
 	DEF(report)        \
 	DEF(http_msg)      \
-	DEF(gate_events)
+	DEF(gate_events)   \
+	DEF(notice)        \
+	DEF(pack)
 
 /* BCT_FUZZ(name): declares the target function and begins its definition. */
 #ifdef BCT_LIBFUZZER
