--- /dev/null
+++ b/tests/util_upstream.c
@@ -0,0 +1,294 @@
+/*
+ * util_upstream.c - scripted upstreams, see util_gate.h. Each, and each connection to it, has a
+ * thread of its own.
+ */
+#define _GNU_SOURCE
+#include "tests/util_upstream.h"
+#include "base/clock.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEAD "X-Buckthornchute-"
+#define SLOW_EVENT_MS 550 /* between events of "streamslow" */
+#define QUIET_MS 3000	  /* how long a silent upstream keeps its connection open */
+
+typedef struct conn {
+	gate_upstream_t *u;
+	int fd;
+} conn_t;
+
+static void get_header(const char *head, const char *name, char *out, size_t size)
+{
+	const char *at = strcasestr(head, name);
+
+	out[0] = '\0';
+	if (!at)
+		return;
+	at += strlen(name);
+	at += strspn(at, ": ");
+	snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
+}
+
+/* Reads one request. Returns false when the connection ended. */
+static bool read_request(int fd, char *buf, size_t size, size_t *have, gate_run_t *run)
+{
+	size_t head, body;
+	char *end;
+
+	buf[*have] = '\0';
+	while (!(end = strstr(buf, "\r\n\r\n"))) {
+		ssize_t n = recv(fd, buf + *have, size - 1 - *have, 0);
+
+		if (n <= 0)
+			return false;
+		*have += (size_t)n;
+		buf[*have] = '\0';
+	}
+	head = (size_t)(end - buf) + 4;
+	snprintf(run->head, sizeof(run->head), "%.*s", (int)head, buf);
+	get_header(run->head, "\nContent-Length", run->body, sizeof(run->body));
+	body = strtoul(run->body, NULL, 10);
+	while (*have < head + body) {
+		ssize_t n = recv(fd, buf + *have, size - 1 - *have, 0);
+
+		if (n <= 0)
+			return false;
+		*have += (size_t)n;
+	}
+	snprintf(run->body, sizeof(run->body), "%.*s", (int)body, buf + head);
+	*have -= head + body;
+	memmove(buf, buf + head + body, *have);
+	return true;
+}
+
+static void put(int fd, const char *text)
+{
+	send(fd, text, strlen(text), MSG_NOSIGNAL);
+}
+
+static void put_answer(int fd, const char *status, const char *call_id, const char *extra,
+		       const char *body, size_t send_bytes)
+{
+	char text[2048];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 %s\r\n" HEAD "Request-Attempt-Id: %s\r\n%sContent-Length: %zu\r\n\r\n"
+		 "%.*s",
+		 status, call_id, extra, strlen(body), (int)send_bytes, body);
+	put(fd, text);
+}
+
+#define SEAL HEAD "Server-Seal: s\r\n"
+
+static void put_event(int fd, int id)
+{
+	char event[64], text[96];
+	int n = snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", id, id);
+
+	snprintf(text, sizeof(text), "%x\r\n%s\r\n", n, event);
+	put(fd, text);
+}
+
+static void reset(int fd)
+{
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+/* Waits up to ms for the gateway to close the connection. Returns whether it did. */
+static bool wait_closed(int fd, uint32_t ms)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	char c;
+
+	return poll(&p, 1, (int)ms) == 1 && recv(fd, &c, 1, MSG_DONTWAIT) <= 0;
+}
+
+/* Sends the events after the request's Last-Event-Id. Returns whether the connection stays open. */
+static bool stream(int fd, const char *action, const gate_run_t *run)
+{
+	char last[32], text[512];
+	int from;
+
+	get_header(run->head, "\nLast-Event-Id", last, sizeof(last));
+	from = atoi(last);
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\n" HEAD "Request-Attempt-Id: %s\r\n" SEAL
+		 "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 run->call_id, strcmp(action, "streamleaving") ? "" : "Server-Leaving: 1\r\n");
+	put(fd, text);
+	for (int i = from + 1; i <= 5; i++) {
+		put_event(fd, i);
+		if (!strcmp(action, "streamcut") && i == 2) {
+			bct_clock_sleep(50);
+			reset(fd);
+			return false;
+		}
+		if (!strcmp(action, "streamhalf") && i == 1) {
+			put(fd, "9\r\nid: 2\ndat\r\n0\r\n\r\n");
+			return false;
+		}
+		if (!strcmp(action, "streamquiet") && i == 2) {
+			wait_closed(fd, QUIET_MS);
+			return false;
+		}
+		if (!strcmp(action, "streamslow") && i < 5)
+			bct_clock_sleep(SLOW_EVENT_MS);
+	}
+	put(fd, "0\r\n\r\n");
+	return true;
+}
+
+/* Responds as the action says. Returns whether the connection stays open. */
+static bool take_action(conn_t *c, const char *action, gate_run_t *run)
+{
+	const char *id = run->call_id;
+
+	if (!strncmp(action, "stream", 6))
+		return stream(c->fd, action, run);
+	if (!strcmp(action, "error")) {
+		put_answer(c->fd, "500 Oops", id, SEAL, "bad", 3);
+	} else if (!strcmp(action, "notrun")) {
+		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\n", "", 0);
+	} else if (!strcmp(action, "limit")) {
+		put_answer(c->fd, "200 OK", id, SEAL "Server-Limit: 1\r\n", "body", 4);
+	} else if (!strcmp(action, "leaving")) {
+		put_answer(c->fd, "200 OK", id, SEAL "Server-Leaving: 1\r\n", "body", 4);
+	} else if (!strcmp(action, "leaving500")) {
+		put_answer(c->fd, "500 Oops", id, SEAL "Server-Leaving: 1\r\n", "bad", 3);
+	} else if (!strcmp(action, "leaving503")) {
+		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\nServer-Leaving: 1\r\n",
+			   "", 0);
+	} else if (!strcmp(action, "leavingbad")) {
+		put_answer(c->fd, "200 OK", id, SEAL "Server-Leaving: soon\r\n", "body", 4);
+	} else if (!strcmp(action, "pause")) {
+		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\nRetry-After: 600.5\r\n",
+			   "", 0);
+	} else if (!strcmp(action, "pauseshort")) {
+		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\nRetry-After: 0.5\r\n",
+			   "", 0);
+	} else if (!strcmp(action, "pausebad")) {
+		put_answer(c->fd, "503 Full", id,
+			   HEAD "Not-Executed: 1\r\n"
+				"Retry-After: Fri, 04 Dec 2026 08:00:00 GMT\r\n",
+			   "", 0);
+	} else if (!strcmp(action, "wrong")) {
+		put_answer(c->fd, "421 Misdirected", id, "", "", 0);
+	} else if (!strcmp(action, "noseal")) {
+		put_answer(c->fd, "200 OK", id, "", "body", 4);
+	} else if (!strcmp(action, "foreign")) {
+		put_answer(c->fd, "200 OK", "another", SEAL, "theirs", 6);
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	} else if (!strcmp(action, "extra")) {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+		put_answer(c->fd, "200 OK", id, SEAL, "more", 4);
+	} else if (!strcmp(action, "cut")) {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 2);
+		return false;
+	} else if (!strcmp(action, "reset")) {
+		reset(c->fd);
+		return false;
+	} else if (!strcmp(action, "silent")) {
+		run->aborted = wait_closed(c->fd, QUIET_MS);
+		return false;
+	} else {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	}
+	return true;
+}
+
+/* Records the arrival and finds the script's action for it. Returns the record. */
+static gate_run_t *record_run(conn_t *c, const gate_run_t *in, char *action, size_t size)
+{
+	test_gate_t *t = c->u->gate;
+	char script[128], *save = NULL, *at;
+	gate_run_t *run;
+	uint32_t n = 0;
+
+	pthread_mutex_lock(&t->lock);
+	for (uint32_t i = 0; i < t->n_runs; i++)
+		n += !strcmp(t->runs[i].call_id, in->call_id);
+	run = &t->runs[t->n_runs < GATE_RUNS_MAX - 1 ? t->n_runs++ : GATE_RUNS_MAX - 1];
+	*run = *in;
+	snprintf(run->upstream_id, sizeof(run->upstream_id), "%s", c->u->id);
+	pthread_mutex_unlock(&t->lock);
+	get_header(in->head, "\nX-Script", script, sizeof(script));
+	at = strtok_r(script, ", ", &save);
+	snprintf(action, size, "%s", at ? at : "ok");
+	while (n-- && (at = strtok_r(NULL, ", ", &save)) != NULL)
+		snprintf(action, size, "%s", at);
+	return run;
+}
+
+static void *serve_conn(void *arg)
+{
+	conn_t *c = arg;
+	char buf[16384], action[32];
+	size_t have = 0;
+	gate_run_t in;
+
+	memset(&in, 0, sizeof(in));
+	while (read_request(c->fd, buf, sizeof(buf), &have, &in)) {
+		gate_run_t *run;
+
+		get_header(in.head, "\n" HEAD "Request-Attempt-Id", in.call_id, sizeof(in.call_id));
+		run = record_run(c, &in, action, sizeof(action));
+		if (!take_action(c, action, run))
+			break;
+	}
+	close(c->fd);
+	free(c);
+	return NULL;
+}
+
+static void *serve_upstream(void *arg)
+{
+	gate_upstream_t *u = arg;
+
+	for (;;) {
+		conn_t *c = malloc(sizeof(*c));
+		pthread_t thread;
+
+		c->u = u;
+		c->fd = accept(u->fd, NULL, NULL);
+		if (c->fd < 0 || pthread_create(&thread, NULL, serve_conn, c)) {
+			free(c);
+			return NULL;
+		}
+		pthread_detach(thread);
+		pthread_mutex_lock(&u->gate->lock);
+		u->gate->connections++;
+		pthread_mutex_unlock(&u->gate->lock);
+	}
+}
+
+static int listen_any(uint16_t *port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	cr_assert_eq(bind(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	cr_assert_eq(listen(fd, 64), 0);
+	getsockname(fd, (struct sockaddr *)&sa, &len);
+	*port = ntohs(sa.sin_port);
+	return fd;
+}
+
+void test_upstream_start(test_gate_t *t, gate_upstream_t *u, const char *id, const char *service)
+{
+	snprintf(u->id, sizeof(u->id), "%s", id);
+	u->service = service;
+	u->gate = t;
+	u->fd = listen_any(&u->port);
+	cr_assert_eq(pthread_create(&u->thread, NULL, serve_upstream, u), 0);
+}
