--- a/base/event_list.h
+++ b/base/event_list.h
@@ -48,6 +48,11 @@
 	DEF(GATE_ATTEMPT_FAILED, 412, INFO, "an attempt at an upstream failed")                    \
 	DEF(GATE_REQUEST_POISON, 414, WARN,                                                        \
 	    "a request broke connections to several upstreams and is refused")                     \
+	DEF(GATE_CRASH, 415, INFO,                                                                 \
+	    "an upstream's connection broke while it ran a request, which may be the cause")       \
+	DEF(GATE_CRASH_REPORTED, 416, INFO, "a peer saw an upstream break under a request")        \
+	DEF(GATE_CRASH_CLEARED, 417, INFO,                                                         \
+	    "a request on record for broken upstreams was answered successfully")                  \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
 	DEF(UPSTREAM_CROSSED, 502, ERROR,                                                          \
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -32,8 +32,9 @@
 	const bct_gate_upstream_t *u = bct_gate_upstreams_find(&x->gate->upstreams, x->upstream_id);
 
 	BCT_LOG(x->gate->log, BCT_EV_GATE_ATTEMPT_FAILED, BCT_STR("request", x->call.id),
-		BCT_STR("what", what), BCT_STR("upstream", x->upstream_id),
-		BCT_U64("attempts", x->attempts), BCT_U64("upstream_running", u ? u->running : 0),
+		BCT_HEX("digest", bct_crash_digest(x)), BCT_STR("what", what),
+		BCT_STR("upstream", x->upstream_id), BCT_U64("attempts", x->attempts),
+		BCT_U64("upstream_running", u ? u->running : 0),
 		BCT_U64("upstream_strikes", u ? u->consecutive_failures : 0),
 		BCT_I64("again", retry), BCT_I64("ms", bct_clock_now() - x->arrived));
 }
--- a/gate/crash.c
+++ b/gate/crash.c
@@ -8,15 +8,18 @@
 
 #include <string.h>
 
-/* Identifies a request across retries of its caller, so the id and other headers are left out. */
-static uint64_t digest_of(const bct_exchange_t *x)
+uint64_t bct_crash_digest(bct_exchange_t *x)
 {
 	size_t len = evbuffer_get_length(x->body);
-	uint64_t target = bct_hash(x->head.data, strcspn(x->head.data, "\r"));
-	uint64_t account = bct_hash_str(x->account ? x->account->name : "");
-	uint64_t body = len ? bct_hash(evbuffer_pullup(x->body, -1), len) : 0;
+	uint64_t target, account, body;
 
-	return bct_hash_mix(bct_hash_mix(target, account), body);
+	if (x->digest || !x->head.data)
+		return x->digest;
+	target = bct_hash(x->head.data, strcspn(x->head.data, "\r"));
+	account = bct_hash_str(x->account ? x->account->name : "");
+	body = len ? bct_hash(evbuffer_pullup(x->body, -1), len) : 0;
+	x->digest = bct_hash_mix(bct_hash_mix(target, account), body);
+	return x->digest;
 }
 
 /* Logs a request once, when the number of upstreams reaches the limit. */
@@ -28,26 +31,45 @@
 			BCT_U64("refused_for_ms", BCT_GATE_CRASH_KEEP_MS));
 }
 
+static void log_cleared(bct_gate_t *g, const char *request, uint64_t digest)
+{
+	BCT_LOG(g->log, BCT_EV_GATE_CRASH_CLEARED, BCT_STR("request", request),
+		BCT_HEX("digest", digest));
+}
+
 void bct_crash_connection_broken(bct_exchange_t *x)
 {
 	bct_gate_t *g = x->gate;
-	uint64_t digest = digest_of(x);
+	uint64_t digest = bct_crash_digest(x);
 	uint32_t upstream = (uint32_t)x->conn->upstream->key;
 	uint32_t n = bct_gate_crash_record(&g->crashes, bct_clock_now(), digest, upstream);
 
 	if (!n)
 		return;
+	BCT_LOG(g->log, BCT_EV_GATE_CRASH, BCT_STR("request", x->call.id),
+		BCT_HEX("digest", digest), BCT_HEX("upstream_key", upstream),
+		BCT_STR("upstream", x->upstream_id), BCT_U64("upstreams", n),
+		BCT_I64("sent_ms", bct_clock_now() - x->conn->sent_at),
+		BCT_U64("events", x->events.count));
 	bct_share_add_crash(g->share, digest, upstream);
 	log_poison(g, x->call.id, digest, n);
 }
 
 void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t upstream)
 {
-	if (upstream == BCT_CRASH_ANSWERED)
-		bct_gate_crash_clear(&g->crashes, digest);
-	else
-		log_poison(g, "", digest,
-			   bct_gate_crash_record(&g->crashes, bct_clock_now(), digest, upstream));
+	uint32_t n;
+
+	if (upstream == BCT_CRASH_ANSWERED) {
+		if (bct_gate_crash_clear(&g->crashes, digest))
+			log_cleared(g, "", digest);
+		return;
+	}
+	n = bct_gate_crash_record(&g->crashes, bct_clock_now(), digest, upstream);
+	if (!n)
+		return;
+	BCT_LOG(g->log, BCT_EV_GATE_CRASH_REPORTED, BCT_HEX("digest", digest),
+		BCT_HEX("upstream_key", upstream), BCT_U64("upstreams", n));
+	log_poison(g, "", digest, n);
 }
 
 void bct_crash_answered(bct_exchange_t *x)
@@ -57,14 +79,18 @@
 
 	if (!g->crashes.map.n)
 		return;
-	digest = digest_of(x);
-	if (bct_gate_crash_clear(&g->crashes, digest))
-		bct_share_add_crash(g->share, digest, BCT_CRASH_ANSWERED);
+	digest = bct_crash_digest(x);
+	if (!bct_gate_crash_clear(&g->crashes, digest))
+		return;
+	log_cleared(g, x->call.id, digest);
+	bct_share_add_crash(g->share, digest, BCT_CRASH_ANSWERED);
 }
 
-uint32_t bct_crash_remaining_ms(const bct_exchange_t *x)
+uint32_t bct_crash_remaining_ms(bct_exchange_t *x)
 {
 	const bct_gate_crashes_t *t = &x->gate->crashes;
 
-	return t->map.n ? bct_gate_crash_remaining_ms(t, bct_clock_now(), digest_of(x)) : 0;
+	if (!t->map.n)
+		return 0;
+	return bct_gate_crash_remaining_ms(t, bct_clock_now(), bct_crash_digest(x));
 }
--- a/gate/crash.h
+++ b/gate/crash.h
@@ -10,6 +10,12 @@
 /* In a report, in place of an upstream: the request was answered successfully. */
 #define BCT_CRASH_ANSWERED 0
 
+/*
+ * bct_crash_digest(3): identifies a request across repeats by its caller, so the id and other
+ * headers are left out. returns 0 while the head is not known.
+ */
+uint64_t bct_crash_digest(bct_exchange_t *x);
+
 /* bct_crash_connection_broken(3): record that the connection broke under x's current attempt. */
 void bct_crash_connection_broken(bct_exchange_t *x);
 
@@ -23,6 +29,6 @@
 void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t upstream);
 
 /* bct_crash_remaining_ms(3): returns how much longer to refuse x, in ms; 0: it may run. */
-uint32_t bct_crash_remaining_ms(const bct_exchange_t *x);
+uint32_t bct_crash_remaining_ms(bct_exchange_t *x);
 
 #endif
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -2,6 +2,7 @@
  * exchange_end.c - ends exchanges. Each writes exactly one log record, and an error response states
  * correctly whether the request may have run.
  */
+#include "gate/crash.h"
 #include "gate/exchange_int.h"
 #include "gate/registry_sync.h"
 #include "base/mem.h"
@@ -36,6 +37,7 @@
 
 	BCT_LOG(x->gate->log, ev, BCT_STR("request", x->call.id),
 		BCT_STR("how", bct_gate_end_name(end)), BCT_I64("status", x->status),
+		BCT_HEX("digest", end == BCT_GATE_END_OK ? x->digest : bct_crash_digest(x)),
 		BCT_STR("route", x->route ? x->route->name : ""),
 		BCT_STR("account", x->account ? x->account->name : ""),
 		BCT_U64("version", x->routes ? x->routes->version : 0),
