--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -427,6 +427,36 @@
 	test_gate_stop(&t);
 }
 
+/* A request whose upstreams crash after the gateway has given up waiting for them, and has closed
+ * its connection, is blocked after as many crashes as one whose connections break. */
+Test(gate, crashes_after_silence_count)
+{
+	test_gate_t t;
+	uint32_t ended = 0;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	for (int i = 0; i < 2; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "die%d", i);
+		cr_assert_neq(test_gate_call(&t, "GET", "/safe/crash", id, "die", &out), 200);
+		bct_buf_free(&out);
+		/* Both upstreams that got it are to end, also the one whose connection is closed.
+		 */
+		bct_clock_sleep(300);
+		ended += test_gate_restart_engines(&t);
+	}
+	cr_assert_geq(ended, 3, "%u upstreams ended", ended);
+	cr_assert_eq(test_gate_call(&t, "GET", "/safe/crash", "dieX", "ok", &out), 503, "%s",
+		     out.data);
+	cr_assert_eq(test_gate_runs(&t, "dieX"), 0);
+	bct_buf_free(&out);
+	cr_assert_eq(test_gate_call(&t, "GET", "/safe/other", "sound", "ok", &out), 200);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
 static void *send_sigterm(void *arg)
 {
 	const test_gate_t *t = arg;
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -293,6 +293,26 @@
 		wait_until_ready(&t[i]);
 }
 
+uint32_t test_gate_restart_engines(test_gate_t *t)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < GATE_UPSTREAMS; i++) {
+		bool dead;
+
+		pthread_mutex_lock(&t->lock);
+		dead = t->engines[i].dead;
+		pthread_mutex_unlock(&t->lock);
+		if (!dead)
+			continue;
+		test_upstream_restart(&t->engines[i]);
+		n++;
+	}
+	/* Long enough for ten polls of the registry. */
+	bct_clock_sleep(300);
+	return n;
+}
+
 void test_gate_publish(test_gate_t *t, const char *config)
 {
 	pthread_mutex_lock(&t->lock);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -14,6 +14,7 @@
 
 #define GATE_UPSTREAMS 3
 #define GATE_RUNS_MAX 256
+#define GATE_CONNS_MAX 64 /* of one upstream */
 
 /* One arrival of a request at an upstream. */
 typedef struct gate_run {
@@ -40,6 +41,7 @@
  *   wrong        421: the request was meant for another process
  *   reset        connection reset without a response
  *   silent       no response
+ *   die          no response; after DIE_MS the whole upstream ends, with all its connections
  *   noseal       200 without the upstream's seal
  *   foreign      a response with another request's attempt id, then the right one
  *   extra        a second response behind the first
@@ -58,6 +60,10 @@
 	uint16_t port;
 	struct test_gate *gate;
 	pthread_t thread;
+	int conns[GATE_CONNS_MAX]; /* open connections; guarded by the gate's lock */
+	uint32_t n_conns;
+	bool dead; /* it has ended; listed in the registry until it is started again */
+	uint32_t starts;
 } gate_upstream_t;
 
 typedef struct test_gate {
@@ -110,6 +116,10 @@
 uint32_t test_gate_runs(test_gate_t *t, const char *call_id);
 const gate_run_t *test_gate_run(test_gate_t *t, const char *call_id, uint32_t i);
 
+/* Starts each engine that has ended again, under another id and address, and waits until the
+ * gateway has read that. Returns how many there were. */
+uint32_t test_gate_restart_engines(test_gate_t *t);
+
 /* Replaces the configuration in the registry and waits until the gateway has read it. */
 void test_gate_publish(test_gate_t *t, const char *config);
 /* Returns a configuration as JSON in a buffer of the calling thread; safe_service serves /safe/. */
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -18,6 +18,7 @@
 #define HEAD "X-Buckthornchute-"
 #define SLOW_EVENT_MS 550 /* between events of "streamslow" */
 #define QUIET_MS 3000	  /* how long a silent upstream keeps its connection open */
+#define DIE_MS 150	  /* from the arrival of a request to the end of the upstream, for "die" */
 
 typedef struct conn {
 	gate_upstream_t *u;
@@ -147,6 +148,19 @@
 	return true;
 }
 
+/* Ends the upstream: from now on connections to it are refused. */
+static void die(gate_upstream_t *u)
+{
+	bct_clock_sleep(DIE_MS);
+	pthread_mutex_lock(&u->gate->lock);
+	for (uint32_t i = 0; i < u->n_conns; i++)
+		shutdown(u->conns[i], SHUT_RDWR);
+	if (!u->dead)
+		shutdown(u->fd, SHUT_RDWR);
+	u->dead = true;
+	pthread_mutex_unlock(&u->gate->lock);
+}
+
 /* Responds as the action says. Returns whether the connection stays open. */
 static bool take_action(conn_t *c, const char *action, gate_run_t *run)
 {
@@ -199,6 +213,9 @@
 	} else if (!strcmp(action, "silent")) {
 		run->aborted = wait_closed(c->fd, QUIET_MS);
 		return false;
+	} else if (!strcmp(action, "die")) {
+		die(c->u);
+		return false;
 	} else {
 		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
 	}
@@ -228,6 +245,25 @@
 	return run;
 }
 
+static void add_conn(gate_upstream_t *u, int fd)
+{
+	pthread_mutex_lock(&u->gate->lock);
+	cr_assert_lt(u->n_conns, GATE_CONNS_MAX);
+	u->conns[u->n_conns++] = fd;
+	pthread_mutex_unlock(&u->gate->lock);
+}
+
+static void close_conn(gate_upstream_t *u, int fd)
+{
+	pthread_mutex_lock(&u->gate->lock);
+	for (uint32_t i = 0; i < u->n_conns; i++) {
+		if (u->conns[i] == fd)
+			u->conns[i--] = u->conns[--u->n_conns];
+	}
+	close(fd);
+	pthread_mutex_unlock(&u->gate->lock);
+}
+
 static void *serve_conn(void *arg)
 {
 	conn_t *c = arg;
@@ -236,6 +272,7 @@
 	gate_run_t in;
 
 	memset(&in, 0, sizeof(in));
+	add_conn(c->u, c->fd);
 	while (read_request(c->fd, buf, sizeof(buf), &have, &in)) {
 		gate_run_t *run;
 
@@ -244,7 +281,7 @@
 		if (!take_action(c, action, run))
 			break;
 	}
-	close(c->fd);
+	close_conn(c->u, c->fd);
 	free(c);
 	return NULL;
 }
@@ -260,6 +297,7 @@
 		c->u = u;
 		c->fd = accept(u->fd, NULL, NULL);
 		if (c->fd < 0 || pthread_create(&thread, NULL, serve_conn, c)) {
+			close(u->fd);
 			free(c);
 			return NULL;
 		}
@@ -292,3 +330,18 @@
 	u->fd = listen_any(&u->port);
 	cr_assert_eq(pthread_create(&u->thread, NULL, serve_upstream, u), 0);
 }
+
+void test_upstream_restart(gate_upstream_t *u)
+{
+	uint16_t port;
+	int fd = listen_any(&port);
+
+	pthread_join(u->thread, NULL);
+	pthread_mutex_lock(&u->gate->lock);
+	u->fd = fd;
+	u->port = port;
+	u->dead = false;
+	snprintf(u->id + strcspn(u->id, "."), 8, ".%u", ++u->starts);
+	pthread_mutex_unlock(&u->gate->lock);
+	cr_assert_eq(pthread_create(&u->thread, NULL, serve_upstream, u), 0);
+}
