Crashes: upstreams that end after an attempt was given up count

Callers saw: engines of a small service end in threes, again and again, under one request; sound requests are refused meanwhile. Cause: a node that gives up an attempt (silence, deadline, caller left) closes its connection, and a crash was only recorded when a connection broke. A safe request with a target of 100 ms is given up after 50 ms, and the upstream ends a few ms later: on nobody's record.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -92,6 +92,7 @@
 	}
 	x->last_fault = BCT_FAULT_SILENT;
 	log_fault(x, count_fault(x, BCT_FAULT_SILENT), true);
+	bct_crash_given_up(x);
 	bct_gate_upstream_result(x->conn->upstream, bct_clock_now(), false);
 	resend(x);
 }
@@ -150,6 +151,16 @@
 	       !strncmp(type, "text/event-stream", 17);
 }
 
+/* On a connection that was opened before this run of the upstream was listed, bytes may be of the
+ * run before. */
+static void note_heard(const bct_exchange_t *x)
+{
+	bct_gate_upstream_t *u = x->conn->upstream;
+
+	if (x->conn->opened >= u->run_since)
+		u->heard_at = bct_clock_now();
+}
+
 bool bct_exchange_head(bct_exchange_t *x)
 {
 	int status = x->conn->msg.status;
@@ -157,6 +168,8 @@
 
 	x->gate->wire->decode_answer(&x->conn->msg, &a);
 	bct_notice_received(x, &a.notice);
+	if (!a.identity_mismatch)
+		note_heard(x);
 	if (a.not_run || a.identity_mismatch) {
 		handle_not_run(x, &a);
 		return false;
@@ -231,6 +244,7 @@
 
 int bct_exchange_body(bct_exchange_t *x, const char *data, size_t len_bytes)
 {
+	note_heard(x);
 	if (x->streaming)
 		return forward_events(x, data, len_bytes);
 	if (evbuffer_get_length(x->answer) + len_bytes > RESPONSE_MAX_BYTES)
--- a/gate/crash.c
+++ b/gate/crash.c
@@ -37,22 +37,42 @@
 		BCT_HEX("digest", digest));
 }
 
-void bct_crash_connection_broken(bct_exchange_t *x)
+/* Records a crash that this node observed, and tells the other nodes. */
+static void record(bct_gate_t *g, const char *request, uint64_t digest, uint64_t upstream_key,
+		   bct_time_t since, const char *how)
 {
-	bct_gate_t *g = x->gate;
-	uint64_t digest = bct_crash_digest(x);
-	uint32_t upstream = (uint32_t)x->conn->upstream->key;
-	uint32_t n = bct_gate_crash_record(&g->crashes, bct_clock_now(), digest, upstream);
+	uint32_t upstream = (uint32_t)upstream_key;
+	bct_time_t now = bct_clock_now();
+	uint32_t n = bct_gate_crash_record(&g->crashes, now, digest, upstream);
 
 	if (!n)
 		return;
-	BCT_LOG(g->log, BCT_EV_GATE_CRASH, BCT_STR("request", x->call.id),
-		BCT_HEX("digest", digest), BCT_HEX("upstream_key", upstream),
-		BCT_STR("upstream", x->upstream_id), BCT_U64("upstreams", n),
-		BCT_I64("sent_ms", bct_clock_now() - x->conn->sent_at),
-		BCT_U64("events", x->events.count));
+	BCT_LOG(g->log, BCT_EV_GATE_CRASH, BCT_STR("request", request), BCT_HEX("digest", digest),
+		BCT_HEX("upstream_key", upstream), BCT_STR("how", how), BCT_U64("upstreams", n),
+		BCT_I64("since_ms", now - since));
 	bct_share_add_crash(g->share, digest, upstream);
-	log_poison(g, x->call.id, digest, n);
+	log_poison(g, request, digest, n);
+}
+
+void bct_crash_connection_broken(bct_exchange_t *x)
+{
+	record(x->gate, x->call.id, bct_crash_digest(x), x->conn->upstream->key, x->conn->sent_at,
+	       "broken");
+}
+
+void bct_crash_given_up(bct_exchange_t *x)
+{
+	if (x->conn && x->conn->connected)
+		bct_gate_abandoned_add(&x->gate->abandoned, bct_clock_now(), bct_crash_digest(x),
+				       x->conn->upstream);
+}
+
+void bct_crash_check_abandoned(bct_gate_t *g)
+{
+	bct_gate_abandoned_t a;
+
+	while (bct_gate_abandoned_next_crash(&g->abandoned, bct_clock_now(), &g->upstreams, &a))
+		record(g, "", a.digest, a.upstream_key, a.at, "ended_after_abandoned");
 }
 
 void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t upstream)
--- a/gate/crash.h
+++ b/gate/crash.h
@@ -19,6 +19,14 @@
 /* bct_crash_connection_broken(3): record that the connection broke under x's current attempt. */
 void bct_crash_connection_broken(bct_exchange_t *x);
 
+/*
+ * bct_crash_given_up(3): x's current attempt, if it has one, is about to be aborted although the
+ * upstream may work on it; bct_crash_check_abandoned(3), to be called periodically, finds out
+ * whether that upstream then crashed.
+ */
+void bct_crash_given_up(bct_exchange_t *x);
+void bct_crash_check_abandoned(bct_gate_t *g);
+
 /* bct_crash_answered(3): record that x was answered successfully. */
 void bct_crash_answered(bct_exchange_t *x);
 
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -148,6 +148,7 @@
 
 void bct_exchange_timed_out(bct_exchange_t *x)
 {
+	bct_crash_given_up(x);
 	if (x->may_have_run)
 		bct_exchange_refuse(x, BCT_GATE_END_TIMEOUT_RUNNING,
 				    &(bct_answer_opts_t){ .status = 504,
@@ -162,5 +163,6 @@
 void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end)
 {
 	x->client = NULL;
+	bct_crash_given_up(x);
 	bct_exchange_end(x, end, true);
 }
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "base/rng.h"
+#include "gate/crash.h"
 #include "gate/notice.h"
 #include "gate/registry_sync.h"
 #include "gate/share.h"
@@ -95,6 +96,7 @@
 
 		bct_upconns_expire(g, u, u->presence >= BCT_GATE_LAPSED);
 	}
+	bct_crash_check_abandoned(g);
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
 	count_nodes(g);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -11,6 +11,7 @@
 #include "gate/counters.h"
 #include "gate/sse.h"
 #include "gate/gate.h"
+#include "policy/gate_abandoned.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
 #include "policy/gate_pace.h"
@@ -73,7 +74,8 @@
 	bct_gate_refuse_t refuse;
 	bct_gate_pace_t pace;
 	bct_gate_crashes_t crashes;
-	bct_map_t budgets; /* service key -> bct_gate_budget_t */
+	bct_gate_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
+	bct_map_t budgets;		     /* service key -> bct_gate_budget_t */
 	bct_list_t clients;
 	uint32_t n_clients;
 	uint32_t n_exchanges;
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -7,6 +7,7 @@
 #include "gate/gate_int.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -157,6 +158,8 @@
 		return;
 	}
 	if (!c->connected) {
+		if (EVUTIL_SOCKET_ERROR() == ECONNREFUSED && c->opened >= c->upstream->run_since)
+			c->upstream->refused_at = bct_clock_now();
 		bct_exchange_fault(c->x, BCT_FAULT_CONNECT);
 		return;
 	}
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -86,6 +86,8 @@
 	u->consecutive_failures = 0;
 	u->avoid_until = 0;
 	u->slow_permille = PERMILLE;
+	u->heard_at = 0;
+	u->refused_at = 0;
 	u->notice_malformed = false;
 	memset(&u->limit, 0, sizeof(u->limit));
 	u->leaving = false;
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -74,6 +74,8 @@
 	uint32_t consecutive_failures;
 	bct_time_t avoid_until; /* until then, used only if there is no other upstream */
 	uint32_t slow_permille; /* observed over predicted time to first byte; moving average */
+	bct_time_t heard_at;	/* when bytes of this run last arrived; 0: never */
+	bct_time_t refused_at;	/* when a connection to this run was last refused; 0: never */
 
 	bool notice_malformed; /* statements of its last answer could not be read */
 	bct_gate_limit_t limit;
