--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -22,23 +22,6 @@
 	pthread_mutex_unlock(&gates[0].lock);
 }
 
-/* Waits until each gateway has all others as live members, so that two of them are readers. */
-static void wait_until_joined(uint32_t n)
-{
-	bct_time_t end = bct_clock_now() + TIMEOUT_MS;
-	uint32_t ready = 0;
-
-	while (ready < n && bct_clock_now() < end) {
-		ready = 0;
-		for (uint32_t i = 0; i < n; i++)
-			ready += gates[i].gate->nodes == n;
-		bct_clock_sleep(50);
-	}
-	cr_assert_eq(ready, n, "%u of %u gateways see all others", ready, n);
-	/* Long enough for the share protocol to refresh the members and run two rounds. */
-	bct_clock_sleep(1500);
-}
-
 static bool is_reader(uint32_t i)
 {
 	return gates[i].gate->rank < 2;
@@ -91,7 +74,7 @@
 Test(gate_fleet, change_found_by_listing_is_sent)
 {
 	test_gate_start_fleet(gates, SMALL_FLEET);
-	wait_until_joined(SMALL_FLEET);
+	test_gate_wait_joined(gates, SMALL_FLEET);
 	disconnect_non_readers(SMALL_FLEET);
 	set_flag(&gates[0].desk_drains, true);
 	assert_non_readers_lose_upstream(SMALL_FLEET, "drains");
@@ -101,7 +84,7 @@
 Test(gate_fleet, removal_found_by_listing_is_sent)
 {
 	test_gate_start_fleet(gates, SMALL_FLEET);
-	wait_until_joined(SMALL_FLEET);
+	test_gate_wait_joined(gates, SMALL_FLEET);
 	disconnect_non_readers(SMALL_FLEET);
 	set_flag(&gates[0].desk_listed, false);
 	assert_non_readers_lose_upstream(SMALL_FLEET, "gone");
@@ -114,7 +97,7 @@
 Test(gate_fleet, a_long_read_of_routes_holds_up_no_upstreams)
 {
 	test_gate_start_fleet(gates, SMALL_FLEET);
-	wait_until_joined(SMALL_FLEET);
+	test_gate_wait_joined(gates, SMALL_FLEET);
 	disconnect_non_readers(SMALL_FLEET);
 	set_flag(&gates[0].routes_hang, true);
 	bct_clock_sleep(2 * gates[0].settings.platform_poll_ms);
@@ -131,7 +114,7 @@
 	bct_buf_t out;
 
 	test_gate_start_fleet(gates, SMALL_FLEET);
-	wait_until_joined(SMALL_FLEET);
+	test_gate_wait_joined(gates, SMALL_FLEET);
 	cr_assert_eq(test_gate_call(&gates[1], "POST", "/unsafe/a", "leaves", "leaving", &out),
 		     200);
 	bct_buf_free(&out);
@@ -188,7 +171,7 @@
 	uint32_t before;
 
 	test_gate_start_fleet(gates, LARGE_FLEET);
-	wait_until_joined(LARGE_FLEET);
+	test_gate_wait_joined(gates, LARGE_FLEET);
 	send_limited(1, "named");
 	bct_clock_sleep(1500);
 	before = arrivals();
@@ -230,7 +213,7 @@
 static void one_node_reaches_the_registry(uint32_t n)
 {
 	test_gate_start_fleet(gates, n);
-	wait_until_joined(n);
+	test_gate_wait_joined(gates, n);
 	disconnect_all_but_last(n);
 	/* Long enough for the readers' last answers to be no longer recent. */
 	bct_clock_sleep(3000);
@@ -283,7 +266,7 @@
 Test(gate_fleet, hubs_relay_changes)
 {
 	test_gate_start_fleet(gates, LARGE_FLEET);
-	wait_until_joined(LARGE_FLEET);
+	test_gate_wait_joined(gates, LARGE_FLEET);
 	disconnect_non_readers(LARGE_FLEET);
 	set_flag(&gates[0].desk_drains, true);
 	assert_non_readers_lose_upstream(LARGE_FLEET, "hubs");
@@ -333,7 +316,7 @@
 	pthread_t caller;
 
 	test_gate_start_fleet(gates, LARGE_FLEET);
-	wait_until_joined(LARGE_FLEET);
+	test_gate_wait_joined(gates, LARGE_FLEET);
 	cr_assert(all_receive_load(LARGE_FLEET, 0, TIMEOUT_MS));
 	cr_assert_eq(pthread_create(&caller, NULL, long_stream, &gates[0]), 0);
 	cr_assert(all_receive_load(LARGE_FLEET, 1, TIMEOUT_MS),
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/err.h"
 #include "base/mem.h"
+#include "gate/gate_int.h"
 #include "platform/adapter.h"
 #include "platform/decode.h"
 
@@ -23,6 +24,7 @@
 
 #define HEAD "X-Buckthornchute-"
 #define READY_MS 5000 /* for a gateway to start, and for each response */
+#define JOIN_MS 15000 /* for all gateways of a fleet to know each other */
 #define CALLER_PORT 18000U
 #define PEER_PORT 18001U
 #define SHARE_PORT 18002U
@@ -293,6 +295,30 @@
 		wait_until_ready(&t[i]);
 }
 
+void test_gate_wait_joined(test_gate_t *t, uint32_t n)
+{
+	bct_time_t end = bct_clock_now() + JOIN_MS;
+	uint32_t ready = 0;
+
+	while (ready < n && bct_clock_now() < end) {
+		ready = 0;
+		for (uint32_t i = 0; i < n; i++)
+			ready += t[i].gate->nodes == n;
+		bct_clock_sleep(50);
+	}
+	cr_assert_eq(ready, n, "%u of %u gateways see all others", ready, n);
+	/* Long enough for the share protocol to refresh the members and run two rounds. */
+	bct_clock_sleep(1500);
+}
+
+void test_gate_join_fleet(test_gate_t *t, uint32_t i)
+{
+	init(&t[i], i);
+	fill_peer(&t[i], i);
+	start_gate(&t[i], &t[0]);
+	wait_until_ready(&t[i]);
+}
+
 uint32_t test_gate_restart_engines(test_gate_t *t)
 {
 	uint32_t n = 0;
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -100,6 +100,10 @@
  * but each has its own down flag. They run until the test process ends.
  */
 void test_gate_start_fleet(test_gate_t *t, uint32_t n);
+/* Waits until each of n gateways has all others as live members, and has exchanged messages. */
+void test_gate_wait_joined(test_gate_t *t, uint32_t n);
+/* Starts gateway i of a fleet whose gateway 0 runs already, and waits until it serves requests. */
+void test_gate_join_fleet(test_gate_t *t, uint32_t i);
 void test_gate_stop(test_gate_t *t);
 
 /* Sends raw bytes on a new connection and reads until it ends or wait_ms have passed. */
