Crashes: what is refused is announced, so that nodes that join learn it

Cause: reports of crashes are sent in three rounds within 0.3 s and never again. Class: a belief that is pushed once and never reconciled. Announcements never extend an entry. An answer that was on the way when a request was found out does not release it any more, else an announcement could bring it back. The share protocol's crashes have a file of their own; a datagram of an older node, which lacks the new list, is read as before.

--- a/gate/crash.c
+++ b/gate/crash.c
@@ -22,13 +22,13 @@
 	return x->digest;
 }
 
-/* Logs a request once, when the number of upstreams reaches the limit. */
-static void log_poison(bct_gate_t *g, const char *request, uint64_t digest, uint32_t upstreams)
+/* how: what this node learned it from. */
+static void log_poison(bct_gate_t *g, const char *request, uint64_t digest, const char *how,
+		       uint32_t refused_for_ms)
 {
-	if (upstreams == BCT_GATE_CRASH_UPSTREAMS)
-		BCT_LOG(g->log, BCT_EV_GATE_REQUEST_POISON, BCT_STR("request", request),
-			BCT_HEX("digest", digest), BCT_U64("upstreams", upstreams),
-			BCT_U64("refused_for_ms", BCT_GATE_CRASH_KEEP_MS));
+	BCT_LOG(g->log, BCT_EV_GATE_REQUEST_POISON, BCT_STR("request", request),
+		BCT_HEX("digest", digest), BCT_STR("how", how),
+		BCT_U64("refused_for_ms", refused_for_ms));
 }
 
 static void log_cleared(bct_gate_t *g, const char *request, uint64_t digest)
@@ -51,7 +51,8 @@
 		BCT_HEX("upstream_key", upstream), BCT_STR("how", how), BCT_U64("upstreams", n),
 		BCT_I64("since_ms", now - since));
 	bct_share_add_crash(g->share, digest, upstream);
-	log_poison(g, request, digest, n);
+	if (n == BCT_GATE_CRASH_UPSTREAMS)
+		log_poison(g, request, digest, how, BCT_GATE_CRASH_KEEP_MS);
 }
 
 void bct_crash_connection_broken(bct_exchange_t *x)
@@ -89,7 +90,16 @@
 		return;
 	BCT_LOG(g->log, BCT_EV_GATE_CRASH_REPORTED, BCT_HEX("digest", digest),
 		BCT_HEX("upstream_key", upstream), BCT_U64("upstreams", n));
-	log_poison(g, "", digest, n);
+	if (n == BCT_GATE_CRASH_UPSTREAMS)
+		log_poison(g, "", digest, "reported", BCT_GATE_CRASH_KEEP_MS);
+}
+
+void bct_crash_peer_block(bct_gate_t *g, uint64_t digest, uint32_t remaining_ms)
+{
+	bct_gate_crash_block_t b = { .digest = digest, .remaining_ms = remaining_ms };
+
+	if (bct_gate_crash_block(&g->crashes, bct_clock_now(), &b))
+		log_poison(g, "", digest, "announced", remaining_ms);
 }
 
 void bct_crash_answered(bct_exchange_t *x)
--- a/gate/share.c
+++ b/gate/share.c
@@ -3,7 +3,6 @@
  * authenticated with a keyed hash of libsodium.
  */
 #include "gate/share_int.h"
-#include "gate/crash.h"
 #include "base/err.h"
 #include "base/mem.h"
 
@@ -15,21 +14,8 @@
 
 #define DATAGRAM_BYTES 1400
 #define INTERVAL_MS 100 /* between two rounds in a small fleet */
-#define CRASH_ROUNDS 3	/* in which the same crash is sent */
 #define REFRESH_MS 500	/* between two reads of the membership */
 
-void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t upstream)
-{
-	if (!s)
-		return;
-	if (s->n_crashes == SHARE_CRASHES_MAX) {
-		BCT_GATE_COUNT(s->gate, SHARES_DROPPED);
-		return;
-	}
-	s->crashes[s->n_crashes++] = (share_crash){ .digest = digest, .upstream = upstream };
-	s->crash_rounds = 0;
-}
-
 static uint64_t seq_of(const bct_share_peer_t *old, uint32_t n, uint64_t incarnation)
 {
 	for (uint32_t i = 0; i < n; i++) {
@@ -164,20 +150,6 @@
 		send_datagram(s, out, len, &s->peers[(first + i) % s->n_peers]);
 }
 
-/* Crashes are sent to all nodes in several rounds, as datagrams may be lost. */
-static void send_crashes(bct_share_t *s)
-{
-	share_update update = { 0 };
-
-	if (!s->n_crashes)
-		return;
-	update.crashes.crashes_val = s->crashes;
-	update.crashes.crashes_len = s->n_crashes;
-	bct_share_send_all(s, &update);
-	if (++s->crash_rounds >= CRASH_ROUNDS)
-		s->n_crashes = 0;
-}
-
 static void set_timer(bct_share_t *s)
 {
 	uint32_t ms = bct_share_interval_ms(s);
@@ -196,7 +168,7 @@
 	if (now - s->peers_refreshed_at >= REFRESH_MS)
 		refresh_peers(s);
 	bct_share_watch_hubs(s, now);
-	send_crashes(s);
+	bct_share_crash_round(s, now);
 	bct_share_notice_round(s, now);
 	bct_share_send_versions(s, now);
 	bct_share_load_round(s, now);
@@ -225,9 +197,7 @@
 
 	bct_gate_hubs_heard(&s->hubs, now, update->from);
 	bct_share_apply_versions(s, now, update);
-	for (uint32_t i = 0; i < update->crashes.crashes_len; i++)
-		bct_crash_peer_report(s->gate, update->crashes.crashes_val[i].digest,
-				      update->crashes.crashes_val[i].upstream);
+	bct_share_crash_apply(s, update);
 	bct_share_notice_apply(s, update);
 	bct_share_load_apply(s, now, update);
 }
@@ -251,7 +221,9 @@
 		BCT_GATE_COUNT(s->gate, SHARES_REFUSED);
 		return;
 	}
-	xdrmem_create(&x, (char *)data, (u_int)(len - BCT_SHARE_MAC_BYTES), XDR_DECODE);
+	/* The last lists are missing in a datagram of an older node: zeros decode as empty ones. */
+	memset(data + len - BCT_SHARE_MAC_BYTES, 0, BCT_SHARE_MAC_BYTES);
+	xdrmem_create(&x, (char *)data, (u_int)len, XDR_DECODE);
 	if (xdr_share_update(&x, &update) && is_fresh(s, &update))
 		apply_update(s, &update);
 	else
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -52,7 +52,8 @@
 	bct_time_t notices_sent_at;	 /* the periodic ones */
 	share_crash crashes[SHARE_CRASHES_MAX];
 	uint32_t n_crashes;
-	uint32_t crash_rounds; /* rounds that have sent the latest of them */
+	uint32_t crash_rounds;		 /* rounds that have sent the latest of them */
+	bct_time_t blocks_considered_at; /* when this node last drew whether to announce */
 	bct_gate_hubs_t hubs;
 	uint64_t previous_hub;	/* whose reports count until the first one of the next; 0: none */
 	bct_time_t round_at;	/* of the last round */
@@ -126,6 +127,13 @@
 /* bct_share_notice_apply(3): apply what a peer sent about that. */
 void bct_share_notice_apply(bct_share_t *s, const share_update *update);
 
+/* share_crash.c */
+/* bct_share_crash_round(3): send the crashes of late, and at times all requests refused for them.
+ */
+void bct_share_crash_round(bct_share_t *s, bct_time_t now);
+/* bct_share_crash_apply(3): apply what a peer sent about that. */
+void bct_share_crash_apply(bct_share_t *s, const share_update *update);
+
 /* share_load.c: sending and receiving of load. */
 void bct_share_load_init(bct_share_t *s);
 void bct_share_load_free(bct_share_t *s);
--- a/gen/share.h
+++ b/gen/share.h
@@ -18,6 +18,7 @@
 #define SHARE_LANES_MAX 8
 #define SHARE_ENTRIES_MAX 3
 #define SHARE_CRASHES_MAX 32
+#define SHARE_BLOCKS_MAX 32
 #define SHARE_PACE_SUMS 4
 #define SHARE_NOTICES_MAX 32
 #define SHARE_TOPICS 2
@@ -68,6 +69,12 @@
 };
 typedef struct share_crash share_crash;
 
+struct share_block {
+	u_quad_t digest;
+	u_int remaining_ms;
+};
+typedef struct share_block share_block;
+
 struct share_read {
 	u_int age_ms;
 	u_quad_t reader;
@@ -115,6 +122,10 @@
 		u_int notices_len;
 		share_notice *notices_val;
 	} notices;
+	struct {
+		u_int blocks_len;
+		share_block *blocks_val;
+	} blocks;
 };
 typedef struct share_update share_update;
 
@@ -144,6 +155,7 @@
 extern  bool_t xdr_share_lane (XDR *, share_lane*);
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_crash (XDR *, share_crash*);
+extern  bool_t xdr_share_block (XDR *, share_block*);
 extern  bool_t xdr_share_read (XDR *, share_read*);
 extern  bool_t xdr_share_notice (XDR *, share_notice*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
@@ -156,6 +168,7 @@
 extern bool_t xdr_share_lane ();
 extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_crash ();
+extern bool_t xdr_share_block ();
 extern bool_t xdr_share_read ();
 extern bool_t xdr_share_notice ();
 extern bool_t xdr_share_update ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -222,6 +222,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_block (XDR *xdrs, share_block *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->remaining_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_read (XDR *xdrs, share_read *objp)
 {
@@ -291,6 +303,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, SHARE_NOTICES_MAX,
 		sizeof (share_notice), (xdrproc_t) xdr_share_notice))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, SHARE_BLOCKS_MAX,
+		sizeof (share_block), (xdrproc_t) xdr_share_block))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/policy/gate_crash.c
+++ b/policy/gate_crash.c
@@ -70,7 +70,7 @@
 {
 	suspect_t *c = bct_map_get(&t->map, digest);
 
-	if (!c)
+	if (!c || c->n == BCT_GATE_CRASH_UPSTREAMS)
 		return false;
 	bct_map_del(&t->map, digest);
 	bct_free(c);
@@ -86,6 +86,36 @@
 	return (uint32_t)(c->expires_at - now);
 }
 
+bool bct_gate_crash_block(bct_gate_crashes_t *t, bct_time_t now, const bct_gate_crash_block_t *b)
+{
+	bct_time_t ms =
+		b->remaining_ms < BCT_GATE_CRASH_KEEP_MS ? b->remaining_ms : BCT_GATE_CRASH_KEEP_MS;
+	suspect_t *c;
+
+	if (!ms || bct_gate_crash_remaining_ms(t, now, b->digest))
+		return false;
+	c = find_or_add(t, b->digest);
+	if (!c)
+		return false;
+	c->n = BCT_GATE_CRASH_UPSTREAMS;
+	c->expires_at = now + ms;
+	return true;
+}
+
+bool bct_gate_crash_next_block(const bct_gate_crashes_t *t, bct_time_t now, uint32_t *pos,
+			       bct_gate_crash_block_t *out)
+{
+	const suspect_t *c;
+
+	while ((c = bct_map_next(&t->map, pos))) {
+		out->digest = c->digest;
+		out->remaining_ms = bct_gate_crash_remaining_ms(t, now, c->digest);
+		if (out->remaining_ms)
+			return true;
+	}
+	return false;
+}
+
 void bct_gate_crash_expire(bct_gate_crashes_t *t, bct_time_t now)
 {
 	uint32_t pos = 0;
--- a/policy/gate_crash.h
+++ b/policy/gate_crash.h
@@ -6,9 +6,10 @@
  * would take down one engine after another. Each node records, by the request's digest, the
  * upstreams whose connection broke while they ran it, and merges the records of the other nodes. A
  * request with BCT_GATE_CRASH_UPSTREAMS different upstreams on record is refused until the record
- * expires. One successful answer clears it: the request was merely in flight when an upstream
- * crashed. Counting different upstreams keeps requests that were in flight while many upstreams
- * crashed at once from being taken for the cause.
+ * expires. Until then one successful answer clears it: the request was merely in flight when an
+ * upstream crashed. Counting different upstreams keeps requests that were in flight while many
+ * upstreams crashed at once from being taken for the cause. Nodes announce to each other what they
+ * refuse, as one that was not there has not got the reports.
  */
 #ifndef BCT_POLICY_GATE_CRASH_H
 #define BCT_POLICY_GATE_CRASH_H
@@ -39,9 +40,10 @@
 			       uint64_t upstream_key);
 
 /*
- * bct_gate_crash_clear(3): drops the record of a request that was answered successfully.
+ * bct_gate_crash_clear(3): drops the record of a request that was answered successfully, unless it
+ * is refused already.
  *
- * returns  whether there was one
+ * returns  whether a record was dropped
  */
 bool bct_gate_crash_clear(bct_gate_crashes_t *t, uint64_t digest);
 
@@ -52,6 +54,28 @@
  */
 uint32_t bct_gate_crash_remaining_ms(const bct_gate_crashes_t *t, bct_time_t now, uint64_t digest);
 
+/* A request that is refused. */
+typedef struct bct_gate_crash_block {
+	uint64_t digest;
+	uint32_t remaining_ms;
+} bct_gate_crash_block_t;
+
+/*
+ * bct_gate_crash_block(3): another node refuses a request.
+ *
+ * returns  whether that is news
+ */
+bool bct_gate_crash_block(bct_gate_crashes_t *t, bct_time_t now, const bct_gate_crash_block_t *b);
+
+/*
+ * bct_gate_crash_next_block(3): iterates over the requests that are refused.
+ *
+ * pos      0 for the first call; advanced by each call
+ * returns  false at the end
+ */
+bool bct_gate_crash_next_block(const bct_gate_crashes_t *t, bct_time_t now, uint32_t *pos,
+			       bct_gate_crash_block_t *out);
+
 /* bct_gate_crash_expire(3): drops expired records; to be called periodically. */
 void bct_gate_crash_expire(bct_gate_crashes_t *t, bct_time_t now);
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -9,6 +9,7 @@
 const SHARE_LANES_MAX = 8;
 const SHARE_ENTRIES_MAX = 3;
 const SHARE_CRASHES_MAX = 32;
+const SHARE_BLOCKS_MAX = 32;
 const SHARE_PACE_SUMS = 4;
 const SHARE_NOTICES_MAX = 32;
 const SHARE_TOPICS = 2;
@@ -68,6 +69,12 @@
 	unsigned int upstream;
 };
 
+/* A request that is refused, because upstreams crashed under it. */
+struct share_block {
+	unsigned hyper digest;
+	unsigned int remaining_ms;
+};
+
 /* The latest answer of the registry on one topic that the sender knows of, see gate_hubs.h. */
 struct share_read {
 	unsigned int age_ms;	/* SHARE_NEVER: none */
@@ -97,6 +104,8 @@
 	share_placed placed<SHARE_PLACED_MAX>;
 	share_crash crashes<SHARE_CRASHES_MAX>;
 	share_notice notices<SHARE_NOTICES_MAX>;
+	/* A datagram of an older node ends here; the lists that follow are empty then. */
+	share_block blocks<SHARE_BLOCKS_MAX>;
 };
 
 /*
--- a/tests/test_gate_crash.c
+++ b/tests/test_gate_crash.c
@@ -77,3 +77,65 @@
 	cr_assert_eq(bct_gate_crash_record(&t, START, 4999, 2), 0);
 	bct_gate_crashes_free(&t);
 }
+
+/* Answers that were on the way when a request was found out do not let it run again. */
+Test(gate_crash, an_answer_does_not_release)
+{
+	bct_gate_crashes_t t = { 0 };
+
+	for (uint64_t upstream = 1; upstream <= BCT_GATE_CRASH_UPSTREAMS; upstream++)
+		bct_gate_crash_record(&t, START, CULPRIT, upstream);
+	cr_assert(!bct_gate_crash_clear(&t, CULPRIT));
+	cr_assert_eq(bct_gate_crash_remaining_ms(&t, START, CULPRIT), BCT_GATE_CRASH_KEEP_MS);
+	bct_gate_crashes_free(&t);
+}
+
+/* A node that was not there takes over what others refuse, for as long as they do. */
+Test(gate_crash, announced_requests_are_refused)
+{
+	bct_gate_crashes_t there = { 0 }, joined = { 0 };
+	bct_time_t later = START + 1000;
+	bct_gate_crash_block_t b;
+	uint32_t pos = 0, n = 0;
+
+	for (uint64_t upstream = 1; upstream <= BCT_GATE_CRASH_UPSTREAMS; upstream++)
+		bct_gate_crash_record(&there, START, CULPRIT, upstream);
+	bct_gate_crash_record(&there, START, OTHER, 1);
+	while (bct_gate_crash_next_block(&there, later, &pos, &b)) {
+		cr_assert_eq(b.digest, CULPRIT);
+		cr_assert(bct_gate_crash_block(&joined, later, &b));
+		cr_assert(!bct_gate_crash_block(&joined, later, &b), "news once");
+		n++;
+	}
+	cr_assert_eq(n, 1);
+	cr_assert_eq(bct_gate_crash_remaining_ms(&joined, later, CULPRIT),
+		     BCT_GATE_CRASH_KEEP_MS - 1000);
+	cr_assert_eq(bct_gate_crash_remaining_ms(&joined, later, OTHER), 0);
+	bct_gate_crashes_free(&there);
+	bct_gate_crashes_free(&joined);
+}
+
+/* Announcements go round among the nodes: they must not keep an entry alive for ever. */
+Test(gate_crash, announcements_do_not_extend)
+{
+	bct_gate_crashes_t a = { 0 }, b = { 0 };
+	bct_gate_crash_block_t block = { .digest = CULPRIT, .remaining_ms = 1000 };
+	uint32_t pos;
+
+	bct_gate_crash_block(&a, START, &block);
+	for (bct_time_t now = START; now <= START + 5000; now += 100) {
+		pos = 0;
+		if (bct_gate_crash_next_block(&a, now, &pos, &block))
+			bct_gate_crash_block(&b, now, &block);
+		pos = 0;
+		if (bct_gate_crash_next_block(&b, now, &pos, &block))
+			bct_gate_crash_block(&a, now, &block);
+	}
+	cr_assert_eq(bct_gate_crash_remaining_ms(&a, START + 1000, CULPRIT), 0);
+	cr_assert_eq(bct_gate_crash_remaining_ms(&b, START + 1000, CULPRIT), 0);
+	block = (bct_gate_crash_block_t){ .digest = OTHER, .remaining_ms = UINT32_MAX };
+	cr_assert(bct_gate_crash_block(&a, START, &block));
+	cr_assert_eq(bct_gate_crash_remaining_ms(&a, START, OTHER), BCT_GATE_CRASH_KEEP_MS);
+	bct_gate_crashes_free(&a);
+	bct_gate_crashes_free(&b);
+}
