Crashes: a full table drops the least evidence instead of the latest crash

Cause, found on the way in reading: the table of requests under which upstreams crashed holds 1,024 and ignored further ones for up to five minutes. A crash of a few engines with full batches fills it with bystanders of one crash each, and a request that crashes upstreams afterwards is on no record. Change: the oldest request with the fewest upstreams makes room; none that is refused.

--- a/policy/gate_crash.c
+++ b/policy/gate_crash.c
@@ -5,7 +5,7 @@
 #include "policy/gate_crash.h"
 #include "base/mem.h"
 
-#define DIGESTS_MAX 1024 /* further requests are not recorded until entries expire */
+#define DIGESTS_MAX 1024 /* see evict() */
 
 typedef struct suspect {
 	uint64_t digest;
@@ -24,12 +24,40 @@
 	bct_map_free(&t->map);
 }
 
-/* Returns NULL when the table is full or memory is short. */
+/* Whether a is worth less than b, when one of them is to be dropped. */
+static bool is_worth_less(const suspect_t *a, const suspect_t *b)
+{
+	return a->n != b->n ? a->n < b->n : a->expires_at < b->expires_at;
+}
+
+/*
+ * Makes room in a full table: drops the oldest of the requests with the fewest upstreams, but none
+ * that is refused. A crash of many upstreams leaves hundreds of requests with one each.
+ *
+ * returns  whether there is room
+ */
+static bool evict(bct_gate_crashes_t *t)
+{
+	suspect_t *c, *least = NULL;
+	uint32_t pos = 0;
+
+	while ((c = bct_map_next(&t->map, &pos))) {
+		if (!least || is_worth_less(c, least))
+			least = c;
+	}
+	if (!least || least->n == BCT_GATE_CRASH_UPSTREAMS)
+		return false;
+	bct_map_del(&t->map, least->digest);
+	bct_free(least);
+	return true;
+}
+
+/* Returns NULL when the table is full of refused requests or memory is short. */
 static suspect_t *find_or_add(bct_gate_crashes_t *t, uint64_t digest)
 {
 	suspect_t *c = bct_map_get(&t->map, digest);
 
-	if (c || t->map.n >= DIGESTS_MAX)
+	if (c || (t->map.n >= DIGESTS_MAX && !evict(t)))
 		return c;
 	c = bct_alloc(sizeof(*c));
 	if (!c)
--- a/policy/gate_crash.h
+++ b/policy/gate_crash.h
@@ -34,7 +34,8 @@
  * at this node or another one.
  *
  * returns  number of different upstreams on record for the request; 0 if this one was on record
- *          already, if the record is full, or if the table is full or memory is short
+ *          already, if the record is full, if the table is full of requests that are refused, or
+ *          if memory is short
  */
 uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest,
 			       uint64_t upstream_key);
