--- a/gate/crash.c
+++ b/gate/crash.c
@@ -22,6 +22,11 @@
 	return x->digest;
 }
 
+uint64_t bct_crash_shared_part(const bct_exchange_t *x)
+{
+	return x->call.n_segments > 1 ? x->call.segments[x->call.n_segments - 2].id : 0;
+}
+
 /* how: what this node learned it from. */
 static void log_poison(bct_gate_t *g, const char *request, uint64_t digest, const char *how,
 		       uint32_t refused_for_ms)
--- a/gate/crash.h
+++ b/gate/crash.h
@@ -16,6 +16,9 @@
  */
 uint64_t bct_crash_digest(bct_exchange_t *x);
 
+/* bct_crash_shared_part(3): the last part of x's prompt that other requests may share; 0: none. */
+uint64_t bct_crash_shared_part(const bct_exchange_t *x);
+
 /* bct_crash_connection_broken(3): record that the connection broke under x's current attempt. */
 void bct_crash_connection_broken(bct_exchange_t *x);
 
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -394,22 +394,42 @@
 	raw_at(t, ADMIN_PORT, bytes, strlen(bytes), wait_ms, out);
 }
 
-int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
-		   const char *script, bct_buf_t *out)
+static int call(test_gate_t *t, const char *method, const char *path, const char *call_id,
+		const char *headers, bct_buf_t *out)
 {
 	bool post = !strcmp(method, "POST");
 	char text[1024];
 	int n = snprintf(text, sizeof(text),
 			 "%s %s HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
 			 "Api-Key: k1\r\n" HEAD "Request-Attempt-Id: %s\r\n" HEAD
-			 "Deadline-Milliseconds: 3000\r\nX-Script: %s\r\n%s\r\n%s",
-			 method, path, call_id, script, post ? "Content-Length: 5\r\n" : "",
+			 "Deadline-Milliseconds: 3000\r\n%s\r\n%s\r\n%s",
+			 method, path, call_id, headers, post ? "Content-Length: 5\r\n" : "",
 			 post ? "hello" : "");
 
 	test_gate_raw(t, text, (size_t)n, READY_MS, out);
 	return strncmp(out->data, "HTTP/1.1 ", 9) ? 0 : atoi(out->data + 9);
 }
 
+int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
+		   const char *script, bct_buf_t *out)
+{
+	char headers[256];
+
+	snprintf(headers, sizeof(headers), "X-Script: %s", script);
+	return call(t, method, path, call_id, headers, out);
+}
+
+int test_gate_prompt(test_gate_t *t, const char *path, const char *call_id, const char *script,
+		     const char *parts, bct_buf_t *out)
+{
+	char headers[512];
+
+	snprintf(headers, sizeof(headers),
+		 "X-Script: %s\r\n" HEAD "Token-Counts: 400,50\r\n" HEAD "Prompt-Prefix: %s",
+		 script, parts);
+	return call(t, "POST", path, call_id, headers, out);
+}
+
 uint32_t test_gate_runs(test_gate_t *t, const char *call_id)
 {
 	uint32_t n = 0;
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -48,6 +48,7 @@
  *   cut          half of the body, then the end of the connection
  *   stream       five events
  *   streamcut    two events, then a reset
+ *   streamdie    one event; after DIE_MS the whole upstream ends, with all its connections
  *   streamhalf   one event and a half, then a proper end of the body
  *   streamquiet  two events, then silence
  *   streamleaving  five events; the head states that the upstream is leaving
@@ -116,6 +117,10 @@
 int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
 		   const char *script, bct_buf_t *out);
 
+/* As test_gate_call(), a POST whose prompt consists of the parts listed, as ID:TOKENS pairs. */
+int test_gate_prompt(test_gate_t *t, const char *path, const char *call_id, const char *script,
+		     const char *parts, bct_buf_t *out);
+
 /* Returns how often a call id arrived at upstreams; and its i-th arrival, from 0, or NULL. */
 uint32_t test_gate_runs(test_gate_t *t, const char *call_id);
 const gate_run_t *test_gate_run(test_gate_t *t, const char *call_id, uint32_t i);
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -113,8 +113,21 @@
 	return poll(&p, 1, (int)ms) == 1 && recv(fd, &c, 1, MSG_DONTWAIT) <= 0;
 }
 
+/* Ends the upstream: from now on connections to it are refused. */
+static void die(gate_upstream_t *u)
+{
+	bct_clock_sleep(DIE_MS);
+	pthread_mutex_lock(&u->gate->lock);
+	for (uint32_t i = 0; i < u->n_conns; i++)
+		shutdown(u->conns[i], SHUT_RDWR);
+	if (!u->dead)
+		shutdown(u->fd, SHUT_RDWR);
+	u->dead = true;
+	pthread_mutex_unlock(&u->gate->lock);
+}
+
 /* Sends the events after the request's Last-Event-Id. Returns whether the connection stays open. */
-static bool stream(int fd, const char *action, const gate_run_t *run)
+static bool stream(gate_upstream_t *u, int fd, const char *action, const gate_run_t *run)
 {
 	char last[32], text[512];
 	int from;
@@ -133,6 +146,10 @@
 			reset(fd);
 			return false;
 		}
+		if (!strcmp(action, "streamdie") && i == 1) {
+			die(u);
+			return false;
+		}
 		if (!strcmp(action, "streamhalf") && i == 1) {
 			put(fd, "9\r\nid: 2\ndat\r\n0\r\n\r\n");
 			return false;
@@ -148,26 +165,13 @@
 	return true;
 }
 
-/* Ends the upstream: from now on connections to it are refused. */
-static void die(gate_upstream_t *u)
-{
-	bct_clock_sleep(DIE_MS);
-	pthread_mutex_lock(&u->gate->lock);
-	for (uint32_t i = 0; i < u->n_conns; i++)
-		shutdown(u->conns[i], SHUT_RDWR);
-	if (!u->dead)
-		shutdown(u->fd, SHUT_RDWR);
-	u->dead = true;
-	pthread_mutex_unlock(&u->gate->lock);
-}
-
 /* Responds as the action says. Returns whether the connection stays open. */
 static bool take_action(conn_t *c, const char *action, gate_run_t *run)
 {
 	const char *id = run->call_id;
 
 	if (!strncmp(action, "stream", 6))
-		return stream(c->fd, action, run);
+		return stream(c->u, c->fd, action, run);
 	if (!strcmp(action, "error")) {
 		put_answer(c->fd, "500 Oops", id, SEAL, "bad", 3);
 	} else if (!strcmp(action, "notrun")) {
