Crashes: the part of prompts that crashes upstreams is found and refused

Callers saw: upstream after upstream ends under requests that are alike in one part of their prompt only; streams of all others break off with them. Cause: a node judged whole requests (request line, account, body). No two of these are alike, so each began with an empty record. Class: a judge keyed by more than what does the harm. Change: policy/gate_part_judge. Evidence are the requests in flight at a crash that had not yet shown to be harmless (output for 500 ms), with the parts of their prompt but the last, which is their own. A part is refused after four crashes at different upstreams and times with nothing that speaks for it; eight if it did no harm lately or the node is new. The deepest part with the most crashes is taken and explains its crashes, so that first parts and bystanders are spared. Crashes of a whole service at once count once. Verdicts carry the time of their evidence, are announced, the later wins; after 10 s one node of the fleet lets one request through, which releases a part that does no harm. Attempts that were given up count with their parts as well. The linter is told of Criterion's TestSuite as it was of Test.

--- a/Makefile
+++ b/Makefile
@@ -188,7 +188,7 @@
 	$(Q)clang-format --dry-run -Werror $(C_FILES)
 	$(Q)sh .ci/layers
 	$(Q)awk -f .ci/log_keys $(filter %.c,$(C_FILES))
-	$(Q)cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -I. -j 8 '-DTest(suite,name,...)=static void suite##_##name(void)' \
+	$(Q)cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -I. -j 8 '-DTest(suite,name,...)=static void suite##_##name(void)' '-DTestSuite(suite,...)=' \
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --suppress=normalCheckLevelMaxBranches \
 		$(filter %.c,$(C_FILES))
--- a/base/event_list.h
+++ b/base/event_list.h
@@ -53,6 +53,14 @@
 	DEF(GATE_CRASH_REPORTED, 416, INFO, "a peer saw an upstream break under a request")        \
 	DEF(GATE_CRASH_CLEARED, 417, INFO,                                                         \
 	    "a request on record for broken upstreams was answered successfully")                  \
+	DEF(GATE_PART_SUSPECTED, 418, INFO,                                                        \
+	    "an upstream broke under a request whose prompt has parts that others share")          \
+	DEF(GATE_PART_REFUSED, 419, WARN,                                                          \
+	    "requests with a part of prompts that crashes upstreams are refused")                  \
+	DEF(GATE_PART_RELEASED, 420, INFO,                                                         \
+	    "a part of prompts did no harm and is not refused any more")                           \
+	DEF(GATE_PART_TRIAL, 421, INFO,                                                            \
+	    "a request with a refused part is let through to find out whether it does harm")       \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
 	DEF(UPSTREAM_CROSSED, 502, ERROR,                                                          \
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -6,6 +6,7 @@
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
 #include "gate/notice.h"
+#include "gate/part.h"
 
 #include <string.h>
 
@@ -200,7 +201,7 @@
 	bct_time_t now = bct_clock_now();
 
 	x->output_started = true;
-	x->events_at = now;
+	x->output_at = x->events_at = now;
 	bct_gate_pick_began(x->conn->upstream, x->choice.work_ms);
 	bct_gate_upstream_timing(x->conn->upstream, x->choice.wait_ms + x->choice.work_ms,
 				 (uint32_t)(now - x->conn->sent_at));
@@ -231,6 +232,7 @@
 	observe_pace(x, (uint32_t)n);
 	if (!x->output_started)
 		on_first_output(x);
+	bct_part_output(x, false);
 	if (!x->answer_started) {
 		x->answer_started = true;
 		bct_answer_head(x->client, &x->conn->msg, -1);
@@ -273,6 +275,7 @@
 		bct_gate_pace_complete(&x->gate->pace, bct_clock_now(), &kind, x->events.count,
 				       x->query.output_tokens);
 	bct_crash_answered(x);
+	bct_part_output(x, true);
 	bct_answer_last_chunk(x->client);
 	bct_exchange_finish_attempt(x);
 	bct_exchange_end(x, BCT_GATE_END_OK, false);
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -32,6 +32,8 @@
 	    "Load datagrams that could not be sent")                                              \
 	DEF(SHARES_REFUSED, "bct_gate_shares_refused_total", NULL, "counter",                     \
 	    "Load datagrams that were forged, old or malformed")                                  \
+	DEF(PARTS_REFUSED, "bct_gate_parts_refused_total", NULL, "counter",                       \
+	    "Parts of prompts that this node found to crash upstreams")                           \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
 	    "Answers that belonged to no request")
 
--- a/gate/crash.c
+++ b/gate/crash.c
@@ -4,6 +4,7 @@
  */
 #include "base/hash.h"
 #include "gate/crash.h"
+#include "gate/part.h"
 #include "gate/share.h"
 
 #include <string.h>
@@ -60,25 +61,46 @@
 		log_poison(g, request, digest, how, BCT_GATE_CRASH_KEEP_MS);
 }
 
+/* The parts of the prompt that may be the cause if the upstream crashes now. */
+static bct_gate_parts_t suspect_parts(const bct_exchange_t *x)
+{
+	bct_gate_parts_t none = { 0 };
+
+	return x->harmless ? none : bct_part_of(x);
+}
+
 void bct_crash_connection_broken(bct_exchange_t *x)
 {
+	bct_gate_part_crash_t c = { .upstream = (uint32_t)x->conn->upstream->key,
+				    .at = bct_clock_now(),
+				    .parts = suspect_parts(x) };
+
+	bct_part_crashed(x->gate, x->call.id, &c);
 	record(x->gate, x->call.id, bct_crash_digest(x), x->conn->upstream->key, x->conn->sent_at,
 	       "broken");
 }
 
 void bct_crash_given_up(bct_exchange_t *x)
 {
+	bct_gate_parts_t parts = suspect_parts(x);
+
 	if (x->conn && x->conn->connected)
 		bct_gate_abandoned_add(&x->gate->abandoned, bct_clock_now(), bct_crash_digest(x),
-				       x->conn->upstream);
+				       &parts, x->conn->upstream);
 }
 
 void bct_crash_check_abandoned(bct_gate_t *g)
 {
 	bct_gate_abandoned_t a;
 
-	while (bct_gate_abandoned_next_crash(&g->abandoned, bct_clock_now(), &g->upstreams, &a))
+	while (bct_gate_abandoned_next_crash(&g->abandoned, bct_clock_now(), &g->upstreams, &a)) {
+		bct_gate_part_crash_t c = { .upstream = (uint32_t)a.upstream_key,
+					    .at = a.at,
+					    .parts = a.parts };
+
+		bct_part_crashed(g, "", &c);
 		record(g, "", a.digest, a.upstream_key, a.at, "ended_after_abandoned");
+	}
 }
 
 void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t upstream)
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -4,6 +4,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/part.h"
 #include "gate/share.h"
 #include "base/err.h"
 #include "base/mem.h"
@@ -46,7 +47,7 @@
 		return false;
 	if (x->may_have_run && !bct_gate_route_repeatable(x->route))
 		return false;
-	if (bct_crash_remaining_ms(x))
+	if (bct_crash_remaining_ms(x) || bct_part_remaining_ms(x))
 		return false;
 	if (b && !bct_gate_budget_take(b, bct_clock_now(), x->gate->nodes))
 		return true;
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -3,6 +3,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/part.h"
 #include "base/hash.h"
 #include "base/mem.h"
 
@@ -202,11 +203,23 @@
 	x->route_deadline = x->arrived + x->route->timeout_ms;
 }
 
-/* Refuses a request that crashed several upstreams and is still blocked. returns whether it was
- * refused; x is freed then. */
+/* returns for how long the request, or a part of its prompt, is refused for crashes; 0: it may run
+ */
+static uint32_t blocked_ms(bct_exchange_t *x)
+{
+	uint32_t ms = bct_crash_remaining_ms(x);
+
+	if (ms)
+		return ms;
+	ms = bct_part_remaining_ms(x);
+	return ms && bct_part_take_trial(x) ? 0 : ms;
+}
+
+/* Refuses a request under which upstreams crash. returns whether it was refused; x is freed then.
+ */
 static bool refuse_if_blocked(bct_exchange_t *x)
 {
-	uint32_t remaining_ms = bct_crash_remaining_ms(x);
+	uint32_t remaining_ms = blocked_ms(x);
 
 	if (!remaining_ms)
 		return false;
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -79,6 +79,7 @@
 	if (x->conn)
 		bct_gate_pick_ended(x->conn->upstream, x->choice.work_ms, x->output_started);
 	x->output_started = false;
+	x->harmless = false;
 }
 
 void bct_exchange_abort_attempt(bct_exchange_t *x)
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -7,6 +7,7 @@
 #include "base/rng.h"
 #include "gate/crash.h"
 #include "gate/notice.h"
+#include "gate/part.h"
 #include "gate/registry_sync.h"
 #include "gate/share.h"
 
@@ -97,6 +98,7 @@
 		bct_upconns_expire(g, u, u->presence >= BCT_GATE_LAPSED);
 	}
 	bct_crash_check_abandoned(g);
+	bct_part_decide(g);
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
 	count_nodes(g);
@@ -139,6 +141,7 @@
 	g->upstreams.release = release_upstream;
 	bct_gate_refuse_init(&g->refuse);
 	bct_gate_pace_init(&g->pace);
+	g->part_judge.started_at = bct_clock_now();
 	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
 			     g->settings->gate_step_us, bct_random_id());
 	rc = bct_addr_parse_port(g->settings->gate_listen, &g->listen);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -15,6 +15,7 @@
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
 #include "policy/gate_pace.h"
+#include "policy/gate_part_judge.h"
 #include "policy/gate_pick.h"
 #include "policy/gate_refuse.h"
 
@@ -74,6 +75,7 @@
 	bct_gate_refuse_t refuse;
 	bct_gate_pace_t pace;
 	bct_gate_crashes_t crashes;
+	bct_gate_part_judge_t part_judge;
 	bct_gate_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
 	bct_map_t budgets;		     /* service key -> bct_gate_budget_t */
 	bct_list_t clients;
@@ -200,6 +202,7 @@
 	bct_time_t arrived;
 	bct_time_t caller_deadline; /* when the caller stops waiting */
 	bct_time_t route_deadline;  /* when the route's time limit is over */
+	bct_time_t output_at;	    /* when the first event of the current attempt came */
 	bct_time_t events_at;	    /* when events of the current attempt last came */
 	bct_time_t first_byte_at;   /* of the answer; 0: not yet received */
 	bct_time_t progress_at;	    /* when the attempt connected or last received a byte */
@@ -211,6 +214,7 @@
 	bool answer_started;	   /* part of the answer was sent to the caller */
 	bool budget_counted;	   /* the first send was counted in the retry budget */
 	bool output_started;	   /* an event of the current attempt was received */
+	bool harmless;		   /* the current attempt has run for long enough to show it */
 	bool no_silence_retry;	   /* silence of the current attempt causes no retry */
 	int status;
 	bct_attempt_fault_t last_fault;
--- a/gate/share.c
+++ b/gate/share.c
@@ -169,6 +169,7 @@
 		refresh_peers(s);
 	bct_share_watch_hubs(s, now);
 	bct_share_crash_round(s, now);
+	bct_share_part_round(s, now);
 	bct_share_notice_round(s, now);
 	bct_share_send_versions(s, now);
 	bct_share_load_round(s, now);
@@ -198,6 +199,7 @@
 	bct_gate_hubs_heard(&s->hubs, now, update->from);
 	bct_share_apply_versions(s, now, update);
 	bct_share_crash_apply(s, update);
+	bct_share_part_apply(s, now, update);
 	bct_share_notice_apply(s, update);
 	bct_share_load_apply(s, now, update);
 }
--- a/gate/share.h
+++ b/gate/share.h
@@ -33,6 +33,16 @@
  */
 void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t upstream);
 
+/*
+ * bct_share_add_part_crash(3), bct_share_add_survivor(3): send evidence on parts of prompts to the
+ * other nodes, with the next rounds; see policy/gate_part_judge.h.
+ */
+void bct_share_add_part_crash(bct_share_t *s, const bct_gate_part_crash_t *c);
+void bct_share_add_survivor(bct_share_t *s, uint64_t part, bct_time_t began_at);
+
+/* bct_share_send_verdict(3): send a verdict on a part of prompts to all nodes at once. */
+void bct_share_send_verdict(bct_share_t *s, const bct_gate_part_verdict_t *v);
+
 /* bct_share_notice_changed(3): send to all nodes what an upstream has just stated to this one. */
 void bct_share_notice_changed(bct_share_t *s, const bct_gate_upstream_t *u);
 
--- a/gate/share_crash.c
+++ b/gate/share_crash.c
@@ -74,8 +74,10 @@
 	if (now - s->blocks_considered_at < ANNOUNCE_MS)
 		return;
 	s->blocks_considered_at = now;
-	if (is_announcer(s))
-		announce_blocks(s, now);
+	if (!is_announcer(s))
+		return;
+	announce_blocks(s, now);
+	bct_share_part_announce(s, now);
 }
 
 void bct_share_crash_apply(bct_share_t *s, const share_update *update)
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -29,6 +29,18 @@
 	uint32_t n;
 } bct_share_placements_t;
 
+#define BCT_SHARE_PART_CRASHES_MAX 64 /* that wait to be sent */
+
+typedef struct bct_share_part_crash {
+	bct_gate_part_crash_t crash;
+	uint32_t rounds; /* that have sent it */
+} bct_share_part_crash_t;
+
+typedef struct bct_share_survivor {
+	uint64_t part;
+	bct_time_t began_at;
+} bct_share_survivor_t;
+
 /* Notices that one datagram carries. */
 typedef struct bct_share_notices {
 	share_notice list[SHARE_NOTICES_MAX];
@@ -52,7 +64,11 @@
 	bct_time_t notices_sent_at;	 /* the periodic ones */
 	share_crash crashes[SHARE_CRASHES_MAX];
 	uint32_t n_crashes;
-	uint32_t crash_rounds;		 /* rounds that have sent the latest of them */
+	uint32_t crash_rounds; /* rounds that have sent the latest of them */
+	bct_share_part_crash_t part_crashes[BCT_SHARE_PART_CRASHES_MAX];
+	uint32_t n_part_crashes;
+	bct_share_survivor_t survivors[SHARE_SURVIVORS_MAX];
+	uint32_t n_survivors;
 	bct_time_t blocks_considered_at; /* when this node last drew whether to announce */
 	bct_gate_hubs_t hubs;
 	uint64_t previous_hub;	/* whose reports count until the first one of the next; 0: none */
@@ -134,6 +150,15 @@
 /* bct_share_crash_apply(3): apply what a peer sent about that. */
 void bct_share_crash_apply(bct_share_t *s, const share_update *update);
 
+/* share_part.c */
+/* bct_share_part_round(3): send the evidence on parts of prompts that came in since the last one.
+ */
+void bct_share_part_round(bct_share_t *s, bct_time_t now);
+/* bct_share_part_announce(3): send all verdicts on parts of prompts. */
+void bct_share_part_announce(bct_share_t *s, bct_time_t now);
+/* bct_share_part_apply(3): apply what a peer sent about that. */
+void bct_share_part_apply(bct_share_t *s, bct_time_t now, const share_update *update);
+
 /* share_load.c: sending and receiving of load. */
 void bct_share_load_init(bct_share_t *s);
 void bct_share_load_free(bct_share_t *s);
--- a/gen/share.h
+++ b/gen/share.h
@@ -19,6 +19,10 @@
 #define SHARE_ENTRIES_MAX 3
 #define SHARE_CRASHES_MAX 32
 #define SHARE_BLOCKS_MAX 32
+#define SHARE_PARTS_MAX 15
+#define SHARE_PART_CRASHES_MAX 8
+#define SHARE_SURVIVORS_MAX 32
+#define SHARE_VERDICTS_MAX 32
 #define SHARE_PACE_SUMS 4
 #define SHARE_NOTICES_MAX 32
 #define SHARE_TOPICS 2
@@ -75,6 +79,30 @@
 };
 typedef struct share_block share_block;
 
+struct share_part_crash {
+	u_int upstream;
+	u_int age_ms;
+	struct {
+		u_int parts_len;
+		u_quad_t *parts_val;
+	} parts;
+};
+typedef struct share_part_crash share_part_crash;
+
+struct share_survivor {
+	u_quad_t part;
+	u_int age_ms;
+};
+typedef struct share_survivor share_survivor;
+
+struct share_verdict {
+	u_quad_t part;
+	bool_t refused;
+	u_int age_ms;
+	u_int crashes;
+};
+typedef struct share_verdict share_verdict;
+
 struct share_read {
 	u_int age_ms;
 	u_quad_t reader;
@@ -126,6 +154,18 @@
 		u_int blocks_len;
 		share_block *blocks_val;
 	} blocks;
+	struct {
+		u_int part_crashes_len;
+		share_part_crash *part_crashes_val;
+	} part_crashes;
+	struct {
+		u_int survivors_len;
+		share_survivor *survivors_val;
+	} survivors;
+	struct {
+		u_int verdicts_len;
+		share_verdict *verdicts_val;
+	} verdicts;
 };
 typedef struct share_update share_update;
 
@@ -156,6 +196,9 @@
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_crash (XDR *, share_crash*);
 extern  bool_t xdr_share_block (XDR *, share_block*);
+extern  bool_t xdr_share_part_crash (XDR *, share_part_crash*);
+extern  bool_t xdr_share_survivor (XDR *, share_survivor*);
+extern  bool_t xdr_share_verdict (XDR *, share_verdict*);
 extern  bool_t xdr_share_read (XDR *, share_read*);
 extern  bool_t xdr_share_notice (XDR *, share_notice*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
@@ -169,6 +212,9 @@
 extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_crash ();
 extern bool_t xdr_share_block ();
+extern bool_t xdr_share_part_crash ();
+extern bool_t xdr_share_survivor ();
+extern bool_t xdr_share_verdict ();
 extern bool_t xdr_share_read ();
 extern bool_t xdr_share_notice ();
 extern bool_t xdr_share_update ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -234,6 +234,49 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_part_crash (XDR *xdrs, share_part_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, SHARE_PARTS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_share_survivor (XDR *xdrs, share_survivor *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_share_verdict (XDR *xdrs, share_verdict *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refused))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_read (XDR *xdrs, share_read *objp)
 {
@@ -306,6 +349,15 @@
 	 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, SHARE_BLOCKS_MAX,
 		sizeof (share_block), (xdrproc_t) xdr_share_block))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->part_crashes.part_crashes_val, (u_int *) &objp->part_crashes.part_crashes_len, SHARE_PART_CRASHES_MAX,
+		sizeof (share_part_crash), (xdrproc_t) xdr_share_part_crash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->survivors.survivors_val, (u_int *) &objp->survivors.survivors_len, SHARE_SURVIVORS_MAX,
+		sizeof (share_survivor), (xdrproc_t) xdr_share_survivor))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, SHARE_VERDICTS_MAX,
+		sizeof (share_verdict), (xdrproc_t) xdr_share_verdict))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/policy/gate_abandoned.c
+++ b/policy/gate_abandoned.c
@@ -10,7 +10,7 @@
 } verdict_t;
 
 void bct_gate_abandoned_add(bct_gate_abandoned_list_t *l, bct_time_t now, uint64_t digest,
-			    const bct_gate_upstream_t *u)
+			    const bct_gate_parts_t *parts, const bct_gate_upstream_t *u)
 {
 	bct_gate_abandoned_t *a;
 
@@ -28,6 +28,8 @@
 		.at = now,
 		.heard_at = u->heard_at,
 	};
+	if (parts)
+		a->parts = *parts;
 }
 
 /* Whether the run that the attempt was sent to is over. */
--- a/policy/gate_abandoned.h
+++ b/policy/gate_abandoned.h
@@ -10,6 +10,7 @@
 #ifndef BCT_POLICY_GATE_ABANDONED_H
 #define BCT_POLICY_GATE_ABANDONED_H
 
+#include "policy/gate_part_judge.h"
 #include "policy/gate_upstreams.h"
 
 #define BCT_GATE_ABANDONED_MAX 256 /* attempts; further ones replace the oldest */
@@ -19,7 +20,8 @@
 #define BCT_GATE_ABANDONED_KEEP_MS 10000
 
 typedef struct bct_gate_abandoned {
-	uint64_t digest; /* of the request */
+	uint64_t digest;	/* of the request */
+	bct_gate_parts_t parts; /* of its prompt, unless it has shown that it does no harm */
 	uint64_t upstream_key;
 	bct_time_t at;	     /* when the attempt was given up */
 	bct_time_t heard_at; /* when bytes of that run of the upstream last arrived, up to now */
@@ -32,9 +34,9 @@
 	uint32_t next; /* the oldest, once the list is full */
 } bct_gate_abandoned_list_t;
 
-/* bct_gate_abandoned_add(3): records that an attempt at u was given up. */
+/* bct_gate_abandoned_add(3): records that an attempt at u was given up. parts: NULL: none. */
 void bct_gate_abandoned_add(bct_gate_abandoned_list_t *l, bct_time_t now, uint64_t digest,
-			    const bct_gate_upstream_t *u);
+			    const bct_gate_parts_t *parts, const bct_gate_upstream_t *u);
 
 /*
  * bct_gate_abandoned_next_crash(3): finds an attempt whose upstream ended, and drops it. Attempts
--- /dev/null
+++ b/policy/gate_part_judge.c
@@ -0,0 +1,413 @@
+/*
+ * gate_part_judge.c - evidence in a ring; counts are taken from it anew for each decision, as
+ * crashes are rare and what speaks for a part may come later.
+ */
+#include "policy/gate_part_judge.h"
+#include "base/hash.h"
+
+#include <string.h>
+
+/* An answer that began this long after the last crash on record is later evidence, also for nodes
+ * that learned of both with different delays. */
+#define RELEASE_MARGIN_MS 500
+/* Bytes that arrive this long after an upstream's crash are no rest of what it had sent before. */
+#define HEARD_MARGIN_MS 300
+
+static bct_gate_part_verdict_t *find_verdict(const bct_gate_part_judge_t *j, uint64_t part)
+{
+	for (uint32_t i = 0; i < j->n_verdicts; i++) {
+		if (j->verdicts[i].part == part)
+			return (bct_gate_part_verdict_t *)&j->verdicts[i];
+	}
+	return NULL;
+}
+
+static bct_gate_part_verdict_t *add_verdict(bct_gate_part_judge_t *j, uint64_t part)
+{
+	bct_gate_part_verdict_t *v = find_verdict(j, part);
+
+	if (v)
+		return v;
+	if (j->n_verdicts < BCT_GATE_PART_VERDICTS_MAX) {
+		v = &j->verdicts[j->n_verdicts++];
+	} else {
+		v = &j->verdicts[j->next_verdict];
+		j->next_verdict = (j->next_verdict + 1) % BCT_GATE_PART_VERDICTS_MAX;
+	}
+	*v = (bct_gate_part_verdict_t){ .part = part };
+	return v;
+}
+
+static bool in_force(const bct_gate_part_verdict_t *v, bct_time_t now)
+{
+	return v->since && now - v->since < BCT_GATE_PART_KEEP_MS;
+}
+
+static bool same_parts(const bct_gate_parts_t *a, const bct_gate_parts_t *b)
+{
+	return a->n == b->n && !memcmp(a->ids, b->ids, a->n * sizeof(a->ids[0]));
+}
+
+static bool has_part(const bct_gate_parts_t *p, uint64_t part)
+{
+	for (uint32_t i = 0; i < p->n; i++) {
+		if (p->ids[i] == part)
+			return true;
+	}
+	return false;
+}
+
+/* Whether a part of these is refused by evidence up to about that time. */
+static bool has_refused(const bct_gate_part_judge_t *j, const bct_gate_parts_t *p, bct_time_t at)
+{
+	for (uint32_t i = 0; i < p->n; i++) {
+		const bct_gate_part_verdict_t *v = find_verdict(j, p->ids[i]);
+
+		if (v && v->refused && in_force(v, at))
+			return true;
+	}
+	return false;
+}
+
+/* The cause of this upstream's crash is known: it speaks against nothing else. */
+static void explain(bct_gate_part_judge_t *j, uint32_t upstream)
+{
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		if (j->events[i].crash.upstream == upstream)
+			j->events[i].suspects = 0;
+	}
+}
+
+/* Whether the cause of the upstream's crash is known already. */
+static bool is_explained(const bct_gate_part_judge_t *j, uint32_t upstream)
+{
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		const bct_gate_part_event_t *e = &j->events[i];
+
+		if (e->crash.upstream == upstream && has_refused(j, &e->crash.parts, e->crash.at))
+			return true;
+	}
+	return false;
+}
+
+static bool is_known(const bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c)
+{
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		const bct_gate_part_crash_t *known = &j->events[i].crash;
+
+		if (known->upstream == c->upstream && same_parts(&known->parts, &c->parts))
+			return true;
+	}
+	return false;
+}
+
+/* A crash under a request with a refused part ends the trials of that part. */
+static void note_trial_failed(bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c)
+{
+	for (uint32_t i = 0; i < c->parts.n; i++) {
+		bct_gate_part_verdict_t *v = find_verdict(j, c->parts.ids[i]);
+
+		if (v && v->tried_at && c->at >= v->tried_at)
+			v->trial_failed = true;
+	}
+}
+
+bool bct_gate_part_judge_crash(bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c)
+{
+	bct_gate_part_event_t *e;
+
+	if (!c->parts.n || is_known(j, c))
+		return false;
+	if (j->n_events < BCT_GATE_PART_EVENTS_MAX) {
+		e = &j->events[j->n_events++];
+	} else {
+		e = &j->events[j->next_event];
+		j->next_event = (j->next_event + 1) % BCT_GATE_PART_EVENTS_MAX;
+	}
+	*e = (bct_gate_part_event_t){ .crash = *c, .suspects = (1U << c->parts.n) - 1 };
+	note_trial_failed(j, c);
+	if (is_explained(j, c->upstream))
+		explain(j, c->upstream);
+	j->undecided = true;
+	return true;
+}
+
+static bct_gate_part_trust_t *trust_slot(bct_gate_part_judge_t *j, uint64_t part)
+{
+	return &j->trusted[bct_hash(&part, sizeof(part)) % BCT_GATE_PART_TRUSTED];
+}
+
+static void note_trusted(bct_gate_part_judge_t *j, uint64_t part, bct_time_t at)
+{
+	bct_gate_part_trust_t *t = trust_slot(j, part);
+
+	if (t->part == part && t->at >= at)
+		return;
+	*t = (bct_gate_part_trust_t){ .part = part, .at = at };
+}
+
+/* returns the number of crashes after which the part is refused */
+static uint32_t crashes_required(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part)
+{
+	const bct_gate_part_trust_t *t = trust_slot(j, part);
+
+	if (now - j->started_at < BCT_GATE_PART_LEARN_MS)
+		return 2 * BCT_GATE_PART_CRASHES;
+	if (t->part == part && now - t->at < BCT_GATE_PART_TRUST_MS)
+		return 2 * BCT_GATE_PART_CRASHES;
+	return BCT_GATE_PART_CRASHES;
+}
+
+static bool clear_part(bct_gate_part_event_t *e, uint64_t part)
+{
+	bool cleared = false;
+
+	for (uint32_t i = 0; i < e->crash.parts.n; i++) {
+		if (e->crash.parts.ids[i] != part || !(e->suspects & 1U << i))
+			continue;
+		e->suspects &= ~(1U << i);
+		cleared = true;
+	}
+	return cleared;
+}
+
+bool bct_gate_part_judge_survived(bct_gate_part_judge_t *j, uint64_t part, bct_time_t began_at)
+{
+	bct_gate_part_verdict_t *v = find_verdict(j, part);
+	bool news = false;
+
+	note_trusted(j, part, began_at);
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		bct_gate_part_event_t *e = &j->events[i];
+
+		if (e->crash.at <= began_at && clear_part(e, part))
+			news = true;
+	}
+	if (v && v->refused && began_at >= v->since + RELEASE_MARGIN_MS) {
+		v->refused = false;
+		v->since = began_at;
+		news = true;
+	}
+	return news;
+}
+
+/* Drops what speaks against upstreams that live on. */
+static void void_false_crashes(bct_gate_part_judge_t *j, const bct_gate_upstreams_t *t)
+{
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		bct_gate_part_event_t *e = &j->events[i];
+		const bct_gate_upstream_t *u = bct_gate_upstreams_find_short(t, e->crash.upstream);
+
+		if (u && u->run_since <= e->crash.at && u->heard_at > e->crash.at + HEARD_MARGIN_MS)
+			e->suspects = 0;
+	}
+}
+
+/* Whether an event that has settled speaks against the part. depth: where it is in the prompt. */
+static bool speaks_against(const bct_gate_part_event_t *e, bct_time_t now, uint64_t part,
+			   uint32_t *depth)
+{
+	bct_time_t age_ms = now - e->crash.at;
+
+	if (age_ms < BCT_GATE_PART_SETTLE_MS || age_ms >= BCT_GATE_PART_KEEP_MS)
+		return false;
+	for (uint32_t i = 0; i < e->crash.parts.n; i++) {
+		if (e->crash.parts.ids[i] == part && e->suspects & 1U << i) {
+			*depth = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+typedef struct tally {
+	uint32_t crashes; /* at different upstreams, and apart in time */
+	uint32_t depth;
+	bct_time_t last_at;
+} tally_t;
+
+typedef struct crash_time {
+	uint32_t upstream;
+	bct_time_t at;
+} crash_time_t;
+
+/* Adds a crash to a list in order of time, unless its upstream is there. */
+static void insert_crash(crash_time_t *list, uint32_t *n, const bct_gate_part_crash_t *c)
+{
+	uint32_t at;
+
+	for (uint32_t i = 0; i < *n; i++) {
+		if (list[i].upstream == c->upstream)
+			return;
+	}
+	for (at = *n; at && list[at - 1].at > c->at; at--)
+		list[at] = list[at - 1];
+	list[at] = (crash_time_t){ .upstream = c->upstream, .at = c->at };
+	(*n)++;
+}
+
+static tally_t count_crashes(const bct_gate_part_judge_t *j, bct_time_t now, uint64_t part)
+{
+	crash_time_t list[BCT_GATE_PART_EVENTS_MAX];
+	tally_t out = { 0 };
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		if (speaks_against(&j->events[i], now, part, &out.depth))
+			insert_crash(list, &n, &j->events[i].crash);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		if (out.crashes && list[i].at - out.last_at < BCT_GATE_PART_SPACING_MS)
+			continue;
+		out.crashes++;
+		out.last_at = list[i].at;
+	}
+	return out;
+}
+
+static bool is_better(const tally_t *a, const tally_t *b)
+{
+	return a->crashes != b->crashes ? a->crashes > b->crashes : a->depth > b->depth;
+}
+
+/* Whether an event before the i-th suspects the part as well, so that it is counted already. */
+static bool is_counted(const bct_gate_part_judge_t *j, uint32_t i, uint64_t part)
+{
+	while (i--) {
+		const bct_gate_part_event_t *e = &j->events[i];
+
+		for (uint32_t k = 0; k < e->crash.parts.n; k++) {
+			if (e->crash.parts.ids[k] == part && e->suspects & 1U << k)
+				return true;
+		}
+	}
+	return false;
+}
+
+/* Finds the part that most speaks against, of those against which enough does. returns whether
+ * there is one. */
+static bool find_worst(bct_gate_part_judge_t *j, bct_time_t now, uint64_t *part, tally_t *worst)
+{
+	*worst = (tally_t){ 0 };
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		const bct_gate_part_event_t *e = &j->events[i];
+
+		for (uint32_t k = 0; k < e->crash.parts.n; k++) {
+			tally_t t;
+
+			if (!(e->suspects & 1U << k) || is_counted(j, i, e->crash.parts.ids[k]))
+				continue;
+			t = count_crashes(j, now, e->crash.parts.ids[k]);
+			if (!is_better(&t, worst) ||
+			    t.crashes < crashes_required(j, now, e->crash.parts.ids[k]))
+				continue;
+			*worst = t;
+			*part = e->crash.parts.ids[k];
+		}
+	}
+	return worst->crashes > 0;
+}
+
+static bool is_settled(const bct_gate_part_judge_t *j, bct_time_t now)
+{
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		if (now - j->events[i].crash.at < BCT_GATE_PART_SETTLE_MS)
+			return false;
+	}
+	return true;
+}
+
+static void refuse(bct_gate_part_judge_t *j, uint64_t part, const tally_t *t,
+		   bct_gate_part_verdict_t *out)
+{
+	bct_gate_part_verdict_t *v = add_verdict(j, part);
+
+	*v = (bct_gate_part_verdict_t){
+		.part = part,
+		.refused = true,
+		.since = t->last_at,
+		.crashes = t->crashes,
+	};
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		if (has_part(&j->events[i].crash.parts, part))
+			explain(j, j->events[i].crash.upstream);
+	}
+	*out = *v;
+}
+
+bool bct_gate_part_judge_decide(bct_gate_part_judge_t *j, bct_time_t now,
+				const bct_gate_upstreams_t *t, bct_gate_part_verdict_t *out)
+{
+	uint64_t part;
+	tally_t worst;
+
+	if (!j->undecided)
+		return false;
+	j->undecided = !is_settled(j, now);
+	void_false_crashes(j, t);
+	if (!find_worst(j, now, &part, &worst))
+		return false;
+	refuse(j, part, &worst, out);
+	j->undecided = true;
+	return true;
+}
+
+bool bct_gate_part_judge_heard(bct_gate_part_judge_t *j, bct_time_t now,
+			       const bct_gate_part_verdict_t *in)
+{
+	bct_gate_part_verdict_t *v = find_verdict(j, in->part);
+
+	if (!in_force(in, now) || in->since > now)
+		return false;
+	if (v && in_force(v, now) && (v->refused == in->refused || v->since >= in->since))
+		return false;
+	v = add_verdict(j, in->part);
+	*v = *in;
+	v->tried_at = 0;
+	v->trial_failed = false;
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		bct_gate_part_event_t *e = &j->events[i];
+
+		if (!in->refused)
+			clear_part(e, in->part);
+		else if (has_part(&e->crash.parts, in->part))
+			explain(j, e->crash.upstream);
+	}
+	return true;
+}
+
+uint32_t bct_gate_part_judge_remaining_ms(const bct_gate_part_judge_t *j, bct_time_t now,
+					  uint64_t part)
+{
+	const bct_gate_part_verdict_t *v = find_verdict(j, part);
+
+	if (!v || !v->refused || !in_force(v, now))
+		return 0;
+	return (uint32_t)(v->since + BCT_GATE_PART_KEEP_MS - now);
+}
+
+bool bct_gate_part_judge_take_trial(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part)
+{
+	bct_gate_part_verdict_t *v = find_verdict(j, part);
+
+	if (!v || !v->refused || v->trial_failed || now - v->since < BCT_GATE_PART_TRIAL_MS)
+		return false;
+	if (v->tried_at && now - v->tried_at < BCT_GATE_PART_TRIAL_MS)
+		return false;
+	v->tried_at = now;
+	return true;
+}
+
+bool bct_gate_part_judge_next(const bct_gate_part_judge_t *j, bct_time_t now, uint32_t *pos,
+			      bct_gate_part_verdict_t *out)
+{
+	while (*pos < j->n_verdicts) {
+		const bct_gate_part_verdict_t *v = &j->verdicts[(*pos)++];
+
+		if (!in_force(v, now))
+			continue;
+		*out = *v;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/policy/gate_part_judge.h
@@ -0,0 +1,131 @@
+/*
+ * gate_part_judge.h - finds the part of prompts that crashes the upstreams which run them, whatever
+ * else the requests hold. Pure: no I/O and no clock.
+ *
+ * Evidence are the requests that were in flight when an upstream crashed and had not yet shown that
+ * they are harmless, each with the parts of its prompt but the last, which is its own. A part is
+ * refused once BCT_GATE_PART_CRASHES crashes, at different upstreams and times, speak against it
+ * and nothing speaks for it: a request with it that began to be answered after a crash and went on
+ * shows that it is harmless. Of several such parts, the one with the most crashes is taken, then
+ * the deepest in the prompts; it explains its crashes, which then no longer count against others.
+ * It takes twice as many crashes to refuse a part that did no harm lately, or at a node that has
+ * not been there for long enough to know: such a part is more likely a bystander.
+ *
+ * A verdict, that a part is refused or harmless, carries the time of its evidence. Nodes exchange
+ * verdicts, and the later evidence wins. After a while one node lets one request through, so that a
+ * part that was refused by mistake, or does no harm any more, is released.
+ */
+#ifndef BCT_POLICY_GATE_PART_JUDGE_H
+#define BCT_POLICY_GATE_PART_JUDGE_H
+
+#include "policy/gate_prefix.h"
+#include "policy/gate_upstreams.h"
+
+#define BCT_GATE_PARTS_MAX (BCT_GATE_SEGMENTS_MAX - 1)
+#define BCT_GATE_PART_CRASHES 4	      /* before a part is refused */
+#define BCT_GATE_PART_SPACING_MS 100  /* crashes closer than this have one cause: count once */
+#define BCT_GATE_PART_SETTLE_MS 250   /* after a crash, until reports of all nodes are there */
+#define BCT_GATE_PART_SURVIVED_MS 500 /* after its first output a request is harmless */
+#define BCT_GATE_PART_KEEP_MS (5 * 60 * BCT_MS_PER_S) /* evidence and verdicts */
+#define BCT_GATE_PART_TRIAL_MS 10000  /* until one request is let through, see below */
+#define BCT_GATE_PART_TRUST_MS 60000  /* for which a survivor makes its parts trusted */
+#define BCT_GATE_PART_LEARN_MS 10000  /* for which a new node trusts all parts */
+#define BCT_GATE_PART_TRUSTED 1024    /* parts that are known as trusted, by their hash */
+#define BCT_GATE_PART_EVENTS_MAX 256  /* further ones replace the oldest */
+#define BCT_GATE_PART_VERDICTS_MAX 64 /* further ones replace the oldest */
+
+/* The parts of a prompt that other requests may share, in order. */
+typedef struct bct_gate_parts {
+	uint32_t n;
+	uint64_t ids[BCT_GATE_PARTS_MAX];
+} bct_gate_parts_t;
+
+/* A request that was in flight when an upstream crashed. */
+typedef struct bct_gate_part_crash {
+	uint32_t upstream; /* lower half of its key */
+	bct_time_t at;
+	bct_gate_parts_t parts;
+} bct_gate_part_crash_t;
+
+typedef struct bct_gate_part_event {
+	bct_gate_part_crash_t crash;
+	uint32_t suspects; /* bit i: parts.ids[i] may be the cause */
+} bct_gate_part_event_t;
+
+typedef struct bct_gate_part_verdict {
+	uint64_t part;
+	bool refused;	     /* false: harmless */
+	bct_time_t since;    /* time of the evidence */
+	uint32_t crashes;    /* that speak against it, as counted by the node that judged */
+	bct_time_t tried_at; /* when this node last let a request through; 0: never */
+	bool trial_failed;   /* that request crashed its upstream */
+} bct_gate_part_verdict_t;
+
+/* A part that did no harm. */
+typedef struct bct_gate_part_trust {
+	uint64_t part;
+	bct_time_t at;
+} bct_gate_part_trust_t;
+
+/* All zero but started_at: empty. */
+typedef struct bct_gate_part_judge {
+	bct_time_t started_at; /* when this node began to learn */
+	bct_gate_part_trust_t trusted[BCT_GATE_PART_TRUSTED];
+	bct_gate_part_event_t events[BCT_GATE_PART_EVENTS_MAX];
+	uint32_t n_events;
+	uint32_t next_event;
+	bct_gate_part_verdict_t verdicts[BCT_GATE_PART_VERDICTS_MAX];
+	uint32_t n_verdicts;
+	uint32_t next_verdict;
+	bool undecided; /* events came since the last decision, or have not settled */
+} bct_gate_part_judge_t;
+
+/*
+ * bct_gate_part_judge_crash(3): adds evidence, of this node or another one.
+ *
+ * returns  whether it is news
+ */
+bool bct_gate_part_judge_crash(bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c);
+
+/*
+ * bct_gate_part_judge_survived(3): a request with the part, whose answer began at that time, went
+ * on for BCT_GATE_PART_SURVIVED_MS or to its end.
+ *
+ * returns  whether that clears the part of crashes, or releases it
+ */
+bool bct_gate_part_judge_survived(bct_gate_part_judge_t *j, uint64_t part, bct_time_t began_at);
+
+/*
+ * bct_gate_part_judge_decide(3): refuses a part if the evidence suffices; to be called repeatedly.
+ * Crashes of an upstream in t that was heard of later were none.
+ *
+ * returns  whether there is a new verdict
+ */
+bool bct_gate_part_judge_decide(bct_gate_part_judge_t *j, bct_time_t now,
+				const bct_gate_upstreams_t *t, bct_gate_part_verdict_t *out);
+
+/* bct_gate_part_judge_heard(3): takes over the verdict of a peer. returns whether it is news. */
+bool bct_gate_part_judge_heard(bct_gate_part_judge_t *j, bct_time_t now,
+			       const bct_gate_part_verdict_t *v);
+
+/* bct_gate_part_judge_remaining_ms(3): how long the part is still refused; 0: it may run. */
+uint32_t bct_gate_part_judge_remaining_ms(const bct_gate_part_judge_t *j, bct_time_t now,
+					  uint64_t part);
+
+/*
+ * bct_gate_part_judge_take_trial(3): whether this node may now let one request with a refused part
+ * through, BCT_GATE_PART_TRIAL_MS after the verdict or the last one, until one crashes its
+ * upstream. It must be the only node of the fleet that asks.
+ */
+bool bct_gate_part_judge_take_trial(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part);
+
+/*
+ * bct_gate_part_judge_next(3): iterates over the verdicts in force.
+ *
+ * pos      0 for the first call; advanced by each call
+ * returns  false at the end
+ */
+bool bct_gate_part_judge_next(const bct_gate_part_judge_t *j, bct_time_t now, uint32_t *pos,
+			      bct_gate_part_verdict_t *out);
+
+#endif
--- a/schema/share.x
+++ b/schema/share.x
@@ -10,6 +10,10 @@
 const SHARE_ENTRIES_MAX = 3;
 const SHARE_CRASHES_MAX = 32;
 const SHARE_BLOCKS_MAX = 32;
+const SHARE_PARTS_MAX = 15;
+const SHARE_PART_CRASHES_MAX = 8;
+const SHARE_SURVIVORS_MAX = 32;
+const SHARE_VERDICTS_MAX = 32;
 const SHARE_PACE_SUMS = 4;
 const SHARE_NOTICES_MAX = 32;
 const SHARE_TOPICS = 2;
@@ -75,6 +79,26 @@
 	unsigned int remaining_ms;
 };
 
+/* A request that was in flight when its upstream crashed, see gate_part_judge.h. */
+struct share_part_crash {
+	unsigned int upstream;
+	unsigned int age_ms;
+	unsigned hyper parts<SHARE_PARTS_MAX>;
+};
+
+/* A request with the part did no harm; its answer began that long ago. */
+struct share_survivor {
+	unsigned hyper part;
+	unsigned int age_ms;
+};
+
+struct share_verdict {
+	unsigned hyper part;
+	bool refused;
+	unsigned int age_ms;	/* of the evidence */
+	unsigned int crashes;
+};
+
 /* The latest answer of the registry on one topic that the sender knows of, see gate_hubs.h. */
 struct share_read {
 	unsigned int age_ms;	/* SHARE_NEVER: none */
@@ -106,6 +130,9 @@
 	share_notice notices<SHARE_NOTICES_MAX>;
 	/* A datagram of an older node ends here; the lists that follow are empty then. */
 	share_block blocks<SHARE_BLOCKS_MAX>;
+	share_part_crash part_crashes<SHARE_PART_CRASHES_MAX>;
+	share_survivor survivors<SHARE_SURVIVORS_MAX>;
+	share_verdict verdicts<SHARE_VERDICTS_MAX>;
 };
 
 /*
--- a/tests/test_gate_abandoned.c
+++ b/tests/test_gate_abandoned.c
@@ -52,7 +52,7 @@
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
 	u->heard_at = START - 10;
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	cr_assert(!crashes(START + 3000));
 	bct_gate_upstreams_remove(&t, START + 3400, "a", 0);
 	cr_assert(crashes(START + 3400));
@@ -64,7 +64,7 @@
 {
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	u->heard_at = START + BCT_GATE_ABANDONED_RUNS_MS;
 	cr_assert(!crashes(START + 500));
 	u->refused_at = START + 700;
@@ -76,7 +76,7 @@
 {
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	u->heard_at = START + BCT_GATE_ABANDONED_RUNS_MS + 1;
 	cr_assert(!crashes(START + 400));
 	u->refused_at = START + 900;
@@ -89,7 +89,7 @@
 {
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	cr_assert(!crashes(START + 100));
 	u = add("a", 2, START + 1000);
 	u->heard_at = START + 1100; /* of the new run */
@@ -101,7 +101,7 @@
 {
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	u->identity_mismatch = true;
 	cr_assert(crashes(START + 2000));
 }
@@ -111,7 +111,7 @@
 {
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	bct_gate_upstreams_remove(&t, START + 100, "a", 0);
 	bct_gate_upstreams_sweep(&t, START + 100);
 	cr_assert_null(bct_gate_upstreams_find(&t, "a"));
@@ -124,9 +124,9 @@
 	bct_gate_upstream_t *a = add("a", 1, 0), *b = add("b", 1, 0), *c = add("c", 1, 0);
 
 	a->leaving = true;
-	bct_gate_abandoned_add(&l, START, DIGEST, a);
-	bct_gate_abandoned_add(&l, START, DIGEST, b);
-	bct_gate_abandoned_add(&l, START, DIGEST, c);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, a);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, b);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, c);
 	b->leaving = true;
 	c->presence = BCT_GATE_DRAINING;
 	cr_assert(!crashes(START + 200));
@@ -141,7 +141,7 @@
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
 	u->refused_at = START - 1;
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	cr_assert(!crashes(START + 100));
 }
 
@@ -150,7 +150,7 @@
 {
 	bct_gate_upstream_t *u = add("a", 1, 0);
 
-	bct_gate_abandoned_add(&l, START, DIGEST, u);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, u);
 	bct_gate_upstreams_remove(&t, START + BCT_GATE_ABANDONED_KEEP_MS, "a", 0);
 	cr_assert(!crashes(START + BCT_GATE_ABANDONED_KEEP_MS));
 	cr_assert_eq(l.n, 0);
@@ -162,8 +162,8 @@
 	bct_gate_upstream_t *a = add("a", 1, 0), *b = add("b", 1, 0);
 
 	for (int i = 0; i < 5000; i++)
-		bct_gate_abandoned_add(&l, START, DIGEST + 1, a);
-	bct_gate_abandoned_add(&l, START, DIGEST, b);
+		bct_gate_abandoned_add(&l, START, DIGEST + 1, NULL, a);
+	bct_gate_abandoned_add(&l, START, DIGEST, NULL, b);
 	cr_assert_eq(l.n, BCT_GATE_ABANDONED_MAX);
 	b->refused_at = START + 100;
 	cr_assert(crashes(START + 100));
--- a/tests/test_gate_blocked.c
+++ b/tests/test_gate_blocked.c
@@ -11,9 +11,11 @@
 #include <string.h>
 
 #define FLEET 3
+#define LARGE_FLEET 16 /* more gateways than exchange reports without hubs */
 #define TIMEOUT_MS 15000
+#define BAD_PARTS "a1:100,bad:200,%x:100"
 
-static test_gate_t gates[FLEET + 1];
+static test_gate_t gates[LARGE_FLEET + 1];
 
 /* Sends a request without effect on any record until it is refused unrun, or TIMEOUT_MS passed. */
 static bool becomes_refused(test_gate_t *t, const char *path, const char *name)
@@ -68,3 +70,63 @@
 	test_gate_join_fleet(gates, FLEET);
 	cr_assert(becomes_refused(&gates[FLEET], "/stream/crash", "joined"));
 }
+
+/* Sends a request whose prompt has the bad part and is like no other. returns the status */
+static int send_bad(test_gate_t *t, uint32_t i, const char *script)
+{
+	char id[32], path[48], parts[96];
+	bct_buf_t out;
+	int status;
+
+	snprintf(id, sizeof(id), "bad-%u", i);
+	snprintf(path, sizeof(path), "/stream/bad-%u", i);
+	snprintf(parts, sizeof(parts), BAD_PARTS, 0x1000 + i);
+	status = test_gate_prompt(t, path, id, script, parts, &out);
+	bct_buf_free(&out);
+	return status;
+}
+
+/* Whether the gateway refuses requests with the bad part before TIMEOUT_MS have passed. */
+static bool refuses_part(test_gate_t *t, uint32_t first)
+{
+	bct_time_t end = bct_clock_now() + TIMEOUT_MS;
+
+	for (uint32_t i = first; bct_clock_now() < end; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "bad-%u", i);
+		if (send_bad(t, i, "error") == 503 && !test_gate_runs(&gates[0], id))
+			return true;
+		bct_clock_sleep(100);
+	}
+	return false;
+}
+
+/* Each gateway sees one crash; together they find the part out, and all refuse it, also one that
+ * joins later. */
+static void assert_part_is_refused_by_all(uint32_t n)
+{
+	test_gate_start_fleet(gates, n);
+	test_gate_wait_joined(gates, n);
+	bct_clock_sleep(BCT_GATE_PART_LEARN_MS);
+	for (uint32_t i = 0; i < BCT_GATE_PART_CRASHES; i++) {
+		send_bad(&gates[i % n], i, "streamdie");
+		bct_clock_sleep(500);
+		test_gate_restart_engines(&gates[0]);
+	}
+	for (uint32_t i = 0; i < n; i++)
+		cr_assert(refuses_part(&gates[i], 1000 * (i + 1)), "gateway %u", i);
+	test_gate_join_fleet(gates, n);
+	cr_assert(refuses_part(&gates[n], 1000 * (n + 1)), "joined");
+}
+
+Test(gate_blocked, a_part_is_refused_by_all)
+{
+	assert_part_is_refused_by_all(FLEET);
+}
+
+/* Hubs relay the reports. */
+Test(gate_blocked, a_part_is_refused_by_a_large_fleet)
+{
+	assert_part_is_refused_by_all(LARGE_FLEET);
+}
--- a/tests/test_gate_parts.c
+++ b/tests/test_gate_parts.c
@@ -4,6 +4,7 @@
  * part, of requests that are sound.
  */
 #include "base/clock.h"
+#include "policy/gate_part_judge.h"
 #include "tests/util_gate.h"
 
 #include <criterion/criterion.h>
@@ -36,6 +37,8 @@
 	uint32_t ended = 0;
 
 	test_gate_start(&t);
+	/* A gateway that has just started takes twice as many crashes. */
+	bct_clock_sleep(BCT_GATE_PART_LEARN_MS);
 	for (int i = 0; i < REQUESTS; i++) {
 		char id[32];
 
