Upstreams: interim answers and answers to others are bounded, and are no progress

Of six forms, two were followed until the request's deadline: 100 Continue again and again, and the body of an answer to another request. Each read counted as progress, so the silence limit never came, and nothing limited the bytes. Change: progress is a head that was accepted or a body byte that was delivered; what is read besides is limited to 256 KB between two of them. The flag `received`, which nothing read, is gone.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -152,14 +152,15 @@
 	       !strncmp(type, "text/event-stream", 17);
 }
 
-/* On a connection that was opened before this run of the upstream was listed, bytes may be of the
- * run before. */
-static void note_heard(const bct_exchange_t *x)
+/* Bytes of the answer have arrived. On a connection that was opened before this run of the upstream
+ * was listed, they may be of the run before. */
+static void note_progress(bct_exchange_t *x)
 {
 	bct_gate_upstream_t *u = x->conn->upstream;
 
+	x->progress_at = bct_clock_now();
 	if (x->conn->opened >= u->run_since)
-		u->heard_at = bct_clock_now();
+		u->heard_at = x->progress_at;
 }
 
 bool bct_exchange_head(bct_exchange_t *x)
@@ -170,7 +171,7 @@
 	x->gate->wire->decode_answer(&x->conn->msg, &a);
 	bct_notice_received(x, &a.notice);
 	if (!a.identity_mismatch)
-		note_heard(x);
+		note_progress(x);
 	if (a.not_run || a.identity_mismatch) {
 		handle_not_run(x, &a);
 		return false;
@@ -246,7 +247,7 @@
 
 int bct_exchange_body(bct_exchange_t *x, const char *data, size_t len_bytes)
 {
-	note_heard(x);
+	note_progress(x);
 	if (x->streaming)
 		return forward_events(x, data, len_bytes);
 	if (evbuffer_get_length(x->answer) + len_bytes > RESPONSE_MAX_BYTES)
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -147,8 +147,9 @@
 	bct_exchange_t *x; /* NULL: idle */
 	bool connected;
 	bool reused;
-	bool received; /* part of an answer has been received */
-	bool discards; /* the answer being read belongs to another request and is skipped */
+	bool discards;	      /* the answer being read belongs to another request and is skipped */
+	bool progress;	      /* bytes of the answer to the current request were accepted */
+	size_t useless_bytes; /* received since then */
 	bct_time_t opened;
 	bct_time_t sent_at;
 	bct_time_t idle_since;
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -19,6 +19,8 @@
 #define IDLE_PERMILLE 500    /* of the keep-alive time stated, to close before the upstream does */
 #define USER_TIMEOUT_MS 1500 /* output unacknowledged for this long ends the connection */
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most */
+/* Interim answers and answers to other requests that are skipped at most; above a late stream. */
+#define USELESS_MAX_BYTES (256 * 1024)
 
 typedef struct idle_list {
 	bct_list_t conns; /* most recently used first */
@@ -75,6 +77,7 @@
 
 	if (c->discards || !c->x)
 		return 0;
+	c->progress = true;
 	return bct_exchange_body(c->x, data, len);
 }
 
@@ -94,6 +97,7 @@
 		discard_response(c);
 		return true;
 	}
+	c->progress = true;
 	return bct_exchange_head(c->x);
 }
 
@@ -110,6 +114,13 @@
 	return true;
 }
 
+/* Counts bytes that were read, unless some of them were of use. */
+static void count_useless(bct_upconn_t *c, size_t read_bytes)
+{
+	c->useless_bytes = c->progress ? 0 : c->useless_bytes + read_bytes;
+	c->progress = false;
+}
+
 /* Reads until the response for the current request is complete, discarding mismatched ones. */
 static void read_responses(bct_upconn_t *c)
 {
@@ -117,9 +128,11 @@
 
 	while (evbuffer_get_length(in)) {
 		bool had_head = c->msg.state != BCT_HTTP_HEAD;
+		size_t before = evbuffer_get_length(in);
 		bct_http_state_t s = bct_http_msg_read(&c->msg, in, HEAD_MAX_BYTES);
 
-		if (s == BCT_HTTP_FAILED) {
+		count_useless(c, before - evbuffer_get_length(in));
+		if (s == BCT_HTTP_FAILED || c->useless_bytes > USELESS_MAX_BYTES) {
 			bct_exchange_fault(c->x, BCT_FAULT_BAD_ANSWER);
 			return;
 		}
@@ -144,8 +157,6 @@
 		bct_upconn_close(c);
 		return;
 	}
-	c->received = true;
-	c->x->progress_at = bct_clock_now();
 	read_responses(c);
 }
 
@@ -263,7 +274,7 @@
 
 	if (c) {
 		c->reused = true;
-		c->received = false;
+		c->useless_bytes = 0;
 		bct_http_msg_reset(&c->msg);
 	} else {
 		c = open_conn(g, u);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -46,9 +46,14 @@
  *   foreign      a response with another request's attempt id, then the right one
  *   extra        a second response behind the first
  *   cut          half of the body, then the end of the connection
- *   stream       five events
- *   streamcut    two events, then a reset
- *   streamdie    one event; after DIE_MS the whole upstream ends, with all its connections
+ *   unframed     complete, sealed response without a length that ends with the connection
+ *   unframedreset  half of its body, then a reset
+ *   endlesshead, endlessline, endlessinterim, endlesschunk, endlessbody, endlessforeign
+ *                headers, one header line, 100 Continue, digits of a chunk size, a body, or the
+ * body of another request's response, until the gateway closes the connection stream       five
+ * events streamunframed, streamunframedhalf five events, or one and a half, without a length or
+ * chunks, then the end streamendless  an event that does not end streamcut    two events, then a
+ * reset streamdie    one event; after DIE_MS the whole upstream ends, with all its connections
  *   streamhalf   one event and a half, then a proper end of the body
  *   streamquiet  two events, then silence
  *   streamleaving  five events; the head states that the upstream is leaving
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -165,11 +165,100 @@
 	return true;
 }
 
+/* Sends the head, then the same text again and again until the gateway closes the connection. */
+static void send_without_end(int fd, const char *head, const char *again)
+{
+	size_t len = strlen(again);
+
+	put(fd, head);
+	while (send(fd, again, len, MSG_NOSIGNAL) > 0)
+		;
+}
+
+/* Actions whose name begins with "endless". */
+static void endless(int fd, const char *action, const char *id)
+{
+	char head[256], kilobyte[1025];
+
+	memset(kilobyte, '0', sizeof(kilobyte) - 1);
+	kilobyte[sizeof(kilobyte) - 1] = '\0';
+	snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\n" HEAD "Request-Attempt-Id: %s\r\n" SEAL,
+		 strcmp(action, "endlessforeign") ? id : "another");
+	if (!strcmp(action, "endlesshead")) {
+		send_without_end(fd, head, "X-More: 1\r\n");
+	} else if (!strcmp(action, "endlessline")) {
+		strcat(head, "X-More: ");
+		send_without_end(fd, head, kilobyte);
+	} else if (!strcmp(action, "endlessinterim")) {
+		send_without_end(fd, "", "HTTP/1.1 100 Continue\r\n\r\n");
+	} else if (!strcmp(action, "endlesschunk")) {
+		strcat(head, "Transfer-Encoding: chunked\r\n\r\n");
+		send_without_end(fd, head, kilobyte);
+	} else if (!strcmp(action, "endlessforeign")) {
+		strcat(head, "Transfer-Encoding: chunked\r\n\r\n");
+		send_without_end(fd, head, "4\r\nbody\r\n");
+	} else {
+		strcat(head, "\r\n");
+		send_without_end(fd, head, kilobyte);
+	}
+}
+
+/* A response without a length that ends with its connection, or is reset half way. */
+static void unframed(int fd, const char *action, const char *id)
+{
+	char text[256];
+	bool resets = !strcmp(action, "unframedreset");
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\n" HEAD "Request-Attempt-Id: %s\r\n" SEAL "\r\n%s", id,
+		 resets ? "bo" : "body");
+	put(fd, text);
+	bct_clock_sleep(resets ? 50 : 0);
+	if (resets)
+		reset(fd);
+}
+
+/* A stream without chunks that ends with its connection, or inside an event. */
+static void stream_unframed(int fd, const char *action, const gate_run_t *run)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text),
+		 "HTTP/1.1 200 OK\r\n" HEAD "Request-Attempt-Id: %s\r\n" SEAL
+		 "Content-Type: text/event-stream\r\n\r\n",
+		 run->call_id);
+	put(fd, text);
+	if (!strcmp(action, "streamunframedhalf")) {
+		put(fd, "id: 1\ndata: e1\n\nid: 2\ndat");
+		return;
+	}
+	if (!strcmp(action, "streamendless")) {
+		send_without_end(fd, "id: 1\ndata: ", "e1 e1 e1 e1 e1 e1 e1 e1 ");
+		return;
+	}
+	for (int i = 1; i <= 5; i++) {
+		snprintf(text, sizeof(text), "id: %d\ndata: e%d\n\n", i, i);
+		put(fd, text);
+	}
+}
+
 /* Responds as the action says. Returns whether the connection stays open. */
 static bool take_action(conn_t *c, const char *action, gate_run_t *run)
 {
 	const char *id = run->call_id;
 
+	if (!strncmp(action, "streamunframed", 14) || !strcmp(action, "streamendless")) {
+		stream_unframed(c->fd, action, run);
+		return false;
+	}
+	if (!strncmp(action, "endless", 7)) {
+		endless(c->fd, action, id);
+		return false;
+	}
+	if (!strncmp(action, "unframed", 8)) {
+		unframed(c->fd, action, id);
+		return false;
+	}
 	if (!strncmp(action, "stream", 6))
 		return stream(c->u, c->fd, action, run);
 	if (!strcmp(action, "error")) {
