Upstreams: answers without end share the memory of one

One answer was limited to 16 MB, but each by itself: twelve at once took over 88 MB, the whole memory of the smallest machine, and the process would have been killed with all its requests. Change: answers above 1 MB share 16 MB; the one that exceeds it fails as one above 16 MB did. Smaller ones are never affected.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define RESPONSE_MAX_BYTES (16 * 1024 * 1024) /* of a response that is not streamed */
+#define LARGE_BYTES (1024 * 1024)	      /* such responses share RESPONSE_MAX_BYTES */
 #define CALLER_BACKLOG_BYTES (128 * 1024) /* more output unsent: stop reading from the upstream */
 #define STATUS_OK_MIN 200
 #define STATUS_OK_MAX 299
@@ -245,12 +246,37 @@
 	return 0;
 }
 
+/* Bytes of all large responses that are being received. */
+static size_t large_bytes(const bct_gate_t *g)
+{
+	size_t sum = 0;
+	bct_list_t *el;
+
+	bct_list_for_each(el, &g->clients) {
+		const bct_client_t *c = bct_container_of(el, bct_client_t, link);
+		size_t len = c->x ? evbuffer_get_length(c->x->answer) : 0;
+
+		if (len > LARGE_BYTES)
+			sum += len;
+	}
+	return sum;
+}
+
+/* A response is kept until it is complete. If several grow without end, the node must not run out
+ * of memory: large ones are ended, small ones are never affected. */
+static bool is_too_large(const bct_exchange_t *x, size_t len_bytes)
+{
+	size_t len = evbuffer_get_length(x->answer) + len_bytes;
+
+	return len > LARGE_BYTES && large_bytes(x->gate) + len_bytes > RESPONSE_MAX_BYTES;
+}
+
 int bct_exchange_body(bct_exchange_t *x, const char *data, size_t len_bytes)
 {
 	note_progress(x);
 	if (x->streaming)
 		return forward_events(x, data, len_bytes);
-	if (evbuffer_get_length(x->answer) + len_bytes > RESPONSE_MAX_BYTES)
+	if (is_too_large(x, len_bytes))
 		return -BCT_ETOO_LARGE;
 	return evbuffer_add(x->answer, data, len_bytes) ? -BCT_ENOMEM : 0;
 }
--- a/tests/test_gate_unframed.c
+++ b/tests/test_gate_unframed.c
@@ -6,8 +6,13 @@
 #include "tests/util_gate.h"
 
 #include <criterion/criterion.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
+
+#define CALLS 12
+#define MACHINE_KB (88 * 1024) /* memory of the smallest machine */
 
 static test_gate_t t;
 
@@ -109,3 +114,34 @@
 
 	check(e, sizeof(e) / sizeof(e[0]));
 }
+
+static void *call_endless(void *arg)
+{
+	char id[32];
+	bct_buf_t out;
+
+	snprintf(id, sizeof(id), "big-%u", *(uint32_t *)arg);
+	test_gate_call(&t, "POST", "/unsafe/a", id, "endlessbody", &out);
+	bct_buf_free(&out);
+	return NULL;
+}
+
+/* Twelve answers without end at once must not take more memory than the smallest machine has. */
+Test(gate_unframed, answers_without_end_fit_into_memory)
+{
+	pthread_t threads[CALLS];
+	uint32_t numbers[CALLS];
+	struct rusage before, after;
+
+	test_gate_start(&t);
+	getrusage(RUSAGE_SELF, &before);
+	for (uint32_t i = 0; i < CALLS; i++) {
+		numbers[i] = i;
+		cr_assert_eq(pthread_create(&threads[i], NULL, call_endless, &numbers[i]), 0);
+	}
+	for (uint32_t i = 0; i < CALLS; i++)
+		pthread_join(threads[i], NULL);
+	getrusage(RUSAGE_SELF, &after);
+	cr_assert_lt(after.ru_maxrss - before.ru_maxrss, MACHINE_KB);
+	test_gate_stop(&t);
+}
