--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -114,11 +114,28 @@
 	bct_buf_puts(out, " It did not run.");
 }
 
+/* Events print numbers in hexadecimal as text. */
+static bool is_zero(const char *hex)
+{
+	return hex[strspn(hex, "0")] == '\0';
+}
+
 static void poison(const json_t *l, bct_buf_t *out)
 {
-	(void)l;
-	bct_buf_puts(out, "Three upstreams failed while running the same request (event 414), so "
-			  "it is refused for five minutes. This time it did not run.");
+	const char *part = explain_text(l, "refused_part");
+
+	if (is_zero(part))
+		bct_buf_printf(out,
+			       "Three upstreams failed while running the same request (events 414 "
+			       "and 415 with digest %s), so it is refused for five minutes.",
+			       explain_text(l, "digest"));
+	else
+		bct_buf_printf(out,
+			       "Upstreams crashed under requests with the part %s of their prompt "
+			       "(events 418 and 419), so requests with it are refused for five "
+			       "minutes, or until one that is let through does no harm (420).",
+			       part);
+	bct_buf_puts(out, " This time it did not run.");
 }
 
 static void not_run(const json_t *l, bct_buf_t *out)
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -219,7 +219,8 @@
 	bool no_silence_retry;	   /* silence of the current attempt causes no retry */
 	int status;
 	bct_attempt_fault_t last_fault;
-	uint64_t digest; /* see bct_crash_digest(3); 0: not computed yet */
+	uint64_t digest;       /* see bct_crash_digest(3); 0: not computed yet */
+	uint64_t refused_part; /* of its prompt, for which it was refused; 0: none */
 };
 
 /* bct_exchange_start(3): process a complete request; the exchange takes ownership of body. */
--- a/gate/part.c
+++ b/gate/part.c
@@ -43,7 +43,7 @@
 	bct_share_add_part_crash(g->share, c);
 }
 
-/* Whether the part is refused by this node; the verdict, if there is one. */
+/* Whether requests with the part are refused now. */
 static bool is_refused(const bct_gate_t *g, uint64_t part)
 {
 	return bct_gate_part_judge_remaining_ms(&g->part_judge, bct_clock_now(), part) > 0;
@@ -90,7 +90,7 @@
 	}
 }
 
-uint32_t bct_part_remaining_ms(const bct_exchange_t *x)
+uint32_t bct_part_remaining_ms(bct_exchange_t *x)
 {
 	const bct_gate_part_judge_t *j = &x->gate->part_judge;
 	bct_gate_parts_t parts;
@@ -102,8 +102,10 @@
 	for (uint32_t i = 0; i < parts.n; i++) {
 		uint32_t ms = bct_gate_part_judge_remaining_ms(j, bct_clock_now(), parts.ids[i]);
 
-		if (ms > longest)
-			longest = ms;
+		if (ms <= longest)
+			continue;
+		longest = ms;
+		x->refused_part = parts.ids[i];
 	}
 	return longest;
 }
--- a/gate/part.h
+++ b/gate/part.h
@@ -24,10 +24,11 @@
 void bct_part_decide(bct_gate_t *g);
 
 /*
- * bct_part_remaining_ms(3): returns how much longer to refuse x for a part of its prompt, in ms;
- * 0: it may run. bct_part_take_trial(3): whether x may run all the same, to find out.
+ * bct_part_remaining_ms(3): returns how much longer to refuse x for a part of its prompt, in ms,
+ * and notes that part in x; 0: it may run. bct_part_take_trial(3): whether x may run all the same,
+ * to find out.
  */
-uint32_t bct_part_remaining_ms(const bct_exchange_t *x);
+uint32_t bct_part_remaining_ms(bct_exchange_t *x);
 bool bct_part_take_trial(const bct_exchange_t *x);
 
 /* Reports of other nodes. bct_part_peer_crash(3), bct_part_peer_survivor(3): return whether they
