Test, red: chuted does not count crashes after it gave up, either

An attempt that was cancelled (the caller left) or timed out, whose upstream then restarts, is on no record. Both cases fail: the request is not run alone afterwards.

--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -159,6 +159,55 @@
 	stop();
 }
 
+static void report(uint64_t upstream_key, uint64_t boot_id, uint64_t seq, bct_time_t now)
+{
+	bct_report_t r = { .upstream_key = upstream_key, .boot_id = boot_id, .seq = seq };
+
+	bct_sched_report(s, now, &r);
+}
+
+/* The caller leaves, or the node gives up waiting, just before the upstream ends: the connection is
+ * closed by then, so that no break is seen; the upstream's next report is of another boot. */
+static void assert_end_counts(bct_outcome_t outcome)
+{
+	bct_req_desc_t d = test_req(9, 0, TEST_CLASS(1), 2000);
+	bct_action_t a;
+
+	start(2);
+	report(TEST_ENGINE(0), 1, 1, 0);
+	report(TEST_ENGINE(1), 1, 1, 0);
+	a = submit_and_dispatch(1, TEST_CLASS(1), 10);
+	d.digest = test_req(1, 0, TEST_CLASS(1), 10).digest;
+	bct_sched_sent(s, 10, a.attempt_id);
+	if (outcome == BCT_OUTCOME_CANCELLED) {
+		bct_sched_cancel(s, 40, 1);
+		test_expect(s, 40, BCT_ACTION_CANCEL);
+	}
+	test_end(s, 41, a.attempt_id, outcome, 0, true);
+	if (outcome != BCT_OUTCOME_CANCELLED) {
+		a = test_expect(s, 41, BCT_ACTION_DISPATCH);
+		bct_sched_sent(s, 41, a.attempt_id);
+		bct_sched_cancel(s, 42, 1);
+		test_expect(s, 42, BCT_ACTION_CANCEL);
+		test_end(s, 43, a.attempt_id, BCT_OUTCOME_CANCELLED, 0, true);
+	}
+	report(TEST_ENGINE(0), 2, 1, 1500);
+	report(TEST_ENGINE(1), 2, 1, 1500);
+	cr_assert_eq(bct_sched_submit(s, 2000, &d), 0);
+	cr_assert(test_expect(s, 2000, BCT_ACTION_DISPATCH).alone, "no crash on record");
+	stop();
+}
+
+Test(suspect, an_end_after_the_caller_left_counts)
+{
+	assert_end_counts(BCT_OUTCOME_CANCELLED);
+}
+
+Test(suspect, an_end_after_a_timeout_counts)
+{
+	assert_end_counts(BCT_OUTCOME_TIMEOUT);
+}
+
 #define DIGEST_X 5
 #define DIGEST_Y 6
 
