Crashes: chuted counts upstreams that restart after it gave up, too

After a caller that left, a timeout or a stall the connection is closed, and the upstream's restart was on no record. Change: the list of abandoned attempts is policy/abandoned, one module for both daemons; each tells it what it knows of an upstream's run (chutegate: registry, refused connections, bytes; chuted: the boot in an engine's reports). What a prompt shares is policy/parts.h.

--- a/gate/crash.c
+++ b/gate/crash.c
@@ -62,9 +62,9 @@
 }
 
 /* The parts of the prompt that may be the cause if the upstream crashes now. */
-static bct_gate_parts_t suspect_parts(const bct_exchange_t *x)
+static bct_parts_t suspect_parts(const bct_exchange_t *x)
 {
-	bct_gate_parts_t none = { 0 };
+	bct_parts_t none = { 0 };
 
 	return x->harmless ? none : bct_part_of(x);
 }
@@ -82,18 +82,27 @@
 
 void bct_crash_given_up(bct_exchange_t *x)
 {
-	bct_gate_parts_t parts = suspect_parts(x);
+	bct_abandoned_t a = { .at = bct_clock_now(), .parts = suspect_parts(x) };
 
-	if (x->conn && x->conn->connected)
-		bct_gate_abandoned_add(&x->gate->abandoned, bct_clock_now(), bct_crash_digest(x),
-				       &parts, x->conn->upstream);
+	/* One that is no longer listed may go on serving for a while, and then ends as planned. */
+	if (!x->conn || !x->conn->connected || x->conn->upstream->presence != BCT_GATE_READY)
+		return;
+	a.digest = bct_crash_digest(x);
+	a.upstream_key = x->conn->upstream->key;
+	a.heard_at = x->conn->upstream->heard_at;
+	bct_abandoned_add(&x->gate->abandoned, &a);
+}
+
+static bct_upstream_sight_t look(const void *ctx, uint64_t upstream_key, bct_time_t at)
+{
+	return bct_gate_upstreams_sight(ctx, upstream_key, at);
 }
 
 void bct_crash_check_abandoned(bct_gate_t *g)
 {
-	bct_gate_abandoned_t a;
+	bct_abandoned_t a;
 
-	while (bct_gate_abandoned_next_crash(&g->abandoned, bct_clock_now(), &g->upstreams, &a)) {
+	while (bct_abandoned_next_crash(&g->abandoned, bct_clock_now(), look, &g->upstreams, &a)) {
 		bct_gate_part_crash_t c = { .upstream = (uint32_t)a.upstream_key,
 					    .at = a.at,
 					    .parts = a.parts };
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -11,7 +11,7 @@
 #include "gate/counters.h"
 #include "gate/sse.h"
 #include "gate/gate.h"
-#include "policy/gate_abandoned.h"
+#include "policy/abandoned.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
 #include "policy/gate_pace.h"
@@ -76,8 +76,8 @@
 	bct_gate_pace_t pace;
 	bct_gate_crashes_t crashes;
 	bct_gate_part_judge_t part_judge;
-	bct_gate_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
-	bct_map_t budgets;		     /* service key -> bct_gate_budget_t */
+	bct_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
+	bct_map_t budgets;		/* service key -> bct_gate_budget_t */
 	bct_list_t clients;
 	uint32_t n_clients;
 	uint32_t n_exchanges;
--- a/gate/part.c
+++ b/gate/part.c
@@ -5,11 +5,11 @@
 #include "gate/part.h"
 #include "gate/share.h"
 
-bct_gate_parts_t bct_part_of(const bct_exchange_t *x)
+bct_parts_t bct_part_of(const bct_exchange_t *x)
 {
-	bct_gate_parts_t out = { 0 };
+	bct_parts_t out = { 0 };
 
-	while (out.n + 1 < x->call.n_segments) {
+	while (out.n + 1 < x->call.n_segments && out.n < BCT_PARTS_MAX) {
 		out.ids[out.n] = x->call.segments[out.n].id;
 		out.n++;
 	}
@@ -66,7 +66,7 @@
 void bct_part_output(bct_exchange_t *x, bool complete)
 {
 	bct_time_t now = bct_clock_now();
-	bct_gate_parts_t parts;
+	bct_parts_t parts;
 
 	if (x->harmless || !x->output_started ||
 	    (!complete && now - x->output_at < BCT_GATE_PART_SURVIVED_MS))
@@ -93,7 +93,7 @@
 uint32_t bct_part_remaining_ms(bct_exchange_t *x)
 {
 	const bct_gate_part_judge_t *j = &x->gate->part_judge;
-	bct_gate_parts_t parts;
+	bct_parts_t parts;
 	uint32_t longest = 0;
 
 	if (!j->n_verdicts)
@@ -129,7 +129,7 @@
 bool bct_part_take_trial(const bct_exchange_t *x)
 {
 	bct_gate_t *g = x->gate;
-	bct_gate_parts_t parts = bct_part_of(x);
+	bct_parts_t parts = bct_part_of(x);
 	bct_time_t now = bct_clock_now();
 
 	for (uint32_t i = 0; i < parts.n; i++) {
--- a/gate/part.h
+++ b/gate/part.h
@@ -8,7 +8,7 @@
 #include "gate/gate_int.h"
 
 /* bct_part_of(3): the parts of x's prompt that other requests may share: all but the last. */
-bct_gate_parts_t bct_part_of(const bct_exchange_t *x);
+bct_parts_t bct_part_of(const bct_exchange_t *x);
 
 /*
  * bct_part_crashed(3): record that an upstream crashed under a request with these parts.
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -244,6 +244,7 @@
 	attempt_detach(c, now, r);
 	if (end->may_have_run)
 		r->maybe_ran = true;
+	bct_retry_note_abandoned(c, now, r, u, end);
 	if (end->outcome == BCT_OUTCOME_OK || end->outcome == BCT_OUTCOME_NOT_SENT) {
 		bct_up_answered(c, now, u);
 		attempt_finish(c, now, r, end->outcome);
--- a/policy/gate_part_judge.c
+++ b/policy/gate_part_judge.c
@@ -43,12 +43,12 @@
 	return v->since && now - v->since < BCT_GATE_PART_KEEP_MS;
 }
 
-static bool same_parts(const bct_gate_parts_t *a, const bct_gate_parts_t *b)
+static bool same_parts(const bct_parts_t *a, const bct_parts_t *b)
 {
 	return a->n == b->n && !memcmp(a->ids, b->ids, a->n * sizeof(a->ids[0]));
 }
 
-static bool has_part(const bct_gate_parts_t *p, uint64_t part)
+static bool has_part(const bct_parts_t *p, uint64_t part)
 {
 	for (uint32_t i = 0; i < p->n; i++) {
 		if (p->ids[i] == part)
@@ -58,7 +58,7 @@
 }
 
 /* Whether a part of these is refused by evidence up to about that time. */
-static bool has_refused(const bct_gate_part_judge_t *j, const bct_gate_parts_t *p, bct_time_t at)
+static bool has_refused(const bct_gate_part_judge_t *j, const bct_parts_t *p, bct_time_t at)
 {
 	for (uint32_t i = 0; i < p->n; i++) {
 		const bct_gate_part_verdict_t *v = find_verdict(j, p->ids[i]);
--- a/policy/gate_part_judge.h
+++ b/policy/gate_part_judge.h
@@ -18,10 +18,9 @@
 #ifndef BCT_POLICY_GATE_PART_JUDGE_H
 #define BCT_POLICY_GATE_PART_JUDGE_H
 
-#include "policy/gate_prefix.h"
 #include "policy/gate_upstreams.h"
+#include "policy/parts.h"
 
-#define BCT_GATE_PARTS_MAX (BCT_GATE_SEGMENTS_MAX - 1)
 #define BCT_GATE_PART_CRASHES 4	      /* before a part is refused */
 #define BCT_GATE_PART_SPACING_MS 100  /* crashes closer than this have one cause: count once */
 #define BCT_GATE_PART_SETTLE_MS 250   /* after a crash, until reports of all nodes are there */
@@ -34,17 +33,11 @@
 #define BCT_GATE_PART_EVENTS_MAX 256  /* further ones replace the oldest */
 #define BCT_GATE_PART_VERDICTS_MAX 64 /* further ones replace the oldest */
 
-/* The parts of a prompt that other requests may share, in order. */
-typedef struct bct_gate_parts {
-	uint32_t n;
-	uint64_t ids[BCT_GATE_PARTS_MAX];
-} bct_gate_parts_t;
-
 /* A request that was in flight when an upstream crashed. */
 typedef struct bct_gate_part_crash {
 	uint32_t upstream; /* lower half of its key */
 	bct_time_t at;
-	bct_gate_parts_t parts;
+	bct_parts_t parts;
 } bct_gate_part_crash_t;
 
 typedef struct bct_gate_part_event {
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -333,6 +333,20 @@
 	}
 }
 
+bct_upstream_sight_t bct_gate_upstreams_sight(const bct_gate_upstreams_t *t, uint64_t key,
+					      bct_time_t at)
+{
+	const bct_gate_upstream_t *u = bct_map_get(&t->by_id, key);
+
+	if (!u || u->run_since > at)
+		return (bct_upstream_sight_t){ .ended = true };
+	return (bct_upstream_sight_t){
+		.ended = u->presence == BCT_GATE_GONE || u->identity_mismatch || u->refused_at > at,
+		.planned = u->presence == BCT_GATE_DRAINING || u->leaving,
+		.heard_at = u->heard_at,
+	};
+}
+
 bool bct_gate_upstream_accepts(const bct_gate_upstream_t *u, uint64_t service_key)
 {
 	return u->service_key == service_key && !u->identity_mismatch && !u->leaving &&
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/list.h"
 #include "base/map.h"
+#include "policy/abandoned.h"
 #include "policy/gate_limit.h"
 #include "policy/gate_position.h"
 
@@ -191,6 +192,13 @@
 /* bct_gate_upstreams_find_short(3): finds an upstream by the lower half of its key, or NULL. */
 bct_gate_upstream_t *bct_gate_upstreams_find_short(const bct_gate_upstreams_t *t, uint32_t half);
 
+/*
+ * bct_gate_upstreams_sight(3): what is known of the run of an upstream that an attempt was sent to
+ * which was given up at a time. An upstream that is not known any more has ended.
+ */
+bct_upstream_sight_t bct_gate_upstreams_sight(const bct_gate_upstreams_t *t, uint64_t key,
+					      bct_time_t at);
+
 /* bct_gate_upstream_accepts(3): returns whether new requests of the service may be sent there. */
 bool bct_gate_upstream_accepts(const bct_gate_upstream_t *u, uint64_t service_key);
 
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -109,6 +109,47 @@
 	return bct_suspect_crash(&c->suspects, now, r->desc.digest, u->key, r->alone);
 }
 
+/* This node ended the attempt, which may still run at u. */
+void bct_retry_note_abandoned(bct_core_t *c, bct_time_t now, const bct_sreq_t *r, const bct_up_t *u,
+			      const bct_attempt_end_t *end)
+{
+	bct_abandoned_t a = {
+		.digest = r->desc.digest,
+		.alone = r->alone,
+		.upstream_key = u->key,
+		.at = now,
+		.heard_at = u->report_at,
+	};
+	bool own = end->outcome == BCT_OUTCOME_CANCELLED || end->outcome == BCT_OUTCOME_TIMEOUT ||
+		   end->outcome == BCT_OUTCOME_STALLED;
+
+	if (own && end->may_have_run)
+		bct_abandoned_add(&c->abandoned, &a);
+}
+
+/* An upstream that the configuration dropped has left as planned. */
+static bct_upstream_sight_t look(const void *ctx, uint64_t upstream_key, bct_time_t at)
+{
+	const bct_core_t *c = ctx;
+	const bct_up_t *u = bct_map_get(&c->ups, upstream_key);
+
+	if (!u)
+		return (bct_upstream_sight_t){ .planned = true };
+	return (bct_upstream_sight_t){
+		.ended = u->boot_at > at,
+		.planned = u->configured_leaving || u->notified_leaving || u->reported_leaving,
+		.heard_at = u->boot_at > at ? 0 : u->report_at,
+	};
+}
+
+void bct_retry_check_abandoned(bct_core_t *c, bct_time_t now)
+{
+	bct_abandoned_t a;
+
+	while (bct_abandoned_next_crash(&c->abandoned, now, look, c, &a))
+		bct_suspect_crash(&c->suspects, now, a.digest, a.upstream_key, a.alone);
+}
+
 /* Requeues or refuses r after a failed attempt at u. r must not be in any list. */
 void bct_retry_decide(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_up_t *u,
 		      const bct_attempt_end_t *end)
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -15,6 +15,7 @@
 #include "base/list.h"
 #include "base/map.h"
 #include "base/rng.h"
+#include "policy/abandoned.h"
 #include "policy/budget.h"
 #include "policy/length.h"
 #include "policy/limit.h"
@@ -210,6 +211,7 @@
 	bool reported_leaving;	 /* set by its own report */
 	bct_load_t load;
 	uint64_t boot_id;
+	bct_time_t boot_at; /* when a boot after the first one became known; 0: never */
 	uint64_t report_seq;
 	bct_time_t report_at;		     /* time that the latest report describes */
 	uint32_t running_by_tier[BCT_TIERS]; /* as last reported */
@@ -252,6 +254,7 @@
 	uint32_t cap_index;
 	bct_prefix_t prefix;
 	bct_suspects_t suspects;
+	bct_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
 	bct_budget_t budget;
 	bct_heap_t timers;	 /* deadlines and hold times of requests */
 	bct_heap_t up_wakes;	 /* ends of upstreams' back-offs */
@@ -342,6 +345,10 @@
 /* retry.c: what follows a failed attempt. */
 bct_suspect_state_t bct_retry_note_crash(bct_core_t *c, bct_time_t now, const bct_sreq_t *r,
 					 const bct_up_t *u, const bct_attempt_end_t *end);
+void bct_retry_note_abandoned(bct_core_t *c, bct_time_t now, const bct_sreq_t *r, const bct_up_t *u,
+			      const bct_attempt_end_t *end);
+/* A new boot of an upstream became known: attempts given up before may have crashed it. */
+void bct_retry_check_abandoned(bct_core_t *c, bct_time_t now);
 void bct_retry_decide(bct_core_t *c, bct_time_t now, bct_sreq_t *r, bct_up_t *u,
 		      const bct_attempt_end_t *end);
 
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -257,7 +257,9 @@
 	u->feed.seq = 0;
 	u->speed = 1;
 	u->down_until = now;
+	u->boot_at = now;
 	bct_up_answered(c, now, u);
+	bct_retry_check_abandoned(c, now);
 }
 
 void bct_up_report(bct_core_t *c, bct_time_t now, const bct_report_t *r)
--- a/tests/test_gate_part_fleet.c
+++ b/tests/test_gate_part_fleet.c
@@ -51,7 +51,7 @@
 typedef struct request {
 	bool used, bad, proved;
 	uint32_t node, engine;
-	bct_gate_parts_t parts;
+	bct_parts_t parts;
 	bct_time_t begins, ends; /* its answer */
 } request_t;
 
@@ -174,7 +174,7 @@
 	}
 }
 
-static bool is_refused(uint32_t node, const bct_gate_parts_t *parts)
+static bool is_refused(uint32_t node, const bct_parts_t *parts)
 {
 	for (uint32_t i = 0; i < parts->n; i++) {
 		if (bct_gate_part_judge_remaining_ms(&judges[node], now, parts->ids[i]) &&
@@ -226,7 +226,7 @@
 	request_t q = { .used = true, .bad = bad, .node = node };
 	int e = pick_engine();
 
-	q.parts = (bct_gate_parts_t){ .n = 2, .ids = { first, second } };
+	q.parts = (bct_parts_t){ .n = 2, .ids = { first, second } };
 	r.sound += !bad;
 	if (is_refused(node, &q.parts)) {
 		r.sound_refused += !bad;
