Crashes: a request that is refused by mistake is let through after 10 s

Requests that are alike and sound (a GET without a body of one account) were broken off by three upstreams that failed, none answered in between, and were refused for five minutes: since "what is refused is announced" an answer did not release any more. Cause: a refusal without a way back. Class: a belief that prevents the observation that would refute it. Change: an answer releases again, for good: who cleared a request later than it was refused answers an announcement with that. After 10 s one node of the fleet lets one such request through, again each 10 s until one crashes an upstream; all nodes take that from the report of the crash. The same rule ends the trials of parts now.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -59,6 +59,8 @@
 	    "requests with a part of prompts that crashes upstreams are refused")                  \
 	DEF(GATE_PART_RELEASED, 420, INFO,                                                         \
 	    "a part of prompts did no harm and is not refused any more")                           \
+	DEF(GATE_CRASH_TRIAL, 422, INFO,                                                           \
+	    "a refused request is let through to find out whether it does harm")                   \
 	DEF(GATE_PART_TRIAL, 421, INFO,                                                            \
 	    "a request with a refused part is let through to find out whether it does harm")       \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
--- a/gate/crash.c
+++ b/gate/crash.c
@@ -117,7 +117,7 @@
 	uint32_t n;
 
 	if (upstream == BCT_CRASH_ANSWERED) {
-		if (bct_gate_crash_clear(&g->crashes, digest))
+		if (bct_gate_crash_clear(&g->crashes, bct_clock_now(), digest))
 			log_cleared(g, "", digest);
 		return;
 	}
@@ -134,8 +134,16 @@
 {
 	bct_gate_crash_block_t b = { .digest = digest, .remaining_ms = remaining_ms };
 
-	if (bct_gate_crash_block(&g->crashes, bct_clock_now(), &b))
+	switch (bct_gate_crash_block(&g->crashes, bct_clock_now(), &b)) {
+	case BCT_GATE_CRASH_KNOWN:
+		break;
+	case BCT_GATE_CRASH_NEWS:
 		log_poison(g, "", digest, "announced", remaining_ms);
+		break;
+	case BCT_GATE_CRASH_CLEARED:
+		bct_share_add_crash(g->share, digest, BCT_CRASH_ANSWERED);
+		break;
+	}
 }
 
 void bct_crash_answered(bct_exchange_t *x)
@@ -146,7 +154,7 @@
 	if (!g->crashes.map.n)
 		return;
 	digest = bct_crash_digest(x);
-	if (!bct_gate_crash_clear(&g->crashes, digest))
+	if (!bct_gate_crash_clear(&g->crashes, bct_clock_now(), digest))
 		return;
 	log_cleared(g, x->call.id, digest);
 	bct_share_add_crash(g->share, digest, BCT_CRASH_ANSWERED);
@@ -160,3 +168,16 @@
 		return 0;
 	return bct_gate_crash_remaining_ms(t, bct_clock_now(), bct_crash_digest(x));
 }
+
+bool bct_crash_take_trial(bct_exchange_t *x)
+{
+	bct_gate_t *g = x->gate;
+	uint64_t digest = bct_crash_digest(x);
+
+	if (!bct_share_is_responsible(g->share, digest) ||
+	    !bct_gate_crash_take_trial(&g->crashes, bct_clock_now(), digest))
+		return false;
+	BCT_LOG(g->log, BCT_EV_GATE_CRASH_TRIAL, BCT_STR("request", x->call.id),
+		BCT_HEX("digest", digest));
+	return true;
+}
--- a/gate/crash.h
+++ b/gate/crash.h
@@ -42,7 +42,11 @@
 /* bct_crash_peer_block(3): another node refuses the request for remaining_ms from now on. */
 void bct_crash_peer_block(bct_gate_t *g, uint64_t digest, uint32_t remaining_ms);
 
-/* bct_crash_remaining_ms(3): returns how much longer to refuse x, in ms; 0: it may run. */
+/*
+ * bct_crash_remaining_ms(3): returns how much longer to refuse x, in ms; 0: it may run.
+ * bct_crash_take_trial(3): whether x may run all the same, to find out whether it still does harm.
+ */
 uint32_t bct_crash_remaining_ms(bct_exchange_t *x);
+bool bct_crash_take_trial(bct_exchange_t *x);
 
 #endif
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -209,7 +209,7 @@
 {
 	uint32_t ms = bct_crash_remaining_ms(x);
 
-	if (ms)
+	if (ms && !bct_crash_take_trial(x))
 		return ms;
 	ms = bct_part_remaining_ms(x);
 	return ms && bct_part_take_trial(x) ? 0 : ms;
--- a/gate/part.c
+++ b/gate/part.c
@@ -1,7 +1,6 @@
 /*
  * part.c - parts of prompts that crash upstreams, as judged by this node and others.
  */
-#include "base/hash.h"
 #include "gate/part.h"
 #include "gate/share.h"
 
@@ -110,22 +109,6 @@
 	return longest;
 }
 
-/* Whether this node is the one of the live nodes that lets requests with the part through. */
-static bool is_tester(const bct_gate_t *g, uint64_t part)
-{
-	uint64_t live[BCT_SHARE_NODES_MAX], own, best = 0;
-	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(g->share, live);
-
-	own = bct_hash_mix(part, nodes.self);
-	for (uint32_t i = 0; i < nodes.n; i++) {
-		uint64_t h = bct_hash_mix(part, live[i]);
-
-		if (h > best)
-			best = h;
-	}
-	return own == best;
-}
-
 bool bct_part_take_trial(const bct_exchange_t *x)
 {
 	bct_gate_t *g = x->gate;
@@ -135,7 +118,7 @@
 	for (uint32_t i = 0; i < parts.n; i++) {
 		if (!is_refused(g, parts.ids[i]))
 			continue;
-		if (!is_tester(g, parts.ids[i]) ||
+		if (!bct_share_is_responsible(g->share, parts.ids[i]) ||
 		    !bct_gate_part_judge_take_trial(&g->part_judge, now, parts.ids[i]))
 			return false;
 		BCT_LOG(g->log, BCT_EV_GATE_PART_TRIAL, BCT_STR("request", x->call.id),
--- a/gate/share.h
+++ b/gate/share.h
@@ -56,6 +56,12 @@
  */
 bct_gate_limit_nodes_t bct_share_live_nodes(const bct_share_t *s, uint64_t *live);
 
+/*
+ * bct_share_is_responsible(3): whether this node is the one of the live nodes that acts on a key.
+ * All nodes that see the same members agree on it. s may be NULL.
+ */
+bool bct_share_is_responsible(const bct_share_t *s, uint64_t key);
+
 /* bct_share_interval_ms(3): time between two rounds; s may be NULL. */
 uint32_t bct_share_interval_ms(const bct_share_t *s);
 /*
--- a/gate/share_hubs.c
+++ b/gate/share_hubs.c
@@ -2,6 +2,7 @@
  * share_hubs.c - hubs in the share protocol: their choice from the live nodes, and the watch for
  * those that fall silent.
  */
+#include "base/hash.h"
 #include "gate/share_int.h"
 
 /* Upper limit of a hub: 8 Mbit/s, to stay below the 10 Mbit/s of the slowest links. */
@@ -38,6 +39,20 @@
 	return out;
 }
 
+bool bct_share_is_responsible(const bct_share_t *s, uint64_t key)
+{
+	uint64_t live[BCT_SHARE_NODES_MAX], best = 0;
+	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(s, live);
+
+	for (uint32_t i = 0; i < nodes.n; i++) {
+		uint64_t h = bct_hash_mix(key, live[i]);
+
+		if (h > best)
+			best = h;
+	}
+	return bct_hash_mix(key, nodes.self) == best;
+}
+
 /* A node that is leaving is no hub, so that its nodes change to another one before it ends. */
 void bct_share_choose_hubs(bct_share_t *s)
 {
--- a/policy/gate_crash.c
+++ b/policy/gate_crash.c
@@ -12,8 +12,22 @@
 	uint64_t upstreams[BCT_GATE_CRASH_UPSTREAMS];
 	uint32_t n; /* upstreams on record */
 	bct_time_t expires_at;
+	bct_time_t cleared_at; /* by an answer; 0: never */
+	bct_time_t tried_at;   /* when this node last let a request through; 0: never */
+	bool trial_failed;     /* a request that was let through crashed its upstream */
 } suspect_t;
 
+static bool is_refused(const suspect_t *c, bct_time_t now)
+{
+	return c->n == BCT_GATE_CRASH_UPSTREAMS && c->expires_at > now;
+}
+
+/* When the last crash on record of a refused request was. */
+static bct_time_t refused_since(const suspect_t *c)
+{
+	return c->expires_at - BCT_GATE_CRASH_KEEP_MS;
+}
+
 void bct_gate_crashes_free(bct_gate_crashes_t *t)
 {
 	uint32_t pos = 0;
@@ -78,6 +92,23 @@
 	return false;
 }
 
+/* A crash so late is not one of those for which the request was refused. */
+static uint32_t note_further(suspect_t *c, bct_time_t now)
+{
+	if (c->trial_failed || now - refused_since(c) < BCT_GATE_CRASH_TRIAL_MS)
+		return 0;
+	c->trial_failed = true;
+	return BCT_GATE_CRASH_FURTHER;
+}
+
+/* Forgets crashes, after an answer or when they have expired. */
+static void forget_crashes(suspect_t *c)
+{
+	c->n = 0;
+	c->tried_at = 0;
+	c->trial_failed = false;
+}
+
 uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest,
 			       uint64_t upstream_key)
 {
@@ -86,22 +117,44 @@
 	if (!c)
 		return 0;
 	if (c->expires_at <= now)
-		c->n = 0;
-	if (c->n == BCT_GATE_CRASH_UPSTREAMS || has_upstream(c, upstream_key))
+		forget_crashes(c);
+	if (has_upstream(c, upstream_key))
 		return 0;
+	if (c->n == BCT_GATE_CRASH_UPSTREAMS)
+		return note_further(c, now);
 	c->upstreams[c->n++] = upstream_key;
 	c->expires_at = now + BCT_GATE_CRASH_KEEP_MS;
 	return c->n;
 }
 
-bool bct_gate_crash_clear(bct_gate_crashes_t *t, uint64_t digest)
+bool bct_gate_crash_clear(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest)
 {
 	suspect_t *c = bct_map_get(&t->map, digest);
 
-	if (!c || c->n == BCT_GATE_CRASH_UPSTREAMS)
+	if (!c || !c->n)
 		return false;
-	bct_map_del(&t->map, digest);
-	bct_free(c);
+	if (!is_refused(c, now)) {
+		bct_map_del(&t->map, digest);
+		bct_free(c);
+		return true;
+	}
+	/* It is kept, as nodes that have not heard of it yet announce that it is refused. */
+	forget_crashes(c);
+	c->cleared_at = now;
+	c->expires_at = now + BCT_GATE_CRASH_KEEP_MS;
+	return true;
+}
+
+bool bct_gate_crash_take_trial(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest)
+{
+	suspect_t *c = bct_map_get(&t->map, digest);
+
+	if (!c || !is_refused(c, now) || c->trial_failed ||
+	    now - refused_since(c) < BCT_GATE_CRASH_TRIAL_MS)
+		return false;
+	if (c->tried_at && now - c->tried_at < BCT_GATE_CRASH_TRIAL_MS)
+		return false;
+	c->tried_at = now;
 	return true;
 }
 
@@ -109,25 +162,29 @@
 {
 	const suspect_t *c = bct_map_get(&t->map, digest);
 
-	if (!c || c->n < BCT_GATE_CRASH_UPSTREAMS || c->expires_at <= now)
+	if (!c || !is_refused(c, now))
 		return 0;
 	return (uint32_t)(c->expires_at - now);
 }
 
-bool bct_gate_crash_block(bct_gate_crashes_t *t, bct_time_t now, const bct_gate_crash_block_t *b)
+bct_gate_crash_news_t bct_gate_crash_block(bct_gate_crashes_t *t, bct_time_t now,
+					   const bct_gate_crash_block_t *b)
 {
 	bct_time_t ms =
 		b->remaining_ms < BCT_GATE_CRASH_KEEP_MS ? b->remaining_ms : BCT_GATE_CRASH_KEEP_MS;
-	suspect_t *c;
+	suspect_t *c = bct_map_get(&t->map, b->digest);
 
-	if (!ms || bct_gate_crash_remaining_ms(t, now, b->digest))
-		return false;
+	if (!ms || (c && is_refused(c, now)))
+		return BCT_GATE_CRASH_KNOWN;
+	if (c && c->cleared_at && now + ms - BCT_GATE_CRASH_KEEP_MS <= c->cleared_at)
+		return BCT_GATE_CRASH_CLEARED;
 	c = find_or_add(t, b->digest);
 	if (!c)
-		return false;
+		return BCT_GATE_CRASH_KNOWN;
+	forget_crashes(c);
 	c->n = BCT_GATE_CRASH_UPSTREAMS;
 	c->expires_at = now + ms;
-	return true;
+	return BCT_GATE_CRASH_NEWS;
 }
 
 bool bct_gate_crash_next_block(const bct_gate_crashes_t *t, bct_time_t now, uint32_t *pos,
--- a/policy/gate_crash.h
+++ b/policy/gate_crash.h
@@ -6,10 +6,12 @@
  * would take down one engine after another. Each node records, by the request's digest, the
  * upstreams whose connection broke while they ran it, and merges the records of the other nodes. A
  * request with BCT_GATE_CRASH_UPSTREAMS different upstreams on record is refused until the record
- * expires. Until then one successful answer clears it: the request was merely in flight when an
- * upstream crashed. Counting different upstreams keeps requests that were in flight while many
- * upstreams crashed at once from being taken for the cause. Nodes announce to each other what they
- * refuse, as one that was not there has not got the reports.
+ * expires. One successful answer clears it: the request was merely in flight when an upstream
+ * crashed. Counting different upstreams keeps requests that were in flight while many upstreams
+ * crashed at once from being taken for the cause. Nodes announce to each other what they refuse, as
+ * one that was not there has not got the reports; a record that was cleared later is not refused
+ * again for that. After a while one node lets one request through, so that a request that was
+ * refused by mistake is answered, and cleared.
  */
 #ifndef BCT_POLICY_GATE_CRASH_H
 #define BCT_POLICY_GATE_CRASH_H
@@ -22,6 +24,9 @@
 
 #define BCT_GATE_CRASH_UPSTREAMS 3 /* different upstreams broken before a request is refused */
 #define BCT_GATE_CRASH_KEEP_MS (5 * 60 * BCT_MS_PER_S) /* from the last crash on record */
+#define BCT_GATE_CRASH_TRIAL_MS 10000 /* until one request is let through, see below */
+/* bct_gate_crash_record(3): a request that is refused already has crashed a further upstream. */
+#define BCT_GATE_CRASH_FURTHER (BCT_GATE_CRASH_UPSTREAMS + 1)
 
 typedef struct bct_gate_crashes {
 	bct_map_t map; /* request digest: suspect_t of gate_crash.c */
@@ -33,20 +38,27 @@
  * bct_gate_crash_record(3): records that an upstream's connection broke while it ran the request,
  * at this node or another one.
  *
- * returns  number of different upstreams on record for the request; 0 if this one was on record
- *          already, if the record is full, if the table is full of requests that are refused, or
- *          if memory is short
+ * returns  number of different upstreams on record for the request; BCT_GATE_CRASH_FURTHER if it
+ *          was refused already, and this is its first crash since one could have been let through;
+ *          0 if there is no news, if the table is full of requests that are refused, or if memory
+ * is short
  */
 uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest,
 			       uint64_t upstream_key);
 
 /*
- * bct_gate_crash_clear(3): drops the record of a request that was answered successfully, unless it
- * is refused already.
+ * bct_gate_crash_clear(3): a request was answered successfully; it is not refused any more.
  *
- * returns  whether a record was dropped
+ * returns  whether crashes were on record
  */
-bool bct_gate_crash_clear(bct_gate_crashes_t *t, uint64_t digest);
+bool bct_gate_crash_clear(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest);
+
+/*
+ * bct_gate_crash_take_trial(3): whether this node may now let a request that is refused through,
+ * BCT_GATE_CRASH_TRIAL_MS after the last crash or trial, until one crashes its upstream. It must be
+ * the only node of the fleet that asks.
+ */
+bool bct_gate_crash_take_trial(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest);
 
 /*
  * bct_gate_crash_remaining_ms(3): time for which the request is still to be refused.
@@ -61,12 +73,15 @@
 	uint32_t remaining_ms;
 } bct_gate_crash_block_t;
 
-/*
- * bct_gate_crash_block(3): another node refuses a request.
- *
- * returns  whether that is news
- */
-bool bct_gate_crash_block(bct_gate_crashes_t *t, bct_time_t now, const bct_gate_crash_block_t *b);
+typedef enum bct_gate_crash_news {
+	BCT_GATE_CRASH_KNOWN = 0,
+	BCT_GATE_CRASH_NEWS,	/* it is refused here from now on */
+	BCT_GATE_CRASH_CLEARED, /* it was cleared later than it was refused there */
+} bct_gate_crash_news_t;
+
+/* bct_gate_crash_block(3): another node refuses a request. */
+bct_gate_crash_news_t bct_gate_crash_block(bct_gate_crashes_t *t, bct_time_t now,
+					   const bct_gate_crash_block_t *b);
 
 /*
  * bct_gate_crash_next_block(3): iterates over the requests that are refused.
