Crashes: runs of an upstream under one id are counted each by itself

An engine may start again under the id that it had; a service of two engines that do so never has three on record, and a request or a part of prompts crashes them for ever. Change: a crash is of a run of an upstream (its id and start time), which all nodes name alike; a connection keeps the run that it was opened to. Measured: runs_under_one_id_are_different_upstreams failed before (12 runs of one engine ended and no refusal), passes (3). test_gate 19, test_gate_crash 11, test_abandoned 10, test_gate_part_judge 15, test_gate_part_fleet 8, test_gate_blocked 3, test_gate_parts 2, fuzz replay, test_gate_fleet and test_gate_hubs pass.

--- a/gate/crash.c
+++ b/gate/crash.c
@@ -44,19 +44,18 @@
 }
 
 /* Records a crash that this node observed, and tells the other nodes. */
-static void record(bct_gate_t *g, const char *request, uint64_t digest, uint64_t upstream_key,
+static void record(bct_gate_t *g, const char *request, uint64_t digest, uint32_t run,
 		   bct_time_t since, const char *how)
 {
-	uint32_t upstream = (uint32_t)upstream_key;
 	bct_time_t now = bct_clock_now();
-	uint32_t n = bct_gate_crash_record(&g->crashes, now, digest, upstream);
+	uint32_t n = bct_gate_crash_record(&g->crashes, now, digest, run);
 
 	if (!n)
 		return;
 	BCT_LOG(g->log, BCT_EV_GATE_CRASH, BCT_STR("request", request), BCT_HEX("digest", digest),
-		BCT_HEX("upstream_key", upstream), BCT_STR("how", how), BCT_U64("upstreams", n),
+		BCT_HEX("run", run), BCT_STR("how", how), BCT_U64("upstreams", n),
 		BCT_I64("since_ms", now - since));
-	bct_share_add_crash(g->share, digest, upstream);
+	bct_share_add_crash(g->share, digest, run);
 	if (n == BCT_GATE_CRASH_UPSTREAMS)
 		log_poison(g, request, digest, how, BCT_GATE_CRASH_KEEP_MS);
 }
@@ -71,13 +70,12 @@
 
 void bct_crash_connection_broken(bct_exchange_t *x)
 {
-	bct_gate_part_crash_t c = { .upstream = (uint32_t)x->conn->upstream->key,
+	bct_gate_part_crash_t c = { .run = x->conn->run,
 				    .at = bct_clock_now(),
 				    .parts = suspect_parts(x) };
 
 	bct_part_crashed(x->gate, x->call.id, &c);
-	record(x->gate, x->call.id, bct_crash_digest(x), x->conn->upstream->key, x->conn->sent_at,
-	       "broken");
+	record(x->gate, x->call.id, bct_crash_digest(x), x->conn->run, x->conn->sent_at, "broken");
 }
 
 void bct_crash_given_up(bct_exchange_t *x)
@@ -89,6 +87,7 @@
 		return;
 	a.digest = bct_crash_digest(x);
 	a.upstream_key = x->conn->upstream->key;
+	a.run = x->conn->run;
 	a.heard_at = x->conn->upstream->heard_at;
 	bct_abandoned_add(&x->gate->abandoned, &a);
 }
@@ -103,29 +102,27 @@
 	bct_abandoned_t a;
 
 	while (bct_abandoned_next_crash(&g->abandoned, bct_clock_now(), look, &g->upstreams, &a)) {
-		bct_gate_part_crash_t c = { .upstream = (uint32_t)a.upstream_key,
-					    .at = a.at,
-					    .parts = a.parts };
+		bct_gate_part_crash_t c = { .run = a.run, .at = a.at, .parts = a.parts };
 
 		bct_part_crashed(g, "", &c);
-		record(g, "", a.digest, a.upstream_key, a.at, "ended_after_abandoned");
+		record(g, "", a.digest, a.run, a.at, "ended_after_abandoned");
 	}
 }
 
-void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t upstream)
+void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t run)
 {
 	uint32_t n;
 
-	if (upstream == BCT_CRASH_ANSWERED) {
+	if (run == BCT_CRASH_ANSWERED) {
 		if (bct_gate_crash_clear(&g->crashes, bct_clock_now(), digest))
 			log_cleared(g, "", digest);
 		return;
 	}
-	n = bct_gate_crash_record(&g->crashes, bct_clock_now(), digest, upstream);
+	n = bct_gate_crash_record(&g->crashes, bct_clock_now(), digest, run);
 	if (!n)
 		return;
-	BCT_LOG(g->log, BCT_EV_GATE_CRASH_REPORTED, BCT_HEX("digest", digest),
-		BCT_HEX("upstream_key", upstream), BCT_U64("upstreams", n));
+	BCT_LOG(g->log, BCT_EV_GATE_CRASH_REPORTED, BCT_HEX("digest", digest), BCT_HEX("run", run),
+		BCT_U64("upstreams", n));
 	if (n == BCT_GATE_CRASH_UPSTREAMS)
 		log_poison(g, "", digest, "reported", BCT_GATE_CRASH_KEEP_MS);
 }
--- a/gate/crash.h
+++ b/gate/crash.h
@@ -7,7 +7,7 @@
 
 #include "gate/gate_int.h"
 
-/* In a report, in place of an upstream: the request was answered successfully. */
+/* In a report, in place of the run of an upstream: the request was answered successfully. */
 #define BCT_CRASH_ANSWERED 0
 
 /*
@@ -34,10 +34,10 @@
 void bct_crash_answered(bct_exchange_t *x);
 
 /*
- * bct_crash_peer_report(3): process another node's report of a crash or, if upstream is
- * BCT_CRASH_ANSWERED, of a successful answer.
+ * bct_crash_peer_report(3): process another node's report of a crash of that run of an upstream
+ * or, if run is BCT_CRASH_ANSWERED, of a successful answer.
  */
-void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t upstream);
+void bct_crash_peer_report(bct_gate_t *g, uint64_t digest, uint32_t run);
 
 /* bct_crash_peer_block(3): another node refuses the request for remaining_ms from now on. */
 void bct_crash_peer_block(bct_gate_t *g, uint64_t digest, uint32_t remaining_ms);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -142,6 +142,7 @@
 	bct_gate_t *gate;
 	bct_list_t link; /* in the upstream's list of idle connections */
 	bct_gate_upstream_t *upstream;
+	uint32_t run; /* of the upstream when it was opened, see bct_gate_upstream_run(3) */
 	struct bufferevent *bev;
 	bct_http_msg_t msg;
 	bct_exchange_t *x; /* NULL: idle */
--- a/gate/part.c
+++ b/gate/part.c
@@ -38,7 +38,7 @@
 	BCT_LOG(g->log, BCT_EV_GATE_PART_SUSPECTED, BCT_STR("request", request),
 		BCT_HEX("first_part", c->parts.ids[0]),
 		BCT_HEX("last_part", c->parts.ids[c->parts.n - 1]), BCT_U64("parts", c->parts.n),
-		BCT_HEX("upstream_key", c->upstream), BCT_I64("age_ms", bct_clock_now() - c->at));
+		BCT_HEX("run", c->run), BCT_I64("age_ms", bct_clock_now() - c->at));
 	bct_share_add_part_crash(g->share, c);
 }
 
--- a/gate/share.h
+++ b/gate/share.h
@@ -27,11 +27,11 @@
 void bct_share_add_placement(bct_share_t *s, const bct_share_placement_t *p);
 
 /*
- * bct_share_add_crash(3): send to the other nodes, with the next rounds, that an upstream's
- * connection broke under the request with this digest or, if upstream is BCT_CRASH_ANSWERED, that
- * the request was answered successfully.
+ * bct_share_add_crash(3): send to the other nodes, with the next rounds, that this run of
+ * an upstream crashed under the request with this digest or, if run is BCT_CRASH_ANSWERED, that the
+ * request was answered successfully.
  */
-void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t upstream);
+void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t run);
 
 /*
  * bct_share_add_part_crash(3), bct_share_add_survivor(3): send evidence on parts of prompts to the
--- a/gate/share_crash.c
+++ b/gate/share_crash.c
@@ -10,7 +10,7 @@
 #define ANNOUNCE_MS 500	       /* between two draws whether this node announces */
 #define ANNOUNCERS_EXPECTED 2U /* nodes that announce in that time, on average */
 
-void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t upstream)
+void bct_share_add_crash(bct_share_t *s, uint64_t digest, uint32_t run)
 {
 	if (!s)
 		return;
@@ -18,7 +18,7 @@
 		BCT_GATE_COUNT(s->gate, SHARES_DROPPED);
 		return;
 	}
-	s->crashes[s->n_crashes++] = (share_crash){ .digest = digest, .upstream = upstream };
+	s->crashes[s->n_crashes++] = (share_crash){ .digest = digest, .run = run };
 	s->crash_rounds = 0;
 }
 
@@ -85,7 +85,7 @@
 	for (uint32_t i = 0; i < update->crashes.crashes_len; i++) {
 		const share_crash *c = &update->crashes.crashes_val[i];
 
-		bct_crash_peer_report(s->gate, c->digest, c->upstream);
+		bct_crash_peer_report(s->gate, c->digest, c->run);
 	}
 	for (uint32_t i = 0; i < update->blocks.blocks_len; i++) {
 		const share_block *b = &update->blocks.blocks_val[i];
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -227,6 +227,7 @@
 		return NULL;
 	c->gate = g;
 	c->upstream = u;
+	c->run = bct_gate_upstream_run(u);
 	bct_list_init(&c->link);
 	bct_http_msg_init(&c->msg, HTTP_RESPONSE);
 	c->msg.on_body = on_body;
--- a/gen/share.h
+++ b/gen/share.h
@@ -69,7 +69,7 @@
 
 struct share_crash {
 	u_quad_t digest;
-	u_int upstream;
+	u_int run;
 };
 typedef struct share_crash share_crash;
 
@@ -80,7 +80,7 @@
 typedef struct share_block share_block;
 
 struct share_part_crash {
-	u_int upstream;
+	u_int run;
 	u_int age_ms;
 	struct {
 		u_int parts_len;
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -217,7 +217,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->upstream))
+	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
 	return TRUE;
 }
@@ -239,7 +239,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_int (xdrs, &objp->upstream))
+	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
--- a/policy/gate_crash.c
+++ b/policy/gate_crash.c
@@ -9,8 +9,8 @@
 
 typedef struct suspect {
 	uint64_t digest;
-	uint64_t upstreams[BCT_GATE_CRASH_UPSTREAMS];
-	uint32_t n; /* upstreams on record */
+	uint32_t runs[BCT_GATE_CRASH_UPSTREAMS]; /* of upstreams */
+	uint32_t n;				 /* runs on record */
 	bct_time_t expires_at;
 	bct_time_t cleared_at; /* by an answer; 0: never */
 	bct_time_t tried_at;   /* when this node last let a request through; 0: never */
@@ -83,10 +83,10 @@
 	return NULL;
 }
 
-static bool has_upstream(const suspect_t *c, uint64_t upstream_key)
+static bool has_run(const suspect_t *c, uint32_t run)
 {
 	for (uint32_t i = 0; i < c->n; i++) {
-		if (c->upstreams[i] == upstream_key)
+		if (c->runs[i] == run)
 			return true;
 	}
 	return false;
@@ -109,8 +109,7 @@
 	c->trial_failed = false;
 }
 
-uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest,
-			       uint64_t upstream_key)
+uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest, uint32_t run)
 {
 	suspect_t *c = find_or_add(t, digest);
 
@@ -118,11 +117,11 @@
 		return 0;
 	if (c->expires_at <= now)
 		forget_crashes(c);
-	if (has_upstream(c, upstream_key))
+	if (has_run(c, run))
 		return 0;
 	if (c->n == BCT_GATE_CRASH_UPSTREAMS)
 		return note_further(c, now);
-	c->upstreams[c->n++] = upstream_key;
+	c->runs[c->n++] = run;
 	c->expires_at = now + BCT_GATE_CRASH_KEEP_MS;
 	return c->n;
 }
--- a/policy/gate_crash.h
+++ b/policy/gate_crash.h
@@ -38,13 +38,14 @@
  * bct_gate_crash_record(3): records that an upstream's connection broke while it ran the request,
  * at this node or another one.
  *
+ * run      of the upstream: one that starts again is another upstream
  * returns  number of different upstreams on record for the request; BCT_GATE_CRASH_FURTHER if it
  *          was refused already, and this is its first crash since one could have been let through;
  *          0 if there is no news, if the table is full of requests that are refused, or if memory
  * is short
  */
 uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest,
-			       uint64_t upstream_key);
+			       uint32_t run);
 
 /*
  * bct_gate_crash_clear(3): a request was answered successfully; it is not refused any more.
--- a/policy/gate_part_judge.c
+++ b/policy/gate_part_judge.c
@@ -70,21 +70,21 @@
 }
 
 /* The cause of this upstream's crash is known: it speaks against nothing else. */
-static void explain(bct_gate_part_judge_t *j, uint32_t upstream)
+static void explain(bct_gate_part_judge_t *j, uint32_t run)
 {
 	for (uint32_t i = 0; i < j->n_events; i++) {
-		if (j->events[i].crash.upstream == upstream)
+		if (j->events[i].crash.run == run)
 			j->events[i].suspects = 0;
 	}
 }
 
 /* Whether the cause of the upstream's crash is known already. */
-static bool is_explained(const bct_gate_part_judge_t *j, uint32_t upstream)
+static bool is_explained(const bct_gate_part_judge_t *j, uint32_t run)
 {
 	for (uint32_t i = 0; i < j->n_events; i++) {
 		const bct_gate_part_event_t *e = &j->events[i];
 
-		if (e->crash.upstream == upstream && has_refused(j, &e->crash.parts, e->crash.at))
+		if (e->crash.run == run && has_refused(j, &e->crash.parts, e->crash.at))
 			return true;
 	}
 	return false;
@@ -95,7 +95,7 @@
 	for (uint32_t i = 0; i < j->n_events; i++) {
 		const bct_gate_part_crash_t *known = &j->events[i].crash;
 
-		if (known->upstream == c->upstream && same_parts(&known->parts, &c->parts))
+		if (known->run == c->run && same_parts(&known->parts, &c->parts))
 			return true;
 	}
 	return false;
@@ -127,8 +127,8 @@
 	}
 	*e = (bct_gate_part_event_t){ .crash = *c, .suspects = (1U << c->parts.n) - 1 };
 	note_trial_failed(j, c);
-	if (is_explained(j, c->upstream))
-		explain(j, c->upstream);
+	if (is_explained(j, c->run))
+		explain(j, c->run);
 	j->undecided = true;
 	return true;
 }
@@ -192,18 +192,29 @@
 	return news;
 }
 
-/* Drops what speaks against upstreams that live on. */
-static void void_false_crashes(bct_gate_part_judge_t *j, const bct_gate_upstreams_t *t)
+/* The run lives on: what broke later than that long before is no crash of it. */
+static void void_crashes_of(bct_gate_part_judge_t *j, uint32_t run, bct_time_t heard_at)
 {
 	for (uint32_t i = 0; i < j->n_events; i++) {
 		bct_gate_part_event_t *e = &j->events[i];
-		const bct_gate_upstream_t *u = bct_gate_upstreams_find_short(t, e->crash.upstream);
 
-		if (u && u->run_since <= e->crash.at && u->heard_at > e->crash.at + HEARD_MARGIN_MS)
+		if (e->crash.run == run && heard_at > e->crash.at + HEARD_MARGIN_MS)
 			e->suspects = 0;
 	}
 }
 
+static void void_false_crashes(bct_gate_part_judge_t *j, const bct_gate_upstreams_t *t)
+{
+	bct_list_t *el;
+
+	bct_list_for_each(el, &t->all) {
+		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (u->heard_at)
+			void_crashes_of(j, bct_gate_upstream_run(u), u->heard_at);
+	}
+}
+
 /* Whether an event that has settled speaks against the part. depth: where it is in the prompt. */
 static bool speaks_against(const bct_gate_part_event_t *e, bct_time_t now, uint64_t part,
 			   uint32_t *depth)
@@ -228,7 +239,7 @@
 } tally_t;
 
 typedef struct crash_time {
-	uint32_t upstream;
+	uint32_t run;
 	bct_time_t at;
 } crash_time_t;
 
@@ -238,12 +249,12 @@
 	uint32_t at;
 
 	for (uint32_t i = 0; i < *n; i++) {
-		if (list[i].upstream == c->upstream)
+		if (list[i].run == c->run)
 			return;
 	}
 	for (at = *n; at && list[at - 1].at > c->at; at--)
 		list[at] = list[at - 1];
-	list[at] = (crash_time_t){ .upstream = c->upstream, .at = c->at };
+	list[at] = (crash_time_t){ .run = c->run, .at = c->at };
 	(*n)++;
 }
 
@@ -331,7 +342,7 @@
 	};
 	for (uint32_t i = 0; i < j->n_events; i++) {
 		if (has_part(&j->events[i].crash.parts, part))
-			explain(j, j->events[i].crash.upstream);
+			explain(j, j->events[i].crash.run);
 	}
 	*out = *v;
 }
@@ -372,7 +383,7 @@
 		if (!in->refused)
 			clear_part(e, in->part);
 		else if (has_part(&e->crash.parts, in->part))
-			explain(j, e->crash.upstream);
+			explain(j, e->crash.run);
 	}
 	return true;
 }
--- a/policy/gate_part_judge.h
+++ b/policy/gate_part_judge.h
@@ -35,7 +35,7 @@
 
 /* A request that was in flight when an upstream crashed. */
 typedef struct bct_gate_part_crash {
-	uint32_t upstream; /* lower half of its key */
+	uint32_t run; /* of the upstream, see bct_gate_upstream_run(3) */
 	bct_time_t at;
 	bct_parts_t parts;
 } bct_gate_part_crash_t;
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -333,6 +333,13 @@
 	}
 }
 
+uint32_t bct_gate_upstream_run(const bct_gate_upstream_t *u)
+{
+	uint32_t run = (uint32_t)bct_hash_mix(u->key, (uint64_t)u->entry.born_ms);
+
+	return run ? run : 1;
+}
+
 bct_upstream_sight_t bct_gate_upstreams_sight(const bct_gate_upstreams_t *t, uint64_t key,
 					      bct_time_t at)
 {
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -192,6 +192,10 @@
 /* bct_gate_upstreams_find_short(3): finds an upstream by the lower half of its key, or NULL. */
 bct_gate_upstream_t *bct_gate_upstreams_find_short(const bct_gate_upstreams_t *t, uint32_t half);
 
+/* bct_gate_upstream_run(3): identifies the current run of an upstream, alike on all nodes; not 0.
+ */
+uint32_t bct_gate_upstream_run(const bct_gate_upstream_t *u);
+
 /*
  * bct_gate_upstreams_sight(3): what is known of the run of an upstream that an attempt was sent to
  * which was given up at a time. An upstream that is not known any more has ended.
--- a/schema/share.x
+++ b/schema/share.x
@@ -65,12 +65,12 @@
 };
 
 /*
- * A request whose upstream broke the connection while running it. Upstream 0: the request was
- * answered successfully instead.
+ * A request under which a run of an upstream crashed. Run 0: the request was answered successfully
+ * instead.
  */
 struct share_crash {
 	unsigned hyper digest;
-	unsigned int upstream;
+	unsigned int run;
 };
 
 /* A request that is refused, because upstreams crashed under it. */
@@ -81,7 +81,7 @@
 
 /* A request that was in flight when its upstream crashed, see gate_part_judge.h. */
 struct share_part_crash {
-	unsigned int upstream;
+	unsigned int run;	/* of the upstream */
 	unsigned int age_ms;
 	unsigned hyper parts<SHARE_PARTS_MAX>;
 };
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -457,6 +457,31 @@
 	test_gate_stop(&t);
 }
 
+/* Engines that crash come back under the id that they had. A request that has crashed one engine
+ * three times is as harmful as one that has crashed three. */
+Test(gate, runs_under_one_id_are_different_upstreams)
+{
+	test_gate_t t;
+	uint32_t ended = 0;
+	int status = 0;
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	t.keep_ids = true;
+	for (int i = 0; i < 12 && status != 503; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "same%d", i);
+		status = test_gate_call(&t, "POST", "/unsafe/crash", id, "die", &out);
+		bct_buf_free(&out);
+		bct_clock_sleep(100);
+		ended += test_gate_restart_desk(&t);
+	}
+	cr_assert_eq(status, 503, "%u runs of one engine ended", ended);
+	cr_assert_eq(ended, 3);
+	test_gate_stop(&t);
+}
+
 static void *send_sigterm(void *arg)
 {
 	const test_gate_t *t = arg;
--- a/tests/test_gate_part_fleet.c
+++ b/tests/test_gate_part_fleet.c
@@ -129,10 +129,8 @@
 		r.fifth_at = now;
 	for (uint32_t i = 0; i < REQUESTS_MAX; i++) {
 		request_t *q = &requests[i];
-		message_t m = {
-			.kind = CRASH,
-			.crash = { .upstream = engines[e].run, .at = now, .parts = q->parts }
-		};
+		message_t m = { .kind = CRASH,
+				.crash = { .run = engines[e].run, .at = now, .parts = q->parts } };
 
 		if (!q->used || q->engine != e)
 			continue;
--- a/tests/test_gate_part_judge.c
+++ b/tests/test_gate_part_judge.c
@@ -36,7 +36,7 @@
 static bool crash(uint32_t upstream, bct_time_t at, uint64_t second)
 {
 	bct_gate_part_crash_t c = {
-		.upstream = upstream,
+		.run = upstream,
 		.at = at,
 		.parts = { .n = second ? 2 : 1, .ids = { FIRST, second } },
 	};
@@ -89,7 +89,7 @@
 {
 	for (uint32_t i = 0; i < 3 * BCT_GATE_PART_CRASHES; i++) {
 		bct_time_t at = START + (bct_time_t)i * 1000;
-		bct_gate_part_crash_t c = { .upstream = 100 + i,
+		bct_gate_part_crash_t c = { .run = 100 + i,
 					    .at = at,
 					    .parts = { .n = 1, .ids = { 0xb1 } } };
 
@@ -183,7 +183,7 @@
 		bct_gate_upstreams_apply(&t, 0, &e);
 		u = bct_gate_upstreams_find(&t, e.id);
 		u->heard_at = at + 1000;
-		crash((uint32_t)u->key, at, OTHER);
+		crash(bct_gate_upstream_run(u), at, OTHER);
 	}
 	cr_assert(!bct_gate_part_judge_decide(j, START + 20000, &t, &v));
 	bct_gate_upstreams_free(&t);
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -29,6 +29,7 @@
 #define PEER_PORT 18001U
 #define SHARE_PORT 18002U
 #define ADMIN_PORT 18003U
+#define BORN_MS 1000U  /* of the first run of each upstream */
 #define NET_HOSTS 250U /* values used of an address octet */
 
 typedef struct memory_registry {
@@ -72,8 +73,8 @@
 	int n = snprintf(text, sizeof(text),
 			 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
 			 "\"version\":\"v1\",\"slots\":64,\"state\":\"%s\","
-			 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
-			 u->service, u->port, state);
+			 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%u}",
+			 u->service, u->port, state, BORN_MS + u->starts);
 
 	c->kind = BCT_REGISTRY_ENTRY;
 	cr_assert_eq(bct_decode_entry(u->id, text, (size_t)n, &c->entry), 0);
@@ -319,24 +320,35 @@
 	wait_until_ready(&t[i]);
 }
 
-uint32_t test_gate_restart_engines(test_gate_t *t)
+/* returns the number of those that had ended */
+static uint32_t restart(test_gate_t *t, gate_upstream_t *list, uint32_t n)
 {
-	uint32_t n = 0;
+	uint32_t ended = 0;
 
-	for (uint32_t i = 0; i < GATE_UPSTREAMS; i++) {
+	for (uint32_t i = 0; i < n; i++) {
 		bool dead;
 
 		pthread_mutex_lock(&t->lock);
-		dead = t->engines[i].dead;
+		dead = list[i].dead;
 		pthread_mutex_unlock(&t->lock);
 		if (!dead)
 			continue;
-		test_upstream_restart(&t->engines[i]);
-		n++;
+		test_upstream_restart(&list[i]);
+		ended++;
 	}
 	/* Long enough for ten polls of the registry. */
 	bct_clock_sleep(300);
-	return n;
+	return ended;
+}
+
+uint32_t test_gate_restart_engines(test_gate_t *t)
+{
+	return restart(t, t->engines, GATE_UPSTREAMS);
+}
+
+uint32_t test_gate_restart_desk(test_gate_t *t)
+{
+	return restart(t, &t->desk, 1);
 }
 
 void test_gate_publish(test_gate_t *t, const char *config)
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -68,8 +68,8 @@
 	pthread_t thread;
 	int conns[GATE_CONNS_MAX]; /* open connections; guarded by the gate's lock */
 	uint32_t n_conns;
-	bool dead; /* it has ended; listed in the registry until it is started again */
-	uint32_t starts;
+	bool dead;	 /* it has ended; listed in the registry until it is started again */
+	uint32_t starts; /* after the first one */
 } gate_upstream_t;
 
 typedef struct test_gate {
@@ -90,6 +90,7 @@
 	bool cancelled;
 	pthread_cond_t routes_resume;
 	bool desk_drains;
+	bool keep_ids; /* engines that start again keep their ids */
 	bool stop;
 } test_gate_t;
 
@@ -130,9 +131,11 @@
 uint32_t test_gate_runs(test_gate_t *t, const char *call_id);
 const gate_run_t *test_gate_run(test_gate_t *t, const char *call_id, uint32_t i);
 
-/* Starts each engine that has ended again, under another id and address, and waits until the
+/* Starts each engine that has ended again, at another address, and waits until the
  * gateway has read that. Returns how many there were. */
 uint32_t test_gate_restart_engines(test_gate_t *t);
+/* The same for the upstream of the plain service. */
+uint32_t test_gate_restart_desk(test_gate_t *t);
 
 /* Replaces the configuration in the registry and waits until the gateway has read it. */
 void test_gate_publish(test_gate_t *t, const char *config);
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -434,7 +434,9 @@
 	u->fd = fd;
 	u->port = port;
 	u->dead = false;
-	snprintf(u->id + strcspn(u->id, "."), 8, ".%u", ++u->starts);
+	u->starts++;
+	if (!u->gate->keep_ids)
+		snprintf(u->id + strcspn(u->id, "."), 8, ".%u", u->starts);
 	pthread_mutex_unlock(&u->gate->lock);
 	cr_assert_eq(pthread_create(&u->thread, NULL, serve_upstream, u), 0);
 }
--- a/tests/util_upstream.h
+++ b/tests/util_upstream.h
@@ -9,7 +9,8 @@
 /* Starts an upstream of a service on a free port of the loopback interface. */
 void test_upstream_start(test_gate_t *t, gate_upstream_t *u, const char *id, const char *service);
 
-/* Starts an upstream that has ended again, under another id and address. */
+/* Starts an upstream that has ended again, at another address and, unless ids are kept, under
+ * another id. */
 void test_upstream_restart(gate_upstream_t *u);
 
 #endif
