Crashes: a released part reopens the case; trusted parts take six crashes

Cause, two faults found in the model: (1) a part that did no harm lately took eight crashes; one that turns bad and comes slowly would reach three upstreams after the fifth, and one more by the trial. Change: six; what is explained is found anew for each decision from the verdicts in force, so that a release makes crashes speak again.

--- a/policy/gate_part_judge.c
+++ b/policy/gate_part_judge.c
@@ -48,15 +48,6 @@
 	return a->n == b->n && !memcmp(a->ids, b->ids, a->n * sizeof(a->ids[0]));
 }
 
-static bool has_part(const bct_parts_t *p, uint64_t part)
-{
-	for (uint32_t i = 0; i < p->n; i++) {
-		if (p->ids[i] == part)
-			return true;
-	}
-	return false;
-}
-
 /* Whether a part of these is refused by evidence up to about that time. */
 static bool has_refused(const bct_gate_part_judge_t *j, const bct_parts_t *p, bct_time_t at)
 {
@@ -69,25 +60,24 @@
 	return false;
 }
 
-/* The cause of this upstream's crash is known: it speaks against nothing else. */
-static void explain(bct_gate_part_judge_t *j, uint32_t run)
+/* Finds the crashes whose cause is refused already; they speak against nothing else. When that part
+ * is released, they do again. */
+static void update_explained(bct_gate_part_judge_t *j)
 {
-	for (uint32_t i = 0; i < j->n_events; i++) {
-		if (j->events[i].crash.run == run)
-			j->events[i].suspects = 0;
-	}
-}
+	bool has_cause[BCT_GATE_PART_EVENTS_MAX];
 
-/* Whether the cause of the upstream's crash is known already. */
-static bool is_explained(const bct_gate_part_judge_t *j, uint32_t run)
-{
 	for (uint32_t i = 0; i < j->n_events; i++) {
-		const bct_gate_part_event_t *e = &j->events[i];
+		const bct_gate_part_crash_t *c = &j->events[i].crash;
 
-		if (e->crash.run == run && has_refused(j, &e->crash.parts, e->crash.at))
-			return true;
+		has_cause[i] = has_refused(j, &c->parts, c->at);
+		j->events[i].explained = has_cause[i];
+	}
+	for (uint32_t i = 0; i < j->n_events; i++) {
+		for (uint32_t k = 0; has_cause[i] && k < j->n_events; k++) {
+			if (j->events[k].crash.run == j->events[i].crash.run)
+				j->events[k].explained = true;
+		}
 	}
-	return false;
 }
 
 static bool is_known(const bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c)
@@ -127,8 +117,6 @@
 	}
 	*e = (bct_gate_part_event_t){ .crash = *c, .suspects = (1U << c->parts.n) - 1 };
 	note_trial_failed(j, c);
-	if (is_explained(j, c->run))
-		explain(j, c->run);
 	j->undecided = true;
 	return true;
 }
@@ -153,9 +141,9 @@
 	const bct_gate_part_trust_t *t = trust_slot(j, part);
 
 	if (now - j->started_at < BCT_GATE_PART_LEARN_MS)
-		return 2 * BCT_GATE_PART_CRASHES;
+		return BCT_GATE_PART_CRASHES_TRUSTED;
 	if (t->part == part && now - t->at < BCT_GATE_PART_TRUST_MS)
-		return 2 * BCT_GATE_PART_CRASHES;
+		return BCT_GATE_PART_CRASHES_TRUSTED;
 	return BCT_GATE_PART_CRASHES;
 }
 
@@ -187,6 +175,7 @@
 	if (v && v->refused && began_at >= v->since + RELEASE_MARGIN_MS) {
 		v->refused = false;
 		v->since = began_at;
+		j->undecided = true;
 		news = true;
 	}
 	return news;
@@ -221,7 +210,7 @@
 {
 	bct_time_t age_ms = now - e->crash.at;
 
-	if (age_ms < BCT_GATE_PART_SETTLE_MS || age_ms >= BCT_GATE_PART_KEEP_MS)
+	if (e->explained || age_ms < BCT_GATE_PART_SETTLE_MS || age_ms >= BCT_GATE_PART_KEEP_MS)
 		return false;
 	for (uint32_t i = 0; i < e->crash.parts.n; i++) {
 		if (e->crash.parts.ids[i] == part && e->suspects & 1U << i) {
@@ -340,10 +329,6 @@
 		.since = t->last_at,
 		.crashes = t->crashes,
 	};
-	for (uint32_t i = 0; i < j->n_events; i++) {
-		if (has_part(&j->events[i].crash.parts, part))
-			explain(j, j->events[i].crash.run);
-	}
 	*out = *v;
 }
 
@@ -357,6 +342,7 @@
 		return false;
 	j->undecided = !is_settled(j, now);
 	void_false_crashes(j, t);
+	update_explained(j);
 	if (!find_worst(j, now, &part, &worst))
 		return false;
 	refuse(j, part, &worst, out);
@@ -377,14 +363,9 @@
 	*v = *in;
 	v->tried_at = 0;
 	v->trial_failed = false;
-	for (uint32_t i = 0; i < j->n_events; i++) {
-		bct_gate_part_event_t *e = &j->events[i];
-
-		if (!in->refused)
-			clear_part(e, in->part);
-		else if (has_part(&e->crash.parts, in->part))
-			explain(j, e->crash.run);
-	}
+	for (uint32_t i = 0; !in->refused && i < j->n_events; i++)
+		clear_part(&j->events[i], in->part);
+	j->undecided = true;
 	return true;
 }
 
--- a/policy/gate_part_judge.h
+++ b/policy/gate_part_judge.h
@@ -8,7 +8,7 @@
  * and nothing speaks for it: a request with it that began to be answered after a crash and went on
  * shows that it is harmless. Of several such parts, the one with the most crashes is taken, then
  * the deepest in the prompts; it explains its crashes, which then no longer count against others.
- * It takes twice as many crashes to refuse a part that did no harm lately, or at a node that has
+ * It takes more crashes to refuse a part that did no harm lately, or at a node that has
  * not been there for long enough to know: such a part is more likely a bystander.
  *
  * A verdict, that a part is refused or harmless, carries the time of its evidence. Nodes exchange
@@ -21,10 +21,11 @@
 #include "policy/gate_upstreams.h"
 #include "policy/parts.h"
 
-#define BCT_GATE_PART_CRASHES 4	      /* before a part is refused */
-#define BCT_GATE_PART_SPACING_MS 100  /* crashes closer than this have one cause: count once */
-#define BCT_GATE_PART_SETTLE_MS 250   /* after a crash, until reports of all nodes are there */
-#define BCT_GATE_PART_SURVIVED_MS 500 /* after its first output a request is harmless */
+#define BCT_GATE_PART_CRASHES 4		/* before a part is refused */
+#define BCT_GATE_PART_CRASHES_TRUSTED 6 /* the same for one that is trusted */
+#define BCT_GATE_PART_SPACING_MS 100	/* crashes closer than this have one cause: count once */
+#define BCT_GATE_PART_SETTLE_MS 250	/* after a crash, until reports of all nodes are there */
+#define BCT_GATE_PART_SURVIVED_MS 500	/* after its first output a request is harmless */
 #define BCT_GATE_PART_KEEP_MS (5 * 60 * BCT_MS_PER_S) /* evidence and verdicts */
 #define BCT_GATE_PART_TRIAL_MS 10000  /* until one request is let through, see below */
 #define BCT_GATE_PART_TRUST_MS 60000  /* for which a survivor makes its parts trusted */
@@ -43,6 +44,7 @@
 typedef struct bct_gate_part_event {
 	bct_gate_part_crash_t crash;
 	uint32_t suspects; /* bit i: parts.ids[i] may be the cause */
+	bool explained;	   /* a part that is refused caused the crash, as of the last decision */
 } bct_gate_part_event_t;
 
 typedef struct bct_gate_part_verdict {
--- a/tests/test_gate_part_judge.c
+++ b/tests/test_gate_part_judge.c
@@ -116,7 +116,7 @@
 /* An answer that began before a crash says nothing of a part that does harm since then. */
 Test(gate_part_judge, earlier_answers_do_not_clear)
 {
-	crash_one_by_one(2 * BCT_GATE_PART_CRASHES, BAD);
+	crash_one_by_one(BCT_GATE_PART_CRASHES_TRUSTED, BAD);
 	cr_assert(!bct_gate_part_judge_survived(j, BAD, START - 1));
 	bct_gate_part_judge_survived(j, FIRST, START + 9000);
 	cr_assert_eq(decide(START + 10000), BAD);
@@ -130,7 +130,7 @@
 {
 	bct_gate_part_judge_survived(j, OTHER, START - 1);
 	bct_gate_part_judge_survived(j, FIRST, START - 1);
-	crash_one_by_one(2 * BCT_GATE_PART_CRASHES - 1, OTHER);
+	crash_one_by_one(BCT_GATE_PART_CRASHES_TRUSTED - 1, OTHER);
 	cr_assert_eq(decide(START + 10000), 0);
 	crash(1, START + 10000, OTHER);
 	cr_assert_eq(decide(START + 11000), OTHER);
@@ -204,6 +204,19 @@
 	cr_assert_eq(bct_gate_part_judge_remaining_ms(j, trial + 600, BAD), 0);
 }
 
+/* The wrong part was refused first. Once it is released, its crashes speak against the right one.
+ */
+Test(gate_part_judge, a_release_reopens_the_case)
+{
+	bct_gate_part_verdict_t wrong = { .part = FIRST, .refused = true, .since = START };
+
+	cr_assert(bct_gate_part_judge_heard(j, START, &wrong));
+	crash_one_by_one(BCT_GATE_PART_CRASHES, BAD);
+	cr_assert_eq(decide(START + 10000), 0, "explained by the first part");
+	cr_assert(bct_gate_part_judge_survived(j, FIRST, START + 9000));
+	cr_assert_eq(decide(START + 10000), BAD);
+}
+
 /* The trial crashes its upstream: the part stays refused. */
 Test(gate_part_judge, a_trial_may_fail)
 {
