Crashes: the narrower cause is refused, and what breaks after a crash is no evidence

Found by the new fault of the soak (a part of prompts that crashes upstreams while limits, leaving, restarts and lost peers go on; three engines): sound parts, or the first part of all prompts, were refused in place of the cause. Causes and changes: (1) what is left of a crashed run accepts connections and breaks them; requests sent there after the first break counted against their parts. Evidence carries the time of sending, and such requests are none. (3) A first part has at least the crashes of any part behind it, and was taken at equal counts. A part is not refused while a deeper one accounts for half of its crashes, a refused part does not explain crashes away from parts behind it, and a narrower cause releases the wider one. (4) A trial was a request that had a suspected part besides: its crash proved nothing, and a first part stayed refused for five minutes.

--- a/gate/crash.c
+++ b/gate/crash.c
@@ -71,6 +71,7 @@
 void bct_crash_connection_broken(bct_exchange_t *x)
 {
 	bct_gate_part_crash_t c = { .run = x->conn->run,
+				    .sent_at = x->conn->sent_at,
 				    .at = bct_clock_now(),
 				    .parts = suspect_parts(x) };
 
@@ -88,6 +89,7 @@
 	a.digest = bct_crash_digest(x);
 	a.upstream_key = x->conn->upstream->key;
 	a.run = x->conn->run;
+	a.sent_at = x->conn->sent_at;
 	a.heard_at = x->conn->upstream->heard_at;
 	bct_abandoned_add(&x->gate->abandoned, &a);
 }
@@ -102,7 +104,9 @@
 	bct_abandoned_t a;
 
 	while (bct_abandoned_next_crash(&g->abandoned, bct_clock_now(), look, &g->upstreams, &a)) {
-		bct_gate_part_crash_t c = { .run = a.run, .at = a.at, .parts = a.parts };
+		bct_gate_part_crash_t c = {
+			.run = a.run, .sent_at = a.sent_at, .at = a.at, .parts = a.parts
+		};
 
 		bct_part_crashed(g, "", &c);
 		record(g, "", a.digest, a.run, a.at, "ended_after_abandoned");
--- a/gate/part.c
+++ b/gate/part.c
@@ -109,21 +109,37 @@
 	return longest;
 }
 
-bool bct_part_take_trial(const bct_exchange_t *x)
+/* The only part of the prompt that is refused, if no other one is even suspected; 0: there is none.
+ */
+static uint64_t part_to_try(const bct_exchange_t *x)
 {
-	bct_gate_t *g = x->gate;
+	const bct_gate_part_judge_t *j = &x->gate->part_judge;
 	bct_parts_t parts = bct_part_of(x);
 	bct_time_t now = bct_clock_now();
+	uint64_t part = 0;
 
 	for (uint32_t i = 0; i < parts.n; i++) {
-		if (!is_refused(g, parts.ids[i]))
+		bool refused = is_refused(x->gate, parts.ids[i]);
+
+		if (!refused && !bct_gate_part_judge_is_suspect(j, now, parts.ids[i]))
 			continue;
-		if (!bct_share_is_responsible(g->share, parts.ids[i]) ||
-		    !bct_gate_part_judge_take_trial(&g->part_judge, now, parts.ids[i]))
-			return false;
-		BCT_LOG(g->log, BCT_EV_GATE_PART_TRIAL, BCT_STR("request", x->call.id),
-			BCT_HEX("part", parts.ids[i]));
+		if (part || !refused)
+			return 0;
+		part = parts.ids[i];
 	}
+	return part;
+}
+
+bool bct_part_take_trial(const bct_exchange_t *x)
+{
+	bct_gate_t *g = x->gate;
+	uint64_t part = part_to_try(x);
+
+	if (!part || !bct_share_is_responsible(g->share, part) ||
+	    !bct_gate_part_judge_take_trial(&g->part_judge, bct_clock_now(), part))
+		return false;
+	BCT_LOG(g->log, BCT_EV_GATE_PART_TRIAL, BCT_STR("request", x->call.id),
+		BCT_HEX("part", part));
 	return true;
 }
 
--- a/gate/share_part.c
+++ b/gate/share_part.c
@@ -39,7 +39,9 @@
 
 static share_part_crash encode_crash(const bct_gate_part_crash_t *c, bct_time_t now)
 {
-	share_part_crash x = { .run = c->run, .age_ms = age_of(c->at, now) };
+	share_part_crash x = { .run = c->run,
+			       .sent_age_ms = age_of(c->sent_at, now),
+			       .age_ms = age_of(c->at, now) };
 
 	/* Encoding does not change it. */
 	x.parts.parts_val = (u_quad_t *)c->parts.ids;
@@ -156,7 +158,9 @@
 
 	for (uint32_t i = 0; i < update->part_crashes.part_crashes_len; i++) {
 		const share_part_crash *x = &update->part_crashes.part_crashes_val[i];
-		bct_gate_part_crash_t c = { .run = x->run, .at = now - x->age_ms };
+		bct_gate_part_crash_t c = { .run = x->run,
+					    .sent_at = now - x->sent_age_ms,
+					    .at = now - x->age_ms };
 
 		c.parts.n = x->parts.parts_len;
 		memcpy(c.parts.ids, x->parts.parts_val, c.parts.n * sizeof(c.parts.ids[0]));
--- a/gen/share.h
+++ b/gen/share.h
@@ -81,6 +81,7 @@
 
 struct share_part_crash {
 	u_int run;
+	u_int sent_age_ms;
 	u_int age_ms;
 	struct {
 		u_int parts_len;
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -239,8 +239,51 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->run);
+		IXDR_PUT_U_LONG(buf, objp->sent_age_ms);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, SHARE_PARTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->run))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		objp->run = IXDR_GET_U_LONG(buf);
+		objp->sent_age_ms = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, SHARE_PARTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->run))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent_age_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, SHARE_PARTS_MAX,
--- a/policy/abandoned.h
+++ b/policy/abandoned.h
@@ -38,7 +38,8 @@
 	bct_parts_t parts; /* of its prompt, unless it has shown that it does no harm */
 	bool alone;	   /* nothing else ran on the upstream */
 	uint64_t upstream_key;
-	uint32_t run;	     /* of the upstream; for the calling code */
+	uint32_t run; /* of the upstream; for the calling code */
+	bct_time_t sent_at;
 	bct_time_t at;	     /* when the attempt was given up */
 	bct_time_t heard_at; /* when bytes of that run of the upstream last arrived, up to now */
 } bct_abandoned_t;
--- a/policy/gate_part_judge.h
+++ b/policy/gate_part_judge.h
@@ -24,8 +24,9 @@
 #define BCT_GATE_PART_CRASHES 4		/* before a part is refused */
 #define BCT_GATE_PART_CRASHES_TRUSTED 6 /* the same for one that is trusted */
 #define BCT_GATE_PART_SPACING_MS 100	/* crashes closer than this have one cause: count once */
-#define BCT_GATE_PART_SETTLE_MS 250	/* after a crash, until reports of all nodes are there */
-#define BCT_GATE_PART_SURVIVED_MS 500	/* after its first output a request is harmless */
+#define BCT_GATE_PART_SPREAD_MS 400   /* within which all requests at a crash are known to break */
+#define BCT_GATE_PART_SETTLE_MS 250   /* after a crash, until reports of all nodes are there */
+#define BCT_GATE_PART_SURVIVED_MS 500 /* after its first output a request is harmless */
 #define BCT_GATE_PART_KEEP_MS (5 * 60 * BCT_MS_PER_S) /* evidence and verdicts */
 #define BCT_GATE_PART_TRIAL_MS 10000  /* until one request is let through, see below */
 #define BCT_GATE_PART_TRUST_MS 60000  /* for which a survivor makes its parts trusted */
@@ -37,6 +38,7 @@
 /* A request that was in flight when an upstream crashed. */
 typedef struct bct_gate_part_crash {
 	uint32_t run; /* of the upstream, see bct_gate_upstream_run(3) */
+	bct_time_t sent_at;
 	bct_time_t at;
 	bct_parts_t parts;
 } bct_gate_part_crash_t;
@@ -44,7 +46,12 @@
 typedef struct bct_gate_part_event {
 	bct_gate_part_crash_t crash;
 	uint32_t suspects; /* bit i: parts.ids[i] may be the cause */
-	bool explained;	   /* a part that is refused caused the crash, as of the last decision */
+	bool voided;	   /* the upstream lived on: it was no crash */
+	/*
+	 * As of the last decision, parts from here on may be the cause. Those before, or all of
+	 * them, are explained by a part that is refused, or the run had ended before.
+	 */
+	uint32_t open_from;
 } bct_gate_part_event_t;
 
 typedef struct bct_gate_part_verdict {
@@ -54,6 +61,7 @@
 	uint32_t crashes;    /* that speak against it, as counted by the node that judged */
 	bct_time_t tried_at; /* when this node last let a request through; 0: never */
 	bool trial_failed;   /* that request crashed its upstream */
+	bool superseded; /* released for a narrower cause; to be returned by the next decision */
 } bct_gate_part_verdict_t;
 
 /* A part that did no harm. */
@@ -91,8 +99,9 @@
 bool bct_gate_part_judge_survived(bct_gate_part_judge_t *j, uint64_t part, bct_time_t began_at);
 
 /*
- * bct_gate_part_judge_decide(3): refuses a part if the evidence suffices; to be called repeatedly.
- * Crashes of an upstream in t that was heard of later were none.
+ * bct_gate_part_judge_decide(3): refuses a part if the evidence suffices, and releases those before
+ * it in the same prompts; to be called repeatedly. Crashes of an upstream in t that was heard of
+ * later were none.
  *
  * returns  whether there is a new verdict
  */
@@ -114,6 +123,12 @@
  */
 bool bct_gate_part_judge_take_trial(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part);
 
+/*
+ * bct_gate_part_judge_is_suspect(3): whether a crash speaks against the part. A request that is let
+ * through as a trial of one part must have no other such part, or its crash would prove nothing.
+ */
+bool bct_gate_part_judge_is_suspect(const bct_gate_part_judge_t *j, bct_time_t now, uint64_t part);
+
 /*
  * bct_gate_part_judge_next(3): iterates over the verdicts in force.
  *
--- a/schema/share.x
+++ b/schema/share.x
@@ -82,7 +82,8 @@
 /* A request that was in flight when its upstream crashed, see gate_part_judge.h. */
 struct share_part_crash {
 	unsigned int run;	/* of the upstream */
-	unsigned int age_ms;
+	unsigned int sent_age_ms;
+	unsigned int age_ms;	/* of the crash */
 	unsigned hyper parts<SHARE_PARTS_MAX>;
 };
 
--- a/soak/caller.c
+++ b/soak/caller.c
@@ -17,6 +17,9 @@
 #define ANSWER_SLACK_MS 500 /* allowed past the route's time limit */
 #define EVENTS 6	    /* in a complete stream; as in upstream.c */
 #define CALL_INTERVAL_MS 20
+#define BAD_PART 0xbadU
+#define BAD_ONE_IN 8		/* streams that have it, while there are such */
+#define SOUND_PARTS 40		/* others in its place */
 #define CONNECT_TIMEOUT_MS 1000 /* limits connect() and send(): SO_SNDTIMEO */
 
 typedef struct caller {
@@ -155,7 +158,7 @@
 static void check_answer(caller_t *c, uint32_t i, const char *id, char kind, const answer_t *a)
 {
 	soak_t *s = c->soak;
-	bool ok = a->status == 200 && a->complete, ran = false;
+	bool ok = a->status == 200 && a->complete, ran = false, outage;
 
 	if (a->status == 200)
 		check_success(c, id, kind, a);
@@ -177,50 +180,74 @@
 	if (a->late)
 		soak_violation(s, "CONFIG", "%s: no complete answer within its time limit", id);
 	pthread_mutex_lock(&s->lock);
-	s->settled_ok += ok;
-	s->settled_failed += !ok;
+	outage = s->bad_crash_at && bct_clock_now() < s->bad_crash_at + SOAK_PART_OUTAGE_MS;
+	s->settled_ok += ok && !outage;
+	s->settled_failed += !ok && !outage;
 	pthread_mutex_unlock(&s->lock);
 }
 
 /* returns the index of a new call, or SOAK_CALLS_MAX when the table is full */
-static uint32_t new_call(soak_t *s, char kind)
+static uint32_t new_call(caller_t *c, char kind, bool *bad)
 {
+	bool stream = kind == 't' || kind == 'r';
+	soak_t *s = c->soak;
 	uint32_t i;
 
 	pthread_mutex_lock(&s->lock);
+	*bad = stream && s->bad_part && !bct_rng_below(&c->rng, BAD_ONE_IN);
 	i = s->n_calls;
 	if (i < SOAK_CALLS_MAX) {
-		s->calls[i].kind = (uint8_t)kind;
+		s->calls[i] = (soak_call_t){ .kind = (uint8_t)kind,
+					     .bad = *bad,
+					     .node = (uint8_t)c->node };
 		s->n_calls++;
 	}
 	pthread_mutex_unlock(&s->lock);
 	return i;
 }
 
+/* Formats the head of a call. Streams are like no other; they share parts of their prompts. */
+static int format_call(caller_t *c, uint32_t k, uint32_t i, bool bad, char *text, size_t size)
+{
+	static const char *const paths[] = { "safe", "unsafe", "stream", "resume" };
+	char path[32] = "x", prompt[160] = "";
+
+	if (k >= 2) {
+		snprintf(path, sizeof(path), "%u", i);
+		snprintf(prompt, sizeof(prompt),
+			 "X-Buckthornchute-Token-Counts: 100,24\r\n"
+			 "X-Buckthornchute-Prompt-Prefix: a1:20,%x:50,%x:30\r\n",
+			 bad ? BAD_PART : 0x50 + bct_rng_below(&c->rng, SOUND_PARTS), 0x1000 + i);
+	}
+	return snprintf(text, size,
+			"GET /%s/%s HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
+			"X-Buckthornchute-Request-Attempt-Id: c-%u\r\n"
+			"X-Buckthornchute-Deadline-Milliseconds: 5000\r\n%s\r\n",
+			paths[k], path, i, prompt);
+}
+
 static void send_call(caller_t *c)
 {
 	static const char kinds[] = { 's', 'u', 't', 'r' };
-	static const char *const paths[] = { "safe", "unsafe", "stream", "resume" };
-	uint32_t k = bct_rng_below(&c->rng, 4), i = new_call(c->soak, kinds[k]);
+	uint32_t k = bct_rng_below(&c->rng, 4), i;
 	char id[SOAK_ID_BYTES], text[512];
 	answer_t a = { 0 };
+	bool bad;
 	int n;
 
+	i = new_call(c, kinds[k], &bad);
 	if (i >= SOAK_CALLS_MAX)
 		return;
 	snprintf(id, sizeof(id), "c-%u", i);
-	n = snprintf(text, sizeof(text),
-		     "GET /%s/x HTTP/1.1\r\nHost: h\r\nApi-Key: k1\r\n"
-		     "X-Buckthornchute-Request-Attempt-Id: %s\r\n"
-		     "X-Buckthornchute-Deadline-Milliseconds: 5000\r\n%s\r\n",
-		     paths[k], id, k >= 2 ? "X-Buckthornchute-Token-Counts: 100,24\r\n" : "");
+	n = format_call(c, k, i, bad, text, sizeof(text));
 	c->buf_len = 0;
 	if (send(c->fd, text, (size_t)n, MSG_NOSIGNAL) != n) {
 		disconnect(c);
 		return;
 	}
 	read_answer(c, &a);
-	check_answer(c, i, id, kinds[k], &a);
+	if (!bad)
+		check_answer(c, i, id, kinds[k], &a);
 	if (!a.complete || strstr(c->buf, "Connection: close"))
 		disconnect(c);
 }
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -186,6 +186,7 @@
 {
 	u->proxy.link = SOAK_LINK_OK;
 	u->draining = u->deregistered = u->crashed = false;
+	u->restart_at = 0;
 	u->leaving_since = 0;
 	clear_statements(u);
 	u->stale_until = 0;
@@ -196,11 +197,13 @@
 
 /*
  * Also changes the safe route, drains an upstream, and lets one name a limit and one state that it
- * is leaving: with no more faults, the bounds of all four can be checked.
+ * is leaving, and has callers send requests with a part that crashes upstreams: with no more
+ * faults, the bounds of all five can be checked.
  */
 void soak_clear_faults(soak_t *s)
 {
 	s->faults_ended = true;
+	s->bad_part = true;
 	s->last_fault_at = bct_clock_now();
 	for (int i = 0; i < s->n_nodes; i++) {
 		soak_node_t *n = &s->nodes[i];
--- a/soak/main.c
+++ b/soak/main.c
@@ -114,6 +114,7 @@
 	while (bct_clock_now() < end) {
 		pthread_mutex_lock(&s->lock);
 		soak_nodes_supervise(s);
+		soak_upstreams_supervise(s);
 		if (faults && bct_clock_now() >= next) {
 			soak_inject_fault(s);
 			next = bct_clock_now() + FAULT_INTERVAL_MIN_MS +
@@ -183,10 +184,11 @@
 		pthread_join(callers[i], NULL);
 	check_recovery(s);
 	stop_nodes(s);
-	printf("soak: seed %llu, %u calls: %u ok, %u refused, %u failed; "
-	       "after recovery %u of %u ok; %u violations\n",
-	       (unsigned long long)s->seed, s->n_calls, s->ok, s->refused, s->failed, s->settled_ok,
-	       s->settled_ok + s->settled_failed, s->violations);
+	printf("soak: seed %llu, %u calls: %u ok, %u refused, %u failed; %u crashes by a part, "
+	       "%u requests after; after recovery %u of %u ok; %u violations\n",
+	       (unsigned long long)s->seed, s->n_calls, s->ok, s->refused, s->failed,
+	       s->bad_crashes, s->bad_after, s->settled_ok, s->settled_ok + s->settled_failed,
+	       s->violations);
 	return s->violations ? 1 : 0;
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -29,6 +29,11 @@
 #define SOAK_ARRIVALS 64     /* more than a limited upstream may get in SOAK_LIMIT_WINDOW_MS */
 #define SOAK_LIMIT_WINDOW_MS 4000
 #define SOAK_LIMIT_RPS 2
+#define SOAK_CONNS 256	      /* of one upstream */
+#define SOAK_PART_CRASHES 5   /* by one part of prompts, after which requests with it are counted */
+#define SOAK_PART_AFTER_MAX 3 /* that may reach upstreams SOAK_SETTLE_MS after those */
+#define SOAK_PART_RESTART_MS 300 /* from such a crash to the upstream's next run */
+#define SOAK_PART_OUTAGE_MS 1300 /* until that run is in use: failures in that time are allowed */
 
 /* State of a loopback proxy, which leads to one upstream, or from one node to the store. */
 typedef enum soak_link {
@@ -53,6 +58,8 @@
 	uint16_t runs; /* times that an upstream ran it */
 	uint8_t kind;  /* 's' safe, 'u' unsafe, 't' stream, 'r' resumable stream */
 	bool refused;  /* answered 503, which means that it did not run; 'u' and 't' only */
+	bool bad;      /* its prompt has the part that crashes upstreams */
+	uint8_t node;  /* that it was sent to */
 } soak_call_t;
 
 typedef struct soak_upstream {
@@ -71,7 +78,10 @@
 	bct_time_t stated_since; /* the first of them */
 	bool draining;
 	bool deregistered;
-	bool crashed;		  /* closes each connection when a request arrives */
+	bool crashed;	       /* closes each connection when a request arrives */
+	bct_time_t restart_at; /* after a crash by a part of a prompt; 0: none */
+	int conns[SOAK_CONNS]; /* open connections */
+	uint32_t n_conns;
 	bct_time_t leaving_since; /* draining or deregistered since; 0: neither */
 	soak_proxy_t proxy;
 	struct soak *soak;
@@ -103,6 +113,11 @@
 	bct_rng_t rng;
 	bool stop_callers;
 	bool faults_ended; /* no faults are injected, upstreams answer without faults */
+	bool bad_part;	   /* callers send requests with a part that crashes upstreams */
+	uint32_t bad_crashes;
+	bct_time_t bad_crash_at; /* the last one */
+	uint32_t bad_after;	 /* requests with it that came later than the bound */
+	bct_time_t bad_bound_at; /* SOAK_SETTLE_MS after the fifth crash; 0: not yet */
 	soak_node_t nodes[SOAK_NODES_MAX];
 	soak_upstream_t upstreams[SOAK_UPSTREAMS];
 	uint64_t version;	 /* of the configuration */
@@ -135,6 +150,8 @@
 void soak_proxy_start(soak_proxy_t *p, const char *ip);
 /* soak_upstream_start(3): start an upstream and its proxy. */
 void soak_upstream_start(soak_upstream_t *u);
+/* soak_upstreams_supervise(3): restart those that a request crashed. Call with the lock held. */
+void soak_upstreams_supervise(soak_t *s);
 /* soak_caller(3): thread of one caller; arg is the soak_t. Ends once stop_callers is set. */
 void *soak_caller(void *arg);
 /* soak_inject_fault(3): choose and apply one fault. Call with the lock held. */
--- a/soak/upstream.c
+++ b/soak/upstream.c
@@ -162,8 +162,60 @@
 			       u->id, (long long)(now - leaving_since));
 }
 
-/* Counts a run; checks that unsafe requests and streams run once, and refused ones never. */
-static void record_run(soak_upstream_t *u, const request_t *r)
+/* A request with the bad part runs: its node must have refused it once the bound has passed. */
+static void check_bad_part(soak_t *s, const soak_call_t *call, const request_t *r)
+{
+	bct_time_t now = bct_clock_now();
+	uint32_t after = 0;
+
+	pthread_mutex_lock(&s->lock);
+	if (s->bad_bound_at && now > s->bad_bound_at &&
+	    now > s->nodes[call->node].last_fault_at + SOAK_SETTLE_MS)
+		after = ++s->bad_after;
+	pthread_mutex_unlock(&s->lock);
+	if (after > SOAK_PART_AFTER_MAX)
+		soak_violation(s, "BUDGET",
+			       "%s is request %u with a part under which %u upstreams "
+			       "had ended",
+			       r->id, after, SOAK_PART_CRASHES);
+}
+
+/* Ends the upstream with all its connections; it starts again a little later. */
+static void crash(soak_upstream_t *u)
+{
+	soak_t *s = u->soak;
+
+	pthread_mutex_lock(&s->lock);
+	if (!u->crashed) {
+		u->crashed = true;
+		s->bad_crash_at = bct_clock_now();
+		u->restart_at = s->bad_crash_at + SOAK_PART_RESTART_MS;
+		for (uint32_t i = 0; i < u->n_conns; i++)
+			shutdown(u->conns[i], SHUT_RDWR);
+		if (++s->bad_crashes == SOAK_PART_CRASHES)
+			s->bad_bound_at = s->bad_crash_at + SOAK_SETTLE_MS;
+	}
+	pthread_mutex_unlock(&s->lock);
+}
+
+void soak_upstreams_supervise(soak_t *s)
+{
+	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
+		soak_upstream_t *u = &s->upstreams[i];
+
+		if (!u->restart_at || bct_clock_now() < u->restart_at)
+			continue;
+		u->restart_at = 0;
+		u->crashed = false;
+		u->born++;
+		u->sequence = 0;
+		soak_write_entry(u);
+	}
+}
+
+/* Counts a run; checks that unsafe requests and streams run once, and refused ones never. returns
+ * whether it crashes the upstream. */
+static bool record_run(soak_upstream_t *u, const request_t *r)
 {
 	soak_t *s = u->soak;
 	uint32_t i = (uint32_t)strtoul(r->id + 2, NULL, 10);
@@ -181,6 +233,9 @@
 		soak_violation(s, "TWICE", "%s ran %u times", r->id, call.runs);
 	if (call.refused)
 		soak_violation(s, "REFUSED", "%s ran after it was refused", r->id);
+	if (call.bad)
+		check_bad_part(s, &call, r);
+	return call.bad;
 }
 
 /*
@@ -247,12 +302,33 @@
 	return send_head(c->fd, r, "200 OK", body) && send_text(c->fd, r->id);
 }
 
+/* Connections beyond SOAK_CONNS outlive a crash. */
+static void add_conn(soak_upstream_t *u, int fd)
+{
+	pthread_mutex_lock(&u->soak->lock);
+	if (u->n_conns < SOAK_CONNS)
+		u->conns[u->n_conns++] = fd;
+	pthread_mutex_unlock(&u->soak->lock);
+}
+
+static void close_conn(soak_upstream_t *u, int fd)
+{
+	pthread_mutex_lock(&u->soak->lock);
+	for (uint32_t i = 0; i < u->n_conns; i++) {
+		if (u->conns[i] == fd)
+			u->conns[i--] = u->conns[--u->n_conns];
+	}
+	close(fd);
+	pthread_mutex_unlock(&u->soak->lock);
+}
+
 static void *serve_conn(void *arg)
 {
 	conn_t *c = arg;
 	soak_t *s = c->u->soak;
 	request_t r;
 
+	add_conn(c->u, c->fd);
 	while (read_request(c->fd, &r)) {
 		uint32_t fault, capacity_roll;
 		bool crashed, faults_ended;
@@ -279,11 +355,18 @@
 						"Content-Length: 0\r\n");
 			continue;
 		}
-		record_run(c->u, &r);
+		if (record_run(c->u, &r)) {
+			send_head(c->fd, &r, "200 OK",
+				  HEADER_PREFIX
+				  "Server-Seal: s\r\nContent-Type: text/event-stream\r\n"
+				  "Transfer-Encoding: chunked\r\n");
+			crash(c->u);
+			break;
+		}
 		if (!answer(c, &r, faults_ended ? 0 : fault))
 			break;
 	}
-	close(c->fd);
+	close_conn(c->u, c->fd);
 	free(c);
 	return NULL;
 }
