Crashes: only a connection from before a crash shows that the run lived on

Cause, found by the soak: an upstream that starts again at its address answers before the registry lists the new run; its bytes voided the crash of the run before, so that crashes of a part of prompts were not counted.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -153,15 +153,11 @@
 	       !strncmp(type, "text/event-stream", 17);
 }
 
-/* Bytes of the answer have arrived. On a connection that was opened before this run of the upstream
- * was listed, they may be of the run before. */
+/* Bytes of the answer have arrived. */
 static void note_progress(bct_exchange_t *x)
 {
-	bct_gate_upstream_t *u = x->conn->upstream;
-
 	x->progress_at = bct_clock_now();
-	if (x->conn->opened >= u->run_since)
-		u->heard_at = x->progress_at;
+	bct_gate_upstream_heard(x->conn->upstream, x->progress_at, x->conn->opened);
 }
 
 bool bct_exchange_head(bct_exchange_t *x)
--- a/policy/gate_part_judge.c
+++ b/policy/gate_part_judge.c
@@ -246,13 +246,17 @@
 	return news;
 }
 
-/* The run lives on: what broke later than that long before is no crash of it. */
-static void void_crashes_of(bct_gate_part_judge_t *j, uint32_t run, bct_time_t heard_at)
+/* The run lived on through these crashes, so they were none. A later connection may be to the next
+ * run, of which this node has not heard. */
+static void void_crashes_of(bct_gate_part_judge_t *j, const bct_gate_upstream_t *u)
 {
+	uint32_t run = bct_gate_upstream_run(u);
+
 	for (uint32_t i = 0; i < j->n_events; i++) {
 		bct_gate_part_event_t *e = &j->events[i];
 
-		if (e->crash.run == run && heard_at > e->crash.at + HEARD_MARGIN_MS)
+		if (e->crash.run == run && u->lived_from <= e->crash.at &&
+		    u->lived_to > e->crash.at + HEARD_MARGIN_MS)
 			e->voided = true;
 	}
 }
@@ -264,8 +268,8 @@
 	bct_list_for_each(el, &t->all) {
 		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
-		if (u->heard_at)
-			void_crashes_of(j, bct_gate_upstream_run(u), u->heard_at);
+		if (u->lived_to)
+			void_crashes_of(j, u);
 	}
 }
 
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -11,6 +11,7 @@
 
 #define PERMILLE 1000
 #define AVERAGE_WEIGHT 8     /* a new observation has a weight of 1/8 */
+#define LIVED_KEEP_MS 2000   /* for which the connection that was open longest need not deliver */
 #define AVOID_MIN_FAILURES 2 /* consecutive failures from which an upstream is avoided */
 #define SLOW_FLOOR_MS 20     /* shorter predictions are too coarse to measure the pace */
 #define SLOW_MAX_PERMILLE 20000
@@ -87,6 +88,7 @@
 	u->avoid_until = 0;
 	u->slow_permille = PERMILLE;
 	u->heard_at = 0;
+	u->lived_from = u->lived_to = 0;
 	u->refused_at = 0;
 	u->notice_malformed = false;
 	memset(&u->limit, 0, sizeof(u->limit));
@@ -333,6 +335,18 @@
 	}
 }
 
+void bct_gate_upstream_heard(bct_gate_upstream_t *u, bct_time_t now, bct_time_t opened)
+{
+	/* Bytes may be of the run before this one. */
+	if (opened < u->run_since)
+		return;
+	u->heard_at = now;
+	if (opened > u->lived_from && now - u->lived_to < LIVED_KEEP_MS)
+		return;
+	u->lived_from = opened;
+	u->lived_to = now;
+}
+
 uint32_t bct_gate_upstream_run(const bct_gate_upstream_t *u)
 {
 	uint32_t run = (uint32_t)bct_hash_mix(u->key, (uint64_t)u->entry.born_ms);
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -76,7 +76,11 @@
 	bct_time_t avoid_until; /* until then, used only if there is no other upstream */
 	uint32_t slow_permille; /* observed over predicted time to first byte; moving average */
 	bct_time_t heard_at;	/* when bytes of this run last arrived; 0: never */
-	bct_time_t refused_at;	/* when a connection to this run was last refused; 0: never */
+	/* A connection opened at the first time delivered bytes at the second: the run lived
+	 * through. */
+	bct_time_t lived_from;
+	bct_time_t lived_to;
+	bct_time_t refused_at; /* when a connection to this run was last refused; 0: never */
 
 	bool notice_malformed; /* statements of its last answer could not be read */
 	bct_gate_limit_t limit;
@@ -192,6 +196,9 @@
 /* bct_gate_upstreams_find_short(3): finds an upstream by the lower half of its key, or NULL. */
 bct_gate_upstream_t *bct_gate_upstreams_find_short(const bct_gate_upstreams_t *t, uint32_t half);
 
+/* bct_gate_upstream_heard(3): bytes arrived on a connection that was opened at that time. */
+void bct_gate_upstream_heard(bct_gate_upstream_t *u, bct_time_t now, bct_time_t opened);
+
 /* bct_gate_upstream_run(3): identifies the current run of an upstream, alike on all nodes; not 0.
  */
 uint32_t bct_gate_upstream_run(const bct_gate_upstream_t *u);
--- a/tests/test_gate_part_judge.c
+++ b/tests/test_gate_part_judge.c
@@ -172,10 +172,11 @@
 	cr_assert_eq(decide(START + 20000), 0);
 }
 
-/* A connection that breaks while its upstream goes on answering others is no crash. */
-Test(gate_part_judge, an_upstream_that_lives_on_did_not_crash)
+/* Has upstreams crash under a part at START, one second apart, and bytes arrive a second after each
+ * crash, on a connection opened that long after it. returns the part that is refused, or 0 */
+static uint64_t decide_with_bytes_later(bct_time_t opened_after)
 {
-	bct_gate_part_verdict_t v;
+	bct_gate_part_verdict_t v = { 0 };
 	bct_gate_upstreams_t t;
 
 	bct_gate_upstreams_init(&t);
@@ -188,11 +189,24 @@
 
 		bct_gate_upstreams_apply(&t, 0, &e);
 		u = bct_gate_upstreams_find(&t, e.id);
-		u->heard_at = at + 1000;
+		bct_gate_upstream_heard(u, at + 1000, at + opened_after);
 		crash(bct_gate_upstream_run(u), at, OTHER);
 	}
-	cr_assert(!bct_gate_part_judge_decide(j, START + 20000, &t, &v));
+	bct_gate_part_judge_decide(j, START + 20000, &t, &v);
 	bct_gate_upstreams_free(&t);
+	return v.part;
+}
+
+/* A connection that breaks while its upstream goes on answering on others is no crash. */
+Test(gate_part_judge, an_upstream_that_lives_on_did_not_crash)
+{
+	cr_assert_eq(decide_with_bytes_later(-10), 0);
+}
+
+/* The next run answers at the same address before the registry lists it. */
+Test(gate_part_judge, a_later_connection_does_not_show_that_a_run_lived)
+{
+	cr_assert_eq(decide_with_bytes_later(900), OTHER);
 }
 
 /* What is left of a run that has crashed may accept connections and break them. Requests sent there
