policy: verdicts and trust on parts of prompts in a module of their own

gate_part_judge.c had grown to 558 lines with two jobs: evidence and decision, and the lists of verdicts and trusted parts. The latter are gate_part_verdict now; moves and names only.

--- a/gate/part.c
+++ b/gate/part.c
@@ -95,7 +95,7 @@
 	bct_parts_t parts;
 	uint32_t longest = 0;
 
-	if (!j->n_verdicts)
+	if (!j->verdicts.n)
 		return 0;
 	parts = bct_part_of(x);
 	for (uint32_t i = 0; i < parts.n; i++) {
--- a/policy/gate_part_judge.c
+++ b/policy/gate_part_judge.c
@@ -3,7 +3,6 @@
  * crashes are rare and what speaks for a part may come later.
  */
 #include "policy/gate_part_judge.h"
-#include "base/hash.h"
 
 #include <string.h>
 
@@ -15,54 +14,17 @@
 /* Bytes that arrive this long after an upstream's crash are no rest of what it had sent before. */
 #define HEARD_MARGIN_MS 300
 
-static bct_gate_part_verdict_t *find_verdict(const bct_gate_part_judge_t *j, uint64_t part)
-{
-	for (uint32_t i = 0; i < j->n_verdicts; i++) {
-		if (j->verdicts[i].part == part)
-			return (bct_gate_part_verdict_t *)&j->verdicts[i];
-	}
-	return NULL;
-}
-
-static bct_gate_part_verdict_t *add_verdict(bct_gate_part_judge_t *j, uint64_t part)
-{
-	bct_gate_part_verdict_t *v = find_verdict(j, part);
-
-	if (v)
-		return v;
-	if (j->n_verdicts < BCT_GATE_PART_VERDICTS_MAX) {
-		v = &j->verdicts[j->n_verdicts++];
-	} else {
-		v = &j->verdicts[j->next_verdict];
-		j->next_verdict = (j->next_verdict + 1) % BCT_GATE_PART_VERDICTS_MAX;
-	}
-	*v = (bct_gate_part_verdict_t){ .part = part };
-	return v;
-}
-
-static bool in_force(const bct_gate_part_verdict_t *v, bct_time_t now)
-{
-	return v->since && now - v->since < BCT_GATE_PART_KEEP_MS;
-}
-
 static bool same_parts(const bct_parts_t *a, const bct_parts_t *b)
 {
 	return a->n == b->n && !memcmp(a->ids, b->ids, a->n * sizeof(a->ids[0]));
 }
 
-static bool is_refused_at(const bct_gate_part_judge_t *j, uint64_t part, bct_time_t at)
-{
-	const bct_gate_part_verdict_t *v = find_verdict(j, part);
-
-	return v && v->refused && in_force(v, at);
-}
-
 /* Returns the number of parts up to and with the last one that is refused; 0: none is. */
 static uint32_t parts_to_refused(const bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c)
 {
 	uint32_t n = c->parts.n;
 
-	while (n && !is_refused_at(j, c->parts.ids[n - 1], c->at))
+	while (n && !bct_gate_part_verdict_refuses(&j->verdicts, c->at, c->parts.ids[n - 1]))
 		n--;
 	return n;
 }
@@ -142,7 +104,8 @@
 static void note_trial_failed(bct_gate_part_judge_t *j, const bct_gate_part_crash_t *c)
 {
 	for (uint32_t i = 0; i < c->parts.n; i++) {
-		bct_gate_part_verdict_t *v = find_verdict(j, c->parts.ids[i]);
+		bct_gate_part_verdict_t *v =
+			bct_gate_part_verdict_find(&j->verdicts, c->parts.ids[i]);
 
 		if (v && v->refused && c->at - v->since >= BCT_GATE_PART_TRIAL_MS)
 			v->trial_failed = true;
@@ -177,37 +140,11 @@
 	return true;
 }
 
-/* Returns the part's slot: one of two, by its hash; if it has none, the older of them. */
-static bct_gate_part_trust_t *trust_slot(bct_gate_part_judge_t *j, uint64_t part)
-{
-	uint64_t h = bct_hash(&part, sizeof(part));
-	bct_gate_part_trust_t *a = &j->trusted[h % BCT_GATE_PART_TRUSTED];
-	bct_gate_part_trust_t *b = &j->trusted[(h >> 32) % BCT_GATE_PART_TRUSTED];
-
-	if (a->part == part)
-		return a;
-	if (b->part == part)
-		return b;
-	return a->at <= b->at ? a : b;
-}
-
-static void note_trusted(bct_gate_part_judge_t *j, uint64_t part, bct_time_t at)
-{
-	bct_gate_part_trust_t *t = trust_slot(j, part);
-
-	if (t->part == part && t->at >= at)
-		return;
-	*t = (bct_gate_part_trust_t){ .part = part, .at = at };
-}
-
 /* returns the number of crashes after which the part is refused */
-static uint32_t crashes_required(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part)
+static uint32_t crashes_required(const bct_gate_part_judge_t *j, bct_time_t now, uint64_t part)
 {
-	const bct_gate_part_trust_t *t = trust_slot(j, part);
-
-	if (now - j->started_at < BCT_GATE_PART_LEARN_MS)
-		return BCT_GATE_PART_CRASHES_TRUSTED;
-	if (t->part == part && now - t->at < BCT_GATE_PART_TRUST_MS)
+	if (now - j->started_at < BCT_GATE_PART_LEARN_MS ||
+	    bct_gate_part_is_trusted(&j->trusted, now, part))
 		return BCT_GATE_PART_CRASHES_TRUSTED;
 	return BCT_GATE_PART_CRASHES;
 }
@@ -227,10 +164,10 @@
 
 bool bct_gate_part_judge_survived(bct_gate_part_judge_t *j, uint64_t part, bct_time_t began_at)
 {
-	bct_gate_part_verdict_t *v = find_verdict(j, part);
+	bct_gate_part_verdict_t *v = bct_gate_part_verdict_find(&j->verdicts, part);
 	bool news = false;
 
-	note_trusted(j, part, began_at);
+	bct_gate_part_trust_note(&j->trusted, part, began_at);
 	for (uint32_t i = 0; i < j->n_events; i++) {
 		bct_gate_part_event_t *e = &j->events[i];
 
@@ -380,14 +317,16 @@
 }
 
 /* Whether enough speaks against the part to refuse it. */
-static bool is_guilty(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part, const tally_t *t)
+static bool is_guilty(const bct_gate_part_judge_t *j, bct_time_t now, uint64_t part,
+		      const tally_t *t)
 {
 	return t->crashes >= crashes_required(j, now, part) && !has_narrower_cause(j, now, part, t);
 }
 
 /* Finds the part that most speaks against, of those against which enough does. returns whether
  * there is one. */
-static bool find_worst(bct_gate_part_judge_t *j, bct_time_t now, uint64_t *part, tally_t *worst)
+static bool find_worst(const bct_gate_part_judge_t *j, bct_time_t now, uint64_t *part,
+		       tally_t *worst)
 {
 	*worst = (tally_t){ 0 };
 	for (uint32_t i = 0; i < j->n_events; i++) {
@@ -427,9 +366,10 @@
 		if (!has_part(p, part))
 			continue;
 		for (uint32_t k = 0; p->ids[k] != part; k++) {
-			bct_gate_part_verdict_t *v = find_verdict(j, p->ids[k]);
+			bct_gate_part_verdict_t *v =
+				bct_gate_part_verdict_find(&j->verdicts, p->ids[k]);
 
-			if (!v || !v->refused || !in_force(v, now))
+			if (!v || !v->refused || !bct_gate_part_verdict_holds(v, now))
 				continue;
 			v->refused = false;
 			v->since = now;
@@ -441,7 +381,7 @@
 static void refuse(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part, const tally_t *t,
 		   bct_gate_part_verdict_t *out)
 {
-	bct_gate_part_verdict_t *v = add_verdict(j, part);
+	bct_gate_part_verdict_t *v = bct_gate_part_verdict_put(&j->verdicts, part);
 
 	*v = (bct_gate_part_verdict_t){
 		.part = part,
@@ -455,8 +395,8 @@
 
 static bool next_superseded(bct_gate_part_judge_t *j, bct_gate_part_verdict_t *out)
 {
-	for (uint32_t i = 0; i < j->n_verdicts; i++) {
-		bct_gate_part_verdict_t *v = &j->verdicts[i];
+	for (uint32_t i = 0; i < j->verdicts.n; i++) {
+		bct_gate_part_verdict_t *v = &j->verdicts.list[i];
 
 		if (!v->superseded)
 			continue;
@@ -491,13 +431,14 @@
 bool bct_gate_part_judge_heard(bct_gate_part_judge_t *j, bct_time_t now,
 			       const bct_gate_part_verdict_t *in)
 {
-	bct_gate_part_verdict_t *v = find_verdict(j, in->part);
+	bct_gate_part_verdict_t *v = bct_gate_part_verdict_find(&j->verdicts, in->part);
 
-	if (!in_force(in, now) || in->since > now)
+	if (!bct_gate_part_verdict_holds(in, now) || in->since > now)
 		return false;
-	if (v && in_force(v, now) && (v->refused == in->refused || v->since >= in->since))
+	if (v && bct_gate_part_verdict_holds(v, now) &&
+	    (v->refused == in->refused || v->since >= in->since))
 		return false;
-	v = add_verdict(j, in->part);
+	v = bct_gate_part_verdict_put(&j->verdicts, in->part);
 	*v = *in;
 	v->tried_at = 0;
 	v->trial_failed = false;
@@ -510,9 +451,9 @@
 uint32_t bct_gate_part_judge_remaining_ms(const bct_gate_part_judge_t *j, bct_time_t now,
 					  uint64_t part)
 {
-	const bct_gate_part_verdict_t *v = find_verdict(j, part);
+	const bct_gate_part_verdict_t *v = bct_gate_part_verdict_find(&j->verdicts, part);
 
-	if (!v || !v->refused || !in_force(v, now))
+	if (!v || !v->refused || !bct_gate_part_verdict_holds(v, now))
 		return 0;
 	return (uint32_t)(v->since + BCT_GATE_PART_KEEP_MS - now);
 }
@@ -533,7 +474,7 @@
 
 bool bct_gate_part_judge_take_trial(bct_gate_part_judge_t *j, bct_time_t now, uint64_t part)
 {
-	bct_gate_part_verdict_t *v = find_verdict(j, part);
+	bct_gate_part_verdict_t *v = bct_gate_part_verdict_find(&j->verdicts, part);
 
 	if (!v || !v->refused || v->trial_failed || now - v->since < BCT_GATE_PART_TRIAL_MS)
 		return false;
@@ -546,10 +487,10 @@
 bool bct_gate_part_judge_next(const bct_gate_part_judge_t *j, bct_time_t now, uint32_t *pos,
 			      bct_gate_part_verdict_t *out)
 {
-	while (*pos < j->n_verdicts) {
-		const bct_gate_part_verdict_t *v = &j->verdicts[(*pos)++];
+	while (*pos < j->verdicts.n) {
+		const bct_gate_part_verdict_t *v = &j->verdicts.list[(*pos)++];
 
-		if (!in_force(v, now))
+		if (!bct_gate_part_verdict_holds(v, now))
 			continue;
 		*out = *v;
 		return true;
--- a/policy/gate_part_judge.h
+++ b/policy/gate_part_judge.h
@@ -4,20 +4,21 @@
  *
  * Evidence are the requests that were in flight when an upstream crashed and had not yet shown that
  * they are harmless, each with the parts of its prompt but the last, which is its own. A part is
- * refused once BCT_GATE_PART_CRASHES crashes, at different upstreams and times, speak against it
+ * refused once BCT_GATE_PART_CRASHES crashes, of different runs and apart in time, speak against it
  * and nothing speaks for it: a request with it that began to be answered after a crash and went on
- * shows that it is harmless. Of several such parts, the one with the most crashes is taken, then
- * the deepest in the prompts; it explains its crashes, which then no longer count against others.
- * It takes more crashes to refuse a part that did no harm lately, or at a node that has
- * not been there for long enough to know: such a part is more likely a bystander.
+ * shows that it is harmless. A part that did no harm lately, or any at a node that has just
+ * started, takes more: it is more likely a bystander. A part has all the crashes of the parts
+ * behind it, so it is not refused while one of those accounts for half of them; the deepest is
+ * taken first. A refused part explains its crashes, which do not count against other parts but
+ * those behind it.
  *
- * A verdict, that a part is refused or harmless, carries the time of its evidence. Nodes exchange
- * verdicts, and the later evidence wins. After a while one node lets one request through, so that a
- * part that was refused by mistake, or does no harm any more, is released.
+ * After a while one node lets one request through, so that a part that was refused by mistake, or
+ * does no harm any more, is released.
  */
 #ifndef BCT_POLICY_GATE_PART_JUDGE_H
 #define BCT_POLICY_GATE_PART_JUDGE_H
 
+#include "policy/gate_part_verdict.h"
 #include "policy/gate_upstreams.h"
 #include "policy/parts.h"
 
@@ -27,13 +28,8 @@
 #define BCT_GATE_PART_SPREAD_MS 400   /* within which all requests at a crash are known to break */
 #define BCT_GATE_PART_SETTLE_MS 250   /* after a crash, until reports of all nodes are there */
 #define BCT_GATE_PART_SURVIVED_MS 500 /* after its first output a request is harmless */
-#define BCT_GATE_PART_KEEP_MS (5 * 60 * BCT_MS_PER_S) /* evidence and verdicts */
-#define BCT_GATE_PART_TRIAL_MS 10000  /* until one request is let through, see below */
-#define BCT_GATE_PART_TRUST_MS 60000  /* for which a survivor makes its parts trusted */
 #define BCT_GATE_PART_LEARN_MS 10000  /* for which a new node trusts all parts */
-#define BCT_GATE_PART_TRUSTED 1024    /* parts that are known as trusted, by their hash */
 #define BCT_GATE_PART_EVENTS_MAX 256  /* further ones replace the oldest */
-#define BCT_GATE_PART_VERDICTS_MAX 64 /* further ones replace the oldest */
 
 /* A request that was in flight when an upstream crashed. */
 typedef struct bct_gate_part_crash {
@@ -54,32 +50,14 @@
 	uint32_t open_from;
 } bct_gate_part_event_t;
 
-typedef struct bct_gate_part_verdict {
-	uint64_t part;
-	bool refused;	     /* false: harmless */
-	bct_time_t since;    /* time of the evidence */
-	uint32_t crashes;    /* that speak against it, as counted by the node that judged */
-	bct_time_t tried_at; /* when this node last let a request through; 0: never */
-	bool trial_failed;   /* that request crashed its upstream */
-	bool superseded; /* released for a narrower cause; to be returned by the next decision */
-} bct_gate_part_verdict_t;
-
-/* A part that did no harm. */
-typedef struct bct_gate_part_trust {
-	uint64_t part;
-	bct_time_t at;
-} bct_gate_part_trust_t;
-
 /* All zero but started_at: empty. */
 typedef struct bct_gate_part_judge {
 	bct_time_t started_at; /* when this node began to learn */
-	bct_gate_part_trust_t trusted[BCT_GATE_PART_TRUSTED];
+	bct_gate_part_trusts_t trusted;
 	bct_gate_part_event_t events[BCT_GATE_PART_EVENTS_MAX];
 	uint32_t n_events;
 	uint32_t next_event;
-	bct_gate_part_verdict_t verdicts[BCT_GATE_PART_VERDICTS_MAX];
-	uint32_t n_verdicts;
-	uint32_t next_verdict;
+	bct_gate_part_verdicts_t verdicts;
 	bool undecided; /* events came since the last decision, or have not settled */
 } bct_gate_part_judge_t;
 
--- a/tests/test_gate_part_judge.c
+++ b/tests/test_gate_part_judge.c
@@ -325,6 +325,6 @@
 		bct_gate_part_judge_heard(j, START + i, &v);
 	}
 	cr_assert_leq(j->n_events, BCT_GATE_PART_EVENTS_MAX);
-	cr_assert_leq(j->n_verdicts, BCT_GATE_PART_VERDICTS_MAX);
+	cr_assert_leq(j->verdicts.n, BCT_GATE_PART_VERDICTS_MAX);
 	cr_assert_neq(bct_gate_part_judge_remaining_ms(j, START + 5000, 5000), 0);
 }
