--- a/Makefile
+++ b/Makefile
@@ -204,7 +204,7 @@
 
 install: programs $(SOLIB)
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/share/man/man1
-	install $(BIN)/chuted $(BIN)/chutectl $(BIN)/chuteload $(DESTDIR)$(PREFIX)/bin
+	install $(BIN)/chuted $(BIN)/chutegate $(BIN)/chutectl $(BIN)/chuteload $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(SOLIB) $(DESTDIR)$(PREFIX)/lib
 	for d in base policy coord; do \
 		install -d $(DESTDIR)$(PREFIX)/include/buckthornchute/$$d; \
