Test, red: halves of a fleet that starts at once find each other late

Found by the soak while parts of prompts crash upstreams: for 20 s a fleet of four was two of two, and a verdict of one half did not reach the other. Traced: a node with one live peer contacts one random seed each 10 s, also one that is live.

--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -178,6 +178,33 @@
 	}
 }
 
+#define HALVES_MS 1500	 /* for two halves of a starting fleet to form */
+#define CATCH_UP_MS 4000 /* users' bound: a node that has started knows what the others know */
+
+/* All nodes start at once, and the first datagrams to seeds that do not listen yet are lost: two
+ * halves form, each around a seed. They must find each other as soon as one node would. */
+Test(member, halves_of_a_mass_start_join_in_time)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		vnet_t *net = vnet_new(seed);
+
+		/* Nodes 0 and 1 are the seeds; 0 and 3 meet first, and 1 and 2. */
+		vnet_start(net, 0, 1);
+		vnet_start(net, 1, 0);
+		vnet_start(net, 2, 1);
+		vnet_start(net, 3, 0);
+		for (uint32_t i = 0; i < 4; i++) {
+			for (uint32_t j = 0; j < 4; j++)
+				net->blocked[i][j] = (i % 3 == 0) != (j % 3 == 0);
+		}
+		vnet_run(net, HALVES_MS);
+		memset(net->blocked, 0, sizeof(net->blocked));
+		cr_expect_geq(vnet_run_until(net, vnet_converged, CATCH_UP_MS), 0, "seed %lu",
+			      seed);
+		vnet_free(net);
+	}
+}
+
 /* A new process at the address of an old one must be a new member, and the old one dead. */
 Test(member, identity_is_the_incarnation_not_the_address)
 {
