Comments: judge of parts, records of crashes

Read as a newcomer: what the times of evidence are, what a decision takes from the upstreams, a broken line in the notes of bct_gate_crash_record(3). Comments only; no code changes.

--- a/gate/part.h
+++ b/gate/part.h
@@ -11,7 +11,8 @@
 bct_parts_t bct_part_of(const bct_exchange_t *x);
 
 /*
- * bct_part_crashed(3): record that an upstream crashed under a request with these parts.
+ * bct_part_crashed(3): record that an upstream crashed under a request with these parts, and tell
+ * the other nodes.
  *
  * request  its id; empty when it is over
  */
--- a/policy/gate_crash.h
+++ b/policy/gate_crash.h
@@ -24,7 +24,7 @@
 
 #define BCT_GATE_CRASH_UPSTREAMS 3 /* different upstreams broken before a request is refused */
 #define BCT_GATE_CRASH_KEEP_MS (5 * 60 * BCT_MS_PER_S) /* from the last crash on record */
-#define BCT_GATE_CRASH_TRIAL_MS 10000 /* until one request is let through, see below */
+#define BCT_GATE_CRASH_TRIAL_MS 10000 /* after a crash or a trial, until the next trial */
 /* bct_gate_crash_record(3): a request that is refused already has crashed a further upstream. */
 #define BCT_GATE_CRASH_FURTHER (BCT_GATE_CRASH_UPSTREAMS + 1)
 
@@ -42,7 +42,7 @@
  * returns  number of different upstreams on record for the request; BCT_GATE_CRASH_FURTHER if it
  *          was refused already, and this is its first crash since one could have been let through;
  *          0 if there is no news, if the table is full of requests that are refused, or if memory
- * is short
+ *          is short
  */
 uint32_t bct_gate_crash_record(bct_gate_crashes_t *t, bct_time_t now, uint64_t digest,
 			       uint32_t run);
--- a/policy/gate_part_judge.h
+++ b/policy/gate_part_judge.h
@@ -33,9 +33,9 @@
 
 /* A request that was in flight when an upstream crashed. */
 typedef struct bct_gate_part_crash {
-	uint32_t run; /* of the upstream, see bct_gate_upstream_run(3) */
-	bct_time_t sent_at;
-	bct_time_t at;
+	uint32_t run;	    /* of the upstream, see bct_gate_upstream_run(3) */
+	bct_time_t sent_at; /* of the request */
+	bct_time_t at;	    /* of the crash; if the request was given up before, of that */
 	bct_parts_t parts;
 } bct_gate_part_crash_t;
 
@@ -78,8 +78,9 @@
 
 /*
  * bct_gate_part_judge_decide(3): refuses a part if the evidence suffices, and releases those before
- * it in the same prompts; to be called repeatedly. Crashes of an upstream in t that was heard of
- * later were none.
+ * it in the same prompts; to be called repeatedly.
+ *
+ * t        the upstreams: a crash that one of them lived through was none
  *
  * returns  whether there is a new verdict
  */
