Observability: the software version of upstreams, and where streams go on

UPSTREAM_PRESENCE, GATE_ATTEMPT_FAILED and GATE_REQUEST_* name it; GATE_STREAM_CONTINUED tells what began a stream and where it goes on. No decision changes.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -6,6 +6,7 @@
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
 #include "gate/notice.h"
+#include "gate/origin.h"
 #include "gate/part.h"
 
 #include <string.h>
@@ -35,8 +36,9 @@
 
 	BCT_LOG(x->gate->log, BCT_EV_GATE_ATTEMPT_FAILED, BCT_STR("request", x->call.id),
 		BCT_HEX("digest", bct_crash_digest(x)), BCT_STR("what", what),
-		BCT_STR("upstream", x->upstream_id), BCT_U64("attempts", x->attempts),
-		BCT_U64("upstream_running", u ? u->running : 0),
+		BCT_STR("upstream", x->upstream_id),
+		BCT_STR("software", u ? u->entry.software : ""), BCT_U64("events", x->events.count),
+		BCT_U64("attempts", x->attempts), BCT_U64("upstream_running", u ? u->running : 0),
 		BCT_U64("upstream_strikes", u ? u->consecutive_failures : 0),
 		BCT_I64("again", retry), BCT_I64("ms", bct_clock_now() - x->arrived));
 }
@@ -233,6 +235,7 @@
 	bct_part_output(x, false);
 	if (!x->answer_started) {
 		x->answer_started = true;
+		bct_origin_began(x);
 		bct_answer_head(x->client, &x->conn->msg, -1);
 	}
 	bct_answer_chunk(x->client, out);
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -4,6 +4,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/origin.h"
 #include "gate/part.h"
 #include "gate/share.h"
 #include "base/err.h"
@@ -244,6 +245,8 @@
 			return;
 		record_choice(x);
 		if (!send_attempt(x)) {
+			if (x->call.resumes || x->answer_started)
+				bct_origin_continued(x);
 			if (x->conn->connected)
 				bct_exchange_connected(x);
 			else
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -4,6 +4,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/origin.h"
 #include "gate/registry_sync.h"
 #include "base/mem.h"
 
@@ -43,8 +44,10 @@
 		BCT_U64("version", x->routes ? x->routes->version : 0),
 		BCT_I64("registry_age_ms", bct_registry_sync_age_ms(x->gate->registry_sync, now)),
 		BCT_U64("nodes", x->gate->nodes), BCT_STR("upstream", x->upstream_id),
-		BCT_U64("attempts", x->attempts), BCT_U64("connects_failed", x->connects),
-		BCT_U64("fault", x->last_fault), BCT_U64("prompt_tokens", x->call.prompt_tokens),
+		BCT_STR("resumes", x->call.resumes_id),
+		BCT_STR("began_software", bct_origin_software(x)), BCT_U64("attempts", x->attempts),
+		BCT_U64("connects_failed", x->connects), BCT_U64("fault", x->last_fault),
+		BCT_U64("prompt_tokens", x->call.prompt_tokens),
 		BCT_U64("output_tokens", x->query.output_tokens),
 		BCT_U64("cached_tokens", x->choice.cached_tokens),
 		BCT_STR("copied_from", x->source_id),
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -14,6 +14,7 @@
 #include "policy/abandoned.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
+#include "policy/gate_origin.h"
 #include "policy/gate_pace.h"
 #include "policy/gate_part_judge.h"
 #include "policy/gate_pick.h"
@@ -201,6 +202,7 @@
 	struct evbuffer *body;
 	struct evbuffer *answer; /* body of the answer, or events to be forwarded */
 	bct_gate_sse_t events;
+	bct_gate_origin_t origin; /* of its stream, once an event was delivered */
 	bct_time_t arrived;
 	bct_time_t caller_deadline; /* when the caller stops waiting */
 	bct_time_t route_deadline;  /* when the route's time limit is over */
--- a/gate/pull.c
+++ b/gate/pull.c
@@ -17,6 +17,7 @@
 #include <string.h>
 
 #define TIMEOUT_S 1
+#define LATER_LIST_BYTES 4 /* of an empty list in XDR */
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define AUTHORIZATION_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
 #define STATUS_OK 200
@@ -69,21 +70,32 @@
 	return rc;
 }
 
-static int decode_upstreams(char *data, size_t len_bytes, bct_registry_batch_t *out)
+static int decode_upstreams(const char *data, size_t len_bytes, bct_registry_batch_t *out)
 {
 	share_upstreams m = { 0 };
+	/* Zeros follow, which decode as the empty list that an older node does not send. */
+	char *padded = bct_alloc(len_bytes + LATER_LIST_BYTES);
 	int rc;
 	XDR x;
 
-	xdrmem_create(&x, data, (u_int)len_bytes, XDR_DECODE);
+	if (!padded)
+		return -BCT_ENOMEM;
+	memcpy(padded, data, len_bytes);
+	xdrmem_create(&x, padded, (u_int)(len_bytes + LATER_LIST_BYTES), XDR_DECODE);
 	rc = xdr_share_upstreams(&x, &m) ? 0 : -BCT_ECODEC;
 	xdr_destroy(&x);
+	bct_free(padded);
 	if (!rc && m.entries.entries_len) {
 		out->changes = bct_alloc(sizeof(*out->changes) * m.entries.entries_len);
 		rc = out->changes ? 0 : -BCT_ENOMEM;
 	}
-	for (uint32_t i = 0; !rc && i < m.entries.entries_len; i++)
-		bct_share_decode_entry(&m.entries.entries_val[i], &out->changes[out->n++]);
+	for (uint32_t i = 0; !rc && i < m.entries.entries_len; i++) {
+		bct_registry_change_t *c = &out->changes[out->n++];
+
+		bct_share_decode_entry(&m.entries.entries_val[i], c);
+		bct_share_decode_software(
+			i < m.software.software_len ? &m.software.software_val[i] : NULL, c);
+	}
 	out->next = m.position;
 	xdr_free((xdrproc_t)xdr_share_upstreams, (char *)&m);
 	return rc;
@@ -331,13 +343,19 @@
 	int rc = -BCT_ENOMEM;
 
 	m.entries.entries_val = bct_alloc(sizeof(share_entry) * (g->upstreams.n + 1));
-	if (!m.entries.entries_val)
+	m.software.software_val = bct_alloc(sizeof(share_software) * (g->upstreams.n + 1));
+	if (!m.entries.entries_val || !m.software.software_val) {
+		bct_free(m.entries.entries_val);
+		bct_free(m.software.software_val);
 		return rc;
+	}
 	bct_list_for_each(el, &g->upstreams.all) {
 		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
-		if (u->presence < BCT_GATE_LAPSED)
-			bct_share_encode_entry(u, &m.entries.entries_val[m.entries.entries_len++]);
+		if (u->presence >= BCT_GATE_LAPSED)
+			continue;
+		bct_share_encode_entry(u, &m.entries.entries_val[m.entries.entries_len++]);
+		bct_share_encode_software(u, &m.software.software_val[m.software.software_len++]);
 	}
 	size = (uint32_t)xdr_sizeof((xdrproc_t)xdr_share_upstreams, &m);
 	data = bct_alloc(size);
@@ -348,6 +366,7 @@
 	}
 	bct_free(data);
 	bct_free(m.entries.entries_val);
+	bct_free(m.software.software_val);
 	return rc;
 }
 
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -93,7 +93,8 @@
 	BCT_LOG(g->log, BCT_EV_UPSTREAM_PRESENCE, BCT_STR("upstream", id),
 		BCT_U64("presence", u->presence), BCT_STR("service", u->entry.service),
 		BCT_STR("address", u->entry.ip), BCT_U64("port", u->entry.port),
-		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
+		BCT_STR("software", u->entry.software), BCT_U64("sequence", u->entry.sequence),
+		BCT_U64("running", u->running));
 }
 
 /* Logs the upstreams that became ready lately. */
--- a/gate/share.c
+++ b/gate/share.c
@@ -13,8 +13,9 @@
 #include <unistd.h>
 
 #define DATAGRAM_BYTES 1400
-#define INTERVAL_MS 100 /* between two rounds in a small fleet */
-#define REFRESH_MS 500	/* between two reads of the membership */
+#define INTERVAL_MS 100	     /* between two rounds in a small fleet */
+#define REFRESH_MS 500	     /* between two reads of the membership */
+#define LATER_LISTS_BYTES 64 /* zeros behind a datagram: the lists that an older node lacks */
 
 static uint64_t seq_of(const bct_share_peer_t *old, uint32_t n, uint64_t incarnation)
 {
@@ -214,6 +215,7 @@
 	return !sodium_memcmp(mac, data + len - BCT_SHARE_MAC_BYTES, BCT_SHARE_MAC_BYTES);
 }
 
+/* data: of DATAGRAM_BYTES + LATER_LISTS_BYTES */
 static void on_datagram(bct_share_t *s, uint8_t *data, size_t len)
 {
 	share_update update = { 0 };
@@ -224,8 +226,9 @@
 		return;
 	}
 	/* The last lists are missing in a datagram of an older node: zeros decode as empty ones. */
-	memset(data + len - BCT_SHARE_MAC_BYTES, 0, BCT_SHARE_MAC_BYTES);
-	xdrmem_create(&x, (char *)data, (u_int)len, XDR_DECODE);
+	memset(data + len - BCT_SHARE_MAC_BYTES, 0, LATER_LISTS_BYTES);
+	xdrmem_create(&x, (char *)data, (u_int)(len - BCT_SHARE_MAC_BYTES + LATER_LISTS_BYTES),
+		      XDR_DECODE);
 	if (xdr_share_update(&x, &update) && is_fresh(s, &update))
 		apply_update(s, &update);
 	else
@@ -236,11 +239,11 @@
 
 static void on_readable(evutil_socket_t fd, short what, void *ctx)
 {
-	uint8_t data[DATAGRAM_BYTES];
+	uint8_t data[DATAGRAM_BYTES + LATER_LISTS_BYTES];
 	ssize_t n;
 
 	(void)what;
-	while ((n = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
+	while ((n = recv(fd, data, DATAGRAM_BYTES, MSG_DONTWAIT)) > 0)
 		on_datagram(ctx, data, (size_t)n);
 }
 
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -96,6 +96,13 @@
 void bct_share_encode_entry(const bct_gate_upstream_t *u, share_entry *out);
 void bct_share_decode_entry(const share_entry *x, bct_registry_change_t *out);
 
+/*
+ * bct_share_encode_software(3), bct_share_decode_software(3): the version of its software. To
+ * decode, x is NULL if the peer, an older node, did not send it.
+ */
+void bct_share_encode_software(const bct_gate_upstream_t *u, share_software *out);
+void bct_share_decode_software(const share_software *x, bct_registry_change_t *out);
+
 /* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
 bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
 
--- a/gate/share_registry.c
+++ b/gate/share_registry.c
@@ -9,6 +9,13 @@
 
 #define VERSIONS_PER_S 80 /* datagrams with versions that a reader sends to all nodes */
 
+/* Upstreams of an update that were news here. */
+typedef struct news {
+	share_entry entries[SHARE_ENTRIES_MAX];
+	share_software software[SHARE_ENTRIES_MAX];
+	uint32_t n;
+} news_t;
+
 /* Between versions sent to all nodes; grows with their number. */
 static uint32_t all_versions_interval_ms(const bct_share_t *s)
 {
@@ -88,14 +95,16 @@
 }
 
 /* At a hub: forwards news that a reader sent to the nodes of this hub's cluster. */
-static void relay_news(bct_share_t *s, const share_update *from, share_entry *news, uint32_t n)
+static void relay_news(bct_share_t *s, const share_update *from, news_t *news)
 {
 	share_update update = { .view = BCT_GATE_VIEW_REST };
 
-	if (!n || from->view != BCT_GATE_VIEW_LOCAL || !bct_share_is_hub(s))
+	if (!news->n || from->view != BCT_GATE_VIEW_LOCAL || !bct_share_is_hub(s))
 		return;
-	update.entries.entries_val = news;
-	update.entries.entries_len = n;
+	update.entries.entries_val = news->entries;
+	update.entries.entries_len = news->n;
+	update.software.software_val = news->software;
+	update.software.software_len = news->n;
 	bct_share_send_to_local_cluster(s, &update);
 }
 
@@ -121,12 +130,16 @@
 {
 	share_update update = { 0 };
 	share_entry x = { 0 };
+	share_software software = { 0 };
 
 	if (!s)
 		return;
 	bct_share_encode_entry(u, &x);
+	bct_share_encode_software(u, &software);
 	update.entries.entries_val = &x;
 	update.entries.entries_len = 1;
+	update.software.software_val = &software;
+	update.software.software_len = 1;
 	bct_share_send_change(s, &update);
 }
 
@@ -158,6 +171,20 @@
 	e->position = x->position;
 }
 
+void bct_share_encode_software(const bct_gate_upstream_t *u, share_software *out)
+{
+	memcpy(out->text, u->entry.software, sizeof(out->text));
+	out->key = u->entry.software_key;
+}
+
+void bct_share_decode_software(const share_software *x, bct_registry_change_t *out)
+{
+	if (!x)
+		return;
+	copy_name(out->entry.software, x->text, sizeof(out->entry.software));
+	out->entry.software_key = x->key;
+}
+
 static bct_gate_read_t received_read(const share_read *r, bct_time_t now)
 {
 	bct_gate_read_t read = { .reader = r->reader };
@@ -181,17 +208,24 @@
 /* Applies changes of the registry. What is no news here was relayed before. */
 static void apply_entries(bct_share_t *s, const share_update *update)
 {
-	share_entry news[SHARE_ENTRIES_MAX];
-	uint32_t n = 0;
+	news_t news = { .n = 0 };
 
 	for (uint32_t i = 0; i < update->entries.entries_len; i++) {
+		const share_software *software = i < update->software.software_len
+							 ? &update->software.software_val[i]
+							 : NULL;
 		bct_registry_change_t c;
 
 		bct_share_decode_entry(&update->entries.entries_val[i], &c);
-		if (bct_registry_sync_apply(s->gate, &c, false))
-			news[n++] = update->entries.entries_val[i];
+		bct_share_decode_software(software, &c);
+		if (!bct_registry_sync_apply(s->gate, &c, false))
+			continue;
+		news.entries[news.n] = update->entries.entries_val[i];
+		if (software)
+			news.software[news.n] = *software;
+		news.n++;
 	}
-	relay_news(s, update, news, n);
+	relay_news(s, update, &news);
 }
 
 /*
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -28,6 +28,7 @@
 	uint32_t n_segments;
 	uint64_t after_event; /* if resumes: the caller has the events up to this id */
 	bool resumes;	      /* continues a stream that broke */
+	char resumes_id[BCT_WIRE_ID_BYTES]; /* attempt that brought its first event; empty: none */
 } bct_wire_call_t;
 
 /* Metadata that the gateway adds to the headers of a forwarded request. */
--- a/gen/share.h
+++ b/gen/share.h
@@ -29,6 +29,7 @@
 #define SHARE_NEVER 0xffffffff
 #define SHARE_NAME_BYTES 64
 #define SHARE_IP_BYTES 48
+#define SHARE_SOFTWARE_BYTES 32
 
 struct share_load {
 	u_int upstream;
@@ -67,6 +68,12 @@
 };
 typedef struct share_entry share_entry;
 
+struct share_software {
+	char text[SHARE_SOFTWARE_BYTES];
+	u_quad_t key;
+};
+typedef struct share_software share_software;
+
 struct share_crash {
 	u_quad_t digest;
 	u_int run;
@@ -167,6 +174,10 @@
 		u_int verdicts_len;
 		share_verdict *verdicts_val;
 	} verdicts;
+	struct {
+		u_int software_len;
+		share_software *software_val;
+	} software;
 };
 typedef struct share_update share_update;
 
@@ -185,6 +196,10 @@
 		u_int entries_len;
 		share_entry *entries_val;
 	} entries;
+	struct {
+		u_int software_len;
+		share_software *software_val;
+	} software;
 };
 typedef struct share_upstreams share_upstreams;
 
@@ -195,6 +210,7 @@
 extern  bool_t xdr_share_placed (XDR *, share_placed*);
 extern  bool_t xdr_share_lane (XDR *, share_lane*);
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
+extern  bool_t xdr_share_software (XDR *, share_software*);
 extern  bool_t xdr_share_crash (XDR *, share_crash*);
 extern  bool_t xdr_share_block (XDR *, share_block*);
 extern  bool_t xdr_share_part_crash (XDR *, share_part_crash*);
@@ -211,6 +227,7 @@
 extern bool_t xdr_share_placed ();
 extern bool_t xdr_share_lane ();
 extern bool_t xdr_share_entry ();
+extern bool_t xdr_share_software ();
 extern bool_t xdr_share_crash ();
 extern bool_t xdr_share_block ();
 extern bool_t xdr_share_part_crash ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -210,6 +210,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_software (XDR *xdrs, share_software *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_opaque (xdrs, objp->text, SHARE_SOFTWARE_BYTES))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_crash (XDR *xdrs, share_crash *objp)
 {
@@ -401,6 +414,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->verdicts.verdicts_val, (u_int *) &objp->verdicts.verdicts_len, SHARE_VERDICTS_MAX,
 		sizeof (share_verdict), (xdrproc_t) xdr_share_verdict))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->software.software_val, (u_int *) &objp->software.software_len, SHARE_ENTRIES_MAX,
+		sizeof (share_software), (xdrproc_t) xdr_share_software))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -426,5 +442,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
 		sizeof (share_entry), (xdrproc_t) xdr_share_entry))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->software.software_val, (u_int *) &objp->software.software_len, ~0,
+		sizeof (share_software), (xdrproc_t) xdr_share_software))
+		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/policy/gate_origin.h
@@ -0,0 +1,20 @@
+/*
+ * gate_origin.h - the software that began a stream. Upstreams of one service may run several
+ * versions of their software; what two of them write does not fit together, and they do not check
+ * that. Pure: no I/O and no clock.
+ */
+#ifndef BCT_POLICY_GATE_ORIGIN_H
+#define BCT_POLICY_GATE_ORIGIN_H
+
+#include "policy/gate_upstreams.h"
+
+/* Who wrote the first event of a stream. */
+typedef struct bct_gate_origin {
+	uint64_t software_key; /* of the version of its software; 0: unknown */
+	uint32_t run;	       /* see bct_gate_upstream_run(3); 0: unknown */
+} bct_gate_origin_t;
+
+/* bct_gate_origin_of(3): the origin of a stream that begins at the upstream now. */
+bct_gate_origin_t bct_gate_origin_of(const bct_gate_upstream_t *u);
+
+#endif
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -21,6 +21,7 @@
 
 #define BCT_GATE_ID_BYTES 64
 #define BCT_GATE_IP_BYTES 48
+#define BCT_GATE_SOFTWARE_BYTES 32
 
 /* A registry entry of an upstream. */
 typedef struct bct_gate_entry {
@@ -32,8 +33,10 @@
 	uint32_t slots;	  /* requests that it runs at once */
 	uint32_t cold_ms; /* remaining time for which it is slow after its start */
 	bool draining;
-	int64_t born_ms;	      /* start of the process, Unix time; 0: unknown */
-	uint64_t sequence;	      /* grows with each write by the same run */
+	char software[BCT_GATE_SOFTWARE_BYTES]; /* version of its software, for logs; may be cut */
+	uint64_t software_key;			/* hash of that version; 0: unknown */
+	int64_t born_ms;			/* start of the process, Unix time; 0: unknown */
+	uint64_t sequence;			/* grows with each write by the same run */
 	bct_gate_position_t position; /* of its record in the registry's log; 0: unknown */
 } bct_gate_entry_t;
 
@@ -130,6 +133,9 @@
 #define BCT_GATE_AVOID_FIRST_MS 500
 #define BCT_GATE_AVOID_MAX_MS 4000
 
+/* bct_gate_entry_set_software(3): set the version of an upstream's software; "": unknown. */
+void bct_gate_entry_set_software(bct_gate_entry_t *e, const char *version);
+
 void bct_gate_upstreams_init(bct_gate_upstreams_t *t);
 void bct_gate_upstreams_free(bct_gate_upstreams_t *t);
 
@@ -193,6 +199,9 @@
 
 bct_gate_upstream_t *bct_gate_upstreams_find(const bct_gate_upstreams_t *t, const char *id);
 
+/* bct_gate_upstreams_software(3): the version with this hash, of a known upstream, or "". */
+const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t software_key);
+
 /* bct_gate_upstreams_find_short(3): finds an upstream by the lower half of its key, or NULL. */
 bct_gate_upstream_t *bct_gate_upstreams_find_short(const bct_gate_upstreams_t *t, uint32_t half);
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -20,6 +20,7 @@
 const SHARE_NEVER = 0xffffffff;
 const SHARE_NAME_BYTES = 64;
 const SHARE_IP_BYTES = 48;
+const SHARE_SOFTWARE_BYTES = 32;
 
 /*
  * The current load on one upstream, as counted by the view of the update. An upstream is identified
@@ -64,6 +65,12 @@
 	unsigned hyper position;	/* of the record in the registry's log */
 };
 
+/* The version of the software of an upstream; the text is padded with NUL bytes and may be cut. */
+struct share_software {
+	opaque text[SHARE_SOFTWARE_BYTES];
+	unsigned hyper key;	/* hash of the whole version; 0: unknown */
+};
+
 /*
  * A request under which a run of an upstream crashed. Run 0: the request was answered successfully
  * instead.
@@ -134,6 +141,7 @@
 	share_part_crash part_crashes<SHARE_PART_CRASHES_MAX>;
 	share_survivor survivors<SHARE_SURVIVORS_MAX>;
 	share_verdict verdicts<SHARE_VERDICTS_MAX>;
+	share_software software<SHARE_ENTRIES_MAX>;	/* of the upstreams in entries, in order */
 };
 
 /*
@@ -148,4 +156,5 @@
 struct share_upstreams {
 	unsigned hyper position; /* the entries reflect the registry's log up to here */
 	share_entry entries<>;
+	share_software software<>;	/* of the entries, in order; an older node's answer ends here */
 };
