--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -72,9 +72,9 @@
 	char text[512];
 	int n = snprintf(text, sizeof(text),
 			 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
-			 "\"version\":\"v1\",\"slots\":64,\"state\":\"%s\","
+			 "\"version\":\"%s\",\"slots\":64,\"state\":\"%s\","
 			 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%u}",
-			 u->service, u->port, state, BORN_MS + u->starts);
+			 u->service, u->port, u->software, state, BORN_MS + u->starts);
 
 	c->kind = BCT_REGISTRY_ENTRY;
 	cr_assert_eq(bct_decode_entry(u->id, text, (size_t)n, &c->entry), 0);
@@ -351,6 +351,16 @@
 	return restart(t, &t->desk, 1);
 }
 
+void test_gate_set_software(test_gate_t *t, const char *const *versions, uint32_t n)
+{
+	pthread_mutex_lock(&t->lock);
+	for (uint32_t i = 0; i < n; i++)
+		t->engines[i].software = versions[i];
+	pthread_mutex_unlock(&t->lock);
+	/* Long enough for ten polls of the registry. */
+	bct_clock_sleep(300);
+}
+
 void test_gate_publish(test_gate_t *t, const char *config)
 {
 	pthread_mutex_lock(&t->lock);
@@ -442,6 +452,17 @@
 	return call(t, "POST", path, call_id, headers, out);
 }
 
+int test_gate_take_up(test_gate_t *t, const char *path, const char *call_id, const char *script,
+		      const char *resumes, uint32_t after_event, bct_buf_t *out)
+{
+	char headers[512];
+
+	snprintf(headers, sizeof(headers), "X-Script: %s\r\n%s%s%sLast-Event-Id: %u", script,
+		 resumes ? "Resumes: " : "", resumes ? resumes : "", resumes ? "\r\n" : "",
+		 after_event);
+	return call(t, "POST", path, call_id, headers, out);
+}
+
 uint32_t test_gate_runs(test_gate_t *t, const char *call_id)
 {
 	uint32_t n = 0;
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -62,6 +62,7 @@
 typedef struct gate_upstream {
 	char id[32];
 	const char *service;
+	const char *software; /* version; "v1" unless a test sets another */
 	int fd;
 	uint16_t port;
 	struct test_gate *gate;
@@ -119,6 +120,9 @@
 /* Sends bytes to the administration address, as test_gate_raw() does to that for callers. */
 void test_gate_admin(test_gate_t *t, const char *bytes, uint32_t wait_ms, bct_buf_t *out);
 
+/* Sets the software versions of the engines in the registry; n of them, in order. */
+void test_gate_set_software(test_gate_t *t, const char *const *versions, uint32_t n);
+
 /* Sends one request with "Connection: close". Returns the status, or 0 without a response. */
 int test_gate_call(test_gate_t *t, const char *method, const char *path, const char *call_id,
 		   const char *script, bct_buf_t *out);
@@ -127,6 +131,13 @@
 int test_gate_prompt(test_gate_t *t, const char *path, const char *call_id, const char *script,
 		     const char *parts, bct_buf_t *out);
 
+/*
+ * As test_gate_call(), a POST that takes up a stream after an event; resumes: the call id that
+ * brought its first event, or NULL to name none.
+ */
+int test_gate_take_up(test_gate_t *t, const char *path, const char *call_id, const char *script,
+		      const char *resumes, uint32_t after_event, bct_buf_t *out);
+
 /* Returns how often a call id arrived at upstreams; and its i-th arrival, from 0, or NULL. */
 uint32_t test_gate_runs(test_gate_t *t, const char *call_id);
 const gate_run_t *test_gate_run(test_gate_t *t, const char *call_id, uint32_t i);
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -419,6 +419,8 @@
 {
 	snprintf(u->id, sizeof(u->id), "%s", id);
 	u->service = service;
+	if (!u->software)
+		u->software = "v1";
 	u->gate = t;
 	u->fd = listen_any(&u->port);
 	cr_assert_eq(pthread_create(&u->thread, NULL, serve_upstream, u), 0);
