Streams: an answer goes on only at the version that began it

Cause: after a break the gateway chose an upstream as for a new request. Change: policy/gate_origin says what began a stream (service and version, and the run) and whether it may go on at an upstream; the choice asks it, and looks at all upstreams then, as few may have the version. Before the first event nothing is bound. A silent upstream is left only if another one can take the stream, else the pause would end it. The table of upstreams: an unnamed version leaves what is known of the same run, a changed one shows another run.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -85,11 +85,20 @@
 		bct_exchange_give_up(x);
 }
 
-/* The upstream was silent for too long. If no retry is permitted, keeps the attempt and disables
- * the silence limit for it. */
+/* Whether another upstream can take the request now. */
+static bool has_alternative(bct_exchange_t *x)
+{
+	bct_gate_choice_t c;
+
+	bct_gate_pick(&x->gate->picker, bct_clock_now(), &x->query, &c);
+	return c.upstream != NULL;
+}
+
+/* The upstream was silent for too long. If no other one can take the request, or no retry is
+ * permitted, keeps the attempt and disables the silence limit for it. */
 void bct_exchange_on_silence(bct_exchange_t *x)
 {
-	if (!bct_exchange_take_retry(x)) {
+	if (!has_alternative(x) || !bct_exchange_take_retry(x)) {
 		x->no_silence_retry = true;
 		bct_exchange_set_timer(x);
 		return;
--- a/gate/origin.c
+++ b/gate/origin.c
@@ -5,13 +5,15 @@
 
 void bct_origin_began(bct_exchange_t *x)
 {
-	if (!x->origin.run && !x->call.resumes)
-		x->origin = bct_gate_origin_of(x->conn->upstream);
+	if (x->call.resumes)
+		return;
+	x->origin = bct_gate_origin_of(x->conn->upstream);
+	x->query.origin = &x->origin;
 }
 
 const char *bct_origin_software(const bct_exchange_t *x)
 {
-	return bct_gate_upstreams_software(&x->gate->upstreams, x->origin.software_key);
+	return bct_gate_upstreams_software(&x->gate->upstreams, x->origin.release);
 }
 
 void bct_origin_continued(bct_exchange_t *x)
--- a/policy/gate_origin.c
+++ b/policy/gate_origin.c
@@ -3,8 +3,14 @@
  */
 #include "policy/gate_origin.h"
 
+bool bct_gate_origin_allows(const bct_gate_origin_t *o, const bct_gate_upstream_t *u)
+{
+	if (o->release && u->release)
+		return o->release == u->release;
+	return o->run && o->run == bct_gate_upstream_run(u);
+}
+
 bct_gate_origin_t bct_gate_origin_of(const bct_gate_upstream_t *u)
 {
-	return (bct_gate_origin_t){ .software_key = u->entry.software_key,
-				    .run = bct_gate_upstream_run(u) };
+	return (bct_gate_origin_t){ .release = u->release, .run = bct_gate_upstream_run(u) };
 }
--- a/policy/gate_origin.h
+++ b/policy/gate_origin.h
@@ -10,10 +10,16 @@
 
 /* Who wrote the first event of a stream. */
 typedef struct bct_gate_origin {
-	uint64_t software_key; /* of the version of its software; 0: unknown */
-	uint32_t run;	       /* see bct_gate_upstream_run(3); 0: unknown */
+	uint64_t release; /* see bct_gate_upstream_t; 0: unknown */
+	uint32_t run;	  /* see bct_gate_upstream_run(3); 0: unknown */
 } bct_gate_origin_t;
 
+/*
+ * bct_gate_origin_allows(3): whether a stream may go on at an upstream: the same run of it, or one
+ * of the same service with the same version of the software. An unknown version is like no other.
+ */
+bool bct_gate_origin_allows(const bct_gate_origin_t *o, const bct_gate_upstream_t *u);
+
 /* bct_gate_origin_of(3): the origin of a stream that begins at the upstream now. */
 bct_gate_origin_t bct_gate_origin_of(const bct_gate_upstream_t *u);
 
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -42,7 +42,7 @@
 	uint64_t order;	   /* sort key of the order that all nodes share */
 	uint32_t position; /* in that order, from 0 */
 	bool sampled;	   /* scored in this decision */
-	bool closed;	   /* its limit or pause allows no request now */
+	bool closed; /* its limit or pause allows no request now, or a stream can't go on there */
 } candidate_t;
 
 /* The upstream that holds the most leading segments of the prompt in its cache. */
@@ -104,8 +104,11 @@
 	return true;
 }
 
-/* Stores the upstreams that accept requests of the service; returns their number. */
-static uint32_t collect(const bct_gate_picker_t *p, bct_time_t now, uint64_t service_key,
+/*
+ * Stores the upstreams that accept requests of the service; returns their number. Those at which
+ * this request can't go on are kept, because the order of all decides on lanes.
+ */
+static uint32_t collect(const bct_gate_picker_t *p, bct_time_t now, const bct_gate_pick_input_t *in,
 			candidate_t *out, bct_gate_choice_t *choice)
 {
 	bct_list_t *el;
@@ -116,10 +119,11 @@
 
 		if (n == CANDIDATES_MAX)
 			break;
-		if (!bct_gate_upstream_accepts(u, service_key))
+		if (!bct_gate_upstream_accepts(u, in->service_key))
 			continue;
 		out[n].u = u;
-		out[n].closed = is_closed(u, now, choice);
+		out[n].closed = (in->origin && !bct_gate_origin_allows(in->origin, u)) ||
+				is_closed(u, now, choice);
 		out[n].order = bct_rendezvous_score(ORDER_KEY, u->key);
 		n++;
 	}
@@ -142,7 +146,8 @@
  */
 static void draw_sample(bct_gate_picker_t *p, const pick_ctx_t *ctx, candidate_t *c, uint32_t n)
 {
-	bool all = p->nodes <= FULL_SCAN_NODES_MAX || n <= SAMPLE_SIZE;
+	/* Few may have the software at which a stream can go on. */
+	bool all = p->nodes <= FULL_SCAN_NODES_MAX || n <= SAMPLE_SIZE || ctx->in->origin;
 	uint32_t drawn = 0;
 
 	for (uint32_t i = 0; i < n; i++) {
@@ -387,7 +392,7 @@
 {
 	candidate_t c[CANDIDATES_MAX];
 	bct_gate_choice_t none = { 0 };
-	uint32_t n = collect(p, now, in->service_key, c, &none);
+	uint32_t n = collect(p, now, in, c, &none);
 	bct_gate_lanes_t *l = in->engine ? bct_gate_pick_lanes(p, in->service_key) : NULL;
 	pick_ctx_t ctx = { .in = in, .lanes = l };
 	scored_t best = { 0 }, s;
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -8,6 +8,7 @@
 
 #include "base/rng.h"
 #include "policy/gate_lanes.h"
+#include "policy/gate_origin.h"
 #include "policy/gate_prefix.h"
 #include "policy/gate_upstreams.h"
 
@@ -25,7 +26,8 @@
 	uint32_t slots;		/* requests that an engine of the service runs at once */
 	uint32_t copy_token_ns; /* to copy a token's KV cache between engines; 0: not possible */
 	const char *zone;	/* failure domain of this node, or NULL */
-	uint64_t tried[BCT_GATE_TRIED]; /* keys of upstreams to leave out */
+	const bct_gate_origin_t *origin; /* of a stream that goes on; NULL: any upstream will do */
+	uint64_t tried[BCT_GATE_TRIED];	 /* keys of upstreams to leave out */
 	uint32_t n_tried;
 } bct_gate_pick_input_t;
 
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -58,14 +58,14 @@
 	return bct_map_get(&t->by_short, half);
 }
 
-const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t software_key)
+const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t release)
 {
 	bct_list_t *el;
 
 	bct_list_for_each(el, &t->all) {
 		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
-		if (software_key && u->entry.software_key == software_key)
+		if (release && u->release == release)
 			return u->entry.software;
 	}
 	return "";
@@ -203,11 +203,36 @@
 	return is_older(e, &u->entry) || (u->presence >= BCT_GATE_LAPSED && was_removed(t, e));
 }
 
+/* Whether an entry is of another run than the one known: software doesn't change while it runs. */
+static bool is_other_run(const bct_gate_entry_t *known, const bct_gate_entry_t *e)
+{
+	if (known->software_key && e->software_key && known->software_key != e->software_key)
+		return true;
+	return known->born_ms != e->born_ms || known->port != e->port ||
+	       strcmp(known->ip, e->ip) != 0;
+}
+
+/* Stores the entry. One that does not name the version leaves that of the same run as it is. */
+static void set_entry(bct_gate_upstream_t *u, const bct_gate_entry_t *e, bool other_run)
+{
+	bct_gate_entry_t known = u->entry;
+
+	u->entry = *e;
+	if (!other_run && !e->software_key) {
+		memcpy(u->entry.software, known.software, sizeof(known.software));
+		u->entry.software_key = known.software_key;
+	}
+	u->service_key = bct_hash_str(e->service);
+	u->release = 0;
+	if (u->entry.software_key)
+		u->release = bct_hash_mix(u->service_key, u->entry.software_key);
+}
+
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e)
 {
 	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, e->id);
 	bct_gate_presence_t p = e->draining ? BCT_GATE_DRAINING : BCT_GATE_READY;
-	bool changed;
+	bool changed, other_run = !u || is_other_run(&u->entry, e);
 
 	if (u)
 		u->list_pass = t->list_pass;
@@ -217,8 +242,7 @@
 		u = add(t, e);
 		if (!u)
 			return -BCT_ENOMEM;
-	} else if (u->entry.born_ms != e->born_ms || u->entry.port != e->port ||
-		   strcmp(u->entry.ip, e->ip) != 0) {
+	} else if (other_run) {
 		reset_observations(u, now);
 	} else if (p == BCT_GATE_READY && u->presence == BCT_GATE_DRAINING) {
 		/* A run that is draining stays so: only a new run becomes ready again. */
@@ -226,8 +250,7 @@
 	}
 	t->digest_stale = t->digest_stale || u->entry.born_ms != e->born_ms;
 	changed = u->presence != p || strcmp(u->entry.service, e->service) != 0;
-	u->entry = *e;
-	u->service_key = bct_hash_str(e->service);
+	set_entry(u, e, other_run);
 	u->list_pass = t->list_pass;
 	set_presence(t, u, now, p);
 	return changed;
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -52,6 +52,7 @@
 	bct_gate_entry_t entry;
 	uint64_t key; /* hash of the id */
 	uint64_t service_key;
+	uint64_t release; /* of its service and the version of its software; 0: unknown */
 	bct_gate_presence_t presence;
 	bct_time_t run_since; /* when this run of it, by its start time and address, became known */
 	bct_time_t since;     /* time of the last change of presence */
@@ -199,8 +200,8 @@
 
 bct_gate_upstream_t *bct_gate_upstreams_find(const bct_gate_upstreams_t *t, const char *id);
 
-/* bct_gate_upstreams_software(3): the version with this hash, of a known upstream, or "". */
-const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t software_key);
+/* bct_gate_upstreams_software(3): the version of a release that a known upstream has, or "". */
+const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t release);
 
 /* bct_gate_upstreams_find_short(3): finds an upstream by the lower half of its key, or NULL. */
 bct_gate_upstream_t *bct_gate_upstreams_find_short(const bct_gate_upstreams_t *t, uint32_t half);
--- a/tests/test_gate_software.c
+++ b/tests/test_gate_software.c
@@ -76,6 +76,20 @@
 	}
 }
 
+/* An upstream that pauses is left only if another one has its version; the stream comes whole. */
+Test(gate_software, silence_ends_no_stream_that_has_nowhere_to_go)
+{
+	static const char *const all_differ[] = { "v1", "v2", "v3" };
+	bct_buf_t out;
+
+	test_gate_start(&gates[0]);
+	test_gate_set_software(&gates[0], all_differ, GATE_UPSTREAMS);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/resume/w", "w", "streamslow", &out), 200);
+	cr_expect_eq(test_gate_runs(&gates[0], "w"), 1);
+	assert_whole(out.data);
+	bct_buf_free(&out);
+}
+
 /* Before the first event no version is bound. */
 Test(gate_software, what_has_not_begun_goes_anywhere)
 {
