chuted: streams are resumed only at the version that began them

Callers would get an answer of two versions. Change: an upstream's configuration may name its software; a stream with output goes on only where it is the same (bct_up_may_go_on, asked by the choice, by the test of upstreams and before a retry). Upstreams that name none are alike, as before. A caller cannot take a stream up at chuted, so nothing is told to peers. Result: a_stream_resumes_at_the_version_that_began_it failed without the change and passes; test_retry 14, conf_json 6, differential 5, world 6, sched 5, route 9 pass.

--- a/coord/conf_fields.h
+++ b/coord/conf_fields.h
@@ -59,6 +59,8 @@
 	F(BOOL, honours_priority, 0, 1, 0, OPTIONAL,                                             \
 	  "schedules and preempts by the priority of a request")                                 \
 	F(BOOL, resumes, 0, 1, 0, OPTIONAL, "can resume a stream after the tokens already sent") \
+	F(NAME, software, 0, 0, 0, OPTIONAL,                                                     \
+	  "version of its software; a stream is resumed only at the version that began it")      \
 	F(BOOL, leaving, 0, 1, 0, OPTIONAL, "gets no new requests")
 
 #define BCT_ACCOUNT_FIELDS(F, O)                                                              \
--- a/coord/conf_json.c
+++ b/coord/conf_json.c
@@ -230,6 +230,7 @@
 		rc = read_upstream_target(r, obj, path, u);
 	u->failure_domain_key = bct_hash_str(u->failure_domain);
 	u->region_key = bct_hash_str(u->region);
+	u->software_key = u->software[0] ? bct_hash_str(u->software) : 0;
 	return rc;
 }
 
--- a/policy/attempt.c
+++ b/policy/attempt.c
@@ -171,6 +171,8 @@
 	bct_load_ended(&u->load, now, r->prefill_tokens, r->first_token_at != BCT_TIME_NEVER);
 	if (u->alone == r)
 		bct_up_release(c, u);
+	if (!r->tokens)
+		r->software_key = u->software_key;
 	r->tokens += r->attempt_tokens;
 	r->attempt_tokens = 0;
 	r->up = NULL;
--- a/policy/conf.h
+++ b/policy/conf.h
@@ -53,6 +53,8 @@
 	bool checks_fencing;	       /* rejects orders with a stale fencing token */
 	bool checks_sender;	       /* authenticates the sender of an order */
 	bool honours_priority;	       /* schedules and preempts by the priority of a request */
+	char software[BCT_NAME_BYTES]; /* version of its software; empty: not told */
+	uint64_t software_key;	       /* 0: not told, like others that are not */
 	bool resumes;		       /* can continue a stream after tokens already sent */
 	bool leaving;		       /* an operator takes it out of service */
 } bct_upstream_conf_t;
--- a/policy/retry.c
+++ b/policy/retry.c
@@ -70,7 +70,7 @@
 	for (uint32_t i = 0; i < r->target->n_ups; i++) {
 		const bct_up_t *u = r->target->ups[i];
 
-		if (u->resumes && bct_up_usable(u))
+		if (bct_up_may_go_on(u, r) && bct_up_usable(u))
 			return true;
 	}
 	return false;
--- a/policy/route.c
+++ b/policy/route.c
@@ -120,7 +120,7 @@
 	double cached, more, ms, fetch_ms = 0;
 	uint32_t need = s->r->desc.prompt_tokens + s->r->tokens;
 
-	if (s->r->tokens && !u->resumes)
+	if (!bct_up_may_go_on(u, s->r))
 		return;
 	if (u->key == s->r->avoid_key && !s->allow_avoided)
 		return;
@@ -320,7 +320,7 @@
 
 static bool route_may_test(const bct_sreq_t *r, const bct_up_t *u)
 {
-	return bct_up_usable(u) && (!r->tokens || u->resumes);
+	return bct_up_usable(u) && bct_up_may_go_on(u, r);
 }
 
 /* Whether the upstream reported recently, or never reports. It may still be down for a moment. */
--- a/policy/sched_int.h
+++ b/policy/sched_int.h
@@ -101,6 +101,7 @@
 	bct_time_t sample_max_gap_ms; /* longest inter-token gap since then */
 	bct_time_t progress_at;	      /* time of the latest token */
 	uint32_t tokens;	      /* output of earlier attempts, which the caller already has */
+	uint64_t software_key;	      /* of the upstream that wrote the first of them */
 	bool sent;		      /* the first byte of the attempt was sent */
 	bool alone; /* the attempt runs as a crash suspect, alone on its upstream */
 	bct_stop_t stop;
@@ -205,6 +206,7 @@
 	double decode_tokens_per_ms;
 	bool honours_priority;
 	bool resumes;		 /* can continue an answer after given tokens */
+	uint64_t software_key;	 /* of the version of its software; 0: not told */
 	bool seen;		 /* in the configuration in force */
 	bool configured_leaving; /* set by the configuration */
 	bool notified_leaving;	 /* set by bct_sched_leaving(3) */
@@ -290,6 +292,12 @@
 
 /* upstream.c: health and capacity of upstreams. */
 bool bct_up_usable(const bct_up_t *u);
+
+/*
+ * bct_up_may_go_on(3): whether the upstream may continue r after the output that its caller has:
+ * it can, and its software is of the version that began. Without output any may run it.
+ */
+bool bct_up_may_go_on(const bct_up_t *u, const bct_sreq_t *r);
 uint32_t bct_up_reserved(const bct_up_t *u, const bct_target_t *t);
 void bct_up_slow_check(bct_core_t *c, bct_time_t now, bct_up_t *u);
 void bct_up_backoff_ended(bct_core_t *c, bct_time_t now, bct_up_t *u);
--- a/policy/setup.c
+++ b/policy/setup.c
@@ -247,6 +247,7 @@
 		(decode ? decode : SETUP_DECODE_DEFAULT_PER_S) / (double)BCT_MS_PER_S;
 	u->honours_priority = uc->honours_priority;
 	u->resumes = uc->resumes;
+	u->software_key = uc->software_key;
 	u->configured_leaving = uc->leaving;
 	u->load.slots = uc->slots ? uc->slots : SETUP_SLOTS_DEFAULT;
 	u->n_targets = targets_of(c, uc, u->targets);
--- a/policy/upstream.c
+++ b/policy/upstream.c
@@ -21,6 +21,11 @@
 	return u->seen && !u->configured_leaving && !u->notified_leaving && !u->reported_leaving;
 }
 
+bool bct_up_may_go_on(const bct_up_t *u, const bct_sreq_t *r)
+{
+	return !r->tokens || (u->resumes && u->software_key == r->software_key);
+}
+
 /* Whether the upstream backs off after so many failures that requests do not wait for it. */
 static bool up_dead(const bct_up_t *u, bct_time_t now)
 {
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -103,6 +103,47 @@
 	stop();
 }
 
+/* Callers would get an answer that two versions of an engine's software wrote. */
+Test(retry, a_stream_resumes_at_the_version_that_began_it)
+{
+	bct_action_t a, b;
+
+	conf = test_conf(1, 3, 4, 1);
+	conf->upstreams[0].software_key = 1;
+	conf->upstreams[1].software_key = 2;
+	conf->upstreams[2].software_key = 1;
+	s = test_sched(conf, 1);
+	for (uint64_t id = 1; id < 20; id++) {
+		bct_time_t now = (bct_time_t)id * 20000;
+
+		a = submit_and_dispatch(id, TEST_CLASS(1), now);
+		bct_sched_tokens(s, now + 20, a.attempt_id, 7);
+		test_end(s, now + 30, a.attempt_id, BCT_OUTCOME_STALLED, 7, true);
+		b = test_expect(s, now + 30, BCT_ACTION_DISPATCH);
+		/* Only engine 1 has the other version; it may go on itself. */
+		cr_assert_eq(a.upstream_key == TEST_ENGINE(1), b.upstream_key == TEST_ENGINE(1),
+			     "request %lu", (unsigned long)id);
+		test_end(s, now + 40, b.attempt_id, BCT_OUTCOME_OK, 9, true);
+	}
+	stop();
+}
+
+/* Before the first token any version will do. */
+Test(retry, what_has_no_output_goes_to_any_version)
+{
+	bct_action_t a, b;
+
+	conf = test_conf(1, 2, 4, 1);
+	conf->upstreams[0].software_key = 1;
+	conf->upstreams[1].software_key = 2;
+	s = test_sched(conf, 1);
+	a = submit_and_dispatch(1, TEST_CLASS(1), 0);
+	test_end(s, 10, a.attempt_id, BCT_OUTCOME_RESET, 0, true);
+	b = test_expect(s, 10, BCT_ACTION_DISPATCH);
+	cr_assert_neq(b.upstream_key, a.upstream_key);
+	stop();
+}
+
 Test(retry, the_caller_disconnected)
 {
 	bct_action_t a;
