Choice: what an engine keeps of a prompt is not copied to another version

The same class: KV memory that one software version wrote was fetched by engines of another. Now a copy is offered only between engines that are not known to differ; elsewhere the prompt is read again.

--- a/policy/gate_origin.h
+++ b/policy/gate_origin.h
@@ -20,6 +20,12 @@
  */
 bool bct_gate_origin_allows(const bct_gate_origin_t *o, const bct_gate_upstream_t *u);
 
+/*
+ * bct_gate_origin_same_software(3): whether an upstream may use what another one keeps of a prompt;
+ * not if they are known to run different versions.
+ */
+bool bct_gate_origin_same_software(const bct_gate_upstream_t *a, const bct_gate_upstream_t *b);
+
 /* bct_gate_origin_of(3): the origin of a stream that begins at the upstream now. */
 bct_gate_origin_t bct_gate_origin_of(const bct_gate_upstream_t *u);
 
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -332,7 +332,8 @@
 	c->cached_tokens = cached;
 	c->work_ms = prefill_ms(p, in->prompt_tokens - cached);
 	if (!ctx->source.upstream || ctx->source.upstream == c->upstream ||
-	    ctx->source.tokens <= cached)
+	    ctx->source.tokens <= cached ||
+	    !bct_gate_origin_same_software(ctx->source.upstream, c->upstream))
 		return;
 	copied = ctx->source.tokens - cached;
 	copy_ms = COPY_SETUP_MS + (uint32_t)((uint64_t)copied * in->copy_token_ns / NS_PER_MS);
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -526,6 +526,32 @@
 	world_free(&w);
 }
 
+/* What one version keeps of a prompt is not copied to an engine of another one. */
+Test(gate_pick, copies_stay_within_a_version)
+{
+	bct_gate_segment_t segments[] = { { 5, 6000 }, { 6, 1000 } };
+	bct_gate_choice_t c;
+	bct_gate_pick_input_t in;
+	bct_list_t *el;
+	world_t w;
+
+	world_init(&w, 3);
+	in = input_of(&w, 1000, segments, 2);
+	place(&w, &in, &c);
+	in.tried[in.n_tried++] = c.upstream->key;
+	c.upstream->release = 1;
+	bct_list_for_each(el, &w.upstreams.all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (u != c.upstream)
+			u->release = 2;
+	}
+	bct_gate_pick(&w.picker, w.now + 2000, &in, &c);
+	cr_assert_null(c.source);
+	cr_assert_eq(c.cached_tokens, 0);
+	world_free(&w);
+}
+
 /* An engine with consecutive failures is avoided while there is another one. */
 Test(gate_pick, failing_upstreams_are_avoided)
 {
