Observability: a node notices that it reaches no upstream of a service

Cause: a VM that had lost its links to all upstreams tried one after the other for each request, and nothing said that it was the VM, not the upstreams, that failed. REACH_LOST, REACH_BACK and a counter say so. No request is decided by it yet.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -66,6 +66,8 @@
 	DEF(GATE_STREAM_CONTINUED, 423, INFO,                                                      \
 	    "a stream that began elsewhere was sent to another upstream, to go on there")          \
 	DEF(GATE_ORIGIN, 424, INFO, "what began a stream that a caller takes up, and who knew it") \
+	DEF(REACH_LOST, 425, WARN, "this node reaches no upstream of a service")                   \
+	DEF(REACH_BACK, 426, INFO, "this node reaches upstreams of a service again")               \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
 	DEF(UPSTREAM_CROSSED, 502, ERROR,                                                          \
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -8,6 +8,7 @@
 #include "gate/notice.h"
 #include "gate/origin.h"
 #include "gate/part.h"
+#include "gate/reach.h"
 
 #include <string.h>
 
@@ -104,6 +105,8 @@
 		return;
 	}
 	x->last_fault = BCT_FAULT_SILENT;
+	if (!x->first_byte_at)
+		bct_reach_failed(x->gate, x->conn->upstream);
 	log_fault(x, count_fault(x, BCT_FAULT_SILENT), true);
 	bct_crash_given_up(x);
 	bct_gate_upstream_result(x->conn->upstream, bct_clock_now(), false);
@@ -117,6 +120,8 @@
 	x->last_fault = fault;
 	if (fault == BCT_FAULT_BROKEN)
 		bct_crash_connection_broken(x);
+	if (fault == BCT_FAULT_CONNECT || (fault == BCT_FAULT_BROKEN && !x->first_byte_at))
+		bct_reach_failed(x->gate, x->conn->upstream);
 	bct_gate_upstream_result(x->conn->upstream, bct_clock_now(), false);
 	bct_exchange_abort_attempt(x);
 	if (fault != BCT_FAULT_CONNECT) {
@@ -169,6 +174,7 @@
 {
 	x->progress_at = bct_clock_now();
 	bct_gate_upstream_heard(x->conn->upstream, x->progress_at, x->conn->opened);
+	bct_reach_ok(x->gate, x->conn->upstream, x->conn->opened);
 }
 
 bool bct_exchange_head(bct_exchange_t *x)
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -34,6 +34,8 @@
 	    "Load datagrams that were forged, old or malformed")                                  \
 	DEF(PARTS_REFUSED, "bct_gate_parts_refused_total", NULL, "counter",                       \
 	    "Parts of prompts that this node found to crash upstreams")                           \
+	DEF(REACH_LOST, "bct_gate_reach_lost_total", NULL, "counter",                             \
+	    "Times that no upstream of a service was reached any more")                           \
 	DEF(ORIGINS_LOST, "bct_gate_origins_lost_total", NULL, "counter",                         \
 	    "Streams whose beginning could not be recorded for lack of memory")                   \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -9,6 +9,7 @@
 #include "gate/notice.h"
 #include "gate/origin.h"
 #include "gate/part.h"
+#include "gate/reach.h"
 #include "gate/registry_sync.h"
 #include "gate/share.h"
 
@@ -100,6 +101,7 @@
 	}
 	bct_crash_check_abandoned(g);
 	bct_part_decide(g);
+	bct_reach_tick(g);
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
 	bct_origins_tick(g->origins);
@@ -139,6 +141,7 @@
 	g->wire = opts->wire;
 	g->log = opts->log;
 	bct_list_init(&g->clients);
+	bct_list_init(&g->probes);
 	bct_gate_upstreams_init(&g->upstreams);
 	g->upstreams.release = release_upstream;
 	bct_gate_refuse_init(&g->refuse);
@@ -187,6 +190,8 @@
 		return;
 	bct_clients_free(g);
 	bct_registry_sync_free(g->registry_sync);
+	while (!bct_list_empty(&g->probes))
+		bct_upconn_close(bct_container_of(g->probes.next, bct_upconn_t, link));
 	bct_list_for_each(el, &g->upstreams.all)
 		bct_upconns_expire(g, bct_container_of(el, bct_gate_upstream_t, link), true);
 	bct_local_free(g->local);
@@ -200,6 +205,7 @@
 	bct_gate_refuse_free(&g->refuse);
 	bct_gate_pace_free(&g->pace);
 	bct_gate_crashes_free(&g->crashes);
+	bct_gate_reaches_free(&g->reaches);
 	bct_gate_upstreams_free(&g->upstreams);
 	while ((b = bct_map_next(&g->budgets, &pos)) != NULL)
 		bct_free(b);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -18,6 +18,7 @@
 #include "policy/gate_pace.h"
 #include "policy/gate_part_judge.h"
 #include "policy/gate_pick.h"
+#include "policy/gate_reach.h"
 #include "policy/gate_refuse.h"
 
 #include <event2/bufferevent.h>
@@ -80,6 +81,8 @@
 	bct_gate_pace_t pace;
 	bct_gate_crashes_t crashes;
 	bct_gate_part_judge_t part_judge;
+	bct_gate_reaches_t reaches;
+	bct_list_t probes; /* connections that are being established without a request */
 	bct_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
 	bct_map_t budgets;		/* service key -> bct_gate_budget_t */
 	bct_list_t clients;
@@ -164,6 +167,11 @@
 
 /* bct_upconn_get(3): reuse an idle connection or start to open one. returns NULL on failure. */
 bct_upconn_t *bct_upconn_get(bct_gate_t *g, bct_gate_upstream_t *u, bct_exchange_t *x);
+/*
+ * bct_upconn_probe(3): connect to an upstream without a request, to find out whether it is reached;
+ * the connection is kept for one then. It is in the list of probes until it is established.
+ */
+void bct_upconn_probe(bct_gate_t *g, bct_gate_upstream_t *u);
 /* bct_upconn_send(3): send a complete request. returns 0 or -BCT_ENOMEM. */
 int bct_upconn_send(bct_upconn_t *c, const bct_buf_t *head, struct evbuffer *body);
 /* bct_upconn_done(3): the answer is complete; keep the connection if it can be reused. */
--- /dev/null
+++ b/gate/reach.c
@@ -0,0 +1,104 @@
+/*
+ * reach.c - notes and logs when this node loses its links to all upstreams of a service and when it
+ * has them back.
+ */
+#include "gate/reach.h"
+
+#define PROBE_TIMEOUT_MS 300
+
+/* Upstreams of a service that accept requests. */
+static uint32_t count_accepting(const bct_gate_t *g, uint64_t service_key)
+{
+	bct_list_t *el;
+	uint32_t n = 0;
+
+	bct_list_for_each(el, &g->upstreams.all)
+		n += bct_gate_upstream_accepts(bct_container_of(el, bct_gate_upstream_t, link),
+					       service_key);
+	return n;
+}
+
+void bct_reach_failed(bct_gate_t *g, const bct_gate_upstream_t *u)
+{
+	bct_gate_reach_t *r = bct_gate_reaches_of(&g->reaches, u->service_key);
+	bct_time_t now = bct_clock_now();
+	uint32_t upstreams = count_accepting(g, u->service_key);
+
+	if (!r || !bct_gate_reach_failed(r, now, u->key, upstreams))
+		return;
+	BCT_GATE_COUNT(g, REACH_LOST);
+	BCT_LOG(g->log, BCT_EV_REACH_LOST, BCT_STR("service", u->entry.service),
+		BCT_STR("upstream", u->entry.id), BCT_U64("failed", r->n_failed),
+		BCT_U64("upstreams", upstreams), BCT_I64("failing_ms", now - r->failing_since),
+		BCT_U64("again", r->comes_and_goes), BCT_U64("nodes", g->nodes));
+}
+
+void bct_reach_ok(bct_gate_t *g, const bct_gate_upstream_t *u, bct_time_t opened)
+{
+	bct_gate_reach_t *r = bct_gate_reaches_of(&g->reaches, u->service_key);
+	bct_time_t now = bct_clock_now();
+
+	if (r && bct_gate_reach_ok(r, now, opened))
+		BCT_LOG(g->log, BCT_EV_REACH_BACK, BCT_STR("service", u->entry.service),
+			BCT_STR("upstream", u->entry.id), BCT_I64("lost_ms", now - r->cut_at),
+			BCT_U64("again", r->comes_and_goes));
+}
+
+bool bct_reach_is_cut(const bct_gate_t *g, uint64_t service_key)
+{
+	const bct_gate_reach_t *r = bct_map_get(&g->reaches.services, service_key);
+
+	return r && r->cut;
+}
+
+/* A random upstream of the service, or NULL. */
+static bct_gate_upstream_t *draw(bct_gate_t *g, uint64_t service_key)
+{
+	uint32_t n = count_accepting(g, service_key), at;
+	bct_list_t *el;
+
+	if (!n)
+		return NULL;
+	at = bct_rng_below(&g->picker.rng, n);
+	bct_list_for_each(el, &g->upstreams.all) {
+		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (bct_gate_upstream_accepts(u, service_key) && !at--)
+			return u;
+	}
+	return NULL;
+}
+
+static void close_overdue_probes(bct_gate_t *g)
+{
+	bct_time_t now = bct_clock_now();
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe(el, tmp, &g->probes) {
+		bct_upconn_t *c = bct_container_of(el, bct_upconn_t, link);
+
+		if (now - c->opened < PROBE_TIMEOUT_MS)
+			continue;
+		bct_reach_failed(g, c->upstream);
+		bct_upconn_close(c);
+	}
+}
+
+void bct_reach_tick(bct_gate_t *g)
+{
+	bct_time_t now = bct_clock_now();
+	bct_list_t *el;
+
+	close_overdue_probes(g);
+	bct_list_for_each(el, &g->upstreams.all) {
+		uint64_t key = bct_container_of(el, bct_gate_upstream_t, link)->service_key;
+		bct_gate_reach_t *r = bct_map_get(&g->reaches.services, key);
+		bct_gate_upstream_t *u;
+
+		if (!r || !bct_gate_reach_take_probe(r, now))
+			continue;
+		u = draw(g, key);
+		if (u)
+			bct_upconn_probe(g, u);
+	}
+}
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/gate_int.h"
+#include "gate/reach.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -164,13 +165,16 @@
  * response without a length; anything else is a failed attempt. */
 static void on_disconnect(bct_upconn_t *c, bool clean)
 {
+	if (!c->connected && EVUTIL_SOCKET_ERROR() == ECONNREFUSED &&
+	    c->opened >= c->upstream->run_since)
+		c->upstream->refused_at = bct_clock_now();
 	if (!c->x) {
+		if (!c->connected)
+			bct_reach_failed(c->gate, c->upstream);
 		bct_upconn_close(c);
 		return;
 	}
 	if (!c->connected) {
-		if (EVUTIL_SOCKET_ERROR() == ECONNREFUSED && c->opened >= c->upstream->run_since)
-			c->upstream->refused_at = bct_clock_now();
 		bct_exchange_fault(c->x, BCT_FAULT_CONNECT);
 		return;
 	}
@@ -182,6 +186,23 @@
 	bct_exchange_fault(c->x, BCT_FAULT_BROKEN);
 }
 
+/* Keeps a connection that carries no exchange for reuse. */
+static void keep_idle(bct_upconn_t *c, bct_time_t limit_ms)
+{
+	idle_list_t *l = get_idle_list(c->upstream);
+
+	if (!l || c->upstream->presence >= BCT_GATE_LAPSED) {
+		bct_upconn_close(c);
+		return;
+	}
+	c->idle_since = bct_clock_now();
+	c->idle_limit_ms = limit_ms;
+	/* Reading may be paused; without it, a close by the upstream would go unnoticed. */
+	bufferevent_enable(c->bev, EV_READ);
+	bct_list_del(&c->link);
+	bct_list_add_head(&c->link, &l->conns);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *ctx)
 {
 	bct_upconn_t *c = ctx;
@@ -189,8 +210,11 @@
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
 		c->connected = true;
+		bct_reach_ok(c->gate, c->upstream, c->opened);
 		if (c->x)
 			bct_exchange_connected(c->x);
+		else
+			keep_idle(c, IDLE_DEFAULT_MS);
 		return;
 	}
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
@@ -322,20 +346,23 @@
 
 void bct_upconn_done(bct_upconn_t *c)
 {
-	idle_list_t *l = get_idle_list(c->upstream);
-
 	if (c->x)
 		c->x->conn = NULL;
 	c->x = NULL;
-	if (!l || !is_reusable(c) || c->upstream->presence >= BCT_GATE_LAPSED) {
+	if (is_reusable(c))
+		keep_idle(c, idle_limit(c));
+	else
 		bct_upconn_close(c);
-		return;
-	}
-	c->idle_since = bct_clock_now();
-	c->idle_limit_ms = idle_limit(c);
-	/* Reading may be paused; without it, a close by the upstream would go unnoticed. */
-	bufferevent_enable(c->bev, EV_READ);
-	bct_list_add_head(&c->link, &l->conns);
+}
+
+void bct_upconn_probe(bct_gate_t *g, bct_gate_upstream_t *u)
+{
+	bct_upconn_t *c = open_conn(g, u);
+
+	if (c)
+		bct_list_add_tail(&c->link, &g->probes);
+	else
+		bct_reach_failed(g, u);
 }
 
 void bct_upconn_pause(bct_upconn_t *c, bool pause)
