--- a/base/event_list.h
+++ b/base/event_list.h
@@ -67,6 +67,8 @@
 	    "a stream that began elsewhere was sent to another upstream, to go on there")          \
 	DEF(GATE_ORIGIN, 424, INFO, "what began a stream that a caller takes up, and who knew it") \
 	DEF(REACH_LOST, 425, WARN, "this node reaches no upstream of a service")                   \
+	DEF(GATE_RELAYED, 427, INFO,                                                               \
+	    "a request was sent through another node, as no upstream is reached from here")        \
 	DEF(REACH_BACK, 426, INFO, "this node reaches upstreams of a service again")               \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
--- a/gate/answer.c
+++ b/gate/answer.c
@@ -2,7 +2,7 @@
  * answer.c - writes responses to callers: those that the gateway generates itself, and forwarded
  * ones with the upstream's headers.
  */
-#include "gate/gate_int.h"
+#include "gate/relay.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -18,6 +18,8 @@
 		return "Bad Request";
 	case 401:
 		return "Unauthorized";
+	case 403:
+		return "Forbidden";
 	case 404:
 		return "Not Found";
 	case 408:
@@ -54,6 +56,8 @@
 		evbuffer_add_printf(out, "Retry-After: %u.%03u\r\n",
 				    o->retry_after_ms / BCT_MS_PER_S,
 				    o->retry_after_ms % BCT_MS_PER_S);
+	if (c->is_node)
+		bct_relay_put_outcome(o, out);
 	put_connection_header(c, out);
 	evbuffer_add_printf(out, "\r\n%s\n", o->text);
 }
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -9,6 +9,7 @@
 #include "gate/origin.h"
 #include "gate/part.h"
 #include "gate/reach.h"
+#include "gate/relay.h"
 
 #include <string.h>
 
@@ -118,7 +119,9 @@
 	const char *what = count_fault(x, fault);
 
 	x->last_fault = fault;
-	if (fault == BCT_FAULT_BROKEN)
+	if (x->conn->upstream->is_node)
+		bct_relay_failed(x);
+	else if (fault == BCT_FAULT_BROKEN)
 		bct_crash_connection_broken(x);
 	if (fault == BCT_FAULT_CONNECT || (fault == BCT_FAULT_BROKEN && !x->first_byte_at))
 		bct_reach_failed(x->gate, x->conn->upstream);
@@ -182,6 +185,8 @@
 	int status = x->conn->msg.status;
 	bct_wire_answer_t a;
 
+	if (x->conn->upstream->is_node && bct_relay_head(x))
+		return false;
 	x->gate->wire->decode_answer(&x->conn->msg, &a);
 	bct_notice_received(x, &a.notice);
 	if (!a.identity_mismatch)
--- a/gate/client.c
+++ b/gate/client.c
@@ -16,6 +16,7 @@
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most while a request is in progress */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
 #define LINGER_MS 1000		     /* for the caller to close after the last response */
+#define RELAY_HEADER_BYTES 512	     /* that another node adds to those of its caller */
 #define USER_TIMEOUT_MS 5000	     /* output unacknowledged for this long ends the connection */
 
 /* Limits in force until a configuration is known. */
@@ -36,6 +37,12 @@
 	return g->routes ? g->routes->limits : l;
 }
 
+/* Of a request's head. */
+static uint32_t max_header_bytes(const bct_client_t *c)
+{
+	return get_limits(c->gate).max_header_bytes + (c->is_node ? RELAY_HEADER_BYTES : 0);
+}
+
 static void set_timer(bct_client_t *c, uint32_t ms)
 {
 	struct timeval tv = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * 1000 };
@@ -154,10 +161,10 @@
 		client_free(c, BCT_GATE_END_CALLER_LEFT);
 		return;
 	}
-	bct_http_msg_read(&c->msg, in, l.max_header_bytes);
+	bct_http_msg_read(&c->msg, in, max_header_bytes(c));
 	if (!had_head && c->msg.state == BCT_HTTP_BODY) {
 		on_request_head(c);
-		bct_http_msg_read(&c->msg, in, l.max_header_bytes);
+		bct_http_msg_read(&c->msg, in, max_header_bytes(c));
 	}
 	if (c->msg.state == BCT_HTTP_DONE)
 		on_request_complete(c);
@@ -230,7 +237,7 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-static bct_client_t *client_new(bct_gate_t *g, evutil_socket_t fd)
+static bct_client_t *client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node)
 {
 	bct_client_t *c = bct_alloc(sizeof(*c));
 	int user_timeout_ms = USER_TIMEOUT_MS, on = 1;
@@ -238,6 +245,7 @@
 	if (!c)
 		return NULL;
 	c->gate = g;
+	c->is_node = is_node;
 	bct_http_msg_init(&c->msg, HTTP_REQUEST);
 	c->msg.on_body = append_body;
 	c->msg.ctx = c;
@@ -269,32 +277,60 @@
 	(void)l;
 	(void)addr;
 	(void)len;
-	if (!client_new(ctx, fd))
+	if (!client_new(ctx, fd, false))
 		evutil_closesocket(fd);
 }
 
-int bct_clients_listen(bct_gate_t *g)
+static void on_accept_node(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr,
+			   int len, void *ctx)
+{
+	(void)l;
+	(void)addr;
+	(void)len;
+	if (!client_new(ctx, fd, true))
+		evutil_closesocket(fd);
+}
+
+/* returns 0, -BCT_EINVAL or -BCT_EIO */
+static int listen_at(bct_gate_t *g, const bct_addr_t *at, evconnlistener_cb on_conn,
+		     struct evconnlistener **out)
 {
-	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(g->listen.port) };
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(at->port) };
+	char text[BCT_ADDR_PORT_BYTES];
 
-	if (g->listen.ip_len_bytes != sizeof(sa.sin_addr))
+	if (at->ip_len_bytes != sizeof(sa.sin_addr))
 		return -BCT_EINVAL;
-	memcpy(&sa.sin_addr, g->listen.ip, sizeof(sa.sin_addr));
-	g->listener = evconnlistener_new_bind(g->base, on_accept, g,
-					      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
-						      LEV_OPT_CLOSE_ON_EXEC,
-					      LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
-	if (g->listener)
+	memcpy(&sa.sin_addr, at->ip, sizeof(sa.sin_addr));
+	*out = evconnlistener_new_bind(g->base, on_conn, g,
+				       LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
+					       LEV_OPT_CLOSE_ON_EXEC,
+				       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
+	if (*out)
 		return 0;
-	BCT_LOG(g->log, BCT_EV_LISTEN_FAILED, BCT_STR("address", g->settings->gate_listen));
+	bct_addr_print(at, text, sizeof(text));
+	BCT_LOG(g->log, BCT_EV_LISTEN_FAILED, BCT_STR("address", text));
 	return -BCT_EIO;
 }
 
+int bct_clients_listen(bct_gate_t *g)
+{
+	const bct_settings_t *s = g->settings;
+	bct_addr_t relay;
+	int rc = listen_at(g, &g->listen, on_accept, &g->listener);
+
+	if (rc || !g->share || !s->gate_relay_port)
+		return rc;
+	rc = bct_addr_parse(s->peer_address, (uint16_t)s->gate_relay_port, &relay);
+	return rc ? rc : listen_at(g, &relay, on_accept_node, &g->relay_listener);
+}
+
 void bct_clients_stop_listening(bct_gate_t *g)
 {
 	if (g->listener)
 		evconnlistener_free(g->listener);
-	g->listener = NULL;
+	if (g->relay_listener)
+		evconnlistener_free(g->relay_listener);
+	g->listener = g->relay_listener = NULL;
 }
 
 void bct_clients_close_idle(bct_gate_t *g)
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -34,6 +34,8 @@
 	    "Load datagrams that were forged, old or malformed")                                  \
 	DEF(PARTS_REFUSED, "bct_gate_parts_refused_total", NULL, "counter",                       \
 	    "Parts of prompts that this node found to crash upstreams")                           \
+	DEF(RELAYED, "bct_gate_relayed_total", NULL, "counter",                                   \
+	    "Requests sent through another node, as no upstream is reached from here")            \
 	DEF(REACH_LOST, "bct_gate_reach_lost_total", NULL, "counter",                             \
 	    "Times that no upstream of a service was reached any more")                           \
 	DEF(ORIGINS_LOST, "bct_gate_origins_lost_total", NULL, "counter",                         \
--- a/gate/crash.c
+++ b/gate/crash.c
@@ -84,7 +84,8 @@
 	bct_abandoned_t a = { .at = bct_clock_now(), .parts = suspect_parts(x) };
 
 	/* One that is no longer listed may go on serving for a while, and then ends as planned. */
-	if (!x->conn || !x->conn->connected || x->conn->upstream->presence != BCT_GATE_READY)
+	if (!x->conn || !x->conn->connected || x->conn->upstream->is_node ||
+	    x->conn->upstream->presence != BCT_GATE_READY)
 		return;
 	a.digest = bct_crash_digest(x);
 	a.upstream_key = x->conn->upstream->key;
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -6,6 +6,7 @@
 #include "gate/exchange_int.h"
 #include "gate/origin.h"
 #include "gate/part.h"
+#include "gate/relay.h"
 #include "gate/share.h"
 #include "base/err.h"
 #include "base/mem.h"
@@ -48,6 +49,9 @@
 		return false;
 	if (x->may_have_run && !bct_gate_route_repeatable(x->route))
 		return false;
+	/* A helper that may have run it has made the retries, too. */
+	if (x->through_helper)
+		return false;
 	if (bct_crash_remaining_ms(x) || bct_part_remaining_ms(x))
 		return false;
 	if (b && !bct_gate_budget_take(b, bct_clock_now(), x->gate->nodes))
@@ -151,11 +155,27 @@
 	copy_upstream_id(x->source_id, x->choice.source);
 }
 
+/* The helper counts the request; this node only knows that it may run from here on. */
+static void connected_to_helper(bct_exchange_t *x)
+{
+	x->earlier_may_have_run = x->may_have_run;
+	x->may_have_run = true;
+	x->through_helper = true;
+	x->progress_at = bct_clock_now();
+	BCT_GATE_COUNT(x->gate, RELAYED);
+	bct_exchange_set_timer(x);
+}
+
 /* The attempt's connection is established: from here on the upstream may run the request. */
 void bct_exchange_connected(bct_exchange_t *x)
 {
 	bct_gate_budget_t *b = get_budget(x->gate, x->query.service_key);
 
+	if (x->conn->upstream->is_node) {
+		connected_to_helper(x);
+		return;
+	}
+
 	x->earlier_may_have_run = x->may_have_run;
 	x->may_have_run = true;
 	x->no_silence_retry = false;
@@ -237,6 +257,8 @@
 		bct_exchange_timed_out(x);
 		return;
 	}
+	if (bct_relay_send(x, false))
+		return;
 	while (x->connects <= CONNECT_FAILURES_MAX) {
 		bct_gate_pick(&x->gate->picker, now, &x->query, &x->choice);
 		if (!x->choice.upstream)
@@ -255,6 +277,8 @@
 		}
 		x->connects++;
 	}
+	if (x->connects && !x->may_have_run && bct_relay_send(x, true))
+		return;
 	/* At least one upstream was tried, so this is not a service without upstreams. */
 	if (x->may_have_run || x->connects) {
 		bct_exchange_give_up(x);
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -5,6 +5,8 @@
 #include "gate/exchange_int.h"
 #include "gate/origin.h"
 #include "gate/part.h"
+#include "gate/reach.h"
+#include "gate/relay.h"
 #include "base/hash.h"
 #include "base/mem.h"
 
@@ -33,6 +35,9 @@
 		return BCT_TIME_NEVER;
 	if (!x->conn->connected)
 		return x->conn->opened + CONNECT_TIMEOUT_MS;
+	/* A helper watches the silence of upstreams itself. */
+	if (x->conn->upstream->is_node)
+		return BCT_TIME_NEVER;
 	if (x->no_silence_retry || !bct_gate_route_repeatable(r) || x->attempts >= r->attempts)
 		return BCT_TIME_NEVER;
 	if (x->answer_started) {
@@ -88,7 +93,8 @@
 	for (uint32_t i = 0; i < m->n_headers; i++) {
 		const bct_http_header_t *h = &m->headers[i];
 
-		if (!bct_http_is_hop_by_hop(h->name) && !x->gate->wire->drops(h->name))
+		if (!bct_http_is_hop_by_hop(h->name) && !x->gate->wire->drops(h->name) &&
+		    !bct_relay_is_own_header(h->name))
 			bct_buf_printf(&x->head, "%s: %s\r\n", h->name, h->value);
 	}
 	return x->head.err;
@@ -193,6 +199,7 @@
 		x->route, bct_hash_str(x->call.resumes_id[0] ? x->call.resumes_id : x->call.id));
 	s = &x->routes->services[x->service];
 	x->query = (bct_gate_pick_input_t){
+		.origin = x->query.origin,
 		.service_key = s->key,
 		.engine = s->engine && x->call.prompt_tokens,
 		.target_ms = x->route->target_ms,
@@ -239,6 +246,18 @@
 	return true;
 }
 
+/* A request is relayed once: one that came here for that must not wait for links that this node
+ * lacks, too. returns whether it was refused; x is freed then. */
+static bool refuse_if_cut(bct_exchange_t *x)
+{
+	if (!x->relayed || !bct_reach_is_cut(x->gate, x->query.service_key))
+		return false;
+	bct_exchange_refuse(x, BCT_GATE_END_NO_UPSTREAM,
+			    &(bct_answer_opts_t){ .status = 503,
+						  .text = "this node reaches no upstream either" });
+	return true;
+}
+
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body)
 {
 	bct_exchange_t *x = exchange_new(c, body);
@@ -251,12 +270,20 @@
 	}
 	c->x = x;
 	x->gate->wire->decode_call(&c->msg, &x->call);
+	if (c->is_node && !bct_relay_accept(x, &c->msg)) {
+		bct_exchange_refuse(
+			x, BCT_GATE_END_BAD_REQUEST,
+			&(bct_answer_opts_t){ .status = 403, .text = "not sent by a node" });
+		return;
+	}
 	if (!admit(x, &c->msg))
 		return;
 	if (refuse_if_blocked(x))
 		return;
 	init_pick_input(x);
-	if (x->call.resumes && x->route->kind == BCT_GATE_STREAM)
+	if (refuse_if_cut(x))
+		return;
+	if (x->call.resumes && !x->query.origin && x->route->kind == BCT_GATE_STREAM)
 		bct_origin_take_up(x);
 	else
 		bct_exchange_dispatch(x);
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -47,7 +47,8 @@
 		BCT_U64("nodes", x->gate->nodes), BCT_STR("upstream", x->upstream_id),
 		BCT_STR("resumes", x->call.resumes_id),
 		BCT_STR("began_software", bct_origin_software(x)), BCT_U64("attempts", x->attempts),
-		BCT_U64("connects_failed", x->connects), BCT_U64("fault", x->last_fault),
+		BCT_U64("connects_failed", x->connects), BCT_U64("helpers", x->helpers),
+		BCT_U64("relayed", x->relayed), BCT_U64("fault", x->last_fault),
 		BCT_U64("prompt_tokens", x->call.prompt_tokens),
 		BCT_U64("output_tokens", x->query.output_tokens),
 		BCT_U64("cached_tokens", x->choice.cached_tokens),
@@ -119,8 +120,19 @@
 		bct_client_answered(c, truncated);
 }
 
+/* Whether the reason lies with this node, so that another one may serve the request. */
+static bool lies_here(const bct_exchange_t *x, bct_gate_end_t end)
+{
+	if (end == BCT_GATE_END_NOT_RUN)
+		return !x->attempts;
+	return end == BCT_GATE_END_NOT_READY || end == BCT_GATE_END_NO_ROUTE ||
+	       end == BCT_GATE_END_BAD_KEY || end == BCT_GATE_END_NO_UPSTREAM;
+}
+
 void bct_exchange_refuse(bct_exchange_t *x, bct_gate_end_t end, const bct_answer_opts_t *o)
 {
+	bct_answer_opts_t answer = *o;
+
 	/* Nothing may reach the upstream once the response has been sent to the caller. */
 	bct_exchange_abort_attempt(x);
 	x->status = o->status;
@@ -128,7 +140,8 @@
 		bct_exchange_end(x, BCT_GATE_END_CUT, true);
 		return;
 	}
-	bct_answer_local(x->client, o);
+	answer.elsewhere = lies_here(x, end);
+	bct_answer_local(x->client, &answer);
 	bct_exchange_end(x, end, false);
 }
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -11,6 +11,7 @@
 #include "gate/part.h"
 #include "gate/reach.h"
 #include "gate/registry_sync.h"
+#include "gate/relay.h"
 #include "gate/share.h"
 
 #include <signal.h>
@@ -105,6 +106,7 @@
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
 	bct_origins_tick(g->origins);
+	bct_relay_tick(g->relay);
 	count_nodes(g);
 	bct_notice_assign_limits(g);
 	bct_registry_sync_tick(g->registry_sync);
@@ -158,6 +160,8 @@
 		rc = bct_share_new(g, &g->share);
 	if (!rc)
 		rc = bct_origins_new(g, &g->origins);
+	if (!rc)
+		rc = bct_relay_new(g, &g->relay);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -197,6 +201,7 @@
 	bct_local_free(g->local);
 	bct_share_free(g->share);
 	bct_origins_free(g->origins);
+	bct_relay_free(g->relay);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -31,6 +31,9 @@
 typedef struct bct_local bct_local_t;
 typedef struct bct_share bct_share_t;
 typedef struct bct_origins bct_origins_t;
+typedef struct bct_relay bct_relay_t;
+
+#define BCT_RELAY_LINE_BYTES 2048 /* of a request's line that the proof of its sender covers */
 
 /* How a request ended: which side is accountable and how far the request had come. */
 #define BCT_GATE_END_LIST(DEF)                                                  \
@@ -72,6 +75,7 @@
 	struct event_base *base;
 	bct_addr_t listen; /* for callers */
 	struct evconnlistener *listener;
+	struct evconnlistener *relay_listener; /* for other nodes; NULL: none */
 	struct event *tick;
 	struct event *signals[3];
 	bct_gate_routes_t *routes; /* NULL until a configuration has been loaded */
@@ -93,6 +97,7 @@
 	bct_peer_t *peer;   /* NULL: single node */
 	bct_share_t *share; /* NULL: single node, or gate.share_port is not set */
 	bct_origins_t *origins;
+	bct_relay_t *relay;
 	uint32_t nodes; /* live nodes including this one */
 	uint32_t rank;	/* of this node among them, from 0 */
 	bct_gate_counters_t counters;
@@ -120,6 +125,7 @@
 	bct_http_msg_t msg;
 	struct evbuffer *body; /* of the request being read */
 	bct_exchange_t *x;     /* in progress; NULL: none */
+	bool is_node;	       /* the caller is another node that relays requests */
 	bool too_large;
 	bool request_started; /* part of the next request has been received */
 	bool close_after;     /* no further request is accepted */
@@ -133,6 +139,7 @@
 typedef struct bct_answer_opts {
 	int status;
 	uint32_t retry_after_ms; /* 0: none */
+	bool elsewhere;		 /* another node may well serve the request */
 	const char *text;
 } bct_answer_opts_t;
 
@@ -230,6 +237,9 @@
 	bct_time_t progress_at;	    /* when the attempt connected or last received a byte */
 	uint32_t attempts;	    /* sent on an established connection */
 	uint32_t connects;	    /* failed connects */
+	uint32_t helpers;	    /* other nodes through which it was sent, or tried to be */
+	bool through_helper;	    /* one of them may have run it */
+	bool relayed;		    /* another node sent it here for its caller */
 	bool may_have_run;
 	bool earlier_may_have_run; /* in attempts before the current one */
 	bool streaming;		   /* the current answer is an event stream */
--- a/gate/notice.c
+++ b/gate/notice.c
@@ -86,8 +86,9 @@
 	bct_gate_upstream_t *u = x->conn->upstream;
 	bool news = false;
 
-	/* An earlier run of the upstream may have got the request. */
-	if (x->conn->sent_at < u->run_since)
+	/* An earlier run of the upstream may have got the request; a helper has read them itself.
+	 */
+	if (x->conn->sent_at < u->run_since || u->is_node)
 		return;
 	note_malformed(x, u, n);
 	note_pause(x, u, n->pause_ms);
--- a/gate/origin.c
+++ b/gate/origin.c
@@ -56,7 +56,8 @@
 	bct_time_t now = bct_clock_now();
 	uint64_t attempt = attempt_of(x, x->call.id);
 
-	if (x->call.resumes)
+	/* A helper has recorded what began it. */
+	if (x->call.resumes || x->conn->upstream->is_node)
 		return;
 	x->origin = bct_gate_origin_of(x->conn->upstream);
 	x->query.origin = &x->origin;
--- a/gate/reach.c
+++ b/gate/reach.c
@@ -20,10 +20,13 @@
 
 void bct_reach_failed(bct_gate_t *g, const bct_gate_upstream_t *u)
 {
-	bct_gate_reach_t *r = bct_gate_reaches_of(&g->reaches, u->service_key);
+	bct_gate_reach_t *r;
 	bct_time_t now = bct_clock_now();
 	uint32_t upstreams = count_accepting(g, u->service_key);
 
+	if (u->is_node)
+		return;
+	r = bct_gate_reaches_of(&g->reaches, u->service_key);
 	if (!r || !bct_gate_reach_failed(r, now, u->key, upstreams))
 		return;
 	BCT_GATE_COUNT(g, REACH_LOST);
@@ -35,9 +38,12 @@
 
 void bct_reach_ok(bct_gate_t *g, const bct_gate_upstream_t *u, bct_time_t opened)
 {
-	bct_gate_reach_t *r = bct_gate_reaches_of(&g->reaches, u->service_key);
+	bct_gate_reach_t *r;
 	bct_time_t now = bct_clock_now();
 
+	if (u->is_node)
+		return;
+	r = bct_gate_reaches_of(&g->reaches, u->service_key);
 	if (r && bct_gate_reach_ok(r, now, opened))
 		BCT_LOG(g->log, BCT_EV_REACH_BACK, BCT_STR("service", u->entry.service),
 			BCT_STR("upstream", u->entry.id), BCT_I64("lost_ms", now - r->cut_at),
@@ -51,6 +57,12 @@
 	return r && r->cut;
 }
 
+bool bct_reach_suspects(const bct_gate_t *g, const bct_gate_upstream_t *u)
+{
+	return !u->is_node &&
+	       bct_gate_reaches_suspect(&g->reaches, bct_clock_now(), u->service_key);
+}
+
 /* A random upstream of the service, or NULL. */
 static bct_gate_upstream_t *draw(bct_gate_t *g, uint64_t service_key)
 {
--- a/gate/reach.h
+++ b/gate/reach.h
@@ -17,6 +17,12 @@
 /* bct_reach_is_cut(3): whether this node reaches no upstream of the service. */
 bool bct_reach_is_cut(const bct_gate_t *g, uint64_t service_key);
 
+/*
+ * bct_reach_suspects(3): whether open connections to u may be dead without having been closed, so
+ * that a new one is safer: what is sent on it can't get lost unnoticed.
+ */
+bool bct_reach_suspects(const bct_gate_t *g, const bct_gate_upstream_t *u);
+
 /* bct_reach_tick(3): probe what is not reached; to be called periodically. */
 void bct_reach_tick(bct_gate_t *g);
 
--- /dev/null
+++ b/gate/relay.c
@@ -0,0 +1,473 @@
+/*
+ * relay.c - the way of requests through another node, seen from both.
+ */
+#include "gate/relay.h"
+#include "base/err.h"
+#include "base/hash.h"
+#include "base/mem.h"
+#include "gate/exchange_int.h"
+#include "gate/origin.h"
+#include "gate/reach.h"
+#include "gate/share.h"
+#include "policy/gate_helpers.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define OWN_HEADERS "Chute-Relay"
+#define AUTH_HEADER OWN_HEADERS			/* "INCARNATION MAC", in hexadecimal */
+#define ORIGIN_HEADER OWN_HEADERS "-Origin"	/* "RELEASE RUN" that began the stream */
+#define ATTEMPTS_HEADER OWN_HEADERS "-Attempts" /* upstreams to which it was sent before */
+#define OUTCOME_HEADER OWN_HEADERS "-Outcome"	/* of a request that the helper answered itself */
+#define AUTH_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
+#define HELPERS_MAX 3	 /* tried for one request */
+#define FAILED_MS 1000	 /* for which a helper that failed is not used */
+#define CUT_TOLD_MS 500	 /* between two announcements of this node that it is cut off */
+#define CUT_HELD_MS 1600 /* for which one counts */
+#define STATUS_BAD_GATEWAY 502
+#define STATUS_UNAVAILABLE 503
+#define STATUS_GATEWAY_TIMEOUT 504
+
+/* Another node. The connections to it are those of an upstream that is not in the table. */
+typedef struct helper {
+	bct_gate_upstream_t node;
+	uint64_t incarnation;
+	bct_time_t failed_until;
+	bool live;
+} helper_t;
+
+/* Another node said that it reaches no upstream of a service. */
+typedef struct cut {
+	uint64_t key; /* of node and service */
+	bct_time_t until;
+} cut_t;
+
+struct bct_relay {
+	bct_share_topic_t topic;
+	bct_gate_t *gate;
+	bct_map_t helpers; /* incarnation: helper_t */
+	bct_map_t cuts;	   /* node and service: cut_t */
+	share_cut told[SHARE_CUTS_MAX];
+};
+
+static uint64_t cut_key(uint64_t incarnation, uint64_t service_key)
+{
+	return bct_hash_mix(incarnation, service_key);
+}
+
+static bool is_told_cut(const bct_relay_t *r, uint64_t incarnation, uint64_t service_key)
+{
+	const cut_t *c = bct_map_get(&r->cuts, cut_key(incarnation, service_key));
+
+	return c && bct_clock_now() < c->until;
+}
+
+/* Keeps that a node is cut off. returns whether that is news */
+static bool hold_cut(bct_relay_t *r, bct_time_t now, const share_cut *x)
+{
+	uint64_t key = cut_key(x->node, x->service);
+	cut_t *c = bct_map_get(&r->cuts, key);
+	bool news = !c || c->until - now < CUT_HELD_MS - CUT_TOLD_MS / 2;
+
+	if (!c) {
+		c = bct_alloc(sizeof(*c));
+		if (!c || bct_map_put(&r->cuts, key, c)) {
+			BCT_GATE_COUNT(r->gate, SHARES_DROPPED);
+			bct_free(c);
+			return false;
+		}
+		c->key = key;
+	}
+	c->until = now + CUT_HELD_MS;
+	return news;
+}
+
+/* Lists the services of which this node reaches no upstream. */
+static bool encode_cuts(bct_share_topic_t *t, bct_time_t now, bool all, uint32_t *pos,
+			share_update *update)
+{
+	bct_relay_t *r = (bct_relay_t *)t;
+	u_int n = 0;
+	uint32_t at = 0;
+	bct_gate_reach_t *reach;
+
+	(void)now;
+	(void)all;
+	if ((*pos)++)
+		return false;
+	while ((reach = bct_map_next(&r->gate->reaches.services, &at)) && n < SHARE_CUTS_MAX) {
+		if (reach->cut)
+			r->told[n++] = (share_cut){ .node = bct_peer_incarnation(r->gate->peer),
+						    .service = reach->service_key };
+	}
+	update->cuts.cuts_val = r->told;
+	update->cuts.cuts_len = n;
+	return n > 0;
+}
+
+static bool apply_cuts(bct_share_topic_t *t, bct_time_t now, const share_update *update,
+		       share_update *news)
+{
+	bct_relay_t *r = (bct_relay_t *)t;
+	u_int n = 0;
+
+	for (u_int i = 0; i < update->cuts.cuts_len; i++) {
+		if (hold_cut(r, now, &update->cuts.cuts_val[i]))
+			r->told[n++] = update->cuts.cuts_val[i];
+	}
+	news->cuts.cuts_val = r->told;
+	news->cuts.cuts_len = n;
+	return n > 0;
+}
+
+static const bct_share_topic_ops_t topic_ops = { .encode = encode_cuts, .apply = apply_cuts };
+
+static helper_t *add_helper(bct_relay_t *r, const bct_share_node_t *n)
+{
+	helper_t *h = bct_alloc(sizeof(*h));
+
+	if (!h || bct_map_put(&r->helpers, n->incarnation, h)) {
+		bct_free(h);
+		return NULL;
+	}
+	h->incarnation = n->incarnation;
+	h->node.is_node = true;
+	h->node.key = n->incarnation;
+	h->node.presence = BCT_GATE_READY;
+	bct_list_init(&h->node.link);
+	snprintf(h->node.entry.id, sizeof(h->node.entry.id), "%s", n->name);
+	snprintf(h->node.entry.ip, sizeof(h->node.entry.ip), "%s", n->ip);
+	h->node.entry.port = (uint16_t)r->gate->settings->gate_relay_port;
+	return h;
+}
+
+/* Lists the other nodes as candidates. returns their number */
+static uint32_t candidates(bct_relay_t *r, uint64_t service_key, helper_t **helpers,
+			   bct_gate_helper_t *out)
+{
+	bct_time_t now = bct_clock_now();
+	bct_share_node_t node;
+	uint32_t n = 0;
+
+	while (n < BCT_SHARE_NODES_MAX && bct_share_node(r->gate->share, n, &node)) {
+		helper_t *h = bct_map_get(&r->helpers, node.incarnation);
+
+		helpers[n] = h ? h : add_helper(r, &node);
+		h = helpers[n];
+		out[n++] = (bct_gate_helper_t){
+			.usable = h && !node.leaving && now >= h->failed_until &&
+				  !is_told_cut(r, node.incarnation, service_key),
+			.same_domain =
+				!strcmp(node.failure_domain, r->gate->settings->vm_failure_domain),
+			.running = h ? h->node.running : 0,
+		};
+	}
+	return n;
+}
+
+static helper_t *choose(bct_relay_t *r, uint64_t service_key)
+{
+	helper_t *helpers[BCT_SHARE_NODES_MAX];
+	bct_gate_helper_t list[BCT_SHARE_NODES_MAX];
+	uint32_t n = candidates(r, service_key, helpers, list);
+	int i = bct_gate_helpers_choose(&r->gate->picker.rng, list, n);
+
+	return i < 0 ? NULL : helpers[i];
+}
+
+/* "INCARNATION MAC" of a request that the node relays. */
+static void authorize(const bct_share_t *s, uint64_t incarnation, const char *call_id,
+		      const char *request_line, char *out)
+{
+	uint8_t mac[BCT_SHARE_MAC_BYTES];
+	bct_buf_t text;
+	int n;
+
+	bct_buf_init(&text, 0);
+	bct_buf_printf(&text, "relay %016" PRIx64 " %s %s", incarnation, call_id, request_line);
+	bct_share_mac(s, (const uint8_t *)text.data, text.len_bytes, mac);
+	bct_buf_free(&text);
+	n = snprintf(out, AUTH_BYTES, "%016" PRIx64 " ", incarnation);
+	for (uint32_t i = 0; i < BCT_SHARE_MAC_BYTES; i++)
+		n += snprintf(out + n, AUTH_BYTES - (size_t)n, "%02x", mac[i]);
+}
+
+static void encode_head(bct_exchange_t *x, bct_buf_t *out)
+{
+	bct_gate_t *g = x->gate;
+	bct_time_t remaining_ms = bct_exchange_deadline(x) - bct_clock_now();
+	char auth[AUTH_BYTES], line[BCT_RELAY_LINE_BYTES];
+	bct_wire_forward_t o = {
+		.secret = x->call.secret,
+		.wait_ms = remaining_ms > 0 ? (uint32_t)remaining_ms : 1,
+		.resumes = x->call.resumes || x->events.has_id,
+		.after_event = x->events.has_id ? x->events.last_id : x->call.after_event,
+	};
+
+	snprintf(line, sizeof(line), "%.*s", (int)strcspn(x->head.data, "\r"), x->head.data);
+	authorize(g->share, bct_peer_incarnation(g->peer), x->call.id, line, auth);
+	bct_buf_put(out, x->head.data, x->head.len_bytes);
+	g->wire->encode_forward(&o, out);
+	bct_buf_printf(out, AUTH_HEADER ": %s\r\n", auth);
+	if (x->query.origin)
+		bct_buf_printf(out, ORIGIN_HEADER ": %016" PRIx64 " %08x\r\n", x->origin.release,
+			       x->origin.run);
+	if (x->attempts)
+		bct_buf_printf(out, ATTEMPTS_HEADER ": %u\r\n", x->attempts);
+	bct_buf_printf(out, "Content-Length: %zu\r\n\r\n", evbuffer_get_length(x->body));
+}
+
+/* returns whether the attempt is in progress */
+static bool send_through(bct_exchange_t *x, helper_t *h)
+{
+	bct_buf_t out;
+	bool sent = false;
+
+	bct_buf_init(&out, 0);
+	encode_head(x, &out);
+	x->conn = out.err ? NULL : bct_upconn_get(x->gate, &h->node, x);
+	if (x->conn) {
+		h->node.running++;
+		sent = !bct_upconn_send(x->conn, &out, x->body);
+		if (!sent)
+			bct_exchange_abort_attempt(x);
+	}
+	bct_buf_free(&out);
+	if (!sent)
+		h->failed_until = bct_clock_now() + FAILED_MS;
+	return sent;
+}
+
+bool bct_relay_send(bct_exchange_t *x, bool last_resort)
+{
+	bct_gate_t *g = x->gate;
+	bool cut = bct_reach_is_cut(g, x->query.service_key);
+
+	if (x->relayed || !g->share || !g->settings->gate_relay_port || (!cut && !last_resort))
+		return false;
+	while (x->helpers < HELPERS_MAX) {
+		helper_t *h = choose(g->relay, x->query.service_key);
+
+		if (!h)
+			return false;
+		x->helpers++;
+		if (!send_through(x, h))
+			continue;
+		snprintf(x->upstream_id, sizeof(x->upstream_id), "%s", h->node.entry.id);
+		BCT_LOG(g->log, BCT_EV_GATE_RELAYED, BCT_STR("request", x->call.id),
+			BCT_STR("helper", h->node.entry.id), BCT_U64("cut", cut),
+			BCT_U64("helpers", x->helpers), BCT_U64("running", h->node.running),
+			BCT_U64("connects_failed", x->connects), BCT_U64("attempts", x->attempts),
+			BCT_I64("ms", bct_clock_now() - x->arrived));
+		if (x->conn->connected)
+			bct_exchange_connected(x);
+		else
+			bct_exchange_set_timer(x);
+		return true;
+	}
+	return false;
+}
+
+void bct_relay_failed(bct_exchange_t *x)
+{
+	helper_t *h = bct_container_of(x->conn->upstream, helper_t, node);
+
+	/* One that ends an answer early passes on what an upstream did. */
+	if (!x->answer_started)
+		h->failed_until = bct_clock_now() + FAILED_MS;
+}
+
+/* "0.400", in seconds; 0 without the header. */
+static uint32_t retry_after_ms(const bct_http_msg_t *m)
+{
+	const char *text = bct_http_msg_header(m, "Retry-After");
+
+	return text ? (uint32_t)(strtod(text, NULL) * BCT_MS_PER_S) : 0;
+}
+
+/* Passes a helper's own answer on to the caller. Frees x. */
+static void pass_on(bct_exchange_t *x, bct_gate_end_t end)
+{
+	bct_answer_opts_t o = { .status = x->conn->msg.status,
+				.retry_after_ms = retry_after_ms(&x->conn->msg),
+				.text = "answered by another node; see its status" };
+
+	bct_exchange_refuse(x, end, &o);
+}
+
+bool bct_relay_head(bct_exchange_t *x)
+{
+	const char *outcome = bct_http_msg_header(&x->conn->msg, OUTCOME_HEADER);
+	int status = x->conn->msg.status;
+
+	if (!outcome)
+		return false;
+	if (!strcmp(outcome, "unknown")) {
+		pass_on(x, status == STATUS_GATEWAY_TIMEOUT ? BCT_GATE_END_TIMEOUT_RUNNING
+							    : BCT_GATE_END_UNKNOWN_OUTCOME);
+		return true;
+	}
+	x->may_have_run = x->earlier_may_have_run;
+	x->through_helper = false;
+	if (!strcmp(outcome, "elsewhere")) {
+		/* A refusal for its older configuration concerns this request only. */
+		if (status == STATUS_UNAVAILABLE)
+			bct_relay_failed(x);
+		bct_exchange_abort_attempt(x);
+		bct_exchange_dispatch(x);
+		return true;
+	}
+	if (x->may_have_run) {
+		/* An attempt of this node before may have run: the helper does not know of it. */
+		bct_exchange_abort_attempt(x);
+		bct_exchange_give_up(x);
+		return true;
+	}
+	pass_on(x, BCT_GATE_END_NOT_RUN);
+	return true;
+}
+
+bool bct_relay_accept(bct_exchange_t *x, const bct_http_msg_t *m)
+{
+	const char *got = bct_http_msg_header(m, AUTH_HEADER);
+	const char *origin = bct_http_msg_header(m, ORIGIN_HEADER);
+	const char *attempts = bct_http_msg_header(m, ATTEMPTS_HEADER);
+	char want[AUTH_BYTES], line[BCT_RELAY_LINE_BYTES];
+
+	if (!x->gate->share || !got || strlen(got) != AUTH_BYTES - 1)
+		return false;
+	snprintf(line, sizeof(line), "%s %s HTTP/1.1", m->method, m->target);
+	authorize(x->gate->share, strtoull(got, NULL, 16), x->call.id, line, want);
+	if (sodium_memcmp(got, want, AUTH_BYTES - 1))
+		return false;
+	x->relayed = true;
+	if (origin &&
+	    sscanf(origin, "%" SCNx64 " %" SCNx32, &x->origin.release, &x->origin.run) == 2)
+		x->query.origin = &x->origin;
+	if (attempts) {
+		x->attempts = (uint32_t)strtoul(attempts, NULL, 10);
+		x->budget_counted = true;
+	}
+	return true;
+}
+
+bool bct_relay_is_own_header(const char *name)
+{
+	return !strncasecmp(name, OWN_HEADERS, strlen(OWN_HEADERS));
+}
+
+void bct_relay_put_outcome(const bct_answer_opts_t *o, struct evbuffer *out)
+{
+	const char *outcome = "not_run";
+
+	if (o->status == STATUS_BAD_GATEWAY || o->status == STATUS_GATEWAY_TIMEOUT)
+		outcome = "unknown";
+	else if (o->elsewhere)
+		outcome = "elsewhere";
+	evbuffer_add_printf(out, OUTCOME_HEADER ": %s\r\n", outcome);
+}
+
+/* Marks the helpers that are live. */
+static void mark_live(bct_relay_t *r)
+{
+	bct_share_node_t node;
+	uint32_t pos = 0;
+	helper_t *h;
+
+	while ((h = bct_map_next(&r->helpers, &pos)) != NULL)
+		h->live = false;
+	for (uint32_t i = 0; bct_share_node(r->gate->share, i, &node); i++) {
+		h = bct_map_get(&r->helpers, node.incarnation);
+		if (h)
+			h->live = true;
+	}
+}
+
+static void free_helper(bct_relay_t *r, helper_t *h)
+{
+	bct_upconns_expire(r->gate, &h->node, true);
+	bct_map_del(&r->helpers, h->incarnation);
+	bct_free(h->node.connections);
+	bct_free(h);
+}
+
+/* Frees one helper that is gone and that nothing refers to. returns whether there was one */
+static bool free_one(bct_relay_t *r)
+{
+	uint32_t pos = 0;
+	helper_t *h;
+
+	while ((h = bct_map_next(&r->helpers, &pos)) != NULL) {
+		bct_upconns_expire(r->gate, &h->node, !h->live);
+		if (h->live || h->node.refs)
+			continue;
+		free_helper(r, h);
+		return true;
+	}
+	return false;
+}
+
+static bool drop_one_cut(bct_relay_t *r, bct_time_t now)
+{
+	uint32_t pos = 0;
+	cut_t *c;
+
+	while ((c = bct_map_next(&r->cuts, &pos)) != NULL) {
+		if (now < c->until)
+			continue;
+		bct_map_del(&r->cuts, c->key);
+		bct_free(c);
+		return true;
+	}
+	return false;
+}
+
+void bct_relay_tick(bct_relay_t *r)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (r->helpers.n) {
+		mark_live(r);
+		while (free_one(r))
+			;
+	}
+	while (drop_one_cut(r, now))
+		;
+}
+
+int bct_relay_new(bct_gate_t *g, bct_relay_t **out)
+{
+	bct_share_topic_opts_t o = { .interval_ms = CUT_TOLD_MS, .relayed = true };
+	bct_relay_t *r = bct_alloc(sizeof(*r));
+
+	if (!r)
+		return -BCT_ENOMEM;
+	r->gate = g;
+	r->topic.ops = &topic_ops;
+	bct_share_register(g->share, &r->topic, &o);
+	*out = r;
+	return 0;
+}
+
+void bct_relay_free(bct_relay_t *r)
+{
+	uint32_t pos = 0;
+	void *p;
+
+	if (!r)
+		return;
+	while ((p = bct_map_next(&r->helpers, &pos)) != NULL) {
+		free_helper(r, p);
+		pos = 0;
+	}
+	pos = 0;
+	while ((p = bct_map_next(&r->cuts, &pos)) != NULL)
+		bct_free(p);
+	bct_map_free(&r->helpers);
+	bct_map_free(&r->cuts);
+	bct_free(r);
+}
--- a/gate/share.c
+++ b/gate/share.c
@@ -56,6 +56,9 @@
 		p->sa.sin_family = AF_INET;
 		p->sa.sin_port = htons((uint16_t)s->gate->settings->gate_share_port);
 		memcpy(&p->sa.sin_addr, m[i].peer.ip, 4);
+		inet_ntop(AF_INET, m[i].peer.ip, p->ip, sizeof(p->ip));
+		memcpy(p->name, m[i].name, sizeof(p->name));
+		memcpy(p->failure_domain, m[i].failure_domain, sizeof(p->failure_domain));
 		p->admin = m[i].admin;
 		p->leaving = m[i].leaving;
 		s->n_peers++;
@@ -66,6 +69,20 @@
 	s->peers_refreshed_at = bct_clock_now();
 }
 
+bool bct_share_node(const bct_share_t *s, uint32_t i, bct_share_node_t *out)
+{
+	if (!s || i >= s->n_peers)
+		return false;
+	*out = (bct_share_node_t){
+		.incarnation = s->peers[i].incarnation,
+		.name = s->peers[i].name,
+		.failure_domain = s->peers[i].failure_domain,
+		.ip = s->peers[i].ip,
+		.leaving = s->peers[i].leaving,
+	};
+	return true;
+}
+
 uint32_t bct_share_interval_ms(const bct_share_t *s)
 {
 	return bct_share_uses_hubs(s) ? bct_share_hub_interval_ms(s) : INTERVAL_MS;
--- a/gate/share.h
+++ b/gate/share.h
@@ -99,6 +99,27 @@
  */
 bct_gate_limit_nodes_t bct_share_live_nodes(const bct_share_t *s, uint64_t *live);
 
+/* Another live node. */
+typedef struct bct_share_node {
+	uint64_t incarnation;
+	const char *name;
+	const char *failure_domain;
+	const char *ip;
+	bool leaving;
+} bct_share_node_t;
+
+/*
+ * bct_share_node(3): the i-th other live node, from 0; s may be NULL.
+ *
+ * out      refers to s until the members change
+ * returns  false if there are not so many
+ */
+bool bct_share_node(const bct_share_t *s, uint32_t i, bct_share_node_t *out);
+
+/* bct_share_mac(3): the keyed hash of data, BCT_SHARE_MAC_BYTES long. */
+#define BCT_SHARE_MAC_BYTES 16
+void bct_share_mac(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac);
+
 /*
  * bct_share_is_responsible(3): whether this node is the one of the live nodes that acts on a key.
  * All nodes that see the same members agree on it. s may be NULL.
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -9,15 +9,18 @@
 #include "policy/gate_hubs.h"
 #include "policy/gate_peers.h"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 
 #define BCT_SHARE_PEERS_MAX (BCT_SHARE_NODES_MAX - 1)
-#define BCT_SHARE_KEY_BYTES 32 /* key size of libsodium's generic hash */
-#define BCT_SHARE_MAC_BYTES 16
+#define BCT_SHARE_KEY_BYTES 32	    /* key size of libsodium's generic hash */
 #define BCT_SHARE_PLACEMENTS_MAX 64 /* placements sent in one round at most */
 
 typedef struct bct_share_peer {
 	uint64_t incarnation;
+	char name[BCT_NAME_BYTES];
+	char failure_domain[BCT_NAME_BYTES];
+	char ip[INET_ADDRSTRLEN];
 	struct sockaddr_in sa;
 	bct_addr_t admin; /* ip_len_bytes 0: none */
 	bool leaving;
@@ -88,9 +91,6 @@
 void bct_share_send(bct_share_t *s, share_update *update, const bct_share_peer_t *to);
 void bct_share_send_all(bct_share_t *s, share_update *update);
 
-/* bct_share_mac(3): the keyed hash of data, BCT_SHARE_MAC_BYTES long. */
-void bct_share_mac(const bct_share_t *s, const uint8_t *data, size_t len, uint8_t *mac);
-
 /* bct_share_authentic(3): whether data ends with the MAC of what is before it. */
 bool bct_share_authentic(const bct_share_t *s, const uint8_t *data, size_t len);
 
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -19,6 +19,7 @@
 #define IDLE_MAX_MS 8000
 #define IDLE_PERMILLE 500    /* of the keep-alive time stated, to close before the upstream does */
 #define USER_TIMEOUT_MS 1500 /* output unacknowledged for this long ends the connection */
+#define PROBE_IDLE_S 1	     /* without traffic, until keep-alive probes are sent */
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most */
 /* Interim answers and answers to other requests that are skipped at most; above a late stream. */
 #define USELESS_MAX_BYTES (256 * 1024)
@@ -169,7 +170,8 @@
 	    c->opened >= c->upstream->run_since)
 		c->upstream->refused_at = bct_clock_now();
 	if (!c->x) {
-		if (!c->connected)
+		/* An idle connection that timed out was cut, not closed. */
+		if (!c->connected || EVUTIL_SOCKET_ERROR() == ETIMEDOUT)
 			bct_reach_failed(c->gate, c->upstream);
 		bct_upconn_close(c);
 		return;
@@ -221,12 +223,16 @@
 		on_disconnect(c, what & BEV_EVENT_EOF);
 }
 
+/* The user timeout also ends keep-alive probes, after the first that is not answered in time. */
 static void set_options(evutil_socket_t fd)
 {
-	int user_timeout_ms = USER_TIMEOUT_MS, on = 1;
+	int user_timeout_ms = USER_TIMEOUT_MS, on = 1, idle_s = PROBE_IDLE_S;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
 }
 
 static int start_connect(bct_upconn_t *c)
@@ -275,17 +281,18 @@
 }
 
 /* Takes the most recently used idle connection off the list and closes those found on the way that
- * are too old or have unexpected input. returns NULL if none remains. */
-static bct_upconn_t *take_idle(bct_gate_upstream_t *u)
+ * are too old, have unexpected input or may be dead. returns NULL if none remains. */
+static bct_upconn_t *take_idle(bct_gate_t *g, bct_gate_upstream_t *u)
 {
 	idle_list_t *l = u->connections;
 	bct_time_t now = bct_clock_now();
+	bool may_be_dead = bct_reach_suspects(g, u);
 
 	while (l && !bct_list_empty(&l->conns)) {
 		bct_upconn_t *c = bct_container_of(l->conns.next, bct_upconn_t, link);
 
 		bct_list_del(&c->link);
-		if (now - c->idle_since < c->idle_limit_ms &&
+		if (!may_be_dead && now - c->idle_since < c->idle_limit_ms &&
 		    !evbuffer_get_length(bufferevent_get_input(c->bev)))
 			return c;
 		bct_upconn_close(c);
@@ -295,7 +302,7 @@
 
 bct_upconn_t *bct_upconn_get(bct_gate_t *g, bct_gate_upstream_t *u, bct_exchange_t *x)
 {
-	bct_upconn_t *c = take_idle(u);
+	bct_upconn_t *c = take_idle(g, u);
 
 	if (c) {
 		c->reused = true;
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -33,12 +33,14 @@
 
 /* Metadata that the gateway adds to the headers of a forwarded request. */
 typedef struct bct_wire_forward {
-	const char *upstream_id; /* only the process with this id may run the request */
-	const char *account;	 /* NULL: none */
-	uint32_t wait_ms;	 /* remaining until the deadline */
-	uint32_t rank;		 /* of urgency, 0: most urgent */
-	uint32_t levels;	 /* one more than the highest rank */
-	bool engine;		 /* the upstream is an engine */
+	const char
+		*upstream_id; /* only the process with this id may run it; NULL: a node relays it */
+	const char *secret;   /* API key, to a node that relays it; NULL: none */
+	const char *account;  /* NULL: none */
+	uint32_t wait_ms;     /* remaining until the deadline */
+	uint32_t rank;	      /* of urgency, 0: most urgent */
+	uint32_t levels;      /* one more than the highest rank */
+	bool engine;	      /* the upstream is an engine */
 	bool resumes;
 	uint64_t after_event; /* if resumes: send the events after this id */
 	const char *fetch_ip; /* engine to copy the prompt's KV cache from; NULL: none */
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -42,6 +42,7 @@
 	{ "gate.listen", BCT_SETTING_STRING, offsetof(bct_settings_t, gate_listen), 0, 64, 0, 0U, false, "" },
 	{ "gate.resolve", BCT_SETTING_STRING, offsetof(bct_settings_t, gate_resolve), 0, 64, 0, 0U, false, "" },
 	{ "gate.readiness", BCT_SETTING_STRING, offsetof(bct_settings_t, gate_readiness), 0, 64, 0, 0U, false, "" },
+	{ "gate.relay_port", BCT_SETTING_U32, offsetof(bct_settings_t, gate_relay_port), 0, 0, 0, 65535U, false, "0" },
 	{ "gate.share_port", BCT_SETTING_U32, offsetof(bct_settings_t, gate_share_port), 0, 0, 0, 65535U, false, "0" },
 	{ "gate.grace_ms", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_grace_ms), 0, 0, 1000, 600000U, false, "8000" },
 	{ "gate.budget_window_ms", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_budget_window_ms), 0, 0, 1000, 600000U, false, "10000" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -46,6 +46,7 @@
 	char gate_listen[64];
 	char gate_resolve[64];
 	char gate_readiness[64];
+	uint32_t gate_relay_port;
 	uint32_t gate_share_port;
 	uint32_t gate_grace_ms;
 	uint32_t gate_budget_window_ms;
@@ -60,6 +61,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 49
+#define BCT_SETTINGS_COUNT 50
 
 #endif
--- a/gen/share.h
+++ b/gen/share.h
@@ -26,6 +26,7 @@
 #define SHARE_PACE_SUMS 4
 #define SHARE_NOTICES_MAX 32
 #define SHARE_ORIGINS_MAX 16
+#define SHARE_CUTS_MAX 16
 #define SHARE_TOPICS 2
 #define SHARE_NEVER 0xffffffff
 #define SHARE_NAME_BYTES 64
@@ -127,6 +128,12 @@
 };
 typedef struct share_notice share_notice;
 
+struct share_cut {
+	u_quad_t node;
+	u_quad_t service;
+};
+typedef struct share_cut share_cut;
+
 struct share_origin {
 	u_quad_t attempt;
 	u_quad_t release;
@@ -195,6 +202,10 @@
 		u_int origins_wanted_len;
 		u_quad_t *origins_wanted_val;
 	} origins_wanted;
+	struct {
+		u_int cuts_len;
+		share_cut *cuts_val;
+	} cuts;
 };
 typedef struct share_update share_update;
 
@@ -235,6 +246,7 @@
 extern  bool_t xdr_share_verdict (XDR *, share_verdict*);
 extern  bool_t xdr_share_read (XDR *, share_read*);
 extern  bool_t xdr_share_notice (XDR *, share_notice*);
+extern  bool_t xdr_share_cut (XDR *, share_cut*);
 extern  bool_t xdr_share_origin (XDR *, share_origin*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
 extern  bool_t xdr_share_pulled (XDR *, share_pulled*);
@@ -253,6 +265,7 @@
 extern bool_t xdr_share_verdict ();
 extern bool_t xdr_share_read ();
 extern bool_t xdr_share_notice ();
+extern bool_t xdr_share_cut ();
 extern bool_t xdr_share_origin ();
 extern bool_t xdr_share_update ();
 extern bool_t xdr_share_pulled ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -363,6 +363,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_cut (XDR *xdrs, share_cut *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->node))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->service))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_origin (XDR *xdrs, share_origin *objp)
 {
@@ -439,6 +451,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->origins_wanted.origins_wanted_val, (u_int *) &objp->origins_wanted.origins_wanted_len, SHARE_ORIGINS_MAX,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->cuts.cuts_val, (u_int *) &objp->cuts.cuts_len, SHARE_CUTS_MAX,
+		sizeof (share_cut), (xdrproc_t) xdr_share_cut))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/policy/gate_reach.c
+++ b/policy/gate_reach.c
@@ -25,6 +25,8 @@
 		bct_free(r);
 		return NULL;
 	}
+	if (r)
+		r->service_key = service_key;
 	return r;
 }
 
@@ -82,6 +84,21 @@
 	return true;
 }
 
+bool bct_gate_reaches_suspect(const bct_gate_reaches_t *t, bct_time_t now, uint64_t service_key)
+{
+	uint32_t pos = 0;
+	const bct_gate_reach_t *r;
+
+	while ((r = bct_map_next(&t->services, &pos)) != NULL) {
+		if (r->cut)
+			return true;
+		if (r->service_key == service_key && r->n_failed &&
+		    now - r->failed_at <= BCT_GATE_REACH_FORGET_MS)
+			return true;
+	}
+	return false;
+}
+
 bool bct_gate_reach_take_probe(bct_gate_reach_t *r, bct_time_t now)
 {
 	if (!r->cut || now - r->probed_at < BCT_GATE_REACH_PROBE_MS)
--- a/policy/gate_reach.h
+++ b/policy/gate_reach.h
@@ -24,6 +24,7 @@
 
 /* What is known of the links to the upstreams of one service. */
 typedef struct bct_gate_reach {
+	uint64_t service_key;
 	uint64_t failed[BCT_GATE_REACH_UPSTREAMS]; /* keys of upstreams */
 	uint32_t n_failed;
 	bct_time_t failing_since; /* the first of them */
@@ -65,6 +66,12 @@
  */
 bool bct_gate_reach_ok(bct_gate_reach_t *r, bct_time_t now, bct_time_t opened);
 
+/*
+ * bct_gate_reaches_suspect(3): whether connections of the service from before its last failures may
+ * be dead: it failed lately, with no success since, or another service is cut off.
+ */
+bool bct_gate_reaches_suspect(const bct_gate_reaches_t *t, bct_time_t now, uint64_t service_key);
+
 /* bct_gate_reach_take_probe(3): whether to probe an upstream now, while cut off. */
 bool bct_gate_reach_take_probe(bct_gate_reach_t *r, bct_time_t now);
 
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -57,6 +57,7 @@
 	bct_time_t run_since; /* when this run of it, by its start time and address, became known */
 	bct_time_t since;     /* time of the last change of presence */
 	uint32_t refs;	      /* requests and connections that refer to it */
+	bool is_node;	      /* another node, through which requests go; it is in no table */
 	bool identity_mismatch; /* another process answered at its address */
 	uint32_t list_pass;	/* number of the last listing that contained it */
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -17,6 +17,7 @@
 const SHARE_PACE_SUMS = 4;
 const SHARE_NOTICES_MAX = 32;
 const SHARE_ORIGINS_MAX = 16;
+const SHARE_CUTS_MAX = 16;
 const SHARE_TOPICS = 2;
 const SHARE_NEVER = 0xffffffff;
 const SHARE_NAME_BYTES = 64;
@@ -123,6 +124,12 @@
 	bool leaving;
 };
 
+/* A node reaches no upstream of a service now. */
+struct share_cut {
+	unsigned hyper node;	/* its incarnation */
+	unsigned hyper service;
+};
+
 /* What began the stream of a caller's attempt. Release and run 0: that is not known. */
 struct share_origin {
 	unsigned hyper attempt;
@@ -153,6 +160,7 @@
 	share_software software<SHARE_ENTRIES_MAX>;	/* of the upstreams in entries, in order */
 	share_origin origins<SHARE_ORIGINS_MAX>;	/* to keep, or as an answer */
 	unsigned hyper origins_wanted<SHARE_ORIGINS_MAX>; /* attempts; the receiver answers */
+	share_cut cuts<SHARE_CUTS_MAX>;
 };
 
 /*
--- a/tests/test_gate_cut.c
+++ b/tests/test_gate_cut.c
@@ -3,6 +3,7 @@
  * gateways still reach them, serve their callers through another gateway.
  */
 #include "base/clock.h"
+#include "gate/gate_int.h"
 #include "tests/util_cut.h"
 #include "tests/util_gate.h"
 
@@ -39,7 +40,11 @@
 
 		snprintf(id, sizeof(id), "%s-%u", name, i);
 		snprintf(path, sizeof(path), "%s%s", kinds[i % 3][0], id);
-		unserved += test_gate_call(t, "POST", path, id, kinds[i % 3][1], &out) != 200;
+		if (test_gate_call(t, "POST", path, id, kinds[i % 3][1], &out) != 200) {
+			unserved++;
+			fprintf(stderr, "%s was not served: %.*s\n", id,
+				(int)strcspn(out.data, "\r"), out.data);
+		}
 		cr_expect_leq(test_gate_runs(&gates[0], id), 1, "%s ran twice", id);
 		bct_buf_free(&out);
 	}
@@ -111,3 +116,168 @@
 	cr_expect_eq(count_unserved(&gates[1], "a"), 0);
 	cr_expect_eq(count_unserved(&gates[2], "b"), 0);
 }
+
+static uint64_t relayed(const test_gate_t *t)
+{
+	return bct_counter_get(&t->gate->counters.values[BCT_GATE_RELAYED]);
+}
+
+/* Nobody reaches an upstream: a request isn't passed round, and the answer says that it has not
+ * run. */
+Test(gate_cut, nothing_is_relayed_twice)
+{
+	uint64_t before[FLEET];
+
+	for (uint32_t i = 0; i < FLEET; i++)
+		test_cut(gates, i, TEST_CUT_REFUSED);
+	/* What is sent on connections from before the cut may have run. */
+	for (uint32_t i = 0; i < FLEET; i++)
+		let_it_notice(&gates[i], "all");
+	for (uint32_t i = 0; i < FLEET; i++)
+		before[i] = relayed(&gates[i]);
+	for (uint32_t i = 0; i < CALLS; i++) {
+		char id[32];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "none-%u", i);
+		cr_expect_eq(
+			test_gate_call(&gates[i % FLEET], "POST", "/stream/x", id, "stream", &out),
+			503);
+		cr_expect_eq(test_gate_runs(&gates[0], id), 0);
+		bct_buf_free(&out);
+	}
+	for (uint32_t i = 0; i < FLEET; i++)
+		cr_expect_leq(relayed(&gates[i]) - before[i], CALLS, "a request went round");
+}
+
+/* When the links are back they are used again. */
+Test(gate_cut, links_that_are_back_are_used)
+{
+	bct_time_t end;
+	uint64_t before;
+	uint32_t round = 0;
+
+	test_cut(gates, 1, TEST_CUT_REFUSED);
+	let_it_notice(&gates[1], "b");
+	cr_assert_gt(relayed(&gates[1]), 0);
+	test_cut(gates, 1, TEST_CUT_NONE);
+	end = bct_clock_now() + BACK_MS;
+	do {
+		char name[32];
+
+		snprintf(name, sizeof(name), "back%u", round++);
+		before = relayed(&gates[1]);
+		cr_expect_eq(count_unserved(&gates[1], name), 0);
+	} while (relayed(&gates[1]) != before && bct_clock_now() < end);
+	cr_expect_eq(relayed(&gates[1]), before, "requests are relayed for good");
+}
+
+/* What became of a request is told truly across the hop. */
+Test(gate_cut, outcomes_are_true_across_the_hop)
+{
+	static const struct {
+		const char *path, *script;
+		int status;
+		uint32_t runs;
+	} cases[] = {
+		{ "/unsafe/reset", "reset", 502, 1 },	/* may have run */
+		{ "/unsafe/notrun", "notrun", 503, 1 }, /* the upstream says that it has not */
+		{ "/unsafe/error", "error", 500, 1 },
+		{ "/unsafe/noseal", "noseal", 502, 1 },
+		{ "/safe/error", "error,ok", 200, 2 }, /* the helper retries */
+		{ "/none/x", "ok", 404, 0 },
+	};
+
+	test_cut(gates, 1, TEST_CUT_REFUSED);
+	let_it_notice(&gates[1], "o");
+	for (uint32_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		bct_buf_t out;
+		char id[32];
+
+		snprintf(id, sizeof(id), "outcome-%u", i);
+		cr_expect_eq(
+			test_gate_call(&gates[1], "POST", cases[i].path, id, cases[i].script, &out),
+			cases[i].status, "%s: %s", cases[i].path, out.data);
+		cr_expect_eq(test_gate_runs(&gates[0], id), cases[i].runs, "%s", cases[i].path);
+		cr_expect_not(strstr(out.data, "Chute-Relay"), "a node's header reached a caller");
+		bct_buf_free(&out);
+	}
+}
+
+/* Events pass as they come, and a caller that goes away ends the work of the upstream. */
+Test(gate_cut, a_caller_that_leaves_is_noticed_across_the_hop)
+{
+	static const char request[] = "POST /stream/gone HTTP/1.1\r\nHost: h.example\r\n"
+				      "Api-Key: k1\r\nX-Buckthornchute-Request-Attempt-Id: gone\r\n"
+				      "X-Script: silent\r\nContent-Length: 0\r\n\r\n";
+	const gate_run_t *run;
+	bct_time_t end;
+	bct_buf_t out;
+
+	test_cut(gates, 1, TEST_CUT_REFUSED);
+	let_it_notice(&gates[1], "g");
+	test_gate_raw(&gates[1], request, sizeof(request) - 1, 300, &out);
+	bct_buf_free(&out);
+	run = test_gate_run(&gates[0], "gone", 0);
+	cr_assert(run);
+	for (end = bct_clock_now() + 500; !run->aborted && bct_clock_now() < end;)
+		bct_clock_sleep(10);
+	cr_expect(run->aborted);
+}
+
+/* Only nodes may use the way in, and what they say of a request can't be said by a caller. */
+Test(gate_cut, the_way_in_is_for_nodes)
+{
+	static const char forged[] =
+		"POST /unsafe/forged HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+		"X-Buckthornchute-Request-Attempt-Id: forged\r\n"
+		"Chute-Relay: 0000000000000001 00000000000000000000000000000000\r\n"
+		"Chute-Relay-Attempts: 1\r\nContent-Length: 0\r\n\r\n";
+	const gate_run_t *run;
+	bct_buf_t out;
+
+	test_gate_at(&gates[1], TEST_GATE_RELAY_PORT, forged, 1000, &out);
+	cr_expect_eq(strncmp(out.data, "HTTP/1.1 403", 12), 0, "%s", out.data);
+	cr_expect_eq(test_gate_runs(&gates[0], "forged"), 0);
+	bct_buf_free(&out);
+	test_gate_raw(&gates[1], forged, sizeof(forged) - 1, 300, &out);
+	run = test_gate_run(&gates[0], "forged", 0);
+	cr_assert(run);
+	cr_expect_not(strstr(run->head, "Chute-Relay"));
+	bct_buf_free(&out);
+}
+
+/* A stream that is taken up at a gateway that is cut off goes on at the version that began it. */
+Test(gate_cut, a_stream_is_taken_up_across_the_hop)
+{
+	static const char *const versions[] = { "v1", "v2", "v2" };
+	uint32_t done = 0;
+
+	test_gate_set_software(&gates[0], versions, GATE_UPSTREAMS);
+	bct_clock_sleep(1000);
+	test_cut(gates, 1, TEST_CUT_REFUSED);
+	let_it_notice(&gates[1], "s");
+	for (uint32_t i = 0; i < CALLS; i++) {
+		char id[32], again[32], path[48];
+		const gate_run_t *first, *second;
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "up-%u", i);
+		snprintf(again, sizeof(again), "up-%u-again", i);
+		snprintf(path, sizeof(path), "/resume/%s", id);
+		test_gate_call(&gates[i % FLEET], "POST", path, id, "streamcut,reset", &out);
+		bct_buf_free(&out);
+		cr_expect_eq(test_gate_take_up(&gates[1], path, again, "stream", id, 2, &out), 200,
+			     "%s", out.data);
+		bct_buf_free(&out);
+		first = test_gate_run(&gates[0], id, 0);
+		second = test_gate_run(&gates[0], again, 0);
+		cr_assert(first && second);
+		cr_expect_str_eq(versions[first->upstream_id[2] - '0'],
+				 versions[second->upstream_id[2] - '0']);
+		cr_expect(strstr(second->head, "Last-Event-Id: 2"));
+		done++;
+		bct_clock_sleep(100);
+	}
+	cr_expect_eq(done, CALLS);
+}
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -253,6 +253,7 @@
 	s->n_peer_seeds = 1;
 	s->peer_port = PEER_PORT;
 	s->gate_share_port = SHARE_PORT;
+	s->gate_relay_port = TEST_GATE_RELAY_PORT;
 	snprintf(s->admin_address, sizeof(s->admin_address), "%s", t->ip);
 	s->admin_port = ADMIN_PORT;
 }
@@ -414,6 +415,12 @@
 	raw_at(t, CALLER_PORT, bytes, len, wait_ms, out);
 }
 
+void test_gate_at(test_gate_t *t, uint16_t port, const char *bytes, uint32_t wait_ms,
+		  bct_buf_t *out)
+{
+	raw_at(t, port, bytes, strlen(bytes), wait_ms, out);
+}
+
 void test_gate_admin(test_gate_t *t, const char *bytes, uint32_t wait_ms, bct_buf_t *out)
 {
 	raw_at(t, ADMIN_PORT, bytes, strlen(bytes), wait_ms, out);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -118,6 +118,12 @@
 /* Sends raw bytes on a new connection and reads until it ends or wait_ms have passed. */
 void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out);
 
+#define TEST_GATE_RELAY_PORT 18004U /* for requests of other gateways */
+
+/* Sends bytes to a port of the gateway, as test_gate_raw() does to that for callers. */
+void test_gate_at(test_gate_t *t, uint16_t port, const char *bytes, uint32_t wait_ms,
+		  bct_buf_t *out);
+
 /* Sends bytes to the administration address, as test_gate_raw() does to that for callers. */
 void test_gate_admin(test_gate_t *t, const char *bytes, uint32_t wait_ms, bct_buf_t *out);
 
