--- a/cmd/chutectl_explain.c
+++ b/cmd/chutectl_explain.c
@@ -50,6 +50,8 @@
 	case BCT_EV_ROUTES_REFUSED:
 	case BCT_EV_MEMBER_SUSPECT:
 	case BCT_EV_MEMBER_DEAD:
+	case BCT_EV_REACH_LOST:
+	case BCT_EV_REACH_BACK:
 	case BCT_EV_REGISTRY_DOWN:
 	case BCT_EV_REGISTRY_UP:
 	case BCT_EV_REGISTRY_ERA:
--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -206,6 +206,27 @@
 			       explain_number(l, "limited_ms"));
 }
 
+static void origin_unknown(const json_t *l, bct_buf_t *out)
+{
+	bct_buf_printf(
+		out,
+		"It takes up the stream of %s, and neither this node nor those that it asked "
+		"knew what software had begun it (event 424), while the service ran several "
+		"versions in that time. It did not run; the stream can't be continued.",
+		*explain_text(l, "resumes") ? explain_text(l, "resumes")
+					    : "an attempt that it does not name");
+}
+
+static void release_gone(const json_t *l, bct_buf_t *out)
+{
+	bct_buf_printf(out,
+		       "It takes up the stream of %s, which software %s had begun, and no upstream "
+		       "with that version was accepting work (event 510). It did not run.",
+		       explain_text(l, "resumes"),
+		       *explain_text(l, "began_software") ? explain_text(l, "began_software")
+							  : "that has left");
+}
+
 static const ending_t endings[] = {
 	{ "OK", ok },
 	{ "UPSTREAM_ERROR", upstream_error },
@@ -217,6 +238,8 @@
 	{ "LIMITED", limited },
 	{ "OVERLOAD", overload },
 	{ "POISON", poison },
+	{ "ORIGIN_UNKNOWN", origin_unknown },
+	{ "RELEASE_GONE", release_gone },
 	{ "NOT_RUN", not_run },
 	{ "UNKNOWN_OUTCOME", unknown_outcome },
 	{ "TIMEOUT_WAITING", timeout_waiting },
@@ -254,6 +277,24 @@
 	}
 }
 
+/* Adds the way of a request through another node: seen from the one that sent it on, and from it.
+ */
+static void explain_relays(const json_t *lines, bct_buf_t *out)
+{
+	size_t i;
+	json_t *l;
+
+	json_array_foreach(lines, i, l)
+	{
+		if (explain_number(l, "event") == BCT_EV_GATE_RELAYED)
+			bct_buf_printf(
+				out,
+				" %s reached no upstream of its service (event 425) and sent "
+				"it through %s.",
+				explain_text(l, "vm"), explain_text(l, "helper"));
+	}
+}
+
 /*
  * Adds what may have contributed: its upstream became unavailable, the registry was unreachable or
  * its data stale. The names are those of bct_gate_presence_t, by number.
@@ -299,5 +340,6 @@
 	if (!out->len_bytes)
 		bct_buf_printf(out, "It ended with %s.", explain_text(end, "how"));
 	explain_attempts(lines, out);
+	explain_relays(lines, out);
 	explain_context(end, context, out);
 }
--- a/tests/proc_explain.sh
+++ b/tests/proc_explain.sh
@@ -67,8 +67,26 @@
 "$BIN/chutectl" explain cut <"$work/b.log" >"$work/out" || fail "chutectl explain failed on standard input"
 output_has 'was truncated after 13 events'
 
+# Streams that are taken up, and requests that go through another node.
+cat >"$work/d.log" <<'LOG'
+{"time_ms":1000100,"vm":"d","level":"warn","event":425,"name":"REACH_LOST","service":"model","upstream":"i-2","failed":3}
+{"time_ms":1000200,"vm":"d","level":"info","event":424,"name":"GATE_ORIGIN","request":"again","resumes":"first","source":"none","age_ms":0,"began_software":"","rounds":2,"ms":121}
+{"time_ms":1000201,"vm":"d","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"again","how":"ORIGIN_UNKNOWN","status":503,"version":4,"resumes":"first","began_software":"","upstream":"","attempts":0}
+{"time_ms":1000300,"vm":"d","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"late","how":"RELEASE_GONE","status":503,"version":4,"resumes":"first","began_software":"v1.1","upstream":"","attempts":0}
+{"time_ms":1000400,"vm":"d","level":"info","event":427,"name":"GATE_RELAYED","request":"far","helper":"e","cut":1,"helpers":1}
+{"time_ms":1000402,"vm":"e","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"far","how":"UNKNOWN_OUTCOME","status":502,"version":4,"upstream":"i-3","attempts":1,"relayed":1}
+{"time_ms":1000403,"vm":"d","level":"info","event":413,"name":"GATE_REQUEST_FAILED","request":"far","how":"UNKNOWN_OUTCOME","status":502,"version":4,"upstream":"e","attempts":0,"helpers":1}
+LOG
+expect_exit 0 explain again "$work/d.log"
+output_has 'It takes up the stream of first, and neither this node nor those that it asked knew'
+output_has 'REACH_LOST service=model'
+expect_exit 0 explain late "$work/d.log"
+output_has 'which software v1.1 had begun, and no upstream with that version was accepting work'
+expect_exit 0 explain far "$work/d.log"
+output_has 'd reached no upstream of its service (event 425) and sent it through e'
+
 expect_exit 6 explain nobody "$work/a.log"
 output_has 'request nobody not found in 9 log lines'
 expect_exit 2 explain over "$work/missing.log"
 expect_exit 1 explain
-echo "explain: the causes of seven requests were found"
+echo "explain: the causes of ten requests were found"
