Brittle upstreams: all nodes together stay below what they bear

New rule of the users (LIMIT): upstreams may say that they fall over if they have to turn away more than N requests in a second; nothing knew the header. Change: decoded in platform/, a belief of the upstream beside limit and pause (policy/gate_brittle): half of the places and as many more as half of N may run, what is sent unseen in 100 ms has to fit into the rest and is sent by its owners alone, others go through an owner (the hop of cut-off VMs), what was turned away closes the upstream for a second. Nodes tell each other as a topic; runs that have not answered inherit it from their service; an answer to a later request without it lifts it.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -81,6 +81,10 @@
 	DEF(UPSTREAM_LIMIT, 511, INFO,                                                             \
 	    "an upstream named the request rate that it accepts, or named none any more")          \
 	DEF(UPSTREAM_PAUSED, 513, INFO, "an upstream asked this node to send nothing for a while") \
+	DEF(UPSTREAM_BRITTLE, 515, INFO,                                                           \
+	    "an upstream states how many requests it bears to turn away, or states it no more")    \
+	DEF(UPSTREAM_TURNED_AWAY, 516, INFO,                                                       \
+	    "a brittle upstream had no room for a request; nothing is sent there for a second")    \
 	DEF(UPSTREAM_NOTICE_BAD, 512, WARN,                                                        \
 	    "what an upstream states about itself could not be read")                              \
 	DEF(LOG_DOWN, 600, WARN, "the platform's log cannot be reached")                           \
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -3,6 +3,7 @@
  * retries at another upstream, or gives up.
  */
 #include "base/err.h"
+#include "gate/brittle.h"
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
 #include "gate/notice.h"
@@ -144,6 +145,8 @@
 	BCT_GATE_COUNT(x->gate, RETRY_NOT_RUN);
 	if (a->identity_mismatch)
 		x->conn->upstream->identity_mismatch = true;
+	else
+		bct_brittle_turned_away(x);
 	x->may_have_run = x->earlier_may_have_run;
 	bct_exchange_abort_attempt(x);
 	retry_or_give_up(x, a->identity_mismatch ? "misplaced" : "not_run");
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -36,6 +36,8 @@
 	    "Parts of prompts that this node found to crash upstreams")                           \
 	DEF(RELAYED, "bct_gate_relayed_total", NULL, "counter",                                   \
 	    "Requests sent through another node, as no upstream is reached from here")            \
+	DEF(TURNED_AWAY, "bct_gate_turned_away_total", NULL, "counter",                           \
+	    "Requests for which a brittle upstream had no room")                                  \
 	DEF(REACH_LOST, "bct_gate_reach_lost_total", NULL, "counter",                             \
 	    "Times that no upstream of a service was reached any more")                           \
 	DEF(ORIGINS_LOST, "bct_gate_origins_lost_total", NULL, "counter",                         \
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -284,6 +284,8 @@
 		bct_exchange_give_up(x);
 		return;
 	}
+	if (x->choice.brittle && bct_relay_send_to_owner(x))
+		return;
 	if (x->choice.limited) {
 		refuse_limited(x);
 		return;
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -141,6 +141,7 @@
 		return;
 	}
 	answer.elsewhere = lies_here(x, end);
+	answer.limited = end == BCT_GATE_END_LIMITED && x->choice.brittle;
 	bct_answer_local(x->client, &answer);
 	bct_exchange_end(x, end, false);
 }
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "base/rng.h"
+#include "gate/brittle.h"
 #include "gate/crash.h"
 #include "gate/notice.h"
 #include "gate/origin.h"
@@ -162,6 +163,8 @@
 		rc = bct_origins_new(g, &g->origins);
 	if (!rc)
 		rc = bct_relay_new(g, &g->relay);
+	if (!rc)
+		rc = bct_brittle_new(g, &g->brittle);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -202,6 +205,7 @@
 	bct_share_free(g->share);
 	bct_origins_free(g->origins);
 	bct_relay_free(g->relay);
+	bct_brittle_free(g->brittle);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -32,6 +32,7 @@
 typedef struct bct_share bct_share_t;
 typedef struct bct_origins bct_origins_t;
 typedef struct bct_relay bct_relay_t;
+typedef struct bct_brittle bct_brittle_t;
 
 #define BCT_RELAY_LINE_BYTES 2048 /* of a request's line that the proof of its sender covers */
 
@@ -98,6 +99,7 @@
 	bct_share_t *share; /* NULL: single node, or gate.share_port is not set */
 	bct_origins_t *origins;
 	bct_relay_t *relay;
+	bct_brittle_t *brittle;
 	uint32_t nodes; /* live nodes including this one */
 	uint32_t rank;	/* of this node among them, from 0 */
 	bct_gate_counters_t counters;
@@ -140,6 +142,7 @@
 	int status;
 	uint32_t retry_after_ms; /* 0: none */
 	bool elsewhere;		 /* another node may well serve the request */
+	bool limited;		 /* this node may not send to brittle upstreams now, others may */
 	const char *text;
 } bct_answer_opts_t;
 
--- a/gate/notice.c
+++ b/gate/notice.c
@@ -2,6 +2,7 @@
  * notice.c - keeps, logs and passes on what upstreams state about themselves in their answers.
  */
 #include "gate/notice.h"
+#include "gate/brittle.h"
 #include "gate/exchange_int.h"
 #include "gate/share.h"
 
@@ -13,12 +14,14 @@
 	return nodes;
 }
 
-static void assign_part(bct_gate_t *g, bct_gate_upstream_t *u)
+void bct_notice_assign(bct_gate_t *g, bct_gate_upstream_t *u)
 {
 	uint64_t live[BCT_SHARE_NODES_MAX];
 	bct_gate_limit_nodes_t nodes = live_nodes(g, live);
+	bct_time_t now = bct_clock_now();
 
-	bct_gate_limit_assign(&u->limit, bct_clock_now(), u->key, &nodes);
+	bct_gate_limit_assign(&u->limit, now, u->key, &nodes);
+	bct_gate_brittle_assign(&u->brittle, now, u->key, u->entry.slots, &nodes);
 }
 
 static void log_limit(bct_gate_t *g, const bct_gate_upstream_t *u, const char *request,
@@ -57,7 +60,7 @@
 	if (!bct_gate_limit_answered(&u->limit, bct_clock_now(), x->conn->sent_at, n->limits,
 				     n->limit_mrps))
 		return false;
-	assign_part(x->gate, u);
+	bct_notice_assign(x->gate, u);
 	log_limit(x->gate, u, x->call.id, 0, &r);
 	return true;
 }
@@ -92,6 +95,8 @@
 		return;
 	note_malformed(x, u, n);
 	note_pause(x, u, n->pause_ms);
+	if (n->brittle || !n->malformed)
+		bct_brittle_answered(x, u, n);
 	if (n->limits || !n->malformed)
 		news = note_limit(x, u, n);
 	if (n->leaves)
@@ -110,7 +115,7 @@
 		return false;
 	if (u->limit.named == named && u->limit.mrps == mrps)
 		return true;
-	assign_part(g, u);
+	bct_notice_assign(g, u);
 	log_limit(g, u, "", from, r);
 	return true;
 }
@@ -134,5 +139,6 @@
 		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
 		bct_gate_limit_assign(&u->limit, now, u->key, &nodes);
+		bct_gate_brittle_assign(&u->brittle, now, u->key, u->entry.slots, &nodes);
 	}
 }
--- a/gate/notice.h
+++ b/gate/notice.h
@@ -23,4 +23,7 @@
 /* bct_notice_assign_limits(3): compute this node's part of each limit; call it periodically. */
 void bct_notice_assign_limits(bct_gate_t *g);
 
+/* bct_notice_assign(3): computes this node's part of what an upstream accepts. */
+void bct_notice_assign(bct_gate_t *g, bct_gate_upstream_t *u);
+
 #endif
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -242,36 +242,107 @@
 	return sent;
 }
 
-bool bct_relay_send(bct_exchange_t *x, bool last_resort)
+static void log_relayed(const bct_exchange_t *x, const helper_t *h, const char *why)
 {
-	bct_gate_t *g = x->gate;
-	bool cut = bct_reach_is_cut(g, x->query.service_key);
+	BCT_LOG(x->gate->log, BCT_EV_GATE_RELAYED, BCT_STR("request", x->call.id),
+		BCT_STR("helper", h->node.entry.id), BCT_STR("why", why),
+		BCT_U64("helpers", x->helpers), BCT_U64("running", h->node.running),
+		BCT_U64("connects_failed", x->connects), BCT_U64("attempts", x->attempts),
+		BCT_I64("ms", bct_clock_now() - x->arrived));
+}
 
-	if (x->relayed || !g->share || !g->settings->gate_relay_port || (!cut && !last_resort))
+/* Sends x through h, which may be NULL. returns whether that is in progress */
+static bool relay_through(bct_exchange_t *x, helper_t *h, const char *why)
+{
+	if (!h)
+		return false;
+	x->helpers++;
+	if (!send_through(x, h))
 		return false;
-	while (x->helpers < HELPERS_MAX) {
-		helper_t *h = choose(g->relay, x->query.service_key);
+	snprintf(x->upstream_id, sizeof(x->upstream_id), "%s", h->node.entry.id);
+	log_relayed(x, h, why);
+	if (x->conn->connected)
+		bct_exchange_connected(x);
+	else
+		bct_exchange_set_timer(x);
+	return true;
+}
 
+/* A request is relayed once, and only if other nodes take it. */
+static bool may_relay(const bct_exchange_t *x)
+{
+	return !x->relayed && x->gate->share && x->gate->settings->gate_relay_port &&
+	       x->helpers < HELPERS_MAX;
+}
+
+bool bct_relay_send(bct_exchange_t *x, bool last_resort)
+{
+	bool cut = bct_reach_is_cut(x->gate, x->query.service_key);
+	helper_t *h;
+
+	while (may_relay(x) && (cut || last_resort)) {
+		h = choose(x->gate->relay, x->query.service_key);
+		if (relay_through(x, h, cut ? "cut_off" : "no_connection"))
+			return true;
 		if (!h)
 			return false;
-		x->helpers++;
-		if (!send_through(x, h))
-			continue;
-		snprintf(x->upstream_id, sizeof(x->upstream_id), "%s", h->node.entry.id);
-		BCT_LOG(g->log, BCT_EV_GATE_RELAYED, BCT_STR("request", x->call.id),
-			BCT_STR("helper", h->node.entry.id), BCT_U64("cut", cut),
-			BCT_U64("helpers", x->helpers), BCT_U64("running", h->node.running),
-			BCT_U64("connects_failed", x->connects), BCT_U64("attempts", x->attempts),
-			BCT_I64("ms", bct_clock_now() - x->arrived));
-		if (x->conn->connected)
-			bct_exchange_connected(x);
-		else
-			bct_exchange_set_timer(x);
-		return true;
 	}
 	return false;
 }
 
+/* A random brittle upstream that seems to have room, or NULL. */
+static const bct_gate_upstream_t *draw_brittle(const bct_exchange_t *x)
+{
+	const bct_gate_upstream_t *drawn = NULL;
+	uint32_t n = 0;
+	bct_list_t *el;
+
+	bct_list_for_each(el, &x->gate->upstreams.all) {
+		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (!bct_gate_upstream_accepts(u, x->query.service_key) || !u->brittle.named ||
+		    (x->query.origin && !bct_gate_origin_allows(x->query.origin, u)))
+			continue;
+		if (!bct_rng_below(&x->gate->picker.rng, ++n))
+			drawn = u;
+	}
+	return drawn;
+}
+
+/* A random owner of the upstream that is live and takes requests, or NULL. */
+static helper_t *draw_owner(bct_relay_t *r, const bct_gate_upstream_t *u)
+{
+	uint64_t live[BCT_SHARE_NODES_MAX];
+	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(r->gate->share, live);
+	bct_time_t now = bct_clock_now();
+	bct_share_node_t node;
+	helper_t *drawn = NULL;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; bct_share_node(r->gate->share, i, &node); i++) {
+		helper_t *h;
+
+		if (node.leaving || !bct_gate_brittle_owns(&u->brittle, u->key, u->entry.slots,
+							   &nodes, node.incarnation))
+			continue;
+		h = bct_map_get(&r->helpers, node.incarnation);
+		h = h ? h : add_helper(r, &node);
+		if (h && now >= h->failed_until && !bct_rng_below(&r->gate->picker.rng, ++n))
+			drawn = h;
+	}
+	return drawn;
+}
+
+bool bct_relay_send_to_owner(bct_exchange_t *x)
+{
+	const bct_gate_upstream_t *u;
+
+	if (!may_relay(x))
+		return false;
+	u = draw_brittle(x);
+	return u && relay_through(x, draw_owner(x->gate->relay, u), "brittle");
+}
+
 void bct_relay_failed(bct_exchange_t *x)
 {
 	helper_t *h = bct_container_of(x->conn->upstream, helper_t, node);
@@ -313,9 +384,9 @@
 	}
 	x->may_have_run = x->earlier_may_have_run;
 	x->through_helper = false;
-	if (!strcmp(outcome, "elsewhere")) {
-		/* A refusal for its older configuration concerns this request only. */
-		if (status == STATUS_UNAVAILABLE)
+	if (!strcmp(outcome, "elsewhere") || !strcmp(outcome, "limited")) {
+		/* Other reasons concern this request only. */
+		if (status == STATUS_UNAVAILABLE && outcome[0] == 'e')
 			bct_relay_failed(x);
 		bct_exchange_abort_attempt(x);
 		bct_exchange_dispatch(x);
@@ -366,6 +437,8 @@
 
 	if (o->status == STATUS_BAD_GATEWAY || o->status == STATUS_GATEWAY_TIMEOUT)
 		outcome = "unknown";
+	else if (o->limited)
+		outcome = "limited";
 	else if (o->elsewhere)
 		outcome = "elsewhere";
 	evbuffer_add_printf(out, OUTCOME_HEADER ": %s\r\n", outcome);
--- a/gate/relay.h
+++ b/gate/relay.h
@@ -28,6 +28,12 @@
  */
 bool bct_relay_send(bct_exchange_t *x, bool last_resort);
 
+/*
+ * bct_relay_send_to_owner(3): send x through a node that may send to a brittle upstream of its
+ * service, as this one may not now. returns as bct_relay_send(3)
+ */
+bool bct_relay_send_to_owner(bct_exchange_t *x);
+
 /*
  * bct_relay_head(3): a helper's answer begins. If it is the helper's own, acts on it.
  *
--- a/gate/share.c
+++ b/gate/share.c
@@ -184,6 +184,7 @@
 {
 	if (!t->share)
 		return;
+	update->view = BCT_GATE_VIEW_LOCAL;
 	if (t->opts.relayed)
 		bct_share_send_change(t->share, update);
 	else
@@ -207,7 +208,7 @@
 
 	bct_list_for_each(el, &s->topics) {
 		bct_share_topic_t *t = bct_container_of(el, bct_share_topic_t, link);
-		share_update update = { .view = BCT_GATE_VIEW_LOCAL };
+		share_update update = { 0 };
 		uint32_t pos = 0;
 
 		if (!t->ops->encode || now - t->sent_at < t->opts.interval_ms)
@@ -215,7 +216,7 @@
 		t->sent_at = now;
 		while (t->ops->encode(t, now, false, &pos, &update)) {
 			bct_share_publish(t, &update);
-			update = (share_update){ .view = BCT_GATE_VIEW_LOCAL };
+			update = (share_update){ 0 };
 		}
 	}
 }
--- a/gen/share.h
+++ b/gen/share.h
@@ -27,6 +27,7 @@
 #define SHARE_NOTICES_MAX 32
 #define SHARE_ORIGINS_MAX 16
 #define SHARE_CUTS_MAX 16
+#define SHARE_BRITTLE_MAX 32
 #define SHARE_TOPICS 2
 #define SHARE_NEVER 0xffffffff
 #define SHARE_NAME_BYTES 64
@@ -134,6 +135,15 @@
 };
 typedef struct share_cut share_cut;
 
+struct share_brittle {
+	u_int upstream;
+	quad_t born_ms;
+	u_int bears;
+	u_int age_ms;
+	u_int turned_away;
+};
+typedef struct share_brittle share_brittle;
+
 struct share_origin {
 	u_quad_t attempt;
 	u_quad_t release;
@@ -206,6 +216,10 @@
 		u_int cuts_len;
 		share_cut *cuts_val;
 	} cuts;
+	struct {
+		u_int brittle_len;
+		share_brittle *brittle_val;
+	} brittle;
 };
 typedef struct share_update share_update;
 
@@ -247,6 +261,7 @@
 extern  bool_t xdr_share_read (XDR *, share_read*);
 extern  bool_t xdr_share_notice (XDR *, share_notice*);
 extern  bool_t xdr_share_cut (XDR *, share_cut*);
+extern  bool_t xdr_share_brittle (XDR *, share_brittle*);
 extern  bool_t xdr_share_origin (XDR *, share_origin*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
 extern  bool_t xdr_share_pulled (XDR *, share_pulled*);
@@ -266,6 +281,7 @@
 extern bool_t xdr_share_read ();
 extern bool_t xdr_share_notice ();
 extern bool_t xdr_share_cut ();
+extern bool_t xdr_share_brittle ();
 extern bool_t xdr_share_origin ();
 extern bool_t xdr_share_update ();
 extern bool_t xdr_share_pulled ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -375,6 +375,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_brittle (XDR *xdrs, share_brittle *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->born_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->bears))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->turned_away))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_origin (XDR *xdrs, share_origin *objp)
 {
@@ -454,6 +472,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->cuts.cuts_val, (u_int *) &objp->cuts.cuts_len, SHARE_CUTS_MAX,
 		sizeof (share_cut), (xdrproc_t) xdr_share_cut))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->brittle.brittle_val, (u_int *) &objp->brittle.brittle_len, SHARE_BRITTLE_MAX,
+		sizeof (share_brittle), (xdrproc_t) xdr_share_brittle))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -101,6 +101,7 @@
 	if (!out->limited || wait_ms < out->limited_ms)
 		out->limited_ms = wait_ms;
 	out->limited++;
+	out->brittle += u->brittle.named;
 	return true;
 }
 
@@ -418,6 +419,7 @@
 	*out = best.choice;
 	out->limited = none.limited;
 	out->limited_ms = none.limited_ms;
+	out->brittle = none.brittle;
 }
 
 /* Engine time that the output takes: a stream uses one slot's share of its engine. */
@@ -434,6 +436,7 @@
 	bct_gate_lanes_t *l = in->engine ? bct_gate_pick_lanes(p, in->service_key) : NULL;
 
 	bct_gate_limit_sent(&c->upstream->limit, now);
+	bct_gate_brittle_sent(&c->upstream->brittle, now);
 	c->upstream->running++;
 	c->upstream->prefill_ms += c->work_ms;
 	if (l)
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -41,8 +41,9 @@
 	uint32_t cached_tokens;	       /* of the prompt: cached there, or copied there first */
 	bct_gate_upstream_t *source;   /* engine to copy cached segments from; NULL: none */
 	int32_t lane_distance;	       /* see bct_gate_lanes_distance(3) */
-	uint32_t limited;	       /* upstreams whose limits or pauses allow no request now */
-	uint32_t limited_ms;	       /* until one of them may get one from this node */
+	uint32_t limited;	       /* upstreams whose statements allow no request now */
+	uint32_t brittle;    /* those of them that are brittle: another node may send there */
+	uint32_t limited_ms; /* until one of them may get one from this node */
 } bct_gate_choice_t;
 
 typedef struct bct_gate_picker {
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -100,6 +100,22 @@
 	return u;
 }
 
+/* A run that has not answered yet is taken for brittle if another upstream of its service is. */
+static void inherit_brittle(bct_gate_upstreams_t *t, bct_gate_upstream_t *u, bct_time_t now)
+{
+	bct_list_t *el;
+
+	memset(&u->brittle, 0, sizeof(u->brittle));
+	bct_list_for_each(el, &t->all) {
+		const bct_gate_upstream_t *o = bct_container_of(el, bct_gate_upstream_t, link);
+
+		if (o == u || o->service_key != u->service_key || !o->brittle.named)
+			continue;
+		bct_gate_brittle_inherit(&u->brittle, now, &o->brittle);
+		return;
+	}
+}
+
 /* A later run under the same id, or at another address, does not inherit what was observed. */
 static void reset_observations(bct_gate_upstream_t *u, bct_time_t now)
 {
@@ -254,6 +270,8 @@
 	changed = u->presence != p || strcmp(u->entry.service, e->service) != 0 ||
 		  (e->software_key && u->entry.software_key != e->software_key);
 	set_entry(u, e, other_run);
+	if (other_run)
+		inherit_brittle(t, u, now);
 	t->digest_stale = t->digest_stale || other_run || u->release != release;
 	u->list_pass = t->list_pass;
 	set_presence(t, u, now, p);
@@ -442,12 +460,22 @@
 	return true;
 }
 
+uint32_t bct_gate_upstream_brittle_wait_ms(bct_gate_upstream_t *u, bct_time_t now)
+{
+	int64_t running = (int64_t)u->running + u->peer_running;
+
+	return bct_gate_brittle_wait_ms(&u->brittle, now, u->entry.slots,
+					running > 0 ? (uint32_t)running : 0);
+}
+
 uint32_t bct_gate_upstream_wait_ms(bct_gate_upstream_t *u, bct_time_t now)
 {
 	uint32_t limited_ms = bct_gate_limit_wait_ms(&u->limit, now);
 	uint32_t paused_ms = now < u->paused_until ? (uint32_t)(u->paused_until - now) : 0;
+	uint32_t brittle_ms = bct_gate_upstream_brittle_wait_ms(u, now);
+	uint32_t most = limited_ms > paused_ms ? limited_ms : paused_ms;
 
-	return limited_ms > paused_ms ? limited_ms : paused_ms;
+	return brittle_ms > most ? brittle_ms : most;
 }
 
 static uint32_t average(uint32_t old, uint32_t latest)
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -13,6 +13,7 @@
 #include "base/list.h"
 #include "base/map.h"
 #include "policy/abandoned.h"
+#include "policy/gate_brittle.h"
 #include "policy/gate_limit.h"
 #include "policy/gate_position.h"
 
@@ -89,6 +90,7 @@
 
 	bool notice_malformed; /* statements of its last answer could not be read */
 	bct_gate_limit_t limit;
+	bct_gate_brittle_t brittle;
 	bct_time_t paused_until;  /* it accepts nothing from this node until then */
 	bool leaving;		  /* it states so in its answers; final for one run */
 	bool leaving_own;	  /* in an answer to this node */
@@ -250,6 +252,9 @@
  */
 uint32_t bct_gate_upstream_wait_ms(bct_gate_upstream_t *u, bct_time_t now);
 
+/* bct_gate_upstream_brittle_wait_ms(3): the same, because it is brittle. */
+uint32_t bct_gate_upstream_brittle_wait_ms(bct_gate_upstream_t *u, bct_time_t now);
+
 /* bct_gate_upstream_result(3): records that a request succeeded or that the upstream failed it. */
 void bct_gate_upstream_result(bct_gate_upstream_t *u, bct_time_t now, bool ok);
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -18,6 +18,7 @@
 const SHARE_NOTICES_MAX = 32;
 const SHARE_ORIGINS_MAX = 16;
 const SHARE_CUTS_MAX = 16;
+const SHARE_BRITTLE_MAX = 32;
 const SHARE_TOPICS = 2;
 const SHARE_NEVER = 0xffffffff;
 const SHARE_NAME_BYTES = 64;
@@ -130,6 +131,15 @@
 	unsigned hyper service;
 };
 
+/* An upstream that is brittle, or was, by the sender's latest answer. */
+struct share_brittle {
+	unsigned int upstream;
+	hyper born_ms;		/* the run of the upstream */
+	unsigned int bears;	/* requests that it can turn away in a second; SHARE_NEVER: not brittle */
+	unsigned int age_ms;	/* of the answer */
+	unsigned int turned_away;	/* requests of the sender, since its last report */
+};
+
 /* What began the stream of a caller's attempt. Release and run 0: that is not known. */
 struct share_origin {
 	unsigned hyper attempt;
@@ -161,6 +171,7 @@
 	share_origin origins<SHARE_ORIGINS_MAX>;	/* to keep, or as an answer */
 	unsigned hyper origins_wanted<SHARE_ORIGINS_MAX>; /* attempts; the receiver answers */
 	share_cut cuts<SHARE_CUTS_MAX>;
+	share_brittle brittle<SHARE_BRITTLE_MAX>;
 };
 
 /*
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -195,6 +195,23 @@
 	cr_assert(notice_of("Server-Limit: x\r\nServer-Leaving: 1\r\n").leaves);
 }
 
+Test(adapter, brittle)
+{
+	static const char *const bad[] = { "Server-Brittle: \r\n", "Server-Brittle: -1\r\n",
+					   "Server-Brittle: few\r\n",
+					   "Server-Brittle: 1\r\nServer-Brittle: 1\r\n" };
+
+	cr_assert_not(notice_of("").brittle);
+	cr_assert(notice_of("Server-Brittle: 0\r\n").brittle);
+	cr_assert_eq(notice_of("server-brittle: 3\r\n").bears, 3);
+	cr_assert_eq(notice_of("Server-Brittle: 3.9\r\n").bears, 3);
+	cr_assert_eq(notice_of("Server-Brittle: 99999999999\r\n").bears, 1000000);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		cr_assert_not(notice_of(bad[i]).brittle, "%s", bad[i]);
+		cr_assert(notice_of(bad[i]).malformed, "%s", bad[i]);
+	}
+}
+
 static uint32_t pause_of(int status, const char *headers)
 {
 	bct_wire_answer_t a;
--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -325,3 +325,35 @@
 	cr_assert(all_receive_load(LARGE_FLEET, 0, TIMEOUT_MS),
 		  "the stream is still counted after its end");
 }
+
+/* What one gateway had turned away by a brittle upstream holds the others back, too. */
+Test(gate_fleet, a_brittle_upstream_is_left_alone_by_all)
+{
+	bct_buf_t out;
+	uint32_t reached = 0;
+
+	test_gate_start_fleet(gates, SMALL_FLEET);
+	test_gate_wait_joined(gates, SMALL_FLEET);
+	for (uint32_t i = 0; i < SMALL_FLEET; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "known-%u", i);
+		test_gate_call(&gates[i], "POST", "/unsafe/a", id, "brittle", &out);
+		bct_buf_free(&out);
+	}
+	/* What may be sent unseen is earned from then on. */
+	bct_clock_sleep(100);
+	test_gate_call(&gates[0], "POST", "/unsafe/a", "full", "brittlefull", &out);
+	bct_buf_free(&out);
+	cr_assert_eq(test_gate_runs(&gates[0], "full"), 1);
+	bct_clock_sleep(200);
+	for (uint32_t i = 0; i < SMALL_FLEET; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "after-%u", i);
+		test_gate_call(&gates[i], "POST", "/unsafe/a", id, "brittle", &out);
+		bct_buf_free(&out);
+		reached += test_gate_runs(&gates[0], id);
+	}
+	cr_expect_eq(reached, 0);
+}
--- a/tests/test_gate_notice.c
+++ b/tests/test_gate_notice.c
@@ -223,3 +223,42 @@
 	cr_assert_eq(arrivals(), before);
 	test_gate_stop(&t);
 }
+
+/* An upstream that falls over if it has to turn away many: one that was turned away is the last one
+ * for a second, at this node. */
+Test(gate_notice, a_brittle_upstream_that_was_full_is_left_alone)
+{
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "b0", "brittle", &out), 200);
+	bct_buf_free(&out);
+	/* What may be sent unseen is earned from then on. */
+	bct_clock_sleep(100);
+	cr_expect(reaches_upstream("/unsafe/a", "b1"), "it has room");
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "b2", "brittlefull", &out), 503);
+	bct_buf_free(&out);
+	for (int i = 0; i < 5; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "b3-%d", i);
+		cr_expect_not(reaches_upstream("/unsafe/a", id));
+	}
+	bct_clock_sleep(1100);
+	cr_expect(reaches_upstream("/unsafe/a", "b4"));
+	test_gate_stop(&t);
+}
+
+/* A statement that can't be read changes nothing. */
+Test(gate_notice, an_unreadable_number_makes_nothing_brittle)
+{
+	bct_buf_t out;
+
+	test_gate_start(&t);
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "u0", "brittlebad", &out), 200);
+	bct_buf_free(&out);
+	cr_assert_eq(test_gate_call(&t, "POST", "/unsafe/a", "u1", "notrun", &out), 503);
+	bct_buf_free(&out);
+	cr_expect(reaches_upstream("/unsafe/a", "u2"));
+	test_gate_stop(&t);
+}
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -33,6 +33,9 @@
  *   error        500
  *   notrun       503 with the header that states that the request was not run
  *   limit        as ok, and names a limit of one request per second
+ *   brittle, brittlebad  as ok, and states that it bears to turn away two requests in a second,
+ *                or states that in a way that can't be read
+ *   brittlefull  as notrun, and states that it bears two
  *   leaving, leaving500, leaving503
  *                as ok, error and notrun, and states that the upstream is leaving
  *   leavingbad   as ok, and states it in a way that can't be read
