chuted: a stop ends kept connections

Callers that went on using a kept connection after SIGTERM were served without end, and the process left only when they did. Cause: nothing told them, and a connection counts as busy while requests come less than 100 ms apart. Change: once the lifetime of the addresses is over each answer says Connection: close, and the receiving side of connections on which no request has begun is shut; what has arrived is still answered. Not done: malformed framings that libmicrohttpd lets pass.

--- a/node/front.c
+++ b/node/front.c
@@ -300,16 +300,13 @@
 {
 	struct MHD_Response *resp = MHD_create_response_from_callback(
 		MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, r, release_request);
-	enum MHD_Result rc;
 
 	if (!resp)
 		return MHD_NO;
 	bct_request_ref(r);
 	MHD_add_response_header(resp, MHD_HTTP_HEADER_CONTENT_TYPE, "text/event-stream");
 	MHD_add_response_header(resp, MHD_HTTP_HEADER_CACHE_CONTROL, "no-store");
-	rc = MHD_queue_response(c, MHD_HTTP_OK, resp);
-	MHD_destroy_response(resp);
-	return rc;
+	return bct_http_queue(c, MHD_HTTP_OK, resp);
 }
 
 /* Sends the refusal of a request; a caller that has disconnected gets none. */
@@ -396,10 +393,13 @@
 {
 	exchange_t *x = bct_alloc(sizeof(*x));
 
-	(void)c;
+	bct_conn_t *conn = conn_of(c);
+
 	if (!x)
 		return NULL;
 	x->front = cls;
+	if (conn)
+		bct_conn_begun(&x->front->conns, conn);
 	x->uri_too_long = strlen(uri) >= sizeof(x->uri);
 	if (!x->uri_too_long)
 		snprintf(x->uri, sizeof(x->uri), "%s", uri);
@@ -512,6 +512,7 @@
 	if (f->quiesced)
 		return;
 	f->quiesced = true;
+	bct_conn_close_all(&f->conns);
 	fd = MHD_quiesce_daemon(f->daemon);
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
--- a/node/front_conn.c
+++ b/node/front_conn.c
@@ -12,6 +12,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 
+#include <ck_pr.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -44,6 +45,26 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
+/*
+ * Ends the receiving side of idle connections: libmicrohttpd still answers what has arrived, and
+ * closes the connection then.
+ */
+static void close_idle_connections(bct_conn_table_t *t)
+{
+	bct_list_t *el;
+
+	pthread_mutex_lock(&t->lock);
+	bct_list_for_each(el, &t->conns) {
+		bct_conn_t *c = bct_container_of(el, bct_conn_t, link);
+
+		if (!c->receiving || c->begun || c->shut)
+			continue;
+		c->shut = true;
+		shutdown(c->fd, SHUT_RD);
+	}
+	pthread_mutex_unlock(&t->lock);
+}
+
 static void *watch_main(void *arg)
 {
 	struct epoll_event ev[EVENTS_AT_ONCE];
@@ -60,6 +81,8 @@
 		}
 		if (bct_clock_now() >= next_reap) {
 			reap_slow_connections(t);
+			if (bct_conn_closing(t))
+				close_idle_connections(t);
 			next_reap = bct_clock_now() + REAP_MS;
 		}
 	}
@@ -105,6 +128,7 @@
 
 	if (!c)
 		return NULL;
+	c->table = t;
 	c->fd = fd;
 	c->receiving = true;
 	c->receive_started = bct_clock_now();
@@ -124,6 +148,23 @@
 	bct_free(c);
 }
 
+void bct_conn_begun(bct_conn_table_t *t, bct_conn_t *c)
+{
+	pthread_mutex_lock(&t->lock);
+	c->begun = true;
+	pthread_mutex_unlock(&t->lock);
+}
+
+void bct_conn_close_all(bct_conn_table_t *t)
+{
+	ck_pr_store_32(&t->closing, 1);
+}
+
+bool bct_conn_closing(bct_conn_table_t *t)
+{
+	return ck_pr_load_32(&t->closing) != 0;
+}
+
 void bct_conn_received(bct_conn_table_t *t, bct_conn_t *c)
 {
 	pthread_mutex_lock(&t->lock);
@@ -139,6 +180,7 @@
 	if (!c->receiving)
 		t->serving--;
 	c->receiving = true;
+	c->begun = false;
 	c->receive_started = bct_clock_now();
 	pthread_mutex_unlock(&t->lock);
 }
--- a/node/front_conn.h
+++ b/node/front_conn.h
@@ -13,27 +13,32 @@
 
 #include <pthread.h>
 
+typedef struct bct_conn_table bct_conn_table_t;
+
 /* One open connection of a caller. fd belongs to libmicrohttpd. */
 typedef struct bct_conn {
 	bct_list_t link;
+	bct_conn_table_t *table;
 	int fd;
 	bool receiving;		    /* idle, or a request's headers or body are arriving */
+	bool begun;		    /* the line of that request has arrived */
 	bool shut;		    /* it was shut down for exceeding the receive time limit */
 	bct_time_t receive_started; /* when receiving began */
 	uint64_t watched_req; /* request id, 0: none; used by the connection's own thread only */
 } bct_conn_t;
 
-typedef struct bct_conn_table {
+struct bct_conn_table {
 	bct_core_t *core;
 	uint32_t receive_timeout_ms;
 	pthread_mutex_t lock;
 	bct_list_t conns; /* under lock, as are receiving, shut and receive_started of each */
 	uint32_t serving; /* connections that are not receiving; written under lock */
+	uint32_t closing; /* atomic; 1: each connection ends after its current request */
 	int epoll_fd;
 	int stop_fd; /* eventfd that ends the thread */
 	pthread_t thread;
 	bool started;
-} bct_conn_table_t;
+};
 
 /*
  * bct_conn_table_init(3): start the thread that enforces the time limit and watches callers.
@@ -50,6 +55,17 @@
 /* bct_conn_close(3): remove and free an entry; does not close fd. */
 void bct_conn_close(bct_conn_table_t *t, bct_conn_t *c);
 
+/* bct_conn_begun(3): the line of a request has arrived. */
+void bct_conn_begun(bct_conn_table_t *t, bct_conn_t *c);
+
+/*
+ * bct_conn_close_all(3): end each connection after its current request; an idle one at once, as a
+ * caller that still sends on it has been told before where else to go.
+ * bct_conn_closing(3): whether that was called.
+ */
+void bct_conn_close_all(bct_conn_table_t *t);
+bool bct_conn_closing(bct_conn_table_t *t);
+
 /* bct_conn_received(3): a complete request has arrived, or it is refused; ends its time limit. */
 void bct_conn_received(bct_conn_table_t *t, bct_conn_t *c);
 
--- a/node/http.c
+++ b/node/http.c
@@ -4,6 +4,7 @@
 #include "node/http.h"
 #include "base/clock.h"
 #include "base/err.h"
+#include "node/front_conn.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
@@ -46,13 +47,24 @@
 	return resp;
 }
 
-static enum MHD_Result queue_response(struct MHD_Connection *c, int status,
-				      struct MHD_Response *resp)
+/* Whether the connection ends with this response. Only those of callers have a context. */
+static bool is_closing(struct MHD_Connection *c)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(c, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	const bct_conn_t *conn = info ? info->socket_context : NULL;
+
+	return conn && bct_conn_closing(conn->table);
+}
+
+enum MHD_Result bct_http_queue(struct MHD_Connection *c, int status, struct MHD_Response *resp)
 {
 	enum MHD_Result rc;
 
 	if (!resp)
 		return MHD_NO;
+	if (is_closing(c))
+		MHD_add_response_header(resp, MHD_HTTP_HEADER_CONNECTION, "close");
 	rc = MHD_queue_response(c, (unsigned int)status, resp);
 	MHD_destroy_response(resp);
 	return rc;
@@ -71,7 +83,7 @@
 	}
 	if (resp && f->close)
 		MHD_add_response_header(resp, MHD_HTTP_HEADER_CONNECTION, "close");
-	return queue_response(c, bct_refuse_status(f->why), resp);
+	return bct_http_queue(c, bct_refuse_status(f->why), resp);
 }
 
 enum MHD_Result bct_http_json(struct MHD_Connection *c, int status, json_t *doc)
@@ -79,7 +91,7 @@
 	char *text = doc ? json_dumps(doc, JSON_COMPACT) : NULL;
 
 	json_decref(doc);
-	return queue_response(c, status, response_from_text(text, "application/json"));
+	return bct_http_queue(c, status, response_from_text(text, "application/json"));
 }
 
 enum MHD_Result bct_http_text(struct MHD_Connection *c, int status, const char *content_type,
@@ -90,7 +102,7 @@
 
 	if (resp)
 		MHD_add_response_header(resp, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
-	return queue_response(c, status, resp);
+	return bct_http_queue(c, status, resp);
 }
 
 const char *bct_http_header(struct MHD_Connection *c, const char *name)
--- a/node/http.h
+++ b/node/http.h
@@ -25,6 +25,15 @@
 /* bct_http_refusal_json(3): the JSON error object, a malloc()ed string; NULL if out of memory. */
 char *bct_http_refusal_json(const bct_refusal_t *f);
 
+/*
+ * bct_http_queue(3): queue a response, which is taken over; if the connection is to end, the
+ * response says so.
+ *
+ * resp     NULL: nothing is queued
+ * returns  MHD_NO if nothing was queued; libmicrohttpd then closes the connection
+ */
+enum MHD_Result bct_http_queue(struct MHD_Connection *c, int status, struct MHD_Response *resp);
+
 /* bct_http_refuse(3): queue a refusal as the response. */
 enum MHD_Result bct_http_refuse(struct MHD_Connection *c, const bct_refusal_t *f);
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -2,6 +2,7 @@
  * test_front.c - invalid input from callers. Each kind must get an answer with the right status and
  * reason, or a closed connection, and nothing may reach an upstream.
  */
+#include "base/clock.h"
 #include "base/err.h"
 #include "tests/util_node.h"
 
@@ -336,3 +337,62 @@
 	bct_buf_free(&out);
 	test_node_stop(&t);
 }
+
+#define KEPT 8
+
+/* Reads what has arrived. Returns false when the connection has ended. */
+static bool read_kept(int fd, bct_buf_t *out)
+{
+	char buf[2048];
+	ssize_t n;
+
+	while ((n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT)) > 0)
+		bct_buf_put(out, buf, (size_t)n);
+	return n != 0;
+}
+
+/*
+ * A caller that went on using its kept connection was served without end after a stop, and the
+ * process never left: after the lifetime of the addresses each answer says that the connection
+ * closes, and idle ones are closed.
+ */
+Test(front, a_stop_ends_kept_connections, .timeout = 60)
+{
+	static const char request[] = "GET /v1/entry HTTP/1.1\r\n" HOST "\r\n";
+	bct_time_t end;
+	test_node_t t;
+	int fds[KEPT], open = KEPT;
+	bct_buf_t out[KEPT];
+
+	test_node_start(&t, ", \"entry_lifetime_ms\": 200, \"receive_timeout_ms\": 60000");
+	for (int i = 0; i < KEPT; i++) {
+		fds[i] = test_connect(bct_node_caller_port(t.node));
+		bct_buf_init(&out[i], 0);
+		cr_assert_gt(send(fds[i], request, sizeof(request) - 1, MSG_NOSIGNAL), 0);
+	}
+	bct_node_drain(t.node);
+	end = bct_clock_now() + WAIT_MS;
+	while ((!bct_node_drained(t.node) || open) && bct_clock_now() < end) {
+		for (int i = 0; i < KEPT; i++) {
+			/* Half of them go on without a pause, the others are idle. */
+			if (fds[i] >= 0 && i % 2)
+				send(fds[i], request, sizeof(request) - 1, MSG_NOSIGNAL);
+			if (fds[i] < 0 || read_kept(fds[i], &out[i]))
+				continue;
+			close(fds[i]);
+			fds[i] = -1;
+			open--;
+		}
+		bct_clock_sleep(5);
+	}
+	cr_expect_eq(open, 0, "%d connections are still open", open);
+	cr_expect(bct_node_drained(t.node));
+	for (int i = 0; i < KEPT; i++) {
+		cr_expect(strstr(out[i].data, "HTTP/1.1 200"));
+		cr_expect_eq(strstr(out[i].data, "onnection: close") != NULL, i % 2 == 1);
+		bct_buf_free(&out[i]);
+		if (fds[i] >= 0)
+			close(fds[i]);
+	}
+	test_node_stop(&t);
+}
