Stop: nothing is taken on that may not end before the node does

Cause: requests on kept connections cross the closing, which a tick of 100 ms makes, and were taken on whatever they may last. Change: once callers have had the time to go elsewhere, a request whose time limit ends after the node does is refused as not run, with Connection: close, to return at once; shorter ones are served.

--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -187,6 +187,12 @@
 
 static void stopping(const json_t *l, bct_buf_t *out)
 {
+	if (explain_number(l, "status") == 503) {
+		bct_buf_puts(out,
+			     "The node was shutting down, callers had been told to go elsewhere, "
+			     "and the request might not have ended in time. It did not run.");
+		return;
+	}
 	bct_buf_printf(out,
 		       "The node was shutting down and its grace period ended while %s was still "
 		       "processing it.",
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define NOT_READY_RETRY_MS 500	     /* Retry-After before a configuration is known */
+#define STOPPING_RETRY_MS 20	     /* the same for a caller that has other nodes to go to */
 #define CONNECT_TIMEOUT_MS 300	     /* a round trip with the handshake takes a few milliseconds */
 #define SAFE_SILENCE_PERMILLE 500    /* of the latency target: then a safe request is retried */
 #define STREAM_SILENCE_PERMILLE 2000 /* the same for a resumable stream without output */
@@ -258,6 +259,21 @@
 	return true;
 }
 
+/* Refuses what this node, which stops, may not live to end; elsewhere it can. returns whether it
+ * was refused; x is freed then. */
+static bool refuse_if_stopping(bct_exchange_t *x)
+{
+	if (bct_gate_takes_on(x->gate, bct_exchange_deadline(x)))
+		return false;
+	x->client->close_after = true;
+	bct_exchange_refuse(x, BCT_GATE_END_STOPPING,
+			    &(bct_answer_opts_t){ .status = 503,
+						  .retry_after_ms = STOPPING_RETRY_MS,
+						  .text = "this node stops; the request was not "
+							  "run" });
+	return true;
+}
+
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body)
 {
 	bct_exchange_t *x = exchange_new(c, body);
@@ -281,7 +297,7 @@
 	if (refuse_if_blocked(x))
 		return;
 	init_pick_input(x);
-	if (refuse_if_cut(x))
+	if (refuse_if_cut(x) || refuse_if_stopping(x))
 		return;
 	if (x->call.resumes && !x->query.origin && x->route->kind == BCT_GATE_STREAM)
 		bct_origin_take_up(x);
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -125,8 +125,9 @@
 {
 	if (end == BCT_GATE_END_NOT_RUN)
 		return !x->attempts;
-	return end == BCT_GATE_END_NOT_READY || end == BCT_GATE_END_NO_ROUTE ||
-	       end == BCT_GATE_END_BAD_KEY || end == BCT_GATE_END_NO_UPSTREAM;
+	return end == BCT_GATE_END_NOT_READY || end == BCT_GATE_END_STOPPING ||
+	       end == BCT_GATE_END_NO_ROUTE || end == BCT_GATE_END_BAD_KEY ||
+	       end == BCT_GATE_END_NO_UPSTREAM;
 }
 
 void bct_exchange_refuse(bct_exchange_t *x, bct_gate_end_t end, const bct_answer_opts_t *o)
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -54,6 +54,25 @@
 		drain(g);
 }
 
+/* Time after the stop began, in ms, at which no caller uses this node's address any more. */
+static bct_time_t addresses_expire_ms(const bct_gate_t *g)
+{
+	return (bct_time_t)g->settings->caller_entry_lifetime_ms * LIFETIMES_KEPT;
+}
+
+/* Time after the stop began, in ms, at which the node ends in any case. */
+static bct_time_t stop_deadline_ms(const bct_gate_t *g)
+{
+	return (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS;
+}
+
+bool bct_gate_takes_on(const bct_gate_t *g, bct_time_t deadline)
+{
+	if (!g->draining || bct_clock_now() < g->drain_started + addresses_expire_ms(g))
+		return true;
+	return deadline <= g->drain_started + stop_deadline_ms(g);
+}
+
 /*
  * Stops listening and closes idle connections once the addresses that callers obtained have
  * expired. Ends the event loop when no connection remains or the grace period is over. Registry
@@ -62,17 +81,16 @@
 static void drain_step(bct_gate_t *g)
 {
 	bct_time_t elapsed_ms = bct_clock_now() - g->drain_started;
-	bct_time_t addresses_expire_ms =
-		(bct_time_t)g->settings->caller_entry_lifetime_ms * LIFETIMES_KEPT;
-	bct_time_t deadline_ms = (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS;
+	bool addresses_expired = elapsed_ms >= addresses_expire_ms(g);
+	bct_time_t deadline_ms = stop_deadline_ms(g);
 
-	if (elapsed_ms >= addresses_expire_ms) {
+	if (addresses_expired) {
 		bct_clients_stop_listening(g);
 		bct_clients_close_idle(g);
 	}
 	if (elapsed_ms >= deadline_ms - (bct_time_t)g->settings->platform_timeout_ms)
 		bct_registry_sync_stop(g->registry_sync);
-	if ((elapsed_ms >= addresses_expire_ms && !g->n_clients) || elapsed_ms >= deadline_ms)
+	if ((addresses_expired && !g->n_clients) || elapsed_ms >= deadline_ms)
 		event_base_loopbreak(g->base);
 }
 
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -112,6 +112,13 @@
 	uint64_t draw; /* selects a service of a split route */
 };
 
+/*
+ * bct_gate_takes_on(3): whether a request that may last until deadline is taken on: always, unless
+ * the node stops and callers have had the time to go elsewhere; then only if it ends before the
+ * node.
+ */
+bool bct_gate_takes_on(const bct_gate_t *g, bct_time_t deadline);
+
 /* client.c */
 int bct_clients_listen(bct_gate_t *g);
 void bct_clients_stop_listening(bct_gate_t *g);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -510,6 +510,35 @@
 	test_gate_stop(&t);
 }
 
+/*
+ * A stream that came on a kept connection after callers had been told to go elsewhere was run, and
+ * cut when the grace period ended: it could not end in time, and its caller had lost it.
+ */
+Test(gate, a_stop_takes_on_nothing_that_may_not_end_in_time)
+{
+	static const char head[] = "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+				   "X-Buckthornchute-Request-Attempt-Id: %s\r\n"
+				   "X-Script: streamslow\r\nContent-Length: 0\r\n\r\n";
+	char text[1024];
+	test_gate_t t;
+	bct_buf_t out;
+	pthread_t stopper;
+	int n;
+
+	test_gate_start(&t);
+	cr_assert_eq(pthread_create(&stopper, NULL, send_sigterm, &t), 0);
+	/* The second one is read when the first has ended, 2.2 s later, of 4 s of grace. */
+	n = snprintf(text, sizeof(text), head, "s1");
+	n += snprintf(text + n, sizeof(text) - (size_t)n, head, "s2");
+	test_gate_raw(&t, text, (size_t)n, 6000, &out);
+	pthread_join(stopper, NULL);
+	cr_expect_eq(count(out.data, "data: e"), 5, "%s", out.data);
+	cr_expect(strstr(out.data, "HTTP/1.1 503"), "%s", out.data);
+	cr_expect_eq(test_gate_runs(&t, "s2"), 0);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
 /* When a service's only upstream has been removed from the registry, a request is refused at once,
  * with a status that states that it was not run. */
 Test(gate, no_upstream)
