chuted: malformed framings are refused before libmicrohttpd sees them

Bare line feeds, folded headers and NUL bytes passed chuted, and with a space before the colon the body was read as the next request: libmicrohttpd shows a program only what it made of a head. Class: a check behind the parser that it is to check. Change: a filter listens for callers; it checks heads with the gateway's reader, which moves to http/ as a module of both daemons, follows bodies to their end and passes bytes on unchanged over a socket pair. A malformed request is answered 400 (bad_framing, not run) after everything before it, and nothing behind it is read. Not done: the reader in place of libmicrohttpd.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 # Warnings that the output of rpcgen would raise.
 GEN_CFLAGS := -Wno-unused-variable -Wno-unused-parameter -Wno-missing-prototypes
 
-LIB_DIRS := base policy coord gen
+LIB_DIRS := base http policy coord gen
 LIB_SRCS := $(sort $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c)))
 NODE_SRCS := $(sort $(wildcard node/*.c))
 SOAK_SRCS := $(sort $(wildcard soak/*.c))
@@ -181,7 +181,7 @@
 	$(Q)$(CC) $(ALL_CFLAGS) -fsanitize=fuzzer $(filter %.o,$^) $(filter %.a,$^) -o $@ $(PKG_LIBS)
 .PHONY: fuzz fuzzers
 
-C_FILES := $(sort $(wildcard base/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] gate/*.[ch] platform/*.[ch] soak/*.[ch] cmd/*.[ch] \
+C_FILES := $(sort $(wildcard base/*.[ch] http/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] gate/*.[ch] platform/*.[ch] soak/*.[ch] cmd/*.[ch] \
 	standin/*.[ch] tests/*.[ch] tests/fuzz/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
 
 check:
--- a/gate/wire.h
+++ b/gate/wire.h
@@ -6,7 +6,7 @@
 #define BCT_GATE_WIRE_H
 
 #include "base/buf.h"
-#include "gate/http_msg.h"
+#include "http/http_msg.h"
 #include "policy/gate_notice.h"
 #include "policy/gate_prefix.h"
 
--- a/gate/http_msg.c
+++ b/http/http_msg.c
@@ -2,7 +2,7 @@
  * http_msg.c - HTTP message reader. The raw head is validated and split here; http-parser decodes
  * Content-Length and chunked bodies.
  */
-#include "gate/http_msg.h"
+#include "http/http_msg.h"
 #include "base/err.h"
 
 #include <ctype.h>
@@ -125,10 +125,10 @@
 	return (size_t)(end - last) == 8 && !memcmp(last, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
 }
 
-int bct_http_head_check(const char *head, size_t len_bytes, bool request)
+/* Checks each line, and counts the headers that determine framing or routing. */
+static int check_lines(const char *head, size_t len_bytes, bool request, framing_t *f)
 {
 	const char *at = head, *stop = head + len_bytes - 2;
-	framing_t f = { 0 };
 	bool first = true;
 
 	while (at < stop) {
@@ -137,12 +137,29 @@
 
 		if (!cr || cr[1] != '\n')
 			return -BCT_ECODEC;
-		rc = first ? check_first_line(at, cr, request) : check_header(at, cr, &f);
+		rc = first ? check_first_line(at, cr, request) : check_header(at, cr, f);
 		if (rc)
 			return rc;
 		first = false;
 		at = cr + 2;
 	}
+	return 0;
+}
+
+int bct_http_lines_check(const char *head, size_t len_bytes)
+{
+	framing_t f = { 0 };
+
+	return check_lines(head, len_bytes, true, &f);
+}
+
+int bct_http_head_check(const char *head, size_t len_bytes, bool request)
+{
+	framing_t f = { 0 };
+	int rc = check_lines(head, len_bytes, request, &f);
+
+	if (rc)
+		return rc;
 	/* Ambiguous framing: the next parser might use another of the headers. */
 	if (f.content_lengths > 1 || f.transfer_encodings > 1 ||
 	    (f.content_lengths && f.transfer_encodings))
--- a/gate/http_msg.h
+++ b/http/http_msg.h
@@ -6,8 +6,8 @@
  * of these, two parsers of the same message may disagree about where it ends, which allows request
  * smuggling.
  */
-#ifndef BCT_GATE_HTTP_MSG_H
-#define BCT_GATE_HTTP_MSG_H
+#ifndef BCT_HTTP_HTTP_MSG_H
+#define BCT_HTTP_HTTP_MSG_H
 
 #include "base/buf.h"
 
@@ -82,6 +82,10 @@
  * grammar. returns 0 or -BCT_ECODEC. */
 int bct_http_head_check(const char *head, size_t len_bytes, bool request);
 
+/* bct_http_lines_check(3): as bct_http_head_check(3) of a request, but each line by itself: which
+ * headers there are, and how often, is not looked at. */
+int bct_http_lines_check(const char *head, size_t len_bytes);
+
 /* bct_http_is_hop_by_hop(3): returns whether a header applies to a single connection and must not
  * be forwarded. */
 bool bct_http_is_hop_by_hop(const char *name);
--- a/node/front.c
+++ b/node/front.c
@@ -9,10 +9,12 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "node/front_conn.h"
+#include "node/front_filter.h"
 #include "node/front_route.h"
 
 #include <ck_pr.h>
 #include <inttypes.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -26,7 +28,7 @@
 	bct_front_opts_t opts;
 	bct_conn_table_t conns;
 	struct MHD_Daemon *daemon;
-	uint16_t port;
+	bct_front_filter_t *filter; /* listens for callers */
 	bool quiesced;
 };
 
@@ -460,29 +462,67 @@
 	}
 }
 
+/* The server listens to nobody: it gets its connections from the filter. */
 static int start_daemon(bct_front_t *f)
 {
 	const bct_settings_t *s = f->opts.settings;
-	struct sockaddr_storage addr;
-	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+			     MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC;
 	unsigned int seconds = (s->caller_write_timeout_ms + BCT_MS_PER_S - 1) / BCT_MS_PER_S;
 
-	if (bct_http_bind(s->caller_address, (uint16_t)s->caller_port, &addr))
-		return -BCT_EINVAL;
-	if (addr.ss_family == AF_INET6)
-		flags |= MHD_USE_IPv6;
 	f->daemon = MHD_start_daemon(
-		flags, (uint16_t)s->caller_port, NULL, NULL, on_request, f, MHD_OPTION_SOCK_ADDR,
-		(struct sockaddr *)&addr, MHD_OPTION_THREAD_POOL_SIZE, s->caller_threads,
+		flags, 0, NULL, NULL, on_request, f, MHD_OPTION_THREAD_POOL_SIZE, s->caller_threads,
 		MHD_OPTION_CONNECTION_LIMIT, s->caller_max_connections,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)s->caller_max_header_bytes,
 		MHD_OPTION_CONNECTION_TIMEOUT, seconds, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, f, MHD_OPTION_NOTIFY_CONNECTION,
-		on_connection, f, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-	if (!f->daemon)
-		return -BCT_EIO;
-	f->port = bct_http_port(f->daemon);
-	return 0;
+		on_connection, f, MHD_OPTION_END);
+	return f->daemon ? 0 : -BCT_EIO;
+}
+
+static int add_connection(void *ctx, int fd, const struct sockaddr *caller, socklen_t caller_bytes)
+{
+	bct_front_t *f = ctx;
+
+	return MHD_add_connection(f->daemon, fd, caller, caller_bytes) == MHD_YES
+		       ? 0
+		       : -BCT_EUNAVAILABLE;
+}
+
+static bool is_idle(void *ctx, int fd)
+{
+	bct_front_t *f = ctx;
+
+	return bct_conn_is_idle(&f->conns, fd);
+}
+
+static char *refuse_malformed(void *ctx)
+{
+	bct_front_t *f = ctx;
+	bct_refusal_t r = { .why = BCT_REFUSE_BAD_FRAMING, .run = BCT_RUN_NOT_RUN };
+
+	bct_stats_refused_early(bct_core_stats(f->opts.core), r.why, BCT_STATE_RECEIVING);
+	return bct_http_refusal_json(&r);
+}
+
+static int start_filter(bct_front_t *f)
+{
+	const bct_settings_t *s = f->opts.settings;
+	struct sockaddr_storage addr;
+	bct_front_filter_opts_t o = {
+		.address = (struct sockaddr *)&addr,
+		.max_header_bytes = s->caller_max_header_bytes,
+		.add = add_connection,
+		.is_idle = is_idle,
+		.refusal = refuse_malformed,
+		.ctx = f,
+	};
+
+	if (bct_http_bind(s->caller_address, (uint16_t)s->caller_port, &addr))
+		return -BCT_EINVAL;
+	o.address_bytes = addr.ss_family == AF_INET6 ? sizeof(struct sockaddr_in6)
+						     : sizeof(struct sockaddr_in);
+	return bct_front_filter_new(&o, &f->filter);
 }
 
 int bct_front_new(const bct_front_opts_t *opts, bct_front_t **out)
@@ -496,7 +536,11 @@
 	rc = bct_conn_table_init(&f->conns, opts->core, opts->settings->caller_receive_timeout_ms);
 	if (!rc)
 		rc = start_daemon(f);
+	if (!rc)
+		rc = start_filter(f);
 	if (rc) {
+		if (f->daemon)
+			MHD_stop_daemon(f->daemon);
 		bct_conn_table_destroy(&f->conns);
 		bct_free(f);
 		return rc;
@@ -507,21 +551,18 @@
 
 void bct_front_quiesce(bct_front_t *f)
 {
-	MHD_socket fd;
-
 	if (f->quiesced)
 		return;
 	f->quiesced = true;
 	bct_conn_close_all(&f->conns);
-	fd = MHD_quiesce_daemon(f->daemon);
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
+	bct_front_filter_quiesce(f->filter);
 }
 
 void bct_front_free(bct_front_t *f)
 {
 	if (!f)
 		return;
+	bct_front_filter_free(f->filter);
 	MHD_stop_daemon(f->daemon);
 	bct_conn_table_destroy(&f->conns);
 	bct_free(f);
@@ -529,7 +570,7 @@
 
 uint16_t bct_front_port(const bct_front_t *f)
 {
-	return f->port;
+	return bct_front_filter_port(f->filter);
 }
 
 uint32_t bct_front_serving(const bct_front_t *f)
--- a/node/front_conn.c
+++ b/node/front_conn.c
@@ -185,6 +185,22 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
+bool bct_conn_is_idle(bct_conn_table_t *t, int fd)
+{
+	bool idle = true;
+	bct_list_t *el;
+
+	pthread_mutex_lock(&t->lock);
+	bct_list_for_each(el, &t->conns) {
+		const bct_conn_t *c = bct_container_of(el, bct_conn_t, link);
+
+		if (c->fd == fd)
+			idle = c->receiving && !c->begun;
+	}
+	pthread_mutex_unlock(&t->lock);
+	return idle;
+}
+
 void bct_conn_watch(bct_conn_table_t *t, bct_conn_t *c, uint64_t req_id)
 {
 	struct epoll_event ev = { .events = EPOLLRDHUP | EPOLLONESHOT, .data = { .u64 = req_id } };
--- a/node/front_conn.h
+++ b/node/front_conn.h
@@ -72,6 +72,9 @@
 /* bct_conn_idle(3): the exchange has ended; the time limit of the next request starts. */
 void bct_conn_idle(bct_conn_table_t *t, bct_conn_t *c);
 
+/* bct_conn_is_idle(3): whether no request has begun on the connection with this descriptor. */
+bool bct_conn_is_idle(bct_conn_table_t *t, int fd);
+
 /*
  * bct_conn_watch(3): report to the core if the caller disconnects, until bct_conn_unwatch(3). A
  * caller that closes only its sending side counts as disconnected, too.
--- a/tests/fuzz/fuzz_http_msg.c
+++ b/tests/fuzz/fuzz_http_msg.c
@@ -4,7 +4,7 @@
  * selects responses (1) or requests (0).
  */
 #include "base/hash.h"
-#include "gate/http_msg.h"
+#include "http/http_msg.h"
 #include "tests/fuzz/fuzz.h"
 
 #include <string.h>
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -396,3 +396,111 @@
 	}
 	test_node_stop(&t);
 }
+
+/* Two parsers may disagree where such a request ends; the next node might take its body for one. */
+static void framing_is_refused(const char *bytes, size_t len)
+{
+	test_node_t t;
+	bct_buf_t out;
+
+	test_node_start(&t, "");
+	test_exchange(bct_node_caller_port(t.node), bytes, len, WAIT_MS, &out);
+	cr_expect_eq(test_status(&out), 400, "%s", out.data ? out.data : "(no answer)");
+	cr_expect_eq(test_upstream_connections(&t), 0, "the request reached an upstream");
+	bct_buf_free(&out);
+	test_node_stop(&t);
+}
+
+#define FRAMED(head, length_line) \
+	"POST /v1/chat/completions HTTP/1.1" head AUTH length_line "\r\n" GOOD
+#define REFUSED(bytes) framing_is_refused(bytes, sizeof(bytes) - 1)
+
+Test(front, framing_bare_line_feeds)
+{
+	REFUSED(FRAMED("\n" HOST, "Content-Length: 57\r\n"));
+}
+
+Test(front, framing_space_before_the_colon)
+{
+	REFUSED(FRAMED("\r\n" HOST, "Content-Length : 57\r\n"));
+}
+
+Test(front, framing_sign_in_the_length)
+{
+	REFUSED(FRAMED("\r\n" HOST, "Content-Length: +57\r\n"));
+}
+
+Test(front, framing_folded_header)
+{
+	REFUSED(FRAMED("\r\n" HOST "X-A: b\r\n c\r\n", "Content-Length: 57\r\n"));
+}
+
+Test(front, framing_nul_in_a_header)
+{
+	REFUSED(FRAMED("\r\n" HOST "X-A: b\0c\r\n", "Content-Length: 57\r\n"));
+}
+
+/* Answers to what came before a malformed request come first, then its refusal; what looks like a
+ * request in its body is none. */
+Test(front, framing_is_refused_in_order)
+{
+	static const char bytes[] = "GET /v1/entry HTTP/1.1\r\n" HOST "\r\n"
+				    "GET /v1/entry HTTP/1.1\r\n" HOST "Content-Length : 36\r\n\r\n"
+				    "GET /v1/entry HTTP/1.1\r\n" HOST "\r\n";
+	const char *first, *second;
+	test_node_t t;
+	bct_buf_t out;
+	bct_time_t end;
+	int fd;
+
+	test_node_start(&t, "");
+	bct_buf_init(&out, 0);
+	fd = test_connect(bct_node_caller_port(t.node));
+	cr_assert_eq(send(fd, bytes, sizeof(bytes) - 1, MSG_NOSIGNAL), sizeof(bytes) - 1);
+	for (end = bct_clock_now() + WAIT_MS; read_kept(fd, &out) && bct_clock_now() < end;)
+		bct_clock_sleep(5);
+	close(fd);
+	first = strstr(out.data, "HTTP/1.1 200");
+	second = strstr(out.data, "HTTP/1.1 400");
+	cr_expect(first && second && first < second, "%s", out.data);
+	cr_expect_not(first && strstr(first + 1, "HTTP/1.1 200"), "%s", out.data);
+	bct_buf_free(&out);
+	test_node_stop(&t);
+}
+
+/* A body that comes in pieces, by length and in chunks, passes the check unchanged. */
+Test(front, a_request_in_pieces_is_whole)
+{
+	static const char *const requests[] = {
+		"POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH
+		"Content-Length: 57\r\n\r\n" GOOD,
+		"POST /v1/chat/completions HTTP/1.1\r\n" HOST AUTH
+		"Transfer-Encoding: chunked\r\n\r\n39\r\n" GOOD "\r\n0\r\n\r\n",
+	};
+
+	for (int i = 0; i < 2; i++) {
+		size_t len = strlen(requests[i]);
+		test_node_t t;
+		bct_buf_t out;
+		bct_time_t end;
+		int fd;
+
+		test_node_start(&t, "");
+		bct_buf_init(&out, 0);
+		fd = test_connect(bct_node_caller_port(t.node));
+		for (size_t at = 0; at < len; at++) {
+			cr_assert_eq(send(fd, requests[i] + at, 1, MSG_NOSIGNAL), 1);
+			usleep(500);
+		}
+		for (end = bct_clock_now() + WAIT_MS;
+		     !out.len_bytes && read_kept(fd, &out) && bct_clock_now() < end;)
+			bct_clock_sleep(5);
+		close(fd);
+		/* The stub closes every connection, like an upstream that crashes on the request.
+		 */
+		cr_expect_geq(test_status(&out), 422);
+		cr_expect_geq(test_upstream_connections(&t), 1);
+		bct_buf_free(&out);
+		test_node_stop(&t);
+	}
+}
