Soak: two software versions in each service, and nodes that relay

Upstreams of a service run two versions side by side; each event tells which one wrote it, and callers check that an answer is of one (ORDER). Nodes take requests of nodes that reach no upstream.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -104,10 +104,27 @@
 		a->status = atoi(c->buf + 9);
 }
 
+/* Checks that an event is of the software version that wrote the first one of its answer. */
+static void check_software(caller_t *c, const char *id, const char *event, uint32_t *first)
+{
+	const char *at = strstr(event, "\nsoftware: ");
+	uint32_t version;
+
+	if (!at)
+		return;
+	version = (uint32_t)atoi(at + strlen("\nsoftware: "));
+	if (*first == SOAK_VERSIONS)
+		*first = version;
+	if (version != *first)
+		soak_violation(c->soak, "ORDER", "%s: begun by software %u, continued by %u", id,
+			       *first, version);
+}
+
 /* Checks that each event comes once and in order, and that a complete answer has all of them. */
 static void check_events(caller_t *c, const char *id, const answer_t *a)
 {
 	const char *at = a->body ? a->body : "";
+	uint32_t software = SOAK_VERSIONS;
 	int last = 0;
 
 	while ((at = strstr(at, "id: ")) != NULL) {
@@ -119,6 +136,7 @@
 			soak_violation(c->soak, "ORDER", "%s: event %d after %d", id, n, last);
 		if (strncmp(at, expected, strlen(expected)) != 0)
 			soak_violation(c->soak, "MIXED", "%s: event of another request", id);
+		check_software(c, id, at, &software);
 		last = n;
 		at += 4;
 	}
--- a/soak/main.c
+++ b/soak/main.c
@@ -59,11 +59,11 @@
 		"\"seeds\":[\"%s.1:1\",\"%s.2:1\"]},"
 		"\"platform\":{\"url\":\"127.0.0.1:%u\",\"timeout_ms\":500,\"poll_ms\":300},"
 		"\"gate\":{\"listen\":\"%s:%u\",\"resolve\":\"%s:%u\",\"share_port\":%u,"
-		"\"grace_ms\":%u,\"budget_allowance\":1000},"
+		"\"relay_port\":%u,\"grace_ms\":%u,\"budget_allowance\":1000},"
 		"\"log\":{\"format\":\"json\"}}",
 		i, n->ip, n->ip, s->port_base + 4U, n->ip, s->port_base + 2U, s->net, s->net,
 		n->store.port, n->ip, s->port_base, n->ip, s->port_base + 1U, s->port_base + 3U,
-		STOP_GRACE_MS);
+		s->port_base + 5U, STOP_GRACE_MS);
 	fclose(f);
 }
 
@@ -93,6 +93,7 @@
 		snprintf(u->id, sizeof(u->id), "i-%d", i);
 		u->service = i < SOAK_UPSTREAMS - 2 ? "model" : "desk";
 		u->soak = s;
+		u->software = (uint32_t)i % SOAK_VERSIONS;
 		u->born = 1000;
 		soak_write_entry(u);
 		soak_upstream_start(u);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -20,6 +20,7 @@
 #define SOAK_NODES_MAX 200
 #define SOAK_UPSTREAMS 5 /* the last two serve the plain service, the others the engine */
 #define SOAK_CALLERS 12
+#define SOAK_VERSIONS 2 /* of upstreams' software, side by side in each service */
 #define SOAK_CALLS_MAX 200000
 #define SOAK_ID_BYTES 24
 #define SOAK_DRAIN_MS 2000   /* a leaving upstream receives no request after this time */
@@ -65,6 +66,7 @@
 typedef struct soak_upstream {
 	char id[32];
 	const char *service; /* "model" (engine) or "desk" (plain service) */
+	uint32_t software;   /* version, below SOAK_VERSIONS */
 	uint16_t port;	     /* of the upstream itself; its registry entry names the proxy's port */
 	int64_t born; /* start time in the registry entry; grows with each restart under this id */
 	uint64_t sequence;	/* of the registry entry, within one start */
--- a/soak/store.c
+++ b/soak/store.c
@@ -54,9 +54,10 @@
 
 	snprintf(out, size,
 		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
-		 "\"version\":\"v\",\"slots\":16,\"state\":\"%s\",\"cold_remaining_ms\":0,"
+		 "\"version\":\"v%u\",\"slots\":16,\"state\":\"%s\",\"cold_remaining_ms\":0,"
 		 "\"sequence\":%llu,\"born\":%lld}",
-		 u->service, u->proxy.port, u->draining && !stale ? "draining" : "ready",
+		 u->service, u->proxy.port, u->software,
+		 u->draining && !stale ? "draining" : "ready",
 		 (unsigned long long)u->sequence - stale, (long long)u->born);
 }
 
--- a/soak/upstream.c
+++ b/soak/upstream.c
@@ -251,7 +251,8 @@
 		return false;
 	for (int i = r->last_event_id + 1; i <= EVENTS; i++) {
 		char event[64], text[96];
-		int n = snprintf(event, sizeof(event), "id: %d\ndata: %s.%d\n\n", i, r->id, i);
+		int n = snprintf(event, sizeof(event), "id: %d\ndata: %s.%d\nsoftware: %u\n\n", i,
+				 r->id, i, c->u->software);
 
 		snprintf(text, sizeof(text), "%x\r\n%s\r\n", n, event);
 		if (!send_text(c->fd, text))
