Share: statements of upstreams are a topic

Limits and leavings were a kind of news that share called by name (a circle of files through bct_share_t).

--- a/gate/gate.c
+++ b/gate/gate.c
@@ -183,6 +183,8 @@
 		rc = bct_relay_new(g, &g->relay);
 	if (!rc)
 		rc = bct_brittle_new(g, &g->brittle);
+	if (!rc)
+		rc = bct_notices_new(g, &g->notices);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -224,6 +226,7 @@
 	bct_origins_free(g->origins);
 	bct_relay_free(g->relay);
 	bct_brittle_free(g->brittle);
+	bct_notices_free(g->notices);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -33,6 +33,7 @@
 typedef struct bct_origins bct_origins_t;
 typedef struct bct_relay bct_relay_t;
 typedef struct bct_brittle bct_brittle_t;
+typedef struct bct_notices bct_notices_t;
 
 #define BCT_RELAY_LINE_BYTES 2048 /* of a request's line that the proof of its sender covers */
 
@@ -100,6 +101,7 @@
 	bct_origins_t *origins;
 	bct_relay_t *relay;
 	bct_brittle_t *brittle;
+	bct_notices_t *notices;
 	uint32_t nodes; /* live nodes including this one */
 	uint32_t rank;	/* of this node among them, from 0 */
 	bct_gate_counters_t counters;
--- a/gate/notice.c
+++ b/gate/notice.c
@@ -102,7 +102,7 @@
 	if (n->leaves)
 		news = note_leaving(x, u) || news;
 	if (news)
-		bct_share_notice_changed(x->gate->share, u);
+		bct_notice_tell(x->gate, u);
 }
 
 bool bct_notice_limit_reported(bct_gate_t *g, bct_gate_upstream_t *u,
--- a/gate/notice.h
+++ b/gate/notice.h
@@ -7,6 +7,13 @@
 
 #include "gate/gate_int.h"
 
+/* bct_notices_new(3): returns 0 or -BCT_ENOMEM. */
+int bct_notices_new(bct_gate_t *g, bct_notices_t **out);
+void bct_notices_free(bct_notices_t *s);
+
+/* bct_notice_tell(3): send to all nodes what an upstream has just stated to this one. */
+void bct_notice_tell(bct_gate_t *g, const bct_gate_upstream_t *u);
+
 /* bct_notice_received(3): process the statements of the answer to an attempt of this node. */
 void bct_notice_received(bct_exchange_t *x, const bct_gate_notice_t *n);
 
--- a/gate/share.c
+++ b/gate/share.c
@@ -286,7 +286,6 @@
 	send_topics(s, now);
 	bct_share_crash_round(s, now);
 	bct_share_part_round(s, now);
-	bct_share_notice_round(s, now);
 	bct_share_send_versions(s, now);
 	bct_share_load_round(s, now);
 	set_timer(s);
@@ -316,7 +315,6 @@
 	bct_share_apply_versions(s, now, update);
 	bct_share_crash_apply(s, update);
 	bct_share_part_apply(s, now, update);
-	bct_share_notice_apply(s, update);
 	apply_topics(s, now, update);
 	bct_share_load_apply(s, now, update);
 }
--- a/gate/share.h
+++ b/gate/share.h
@@ -86,9 +86,6 @@
 /* bct_share_send_verdict(3): send a verdict on a part of prompts to all nodes at once. */
 void bct_share_send_verdict(bct_share_t *s, const bct_gate_part_verdict_t *v);
 
-/* bct_share_notice_changed(3): send to all nodes what an upstream has just stated to this one. */
-void bct_share_notice_changed(bct_share_t *s, const bct_gate_upstream_t *u);
-
 #define BCT_SHARE_NODES_MAX 513 /* nodes of a fleet that are known, including this one */
 
 /*
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -45,12 +45,6 @@
 	bct_time_t began_at;
 } bct_share_survivor_t;
 
-/* Notices that one datagram carries. */
-typedef struct bct_share_notices {
-	share_notice list[SHARE_NOTICES_MAX];
-	uint32_t n;
-} bct_share_notices_t;
-
 struct bct_share {
 	bct_gate_t *gate;
 	bct_list_t topics; /* bct_share_topic_t */
@@ -66,7 +60,6 @@
 	uint32_t rounds;
 	bct_time_t versions_sent_at;	 /* to all nodes */
 	bct_time_t hub_versions_sent_at; /* to the hubs */
-	bct_time_t notices_sent_at;	 /* the periodic ones */
 	share_crash crashes[SHARE_CRASHES_MAX];
 	uint32_t n_crashes;
 	uint32_t crash_rounds; /* rounds that have sent the latest of them */
@@ -146,12 +139,6 @@
 /* bct_share_send_to_local_cluster(3): at a hub, send to the nodes that report to it. */
 void bct_share_send_to_local_cluster(bct_share_t *s, share_update *update);
 
-/* share_notice.c */
-/* bct_share_notice_round(3): announce what upstreams state about themselves, if it is time. */
-void bct_share_notice_round(bct_share_t *s, bct_time_t now);
-/* bct_share_notice_apply(3): apply what a peer sent about that. */
-void bct_share_notice_apply(bct_share_t *s, const share_update *update);
-
 /* share_crash.c */
 /* bct_share_crash_round(3): send the crashes of late, and at times all requests refused for them.
  */
