Relay and upstreams: one job a file

The versions of upstreams' software move from policy/gate_upstreams (514) to policy/gate_origin. No behaviour changes.

--- a/gate/relay.c
+++ b/gate/relay.c
@@ -1,15 +1,11 @@
 /*
  * relay.c - the way of requests through another node, seen from both.
  */
-#include "gate/relay.h"
-#include "base/err.h"
-#include "base/hash.h"
-#include "base/mem.h"
+#include "gate/relay_int.h"
 #include "gate/exchange_int.h"
 #include "gate/origin.h"
 #include "gate/reach.h"
 #include "gate/share.h"
-#include "policy/gate_helpers.h"
 
 #include <inttypes.h>
 #include <sodium.h>
@@ -24,161 +20,12 @@
 #define ATTEMPTS_HEADER OWN_HEADERS "-Attempts" /* upstreams to which it was sent before */
 #define OUTCOME_HEADER OWN_HEADERS "-Outcome"	/* of a request that the helper answered itself */
 #define AUTH_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
-#define HELPERS_MAX 3	 /* tried for one request */
-#define FAILED_MS 1000	 /* for which a helper that failed is not used */
-#define CUT_TOLD_MS 500	 /* between two announcements of this node that it is cut off */
-#define CUT_HELD_MS 1600 /* for which one counts */
+#define HELPERS_MAX 3  /* tried for one request */
+#define FAILED_MS 1000 /* for which a helper that failed is not used */
 #define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
 
-/* Another node. The connections to it are those of an upstream that is not in the table. */
-typedef struct helper {
-	bct_gate_upstream_t node;
-	uint64_t incarnation;
-	bct_time_t failed_until;
-	bool live;
-} helper_t;
-
-/* Another node said that it reaches no upstream of a service. */
-typedef struct cut {
-	uint64_t key; /* of node and service */
-	bct_time_t until;
-} cut_t;
-
-struct bct_relay {
-	bct_share_topic_t topic;
-	bct_gate_t *gate;
-	bct_map_t helpers; /* incarnation: helper_t */
-	bct_map_t cuts;	   /* node and service: cut_t */
-	share_cut told[SHARE_CUTS_MAX];
-};
-
-static uint64_t cut_key(uint64_t incarnation, uint64_t service_key)
-{
-	return bct_hash_mix(incarnation, service_key);
-}
-
-static bool is_told_cut(const bct_relay_t *r, uint64_t incarnation, uint64_t service_key)
-{
-	const cut_t *c = bct_map_get(&r->cuts, cut_key(incarnation, service_key));
-
-	return c && bct_clock_now() < c->until;
-}
-
-/* Keeps that a node is cut off. returns whether that is news */
-static bool hold_cut(bct_relay_t *r, bct_time_t now, const share_cut *x)
-{
-	uint64_t key = cut_key(x->node, x->service);
-	cut_t *c = bct_map_get(&r->cuts, key);
-	bool news = !c || c->until - now < CUT_HELD_MS - CUT_TOLD_MS / 2;
-
-	if (!c) {
-		c = bct_alloc(sizeof(*c));
-		if (!c || bct_map_put(&r->cuts, key, c)) {
-			BCT_GATE_COUNT(r->gate, SHARES_DROPPED);
-			bct_free(c);
-			return false;
-		}
-		c->key = key;
-	}
-	c->until = now + CUT_HELD_MS;
-	return news;
-}
-
-/* Lists the services of which this node reaches no upstream. */
-static bool encode_cuts(bct_share_topic_t *t, bct_time_t now, bool all, uint32_t *pos,
-			share_update *update)
-{
-	bct_relay_t *r = (bct_relay_t *)t;
-	u_int n = 0;
-	uint32_t at = 0;
-	bct_gate_reach_t *reach;
-
-	(void)now;
-	(void)all;
-	if ((*pos)++)
-		return false;
-	while ((reach = bct_map_next(&r->gate->reaches.services, &at)) && n < SHARE_CUTS_MAX) {
-		if (reach->cut)
-			r->told[n++] = (share_cut){ .node = bct_peer_incarnation(r->gate->peer),
-						    .service = reach->service_key };
-	}
-	update->cuts.cuts_val = r->told;
-	update->cuts.cuts_len = n;
-	return n > 0;
-}
-
-static bool apply_cuts(bct_share_topic_t *t, bct_time_t now, const share_update *update,
-		       share_update *news)
-{
-	bct_relay_t *r = (bct_relay_t *)t;
-	u_int n = 0;
-
-	for (u_int i = 0; i < update->cuts.cuts_len; i++) {
-		if (hold_cut(r, now, &update->cuts.cuts_val[i]))
-			r->told[n++] = update->cuts.cuts_val[i];
-	}
-	news->cuts.cuts_val = r->told;
-	news->cuts.cuts_len = n;
-	return n > 0;
-}
-
-static const bct_share_topic_ops_t topic_ops = { .encode = encode_cuts, .apply = apply_cuts };
-
-static helper_t *add_helper(bct_relay_t *r, const bct_share_node_t *n)
-{
-	helper_t *h = bct_alloc(sizeof(*h));
-
-	if (!h || bct_map_put(&r->helpers, n->incarnation, h)) {
-		bct_free(h);
-		return NULL;
-	}
-	h->incarnation = n->incarnation;
-	h->node.is_node = true;
-	h->node.key = n->incarnation;
-	h->node.presence = BCT_GATE_READY;
-	bct_list_init(&h->node.link);
-	snprintf(h->node.entry.id, sizeof(h->node.entry.id), "%s", n->name);
-	snprintf(h->node.entry.ip, sizeof(h->node.entry.ip), "%s", n->ip);
-	h->node.entry.port = (uint16_t)r->gate->settings->gate_relay_port;
-	return h;
-}
-
-/* Lists the other nodes as candidates. returns their number */
-static uint32_t candidates(bct_relay_t *r, uint64_t service_key, helper_t **helpers,
-			   bct_gate_helper_t *out)
-{
-	bct_time_t now = bct_clock_now();
-	bct_share_node_t node;
-	uint32_t n = 0;
-
-	while (n < BCT_SHARE_NODES_MAX && bct_share_node(r->gate->share, n, &node)) {
-		helper_t *h = bct_map_get(&r->helpers, node.incarnation);
-
-		helpers[n] = h ? h : add_helper(r, &node);
-		h = helpers[n];
-		out[n++] = (bct_gate_helper_t){
-			.usable = h && !node.leaving && now >= h->failed_until &&
-				  !is_told_cut(r, node.incarnation, service_key),
-			.same_domain =
-				!strcmp(node.failure_domain, r->gate->settings->vm_failure_domain),
-			.running = h ? h->node.running : 0,
-		};
-	}
-	return n;
-}
-
-static helper_t *choose(bct_relay_t *r, uint64_t service_key)
-{
-	helper_t *helpers[BCT_SHARE_NODES_MAX];
-	bct_gate_helper_t list[BCT_SHARE_NODES_MAX];
-	uint32_t n = candidates(r, service_key, helpers, list);
-	int i = bct_gate_helpers_choose(&r->gate->picker.rng, list, n);
-
-	return i < 0 ? NULL : helpers[i];
-}
-
 /* "INCARNATION MAC" of a request that the node relays. */
 static void authorize(const bct_share_t *s, uint64_t incarnation, const char *call_id,
 		      const char *request_line, char *out)
@@ -222,7 +69,7 @@
 }
 
 /* returns whether the attempt is in progress */
-static bool send_through(bct_exchange_t *x, helper_t *h)
+static bool send_through(bct_exchange_t *x, bct_relay_helper_t *h)
 {
 	bct_buf_t out;
 	bool sent = false;
@@ -242,7 +89,7 @@
 	return sent;
 }
 
-static void log_relayed(const bct_exchange_t *x, const helper_t *h, const char *why)
+static void log_relayed(const bct_exchange_t *x, const bct_relay_helper_t *h, const char *why)
 {
 	BCT_LOG(x->gate->log, BCT_EV_GATE_RELAYED, BCT_STR("request", x->call.id),
 		BCT_STR("helper", h->node.entry.id), BCT_STR("why", why),
@@ -252,7 +99,7 @@
 }
 
 /* Sends x through h, which may be NULL. returns whether that is in progress */
-static bool relay_through(bct_exchange_t *x, helper_t *h, const char *why)
+static bool relay_through(bct_exchange_t *x, bct_relay_helper_t *h, const char *why)
 {
 	if (!h)
 		return false;
@@ -278,10 +125,10 @@
 bool bct_relay_send(bct_exchange_t *x, bool last_resort)
 {
 	bool cut = bct_reach_is_cut(x->gate, x->query.service_key);
-	helper_t *h;
+	bct_relay_helper_t *h;
 
 	while (may_relay(x) && (cut || last_resort)) {
-		h = choose(x->gate->relay, x->query.service_key);
+		h = bct_relay_choose(x->gate->relay, x->query.service_key);
 		if (relay_through(x, h, cut ? "cut_off" : "no_connection"))
 			return true;
 		if (!h)
@@ -309,30 +156,6 @@
 	return drawn;
 }
 
-/* A random owner of the upstream that is live and takes requests, or NULL. */
-static helper_t *draw_owner(bct_relay_t *r, const bct_gate_upstream_t *u)
-{
-	uint64_t live[BCT_SHARE_NODES_MAX];
-	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(r->gate->share, live);
-	bct_time_t now = bct_clock_now();
-	bct_share_node_t node;
-	helper_t *drawn = NULL;
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; bct_share_node(r->gate->share, i, &node); i++) {
-		helper_t *h;
-
-		if (node.leaving || !bct_gate_brittle_owns(&u->brittle, u->key, u->entry.slots,
-							   &nodes, node.incarnation))
-			continue;
-		h = bct_map_get(&r->helpers, node.incarnation);
-		h = h ? h : add_helper(r, &node);
-		if (h && now >= h->failed_until && !bct_rng_below(&r->gate->picker.rng, ++n))
-			drawn = h;
-	}
-	return drawn;
-}
-
 bool bct_relay_send_to_owner(bct_exchange_t *x)
 {
 	const bct_gate_upstream_t *u;
@@ -340,12 +163,12 @@
 	if (!may_relay(x))
 		return false;
 	u = draw_brittle(x);
-	return u && relay_through(x, draw_owner(x->gate->relay, u), "brittle");
+	return u && relay_through(x, bct_relay_choose_owner(x->gate->relay, u), "brittle");
 }
 
 void bct_relay_failed(bct_exchange_t *x)
 {
-	helper_t *h = bct_container_of(x->conn->upstream, helper_t, node);
+	bct_relay_helper_t *h = bct_container_of(x->conn->upstream, bct_relay_helper_t, node);
 
 	/* One that ends an answer early passes on what an upstream did. */
 	if (!x->answer_started)
@@ -443,104 +266,3 @@
 		outcome = "elsewhere";
 	evbuffer_add_printf(out, OUTCOME_HEADER ": %s\r\n", outcome);
 }
-
-/* Marks the helpers that are live. */
-static void mark_live(bct_relay_t *r)
-{
-	bct_share_node_t node;
-	uint32_t pos = 0;
-	helper_t *h;
-
-	while ((h = bct_map_next(&r->helpers, &pos)) != NULL)
-		h->live = false;
-	for (uint32_t i = 0; bct_share_node(r->gate->share, i, &node); i++) {
-		h = bct_map_get(&r->helpers, node.incarnation);
-		if (h)
-			h->live = true;
-	}
-}
-
-static void free_helper(bct_relay_t *r, helper_t *h)
-{
-	bct_upconns_expire(r->gate, &h->node, true);
-	bct_map_del(&r->helpers, h->incarnation);
-	bct_free(h->node.connections);
-	bct_free(h);
-}
-
-/* Frees one helper that is gone and that nothing refers to. returns whether there was one */
-static bool free_one(bct_relay_t *r)
-{
-	uint32_t pos = 0;
-	helper_t *h;
-
-	while ((h = bct_map_next(&r->helpers, &pos)) != NULL) {
-		bct_upconns_expire(r->gate, &h->node, !h->live);
-		if (h->live || h->node.refs)
-			continue;
-		free_helper(r, h);
-		return true;
-	}
-	return false;
-}
-
-static bool drop_one_cut(bct_relay_t *r, bct_time_t now)
-{
-	uint32_t pos = 0;
-	cut_t *c;
-
-	while ((c = bct_map_next(&r->cuts, &pos)) != NULL) {
-		if (now < c->until)
-			continue;
-		bct_map_del(&r->cuts, c->key);
-		bct_free(c);
-		return true;
-	}
-	return false;
-}
-
-void bct_relay_tick(bct_relay_t *r)
-{
-	bct_time_t now = bct_clock_now();
-
-	if (r->helpers.n) {
-		mark_live(r);
-		while (free_one(r))
-			;
-	}
-	while (drop_one_cut(r, now))
-		;
-}
-
-int bct_relay_new(bct_gate_t *g, bct_relay_t **out)
-{
-	bct_share_topic_opts_t o = { .interval_ms = CUT_TOLD_MS, .relayed = true };
-	bct_relay_t *r = bct_alloc(sizeof(*r));
-
-	if (!r)
-		return -BCT_ENOMEM;
-	r->gate = g;
-	r->topic.ops = &topic_ops;
-	bct_share_register(g->share, &r->topic, &o);
-	*out = r;
-	return 0;
-}
-
-void bct_relay_free(bct_relay_t *r)
-{
-	uint32_t pos = 0;
-	void *p;
-
-	if (!r)
-		return;
-	while ((p = bct_map_next(&r->helpers, &pos)) != NULL) {
-		free_helper(r, p);
-		pos = 0;
-	}
-	pos = 0;
-	while ((p = bct_map_next(&r->cuts, &pos)) != NULL)
-		bct_free(p);
-	bct_map_free(&r->helpers);
-	bct_map_free(&r->cuts);
-	bct_free(r);
-}
--- a/policy/gate_origin.h
+++ b/policy/gate_origin.h
@@ -29,4 +29,10 @@
 /* bct_gate_origin_of(3): the origin of a stream that begins at the upstream now. */
 bct_gate_origin_t bct_gate_origin_of(const bct_gate_upstream_t *u);
 
+/* bct_gate_entry_set_software(3): set the version of an upstream's software; "": unknown. */
+void bct_gate_entry_set_software(bct_gate_entry_t *e, const char *version);
+
+/* bct_gate_upstreams_software(3): the version of a release that a known upstream has, or "". */
+const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t release);
+
 #endif
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -16,15 +16,6 @@
 #define SLOW_FLOOR_MS 20     /* shorter predictions are too coarse to measure the pace */
 #define SLOW_MAX_PERMILLE 20000
 
-void bct_gate_entry_set_software(bct_gate_entry_t *e, const char *version)
-{
-	size_t len = strnlen(version, sizeof(e->software) - 1);
-
-	memset(e->software, 0, sizeof(e->software));
-	memcpy(e->software, version, len);
-	e->software_key = version[0] ? bct_hash_str(version) : 0;
-}
-
 void bct_gate_upstreams_init(bct_gate_upstreams_t *t)
 {
 	memset(t, 0, sizeof(*t));
@@ -58,19 +49,6 @@
 	return bct_map_get(&t->by_short, half);
 }
 
-const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t release)
-{
-	bct_list_t *el;
-
-	bct_list_for_each(el, &t->all) {
-		const bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
-
-		if (release && u->release == release)
-			return u->entry.software;
-	}
-	return "";
-}
-
 static void set_presence(bct_gate_upstreams_t *t, bct_gate_upstream_t *u, bct_time_t now,
 			 bct_gate_presence_t p)
 {
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -140,9 +140,6 @@
 #define BCT_GATE_AVOID_FIRST_MS 500
 #define BCT_GATE_AVOID_MAX_MS 4000
 
-/* bct_gate_entry_set_software(3): set the version of an upstream's software; "": unknown. */
-void bct_gate_entry_set_software(bct_gate_entry_t *e, const char *version);
-
 void bct_gate_upstreams_init(bct_gate_upstreams_t *t);
 void bct_gate_upstreams_free(bct_gate_upstreams_t *t);
 
@@ -206,9 +203,6 @@
 
 bct_gate_upstream_t *bct_gate_upstreams_find(const bct_gate_upstreams_t *t, const char *id);
 
-/* bct_gate_upstreams_software(3): the version of a release that a known upstream has, or "". */
-const char *bct_gate_upstreams_software(const bct_gate_upstreams_t *t, uint64_t release);
-
 /* bct_gate_upstreams_find_short(3): finds an upstream by the lower half of its key, or NULL. */
 bct_gate_upstream_t *bct_gate_upstreams_find_short(const bct_gate_upstreams_t *t, uint32_t half);
 
