--- a/gate/answer.c
+++ b/gate/answer.c
@@ -65,7 +65,8 @@
 int bct_head_copy(const bct_http_msg_t *m, bct_buf_t *out)
 {
 	for (uint32_t i = 0; i < m->n_headers; i++) {
-		if (!bct_http_is_hop_by_hop(m->headers[i].name))
+		if (!bct_http_is_hop_by_hop(m->headers[i].name) &&
+		    !bct_relay_is_own_header(m->headers[i].name))
 			bct_buf_printf(out, "%s: %s\r\n", m->headers[i].name, m->headers[i].value);
 	}
 	return out->err;
--- a/tests/test_gate_cut.c
+++ b/tests/test_gate_cut.c
@@ -184,7 +184,8 @@
 		{ "/unsafe/notrun", "notrun", 503, 1 }, /* the upstream says that it has not */
 		{ "/unsafe/error", "error", 500, 1 },
 		{ "/unsafe/noseal", "noseal", 502, 1 },
-		{ "/safe/error", "error,ok", 200, 2 }, /* the helper retries */
+		{ "/unsafe/claims", "claims", 500, 1 }, /* an upstream is no gateway */
+		{ "/safe/error", "error,ok", 200, 2 },	/* the helper retries */
 		{ "/none/x", "ok", 404, 0 },
 	};
 
@@ -200,6 +201,8 @@
 			cases[i].status, "%s: %s", cases[i].path, out.data);
 		cr_expect_eq(test_gate_runs(&gates[0], id), cases[i].runs, "%s", cases[i].path);
 		cr_expect_not(strstr(out.data, "Chute-Relay"), "a node's header reached a caller");
+		if (cases[i].status == 500)
+			cr_expect(strstr(out.data, "Server-Seal"), "%s", cases[i].path);
 		bct_buf_free(&out);
 	}
 }
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -33,6 +33,7 @@
  *   error        500
  *   notrun       503 with the header that states that the request was not run
  *   limit        as ok, and names a limit of one request per second
+ *   claims       as error, with the header in which gateways tell each other that it was not run
  *   brittle, brittlebad  as ok, and states that it bears to turn away two requests in a second,
  *                or states that in a way that can't be read
  *   brittlefull  as notrun, and states that it bears two
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -267,6 +267,9 @@
 		put_answer(c->fd, "503 Full", id, HEAD "Not-Executed: 1\r\n", "", 0);
 	} else if (!strcmp(action, "limit")) {
 		put_answer(c->fd, "200 OK", id, SEAL "Server-Limit: 1\r\n", "body", 4);
+	} else if (!strcmp(action, "claims")) {
+		put_answer(c->fd, "500 Oops", id, SEAL "Chute-Relay-Outcome: not_run\r\n", "bad",
+			   3);
 	} else if (!strcmp(action, "brittle")) {
 		put_answer(c->fd, "200 OK", id, SEAL "Server-Brittle: 2\r\n", "body", 4);
 	} else if (!strcmp(action, "brittlebad")) {
