--- a/coord/control.h
+++ b/coord/control.h
@@ -69,4 +69,11 @@
 	const bct_control_ops_t *ops;
 };
 
+/* bct_control_free(3): NULL is allowed. */
+static inline void bct_control_free(bct_control_t *c)
+{
+	if (c)
+		c->ops->destroy(c);
+}
+
 #endif
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -11,6 +11,7 @@
 #define BCT_GATE_GATE_H
 
 #include "base/event.h"
+#include "coord/control.h"
 #include "coord/registry.h"
 #include "gate/wire.h"
 #include "gen/settings.h"
@@ -21,6 +22,7 @@
 	const bct_settings_t *settings; /* must outlive the gateway */
 	const bct_wire_ops_t *wire;
 	bct_registry_t *registry; /* the gateway takes ownership */
+	bct_control_t *control;	  /* the gateway takes ownership; NULL: the fleet has no duties */
 	bct_log_t *log;
 } bct_gate_opts_t;
 
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -54,6 +54,13 @@
 	uint32_t gate_budget_allowance;
 	uint32_t gate_prefill_tokens_per_s;
 	uint32_t gate_step_us;
+	uint32_t gate_memory_bytes;
+	char duty_address[64];
+	char duty_kinds[4][16];
+	uint32_t n_duty_kinds;
+	uint32_t duty_lease_ms;
+	uint32_t duty_window_ms;
+	uint32_t duty_calls_per_s;
 	uint32_t policy_max_queued;
 	char log_level[8];
 	uint32_t log_lines_per_s;
@@ -61,6 +68,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 50
+#define BCT_SETTINGS_COUNT 56
 
 #endif
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -8,6 +8,7 @@
 #define BCT_POLICY_GATE_ROUTES_H
 
 #include "base/map.h"
+#include "policy/autoscale.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -30,6 +31,7 @@
 	uint32_t slots;		 /* requests that one engine runs at once */
 	uint32_t kv_token_bytes; /* size of one token's KV cache */
 	uint32_t link_mbps;	 /* of an engine, for KV cache copies; 0: no copies */
+	bct_autoscale_conf_t scaling; /* n_domains 0: engines are not ordered */
 } bct_gate_service_t;
 
 typedef struct bct_gate_split {
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -34,6 +34,8 @@
 	uint32_t slots;	  /* requests that it runs at once */
 	uint32_t cold_ms; /* remaining time for which it is slow after its start */
 	bool draining;
+	bool spot;				/* may be reclaimed at short notice */
+	uint32_t leaves_ms;			/* if draining: until it is stopped; 0: not known */
 	char software[BCT_GATE_SOFTWARE_BYTES]; /* version of its software, for logs; may be cut */
 	uint64_t software_key;			/* hash of that version; 0: unknown */
 	int64_t born_ms;			/* start of the process, Unix time; 0: unknown */
