Lanes: the average of a node that gets no requests falls

The work of a lane was averaged only when a request came, so that a node whose callers had left went on to report their work, and other nodes reserved engines for it. The sum is to be the demand that engines are ordered by. Change: the averages are updated in each round that sends them.

--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -181,6 +181,9 @@
 		bct_gate_lanes_t *l =
 			t->services[i].engine ? bct_gate_pick_lanes(&s->gate->picker, key) : NULL;
 
+		/* Without requests, nothing else updates the averages. */
+		if (l)
+			bct_gate_lanes_update(l, bct_clock_now(), l->engines);
 		for (uint32_t j = 0; l && j < l->n && r->n_lanes < SHARE_LANES_MAX; j++)
 			r->lanes[r->n_lanes++] = lane_of(s, r, key, &l->lanes[j]);
 	}
