Scaling duty: the engines and the demand of a service

A decision on engines needs what callers bring, refused work included; lanes count only requests that were sent, and services that don't run engines have none.

--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -183,10 +183,14 @@
 	x->progress_at = bct_clock_now();
 	if (!x->budget_counted && b)
 		bct_gate_budget_count_first(b, x->progress_at);
-	if (x->budget_counted)
+	if (x->budget_counted) {
 		BCT_GATE_COUNT(x->gate, RESENDS);
-	else
+	} else {
 		BCT_GATE_COUNT(x->gate, SENDS);
+		bct_gate_demand_sent(
+			&x->gate->demand, x->progress_at, x->query.service_key,
+			bct_gate_pick_work_ms(&x->gate->picker, &x->query, &x->choice));
+	}
 	x->budget_counted = true;
 	bct_exchange_set_timer(x);
 }
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -105,6 +105,23 @@
 	bct_upconn_done(c);
 }
 
+/* Whether the request would have been served if there had been more upstreams. */
+static bool lacked_capacity(const bct_exchange_t *x, bct_gate_end_t end)
+{
+	return end == BCT_GATE_END_OVERLOAD || end == BCT_GATE_END_NO_UPSTREAM ||
+	       end == BCT_GATE_END_LIMITED || end == BCT_GATE_END_TIMEOUT_WAITING ||
+	       (end == BCT_GATE_END_NOT_RUN && x->attempts);
+}
+
+static void count_refused(bct_exchange_t *x, bct_gate_end_t end)
+{
+	if (!x->query.service_key || !lacked_capacity(x, end))
+		return;
+	bct_gate_demand_refused(&x->gate->demand, bct_clock_now(), x->query.service_key,
+				bct_gate_pick_work_ms(&x->gate->picker, &x->query, &x->choice),
+				x->attempts > 0);
+}
+
 /* Every exchange that was started ends here: logs, counts and frees it, then continues with the
  * caller's connection. */
 void bct_exchange_end(bct_exchange_t *x, bct_gate_end_t end, bool truncated)
@@ -114,6 +131,7 @@
 	bct_exchange_abort_attempt(x);
 	bct_counter_inc(&x->gate->counters.ends[end]);
 	log_end(x, end);
+	count_refused(x, end);
 	record_latency(x, end);
 	bct_exchange_free(x);
 	if (c)
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -167,6 +167,7 @@
 	g->upstreams.release = release_upstream;
 	bct_gate_refuse_init(&g->refuse);
 	bct_gate_pace_init(&g->pace);
+	bct_gate_demand_init(&g->demand);
 	g->part_judge.started_at = bct_clock_now();
 	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
 			     g->settings->gate_step_us, bct_random_id());
@@ -234,6 +235,7 @@
 	bct_gate_picker_free(&g->picker);
 	bct_gate_refuse_free(&g->refuse);
 	bct_gate_pace_free(&g->pace);
+	bct_gate_demand_free(&g->demand);
 	bct_gate_crashes_free(&g->crashes);
 	bct_gate_reaches_free(&g->reaches);
 	bct_gate_upstreams_free(&g->upstreams);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -14,6 +14,7 @@
 #include "policy/abandoned.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
+#include "policy/gate_demand.h"
 #include "policy/gate_origins.h"
 #include "policy/gate_pace.h"
 #include "policy/gate_part_judge.h"
@@ -85,6 +86,7 @@
 	bct_gate_picker_t picker;
 	bct_gate_refuse_t refuse;
 	bct_gate_pace_t pace;
+	bct_gate_demand_t demand;
 	bct_gate_crashes_t crashes;
 	bct_gate_part_judge_t part_judge;
 	bct_gate_reaches_t reaches;
--- a/gate/share.h
+++ b/gate/share.h
@@ -69,6 +69,15 @@
 /* bct_share_add_placement(3): send a placement to the other nodes with the next round. */
 void bct_share_add_placement(bct_share_t *s, const bct_share_placement_t *p);
 
+/*
+ * bct_share_load_age_ms(3): time since load of other nodes was last received, in a large fleet from
+ * the hub.
+ *
+ * s        NULL: single node
+ * returns  0 without other live nodes; BCT_TIME_NEVER if none was received yet
+ */
+bct_time_t bct_share_load_age_ms(const bct_share_t *s, bct_time_t now);
+
 /*
  * bct_share_add_crash(3): send to the other nodes, with the next rounds, that this run of
  * an upstream crashed under the request with this digest or, if run is BCT_CRASH_ANSWERED, that the
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -56,7 +56,8 @@
 	bct_share_peer_t peers[BCT_SHARE_PEERS_MAX]; /* the other live nodes */
 	uint32_t n_peers;
 	bct_time_t peers_refreshed_at;
-	bct_time_t load_sent_at; /* in a small fleet */
+	bct_time_t load_sent_at;  /* in a small fleet */
+	bct_time_t load_heard_at; /* when load of other nodes was last accepted; 0: never */
 	uint32_t rounds;
 	bct_time_t versions_sent_at;	 /* to all nodes */
 	bct_time_t hub_versions_sent_at; /* to the hubs */
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -308,6 +308,13 @@
 	return upstreams / SHARE_LOADS_MAX + 1;
 }
 
+bct_time_t bct_share_load_age_ms(const bct_share_t *s, bct_time_t now)
+{
+	if (!s || !s->n_peers)
+		return 0;
+	return s->load_heard_at ? now - s->load_heard_at : BCT_TIME_NEVER;
+}
+
 void bct_share_load_round(bct_share_t *s, bct_time_t now)
 {
 	uint32_t reports = bct_share_is_hub(s) ? KEEP_FULL_REPORTS : KEEP_FULL_AT_NODES;
@@ -390,6 +397,7 @@
 		bct_gate_peers_forget(&s->lanes, s->previous_hub);
 		s->previous_hub = 0;
 	}
+	s->load_heard_at = now;
 	apply_loads(s, now, update);
 	apply_lanes(s, now, update);
 	apply_placements(s, now, update);
--- a/policy/autoscale_window.c
+++ b/policy/autoscale_window.c
@@ -24,6 +24,11 @@
 	w->values[at] = value;
 }
 
+void bct_autoscale_window_add(bct_autoscale_window_t *w, bct_time_t now, uint32_t value)
+{
+	bct_autoscale_window_set(w, now, bct_autoscale_window_highest(w, now, 1) + value);
+}
+
 void bct_autoscale_window_raise(bct_autoscale_window_t *w, bct_time_t now, uint32_t value)
 {
 	if (bct_autoscale_window_highest(w, now, 1) <= value)
--- a/policy/autoscale_window.h
+++ b/policy/autoscale_window.h
@@ -16,7 +16,10 @@
 /* bct_autoscale_window_set(3): sets the value of this second. */
 void bct_autoscale_window_set(bct_autoscale_window_t *w, bct_time_t now, uint32_t value);
 
-/* bct_autoscale_window_raise(3): the same, unless the second has a higher one. */
+/* bct_autoscale_window_add(3): adds to the value of this second. */
+void bct_autoscale_window_add(bct_autoscale_window_t *w, bct_time_t now, uint32_t value);
+
+/* bct_autoscale_window_raise(3): sets it, unless the second has a higher one. */
 void bct_autoscale_window_raise(bct_autoscale_window_t *w, bct_time_t now, uint32_t value);
 
 /* The highest, lowest and sum of the last seconds, this one included; 0 if there are no values. */
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -430,6 +430,14 @@
 	return in->slots ? (uint32_t)(us / in->slots / US_PER_MS) : 0;
 }
 
+uint32_t bct_gate_pick_work_ms(const bct_gate_picker_t *p, const bct_gate_pick_input_t *in,
+			       const bct_gate_choice_t *c)
+{
+	uint32_t prompt_ms = c->upstream ? c->work_ms : prefill_ms(p, in->prompt_tokens);
+
+	return in->engine ? prompt_ms + output_work_ms(p, in) : 0;
+}
+
 void bct_gate_pick_sent(bct_gate_picker_t *p, bct_time_t now, const bct_gate_pick_input_t *in,
 			const bct_gate_choice_t *c)
 {
@@ -440,7 +448,7 @@
 	c->upstream->running++;
 	c->upstream->prefill_ms += c->work_ms;
 	if (l)
-		bct_gate_lanes_add_work(l, in->gap_ms, c->work_ms + output_work_ms(p, in));
+		bct_gate_lanes_add_work(l, in->gap_ms, bct_gate_pick_work_ms(p, in, c));
 	bct_gate_prefix_sent(&p->prefix, now, in->segments, in->n_segments,
 			     &(bct_gate_holder_t){ .upstream_key = c->upstream->key,
 						   .ready = now + c->wait_ms + c->work_ms });
