Scaling duty: a test that engines about to be reclaimed get nothing new

A spot engine that drains is gone in about 2 s; a request sent there would break, and so would a copy of KV cache from it.

--- a/tests/test_duty_scale.c
+++ b/tests/test_duty_scale.c
@@ -156,3 +156,39 @@
 	cr_assert_leq(in.demand_permille, 2300, "no request came for 10 s");
 	free_gate(g);
 }
+
+/* Failure guarded against: requests sent to engines that are gone in two seconds, or prompts that
+ * are to be copied from there. */
+Test(duty_scale, reclaimed_engines_get_nothing_new)
+{
+	bct_gate_t *g = new_gate();
+	bct_gate_segment_t segment = { .id = 5, .tokens = 4000 };
+	bct_gate_pick_input_t in = { .service_key = bct_hash_str("chat"),
+				     .engine = true,
+				     .target_ms = 1500,
+				     .segments = &segment,
+				     .n_segments = 1,
+				     .prompt_tokens = 4000,
+				     .slots = 8,
+				     .copy_token_ns = 10 };
+	bct_gate_choice_t c;
+	bct_gate_entry_t e;
+
+	add_engine(g, "a", true, 0);
+	bct_gate_pick(&g->picker, START, &in, &c);
+	cr_assert_not_null(c.upstream);
+	bct_gate_pick_sent(&g->picker, START, &in, &c);
+	e = c.upstream->entry;
+	e.draining = true;
+	e.leaves_ms = 2000;
+	e.sequence++;
+	cr_assert_eq(bct_gate_upstreams_apply(&g->upstreams, START, &e), 1);
+	add_engine(g, "b", true, 0);
+	for (int i = 0; i < 50; i++) {
+		bct_gate_pick(&g->picker, START + 1000 + i, &in, &c);
+		cr_assert_str_eq(c.upstream->entry.zone, "b");
+		cr_assert_null(c.source);
+		bct_gate_pick_sent(&g->picker, START + 1000 + i, &in, &c);
+	}
+	free_gate(g);
+}
