Autoscale: numbers stay bounded while orders bring nothing

Three faults found in review. While the control API is down, each retry of an order raised the numbers (125 engines wanted where 28 were needed, after 60 s). Refusals for other reasons than a lack of engines kept a service at all the engines it started with. A successor that resumes during a reclaim took the lost spot engines for booting ones. Change: an order that brought no engine within boot_ms + 6 s is withdrawn, and other failure domains come first for 5 s; engines may be removed while requests are refused, down to twice the demand with its margin; spot engines that are being reclaimed are not awaited. Result: test_autoscale 17 pass; without the change three of them fail. test_autoscale_model 2 pass, its table is the same.

--- a/policy/autoscale.c
+++ b/policy/autoscale.c
@@ -36,7 +36,7 @@
 	uint32_t pending[BCT_AUTOSCALE_KINDS]; /* ordered and not present yet */
 	uint32_t seen[BCT_AUTOSCALE_KINDS];    /* present at the last decision */
 	bct_time_t pending_until[BCT_AUTOSCALE_KINDS];
-	bct_time_t no_spot_until;
+	bct_time_t unavailable_until[BCT_AUTOSCALE_KINDS];
 	bct_time_t reclaimed_until; /* nothing is removed until then */
 	bool refused;		    /* at the last decision */
 	uint32_t lost_spot;	    /* by the present reclaim; still listed */
@@ -118,9 +118,11 @@
 		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++) {
 			uint32_t present = in->domains[d].present[k];
 
+			bool lost = k == BCT_AUTOSCALE_SPOT && in->domains[d].spot_reclaimed;
+
 			if (!a->begun)
 				a->wanted.n[d][k] = present;
-			if (a->resumed && a->wanted.n[d][k] > present)
+			if (a->resumed && a->wanted.n[d][k] > present && !lost)
 				a->domains[d].pending[k] = a->wanted.n[d][k] - present;
 			a->domains[d].seen[k] = present;
 		}
@@ -140,16 +142,17 @@
 	uint32_t *wanted = &a->wanted.n[d][BCT_AUTOSCALE_SPOT];
 	uint32_t *pending = &t->pending[BCT_AUTOSCALE_SPOT];
 	uint32_t present = in->present[BCT_AUTOSCALE_SPOT];
+	bct_time_t *until = &t->unavailable_until[BCT_AUTOSCALE_SPOT];
 	bool reclaimed = in->spot_reclaimed && present + *pending < *wanted;
 
 	if (!in->spot_reclaimed)
 		t->lost_spot = 0;
 	if (reclaimed) {
-		t->no_spot_until = t->reclaimed_until = now + RECLAIM_BAN_MS;
+		*until = t->reclaimed_until = now + RECLAIM_BAN_MS;
 		t->lost_spot = present;
 	}
-	if (in->spot_refused && !t->refused && t->no_spot_until < now + REFUSED_BAN_MS)
-		t->no_spot_until = now + REFUSED_BAN_MS;
+	if (in->spot_refused && !t->refused && *until < now + REFUSED_BAN_MS)
+		*until = now + REFUSED_BAN_MS;
 	if (reclaimed || (in->spot_refused && !t->refused)) {
 		v->lost = true;
 		*pending = 0;
@@ -159,6 +162,8 @@
 	t->refused = in->spot_refused;
 }
 
+/* An order that brought no engines in time is withdrawn, to be made elsewhere or once more: the
+ * numbers must not grow while the control API is down. */
 static void note_present(bct_autoscale_t *a, bct_time_t now, uint32_t d, uint32_t k,
 			 uint32_t present)
 {
@@ -171,9 +176,12 @@
 	}
 	t->seen[k] = present;
 	if (t->pending[k] && now >= t->pending_until[k]) {
+		uint32_t *wanted = &a->wanted.n[d][k];
+
+		*wanted -= t->pending[k] < *wanted ? t->pending[k] : *wanted;
 		t->pending[k] = 0;
-		if (k == BCT_AUTOSCALE_SPOT)
-			t->no_spot_until = now + REFUSED_BAN_MS;
+		if (t->unavailable_until[k] < now + REFUSED_BAN_MS)
+			t->unavailable_until[k] = now + REFUSED_BAN_MS;
 	}
 }
 
@@ -245,6 +253,14 @@
 		a->last_demand = v->demand;
 }
 
+static bool standard_elsewhere(const bct_autoscale_t *a, bct_time_t now)
+{
+	for (uint32_t d = 0; d < a->conf.n_domains; d++)
+		if (now >= a->domains[d].unavailable_until[BCT_AUTOSCALE_STANDARD])
+			return true;
+	return false;
+}
+
 static void fit(const bct_autoscale_t *a, bct_time_t now, const view_t *v, uint32_t demand,
 		uint32_t total_min, const bct_autoscale_set_t *least, bct_autoscale_set_t *out)
 {
@@ -262,11 +278,16 @@
 		uint32_t wanted = bct_autoscale_set_domain(&a->wanted, d);
 		uint32_t counted = bct_autoscale_set_domain(&v->counted, d);
 		uint32_t missing = wanted > counted ? wanted - counted : 0;
-		bool spot = a->conf.spot_price > 0 && now >= a->domains[d].no_spot_until;
+		const bct_time_t *until = a->domains[d].unavailable_until;
+		bool spot = a->conf.spot_price > 0 && now >= until[BCT_AUTOSCALE_SPOT];
+		bool standard = now >= until[BCT_AUTOSCALE_STANDARD] || !standard_elsewhere(a, now);
 
 		/* The order for missing engines is in force. */
 		in.maximum[d] = a->conf.maximum > missing ? a->conf.maximum - missing : 0;
-		in.spot_maximum[d] = spot ? a->conf.maximum : v->counted.n[d][BCT_AUTOSCALE_SPOT];
+		in.available.n[d][BCT_AUTOSCALE_SPOT] =
+			spot ? a->conf.maximum : v->counted.n[d][BCT_AUTOSCALE_SPOT];
+		in.available.n[d][BCT_AUTOSCALE_STANDARD] =
+			standard ? a->conf.maximum : v->counted.n[d][BCT_AUTOSCALE_STANDARD];
 	}
 	bct_autoscale_fit(&a->conf, &in, out);
 }
@@ -357,10 +378,9 @@
 	return true;
 }
 
-static bool may_remove(const bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in)
+static bool may_remove(const bct_autoscale_t *a, bct_time_t now)
 {
-	if (a->known_since == BCT_TIME_NEVER || now - a->known_since < REMOVE_KNOWN_MS ||
-	    in->refused_permille >= REFUSED_MIN_PERMILLE)
+	if (a->known_since == BCT_TIME_NEVER || now - a->known_since < REMOVE_KNOWN_MS)
 		return false;
 	for (uint32_t d = 0; d < a->conf.n_domains; d++)
 		if (now < a->domains[d].reclaimed_until)
@@ -449,7 +469,7 @@
 	note_engines(a, now, in, &v);
 	note_demand(a, now, in, &v);
 	cover(a, now, &v, bct_autoscale_set_total(&before));
-	if (may_remove(a, now, in))
+	if (may_remove(a, now))
 		improve(a, now, &v);
 	if (v.lost && v.reason != BCT_AUTOSCALE_REFUSED)
 		v.reason = BCT_AUTOSCALE_RECLAIMED;
--- a/policy/autoscale_fit.c
+++ b/policy/autoscale_fit.c
@@ -59,7 +59,8 @@
 {
 	if (bct_autoscale_set_domain(s, d) >= in->maximum[d])
 		return false;
-	return k != BCT_AUTOSCALE_SPOT || (s->n[d][k] < limit && s->n[d][k] < in->spot_maximum[d]);
+	return s->n[d][k] < in->available.n[d][k] &&
+	       (k != BCT_AUTOSCALE_SPOT || s->n[d][k] < limit);
 }
 
 /*
--- a/policy/autoscale_fit.h
+++ b/policy/autoscale_fit.h
@@ -20,7 +20,7 @@
 	 * demand don't move engines between failure domains. */
 	bct_autoscale_set_t now;
 	uint32_t maximum[BCT_AUTOSCALE_DOMAINS];
-	uint32_t spot_maximum[BCT_AUTOSCALE_DOMAINS]; /* spot engines that may be had there */
+	bct_autoscale_set_t available; /* at most, by kind */
 } bct_autoscale_fit_input_t;
 
 uint32_t bct_autoscale_set_domain(const bct_autoscale_set_t *s, uint32_t domain);
--- a/tests/test_autoscale.c
+++ b/tests/test_autoscale.c
@@ -157,6 +157,49 @@
 	scale_world_free(&w);
 }
 
+/* Failure guarded against: refusals for other reasons keep a service at the engines it has. */
+Test(autoscale, refusals_with_idle_engines)
+{
+	scale_world_t w;
+
+	scale_world_init(&w, 1, 23, 23);
+	w.refused_permille = 10;
+	scale_world_run(&w, 90, DEMAND);
+	cr_assert_leq(scale_world_present(&w), 2 * NEEDED + 8);
+	cr_assert_geq(scale_world_present(&w), 2 * NEEDED);
+	scale_world_free(&w);
+}
+
+/* Failures guarded against: while the control API is down, numbers that grow with each retry; and
+ * engines that a failure domain doesn't have, ordered there again and again. */
+Test(autoscale, orders_that_bring_nothing)
+{
+	scale_world_t w;
+	uint32_t sum = 0;
+
+	scale_world_init(&w, 1, 60, 5);
+	scale_world_run(&w, 40, DEMAND);
+	w.down = true;
+	scale_world_run(&w, 60, 2 * DEMAND);
+	for (uint32_t d = 0; d < 3; d++)
+		sum += scale_world_wanted(&w, d);
+	cr_assert_leq(sum, 2 * NEEDED + 12, "%u", sum);
+	w.down = false;
+	scale_world_run(&w, 30, 2 * DEMAND);
+	cr_assert_geq(scale_world_present(&w), 2 * NEEDED);
+	scale_world_free(&w);
+
+	scale_world_init(&w, 1, 60, 5);
+	w.conf.domains[0].price = 0.5;
+	w.conf.spot_price = 0;
+	bct_autoscale_free(w.a);
+	cr_assert_eq(bct_autoscale_new(&w.conf, &w.a), 0);
+	w.no_standard[0] = true;
+	scale_world_run(&w, 30, 2 * DEMAND);
+	cr_assert_geq(scale_world_present(&w), 2 * NEEDED);
+	scale_world_free(&w);
+}
+
 /* Failure guarded against: dead engines that the platform counts as running are never replaced. */
 Test(autoscale, engines_lost_for_good)
 {
@@ -302,6 +345,11 @@
 		cr_assert_eq(memcmp(last.wanted, w.plan.wanted, sizeof(last.wanted)), 0,
 			     "second %u", s);
 	}
+	scale_world_reclaim(&w, 0);
+	bct_autoscale_resume(w.a, w.now, &last);
+	scale_world_second(&w, 2 * DEMAND);
+	cr_assert_eq(w.plan.reason, BCT_AUTOSCALE_RECLAIMED, "it resumes during a reclaim");
+	scale_world_run(&w, SCALE_BOOT_S, 2 * DEMAND);
 	memset(&last, 0, sizeof(last));
 	bct_autoscale_resume(w.a, w.now, &last);
 	scale_world_second(&w, DEMAND);
--- a/tests/test_autoscale_model.c
+++ b/tests/test_autoscale_model.c
@@ -118,7 +118,8 @@
 		in.survive = in.total;
 		for (uint32_t d = 0; d < DOMAINS; d++) {
 			in.maximum[d] = conf->maximum;
-			in.spot_maximum[d] = l->no_spot ? 0 : conf->maximum;
+			in.available.n[d][BCT_AUTOSCALE_STANDARD] = conf->maximum;
+			in.available.n[d][BCT_AUTOSCALE_SPOT] = l->no_spot ? 0 : conf->maximum;
 		}
 		bct_autoscale_fit(conf, &in, &set);
 		for (uint32_t d = 0; d < DOMAINS; d++)
--- a/tests/util_scale.c
+++ b/tests/util_scale.c
@@ -82,6 +82,8 @@
 {
 	uint32_t *have = &w->desired[d][k];
 
+	if (w->down || (count > *have && k == BCT_AUTOSCALE_STANDARD && w->no_standard[d]))
+		return;
 	if (count > *have && k == BCT_AUTOSCALE_SPOT && w->now < w->no_spot_until[d]) {
 		w->refused_until[d] = w->now + REFUSED_MEMORY_MS;
 		return;
--- a/tests/util_scale.h
+++ b/tests/util_scale.h
@@ -24,6 +24,8 @@
 	bct_time_t no_spot_until[BCT_AUTOSCALE_DOMAINS]; /* BCT_TIME_NEVER: none at all */
 	bct_time_t leaving_until[BCT_AUTOSCALE_DOMAINS];
 	bct_time_t refused_until[BCT_AUTOSCALE_DOMAINS]; /* as the caller remembers a 409 */
+	bool down;				 /* the control API: no order has an effect */
+	bool no_standard[BCT_AUTOSCALE_DOMAINS]; /* orders of more are refused */
 	bct_time_t demand_age_ms;
 	uint32_t refused_permille;
 	uint32_t present_before; /* the last decision */
