Platform: spot engines, when they leave, and the scaling of a service

The table of upstreams and the routes had fields for these that nothing filled in, so that every engine was a standard one and no service was scaled. Change: an entry's spot and leaves_ms, and a service's autoscaling, are decoded. A service with more than 8 failure domains is not scaled.

--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -33,6 +33,22 @@
 	cr_assert_not(e.draining);
 }
 
+Test(adapter, spot_entry)
+{
+	bct_gate_entry_t e;
+
+	cr_assert_eq(decode("i-1", ENTRY, &e), 0);
+	cr_assert_not(e.spot);
+	cr_assert_eq(decode("i-1",
+			    "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
+			    "\"version\":\"v1\",\"slots\":64,\"state\":\"draining\",\"spot\":true,"
+			    "\"leaves_ms\":1900.5,\"sequence\":5}",
+			    &e),
+		     0);
+	cr_assert(e.spot);
+	cr_assert_eq(e.leaves_ms, 1900);
+}
+
 /* The topic may hold records of other writers. Malformed ones must not become upstreams. */
 Test(adapter, malformed_entries_are_rejected)
 {
@@ -83,6 +99,33 @@
 	cr_assert_null(t);
 }
 
+/* Failure guarded against: a service that is to be scaled is not, or engines are ordered for one
+ * whose failure domains don't fit. */
+Test(adapter, scaling)
+{
+	static const char text[] =
+		"{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\"},{\"name\":\"e\","
+		"\"autoscaling\":{\"minimum\":2,\"maximum\":23,\"boot_s\":4.5,\"spot_price\":0.15,"
+		"\"zone_prices\":{\"a\":1,\"b\":1.25}}},{\"name\":\"m\",\"autoscaling\":{"
+		"\"zone_prices\":{\"1\":1,\"2\":1,\"3\":1,\"4\":1,\"5\":1,\"6\":1,\"7\":1,"
+		"\"8\":1,\"9\":1}}}]}";
+	bct_gate_routes_t *t = NULL;
+	const bct_autoscale_conf_t *c;
+
+	cr_assert_eq(bct_decode_routes(text, strlen(text), &t), 0);
+	c = &t->services[1].scaling;
+	cr_assert_eq(t->services[0].scaling.n_domains, 0);
+	cr_assert_eq(t->services[2].scaling.n_domains, 0);
+	cr_assert_eq(c->n_domains, 2);
+	cr_assert_eq(c->minimum, 2);
+	cr_assert_eq(c->maximum, 23);
+	cr_assert_eq(c->boot_ms, 4500);
+	cr_assert_float_eq(c->spot_price, 0.15, 1e-9);
+	cr_assert_str_eq(c->domains[1].name, "b");
+	cr_assert_float_eq(c->domains[1].price, 1.25, 1e-9);
+	bct_gate_routes_unref(t);
+}
+
 static void read_head(bct_http_msg_t *m, enum http_parser_type type, const char *text)
 {
 	struct evbuffer *in = evbuffer_new();
