Share: peers pass on which engines are spot and when they leave

A node that learns of an upstream from a peer, as most do, took a spot engine for a standard one, and a later copy of the same entry made the two alternate. Change: share.x has a list beside the entries, as for software, in datagrams and pulls; an older node's lack of it leaves what is known of the same run.

--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -99,6 +99,10 @@
 void bct_share_encode_software(const bct_gate_upstream_t *u, share_software *out);
 void bct_share_decode_software(const share_software *x, bct_registry_change_t *out);
 
+/* bct_share_encode_stay(3), bct_share_decode_stay(3): the same for how long it stays. */
+void bct_share_encode_stay(const bct_gate_upstream_t *u, share_stay *out);
+void bct_share_decode_stay(const share_stay *x, bct_registry_change_t *out);
+
 /* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
 bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
 
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -216,6 +216,11 @@
 		memcpy(u->entry.software, known.software, sizeof(known.software));
 		u->entry.software_key = known.software_key;
 	}
+	/* An older node passes an entry on without these. */
+	if (!other_run && !e->spot && !e->leaves_ms) {
+		u->entry.spot = known.spot;
+		u->entry.leaves_ms = known.leaves_ms;
+	}
 	u->service_key = bct_hash_str(e->service);
 	u->release = 0;
 	if (u->entry.software_key)
--- a/tests/test_duty_scale.c
+++ b/tests/test_duty_scale.c
@@ -6,6 +6,7 @@
 #include "base/hash.h"
 #include "base/mem.h"
 #include "gate/duty_scale.h"
+#include "gate/share_int.h"
 
 #include <criterion/criterion.h>
 
@@ -157,6 +158,32 @@
 	free_gate(g);
 }
 
+/* Failure guarded against: a holder that learned of an engine from a peer takes it for a standard
+ * one. An older node doesn't pass on that it is not. */
+Test(duty_scale, peers_pass_on_what_is_spot)
+{
+	bct_gate_t *g = new_gate();
+	share_entry x = { 0 };
+	share_stay stay = { 0 };
+	bct_registry_change_t c;
+	bct_gate_upstream_t *u;
+
+	add_engine(g, "a", true, 2000);
+	u = bct_gate_upstreams_find(&g->upstreams, "engine-0");
+	bct_share_encode_entry(u, &x);
+	bct_share_encode_stay(u, &stay);
+	bct_share_decode_entry(&x, &c);
+	bct_share_decode_stay(NULL, &c);
+	cr_assert_not(c.entry.spot);
+	cr_assert_geq(bct_gate_upstreams_apply(&g->upstreams, START, &c.entry), 0);
+	cr_assert(u->entry.spot);
+	cr_assert_eq(u->entry.leaves_ms, 2000);
+	bct_share_decode_stay(&stay, &c);
+	cr_assert(c.entry.spot);
+	cr_assert_eq(c.entry.leaves_ms, 2000);
+	free_gate(g);
+}
+
 /* Failure guarded against: requests sent to engines that are gone in two seconds, or prompts that
  * are to be copied from there. */
 Test(duty_scale, reclaimed_engines_get_nothing_new)
