Share: load is sent also with eight lanes

A datagram with 8 lanes and 128 loads, or with 8 lanes, 64 loads and 32 placements, had 1,412 of 1,384 bytes and was dropped, and with it the lanes' work that engines are to be ordered by. Change: from the seventh lane on, a datagram takes 4 loads fewer for each; beside placements 56 loads instead of 64. With up to 6 lanes nothing changes in large fleets.

--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -169,6 +169,9 @@
 bool bct_share_load_accepts(const bct_share_t *s, const share_update *update);
 /* bct_share_load_datagrams(3): datagrams that a full report of the load currently takes. */
 uint32_t bct_share_load_datagrams(const bct_share_t *s);
+/* bct_share_loads_beside(3): loads that fit in a datagram with so many lanes. */
+uint32_t bct_share_loads_beside(uint32_t n_lanes);
+
 /* bct_share_load_apply(3): apply the load that a peer sent. */
 void bct_share_load_apply(bct_share_t *s, bct_time_t now, const share_update *update);
 
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -18,7 +18,9 @@
 #define LANE_KEEP_FACTOR 4     /* lane work changes slowly and idle nodes send nothing */
 #define IDLE_INTERVAL_MS 250   /* between datagrams of a reader of the registry without load */
 #define LOADS_MAX 1024	       /* upstreams reported in one round at most */
-#define LOADS_BESIDE_PLACED 64 /* that fit in a datagram with placements */
+#define LOADS_BESIDE_PLACED 56 /* that fit in a datagram with placements and all lanes */
+#define LANES_BESIDE_LOADS 6   /* that fit in a datagram with SHARE_LOADS_MAX loads */
+#define LANE_LOADS 4	       /* in the room that a lane takes */
 #define FULL_REPORT_ROUNDS 5   /* one round in this many sends all load, the others changes */
 /*
  * With hubs, a placement on an upstream that had the segment cached already is sent only once in
@@ -198,20 +200,28 @@
 		bct_share_send_all(s, update);
 }
 
+uint32_t bct_share_loads_beside(uint32_t n_lanes)
+{
+	uint32_t over = n_lanes > LANES_BESIDE_LOADS ? n_lanes - LANES_BESIDE_LOADS : 0;
+
+	return SHARE_LOADS_MAX - over * LANE_LOADS;
+}
+
 /* Sends lanes with the first datagram and loads in as many datagrams as needed. */
 static void send_loads(bct_share_t *s, round_t *r, const bct_share_peer_t *to)
 {
 	share_update update = { .view = r->view };
-	uint32_t sent = 0;
+	uint32_t sent = 0, room = bct_share_loads_beside(r->n_lanes);
 
 	update.lanes.lanes_val = r->lanes;
 	update.lanes.lanes_len = r->n_lanes;
 	do {
 		update.loads.loads_val = r->loads + sent;
-		update.loads.loads_len = min_u32(r->n_loads - sent, SHARE_LOADS_MAX);
+		update.loads.loads_len = min_u32(r->n_loads - sent, room);
 		send_to(s, &update, to);
 		sent += update.loads.loads_len;
 		update.lanes.lanes_len = 0;
+		room = SHARE_LOADS_MAX;
 	} while (sent < r->n_loads);
 }
 
--- a/tests/test_duty_scale.c
+++ b/tests/test_duty_scale.c
@@ -184,6 +184,22 @@
 	free_gate(g);
 }
 
+/* Failure guarded against: with many lanes the datagram is too large, and no load is sent. */
+Test(duty_scale, load_and_lanes_fit_in_a_datagram)
+{
+	static share_lane lanes[SHARE_LANES_MAX];
+	static share_load loads[SHARE_LOADS_MAX];
+	share_update u = { 0 };
+
+	for (uint32_t n = 0; n <= SHARE_LANES_MAX; n++) {
+		u.lanes.lanes_val = lanes;
+		u.lanes.lanes_len = n;
+		u.loads.loads_val = loads;
+		u.loads.loads_len = bct_share_loads_beside(n);
+		cr_assert_leq(xdr_sizeof((xdrproc_t)xdr_share_update, &u), 1360, "%u lanes", n);
+	}
+}
+
 /* Failure guarded against: requests sent to engines that are gone in two seconds, or prompts that
  * are to be copied from there. */
 Test(duty_scale, reclaimed_engines_get_nothing_new)
