Returns: refused callers get room of their own when they come back

Cause: a caller that is refused in a wave comes back into the same wave with less time left, and is refused again in favour of one that has just come. Not wired yet.

--- a/policy/gate_refuse.c
+++ b/policy/gate_refuse.c
@@ -186,6 +186,13 @@
 	return limit;
 }
 
+/* A caller that was promised room is refused only where the answer would be of no use to it. */
+static uint32_t returning_limit(const bct_gate_refuse_input_t *in)
+{
+	return min_u32(in->target_ms * LATE_FACTOR,
+		       scale_permille(in->remaining_ms, ORDER_PERMILLE));
+}
+
 static void record_sent(sent_limits_t *w, bct_time_t now, uint32_t limit)
 {
 	if (now - w->since >= ORDER_MS) {
@@ -219,6 +226,8 @@
 	r = by_urgency(given, v.ahead_permille);
 	v.overload_permille = update_overload(s, in);
 	v.limit_ms = raise_limit(s, now, in, base_limit(in, v.overload_permille));
+	if (in->returning)
+		v.limit_ms = max_u32(v.limit_ms, returning_limit(in));
 	if ((in->first_byte_ms <= v.limit_ms && !ends_too_late(in)) || in->delay_ms <= IDLE_MS) {
 		record_sent(&s->sent[urgency_class(in)], now, v.limit_ms);
 		return v;
--- a/policy/gate_refuse.h
+++ b/policy/gate_refuse.h
@@ -18,6 +18,7 @@
 #include "base/clock.h"
 #include "base/map.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define BCT_GATE_URGENCIES 8 /* classes of urgency that are distinguished */
@@ -37,6 +38,7 @@
 	uint32_t first_byte_ms; /* predicted time to the first byte, after that delay */
 	uint32_t work_ms;	/* upstream time that it takes to the first byte */
 	uint32_t output_ms;	/* predicted time from the first byte to the end; 0: unknown */
+	bool returning;		/* it was refused before, and promised room for now */
 } bct_gate_refuse_input_t;
 
 /* The decision and the figures that led to it. */
