Returns: promises travel with the load, switched on by gate.expect_returns

Wires policy/gate_returns into dispatch and the share protocol (promises at the end of share_update, relayed by the hubs as placements are).

--- a/gate/counters.h
+++ b/gate/counters.h
@@ -23,6 +23,10 @@
 	    "Retries not made because the budget was spent")                                      \
 	DEF(LIMITED, "bct_gate_limited_total", NULL, "counter",                                   \
 	    "Requests refused because of limits or pauses that all upstreams named")              \
+	DEF(PROMISED, "bct_gate_promised_total", NULL, "counter",                                 \
+	    "Requests refused with a promise of room when the caller comes back")                 \
+	DEF(RETURNED, "bct_gate_returned_total", NULL, "counter",                                 \
+	    "Callers that came back to the room that they were promised")                         \
 	DEF(RESUMES, "bct_gate_resumes_total", NULL, "counter",                                   \
 	    "Streams continued at another upstream")                                              \
 	DEF(REGISTRY_CALLS, "bct_gate_registry_calls_total", NULL, "counter", "Registry calls")   \
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -7,6 +7,7 @@
 #include "gate/origin.h"
 #include "gate/part.h"
 #include "gate/relay.h"
+#include "gate/returns.h"
 #include "gate/share.h"
 #include "base/err.h"
 #include "base/mem.h"
@@ -194,7 +195,8 @@
 /*
  * Sheds a request to an engine when its first byte is predicted too late because the fleet is
  * overloaded, see policy/gate_refuse.h. Only the first attempt can be shed. Retry-After is
- * lengthened at random by up to half, so that callers do not all return at once.
+ * lengthened at random by up to half, so that callers do not all return at once, unless room is
+ * promised for then.
  *
  * returns  whether the request was refused; x is freed then
  */
@@ -211,17 +213,25 @@
 		.work_ms = x->choice.work_ms,
 	};
 	bct_gate_pace_kind_t kind = bct_exchange_pace_kind(x);
-	uint32_t back;
+	uint32_t back, reserved_ms;
 
 	if (x->attempts || !x->query.engine)
 		return false;
+	x->returning = x->returning || bct_returns_take(x, now);
+	d.returning = x->returning;
+	reserved_ms = x->returning ? 0 : bct_returns_reserved_ms(x, now);
+	d.delay_ms += reserved_ms;
+	d.first_byte_ms += reserved_ms;
 	x->output_ms = bct_gate_pace_output_ms(&x->gate->pace, now, &kind, x->query.output_tokens);
 	d.output_ms = x->output_ms;
 	x->decision = bct_gate_refuse(&x->gate->refuse, now, &d);
 	back = x->decision.retry_after_ms;
 	if (!back)
 		return false;
+	x->promised_ms = bct_returns_book(x, now, back);
 	back += bct_rng_below(&x->gate->picker.rng, back / 2 + 1);
+	if (x->promised_ms)
+		back = x->promised_ms;
 	bct_exchange_refuse(x, BCT_GATE_END_OVERLOAD,
 			    &(bct_answer_opts_t){ .status = 503,
 						  .retry_after_ms = back,
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -58,6 +58,7 @@
 		BCT_U64("first_byte_limit_ms", x->decision.limit_ms),
 		BCT_U64("overload_permille", x->decision.overload_permille),
 		BCT_U64("ahead_permille", x->decision.ahead_permille),
+		BCT_U64("returning", x->returning), BCT_U64("promised_ms", x->promised_ms),
 		BCT_U64("predicted_output_ms", x->output_ms),
 		BCT_I64("lane_distance", x->choice.lane_distance),
 		BCT_U64("limited", x->choice.limited), BCT_U64("limited_ms", x->choice.limited_ms),
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -20,6 +20,7 @@
 #include "policy/gate_pick.h"
 #include "policy/gate_reach.h"
 #include "policy/gate_refuse.h"
+#include "policy/gate_returns.h"
 
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -84,6 +85,7 @@
 	bct_gate_upstreams_t upstreams;
 	bct_gate_picker_t picker;
 	bct_gate_refuse_t refuse;
+	bct_gate_returns_t returns;
 	bct_gate_pace_t pace;
 	bct_gate_crashes_t crashes;
 	bct_gate_part_judge_t part_judge;
@@ -225,6 +227,8 @@
 	uint32_t levels;		     /* one more than the highest rank */
 	bct_gate_refuse_decision_t decision; /* of overload control, on the first attempt */
 	uint32_t output_ms;		     /* predicted; 0: unknown */
+	bool returning;			     /* it was refused before and promised room for now */
+	uint32_t promised_ms;		     /* it is refused, and room is promised then; 0: none */
 	/* Choice of the current attempt. Its upstreams may be freed after the attempt. */
 	bct_gate_choice_t choice;
 	char upstream_id[BCT_GATE_ID_BYTES]; /* of the last attempt */
--- a/gate/share.h
+++ b/gate/share.h
@@ -69,6 +69,12 @@
 /* bct_share_add_placement(3): send a placement to the other nodes with the next round. */
 void bct_share_add_placement(bct_share_t *s, const bct_share_placement_t *p);
 
+/*
+ * bct_share_add_promise(3): tell the other nodes, with the next round, that the request with this
+ * digest was refused and promised room in due_ms. s may be NULL.
+ */
+void bct_share_add_promise(bct_share_t *s, uint64_t digest, uint32_t due_ms);
+
 /*
  * bct_share_add_crash(3): send to the other nodes, with the next rounds, that this run of
  * an upstream crashed under the request with this digest or, if run is BCT_CRASH_ANSWERED, that the
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -45,6 +45,18 @@
 	bct_time_t began_at;
 } bct_share_survivor_t;
 
+#define BCT_SHARE_PROMISE_MS 60000 /* a promise that is due later is malformed */
+
+typedef struct bct_share_promise {
+	uint64_t digest;
+	bct_time_t due;
+} bct_share_promise_t;
+
+typedef struct bct_share_promises {
+	bct_share_promise_t list[SHARE_PROMISES_MAX];
+	uint32_t n;
+} bct_share_promises_t;
+
 struct bct_share {
 	bct_gate_t *gate;
 	bct_list_t topics; /* bct_share_topic_t */
@@ -75,6 +87,8 @@
 	bct_gate_peers_t lanes; /* reports on lanes: work */
 	bct_share_placements_t placements;     /* of this node; at a hub also of its cluster */
 	bct_share_placements_t hub_placements; /* at a hub: those that other hubs sent */
+	bct_share_promises_t promises;	       /* as placements */
+	bct_share_promises_t hub_promises;
 };
 
 /*
@@ -101,6 +115,12 @@
 /* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
 bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
 
+/* share_promise.c */
+/* bct_share_send_promises(3): sends to one peer, or to all if `to` is NULL. */
+void bct_share_send_promises(bct_share_t *s, bct_gate_view_t view, const bct_share_promises_t *p,
+			     const bct_share_peer_t *to);
+void bct_share_apply_promises(bct_share_t *s, bct_time_t now, const share_update *update);
+
 /* share_hubs.c */
 /* bct_share_uses_hubs(3): whether the fleet is too large for each node to send to all others. */
 bool bct_share_uses_hubs(const bct_share_t *s);
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -255,6 +255,7 @@
 		if (r->n_loads)
 			send_loads(s, r, &s->peers[i]);
 		send_placements(s, BCT_GATE_VIEW_LOCAL, &s->placements, &s->peers[i]);
+		bct_share_send_promises(s, BCT_GATE_VIEW_LOCAL, &s->promises, &s->peers[i]);
 	}
 }
 
@@ -276,8 +277,11 @@
 		collect_lanes(s, r);
 		send_loads(s, r, p);
 		send_placements(s, r->view, &s->placements, p);
-		if (!hub)
-			send_placements(s, r->view, &s->hub_placements, p);
+		bct_share_send_promises(s, r->view, &s->promises, p);
+		if (hub)
+			continue;
+		send_placements(s, r->view, &s->hub_placements, p);
+		bct_share_send_promises(s, r->view, &s->hub_promises, p);
 	}
 }
 
@@ -292,10 +296,12 @@
 	}
 	collect_loads(s, &r);
 	collect_lanes(s, &r);
-	if (bct_share_uses_hubs(s))
+	if (bct_share_uses_hubs(s)) {
 		send_to_hub(s, &r);
-	else
-		send_direct(s, &r, now);
+		return;
+	}
+	send_direct(s, &r, now);
+	bct_share_send_promises(s, BCT_GATE_VIEW_LOCAL, &s->promises, NULL);
 }
 
 uint32_t bct_share_load_datagrams(const bct_share_t *s)
@@ -319,6 +325,8 @@
 	note_shared(s);
 	s->placements.n = 0;
 	s->hub_placements.n = 0;
+	s->promises.n = 0;
+	s->hub_promises.n = 0;
 }
 
 bool bct_share_load_accepts(const bct_share_t *s, const share_update *update)
@@ -390,6 +398,7 @@
 	apply_loads(s, now, update);
 	apply_lanes(s, now, update);
 	apply_placements(s, now, update);
+	bct_share_apply_promises(s, now, update);
 }
 
 /* Adds a change of a peer's report to the load of an upstream. */
--- a/gen/share.h
+++ b/gen/share.h
@@ -28,6 +28,7 @@
 #define SHARE_ORIGINS_MAX 16
 #define SHARE_CUTS_MAX 16
 #define SHARE_BRITTLE_MAX 32
+#define SHARE_PROMISES_MAX 64
 #define SHARE_TOPICS 2
 #define SHARE_NEVER 0xffffffff
 #define SHARE_NAME_BYTES 64
@@ -152,6 +153,12 @@
 };
 typedef struct share_origin share_origin;
 
+struct share_promise {
+	u_quad_t digest;
+	u_int due_ms;
+};
+typedef struct share_promise share_promise;
+
 struct share_update {
 	u_int view;
 	u_quad_t from;
@@ -220,6 +227,10 @@
 		u_int brittle_len;
 		share_brittle *brittle_val;
 	} brittle;
+	struct {
+		u_int promises_len;
+		share_promise *promises_val;
+	} promises;
 };
 typedef struct share_update share_update;
 
@@ -263,6 +274,7 @@
 extern  bool_t xdr_share_cut (XDR *, share_cut*);
 extern  bool_t xdr_share_brittle (XDR *, share_brittle*);
 extern  bool_t xdr_share_origin (XDR *, share_origin*);
+extern  bool_t xdr_share_promise (XDR *, share_promise*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
 extern  bool_t xdr_share_pulled (XDR *, share_pulled*);
 extern  bool_t xdr_share_upstreams (XDR *, share_upstreams*);
@@ -283,6 +295,7 @@
 extern bool_t xdr_share_cut ();
 extern bool_t xdr_share_brittle ();
 extern bool_t xdr_share_origin ();
+extern bool_t xdr_share_promise ();
 extern bool_t xdr_share_update ();
 extern bool_t xdr_share_pulled ();
 extern bool_t xdr_share_upstreams ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -409,6 +409,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_promise (XDR *xdrs, share_promise *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->due_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_update (XDR *xdrs, share_update *objp)
 {
@@ -475,6 +487,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->brittle.brittle_val, (u_int *) &objp->brittle.brittle_len, SHARE_BRITTLE_MAX,
 		sizeof (share_brittle), (xdrproc_t) xdr_share_brittle))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->promises.promises_val, (u_int *) &objp->promises.promises_len, SHARE_PROMISES_MAX,
+		sizeof (share_promise), (xdrproc_t) xdr_share_promise))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/share.x
+++ b/schema/share.x
@@ -19,6 +19,7 @@
 const SHARE_ORIGINS_MAX = 16;
 const SHARE_CUTS_MAX = 16;
 const SHARE_BRITTLE_MAX = 32;
+const SHARE_PROMISES_MAX = 64;
 const SHARE_TOPICS = 2;
 const SHARE_NEVER = 0xffffffff;
 const SHARE_NAME_BYTES = 64;
@@ -148,6 +149,12 @@
 	unsigned int age_ms;	/* since it began */
 };
 
+/* A refused request that was promised room, see gate_returns.h. */
+struct share_promise {
+	unsigned hyper digest;
+	unsigned int due_ms;	/* from the time of sending */
+};
+
 struct share_update {
 	unsigned int view;	/* which nodes' load it covers: bct_gate_view_t */
 	unsigned hyper from;	/* incarnation of the sender */
@@ -172,6 +179,7 @@
 	unsigned hyper origins_wanted<SHARE_ORIGINS_MAX>; /* attempts; the receiver answers */
 	share_cut cuts<SHARE_CUTS_MAX>;
 	share_brittle brittle<SHARE_BRITTLE_MAX>;
+	share_promise promises<SHARE_PROMISES_MAX>;
 };
 
 /*
