--- a/gate/returns.c
+++ b/gate/returns.c
@@ -19,7 +19,7 @@
 		.service_key = x->query.service_key,
 		.rank = x->rank,
 		.levels = x->levels,
-		.work_ms = x->choice.work_ms,
+		.work_ms = x->choice.work_ms + (x->query.slots ? x->output_ms / x->query.slots : 0),
 		.news_ms = NEWS_ROUNDS * bct_share_interval_ms(g->share),
 		.latest_ms = remaining_ms > 0 ? (uint32_t)remaining_ms / LATEST_DIVISOR : 0,
 		.engines = lanes ? lanes->engines : 0,
@@ -38,12 +38,13 @@
 	return true;
 }
 
-uint32_t bct_returns_reserved_ms(const bct_exchange_t *x, bct_time_t now)
+uint32_t bct_returns_reserved_ms(bct_exchange_t *x, bct_time_t now)
 {
 	bct_gate_return_input_t in = input_of(x, now);
 
 	if (!x->gate->settings->gate_expect_returns)
 		return 0;
+	bct_gate_returns_offered(&x->gate->returns, now, &in);
 	return bct_gate_returns_reserved_ms(&x->gate->returns, now, &in, x->choice.first_byte_ms);
 }
 
--- a/gate/returns.h
+++ b/gate/returns.h
@@ -10,8 +10,11 @@
 /* bct_returns_take(3): whether the request was refused before and promised room for now. */
 bool bct_returns_take(bct_exchange_t *x, bct_time_t now);
 
-/* bct_returns_reserved_ms(3): how much later the request gets its turn because of promises. */
-uint32_t bct_returns_reserved_ms(const bct_exchange_t *x, bct_time_t now);
+/*
+ * bct_returns_reserved_ms(3): how much later a request that comes for the first time gets its turn
+ * because of promises.
+ */
+uint32_t bct_returns_reserved_ms(bct_exchange_t *x, bct_time_t now);
 
 /*
  * bct_returns_book(3): books room for a request that is refused and tells the other nodes.
--- a/policy/gate_refuse.c
+++ b/policy/gate_refuse.c
@@ -16,6 +16,7 @@
 #define SUSTAINED_TOP_PERMILLE 150 /* under sustained overload, for the most urgent requests */
 #define SUSTAINED_LOW_PERMILLE 50  /* the same for the least urgent */
 #define ORDER_PERMILLE 600	   /* at most, for a limit raised to that of less urgent requests */
+#define RETURNING_PERMILLE 800	   /* for a caller that was promised room */
 
 #define ORDER_MS 500	  /* limits of less urgent requests count for at least this long */
 #define HALF_LIFE_MS 1000 /* of the weight of a past request in the overload estimate */
@@ -190,7 +191,7 @@
 static uint32_t returning_limit(const bct_gate_refuse_input_t *in)
 {
 	return min_u32(in->target_ms * LATE_FACTOR,
-		       scale_permille(in->remaining_ms, ORDER_PERMILLE));
+		       scale_permille(in->remaining_ms, RETURNING_PERMILLE));
 }
 
 static void record_sent(sent_limits_t *w, bct_time_t now, uint32_t limit)
--- a/policy/gate_returns.c
+++ b/policy/gate_returns.c
@@ -6,16 +6,21 @@
 #include "policy/gate_returns.h"
 #include "base/mem.h"
 
+#include <math.h>
 #include <string.h>
 
 #define PERMILLE 1000
 #define ROOM_PERMILLE 300 /* of the engines' time, for promises; the rest is for new requests */
-#define EARLY_MS 20	  /* callers' timers are that exact */
-#define GRACE_MS 1000	  /* after it is due; then the caller has gone */
-#define KEEP_USED_MS 5000 /* for which a caller that used its promise gets no other */
+#define SUSTAINED_PERMILLE 950 /* of the engines' time: a higher average leaves no room later */
+#define AVERAGE_MS 8000	       /* a wave with its trough */
+#define EARLY_MS 20	       /* callers' timers are that exact */
+#define GRACE_MS 1000	       /* after it is due; then the caller has gone */
+#define KEEP_USED_MS 5000      /* for which a caller that used its promise gets no other */
 
 typedef struct book {
 	bct_time_t booked_until[BCT_GATE_URGENCIES];
+	double offered; /* work that callers bring to this node, in ms per s; moving average */
+	bct_time_t offered_at;
 } book_t;
 
 void bct_gate_returns_init(bct_gate_returns_t *r)
@@ -104,6 +109,25 @@
 	return true;
 }
 
+void bct_gate_returns_offered(bct_gate_returns_t *r, bct_time_t now,
+			      const bct_gate_return_input_t *in)
+{
+	book_t *b = book_of(r, in->service_key);
+
+	if (!b)
+		return;
+	b->offered *= exp(-(double)(now - b->offered_at) / AVERAGE_MS);
+	b->offered += (double)in->work_ms * BCT_MS_PER_S / AVERAGE_MS;
+	b->offered_at = now;
+}
+
+/* Whether the engines can make up for a wave: they can't while callers bring more all the time. */
+static bool can_catch_up(const book_t *b, const bct_gate_return_input_t *in)
+{
+	return b->offered * in->nodes * PERMILLE <
+	       (double)in->engines * BCT_MS_PER_S * SUSTAINED_PERMILLE;
+}
+
 /* The time for which a request occupies this node's share of the room for promises. */
 static bct_time_t occupied_ms(const bct_gate_return_input_t *in)
 {
@@ -122,7 +146,7 @@
 	if (p)
 		return !p->used && p->due > now ? (uint32_t)(p->due - now) : 0;
 	b = book_of(r, in->service_key);
-	if (!b || !in->engines || !digest)
+	if (!b || !in->engines || !digest || !can_catch_up(b, in))
 		return 0;
 	if (due < b->booked_until[class])
 		due = b->booked_until[class];
--- a/policy/gate_returns.h
+++ b/policy/gate_returns.h
@@ -49,6 +49,13 @@
 void bct_gate_returns_init(bct_gate_returns_t *r);
 void bct_gate_returns_free(bct_gate_returns_t *r);
 
+/*
+ * bct_gate_returns_offered(3): counts a request that comes for the first time. While callers bring
+ * more than the engines can do for longer than a wave, nothing is promised.
+ */
+void bct_gate_returns_offered(bct_gate_returns_t *r, bct_time_t now,
+			      const bct_gate_return_input_t *in);
+
 /*
  * bct_gate_returns_book(3): a time at which a refused caller should come back.
  *
