--- a/policy/gate_returns.c
+++ b/policy/gate_returns.c
@@ -12,7 +12,7 @@
 #define PERMILLE 1000
 #define ROOM_PERMILLE 300 /* of the engines' time, for promises; the rest is for new requests */
 #define SUSTAINED_PERMILLE 950 /* of the engines' time: a higher average leaves no room later */
-#define AVERAGE_MS 8000	       /* a wave with its trough */
+#define AVERAGE_MS 30000       /* two waves and more */
 #define EARLY_MS 20	       /* callers' timers are that exact */
 #define GRACE_MS 1000	       /* after it is due; then the caller has gone */
 #define KEEP_USED_MS 5000      /* for which a caller that used its promise gets no other */
@@ -20,6 +20,7 @@
 typedef struct book {
 	bct_time_t booked_until[BCT_GATE_URGENCIES];
 	double offered; /* work that callers bring to this node, in ms per s; moving average */
+	double weight;	/* of the average so far: 1 when it covers AVERAGE_MS and more */
 	bct_time_t offered_at;
 } book_t;
 
@@ -113,19 +114,22 @@
 			      const bct_gate_return_input_t *in)
 {
 	book_t *b = book_of(r, in->service_key);
+	double keep = 1;
 
 	if (!b)
 		return;
-	b->offered *= exp(-(double)(now - b->offered_at) / AVERAGE_MS);
-	b->offered += (double)in->work_ms * BCT_MS_PER_S / AVERAGE_MS;
+	if (b->offered_at)
+		keep = exp(-(double)(now - b->offered_at) / AVERAGE_MS);
+	b->offered = b->offered * keep + (double)in->work_ms * BCT_MS_PER_S / AVERAGE_MS;
+	b->weight = b->weight * keep + 1 - keep;
 	b->offered_at = now;
 }
 
 /* Whether the engines can make up for a wave: they can't while callers bring more all the time. */
 static bool can_catch_up(const book_t *b, const bct_gate_return_input_t *in)
 {
-	return b->offered * in->nodes * PERMILLE <
-	       (double)in->engines * BCT_MS_PER_S * SUSTAINED_PERMILLE;
+	return b->offered * in->nodes * PERMILLE <=
+	       (double)in->engines * BCT_MS_PER_S * SUSTAINED_PERMILLE * b->weight;
 }
 
 /* The time for which a request occupies this node's share of the room for promises. */
