Shares of accounts: who brings much more than usual waits for nobody else in a shortage

Cause: an account that brings 7.5 times its usual takes room from all others of its urgency. Change: policy/gate_account_share tells from what each account usually brings, and from the growth of all others, which requests are over the share; gate_refuse sends them under overload only where they need not wait. Not wired yet. The model's file has a new name, as it plays both.

--- a/policy/gate_refuse.c
+++ b/policy/gate_refuse.c
@@ -168,6 +168,8 @@
 	uint32_t span = NORMAL_PERMILLE - sustained_permille(in);
 	uint32_t permille = NORMAL_PERMILLE - scale_permille(span, overload_permille);
 
+	if (in->over_share && overload_permille)
+		return 0;
 	return min_u32(in->target_ms * LATE_FACTOR, scale_permille(in->remaining_ms, permille));
 }
 
--- a/policy/gate_refuse.h
+++ b/policy/gate_refuse.h
@@ -39,6 +39,7 @@
 	uint32_t work_ms;	/* upstream time that it takes to the first byte */
 	uint32_t output_ms;	/* predicted time from the first byte to the end; 0: unknown */
 	bool returning;		/* it was refused before, and promised room for now */
+	bool over_share;	/* its account brings much more than usual, the others don't */
 } bct_gate_refuse_input_t;
 
 /* The decision and the figures that led to it. */
--- a/tests/test_gate_returns_fleet.c
+++ b/tests/test_gate_overload_fleet.c
@@ -1,8 +1,10 @@
 /*
- * test_gate_returns_fleet.c - a fleet of nodes under waves of 1.5 times the capacity, 4 s of each
- * 13 s, with and without promises to the callers that are refused.
+ * test_gate_overload_fleet.c - a fleet of nodes under waves of 1.5 times the capacity, 4 s of each
+ * 13 s, with and without promises to the callers that are refused; and one account that brings 7.5
+ * times its usual, with and without shares of accounts.
  */
 #include "base/rng.h"
+#include "policy/gate_account_share.h"
 #include "policy/gate_returns.h"
 
 #include <criterion/criterion.h>
@@ -20,12 +22,20 @@
 #define WORK_MS 50
 #define NEWS_MS 300 /* until the other nodes know of a promise or of load */
 #define HISTORY 512
+#define ACCOUNTS 24
+#define LARGE_ACCOUNTS 4 /* that bring as much as LARGE_TIMES small ones each */
+#define LARGE_TIMES 8
+#define HOT_ACCOUNT 0
+#define HOT_TIMES 7.5
+#define HOT_FROM_MS 26000
+#define SAMPLE_MIN 20 /* requests of an account, below which its share served says nothing */
 
 typedef struct request {
 	uint64_t digest;
 	bct_time_t at; /* when it comes, or comes back */
 	bct_time_t first_at;
 	uint32_t rank;
+	uint32_t account;
 	bool again;
 	bool told; /* it was promised room */
 	struct request *next;
@@ -49,11 +59,21 @@
 	uint32_t came[CLASSES], served[CLASSES];
 	uint32_t refused_twice, refused_first, kept, broken;
 	uint32_t came_in[DAY_MS / 1000], served_in[DAY_MS / 1000];
+	uint32_t account_came[ACCOUNTS], account_served[ACCOUNTS]; /* while one is hot */
 } result_t;
 
+typedef struct load {
+	uint32_t trough_percent; /* of the capacity */
+	uint32_t crest_percent;
+	bool hot; /* HOT_ACCOUNT brings HOT_TIMES its usual in the last third of the day */
+} load_t;
+
 typedef struct fleet {
 	uint32_t nodes;
 	bool promises;
+	bool shares;
+	load_t load;
+	bct_gate_account_shares_t account_shares[NODES_MAX];
 	bct_gate_refuse_t refuse[NODES_MAX];
 	bct_gate_returns_t returns[NODES_MAX];
 	queue_t engines[CLASSES]; /* requests that wait at the engines, by urgency */
@@ -91,6 +111,8 @@
 	if (now - x->first_at <= deadline_ms[x->rank]) {
 		f->r.served[x->rank]++;
 		f->r.served_in[(x->first_at - START) / 1000]++;
+		if (x->first_at - START >= HOT_FROM_MS)
+			f->r.account_served[x->account]++;
 	}
 	free(x);
 }
@@ -185,6 +207,9 @@
 	/* What this node sends is known at once, the rest late. */
 	in.delay_ms = (uint32_t)(f->work_then[(now + HISTORY - NEWS_MS) % HISTORY] / f->nodes);
 	in.first_byte_ms = in.delay_ms + WORK_MS;
+	if (f->shares)
+		in.over_share = !bct_gate_account_shares_count(&f->account_shares[node], now,
+							       SERVICE, x->account + 1, WORK_MS);
 	if (f->promises) {
 		uint32_t ms;
 
@@ -210,26 +235,55 @@
 	push(&f->engines[x->rank], x);
 }
 
+static uint32_t draw_account(fleet_t *f)
+{
+	uint32_t i =
+		bct_rng_below(&f->rng, ACCOUNTS - LARGE_ACCOUNTS + LARGE_ACCOUNTS * LARGE_TIMES);
+
+	return i < LARGE_ACCOUNTS * LARGE_TIMES ? i / LARGE_TIMES
+						: i - LARGE_ACCOUNTS * (LARGE_TIMES - 1);
+}
+
+static void new_request(fleet_t *f, bct_time_t now, uint32_t account, uint32_t rank)
+{
+	request_t *x = calloc(1, sizeof(*x));
+
+	cr_assert(x);
+	x->digest = ++f->n_requests * UINT64_C(0x9e3779b97f4a7c15);
+	x->rank = rank;
+	x->account = account;
+	x->first_at = now;
+	f->r.came[x->rank]++;
+	f->r.came_in[(now - START) / 1000]++;
+	if (now - START >= HOT_FROM_MS)
+		f->r.account_came[account]++;
+	arrive(f, now, x);
+}
+
+/* Draws how many requests come in this ms when callers bring percent of the capacity. */
+static uint32_t draw_number(fleet_t *f, double percent)
+{
+	double n = f->nodes * percent / 100 / WORK_MS;
+
+	return (uint32_t)n + (bct_rng_unit(&f->rng) < n - (uint32_t)n);
+}
+
 static void new_requests(fleet_t *f, bct_time_t now)
 {
 	bool crest = (now - START) % WAVE_MS >= WAVE_MS - CREST_MS;
-	uint32_t permille = f->nodes * 1000 / WORK_MS * (crest ? 150 : 60) / 100;
-	uint32_t n = permille / 1000 + (bct_rng_below(&f->rng, 1000) < permille % 1000);
-
-	for (uint32_t i = 0; i < n; i++) {
-		request_t *x = calloc(1, sizeof(*x));
-
-		cr_assert(x);
-		x->digest = ++f->n_requests * UINT64_C(0x9e3779b97f4a7c15);
-		x->rank = bct_rng_below(&f->rng, CLASSES);
-		x->first_at = now;
-		f->r.came[x->rank]++;
-		f->r.came_in[(now - START) / 1000]++;
-		arrive(f, now, x);
-	}
+	double percent = crest ? f->load.crest_percent : f->load.trough_percent;
+	double part =
+		(double)LARGE_TIMES / (ACCOUNTS - LARGE_ACCOUNTS + LARGE_ACCOUNTS * LARGE_TIMES);
+
+	for (uint32_t i = draw_number(f, percent); i; i--)
+		new_request(f, now, draw_account(f), bct_rng_below(&f->rng, CLASSES));
+	if (!f->load.hot || now - START < HOT_FROM_MS)
+		return;
+	for (uint32_t i = draw_number(f, percent * part * (HOT_TIMES - 1)); i; i--)
+		new_request(f, now, HOT_ACCOUNT, CLASSES - 1);
 }
 
-static result_t play(uint32_t nodes, bool promises)
+static result_t play(uint32_t nodes, bool promises, bool shares, const load_t *load)
 {
 	fleet_t *f = calloc(1, sizeof(*f));
 	result_t r;
@@ -238,6 +292,8 @@
 	cr_assert(f);
 	f->nodes = nodes;
 	f->promises = promises;
+	f->shares = shares;
+	f->load = *load;
 	bct_rng_seed(&f->rng, 1);
 	for (bct_time_t now = START; now < START + DAY_MS + 12000; now++) {
 		f->work_then[now % HISTORY] = f->work_ms;
@@ -251,6 +307,7 @@
 	for (uint32_t i = 0; i < nodes; i++) {
 		bct_gate_refuse_free(&f->refuse[i]);
 		bct_gate_returns_free(&f->returns[i]);
+		bct_gate_account_shares_free(&f->account_shares[i]);
 	}
 	r = f->r;
 	free(f);
@@ -296,7 +353,8 @@
  */
 static void compare(uint32_t nodes)
 {
-	result_t before = play(nodes, false), with = play(nodes, true);
+	load_t load = { .trough_percent = 60, .crest_percent = 150 };
+	result_t before = play(nodes, false, false, &load), with = play(nodes, true, false, &load);
 
 	print(nodes, "without", &before);
 	print(nodes, "with   ", &with);
@@ -309,27 +367,113 @@
 			      (uint64_t)before.served[c] * 1000 / before.came[c], "class %u", c);
 }
 
-Test(gate_returns_fleet, one_node)
+/* The permille served of the worst tenth of the accounts that are not hot. */
+static uint32_t worst_accounts(const result_t *r)
+{
+	uint32_t worst[2] = { 1000, 1000 };
+
+	for (uint32_t i = 0; i < ACCOUNTS; i++) {
+		uint32_t permille;
+
+		if (i == HOT_ACCOUNT || r->account_came[i] < SAMPLE_MIN)
+			continue;
+		permille = r->account_served[i] * 1000 / r->account_came[i];
+		if (permille < worst[0]) {
+			worst[1] = worst[0];
+			worst[0] = permille;
+		} else if (permille < worst[1]) {
+			worst[1] = permille;
+		}
+	}
+	return (worst[0] + worst[1]) / 2;
+}
+
+/*
+ * An account that brings 7.5 times its usual, and so 1.4 times the capacity in all, must not take
+ * from the others what they had. Half of what it costs them without shares is the least to win
+ * back.
+ */
+static void compare_accounts(uint32_t nodes)
+{
+	load_t calm = { 70, 70, false }, load = { 70, 70, true };
+	result_t usual = play(nodes, false, false, &calm);
+	result_t before = play(nodes, false, false, &load), with = play(nodes, false, true, &load);
+	uint32_t had = worst_accounts(&usual), lost = had - worst_accounts(&before);
+
+	print(nodes, "without", &before);
+	print(nodes, "with   ", &with);
+	printf("%3u nodes: worst tenth of the other accounts: %u permille usually, %u without "
+	       "shares, %u with them\n",
+	       nodes, had, worst_accounts(&before), worst_accounts(&with));
+	cr_assert_gt(lost, 100, "the load is a shortage");
+	cr_assert_geq(worst_accounts(&with) + lost / 2, had);
+	cr_assert_geq(permille_served(&with) + 20, permille_served(&before));
+}
+
+/* Without a hot account, shares change nothing: a wave of all is no reason to hold one back. */
+static void waves_of_all(uint32_t nodes)
+{
+	load_t load = { .trough_percent = 60, .crest_percent = 150 };
+	result_t before = play(nodes, false, false, &load), with = play(nodes, false, true, &load);
+
+	print(nodes, "without", &before);
+	print(nodes, "with   ", &with);
+	cr_assert_geq(permille_served(&with) + 10, permille_served(&before));
+	cr_assert_geq(worst_second(&with) + 20, worst_second(&before));
+}
+
+Test(gate_overload_fleet, waves_one_node)
 {
 	compare(1);
 }
 
-Test(gate_returns_fleet, nodes_7)
+Test(gate_overload_fleet, waves_nodes_7)
 {
 	compare(7);
 }
 
-Test(gate_returns_fleet, nodes_35)
+Test(gate_overload_fleet, waves_nodes_35)
 {
 	compare(35);
 }
 
-Test(gate_returns_fleet, nodes_89)
+Test(gate_overload_fleet, waves_nodes_89)
 {
 	compare(89);
 }
 
-Test(gate_returns_fleet, nodes_350)
+Test(gate_overload_fleet, waves_nodes_350)
 {
 	compare(350);
 }
+
+Test(gate_overload_fleet, hot_account_one_node)
+{
+	compare_accounts(1);
+}
+
+Test(gate_overload_fleet, hot_account_nodes_7)
+{
+	compare_accounts(7);
+}
+
+Test(gate_overload_fleet, hot_account_nodes_35)
+{
+	compare_accounts(35);
+}
+
+Test(gate_overload_fleet, hot_account_nodes_89)
+{
+	compare_accounts(89);
+}
+
+Test(gate_overload_fleet, hot_account_nodes_350)
+{
+	compare_accounts(350);
+}
+
+Test(gate_overload_fleet, shares_in_waves)
+{
+	waves_of_all(7);
+	waves_of_all(89);
+}
