Shares of accounts: wired into dispatch, switched on by gate.account_shares

Counts each request to an engine once, by the hash of its account. Off by default: then nothing is counted.

--- a/gate/counters.h
+++ b/gate/counters.h
@@ -23,6 +23,8 @@
 	    "Retries not made because the budget was spent")                                      \
 	DEF(LIMITED, "bct_gate_limited_total", NULL, "counter",                                   \
 	    "Requests refused because of limits or pauses that all upstreams named")              \
+	DEF(OVER_SHARE, "bct_gate_over_share_total", NULL, "counter",                             \
+	    "Requests of accounts that brought much more than usual while others did not")        \
 	DEF(PROMISED, "bct_gate_promised_total", NULL, "counter",                                 \
 	    "Requests refused with a promise of room when the caller comes back")                 \
 	DEF(RETURNED, "bct_gate_returned_total", NULL, "counter",                                 \
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -10,6 +10,7 @@
 #include "gate/returns.h"
 #include "gate/share.h"
 #include "base/err.h"
+#include "base/hash.h"
 #include "base/mem.h"
 
 #include <string.h>
@@ -192,6 +193,21 @@
 	bct_exchange_set_timer(x);
 }
 
+/* Counts the request in the share of its account, once. */
+static void count_share(bct_exchange_t *x, bct_time_t now)
+{
+	bct_gate_t *g = x->gate;
+
+	if (x->share_counted || !x->account || !g->settings->gate_account_shares)
+		return;
+	x->share_counted = true;
+	x->over_share =
+		!bct_gate_account_shares_count(&g->account_shares, now, x->query.service_key,
+					       bct_hash_str(x->account->name), x->choice.work_ms);
+	if (x->over_share)
+		BCT_GATE_COUNT(g, OVER_SHARE);
+}
+
 /*
  * Sheds a request to an engine when its first byte is predicted too late because the fleet is
  * overloaded, see policy/gate_refuse.h. Only the first attempt can be shed. Retry-After is
@@ -219,6 +235,8 @@
 		return false;
 	x->returning = x->returning || bct_returns_take(x, now);
 	d.returning = x->returning;
+	count_share(x, now);
+	d.over_share = x->over_share;
 	reserved_ms = x->returning ? 0 : bct_returns_reserved_ms(x, now);
 	d.delay_ms += reserved_ms;
 	d.first_byte_ms += reserved_ms;
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -167,6 +167,7 @@
 	g->upstreams.release = release_upstream;
 	bct_gate_refuse_init(&g->refuse);
 	bct_gate_returns_init(&g->returns);
+	bct_gate_account_shares_init(&g->account_shares);
 	bct_gate_pace_init(&g->pace);
 	g->part_judge.started_at = bct_clock_now();
 	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
@@ -235,6 +236,7 @@
 	bct_gate_picker_free(&g->picker);
 	bct_gate_refuse_free(&g->refuse);
 	bct_gate_returns_free(&g->returns);
+	bct_gate_account_shares_free(&g->account_shares);
 	bct_gate_pace_free(&g->pace);
 	bct_gate_crashes_free(&g->crashes);
 	bct_gate_reaches_free(&g->reaches);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -12,6 +12,7 @@
 #include "gate/sse.h"
 #include "gate/gate.h"
 #include "policy/abandoned.h"
+#include "policy/gate_account_share.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
 #include "policy/gate_origins.h"
@@ -86,6 +87,7 @@
 	bct_gate_picker_t picker;
 	bct_gate_refuse_t refuse;
 	bct_gate_returns_t returns;
+	bct_gate_account_shares_t account_shares;
 	bct_gate_pace_t pace;
 	bct_gate_crashes_t crashes;
 	bct_gate_part_judge_t part_judge;
@@ -227,6 +229,8 @@
 	uint32_t levels;		     /* one more than the highest rank */
 	bct_gate_refuse_decision_t decision; /* of overload control, on the first attempt */
 	uint32_t output_ms;		     /* predicted; 0: unknown */
+	bool share_counted;		     /* in the share of its account */
+	bool over_share;		     /* its account brings much more than usual */
 	bool returning;			     /* it was refused before and promised room for now */
 	uint32_t promised_ms;		     /* it is refused, and room is promised then; 0: none */
 	/* Choice of the current attempt. Its upstreams may be freed after the attempt. */
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -50,6 +50,7 @@
 	{ "gate.budget_allowance", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_budget_allowance), 0, 0, 0, 100000U, false, "20" },
 	{ "gate.prefill_tokens_per_s", BCT_SETTING_U32, offsetof(bct_settings_t, gate_prefill_tokens_per_s), 0, 0, 1, 10000000U, false, "30000" },
 	{ "gate.step_us", BCT_SETTING_U32, offsetof(bct_settings_t, gate_step_us), 0, 0, 1, 10000000U, false, "8000" },
+	{ "gate.account_shares", BCT_SETTING_BOOL, offsetof(bct_settings_t, gate_account_shares), 0, 0, 0, 0U, false, "false" },
 	{ "gate.expect_returns", BCT_SETTING_BOOL, offsetof(bct_settings_t, gate_expect_returns), 0, 0, 0, 0U, false, "false" },
 	{ "gate.memory_bytes", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_memory_bytes), 0, 0, 0, 4000000000U, false, "0" },
 	{ "duty.address", BCT_SETTING_STRING, offsetof(bct_settings_t, duty_address), 0, 64, 0, 0U, false, "" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -54,6 +54,7 @@
 	uint32_t gate_budget_allowance;
 	uint32_t gate_prefill_tokens_per_s;
 	uint32_t gate_step_us;
+	bool gate_account_shares;
 	bool gate_expect_returns;
 	uint32_t gate_memory_bytes;
 	char duty_address[64];
@@ -69,6 +70,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 57
+#define BCT_SETTINGS_COUNT 58
 
 #endif
