--- a/gate/gate.c
+++ b/gate/gate.c
@@ -169,6 +169,7 @@
 	bct_gate_returns_init(&g->returns);
 	bct_gate_account_shares_init(&g->account_shares);
 	bct_gate_pace_init(&g->pace);
+	bct_gate_demand_init(&g->demand);
 	g->part_judge.started_at = bct_clock_now();
 	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
 			     g->settings->gate_step_us, bct_random_id());
@@ -238,6 +239,7 @@
 	bct_gate_returns_free(&g->returns);
 	bct_gate_account_shares_free(&g->account_shares);
 	bct_gate_pace_free(&g->pace);
+	bct_gate_demand_free(&g->demand);
 	bct_gate_crashes_free(&g->crashes);
 	bct_gate_reaches_free(&g->reaches);
 	bct_gate_upstreams_free(&g->upstreams);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -15,6 +15,7 @@
 #include "policy/gate_account_share.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
+#include "policy/gate_demand.h"
 #include "policy/gate_origins.h"
 #include "policy/gate_pace.h"
 #include "policy/gate_part_judge.h"
@@ -89,6 +90,7 @@
 	bct_gate_returns_t returns;
 	bct_gate_account_shares_t account_shares;
 	bct_gate_pace_t pace;
+	bct_gate_demand_t demand;
 	bct_gate_crashes_t crashes;
 	bct_gate_part_judge_t part_judge;
 	bct_gate_reaches_t reaches;
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -68,7 +68,8 @@
 	bct_share_peer_t peers[BCT_SHARE_PEERS_MAX]; /* the other live nodes */
 	uint32_t n_peers;
 	bct_time_t peers_refreshed_at;
-	bct_time_t load_sent_at; /* in a small fleet */
+	bct_time_t load_sent_at;  /* in a small fleet */
+	bct_time_t load_heard_at; /* when load of other nodes was last accepted; 0: never */
 	uint32_t rounds;
 	bct_time_t versions_sent_at;	 /* to all nodes */
 	bct_time_t hub_versions_sent_at; /* to the hubs */
@@ -112,6 +113,10 @@
 void bct_share_encode_software(const bct_gate_upstream_t *u, share_software *out);
 void bct_share_decode_software(const share_software *x, bct_registry_change_t *out);
 
+/* bct_share_encode_stay(3), bct_share_decode_stay(3): the same for how long it stays. */
+void bct_share_encode_stay(const bct_gate_upstream_t *u, share_stay *out);
+void bct_share_decode_stay(const share_stay *x, bct_registry_change_t *out);
+
 /* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
 bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
 
@@ -184,6 +189,9 @@
 bool bct_share_load_accepts(const bct_share_t *s, const share_update *update);
 /* bct_share_load_datagrams(3): datagrams that a full report of the load currently takes. */
 uint32_t bct_share_load_datagrams(const bct_share_t *s);
+/* bct_share_loads_beside(3): loads that fit in a datagram with so many lanes. */
+uint32_t bct_share_loads_beside(uint32_t n_lanes);
+
 /* bct_share_load_apply(3): apply the load that a peer sent. */
 void bct_share_load_apply(bct_share_t *s, bct_time_t now, const share_update *update);
 
--- a/gate/share_load.c
+++ b/gate/share_load.c
@@ -18,7 +18,9 @@
 #define LANE_KEEP_FACTOR 4     /* lane work changes slowly and idle nodes send nothing */
 #define IDLE_INTERVAL_MS 250   /* between datagrams of a reader of the registry without load */
 #define LOADS_MAX 1024	       /* upstreams reported in one round at most */
-#define LOADS_BESIDE_PLACED 64 /* that fit in a datagram with placements */
+#define LOADS_BESIDE_PLACED 56 /* that fit in a datagram with placements and all lanes */
+#define LANES_BESIDE_LOADS 6   /* that fit in a datagram with SHARE_LOADS_MAX loads */
+#define LANE_LOADS 4	       /* in the room that a lane takes */
 #define FULL_REPORT_ROUNDS 5   /* one round in this many sends all load, the others changes */
 /*
  * With hubs, a placement on an upstream that had the segment cached already is sent only once in
@@ -181,6 +183,9 @@
 		bct_gate_lanes_t *l =
 			t->services[i].engine ? bct_gate_pick_lanes(&s->gate->picker, key) : NULL;
 
+		/* Without requests, nothing else updates the averages. */
+		if (l)
+			bct_gate_lanes_update(l, bct_clock_now(), l->engines);
 		for (uint32_t j = 0; l && j < l->n && r->n_lanes < SHARE_LANES_MAX; j++)
 			r->lanes[r->n_lanes++] = lane_of(s, r, key, &l->lanes[j]);
 	}
@@ -195,20 +200,28 @@
 		bct_share_send_all(s, update);
 }
 
+uint32_t bct_share_loads_beside(uint32_t n_lanes)
+{
+	uint32_t over = n_lanes > LANES_BESIDE_LOADS ? n_lanes - LANES_BESIDE_LOADS : 0;
+
+	return SHARE_LOADS_MAX - over * LANE_LOADS;
+}
+
 /* Sends lanes with the first datagram and loads in as many datagrams as needed. */
 static void send_loads(bct_share_t *s, round_t *r, const bct_share_peer_t *to)
 {
 	share_update update = { .view = r->view };
-	uint32_t sent = 0;
+	uint32_t sent = 0, room = bct_share_loads_beside(r->n_lanes);
 
 	update.lanes.lanes_val = r->lanes;
 	update.lanes.lanes_len = r->n_lanes;
 	do {
 		update.loads.loads_val = r->loads + sent;
-		update.loads.loads_len = min_u32(r->n_loads - sent, SHARE_LOADS_MAX);
+		update.loads.loads_len = min_u32(r->n_loads - sent, room);
 		send_to(s, &update, to);
 		sent += update.loads.loads_len;
 		update.lanes.lanes_len = 0;
+		room = SHARE_LOADS_MAX;
 	} while (sent < r->n_loads);
 }
 
@@ -311,6 +324,13 @@
 	return upstreams / SHARE_LOADS_MAX + 1;
 }
 
+bct_time_t bct_share_load_age_ms(const bct_share_t *s, bct_time_t now)
+{
+	if (!s || !s->n_peers)
+		return 0;
+	return s->load_heard_at ? now - s->load_heard_at : BCT_TIME_NEVER;
+}
+
 void bct_share_load_round(bct_share_t *s, bct_time_t now)
 {
 	uint32_t reports = bct_share_is_hub(s) ? KEEP_FULL_REPORTS : KEEP_FULL_AT_NODES;
@@ -395,6 +415,7 @@
 		bct_gate_peers_forget(&s->lanes, s->previous_hub);
 		s->previous_hub = 0;
 	}
+	s->load_heard_at = now;
 	apply_loads(s, now, update);
 	apply_lanes(s, now, update);
 	apply_placements(s, now, update);
--- a/schema/share.x
+++ b/schema/share.x
@@ -75,6 +75,12 @@
 	unsigned hyper key;	/* hash of the whole version; 0: unknown */
 };
 
+/* How long an upstream stays: a spot engine may be reclaimed at short notice. */
+struct share_stay {
+	bool spot;
+	unsigned int leaves_ms;	/* if draining: until it is stopped; 0: not known */
+};
+
 /*
  * A request under which a run of an upstream crashed. Run 0: the request was answered successfully
  * instead.
@@ -180,6 +186,7 @@
 	share_cut cuts<SHARE_CUTS_MAX>;
 	share_brittle brittle<SHARE_BRITTLE_MAX>;
 	share_promise promises<SHARE_PROMISES_MAX>;
+	share_stay stays<SHARE_ENTRIES_MAX>;	/* of the upstreams in entries, in order */
 };
 
 /*
@@ -194,5 +201,6 @@
 struct share_upstreams {
 	unsigned hyper position; /* the entries reflect the registry's log up to here */
 	share_entry entries<>;
-	share_software software<>;	/* of the entries, in order; an older node's answer ends here */
+	share_software software<>;	/* of the entries, in order */
+	share_stay stays<>;		/* the same; an older node's answer may end before either */
 };
