--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -7,8 +7,10 @@
 #include "gate/origin.h"
 #include "gate/part.h"
 #include "gate/relay.h"
+#include "gate/returns.h"
 #include "gate/share.h"
 #include "base/err.h"
+#include "base/hash.h"
 #include "base/mem.h"
 
 #include <string.h>
@@ -195,10 +197,26 @@
 	bct_exchange_set_timer(x);
 }
 
+/* Counts the request in the share of its account, once. */
+static void count_share(bct_exchange_t *x, bct_time_t now)
+{
+	bct_gate_t *g = x->gate;
+
+	if (x->share_counted || !x->account || !g->settings->gate_account_shares)
+		return;
+	x->share_counted = true;
+	x->over_share =
+		!bct_gate_account_shares_count(&g->account_shares, now, x->query.service_key,
+					       bct_hash_str(x->account->name), x->choice.work_ms);
+	if (x->over_share)
+		BCT_GATE_COUNT(g, OVER_SHARE);
+}
+
 /*
  * Sheds a request to an engine when its first byte is predicted too late because the fleet is
  * overloaded, see policy/gate_refuse.h. Only the first attempt can be shed. Retry-After is
- * lengthened at random by up to half, so that callers do not all return at once.
+ * lengthened at random by up to half, so that callers do not all return at once, unless room is
+ * promised for then.
  *
  * returns  whether the request was refused; x is freed then
  */
@@ -215,17 +233,27 @@
 		.work_ms = x->choice.work_ms,
 	};
 	bct_gate_pace_kind_t kind = bct_exchange_pace_kind(x);
-	uint32_t back;
+	uint32_t back, reserved_ms;
 
 	if (x->attempts || !x->query.engine)
 		return false;
+	x->returning = x->returning || bct_returns_take(x, now);
+	d.returning = x->returning;
+	count_share(x, now);
+	d.over_share = x->over_share;
+	reserved_ms = x->returning ? 0 : bct_returns_reserved_ms(x, now);
+	d.delay_ms += reserved_ms;
+	d.first_byte_ms += reserved_ms;
 	x->output_ms = bct_gate_pace_output_ms(&x->gate->pace, now, &kind, x->query.output_tokens);
 	d.output_ms = x->output_ms;
 	x->decision = bct_gate_refuse(&x->gate->refuse, now, &d);
 	back = x->decision.retry_after_ms;
 	if (!back)
 		return false;
+	x->promised_ms = bct_returns_book(x, now, back);
 	back += bct_rng_below(&x->gate->picker.rng, back / 2 + 1);
+	if (x->promised_ms)
+		back = x->promised_ms;
 	bct_exchange_refuse(x, BCT_GATE_END_OVERLOAD,
 			    &(bct_answer_opts_t){ .status = 503,
 						  .retry_after_ms = back,
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -166,6 +166,8 @@
 	bct_gate_upstreams_init(&g->upstreams);
 	g->upstreams.release = release_upstream;
 	bct_gate_refuse_init(&g->refuse);
+	bct_gate_returns_init(&g->returns);
+	bct_gate_account_shares_init(&g->account_shares);
 	bct_gate_pace_init(&g->pace);
 	bct_gate_demand_init(&g->demand);
 	g->part_judge.started_at = bct_clock_now();
@@ -234,6 +236,8 @@
 	}
 	bct_gate_picker_free(&g->picker);
 	bct_gate_refuse_free(&g->refuse);
+	bct_gate_returns_free(&g->returns);
+	bct_gate_account_shares_free(&g->account_shares);
 	bct_gate_pace_free(&g->pace);
 	bct_gate_demand_free(&g->demand);
 	bct_gate_crashes_free(&g->crashes);
--- a/policy/gate_refuse.c
+++ b/policy/gate_refuse.c
@@ -16,6 +16,7 @@
 #define SUSTAINED_TOP_PERMILLE 150 /* under sustained overload, for the most urgent requests */
 #define SUSTAINED_LOW_PERMILLE 50  /* the same for the least urgent */
 #define ORDER_PERMILLE 600	   /* at most, for a limit raised to that of less urgent requests */
+#define RETURNING_PERMILLE 800	   /* for a caller that was promised room */
 
 #define ORDER_MS 500	  /* limits of less urgent requests count for at least this long */
 #define HALF_LIFE_MS 1000 /* of the weight of a past request in the overload estimate */
@@ -167,6 +168,8 @@
 	uint32_t span = NORMAL_PERMILLE - sustained_permille(in);
 	uint32_t permille = NORMAL_PERMILLE - scale_permille(span, overload_permille);
 
+	if (in->over_share && overload_permille)
+		return 0;
 	return min_u32(in->target_ms * LATE_FACTOR, scale_permille(in->remaining_ms, permille));
 }
 
@@ -186,6 +189,13 @@
 	return limit;
 }
 
+/* A caller that was promised room is refused only where the answer would be of no use to it. */
+static uint32_t returning_limit(const bct_gate_refuse_input_t *in)
+{
+	return min_u32(in->target_ms * LATE_FACTOR,
+		       scale_permille(in->remaining_ms, RETURNING_PERMILLE));
+}
+
 static void record_sent(sent_limits_t *w, bct_time_t now, uint32_t limit)
 {
 	if (now - w->since >= ORDER_MS) {
@@ -219,6 +229,8 @@
 	r = by_urgency(given, v.ahead_permille);
 	v.overload_permille = update_overload(s, in);
 	v.limit_ms = raise_limit(s, now, in, base_limit(in, v.overload_permille));
+	if (in->returning)
+		v.limit_ms = max_u32(v.limit_ms, returning_limit(in));
 	if ((in->first_byte_ms <= v.limit_ms && !ends_too_late(in)) || in->delay_ms <= IDLE_MS) {
 		record_sent(&s->sent[urgency_class(in)], now, v.limit_ms);
 		return v;
