--- a/policy/usage.c
+++ b/policy/usage.c
@@ -250,6 +250,30 @@
 	return false;
 }
 
+/* pos: in the upper half that of the row, in the lower half the account */
+bool bct_usage_next_other(const bct_usage_t *u, uint64_t window, uint64_t *pos,
+			  bct_usage_item_t *out)
+{
+	const bct_usage_window_t *w = bct_usage_find(u, window);
+	uint32_t at = (uint32_t)(*pos >> 32), i = (uint32_t)*pos, next = at;
+	const bct_usage_row_t *r;
+
+	for (; w && (r = bct_map_next(&w->rows, &next)) != NULL; at = next, i = 0) {
+		for (; r->incarnation != u->incarnation && i < r->cap && i < w->n_accounts; i++) {
+			if (!r->requests[i])
+				continue;
+			*out = (bct_usage_item_t){ .incarnation = r->incarnation,
+						   .window = window,
+						   .account = w->accounts[i],
+						   .requests = r->requests[i] };
+			*pos = (uint64_t)at << 32 | (i + 1);
+			return true;
+		}
+	}
+	*pos = (uint64_t)at << 32;
+	return false;
+}
+
 void bct_usage_expire(bct_usage_t *u, uint64_t window)
 {
 	u->has_current = true;
