Usage: exchange of the counters between gateways

A node that reports usage must know the counters of all nodes, also just after it became one of those that may have to.

A new keeper is sent all counters several times within 4 s, as it refuses messages of nodes that it does not know as members yet; three rounds at once were all refused in a test with three gateways. Changes are sent in two rounds and, 2 s after the end of their window, for the third time, which saves a third of the bytes.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -108,6 +108,9 @@
 	DEF(LEASE_LOST, 801, WARN, "this node lost a lease")                                       \
 	DEF(ORDER_SENT, 802, INFO, "an order was sent to an engine")                               \
 	DEF(ORDER_FAILED, 803, WARN, "an order to an engine failed")                               \
+	DEF(USAGE_KEEPERS, 820, INFO, "the nodes that add up the usage of all nodes changed")      \
+	DEF(TRUE_TIME_CORRECTED, 821, WARN,                                                        \
+	    "this node's time of day differed from that of its peers and was set to theirs")       \
 	DEF(SHED_LEVEL, 900, WARN, "the shed level changed")                                       \
 	DEF(POISON_SUSPECT, 901, WARN, "a request was running on an upstream that crashed")        \
 	DEF(POISON_REFUSED, 902, WARN, "a request is refused because it crashed two upstreams")    \
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -42,6 +42,14 @@
 	    "Times that no upstream of a service was reached any more")                           \
 	DEF(ORIGINS_LOST, "bct_gate_origins_lost_total", NULL, "counter",                         \
 	    "Streams whose beginning could not be recorded for lack of memory")                   \
+	DEF(USAGE_COUNTED, "bct_gate_usage_counted_total", NULL, "counter",                       \
+	    "Requests of accounts that began to run and arrived at this node")                    \
+	DEF(USAGE_SENT, "bct_gate_usage_messages_total", "sent", "counter",                       \
+	    "Messages on usage between nodes")                                                    \
+	DEF(USAGE_RECEIVED, "bct_gate_usage_messages_total", "received", "counter",               \
+	    "Messages on usage between nodes")                                                    \
+	DEF(USAGE_MERGED, "bct_gate_usage_merged_total", NULL, "counter",                         \
+	    "Counters of other nodes that were news")                                             \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
 	    "Answers that belonged to no request")
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -14,6 +14,7 @@
 #include "gate/registry_sync.h"
 #include "gate/relay.h"
 #include "gate/share.h"
+#include "gate/usage.h"
 
 #include <signal.h>
 #include <string.h>
@@ -126,6 +127,7 @@
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
 	bct_origins_tick(g->origins);
 	bct_relay_tick(g->relay);
+	bct_gate_usage_tick(g->usage);
 	count_nodes(g);
 	bct_notice_assign_limits(g);
 	bct_registry_sync_tick(g->registry_sync);
@@ -150,6 +152,16 @@
 	return g->tick && !event_add(g->tick, &tick) ? 0 : -BCT_ENOMEM;
 }
 
+/* Whether the fleet has the duty of reporting usage. */
+static bool reports_usage(const bct_gate_t *g)
+{
+	bool listed = false;
+
+	for (uint32_t i = 0; i < g->settings->n_duty_kinds; i++)
+		listed = listed || !strcmp(g->settings->duty_kinds[i], "usage");
+	return listed && g->opts.control;
+}
+
 int bct_gate_new(const bct_gate_opts_t *opts, bct_gate_t **out)
 {
 	bct_gate_t *g = bct_alloc(sizeof(*g));
@@ -185,6 +197,8 @@
 		rc = bct_brittle_new(g, &g->brittle);
 	if (!rc)
 		rc = bct_notices_new(g, &g->notices);
+	if (!rc && reports_usage(g))
+		rc = bct_gate_usage_new(g, &g->usage);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -227,6 +241,7 @@
 	bct_relay_free(g->relay);
 	bct_brittle_free(g->brittle);
 	bct_notices_free(g->notices);
+	bct_gate_usage_free(g->usage);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gen/share.h
+++ b/gen/share.h
@@ -28,6 +28,8 @@
 #define SHARE_ORIGINS_MAX 16
 #define SHARE_CUTS_MAX 16
 #define SHARE_BRITTLE_MAX 32
+#define SHARE_USAGE_GROUPS_MAX 16
+#define SHARE_USAGE_COUNTS_MAX 96
 #define SHARE_TOPICS 2
 #define SHARE_NEVER 0xffffffff
 #define SHARE_NAME_BYTES 64
@@ -152,6 +154,31 @@
 };
 typedef struct share_origin share_origin;
 
+struct share_usage_count {
+	char *account;
+	u_int requests;
+};
+typedef struct share_usage_count share_usage_count;
+
+struct share_usage_group {
+	u_quad_t incarnation;
+	u_quad_t window;
+	struct {
+		u_int counts_len;
+		share_usage_count *counts_val;
+	} counts;
+};
+typedef struct share_usage_group share_usage_group;
+
+struct share_usage {
+	quad_t true_time_ms;
+	struct {
+		u_int groups_len;
+		share_usage_group *groups_val;
+	} groups;
+};
+typedef struct share_usage share_usage;
+
 struct share_update {
 	u_int view;
 	u_quad_t from;
@@ -220,6 +247,10 @@
 		u_int brittle_len;
 		share_brittle *brittle_val;
 	} brittle;
+	struct {
+		u_int usage_len;
+		share_usage *usage_val;
+	} usage;
 };
 typedef struct share_update share_update;
 
@@ -263,6 +294,9 @@
 extern  bool_t xdr_share_cut (XDR *, share_cut*);
 extern  bool_t xdr_share_brittle (XDR *, share_brittle*);
 extern  bool_t xdr_share_origin (XDR *, share_origin*);
+extern  bool_t xdr_share_usage_count (XDR *, share_usage_count*);
+extern  bool_t xdr_share_usage_group (XDR *, share_usage_group*);
+extern  bool_t xdr_share_usage (XDR *, share_usage*);
 extern  bool_t xdr_share_update (XDR *, share_update*);
 extern  bool_t xdr_share_pulled (XDR *, share_pulled*);
 extern  bool_t xdr_share_upstreams (XDR *, share_upstreams*);
@@ -283,6 +317,9 @@
 extern bool_t xdr_share_cut ();
 extern bool_t xdr_share_brittle ();
 extern bool_t xdr_share_origin ();
+extern bool_t xdr_share_usage_count ();
+extern bool_t xdr_share_usage_group ();
+extern bool_t xdr_share_usage ();
 extern bool_t xdr_share_update ();
 extern bool_t xdr_share_pulled ();
 extern bool_t xdr_share_upstreams ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -409,6 +409,46 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_usage_count (XDR *xdrs, share_usage_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, SHARE_NAME_BYTES))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_share_usage_group (XDR *xdrs, share_usage_group *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->window))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, SHARE_USAGE_COUNTS_MAX,
+		sizeof (share_usage_count), (xdrproc_t) xdr_share_usage_count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_share_usage (XDR *xdrs, share_usage *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->true_time_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->groups.groups_val, (u_int *) &objp->groups.groups_len, SHARE_USAGE_GROUPS_MAX,
+		sizeof (share_usage_group), (xdrproc_t) xdr_share_usage_group))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_update (XDR *xdrs, share_update *objp)
 {
@@ -475,6 +515,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->brittle.brittle_val, (u_int *) &objp->brittle.brittle_len, SHARE_BRITTLE_MAX,
 		sizeof (share_brittle), (xdrproc_t) xdr_share_brittle))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, 1,
+		sizeof (share_usage), (xdrproc_t) xdr_share_usage))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/policy/usage_round.c
+++ b/policy/usage_round.c
@@ -7,11 +7,14 @@
 
 #define RANKED 3 /* keepers by rank */
 #define ROUND_MAX_MS 500
-#define ROUND_MIN_MS 100
-#define ROUND_MS_PER_NODE 5 /* so that a keeper receives 200 messages a second */
-/* When a window is sent once more, after its end; it is decided after 4 s. */
-static const bct_time_t resend_ms[] = { 2000, 3300 };
-#define RESENDS (sizeof(resend_ms) / sizeof(resend_ms[0]))
+#define ROUND_MIN_MS 250
+#define ROUND_MS_PER_NODE 5 /* a keeper receives 200 messages a second from up to 100 nodes */
+/* After the end of a window, which is decided after 4 s: */
+#define ENDED_MS 2000 /* its counters are sent once more; those of nodes that are not live, too */
+#define GONE_MS 3200  /* the latter are sent again, as a keeper sends them only then */
+/* When a new keeper is sent all counters, after it became one. */
+static const bct_time_t full_ms[] = { 0, 500, 1000, 2000, 4000 };
+#define FULLS (sizeof(full_ms) / sizeof(full_ms[0]))
 #define GONE_WINDOWS 2 /* that have ended, of which keepers send the counters of killed nodes */
 
 uint32_t bct_usage_keepers(const uint64_t *live, uint32_t n, uint64_t holder, uint64_t *out)
@@ -38,16 +41,6 @@
 	return n_out;
 }
 
-/* Rounds in which the node has been a keeper, with this one. */
-static uint32_t rounds_as_keeper(const bct_usage_rounds_t *r, uint64_t keeper)
-{
-	for (uint32_t i = 0; i < r->n_keepers; i++) {
-		if (r->keepers[i] == keeper)
-			return r->sent[i] + 1;
-	}
-	return 1;
-}
-
 uint32_t bct_usage_round_ms(uint32_t nodes)
 {
 	uint32_t ms = nodes * ROUND_MS_PER_NODE;
@@ -57,20 +50,34 @@
 	return ms < ROUND_MAX_MS ? ms : ROUND_MAX_MS;
 }
 
-static void set_keepers(bct_usage_rounds_t *r)
+/* The state of a keeper, which may be new. */
+static bct_usage_keeper_t get_keeper(const bct_usage_rounds_t *r, bct_time_t now,
+				     uint64_t incarnation)
+{
+	bct_usage_keeper_t k = { .incarnation = incarnation, .since = now };
+
+	for (uint32_t i = 0; i < r->n_keepers; i++) {
+		if (r->keepers[i].incarnation == incarnation)
+			k = r->keepers[i];
+	}
+	k.full = k.fulls < FULLS && now - k.since >= full_ms[k.fulls];
+	k.fulls += k.full;
+	return k;
+}
+
+static void set_keepers(bct_usage_rounds_t *r, bct_time_t now)
 {
 	const bct_usage_fleet_t *f = &r->fleet;
-	uint64_t keepers[BCT_USAGE_KEEPERS_MAX];
-	uint32_t sent[BCT_USAGE_KEEPERS_MAX] = { 0 };
-	uint32_t n = bct_usage_keepers(f->live, f->n, f->holder, keepers);
+	uint64_t ids[BCT_USAGE_KEEPERS_MAX];
+	bct_usage_keeper_t keepers[BCT_USAGE_KEEPERS_MAX] = { 0 };
+	uint32_t n = bct_usage_keepers(f->live, f->n, f->holder, ids);
 
 	r->is_keeper = false;
 	for (uint32_t i = 0; i < n; i++) {
-		sent[i] = rounds_as_keeper(r, keepers[i]);
-		r->is_keeper = r->is_keeper || keepers[i] == f->self;
+		keepers[i] = get_keeper(r, now, ids[i]);
+		r->is_keeper = r->is_keeper || ids[i] == f->self;
 	}
-	memcpy(r->keepers, keepers, sizeof(keepers));
-	memcpy(r->sent, sent, sizeof(sent));
+	memcpy(r->keepers, keepers, n * sizeof(*keepers));
 	r->n_keepers = n;
 }
 
@@ -82,26 +89,30 @@
 	r->from = *mark;
 	*mark = bct_usage_changes(u);
 	r->fleet = *fleet;
-	set_keepers(r);
+	set_keepers(r, now);
 	if (r->window != window) {
 		r->window = window;
 		r->window_since = now;
-		r->resends = 0;
+		r->ended_sent = false;
+		r->gone_sent = false;
 	}
-	r->resending = r->resends < RESENDS && now - r->window_since >= resend_ms[r->resends];
-	r->resends += r->resending;
+	r->send_ended = !r->ended_sent && now - r->window_since >= ENDED_MS;
+	r->ended_sent = r->ended_sent || r->send_ended;
+	r->send_gone = !r->gone_sent && now - r->window_since >= GONE_MS;
+	r->gone_sent = r->gone_sent || r->send_gone;
+	r->send_gone = r->is_keeper && (r->send_gone || r->send_ended);
 }
 
 /* The counters that changed or, to a new keeper, all of the last windows. */
-static bool next_changed(const bct_usage_rounds_t *r, const bct_usage_t *u, bool is_new,
-			 uint64_t *at, bct_usage_item_t *out)
+static bool next_changed(const bct_usage_rounds_t *r, const bct_usage_t *u, bool full, uint64_t *at,
+			 bct_usage_item_t *out)
 {
 	uint32_t pos = (uint32_t)*at;
 	bool found;
 
 	do {
-		found = bct_usage_next_item(u, is_new ? 0 : r->from, &pos, out);
-	} while (found && is_new && out->window + BCT_USAGE_RESENT <= r->window);
+		found = bct_usage_next_item(u, full ? 0 : r->from, &pos, out);
+	} while (found && full && out->window + BCT_USAGE_RESENT <= r->window);
 	*at = pos;
 	return found;
 }
@@ -146,21 +157,19 @@
 bool bct_usage_round_next(const bct_usage_rounds_t *r, const bct_usage_t *u, uint32_t keeper,
 			  bct_usage_round_pos_t *pos, bct_usage_item_t *out)
 {
-	bool is_new = r->sent[keeper] <= BCT_USAGE_SENDS;
+	bool full = r->keepers[keeper].full;
 
 	if (pos->step == 0) {
-		if (next_changed(r, u, is_new, &pos->at, out))
+		if (next_changed(r, u, full, &pos->at, out))
 			return true;
 		*pos = (bct_usage_round_pos_t){ .step = 1 };
 	}
-	if (!r->resending)
-		return false;
 	if (pos->step == 1) {
-		if (!is_new && next_ended(r, u, &pos->at, out))
+		if (!full && r->send_ended && next_ended(r, u, &pos->at, out))
 			return true;
 		*pos = (bct_usage_round_pos_t){ .step = 2 };
 	}
-	for (; r->is_keeper && pos->step < 2 + GONE_WINDOWS;
+	for (; r->send_gone && pos->step < 2 + GONE_WINDOWS;
 	     *pos = (bct_usage_round_pos_t){ .step = pos->step + 1 }) {
 		if (next_gone(r, u, r->window - (pos->step - 1), pos, out))
 			return true;
--- a/policy/usage_round.h
+++ b/policy/usage_round.h
@@ -2,12 +2,13 @@
  * usage_round.h - which counters of a node are sent to which nodes in a round of their exchange.
  * Pure: no I/O and no clock. Design: docs/design/duties-and-load.md.
  *
- * - Changed counters are sent in three rounds, to all keepers.
- * - A new keeper is sent all counters of the last windows, in three rounds.
- * - Some time after the end of a window, all of its counters are sent once more. A keeper that is
- *   suspended for a second or two loses what arrives meanwhile, as its socket's buffer is small.
- * - At these times keepers also send each other the counters of nodes that are not live any more,
- *   as a node that became a keeper after they were killed has not received them.
+ * - Changed counters are sent in two rounds, to all keepers, as datagrams are lost. Some time after
+ *   the end of a window all of its counters are sent for the third time: a keeper that is suspended
+ *   for a second or two loses what arrives meanwhile, as its socket's buffer is small.
+ * - A new keeper is sent all counters of the last windows, several times within some seconds: as
+ *   long as it does not know this node as a member, it refuses its messages.
+ * - Keepers also send each other the counters of nodes that are not live any more, as a node that
+ *   became a keeper after they were killed has not received them.
  */
 #ifndef BCT_POLICY_USAGE_ROUND_H
 #define BCT_POLICY_USAGE_ROUND_H
@@ -15,7 +16,7 @@
 #include "policy/usage.h"
 
 #define BCT_USAGE_KEEPERS_MAX 4 /* the nodes of rank 0, 1 and 2, and the holder */
-#define BCT_USAGE_SENDS 3	/* rounds that send a change, as datagrams are lost */
+#define BCT_USAGE_SENDS 2	/* rounds that send a change, before the end of the window */
 #define BCT_USAGE_RESENT 4	/* windows that a new keeper is sent */
 
 /*
@@ -43,20 +44,28 @@
 	uint64_t holder; /* 0: none is known */
 } bct_usage_fleet_t;
 
+typedef struct bct_usage_keeper {
+	uint64_t incarnation;
+	bct_time_t since; /* it is a keeper */
+	uint32_t fulls;	  /* times that it was sent all counters */
+	bool full;	  /* in this round */
+} bct_usage_keeper_t;
+
 /* All zero: no round yet. */
 typedef struct bct_usage_rounds {
 	bct_usage_fleet_t fleet;
 	uint64_t marks[BCT_USAGE_SENDS]; /* changes at the beginning of the last rounds */
 	uint64_t rounds;
 	uint64_t from; /* of the current round: earlier changes have been sent often enough */
-	uint64_t keepers[BCT_USAGE_KEEPERS_MAX];
-	uint32_t sent[BCT_USAGE_KEEPERS_MAX]; /* rounds in which that one is a keeper */
+	bct_usage_keeper_t keepers[BCT_USAGE_KEEPERS_MAX];
 	uint32_t n_keepers;
 	bool is_keeper; /* this node */
 	uint64_t window;
 	bct_time_t window_since;
-	uint32_t resends; /* of the window that has ended before */
-	bool resending;	  /* in this round */
+	bool ended_sent; /* the window before */
+	bool gone_sent;	 /* the counters of nodes that are not live, for the second time */
+	bool send_ended; /* in this round: the window before */
+	bool send_gone;	 /* in this round: the counters of nodes that are not live */
 } bct_usage_rounds_t;
 
 /* bct_usage_round_begin(3): begins a round, in the current window. */
--- a/schema/share.x
+++ b/schema/share.x
@@ -19,6 +19,8 @@
 const SHARE_ORIGINS_MAX = 16;
 const SHARE_CUTS_MAX = 16;
 const SHARE_BRITTLE_MAX = 32;
+const SHARE_USAGE_GROUPS_MAX = 16;
+const SHARE_USAGE_COUNTS_MAX = 96;
 const SHARE_TOPICS = 2;
 const SHARE_NEVER = 0xffffffff;
 const SHARE_NAME_BYTES = 64;
@@ -148,6 +150,24 @@
 	unsigned int age_ms;	/* since it began */
 };
 
+struct share_usage_count {
+	string account<SHARE_NAME_BYTES>;
+	unsigned int requests;
+};
+
+/* Counters of one node in one window, see policy/usage.h. */
+struct share_usage_group {
+	unsigned hyper incarnation;
+	unsigned hyper window;
+	share_usage_count counts<SHARE_USAGE_COUNTS_MAX>;
+};
+
+/* Requests that began to run, and the time of day by the sender's estimate. */
+struct share_usage {
+	hyper true_time_ms;	/* since the start of 1970; 0: the sender is not sure of it */
+	share_usage_group groups<SHARE_USAGE_GROUPS_MAX>;
+};
+
 struct share_update {
 	unsigned int view;	/* which nodes' load it covers: bct_gate_view_t */
 	unsigned hyper from;	/* incarnation of the sender */
@@ -172,6 +192,7 @@
 	unsigned hyper origins_wanted<SHARE_ORIGINS_MAX>; /* attempts; the receiver answers */
 	share_cut cuts<SHARE_CUTS_MAX>;
 	share_brittle brittle<SHARE_BRITTLE_MAX>;
+	share_usage usage<1>;
 };
 
 /*
--- a/tests/test_usage_model.c
+++ b/tests/test_usage_model.c
@@ -136,7 +136,7 @@
 	bct_usage_expire(node->usage, window);
 	bct_usage_round_begin(&node->rounds, m->now, node->usage, &fleet, window);
 	for (uint32_t i = 0; i < node->rounds.n_keepers; i++)
-		send_to(m, node, i, find_node(m, node->rounds.keepers[i]));
+		send_to(m, node, i, find_node(m, node->rounds.keepers[i].incarnation));
 }
 
 static bool is_candidate(const model_t *m, const model_node_t *node)
