Usage: requests are counted when their first token arrives

Usage is the number of requests of an account that began to run, each once.

gate/attempt.c counts a request with the first event of its stream, the first byte of its plain answer, or the completion of one without a body; only at the node that received it from its caller, and not again for a retry or for a stream that its caller takes up after an event, or names as begun by another attempt.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -11,6 +11,7 @@
 #include "gate/part.h"
 #include "gate/reach.h"
 #include "gate/relay.h"
+#include "gate/usage.h"
 
 #include <string.h>
 
@@ -232,6 +233,21 @@
 				 (uint32_t)(now - x->conn->sent_at));
 }
 
+/*
+ * The first token of a successful answer has arrived: counts the request, once. A helper leaves
+ * that to the node that relays to it. A stream that is taken up was counted when it began, unless
+ * nothing of it had arrived.
+ */
+static void count_usage(bct_exchange_t *x)
+{
+	bool began_before = x->call.resumes && (x->call.after_event || x->call.resumes_id[0]);
+
+	if (x->usage_counted || x->relayed || began_before)
+		return;
+	x->usage_counted = true;
+	bct_gate_usage_began(x->gate, x->account ? x->account->name : NULL);
+}
+
 /* Records the pace of the stream: n events came together. */
 static void observe_pace(bct_exchange_t *x, uint32_t n)
 {
@@ -254,6 +270,7 @@
 		return n;
 	if (!evbuffer_get_length(out))
 		return 0;
+	count_usage(x);
 	observe_pace(x, (uint32_t)n);
 	if (!x->output_started)
 		on_first_output(x);
@@ -300,6 +317,8 @@
 	note_progress(x);
 	if (x->streaming)
 		return forward_events(x, data, len_bytes);
+	if (is_success(x->status) && len_bytes)
+		count_usage(x);
 	if (is_too_large(x, len_bytes))
 		return -BCT_ETOO_LARGE;
 	return evbuffer_add(x->answer, data, len_bytes) ? -BCT_ENOMEM : 0;
@@ -341,8 +360,10 @@
 		return;
 	}
 	bct_gate_upstream_result(x->conn->upstream, bct_clock_now(), ok);
-	if (ok)
+	if (ok) {
+		count_usage(x);
 		bct_crash_answered(x);
+	}
 	bct_answer_head(x->client, &x->conn->msg, (int64_t)evbuffer_get_length(x->answer));
 	evbuffer_add_buffer(bufferevent_get_output(x->client->bev), x->answer);
 	bct_exchange_finish_attempt(x);
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -155,6 +155,42 @@
 	.decode_routes = decode_routes,
 };
 
+static bool with_usage; /* of the gateways that are started next */
+
+static void control_destroy(bct_control_t *c)
+{
+	(void)c;
+}
+
+static void control_cancel(bct_control_t *c)
+{
+	(void)c;
+}
+
+static int control_read(bct_control_t *c, uint32_t timeout_ms, bct_buf_t *record,
+			bct_gate_position_t *position, bct_gate_position_t *end)
+{
+	(void)c;
+	(void)timeout_ms;
+	(void)record;
+	(void)position;
+	(void)end;
+	return -BCT_EUNAVAILABLE;
+}
+
+/* A store that can't be reached: there is no holder of the duties, so nothing else is called. */
+static const bct_control_ops_t control_ops = {
+	.destroy = control_destroy,
+	.cancel = control_cancel,
+	.read = control_read,
+};
+static bct_control_t control = { .ops = &control_ops };
+
+void test_gate_set_usage(void)
+{
+	with_usage = true;
+}
+
 static void *run_gate(void *arg)
 {
 	test_gate_t *t = arg;
@@ -212,6 +248,14 @@
 	memory_registry_t *r = bct_alloc(sizeof(*r));
 	bct_gate_opts_t o = { .settings = &t->settings, .wire = bct_adapter_wire() };
 
+	if (with_usage) {
+		o.control = &control;
+		snprintf(t->settings.duty_kinds[0], sizeof(t->settings.duty_kinds[0]), "usage");
+		t->settings.n_duty_kinds = 1;
+		t->settings.duty_window_ms = 5000;
+		t->settings.duty_lease_ms = 3000;
+		t->settings.duty_calls_per_s = 50;
+	}
 	r->base.ops = &registry_ops;
 	r->t = content;
 	r->reader = t;
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -106,6 +106,8 @@
  * key k1 of account acme.
  */
 void test_gate_start(test_gate_t *t);
+/* Gateways that are started later have a control API, which is unavailable, and report usage. */
+void test_gate_set_usage(void);
 /* Starts with a registry that does not answer, and does not wait. */
 void test_gate_start_down(test_gate_t *t);
 /*
