Usage: room for later lists in a message, and tests of the rounds

A message of usage filled its datagram to the last byte, so that any list added to share_update would have made full ones too large, and they are dropped. It now leaves 40 bytes. A node that leaves told its time to the same nodes twice if there were few.

tests/test_usage.c tests the keepers, that each change is sent three times, and that keepers tell each other of nodes that ended.

--- a/gate/usage.c
+++ b/gate/usage.c
@@ -118,7 +118,7 @@
 		return;
 	s->time_sent_at = now;
 	begin_message(s, now);
-	for (uint32_t i = 0; i < TIME_RECEIVERS; i++) {
+	for (uint32_t i = 0; i < TIME_RECEIVERS && i < nodes->n; i++) {
 		to = next_node(nodes, to);
 		if (to == nodes->self)
 			return;
--- a/gate/usage_pack.h
+++ b/gate/usage_pack.h
@@ -11,10 +11,10 @@
 #include <stdint.h>
 
 /*
- * What fits into a datagram of share.c beside the fields that are always there. A share_update
- * with a message of this size takes 1,380 of 1,384 bytes at most.
+ * What fits into a datagram of share.c beside the fields that are always there: a share_update with
+ * a message of this size takes 1,344 of 1,384 bytes. The rest is for lists that are added later.
  */
-#define BCT_USAGE_PACK_BYTES 1240
+#define BCT_USAGE_PACK_BYTES 1200
 
 typedef struct bct_usage_pack {
 	share_usage message;
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -3,7 +3,7 @@
  * is reported, and what survives the loss of nodes.
  */
 #include "base/rng.h"
-#include "policy/usage.h"
+#include "policy/usage_round.h"
 
 #include <criterion/criterion.h>
 #include <malloc.h>
@@ -253,6 +253,75 @@
 	bct_usage_free(u);
 }
 
+/* Guards against nodes that send their counters to different keepers, or not to the holder. */
+Test(usage, keepers)
+{
+	static const uint64_t live[] = { 40, 10, 50, 20, 30 };
+	uint64_t k[BCT_USAGE_KEEPERS_MAX];
+
+	cr_assert_eq(bct_usage_keepers(live, 5, 0, k), 3);
+	cr_assert(k[0] == 10 && k[1] == 20 && k[2] == 30);
+	cr_assert_eq(bct_usage_keepers(live, 5, 20, k), 3, "the holder is one of them");
+	cr_assert_eq(bct_usage_keepers(live, 5, 50, k), 4);
+	cr_assert_eq(k[3], 50);
+	cr_assert_eq(bct_usage_keepers(live, 1, 40, k), 1);
+	cr_assert_eq(k[0], 40);
+	cr_assert_eq(bct_usage_keepers(live, 0, 0, k), 0);
+}
+
+/* Rounds in which the counter of an account is sent to a keeper that has been one for a while. */
+static uint32_t times_sent(bct_time_t began_ms)
+{
+	uint64_t live[] = { 5 };
+	bct_usage_fleet_t fleet = { .live = live, .n = 1, .self = SELF };
+	bct_usage_t *u = new_usage(SELF);
+	bct_usage_rounds_t r = { 0 };
+	uint32_t n = 0;
+
+	for (bct_time_t now = 0; now < 30000; now += 500) {
+		bct_usage_round_pos_t pos = { 0 };
+		bct_usage_item_t item;
+
+		if (now == began_ms)
+			began(u, "acme", 1);
+		bct_usage_round_begin(&r, now, u, &fleet, WINDOW - 2 + (uint64_t)now / 5000);
+		while (bct_usage_round_next(&r, u, 0, &pos, &item))
+			n++;
+	}
+	bct_usage_free(u);
+	return n;
+}
+
+/* Guards against a change that the loss of one or two datagrams hides for ever. */
+Test(usage, a_change_is_sent_three_times)
+{
+	for (bct_time_t ms = 10000; ms < 15000; ms += 500)
+		cr_expect_eq(times_sent(ms), 3, "%lld ms", (long long)ms);
+}
+
+/* Guards against a new keeper that lacks the counters of nodes that ended before it was one. */
+Test(usage, keepers_tell_each_other_of_nodes_that_ended)
+{
+	uint64_t live[] = { SELF, 5, 6 };
+	bct_usage_fleet_t fleet = { .live = live, .n = 3, .self = SELF };
+	bct_usage_t *u = new_usage(SELF), *next = new_usage(5);
+	bct_usage_rounds_t r = { 0 };
+
+	bct_usage_merge(u, 4, WINDOW, "acme", 7);
+	bct_usage_merge(u, 6, WINDOW, "acme", 100);
+	for (bct_time_t now = 3000; now < 9000; now += 500) {
+		bct_usage_round_pos_t pos = { 0 };
+		bct_usage_item_t i;
+
+		bct_usage_round_begin(&r, now, u, &fleet, WINDOW + (uint64_t)now / 5000);
+		while (bct_usage_round_next(&r, u, 1, &pos, &i))
+			bct_usage_merge(next, i.incarnation, i.window, i.account, i.requests);
+	}
+	cr_assert_eq(decided(next, WINDOW, "acme"), 7, "node 6 lives and sends its own");
+	bct_usage_free(u);
+	bct_usage_free(next);
+}
+
 static const char *account(uint32_t i)
 {
 	static char name[32];
--- a/tests/test_usage_pack.c
+++ b/tests/test_usage_pack.c
@@ -14,6 +14,7 @@
 #define DATAGRAM_BYTES 1400
 #define MAC_BYTES 16
 #define IP_UDP_BYTES 28
+#define LATER_BYTES 40 /* for lists of share_update that are added later */
 
 static bct_usage_t *new_usage(uint64_t incarnation)
 {
@@ -48,7 +49,7 @@
 		bct_usage_pack_init(&p, 1767225600000LL);
 		while (more && bct_usage_pack_add(&p, &item))
 			more = bct_usage_next_item(u, 0, &pos, &item);
-		cr_assert_leq(encoded_bytes(&p), DATAGRAM_BYTES - MAC_BYTES);
+		cr_assert_leq(encoded_bytes(&p), DATAGRAM_BYTES - MAC_BYTES - LATER_BYTES);
 		xdrmem_create(&x, buf, sizeof(buf), XDR_ENCODE);
 		cr_assert(xdr_share_usage(&x, &p.message));
 		xdr_destroy(&x);
