--- a/cmd/chutegate.c
+++ b/cmd/chutegate.c
@@ -5,6 +5,7 @@
 #include "cmd/daemon.h"
 #include "gate/gate.h"
 #include "platform/adapter.h"
+#include "platform/control.h"
 
 #include <malloc.h>
 #include <signal.h>
@@ -22,6 +23,8 @@
 	if (rc)
 		return BCT_EXIT_SETTINGS;
 	rc = bct_adapter_registry(s->platform_url, &opts.registry);
+	if (!rc && s->duty_address[0])
+		rc = bct_adapter_control(s->duty_address, s->platform_url, &opts.control);
 	if (!rc)
 		rc = bct_gate_new(&opts, &g);
 	if (rc)
