Decode: scaling of services, and engines that may be reclaimed

Autoscaling needs its configuration, and has to know which engines may be reclaimed and when a draining one leaves.

- A service's "autoscaling" is decoded into its scaling.
An invalid block leaves the service unscaled and the rest of the configuration in use, and is logged when the table is adopted (SCALING_REFUSED).
Without boot_s 4 s are assumed, without spot_price no spot engines are ordered.
- "spot" and "leaves_ms" of registry entries are decoded; malformed ones are ignored.
They travel in lists at the end of share_update and of the answer to a pull, so that older nodes decode the rest.
An entry that an older node passed on does not clear them.
They are not part of the digest, since older and newer nodes would then never agree.
- The test fixture's registry left the name of a change empty.
So changes were never sent to the peers, who learned them by the digest and pulls alone; the name is set now.

test_adapter, test_world and all test_gate* pass; make check passes.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -29,6 +29,7 @@
 	DEF(CONFIG_NONE, 206, WARN, "no configuration is available yet; callers are refused")      \
 	DEF(ROUTES_ADOPTED, 210, INFO, "a routing table is in force on this gateway")              \
 	DEF(ROUTES_REFUSED, 211, WARN, "a routing table was rejected")                             \
+	DEF(SCALING_REFUSED, 212, WARN, "a service is not scaled: its configuration is invalid")   \
 	DEF(MEMBER_ALIVE, 300, INFO, "a VM joined, or refuted a suspicion or a death")             \
 	DEF(MEMBER_SUSPECT, 301, WARN, "a VM does not answer probes")                              \
 	DEF(MEMBER_DEAD, 302, WARN, "a VM was declared dead")                                      \
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -287,6 +287,9 @@
 /* bct_gate_ready(3): whether a configuration is loaded and the node is not shutting down. */
 bool bct_gate_ready(const bct_gate_t *g);
 
+/* routes.c: a new routing table is in force. */
+void bct_gate_routes_adopted(bct_gate_t *g);
+
 /* fleet.c: membership in the fleet of gateways. returns 0 or an error of bct_peer_new(3). */
 int bct_fleet_join(bct_gate_t *g);
 
--- a/gate/pull.c
+++ b/gate/pull.c
@@ -17,7 +17,7 @@
 #include <string.h>
 
 #define TIMEOUT_S 1
-#define LATER_LIST_BYTES 4 /* of an empty list in XDR */
+#define LATER_LISTS_BYTES 8 /* of two empty lists in XDR */
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define AUTHORIZATION_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
 #define STATUS_OK 200
@@ -73,15 +73,15 @@
 static int decode_upstreams(const char *data, size_t len_bytes, bct_registry_batch_t *out)
 {
 	share_upstreams m = { 0 };
-	/* Zeros follow, which decode as the empty list that an older node does not send. */
-	char *padded = bct_alloc(len_bytes + LATER_LIST_BYTES);
+	/* Zeros follow, which decode as the empty lists that an older node does not send. */
+	char *padded = bct_alloc(len_bytes + LATER_LISTS_BYTES);
 	int rc;
 	XDR x;
 
 	if (!padded)
 		return -BCT_ENOMEM;
 	memcpy(padded, data, len_bytes);
-	xdrmem_create(&x, padded, (u_int)(len_bytes + LATER_LIST_BYTES), XDR_DECODE);
+	xdrmem_create(&x, padded, (u_int)(len_bytes + LATER_LISTS_BYTES), XDR_DECODE);
 	rc = xdr_share_upstreams(&x, &m) ? 0 : -BCT_ECODEC;
 	xdr_destroy(&x);
 	bct_free(padded);
@@ -95,6 +95,8 @@
 		bct_share_decode_entry(&m.entries.entries_val[i], c);
 		bct_share_decode_software(
 			i < m.software.software_len ? &m.software.software_val[i] : NULL, c);
+		bct_share_decode_reclaim(
+			i < m.reclaim.reclaim_len ? &m.reclaim.reclaim_val[i] : NULL, c);
 	}
 	out->next = m.position;
 	xdr_free((xdrproc_t)xdr_share_upstreams, (char *)&m);
@@ -332,6 +334,13 @@
 		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
 }
 
+static void free_upstreams(share_upstreams *m)
+{
+	bct_free(m->entries.entries_val);
+	bct_free(m->software.software_val);
+	bct_free(m->reclaim.reclaim_val);
+}
+
 /* returns 0 or -BCT_ENOMEM */
 static int pack_upstreams(bct_gate_t *g, bct_packed_t *out)
 {
@@ -344,9 +353,9 @@
 
 	m.entries.entries_val = bct_alloc(sizeof(share_entry) * (g->upstreams.n + 1));
 	m.software.software_val = bct_alloc(sizeof(share_software) * (g->upstreams.n + 1));
-	if (!m.entries.entries_val || !m.software.software_val) {
-		bct_free(m.entries.entries_val);
-		bct_free(m.software.software_val);
+	m.reclaim.reclaim_val = bct_alloc(sizeof(share_reclaim) * (g->upstreams.n + 1));
+	if (!m.entries.entries_val || !m.software.software_val || !m.reclaim.reclaim_val) {
+		free_upstreams(&m);
 		return rc;
 	}
 	bct_list_for_each(el, &g->upstreams.all) {
@@ -356,6 +365,7 @@
 			continue;
 		bct_share_encode_entry(u, &m.entries.entries_val[m.entries.entries_len++]);
 		bct_share_encode_software(u, &m.software.software_val[m.software.software_len++]);
+		bct_share_encode_reclaim(u, &m.reclaim.reclaim_val[m.reclaim.reclaim_len++]);
 	}
 	size = (uint32_t)xdr_sizeof((xdrproc_t)xdr_share_upstreams, &m);
 	data = bct_alloc(size);
@@ -365,8 +375,7 @@
 		xdr_destroy(&x);
 	}
 	bct_free(data);
-	bct_free(m.entries.entries_val);
-	bct_free(m.software.software_val);
+	free_upstreams(&m);
 	return rc;
 }
 
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -188,23 +188,6 @@
 			BCT_U64("received_bytes", d->batch.received_bytes));
 }
 
-/* Announces to the picker the lanes of streaming routes to engines. */
-static void expect_streams(bct_gate_t *g)
-{
-	const bct_gate_routes_t *t = g->routes;
-
-	for (uint32_t i = 0; i < t->n_routes; i++) {
-		const bct_gate_route_t *r = &t->routes[i];
-
-		for (uint32_t j = 0; j < r->n_splits; j++) {
-			const bct_gate_service_t *s = &t->services[r->splits[j].service];
-
-			if (s->engine && r->kind == BCT_GATE_STREAM)
-				bct_gate_pick_expect(&g->picker, s->key, r->target_gap_ms);
-		}
-	}
-}
-
 /* Replaces the routes if there are none or the table is newer; then takes over its reference. */
 static void adopt(bct_gate_t *g, bct_registry_change_t *c)
 {
@@ -220,7 +203,6 @@
 	bct_gate_routes_unref(g->routes);
 	g->routes = c->table;
 	c->table = NULL;
-	expect_streams(g);
 	BCT_LOG(g->log, BCT_EV_ROUTES_ADOPTED, BCT_U64("version", g->routes->version),
 		BCT_U64("was", old_version), BCT_U64("routes", g->routes->n_routes),
 		BCT_U64("services", g->routes->n_services),
@@ -228,6 +210,7 @@
 		BCT_U64("bytes", g->routes->record_bytes),
 		BCT_STR("source", g->registry_sync->source),
 		BCT_I64("fetch_ms", g->registry_sync->fetch_ms));
+	bct_gate_routes_adopted(g);
 }
 
 /* One that becomes ready shares a line with others, as hundreds do at a start. */
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -97,6 +97,9 @@
  */
 void bct_share_encode_software(const bct_gate_upstream_t *u, share_software *out);
 void bct_share_decode_software(const share_software *x, bct_registry_change_t *out);
+/* bct_share_encode_reclaim(3), bct_share_decode_reclaim(3): the same for its reclaiming. */
+void bct_share_encode_reclaim(const bct_gate_upstream_t *u, share_reclaim *out);
+void bct_share_decode_reclaim(const share_reclaim *x, bct_registry_change_t *out);
 
 /* bct_share_admin_address(3): the administration address of a live peer; false: unknown. */
 bool bct_share_admin_address(const bct_share_t *s, uint64_t incarnation, bct_addr_t *out);
--- a/gate/share_registry.c
+++ b/gate/share_registry.c
@@ -13,6 +13,7 @@
 typedef struct news {
 	share_entry entries[SHARE_ENTRIES_MAX];
 	share_software software[SHARE_ENTRIES_MAX];
+	share_reclaim reclaim[SHARE_ENTRIES_MAX];
 	uint32_t n;
 } news_t;
 
@@ -105,6 +106,8 @@
 	update.entries.entries_len = news->n;
 	update.software.software_val = news->software;
 	update.software.software_len = news->n;
+	update.reclaim.reclaim_val = news->reclaim;
+	update.reclaim.reclaim_len = news->n;
 	bct_share_send_to_local_cluster(s, &update);
 }
 
@@ -131,15 +134,19 @@
 	share_update update = { 0 };
 	share_entry x = { 0 };
 	share_software software = { 0 };
+	share_reclaim reclaim = { 0 };
 
 	if (!s)
 		return;
 	bct_share_encode_entry(u, &x);
 	bct_share_encode_software(u, &software);
+	bct_share_encode_reclaim(u, &reclaim);
 	update.entries.entries_val = &x;
 	update.entries.entries_len = 1;
 	update.software.software_val = &software;
 	update.software.software_len = 1;
+	update.reclaim.reclaim_val = &reclaim;
+	update.reclaim.reclaim_len = 1;
 	bct_share_send_change(s, &update);
 }
 
@@ -185,6 +192,20 @@
 	out->entry.software_key = x->key;
 }
 
+void bct_share_encode_reclaim(const bct_gate_upstream_t *u, share_reclaim *out)
+{
+	out->spot = u->entry.spot;
+	out->leaves_ms = u->entry.leaves_ms;
+}
+
+void bct_share_decode_reclaim(const share_reclaim *x, bct_registry_change_t *out)
+{
+	if (!x)
+		return;
+	out->entry.spot = x->spot;
+	out->entry.leaves_ms = x->leaves_ms;
+}
+
 static bct_gate_read_t received_read(const share_read *r, bct_time_t now)
 {
 	bct_gate_read_t read = { .reader = r->reader };
@@ -214,15 +235,20 @@
 		const share_software *software = i < update->software.software_len
 							 ? &update->software.software_val[i]
 							 : NULL;
+		const share_reclaim *reclaim =
+			i < update->reclaim.reclaim_len ? &update->reclaim.reclaim_val[i] : NULL;
 		bct_registry_change_t c;
 
 		bct_share_decode_entry(&update->entries.entries_val[i], &c);
 		bct_share_decode_software(software, &c);
+		bct_share_decode_reclaim(reclaim, &c);
 		if (!bct_registry_sync_apply(s->gate, &c, false))
 			continue;
 		news.entries[news.n] = update->entries.entries_val[i];
 		if (software)
 			news.software[news.n] = *software;
+		if (reclaim)
+			news.reclaim[news.n] = *reclaim;
 		news.n++;
 	}
 	relay_news(s, update, &news);
--- a/gen/share.h
+++ b/gen/share.h
@@ -77,6 +77,12 @@
 };
 typedef struct share_software share_software;
 
+struct share_reclaim {
+	bool_t spot;
+	u_int leaves_ms;
+};
+typedef struct share_reclaim share_reclaim;
+
 struct share_crash {
 	u_quad_t digest;
 	u_int run;
@@ -220,6 +226,10 @@
 		u_int brittle_len;
 		share_brittle *brittle_val;
 	} brittle;
+	struct {
+		u_int reclaim_len;
+		share_reclaim *reclaim_val;
+	} reclaim;
 };
 typedef struct share_update share_update;
 
@@ -242,6 +252,10 @@
 		u_int software_len;
 		share_software *software_val;
 	} software;
+	struct {
+		u_int reclaim_len;
+		share_reclaim *reclaim_val;
+	} reclaim;
 };
 typedef struct share_upstreams share_upstreams;
 
@@ -253,6 +267,7 @@
 extern  bool_t xdr_share_lane (XDR *, share_lane*);
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_software (XDR *, share_software*);
+extern  bool_t xdr_share_reclaim (XDR *, share_reclaim*);
 extern  bool_t xdr_share_crash (XDR *, share_crash*);
 extern  bool_t xdr_share_block (XDR *, share_block*);
 extern  bool_t xdr_share_part_crash (XDR *, share_part_crash*);
@@ -273,6 +288,7 @@
 extern bool_t xdr_share_lane ();
 extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_software ();
+extern bool_t xdr_share_reclaim ();
 extern bool_t xdr_share_crash ();
 extern bool_t xdr_share_block ();
 extern bool_t xdr_share_part_crash ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -223,6 +223,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_share_reclaim (XDR *xdrs, share_reclaim *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->spot))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->leaves_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_share_crash (XDR *xdrs, share_crash *objp)
 {
@@ -475,6 +487,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->brittle.brittle_val, (u_int *) &objp->brittle.brittle_len, SHARE_BRITTLE_MAX,
 		sizeof (share_brittle), (xdrproc_t) xdr_share_brittle))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reclaim.reclaim_val, (u_int *) &objp->reclaim.reclaim_len, SHARE_ENTRIES_MAX,
+		sizeof (share_reclaim), (xdrproc_t) xdr_share_reclaim))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -503,5 +518,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->software.software_val, (u_int *) &objp->software.software_len, ~0,
 		sizeof (share_software), (xdrproc_t) xdr_share_software))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reclaim.reclaim_val, (u_int *) &objp->reclaim.reclaim_len, ~0,
+		sizeof (share_reclaim), (xdrproc_t) xdr_share_reclaim))
+		 return FALSE;
 	return TRUE;
 }
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -32,6 +32,7 @@
 	uint32_t kv_token_bytes; /* size of one token's KV cache */
 	uint32_t link_mbps;	 /* of an engine, for KV cache copies; 0: no copies */
 	bct_autoscale_conf_t scaling; /* n_domains 0: engines are not ordered */
+	const char *scaling_fault;    /* why the configured scaling is not used; NULL: no fault */
 } bct_gate_service_t;
 
 typedef struct bct_gate_split {
--- a/schema/share.x
+++ b/schema/share.x
@@ -74,6 +74,12 @@
 	unsigned hyper key;	/* hash of the whole version; 0: unknown */
 };
 
+/* Whether an upstream may be reclaimed at short notice. */
+struct share_reclaim {
+	bool spot;
+	unsigned int leaves_ms;	/* if draining: until it is stopped; 0: not known */
+};
+
 /*
  * A request under which a run of an upstream crashed. Run 0: the request was answered successfully
  * instead.
@@ -172,6 +178,7 @@
 	unsigned hyper origins_wanted<SHARE_ORIGINS_MAX>; /* attempts; the receiver answers */
 	share_cut cuts<SHARE_CUTS_MAX>;
 	share_brittle brittle<SHARE_BRITTLE_MAX>;
+	share_reclaim reclaim<SHARE_ENTRIES_MAX>;	/* of the upstreams in entries, in order */
 };
 
 /*
@@ -186,5 +193,7 @@
 struct share_upstreams {
 	unsigned hyper position; /* the entries reflect the registry's log up to here */
 	share_entry entries<>;
-	share_software software<>;	/* of the entries, in order; an older node's answer ends here */
+	/* Of the entries, in order; an older node's answer ends before one of these. */
+	share_software software<>;
+	share_reclaim reclaim<>;
 };
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -65,6 +65,114 @@
 	cr_assert_eq(decode("", ENTRY, &e), -BCT_ECODEC);
 }
 
+#define ENTRY_WITH(more)                                                         \
+	"{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","       \
+	"\"version\":\"v1\",\"slots\":64,\"state\":\"draining\",\"sequence\":4," \
+	"\"born\":1700000000000," more "}"
+
+/* An engine whose reclaiming can't be read must still count as an engine. */
+Test(adapter, reclaiming_of_an_entry)
+{
+	static const char *const bad[] = {
+		ENTRY_WITH("\"spot\":1,\"leaves_ms\":\"soon\""),
+		ENTRY_WITH("\"spot\":\"true\",\"leaves_ms\":-1"),
+		ENTRY_WITH("\"spot\":null,\"leaves_ms\":1e300"),
+	};
+	bct_gate_entry_t e;
+
+	cr_assert_eq(decode("i-1", ENTRY, &e), 0);
+	cr_assert_not(e.spot);
+	cr_assert_eq(e.leaves_ms, 0);
+	cr_assert_eq(decode("i-1", ENTRY_WITH("\"spot\":true,\"leaves_ms\":1800.9"), &e), 0);
+	cr_assert(e.spot);
+	cr_assert_eq(e.leaves_ms, 1800);
+	cr_assert_eq(decode("i-1", ENTRY_WITH("\"leaves_ms\":99999999999"), &e), 0);
+	cr_assert_eq(e.leaves_ms, UINT32_MAX);
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		cr_assert_eq(decode("i-1", bad[i], &e), 0, "%s", bad[i]);
+		cr_assert_not(e.spot, "%s", bad[i]);
+		cr_assert_eq(e.leaves_ms, 0, "%s", bad[i]);
+	}
+}
+
+/* Decodes a configuration with one service that has this autoscaling. */
+static bct_gate_routes_t *scaled(const char *autoscaling)
+{
+	bct_gate_routes_t *t = NULL;
+	char text[2048];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		 "\"service\":\"s\"}],\"services\":[{\"name\":\"s\",\"autoscaling\":%s}]}",
+		 autoscaling);
+	cr_assert_eq(bct_decode_routes(text, strlen(text), &t), 0, "%s", autoscaling);
+	return t;
+}
+
+Test(adapter, scaling)
+{
+	bct_gate_routes_t *t =
+		scaled("{\"minimum\":1,\"maximum\":12,\"boot_s\":2.5,\"spot_price\":0.15,"
+		       "\"zone_prices\":{\"za\":1,\"zb\":1.25}}");
+	const bct_autoscale_conf_t *c = &t->services[0].scaling;
+
+	cr_assert_null(t->services[0].scaling_fault);
+	cr_assert_eq(c->minimum, 1);
+	cr_assert_eq(c->maximum, 12);
+	cr_assert_eq(c->boot_ms, 2500);
+	cr_assert_float_eq(c->spot_price, 0.15, 1e-9);
+	cr_assert_eq(c->n_domains, 2);
+	cr_assert_str_eq(c->domains[1].name, "zb");
+	cr_assert_float_eq(c->domains[1].price, 1.25, 1e-9);
+	bct_gate_routes_unref(t);
+	t = scaled("null");
+	cr_assert_eq(t->services[0].scaling.n_domains, 0);
+	cr_assert_null(t->services[0].scaling_fault);
+	bct_gate_routes_unref(t);
+}
+
+/*
+ * A mistake in the scaling of one service must not stop the routes of all from being updated, nor
+ * order engines by half of it.
+ */
+Test(adapter, an_invalid_scaling_leaves_the_service_unscaled)
+{
+	static const char *const bad[] = {
+		"7",
+		"[]",
+		"{}",
+		"{\"minimum\":1,\"maximum\":3}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":{}}",
+		"{\"minimum\":4,\"maximum\":3,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":-1,\"maximum\":3,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1.5,\"maximum\":3,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":\"3\",\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":4294967297,\"zone_prices\":{\"z\":1}}",
+		"{\"maximum\":3,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"boot_s\":\"4\",\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"boot_s\":-4,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"spot_price\":-1,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"spot_price\":true,\"zone_prices\":{\"z\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":{\"z\":\"1\"}}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":{\"z\":-1}}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":{\"\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":[1]}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":{\"a\":1,\"b\":1,\"c\":1,\"d\":1,"
+		"\"e\":1,\"f\":1,\"g\":1,\"h\":1,\"i\":1}}",
+		"{\"minimum\":1,\"maximum\":3,\"zone_prices\":{\"0123456789012345678901234567890123"
+		"456789012345678901234567890123\":1}}",
+	};
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		bct_gate_routes_t *t = scaled(bad[i]);
+
+		cr_assert_eq(t->services[0].scaling.n_domains, 0, "%s", bad[i]);
+		cr_assert_eq(t->services[0].scaling.maximum, 0, "%s", bad[i]);
+		cr_assert_not_null(t->services[0].scaling_fault, "%s", bad[i]);
+		bct_gate_routes_unref(t);
+	}
+}
+
 Test(adapter, incomplete_configurations_are_rejected)
 {
 	static const char *const bad[] = {
--- a/tests/test_gate_fleet.c
+++ b/tests/test_gate_fleet.c
@@ -272,6 +272,60 @@
 	assert_non_readers_lose_upstream(LARGE_FLEET, "hubs");
 }
 
+/* Waits until the gateway knows whether the desk may be reclaimed, and when it leaves. */
+static bool learns_reclaim(test_gate_t *t, uint32_t leaves_ms)
+{
+	bct_time_t end = bct_clock_now() + TIMEOUT_MS;
+
+	while (bct_clock_now() < end) {
+		const bct_gate_upstream_t *u =
+			bct_gate_upstreams_find(&t->gate->upstreams, gates[0].desk.id);
+
+		if (u && u->entry.spot && u->entry.leaves_ms == leaves_ms)
+			return true;
+		bct_clock_sleep(20);
+	}
+	return false;
+}
+
+/*
+ * Only readers hear from the registry that an engine may be reclaimed, and when: the holder of the
+ * duties, which counts engines, may be another node.
+ */
+static void assert_reclaim_is_sent(uint32_t n)
+{
+	test_gate_start_fleet(gates, n);
+	test_gate_wait_joined(gates, n);
+	disconnect_non_readers(n);
+	set_flag(&gates[0].desk_spot, true);
+	for (uint32_t i = 0; i < n; i++)
+		cr_assert(learns_reclaim(&gates[i], 0), "gateway %u of %u: spot", i, n);
+	set_flag(&gates[0].desk_drains, true);
+	for (uint32_t i = 0; i < n; i++)
+		cr_assert(learns_reclaim(&gates[i], 1800), "gateway %u of %u: leaves", i, n);
+}
+
+Test(gate_fleet, a_reclaim_is_sent)
+{
+	assert_reclaim_is_sent(SMALL_FLEET);
+}
+
+Test(gate_fleet, a_reclaim_is_sent_through_hubs)
+{
+	assert_reclaim_is_sent(LARGE_FLEET);
+}
+
+/* A node that has never reached the registry pulls the upstreams from a peer. */
+Test(gate_fleet, a_reclaim_is_pulled)
+{
+	test_gate_start_fleet(gates, SMALL_FLEET);
+	set_flag(&gates[0].desk_spot, true);
+	test_gate_wait_joined(gates, SMALL_FLEET);
+	cr_assert(learns_reclaim(&gates[0], 0));
+	test_gate_join_fleet_down(gates, SMALL_FLEET);
+	cr_assert(learns_reclaim(&gates[SMALL_FLEET], 0));
+}
+
 /* Running requests at all upstreams, as reported by the other gateways. */
 static int32_t received_load(const bct_gate_t *g)
 {
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -132,6 +132,35 @@
 	bct_gate_upstreams_free(&t);
 }
 
+/* An older node passes an entry on without what it does not know: that must stay known here. */
+Test(gate_upstreams, an_older_node_takes_no_reclaim_away)
+{
+	bct_gate_upstreams_t t;
+	bct_gate_entry_t e = entry("i", 100, 5);
+	const bct_gate_upstream_t *u;
+
+	bct_gate_upstreams_init(&t);
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 1, &e), 1);
+	e.spot = true;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 2, &e), 1, "news is sent on");
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 3, &e), 0);
+	e.sequence = 6;
+	e.draining = true;
+	e.leaves_ms = 1800;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 4, &e), 1);
+	e.spot = false;
+	e.leaves_ms = 0;
+	cr_assert_eq(bct_gate_upstreams_apply(&t, 5, &e), 0);
+	u = bct_gate_upstreams_find(&t, "i");
+	cr_assert(u->entry.spot);
+	cr_assert_eq(u->entry.leaves_ms, 1800);
+	/* Another run under the id is another engine. */
+	e = entry("i", 200, 1);
+	bct_gate_upstreams_apply(&t, 6, &e);
+	cr_assert_not(bct_gate_upstreams_find(&t, "i")->entry.spot);
+	bct_gate_upstreams_free(&t);
+}
+
 Test(gate_upstreams, draining_is_final_for_one_run)
 {
 	bct_gate_upstreams_t t;
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -66,21 +66,30 @@
 	return text;
 }
 
-static void add_entry(bct_registry_batch_t *b, const gate_upstream_t *u, const char *state)
+static void add_entry(bct_registry_batch_t *b, const gate_upstream_t *u, const char *state,
+		      const char *more)
 {
 	bct_registry_change_t *c = &b->changes[b->n++];
 	char text[512];
 	int n = snprintf(text, sizeof(text),
 			 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
 			 "\"version\":\"%s\",\"slots\":64,\"state\":\"%s\","
-			 "\"cold_remaining_ms\":0,\"sequence\":%u,\"born\":%u}",
+			 "\"cold_remaining_ms\":0,\"sequence\":%u,\"born\":%u%s}",
 			 u->service, u->port, u->software, state, 1 + u->writes,
-			 BORN_MS + u->starts);
+			 BORN_MS + u->starts, more);
 
 	c->kind = BCT_REGISTRY_ENTRY;
+	snprintf(c->name, sizeof(c->name), "%s", u->id);
 	cr_assert_eq(bct_decode_entry(u->id, text, (size_t)n, &c->entry), 0);
 }
 
+static const char *desk_more(const test_gate_t *t)
+{
+	if (!t->desk_spot)
+		return "";
+	return t->desk_drains ? ",\"spot\":true,\"leaves_ms\":1800" : ",\"spot\":true";
+}
+
 static int list(bct_registry_t *r, bct_registry_topic_t topic, uint32_t timeout_ms,
 		bct_registry_batch_t *out)
 {
@@ -103,9 +112,10 @@
 			out->changes[0].kind = BCT_REGISTRY_UNREADABLE;
 	} else {
 		for (uint32_t i = 0; i < GATE_UPSTREAMS; i++)
-			add_entry(out, &t->engines[i], "ready");
+			add_entry(out, &t->engines[i], "ready", "");
 		if (t->desk_listed)
-			add_entry(out, &t->desk, t->desk_drains ? "draining" : "ready");
+			add_entry(out, &t->desk, t->desk_drains ? "draining" : "ready",
+				  desk_more(t));
 	}
 	pthread_mutex_unlock(&t->lock);
 	if (rc)
@@ -314,14 +324,25 @@
 	bct_clock_sleep(1500);
 }
 
-void test_gate_join_fleet(test_gate_t *t, uint32_t i)
+static void join_fleet(test_gate_t *t, uint32_t i, bool down)
 {
 	init(&t[i], i);
+	t[i].down = down;
 	fill_peer(&t[i], i);
 	start_gate(&t[i], &t[0]);
 	wait_until_ready(&t[i]);
 }
 
+void test_gate_join_fleet(test_gate_t *t, uint32_t i)
+{
+	join_fleet(t, i, false);
+}
+
+void test_gate_join_fleet_down(test_gate_t *t, uint32_t i)
+{
+	join_fleet(t, i, true);
+}
+
 /* returns the number of those that had ended */
 static uint32_t restart(test_gate_t *t, gate_upstream_t *list, uint32_t n)
 {
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -96,7 +96,8 @@
 	bool cancelled;
 	pthread_cond_t routes_resume;
 	bool desk_drains;
-	bool keep_ids; /* engines that start again keep their ids */
+	bool desk_spot; /* it may be reclaimed; states when it leaves if it drains */
+	bool keep_ids;	/* engines that start again keep their ids */
 	bool stop;
 } test_gate_t;
 
@@ -117,6 +118,8 @@
 void test_gate_wait_joined(test_gate_t *t, uint32_t n);
 /* Starts gateway i of a fleet whose gateway 0 runs already, and waits until it serves requests. */
 void test_gate_join_fleet(test_gate_t *t, uint32_t i);
+/* The same, with a registry that does not answer it. */
+void test_gate_join_fleet_down(test_gate_t *t, uint32_t i);
 void test_gate_stop(test_gate_t *t);
 
 /* Sends raw bytes on a new connection and reads until it ends or wait_ms have passed. */
