Stand-in: the control API, and the keyed topic of its record

standin/control_api.c holds these rules without I/O and records what callers do; it reports two reports of a window, a token used by two callers, holders that alternate within lease_ms, and refused callers that go on. keyed_log.c is the topic, with conditional and late appends and a copy to return from. soak/duties.c serves both over HTTP and injects faults.

--- a/Makefile
+++ b/Makefile
@@ -107,7 +107,10 @@
 	$(link)
 $(BIN)/chuteload: $(call obj,$(LOAD_SRCS)) $(LIB)
 	$(link)
-$(BIN)/soak: $(call obj,$(SOAK_SRCS)) $(LIB)
+# The stand-ins of the control API and of its topic, with their HTTP servers.
+DUTIES_SRCS := soak/duties.c standin/control_api.c standin/control_call.c standin/keyed_log.c
+
+$(BIN)/soak: $(call obj,$(sort $(SOAK_SRCS) $(DUTIES_SRCS))) $(LIB)
 	$(link)
 $(BIN)/embed: $(call obj,examples/embed.c) $(LIB)
 	$(link)
@@ -116,6 +119,7 @@
 $(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(PLATFORM_LIB) $(GATE_LIB) $(NODE_LIB) $(LIB)
 	$(link) -lcriterion
 $(BIN)/test_fuzz_replay: $(call obj,$(FUZZ_SRCS))
+$(BIN)/test_control_standin: $(call obj,$(DUTIES_SRCS))
 $(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
 	$(link)
 $(BIN)/bench_%: $(B)/obj/bench/bench_%.o $(call obj,$(BENCH_COMMON)) $(NODE_LIB) $(LIB)
