Soak: fleets with duties

--duties (DUTIES=--duties for run.sh) gives each gateway the stand-in of the control API, through a proxy of its own, and the keyed topic in the store, with faults of both: no response, late effects, slow or down, no spot engines, an older copy of the record. Runs without the flag draw the same faults as before.

--- a/soak/caller.c
+++ b/soak/caller.c
@@ -34,8 +34,9 @@
 typedef struct answer {
 	int status; /* 0: no status line was received */
 	bool complete;
-	bool late;	  /* not complete in time */
-	const char *body; /* in the caller's buffer; NULL: the headers are incomplete */
+	bool late;		  /* not complete in time */
+	const char *body;	  /* in the caller's buffer; NULL: the headers are incomplete */
+	bct_time_t began_wall_ms; /* when its first bytes arrived */
 } answer_t;
 
 static void disconnect(caller_t *c)
@@ -97,6 +98,8 @@
 		n = recv(c->fd, c->buf + c->buf_len, sizeof(c->buf) - 1 - c->buf_len, 0);
 		if (n <= 0)
 			break;
+		if (!c->buf_len)
+			a->began_wall_ms = bct_clock_wall();
 		c->buf_len += (size_t)n;
 	}
 	c->buf[c->buf_len] = '\0';
@@ -264,6 +267,11 @@
 		return;
 	}
 	read_answer(c, &a);
+	if (a.status == 200) {
+		pthread_mutex_lock(&c->soak->lock);
+		soak_duties_began(c->soak, a.began_wall_ms);
+		pthread_mutex_unlock(&c->soak->lock);
+	}
 	if (!bad)
 		check_answer(c, i, id, kinds[k], &a);
 	if (!a.complete || strstr(c->buf, "Connection: close"))
--- a/soak/duties.c
+++ b/soak/duties.c
@@ -270,8 +270,13 @@
 		evhttp_send_reply(req, HTTP_NOTFOUND, "", NULL);
 }
 
-void soak_duties_serve_store(soak_duties_t *d, struct evhttp *http)
+void soak_duties_serve_append(soak_duties_t *d, struct evhttp *http)
 {
 	evhttp_set_cb(http, "/api/log-append", on_append, d);
+}
+
+void soak_duties_serve_store(soak_duties_t *d, struct evhttp *http)
+{
+	soak_duties_serve_append(d, http);
 	evhttp_set_cb(http, "/api/log-newest", on_newest, d);
 }
--- a/soak/duties.h
+++ b/soak/duties.h
@@ -12,6 +12,7 @@
 
 #include <pthread.h>
 
+struct event_base;
 struct evhttp;
 struct evhttp_request;
 
@@ -39,8 +40,12 @@
 void soak_duties_init(soak_duties_t *d, const bct_control_api_opts_t *opts);
 void soak_duties_free(soak_duties_t *d);
 
-/* soak_duties_serve_api(3), soak_duties_serve_store(3): add the endpoints to a server. */
+/*
+ * soak_duties_serve_api(3), soak_duties_serve_append(3), soak_duties_serve_store(3): add endpoints
+ * to a server: of the API; to append to the topic; and to append to it and list it.
+ */
 void soak_duties_serve_api(soak_duties_t *d, struct evhttp *http);
+void soak_duties_serve_append(soak_duties_t *d, struct evhttp *http);
 void soak_duties_serve_store(soak_duties_t *d, struct evhttp *http);
 
 /* soak_duties_newest(3): answer a listing of the topic, if the request is one; else false. */
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -113,6 +113,12 @@
 {
 	s->era++;
 	s->offset = 1;
+	if (s->with_duties) {
+		pthread_mutex_lock(&s->duties.lock);
+		s->duties.era = s->era;
+		bct_keyed_log_restore(s->duties.log);
+		pthread_mutex_unlock(&s->duties.lock);
+	}
 	for (int i = 0; i < SOAK_UPSTREAMS; i++) {
 		s->upstreams[i].offset = s->offset++;
 		if (s->upstreams[i].draining)
@@ -162,7 +168,7 @@
 
 void soak_inject_fault(soak_t *s)
 {
-	uint32_t what = bct_rng_below(&s->rng, 23);
+	uint32_t what = bct_rng_below(&s->rng, s->with_duties ? 28 : 23);
 
 	s->last_fault_at = bct_clock_now();
 	if (what < 8)
@@ -177,6 +183,8 @@
 		inject_statement(s);
 	else if (what == 19)
 		return_from_copy(s);
+	else if (what >= 23)
+		soak_duties_fault(s);
 	else
 		s->nodes[bct_rng_below(&s->rng, s->n_nodes)].store.link =
 			bct_rng_below(&s->rng, SOAK_LINK_KINDS);
@@ -213,6 +221,7 @@
 			kill(n->pid, SIGCONT);
 		n->paused = false;
 	}
+	soak_duties_clear(s);
 	for (int i = 0; i < SOAK_UPSTREAMS; i++)
 		clear_upstream_faults(&s->upstreams[i]);
 	soak_change_route(s);
--- a/soak/main.c
+++ b/soak/main.c
@@ -1,6 +1,7 @@
 /*
- * main.c - soak --seed N --seconds S --nodes N [--parts]: injects faults for S seconds, ends them,
- * and then checks that callers are served again. Exit code 1 when an invariant was violated.
+ * main.c - soak --seed N --seconds S --nodes N [--parts] [--duties]: injects faults for S seconds,
+ * ends them, and then checks that callers are served again. Exit code 1 when an invariant was
+ * violated.
  */
 #include "soak/soak.h"
 
@@ -17,9 +18,10 @@
 
 #define FAULT_INTERVAL_MIN_MS 150
 #define FAULT_INTERVAL_SPREAD_MS 700
-#define WARM_UP_MS 1500	  /* time before the first fault */
-#define RECOVERY_MS 12000 /* callers are served again within this time after the faults end */
-#define MEASURE_MS 8000	  /* the success rate is measured for this long after recovery */
+#define WARM_UP_MS 1500		/* time before the first fault */
+#define RECOVERY_MS 12000	/* callers are served again within this time after the faults end */
+#define MEASURE_MS 8000		/* the success rate is measured for this long after recovery */
+#define MEASURE_DUTIES_MS 18000 /* contains some whole windows of usage */
 #define SERVED_MIN_PERCENT 90
 #define STOP_GRACE_MS 8000U
 #define PORT_BASE 18200 /* below the system's ephemeral ports */
@@ -43,8 +45,14 @@
 /* Fills in the address and paths of node i and writes its settings file. */
 static void write_settings(soak_t *s, soak_node_t *n, int i)
 {
+	char duty[128] = "";
 	FILE *f;
 
+	if (s->with_duties)
+		snprintf(duty, sizeof(duty),
+			 "\"duty\":{\"address\":\"127.0.0.1:%u\","
+			 "\"kinds\":[\"usage\",\"scaling\"],\"window_ms\":%d},",
+			 n->control.port, SOAK_WINDOW_MS);
 	snprintf(n->ip, sizeof(n->ip), "%s.%u", s->net, (uint8_t)(i + 1));
 	snprintf(n->settings_path, sizeof(n->settings_path), "%s/n%d.json", s->dir, i);
 	snprintf(n->log_path, sizeof(n->log_path), "%s/n%d.log", s->dir, i);
@@ -60,10 +68,10 @@
 		"\"platform\":{\"url\":\"127.0.0.1:%u\",\"timeout_ms\":500,\"poll_ms\":300},"
 		"\"gate\":{\"listen\":\"%s:%u\",\"resolve\":\"%s:%u\",\"share_port\":%u,"
 		"\"relay_port\":%u,\"grace_ms\":%u,\"budget_allowance\":1000},"
-		"\"log\":{\"format\":\"json\"}}",
+		"%s\"log\":{\"format\":\"json\"}}",
 		i, n->ip, n->ip, s->port_base + 4U, n->ip, s->port_base + 2U, s->net, s->net,
 		n->store.port, n->ip, s->port_base, n->ip, s->port_base + 1U, s->port_base + 3U,
-		s->port_base + 5U, STOP_GRACE_MS);
+		s->port_base + 5U, STOP_GRACE_MS, duty);
 	fclose(f);
 }
 
@@ -102,6 +110,10 @@
 		s->nodes[i].store.soak = s;
 		s->nodes[i].store.target_port = s->store_port;
 		soak_proxy_start(&s->nodes[i].store, "127.0.0.1");
+		s->nodes[i].control.soak = s;
+		s->nodes[i].control.target_port = s->control_port;
+		if (s->with_duties)
+			soak_proxy_start(&s->nodes[i].control, "127.0.0.1");
 		write_settings(s, &s->nodes[i], i);
 		soak_node_start(s, &s->nodes[i]);
 	}
@@ -158,7 +170,7 @@
 static int run(soak_t *s)
 {
 	pthread_t callers[SOAK_CALLERS];
-	bct_time_t now;
+	bct_time_t now, from_ms, to_ms;
 
 	start_run(s);
 	for (int i = 0; i < SOAK_CALLERS; i++)
@@ -177,13 +189,19 @@
 	 * changes routes correctly by chance. One more change exposes it. */
 	soak_change_route(s);
 	pthread_mutex_unlock(&s->lock);
-	run_phase(s, bct_clock_now() + MEASURE_MS, false);
+	from_ms = bct_clock_wall();
+	run_phase(s, bct_clock_now() + (s->with_duties ? MEASURE_DUTIES_MS : MEASURE_MS), false);
+	to_ms = bct_clock_wall();
 	pthread_mutex_lock(&s->lock);
 	s->stop_callers = true;
 	pthread_mutex_unlock(&s->lock);
 	for (int i = 0; i < SOAK_CALLERS; i++)
 		pthread_join(callers[i], NULL);
 	check_recovery(s);
+	if (s->with_duties) {
+		run_phase(s, bct_clock_now() + SOAK_USAGE_LATE_MS, false);
+		soak_duties_check(s, from_ms, to_ms);
+	}
 	stop_nodes(s);
 	printf("soak: seed %llu, %u calls: %u ok, %u refused, %u failed; %u crashes by a part, "
 	       "%u requests after; after recovery %u of %u ok; %u violations\n",
@@ -203,6 +221,8 @@
 		{ "nodes", 0, POPT_ARG_LONG, &nodes, 0, "gateway processes, 2 to 200", "N" },
 		{ "parts", 0, POPT_ARG_NONE, &s.parts, 0,
 		  "then have a part of prompts crash upstreams", NULL },
+		{ "duties", 0, POPT_ARG_NONE, &s.with_duties, 0,
+		  "the fleet has duties: usage reports and orders of engines", NULL },
 		{ "program", 0, POPT_ARG_STRING, &s.program, 0, "gateway to run", "PATH" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "soak/duties.h"
 
 #include <pthread.h>
 #include <stdbool.h>
@@ -35,6 +36,9 @@
 #define SOAK_PART_AFTER_MAX 3 /* that may reach upstreams SOAK_SETTLE_MS after those */
 #define SOAK_PART_RESTART_MS 300 /* from such a crash to the upstream's next run */
 #define SOAK_PART_OUTAGE_MS 1300 /* until that run is in use: failures in that time are allowed */
+#define SOAK_WINDOW_MS 5000	 /* of a usage report */
+#define SOAK_WINDOWS_MAX 1024	 /* of a run */
+#define SOAK_USAGE_LATE_MS 12000 /* after the end of a window its report has arrived */
 
 /* State of a loopback proxy, which leads to one upstream, or from one node to the store. */
 typedef enum soak_link {
@@ -99,6 +103,7 @@
 	bct_time_t restart_at;	  /* earliest restart while it is not running */
 	bct_time_t last_fault_at; /* last signal to this node, or its last exit */
 	soak_proxy_t store;	  /* the node's proxy to the store */
+	soak_proxy_t control;	  /* the node's proxy to the control API */
 } soak_node_t;
 
 typedef struct soak {
@@ -106,10 +111,14 @@
 	uint32_t seconds; /* duration of the fault phase */
 	int n_nodes;
 	const char *program; /* path of the gateway */
-	int parts;    /* whether a part of prompts crashes upstreams once the faults have ended */
-	char dir[64]; /* settings and logs of the nodes */
-	char net[32]; /* first three octets of the nodes' addresses */
-	uint16_t port_base; /* ports of a node start here */
+	int parts; /* whether a part of prompts crashes upstreams once the faults have ended */
+	int with_duties;      /* whether the fleet has duties */
+	soak_duties_t duties; /* has its own lock, taken after the soak's */
+	uint16_t control_port;
+	uint64_t first_window; /* number of the window in which the run began */
+	char dir[64];	       /* settings and logs of the nodes */
+	char net[32];	       /* first three octets of the nodes' addresses */
+	uint16_t port_base;    /* ports of a node start here */
 	uint16_t store_port;
 	bct_time_t started_at;
 	pthread_mutex_t lock; /* guards all members below */
@@ -135,6 +144,7 @@
 	uint32_t n_calls;
 	uint32_t ok, refused, failed;	     /* answered calls: 200 and complete, 503, all others */
 	uint32_t settled_ok, settled_failed; /* the same, SOAK_SETTLE_MS after any fault */
+	uint32_t began[SOAK_WINDOWS_MAX];    /* answers that began, by window of the run */
 	uint32_t violations;
 } soak_t;
 
@@ -155,6 +165,20 @@
 void soak_upstream_start(soak_upstream_t *u);
 /* soak_upstreams_supervise(3): restart those that a request crashed. Call with the lock held. */
 void soak_upstreams_supervise(soak_t *s);
+/* soak_duties_start(3): start the control API on the event loop of the store, if there are duties.
+ * Call before the nodes start. */
+void soak_duties_start(soak_t *s, struct event_base *base);
+/* soak_duties_fault(3): choose and apply a fault of the duties. Call with the lock held. */
+void soak_duties_fault(soak_t *s);
+/* soak_duties_clear(3): end all faults of the duties. Call with the lock held. */
+void soak_duties_clear(soak_t *s);
+/* soak_duties_began(3): an answer began at that wall-clock time. Call with the lock held. */
+void soak_duties_began(soak_t *s, bct_time_t wall_ms);
+/*
+ * soak_duties_check(3): check the rules of the control API, and the reports of the windows that lie
+ * between two wall-clock times.
+ */
+void soak_duties_check(soak_t *s, bct_time_t from_ms, bct_time_t to_ms);
 /* soak_caller(3): thread of one caller; arg is the soak_t. Ends once stop_callers is set. */
 void *soak_caller(void *arg);
 /* soak_inject_fault(3): choose and apply one fault. Call with the lock held. */
--- a/soak/store.c
+++ b/soak/store.c
@@ -18,33 +18,36 @@
 #include <string.h>
 
 #define TEXT_BYTES 4096
+#define SCALING                                                       \
+	",\"autoscaling\":{\"minimum\":1,\"maximum\":8,\"boot_s\":4," \
+	"\"spot_price\":0.15,\"zone_prices\":{\"z\":1}}"
 
 /* Formats the configuration; the target of the safe route depends on safe_route_swapped. */
 static void format_config(soak_t *s, char *out, size_t size)
 {
-	snprintf(
-		out, size,
-		"{\"version\":%llu,\"routes\":["
-		"{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\","
-		"\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":1,\"service\":\"%s\","
-		"\"attempts\":2},"
-		"{\"name\":\"unsafe\",\"host\":\"h\",\"path_prefix\":\"/unsafe/\","
-		"\"kind\":\"unsafe\",\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":2,"
-		"\"service\":\"desk\",\"attempts\":1},"
-		"{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
-		"\"kind\":\"stream\",\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":0,"
-		"\"service\":\"model\",\"attempts\":1,\"target_gap_ms\":250},"
-		"{\"name\":\"resume\",\"host\":\"h\",\"path_prefix\":\"/resume/\","
-		"\"kind\":\"stream\",\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":1,"
-		"\"service\":\"model\",\"attempts\":2,\"target_gap_ms\":100,"
-		"\"stream_resumption\":true}],"
-		"\"services\":[{\"name\":\"desk\"},{\"name\":\"model\",\"engine\":{\"slots\":16}}],"
-		"\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
-		"\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
-		"\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}",
-		(unsigned long long)s->version, SOAK_TIMEOUT_MS,
-		s->safe_route_swapped ? "desk" : "model", SOAK_TIMEOUT_MS, SOAK_TIMEOUT_MS,
-		SOAK_TIMEOUT_MS);
+	snprintf(out, size,
+		 "{\"version\":%llu,\"routes\":["
+		 "{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\","
+		 "\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":1,\"service\":\"%s\","
+		 "\"attempts\":2},"
+		 "{\"name\":\"unsafe\",\"host\":\"h\",\"path_prefix\":\"/unsafe/\","
+		 "\"kind\":\"unsafe\",\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":2,"
+		 "\"service\":\"desk\",\"attempts\":1},"
+		 "{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
+		 "\"kind\":\"stream\",\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":0,"
+		 "\"service\":\"model\",\"attempts\":1,\"target_gap_ms\":250},"
+		 "{\"name\":\"resume\",\"host\":\"h\",\"path_prefix\":\"/resume/\","
+		 "\"kind\":\"stream\",\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":1,"
+		 "\"service\":\"model\",\"attempts\":2,\"target_gap_ms\":100,"
+		 "\"stream_resumption\":true}],"
+		 "\"services\":[{\"name\":\"desk\"},{\"name\":\"model\",\"engine\":{\"slots\":16}%"
+		 "s}],"
+		 "\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":65536,"
+		 "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
+		 "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}",
+		 (unsigned long long)s->version, SOAK_TIMEOUT_MS,
+		 s->safe_route_swapped ? "desk" : "model", SOAK_TIMEOUT_MS, SOAK_TIMEOUT_MS,
+		 SOAK_TIMEOUT_MS, s->with_duties ? SCALING : "");
 }
 
 /* Formats an upstream's registry entry, with the port of its proxy. */
@@ -84,10 +87,13 @@
 static void on_newest(struct evhttp_request *req, void *ctx)
 {
 	soak_t *s = ctx;
-	struct evbuffer *out = evbuffer_new();
+	struct evbuffer *out;
 	bool config = strstr(evhttp_request_get_uri(req), "keyed.op") != NULL, first = true;
 	char text[TEXT_BYTES];
 
+	if (s->with_duties && soak_duties_newest(&s->duties, req))
+		return;
+	out = evbuffer_new();
 	evbuffer_add_printf(out, "{\"items\":[");
 	pthread_mutex_lock(&s->lock);
 	if (config) {
@@ -153,6 +159,9 @@
 	evutil_make_socket_nonblocking(fd);
 	evhttp_set_cb(h, "/api/log-newest", on_newest, s);
 	evhttp_set_cb(h, "/api/log-read", on_read, s);
+	soak_duties_start(s, base);
+	if (s->with_duties)
+		soak_duties_serve_append(&s->duties, h);
 	if (pthread_create(&thread, NULL, run_event_loop, base))
 		abort();
 	pthread_detach(thread);
