--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -3,6 +3,7 @@
  * averages.
  */
 #include "policy/gate_upstreams.h"
+#include "policy/gate_reclaim.h"
 #include "base/err.h"
 #include "base/hash.h"
 #include "base/mem.h"
@@ -206,23 +207,6 @@
 	       strcmp(known->ip, e->ip) != 0;
 }
 
-/*
- * Keeps what an older node, which passed the entry on, did not: whether the run may be reclaimed,
- * which does not change, and when it leaves.
- */
-static void keep_reclaim(const bct_gate_entry_t *known, bct_gate_entry_t *e)
-{
-	e->spot = e->spot || known->spot;
-	if (e->draining && !e->leaves_ms && e->sequence == known->sequence)
-		e->leaves_ms = known->leaves_ms;
-}
-
-/* Whether the entry is the first to say that the run may be reclaimed, or when it leaves. */
-static bool tells_reclaim(const bct_gate_entry_t *known, const bct_gate_entry_t *e, bool other_run)
-{
-	return !other_run && ((e->spot && !known->spot) || (e->leaves_ms && !known->leaves_ms));
-}
-
 /* Stores the entry. One that does not name the version leaves that of the same run as it is. */
 static void set_entry(bct_gate_upstream_t *u, const bct_gate_entry_t *e, bool other_run)
 {
@@ -234,7 +218,7 @@
 		u->entry.software_key = known.software_key;
 	}
 	if (!other_run)
-		keep_reclaim(&known, &u->entry);
+		bct_gate_reclaim_keep(&known, &u->entry);
 	u->service_key = bct_hash_str(e->service);
 	u->release = 0;
 	if (u->entry.software_key)
@@ -264,7 +248,7 @@
 		/* A run that is draining stays so: only a new run becomes ready again. */
 		p = BCT_GATE_DRAINING;
 	}
-	changed = tells_reclaim(&u->entry, e, other_run) || u->presence != p ||
+	changed = (!other_run && bct_gate_reclaim_told(&u->entry, e)) || u->presence != p ||
 		  strcmp(u->entry.service, e->service) != 0 ||
 		  (e->software_key && u->entry.software_key != e->software_key);
 	set_entry(u, e, other_run);
