--- a/gate/pull.c
+++ b/gate/pull.c
@@ -95,7 +95,8 @@
 		bct_share_decode_entry(&m.entries.entries_val[i], c);
 		bct_share_decode_software(
 			i < m.software.software_len ? &m.software.software_val[i] : NULL, c);
-		bct_share_decode_stay(i < m.stays.stays_len ? &m.stays.stays_val[i] : NULL, c);
+		bct_share_decode_reclaim(
+			i < m.reclaim.reclaim_len ? &m.reclaim.reclaim_val[i] : NULL, c);
 	}
 	out->next = m.position;
 	xdr_free((xdrproc_t)xdr_share_upstreams, (char *)&m);
@@ -337,7 +338,7 @@
 {
 	bct_free(m->entries.entries_val);
 	bct_free(m->software.software_val);
-	bct_free(m->stays.stays_val);
+	bct_free(m->reclaim.reclaim_val);
 }
 
 /* returns 0 or -BCT_ENOMEM */
@@ -352,8 +353,8 @@
 
 	m.entries.entries_val = bct_alloc(sizeof(share_entry) * (g->upstreams.n + 1));
 	m.software.software_val = bct_alloc(sizeof(share_software) * (g->upstreams.n + 1));
-	m.stays.stays_val = bct_alloc(sizeof(share_stay) * (g->upstreams.n + 1));
-	if (!m.entries.entries_val || !m.software.software_val || !m.stays.stays_val) {
+	m.reclaim.reclaim_val = bct_alloc(sizeof(share_reclaim) * (g->upstreams.n + 1));
+	if (!m.entries.entries_val || !m.software.software_val || !m.reclaim.reclaim_val) {
 		free_upstreams(&m);
 		return rc;
 	}
@@ -364,7 +365,7 @@
 			continue;
 		bct_share_encode_entry(u, &m.entries.entries_val[m.entries.entries_len++]);
 		bct_share_encode_software(u, &m.software.software_val[m.software.software_len++]);
-		bct_share_encode_stay(u, &m.stays.stays_val[m.stays.stays_len++]);
+		bct_share_encode_reclaim(u, &m.reclaim.reclaim_val[m.reclaim.reclaim_len++]);
 	}
 	size = (uint32_t)xdr_sizeof((xdrproc_t)xdr_share_upstreams, &m);
 	data = bct_alloc(size);
--- a/gen/share.h
+++ b/gen/share.h
@@ -80,11 +80,11 @@
 };
 typedef struct share_software share_software;
 
-struct share_stay {
+struct share_reclaim {
 	bool_t spot;
 	u_int leaves_ms;
 };
-typedef struct share_stay share_stay;
+typedef struct share_reclaim share_reclaim;
 
 struct share_crash {
 	u_quad_t digest;
@@ -260,14 +260,14 @@
 		u_int brittle_len;
 		share_brittle *brittle_val;
 	} brittle;
+	struct {
+		u_int reclaim_len;
+		share_reclaim *reclaim_val;
+	} reclaim;
 	struct {
 		u_int promises_len;
 		share_promise *promises_val;
 	} promises;
-	struct {
-		u_int stays_len;
-		share_stay *stays_val;
-	} stays;
 	struct {
 		u_int usage_len;
 		share_usage *usage_val;
@@ -295,9 +295,9 @@
 		share_software *software_val;
 	} software;
 	struct {
-		u_int stays_len;
-		share_stay *stays_val;
-	} stays;
+		u_int reclaim_len;
+		share_reclaim *reclaim_val;
+	} reclaim;
 };
 typedef struct share_upstreams share_upstreams;
 
@@ -309,7 +309,7 @@
 extern  bool_t xdr_share_lane (XDR *, share_lane*);
 extern  bool_t xdr_share_entry (XDR *, share_entry*);
 extern  bool_t xdr_share_software (XDR *, share_software*);
-extern  bool_t xdr_share_stay (XDR *, share_stay*);
+extern  bool_t xdr_share_reclaim (XDR *, share_reclaim*);
 extern  bool_t xdr_share_crash (XDR *, share_crash*);
 extern  bool_t xdr_share_block (XDR *, share_block*);
 extern  bool_t xdr_share_part_crash (XDR *, share_part_crash*);
@@ -334,7 +334,7 @@
 extern bool_t xdr_share_lane ();
 extern bool_t xdr_share_entry ();
 extern bool_t xdr_share_software ();
-extern bool_t xdr_share_stay ();
+extern bool_t xdr_share_reclaim ();
 extern bool_t xdr_share_crash ();
 extern bool_t xdr_share_block ();
 extern bool_t xdr_share_part_crash ();
--- a/gen/share_xdr.c
+++ b/gen/share_xdr.c
@@ -224,7 +224,7 @@
 }
 
 bool_t
-xdr_share_stay (XDR *xdrs, share_stay *objp)
+xdr_share_reclaim (XDR *xdrs, share_reclaim *objp)
 {
 	register int32_t *buf;
 
@@ -539,12 +539,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->brittle.brittle_val, (u_int *) &objp->brittle.brittle_len, SHARE_BRITTLE_MAX,
 		sizeof (share_brittle), (xdrproc_t) xdr_share_brittle))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reclaim.reclaim_val, (u_int *) &objp->reclaim.reclaim_len, SHARE_ENTRIES_MAX,
+		sizeof (share_reclaim), (xdrproc_t) xdr_share_reclaim))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->promises.promises_val, (u_int *) &objp->promises.promises_len, SHARE_PROMISES_MAX,
 		sizeof (share_promise), (xdrproc_t) xdr_share_promise))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->stays.stays_val, (u_int *) &objp->stays.stays_len, SHARE_ENTRIES_MAX,
-		sizeof (share_stay), (xdrproc_t) xdr_share_stay))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->usage.usage_val, (u_int *) &objp->usage.usage_len, 1,
 		sizeof (share_usage), (xdrproc_t) xdr_share_usage))
 		 return FALSE;
@@ -576,8 +576,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->software.software_val, (u_int *) &objp->software.software_len, ~0,
 		sizeof (share_software), (xdrproc_t) xdr_share_software))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->stays.stays_val, (u_int *) &objp->stays.stays_len, ~0,
-		sizeof (share_stay), (xdrproc_t) xdr_share_stay))
+	 if (!xdr_array (xdrs, (char **)&objp->reclaim.reclaim_val, (u_int *) &objp->reclaim.reclaim_len, ~0,
+		sizeof (share_reclaim), (xdrproc_t) xdr_share_reclaim))
 		 return FALSE;
 	return TRUE;
 }
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -3,6 +3,7 @@
  * averages.
  */
 #include "policy/gate_upstreams.h"
+#include "policy/gate_reclaim.h"
 #include "base/err.h"
 #include "base/hash.h"
 #include "base/mem.h"
@@ -216,11 +217,8 @@
 		memcpy(u->entry.software, known.software, sizeof(known.software));
 		u->entry.software_key = known.software_key;
 	}
-	/* An older node passes an entry on without these. */
-	if (!other_run && !e->spot && !e->leaves_ms) {
-		u->entry.spot = known.spot;
-		u->entry.leaves_ms = known.leaves_ms;
-	}
+	if (!other_run)
+		bct_gate_reclaim_keep(&known, &u->entry);
 	u->service_key = bct_hash_str(e->service);
 	u->release = 0;
 	if (u->entry.software_key)
@@ -250,7 +248,8 @@
 		/* A run that is draining stays so: only a new run becomes ready again. */
 		p = BCT_GATE_DRAINING;
 	}
-	changed = u->presence != p || strcmp(u->entry.service, e->service) != 0 ||
+	changed = (!other_run && bct_gate_reclaim_told(&u->entry, e)) || u->presence != p ||
+		  strcmp(u->entry.service, e->service) != 0 ||
 		  (e->software_key && u->entry.software_key != e->software_key);
 	set_entry(u, e, other_run);
 	if (other_run)
--- a/schema/share.x
+++ b/schema/share.x
@@ -77,8 +77,8 @@
 	unsigned hyper key;	/* hash of the whole version; 0: unknown */
 };
 
-/* How long an upstream stays: a spot engine may be reclaimed at short notice. */
-struct share_stay {
+/* Whether an upstream may be reclaimed at short notice. */
+struct share_reclaim {
 	bool spot;
 	unsigned int leaves_ms;	/* if draining: until it is stopped; 0: not known */
 };
@@ -205,8 +205,8 @@
 	unsigned hyper origins_wanted<SHARE_ORIGINS_MAX>; /* attempts; the receiver answers */
 	share_cut cuts<SHARE_CUTS_MAX>;
 	share_brittle brittle<SHARE_BRITTLE_MAX>;
+	share_reclaim reclaim<SHARE_ENTRIES_MAX>;	/* of the upstreams in entries, in order */
 	share_promise promises<SHARE_PROMISES_MAX>;
-	share_stay stays<SHARE_ENTRIES_MAX>;	/* of the upstreams in entries, in order */
 	share_usage usage<1>;
 };
 
@@ -222,6 +222,7 @@
 struct share_upstreams {
 	unsigned hyper position; /* the entries reflect the registry's log up to here */
 	share_entry entries<>;
-	share_software software<>;	/* of the entries, in order */
-	share_stay stays<>;		/* the same; an older node's answer may end before either */
+	/* Of the entries, in order; an older node's answer ends before one of these. */
+	share_software software<>;
+	share_reclaim reclaim<>;
 };
--- a/tests/test_duty_scale.c
+++ b/tests/test_duty_scale.c
@@ -164,21 +164,21 @@
 {
 	bct_gate_t *g = new_gate();
 	share_entry x = { 0 };
-	share_stay stay = { 0 };
+	share_reclaim reclaim = { 0 };
 	bct_registry_change_t c;
 	bct_gate_upstream_t *u;
 
 	add_engine(g, "a", true, 2000);
 	u = bct_gate_upstreams_find(&g->upstreams, "engine-0");
 	bct_share_encode_entry(u, &x);
-	bct_share_encode_stay(u, &stay);
+	bct_share_encode_reclaim(u, &reclaim);
 	bct_share_decode_entry(&x, &c);
-	bct_share_decode_stay(NULL, &c);
+	bct_share_decode_reclaim(NULL, &c);
 	cr_assert_not(c.entry.spot);
 	cr_assert_geq(bct_gate_upstreams_apply(&g->upstreams, START, &c.entry), 0);
 	cr_assert(u->entry.spot);
 	cr_assert_eq(u->entry.leaves_ms, 2000);
-	bct_share_decode_stay(&stay, &c);
+	bct_share_decode_reclaim(&reclaim, &c);
 	cr_assert(c.entry.spot);
 	cr_assert_eq(c.entry.leaves_ms, 2000);
 	free_gate(g);
