--- a/tests/test_share_versions.c
+++ b/tests/test_share_versions.c
@@ -58,7 +58,7 @@
 	share_software software[2] = { { .key = 5 }, { .key = 6 } };
 	share_reclaim reclaim[2] = { { .spot = true, .leaves_ms = 1800 }, { .spot = false } };
 	share_update m = { .seq = 9 }, got = { 0 }, older = { 0 };
-	char data[MESSAGE_BYTES], without[MESSAGE_BYTES];
+	char data[MESSAGE_BYTES] = { 0 }, without[MESSAGE_BYTES] = { 0 };
 	size_t len;
 
 	m.entries.entries_val = entries;
