--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -36,6 +36,18 @@
 		bct_buf_printf(out, quoted ? "\"%s\"" : "%s", value);
 }
 
+/* Returns what follows the end of the section, in which there may be others. */
+static const char *after_section(const char *at, const char *name, size_t len)
+{
+	while ((at = strstr(at, "{{/")) != NULL) {
+		at += 3;
+		if (!strncmp(at, name, len) && !strncmp(at + len, "}}", 2))
+			return at + len + 2;
+	}
+	cr_assert_fail("section %.*s has no end", (int)len, name);
+	return NULL;
+}
+
 /*
  * Fills in the template as the platform does: "{{#name}} .. {{/name}}" is kept if there is a value,
  * which "{{.}}" stands for within.
@@ -55,7 +67,7 @@
 		if (*open == '#') {
 			current = value_of(fields, open + 1, len - 1);
 			if (!current)
-				at = strstr(strstr(at, "{{/"), "}}") + 2;
+				at = after_section(at, open + 1, len - 1);
 		} else if (*open == '.' && len == 1) {
 			put_value(out, current, open[len] == '|');
 		} else if (*open != '/' && *open != ',') {
@@ -65,7 +77,7 @@
 	bct_buf_puts(out, at);
 }
 
-static void load(const field_t *bounds, bct_settings_t *s)
+static void load_all(const field_t *bounds, const char *control, bct_settings_t *s)
 {
 	const field_t fields[] = {
 		{ "node_name", "front-a-1" },
@@ -79,6 +91,12 @@
 		{ "listen_addresses.front", "10.1.0.40:8227" },
 		{ "listen_addresses.directory", "10.1.0.40:8224" },
 		{ "listen_addresses.readiness", "10.1.0.40:8220" },
+		{ "limits.memory_mb", "88" },
+		{ "cloud_api.address", control },
+		{ "cloud_api.duties", "usage" },
+		{ "cloud_api.duty_per_s", "50.0" },
+		{ "bounds.lease_ms", "3000" },
+		{ "bounds.report_window_s", "5" },
 		bounds[0],
 		bounds[1],
 		bounds[2],
@@ -106,6 +124,30 @@
 	bct_buf_free(&out);
 }
 
+static void load(const field_t *bounds, bct_settings_t *s)
+{
+	load_all(bounds, NULL, s);
+}
+
+/* Guards against duties where the platform has no control API, and against none where it has. */
+Test(settings, duties_need_a_control_api)
+{
+	const field_t bounds[] = { { "bounds.grace_period_s", NULL },
+				   { "bounds.budget_window_s", NULL },
+				   { "bounds.budget_extra_retries", NULL } };
+	bct_settings_t s;
+
+	load_all(bounds, NULL, &s);
+	cr_assert_str_empty(s.duty_address);
+	cr_assert_eq(s.gate_memory_bytes, 88000000);
+	load_all(bounds, "10.200.0.113:8424", &s);
+	cr_assert_str_eq(s.duty_address, "10.200.0.113:8424");
+	cr_assert_eq(s.n_duty_kinds, 1);
+	cr_assert_eq(s.duty_lease_ms, 3000);
+	cr_assert_eq(s.duty_window_ms, 5000);
+	cr_assert_eq(s.duty_calls_per_s, 50);
+}
+
 Test(settings, bounds_may_be_whole_numbers)
 {
 	const field_t bounds[] = { { "bounds.grace_period_s", "8" },
