Memory: sums of what a node buffers, and the steps that they call for

Cause: a node had no bound on what it holds for callers and upstreams that read slowly. Change: policy/gate_memory keeps an account for each caller's connection and a total. Above 600, 750 and 900 permille of the bound (two fifths of the node's memory), bodies that have not begun wait, new requests are refused, and the response that has been unread for longest is cut. The oldest body goes on below the last step, so that uploads can't block each other.

--- /dev/null
+++ b/policy/gate_memory.c
@@ -0,0 +1,114 @@
+/*
+ * gate_memory.c - sums of what is buffered, and the step that they call for.
+ */
+#include "policy/gate_memory.h"
+
+#include <string.h>
+
+#define PERMILLE 1000
+
+void bct_gate_memory_init(bct_gate_memory_t *m, uint64_t memory_bytes)
+{
+	memset(m, 0, sizeof(*m));
+	m->bound_bytes = memory_bytes * BCT_GATE_MEMORY_SHARE_PERMILLE / PERMILLE;
+	bct_list_init(&m->accounts);
+}
+
+void bct_gate_memory_open(bct_gate_memory_t *m, bct_gate_memory_account_t *a)
+{
+	memset(a, 0, sizeof(*a));
+	bct_list_add_tail(&a->link, &m->accounts);
+}
+
+void bct_gate_memory_close(bct_gate_memory_t *m, bct_gate_memory_account_t *a)
+{
+	if (!a->link.next)
+		return;
+	for (int i = 0; i < BCT_GATE_MEMORY_KINDS; i++)
+		m->total_bytes -= a->bytes[i];
+	bct_list_del(&a->link);
+	memset(a, 0, sizeof(*a));
+}
+
+void bct_gate_memory_change(bct_gate_memory_t *m, bct_gate_memory_account_t *a, bct_time_t now,
+			    bct_gate_memory_kind_t kind, size_t added_bytes, size_t removed_bytes)
+{
+	if (kind == BCT_GATE_MEMORY_UNREAD && !a->bytes[kind])
+		a->unread_since = now;
+	a->bytes[kind] += added_bytes - removed_bytes;
+	m->total_bytes += added_bytes;
+	m->total_bytes -= removed_bytes;
+}
+
+static bool is_above(const bct_gate_memory_t *m, uint32_t permille)
+{
+	return m->total_bytes * PERMILLE >= m->bound_bytes * permille;
+}
+
+bct_gate_memory_level_t bct_gate_memory_level(const bct_gate_memory_t *m)
+{
+	if (!m->bound_bytes || !is_above(m, BCT_GATE_MEMORY_WAIT_PERMILLE))
+		return BCT_GATE_MEMORY_FREE;
+	if (!is_above(m, BCT_GATE_MEMORY_REFUSE_PERMILLE))
+		return BCT_GATE_MEMORY_WAIT;
+	return is_above(m, BCT_GATE_MEMORY_CUT_PERMILLE) ? BCT_GATE_MEMORY_CUT
+							 : BCT_GATE_MEMORY_REFUSE;
+}
+
+/* Whether no body that is being read began before that of the account. */
+static bool is_oldest_body(const bct_gate_memory_t *m, const bct_gate_memory_account_t *a)
+{
+	const bct_list_t *el;
+
+	bct_list_for_each(el, &m->accounts) {
+		const bct_gate_memory_account_t *o =
+			bct_container_of(el, bct_gate_memory_account_t, link);
+
+		if (o->body && o->body < a->body)
+			return false;
+	}
+	return a->body != 0;
+}
+
+bool bct_gate_memory_may_read_body(bct_gate_memory_t *m, bct_gate_memory_account_t *a)
+{
+	switch (bct_gate_memory_level(m)) {
+	case BCT_GATE_MEMORY_FREE:
+		if (!a->body)
+			a->body = ++m->bodies;
+		return true;
+	case BCT_GATE_MEMORY_WAIT:
+		return a->body != 0;
+	case BCT_GATE_MEMORY_REFUSE:
+		return is_oldest_body(m, a);
+	case BCT_GATE_MEMORY_CUT:
+		break;
+	}
+	return false;
+}
+
+void bct_gate_memory_body_ended(bct_gate_memory_account_t *a)
+{
+	a->body = 0;
+}
+
+bct_gate_memory_account_t *bct_gate_memory_to_cut(const bct_gate_memory_t *m)
+{
+	bct_gate_memory_account_t *unread = NULL, *kept = NULL;
+	bct_list_t *el;
+
+	if (bct_gate_memory_level(m) != BCT_GATE_MEMORY_CUT)
+		return NULL;
+	bct_list_for_each(el, &m->accounts) {
+		bct_gate_memory_account_t *a =
+			bct_container_of(el, bct_gate_memory_account_t, link);
+
+		if (a->bytes[BCT_GATE_MEMORY_UNREAD] >= BCT_GATE_MEMORY_CUT_MIN_BYTES &&
+		    (!unread || a->unread_since < unread->unread_since))
+			unread = a;
+		if (a->bytes[BCT_GATE_MEMORY_KEPT] >= BCT_GATE_MEMORY_CUT_MIN_BYTES &&
+		    (!kept || a->bytes[BCT_GATE_MEMORY_KEPT] > kept->bytes[BCT_GATE_MEMORY_KEPT]))
+			kept = a;
+	}
+	return unread ? unread : kept;
+}
--- /dev/null
+++ b/tests/test_gate_memory.c
@@ -0,0 +1,106 @@
+/*
+ * test_gate_memory.c - what a node does as callers and upstreams that read slowly fill its buffers.
+ */
+#include "policy/gate_memory.h"
+
+#include <criterion/criterion.h>
+
+#define BOUND 1000000U /* bytes */
+#define N 8
+#define START 1000
+
+static bct_gate_memory_t m;
+static bct_gate_memory_account_t a[N];
+
+static void set_up(void)
+{
+	bct_gate_memory_init(&m, BOUND / BCT_GATE_MEMORY_SHARE_PERMILLE * 1000);
+	for (int i = 0; i < N; i++)
+		bct_gate_memory_open(&m, &a[i]);
+}
+
+TestSuite(gate_memory, .init = set_up);
+
+static void hold(int i, bct_time_t now, bct_gate_memory_kind_t kind, size_t bytes)
+{
+	bct_gate_memory_change(&m, &a[i], now, kind, bytes, 0);
+}
+
+/* A node without a bound takes no step, whatever it holds. */
+Test(gate_memory, without_a_bound_nothing_is_refused)
+{
+	bct_gate_memory_init(&m, 0);
+	bct_gate_memory_open(&m, &a[0]);
+	hold(0, START, BCT_GATE_MEMORY_UNREAD, SIZE_MAX / 4);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_FREE);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]));
+	cr_expect_null(bct_gate_memory_to_cut(&m));
+}
+
+/* Guards against sums that drift: a connection that ends frees all that it held. */
+Test(gate_memory, a_closed_connection_holds_nothing)
+{
+	bct_gate_memory_account_t zeroed = { 0 };
+
+	hold(0, START, BCT_GATE_MEMORY_REQUEST, 300000);
+	hold(0, START, BCT_GATE_MEMORY_KEPT, 300000);
+	hold(1, START, BCT_GATE_MEMORY_UNREAD, 100000);
+	bct_gate_memory_change(&m, &a[1], START, BCT_GATE_MEMORY_UNREAD, 0, 60000);
+	cr_expect_eq(m.total_bytes, 640000);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_WAIT);
+	bct_gate_memory_close(&m, &a[0]);
+	bct_gate_memory_close(&m, &a[0]);
+	bct_gate_memory_close(&m, &zeroed);
+	cr_expect_eq(m.total_bytes, 40000);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_FREE);
+}
+
+/* Many large uploads: those that began end first, so that not all of them stop half way. */
+Test(gate_memory, bodies_wait_and_the_oldest_goes_on)
+{
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[1]));
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]));
+	hold(0, START, BCT_GATE_MEMORY_REQUEST, BOUND * 6 / 10);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_WAIT);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]));
+	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[2]), "one that had not begun");
+	hold(1, START, BCT_GATE_MEMORY_REQUEST, BOUND * 2 / 10);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_REFUSE);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[1]));
+	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[0]));
+	bct_gate_memory_body_ended(&a[1]);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]), "the next one");
+	hold(1, START, BCT_GATE_MEMORY_REQUEST, BOUND / 10);
+	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[0]), "at the bound none is read");
+	bct_gate_memory_close(&m, &a[0]);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[2]), "there is room again");
+}
+
+/* Callers that stop reading: the one that stopped first is cut, and no more than needed. */
+Test(gate_memory, the_response_unread_for_longest_is_cut)
+{
+	for (int i = 0; i < N; i++)
+		hold(i, START + (i * 3) % N, BCT_GATE_MEMORY_UNREAD, BOUND / 10);
+	cr_expect_null(bct_gate_memory_to_cut(&m));
+	/* It has read all there was, so that its output is unread only from now on. */
+	bct_gate_memory_change(&m, &a[0], START + 20, BCT_GATE_MEMORY_UNREAD, 0, BOUND / 10);
+	hold(0, START + 20, BCT_GATE_MEMORY_UNREAD, BOUND * 2 / 10);
+	cr_expect_eq(bct_gate_memory_to_cut(&m), &a[3]);
+	bct_gate_memory_close(&m, &a[3]);
+	cr_expect_null(bct_gate_memory_to_cut(&m));
+}
+
+/* Little unread output is not worth a lost response; a response that is being collected is. */
+Test(gate_memory, a_kept_response_is_cut_if_no_output_is_large)
+{
+	hold(0, START, BCT_GATE_MEMORY_UNREAD, 500);
+	hold(1, START, BCT_GATE_MEMORY_KEPT, BOUND * 4 / 10);
+	hold(2, START, BCT_GATE_MEMORY_KEPT, BOUND * 5 / 10);
+	cr_expect_eq(bct_gate_memory_to_cut(&m), &a[2]);
+	hold(3, START, BCT_GATE_MEMORY_UNREAD, BCT_GATE_MEMORY_CUT_MIN_BYTES);
+	cr_expect_eq(bct_gate_memory_to_cut(&m), &a[3]);
+	bct_gate_memory_init(&m, BOUND);
+	bct_gate_memory_open(&m, &a[0]);
+	hold(0, START, BCT_GATE_MEMORY_REQUEST, BOUND);
+	cr_expect_null(bct_gate_memory_to_cut(&m), "a request is never cut");
+}
