Gate: bodies, responses and requests in buffers stay within gate.memory_bytes

Cause: bodies, responses that callers do not read and requests that upstreams do not read were buffered without a common bound. Change: libevent's callbacks on buffer changes keep the sums of policy/gate_memory; an event of its own acts on them. A body without room waits and is resumed, and its wait is not charged to the time limit of the request. A request without room gets 503 with Retry-After (end MEMORY; a relaying node tries elsewhere). A response that is cut (end UNREAD) ends with a reset. A pending request refers to the exchange's body instead of a copy. With gate.memory_bytes 0 no callback is registered.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -69,6 +69,10 @@
 	DEF(REACH_LOST, 425, WARN, "this node reaches no upstream of a service")                   \
 	DEF(GATE_RELAYED, 427, INFO,                                                               \
 	    "a request was sent through another node, as no upstream is reached from here")        \
+	DEF(GATE_MEMORY, 428, INFO,                                                                \
+	    "what a gateway buffers for slow callers and upstreams reached or left a step")        \
+	DEF(GATE_UNREAD_CUT, 429, WARN,                                                            \
+	    "an answer was cut to free memory, as its caller did not read it")                     \
 	DEF(REACH_BACK, 426, INFO, "this node reaches upstreams of a service again")               \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -233,6 +233,21 @@
 							  : "that has left");
 }
 
+static void no_room(const json_t *l, bct_buf_t *out)
+{
+	(void)l;
+	bct_buf_puts(out, "What the node buffered for slow callers and upstreams had no room for "
+			  "more (event 428). It did not run.");
+}
+
+static void unread(const json_t *l, bct_buf_t *out)
+{
+	bct_buf_printf(out,
+		       "The node cut the response of %s to free memory, as its caller did not read "
+		       "it (event 429).",
+		       explain_text(l, "upstream"));
+}
+
 static const ending_t endings[] = {
 	{ "OK", ok },
 	{ "UPSTREAM_ERROR", upstream_error },
@@ -251,6 +266,8 @@
 	{ "TIMEOUT_WAITING", timeout_waiting },
 	{ "TIMEOUT_RUNNING", timeout_running },
 	{ "CUT", truncated },
+	{ "MEMORY", no_room },
+	{ "UNREAD", unread },
 	{ "STOPPING", stopping },
 };
 #define N_ENDINGS (sizeof(endings) / sizeof(endings[0]))
--- a/gate/answer.c
+++ b/gate/answer.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <strings.h>
 
+#define COPY_MAX_BYTES 1024 /* less is copied, not moved, if memory is bounded */
+
 static const char *reason_phrase(int status)
 {
 	switch (status) {
@@ -98,7 +100,13 @@
 	if (!evbuffer_get_length(data))
 		return;
 	evbuffer_add_printf(out, "%zx\r\n", evbuffer_get_length(data));
-	evbuffer_add_buffer(out, data);
+	/* A moved block takes at least 512 bytes, however small the event, while it is unread. */
+	if (c->gate->memory && evbuffer_get_length(data) < COPY_MAX_BYTES) {
+		evbuffer_add(out, evbuffer_pullup(data, -1), evbuffer_get_length(data));
+		evbuffer_drain(data, evbuffer_get_length(data));
+	} else {
+		evbuffer_add_buffer(out, data);
+	}
 	evbuffer_add(out, "\r\n", 2);
 }
 
--- a/gate/client.c
+++ b/gate/client.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/gate_int.h"
+#include "gate/memory.h"
 
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -59,6 +60,7 @@
 	if (x)
 		bct_exchange_abandon(x, end);
 	bct_list_del(&c->link);
+	bct_memory_closed(c);
 	c->gate->n_clients--;
 	event_free(c->timer);
 	bufferevent_free(c->bev);
@@ -97,6 +99,71 @@
 	close_when_flushed(c);
 }
 
+/* Answers a request whose body there is no room for, and closes the connection. */
+static void refuse_for_room(bct_client_t *c)
+{
+	bct_counter_inc(&c->gate->counters.ends[BCT_GATE_END_MEMORY]);
+	BCT_LOG(c->gate->log, BCT_EV_GATE_REQUEST_BAD, BCT_I64("status", 503),
+		BCT_STR("why", "no room for its body"));
+	/* What still comes of the body is discarded. */
+	if (c->waits)
+		bct_client_resume(c);
+	c->close_after = true;
+	bct_answer_local(c, &(bct_answer_opts_t){ .status = 503,
+						  .retry_after_ms = bct_memory_retry_ms(c->gate),
+						  .elsewhere = true,
+						  .text = BCT_MEMORY_REFUSED });
+	close_when_flushed(c);
+}
+
+/* The time for which a request waits for room is not charged to its caller. */
+void bct_client_wait(bct_client_t *c)
+{
+	c->waits = true;
+	bct_memory_wait(c);
+	bufferevent_disable(c->bev, EV_READ);
+	if (c->x)
+		return;
+	c->left_ms = c->due - bct_clock_now();
+	set_timer(c, get_limits(c->gate).header_timeout_ms);
+}
+
+void bct_client_resume(bct_client_t *c)
+{
+	c->waits = false;
+	bct_list_del(&c->waiting);
+	bufferevent_enable(c->bev, EV_READ);
+	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+	if (c->x)
+		return;
+	c->due = bct_clock_now() + c->left_ms;
+	set_timer(c, c->left_ms > 0 ? (uint32_t)c->left_ms : 1);
+}
+
+/* Part of the body is still to come: without room for it, a new request is refused or waits. */
+static void check_room(bct_client_t *c, bool is_new)
+{
+	if (bct_memory_may_read_body(c))
+		return;
+	if (is_new && bct_memory_refuses(c->gate))
+		refuse_for_room(c);
+	else
+		bct_client_wait(c);
+}
+
+void bct_client_cut(bct_client_t *c)
+{
+	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+	if (c->x && !c->x->answer_started && !evbuffer_get_length(bufferevent_get_output(c->bev))) {
+		bct_exchange_drop_kept(c->x);
+		return;
+	}
+	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	client_free(c, BCT_GATE_END_UNREAD);
+}
+
 static int append_body(void *ctx, const char *data, size_t len)
 {
 	bct_client_t *c = ctx;
@@ -126,6 +193,7 @@
 
 	c->body = NULL;
 	event_del(c->timer);
+	bct_memory_body_ended(c);
 	if (!c->msg.keep_alive || c->gate->draining)
 		c->close_after = true;
 	bct_exchange_start(c, body);
@@ -141,6 +209,15 @@
 		refuse_request(c, 400, "the request is malformed");
 }
 
+static struct evbuffer *body_new(bct_client_t *c)
+{
+	struct evbuffer *body = evbuffer_new();
+
+	if (body)
+		bct_memory_watch(c, body, BCT_GATE_MEMORY_REQUEST);
+	return body;
+}
+
 /* Reads buffered input until a request is complete. The header timeout covers the whole request,
  * from its first byte to the end of its body. */
 static void read_request(bct_client_t *c)
@@ -154,9 +231,10 @@
 	if (!c->request_started) {
 		c->request_started = true;
 		set_timer(c, l.header_timeout_ms);
+		c->due = c->gate->memory ? bct_clock_now() + l.header_timeout_ms : 0;
 	}
 	if (!c->body)
-		c->body = evbuffer_new();
+		c->body = body_new(c);
 	if (!c->body) {
 		client_free(c, BCT_GATE_END_CALLER_LEFT);
 		return;
@@ -170,6 +248,8 @@
 		on_request_complete(c);
 	else if (c->msg.state == BCT_HTTP_FAILED)
 		refuse_failed(c);
+	else if (c->msg.state == BCT_HTTP_BODY && c->gate->memory)
+		check_room(c, !had_head);
 }
 
 static void on_read(struct bufferevent *bev, void *ctx)
@@ -183,8 +263,10 @@
 		evbuffer_drain(in, evbuffer_get_length(in));
 		return;
 	}
-	if (!c->x)
+	if (!c->x && !c->waits)
 		read_request(c);
+	else if (c->x && !c->waits && bct_memory_is_short(c->gate))
+		bct_client_wait(c);
 }
 
 static void on_write(struct bufferevent *bev, void *ctx)
@@ -216,12 +298,16 @@
 	(void)what;
 	if (c->closing || !c->request_started)
 		client_free(c, BCT_GATE_END_CALLER_LEFT);
+	else if (c->waits)
+		refuse_for_room(c);
 	else
 		refuse_request(c, 408, "the request did not come in time");
 }
 
 void bct_client_answered(bct_client_t *c, bool truncated)
 {
+	if (c->waits)
+		bct_client_resume(c);
 	c->x = NULL;
 	if (truncated)
 		c->close_after = true;
@@ -262,6 +348,7 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
 	bct_list_add_tail(&c->link, &g->clients);
+	bct_memory_opened(c);
 	g->n_clients++;
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX_BYTES);
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -42,6 +42,10 @@
 	    "Times that no upstream of a service was reached any more")                           \
 	DEF(ORIGINS_LOST, "bct_gate_origins_lost_total", NULL, "counter",                         \
 	    "Streams whose beginning could not be recorded for lack of memory")                   \
+	DEF(UNREAD_CUT, "bct_gate_unread_cut_total", NULL, "counter",                             \
+	    "Answers cut to free memory, as their callers did not read them")                     \
+	DEF(BODIES_WAITED, "bct_gate_bodies_waited_total", NULL, "counter",                       \
+	    "Times that reading from a caller waited for room")                                   \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
 	    "Answers that belonged to no request")
 
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -3,6 +3,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/memory.h"
 #include "gate/origin.h"
 #include "gate/part.h"
 #include "gate/reach.h"
@@ -123,6 +124,8 @@
 		bct_exchange_free(x);
 		return NULL;
 	}
+	bct_memory_watch(c, x->answer, BCT_GATE_MEMORY_KEPT);
+	bct_memory_watch(c, x->events.partial, BCT_GATE_MEMORY_KEPT);
 	return x;
 }
 
@@ -274,6 +277,19 @@
 	return true;
 }
 
+/* Refuses a request while what the node buffers has no room for more. returns whether it was
+ * refused; x is freed then. */
+static bool refuse_if_full(bct_exchange_t *x)
+{
+	if (!bct_memory_refuses(x->gate))
+		return false;
+	bct_exchange_refuse(x, BCT_GATE_END_MEMORY,
+			    &(bct_answer_opts_t){ .status = 503,
+						  .retry_after_ms = bct_memory_retry_ms(x->gate),
+						  .text = BCT_MEMORY_REFUSED });
+	return true;
+}
+
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body)
 {
 	bct_exchange_t *x = exchange_new(c, body);
@@ -294,7 +310,7 @@
 	}
 	if (!admit(x, &c->msg))
 		return;
-	if (refuse_if_blocked(x))
+	if (refuse_if_full(x) || refuse_if_blocked(x))
 		return;
 	init_pick_input(x);
 	if (refuse_if_cut(x) || refuse_if_stopping(x))
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -4,6 +4,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/memory.h"
 #include "gate/origin.h"
 #include "gate/registry_sync.h"
 #include "base/mem.h"
@@ -20,10 +21,9 @@
 	bct_list_del(&x->asking);
 	if (x->timer)
 		event_free(x->timer);
-	if (x->body)
-		evbuffer_free(x->body);
-	if (x->answer)
-		evbuffer_free(x->answer);
+	bct_memory_release(g, x->body);
+	bct_memory_release(g, x->answer);
+	bct_memory_drain(g, x->events.partial);
 	bct_gate_sse_free(&x->events);
 	bct_buf_free(&x->head);
 	bct_gate_routes_unref(x->routes);
@@ -127,7 +127,7 @@
 		return !x->attempts;
 	return end == BCT_GATE_END_NOT_READY || end == BCT_GATE_END_STOPPING ||
 	       end == BCT_GATE_END_NO_ROUTE || end == BCT_GATE_END_BAD_KEY ||
-	       end == BCT_GATE_END_NO_UPSTREAM;
+	       end == BCT_GATE_END_NO_UPSTREAM || end == BCT_GATE_END_MEMORY;
 }
 
 void bct_exchange_refuse(bct_exchange_t *x, bct_gate_end_t end, const bct_answer_opts_t *o)
@@ -180,6 +180,14 @@
 								  "not run" });
 }
 
+void bct_exchange_drop_kept(bct_exchange_t *x)
+{
+	bct_exchange_refuse(x, BCT_GATE_END_UNREAD,
+			    &(bct_answer_opts_t){ .status = 502,
+						  .text = "the answer did not fit into memory; the "
+							  "request may have run" });
+}
+
 void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end)
 {
 	x->client = NULL;
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -7,6 +7,7 @@
 #include "base/rng.h"
 #include "gate/brittle.h"
 #include "gate/crash.h"
+#include "gate/memory.h"
 #include "gate/notice.h"
 #include "gate/origin.h"
 #include "gate/part.h"
@@ -185,6 +186,8 @@
 		rc = bct_brittle_new(g, &g->brittle);
 	if (!rc)
 		rc = bct_notices_new(g, &g->notices);
+	if (!rc)
+		rc = bct_memory_new(g, &g->memory);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -227,6 +230,7 @@
 	bct_relay_free(g->relay);
 	bct_brittle_free(g->brittle);
 	bct_notices_free(g->notices);
+	bct_memory_free(g->memory);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -14,6 +14,7 @@
 #include "policy/abandoned.h"
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
+#include "policy/gate_memory.h"
 #include "policy/gate_origins.h"
 #include "policy/gate_pace.h"
 #include "policy/gate_part_judge.h"
@@ -34,6 +35,7 @@
 typedef struct bct_relay bct_relay_t;
 typedef struct bct_brittle bct_brittle_t;
 typedef struct bct_notices bct_notices_t;
+typedef struct bct_memory bct_memory_t;
 
 #define BCT_RELAY_LINE_BYTES 2048 /* of a request's line that the proof of its sender covers */
 
@@ -49,6 +51,7 @@
 	DEF(NO_UPSTREAM, "no upstream of the service accepts requests")         \
 	DEF(LIMITED, "limits or pauses of all upstreams allow no request now")  \
 	DEF(OVERLOAD, "all upstreams are too busy for its latency target")      \
+	DEF(MEMORY, "what this node buffers had no room for it")                \
 	DEF(POISON, "it broke several upstreams and was not run again")         \
 	DEF(ORIGIN_UNKNOWN, "nobody knows what software began the stream")      \
 	DEF(RELEASE_GONE, "no upstream has the software that began the stream") \
@@ -57,6 +60,7 @@
 	DEF(TIMEOUT_WAITING, "time limit passed before it was sent")            \
 	DEF(TIMEOUT_RUNNING, "time limit passed at an upstream")                \
 	DEF(CUT, "the answer was truncated after it had started")               \
+	DEF(UNREAD, "the answer was truncated, as its caller did not read it")  \
 	DEF(STOPPING, "the node stopped before it was complete")
 
 typedef enum bct_gate_end {
@@ -102,8 +106,9 @@
 	bct_relay_t *relay;
 	bct_brittle_t *brittle;
 	bct_notices_t *notices;
-	uint32_t nodes; /* live nodes including this one */
-	uint32_t rank;	/* of this node among them, from 0 */
+	bct_memory_t *memory; /* NULL: no bound */
+	uint32_t nodes;	      /* live nodes including this one */
+	uint32_t rank;	      /* of this node among them, from 0 */
 	bct_gate_counters_t counters;
 	bct_time_t pulls_served_since; /* start of the current second of answers to pulls */
 	size_t pulls_served_bytes;     /* in that second */
@@ -134,9 +139,14 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	bct_http_msg_t msg;
-	struct evbuffer *body; /* of the request being read */
-	bct_exchange_t *x;     /* in progress; NULL: none */
-	bool is_node;	       /* the caller is another node that relays requests */
+	struct evbuffer *body;		  /* of the request being read */
+	bct_gate_memory_account_t memory; /* used if the gate has a bound */
+	bct_list_t waiting;		  /* in the list of those that wait for room */
+	bct_time_t due;	    /* when the request must be complete, unless it waits for room */
+	bct_time_t left_ms; /* of that time when it began to wait */
+	bct_exchange_t *x;  /* in progress; NULL: none */
+	bool is_node;	    /* the caller is another node that relays requests */
+	bool waits;	    /* nothing is read until there is room */
 	bool too_large;
 	bool request_started; /* part of the next request has been received */
 	bool close_after;     /* no further request is accepted */
@@ -146,6 +156,16 @@
 /* bct_client_answered(3): the exchange on c has ended; truncated: its answer is incomplete. */
 void bct_client_answered(bct_client_t *c, bool truncated);
 
+/* bct_client_wait(3), bct_client_resume(3): stop reading until there is room; go on. */
+void bct_client_wait(bct_client_t *c);
+void bct_client_resume(bct_client_t *c);
+/*
+ * bct_client_cut(3): ends the response that the caller does not read, to free what it holds. The
+ * connection is reset, so that the response can't be taken for a complete one. Frees c unless
+ * nothing of the response was sent.
+ */
+void bct_client_cut(bct_client_t *c);
+
 /* answer.c */
 typedef struct bct_answer_opts {
 	int status;
@@ -270,6 +290,9 @@
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body);
 /* bct_exchange_abandon(3): end without an answer: the caller disconnected or this node stops. */
 void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end);
+/* bct_exchange_drop_kept(3): end with 502: there is no room to keep its answer until it is whole.
+ */
+void bct_exchange_drop_kept(bct_exchange_t *x);
 
 /* Events of the connection that carries the current attempt. */
 void bct_exchange_connected(bct_exchange_t *x);
--- /dev/null
+++ b/gate/memory.c
@@ -0,0 +1,233 @@
+/*
+ * memory.c - counts the bytes of buffers by libevent's callbacks on their changes, and acts on the
+ * total from an event of its own, so that no connection is freed inside another one's callback.
+ */
+#include "gate/memory.h"
+#include "base/err.h"
+#include "base/mem.h"
+
+#include <inttypes.h>
+
+/* Retry-After: room comes back as callers read on or leave. The spread keeps refused callers from
+ * returning all at once. */
+#define RETRY_MS 300
+#define RETRY_SPREAD_MS 300
+
+struct bct_memory {
+	bct_gate_t *gate;
+	bct_gate_memory_t sums;
+	bct_gate_memory_level_t level; /* that was last acted on */
+	struct event *act;
+	bct_list_t waiting; /* connections, the longest waiting first */
+};
+
+static void act_soon(bct_memory_t *m)
+{
+	event_active(m->act, EV_TIMEOUT, 0);
+}
+
+static void note_change(bct_memory_t *m)
+{
+	bct_gate_memory_level_t level = bct_gate_memory_level(&m->sums);
+
+	if (level != m->level || level == BCT_GATE_MEMORY_CUT)
+		act_soon(m);
+}
+
+static void changed(bct_client_t *c, const struct evbuffer_cb_info *info,
+		    bct_gate_memory_kind_t kind)
+{
+	bct_memory_t *m = c->gate->memory;
+	bool begins = kind == BCT_GATE_MEMORY_UNREAD && !info->orig_size;
+
+	bct_gate_memory_change(&m->sums, &c->memory, begins ? bct_clock_now() : 0, kind,
+			       info->n_added, info->n_deleted);
+	note_change(m);
+}
+
+static void on_request(struct evbuffer *b, const struct evbuffer_cb_info *info, void *ctx)
+{
+	(void)b;
+	changed(ctx, info, BCT_GATE_MEMORY_REQUEST);
+}
+
+static void on_kept(struct evbuffer *b, const struct evbuffer_cb_info *info, void *ctx)
+{
+	(void)b;
+	changed(ctx, info, BCT_GATE_MEMORY_KEPT);
+}
+
+static void on_unread(struct evbuffer *b, const struct evbuffer_cb_info *info, void *ctx)
+{
+	(void)b;
+	changed(ctx, info, BCT_GATE_MEMORY_UNREAD);
+}
+
+void bct_memory_watch(bct_client_t *c, struct evbuffer *buffer, bct_gate_memory_kind_t kind)
+{
+	static const evbuffer_cb_func callbacks[BCT_GATE_MEMORY_KINDS] = { on_request, on_kept,
+									   on_unread };
+
+	if (c->gate->memory)
+		evbuffer_add_cb(buffer, callbacks[kind], c);
+}
+
+void bct_memory_drain(const bct_gate_t *g, struct evbuffer *buffer)
+{
+	if (g->memory && buffer)
+		evbuffer_drain(buffer, evbuffer_get_length(buffer));
+}
+
+void bct_memory_release(const bct_gate_t *g, struct evbuffer *buffer)
+{
+	bct_memory_drain(g, buffer);
+	if (buffer)
+		evbuffer_free(buffer);
+}
+
+void bct_memory_opened(bct_client_t *c)
+{
+	bct_list_init(&c->waiting);
+	if (!c->gate->memory)
+		return;
+	bct_gate_memory_open(&c->gate->memory->sums, &c->memory);
+	bct_memory_watch(c, bufferevent_get_input(c->bev), BCT_GATE_MEMORY_REQUEST);
+	bct_memory_watch(c, bufferevent_get_output(c->bev), BCT_GATE_MEMORY_UNREAD);
+}
+
+void bct_memory_closed(bct_client_t *c)
+{
+	bct_memory_t *m = c->gate->memory;
+
+	bct_list_del(&c->waiting);
+	if (!m)
+		return;
+	bct_gate_memory_close(&m->sums, &c->memory);
+	if (m->level != BCT_GATE_MEMORY_FREE)
+		act_soon(m);
+}
+
+bool bct_memory_may_read_body(bct_client_t *c)
+{
+	bct_memory_t *m = c->gate->memory;
+
+	return !m || bct_gate_memory_may_read_body(&m->sums, &c->memory);
+}
+
+void bct_memory_body_ended(bct_client_t *c)
+{
+	bct_memory_t *m = c->gate->memory;
+
+	if (!m)
+		return;
+	bct_gate_memory_body_ended(&c->memory);
+	/* The next one may be read now. */
+	if (!bct_list_empty(&m->waiting))
+		act_soon(m);
+}
+
+void bct_memory_wait(bct_client_t *c)
+{
+	BCT_GATE_COUNT(c->gate, BODIES_WAITED);
+	bct_list_add_tail(&c->waiting, &c->gate->memory->waiting);
+}
+
+bool bct_memory_is_short(const bct_gate_t *g)
+{
+	return g->memory && bct_gate_memory_level(&g->memory->sums) >= BCT_GATE_MEMORY_WAIT;
+}
+
+bool bct_memory_refuses(const bct_gate_t *g)
+{
+	return g->memory && bct_gate_memory_level(&g->memory->sums) >= BCT_GATE_MEMORY_REFUSE;
+}
+
+uint32_t bct_memory_retry_ms(bct_gate_t *g)
+{
+	return RETRY_MS + bct_rng_below(&g->picker.rng, RETRY_SPREAD_MS);
+}
+
+static void cut(bct_memory_t *m, bct_client_t *c)
+{
+	const bct_gate_memory_account_t *a = &c->memory;
+
+	BCT_GATE_COUNT(m->gate, UNREAD_CUT);
+	BCT_LOG(m->gate->log, BCT_EV_GATE_UNREAD_CUT, BCT_STR("request", c->x ? c->x->call.id : ""),
+		BCT_U64("unread_bytes", a->bytes[BCT_GATE_MEMORY_UNREAD]),
+		BCT_U64("kept_bytes", a->bytes[BCT_GATE_MEMORY_KEPT]),
+		BCT_I64("unread_ms", bct_clock_now() - a->unread_since),
+		BCT_U64("held_bytes", m->sums.total_bytes),
+		BCT_U64("bound_bytes", m->sums.bound_bytes));
+	bct_client_cut(c);
+}
+
+static void resume_waiting(bct_memory_t *m)
+{
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe(el, tmp, &m->waiting) {
+		bct_client_t *c = bct_container_of(el, bct_client_t, waiting);
+
+		if (c->x ? !bct_memory_is_short(m->gate) : bct_memory_may_read_body(c))
+			bct_client_resume(c);
+	}
+}
+
+static void on_act(evutil_socket_t fd, short what, void *ctx)
+{
+	bct_memory_t *m = ctx;
+	bct_gate_memory_account_t *a;
+	bct_gate_memory_level_t level;
+
+	(void)fd;
+	(void)what;
+	while ((a = bct_gate_memory_to_cut(&m->sums)) != NULL)
+		cut(m, bct_container_of(a, bct_client_t, memory));
+	resume_waiting(m);
+	level = bct_gate_memory_level(&m->sums);
+	if (level == m->level)
+		return;
+	m->level = level;
+	BCT_LOG(m->gate->log, BCT_EV_GATE_MEMORY, BCT_U64("step", level),
+		BCT_U64("held_bytes", m->sums.total_bytes),
+		BCT_U64("bound_bytes", m->sums.bound_bytes),
+		BCT_U64("connections", m->gate->n_clients),
+		BCT_U64("requests", m->gate->n_exchanges));
+}
+
+void bct_memory_print(const bct_gate_t *g, bct_buf_t *out)
+{
+	if (g->memory)
+		bct_buf_printf(
+			out, "# TYPE bct_gate_held_bytes gauge\nbct_gate_held_bytes %" PRIu64 "\n",
+			g->memory->sums.total_bytes);
+}
+
+int bct_memory_new(bct_gate_t *g, bct_memory_t **out)
+{
+	bct_memory_t *m;
+
+	if (!g->settings->gate_memory_bytes)
+		return 0;
+	m = bct_alloc(sizeof(*m));
+	if (!m)
+		return -BCT_ENOMEM;
+	m->gate = g;
+	bct_gate_memory_init(&m->sums, g->settings->gate_memory_bytes);
+	bct_list_init(&m->waiting);
+	m->act = event_new(g->base, -1, 0, on_act, m);
+	if (!m->act) {
+		bct_free(m);
+		return -BCT_ENOMEM;
+	}
+	*out = m;
+	return 0;
+}
+
+void bct_memory_free(bct_memory_t *m)
+{
+	if (!m)
+		return;
+	event_free(m->act);
+	bct_free(m);
+}
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -322,14 +322,20 @@
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
 	size_t len = evbuffer_get_length(body);
+	int rc;
 
 	c->sent_at = bct_clock_now();
 	c->msg.head_only = c->x && !strncmp(c->x->head.data, "HEAD ", 5);
 	if (evbuffer_add(out, head->data, head->len_bytes))
 		return -BCT_ENOMEM;
-	if (len && evbuffer_add(out, evbuffer_pullup(body, -1), len))
-		return -BCT_ENOMEM;
-	return 0;
+	if (!len)
+		return 0;
+	/* The exchange keeps the body, for retries, until the connection is done with it. */
+	if (c->gate->memory)
+		rc = evbuffer_add_buffer_reference(out, body);
+	else
+		rc = evbuffer_add(out, evbuffer_pullup(body, -1), len);
+	return rc ? -BCT_ENOMEM : 0;
 }
 
 /* Whether the connection can carry another request: the last exchange is complete, nothing is
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -231,10 +231,11 @@
 	fill_settings(t, i);
 }
 
-static void start(test_gate_t *t, bool down)
+static void start(test_gate_t *t, bool down, uint32_t memory_bytes)
 {
 	init(t, 0);
 	t->down = down;
+	t->settings.gate_memory_bytes = memory_bytes;
 	start_upstreams(t);
 	start_gate(t, t);
 }
@@ -260,7 +261,7 @@
 
 void test_gate_start_down(test_gate_t *t)
 {
-	start(t, true);
+	start(t, true, 0);
 }
 
 /* Sends requests until an upstream has answered one: the configuration is loaded then. */
@@ -280,7 +281,12 @@
 
 void test_gate_start(test_gate_t *t)
 {
-	start(t, false);
+	test_gate_start_bounded(t, 0);
+}
+
+void test_gate_start_bounded(test_gate_t *t, uint32_t memory_bytes)
+{
+	start(t, false, memory_bytes);
 	wait_until_ready(t);
 }
 
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -62,6 +62,11 @@
  *   streamquiet  two events, then silence
  *   streamleaving  five events; the head states that the upstream is leaving
  *   streamslow   five events over more than two seconds
+ *   streamflood  16 MB of events as fast as the gateway reads them
+ *   streamfloodcut  the same, but resets the connection when the gateway reads nothing for CUT_MS
+ *
+ * A body of 16 KB or more is read and forgotten; with "slowbody" 64 KB at a time, SLOW_BODY_MS
+ * apart, after a first pause of SLOW_BODY_FIRST_MS.
  */
 typedef struct gate_upstream {
 	char id[32];
@@ -106,6 +111,8 @@
  * key k1 of account acme.
  */
 void test_gate_start(test_gate_t *t);
+/* Starts with the setting gate.memory_bytes. */
+void test_gate_start_bounded(test_gate_t *t, uint32_t memory_bytes);
 /* Starts with a registry that does not answer, and does not wait. */
 void test_gate_start_down(test_gate_t *t);
 /*
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -16,9 +16,14 @@
 #include <unistd.h>
 
 #define HEAD "X-Buckthornchute-"
-#define SLOW_EVENT_MS 550 /* between events of "streamslow" */
-#define QUIET_MS 3000	  /* how long a silent upstream keeps its connection open */
-#define DIE_MS 150	  /* from the arrival of a request to the end of the upstream, for "die" */
+#define SLOW_EVENT_MS 550  /* between events of "streamslow" */
+#define QUIET_MS 3000	   /* how long a silent upstream keeps its connection open */
+#define FLOOD_EVENTS 16384 /* of 1 KB each */
+#define FLOOD_SNDBUF_BYTES 65536
+#define CUT_MS 500		/* for "streamfloodcut" */
+#define SLOW_BODY_FIRST_MS 2500 /* longer than the gateway's TCP_USER_TIMEOUT of 1.5 s */
+#define SLOW_BODY_MS 20
+#define DIE_MS 150 /* from the arrival of a request to the end of the upstream, for "die" */
 
 typedef struct conn {
 	gate_upstream_t *u;
@@ -37,6 +42,29 @@
 	snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
 }
 
+/* Reads a body that the buffer has no room for. Returns false when the connection ended. */
+static bool skip_body(int fd, const char *head, size_t body)
+{
+	char unused[65536];
+	char script[128];
+	bool slow;
+
+	get_header(head, "\nX-Script", script, sizeof(script));
+	slow = !strcmp(script, "slowbody");
+	if (slow)
+		bct_clock_sleep(SLOW_BODY_FIRST_MS);
+	while (body) {
+		ssize_t n = recv(fd, unused, body < sizeof(unused) ? body : sizeof(unused), 0);
+
+		if (n <= 0)
+			return false;
+		body -= (size_t)n;
+		if (slow)
+			bct_clock_sleep(SLOW_BODY_MS);
+	}
+	return true;
+}
+
 /* Reads one request. Returns false when the connection ended. */
 static bool read_request(int fd, char *buf, size_t size, size_t *have, gate_run_t *run)
 {
@@ -56,6 +84,11 @@
 	snprintf(run->head, sizeof(run->head), "%.*s", (int)head, buf);
 	get_header(run->head, "\nContent-Length", run->body, sizeof(run->body));
 	body = strtoul(run->body, NULL, 10);
+	if (head + body >= size) {
+		body -= *have - head;
+		*have = 0;
+		return skip_body(fd, run->head, body);
+	}
 	while (*have < head + body) {
 		ssize_t n = recv(fd, buf + *have, size - 1 - *have, 0);
 
@@ -126,6 +159,29 @@
 	pthread_mutex_unlock(&u->gate->lock);
 }
 
+/* Sends events without pause. Returns whether the connection stays open. */
+static bool flood(int fd, bool cuts)
+{
+	struct timeval limit = { 0, CUT_MS * 1000 };
+	int size = FLOOD_SNDBUF_BYTES;
+	char text[1100];
+
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	if (cuts)
+		setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+	for (int i = 1; i <= FLOOD_EVENTS; i++) {
+		int n = snprintf(text, sizeof(text), "400\r\nid: %-10d\ndata: %01001d\n\n\r\n", i,
+				 i);
+
+		if (send(fd, text, (size_t)n, MSG_NOSIGNAL) == n)
+			continue;
+		reset(fd);
+		return false;
+	}
+	put(fd, "0\r\n\r\n");
+	return true;
+}
+
 /* Sends the events after the request's Last-Event-Id. Returns whether the connection stays open. */
 static bool stream(gate_upstream_t *u, int fd, const char *action, const gate_run_t *run)
 {
@@ -139,6 +195,8 @@
 		 "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 		 run->call_id, strcmp(action, "streamleaving") ? "" : "Server-Leaving: 1\r\n");
 	put(fd, text);
+	if (!strncmp(action, "streamflood", 11))
+		return flood(fd, !strcmp(action, "streamfloodcut"));
 	for (int i = from + 1; i <= 5; i++) {
 		put_event(fd, i);
 		if (!strcmp(action, "streamcut") && i == 2) {
