Gate: slow callers and upstreams are not taken for broken ones

Cause: three judgements blamed an upstream, or a connection, for a peer that reads slowly. (1) An upstream that ends an answer which this node had stopped reading counted as failing and as evidence of a crash; three such cuts blocked the request. (2) The silence limit of a resumable stream ran while the node did not read, so the stream was sent to another upstream. (3) The kernel ends a connection after its TCP_USER_TIMEOUT also while the peer's receive window is closed: callers at 1 KB/s were reset after 5 s, and a body to an upstream that did not read for 1.5 s failed as broken. Change: (1) the end of a connection that is paused, or was until a second ago, is a fault of its own (unread) that no judge sees; the end is UNREAD. (2) No silence is measured over a pause.

--- a/cmd/explain_cause.c
+++ b/cmd/explain_cause.c
@@ -242,10 +242,12 @@
 
 static void unread(const json_t *l, bct_buf_t *out)
 {
-	bct_buf_printf(out,
-		       "The node cut the response of %s to free memory, as its caller did not read "
-		       "it (event 429).",
-		       explain_text(l, "upstream"));
+	bct_buf_printf(
+		out,
+		"The response of %s ended early, as its caller did not read it: this node cut "
+		"it to free memory (event 429), or the upstream did not wait any longer (event "
+		"412 with unread).",
+		explain_text(l, "upstream"));
 }
 
 static const ending_t endings[] = {
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -62,6 +62,9 @@
 	case BCT_FAULT_SILENT:
 		BCT_GATE_COUNT(x->gate, RETRY_SILENT);
 		return "silent";
+	case BCT_FAULT_UNREAD:
+		BCT_GATE_COUNT(x->gate, RETRY_UNREAD);
+		return "unread";
 	}
 	return "unknown";
 }
@@ -115,11 +118,9 @@
 	resend(x);
 }
 
-void bct_exchange_fault(bct_exchange_t *x, bct_attempt_fault_t fault)
+/* What the failed attempt says of the upstream, of the links to it, and of the request. */
+static void judge_fault(bct_exchange_t *x, bct_attempt_fault_t fault)
 {
-	const char *what = count_fault(x, fault);
-
-	x->last_fault = fault;
 	if (x->conn->upstream->is_node)
 		bct_relay_failed(x);
 	else if (fault == BCT_FAULT_BROKEN)
@@ -129,6 +130,17 @@
 	else if (fault == BCT_FAULT_BROKEN && !x->first_byte_at)
 		bct_reach_doubted(x->gate, x->conn->upstream);
 	bct_gate_upstream_result(x->conn->upstream, bct_clock_now(), false);
+}
+
+void bct_exchange_fault(bct_exchange_t *x, bct_attempt_fault_t fault)
+{
+	const char *what;
+
+	x->unread = fault == BCT_FAULT_BROKEN && bct_upconn_is_unread(x->conn);
+	x->last_fault = x->unread ? BCT_FAULT_UNREAD : fault;
+	what = count_fault(x, x->last_fault);
+	if (!x->unread)
+		judge_fault(x, fault);
 	bct_exchange_abort_attempt(x);
 	if (fault != BCT_FAULT_CONNECT) {
 		retry_or_give_up(x, what);
@@ -308,8 +320,12 @@
 /* Most of the output to the caller has been sent: resumes reading from the upstream. */
 void bct_exchange_flushed(bct_exchange_t *x)
 {
-	if (x->conn)
-		bct_upconn_pause(x->conn, false);
+	if (!x->conn || !x->conn->paused)
+		return;
+	bct_upconn_pause(x->conn, false);
+	/* Neither silence nor the pace of the upstream is measured over the pause. */
+	x->progress_at = x->events_at = bct_clock_now();
+	bct_exchange_set_timer(x);
 }
 
 /* A stream is complete only if it had an event and does not end inside one. */
@@ -318,7 +334,8 @@
 	bct_gate_pace_kind_t kind = bct_exchange_pace_kind(x);
 
 	if (!bct_gate_sse_at_boundary(&x->events) || !x->answer_started) {
-		bct_exchange_fault(x, BCT_FAULT_BAD_ANSWER);
+		bct_exchange_fault(x, bct_upconn_is_unread(x->conn) ? BCT_FAULT_BROKEN
+								    : BCT_FAULT_BAD_ANSWER);
 		return;
 	}
 	bct_gate_upstream_result(x->conn->upstream, bct_clock_now(), true);
--- a/gate/client.c
+++ b/gate/client.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 #include "gate/gate_int.h"
 #include "gate/memory.h"
+#include "gate/window.h"
 
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -192,6 +193,7 @@
 	struct evbuffer *body = c->body;
 
 	c->body = NULL;
+	c->flushed = false;
 	event_del(c->timer);
 	bct_memory_body_ended(c);
 	if (!c->msg.keep_alive || c->gate->draining)
@@ -309,6 +311,7 @@
 	if (c->waits)
 		bct_client_resume(c);
 	c->x = NULL;
+	c->flushed = false;
 	if (truncated)
 		c->close_after = true;
 	if (c->close_after) {
@@ -432,6 +435,25 @@
 	}
 }
 
+void bct_clients_check_windows(bct_gate_t *g)
+{
+	bct_list_t *el;
+
+	bct_list_for_each(el, &g->clients) {
+		bct_client_t *c = bct_container_of(el, bct_client_t, link);
+		bool unread;
+
+		if (c->flushed)
+			continue;
+		unread = bct_window_check(bufferevent_getfd(c->bev), &c->window_closed,
+					  USER_TIMEOUT_MS);
+		if (c->x && c->x->conn && !c->x->output_started)
+			bct_upconn_check_window(c->x->conn);
+		c->flushed =
+			!c->x && !unread && !evbuffer_get_length(bufferevent_get_output(c->bev));
+	}
+}
+
 void bct_clients_free(bct_gate_t *g)
 {
 	bct_clients_stop_listening(g);
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -17,6 +17,7 @@
 	DEF(RETRY_BROKEN, "bct_gate_faults_total", "broken", "counter", "Attempts that failed")   \
 	DEF(RETRY_BAD, "bct_gate_faults_total", "bad_answer", "counter", "Attempts that failed")  \
 	DEF(RETRY_SILENT, "bct_gate_faults_total", "silent", "counter", "Attempts that failed")   \
+	DEF(RETRY_UNREAD, "bct_gate_faults_total", "unread", "counter", "Attempts that failed")   \
 	DEF(RETRY_NOT_RUN, "bct_gate_faults_total", "not_run", "counter", "Attempts that failed") \
 	DEF(RETRY_ERROR, "bct_gate_faults_total", "error", "counter", "Attempts that failed")     \
 	DEF(BUDGET_SPENT, "bct_gate_budget_spent_total", NULL, "counter",                         \
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -171,6 +171,7 @@
 {
 	bct_gate_budget_t *b = get_budget(x->gate, x->query.service_key);
 
+	x->unread = false;
 	if (x->conn->upstream->is_node) {
 		connected_to_helper(x);
 		return;
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -37,6 +37,9 @@
 		return BCT_TIME_NEVER;
 	if (!x->conn->connected)
 		return x->conn->opened + CONNECT_TIMEOUT_MS;
+	/* It is the caller that is slow: the upstream can't be heard. */
+	if (x->conn->paused)
+		return BCT_TIME_NEVER;
 	/* A helper watches the silence of upstreams itself. */
 	if (x->conn->upstream->is_node)
 		return BCT_TIME_NEVER;
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -138,7 +138,7 @@
 	bct_exchange_abort_attempt(x);
 	x->status = o->status;
 	if (x->answer_started) {
-		bct_exchange_end(x, BCT_GATE_END_CUT, true);
+		bct_exchange_end(x, x->unread ? BCT_GATE_END_UNREAD : BCT_GATE_END_CUT, true);
 		return;
 	}
 	answer.elsewhere = lies_here(x, end);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -15,6 +15,7 @@
 #include "gate/registry_sync.h"
 #include "gate/relay.h"
 #include "gate/share.h"
+#include "gate/window.h"
 
 #include <signal.h>
 #include <string.h>
@@ -120,6 +121,10 @@
 
 		bct_upconns_expire(g, u, u->presence >= BCT_GATE_LAPSED);
 	}
+	if (bct_clock_now() - g->windows_checked >= BCT_WINDOW_CHECK_MS) {
+		g->windows_checked = bct_clock_now();
+		bct_clients_check_windows(g);
+	}
 	bct_crash_check_abandoned(g);
 	bct_part_decide(g);
 	bct_reach_tick(g);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -83,6 +83,7 @@
 	struct evconnlistener *listener;
 	struct evconnlistener *relay_listener; /* for other nodes; NULL: none */
 	struct event *tick;
+	bct_time_t windows_checked;
 	struct event *signals[3];
 	bct_gate_routes_t *routes; /* NULL until a configuration has been loaded */
 	bct_gate_upstreams_t upstreams;
@@ -130,6 +131,9 @@
 int bct_clients_listen(bct_gate_t *g);
 void bct_clients_stop_listening(bct_gate_t *g);
 void bct_clients_close_idle(bct_gate_t *g);
+/* bct_clients_check_windows(3): see bct_window_check(3); of callers, and of the upstreams to which
+ * their requests are being sent. */
+void bct_clients_check_windows(bct_gate_t *g);
 void bct_clients_free(bct_gate_t *g);
 
 /* A caller's connection. */
@@ -146,6 +150,8 @@
 	bct_time_t left_ms; /* of that time when it began to wait */
 	bct_exchange_t *x;  /* in progress; NULL: none */
 	bool is_node;	    /* the caller is another node that relays requests */
+	bool window_closed; /* the caller does not read, see bct_window_check(3) */
+	bool flushed;	    /* it has acknowledged all output, and no request is in progress */
 	bool waits;	    /* nothing is read until there is room */
 	bool too_large;
 	bool request_started; /* part of the next request has been received */
@@ -195,6 +201,9 @@
 	bct_exchange_t *x; /* NULL: idle */
 	bool connected;
 	bool reused;
+	bool window_closed;   /* the upstream does not read, see bct_window_check(3) */
+	bool paused;	      /* it is not read, as the caller is slow to receive */
+	bct_time_t resumed;   /* when that last ended in the current request; 0: never */
 	bool discards;	      /* the answer being read belongs to another request and is skipped */
 	bool progress;	      /* bytes of the answer to the current request were accepted */
 	size_t useless_bytes; /* received since then */
@@ -219,6 +228,14 @@
 void bct_upconn_close(bct_upconn_t *c);
 /* bct_upconn_pause(3): stop or resume reading, while the caller is slow to receive. */
 void bct_upconn_pause(bct_upconn_t *c, bool pause);
+/* bct_upconn_check_window(3): see bct_window_check(3). */
+void bct_upconn_check_window(bct_upconn_t *c);
+/*
+ * bct_upconn_is_unread(3): whether this node does not read what the upstream sends, or did not
+ * until a moment ago: an upstream that ends the connection then may have lost patience with the
+ * caller.
+ */
+bool bct_upconn_is_unread(const bct_upconn_t *c);
 /* bct_upconns_expire(3): close connections idle for too long; all: every idle connection. */
 void bct_upconns_expire(bct_gate_t *g, bct_gate_upstream_t *u, bool all);
 
@@ -228,6 +245,7 @@
 	BCT_FAULT_BROKEN,      /* the connection broke */
 	BCT_FAULT_BAD_ANSWER,  /* malformed, not sealed by the upstream, or of another request */
 	BCT_FAULT_SILENT,      /* no byte within the time limit for silence */
+	BCT_FAULT_UNREAD,      /* the connection broke while the caller did not read the answer */
 } bct_attempt_fault_t;
 
 struct bct_exchange {
@@ -279,6 +297,7 @@
 	bool budget_counted;	   /* the first send was counted in the retry budget */
 	bool output_started;	   /* an event of the current attempt was received */
 	bool harmless;		   /* the current attempt has run for long enough to show it */
+	bool unread;		   /* the current attempt ended as the caller did not read */
 	bool no_silence_retry;	   /* silence of the current attempt causes no retry */
 	int status;
 	bct_attempt_fault_t last_fault;
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 #include "gate/gate_int.h"
 #include "gate/reach.h"
+#include "gate/window.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -20,6 +21,7 @@
 #define IDLE_PERMILLE 500    /* of the keep-alive time stated, to close before the upstream does */
 #define USER_TIMEOUT_MS 1500 /* output unacknowledged for this long ends the connection */
 #define PROBE_IDLE_S 1	     /* without traffic, until keep-alive probes are sent */
+#define UNREAD_MS 1000	     /* after a pause, to read what the upstream sent before it gave up */
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most */
 /* Interim answers and answers to other requests that are skipped at most; above a late stream. */
 #define USELESS_MAX_BYTES (256 * 1024)
@@ -201,8 +203,9 @@
 	}
 	c->idle_since = bct_clock_now();
 	c->idle_limit_ms = limit_ms;
-	/* Reading may be paused; without it, a close by the upstream would go unnoticed. */
-	bufferevent_enable(c->bev, EV_READ);
+	/* While reading is paused, a close by the upstream would go unnoticed. */
+	bct_upconn_pause(c, false);
+	c->resumed = 0;
 	bct_list_del(&c->link);
 	bct_list_add_head(&c->link, &l->conns);
 }
@@ -382,10 +385,26 @@
 
 void bct_upconn_pause(bct_upconn_t *c, bool pause)
 {
-	if (pause)
+	if (pause == c->paused)
+		return;
+	c->paused = pause;
+	if (pause) {
 		bufferevent_disable(c->bev, EV_READ);
-	else
-		bufferevent_enable(c->bev, EV_READ);
+		return;
+	}
+	c->resumed = bct_clock_now();
+	bufferevent_enable(c->bev, EV_READ);
+}
+
+void bct_upconn_check_window(bct_upconn_t *c)
+{
+	if (c->connected)
+		bct_window_check(bufferevent_getfd(c->bev), &c->window_closed, USER_TIMEOUT_MS);
+}
+
+bool bct_upconn_is_unread(const bct_upconn_t *c)
+{
+	return c->paused || (c->resumed && bct_clock_now() - c->resumed < UNREAD_MS);
 }
 
 void bct_upconns_expire(bct_gate_t *g, bct_gate_upstream_t *u, bool all)
