Gate: three reported faults mended: stops, trickling streams, frozen nodes

Cause: tests for the faults that operators of similar systems reported showed three of them here. (b) At the end of a planned stop the listener was closed with established connections in its queue, and connections just accepted were closed as idle: most callers that came in then got no answer. (c) A stream that stalled but sent a byte now and then was never silent, so a resumable one was held to its deadline. (d) A node that had not run for seconds went on with its part and its credit of an upstream's limit, which its peers may have divided among themselves. Change: (b) the queue is accepted before the listener closes, and idle is a connection that has been so for 300 ms and has no bytes to read. (c) Bytes without an event count for four silence limits at most. (d) After 2 s without a tick a node has no part of limits and makes no trials for 1 s.

--- a/gate/client.c
+++ b/gate/client.c
@@ -2,6 +2,7 @@
  * client.c - connections of callers. Requests on one connection are handled one at a time: a
  * pipelined request stays in the input buffer until the previous one has been answered.
  */
+#define _GNU_SOURCE
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/gate_int.h"
@@ -11,15 +12,17 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 512
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most while a request is in progress */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
-#define LINGER_MS 1000		     /* for the caller to close after the last response */
-#define RELAY_HEADER_BYTES 512	     /* that another node adds to those of its caller */
-#define USER_TIMEOUT_MS 5000	     /* output unacknowledged for this long ends the connection */
+#define IDLE_MIN_MS 300 /* a stop leaves a new or just answered connection open for as long */
+#define LINGER_MS 1000	/* for the caller to close after the last response */
+#define RELAY_HEADER_BYTES 512 /* that another node adds to those of its caller */
+#define USER_TIMEOUT_MS 5000   /* output unacknowledged for this long ends the connection */
 
 /* Limits in force until a configuration is known. */
 #define DEFAULT_HEADER_BYTES 16384
@@ -320,6 +323,7 @@
 	}
 	bct_http_msg_reset(&c->msg);
 	c->request_started = false;
+	c->idle_since = bct_clock_now();
 	set_timer(c, get_limits(c->gate).idle_timeout_ms);
 	/* Deferred to the event loop, so that pipelined requests do not nest calls. */
 	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
@@ -350,6 +354,7 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
+	c->idle_since = bct_clock_now();
 	bct_list_add_tail(&c->link, &g->clients);
 	bct_memory_opened(c);
 	g->n_clients++;
@@ -414,15 +419,40 @@
 	return rc ? rc : listen_at(g, &relay, on_accept_node, &g->relay_listener);
 }
 
+/* Closing a listening socket resets the connections that the kernel has established there, and
+ * whose callers may have sent a request. */
+static void close_listener(bct_gate_t *g, struct evconnlistener *l, bool is_node)
+{
+	evutil_socket_t fd;
+
+	if (!l)
+		return;
+	while ((fd = accept4(evconnlistener_get_fd(l), NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
+	       0) {
+		if (!client_new(g, fd, is_node))
+			evutil_closesocket(fd);
+	}
+	evconnlistener_free(l);
+}
+
 void bct_clients_stop_listening(bct_gate_t *g)
 {
-	if (g->listener)
-		evconnlistener_free(g->listener);
-	if (g->relay_listener)
-		evconnlistener_free(g->relay_listener);
+	close_listener(g, g->listener, false);
+	close_listener(g, g->relay_listener, true);
 	g->listener = g->relay_listener = NULL;
 }
 
+/* Whether no request has come, nor is one likely to be on its way. */
+static bool is_idle(bct_client_t *c)
+{
+	int unread = 0;
+
+	if (c->x || c->request_started || c->closing ||
+	    bct_clock_now() - c->idle_since < IDLE_MIN_MS)
+		return false;
+	return ioctl(bufferevent_getfd(c->bev), FIONREAD, &unread) || !unread;
+}
+
 void bct_clients_close_idle(bct_gate_t *g)
 {
 	bct_list_t *el, *tmp;
@@ -430,7 +460,7 @@
 	bct_list_for_each_safe(el, tmp, &g->clients) {
 		bct_client_t *c = bct_container_of(el, bct_client_t, link);
 
-		if (!c->x && !c->request_started && !c->closing)
+		if (is_idle(c))
 			close_when_flushed(c);
 	}
 }
--- a/gate/crash.c
+++ b/gate/crash.c
@@ -176,7 +176,8 @@
 	bct_gate_t *g = x->gate;
 	uint64_t digest = bct_crash_digest(x);
 
-	if (!bct_share_is_responsible(g->share, digest) ||
+	bct_gate_check_resumed(g);
+	if (bct_gate_is_resuming(g) || !bct_share_is_responsible(g->share, digest) ||
 	    !bct_gate_crash_take_trial(&g->crashes, bct_clock_now(), digest))
 		return false;
 	BCT_LOG(g->log, BCT_EV_GATE_CRASH_TRIAL, BCT_STR("request", x->call.id),
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -258,6 +258,7 @@
 		bct_exchange_timed_out(x);
 		return;
 	}
+	bct_gate_check_resumed(x->gate);
 	if (bct_relay_send(x, false))
 		return;
 	while (x->connects <= CONNECT_FAILURES_MAX) {
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -18,10 +18,22 @@
 #define CONNECT_TIMEOUT_MS 300	     /* a round trip with the handshake takes a few milliseconds */
 #define SAFE_SILENCE_PERMILLE 500    /* of the latency target: then a safe request is retried */
 #define STREAM_SILENCE_PERMILLE 2000 /* the same for a resumable stream without output */
+#define TRICKLE_FACTOR 4     /* times the silence limit that bytes without an event may go on */
 #define GAP_SILENCE_FACTOR 4 /* target inter-token gaps until a resumable stream is retried */
 #define SILENCE_MIN_MS 40    /* lower bound of the limits in permille */
 #define BITS_PER_BYTE 8
 
+/* Bytes that complete no event don't count for ever: a stream could stall with one now and then. */
+static bct_time_t stream_silent_at(const bct_exchange_t *x)
+{
+	uint32_t ms = x->route->target_gap_ms * GAP_SILENCE_FACTOR;
+	bct_time_t at = x->progress_at + ms, event_at = x->events_at + ms * TRICKLE_FACTOR;
+
+	if (!ms)
+		return BCT_TIME_NEVER;
+	return x->output_started && event_at < at ? event_at : at;
+}
+
 /*
  * Returns when the current attempt exceeds its silence limit, or the connect timeout while it is
  * connecting. BCT_TIME_NEVER when the request could not be retried anyway.
@@ -45,10 +57,8 @@
 		return BCT_TIME_NEVER;
 	if (x->no_silence_retry || !bct_gate_route_repeatable(r) || x->attempts >= r->attempts)
 		return BCT_TIME_NEVER;
-	if (x->answer_started) {
-		ms = r->target_gap_ms * GAP_SILENCE_FACTOR;
-		return r->target_gap_ms ? x->progress_at + ms : BCT_TIME_NEVER;
-	}
+	if (x->answer_started)
+		return stream_silent_at(x);
 	ms = r->target_ms *
 	     (r->kind == BCT_GATE_STREAM ? STREAM_SILENCE_PERMILLE : SAFE_SILENCE_PERMILLE) /
 	     BCT_MS_PER_S;
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -21,6 +21,8 @@
 #include <string.h>
 
 #define TICK_MS 100
+#define SUSPENDED_MS 2000   /* without a tick; peers then begin to do without this node */
+#define RESUME_HOLD_MS 1000 /* to hear from peers what they granted each other meanwhile */
 /* Callers may use an address for up to three times its announced lifetime. */
 #define LIFETIMES_KEPT 3
 #define STOP_MARGIN_MS 500 /* to exit before the platform kills the process */
@@ -109,6 +111,23 @@
 	g->rank = fleet.rank;
 }
 
+bool bct_gate_is_resuming(const bct_gate_t *g)
+{
+	return g->resumed_at && bct_clock_now() - g->resumed_at < RESUME_HOLD_MS;
+}
+
+void bct_gate_check_resumed(bct_gate_t *g)
+{
+	bct_time_t now = bct_clock_now(), gap_ms = now - g->ticked_at;
+
+	if (!g->share || gap_ms < SUSPENDED_MS)
+		return;
+	BCT_LOG(g->log, BCT_EV_NODE_RESUMED, BCT_I64("ms", gap_ms),
+		BCT_U64("requests", g->n_exchanges));
+	g->ticked_at = g->resumed_at = now;
+	bct_notice_suspend(g);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	bct_gate_t *g = ctx;
@@ -116,6 +135,8 @@
 
 	(void)fd;
 	(void)what;
+	bct_gate_check_resumed(g);
+	g->ticked_at = bct_clock_now();
 	bct_list_for_each(el, &g->upstreams.all) {
 		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
@@ -210,6 +231,7 @@
 
 void bct_gate_run(bct_gate_t *g)
 {
+	g->ticked_at = bct_clock_now();
 	event_base_dispatch(g->base);
 	BCT_LOG(g->log, BCT_EV_NODE_STOPPED, BCT_U64("requests", g->n_exchanges),
 		BCT_U64("connections", g->n_clients));
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -84,6 +84,8 @@
 	struct evconnlistener *relay_listener; /* for other nodes; NULL: none */
 	struct event *tick;
 	bct_time_t windows_checked;
+	bct_time_t ticked_at;
+	bct_time_t resumed_at; /* after a suspension of the process; 0: never */
 	struct event *signals[3];
 	bct_gate_routes_t *routes; /* NULL until a configuration has been loaded */
 	bct_gate_upstreams_t upstreams;
@@ -127,6 +129,15 @@
  */
 bool bct_gate_takes_on(const bct_gate_t *g, bct_time_t deadline);
 
+/*
+ * bct_gate_check_resumed(3): to be called before this node uses what its peers grant it (parts of
+ * limits, trials): they may have divided it among themselves while this process did not run. It
+ * then does without for as long as it takes to hear of that.
+ */
+void bct_gate_check_resumed(bct_gate_t *g);
+/* bct_gate_is_resuming(3): whether that is so now. */
+bool bct_gate_is_resuming(const bct_gate_t *g);
+
 /* client.c */
 int bct_clients_listen(bct_gate_t *g);
 void bct_clients_stop_listening(bct_gate_t *g);
@@ -146,13 +157,14 @@
 	struct evbuffer *body;		  /* of the request being read */
 	bct_gate_memory_account_t memory; /* used if the gate has a bound */
 	bct_list_t waiting;		  /* in the list of those that wait for room */
-	bct_time_t due;	    /* when the request must be complete, unless it waits for room */
-	bct_time_t left_ms; /* of that time when it began to wait */
-	bct_exchange_t *x;  /* in progress; NULL: none */
-	bool is_node;	    /* the caller is another node that relays requests */
-	bool window_closed; /* the caller does not read, see bct_window_check(3) */
-	bool flushed;	    /* it has acknowledged all output, and no request is in progress */
-	bool waits;	    /* nothing is read until there is room */
+	bct_time_t idle_since; /* when it was accepted, or its last request was answered */
+	bct_time_t due;	       /* when the request must be complete, unless it waits for room */
+	bct_time_t left_ms;    /* of that time when it began to wait */
+	bct_exchange_t *x;     /* in progress; NULL: none */
+	bool is_node;	       /* the caller is another node that relays requests */
+	bool window_closed;    /* the caller does not read, see bct_window_check(3) */
+	bool flushed;	       /* it has acknowledged all output, and no request is in progress */
+	bool waits;	       /* nothing is read until there is room */
 	bool too_large;
 	bool request_started; /* part of the next request has been received */
 	bool close_after;     /* no further request is accepted */
--- a/gate/part.c
+++ b/gate/part.c
@@ -135,7 +135,8 @@
 	bct_gate_t *g = x->gate;
 	uint64_t part = part_to_try(x);
 
-	if (!part || !bct_share_is_responsible(g->share, part) ||
+	bct_gate_check_resumed(g);
+	if (!part || bct_gate_is_resuming(g) || !bct_share_is_responsible(g->share, part) ||
 	    !bct_gate_part_judge_take_trial(&g->part_judge, bct_clock_now(), part))
 		return false;
 	BCT_LOG(g->log, BCT_EV_GATE_PART_TRIAL, BCT_STR("request", x->call.id),
--- a/policy/gate_brittle.c
+++ b/policy/gate_brittle.c
@@ -165,6 +165,13 @@
 	return b->part_mrps ? (uint32_t)(missing / b->part_mrps) + 1 : FULL_WAIT_MS;
 }
 
+void bct_gate_brittle_suspend(bct_gate_brittle_t *b, bct_time_t now)
+{
+	b->owner = false;
+	b->credit_ureq = 0;
+	b->credit_at = now;
+}
+
 void bct_gate_brittle_sent(bct_gate_brittle_t *b, bct_time_t now)
 {
 	if (!b->named)
--- a/policy/gate_brittle.h
+++ b/policy/gate_brittle.h
@@ -72,6 +72,9 @@
 void bct_gate_brittle_assign(bct_gate_brittle_t *b, bct_time_t now, uint64_t upstream,
 			     uint32_t slots, const bct_gate_limit_nodes_t *nodes);
 
+/* bct_gate_brittle_suspend(3): this node sends nothing until the next assignment. */
+void bct_gate_brittle_suspend(bct_gate_brittle_t *b, bct_time_t now);
+
 /* bct_gate_brittle_owns(3): whether a node of these is among the owners of a brittle upstream. */
 bool bct_gate_brittle_owns(const bct_gate_brittle_t *b, uint64_t upstream, uint32_t slots,
 			   const bct_gate_limit_nodes_t *nodes, uint64_t node);
--- a/policy/gate_limit.c
+++ b/policy/gate_limit.c
@@ -125,6 +125,11 @@
 		l->share_mrps = 0;
 }
 
+void bct_gate_limit_suspend(bct_gate_limit_t *l, bct_time_t now)
+{
+	begin(l, now);
+}
+
 /* An owner keeps its limit known; a node that found it lifted says so for a while. */
 bool bct_gate_limit_announces(const bct_gate_limit_t *l, bct_time_t now)
 {
--- a/policy/gate_limit.h
+++ b/policy/gate_limit.h
@@ -75,6 +75,9 @@
 void bct_gate_limit_assign(bct_gate_limit_t *l, bct_time_t now, uint64_t upstream,
 			   const bct_gate_limit_nodes_t *nodes);
 
+/* bct_gate_limit_suspend(3): this node has no part, nor credit left, until the next assignment. */
+void bct_gate_limit_suspend(bct_gate_limit_t *l, bct_time_t now);
+
 /*
  * bct_gate_limit_announces(3): whether this node is to tell the others what it knows, periodically.
  */
--- /dev/null
+++ b/tests/test_gate_reported.c
@@ -0,0 +1,224 @@
+/*
+ * test_gate_reported.c - faults that operators of similar systems reported, see
+ * docs/design/reported-faults.md. util_gate.h lists the scripted actions.
+ */
+#include "base/clock.h"
+#include "gate/gate_int.h"
+#include "tests/util_gate.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define FLEET 3
+#define CALLS 10
+#define CALLERS 8
+#define FROZEN_MS 2500
+#define RECOVERED_MS 8000 /* a third of a request per second is saved up first */
+
+static test_gate_t gates[FLEET];
+
+/* A second copy of an answer comes on a connection that is in use again: its next caller must get
+ * its own answer. */
+Test(gate_reported, a_late_copy_goes_to_nobody)
+{
+	uint32_t connections;
+	bct_buf_t out;
+
+	test_gate_start(&gates[0]);
+	test_gate_call(&gates[0], "POST", "/unsafe/a", "first", "ok", &out);
+	bct_buf_free(&out);
+	connections = gates[0].connections;
+	for (int i = 0; i < CALLS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "next-%d", i);
+		cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", id, "latecopy", &out),
+			     200);
+		cr_expect(strstr(out.data, "body") && !strstr(out.data, "theirs"), "%s", out.data);
+		cr_expect(strstr(out.data, id), "%s", out.data);
+		bct_buf_free(&out);
+	}
+	cr_expect_eq(gates[0].connections, connections, "the connection was not in use again");
+	cr_expect_eq(bct_counter_get(&gates[0].gate->counters.values[BCT_GATE_ANSWERS_SKIPPED]),
+		     CALLS);
+	test_gate_stop(&gates[0]);
+}
+
+typedef struct stop_caller {
+	pthread_t thread;
+	uint32_t connected;
+	uint32_t answered;
+} stop_caller_t;
+
+static bool stop_over;
+
+/* Connects again and again while the gateway stops; a connection that is accepted needs an answer.
+ */
+static void *call_during_stop(void *arg)
+{
+	static const char request[] = "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nApi-Key: k1\r\n"
+				      "X-Buckthornchute-Request-Attempt-Id: stop\r\n"
+				      "Connection: close\r\n\r\n";
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(18000) };
+	stop_caller_t *c = arg;
+
+	inet_pton(AF_INET, gates[0].ip, &sa.sin_addr);
+	while (!__atomic_load_n(&stop_over, __ATOMIC_RELAXED)) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		char buf[16];
+
+		if (!connect(fd, (struct sockaddr *)&sa, sizeof(sa))) {
+			c->connected++;
+			/* As a caller that is slower than the loopback interface. */
+			bct_clock_sleep(c->connected % 3 ? 1 : 20);
+			send(fd, request, sizeof(request) - 1, MSG_NOSIGNAL);
+			c->answered += recv(fd, buf, sizeof(buf), 0) == sizeof(buf);
+		} else {
+			bct_clock_sleep(1);
+		}
+		close(fd);
+	}
+	return NULL;
+}
+
+/* A planned stop under load closes the way in without cutting off what has just come in. */
+Test(gate_reported, a_stop_answers_what_it_accepted, .timeout = 60)
+{
+	stop_caller_t callers[CALLERS] = { 0 };
+
+	test_gate_start(&gates[0]);
+	for (int i = 0; i < CALLERS; i++)
+		pthread_create(&callers[i].thread, NULL, call_during_stop, &callers[i]);
+	bct_clock_sleep(300);
+	pthread_kill(gates[0].thread, SIGTERM);
+	pthread_join(gates[0].thread, NULL);
+	__atomic_store_n(&stop_over, true, __ATOMIC_RELAXED);
+	for (int i = 0; i < CALLERS; i++) {
+		pthread_join(callers[i].thread, NULL);
+		cr_expect_gt(callers[i].connected, 10);
+		cr_expect_eq(callers[i].answered, callers[i].connected);
+	}
+	bct_gate_free(gates[0].gate);
+}
+
+/* A stream that sends a byte now and then, but no event, is stalled: one that may be resumed goes
+ * on elsewhere, and any other ends at its time limit. */
+Test(gate_reported, a_trickling_stream_ends)
+{
+	bct_time_t began;
+	bct_buf_t out;
+
+	test_gate_start(&gates[0]);
+	cr_expect_eq(
+		test_gate_call(&gates[0], "POST", "/resume/a", "r", "streamtrickle,stream", &out),
+		200);
+	cr_expect(strstr(out.data, "data: e5\n\n") && strstr(out.data, "\r\n0\r\n\r\n"), "%s",
+		  out.data);
+	cr_expect_eq(test_gate_runs(&gates[0], "r"), 2);
+	bct_buf_free(&out);
+	began = bct_clock_now();
+	test_gate_call(&gates[0], "POST", "/stream/a", "s", "streamtrickle", &out);
+	cr_expect_not(strstr(out.data, "\r\n0\r\n\r\n"));
+	cr_expect_lt(bct_clock_now() - began, 3500);
+	bct_buf_free(&out);
+	test_gate_stop(&gates[0]);
+}
+
+static void freeze(int sig)
+{
+	(void)sig;
+	bct_clock_sleep(FROZEN_MS);
+}
+
+static void *freeze_gate(void *arg)
+{
+	const test_gate_t *t = arg;
+
+	pthread_kill(t->thread, SIGUSR1);
+	return NULL;
+}
+
+static int find_owner(void)
+{
+	for (int i = 0; i < FLEET; i++) {
+		const bct_gate_upstream_t *u =
+			bct_gate_upstreams_find(&gates[i].gate->upstreams, "d-0");
+
+		if (u && u->limit.named && u->limit.owner)
+			return i;
+	}
+	return -1;
+}
+
+/*
+ * A node that owns a part of an upstream's limit does not run for some seconds, in which its peers
+ * may divide that part among themselves. It must not use it when it runs again, before it has heard
+ * from them; soon after it takes part again.
+ */
+Test(gate_reported, a_frozen_node_gives_up_its_part, .timeout = 60)
+{
+	bct_time_t end;
+	pthread_t freezer;
+	bct_buf_t out;
+	int owner, status = 0;
+
+	signal(SIGUSR1, freeze);
+	test_gate_start_fleet(gates, FLEET);
+	test_gate_wait_joined(gates, FLEET);
+	test_gate_call(&gates[0], "POST", "/unsafe/a", "names", "limit", &out);
+	bct_buf_free(&out);
+	/* Long enough to hear of it, and to save up for a request. */
+	bct_clock_sleep(1500);
+	owner = find_owner();
+	cr_assert_geq(owner, 0);
+	pthread_create(&freezer, NULL, freeze_gate, &gates[owner]);
+	bct_clock_sleep(200);
+	cr_expect_eq(test_gate_call(&gates[owner], "POST", "/unsafe/a", "thawed", "limit", &out),
+		     503, "%s", out.data);
+	cr_expect_eq(test_gate_runs(&gates[0], "thawed"), 0);
+	bct_buf_free(&out);
+	pthread_join(freezer, NULL);
+	for (end = bct_clock_now() + RECOVERED_MS; status != 200 && bct_clock_now() < end;) {
+		status = test_gate_call(&gates[owner], "POST", "/unsafe/a", "later", "limit", &out);
+		bct_buf_free(&out);
+		bct_clock_sleep(100);
+	}
+	cr_expect_eq(status, 200);
+}
+
+static void *unlist(void *arg)
+{
+	test_gate_t *t = arg;
+
+	bct_clock_sleep(150);
+	pthread_mutex_lock(&t->lock);
+	t->desk_listed = false;
+	pthread_mutex_unlock(&t->lock);
+	return NULL;
+}
+
+/* An upstream drops out of the registry, as one that is late to report does, while it runs a
+ * request: the request is neither given up nor started again. */
+Test(gate_reported, work_of_an_unlisted_upstream_goes_on)
+{
+	pthread_t unlister;
+	bct_buf_t out;
+
+	test_gate_start(&gates[0]);
+	pthread_create(&unlister, NULL, unlist, &gates[0]);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", "u", "slow", &out), 200, "%s",
+		     out.data);
+	cr_expect(strstr(out.data, "body"));
+	cr_expect_eq(test_gate_runs(&gates[0], "u"), 1);
+	bct_buf_free(&out);
+	pthread_join(unlister, NULL);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", "v", "ok", &out), 503);
+	bct_buf_free(&out);
+	test_gate_stop(&gates[0]);
+}
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -48,6 +48,8 @@
  *   die          no response; after DIE_MS the whole upstream ends, with all its connections
  *   noseal       200 without the upstream's seal
  *   foreign      a response with another request's attempt id, then the right one
+ *   latecopy     another answer to the request before on the connection, then the right one
+ *   slow         as ok, after more than half a second
  *   extra        a second response behind the first
  *   cut          half of the body, then the end of the connection
  *   unframed     complete, sealed response without a length that ends with the connection
@@ -62,6 +64,7 @@
  *   streamquiet  two events, then silence
  *   streamleaving  five events; the head states that the upstream is leaving
  *   streamslow   five events over more than two seconds
+ *   streamtrickle  two events, then a byte now and then that completes none
  *   streamflood  16 MB of events as fast as the gateway reads them
  *   streamfloodcut  the same, but resets the connection when the gateway reads nothing for CUT_MS
  *
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -17,6 +17,7 @@
 
 #define HEAD "X-Buckthornchute-"
 #define SLOW_EVENT_MS 550  /* between events of "streamslow" */
+#define TRICKLE_MS 60	   /* between bytes of "streamtrickle" */
 #define QUIET_MS 3000	   /* how long a silent upstream keeps its connection open */
 #define FLOOD_EVENTS 16384 /* of 1 KB each */
 #define FLOOD_SNDBUF_BYTES 65536
@@ -28,6 +29,7 @@
 typedef struct conn {
 	gate_upstream_t *u;
 	int fd;
+	char last_id[64]; /* of the request before */
 } conn_t;
 
 static void get_header(const char *head, const char *name, char *out, size_t size)
@@ -216,6 +218,11 @@
 			wait_closed(fd, QUIET_MS);
 			return false;
 		}
+		if (!strcmp(action, "streamtrickle") && i == 2) {
+			for (int k = 0; k < 100 && !wait_closed(fd, TRICKLE_MS); k++)
+				put(fd, "1\r\nd\r\n");
+			return false;
+		}
 		if (!strcmp(action, "streamslow") && i < 5)
 			bct_clock_sleep(SLOW_EVENT_MS);
 	}
@@ -362,6 +369,13 @@
 	} else if (!strcmp(action, "foreign")) {
 		put_answer(c->fd, "200 OK", "another", SEAL, "theirs", 6);
 		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	} else if (!strcmp(action, "latecopy")) {
+		put_answer(c->fd, "200 OK", c->last_id, SEAL, "theirs", 6);
+		bct_clock_sleep(20);
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	} else if (!strcmp(action, "slow")) {
+		bct_clock_sleep(SLOW_EVENT_MS);
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
 	} else if (!strcmp(action, "extra")) {
 		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
 		put_answer(c->fd, "200 OK", id, SEAL, "more", 4);
@@ -441,6 +455,7 @@
 		run = record_run(c, &in, action, sizeof(action));
 		if (!take_action(c, action, run))
 			break;
+		snprintf(c->last_id, sizeof(c->last_id), "%s", in.call_id);
 	}
 	close_conn(c->u, c->fd);
 	free(c);
@@ -452,7 +467,7 @@
 	gate_upstream_t *u = arg;
 
 	for (;;) {
-		conn_t *c = malloc(sizeof(*c));
+		conn_t *c = calloc(1, sizeof(*c));
 		pthread_t thread;
 
 		c->u = u;
