--- a/base/event_list.h
+++ b/base/event_list.h
@@ -19,6 +19,7 @@
 	DEF(LISTEN_FAILED, 106, ERROR, "an address cannot be listened on")                         \
 	DEF(LOG_DROPPED, 107, WARN, "log lines were dropped because their reader was too slow")    \
 	DEF(LOG_LIMITED, 108, INFO, "log lines of one event exceeded its rate limit")              \
+	DEF(ACCEPT_FAILED, 110, WARN, "connections could not be accepted for a moment")            \
 	DEF(NODE_RESUMED, 109, WARN,                                                               \
 	    "the process had not run for a while; it does without its parts of limits at first")   \
 	DEF(CONFIG_ADOPTED, 200, INFO, "a configuration revision is in force on this node")        \
--- a/gate/client.c
+++ b/gate/client.c
@@ -2,21 +2,18 @@
  * client.c - connections of callers. Requests on one connection are handled one at a time: a
  * pipelined request stays in the input buffer until the previous one has been answered.
  */
-#define _GNU_SOURCE
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/gate_int.h"
 #include "gate/memory.h"
 #include "gate/window.h"
 
-#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#define LISTEN_BACKLOG 512
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most while a request is in progress */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
 #define IDLE_MIN_MS 300 /* a stop leaves a new or just answered connection open for as long */
@@ -330,7 +327,7 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-static bct_client_t *client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node)
+bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node)
 {
 	bct_client_t *c = bct_alloc(sizeof(*c));
 	int user_timeout_ms = USER_TIMEOUT_MS, on = 1;
@@ -366,82 +363,6 @@
 	return c;
 }
 
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr, int len,
-		      void *ctx)
-{
-	(void)l;
-	(void)addr;
-	(void)len;
-	if (!client_new(ctx, fd, false))
-		evutil_closesocket(fd);
-}
-
-static void on_accept_node(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr,
-			   int len, void *ctx)
-{
-	(void)l;
-	(void)addr;
-	(void)len;
-	if (!client_new(ctx, fd, true))
-		evutil_closesocket(fd);
-}
-
-/* returns 0, -BCT_EINVAL or -BCT_EIO */
-static int listen_at(bct_gate_t *g, const bct_addr_t *at, evconnlistener_cb on_conn,
-		     struct evconnlistener **out)
-{
-	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(at->port) };
-	char text[BCT_ADDR_PORT_BYTES];
-
-	if (at->ip_len_bytes != sizeof(sa.sin_addr))
-		return -BCT_EINVAL;
-	memcpy(&sa.sin_addr, at->ip, sizeof(sa.sin_addr));
-	*out = evconnlistener_new_bind(g->base, on_conn, g,
-				       LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
-					       LEV_OPT_CLOSE_ON_EXEC,
-				       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
-	if (*out)
-		return 0;
-	bct_addr_print(at, text, sizeof(text));
-	BCT_LOG(g->log, BCT_EV_LISTEN_FAILED, BCT_STR("address", text));
-	return -BCT_EIO;
-}
-
-int bct_clients_listen(bct_gate_t *g)
-{
-	const bct_settings_t *s = g->settings;
-	bct_addr_t relay;
-	int rc = listen_at(g, &g->listen, on_accept, &g->listener);
-
-	if (rc || !g->share || !s->gate_relay_port)
-		return rc;
-	rc = bct_addr_parse(s->peer_address, (uint16_t)s->gate_relay_port, &relay);
-	return rc ? rc : listen_at(g, &relay, on_accept_node, &g->relay_listener);
-}
-
-/* Closing a listening socket resets the connections that the kernel has established there, and
- * whose callers may have sent a request. */
-static void close_listener(bct_gate_t *g, struct evconnlistener *l, bool is_node)
-{
-	evutil_socket_t fd;
-
-	if (!l)
-		return;
-	while ((fd = accept4(evconnlistener_get_fd(l), NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
-	       0) {
-		if (!client_new(g, fd, is_node))
-			evutil_closesocket(fd);
-	}
-	evconnlistener_free(l);
-}
-
-void bct_clients_stop_listening(bct_gate_t *g)
-{
-	close_listener(g, g->listener, false);
-	close_listener(g, g->relay_listener, true);
-	g->listener = g->relay_listener = NULL;
-}
-
 /* Whether no request has come, nor is one likely to be on its way. */
 static bool is_idle(bct_client_t *c)
 {
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -148,6 +148,7 @@
 	}
 	bct_crash_check_abandoned(g);
 	bct_part_decide(g);
+	bct_clients_accept_again(g);
 	bct_reach_tick(g);
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -100,6 +100,7 @@
 	bct_map_t budgets;		/* service key -> bct_gate_budget_t */
 	bct_list_t clients;
 	uint32_t n_clients;
+	bool accept_failed; /* nothing is accepted until the next tick */
 	uint32_t n_exchanges;
 	bct_registry_sync_t *registry_sync;
 	bct_local_t *local;
@@ -138,9 +139,13 @@
 /* bct_gate_is_resuming(3): whether that is so now. */
 bool bct_gate_is_resuming(const bct_gate_t *g);
 
-/* client.c */
+/* listen.c */
 int bct_clients_listen(bct_gate_t *g);
+/* bct_clients_accept_again(3): after a lack of file descriptors; to be called periodically. */
+void bct_clients_accept_again(bct_gate_t *g);
 void bct_clients_stop_listening(bct_gate_t *g);
+
+/* client.c */
 void bct_clients_close_idle(bct_gate_t *g);
 /* bct_clients_check_windows(3): see bct_window_check(3); of callers, and of the upstreams to which
  * their requests are being sent. */
@@ -174,6 +179,8 @@
 /* bct_client_answered(3): the exchange on c has ended; truncated: its answer is incomplete. */
 void bct_client_answered(bct_client_t *c, bool truncated);
 
+/* bct_client_new(3): takes an accepted connection; returns NULL without memory. */
+bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node);
 /* bct_client_wait(3), bct_client_resume(3): stop reading until there is room; go on. */
 void bct_client_wait(bct_client_t *c);
 void bct_client_resume(bct_client_t *c);
--- a/tests/test_gate_reported.c
+++ b/tests/test_gate_reported.c
@@ -3,6 +3,7 @@
  * docs/design/reported-faults.md. util_gate.h lists the scripted actions.
  */
 #include "base/clock.h"
+#include "base/rng.h"
 #include "gate/gate_int.h"
 #include "tests/util_gate.h"
 
@@ -12,6 +13,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -222,3 +224,89 @@
 	bct_buf_free(&out);
 	test_gate_stop(&gates[0]);
 }
+
+/* Sends a datagram to a port of a gateway. */
+static void send_datagram(const test_gate_t *t, uint16_t port, const char *bytes, size_t len)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	inet_pton(AF_INET, t->ip, &sa.sin_addr);
+	sendto(fd, bytes, len, 0, (struct sockaddr *)&sa, sizeof(sa));
+	close(fd);
+}
+
+/* Malformed bytes at each port, some behind a valid beginning, take no gateway down. */
+Test(gate_reported, malformed_messages_end_no_process, .timeout = 60)
+{
+	static const uint16_t tcp[] = { 18000, 18003, TEST_GATE_RELAY_PORT };
+	static const char *const begins[] = { "", "POST /unsafe/a HTTP/1.1\r\n", "GET /metrics",
+					      "POST /stream/a HTTP/1.1\r\nHost: h.example\r\n"
+					      "Api-Key: k1\r\nTransfer-Encoding: chunked\r\n\r\n" };
+	bct_rng_t rng;
+	bct_buf_t out;
+
+	bct_rng_seed(&rng, 20261204);
+	test_gate_start_fleet(gates, 2);
+	test_gate_wait_joined(gates, 2);
+	for (int i = 0; i < 240; i++) {
+		char text[600];
+		size_t len = (size_t)snprintf(text, sizeof(text), "%s", begins[i % 4]);
+		size_t end = len + bct_rng_below(&rng, (uint32_t)(sizeof(text) - len - 1));
+
+		while (len < end)
+			text[len++] = (char)(1 + bct_rng_below(&rng, 255));
+		text[len] = '\0';
+		test_gate_at(&gates[0], tcp[i % 3], text, 10, &out);
+		bct_buf_free(&out);
+		send_datagram(&gates[0], 18001, text, len);
+		send_datagram(&gates[0], 18002, text, len);
+	}
+	for (int i = 0; i < 2; i++) {
+		cr_expect_eq(test_gate_call(&gates[i], "POST", "/unsafe/a", "after", "ok", &out),
+			     200);
+		bct_buf_free(&out);
+		cr_expect_eq(gates[i].gate->nodes, 2);
+	}
+}
+
+/* Time in ms for which this process has used a processor. */
+static int64_t processor_ms(void)
+{
+	struct rusage u;
+
+	getrusage(RUSAGE_SELF, &u);
+	return (u.ru_utime.tv_sec + u.ru_stime.tv_sec) * BCT_MS_PER_S +
+	       (u.ru_utime.tv_usec + u.ru_stime.tv_usec) / 1000;
+}
+
+/* Without file descriptors for more connections a gateway goes on, and accepts when it has some.
+ * Meanwhile it does not use up the processor with attempts to accept. */
+Test(gate_reported, lack_of_descriptors_ends_no_process, .timeout = 60)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(18000) };
+	struct rlimit all, few = { 0 };
+	int fds[200], n = 0;
+	int64_t used_ms;
+	bct_buf_t out;
+
+	test_gate_start(&gates[0]);
+	inet_pton(AF_INET, gates[0].ip, &sa.sin_addr);
+	getrlimit(RLIMIT_NOFILE, &all);
+	few = (struct rlimit){ .rlim_cur = 100, .rlim_max = all.rlim_max };
+	setrlimit(RLIMIT_NOFILE, &few);
+	while (n < 200 && (fds[n] = socket(AF_INET, SOCK_STREAM, 0)) >= 0) {
+		connect(fds[n], (struct sockaddr *)&sa, sizeof(sa));
+		n++;
+	}
+	cr_assert_lt(n, 200, "the limit was not reached");
+	used_ms = processor_ms();
+	bct_clock_sleep(300);
+	cr_expect_lt(processor_ms() - used_ms, 100);
+	while (n)
+		close(fds[--n]);
+	setrlimit(RLIMIT_NOFILE, &all);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", "after", "ok", &out), 200);
+	bct_buf_free(&out);
+	test_gate_stop(&gates[0]);
+}
