Memory: callers that read nothing can't keep a node from taking requests

Cause: between 75 and 90% of the bound new requests were refused and nothing was cut, so a few callers that read nothing held a node there until their connections timed out. Change: when a request has waited or been refused for a second, responses that have been unread for a second are cut, until there is room for it.

--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -181,7 +181,8 @@
 
 /* bct_client_new(3): takes an accepted connection; returns NULL without memory. */
 bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node);
-/* bct_client_wait(3), bct_client_resume(3): stop reading until there is room; go on. */
+/* bct_client_wait(3), bct_client_resume(3): stop reading until there is room; go on. Meanwhile the
+ * caller's end is not noticed. */
 void bct_client_wait(bct_client_t *c);
 void bct_client_resume(bct_client_t *c);
 /*
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -13,10 +13,15 @@
 #define RETRY_MS 300
 #define RETRY_SPREAD_MS 300
 
+#define CHECK_MS 250   /* while requests wait or are refused */
+#define REFUSED_MS 500 /* after a refusal for which its caller may come back */
+
 struct bct_memory {
 	bct_gate_t *gate;
 	bct_gate_memory_t sums;
 	bct_gate_memory_level_t level; /* that was last acted on */
+	bct_time_t wanted_since;       /* a request waits or was refused since then; 0: none */
+	bct_time_t refused_at;	       /* the last one */
 	struct event *act;
 	bct_list_t waiting; /* connections, the longest waiting first */
 };
@@ -126,10 +131,35 @@
 		act_soon(m);
 }
 
+/* Somebody is in want of room: looks again later whether that is still so. */
+static void want(bct_memory_t *m)
+{
+	struct timeval later = { 0, CHECK_MS * 1000 };
+
+	if (!m->wanted_since)
+		m->wanted_since = bct_clock_now();
+	if (!evtimer_pending(m->act, NULL))
+		event_add(m->act, &later);
+}
+
+/* Whether somebody has been in want of room for long. */
+static bool is_wanted(bct_memory_t *m, bct_time_t now)
+{
+	bool now_wanted = !bct_list_empty(&m->waiting) || now - m->refused_at < REFUSED_MS;
+
+	if (m->wanted_since && now_wanted) {
+		want(m);
+		return now - m->wanted_since >= BCT_GATE_MEMORY_WANT_MS;
+	}
+	m->wanted_since = 0;
+	return false;
+}
+
 void bct_memory_wait(bct_client_t *c)
 {
 	BCT_GATE_COUNT(c->gate, BODIES_WAITED);
 	bct_list_add_tail(&c->waiting, &c->gate->memory->waiting);
+	want(c->gate->memory);
 }
 
 bool bct_memory_is_short(const bct_gate_t *g)
@@ -139,7 +169,13 @@
 
 bool bct_memory_refuses(const bct_gate_t *g)
 {
-	return g->memory && bct_gate_memory_level(&g->memory->sums) >= BCT_GATE_MEMORY_REFUSE;
+	bct_memory_t *m = g->memory;
+
+	if (!m || bct_gate_memory_level(&m->sums) < BCT_GATE_MEMORY_REFUSE)
+		return false;
+	m->refused_at = bct_clock_now();
+	want(m);
+	return true;
 }
 
 uint32_t bct_memory_retry_ms(bct_gate_t *g)
@@ -177,11 +213,14 @@
 {
 	bct_memory_t *m = ctx;
 	bct_gate_memory_account_t *a;
+	bct_time_t now = bct_clock_now();
 	bct_gate_memory_level_t level;
+	bool wanted;
 
 	(void)fd;
 	(void)what;
-	while ((a = bct_gate_memory_to_cut(&m->sums)) != NULL)
+	wanted = is_wanted(m, now);
+	while ((a = bct_gate_memory_to_cut(&m->sums, now, wanted)) != NULL)
 		cut(m, bct_container_of(a, bct_client_t, memory));
 	resume_waiting(m);
 	level = bct_gate_memory_level(&m->sums);
--- a/policy/gate_memory.c
+++ b/policy/gate_memory.c
@@ -92,23 +92,51 @@
 	a->body = 0;
 }
 
-bct_gate_memory_account_t *bct_gate_memory_to_cut(const bct_gate_memory_t *m)
+/* The account with enough unread output that has been unread for longest, or NULL. */
+static bct_gate_memory_account_t *longest_unread(const bct_gate_memory_t *m)
 {
-	bct_gate_memory_account_t *unread = NULL, *kept = NULL;
+	bct_gate_memory_account_t *found = NULL;
 	bct_list_t *el;
 
-	if (bct_gate_memory_level(m) != BCT_GATE_MEMORY_CUT)
-		return NULL;
 	bct_list_for_each(el, &m->accounts) {
 		bct_gate_memory_account_t *a =
 			bct_container_of(el, bct_gate_memory_account_t, link);
 
 		if (a->bytes[BCT_GATE_MEMORY_UNREAD] >= BCT_GATE_MEMORY_CUT_MIN_BYTES &&
-		    (!unread || a->unread_since < unread->unread_since))
-			unread = a;
-		if (a->bytes[BCT_GATE_MEMORY_KEPT] >= BCT_GATE_MEMORY_CUT_MIN_BYTES &&
-		    (!kept || a->bytes[BCT_GATE_MEMORY_KEPT] > kept->bytes[BCT_GATE_MEMORY_KEPT]))
-			kept = a;
+		    (!found || a->unread_since < found->unread_since))
+			found = a;
+	}
+	return found;
+}
+
+static bct_gate_memory_account_t *largest_kept(const bct_gate_memory_t *m)
+{
+	bct_gate_memory_account_t *found = NULL;
+	size_t most = BCT_GATE_MEMORY_CUT_MIN_BYTES - 1;
+	bct_list_t *el;
+
+	bct_list_for_each(el, &m->accounts) {
+		bct_gate_memory_account_t *a =
+			bct_container_of(el, bct_gate_memory_account_t, link);
+
+		if (a->bytes[BCT_GATE_MEMORY_KEPT] <= most)
+			continue;
+		most = a->bytes[BCT_GATE_MEMORY_KEPT];
+		found = a;
 	}
-	return unread ? unread : kept;
+	return found;
+}
+
+bct_gate_memory_account_t *bct_gate_memory_to_cut(const bct_gate_memory_t *m, bct_time_t now,
+						  bool wanted)
+{
+	bct_gate_memory_level_t level = bct_gate_memory_level(m);
+	bct_gate_memory_account_t *a;
+
+	if (level == BCT_GATE_MEMORY_FREE || (!wanted && level != BCT_GATE_MEMORY_CUT))
+		return NULL;
+	a = longest_unread(m);
+	if (level == BCT_GATE_MEMORY_CUT)
+		return a ? a : largest_kept(m);
+	return a && now - a->unread_since >= BCT_GATE_MEMORY_WANT_MS ? a : NULL;
 }
--- a/policy/gate_memory.h
+++ b/policy/gate_memory.h
@@ -7,6 +7,9 @@
  * begun wait; all bodies but the oldest wait, and new requests are refused; the response that has
  * been unread for longest is cut. The steps begin below the bound, as what the event loop reads in
  * one iteration is added before anything can be done.
+ *
+ * Callers that read nothing could hold a node at a step for long. So if others have been in want of
+ * room for a while, responses that have been unread for as long are cut before the last step.
  */
 #ifndef BCT_POLICY_GATE_MEMORY_H
 #define BCT_POLICY_GATE_MEMORY_H
@@ -25,6 +28,8 @@
 #define BCT_GATE_MEMORY_CUT_PERMILLE 900
 /* Cutting a connection with less unread output frees too little to be worth a lost response. */
 #define BCT_GATE_MEMORY_CUT_MIN_BYTES (16 * 1024)
+/* For which others are in want of room, and a response is unread, before it is cut for them. */
+#define BCT_GATE_MEMORY_WANT_MS 1000
 
 typedef enum bct_gate_memory_level {
 	BCT_GATE_MEMORY_FREE = 0,
@@ -81,8 +86,13 @@
 /*
  * bct_gate_memory_to_cut(3): the account whose connection to end now: the one whose output has been
  * unread for longest, or, if none has BCT_GATE_MEMORY_CUT_MIN_BYTES, the one with the largest
- * response that is still kept. returns NULL below BCT_GATE_MEMORY_CUT, or if there is none.
+ * response that is still kept.
+ *
+ * wanted   a request has waited or been refused for lack of room for BCT_GATE_MEMORY_WANT_MS: cuts
+ *          from BCT_GATE_MEMORY_WAIT on, but only what has been unread for as long
+ * returns  NULL below BCT_GATE_MEMORY_CUT unless wanted, or if there is none
  */
-bct_gate_memory_account_t *bct_gate_memory_to_cut(const bct_gate_memory_t *m);
+bct_gate_memory_account_t *bct_gate_memory_to_cut(const bct_gate_memory_t *m, bct_time_t now,
+						  bool wanted);
 
 #endif
--- a/tests/test_gate_memory.c
+++ b/tests/test_gate_memory.c
@@ -34,7 +34,7 @@
 	hold(0, START, BCT_GATE_MEMORY_UNREAD, SIZE_MAX / 4);
 	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_FREE);
 	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]));
-	cr_expect_null(bct_gate_memory_to_cut(&m));
+	cr_expect_null(bct_gate_memory_to_cut(&m, START + 50, false));
 }
 
 /* Guards against sums that drift: a connection that ends frees all that it held. */
@@ -81,13 +81,13 @@
 {
 	for (int i = 0; i < N; i++)
 		hold(i, START + (i * 3) % N, BCT_GATE_MEMORY_UNREAD, BOUND / 10);
-	cr_expect_null(bct_gate_memory_to_cut(&m));
+	cr_expect_null(bct_gate_memory_to_cut(&m, START + 50, false));
 	/* It has read all there was, so that its output is unread only from now on. */
 	bct_gate_memory_change(&m, &a[0], START + 20, BCT_GATE_MEMORY_UNREAD, 0, BOUND / 10);
 	hold(0, START + 20, BCT_GATE_MEMORY_UNREAD, BOUND * 2 / 10);
-	cr_expect_eq(bct_gate_memory_to_cut(&m), &a[3]);
+	cr_expect_eq(bct_gate_memory_to_cut(&m, START + 50, false), &a[3]);
 	bct_gate_memory_close(&m, &a[3]);
-	cr_expect_null(bct_gate_memory_to_cut(&m));
+	cr_expect_null(bct_gate_memory_to_cut(&m, START + 50, false));
 }
 
 /* Little unread output is not worth a lost response; a response that is being collected is. */
@@ -96,11 +96,30 @@
 	hold(0, START, BCT_GATE_MEMORY_UNREAD, 500);
 	hold(1, START, BCT_GATE_MEMORY_KEPT, BOUND * 4 / 10);
 	hold(2, START, BCT_GATE_MEMORY_KEPT, BOUND * 5 / 10);
-	cr_expect_eq(bct_gate_memory_to_cut(&m), &a[2]);
+	cr_expect_eq(bct_gate_memory_to_cut(&m, START + 50, false), &a[2]);
 	hold(3, START, BCT_GATE_MEMORY_UNREAD, BCT_GATE_MEMORY_CUT_MIN_BYTES);
-	cr_expect_eq(bct_gate_memory_to_cut(&m), &a[3]);
+	cr_expect_eq(bct_gate_memory_to_cut(&m, START + 50, false), &a[3]);
 	bct_gate_memory_init(&m, BOUND);
 	bct_gate_memory_open(&m, &a[0]);
 	hold(0, START, BCT_GATE_MEMORY_REQUEST, BOUND);
-	cr_expect_null(bct_gate_memory_to_cut(&m), "a request is never cut");
+	cr_expect_null(bct_gate_memory_to_cut(&m, START + 50, false), "a request is never cut");
+}
+
+/* Callers that read nothing while others are refused: they are cut, but none that began to read
+ * slowly just now, and only until the others have room. */
+Test(gate_memory, what_is_unread_for_long_gives_way)
+{
+	bct_time_t now = START + BCT_GATE_MEMORY_WANT_MS;
+
+	for (int i = 0; i < N; i++)
+		hold(i, START + i, BCT_GATE_MEMORY_UNREAD, BOUND / 10);
+	cr_expect_null(bct_gate_memory_to_cut(&m, now, false), "nobody wants room");
+	cr_expect_null(bct_gate_memory_to_cut(&m, now - 1, true));
+	cr_expect_eq(bct_gate_memory_to_cut(&m, now, true), &a[0]);
+	bct_gate_memory_close(&m, &a[0]);
+	cr_expect_null(bct_gate_memory_to_cut(&m, now, true), "the others are not unread for long");
+	cr_expect_eq(bct_gate_memory_to_cut(&m, now + N, true), &a[1]);
+	bct_gate_memory_close(&m, &a[1]);
+	bct_gate_memory_close(&m, &a[2]);
+	cr_expect_null(bct_gate_memory_to_cut(&m, now + N, true), "there is room");
 }
--- a/tests/test_gate_slow.c
+++ b/tests/test_gate_slow.c
@@ -10,6 +10,7 @@
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -45,7 +46,7 @@
 	test_gate_start_bounded(&t, memory_bytes);
 	snprintf(config, sizeof(config), "%s", test_gate_config(2, "model"));
 	replace(config, sizeof(config), "\"max_body_bytes\":4096", "\"max_body_bytes\":4194304");
-	replace(config, sizeof(config), "\"header_timeout_ms\":400", "\"header_timeout_ms\":1500");
+	replace(config, sizeof(config), "\"header_timeout_ms\":400", "\"header_timeout_ms\":700");
 	replace(config, sizeof(config), "\"timeout_ms\":1000", "\"timeout_ms\":30000");
 	replace(config, sizeof(config), "\"timeout_ms\":2500", "\"timeout_ms\":30000");
 	test_gate_publish(&t, config);
@@ -206,9 +207,8 @@
 	test_gate_stop(&t);
 }
 
-/* One that waits for too long is refused, as are new requests at the next step; none of them runs.
- */
-Test(gate_slow, requests_are_refused_without_room)
+/* A body that waits for longer than its caller has to send it is refused, and does not run. */
+Test(gate_slow, a_body_that_waits_for_long_is_refused)
 {
 	int fds[CALLERS], n, fd;
 	bct_buf_t out;
@@ -221,18 +221,77 @@
 	cr_expect_eq(strncmp(out.data, "HTTP/1.1 503", 12), 0, "%s", out.data);
 	cr_expect(strstr(out.data, "Retry-After: 0."));
 	bct_buf_free(&out);
+	cr_expect_eq(test_gate_runs(&t, "late"), 0);
+	cr_expect_eq(bct_counter_get(&t.gate->counters.ends[BCT_GATE_END_MEMORY]), 1);
+	for (int i = 0; i < n; i++)
+		close(fds[i]);
 	close(fd);
-	n += fill_to(&fds[n], BCT_GATE_MEMORY_REFUSE_PERMILLE + MARGIN_PERMILLE);
+	test_gate_stop(&t);
+}
+
+/*
+ * Without room new requests are refused and do not run. Callers that read nothing can't keep a node
+ * in that state: a request that comes back is served soon.
+ */
+Test(gate_slow, requests_are_refused_without_room)
+{
+	int fds[CALLERS], n, status;
+	bct_time_t began;
+	bct_buf_t out;
+
+	start(MEMORY_BYTES);
+	n = fill_to(fds, BCT_GATE_MEMORY_REFUSE_PERMILLE + MARGIN_PERMILLE);
 	cr_expect_eq(test_gate_call(&t, "POST", "/unsafe/a", "late", "ok", &out), 503);
 	cr_expect(strstr(out.data, "Retry-After: 0."));
 	bct_buf_free(&out);
 	cr_expect_eq(test_gate_runs(&t, "late"), 0);
-	cr_expect_eq(bct_counter_get(&t.gate->counters.ends[BCT_GATE_END_MEMORY]), 2);
+	cr_expect_eq(bct_counter_get(&t.gate->counters.ends[BCT_GATE_END_MEMORY]), 1);
+	cr_expect_eq(bct_counter_get(&t.gate->counters.values[BCT_GATE_UNREAD_CUT]), 0);
+	for (began = bct_clock_now(), status = 0; status != 200;) {
+		cr_assert_lt(bct_clock_now() - began, 2500);
+		bct_clock_sleep(20);
+		status = test_gate_call(&t, "POST", "/unsafe/a", "late", "ok", &out);
+		bct_buf_free(&out);
+	}
+	cr_expect_lt(bct_counter_get(&t.gate->counters.values[BCT_GATE_UNREAD_CUT]), n / 2);
 	for (int i = 0; i < n; i++)
 		close(fds[i]);
 	cr_expect(wait_until_held(0, 0));
-	cr_expect_eq(test_gate_call(&t, "POST", "/unsafe/a", "late", "ok", &out), 200);
+	test_gate_stop(&t);
+}
+
+static void *call_endless(void *arg)
+{
+	bct_buf_t out;
+
+	(void)arg;
+	cr_expect_eq(test_gate_call(&t, "POST", "/unsafe/a", "endless", "endlessbody", &out), 502);
 	bct_buf_free(&out);
+	return NULL;
+}
+
+/* Responses that are kept until they are complete, and never are, stay within the bound, too; their
+ * callers learn that the request may have run. */
+Test(gate_slow, kept_responses_are_bounded)
+{
+	pthread_t threads[4];
+	uint64_t most = 0;
+
+	start(MEMORY_BYTES);
+	for (int i = 0; i < 4; i++)
+		pthread_create(&threads[i], NULL, call_endless, NULL);
+	for (int i = 0; i < 500; i++) {
+		uint64_t held = held_bytes();
+
+		most = held > most ? held : most;
+		bct_clock_sleep(1);
+	}
+	for (int i = 0; i < 4; i++)
+		pthread_join(threads[i], NULL);
+	cr_expect_gt(most, BOUND_BYTES / 2);
+	cr_expect_leq(most, BOUND_BYTES);
+	cr_expect_eq(bct_counter_get(&t.gate->counters.ends[BCT_GATE_END_UNREAD]), 4);
+	cr_expect(wait_until_held(0, 0));
 	test_gate_stop(&t);
 }
 
