--- a/base/event_list.h
+++ b/base/event_list.h
@@ -19,6 +19,9 @@
 	DEF(LISTEN_FAILED, 106, ERROR, "an address cannot be listened on")                         \
 	DEF(LOG_DROPPED, 107, WARN, "log lines were dropped because their reader was too slow")    \
 	DEF(LOG_LIMITED, 108, INFO, "log lines of one event exceeded its rate limit")              \
+	DEF(ACCEPT_FAILED, 110, WARN, "connections could not be accepted for a moment")            \
+	DEF(NODE_RESUMED, 109, WARN,                                                               \
+	    "the process had not run for a while; it does without its parts of limits at first")   \
 	DEF(CONFIG_ADOPTED, 200, INFO, "a configuration revision is in force on this node")        \
 	DEF(CONFIG_REJECTED, 201, WARN, "a published configuration change was rejected")           \
 	DEF(CONFIG_DIVERGED, 202, ERROR,                                                           \
@@ -70,6 +73,10 @@
 	DEF(REACH_LOST, 425, WARN, "this node reaches no upstream of a service")                   \
 	DEF(GATE_RELAYED, 427, INFO,                                                               \
 	    "a request was sent through another node, as no upstream is reached from here")        \
+	DEF(GATE_MEMORY, 428, INFO,                                                                \
+	    "what a gateway buffers for slow callers and upstreams reached or left a step")        \
+	DEF(GATE_UNREAD_CUT, 429, WARN,                                                            \
+	    "an answer was cut to free memory, as its caller did not read it")                     \
 	DEF(REACH_BACK, 426, INFO, "this node reaches upstreams of a service again")               \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -17,6 +17,7 @@
 	DEF(RETRY_BROKEN, "bct_gate_faults_total", "broken", "counter", "Attempts that failed")   \
 	DEF(RETRY_BAD, "bct_gate_faults_total", "bad_answer", "counter", "Attempts that failed")  \
 	DEF(RETRY_SILENT, "bct_gate_faults_total", "silent", "counter", "Attempts that failed")   \
+	DEF(RETRY_UNREAD, "bct_gate_faults_total", "unread", "counter", "Attempts that failed")   \
 	DEF(RETRY_NOT_RUN, "bct_gate_faults_total", "not_run", "counter", "Attempts that failed") \
 	DEF(RETRY_ERROR, "bct_gate_faults_total", "error", "counter", "Attempts that failed")     \
 	DEF(BUDGET_SPENT, "bct_gate_budget_spent_total", NULL, "counter",                         \
@@ -56,6 +57,10 @@
 	    "Messages on usage between nodes")                                                    \
 	DEF(USAGE_MERGED, "bct_gate_usage_merged_total", NULL, "counter",                         \
 	    "Counters of other nodes that were news")                                             \
+	DEF(UNREAD_CUT, "bct_gate_unread_cut_total", NULL, "counter",                             \
+	    "Answers cut to free memory, as their callers did not read them")                     \
+	DEF(BODIES_WAITED, "bct_gate_bodies_waited_total", NULL, "counter",                       \
+	    "Times that reading from a caller waited for room")                                   \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
 	    "Answers that belonged to no request")
 
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -173,6 +173,7 @@
 {
 	bct_gate_budget_t *b = get_budget(x->gate, x->query.service_key);
 
+	x->unread = false;
 	if (x->conn->upstream->is_node) {
 		connected_to_helper(x);
 		return;
@@ -289,6 +290,7 @@
 		bct_exchange_timed_out(x);
 		return;
 	}
+	bct_gate_check_resumed(x->gate);
 	if (bct_relay_send(x, false))
 		return;
 	while (x->connects <= CONNECT_FAILURES_MAX) {
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -3,6 +3,7 @@
  */
 #include "gate/crash.h"
 #include "gate/exchange_int.h"
+#include "gate/memory.h"
 #include "gate/origin.h"
 #include "gate/part.h"
 #include "gate/reach.h"
@@ -17,10 +18,22 @@
 #define CONNECT_TIMEOUT_MS 300	     /* a round trip with the handshake takes a few milliseconds */
 #define SAFE_SILENCE_PERMILLE 500    /* of the latency target: then a safe request is retried */
 #define STREAM_SILENCE_PERMILLE 2000 /* the same for a resumable stream without output */
+#define TRICKLE_FACTOR 4     /* times the silence limit that bytes without an event may go on */
 #define GAP_SILENCE_FACTOR 4 /* target inter-token gaps until a resumable stream is retried */
 #define SILENCE_MIN_MS 40    /* lower bound of the limits in permille */
 #define BITS_PER_BYTE 8
 
+/* Bytes that complete no event don't count for ever: a stream could stall with one now and then. */
+static bct_time_t stream_silent_at(const bct_exchange_t *x)
+{
+	uint32_t ms = x->route->target_gap_ms * GAP_SILENCE_FACTOR;
+	bct_time_t at = x->progress_at + ms, event_at = x->events_at + ms * TRICKLE_FACTOR;
+
+	if (!ms)
+		return BCT_TIME_NEVER;
+	return x->output_started && event_at < at ? event_at : at;
+}
+
 /*
  * Returns when the current attempt exceeds its silence limit, or the connect timeout while it is
  * connecting. BCT_TIME_NEVER when the request could not be retried anyway.
@@ -36,15 +49,16 @@
 		return BCT_TIME_NEVER;
 	if (!x->conn->connected)
 		return x->conn->opened + CONNECT_TIMEOUT_MS;
+	/* It is the caller that is slow: the upstream can't be heard. */
+	if (x->conn->paused)
+		return BCT_TIME_NEVER;
 	/* A helper watches the silence of upstreams itself. */
 	if (x->conn->upstream->is_node)
 		return BCT_TIME_NEVER;
 	if (x->no_silence_retry || !bct_gate_route_repeatable(r) || x->attempts >= r->attempts)
 		return BCT_TIME_NEVER;
-	if (x->answer_started) {
-		ms = r->target_gap_ms * GAP_SILENCE_FACTOR;
-		return r->target_gap_ms ? x->progress_at + ms : BCT_TIME_NEVER;
-	}
+	if (x->answer_started)
+		return stream_silent_at(x);
 	ms = r->target_ms *
 	     (r->kind == BCT_GATE_STREAM ? STREAM_SILENCE_PERMILLE : SAFE_SILENCE_PERMILLE) /
 	     BCT_MS_PER_S;
@@ -123,6 +137,8 @@
 		bct_exchange_free(x);
 		return NULL;
 	}
+	bct_memory_watch(c, x->answer, BCT_GATE_MEMORY_KEPT);
+	bct_memory_watch(c, x->events.partial, BCT_GATE_MEMORY_KEPT);
 	return x;
 }
 
@@ -274,6 +290,19 @@
 	return true;
 }
 
+/* Refuses a request while what the node buffers has no room for more. returns whether it was
+ * refused; x is freed then. */
+static bool refuse_if_full(bct_exchange_t *x)
+{
+	if (!bct_memory_refuses(x->gate))
+		return false;
+	bct_exchange_refuse(x, BCT_GATE_END_MEMORY,
+			    &(bct_answer_opts_t){ .status = 503,
+						  .retry_after_ms = bct_memory_retry_ms(x->gate),
+						  .text = BCT_MEMORY_REFUSED });
+	return true;
+}
+
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body)
 {
 	bct_exchange_t *x = exchange_new(c, body);
@@ -294,7 +323,7 @@
 	}
 	if (!admit(x, &c->msg))
 		return;
-	if (refuse_if_blocked(x))
+	if (refuse_if_full(x) || refuse_if_blocked(x))
 		return;
 	init_pick_input(x);
 	if (refuse_if_cut(x) || refuse_if_stopping(x))
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -7,6 +7,7 @@
 #include "base/rng.h"
 #include "gate/brittle.h"
 #include "gate/crash.h"
+#include "gate/memory.h"
 #include "gate/notice.h"
 #include "gate/origin.h"
 #include "gate/part.h"
@@ -15,11 +16,14 @@
 #include "gate/relay.h"
 #include "gate/share.h"
 #include "gate/usage.h"
+#include "gate/window.h"
 
 #include <signal.h>
 #include <string.h>
 
 #define TICK_MS 100
+#define SUSPENDED_MS 2000   /* without a tick; peers then begin to do without this node */
+#define RESUME_HOLD_MS 1000 /* to hear from peers what they granted each other meanwhile */
 /* Callers may use an address for up to three times its announced lifetime. */
 #define LIFETIMES_KEPT 3
 #define STOP_MARGIN_MS 500 /* to exit before the platform kills the process */
@@ -108,6 +112,23 @@
 	g->rank = fleet.rank;
 }
 
+bool bct_gate_is_resuming(const bct_gate_t *g)
+{
+	return g->resumed_at && bct_clock_now() - g->resumed_at < RESUME_HOLD_MS;
+}
+
+void bct_gate_check_resumed(bct_gate_t *g)
+{
+	bct_time_t now = bct_clock_now(), gap_ms = now - g->ticked_at;
+
+	if (!g->share || gap_ms < SUSPENDED_MS)
+		return;
+	BCT_LOG(g->log, BCT_EV_NODE_RESUMED, BCT_I64("ms", gap_ms),
+		BCT_U64("requests", g->n_exchanges));
+	g->ticked_at = g->resumed_at = now;
+	bct_notice_suspend(g);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	bct_gate_t *g = ctx;
@@ -115,13 +136,20 @@
 
 	(void)fd;
 	(void)what;
+	bct_gate_check_resumed(g);
+	g->ticked_at = bct_clock_now();
 	bct_list_for_each(el, &g->upstreams.all) {
 		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
 
 		bct_upconns_expire(g, u, u->presence >= BCT_GATE_LAPSED);
 	}
+	if (bct_clock_now() - g->windows_checked >= BCT_WINDOW_CHECK_MS) {
+		g->windows_checked = bct_clock_now();
+		bct_clients_check_windows(g);
+	}
 	bct_crash_check_abandoned(g);
 	bct_part_decide(g);
+	bct_clients_accept_again(g);
 	bct_reach_tick(g);
 	bct_gate_upstreams_sweep(&g->upstreams, bct_clock_now());
 	bct_gate_crash_expire(&g->crashes, bct_clock_now());
@@ -202,6 +230,8 @@
 		rc = bct_notices_new(g, &g->notices);
 	if (!rc && reports_usage(g))
 		rc = bct_gate_usage_new(g, &g->usage);
+	if (!rc)
+		rc = bct_memory_new(g, &g->memory);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -219,6 +249,7 @@
 
 void bct_gate_run(bct_gate_t *g)
 {
+	g->ticked_at = bct_clock_now();
 	event_base_dispatch(g->base);
 	BCT_LOG(g->log, BCT_EV_NODE_STOPPED, BCT_U64("requests", g->n_exchanges),
 		BCT_U64("connections", g->n_clients));
@@ -245,6 +276,7 @@
 	bct_brittle_free(g->brittle);
 	bct_notices_free(g->notices);
 	bct_gate_usage_free(g->usage);
+	bct_memory_free(g->memory);
 	if (g->peer) {
 		bct_peer_stop(g->peer);
 		bct_peer_free(g->peer);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -16,6 +16,7 @@
 #include "policy/gate_budget.h"
 #include "policy/gate_crash.h"
 #include "policy/gate_demand.h"
+#include "policy/gate_memory.h"
 #include "policy/gate_origins.h"
 #include "policy/gate_pace.h"
 #include "policy/gate_part_judge.h"
@@ -38,6 +39,7 @@
 typedef struct bct_brittle bct_brittle_t;
 typedef struct bct_notices bct_notices_t;
 typedef struct bct_gate_usage bct_gate_usage_t;
+typedef struct bct_memory bct_memory_t;
 
 #define BCT_RELAY_LINE_BYTES 2048 /* of a request's line that the proof of its sender covers */
 
@@ -53,6 +55,7 @@
 	DEF(NO_UPSTREAM, "no upstream of the service accepts requests")         \
 	DEF(LIMITED, "limits or pauses of all upstreams allow no request now")  \
 	DEF(OVERLOAD, "all upstreams are too busy for its latency target")      \
+	DEF(MEMORY, "what this node buffers had no room for it")                \
 	DEF(POISON, "it broke several upstreams and was not run again")         \
 	DEF(ORIGIN_UNKNOWN, "nobody knows what software began the stream")      \
 	DEF(RELEASE_GONE, "no upstream has the software that began the stream") \
@@ -61,6 +64,7 @@
 	DEF(TIMEOUT_WAITING, "time limit passed before it was sent")            \
 	DEF(TIMEOUT_RUNNING, "time limit passed at an upstream")                \
 	DEF(CUT, "the answer was truncated after it had started")               \
+	DEF(UNREAD, "the answer was truncated, as its caller did not read it")  \
 	DEF(STOPPING, "the node stopped before it was complete")
 
 typedef enum bct_gate_end {
@@ -83,6 +87,9 @@
 	struct evconnlistener *listener;
 	struct evconnlistener *relay_listener; /* for other nodes; NULL: none */
 	struct event *tick;
+	bct_time_t windows_checked;
+	bct_time_t ticked_at;
+	bct_time_t resumed_at; /* after a suspension of the process; 0: never */
 	struct event *signals[3];
 	bct_gate_routes_t *routes; /* NULL until a configuration has been loaded */
 	bct_gate_upstreams_t upstreams;
@@ -100,6 +107,7 @@
 	bct_map_t budgets;		/* service key -> bct_gate_budget_t */
 	bct_list_t clients;
 	uint32_t n_clients;
+	bool accept_failed; /* nothing is accepted until the next tick */
 	uint32_t n_exchanges;
 	bct_registry_sync_t *registry_sync;
 	bct_local_t *local;
@@ -110,6 +118,7 @@
 	bct_brittle_t *brittle;
 	bct_notices_t *notices;
 	bct_gate_usage_t *usage; /* NULL: usage is not reported */
+	bct_memory_t *memory;	 /* NULL: no bound */
 	uint32_t nodes;		 /* live nodes including this one */
 	uint32_t rank;		 /* of this node among them, from 0 */
 	bct_gate_counters_t counters;
@@ -129,10 +138,26 @@
  */
 bool bct_gate_takes_on(const bct_gate_t *g, bct_time_t deadline);
 
-/* client.c */
+/*
+ * bct_gate_check_resumed(3): to be called before this node uses what its peers grant it (parts of
+ * limits, trials): they may have divided it among themselves while this process did not run. It
+ * then does without for as long as it takes to hear of that.
+ */
+void bct_gate_check_resumed(bct_gate_t *g);
+/* bct_gate_is_resuming(3): whether that is so now. */
+bool bct_gate_is_resuming(const bct_gate_t *g);
+
+/* listen.c */
 int bct_clients_listen(bct_gate_t *g);
+/* bct_clients_accept_again(3): after a lack of file descriptors; to be called periodically. */
+void bct_clients_accept_again(bct_gate_t *g);
 void bct_clients_stop_listening(bct_gate_t *g);
+
+/* client.c */
 void bct_clients_close_idle(bct_gate_t *g);
+/* bct_clients_check_windows(3): see bct_window_check(3); of callers, and of the upstreams to which
+ * their requests are being sent. */
+void bct_clients_check_windows(bct_gate_t *g);
 void bct_clients_free(bct_gate_t *g);
 
 /* A caller's connection. */
@@ -142,9 +167,17 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	bct_http_msg_t msg;
-	struct evbuffer *body; /* of the request being read */
+	struct evbuffer *body;		  /* of the request being read */
+	bct_gate_memory_account_t memory; /* used if the gate has a bound */
+	bct_list_t waiting;		  /* in the list of those that wait for room */
+	bct_time_t idle_since; /* when it was accepted, or its last request was answered */
+	bct_time_t due;	       /* when the request must be complete, unless it waits for room */
+	bct_time_t left_ms;    /* of that time when it began to wait */
 	bct_exchange_t *x;     /* in progress; NULL: none */
 	bool is_node;	       /* the caller is another node that relays requests */
+	bool window_closed;    /* the caller does not read, see bct_window_check(3) */
+	bool flushed;	       /* it has acknowledged all output, and no request is in progress */
+	bool waits;	       /* nothing is read until there is room */
 	bool too_large;
 	bool request_started; /* part of the next request has been received */
 	bool close_after;     /* no further request is accepted */
@@ -154,6 +187,19 @@
 /* bct_client_answered(3): the exchange on c has ended; truncated: its answer is incomplete. */
 void bct_client_answered(bct_client_t *c, bool truncated);
 
+/* bct_client_new(3): takes an accepted connection; returns NULL without memory. */
+bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node);
+/* bct_client_wait(3), bct_client_resume(3): stop reading until there is room; go on. Meanwhile the
+ * caller's end is not noticed. */
+void bct_client_wait(bct_client_t *c);
+void bct_client_resume(bct_client_t *c);
+/*
+ * bct_client_cut(3): ends the response that the caller does not read, to free what it holds. The
+ * connection is reset, so that the response can't be taken for a complete one. Frees c unless
+ * nothing of the response was sent.
+ */
+void bct_client_cut(bct_client_t *c);
+
 /* answer.c */
 typedef struct bct_answer_opts {
 	int status;
@@ -183,6 +229,9 @@
 	bct_exchange_t *x; /* NULL: idle */
 	bool connected;
 	bool reused;
+	bool window_closed;   /* the upstream does not read, see bct_window_check(3) */
+	bool paused;	      /* it is not read, as the caller is slow to receive */
+	bct_time_t resumed;   /* when that last ended in the current request; 0: never */
 	bool discards;	      /* the answer being read belongs to another request and is skipped */
 	bool progress;	      /* bytes of the answer to the current request were accepted */
 	size_t useless_bytes; /* received since then */
@@ -207,6 +256,14 @@
 void bct_upconn_close(bct_upconn_t *c);
 /* bct_upconn_pause(3): stop or resume reading, while the caller is slow to receive. */
 void bct_upconn_pause(bct_upconn_t *c, bool pause);
+/* bct_upconn_check_window(3): see bct_window_check(3). */
+void bct_upconn_check_window(bct_upconn_t *c);
+/*
+ * bct_upconn_is_unread(3): whether this node does not read what the upstream sends, or did not
+ * until a moment ago: an upstream that ends the connection then may have lost patience with the
+ * caller.
+ */
+bool bct_upconn_is_unread(const bct_upconn_t *c);
 /* bct_upconns_expire(3): close connections idle for too long; all: every idle connection. */
 void bct_upconns_expire(bct_gate_t *g, bct_gate_upstream_t *u, bool all);
 
@@ -216,6 +273,7 @@
 	BCT_FAULT_BROKEN,      /* the connection broke */
 	BCT_FAULT_BAD_ANSWER,  /* malformed, not sealed by the upstream, or of another request */
 	BCT_FAULT_SILENT,      /* no byte within the time limit for silence */
+	BCT_FAULT_UNREAD,      /* the connection broke while the caller did not read the answer */
 } bct_attempt_fault_t;
 
 struct bct_exchange {
@@ -272,6 +330,7 @@
 	bool output_started;	   /* an event of the current attempt was received */
 	bool harmless;		   /* the current attempt has run for long enough to show it */
 	bool usage_counted;	   /* its first token has arrived, of any attempt */
+	bool unread;		   /* the current attempt ended as the caller did not read */
 	bool no_silence_retry;	   /* silence of the current attempt causes no retry */
 	int status;
 	bct_attempt_fault_t last_fault;
@@ -283,6 +342,9 @@
 void bct_exchange_start(bct_client_t *c, struct evbuffer *body);
 /* bct_exchange_abandon(3): end without an answer: the caller disconnected or this node stops. */
 void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end);
+/* bct_exchange_drop_kept(3): end with 502: there is no room to keep its answer until it is whole.
+ */
+void bct_exchange_drop_kept(bct_exchange_t *x);
 
 /* Events of the connection that carries the current attempt. */
 void bct_exchange_connected(bct_exchange_t *x);
