Lease of the duties: one holder at a time by conditional appends

Duties need one node at a time and a fencing token that only grows. policy/duty_lease.c decides when to read, claim, renew and release over a log whose appends are conditional on its end; an append without a response is looked up by its id.

--- a/policy/duty_lease.h
+++ b/policy/duty_lease.h
@@ -44,31 +44,50 @@
 	bct_gate_position_t position;
 } bct_duty_head_t;
 
+/* An append of this node that may have taken effect, or still may. */
+typedef struct bct_duty_append {
+	uint64_t id; /* 0: none */
+	bct_gate_position_t at;
+	bct_time_t asked_at;
+} bct_duty_append_t;
+
+#define BCT_DUTY_APPENDS 4 /* recognized when they are read back */
+
 typedef struct bct_duty_lease {
 	bct_duty_lease_opts_t opts;
 	bool candidate;
 	uint32_t rank;
 	bct_duty_act_t in_progress; /* BCT_DUTY_IDLE: none */
 	bct_time_t asked_at;	    /* start of the call in progress */
-	uint64_t append_id;	    /* of the latest append */
-	bool unsure;		    /* an append of this node may have taken effect or still may */
-	bool known;		    /* head and end have been read */
+	bct_time_t retry_at;	    /* after a failed call: not before */
+	bct_duty_append_t appends[BCT_DUTY_APPENDS];
+	uint32_t next_append; /* slot of the next one */
+	bct_time_t append_asked_at;
+	bool unsure;   /* of the outcome of the latest append */
+	bool known;    /* head and end are as last read or written */
+	bool has_read; /* there was a read */
 	bct_duty_head_t head;
 	bct_time_t head_seen_at; /* when the head was first read */
 	bct_gate_position_t end;
+	bct_time_t era_seen_at; /* first read of this era of the log */
 	bool held;
+	bool releasing;	    /* a release was sent */
+	uint64_t record_id; /* append id of the holder's latest record */
 	uint64_t fence;
 	bct_time_t valid_until; /* a holder may act before */
 	bct_time_t renewed_at;
-	bct_time_t ceased_at; /* when this node ceased to hold it; 0: never held */
+	bool was_held;
+	bct_time_t ceased_at; /* when this node ceased to hold it, if was_held */
 	bct_time_t read_at;
 } bct_duty_lease_t;
 
-void bct_duty_lease_init(bct_duty_lease_t *l, const bct_duty_lease_opts_t *opts, bct_time_t now);
+void bct_duty_lease_init(bct_duty_lease_t *l, const bct_duty_lease_opts_t *opts);
 
 /*
  * bct_duty_lease_set_candidate(3): whether this node may hold the lease. A holder that is no
- * longer a candidate releases it.
+ * longer a candidate releases it. Nodes of rank BCT_DUTY_CANDIDATES and above neither read nor
+ * claim, but a holder keeps the lease when its rank changes. Others read also while they are no
+ * candidates, so that they need not wait for the TTL once they become candidates.
  */
 void bct_duty_lease_set_candidate(bct_duty_lease_t *l, bool candidate, uint32_t rank);
 
@@ -77,7 +96,7 @@
  * result is passed in.
  *
  * changed  the holder's body differs from the record's and should be written before the renewal
- * id       random; identifies the append
+ * id       random, not 0; identifies the append
  */
 bct_duty_act_t bct_duty_lease_next(bct_duty_lease_t *l, bct_time_t now, bool changed, uint64_t id);
 
@@ -101,9 +120,18 @@
 void bct_duty_lease_appended(bct_duty_lease_t *l, bct_time_t now, int rc,
 			     bct_gate_position_t position, uint64_t revision);
 
+/* bct_duty_lease_in_progress(3): the call in progress; BCT_DUTY_IDLE: none. */
+static inline bct_duty_act_t bct_duty_lease_in_progress(const bct_duty_lease_t *l)
+{
+	return l->in_progress;
+}
+
 /* bct_duty_lease_at(3): the condition of the append in progress: where the log has to end. */
 bct_gate_position_t bct_duty_lease_at(const bct_duty_lease_t *l);
 
+/* bct_duty_lease_append_id(3): of the append in progress. */
+uint64_t bct_duty_lease_append_id(const bct_duty_lease_t *l);
+
 /* bct_duty_lease_valid(3): whether this node may act as the holder, until l->valid_until. */
 bool bct_duty_lease_valid(const bct_duty_lease_t *l, bct_time_t now);
 
