--- a/gate/gate.c
+++ b/gate/gate.c
@@ -14,6 +14,7 @@
 #include "gate/registry_sync.h"
 #include "gate/relay.h"
 #include "gate/share.h"
+#include "gate/usage.h"
 
 #include <signal.h>
 #include <string.h>
@@ -150,6 +151,15 @@
 	return g->tick && !event_add(g->tick, &tick) ? 0 : -BCT_ENOMEM;
 }
 
+static bool reports_usage(const bct_gate_t *g)
+{
+	bool listed = false;
+
+	for (uint32_t i = 0; i < g->settings->n_duty_kinds; i++)
+		listed = listed || !strcmp(g->settings->duty_kinds[i], "usage");
+	return listed && g->opts.control;
+}
+
 int bct_gate_new(const bct_gate_opts_t *opts, bct_gate_t **out)
 {
 	bct_gate_t *g = bct_alloc(sizeof(*g));
@@ -185,6 +195,8 @@
 		rc = bct_brittle_new(g, &g->brittle);
 	if (!rc)
 		rc = bct_notices_new(g, &g->notices);
+	if (!rc && reports_usage(g))
+		rc = bct_gate_usage_new(g, &g->usage);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -222,6 +234,7 @@
 	bct_list_for_each(el, &g->upstreams.all)
 		bct_upconns_expire(g, bct_container_of(el, bct_gate_upstream_t, link), true);
 	bct_local_free(g->local);
+	bct_gate_usage_free(g->usage);
 	bct_share_free(g->share);
 	bct_origins_free(g->origins);
 	bct_relay_free(g->relay);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -34,6 +34,7 @@
 typedef struct bct_relay bct_relay_t;
 typedef struct bct_brittle bct_brittle_t;
 typedef struct bct_notices bct_notices_t;
+typedef struct bct_gate_usage bct_gate_usage_t;
 
 #define BCT_RELAY_LINE_BYTES 2048 /* of a request's line that the proof of its sender covers */
 
@@ -102,8 +103,9 @@
 	bct_relay_t *relay;
 	bct_brittle_t *brittle;
 	bct_notices_t *notices;
-	uint32_t nodes; /* live nodes including this one */
-	uint32_t rank;	/* of this node among them, from 0 */
+	bct_gate_usage_t *usage; /* NULL: usage is not reported */
+	uint32_t nodes;		 /* live nodes including this one */
+	uint32_t rank;		 /* of this node among them, from 0 */
 	bct_gate_counters_t counters;
 	bct_time_t pulls_served_since; /* start of the current second of answers to pulls */
 	size_t pulls_served_bytes;     /* in that second */
--- /dev/null
+++ b/policy/autoscale.c
@@ -0,0 +1,470 @@
+/*
+ * autoscale.c - each decision has three steps: order what the demand lacks, order cheaper engines
+ * for present ones, and remove engines that the others make superfluous. Orders count on engines
+ * that are still to come; removals count only on engines that are present.
+ */
+#include "policy/autoscale.h"
+#include "base/err.h"
+#include "base/mem.h"
+#include "policy/autoscale_fit.h"
+#include "policy/autoscale_window.h"
+
+#include <string.h>
+
+#define STALE_MS 5000	      /* an older demand counts as unknown */
+#define DEMAND_MAX 1000000000 /* keeps the sums within 32 bits */
+#define DEMAND_WINDOW_S 20    /* its highest value in this time counts */
+#define REMOVE_AFTER_S 10     /* of lower demand, in addition */
+#define REMOVE_KNOWN_MS 5000  /* the demand must have been known for this long */
+#define MARGIN_PERMILLE 1400  /* engines per demand */
+/* After the loss of a domain's spot engines: a reserve for the time until new engines serve, as the
+ * demand is an estimate and a second old. */
+#define SURVIVE_PERMILLE 1100
+/* Until the window is full, a peak may not have been seen: demand counts double for removals. */
+#define EARLY_FACTOR 2
+#define REMOVE_WINDOW_MS 5000
+#define REMOVALS 8	     /* remembered; more decisions than fall into the window */
+#define REMOVE_SHARE 5	     /* one of this many engines may be removed in that time */
+#define ARRIVE_SLACK_MS 6000 /* after boot_ms an order that brought nothing doesn't count */
+#define REFUSED_MIN_PERMILLE 5
+#define REFUSED_STEP_PERMILLE 100 /* more engines at least, while requests are refused */
+#define REFUSED_FACTOR_MAX 2 /* of a known demand, as a bound to engines ordered for refusals */
+#define RECLAIM_BAN_MS 10000 /* spot engines are not available for about as long */
+#define REFUSED_BAN_MS 5000
+
+typedef struct domain {
+	uint32_t pending[BCT_AUTOSCALE_KINDS]; /* ordered and not present yet */
+	uint32_t seen[BCT_AUTOSCALE_KINDS];    /* present at the last decision */
+	bct_time_t pending_until[BCT_AUTOSCALE_KINDS];
+	bct_time_t no_spot_until;
+	bct_time_t reclaimed_until; /* nothing is removed until then */
+	bool refused;		    /* at the last decision */
+	uint32_t lost_spot;	    /* by the present reclaim; still listed */
+} domain_t;
+
+struct bct_autoscale {
+	bct_autoscale_conf_t conf;
+	bool begun; /* wanted is valid */
+	bool resumed;
+	bct_autoscale_set_t wanted;
+	domain_t domains[BCT_AUTOSCALE_DOMAINS];
+	bct_autoscale_window_t demand; /* highest of each second */
+	uint32_t last_demand;	       /* highest of the window, when last known; 0: never */
+	bct_time_t known_since;	       /* BCT_TIME_NEVER: the demand is unknown */
+	uint32_t removed[REMOVALS];    /* engines in each second */
+	bct_time_t removed_at[REMOVALS];
+	uint32_t n_removals;		/* written in all */
+	bct_autoscale_window_t present; /* engines that accept requests */
+};
+
+/* The engines of one decision. */
+typedef struct view {
+	bct_autoscale_set_t present; /* those that are wanted and not being reclaimed */
+	bct_autoscale_set_t counted; /* and those still to come */
+	bct_autoscale_set_t change;  /* engines ordered in this decision */
+	uint32_t demand;	     /* to order for */
+	uint32_t floor;		     /* to remove for */
+	bool known;
+	bool lost; /* spot engines were reclaimed or refused just now */
+	bct_autoscale_reason_t reason;
+} view_t;
+
+int bct_autoscale_new(const bct_autoscale_conf_t *conf, bct_autoscale_t **out)
+{
+	bct_autoscale_t *a;
+
+	if (conf->minimum > conf->maximum || conf->n_domains > BCT_AUTOSCALE_DOMAINS)
+		return -BCT_EINVAL;
+	a = bct_alloc(sizeof(*a));
+	if (!a)
+		return -BCT_ENOMEM;
+	memset(a, 0, sizeof(*a));
+	a->conf = *conf;
+	a->known_since = BCT_TIME_NEVER;
+	*out = a;
+	return 0;
+}
+
+void bct_autoscale_free(bct_autoscale_t *a)
+{
+	bct_free(a);
+}
+
+void bct_autoscale_resume(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_plan_t *last)
+{
+	uint32_t total = 0;
+
+	memset(a->domains, 0, sizeof(a->domains));
+	a->known_since = BCT_TIME_NEVER;
+	a->begun = false;
+	a->resumed = false;
+	if (!last)
+		return;
+	memcpy(a->wanted.n, last->wanted, sizeof(a->wanted.n));
+	for (uint32_t d = a->conf.n_domains; d < BCT_AUTOSCALE_DOMAINS; d++)
+		memset(a->wanted.n[d], 0, sizeof(a->wanted.n[d]));
+	total = bct_autoscale_set_total(&a->wanted);
+	/* A record without numbers is no wish for no engines. */
+	a->begun = a->resumed = total > 0;
+	for (uint32_t d = 0; d < a->conf.n_domains; d++)
+		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++)
+			a->domains[d].pending_until[k] = now + a->conf.boot_ms + ARRIVE_SLACK_MS;
+}
+
+/* The first decision takes what is present for wanted, or what is missing for ordered. */
+static void begin(bct_autoscale_t *a, const bct_autoscale_input_t *in)
+{
+	for (uint32_t d = 0; d < a->conf.n_domains; d++) {
+		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++) {
+			uint32_t present = in->domains[d].present[k];
+
+			if (!a->begun)
+				a->wanted.n[d][k] = present;
+			if (a->resumed && a->wanted.n[d][k] > present)
+				a->domains[d].pending[k] = a->wanted.n[d][k] - present;
+			a->domains[d].seen[k] = present;
+		}
+	}
+	a->begun = true;
+	a->resumed = false;
+}
+
+/*
+ * Spot engines also leave when fewer are wanted; a reclaim is the loss of wanted ones. Those that
+ * are still listed while the others leave will leave too.
+ */
+static void note_spot(bct_autoscale_t *a, bct_time_t now, uint32_t d,
+		      const bct_autoscale_domain_t *in, view_t *v)
+{
+	domain_t *t = &a->domains[d];
+	uint32_t *wanted = &a->wanted.n[d][BCT_AUTOSCALE_SPOT];
+	uint32_t *pending = &t->pending[BCT_AUTOSCALE_SPOT];
+	uint32_t present = in->present[BCT_AUTOSCALE_SPOT];
+	bool reclaimed = in->spot_reclaimed && present + *pending < *wanted;
+
+	if (!in->spot_reclaimed)
+		t->lost_spot = 0;
+	if (reclaimed) {
+		t->no_spot_until = t->reclaimed_until = now + RECLAIM_BAN_MS;
+		t->lost_spot = present;
+	}
+	if (in->spot_refused && !t->refused && t->no_spot_until < now + REFUSED_BAN_MS)
+		t->no_spot_until = now + REFUSED_BAN_MS;
+	if (reclaimed || (in->spot_refused && !t->refused)) {
+		v->lost = true;
+		*pending = 0;
+		if (*wanted > present)
+			*wanted = present;
+	}
+	t->refused = in->spot_refused;
+}
+
+static void note_present(bct_autoscale_t *a, bct_time_t now, uint32_t d, uint32_t k,
+			 uint32_t present)
+{
+	domain_t *t = &a->domains[d];
+
+	if (present > t->seen[k]) {
+		uint32_t arrived = present - t->seen[k];
+
+		t->pending[k] -= arrived < t->pending[k] ? arrived : t->pending[k];
+	}
+	t->seen[k] = present;
+	if (t->pending[k] && now >= t->pending_until[k]) {
+		t->pending[k] = 0;
+		if (k == BCT_AUTOSCALE_SPOT)
+			t->no_spot_until = now + REFUSED_BAN_MS;
+	}
+}
+
+static void note_engines(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
+			 view_t *v)
+{
+	for (uint32_t d = 0; d < a->conf.n_domains; d++) {
+		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++)
+			note_present(a, now, d, k, in->domains[d].present[k]);
+		note_spot(a, now, d, &in->domains[d], v);
+		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++) {
+			uint32_t present = in->domains[d].present[k], wanted = a->wanted.n[d][k];
+
+			if (k == BCT_AUTOSCALE_SPOT && a->domains[d].lost_spot)
+				present = 0;
+			v->present.n[d][k] = present < wanted ? present : wanted;
+			v->counted.n[d][k] = v->present.n[d][k] + a->domains[d].pending[k];
+		}
+	}
+}
+
+/*
+ * While requests are refused, the demand is taken to be more than what the engines serve, whatever
+ * was measured. Orders on their way are waited for.
+ */
+static uint32_t refused_demand(const view_t *v, const bct_autoscale_input_t *in, uint32_t demand)
+{
+	uint32_t present = bct_autoscale_set_total(&v->present);
+	uint32_t more = in->refused_permille > REFUSED_STEP_PERMILLE ? in->refused_permille
+								     : REFUSED_STEP_PERMILLE;
+	uint64_t needed = (uint64_t)present * (1000 + more) * 1000 / MARGIN_PERMILLE + 1;
+
+	if (in->refused_permille < REFUSED_MIN_PERMILLE ||
+	    bct_autoscale_set_total(&v->counted) > present)
+		return 0;
+	if (v->known && needed > (uint64_t)demand * REFUSED_FACTOR_MAX)
+		needed = (uint64_t)demand * REFUSED_FACTOR_MAX;
+	return needed > DEMAND_MAX ? DEMAND_MAX : (uint32_t)needed;
+}
+
+static uint32_t scaled(uint32_t demand_permille, uint32_t permille)
+{
+	return (uint32_t)(((uint64_t)demand_permille * permille + 999999) / 1000000);
+}
+
+static void note_demand(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
+			view_t *v)
+{
+	uint32_t demand = in->demand_permille ? in->demand_permille : 1, refused;
+
+	if (demand > DEMAND_MAX)
+		demand = DEMAND_MAX;
+	v->known = in->demand_age_ms <= STALE_MS;
+	if (!v->known) {
+		a->known_since = BCT_TIME_NEVER;
+		demand = a->last_demand;
+	} else if (a->known_since == BCT_TIME_NEVER) {
+		a->known_since = now;
+	}
+	refused = refused_demand(v, in, demand);
+	if (refused > demand) {
+		demand = refused;
+		v->reason = BCT_AUTOSCALE_REFUSED;
+	}
+	bct_autoscale_window_raise(&a->demand, now, demand);
+	v->demand = bct_autoscale_window_highest(&a->demand, now, DEMAND_WINDOW_S);
+	v->floor = bct_autoscale_window_highest(&a->demand, now, DEMAND_WINDOW_S + REMOVE_AFTER_S);
+	if (v->known)
+		a->last_demand = v->demand;
+}
+
+static void fit(const bct_autoscale_t *a, bct_time_t now, const view_t *v, uint32_t demand,
+		uint32_t total_min, const bct_autoscale_set_t *least, bct_autoscale_set_t *out)
+{
+	bct_autoscale_fit_input_t in = {
+		.total = scaled(demand, MARGIN_PERMILLE),
+		.survive = scaled(demand, SURVIVE_PERMILLE),
+		.now = v->counted,
+	};
+
+	if (in.total < total_min)
+		in.total = total_min;
+	if (least)
+		in.least = *least;
+	for (uint32_t d = 0; d < a->conf.n_domains; d++) {
+		uint32_t wanted = bct_autoscale_set_domain(&a->wanted, d);
+		uint32_t counted = bct_autoscale_set_domain(&v->counted, d);
+		uint32_t missing = wanted > counted ? wanted - counted : 0;
+		bool spot = a->conf.spot_price > 0 && now >= a->domains[d].no_spot_until;
+
+		/* The order for missing engines is in force. */
+		in.maximum[d] = a->conf.maximum > missing ? a->conf.maximum - missing : 0;
+		in.spot_maximum[d] = spot ? a->conf.maximum : v->counted.n[d][BCT_AUTOSCALE_SPOT];
+	}
+	bct_autoscale_fit(&a->conf, &in, out);
+}
+
+/* Orders what a set has more than is counted; returns whether that is any. */
+static bool order(bct_autoscale_t *a, bct_time_t now, view_t *v, const bct_autoscale_set_t *to)
+{
+	bool any = false;
+
+	for (uint32_t d = 0; d < a->conf.n_domains; d++) {
+		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++) {
+			uint32_t wanted = bct_autoscale_set_domain(&a->wanted, d);
+			uint32_t room = a->conf.maximum > wanted ? a->conf.maximum - wanted : 0;
+			uint32_t more = to->n[d][k] > v->counted.n[d][k]
+						? to->n[d][k] - v->counted.n[d][k]
+						: 0;
+
+			if (more > room)
+				more = room;
+			if (!more)
+				continue;
+			a->wanted.n[d][k] += more;
+			v->counted.n[d][k] += more;
+			a->domains[d].pending[k] += more;
+			a->domains[d].pending_until[k] = now + a->conf.boot_ms + ARRIVE_SLACK_MS;
+			any = true;
+		}
+	}
+	return any;
+}
+
+/* Engines that may be removed now. */
+static uint32_t removals_left(bct_autoscale_t *a, bct_time_t now, const view_t *v)
+{
+	uint32_t share, recent = 0;
+
+	/* The fewest present within the window count: new ones have few streams yet. */
+	bct_autoscale_window_set(&a->present, now, bct_autoscale_set_total(&v->present));
+	share = bct_autoscale_window_lowest(&a->present, now, REMOVE_WINDOW_MS / BCT_MS_PER_S) /
+		REMOVE_SHARE;
+	for (uint32_t i = 0; i < REMOVALS && i < a->n_removals; i++)
+		if (now - a->removed_at[i] < REMOVE_WINDOW_MS)
+			recent += a->removed[i];
+	if (!share)
+		share = 1;
+	return share > recent ? share - recent : 0;
+}
+
+/* Whether the engines present without one of the kind still serve the demand. */
+static bool dispensable(const bct_autoscale_t *a, const view_t *v, uint32_t d, uint32_t k,
+			uint32_t demand)
+{
+	bct_autoscale_set_t left = v->present;
+
+	if (!left.n[d][k] || bct_autoscale_set_domain(&left, d) <= a->conf.minimum)
+		return false;
+	left.n[d][k]--;
+	return bct_autoscale_set_total(&left) >= scaled(demand, MARGIN_PERMILLE) &&
+	       bct_autoscale_set_survive(&left) >= scaled(demand, SURVIVE_PERMILLE);
+}
+
+/* Removes the dearest engine that the ideal lacks; of equal ones, where there are most. */
+static bool remove_one(bct_autoscale_t *a, view_t *v, const bct_autoscale_set_t *ideal,
+		       uint32_t demand)
+{
+	double best = -1;
+	uint32_t best_d = 0, best_k = 0, best_n = 0;
+
+	for (uint32_t i = 0; i < a->conf.n_domains * BCT_AUTOSCALE_KINDS; i++) {
+		uint32_t d = i / BCT_AUTOSCALE_KINDS, k = i % BCT_AUTOSCALE_KINDS;
+		uint32_t n = bct_autoscale_set_domain(&v->present, d);
+		double price = a->conf.domains[d].price *
+			       (k == BCT_AUTOSCALE_SPOT ? a->conf.spot_price : 1);
+
+		if (v->counted.n[d][k] <= ideal->n[d][k] || price < best ||
+		    (price == best && n <= best_n) || !dispensable(a, v, d, k, demand))
+			continue;
+		best = price;
+		best_d = d;
+		best_k = k;
+		best_n = n;
+	}
+	if (best < 0)
+		return false;
+	v->present.n[best_d][best_k]--;
+	v->counted.n[best_d][best_k]--;
+	a->wanted.n[best_d][best_k]--;
+	return true;
+}
+
+static bool may_remove(const bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in)
+{
+	if (a->known_since == BCT_TIME_NEVER || now - a->known_since < REMOVE_KNOWN_MS ||
+	    in->refused_permille >= REFUSED_MIN_PERMILLE)
+		return false;
+	for (uint32_t d = 0; d < a->conf.n_domains; d++)
+		if (now < a->domains[d].reclaimed_until)
+			return false;
+	return true;
+}
+
+static bool remove_engines(bct_autoscale_t *a, bct_time_t now, view_t *v,
+			   const bct_autoscale_set_t *ideal)
+{
+	bool early = now - a->known_since < DEMAND_WINDOW_S * BCT_MS_PER_S;
+	uint32_t left = removals_left(a, now, v), n = 0;
+
+	while (n < left && remove_one(a, v, ideal, early ? v->floor * EARLY_FACTOR : v->floor))
+		n++;
+	if (n) {
+		a->removed[a->n_removals % REMOVALS] = n;
+		a->removed_at[a->n_removals++ % REMOVALS] = now;
+	}
+	return n > 0;
+}
+
+/* The numbers never exceed the maximum, also if engines beyond it are present. */
+static bool bound(bct_autoscale_t *a)
+{
+	bool changed = false;
+
+	for (uint32_t d = 0; d < a->conf.n_domains; d++) {
+		uint32_t *n = a->wanted.n[d];
+
+		if (bct_autoscale_set_domain(&a->wanted, d) <= a->conf.maximum)
+			continue;
+		changed = true;
+		if (n[BCT_AUTOSCALE_SPOT] > a->conf.maximum)
+			n[BCT_AUTOSCALE_SPOT] = a->conf.maximum;
+		n[BCT_AUTOSCALE_STANDARD] = a->conf.maximum - n[BCT_AUTOSCALE_SPOT];
+	}
+	return changed;
+}
+
+/* Orders what is lacking at once. While the demand is unknown, the number of engines is kept. */
+static void cover(bct_autoscale_t *a, bct_time_t now, view_t *v, uint32_t total_before)
+{
+	bct_autoscale_set_t to;
+	bool below = false;
+
+	for (uint32_t d = 0; d < a->conf.n_domains; d++)
+		below = below || bct_autoscale_set_domain(&a->wanted, d) < a->conf.minimum;
+	fit(a, now, v, v->demand, v->known ? 0 : total_before, &v->counted, &to);
+	if (!order(a, now, v, &to))
+		return;
+	if (v->lost)
+		v->reason = BCT_AUTOSCALE_RECLAIMED;
+	else if (below)
+		v->reason = BCT_AUTOSCALE_BOUNDS;
+	else if (v->reason != BCT_AUTOSCALE_REFUSED)
+		v->reason = BCT_AUTOSCALE_DEMAND;
+}
+
+/* Orders cheaper engines, and removes those that they replace once they are present. */
+static void improve(bct_autoscale_t *a, bct_time_t now, view_t *v)
+{
+	bct_autoscale_set_t ideal;
+	bool cheaper, fewer;
+
+	fit(a, now, v, v->floor, 0, NULL, &ideal);
+	fewer = bct_autoscale_set_total(&v->counted) > bct_autoscale_set_total(&ideal);
+	cheaper = order(a, now, v, &ideal);
+	if (remove_engines(a, now, v, &ideal) || cheaper) {
+		if (v->reason == BCT_AUTOSCALE_UNCHANGED)
+			v->reason = cheaper || !fewer ? BCT_AUTOSCALE_CHEAPER : BCT_AUTOSCALE_IDLE;
+	}
+}
+
+void bct_autoscale_plan(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
+			bct_autoscale_plan_t *out)
+{
+	view_t v = { .reason = BCT_AUTOSCALE_UNCHANGED };
+	bct_autoscale_set_t before;
+	bool bounded;
+
+	if (!a->begun || a->resumed)
+		begin(a, in);
+	before = a->wanted;
+	bounded = bound(a);
+	note_engines(a, now, in, &v);
+	note_demand(a, now, in, &v);
+	cover(a, now, &v, bct_autoscale_set_total(&before));
+	if (may_remove(a, now, in))
+		improve(a, now, &v);
+	if (v.lost && v.reason != BCT_AUTOSCALE_REFUSED)
+		v.reason = BCT_AUTOSCALE_RECLAIMED;
+	if (bounded)
+		v.reason = BCT_AUTOSCALE_BOUNDS;
+	if (!memcmp(&before, &a->wanted, sizeof(before)))
+		v.reason = BCT_AUTOSCALE_UNCHANGED;
+	memcpy(out->wanted, a->wanted.n, sizeof(out->wanted));
+	out->reason = v.reason;
+}
+
+const char *bct_autoscale_reason_name(bct_autoscale_reason_t r)
+{
+	static const char *const names[] = { "unchanged", "demand",    "refused", "idle",
+					     "cheaper",	  "reclaimed", "bounds" };
+
+	return (unsigned)r < sizeof(names) / sizeof(names[0]) ? names[r] : "unknown";
+}
--- a/policy/usage.h
+++ b/policy/usage.h
@@ -66,6 +66,15 @@
 			 bct_usage_item_t *out);
 uint64_t bct_usage_changes(const bct_usage_t *u);
 
+/*
+ * bct_usage_next_other(3): the counters of other nodes in a window, by node.
+ *
+ * pos      0 at first, then the function's to advance
+ * returns  false: there are no more
+ */
+bool bct_usage_next_other(const bct_usage_t *u, uint64_t window, uint64_t *pos,
+			  bct_usage_item_t *out);
+
 /* bct_usage_expire(3): drops windows before the first one that is kept, now being in `window`. */
 void bct_usage_expire(bct_usage_t *u, uint64_t window);
 
