Duties: which report or order is sent next, and what its outcome means

The holder has to decide windows in order, write before it sends, keep the API's rate, and tell a refusal of its token from a lack of engines. policy/duty_plan.c and duty_orders.c decide this without threads or clocks. Each item is bound to the revision of the body that contains it first, and after a call without a response to a newer token. 409 to an order holds that order back until a renewal succeeds: then it was a lack of engines.

--- a/policy/duty_plan.h
+++ b/policy/duty_plan.h
@@ -56,9 +56,8 @@
 
 typedef struct bct_duty_plan {
 	bct_duty_plan_opts_t opts;
-	uint64_t revision; /* of the body that was last written, or tried to be */
-	uint64_t decided;  /* last window decided; 0: none */
-	uint64_t decided_revision;
+	uint64_t revision;	     /* of the body that was last written, or tried to be */
+	uint64_t decided;	     /* last window decided; 0: none */
 	bct_duty_pending_t *reports; /* oldest window first */
 	uint32_t n_reports;
 	bct_duty_service_t *services;
@@ -115,8 +114,7 @@
  * bct_duty_plan_unwritten(3): whether the body should be written now, the record having this
  * revision and this fencing token: there are new decisions, or a newer token is needed.
  */
-bool bct_duty_plan_unwritten(const bct_duty_plan_t *p, bct_time_t now, uint64_t revision,
-			     uint64_t fence);
+bool bct_duty_plan_unwritten(const bct_duty_plan_t *p, uint64_t revision, uint64_t fence);
 
 /*
  * bct_duty_plan_window(3): the next window to decide. bct_duty_plan_decide(3) is called for it, or
