Duties: the gateway holds the lease, reports usage and orders engines

Created only if the gateway has a control API. A stop ends the call in progress, releases the lease and only then ends the process. Log lines 810 to 822, counters, and the metrics page. Of several due reports the oldest window goes first.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -108,6 +108,19 @@
 	DEF(LEASE_LOST, 801, WARN, "this node lost a lease")                                       \
 	DEF(ORDER_SENT, 802, INFO, "an order was sent to an engine")                               \
 	DEF(ORDER_FAILED, 803, WARN, "an order to an engine failed")                               \
+	DEF(DUTY_ACQUIRED, 810, INFO, "this node does the duties of the fleet from now on")        \
+	DEF(DUTY_LOST, 811, WARN, "this node does the duties of the fleet no longer")              \
+	DEF(DUTY_REFUSED, 812, WARN, "the control API has seen a higher fencing token")            \
+	DEF(DUTY_CUT_OFF, 813, WARN, "the control API is not reached; the duties are released")    \
+	DEF(DUTY_STORE_DOWN, 814, WARN, "the record of the duties cannot be read or written")      \
+	DEF(DUTY_STORE_UP, 815, INFO, "the record of the duties can be read or written again")     \
+	DEF(DUTY_RECORD_BAD, 816, ERROR, "a record of the duties could not be decoded or encoded") \
+	DEF(DUTY_REPORT, 817, INFO, "the usage of a window was reported")                          \
+	DEF(DUTY_REPORT_FAILED, 818, WARN, "a report of usage was not accepted; it is repeated")   \
+	DEF(DUTY_REPORT_LOST, 819, ERROR, "the usage of windows was given up, being too old")      \
+	DEF(DUTY_ORDER, 820, INFO, "engines were ordered")                                         \
+	DEF(DUTY_ORDER_FAILED, 821, WARN, "an order of engines was not accepted")                  \
+	DEF(DUTY_SCALING_BAD, 822, WARN, "a service cannot be scaled")                             \
 	DEF(SHED_LEVEL, 900, WARN, "the shed level changed")                                       \
 	DEF(POISON_SUSPECT, 901, WARN, "a request was running on an upstream that crashed")        \
 	DEF(POISON_REFUSED, 902, WARN, "a request is refused because it crashed two upstreams")    \
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -42,6 +42,20 @@
 	    "Times that no upstream of a service was reached any more")                           \
 	DEF(ORIGINS_LOST, "bct_gate_origins_lost_total", NULL, "counter",                         \
 	    "Streams whose beginning could not be recorded for lack of memory")                   \
+	DEF(DUTY_ACQUIRED, "bct_duty_acquired_total", NULL, "counter",                            \
+	    "Times that this node acquired the duties")                                           \
+	DEF(DUTY_LOST, "bct_duty_lost_total", NULL, "counter",                                    \
+	    "Times that this node lost or released the duties")                                   \
+	DEF(DUTY_REFUSED, "bct_duty_refused_total", NULL, "counter",                              \
+	    "Reports refused because of a higher fencing token")                                  \
+	DEF(DUTY_APPENDS, "bct_duty_appends_total", NULL, "counter",                              \
+	    "Records of the duties written")                                                      \
+	DEF(DUTY_REPORTS, "bct_duty_reports_total", "accepted", "counter", "Usage reports")       \
+	DEF(DUTY_REPORTS_FAILED, "bct_duty_reports_total", "failed", "counter", "Usage reports")  \
+	DEF(DUTY_GIVEN_UP, "bct_duty_given_up_total", NULL, "counter",                            \
+	    "Windows whose usage was not reported in time")                                       \
+	DEF(DUTY_ORDERS, "bct_duty_orders_total", "accepted", "counter", "Engine orders")         \
+	DEF(DUTY_ORDERS_FAILED, "bct_duty_orders_total", "failed", "counter", "Engine orders")    \
 	DEF(ANSWERS_SKIPPED, "bct_gate_answers_skipped_total", NULL, "counter",                   \
 	    "Answers that belonged to no request")
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -7,6 +7,7 @@
 #include "base/rng.h"
 #include "gate/brittle.h"
 #include "gate/crash.h"
+#include "gate/duty.h"
 #include "gate/notice.h"
 #include "gate/origin.h"
 #include "gate/part.h"
@@ -76,8 +77,9 @@
 
 /*
  * Stops listening and closes idle connections once the addresses that callers obtained have
- * expired. Ends the event loop when no connection remains or the grace period is over. Registry
- * calls stop early enough for one in progress to time out before that.
+ * expired. Ends the event loop when no connection remains and the duties are released, or when the
+ * grace period is over. Registry calls stop early enough for one in progress to time out before
+ * that.
  */
 static void drain_step(bct_gate_t *g)
 {
@@ -91,7 +93,8 @@
 	}
 	if (elapsed_ms >= deadline_ms - (bct_time_t)g->settings->platform_timeout_ms)
 		bct_registry_sync_stop(g->registry_sync);
-	if ((addresses_expired && !g->n_clients) || elapsed_ms >= deadline_ms)
+	if ((addresses_expired && !g->n_clients && bct_duty_stopped(g->duty)) ||
+	    elapsed_ms >= deadline_ms)
 		event_base_loopbreak(g->base);
 }
 
@@ -130,6 +133,7 @@
 	count_nodes(g);
 	bct_notice_assign_limits(g);
 	bct_registry_sync_tick(g->registry_sync);
+	bct_duty_tick(g->duty);
 	if (g->draining)
 		drain_step(g);
 }
@@ -203,6 +207,8 @@
 		rc = bct_clients_listen(g);
 	if (!rc)
 		rc = bct_registry_sync_new(g, &g->registry_sync);
+	if (!rc && opts->control && g->settings->n_duty_kinds)
+		rc = bct_duty_new(g, &g->duty);
 	if (rc) {
 		bct_gate_free(g);
 		return rc;
@@ -228,6 +234,7 @@
 	if (!g)
 		return;
 	bct_clients_free(g);
+	bct_duty_free(g->duty);
 	bct_registry_sync_free(g->registry_sync);
 	while (!bct_list_empty(&g->probes))
 		bct_upconn_close(bct_container_of(g->probes.next, bct_upconn_t, link));
@@ -264,5 +271,6 @@
 	if (g->base)
 		event_base_free(g->base);
 	bct_registry_free(g->opts.registry);
+	bct_control_free(g->opts.control);
 	bct_free(g);
 }
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -28,6 +28,7 @@
 typedef struct bct_exchange bct_exchange_t;
 typedef struct bct_upconn bct_upconn_t;
 typedef struct bct_registry_sync bct_registry_sync_t;
+typedef struct bct_duty bct_duty_t;
 typedef struct bct_local bct_local_t;
 typedef struct bct_share bct_share_t;
 typedef struct bct_origins bct_origins_t;
@@ -96,6 +97,7 @@
 	uint32_t n_clients;
 	uint32_t n_exchanges;
 	bct_registry_sync_t *registry_sync;
+	bct_duty_t *duty; /* NULL: the fleet has no duties */
 	bct_local_t *local;
 	bct_peer_t *peer;   /* NULL: single node */
 	bct_share_t *share; /* NULL: single node, or gate.share_port is not set */
--- a/gate/local.c
+++ b/gate/local.c
@@ -4,6 +4,7 @@
  */
 #include "base/err.h"
 #include "base/mem.h"
+#include "gate/duty.h"
 #include "gate/gate_int.h"
 #include "gate/pull.h"
 
@@ -55,6 +56,7 @@
 	bct_gate_counters_print(&l->gate->counters, &out);
 	bct_buf_printf(&out, "bct_log_dropped_total %llu\n",
 		       (unsigned long long)bct_log_dropped(l->gate->log));
+	bct_duty_print(l->gate->duty, &out);
 	if (l->gate->peer)
 		bct_peer_counters_print(l->gate->peer, &out);
 	reply(req, 200, "text/plain; version=0.0.4", &out);
--- a/policy/duty_plan.c
+++ b/policy/duty_plan.c
@@ -140,23 +140,19 @@
 	return true;
 }
 
-/* The report that has been due for longest; of those due at the same time, the oldest window. */
+/* The oldest window whose report is due; one that is to be repeated later holds up no others. */
 static const bct_duty_pending_t *next_report(const bct_duty_plan_t *p, bct_time_t now,
 					     uint64_t fence, uint64_t revision)
 {
-	const bct_duty_pending_t *best = NULL;
-
 	if (now < p->reported_at + REPORT_GAP_MS)
 		return NULL;
 	for (uint32_t i = 0; i < p->n_reports; i++) {
 		const bct_duty_pending_t *r = &p->reports[i];
 
-		if (r->revision > revision || r->min_fence > fence || now < r->due_at)
-			continue;
-		if (!best || r->due_at < best->due_at)
-			best = r;
+		if (r->revision <= revision && r->min_fence <= fence && now >= r->due_at)
+			return r;
 	}
-	return best;
+	return NULL;
 }
 
 bool bct_duty_plan_next(bct_duty_plan_t *p, bct_time_t now, uint64_t fence, uint64_t revision,
