Duties: a test of the whole against a scripted record and API

Holder frozen beyond its lease while another claims, 409, no response, API not reached, store down, a lost response, stop, and stop while the API is silent.

--- /dev/null
+++ b/tests/test_duty.c
@@ -0,0 +1,512 @@
+/*
+ * test_duty.c - the duties of one gateway against a scripted record and control API. Other holders
+ * are records that the test appends.
+ */
+#include "base/err.h"
+#include "base/mem.h"
+#include "gate/duty.h"
+#include "gate/duty_record.h"
+#include "gate/usage.h"
+#include "tests/util_gate.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALLS_MAX 256
+#define LEASE_MS 3000
+#define ACQUIRE_MS 10000 /* longest time until a gateway has the lease */
+#define FREEZE_MS 4500	 /* longer than the lease */
+#define OTHER_NODE 99
+
+typedef struct api_call {
+	bct_duty_call_kind_t kind;
+	uint64_t fence;
+	uint64_t window;
+	uint32_t requests;
+	uint32_t engines;
+	bct_time_t at;
+	int rc;
+} api_call_t;
+
+typedef enum api_mode { API_OK, API_FENCED, API_SILENT, API_DOWN } api_mode_t;
+
+typedef struct script {
+	bct_control_t base;
+	pthread_mutex_t lock; /* guards all below */
+	bct_buf_t record;     /* newest; empty: none */
+	bct_gate_position_t end;
+	bool store_down;
+	bool lose_response; /* of the next append */
+	bool cancelled;
+	api_mode_t mode;
+	api_call_t calls[CALLS_MAX];
+	uint32_t n_calls;
+	uint32_t appends;
+} script_t;
+
+static int script_read(bct_control_t *c, uint32_t timeout_ms, bct_buf_t *record,
+		       bct_gate_position_t *position, bct_gate_position_t *end)
+{
+	script_t *s = (script_t *)c;
+	int rc = -BCT_EUNAVAILABLE;
+
+	(void)timeout_ms;
+	bct_buf_clear(record);
+	pthread_mutex_lock(&s->lock);
+	if (!s->store_down) {
+		rc = bct_buf_put(record, s->record.data, s->record.len_bytes);
+		*position = s->end - 1;
+		*end = s->end;
+	}
+	pthread_mutex_unlock(&s->lock);
+	return rc;
+}
+
+static int script_append(bct_control_t *c, bct_gate_position_t at, const void *data,
+			 uint32_t len_bytes, uint32_t timeout_ms, bct_gate_position_t *position)
+{
+	script_t *s = (script_t *)c;
+	int rc = 0;
+
+	(void)timeout_ms;
+	pthread_mutex_lock(&s->lock);
+	if (s->store_down) {
+		rc = -BCT_EUNAVAILABLE;
+	} else if (at != s->end) {
+		rc = -BCT_ESTALE;
+	} else {
+		bct_buf_clear(&s->record);
+		bct_buf_put(&s->record, data, len_bytes);
+		*position = s->end++;
+		s->appends++;
+		if (s->lose_response)
+			rc = -BCT_EUNKNOWN_OUTCOME;
+		s->lose_response = false;
+	}
+	pthread_mutex_unlock(&s->lock);
+	return rc;
+}
+
+/* Waits for the time limit of a call that gets no response, or until calls are cancelled. */
+static int no_response(script_t *s, uint32_t timeout_ms)
+{
+	bct_time_t until = bct_clock_now() + timeout_ms;
+	bool cancelled = false;
+
+	while (!cancelled && bct_clock_now() < until) {
+		bct_clock_sleep(10);
+		pthread_mutex_lock(&s->lock);
+		cancelled = s->cancelled;
+		pthread_mutex_unlock(&s->lock);
+	}
+	return -BCT_EUNKNOWN_OUTCOME;
+}
+
+static int api(script_t *s, api_call_t c, uint32_t timeout_ms)
+{
+	static const int results[] = { [API_OK] = 0,
+				       [API_FENCED] = -BCT_EFENCED,
+				       [API_SILENT] = -BCT_EUNKNOWN_OUTCOME,
+				       [API_DOWN] = -BCT_EUNAVAILABLE };
+
+	c.at = bct_clock_now();
+	pthread_mutex_lock(&s->lock);
+	c.rc = results[s->mode];
+	if (s->n_calls < CALLS_MAX)
+		s->calls[s->n_calls++] = c;
+	pthread_mutex_unlock(&s->lock);
+	return c.rc == -BCT_EUNKNOWN_OUTCOME ? no_response(s, timeout_ms) : c.rc;
+}
+
+static int script_report(bct_control_t *c, const bct_control_caller_t *by,
+			 const bct_usage_report_t *r, uint32_t timeout_ms)
+{
+	api_call_t call = { .kind = BCT_DUTY_REPORT, .fence = by->fence, .window = r->window };
+
+	for (uint32_t i = 0; i < r->n; i++)
+		call.requests += r->counts[i].requests;
+	return api((script_t *)c, call, timeout_ms);
+}
+
+static int script_order(bct_control_t *c, const bct_control_caller_t *by,
+			const bct_engine_order_t *o, uint32_t timeout_ms)
+{
+	api_call_t call = { .kind = BCT_DUTY_ORDER, .fence = by->fence, .engines = o->engines };
+
+	return api((script_t *)c, call, timeout_ms);
+}
+
+static void script_cancel(bct_control_t *c)
+{
+	script_t *s = (script_t *)c;
+
+	pthread_mutex_lock(&s->lock);
+	s->cancelled = true;
+	pthread_mutex_unlock(&s->lock);
+}
+
+/* The test looks at the script after the gateway has ended. */
+static void script_destroy(bct_control_t *c)
+{
+	(void)c;
+}
+
+static const bct_control_ops_t script_ops = {
+	.destroy = script_destroy,
+	.cancel = script_cancel,
+	.read = script_read,
+	.append = script_append,
+	.report_usage = script_report,
+	.order_engines = script_order,
+};
+
+static void start(script_t *s, test_gate_t *t)
+{
+	memset(s, 0, sizeof(*s));
+	s->base.ops = &script_ops;
+	pthread_mutex_init(&s->lock, NULL);
+	bct_buf_init(&s->record, 0);
+	s->end = bct_gate_position(3, 10);
+	test_gate_start_duty(t, &s->base);
+}
+
+static void set_mode(script_t *s, api_mode_t mode)
+{
+	pthread_mutex_lock(&s->lock);
+	s->mode = mode;
+	pthread_mutex_unlock(&s->lock);
+}
+
+static void set_store_down(script_t *s, bool down)
+{
+	pthread_mutex_lock(&s->lock);
+	s->store_down = down;
+	pthread_mutex_unlock(&s->lock);
+}
+
+/* The i-th call, once it was made. */
+static api_call_t wait_call(script_t *s, uint32_t i, uint32_t wait_ms)
+{
+	bct_time_t until = bct_clock_now() + wait_ms;
+	api_call_t c = { 0 };
+
+	while (!c.kind && bct_clock_now() < until) {
+		bct_clock_sleep(10);
+		pthread_mutex_lock(&s->lock);
+		if (i < s->n_calls)
+			c = s->calls[i];
+		pthread_mutex_unlock(&s->lock);
+	}
+	cr_assert(c.kind, "call %u was not made within %u ms", i, wait_ms);
+	return c;
+}
+
+static uint32_t calls(script_t *s)
+{
+	uint32_t n;
+
+	pthread_mutex_lock(&s->lock);
+	n = s->n_calls;
+	pthread_mutex_unlock(&s->lock);
+	return n;
+}
+
+static bct_duty_header_t header(script_t *s, bct_duty_state_t *state)
+{
+	bct_duty_header_t h;
+
+	pthread_mutex_lock(&s->lock);
+	cr_assert_eq(bct_duty_record_decode(s->record.data, s->record.len_bytes, &h, state), 0);
+	pthread_mutex_unlock(&s->lock);
+	return h;
+}
+
+static bct_duty_header_t lease_of(script_t *s)
+{
+	bct_duty_state_t state;
+	bct_duty_header_t h = header(s, &state);
+
+	bct_duty_state_free(&state);
+	return h;
+}
+
+/* Another node claims: a record of its own, with the state of the newest one. */
+static void other_claims(script_t *s)
+{
+	bct_duty_plan_opts_t o = { .window_ms = 1000, .calls_per_s = 50 };
+	bct_duty_plan_t p;
+	bct_duty_state_t state;
+	bct_duty_header_t h = header(s, &state);
+
+	bct_duty_plan_init(&p, &o);
+	cr_assert_eq(bct_duty_plan_adopt(&p, 0, &state), 0);
+	h.holder = OTHER_NODE;
+	h.append_id++;
+	h.revision++;
+	pthread_mutex_lock(&s->lock);
+	bct_buf_clear(&s->record);
+	cr_assert_eq(bct_duty_record_encode(&h, &p, NULL, 0, &s->record), 0);
+	s->end++;
+	pthread_mutex_unlock(&s->lock);
+	bct_duty_plan_free(&p);
+	bct_duty_state_free(&state);
+}
+
+/* No window has two accepted reports that differ, and no fence is below one before. */
+static void check_calls(script_t *s)
+{
+	for (uint32_t i = 0; i < s->n_calls; i++) {
+		const api_call_t *c = &s->calls[i];
+
+		for (uint32_t j = 0; j < i; j++) {
+			const api_call_t *b = &s->calls[j];
+
+			cr_assert_geq(c->fence, b->fence);
+			if (c->kind == BCT_DUTY_REPORT && b->kind == c->kind &&
+			    b->window == c->window)
+				cr_assert_eq(b->requests, c->requests);
+		}
+	}
+}
+
+/* All windows from `first` to `last` have an accepted report. */
+static void check_complete(const script_t *s, uint64_t first, uint64_t last)
+{
+	for (uint64_t w = first; w <= last; w++) {
+		uint32_t accepted = 0;
+
+		for (uint32_t i = 0; i < s->n_calls; i++)
+			accepted += s->calls[i].kind == BCT_DUTY_REPORT &&
+				    s->calls[i].window == w && !s->calls[i].rc;
+		cr_assert_gt(accepted, 0, "window %llu of %llu to %llu is missing",
+			     (unsigned long long)w, (unsigned long long)first,
+			     (unsigned long long)last);
+	}
+}
+
+/* Reports follow each other, each with the counts of its window; a stop releases the lease. */
+Test(duty, reports_orders_and_releases, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+	bct_buf_t out;
+	api_call_t c;
+	uint64_t window;
+
+	start(&s, &t);
+	window = bct_gate_usage_window(t.gate->usage, bct_clock_now());
+	for (int i = 0; i < 7; i++)
+		bct_usage_began(bct_gate_usage_counters(t.gate->usage), window, "acme");
+	c = wait_call(&s, 0, ACQUIRE_MS);
+	cr_assert_eq(c.kind, BCT_DUTY_REPORT);
+	cr_assert_eq(c.window, window, "the oldest window with requests");
+	cr_assert_eq(c.requests, 7);
+	cr_assert_eq(wait_call(&s, 1, 3000).window, window + 1);
+	test_gate_admin(&t, "GET /metrics HTTP/1.0\r\n\r\n", 100, &out);
+	bct_buf_free(&out);
+	bct_buf_init(&out, 0);
+	bct_duty_print(t.gate->duty, &out);
+	cr_assert(strstr(out.data, "bct_duty_held 1"), "%s", out.data);
+	cr_assert(strstr(out.data, "bct_duty_holder{name=\"test\""), "%s", out.data);
+	bct_buf_free(&out);
+	cr_assert_neq(lease_of(&s).holder, 0);
+	test_gate_stop(&t);
+	cr_assert_eq(lease_of(&s).holder, 0, "released before the exit");
+	check_calls(&s);
+}
+
+/* Fewer engines than the minimum are present: an order is sent once. */
+Test(duty, orders_engines, .timeout = 60)
+{
+	bct_autoscale_conf_t scaling = { .minimum = 5,
+					 .maximum = 9,
+					 .boot_ms = 4000,
+					 .domains = { { "z", 1.0 } },
+					 .n_domains = 1 };
+	uint32_t orders = 0;
+	test_gate_t t;
+	script_t s;
+	bct_buf_t out;
+
+	start(&s, &t);
+	t.gate->routes->services[1].scaling = scaling;
+	wait_call(&s, 0, ACQUIRE_MS);
+	bct_clock_sleep(3000);
+	bct_buf_init(&out, 0);
+	bct_duty_print(t.gate->duty, &out);
+	cr_assert(strstr(out.data,
+			 "bct_duty_engines_present{service=\"model\",failure_domain=\"z\","
+			 "kind=\"standard\"} 3"),
+		  "%s", out.data);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+	for (uint32_t i = 0; i < s.n_calls; i++) {
+		if (s.calls[i].kind != BCT_DUTY_ORDER)
+			continue;
+		cr_assert_geq(s.calls[i].engines, 5);
+		orders++;
+	}
+	cr_assert_eq(orders, 1);
+	check_calls(&s);
+}
+
+static void freeze(int sig)
+{
+	(void)sig;
+	bct_clock_sleep(FREEZE_MS);
+}
+
+/* The holder is frozen beyond its lease while another node claims: it makes no call when it wakes.
+ */
+Test(duty, frozen_holder, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+	uint32_t n;
+	uint64_t other;
+
+	start(&s, &t);
+	signal(SIGUSR1, freeze);
+	wait_call(&s, 0, ACQUIRE_MS);
+	pthread_kill(t.thread, SIGUSR1);
+	bct_clock_sleep(3600);
+	n = calls(&s);
+	other_claims(&s);
+	other = s.end;
+	bct_clock_sleep(FREEZE_MS - 3600 + 1000);
+	cr_assert_eq(calls(&s), n, "called after its lease");
+	/* The other node never renews. */
+	cr_assert_geq(wait_call(&s, n, ACQUIRE_MS).fence, other);
+	test_gate_stop(&t);
+	check_calls(&s);
+}
+
+/* 409 to a report: no more calls with that token, and no claim before the lease's time. */
+Test(duty, api_refuses, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+	api_call_t c, next;
+
+	start(&s, &t);
+	wait_call(&s, 0, ACQUIRE_MS);
+	set_mode(&s, API_FENCED);
+	bct_clock_sleep(1500);
+	c = s.calls[calls(&s) - 1];
+	cr_assert_eq(c.rc, -BCT_EFENCED);
+	cr_assert_eq(s.calls[calls(&s) - 2].rc, 0, "one call was refused");
+	set_mode(&s, API_OK);
+	next = wait_call(&s, calls(&s), ACQUIRE_MS);
+	cr_assert_gt(next.fence, c.fence);
+	cr_assert_geq(next.at - c.at, LEASE_MS);
+	cr_assert_eq(next.window, c.window, "the refused report is made up");
+	test_gate_stop(&t);
+	check_calls(&s);
+}
+
+/* No responses: the lease is kept, and the report is sent again with newer tokens. */
+Test(duty, api_silent, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+	uint32_t n;
+	uint64_t holder;
+
+	start(&s, &t);
+	wait_call(&s, 0, ACQUIRE_MS);
+	holder = lease_of(&s).holder;
+	set_mode(&s, API_SILENT);
+	bct_clock_sleep(7000);
+	n = calls(&s);
+	cr_assert_eq(lease_of(&s).holder, holder);
+	cr_assert_gt(s.calls[n - 1].fence, s.calls[n - 2].fence);
+	set_mode(&s, API_OK);
+	bct_clock_sleep(4000);
+	test_gate_stop(&t);
+	cr_assert_gt(s.n_calls, n + 4);
+	check_complete(&s, s.calls[0].window, s.calls[n - 1].window + 3);
+	check_calls(&s);
+}
+
+/* The API is not reached: the lease is released, for others to claim. */
+Test(duty, api_down, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+
+	start(&s, &t);
+	wait_call(&s, 0, ACQUIRE_MS);
+	set_mode(&s, API_DOWN);
+	bct_clock_sleep(3500);
+	cr_assert_eq(lease_of(&s).holder, 0);
+	test_gate_stop(&t);
+	check_calls(&s);
+}
+
+/*
+ * The store is down for longer than the lease: no calls; then no window is missing. Reports that
+ * were accepted after the last record are repeated.
+ */
+Test(duty, store_down, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+	uint32_t n;
+	uint64_t last, before = 0;
+
+	start(&s, &t);
+	wait_call(&s, 0, ACQUIRE_MS);
+	set_store_down(&s, true);
+	bct_clock_sleep(LEASE_MS + 200);
+	n = calls(&s);
+	last = s.calls[n - 1].window;
+	bct_clock_sleep(2000);
+	cr_assert_eq(calls(&s), n);
+	set_store_down(&s, false);
+	wait_call(&s, n + 7, ACQUIRE_MS);
+	test_gate_stop(&t);
+	for (uint32_t i = n; i < s.n_calls; before = s.calls[i++].window)
+		cr_assert_gt(s.calls[i].window, before, "oldest first");
+	check_complete(&s, s.calls[0].window, last + 5);
+	check_calls(&s);
+}
+
+/* A response to an append is lost: the holder stays the holder. */
+Test(duty, lost_response, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+	uint64_t holder;
+	uint32_t n;
+
+	start(&s, &t);
+	wait_call(&s, 0, ACQUIRE_MS);
+	holder = lease_of(&s).holder;
+	pthread_mutex_lock(&s.lock);
+	s.lose_response = true;
+	pthread_mutex_unlock(&s.lock);
+	n = calls(&s);
+	bct_clock_sleep(3500);
+	cr_assert_eq(lease_of(&s).holder, holder);
+	cr_assert_geq(calls(&s), n + 2);
+	test_gate_stop(&t);
+	cr_assert_eq(lease_of(&s).holder, 0);
+	check_calls(&s);
+}
+
+/* A stop while the API is silent: the call ends first, then the lease is released. */
+Test(duty, stop_while_silent, .timeout = 60)
+{
+	test_gate_t t;
+	script_t s;
+
+	start(&s, &t);
+	wait_call(&s, 0, ACQUIRE_MS);
+	set_mode(&s, API_SILENT);
+	wait_call(&s, calls(&s), 3000);
+	test_gate_stop(&t);
+	cr_assert_eq(lease_of(&s).holder, 0);
+	check_calls(&s);
+}
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -210,7 +210,9 @@
 static void start_gate(test_gate_t *t, test_gate_t *content)
 {
 	memory_registry_t *r = bct_alloc(sizeof(*r));
-	bct_gate_opts_t o = { .settings = &t->settings, .wire = bct_adapter_wire() };
+	bct_gate_opts_t o = { .settings = &t->settings,
+			      .wire = bct_adapter_wire(),
+			      .control = t->control };
 
 	r->base.ops = &registry_ops;
 	r->t = content;
@@ -284,6 +286,20 @@
 	wait_until_ready(t);
 }
 
+void test_gate_start_duty(test_gate_t *t, bct_control_t *control)
+{
+	bct_settings_t *s = &t->settings;
+
+	init(t, 0);
+	t->control = control;
+	s->duty_lease_ms = 3000;
+	s->duty_window_ms = 1000;
+	s->duty_calls_per_s = 50;
+	start_upstreams(t);
+	start_gate(t, t);
+	wait_until_ready(t);
+}
+
 void test_gate_start_fleet(test_gate_t *t, uint32_t n)
 {
 	init(&t[0], 0);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -80,6 +80,7 @@
 
 typedef struct test_gate {
 	bct_settings_t settings;
+	bct_control_t *control; /* of the gateway, which takes ownership; NULL: none */
 	bct_gate_t *gate;
 	pthread_t thread;
 	gate_upstream_t engines[GATE_UPSTREAMS];
@@ -108,6 +109,8 @@
 void test_gate_start(test_gate_t *t);
 /* Starts with a registry that does not answer, and does not wait. */
 void test_gate_start_down(test_gate_t *t);
+/* As test_gate_start(), with duties; windows of usage last one second. */
+void test_gate_start_duty(test_gate_t *t, bct_control_t *control);
 /*
  * Starts n gateways that are peers of each other. All use the registry and the upstreams of t[0],
  * but each has its own down flag. They run until the test process ends.
