--- a/gate/duty.c
+++ b/gate/duty.c
@@ -10,11 +10,10 @@
 #include <string.h>
 
 #define MARGIN_MS 500
-#define RENEW_MS 1000
-#define READ_MS 1000
+#define RENEWALS 3 /* in the time of a lease, and reads of other nodes */
 #define RANK_MS 500
-#define SERVED_MS 3000	      /* before a node may hold the lease */
-#define STORE_TIMEOUT_MS 1500 /* two of them fit into the lease */
+#define SERVED_MS 3000 /* before a node may hold the lease */
+#define STORE_CALLS 2  /* that may time out within the time of a lease */
 /* A node that found the API unreachable tries again when the other candidates have tried. */
 #define CUT_OFF_MS 5000
 #define UNKNOWN_HOLDER UINT64_MAX /* of a record that can't be decoded */
@@ -178,7 +177,7 @@
 		return;
 	s->act = act;
 	s->at = bct_duty_lease_at(&d->lease);
-	s->timeout_ms = STORE_TIMEOUT_MS;
+	s->timeout_ms = d->lease.opts.ttl_ms / STORE_CALLS;
 	d->store_act = act;
 	bct_duty_calls_start_store(d->calls);
 }
@@ -240,8 +239,8 @@
 	bct_duty_t *d = bct_alloc(sizeof(*d));
 	bct_duty_lease_opts_t lease = { .ttl_ms = s->duty_lease_ms,
 					.margin_ms = MARGIN_MS,
-					.renew_ms = RENEW_MS,
-					.read_ms = READ_MS,
+					.renew_ms = s->duty_lease_ms / RENEWALS,
+					.read_ms = s->duty_lease_ms / RENEWALS,
 					.rank_ms = RANK_MS,
 					.again_ms = s->duty_lease_ms };
 	bct_duty_plan_opts_t plan = { .window_ms = s->duty_window_ms,
--- a/gate/duty_work.c
+++ b/gate/duty_work.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define API_TIMEOUT_MS 1500
-#define LEASE_REST_MS 500 /* with less time left, a call waits for the renewal */
+#define LEASE_REST_PARTS 6 /* with less than this part of the lease left, a call waits */
 #define SCALE_MS 1000
 
 /* Windows that ended too long ago, as after an outage of all nodes. */
@@ -137,6 +137,18 @@
 		a->resumed = false;
 }
 
+/* Services that the configuration no longer has, or no longer scales. */
+static void drop_services(bct_duty_t *d, const bct_gate_routes_t *t)
+{
+	for (uint32_t i = d->plan.n_services; i-- > 0;) {
+		const char *name = d->plan.services[i].name;
+		int at = bct_gate_routes_service(t, name);
+
+		if (at < 0 || !t->services[at].scaling.n_domains)
+			bct_duty_plan_drop(&d->plan, name);
+	}
+}
+
 void bct_duty_decide(bct_duty_t *d, bct_time_t now)
 {
 	const bct_gate_routes_t *t = d->gate->routes;
@@ -146,6 +158,7 @@
 	if (!d->scaling || !t || now < d->scaled_at + SCALE_MS)
 		return;
 	d->scaled_at = now;
+	drop_services(d, t);
 	for (uint32_t i = 0; i < t->n_services; i++) {
 		if (t->services[i].scaling.n_domains)
 			scale(d, now, &t->services[i]);
@@ -164,7 +177,7 @@
 	bct_duty_api_call_t *a = bct_duty_calls_api(d->calls);
 	bct_duty_call_t *c = a ? &a->call : NULL;
 
-	if (!a || d->lease.valid_until - now < LEASE_REST_MS ||
+	if (!a || d->lease.valid_until - now < d->lease.opts.ttl_ms / LEASE_REST_PARTS ||
 	    !bct_duty_plan_next(&d->plan, now, bct_duty_lease_fence(&d->lease),
 				d->lease.head.revision, c))
 		return;
--- a/policy/duty_orders.c
+++ b/policy/duty_orders.c
@@ -150,6 +150,14 @@
 	return changed;
 }
 
+void bct_duty_plan_drop(bct_duty_plan_t *p, const char *service)
+{
+	bct_duty_service_t *s = find(p, service);
+
+	if (s)
+		*s = p->services[--p->n_services];
+}
+
 bool bct_duty_plan_last(const bct_duty_plan_t *p, const char *service,
 			const bct_autoscale_conf_t *conf, bct_autoscale_plan_t *out)
 {
--- a/policy/duty_plan.h
+++ b/policy/duty_plan.h
@@ -145,6 +145,9 @@
 		       const bct_autoscale_conf_t *conf, const bct_autoscale_input_t *in,
 		       const bct_autoscale_plan_t *wanted);
 
+/* bct_duty_plan_drop(3): a service is not scaled any more. */
+void bct_duty_plan_drop(bct_duty_plan_t *p, const char *service);
+
 /* bct_duty_plan_last(3): what was wanted last of a service. returns false: nothing is known. */
 bool bct_duty_plan_last(const bct_duty_plan_t *p, const char *service,
 			const bct_autoscale_conf_t *conf, bct_autoscale_plan_t *out);
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -19,9 +19,11 @@
 #define ACQUIRE_MS 10000 /* longest time until a gateway has the lease */
 #define FREEZE_MS 4500	 /* longer than the lease */
 #define OTHER_NODE 99
+#define NODES 2
 
 typedef struct api_call {
 	bct_duty_call_kind_t kind;
+	uint32_t node;
 	uint64_t fence;
 	uint64_t window;
 	uint32_t requests;
@@ -32,14 +34,21 @@
 
 typedef enum api_mode { API_OK, API_FENCED, API_SILENT, API_DOWN } api_mode_t;
 
-typedef struct script {
+/* What one gateway calls. */
+typedef struct script_control {
 	bct_control_t base;
+	struct script *script;
+	uint32_t node;
+	bool cancelled; /* guarded by the script's lock */
+} script_control_t;
+
+typedef struct script {
+	script_control_t controls[NODES];
 	pthread_mutex_t lock; /* guards all below */
 	bct_buf_t record;     /* newest; empty: none */
 	bct_gate_position_t end;
 	bool store_down;
 	bool lose_response; /* of the next append */
-	bool cancelled;
 	api_mode_t mode;
 	api_call_t calls[CALLS_MAX];
 	uint32_t n_calls;
@@ -49,7 +58,7 @@
 static int script_read(bct_control_t *c, uint32_t timeout_ms, bct_buf_t *record,
 		       bct_gate_position_t *position, bct_gate_position_t *end)
 {
-	script_t *s = (script_t *)c;
+	script_t *s = ((script_control_t *)c)->script;
 	int rc = -BCT_EUNAVAILABLE;
 
 	(void)timeout_ms;
@@ -67,7 +76,7 @@
 static int script_append(bct_control_t *c, bct_gate_position_t at, const void *data,
 			 uint32_t len_bytes, uint32_t timeout_ms, bct_gate_position_t *position)
 {
-	script_t *s = (script_t *)c;
+	script_t *s = ((script_control_t *)c)->script;
 	int rc = 0;
 
 	(void)timeout_ms;
@@ -90,34 +99,38 @@
 }
 
 /* Waits for the time limit of a call that gets no response, or until calls are cancelled. */
-static int no_response(script_t *s, uint32_t timeout_ms)
+static int no_response(const script_control_t *c, uint32_t timeout_ms)
 {
+	script_t *s = c->script;
 	bct_time_t until = bct_clock_now() + timeout_ms;
 	bool cancelled = false;
 
 	while (!cancelled && bct_clock_now() < until) {
 		bct_clock_sleep(10);
 		pthread_mutex_lock(&s->lock);
-		cancelled = s->cancelled;
+		cancelled = c->cancelled;
 		pthread_mutex_unlock(&s->lock);
 	}
 	return -BCT_EUNKNOWN_OUTCOME;
 }
 
-static int api(script_t *s, api_call_t c, uint32_t timeout_ms)
+static int api(const script_control_t *by, api_call_t c, uint32_t timeout_ms)
 {
 	static const int results[] = { [API_OK] = 0,
 				       [API_FENCED] = -BCT_EFENCED,
 				       [API_SILENT] = -BCT_EUNKNOWN_OUTCOME,
 				       [API_DOWN] = -BCT_EUNAVAILABLE };
 
+	script_t *s = by->script;
+
 	c.at = bct_clock_now();
+	c.node = by->node;
 	pthread_mutex_lock(&s->lock);
 	c.rc = results[s->mode];
 	if (s->n_calls < CALLS_MAX)
 		s->calls[s->n_calls++] = c;
 	pthread_mutex_unlock(&s->lock);
-	return c.rc == -BCT_EUNKNOWN_OUTCOME ? no_response(s, timeout_ms) : c.rc;
+	return c.rc == -BCT_EUNKNOWN_OUTCOME ? no_response(by, timeout_ms) : c.rc;
 }
 
 static int script_report(bct_control_t *c, const bct_control_caller_t *by,
@@ -127,7 +140,7 @@
 
 	for (uint32_t i = 0; i < r->n; i++)
 		call.requests += r->counts[i].requests;
-	return api((script_t *)c, call, timeout_ms);
+	return api((script_control_t *)c, call, timeout_ms);
 }
 
 static int script_order(bct_control_t *c, const bct_control_caller_t *by,
@@ -135,15 +148,15 @@
 {
 	api_call_t call = { .kind = BCT_DUTY_ORDER, .fence = by->fence, .engines = o->engines };
 
-	return api((script_t *)c, call, timeout_ms);
+	return api((script_control_t *)c, call, timeout_ms);
 }
 
 static void script_cancel(bct_control_t *c)
 {
-	script_t *s = (script_t *)c;
+	script_t *s = ((script_control_t *)c)->script;
 
 	pthread_mutex_lock(&s->lock);
-	s->cancelled = true;
+	((script_control_t *)c)->cancelled = true;
 	pthread_mutex_unlock(&s->lock);
 }
 
@@ -165,11 +178,12 @@
 static void start(script_t *s, test_gate_t *t)
 {
 	memset(s, 0, sizeof(*s));
-	s->base.ops = &script_ops;
+	for (uint32_t i = 0; i < NODES; i++)
+		s->controls[i] = (script_control_t){ { &script_ops }, s, i, false };
 	pthread_mutex_init(&s->lock, NULL);
 	bct_buf_init(&s->record, 0);
 	s->end = bct_gate_position(3, 10);
-	test_gate_start_duty(t, &s->base);
+	test_gate_start_duty(t, 0, &s->controls[0].base);
 }
 
 static void set_mode(script_t *s, api_mode_t mode)
@@ -264,6 +278,8 @@
 			const api_call_t *b = &s->calls[j];
 
 			cr_assert_geq(c->fence, b->fence);
+			if (c->node != b->node)
+				cr_assert_gt(c->fence, b->fence, "a token of two nodes");
 			if (c->kind == BCT_DUTY_REPORT && b->kind == c->kind &&
 			    b->window == c->window)
 				cr_assert_eq(b->requests, c->requests);
@@ -383,6 +399,42 @@
 	check_calls(&s);
 }
 
+/*
+ * The holder is frozen beyond its lease; another gateway continues, with the requests that only the
+ * frozen one has counted and written to its checkpoint.
+ */
+Test(duty, successor_continues, .timeout = 60)
+{
+	test_gate_t t[NODES];
+	script_t s;
+	uint64_t window;
+	uint32_t n;
+	api_call_t c;
+
+	start(&s, &t[0]);
+	signal(SIGUSR1, freeze);
+	wait_call(&s, 0, ACQUIRE_MS);
+	test_gate_start_duty(&t[1], 1, &s.controls[1].base);
+	bct_clock_sleep(1000);
+	window = bct_gate_usage_window(t[0].gate->usage, bct_clock_now());
+	for (int i = 0; i < 5; i++)
+		bct_usage_began(bct_gate_usage_counters(t[0].gate->usage), window, "acme");
+	bct_clock_sleep(1200);
+	pthread_kill(t[0].thread, SIGUSR1);
+	n = calls(&s);
+	c = wait_call(&s, n + 1, ACQUIRE_MS);
+	cr_assert_eq(c.node, 1);
+	bct_clock_sleep(4000);
+	for (n = 0; n < s.n_calls && s.calls[n].window != window;)
+		n++;
+	cr_assert_lt(n, s.n_calls);
+	cr_assert_eq(s.calls[n].node, 1);
+	cr_assert_eq(s.calls[n].requests, 5);
+	test_gate_stop(&t[1]);
+	check_complete(&s, s.calls[0].window, window + 4);
+	check_calls(&s);
+}
+
 /* 409 to a report: no more calls with that token, and no claim before the lease's time. */
 Test(duty, api_refuses, .timeout = 60)
 {
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -286,11 +286,11 @@
 	wait_until_ready(t);
 }
 
-void test_gate_start_duty(test_gate_t *t, bct_control_t *control)
+void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *control)
 {
 	bct_settings_t *s = &t->settings;
 
-	init(t, 0);
+	init(t, i);
 	t->control = control;
 	s->duty_lease_ms = 3000;
 	s->duty_window_ms = 1000;
