--- a/tests/test_duty_plan.c
+++ b/tests/test_duty_plan.c
@@ -161,6 +161,9 @@
 	cr_assert_eq(want(&p, NOW + 11000, 6, 2, 4, 2), 1);
 	c = expect(&p, NOW + 11000, 5, BCT_DUTY_ORDER);
 	cr_assert_eq(c.engines, 6);
+	bct_duty_plan_drop(&p, "S");
+	cr_assert_eq(bct_duty_plan_done(&p, NOW + 11000, &c, -BCT_EBUDGET), BCT_DUTY_RETRY);
+	expect_none(&p, NOW + 20000, 6);
 	bct_duty_plan_free(&p);
 }
 
