--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -268,8 +268,8 @@
 	bct_duty_state_free(&state);
 }
 
-/* No window has two accepted reports that differ, and no fence is below one before. */
-static void check_calls(script_t *s)
+/* At the end: no window has two reports that differ, and no token is below one before. */
+static void finish(script_t *s)
 {
 	for (uint32_t i = 0; i < s->n_calls; i++) {
 		const api_call_t *c = &s->calls[i];
@@ -285,6 +285,9 @@
 				cr_assert_eq(b->requests, c->requests);
 		}
 	}
+	pthread_mutex_lock(&s->lock);
+	bct_buf_free(&s->record);
+	pthread_mutex_unlock(&s->lock);
 }
 
 /* All windows from `first` to `last` have an accepted report. */
@@ -330,7 +333,7 @@
 	cr_assert_neq(lease_of(&s).holder, 0);
 	test_gate_stop(&t);
 	cr_assert_eq(lease_of(&s).holder, 0, "released before the exit");
-	check_calls(&s);
+	finish(&s);
 }
 
 /* Fewer engines than the minimum are present: an order is sent once. */
@@ -365,7 +368,7 @@
 		orders++;
 	}
 	cr_assert_eq(orders, 1);
-	check_calls(&s);
+	finish(&s);
 }
 
 static void freeze(int sig)
@@ -396,7 +399,7 @@
 	/* The other node never renews. */
 	cr_assert_geq(wait_call(&s, n, ACQUIRE_MS).fence, other);
 	test_gate_stop(&t);
-	check_calls(&s);
+	finish(&s);
 }
 
 /*
@@ -432,7 +435,7 @@
 	cr_assert_eq(s.calls[n].requests, 5);
 	test_gate_stop(&t[1]);
 	check_complete(&s, s.calls[0].window, window + 4);
-	check_calls(&s);
+	finish(&s);
 }
 
 /* 409 to a report: no more calls with that token, and no claim before the lease's time. */
@@ -455,7 +458,7 @@
 	cr_assert_geq(next.at - c.at, LEASE_MS);
 	cr_assert_eq(next.window, c.window, "the refused report is made up");
 	test_gate_stop(&t);
-	check_calls(&s);
+	finish(&s);
 }
 
 /* No responses: the lease is kept, and the report is sent again with newer tokens. */
@@ -479,7 +482,7 @@
 	test_gate_stop(&t);
 	cr_assert_gt(s.n_calls, n + 4);
 	check_complete(&s, s.calls[0].window, s.calls[n - 1].window + 3);
-	check_calls(&s);
+	finish(&s);
 }
 
 /* The API is not reached: the lease is released, for others to claim. */
@@ -494,7 +497,7 @@
 	bct_clock_sleep(3500);
 	cr_assert_eq(lease_of(&s).holder, 0);
 	test_gate_stop(&t);
-	check_calls(&s);
+	finish(&s);
 }
 
 /*
@@ -522,7 +525,7 @@
 	for (uint32_t i = n; i < s.n_calls; before = s.calls[i++].window)
 		cr_assert_gt(s.calls[i].window, before, "oldest first");
 	check_complete(&s, s.calls[0].window, last + 5);
-	check_calls(&s);
+	finish(&s);
 }
 
 /* A response to an append is lost: the holder stays the holder. */
@@ -545,7 +548,7 @@
 	cr_assert_geq(calls(&s), n + 2);
 	test_gate_stop(&t);
 	cr_assert_eq(lease_of(&s).holder, 0);
-	check_calls(&s);
+	finish(&s);
 }
 
 /* A stop while the API is silent: the call ends first, then the lease is released. */
@@ -560,5 +563,5 @@
 	wait_call(&s, calls(&s), 3000);
 	test_gate_stop(&t);
 	cr_assert_eq(lease_of(&s).holder, 0);
-	check_calls(&s);
+	finish(&s);
 }
