Duties: a fleet with one duty only; tests wait for windows instead of for time

The gate counts usage only if the fleet reports it, so that duty makes no use of the counters otherwise.

--- a/gate/duty.c
+++ b/gate/duty.c
@@ -138,7 +138,7 @@
 	bct_duty_note_lease(d, why_lost(s->act));
 	if (d->lease.held && bct_duty_lease_fence(&d->lease) > fence)
 		bct_duty_plan_renewed(&d->plan, now, bct_duty_lease_fence(&d->lease));
-	if (d->lease.known && d->lease.head.holder != UNKNOWN_HOLDER)
+	if (d->usage && d->lease.known && d->lease.head.holder != UNKNOWN_HOLDER)
 		bct_gate_usage_set_holder(d->gate->usage, d->lease.head.holder);
 }
 
@@ -193,8 +193,6 @@
 	/* The calls in progress end before the lease is released. */
 	bct_duty_lease_set_candidate(&d->lease, may || (d->lease.held && d->api_busy),
 				     d->gate->rank);
-	bct_usage_expire(bct_gate_usage_counters(d->gate->usage),
-			 bct_gate_usage_window(d->gate->usage, now));
 	if (may && bct_duty_lease_valid(&d->lease, now))
 		bct_duty_decide(d, now);
 	call_store(d, now);
@@ -221,14 +219,12 @@
 	return !d || (!d->lease.held && !d->store_act && !d->api_busy);
 }
 
-/* A deployment that names no duties has both. */
 static void read_kinds(bct_duty_t *d)
 {
 	const bct_settings_t *s = d->gate->settings;
 
-	d->usage = d->scaling = !s->n_duty_kinds;
 	for (uint32_t i = 0; i < s->n_duty_kinds; i++) {
-		d->usage |= !strcmp(s->duty_kinds[i], "usage");
+		d->usage |= d->gate->usage && !strcmp(s->duty_kinds[i], "usage");
 		d->scaling |= !strcmp(s->duty_kinds[i], "scaling");
 	}
 }
@@ -251,8 +247,9 @@
 		return -BCT_ENOMEM;
 	d->gate = g;
 	d->incarnation = g->peer ? bct_peer_incarnation(g->peer) : bct_random_id();
-	d->first_window = bct_gate_usage_window(g->usage, bct_clock_now());
 	read_kinds(d);
+	if (d->usage)
+		d->first_window = bct_gate_usage_window(g->usage, bct_clock_now());
 	bct_buf_init(&d->known.record, 0);
 	lease.incarnation = d->incarnation;
 	bct_duty_lease_init(&d->lease, &lease);
--- a/gate/duty_body.c
+++ b/gate/duty_body.c
@@ -37,7 +37,7 @@
 		rc = bct_duty_record_decode(k->record.data, k->record.len_bytes, &h, &s);
 	if (!rc)
 		rc = bct_duty_plan_adopt(&d->plan, now, &s);
-	if (!rc)
+	if (!rc && d->usage)
 		rc = bct_duty_state_restore(&s, bct_gate_usage_counters(d->gate->usage));
 	d->open_until = 0;
 	for (uint32_t i = 0; i < s.n_opens; i++) {
@@ -56,14 +56,17 @@
 /* Checkpoints of the windows that are not decided. returns their number. */
 static uint32_t checkpoints(const bct_duty_t *d, bct_time_t now, bct_usage_open_t *out)
 {
-	const bct_usage_t *u = bct_gate_usage_counters(d->gate->usage);
-	uint64_t current = bct_gate_usage_window(d->gate->usage, now);
-	uint64_t w = d->plan.decided + 1;
+	uint64_t current, w = d->plan.decided + 1;
+	const bct_usage_t *u;
 	uint32_t n = 0;
 
+	if (!d->usage)
+		return 0;
+	u = bct_gate_usage_counters(d->gate->usage);
+	current = bct_gate_usage_window(d->gate->usage, now);
 	if (current >= BCT_USAGE_WINDOWS && w <= current - BCT_USAGE_WINDOWS)
 		w = current - BCT_USAGE_WINDOWS + 1;
-	for (; d->usage && w <= current && n < BCT_USAGE_WINDOWS; w++) {
+	for (; w <= current && n < BCT_USAGE_WINDOWS; w++) {
 		if (bct_usage_checkpoint(u, w, &out[n]))
 			break;
 		n++;
--- a/gate/duty_int.h
+++ b/gate/duty_int.h
@@ -29,7 +29,7 @@
 
 struct bct_duty {
 	bct_gate_t *gate;
-	bool usage; /* the duties of this fleet */
+	bool usage; /* the duties of this fleet; usage: the gate counts it */
 	bool scaling;
 	uint64_t incarnation;
 	uint64_t first_window;	  /* of this process */
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -19,6 +19,7 @@
 #define ACQUIRE_MS 10000 /* longest time until a gateway has the lease */
 #define FREEZE_MS 4500	 /* longer than the lease */
 #define OTHER_NODE 99
+#define WINDOW_WAIT_MS 15000 /* until a window is reported */
 #define NODES 2
 
 typedef struct api_call {
@@ -217,6 +218,31 @@
 	return c;
 }
 
+/* Waits until the report of a window was accepted. returns the index of its first call. */
+static uint32_t wait_window(script_t *s, uint64_t window)
+{
+	bct_time_t until = bct_clock_now() + WINDOW_WAIT_MS;
+
+	while (bct_clock_now() < until) {
+		uint32_t first = UINT32_MAX;
+		bool accepted = false;
+
+		pthread_mutex_lock(&s->lock);
+		for (uint32_t i = 0; i < s->n_calls; i++) {
+			if (s->calls[i].kind != BCT_DUTY_REPORT || s->calls[i].window != window)
+				continue;
+			first = first == UINT32_MAX ? i : first;
+			accepted = accepted || !s->calls[i].rc;
+		}
+		pthread_mutex_unlock(&s->lock);
+		if (accepted)
+			return first;
+		bct_clock_sleep(10);
+	}
+	cr_assert_fail("window %llu was not reported", (unsigned long long)window);
+	return UINT32_MAX;
+}
+
 static uint32_t calls(script_t *s)
 {
 	uint32_t n;
@@ -427,10 +453,8 @@
 	n = calls(&s);
 	c = wait_call(&s, n + 1, ACQUIRE_MS);
 	cr_assert_eq(c.node, 1);
-	bct_clock_sleep(4000);
-	for (n = 0; n < s.n_calls && s.calls[n].window != window;)
-		n++;
-	cr_assert_lt(n, s.n_calls);
+	wait_window(&s, window + 4);
+	n = wait_window(&s, window);
 	cr_assert_eq(s.calls[n].node, 1);
 	cr_assert_eq(s.calls[n].requests, 5);
 	test_gate_stop(&t[1]);
@@ -478,9 +502,9 @@
 	cr_assert_eq(lease_of(&s).holder, holder);
 	cr_assert_gt(s.calls[n - 1].fence, s.calls[n - 2].fence);
 	set_mode(&s, API_OK);
-	bct_clock_sleep(4000);
+	for (uint64_t w = s.calls[0].window; w <= s.calls[n - 1].window + 3; w++)
+		wait_window(&s, w);
 	test_gate_stop(&t);
-	cr_assert_gt(s.n_calls, n + 4);
 	check_complete(&s, s.calls[0].window, s.calls[n - 1].window + 3);
 	finish(&s);
 }
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -295,6 +295,9 @@
 	s->duty_lease_ms = 3000;
 	s->duty_window_ms = 1000;
 	s->duty_calls_per_s = 50;
+	s->n_duty_kinds = 2;
+	snprintf(s->duty_kinds[0], sizeof(s->duty_kinds[0]), "usage");
+	snprintf(s->duty_kinds[1], sizeof(s->duty_kinds[1]), "scaling");
 	start_upstreams(t);
 	start_gate(t, t);
 	wait_until_ready(t);
