--- a/base/event_list.h
+++ b/base/event_list.h
@@ -118,9 +118,9 @@
 	DEF(DUTY_REPORT, 817, INFO, "the usage of a window was reported")                          \
 	DEF(DUTY_REPORT_FAILED, 818, WARN, "a report of usage was not accepted; it is repeated")   \
 	DEF(DUTY_REPORT_LOST, 819, ERROR, "the usage of windows was given up, being too old")      \
-	DEF(DUTY_ORDER, 820, INFO, "engines were ordered")                                         \
-	DEF(DUTY_ORDER_FAILED, 821, WARN, "an order of engines was not accepted")                  \
-	DEF(DUTY_SCALING_BAD, 822, WARN, "a service cannot be scaled")                             \
+	DEF(DUTY_ORDER, 823, INFO, "engines were ordered")                                         \
+	DEF(DUTY_ORDER_FAILED, 824, WARN, "an order of engines was not accepted")                  \
+	DEF(DUTY_SCALING_BAD, 825, WARN, "a service cannot be scaled")                             \
 	DEF(SHED_LEVEL, 900, WARN, "the shed level changed")                                       \
 	DEF(POISON_SUSPECT, 901, WARN, "a request was running on an upstream that crashed")        \
 	DEF(POISON_REFUSED, 902, WARN, "a request is refused because it crashed two upstreams")    \
