--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -286,12 +286,12 @@
 	wait_until_ready(t);
 }
 
-void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *control)
+void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties)
 {
 	bct_settings_t *s = &t->settings;
 
 	init(t, i);
-	t->control = control;
+	t->control = duties;
 	s->duty_lease_ms = 3000;
 	s->duty_window_ms = 1000;
 	s->duty_calls_per_s = 50;
