--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -256,7 +256,9 @@
 static void start_gate(test_gate_t *t, test_gate_t *content)
 {
 	memory_registry_t *r = bct_alloc(sizeof(*r));
-	bct_gate_opts_t o = { .settings = &t->settings, .wire = bct_adapter_wire() };
+	bct_gate_opts_t o = { .settings = &t->settings,
+			      .wire = bct_adapter_wire(),
+			      .control = t->control };
 
 	if (with_usage) {
 		o.control = &control;
@@ -344,6 +346,23 @@
 	wait_until_ready(t);
 }
 
+void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties)
+{
+	bct_settings_t *s = &t->settings;
+
+	init(t, i);
+	t->control = duties;
+	s->duty_lease_ms = 3000;
+	s->duty_window_ms = 1000;
+	s->duty_calls_per_s = 50;
+	s->n_duty_kinds = 2;
+	snprintf(s->duty_kinds[0], sizeof(s->duty_kinds[0]), "usage");
+	snprintf(s->duty_kinds[1], sizeof(s->duty_kinds[1]), "scaling");
+	start_upstreams(t);
+	start_gate(t, t);
+	wait_until_ready(t);
+}
+
 void test_gate_start_fleet(test_gate_t *t, uint32_t n)
 {
 	init(&t[0], 0);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -88,6 +88,7 @@
 
 typedef struct test_gate {
 	bct_settings_t settings;
+	bct_control_t *control; /* of the gateway, which takes ownership; NULL: none */
 	bct_gate_t *gate;
 	pthread_t thread;
 	gate_upstream_t engines[GATE_UPSTREAMS];
@@ -121,6 +122,11 @@
 void test_gate_start_bounded(test_gate_t *t, uint32_t memory_bytes);
 /* Starts with a registry that does not answer, and does not wait. */
 void test_gate_start_down(test_gate_t *t);
+/*
+ * Starts gateway i of a process, with duties; windows of usage last one second. The gateways are no
+ * peers; each has its own upstreams. Only the last one that was started can be stopped.
+ */
+void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties);
 /*
  * Starts n gateways that are peers of each other. All use the registry and the upstreams of t[0],
  * but each has its own down flag. They run until the test process ends.
