--- a/policy/autoscale.c
+++ b/policy/autoscale.c
@@ -234,7 +234,8 @@
 
 	if (demand > DEMAND_MAX)
 		demand = DEMAND_MAX;
-	v->known = in->demand_age_ms <= STALE_MS;
+	/* Before the first request it isn't known what callers will bring. */
+	v->known = in->demand_age_ms <= STALE_MS && (in->demand_permille || a->last_demand);
 	if (!v->known) {
 		a->known_since = BCT_TIME_NEVER;
 		demand = a->last_demand;
--- a/tests/test_autoscale.c
+++ b/tests/test_autoscale.c
@@ -53,6 +53,22 @@
 	scale_world_free(&w);
 }
 
+/* Failure guarded against: a fleet that starts before its callers come has no engines for the
+ * first of them. */
+Test(autoscale, nothing_is_removed_before_the_first_request)
+{
+	scale_world_t w;
+
+	scale_world_init(&w, 1, 23, 23);
+	scale_world_run(&w, 30, 0);
+	cr_assert_eq(scale_world_present(&w), 69);
+	scale_world_run(&w, 3, DEMAND);
+	cr_assert_eq(scale_world_present(&w), 69);
+	scale_world_run(&w, 90, 0);
+	cr_assert_leq(scale_world_present(&w), 4, "a night after requests");
+	scale_world_free(&w);
+}
+
 /* Failure guarded against: numbers that follow each wave, so that its next crest lacks engines. */
 Test(autoscale, waves_of_11_and_13_s)
 {
