--- a/Makefile
+++ b/Makefile
@@ -116,7 +116,7 @@
 $(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(PLATFORM_LIB) $(GATE_LIB) $(NODE_LIB) $(LIB)
 	$(link) -lcriterion
 $(BIN)/test_fuzz_replay: $(call obj,$(FUZZ_SRCS))
-$(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
+$(BIN)/race_%: $(B)/obj/tests/race_%.o $(GATE_LIB) $(NODE_LIB) $(LIB)
 	$(link)
 $(BIN)/bench_%: $(B)/obj/bench/bench_%.o $(call obj,$(BENCH_COMMON)) $(NODE_LIB) $(LIB)
 	$(link)
