--- a/gate/duty.c
+++ b/gate/duty.c
@@ -216,7 +216,7 @@
 
 bool bct_duty_stopped(const bct_duty_t *d)
 {
-	return !d || (!d->lease.held && !d->store_act && !d->api_busy);
+	return !d || (!d->lease.held && d->store_act <= BCT_DUTY_READ && !d->api_busy);
 }
 
 static void read_kinds(bct_duty_t *d)
--- a/gate/duty.h
+++ b/gate/duty.h
@@ -17,7 +17,7 @@
 
 void bct_duty_tick(bct_duty_t *d);
 
-/* bct_duty_stopped(3): this node has no lease and no call in progress, so that it may exit. */
+/* bct_duty_stopped(3): no lease is held and no call that matters is in progress: it may exit. */
 bool bct_duty_stopped(const bct_duty_t *d);
 
 /* bct_duty_print(3): appends metrics: holder, fencing token, windows, engines. */
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -179,7 +179,7 @@
 	.order_engines = script_order,
 };
 
-static void start(script_t *s, test_gate_t *t)
+static void start_with(script_t *s, test_gate_t *t, bool usage)
 {
 	memset(s, 0, sizeof(*s));
 	for (uint32_t i = 0; i < NODES; i++)
@@ -187,7 +187,12 @@
 	pthread_mutex_init(&s->lock, NULL);
 	bct_buf_init(&s->record, 0);
 	s->end = bct_gate_position(3, 10);
-	test_gate_start_duty(t, 0, &s->controls[0].base);
+	test_gate_start_duty(t, 0, &s->controls[0].base, usage);
+}
+
+static void start(script_t *s, test_gate_t *t)
+{
+	start_with(s, t, true);
 }
 
 static void set_mode(script_t *s, api_mode_t mode)
@@ -367,7 +372,7 @@
 	finish(&s);
 }
 
-/* Fewer engines than the minimum are present: an order is sent once. */
+/* Fewer engines than the minimum are present: an order is sent once. Usage is not reported. */
 Test(duty, orders_engines, .timeout = 60)
 {
 	bct_autoscale_conf_t scaling = { .minimum = 5,
@@ -380,7 +385,7 @@
 	script_t s;
 	bct_buf_t out;
 
-	start(&s, &t);
+	start_with(&s, &t, false);
 	t.gate->routes->services[1].scaling = scaling;
 	wait_call(&s, 0, ACQUIRE_MS);
 	bct_clock_sleep(3000);
@@ -393,8 +398,7 @@
 	bct_buf_free(&out);
 	test_gate_stop(&t);
 	for (uint32_t i = 0; i < s.n_calls; i++) {
-		if (s.calls[i].kind != BCT_DUTY_ORDER)
-			continue;
+		cr_assert_eq(s.calls[i].kind, BCT_DUTY_ORDER);
 		cr_assert_geq(s.calls[i].engines, 5);
 		orders++;
 	}
@@ -448,7 +452,7 @@
 	start(&s, &t[0]);
 	signal(SIGUSR1, freeze);
 	wait_call(&s, 0, ACQUIRE_MS);
-	test_gate_start_duty(&t[1], 1, &s.controls[1].base);
+	test_gate_start_duty(&t[1], 1, &s.controls[1].base, true);
 	bct_clock_sleep(1000);
 	window = bct_gate_usage_window(t[0].gate->usage, bct_clock_now());
 	for (int i = 0; i < 5; i++)
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -286,7 +286,7 @@
 	wait_until_ready(t);
 }
 
-void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties)
+void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties, bool usage)
 {
 	bct_settings_t *s = &t->settings;
 
@@ -295,9 +295,9 @@
 	s->duty_lease_ms = 3000;
 	s->duty_window_ms = 1000;
 	s->duty_calls_per_s = 50;
-	s->n_duty_kinds = 2;
-	snprintf(s->duty_kinds[0], sizeof(s->duty_kinds[0]), "usage");
-	snprintf(s->duty_kinds[1], sizeof(s->duty_kinds[1]), "scaling");
+	s->n_duty_kinds = usage ? 2 : 1;
+	snprintf(s->duty_kinds[0], sizeof(s->duty_kinds[0]), "scaling");
+	snprintf(s->duty_kinds[1], sizeof(s->duty_kinds[1]), "usage");
 	start_upstreams(t);
 	start_gate(t, t);
 	wait_until_ready(t);
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -110,10 +110,11 @@
 /* Starts with a registry that does not answer, and does not wait. */
 void test_gate_start_down(test_gate_t *t);
 /*
- * Starts gateway i of a process, with duties; windows of usage last one second. The gateways are no
- * peers; each has its own upstreams. Only the last one that was started can be stopped.
+ * Starts gateway i of a process, with the duty of scaling and, if usage is set, that of reporting
+ * usage in windows of one second. The gateways are no peers; each has its own upstreams. Only the
+ * last one that was started can be stopped.
  */
-void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties);
+void test_gate_start_duty(test_gate_t *t, uint32_t i, bct_control_t *duties, bool usage);
 /*
  * Starts n gateways that are peers of each other. All use the registry and the upstreams of t[0],
  * but each has its own down flag. They run until the test process ends.
