Lease of the duties: after a restore the former holder claims before others

Its body is the newest, as it wrote the record that was lost; a reader's is up to 1 s older, and might decide a window again that was reported already.

--- a/policy/duty_lease.c
+++ b/policy/duty_lease.c
@@ -55,15 +55,25 @@
 	return &l->appends[(l->next_append + BCT_DUTY_APPENDS - 1) % BCT_DUTY_APPENDS];
 }
 
-/* The earliest time at which this node may claim. */
+/* The log was restored, and nobody has appended to it since. */
+static bool just_restored(const bct_duty_lease_t *l)
+{
+	return l->era_end && l->head.position < l->era_end;
+}
+
+/*
+ * The earliest time at which this node may claim. After a restore the former holder comes first, as
+ * it has the newest body; the others wait for the time of one more rank.
+ */
 static bct_time_t claim_at(const bct_duty_lease_t *l)
 {
 	const bct_duty_lease_opts_t *o = &l->opts;
 	bct_time_t at = l->era_seen_at + o->ttl_ms + o->margin_ms;
+	uint32_t rank = just_restored(l) ? l->heir ? 0 : l->rank + 1 : l->rank;
 
 	if (l->head.holder)
 		at = later(at, l->head_seen_at + later(l->head.ttl_ms, o->ttl_ms) + o->margin_ms);
-	at = later(at, l->head_seen_at) + (bct_time_t)l->rank * o->rank_ms;
+	at = later(at, l->head_seen_at) + (bct_time_t)rank * o->rank_ms;
 	return l->was_held ? later(at, l->ceased_at + o->again_ms) : at;
 }
 
@@ -112,7 +122,7 @@
 		return BCT_DUTY_IDLE;
 	if (l->held)
 		return next_of_holder(l, now, changed, id);
-	if (l->rank >= BCT_DUTY_CANDIDATES)
+	if (l->rank >= BCT_DUTY_CANDIDATES && !(l->heir && just_restored(l)))
 		return BCT_DUTY_IDLE;
 	if (!l->known || now >= l->read_at + l->opts.read_ms)
 		return start(l, now, BCT_DUTY_READ, 0);
@@ -168,15 +178,19 @@
 {
 	static const bct_duty_head_t none;
 
+	bool held = l->held, risen = l->has_read && !same_era(end, l->end);
+
 	l->in_progress = BCT_DUTY_IDLE;
 	/* An end before the one that is known comes from a copy that is behind. */
 	if (rc || (l->has_read && end < l->end)) {
 		read_failed(l, now);
 		return;
 	}
-	if (!l->has_read || !same_era(end, l->end)) {
+	if (!l->has_read || risen) {
 		l->era_seen_at = now;
 		l->head_seen_at = now;
+		l->era_end = risen ? end : 0;
+		l->heir = false;
 	}
 	if (!head)
 		head = &none;
@@ -188,6 +202,8 @@
 	l->head = *head;
 	l->end = end;
 	judge_head(l, now);
+	if (risen && held && !l->held)
+		l->heir = true;
 }
 
 /* The append in progress succeeded. */
--- a/policy/duty_lease.h
+++ b/policy/duty_lease.h
@@ -69,7 +69,9 @@
 	bct_duty_head_t head;
 	bct_time_t head_seen_at; /* when the head was first read */
 	bct_gate_position_t end;
-	bct_time_t era_seen_at; /* first read of this era of the log */
+	bct_time_t era_seen_at;	     /* first read of this era of the log */
+	bct_gate_position_t era_end; /* where it ended then; 0: no other era was seen before */
+	bool heir;		     /* held the lease until this era began */
 	bool held;
 	bool releasing;	    /* a release was sent */
 	uint64_t record_id; /* append id of the holder's latest record */
