--- a/tests/test_duty_fleet.c
+++ b/tests/test_duty_fleet.c
@@ -386,7 +386,7 @@
 		refused += s.refused;
 		end(&s);
 	}
-	cr_log_warn("%u windows, %u missing, %u late, %u handovers, %u refused", windows, missing,
+	cr_log_info("%u windows, %u missing, %u late, %u handovers, %u refused", windows, missing,
 		    late, handovers, refused);
 	cr_assert_gt(refused, 0);
 	cr_assert_gt(handovers, SEEDS);
--- a/tests/test_duty_model.c
+++ b/tests/test_duty_model.c
@@ -276,7 +276,7 @@
 		respond(&w, i, false);
 	}
 	explore(&w, m, depth);
-	cr_log_warn("%u nodes, depth %u: %llu states, %llu claims, %llu handovers", m->nodes, depth,
+	cr_log_info("%u nodes, depth %u: %llu states, %llu claims, %llu handovers", m->nodes, depth,
 		    (unsigned long long)m->states, (unsigned long long)m->claims,
 		    (unsigned long long)m->handovers);
 	bct_map_free(&m->seen);
