chutectl explain: windows of usage, services that are scaled, engines

Cause: events 810 to 825 of several nodes had to be put together by hand to see why a window was late or missed, or why an engine was ordered or taken away. Event 510 also names the failure domain, spot and leaves_ms, without which an engine can't be matched with an order. Result: tests/proc_explain.sh passes, with six windows, a service and four engines added.

--- a/cmd/chutectl.c
+++ b/cmd/chutectl.c
@@ -14,7 +14,7 @@
 
 #define DEFAULT_TIMEOUT_MS 10000
 #define ERROR_TEXT_BYTES 1024
-#define EXPLAIN_ARGS_MAX 1024 /* REQUEST and the log files that follow it */
+#define EXPLAIN_ARGS_MAX 1024 /* ID and the log files that follow it */
 
 /* Options of the commands that use the log, and of those that call a node. */
 #define LOG_OPTIONS (CTL_OPT_PLATFORM | CTL_OPT_TIMEOUT)
@@ -45,8 +45,8 @@
 	  NODE_REQUIRED, ctl_key, "show or resolve an idempotency key" },
 	{ "order", "UPSTREAM TYPE [ARG]", 2, 3, NODE_OPTIONS, NODE_REQUIRED, ctl_order,
 	  "send an order: load-model, load-adapter, load-version, set-role" },
-	{ "explain", "REQUEST [LOG...]", 1, EXPLAIN_ARGS_MAX, 0, 0, ctl_explain,
-	  "explain a request's outcome from node logs or standard input" },
+	{ "explain", "ID [LOG...]", 1, EXPLAIN_ARGS_MAX, 0, 0, ctl_explain,
+	  "explain a request, window, service or engine from logs" },
 };
 #define N_COMMANDS (sizeof(commands) / sizeof(commands[0]))
 
--- a/cmd/chutectl_explain.c
+++ b/cmd/chutectl_explain.c
@@ -1,9 +1,11 @@
 /*
  * chutectl_explain.c - prints the log lines of a request from the logs of several nodes, events of
- * its nodes and upstreams around it, and the cause of its outcome.
+ * its nodes and upstreams around it, and the cause of its outcome; likewise of a window of usage,
+ * of a service that is scaled, or of an engine.
  */
 #include "cmd/chutectl.h"
 #include "cmd/explain_cause.h"
+#include "cmd/explain_duty.h"
 #include "base/err.h"
 #include "base/event.h"
 
@@ -20,9 +22,10 @@
 	const char *id;
 	json_t *lines;	 /* of the request */
 	json_t *context; /* about nodes, routes, registry and upstreams */
+	json_t *duties;	 /* that explain_duty_needs(3) */
 	uint64_t lines_read;
 	uint64_t unreadable; /* lines with a "{" but no valid JSON object */
-	uint64_t left_out;   /* context lines dropped at CONTEXT_MAX */
+	uint64_t left_out;   /* lines of context or duties dropped at CONTEXT_MAX */
 } search_t;
 
 /* Whether events of this number concern one upstream. */
@@ -62,16 +65,26 @@
 	}
 }
 
+static void add_bounded(search_t *s, json_t *array, json_t *line)
+{
+	if (json_array_size(array) < CONTEXT_MAX)
+		json_array_append(array, line);
+	else
+		s->left_out++;
+}
+
 static void add_line(search_t *s, json_t *line)
 {
-	if (!strcmp(explain_text(line, "request"), s->id))
+	json_int_t event = explain_number(line, "event");
+
+	if (!strcmp(explain_text(line, "request"), s->id)) {
 		json_array_append(s->lines, line);
-	else if (!is_context(explain_number(line, "event")))
 		return;
-	else if (json_array_size(s->context) < CONTEXT_MAX)
-		json_array_append(s->context, line);
-	else
-		s->left_out++;
+	}
+	if (is_context(event))
+		add_bounded(s, s->context, line);
+	if (explain_duty_needs(event))
+		add_bounded(s, s->duties, line);
 }
 
 /*
@@ -286,53 +299,83 @@
 	putchar('\n');
 }
 
-static void print_result(const ctl_t *ctl, const search_t *s, json_t *lines, json_t *context)
+/* lines of a request, or of what is explained otherwise */
+static void print_result(const ctl_t *ctl, const search_t *s, json_t *lines, json_t *context,
+			 const bct_buf_t *cause)
+{
+	bool request = json_array_size(s->lines) > 0;
+
+	if (ctl->json) {
+		ctl_print_json(
+			json_pack("{s:s, s:O, s:O, s:s, s:I, s:I, s:I}", request ? "request" : "id",
+				  s->id, "lines", lines, "context", context, "cause", cause->data,
+				  "read", (json_int_t)s->lines_read, "unreadable",
+				  (json_int_t)s->unreadable, "left_out", (json_int_t)s->left_out));
+		return;
+	}
+	print_lines(request ? "lines of the request:" : "lines about it:", lines);
+	print_lines(request ? "context on its nodes:" : "meanwhile:", context);
+	printf("cause: %s\n", cause->data);
+	if (s->unreadable || s->left_out)
+		printf("unreadable lines: %llu, context lines left out: %llu\n",
+		       (unsigned long long)s->unreadable, (unsigned long long)s->left_out);
+}
+
+static void explain_request(const ctl_t *ctl, const search_t *s)
 {
+	json_t *lines = sort_by_time(s->lines), *context = select_context(s, lines);
 	bct_buf_t cause;
 
 	bct_buf_init(&cause, 0);
 	explain_cause(lines, context, &cause);
-	if (ctl->json) {
-		ctl_print_json(json_pack("{s:s, s:O, s:O, s:s, s:I, s:I, s:I}", "request", s->id,
-					 "lines", lines, "context", context, "cause", cause.data,
-					 "read", (json_int_t)s->lines_read, "unreadable",
-					 (json_int_t)s->unreadable, "left_out",
-					 (json_int_t)s->left_out));
-	} else {
-		print_lines("lines of the request:", lines);
-		print_lines("context on its nodes:", context);
-		printf("cause: %s\n", cause.data);
-		if (s->unreadable || s->left_out)
-			printf("unreadable lines: %llu, context lines left out: %llu\n",
-			       (unsigned long long)s->unreadable, (unsigned long long)s->left_out);
-	}
+	print_result(ctl, s, lines, context, &cause);
 	bct_buf_free(&cause);
+	json_decref(lines);
+	json_decref(context);
+}
+
+/* Returns false if the id is not that of a window, a service or an engine in the logs. */
+static bool explain_other(const ctl_t *ctl, const search_t *s)
+{
+	json_t *all = sort_by_time(s->duties), *lines = json_array(), *context = json_array();
+	bct_buf_t cause;
+	bool found;
+
+	bct_buf_init(&cause, 0);
+	found = explain_duty(s->id, all, lines, context, &cause);
+	if (found)
+		print_result(ctl, s, lines, context, &cause);
+	bct_buf_free(&cause);
+	json_decref(all);
+	json_decref(lines);
+	json_decref(context);
+	return found;
 }
 
 static ctl_exit_t explain(const ctl_t *ctl, search_t *s)
 {
 	ctl_exit_t code = read_logs(ctl, s);
-	json_t *lines, *context;
 
 	if (code != CTL_OK)
 		return code;
-	if (!json_array_size(s->lines))
-		return ctl_fail(ctl, CTL_REFUSED, "request %s not found in %llu log lines", s->id,
+	if (json_array_size(s->lines))
+		explain_request(ctl, s);
+	else if (!explain_other(ctl, s))
+		return ctl_fail(ctl, CTL_REFUSED, "%s not found in %llu log lines", s->id,
 				(unsigned long long)s->lines_read);
-	lines = sort_by_time(s->lines);
-	context = select_context(s, lines);
-	print_result(ctl, s, lines, context);
-	json_decref(lines);
-	json_decref(context);
 	return CTL_OK;
 }
 
 ctl_exit_t ctl_explain(ctl_t *ctl)
 {
-	search_t s = { .id = ctl->args[0], .lines = json_array(), .context = json_array() };
+	search_t s = { .id = ctl->args[0],
+		       .lines = json_array(),
+		       .context = json_array(),
+		       .duties = json_array() };
 	ctl_exit_t code = explain(ctl, &s);
 
 	json_decref(s.lines);
 	json_decref(s.context);
+	json_decref(s.duties);
 	return code;
 }
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -92,9 +92,10 @@
 		return;
 	BCT_LOG(g->log, BCT_EV_UPSTREAM_PRESENCE, BCT_STR("upstream", id),
 		BCT_U64("presence", u->presence), BCT_STR("service", u->entry.service),
-		BCT_STR("address", u->entry.ip), BCT_U64("port", u->entry.port),
-		BCT_STR("software", u->entry.software), BCT_U64("sequence", u->entry.sequence),
-		BCT_U64("running", u->running));
+		BCT_STR("domain", u->entry.zone), BCT_U64("spot", u->entry.spot),
+		BCT_U64("leaves_ms", u->entry.leaves_ms), BCT_STR("address", u->entry.ip),
+		BCT_U64("port", u->entry.port), BCT_STR("software", u->entry.software),
+		BCT_U64("sequence", u->entry.sequence), BCT_U64("running", u->running));
 }
 
 /* Logs the upstreams that became ready lately. */
--- a/tests/proc_explain.sh
+++ b/tests/proc_explain.sh
@@ -85,8 +85,59 @@
 expect_exit 0 explain far "$work/d.log"
 output_has 'd reached no upstream of its service (event 425) and sent it through e'
 
+# The duties: window 100 is in time; 101 is late, as the holder was killed; 102 fails twice; 104 and 105
+# are given up; 103 is named by no line. Each cause must come from the lines of its own time.
+cat >"$work/f.log" <<'LOG'
+{"time_ms":2004100,"vm":"f","level":"info","event":817,"name":"DUTY_REPORT","window":100,"accounts":2,"requests":41,"error":"OK","age_ms":4100,"tries":0,"token":7,"took_ms":9}
+{"time_ms":2020000,"vm":"f","level":"warn","event":818,"name":"DUTY_REPORT_FAILED","window":102,"accounts":2,"requests":7,"error":"EUNKNOWN_OUTCOME","age_ms":9000,"tries":0,"token":11,"took_ms":1500}
+{"time_ms":2020600,"vm":"f","level":"warn","event":818,"name":"DUTY_REPORT_FAILED","window":102,"accounts":2,"requests":7,"error":"EBUDGET","age_ms":9600,"tries":1,"token":12,"took_ms":4}
+{"time_ms":2030000,"vm":"f","level":"info","event":817,"name":"DUTY_REPORT","window":106,"accounts":1,"requests":1,"error":"OK","age_ms":4200,"tries":0,"token":14,"took_ms":9}
+{"time_ms":2090000,"vm":"f","level":"error","event":819,"name":"DUTY_REPORT_LOST","first":104,"last":105,"tries":0}
+{"time_ms":2040000,"vm":"f","level":"warn","event":814,"name":"DUTY_STORE_DOWN","error":"EUNAVAILABLE","took_ms":1500,"act":2}
+LOG
+cat >"$work/g.log" <<'LOG'
+{"time_ms":2010000,"vm":"g","level":"info","event":810,"name":"DUTY_ACQUIRED","token":9,"revision":4,"decided":100,"reports":0,"services":1}
+{"time_ms":2016200,"vm":"g","level":"info","event":817,"name":"DUTY_REPORT","window":101,"accounts":2,"requests":40,"error":"OK","age_ms":11200,"tries":0,"token":9,"took_ms":9}
+{"time_ms":2016900,"vm":"g","level":"warn","event":811,"name":"DUTY_LOST","token":9,"why":"not renewed in time","holder":"00000000000000ff"}
+{"time_ms":2050000,"vm":"g","level":"info","event":823,"name":"DUTY_ORDER","service":"chat","domain":"z1","kind":"standard","engines":2,"present":3,"demand_permille":900,"demand_age_ms":80,"refused_permille":0,"reason":"idle","error":"OK","tries":0,"token":20,"took_ms":5}
+{"time_ms":2050100,"vm":"g","level":"warn","event":824,"name":"DUTY_ORDER_FAILED","service":"chat","domain":"z2","kind":"spot","engines":4,"present":1,"demand_permille":2900,"demand_age_ms":80,"refused_permille":20,"reason":"demand","error":"EFENCED","tries":0,"token":20,"took_ms":5}
+{"time_ms":2050900,"vm":"g","level":"info","event":510,"name":"UPSTREAM_PRESENCE","upstream":"e-1","presence":2,"service":"chat","domain":"z1","spot":0,"leaves_ms":0}
+{"time_ms":2051000,"vm":"g","level":"info","event":510,"name":"UPSTREAM_PRESENCE","upstream":"e-2","presence":2,"service":"chat","domain":"z1","spot":1,"leaves_ms":1900}
+{"time_ms":2080000,"vm":"g","level":"info","event":510,"name":"UPSTREAM_PRESENCE","upstream":"e-3","presence":4,"service":"chat","domain":"z1","spot":0,"leaves_ms":0}
+{"time_ms":2052000,"vm":"g","level":"info","event":823,"name":"DUTY_ORDER","service":"chat","domain":"z2","kind":"standard","engines":5,"present":2,"demand_permille":2900,"demand_age_ms":80,"refused_permille":20,"reason":"demand","error":"OK","tries":0,"token":21,"took_ms":5}
+{"time_ms":2057000,"vm":"g","level":"info","event":510,"name":"UPSTREAM_PRESENCE","upstream":"e-4","presence":1,"service":"chat","domain":"z2","spot":0,"leaves_ms":0}
+LOG
+expect_exit 0 explain 100 "$work/f.log" "$work/g.log"
+output_has 'cause: Window 100 was reported by f 4100 ms after its end, in time: 41 requests of 2 accounts.$'
+expect_exit 0 explain 101 "$work/f.log" "$work/g.log"
+output_has 'by g 11200 ms after its end, which is late: 40 requests of 2 accounts. g took over the duties.$'
+output_has 'DUTY_ACQUIRED token=9'
+expect_exit 0 explain 102 "$work/f.log" "$work/g.log"
+output_has 'Window 102 was not accepted up to the end of the logs. 2 tries failed, the last at f with EBUDGET'
+output_has 'g lost them: not renewed in time'
+output_lacks 'took over'
+expect_exit 0 explain 105 "$work/f.log" "$work/g.log"
+output_has 'given up by f, as it was not accepted within 60 s of its end; its usage is missing. f did not reach the store of the record (EUNAVAILABLE)'
+expect_exit 0 explain 103 "$work/f.log" "$work/g.log"
+output_has 'No line names window 103, though others around it were reported'
+expect_exit 6 explain 99 "$work/f.log" "$work/g.log"
+expect_exit 6 explain 107 "$work/f.log" "$work/g.log"
+
+expect_exit 0 explain chat "$work/f.log" "$work/g.log"
+output_has '2 orders were accepted, 1 failed. The last: g ordered 5 standard engines of chat in z2, where 2 were present (reason demand; demand 2900 permille of an engine, 80 ms old; 20 permille refused), and the order was accepted.'
+expect_exit 0 explain e-1 "$work/f.log" "$work/g.log"
+output_has 'It was taken away after an order: g ordered 2 standard engines of chat in z1, where 3 were present (reason idle'
+expect_exit 0 explain e-2 "$work/g.log"
+output_has 'without an order: as a spot engine it was reclaimed, with 1900 ms left'
+expect_exit 0 explain e-3 "$work/g.log"
+output_has 'no accepted order of the 15 s before explains it: it failed or was stopped otherwise'
+expect_exit 0 explain e-4 "$work/g.log"
+output_has 'It came after an order: g ordered 5 standard engines of chat in z2'
+expect_exit 0 explain e-1 "$work/g.log" --json
+output_has '"id": "e-1"'
+
 expect_exit 6 explain nobody "$work/a.log"
-output_has 'request nobody not found in 9 log lines'
+output_has 'nobody not found in 9 log lines'
 expect_exit 2 explain over "$work/missing.log"
 expect_exit 1 explain
-echo "explain: the causes of ten requests were found"
+echo "explain: the causes of ten requests, six windows, a service and four engines were found"
