chutectl duties: who holds the duties of a fleet of gateways

Cause: holder, fencing token, windows and engines stood on the metrics page only, as raw metrics. The text output was looked at against a saved page and against a chutegate without a store, by hand.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 SOAK_SRCS := $(sort $(wildcard soak/*.c))
 GATE_SRCS := $(sort $(wildcard gate/*.c))
 PLATFORM_SRCS := $(sort $(wildcard platform/*.c))
-CTL_SRCS := $(sort $(wildcard cmd/chutectl*.c cmd/explain*.c))
+CTL_SRCS := $(sort $(wildcard cmd/chutectl*.c cmd/explain*.c)) cmd/duty_page.c
 LOAD_SRCS := $(sort $(wildcard cmd/chuteload*.c))
 STANDIN_SRCS := $(sort $(wildcard standin/*.c))
 STANDIN_MAINS := $(filter standin/fake_%,$(STANDIN_SRCS))
@@ -119,6 +119,8 @@
 $(BIN)/test_%: $(B)/obj/tests/test_%.o $(call obj,$(TEST_COMMON) $(BENCH_COMMON)) $(PLATFORM_LIB) $(GATE_LIB) $(NODE_LIB) $(LIB)
 	$(link) -lcriterion
 $(BIN)/test_fuzz_replay: $(call obj,$(FUZZ_SRCS))
+# What the page prints is read by chutectl.
+$(BIN)/test_duty: $(call obj,cmd/duty_page.c)
 $(BIN)/test_control_standin: $(call obj,$(DUTIES_SRCS))
 $(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
 	$(link)
--- a/cmd/chutectl.c
+++ b/cmd/chutectl.c
@@ -35,6 +35,8 @@
 	  "read a bearer token from standard input, print its hash" },
 	{ "status", "", 0, 0, NODE_OPTIONS, NODE_REQUIRED, ctl_status,
 	  "show targets, shedding, nodes, unhealthy upstreams, revisions" },
+	{ "duties", "", 0, 0, CTL_OPT_NODE | CTL_OPT_TIMEOUT, CTL_OPT_NODE, ctl_duties,
+	  "show who holds the duties of gateways, usage reports, engines" },
 	{ "drain", "", 0, 0, NODE_OPTIONS, NODE_REQUIRED, ctl_drain,
 	  "finish the requests in flight, then stop the node" },
 	{ "leave", "UPSTREAM", 1, 1, NODE_OPTIONS, NODE_REQUIRED, ctl_leave,
@@ -113,8 +115,9 @@
 				c->name);
 	if (c->required & ~ctl->given)
 		return ctl_fail(ctl, CTL_USAGE, "%s: %s required", c->name,
-				c->required & CTL_OPT_PLATFORM ? "--platform"
-							       : "--node and --token-file");
+				c->required & CTL_OPT_PLATFORM	   ? "--platform"
+				: c->required & CTL_OPT_TOKEN_FILE ? "--node and --token-file"
+								   : "--node");
 	if (ctl->timeout_ms <= 0 || ctl->base_revision < 0 || ctl->revision < 0)
 		return ctl_fail(ctl, CTL_USAGE,
 				"%s: --timeout-ms must be positive, "
--- a/cmd/chutectl.h
+++ b/cmd/chutectl.h
@@ -4,6 +4,7 @@
 #ifndef BCT_CMD_CHUTECTL_H
 #define BCT_CMD_CHUTECTL_H
 
+#include "base/buf.h"
 #include "base/json.h"
 #include "coord/config.h"
 
@@ -76,6 +77,7 @@
 ctl_exit_t ctl_key(ctl_t *ctl);
 ctl_exit_t ctl_order(ctl_t *ctl);
 ctl_exit_t ctl_explain(ctl_t *ctl);
+ctl_exit_t ctl_duties(ctl_t *ctl);
 
 /*
  * ctl_fail(): print an error, as one line on standard error or with --json as an object on standard
@@ -113,4 +115,14 @@
  */
 ctl_exit_t ctl_call(const ctl_t *ctl, const char *path, const json_t *body, json_t **out);
 
+#define CTL_RESPONSE_MAX_BYTES (4 * 1024 * 1024)
+
+/*
+ * ctl_fetch_metrics(): get the metrics page of a node, which needs no token.
+ *
+ * out      buffer that the page is appended to
+ * returns  CTL_OK, or after printing the error: CTL_UNAVAILABLE, CTL_REFUSED, CTL_INTERNAL
+ */
+ctl_exit_t ctl_fetch_metrics(const ctl_t *ctl, bct_buf_t *out);
+
 #endif
--- a/cmd/chutectl_http.c
+++ b/cmd/chutectl_http.c
@@ -12,7 +12,6 @@
 
 #define TOKEN_MAX_BYTES 1024
 #define URL_BYTES 1024
-#define RESPONSE_MAX_BYTES (4 * 1024 * 1024)
 #define HTTP_CLIENT_ERROR 400
 #define HTTP_SERVER_ERROR 500
 
@@ -121,7 +120,7 @@
 	ctl_exit_t res;
 
 	*out = NULL;
-	bct_buf_init(&response, RESPONSE_MAX_BYTES);
+	bct_buf_init(&response, CTL_RESPONSE_MAX_BYTES);
 	if (!read_token(ctl->token_file, token, sizeof(token))) {
 		res = ctl_fail(ctl, CTL_INVALID, "%s: cannot read a token from this file",
 			       ctl->token_file);
@@ -143,3 +142,25 @@
 	free(text);
 	return res;
 }
+
+ctl_exit_t ctl_fetch_metrics(const ctl_t *ctl, bct_buf_t *out)
+{
+	char url[URL_BYTES];
+	CURL *c = curl_easy_init();
+	CURLcode rc;
+	long status = 0;
+
+	if (!c)
+		return ctl_fail(ctl, CTL_INTERNAL, "%s", bct_err_text(BCT_ENOMEM));
+	snprintf(url, sizeof(url), "http://%s/metrics", ctl->node);
+	set_options(c, ctl, url, NULL, NULL, out);
+	rc = curl_easy_perform(c);
+	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_cleanup(c);
+	if (rc != CURLE_OK)
+		return ctl_fail(ctl, CTL_UNAVAILABLE, "%s: %s", ctl->node, curl_easy_strerror(rc));
+	if (status >= HTTP_CLIENT_ERROR)
+		return ctl_fail(ctl, status >= HTTP_SERVER_ERROR ? CTL_UNAVAILABLE : CTL_REFUSED,
+				"%s: HTTP %ld", ctl->node, status);
+	return CTL_OK;
+}
--- a/tests/proc_chutectl.sh
+++ b/tests/proc_chutectl.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The exit codes and output of chutectl validate, publish, diff, history, show and status, against
+# The exit codes and output of chutectl validate, publish, diff, history, show, status and duties, against
 # the platform's stand-in: also with concurrent operators, a lost answer and an outage.
 set -eu
 . tests/lib_proc.sh
@@ -71,6 +71,12 @@
 expect_exit 0 show --platform "$url"
 output_has "\"context_tokens\": $((1000 + winner))"
 
+# A server that is no gateway must not be shown as one without a holder.
+expect_exit 6 duties --node "${url#http://}"
+expect_exit 5 duties --node 127.0.0.1:1
+expect_exit 1 duties
+output_has 'duties: --node required'
+
 fault "${url#http://}" '{"outage": 1}'
 expect_exit 5 publish "$work/100.json" --platform "$url" --timeout-ms 1500
 expect_exit 5 status --node "${url#http://}" --token-file "$work/100.json" --timeout-ms 500
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -4,6 +4,7 @@
  */
 #include "base/err.h"
 #include "base/mem.h"
+#include "cmd/duty_page.h"
 #include "gate/duty.h"
 #include "gate/duty_record.h"
 #include "gate/usage.h"
@@ -12,6 +13,7 @@
 #include <criterion/criterion.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define CALLS_MAX 256
@@ -334,6 +336,41 @@
 	}
 }
 
+/* chutectl reads the page of the holder; a metric that is renamed would be missing there. */
+static void check_page(bct_buf_t *page, script_t *s, uint64_t reported)
+{
+	json_t *d = duty_page_parse(page->data);
+
+	cr_assert_not_null(d);
+	cr_assert_eq(json_integer_value(json_object_get(d, "held")), 1);
+	cr_assert_str_eq(json_string_value(json_object_get(d, "holder")), "test");
+	cr_assert_eq(strtoull(json_string_value(json_object_get(d, "incarnation")), NULL, 16),
+		     lease_of(s).holder);
+	cr_assert_gt(json_integer_value(json_object_get(d, "fencing_token")), 0);
+	cr_assert_not_null(json_object_get(d, "record_age_ms"));
+	cr_assert_geq(json_integer_value(json_object_get(d, "window_reported")),
+		      (json_int_t)reported);
+	cr_assert_geq(json_integer_value(json_object_get(d, "window_decided")),
+		      json_integer_value(json_object_get(d, "window_reported")));
+	cr_assert_not_null(json_object_get(d, "reports_waiting"));
+	json_decref(d);
+}
+
+/* Likewise the engines by failure domain. */
+static void check_engines(bct_buf_t *page)
+{
+	json_t *d = duty_page_parse(page->data), *e = json_object_get(d, "engines");
+
+	cr_assert_eq(json_array_size(e), 2, "standard and spot");
+	e = json_array_get(e, 0);
+	cr_assert_str_eq(json_string_value(json_object_get(e, "service")), "model");
+	cr_assert_str_eq(json_string_value(json_object_get(e, "failure_domain")), "z");
+	cr_assert_str_eq(json_string_value(json_object_get(e, "kind")), "standard");
+	cr_assert_eq(json_integer_value(json_object_get(e, "present")), 3);
+	cr_assert_not_null(json_object_get(e, "wanted"));
+	json_decref(d);
+}
+
 /* Reports follow each other, each with the counts of its window; a stop releases the lease. */
 Test(duty, reports_orders_and_releases, .timeout = 60)
 {
@@ -359,6 +396,7 @@
 	bct_duty_print(t.gate->duty, &out);
 	cr_assert(strstr(out.data, "bct_duty_held 1"), "%s", out.data);
 	cr_assert(strstr(out.data, "bct_duty_holder{name=\"test\""), "%s", out.data);
+	check_page(&out, &s, c.window);
 	bct_buf_free(&out);
 	cr_assert_neq(lease_of(&s).holder, 0);
 	test_gate_stop(&t);
@@ -390,6 +428,7 @@
 			 "bct_duty_engines_present{service=\"model\",failure_domain=\"z\","
 			 "kind=\"standard\"} 3"),
 		  "%s", out.data);
+	check_engines(&out);
 	bct_buf_free(&out);
 	test_gate_stop(&t);
 	for (uint32_t i = 0; i < s.n_calls; i++) {
