--- a/tests/test_duty_record.c
+++ b/tests/test_duty_record.c
@@ -14,6 +14,7 @@
 #define NODES 350
 #define REPORTS 12 /* windows of 5 s until a report is given up */
 #define W 353445120
+#define MAX_BYTES (32 * 1024)
 
 typedef struct body {
 	char names[ACCOUNTS][BCT_USAGE_ACCOUNT_BYTES];
@@ -29,7 +30,8 @@
 					  .append_id = 77,
 					  .revision = 1234567890123 };
 
-static void fill(body_t *b, uint32_t accounts, uint32_t nodes, uint32_t reports)
+/* The plan has the counts of b as decided reports, and one service. */
+static void fill_plan(body_t *b, uint32_t accounts, uint32_t reports)
 {
 	bct_duty_plan_opts_t o = { .window_ms = 5000, .calls_per_s = 50 };
 	bct_autoscale_conf_t conf = { .domains = { { .name = "Z1" } }, .n_domains = 1 };
@@ -37,6 +39,16 @@
 	bct_autoscale_input_t in = { 0 };
 
 	bct_duty_plan_init(&b->plan, &o);
+	for (uint32_t i = 0; i < reports; i++) {
+		bct_usage_report_t r = { W + i, b->counts, accounts };
+
+		cr_assert_eq(bct_duty_plan_decide(&b->plan, &r), 0);
+	}
+	cr_assert_eq(bct_duty_plan_want(&b->plan, 1, "S", &conf, &in, &wanted), 1);
+}
+
+static void fill(body_t *b, uint32_t accounts, uint32_t nodes, uint32_t reports)
+{
 	for (uint32_t i = 0; i < accounts; i++) {
 		/* Lengths of all residues, up to the longest name. */
 		snprintf(b->names[i], sizeof(b->names[i]), "%.*s%u", (int)(i % 60),
@@ -46,12 +58,7 @@
 	for (uint32_t i = 0; i < nodes; i++)
 		b->shares[i] = (bct_usage_share_t){ i + 1, i };
 	b->open = (bct_usage_open_t){ { W + reports, b->counts, accounts }, b->shares, nodes };
-	for (uint32_t i = 0; i < reports; i++) {
-		bct_usage_report_t r = { W + i, b->counts, accounts };
-
-		cr_assert_eq(bct_duty_plan_decide(&b->plan, &r), 0);
-	}
-	cr_assert_eq(bct_duty_plan_want(&b->plan, 1, "S", &conf, &in, &wanted), 1);
+	fill_plan(b, accounts, reports);
 }
 
 Test(duty_record, round_trip)
@@ -85,6 +92,42 @@
 	bct_duty_plan_free(&b.plan);
 }
 
+/* returns the bytes of a record with the windows of a quiet time: one decided, two open */
+static size_t record_bytes(uint32_t nodes, uint32_t accounts)
+{
+	static body_t b;
+	bct_usage_open_t opens[2];
+	bct_buf_t out;
+	size_t bytes;
+
+	fill(&b, accounts, nodes, 1);
+	for (uint32_t i = 0; i < accounts; i++)
+		snprintf(b.names[i], sizeof(b.names[i]), "account-%03u", i);
+	bct_duty_plan_free(&b.plan);
+	fill_plan(&b, accounts, 1);
+	opens[0] = b.open;
+	opens[1] = b.open;
+	bct_buf_init(&out, 0);
+	cr_assert_eq(bct_duty_record_encode(&header, &b.plan, opens, 2, &out), 0);
+	bytes = out.len_bytes;
+	bct_buf_free(&out);
+	bct_duty_plan_free(&b.plan);
+	return bytes;
+}
+
+/* The record is appended once a second and read twice: its growth would be paid for all day. */
+Test(duty_record, size_is_bounded)
+{
+	static const uint32_t nodes[] = { 7, 89, 195, 350 }, accounts[] = { 24, 24, 24, 350 };
+
+	for (size_t i = 0; i < sizeof(nodes) / sizeof(nodes[0]); i++) {
+		size_t bytes = record_bytes(nodes[i], accounts[i]);
+
+		printf("%u nodes, %u accounts: %zu bytes\n", nodes[i], accounts[i], bytes);
+		cr_assert_leq(bytes, MAX_BYTES);
+	}
+}
+
 /* A record that is cut or altered is refused, or decoded; it does no other harm. */
 Test(duty_record, damaged)
 {
