Autoscaling: removals go by averages of 3 s, and trust them after 10 s

Change: removals go by the highest average of 3 s instead of the highest value; that a peak may not have been seen yet counts for 10 s, not 20. Orders still follow the highest value at once.

--- a/policy/autoscale.c
+++ b/policy/autoscale.c
@@ -20,8 +20,12 @@
 /* After the loss of a domain's spot engines: a reserve for the time until new engines serve, as the
  * demand is an estimate and a second old. */
 #define SURVIVE_PERMILLE 1100
-/* Until the window is full, a peak may not have been seen: demand counts double for removals. */
+/* In this time a peak may not have been seen: demand counts double for removals. */
+#define EARLY_MS 10000
 #define EARLY_FACTOR 2
+/* Averages of the demand over this time decide on removals: the first seconds with cold caches, or
+ * after an estimate began, would keep engines for as long as the window lasts. */
+#define STEADY_S 3
 #define REMOVE_WINDOW_MS 5000
 #define REMOVALS 8	     /* remembered; more decisions than fall into the window */
 #define REMOVE_SHARE 5	     /* one of this many engines may be removed in that time */
@@ -49,6 +53,9 @@
 	bct_autoscale_set_t wanted;
 	domain_t domains[BCT_AUTOSCALE_DOMAINS];
 	bct_autoscale_window_t demand; /* highest of each second */
+	bct_autoscale_window_t steady; /* the same of its averages */
+	uint32_t recent[STEADY_S];     /* demands of the last decisions */
+	uint32_t n_recent;	       /* written in all */
 	uint32_t last_demand;	       /* highest of the window, when last known; 0: never */
 	bct_time_t known_since;	       /* BCT_TIME_NEVER: the demand is unknown */
 	uint32_t removed[REMOVALS];    /* engines in each second */
@@ -227,6 +234,19 @@
 	return (uint32_t)(((uint64_t)demand_permille * permille + 999999) / 1000000);
 }
 
+/* The average with the demands of the decisions before. */
+static uint32_t steady_demand(bct_autoscale_t *a, uint32_t demand)
+{
+	uint64_t sum = 0;
+	uint32_t n;
+
+	a->recent[a->n_recent++ % STEADY_S] = demand;
+	n = a->n_recent < STEADY_S ? a->n_recent : STEADY_S;
+	for (uint32_t i = 0; i < n; i++)
+		sum += a->recent[i];
+	return (uint32_t)(sum / n);
+}
+
 static void note_demand(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
 			view_t *v)
 {
@@ -249,7 +269,8 @@
 	}
 	bct_autoscale_window_raise(&a->demand, now, demand);
 	v->demand = bct_autoscale_window_highest(&a->demand, now, DEMAND_WINDOW_S);
-	v->floor = bct_autoscale_window_highest(&a->demand, now, DEMAND_WINDOW_S + REMOVE_AFTER_S);
+	bct_autoscale_window_raise(&a->steady, now, steady_demand(a, demand));
+	v->floor = bct_autoscale_window_highest(&a->steady, now, DEMAND_WINDOW_S + REMOVE_AFTER_S);
 	if (v->known)
 		a->last_demand = v->demand;
 }
@@ -392,7 +413,7 @@
 static bool remove_engines(bct_autoscale_t *a, bct_time_t now, view_t *v,
 			   const bct_autoscale_set_t *ideal)
 {
-	bool early = now - a->known_since < DEMAND_WINDOW_S * BCT_MS_PER_S;
+	bool early = now - a->known_since < EARLY_MS;
 	uint32_t left = removals_left(a, now, v), n = 0;
 
 	while (n < left && remove_one(a, v, ideal, early ? v->floor * EARLY_FACTOR : v->floor))
