--- a/tests/run_process_tests.sh
+++ b/tests/run_process_tests.sh
@@ -8,6 +8,7 @@
 	if out=$(sh "$t" 2>&1); then
 		passed=$((passed + 1))
 		echo "ok: $t"
+		echo "$out" | grep SKIPPED
 		grep -q "^$t " KNOWN-RED.txt && echo "passes again, remove it from KNOWN-RED.txt: $t"
 	elif grep -q "^$t " KNOWN-RED.txt; then
 		red=$((red + 1))
