Tests of the duties: print sizes as output, not as warnings

Cause: Criterion's exit code is 1 after a cr_log_warn, also if all cases pass, so run_unit_tests.sh and with it make unit counted test_duty_record and test_duty_model as failed. Change: both print their figures by printf, as test_usage_pack does. No assertion is changed.

--- a/tests/test_duty_model.c
+++ b/tests/test_duty_model.c
@@ -9,6 +9,7 @@
 #include "policy/duty_lease.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
 
 #define NODES_MAX 3
@@ -276,9 +277,9 @@
 		respond(&w, i, false);
 	}
 	explore(&w, m, depth);
-	cr_log_warn("%u nodes, depth %u: %llu states, %llu claims, %llu handovers", m->nodes, depth,
-		    (unsigned long long)m->states, (unsigned long long)m->claims,
-		    (unsigned long long)m->handovers);
+	printf("%u nodes, depth %u: %llu states, %llu claims, %llu handovers\n", m->nodes, depth,
+	       (unsigned long long)m->states, (unsigned long long)m->claims,
+	       (unsigned long long)m->handovers);
 	bct_map_free(&m->seen);
 	cr_assert_gt(m->claims, 0);
 	cr_assert_gt(m->handovers, 0, "the depth is too small to see a second holder");
--- a/tests/test_duty_record.c
+++ b/tests/test_duty_record.c
@@ -71,7 +71,7 @@
 	fill(&b, ACCOUNTS, NODES, REPORTS);
 	bct_buf_init(&out, 0);
 	cr_assert_eq(bct_duty_record_encode(&header, &b.plan, &b.open, 1, &out), 0);
-	cr_log_warn("%zu bytes", out.len_bytes);
+	printf("%zu bytes\n", out.len_bytes);
 	cr_assert_eq(bct_duty_record_decode(out.data, out.len_bytes, &h, &s), 0);
 	cr_assert_eq(memcmp(&h, &header, sizeof(h)), 0);
 	cr_assert_eq(s.revision, header.revision);
