--- a/tests/test_duty_model.c
+++ b/tests/test_duty_model.c
@@ -9,6 +9,7 @@
 #include "policy/duty_lease.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
 
 #define NODES_MAX 3
