Share: a node that joins is told what it lacks by one of the others, three times

What callers saw: a node that had just joined sent requests to an upstream that had stated that it was leaving (DRAIN in 2 of 6 trials of tests/proc_versions.sh with four new nodes). Cause: the joining node itself was counted among those of which one welcomes it, so with two nodes nobody did in half of the cases; and it refuses messages of nodes that it doesn't know as members yet. Change: the joining node is left out, and the welcome is repeated after 0.5 and 2 s.

--- a/gate/share.c
+++ b/gate/share.c
@@ -15,6 +15,7 @@
 #define DATAGRAM_BYTES 1400
 #define INTERVAL_MS 100	     /* between two rounds in a small fleet */
 #define REFRESH_MS 500	     /* between two reads of the membership */
+#define WELCOMES 3	     /* of a node that joins */
 #define LATER_LISTS_BYTES 64 /* zeros behind a datagram: the lists that an older node lacks */
 
 static const bct_share_peer_t *find_peer(const bct_share_peer_t *list, uint32_t n,
@@ -52,7 +53,8 @@
 		p->incarnation = m[i].incarnation;
 		known = find_peer(old, n_old, m[i].incarnation);
 		p->seq = known ? known->seq : 0;
-		p->welcomed = known && known->welcomed;
+		p->welcomes = known ? known->welcomes : 0;
+		p->known_since = known ? known->known_since : bct_clock_now();
 		p->sa.sin_family = AF_INET;
 		p->sa.sin_port = htons((uint16_t)s->gate->settings->gate_share_port);
 		memcpy(&p->sa.sin_addr, m[i].peer.ip, 4);
@@ -225,8 +227,10 @@
 static void welcome(bct_share_t *s, bct_time_t now, const bct_share_peer_t *to)
 {
 	bct_list_t *el;
+	uint64_t live[BCT_SHARE_NODES_MAX];
+	bct_gate_limit_nodes_t nodes = bct_share_live_nodes(s, live);
 
-	if (!bct_share_is_responsible(s, to->incarnation))
+	if (!bct_share_welcomes(&nodes, to->incarnation))
 		return;
 	bct_list_for_each(el, &s->topics) {
 		bct_share_topic_t *t = bct_container_of(el, bct_share_topic_t, link);
@@ -240,13 +244,18 @@
 	}
 }
 
+/* Repeated, as a node refuses messages of nodes that it doesn't know as members yet. */
 static void welcome_new(bct_share_t *s, bct_time_t now)
 {
+	static const bct_time_t welcome_ms[WELCOMES] = { 0, 500, 2000 };
+
 	for (uint32_t i = 0; i < s->n_peers; i++) {
-		if (s->peers[i].welcomed)
+		bct_share_peer_t *p = &s->peers[i];
+
+		if (p->welcomes == WELCOMES || now < p->known_since + welcome_ms[p->welcomes])
 			continue;
-		s->peers[i].welcomed = true;
-		welcome(s, now, &s->peers[i]);
+		p->welcomes++;
+		welcome(s, now, p);
 	}
 }
 
--- a/gate/share_hubs.c
+++ b/gate/share_hubs.c
@@ -53,6 +53,19 @@
 	return bct_hash_mix(key, nodes.self) == best;
 }
 
+bool bct_share_welcomes(const bct_gate_limit_nodes_t *nodes, uint64_t joining)
+{
+	uint64_t best = 0;
+
+	for (uint32_t i = 0; i < nodes->n; i++) {
+		uint64_t h = bct_hash_mix(joining, nodes->incarnations[i]);
+
+		if (nodes->incarnations[i] != joining && h > best)
+			best = h;
+	}
+	return nodes->self != joining && bct_hash_mix(joining, nodes->self) == best;
+}
+
 /* A node that is leaving is no hub, so that its nodes change to another one before it ends. */
 void bct_share_choose_hubs(bct_share_t *s)
 {
--- a/gate/share_int.h
+++ b/gate/share_int.h
@@ -24,8 +24,9 @@
 	struct sockaddr_in sa;
 	bct_addr_t admin; /* ip_len_bytes 0: none */
 	bool leaving;
-	bool welcomed; /* this node has considered to tell it what it lacks */
-	uint64_t seq;  /* highest received */
+	uint32_t welcomes;	/* times that this node has considered to tell it what it lacks */
+	bct_time_t known_since; /* it is live and known to this node */
+	uint64_t seq;		/* highest received */
 } bct_share_peer_t;
 
 typedef struct bct_share_placements {
@@ -126,6 +127,12 @@
 void bct_share_apply_promises(bct_share_t *s, bct_time_t now, const share_update *update);
 
 /* share_hubs.c */
+/*
+ * bct_share_welcomes(3): whether this node is the one of the live nodes that tells a node that
+ * joins what it lacks. The joining node is none of them.
+ */
+bool bct_share_welcomes(const bct_gate_limit_nodes_t *nodes, uint64_t joining);
+
 /* bct_share_uses_hubs(3): whether the fleet is too large for each node to send to all others. */
 bool bct_share_uses_hubs(const bct_share_t *s);
 
