--- a/Makefile
+++ b/Makefile
@@ -122,7 +122,7 @@
 # What the page prints is read by chutectl.
 $(BIN)/test_duty: $(call obj,cmd/duty_page.c)
 $(BIN)/test_control_standin: $(call obj,$(DUTIES_SRCS))
-$(BIN)/race_%: $(B)/obj/tests/race_%.o $(NODE_LIB) $(LIB)
+$(BIN)/race_%: $(B)/obj/tests/race_%.o $(GATE_LIB) $(NODE_LIB) $(LIB)
 	$(link)
 $(BIN)/bench_%: $(B)/obj/bench/bench_%.o $(call obj,$(BENCH_COMMON)) $(NODE_LIB) $(LIB)
 	$(link)
