Autoscaling: removals in a file of their own

Removals move to autoscale_remove.c, the state and the view of a decision to autoscale_int.h, where their names have the prefix.

--- a/policy/autoscale.c
+++ b/policy/autoscale.c
@@ -6,8 +6,7 @@
 #include "policy/autoscale.h"
 #include "base/err.h"
 #include "base/mem.h"
-#include "policy/autoscale_fit.h"
-#include "policy/autoscale_window.h"
+#include "policy/autoscale_int.h"
 
 #include <string.h>
 
@@ -15,67 +14,13 @@
 #define DEMAND_MAX 1000000000 /* keeps the sums within 32 bits */
 #define DEMAND_WINDOW_S 20    /* its highest value in this time counts */
 #define REMOVE_AFTER_S 10     /* of lower demand, in addition */
-#define REMOVE_KNOWN_MS 5000  /* the demand must have been known for this long */
-#define MARGIN_PERMILLE 1400  /* engines per demand */
-/* After the loss of a domain's spot engines: a reserve for the time until new engines serve, as the
- * demand is an estimate and a second old. */
-#define SURVIVE_PERMILLE 1100
-/* In this time a peak may not have been seen: demand counts double for removals. */
-#define EARLY_MS 10000
-#define EARLY_FACTOR 2
-/* Averages of the demand over this time decide on removals: the first seconds with cold caches, or
- * after an estimate began, would keep engines for as long as the window lasts. */
-#define STEADY_S 3
-#define REMOVE_WINDOW_MS 5000
-#define REMOVALS 8	     /* remembered; more decisions than fall into the window */
-#define REMOVE_SHARE 5	     /* one of this many engines may be removed in that time */
-#define ARRIVE_SLACK_MS 6000 /* after boot_ms an order that brought nothing doesn't count */
+#define ARRIVE_SLACK_MS 6000  /* after boot_ms an order that brought nothing doesn't count */
 #define REFUSED_MIN_PERMILLE 5
 #define REFUSED_STEP_PERMILLE 100 /* more engines at least, while requests are refused */
 #define REFUSED_FACTOR_MAX 2 /* of a known demand, as a bound to engines ordered for refusals */
 #define RECLAIM_BAN_MS 10000 /* spot engines are not available for about as long */
 #define REFUSED_BAN_MS 5000
 
-typedef struct domain {
-	uint32_t pending[BCT_AUTOSCALE_KINDS]; /* ordered and not present yet */
-	uint32_t seen[BCT_AUTOSCALE_KINDS];    /* present at the last decision */
-	bct_time_t pending_until[BCT_AUTOSCALE_KINDS];
-	bct_time_t unavailable_until[BCT_AUTOSCALE_KINDS];
-	bct_time_t reclaimed_until; /* nothing is removed until then */
-	bool refused;		    /* at the last decision */
-	uint32_t lost_spot;	    /* by the present reclaim; still listed */
-} domain_t;
-
-struct bct_autoscale {
-	bct_autoscale_conf_t conf;
-	bool begun; /* wanted is valid */
-	bool resumed;
-	bct_autoscale_set_t wanted;
-	domain_t domains[BCT_AUTOSCALE_DOMAINS];
-	bct_autoscale_window_t demand; /* highest of each second */
-	bct_autoscale_window_t steady; /* the same of its averages */
-	uint32_t recent[STEADY_S];     /* demands of the last decisions */
-	uint32_t n_recent;	       /* written in all */
-	uint32_t last_demand;	       /* highest of the window, when last known; 0: never */
-	bct_time_t known_since;	       /* BCT_TIME_NEVER: the demand is unknown */
-	uint32_t removed[REMOVALS];    /* engines in each second */
-	bct_time_t removed_at[REMOVALS];
-	uint32_t n_removals;		/* written in all */
-	bct_autoscale_window_t present; /* engines that accept requests */
-};
-
-/* The engines of one decision. */
-typedef struct view {
-	bct_autoscale_set_t present; /* those that are wanted and not being reclaimed */
-	bct_autoscale_set_t counted; /* and those still to come */
-	bct_autoscale_set_t change;  /* engines ordered in this decision */
-	uint32_t demand;	     /* to order for */
-	uint32_t floor;		     /* to remove for */
-	bool known;
-	bool lost; /* spot engines were reclaimed or refused just now */
-	bct_autoscale_reason_t reason;
-} view_t;
-
 int bct_autoscale_new(const bct_autoscale_conf_t *conf, bct_autoscale_t **out)
 {
 	bct_autoscale_t *a;
@@ -143,9 +88,9 @@
  * are still listed while the others leave will leave too.
  */
 static void note_spot(bct_autoscale_t *a, bct_time_t now, uint32_t d,
-		      const bct_autoscale_domain_t *in, view_t *v)
+		      const bct_autoscale_domain_t *in, bct_autoscale_view_t *v)
 {
-	domain_t *t = &a->domains[d];
+	bct_autoscale_known_t *t = &a->domains[d];
 	uint32_t *wanted = &a->wanted.n[d][BCT_AUTOSCALE_SPOT];
 	uint32_t *pending = &t->pending[BCT_AUTOSCALE_SPOT];
 	uint32_t present = in->present[BCT_AUTOSCALE_SPOT];
@@ -174,7 +119,7 @@
 static void note_present(bct_autoscale_t *a, bct_time_t now, uint32_t d, uint32_t k,
 			 uint32_t present)
 {
-	domain_t *t = &a->domains[d];
+	bct_autoscale_known_t *t = &a->domains[d];
 
 	if (present > t->seen[k]) {
 		uint32_t arrived = present - t->seen[k];
@@ -193,7 +138,7 @@
 }
 
 static void note_engines(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
-			 view_t *v)
+			 bct_autoscale_view_t *v)
 {
 	for (uint32_t d = 0; d < a->conf.n_domains; d++) {
 		for (uint32_t k = 0; k < BCT_AUTOSCALE_KINDS; k++)
@@ -214,12 +159,14 @@
  * While requests are refused, the demand is taken to be more than what the engines serve, whatever
  * was measured. Orders on their way are waited for.
  */
-static uint32_t refused_demand(const view_t *v, const bct_autoscale_input_t *in, uint32_t demand)
+static uint32_t refused_demand(const bct_autoscale_view_t *v, const bct_autoscale_input_t *in,
+			       uint32_t demand)
 {
 	uint32_t present = bct_autoscale_set_total(&v->present);
 	uint32_t more = in->refused_permille > REFUSED_STEP_PERMILLE ? in->refused_permille
 								     : REFUSED_STEP_PERMILLE;
-	uint64_t needed = (uint64_t)present * (1000 + more) * 1000 / MARGIN_PERMILLE + 1;
+	uint64_t needed =
+		(uint64_t)present * (1000 + more) * 1000 / BCT_AUTOSCALE_MARGIN_PERMILLE + 1;
 
 	if (in->refused_permille < REFUSED_MIN_PERMILLE ||
 	    bct_autoscale_set_total(&v->counted) > present)
@@ -229,26 +176,21 @@
 	return needed > DEMAND_MAX ? DEMAND_MAX : (uint32_t)needed;
 }
 
-static uint32_t scaled(uint32_t demand_permille, uint32_t permille)
-{
-	return (uint32_t)(((uint64_t)demand_permille * permille + 999999) / 1000000);
-}
-
 /* The average with the demands of the decisions before. */
 static uint32_t steady_demand(bct_autoscale_t *a, uint32_t demand)
 {
 	uint64_t sum = 0;
 	uint32_t n;
 
-	a->recent[a->n_recent++ % STEADY_S] = demand;
-	n = a->n_recent < STEADY_S ? a->n_recent : STEADY_S;
+	a->recent[a->n_recent++ % BCT_AUTOSCALE_STEADY_S] = demand;
+	n = a->n_recent < BCT_AUTOSCALE_STEADY_S ? a->n_recent : BCT_AUTOSCALE_STEADY_S;
 	for (uint32_t i = 0; i < n; i++)
 		sum += a->recent[i];
 	return (uint32_t)(sum / n);
 }
 
 static void note_demand(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
-			view_t *v)
+			bct_autoscale_view_t *v)
 {
 	uint32_t demand = in->demand_permille ? in->demand_permille : 1, refused;
 
@@ -283,12 +225,13 @@
 	return false;
 }
 
-static void fit(const bct_autoscale_t *a, bct_time_t now, const view_t *v, uint32_t demand,
-		uint32_t total_min, const bct_autoscale_set_t *least, bct_autoscale_set_t *out)
+static void fit(const bct_autoscale_t *a, bct_time_t now, const bct_autoscale_view_t *v,
+		uint32_t demand, uint32_t total_min, const bct_autoscale_set_t *least,
+		bct_autoscale_set_t *out)
 {
 	bct_autoscale_fit_input_t in = {
-		.total = scaled(demand, MARGIN_PERMILLE),
-		.survive = scaled(demand, SURVIVE_PERMILLE),
+		.total = bct_autoscale_scaled(demand, BCT_AUTOSCALE_MARGIN_PERMILLE),
+		.survive = bct_autoscale_scaled(demand, BCT_AUTOSCALE_SURVIVE_PERMILLE),
 		.now = v->counted,
 	};
 
@@ -315,7 +258,8 @@
 }
 
 /* Orders what a set has more than is counted; returns whether that is any. */
-static bool order(bct_autoscale_t *a, bct_time_t now, view_t *v, const bct_autoscale_set_t *to)
+static bool order(bct_autoscale_t *a, bct_time_t now, bct_autoscale_view_t *v,
+		  const bct_autoscale_set_t *to)
 {
 	bool any = false;
 
@@ -341,90 +285,6 @@
 	return any;
 }
 
-/* Engines that may be removed now. */
-static uint32_t removals_left(bct_autoscale_t *a, bct_time_t now, const view_t *v)
-{
-	uint32_t share, recent = 0;
-
-	/* The fewest present within the window count: new ones have few streams yet. */
-	bct_autoscale_window_set(&a->present, now, bct_autoscale_set_total(&v->present));
-	share = bct_autoscale_window_lowest(&a->present, now, REMOVE_WINDOW_MS / BCT_MS_PER_S) /
-		REMOVE_SHARE;
-	for (uint32_t i = 0; i < REMOVALS && i < a->n_removals; i++)
-		if (now - a->removed_at[i] < REMOVE_WINDOW_MS)
-			recent += a->removed[i];
-	if (!share)
-		share = 1;
-	return share > recent ? share - recent : 0;
-}
-
-/* Whether the engines present without one of the kind still serve the demand. */
-static bool dispensable(const bct_autoscale_t *a, const view_t *v, uint32_t d, uint32_t k,
-			uint32_t demand)
-{
-	bct_autoscale_set_t left = v->present;
-
-	if (!left.n[d][k] || bct_autoscale_set_domain(&left, d) <= a->conf.minimum)
-		return false;
-	left.n[d][k]--;
-	return bct_autoscale_set_total(&left) >= scaled(demand, MARGIN_PERMILLE) &&
-	       bct_autoscale_set_survive(&left) >= scaled(demand, SURVIVE_PERMILLE);
-}
-
-/* Removes the dearest engine that the ideal lacks; of equal ones, where there are most. */
-static bool remove_one(bct_autoscale_t *a, view_t *v, const bct_autoscale_set_t *ideal,
-		       uint32_t demand)
-{
-	double best = -1;
-	uint32_t best_d = 0, best_k = 0, best_n = 0;
-
-	for (uint32_t i = 0; i < a->conf.n_domains * BCT_AUTOSCALE_KINDS; i++) {
-		uint32_t d = i / BCT_AUTOSCALE_KINDS, k = i % BCT_AUTOSCALE_KINDS;
-		uint32_t n = bct_autoscale_set_domain(&v->present, d);
-		double price = a->conf.domains[d].price *
-			       (k == BCT_AUTOSCALE_SPOT ? a->conf.spot_price : 1);
-
-		if (v->counted.n[d][k] <= ideal->n[d][k] || price < best ||
-		    (price == best && n <= best_n) || !dispensable(a, v, d, k, demand))
-			continue;
-		best = price;
-		best_d = d;
-		best_k = k;
-		best_n = n;
-	}
-	if (best < 0)
-		return false;
-	v->present.n[best_d][best_k]--;
-	v->counted.n[best_d][best_k]--;
-	a->wanted.n[best_d][best_k]--;
-	return true;
-}
-
-static bool may_remove(const bct_autoscale_t *a, bct_time_t now)
-{
-	if (a->known_since == BCT_TIME_NEVER || now - a->known_since < REMOVE_KNOWN_MS)
-		return false;
-	for (uint32_t d = 0; d < a->conf.n_domains; d++)
-		if (now < a->domains[d].reclaimed_until)
-			return false;
-	return true;
-}
-
-static bool remove_engines(bct_autoscale_t *a, bct_time_t now, view_t *v,
-			   const bct_autoscale_set_t *ideal)
-{
-	bool early = now - a->known_since < EARLY_MS;
-	uint32_t left = removals_left(a, now, v), n = 0;
-
-	while (n < left && remove_one(a, v, ideal, early ? v->floor * EARLY_FACTOR : v->floor))
-		n++;
-	if (n) {
-		a->removed[a->n_removals % REMOVALS] = n;
-		a->removed_at[a->n_removals++ % REMOVALS] = now;
-	}
-	return n > 0;
-}
-
 /* The numbers never exceed the maximum, also if engines beyond it are present. */
 static bool bound(bct_autoscale_t *a)
 {
@@ -444,7 +304,8 @@
 }
 
 /* Orders what is lacking at once. While the demand is unknown, the number of engines is kept. */
-static void cover(bct_autoscale_t *a, bct_time_t now, view_t *v, uint32_t total_before)
+static void cover(bct_autoscale_t *a, bct_time_t now, bct_autoscale_view_t *v,
+		  uint32_t total_before)
 {
 	bct_autoscale_set_t to;
 	bool below = false;
@@ -463,7 +324,7 @@
 }
 
 /* Orders cheaper engines, and removes those that they replace once they are present. */
-static void improve(bct_autoscale_t *a, bct_time_t now, view_t *v)
+static void improve(bct_autoscale_t *a, bct_time_t now, bct_autoscale_view_t *v)
 {
 	bct_autoscale_set_t ideal;
 	bool cheaper, fewer;
@@ -471,7 +332,7 @@
 	fit(a, now, v, v->floor, 0, NULL, &ideal);
 	fewer = bct_autoscale_set_total(&v->counted) > bct_autoscale_set_total(&ideal);
 	cheaper = order(a, now, v, &ideal);
-	if (remove_engines(a, now, v, &ideal) || cheaper) {
+	if (bct_autoscale_remove(a, now, v, &ideal) || cheaper) {
 		if (v->reason == BCT_AUTOSCALE_UNCHANGED)
 			v->reason = cheaper || !fewer ? BCT_AUTOSCALE_CHEAPER : BCT_AUTOSCALE_IDLE;
 	}
@@ -480,7 +341,7 @@
 void bct_autoscale_plan(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_input_t *in,
 			bct_autoscale_plan_t *out)
 {
-	view_t v = { .reason = BCT_AUTOSCALE_UNCHANGED };
+	bct_autoscale_view_t v = { .reason = BCT_AUTOSCALE_UNCHANGED };
 	bct_autoscale_set_t before;
 	bool bounded;
 
@@ -491,7 +352,7 @@
 	note_engines(a, now, in, &v);
 	note_demand(a, now, in, &v);
 	cover(a, now, &v, bct_autoscale_set_total(&before));
-	if (may_remove(a, now))
+	if (bct_autoscale_may_remove(a, now))
 		improve(a, now, &v);
 	if (v.lost && v.reason != BCT_AUTOSCALE_REFUSED)
 		v.reason = BCT_AUTOSCALE_RECLAIMED;
