Map: the value of a key, made if there is none, and the end of all values

Four modules (refusals, returns, demand, shares of accounts) each had both by themselves. They use the map's now; no change of behaviour, their tests pass.

--- a/base/map.c
+++ b/base/map.c
@@ -112,3 +112,27 @@
 	}
 	return NULL;
 }
+
+void *bct_map_get_new(bct_map_t *m, uint64_t key, size_t size_bytes)
+{
+	void *value = bct_map_get(m, key);
+
+	if (value)
+		return value;
+	value = bct_alloc(size_bytes);
+	if (value && bct_map_put(m, key, value)) {
+		bct_free(value);
+		value = NULL;
+	}
+	return value;
+}
+
+void bct_map_free_values(bct_map_t *m)
+{
+	uint32_t pos = 0;
+	void *value;
+
+	while ((value = bct_map_next(m, &pos)) != NULL)
+		bct_free(value);
+	bct_map_free(m);
+}
--- a/base/map.h
+++ b/base/map.h
@@ -4,6 +4,7 @@
 #ifndef BCT_BASE_MAP_H
 #define BCT_BASE_MAP_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 typedef struct bct_map_slot {
@@ -40,6 +41,16 @@
 /* bct_map_get(3): the value of a key, or NULL. */
 void *bct_map_get(const bct_map_t *m, uint64_t key);
 
+/*
+ * bct_map_get_new(3): the value of a key; if there is none, a new one from bct_alloc(3), zeroed.
+ *
+ * returns  NULL if memory is short
+ */
+void *bct_map_get_new(bct_map_t *m, uint64_t key, size_t size_bytes);
+
+/* bct_map_free_values(3): as bct_map_free(3), and frees the values with bct_free(3). */
+void bct_map_free_values(bct_map_t *m);
+
 /* bct_map_del(3): remove a key. returns its value, or NULL if it was not there. */
 void *bct_map_del(bct_map_t *m, uint64_t key);
 
--- a/policy/gate_account_share.c
+++ b/policy/gate_account_share.c
@@ -5,7 +5,6 @@
  */
 #include "policy/gate_account_share.h"
 #include "base/hash.h"
-#include "base/mem.h"
 
 #include <math.h>
 #include <string.h>
@@ -67,39 +66,15 @@
 	memset(s, 0, sizeof(*s));
 }
 
-static void free_all(bct_map_t *m)
-{
-	uint32_t pos = 0;
-	void *v;
-
-	while ((v = bct_map_next(m, &pos)) != NULL)
-		bct_free(v);
-	bct_map_free(m);
-}
-
 void bct_gate_account_shares_free(bct_gate_account_shares_t *s)
 {
-	free_all(&s->services);
-	free_all(&s->accounts);
-}
-
-/* Returns a new, zeroed value of the map; NULL if memory is short. */
-static void *put_new(bct_map_t *m, uint64_t key, size_t size_bytes)
-{
-	void *v = bct_alloc(size_bytes);
-
-	if (v && bct_map_put(m, key, v)) {
-		bct_free(v);
-		v = NULL;
-	}
-	return v;
+	bct_map_free_values(&s->services);
+	bct_map_free_values(&s->accounts);
 }
 
 static service_t *service_of(bct_gate_account_shares_t *s, uint64_t key)
 {
-	service_t *v = bct_map_get(&s->services, key);
-
-	return v ? v : put_new(&s->services, key, sizeof(service_t));
+	return bct_map_get_new(&s->services, key, sizeof(service_t));
 }
 
 static account_t *account_of(bct_gate_account_shares_t *s, bct_time_t now, service_t *service,
@@ -109,7 +84,7 @@
 
 	if (v || s->accounts.n >= BCT_GATE_ACCOUNT_SHARES_MAX)
 		return v;
-	v = put_new(&s->accounts, key, sizeof(account_t));
+	v = bct_map_get_new(&s->accounts, key, sizeof(account_t));
 	if (v) {
 		v->since = v->filled_at = now;
 		service->accounts++;
--- a/policy/gate_demand.c
+++ b/policy/gate_demand.c
@@ -2,7 +2,6 @@
  * gate_demand.c - sums over the last seconds, by service.
  */
 #include "policy/gate_demand.h"
-#include "base/mem.h"
 #include "policy/autoscale_window.h"
 
 #include <string.h>
@@ -25,27 +24,13 @@
 
 void bct_gate_demand_free(bct_gate_demand_t *d)
 {
-	uint32_t pos = 0;
-	void *s;
-
-	while ((s = bct_map_next(&d->services, &pos)) != NULL)
-		bct_free(s);
-	bct_map_free(&d->services);
+	bct_map_free_values(&d->services);
 }
 
 /* Returns NULL if memory is short; nothing is counted then. */
 static service_t *service_of(bct_gate_demand_t *d, uint64_t key)
 {
-	service_t *s = bct_map_get(&d->services, key);
-
-	if (s)
-		return s;
-	s = bct_alloc(sizeof(*s));
-	if (s && bct_map_put(&d->services, key, s)) {
-		bct_free(s);
-		s = NULL;
-	}
-	return s;
+	return bct_map_get_new(&d->services, key, sizeof(service_t));
 }
 
 void bct_gate_demand_sent(bct_gate_demand_t *d, bct_time_t now, uint64_t service_key,
--- a/policy/gate_refuse.c
+++ b/policy/gate_refuse.c
@@ -3,7 +3,6 @@
  * service were accepted at a higher one.
  */
 #include "policy/gate_refuse.h"
-#include "base/mem.h"
 
 #include <stdbool.h>
 #include <string.h>
@@ -55,27 +54,13 @@
 
 void bct_gate_refuse_free(bct_gate_refuse_t *f)
 {
-	uint32_t pos = 0;
-	void *s;
-
-	while ((s = bct_map_next(&f->services, &pos)) != NULL)
-		bct_free(s);
-	bct_map_free(&f->services);
+	bct_map_free_values(&f->services);
 }
 
 /* Returns NULL if memory is short; nothing is refused then. */
 static service_t *service_of(bct_gate_refuse_t *f, uint64_t key)
 {
-	service_t *s = bct_map_get(&f->services, key);
-
-	if (s)
-		return s;
-	s = bct_alloc(sizeof(*s));
-	if (s && bct_map_put(&f->services, key, s)) {
-		bct_free(s);
-		s = NULL;
-	}
-	return s;
+	return bct_map_get_new(&f->services, key, sizeof(service_t));
 }
 
 static uint32_t urgency_class(const bct_gate_refuse_input_t *in)
--- a/policy/gate_returns.c
+++ b/policy/gate_returns.c
@@ -31,12 +31,7 @@
 
 void bct_gate_returns_free(bct_gate_returns_t *r)
 {
-	uint32_t pos = 0;
-	void *b;
-
-	while ((b = bct_map_next(&r->services, &pos)) != NULL)
-		bct_free(b);
-	bct_map_free(&r->services);
+	bct_map_free_values(&r->services);
 	bct_free(r->promises);
 	memset(r, 0, sizeof(*r));
 }
@@ -44,16 +39,7 @@
 /* Returns NULL if memory is short. */
 static book_t *book_of(bct_gate_returns_t *r, uint64_t key)
 {
-	book_t *b = bct_map_get(&r->services, key);
-
-	if (b)
-		return b;
-	b = bct_alloc(sizeof(*b));
-	if (b && bct_map_put(&r->services, key, b)) {
-		bct_free(b);
-		b = NULL;
-	}
-	return b;
+	return bct_map_get_new(&r->services, key, sizeof(book_t));
 }
 
 static uint32_t urgency_class(const bct_gate_return_input_t *in)
