Autoscaling: nothing is removed in the second in which the demand rises

Cause: since removals go by averages of 3 s, a jump from 600 to 2,000 engines still counted as 1,067 for them, and 100 engines were removed beside the order of more. Change: they go by the latest demand where that is higher.

--- a/policy/autoscale.c
+++ b/policy/autoscale.c
@@ -213,6 +213,9 @@
 	v->demand = bct_autoscale_window_highest(&a->demand, now, DEMAND_WINDOW_S);
 	bct_autoscale_window_raise(&a->steady, now, steady_demand(a, demand));
 	v->floor = bct_autoscale_window_highest(&a->steady, now, DEMAND_WINDOW_S + REMOVE_AFTER_S);
+	/* Nothing is removed while the demand is rising. */
+	if (v->floor < demand)
+		v->floor = demand;
 	if (v->known)
 		a->last_demand = v->demand;
 }
