--- a/policy/autoscale.c
+++ b/policy/autoscale.c
@@ -260,9 +260,9 @@
 	bct_autoscale_fit(&a->conf, &in, out);
 }
 
-/* Orders what a set has more than is counted, up to a number; returns whether that is any. */
+/* Orders what a set has more than is counted; returns whether that is any. */
 static bool order(bct_autoscale_t *a, bct_time_t now, bct_autoscale_view_t *v,
-		  const bct_autoscale_set_t *to, uint32_t most)
+		  const bct_autoscale_set_t *to)
 {
 	bool any = false;
 
@@ -276,11 +276,8 @@
 
 			if (more > room)
 				more = room;
-			if (more > most)
-				more = most;
 			if (!more)
 				continue;
-			most -= more;
 			a->wanted.n[d][k] += more;
 			v->counted.n[d][k] += more;
 			a->domains[d].pending[k] += more;
@@ -319,7 +316,7 @@
 	for (uint32_t d = 0; d < a->conf.n_domains; d++)
 		below = below || bct_autoscale_set_domain(&a->wanted, d) < a->conf.minimum;
 	fit(a, now, v, v->demand, v->known ? 0 : total_before, &v->counted, &to);
-	if (!order(a, now, v, &to, UINT32_MAX))
+	if (!order(a, now, v, &to))
 		return;
 	if (v->lost)
 		v->reason = BCT_AUTOSCALE_RECLAIMED;
@@ -337,7 +334,7 @@
 
 	fit(a, now, v, v->floor, 0, NULL, &ideal);
 	fewer = bct_autoscale_set_total(&v->counted) > bct_autoscale_set_total(&ideal);
-	cheaper = order(a, now, v, &ideal, BCT_AUTOSCALE_CHANGES_PER_S);
+	cheaper = order(a, now, v, &ideal);
 	if (bct_autoscale_remove(a, now, v, &ideal) || cheaper) {
 		if (v->reason == BCT_AUTOSCALE_UNCHANGED)
 			v->reason = cheaper || !fewer ? BCT_AUTOSCALE_CHEAPER : BCT_AUTOSCALE_IDLE;
--- a/policy/autoscale_int.h
+++ b/policy/autoscale_int.h
@@ -13,9 +13,6 @@
 /* After the loss of a domain's spot engines: a reserve for the time until new engines serve, as the
  * demand is an estimate and a second old. */
 #define BCT_AUTOSCALE_SURVIVE_PERMILLE 1100
-/* Engines that are replaced or removed in a second at most, as every node of the fleet is told of
- * each change. What callers need is ordered at once. */
-#define BCT_AUTOSCALE_CHANGES_PER_S 25
 /* Averages of the demand over this time decide on removals: the first seconds with cold caches, or
  * after an estimate began, would keep engines for as long as the window lasts. */
 #define BCT_AUTOSCALE_STEADY_S 3
--- a/policy/autoscale_remove.c
+++ b/policy/autoscale_remove.c
@@ -14,7 +14,6 @@
 /* Engines that may be removed now. */
 static uint32_t removals_left(bct_autoscale_t *a, bct_time_t now, const bct_autoscale_view_t *v)
 {
-	uint32_t most = BCT_AUTOSCALE_CHANGES_PER_S * (REMOVE_WINDOW_MS / BCT_MS_PER_S);
 	uint32_t share, recent = 0;
 
 	/* The fewest present within the window count: new ones have few streams yet. */
@@ -26,8 +25,6 @@
 			recent += a->removed[i];
 	if (!share)
 		share = 1;
-	if (share > most)
-		share = most;
 	return share > recent ? share - recent : 0;
 }
 
