--- a/gate/origin.c
+++ b/gate/origin.c
@@ -9,10 +9,9 @@
 
 #include <string.h>
 
-#define ASK_MS 60	    /* for the answers of peers in a round of asking */
-#define ASK_ROUNDS 2	    /* a datagram may be lost */
-#define LIVES_OF_A_STREAM 2 /* its time limit, and as long again until its caller is back */
-#define GONE_RETRY_MS 400   /* Retry-After while an upstream with the software is only avoided */
+#define ASK_MS 60	  /* for the answers of peers in a round of asking */
+#define ASK_ROUNDS 2	  /* a datagram may be lost */
+#define GONE_RETRY_MS 400 /* Retry-After while an upstream with the software is only avoided */
 
 struct bct_origins {
 	bct_share_topic_t topic;
@@ -107,17 +106,23 @@
 }
 
 /*
- * Nobody knows: if the service had only one release for as long as a stream can have lived, that
+ * Nobody knows: if the service had only one release for as long as the stream can have lived, that
  * began it; otherwise it can't go on. x may be freed on return.
  */
 static void conclude(bct_exchange_t *x)
 {
-	uint32_t ms = x->route->timeout_ms * LIVES_OF_A_STREAM;
+	bct_gate_take_up_t u = {
+		.service_key = x->query.service_key,
+		.limit_ms = x->route->timeout_ms,
+		.wait_ms = x->call.wait_ms,
+		.named = x->call.resumes_id[0] != '\0',
+	};
+	uint32_t window_ms;
 
-	x->origin.release = bct_gate_origins_sole(&x->gate->origins->records, bct_clock_now(),
-						  x->query.service_key, ms);
+	x->origin.release = bct_gate_origins_conclude(&x->gate->origins->records, bct_clock_now(),
+						      &u, &window_ms);
 	if (x->origin.release) {
-		go_on(x, "sole_release", ms);
+		go_on(x, "sole_release", window_ms);
 		return;
 	}
 	log_found(x, "none", 0);
@@ -315,7 +320,7 @@
 {
 	bct_time_t now = bct_clock_now();
 
-	bct_gate_origins_sweep(&o->records, now);
+	bct_gate_origins_sweep(&o->records, now, bct_gate_routes_longest_ms(o->gate->routes));
 	bct_gate_origins_observe(&o->records, now, &o->gate->upstreams);
 }
 
--- a/policy/gate_origins.c
+++ b/policy/gate_origins.c
@@ -9,6 +9,11 @@
 
 #include <string.h>
 
+/* Of the longer of the route's time limit and the caller's remaining time: a stream lives for one
+ * limit, and its caller is back within another. */
+#define LIVES_OF_A_STREAM 2
+#define WAIT_MAX_MS 3600000
+
 typedef struct record {
 	bct_list_t link;
 	uint64_t attempt;
@@ -28,6 +33,7 @@
 {
 	memset(t, 0, sizeof(*t));
 	bct_list_init(&t->by_age);
+	t->keep_ms = BCT_GATE_ORIGIN_KEEP_MS;
 }
 
 static void drop(bct_gate_origins_t *t, record_t *r)
@@ -104,12 +110,18 @@
 	}
 }
 
-void bct_gate_origins_sweep(bct_gate_origins_t *t, bct_time_t now)
+static uint32_t max_u32(uint32_t a, uint32_t b)
 {
+	return a > b ? a : b;
+}
+
+void bct_gate_origins_sweep(bct_gate_origins_t *t, bct_time_t now, uint32_t limit_ms)
+{
+	t->keep_ms = max_u32(BCT_GATE_ORIGIN_KEEP_MS, limit_ms * LIVES_OF_A_STREAM);
 	while (!bct_list_empty(&t->by_age)) {
 		record_t *r = bct_container_of(t->by_age.next, record_t, link);
 
-		if (now - r->began_at <= BCT_GATE_ORIGIN_KEEP_MS)
+		if (now - r->began_at <= t->keep_ms)
 			return;
 		drop(t, r);
 	}
@@ -146,7 +158,7 @@
 }
 
 /* A service without upstreams keeps what it had. */
-static void conclude(bct_gate_origins_t *t, bct_time_t now, service_t *s)
+static void conclude_service(bct_gate_origins_t *t, bct_time_t now, service_t *s)
 {
 	uint64_t release = s->mixed ? 0 : s->seen;
 
@@ -160,15 +172,21 @@
 void bct_gate_origins_observe(bct_gate_origins_t *t, bct_time_t now,
 			      const bct_gate_upstreams_t *upstreams)
 {
+	bool blind = upstreams->registry_lost ||
+		     (t->observed_at && now - t->observed_at > BCT_GATE_ORIGIN_GAP_MS);
 	bct_list_t *el;
 	uint32_t pos = 0;
 	service_t *s;
 
+	t->observed_at = now;
 	t->pass++;
 	bct_list_for_each(el, &upstreams->all)
 		see(t, now, bct_container_of(el, bct_gate_upstream_t, link));
-	while ((s = bct_map_next(&t->services, &pos)) != NULL)
-		conclude(t, now, s);
+	while ((s = bct_map_next(&t->services, &pos)) != NULL) {
+		conclude_service(t, now, s);
+		if (blind)
+			s->since = now;
+	}
 }
 
 uint64_t bct_gate_origins_sole(const bct_gate_origins_t *t, bct_time_t now, uint64_t service_key,
@@ -176,9 +194,26 @@
 {
 	const service_t *s = bct_map_get(&t->services, service_key);
 
+	if (now - t->observed_at > BCT_GATE_ORIGIN_GAP_MS)
+		return 0;
 	return s && s->release && now - s->since >= ms ? s->release : 0;
 }
 
+uint64_t bct_gate_origins_conclude(const bct_gate_origins_t *t, bct_time_t now,
+				   const bct_gate_take_up_t *u, uint32_t *window_ms)
+{
+	uint32_t wait_ms = 0, ms;
+
+	if (u->wait_ms > 0)
+		wait_ms = u->wait_ms < WAIT_MAX_MS ? (uint32_t)u->wait_ms : WAIT_MAX_MS;
+	ms = max_u32(u->limit_ms, wait_ms) * LIVES_OF_A_STREAM;
+	/* Younger streams have a record: this one is from before all nodes forgot theirs. */
+	if (u->named)
+		ms = max_u32(ms, t->keep_ms);
+	*window_ms = ms;
+	return bct_gate_origins_sole(t, now, u->service_key, ms);
+}
+
 uint32_t bct_gate_origin_homes(uint64_t attempt, const uint64_t *nodes, uint32_t n, uint64_t *out,
 			       uint32_t max)
 {
--- a/policy/gate_origins.h
+++ b/policy/gate_origins.h
@@ -21,17 +21,31 @@
 #define BCT_GATE_ORIGIN_ASKED 4
 #define BCT_GATE_ORIGIN_ASK_ALL 8 /* in a fleet of up to so many nodes all are asked */
 
+/* An observation that comes later than this after the last one follows a gap in which releases may
+ * have come and gone: the process was suspended, or short of processor time. */
+#define BCT_GATE_ORIGIN_GAP_MS 2000
+
 /* A stream may have begun at a run's successor that the registry listed so much later. */
 #define BCT_GATE_ORIGIN_DOUBT_MS 1500
 #define BCT_GATE_ORIGIN_DOUBT_OUTAGE_MS 15000 /* the same after an outage of the registry */
 
 typedef struct bct_gate_origins {
-	bct_map_t records;  /* attempt: record_t of gate_origins.c */
-	bct_list_t by_age;  /* oldest first */
-	bct_map_t services; /* service key: service_t of gate_origins.c */
-	uint32_t pass;	    /* number of the last observation of all upstreams */
+	bct_map_t records;	/* attempt: record_t of gate_origins.c */
+	bct_list_t by_age;	/* oldest first */
+	bct_map_t services;	/* service key: service_t of gate_origins.c */
+	uint32_t pass;		/* number of the last observation of all upstreams */
+	bct_time_t observed_at; /* time of that; 0: none yet */
+	uint32_t keep_ms;	/* how long records are kept */
 } bct_gate_origins_t;
 
+/* A request that takes a stream up of which there is no record. */
+typedef struct bct_gate_take_up {
+	uint64_t service_key;
+	uint32_t limit_ms; /* time limit of its route */
+	int64_t wait_ms;   /* that its caller still waits; negative: not stated */
+	bool named; /* it names the attempt that began the stream, so a record was expected */
+} bct_gate_take_up_t;
+
 void bct_gate_origins_init(bct_gate_origins_t *t);
 void bct_gate_origins_free(bct_gate_origins_t *t);
 
@@ -66,11 +80,17 @@
  */
 void bct_gate_origins_doubt(bct_gate_origins_t *t, bct_time_t now, uint32_t run, uint32_t doubt_ms);
 
-/* bct_gate_origins_sweep(3): drops records that are too old. */
-void bct_gate_origins_sweep(bct_gate_origins_t *t, bct_time_t now);
+/*
+ * bct_gate_origins_sweep(3): drops records that are too old.
+ *
+ * limit_ms  the longest time limit of a route: a record outlives its stream and its caller's pause
+ */
+void bct_gate_origins_sweep(bct_gate_origins_t *t, bct_time_t now, uint32_t limit_ms);
 
 /*
  * bct_gate_origins_observe(3): notes which releases the services run; to be called periodically.
+ * What was known before a gap between calls, or before the registry stopped to answer, says nothing
+ * about the time since.
  * bct_gate_origins_sole(3): the release of all upstreams of a service that were known in the last
  * ms, which began any stream of that time; 0 if there were several or it is not known.
  */
@@ -79,6 +99,15 @@
 uint64_t bct_gate_origins_sole(const bct_gate_origins_t *t, bct_time_t now, uint64_t service_key,
 			       uint32_t ms);
 
+/*
+ * bct_gate_origins_conclude(3): the release that must have begun a stream of which nobody has a
+ * record, as there was no other for as long as its caller can have waited; 0: it is not known.
+ *
+ * window_ms  receives how long that is
+ */
+uint64_t bct_gate_origins_conclude(const bct_gate_origins_t *t, bct_time_t now,
+				   const bct_gate_take_up_t *u, uint32_t *window_ms);
+
 /*
  * bct_gate_origin_homes(3): the nodes that keep the record of an attempt, best first.
  *
--- a/policy/gate_routes.c
+++ b/policy/gate_routes.c
@@ -59,6 +59,17 @@
 	bct_free(t);
 }
 
+uint32_t bct_gate_routes_longest_ms(const bct_gate_routes_t *t)
+{
+	uint32_t longest_ms = 0;
+
+	for (uint32_t i = 0; t && i < t->n_routes; i++) {
+		if (t->routes[i].timeout_ms > longest_ms)
+			longest_ms = t->routes[i].timeout_ms;
+	}
+	return longest_ms;
+}
+
 int bct_gate_routes_set_record(bct_gate_routes_t *t, const char *text, size_t len_bytes)
 {
 	t->record = bct_alloc(len_bytes + 1);
--- a/policy/gate_routes.h
+++ b/policy/gate_routes.h
@@ -103,6 +103,9 @@
 bct_gate_routes_t *bct_gate_routes_ref(bct_gate_routes_t *t);
 void bct_gate_routes_unref(bct_gate_routes_t *t);
 
+/* bct_gate_routes_longest_ms(3): returns the longest time limit of a route; 0 if t is NULL. */
+uint32_t bct_gate_routes_longest_ms(const bct_gate_routes_t *t);
+
 /*
  * bct_gate_routes_add_service(3), bct_gate_routes_add_route(3), bct_gate_routes_add_account(3),
  * bct_gate_routes_add_key(3): copy an entry and its strings into a table that is not yet sealed.
--- a/tests/test_gate_origins.c
+++ b/tests/test_gate_origins.c
@@ -72,7 +72,7 @@
 
 	put(1000, 1, origin(7, 1), 0);
 	put(5000, 2, origin(7, 1), 0);
-	bct_gate_origins_sweep(&t, 1001 + BCT_GATE_ORIGIN_KEEP_MS);
+	bct_gate_origins_sweep(&t, 1001 + BCT_GATE_ORIGIN_KEEP_MS, 0);
 	cr_expect_not(bct_gate_origins_get(&t, 70000, 1, &o, NULL));
 	cr_expect(bct_gate_origins_get(&t, 70000, 2, &o, NULL));
 }
@@ -103,6 +103,13 @@
 		bct_gate_upstreams_remove(u, 1, id, 0);
 }
 
+/* Observes as often as a node does. */
+static void observe(bct_time_t from, bct_time_t to, const bct_gate_upstreams_t *u)
+{
+	for (bct_time_t now = from; now <= to; now += 100)
+		bct_gate_origins_observe(&t, now, u);
+}
+
 /* A caller that names no attempt is served as long as only one version can have begun its stream:
  * from a release on not before a stream of the old version must have ended. */
 Test(gate_origins, one_release_for_long_is_the_origin)
@@ -115,21 +122,22 @@
 	list(&u, "b", "v1", true);
 	service = bct_gate_upstreams_find(&u, "a")->service_key;
 	v1 = bct_gate_upstreams_find(&u, "a")->release;
-	bct_gate_origins_observe(&t, 1000, &u);
-	cr_expect_eq(bct_gate_origins_sole(&t, 8999, service, 8000), 0, "not known for so long");
+	observe(1000, 9000, &u);
+	cr_expect_eq(bct_gate_origins_sole(&t, 9000, service, 8001), 0, "not known for so long");
 	cr_expect_eq(bct_gate_origins_sole(&t, 9000, service, 8000), v1);
+	observe(9100, 19900, &u);
 	list(&u, "c", "v2", true);
-	bct_gate_origins_observe(&t, 20000, &u);
-	cr_expect_eq(bct_gate_origins_sole(&t, 20000, service, 8000), 0);
+	observe(20000, 24900, &u);
+	cr_expect_eq(bct_gate_origins_sole(&t, 24900, service, 8000), 0);
 	list(&u, "a", "", false);
 	list(&u, "b", "", false);
 	bct_gate_upstreams_sweep(&u, 2);
-	bct_gate_origins_observe(&t, 25000, &u);
-	cr_expect_eq(bct_gate_origins_sole(&t, 32999, service, 8000), 0, "v1 may have begun it");
+	observe(25000, 33000, &u);
+	cr_expect_eq(bct_gate_origins_sole(&t, 33000, service, 8001), 0, "v1 may have begun it");
 	cr_expect_eq(bct_gate_origins_sole(&t, 33000, service, 8000),
 		     bct_gate_upstreams_find(&u, "c")->release);
 	list(&u, "d", "", true);
-	bct_gate_origins_observe(&t, 40000, &u);
+	observe(33100, 60000, &u);
 	cr_expect_eq(bct_gate_origins_sole(&t, 60000, service, 8000), 0, "d may be anything");
 	bct_gate_upstreams_free(&u);
 }
--- a/tests/test_gate_software.c
+++ b/tests/test_gate_software.c
@@ -246,8 +246,8 @@
 	bct_buf_t out;
 
 	test_gate_start(&gates[0]);
-	/* Longer than twice the time limit of the route. */
-	bct_clock_sleep(6000);
+	/* Longer than twice the time limit of the route, 2.5 s, and the caller's time, 3 s. */
+	bct_clock_sleep(7000);
 	cr_expect_eq(test_gate_take_up(&gates[0], "/resume/a", "o1", "stream", NULL, 2, &out), 200);
 	bct_buf_free(&out);
 }
