--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -26,6 +26,8 @@
 #define OTHER_ZONE_COST_MS 4   /* another failure domain: latency and traffic between domains */
 #define WORK_PERMILLE 500      /* of the prefill time, in addition to that time */
 #define NO_AFFINITY_COST_MS 15 /* keeps a segment on few engines when nothing else decides */
+#define SCATTER_PERMILLE 1000  /* of the time to bring shared segments to another engine */
+#define POPULAR_USES 8	       /* recent requests from which on that counts less */
 #define JITTER_MS 3	       /* breaks ties, so that nodes do not all choose the same upstream */
 
 #define COPY_SETUP_MS 5 /* before a copy between engines starts to flow */
@@ -56,6 +58,8 @@
 	const bct_gate_pick_input_t *in;
 	const bct_gate_lanes_t *lanes;	     /* NULL: no lanes */
 	const bct_gate_upstream_t *affinity; /* affinity engine of the prompt, or NULL */
+	uint32_t shared_tokens;		     /* of the segments that prompts share */
+	uint32_t scatter_permille;	     /* see scatter_cost() */
 	source_t source;
 } pick_ctx_t;
 
@@ -306,6 +310,13 @@
 	return c->first_byte_ms + (uint64_t)c->work_ms * WORK_PERMILLE / PERMILLE;
 }
 
+static uint32_t scatter_permille(const bct_gate_picker_t *p, bct_time_t now, uint64_t segment)
+{
+	uint32_t uses = bct_gate_prefix_recent(&p->prefix, now, segment);
+
+	return uses <= POPULAR_USES ? SCATTER_PERMILLE : SCATTER_PERMILLE * POPULAR_USES / uses;
+}
+
 static uint64_t lane_cost(int32_t distance)
 {
 	return distance >= 0 ? (uint64_t)distance * LOOSER_COST_MS
@@ -341,6 +352,7 @@
 	if (copy_ms * COPY_MARGIN >= prefill_ms(p, copied))
 		return;
 	c->source = ctx->source.upstream;
+	c->copy_ms = copy_ms;
 	c->cached_tokens = ctx->source.tokens;
 	c->work_ms = prefill_ms(p, in->prompt_tokens - ctx->source.tokens) + copy_ms;
 }
@@ -351,6 +363,21 @@
 	return (uint32_t)((uint64_t)ms * u->slow_permille / PERMILLE);
 }
 
+/*
+ * Shared segments that are brought elsewhere than to their affinity engine, by prefill or copy,
+ * will be brought again: the next request with them goes to the affinity engine, unless it is
+ * overloaded then, too. The more requests have them, the sooner one finds them at another engine.
+ */
+static uint64_t scatter_cost(const bct_gate_picker_t *p, const pick_ctx_t *ctx,
+			     const bct_gate_choice_t *c)
+{
+	uint64_t ms = (uint64_t)c->copy_ms * COPY_MARGIN;
+
+	if (c->cached_tokens < ctx->shared_tokens)
+		ms += prefill_ms(p, ctx->shared_tokens - c->cached_tokens);
+	return ms * ctx->scatter_permille / PERMILLE;
+}
+
 static void score(bct_gate_picker_t *p, bct_time_t now, const pick_ctx_t *ctx, const candidate_t *c,
 		  scored_t *out)
 {
@@ -372,7 +399,7 @@
 	out->cost += lane_cost(out->choice.lane_distance);
 	out->cost += fail_cost(in, u);
 	if (ctx->affinity && u != ctx->affinity)
-		out->cost += NO_AFFINITY_COST_MS;
+		out->cost += NO_AFFINITY_COST_MS + scatter_cost(p, ctx, &out->choice);
 	if (in->zone && strcmp(in->zone, u->entry.zone) != 0)
 		out->cost += OTHER_ZONE_COST_MS;
 	out->cost += bct_rng_below(&p->rng, JITTER_MS);
@@ -407,6 +434,8 @@
 	if (n_shared) {
 		ctx.affinity = affinity_engine(in->segments[n_shared - 1].id, c, n, l, in->gap_ms);
 		ctx.source = find_source(p, now, in, c, n);
+		ctx.shared_tokens = leading_tokens(in, n_shared);
+		ctx.scatter_permille = scatter_permille(p, now, in->segments[n_shared - 1].id);
 	}
 	draw_sample(p, &ctx, c, n);
 	for (uint32_t i = 0; i < n; i++) {
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -40,6 +40,7 @@
 	uint32_t first_byte_ms;	       /* time to the first byte, at the observed pace */
 	uint32_t cached_tokens;	       /* of the prompt: cached there, or copied there first */
 	bct_gate_upstream_t *source;   /* engine to copy cached segments from; NULL: none */
+	uint32_t copy_ms;	       /* time that the copy takes, part of work_ms */
 	int32_t lane_distance;	       /* see bct_gate_lanes_distance(3) */
 	uint32_t limited;	       /* upstreams whose statements allow no request now */
 	uint32_t brittle;    /* those of them that are brittle: another node may send there */
--- a/policy/gate_prefix.c
+++ b/policy/gate_prefix.c
@@ -6,10 +6,14 @@
 
 #include <string.h>
 
+#define HALVINGS_MAX 32 /* bits of a count */
+
 typedef struct entry {
 	bct_list_t link;
 	uint64_t segment;
-	uint32_t uses; /* requests with the segment */
+	uint32_t uses;		/* requests with the segment */
+	uint32_t recent;	/* the same, halved every keep_ms */
+	bct_time_t recent_from; /* when it was last halved */
 	bct_gate_holder_t holders[BCT_GATE_HOLDERS];
 } entry_t;
 
@@ -39,7 +43,7 @@
 }
 
 /* Makes the entry the most recently used one. Returns NULL if memory is short. */
-static entry_t *find_or_add(bct_gate_prefix_t *p, uint64_t segment)
+static entry_t *find_or_add(bct_gate_prefix_t *p, bct_time_t now, uint64_t segment)
 {
 	entry_t *e = bct_map_get(&p->by_segment, segment);
 
@@ -54,6 +58,7 @@
 	if (!e)
 		return NULL;
 	e->segment = segment;
+	e->recent_from = now;
 	if (bct_map_put(&p->by_segment, segment, e)) {
 		bct_free(e);
 		return NULL;
@@ -63,6 +68,23 @@
 	return e;
 }
 
+static uint32_t halvings(const bct_gate_prefix_t *p, bct_time_t now, const entry_t *e)
+{
+	bct_time_t n = (now - e->recent_from) / p->keep_ms;
+
+	return n < HALVINGS_MAX ? (uint32_t)n : HALVINGS_MAX - 1;
+}
+
+static void halve(const bct_gate_prefix_t *p, bct_time_t now, entry_t *e)
+{
+	uint32_t n = halvings(p, now, e);
+
+	if (!n)
+		return;
+	e->recent >>= n;
+	e->recent_from = now;
+}
+
 /* Replaces the upstream that the segment was sent to longest ago, unless it is on record. */
 static void record_holder(entry_t *e, bct_time_t now, const bct_gate_holder_t *h)
 {
@@ -86,10 +108,12 @@
 			  uint32_t n, const bct_gate_holder_t *h)
 {
 	for (uint32_t i = 0; i < n; i++) {
-		entry_t *e = find_or_add(p, segments[i].id);
+		entry_t *e = find_or_add(p, now, segments[i].id);
 
 		if (!e)
 			return;
+		halve(p, now, e);
+		e->recent++;
 		record_holder(e, now, h);
 	}
 }
@@ -129,3 +153,10 @@
 
 	return e && e->uses > 1;
 }
+
+uint32_t bct_gate_prefix_recent(const bct_gate_prefix_t *p, bct_time_t now, uint64_t segment)
+{
+	const entry_t *e = bct_map_get(&p->by_segment, segment);
+
+	return e ? e->recent >> halvings(p, now, e) : 0;
+}
--- a/policy/gate_prefix.h
+++ b/policy/gate_prefix.h
@@ -70,4 +70,10 @@
 /* bct_gate_prefix_shared(3): returns whether more than one recorded request had the segment. */
 bool bct_gate_prefix_shared(const bct_gate_prefix_t *p, uint64_t segment);
 
+/*
+ * bct_gate_prefix_recent(3): returns how many recorded requests had the segment recently; those of
+ * the last keep_ms count in full or half, older ones less.
+ */
+uint32_t bct_gate_prefix_recent(const bct_gate_prefix_t *p, bct_time_t now, uint64_t segment);
+
 #endif
