--- a/policy/gate_lanes.c
+++ b/policy/gate_lanes.c
@@ -10,6 +10,7 @@
 #define UPDATE_MS 500
 #define AVERAGE_KEEP 0.75   /* weight of the old average at each update */
 #define TIGHT_SHARE_MAX 0.4 /* of all engines, for one lane during a shortage */
+#define TIGHT_HEADROOM 1.15 /* of the engines that the work of a lane fills, in a shortage */
 #define FLOOR_ENGINES 0.3   /* in addition to what the work needs, as it arrives unevenly */
 #define HEADROOM_MS 150.0   /* a lane for this gap gets twice the engines that its work fills */
 #define ROUND_INERTIA 0.65  /* a lane's end moves if it is off by more engines than this */
@@ -49,6 +50,12 @@
 	}
 }
 
+/* Engines that the work of a lane fills, as a fraction. */
+static double engines_filled(const bct_gate_lane_t *a)
+{
+	return (a->work + a->peer_work) / BCT_MS_PER_S;
+}
+
 /*
  * Engines that a lane needs, as a fraction. The shorter the gap, the more idle time its streams
  * need around them; requests with a long gap can queue.
@@ -57,7 +64,7 @@
 {
 	double headroom = 1 + HEADROOM_MS / (a->gap_ms ? a->gap_ms : HEADROOM_MS);
 
-	return (a->work + a->peer_work) * headroom / BCT_MS_PER_S + FLOOR_ENGINES;
+	return engines_filled(a) * headroom + FLOOR_ENGINES;
 }
 
 /* Leaves at least one engine for this lane and for each lane after it. */
@@ -75,17 +82,19 @@
 
 /*
  * Engines for a lane, as a fraction. With enough engines, the spare ones are distributed in
- * proportion to need. In a shortage each lane gets what it needs up to TIGHT_SHARE_MAX of all
- * engines, as streams with a short gap would all stall; the last lane, whose requests can wait or
+ * proportion to need. In a shortage each lane gets little more than its work fills, up to
+ * TIGHT_SHARE_MAX of all engines, as streams with a short gap would all stall; more idle time
+ * around them would be taken from work that is refused. The last lane, whose requests can wait or
  * be retried, gets the remainder.
  */
 static double engine_share(const bct_gate_lane_t *a, double total, uint32_t engines)
 {
-	double need = engines_needed(a), limit = engines * TIGHT_SHARE_MAX;
+	double least = engines_filled(a) * TIGHT_HEADROOM + FLOOR_ENGINES;
+	double limit = engines * TIGHT_SHARE_MAX;
 
 	if (total <= engines)
-		return need / total * engines;
-	return need < limit ? need : limit;
+		return engines_needed(a) / total * engines;
+	return least < limit ? least : limit;
 }
 
 /* Gives each lane a contiguous range of engines, in ascending order of gaps. */
--- a/tests/test_gate_policy.c
+++ b/tests/test_gate_policy.c
@@ -687,6 +687,17 @@
 	cr_assert_eq(bct_gate_lanes_distance(&shortage, 1000, 0), -1);
 }
 
+/* While long prompts of a cold cache are refused, engines must not stand idle around streams. */
+Test(gate_lanes, a_shortage_leaves_few_engines_idle)
+{
+	bct_gate_lanes_t normal = lanes_of_work(8000, 16000, 40);
+	bct_gate_lanes_t shortage = lanes_of_work(8000, 60000, 40);
+
+	cr_assert_geq(normal.lanes[0].n, 13, "%u engines", normal.lanes[0].n);
+	cr_assert_geq(shortage.lanes[0].n, 9, "%u engines", shortage.lanes[0].n);
+	cr_assert_leq(shortage.lanes[0].n, 10, "%u engines for work of 8", shortage.lanes[0].n);
+}
+
 /* With no more engines than lanes, all lanes share all engines. */
 Test(gate_lanes, few_engines_are_shared)
 {
