--- a/gate/crash.c
+++ b/gate/crash.c
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "gate/crash.h"
 #include "gate/part.h"
+#include "gate/running.h"
 #include "gate/share.h"
 
 #include <string.h>
--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -8,6 +8,7 @@
 #include "gate/part.h"
 #include "gate/relay.h"
 #include "gate/returns.h"
+#include "gate/running.h"
 #include "gate/share.h"
 #include "base/err.h"
 #include "base/hash.h"
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -8,6 +8,7 @@
 #include "gate/part.h"
 #include "gate/reach.h"
 #include "gate/relay.h"
+#include "gate/running.h"
 #include "base/hash.h"
 #include "base/mem.h"
 
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -15,6 +15,7 @@
 #include "gate/reach.h"
 #include "gate/registry_sync.h"
 #include "gate/relay.h"
+#include "gate/running.h"
 #include "gate/share.h"
 #include "gate/usage.h"
 #include "gate/window.h"
@@ -23,11 +24,6 @@
 #include <string.h>
 
 #define TICK_MS 100
-#define SUSPENDED_MS 2000   /* without a tick; peers then begin to do without this node */
-#define RESUME_HOLD_MS 1000 /* to hear from peers what they granted each other meanwhile */
-/* Callers may use an address for up to three times its announced lifetime. */
-#define LIFETIMES_KEPT 3
-#define STOP_MARGIN_MS 500 /* to exit before the platform kills the process */
 
 static void release_upstream(void *ctx, bct_gate_upstream_t *u)
 {
@@ -60,25 +56,6 @@
 		drain(g);
 }
 
-/* Time after the stop began, in ms, at which no caller uses this node's address any more. */
-static bct_time_t addresses_expire_ms(const bct_gate_t *g)
-{
-	return (bct_time_t)g->settings->caller_entry_lifetime_ms * LIFETIMES_KEPT;
-}
-
-/* Time after the stop began, in ms, at which the node ends in any case. */
-static bct_time_t stop_deadline_ms(const bct_gate_t *g)
-{
-	return (bct_time_t)g->settings->gate_grace_ms - STOP_MARGIN_MS;
-}
-
-bool bct_gate_takes_on(const bct_gate_t *g, bct_time_t deadline)
-{
-	if (!g->draining || bct_clock_now() < g->drain_started + addresses_expire_ms(g))
-		return true;
-	return deadline <= g->drain_started + stop_deadline_ms(g);
-}
-
 /*
  * Stops listening and closes idle connections once the addresses that callers obtained have
  * expired. Ends the event loop when no connection remains and the duties are released, or when the
@@ -88,8 +65,8 @@
 static void drain_step(bct_gate_t *g)
 {
 	bct_time_t elapsed_ms = bct_clock_now() - g->drain_started;
-	bool addresses_expired = elapsed_ms >= addresses_expire_ms(g);
-	bct_time_t deadline_ms = stop_deadline_ms(g);
+	bool addresses_expired = bct_gate_addresses_expired(g);
+	bct_time_t deadline_ms = bct_gate_stop_deadline_ms(g);
 
 	if (addresses_expired) {
 		bct_clients_stop_listening(g);
@@ -115,23 +92,6 @@
 	g->rank = fleet.rank;
 }
 
-bool bct_gate_is_resuming(const bct_gate_t *g)
-{
-	return g->resumed_at && bct_clock_now() - g->resumed_at < RESUME_HOLD_MS;
-}
-
-void bct_gate_check_resumed(bct_gate_t *g)
-{
-	bct_time_t now = bct_clock_now(), gap_ms = now - g->ticked_at;
-
-	if (!g->share || gap_ms < SUSPENDED_MS)
-		return;
-	BCT_LOG(g->log, BCT_EV_NODE_RESUMED, BCT_I64("ms", gap_ms),
-		BCT_U64("requests", g->n_exchanges));
-	g->ticked_at = g->resumed_at = now;
-	bct_notice_suspend(g);
-}
-
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	bct_gate_t *g = ctx;
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -133,22 +133,6 @@
 	uint64_t draw; /* selects a service of a split route */
 };
 
-/*
- * bct_gate_takes_on(3): whether a request that may last until deadline is taken on: always, unless
- * the node stops and callers have had the time to go elsewhere; then only if it ends before the
- * node.
- */
-bool bct_gate_takes_on(const bct_gate_t *g, bct_time_t deadline);
-
-/*
- * bct_gate_check_resumed(3): to be called before this node uses what its peers grant it (parts of
- * limits, trials): they may have divided it among themselves while this process did not run. It
- * then does without for as long as it takes to hear of that.
- */
-void bct_gate_check_resumed(bct_gate_t *g);
-/* bct_gate_is_resuming(3): whether that is so now. */
-bool bct_gate_is_resuming(const bct_gate_t *g);
-
 /* listen.c */
 int bct_clients_listen(bct_gate_t *g);
 /* bct_clients_accept_again(3): after a lack of file descriptors; to be called periodically. */
--- a/gate/notice.c
+++ b/gate/notice.c
@@ -4,6 +4,7 @@
 #include "gate/notice.h"
 #include "gate/brittle.h"
 #include "gate/exchange_int.h"
+#include "gate/running.h"
 #include "gate/share.h"
 
 static bct_gate_limit_nodes_t live_nodes(const bct_gate_t *g, uint64_t *live)
@@ -128,19 +129,6 @@
 	return true;
 }
 
-void bct_notice_suspend(bct_gate_t *g)
-{
-	bct_time_t now = bct_clock_now();
-	bct_list_t *el;
-
-	bct_list_for_each(el, &g->upstreams.all) {
-		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
-
-		bct_gate_limit_suspend(&u->limit, now);
-		bct_gate_brittle_suspend(&u->brittle, now);
-	}
-}
-
 void bct_notice_assign_limits(bct_gate_t *g)
 {
 	uint64_t live[BCT_SHARE_NODES_MAX];
--- a/gate/notice.h
+++ b/gate/notice.h
@@ -27,8 +27,6 @@
 			       const bct_gate_limit_report_t *r, uint64_t from);
 bool bct_notice_leaving_reported(bct_gate_t *g, bct_gate_upstream_t *u, uint64_t from);
 
-/* bct_notice_suspend(3): this node has no part of any limit until they are computed again. */
-void bct_notice_suspend(bct_gate_t *g);
 /* bct_notice_assign_limits(3): compute this node's part of each limit; call it periodically. */
 void bct_notice_assign_limits(bct_gate_t *g);
 
--- a/gate/part.c
+++ b/gate/part.c
@@ -2,6 +2,7 @@
  * part.c - parts of prompts that crash upstreams, as judged by this node and others.
  */
 #include "gate/part.h"
+#include "gate/running.h"
 #include "gate/share.h"
 
 bct_parts_t bct_part_of(const bct_exchange_t *x)
