--- a/gate/answer.c
+++ b/gate/answer.c
@@ -2,7 +2,7 @@
  * answer.c - writes responses to callers: those that the gateway generates itself, and forwarded
  * ones with the upstream's headers.
  */
-#include "gate/relay.h"
+#include "gate/relay_head.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -198,7 +198,7 @@
 	bct_reach_ok(x->gate, x->conn->upstream, x->conn->opened);
 }
 
-bool bct_exchange_head(bct_exchange_t *x)
+static bool on_head(bct_exchange_t *x)
 {
 	int status = x->conn->msg.status;
 	bct_wire_answer_t a;
@@ -324,7 +324,7 @@
 	return len > LARGE_BYTES && large_bytes(x->gate) + len_bytes > RESPONSE_MAX_BYTES;
 }
 
-int bct_exchange_body(bct_exchange_t *x, const char *data, size_t len_bytes)
+static int on_body(bct_exchange_t *x, const char *data, size_t len_bytes)
 {
 	note_progress(x);
 	if (x->streaming)
@@ -368,7 +368,7 @@
 	bct_exchange_end(x, BCT_GATE_END_OK, false);
 }
 
-void bct_exchange_complete(bct_exchange_t *x)
+static void on_complete(bct_exchange_t *x)
 {
 	bool ok = is_success(x->status);
 
@@ -386,3 +386,11 @@
 	bct_exchange_finish_attempt(x);
 	bct_exchange_end(x, ok ? BCT_GATE_END_OK : BCT_GATE_END_UPSTREAM_ERROR, false);
 }
+
+const bct_upconn_user_ops_t bct_exchange_upconn_ops = {
+	.connected = bct_exchange_connected,
+	.fault = bct_exchange_fault,
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+};
--- a/gate/client.c
+++ b/gate/client.c
@@ -59,7 +59,7 @@
 
 	c->x = NULL;
 	if (x)
-		bct_exchange_abandon(x, end);
+		c->gate->client_ops->gone(x, end);
 	bct_list_del(&c->link);
 	bct_memory_closed(c);
 	c->gate->n_clients--;
@@ -100,6 +100,19 @@
 	close_when_flushed(c);
 }
 
+static void resume_reading(bct_client_t *c)
+{
+	c->waits = false;
+	bct_list_del(&c->waiting);
+	bufferevent_enable(c->bev, EV_READ);
+	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+	if (c->x)
+		return;
+	c->due = bct_clock_now() + c->left_ms;
+	set_timer(c, c->left_ms > 0 ? (uint32_t)c->left_ms : 1);
+}
+
 /* Answers a request whose body there is no room for, and closes the connection. */
 static void refuse_for_room(bct_client_t *c)
 {
@@ -108,7 +121,7 @@
 		BCT_STR("why", "no room for its body"));
 	/* What still comes of the body is discarded. */
 	if (c->waits)
-		bct_client_resume(c);
+		resume_reading(c);
 	c->close_after = true;
 	bct_answer_local(c, &(bct_answer_opts_t){ .status = 503,
 						  .retry_after_ms = bct_memory_retry_ms(c->gate),
@@ -118,7 +131,7 @@
 }
 
 /* The time for which a request waits for room is not charged to its caller. */
-void bct_client_wait(bct_client_t *c)
+static void wait_for_room(bct_client_t *c)
 {
 	c->waits = true;
 	bct_memory_wait(c);
@@ -129,19 +142,6 @@
 	set_timer(c, get_limits(c->gate).header_timeout_ms);
 }
 
-void bct_client_resume(bct_client_t *c)
-{
-	c->waits = false;
-	bct_list_del(&c->waiting);
-	bufferevent_enable(c->bev, EV_READ);
-	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
-		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-	if (c->x)
-		return;
-	c->due = bct_clock_now() + c->left_ms;
-	set_timer(c, c->left_ms > 0 ? (uint32_t)c->left_ms : 1);
-}
-
 /* Part of the body is still to come: without room for it, a new request is refused or waits. */
 static void check_room(bct_client_t *c, bool is_new)
 {
@@ -150,15 +150,15 @@
 	if (is_new && bct_memory_refuses(c->gate))
 		refuse_for_room(c);
 	else
-		bct_client_wait(c);
+		wait_for_room(c);
 }
 
-void bct_client_cut(bct_client_t *c)
+static void cut_unread(bct_client_t *c)
 {
 	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
 
 	if (c->x && !c->x->answer_started && !evbuffer_get_length(bufferevent_get_output(c->bev))) {
-		bct_exchange_drop_kept(c->x);
+		c->gate->client_ops->drop_kept(c->x);
 		return;
 	}
 	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -198,7 +198,7 @@
 	bct_memory_body_ended(c);
 	if (!c->msg.keep_alive || c->gate->draining)
 		c->close_after = true;
-	bct_exchange_start(c, body);
+	c->gate->client_ops->request(c, body);
 }
 
 static void refuse_failed(bct_client_t *c)
@@ -268,7 +268,7 @@
 	if (!c->x && !c->waits)
 		read_request(c);
 	else if (c->x && !c->waits && bct_memory_is_short(c->gate))
-		bct_client_wait(c);
+		wait_for_room(c);
 }
 
 static void on_write(struct bufferevent *bev, void *ctx)
@@ -277,7 +277,7 @@
 
 	(void)bev;
 	if (c->x)
-		bct_exchange_flushed(c->x);
+		c->gate->client_ops->flushed(c->x);
 	else if (c->close_after && !c->closing &&
 		 !evbuffer_get_length(bufferevent_get_output(c->bev)))
 		start_linger(c);
@@ -309,7 +309,7 @@
 void bct_client_answered(bct_client_t *c, bool truncated)
 {
 	if (c->waits)
-		bct_client_resume(c);
+		resume_reading(c);
 	c->x = NULL;
 	c->flushed = false;
 	if (truncated)
@@ -407,8 +407,12 @@
 
 void bct_clients_free(bct_gate_t *g)
 {
-	bct_clients_stop_listening(g);
 	while (!bct_list_empty(&g->clients))
 		client_free(bct_container_of(g->clients.next, bct_client_t, link),
 			    BCT_GATE_END_STOPPING);
 }
+
+const bct_client_flow_ops_t bct_client_flow_ops = {
+	.cut = cut_unread,
+	.resume = resume_reading,
+};
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -8,6 +8,7 @@
 #include "gate/part.h"
 #include "gate/reach.h"
 #include "gate/relay.h"
+#include "gate/relay_head.h"
 #include "gate/running.h"
 #include "base/hash.h"
 #include "base/mem.h"
@@ -125,6 +126,7 @@
 		evbuffer_free(body);
 		return NULL;
 	}
+	x->ops = &bct_exchange_upconn_ops;
 	x->gate = c->gate;
 	x->client = c;
 	x->body = body;
@@ -304,7 +306,7 @@
 	return true;
 }
 
-void bct_exchange_start(bct_client_t *c, struct evbuffer *body)
+static void on_request(bct_client_t *c, struct evbuffer *body)
 {
 	bct_exchange_t *x = exchange_new(c, body);
 
@@ -334,3 +336,10 @@
 	else
 		bct_exchange_dispatch(x);
 }
+
+const bct_client_ops_t bct_exchange_client_ops = {
+	.request = on_request,
+	.flushed = bct_exchange_flushed,
+	.gone = bct_exchange_abandon,
+	.drop_kept = bct_exchange_drop_kept,
+};
--- a/gate/exchange_int.h
+++ b/gate/exchange_int.h
@@ -6,7 +6,7 @@
 #ifndef BCT_GATE_EXCHANGE_INT_H
 #define BCT_GATE_EXCHANGE_INT_H
 
-#include "gate/gate_int.h"
+#include "gate/exchange.h"
 
 /* bct_exchange_pace_kind(3): the streams whose pace is compared with this one's. */
 static inline bct_gate_pace_kind_t bct_exchange_pace_kind(const bct_exchange_t *x)
@@ -51,6 +51,14 @@
 	return x->caller_deadline < x->route_deadline ? x->caller_deadline : x->route_deadline;
 }
 
+/* Events of the connection that carries the current attempt, see bct_upconn_user_ops_t. */
+extern const bct_upconn_user_ops_t bct_exchange_upconn_ops;
+void bct_exchange_connected(bct_exchange_t *x);
+void bct_exchange_fault(bct_exchange_t *x, bct_attempt_fault_t fault);
+
+/* bct_exchange_flushed(3): little output to the caller is unsent; resume reading the answer. */
+void bct_exchange_flushed(bct_exchange_t *x);
+
 /* bct_exchange_free(3): release x without a response or a log record. Used by the functions that
  * end an exchange and when creating one fails. */
 void bct_exchange_free(bct_exchange_t *x);
@@ -68,5 +76,10 @@
 void bct_exchange_end(bct_exchange_t *x, bct_gate_end_t end, bool truncated);
 void bct_exchange_refuse(bct_exchange_t *x, bct_gate_end_t end, const bct_answer_opts_t *o);
 void bct_exchange_give_up(bct_exchange_t *x);
+/* bct_exchange_abandon(3): end without an answer: the caller disconnected or this node stops. */
+void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end);
+/* bct_exchange_drop_kept(3): end with 502: there is no room to keep its answer until it is whole.
+ */
+void bct_exchange_drop_kept(bct_exchange_t *x);
 
 #endif
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -8,6 +8,7 @@
 #include "gate/brittle.h"
 #include "gate/crash.h"
 #include "gate/duty.h"
+#include "gate/exchange.h"
 #include "gate/memory.h"
 #include "gate/notice.h"
 #include "gate/origin.h"
@@ -165,6 +166,7 @@
 	g->settings = opts->settings;
 	g->wire = opts->wire;
 	g->log = opts->log;
+	g->client_ops = &bct_exchange_client_ops;
 	bct_list_init(&g->clients);
 	bct_list_init(&g->probes);
 	bct_gate_upstreams_init(&g->upstreams);
@@ -195,7 +197,7 @@
 	if (!rc && reports_usage(g))
 		rc = bct_gate_usage_new(g, &g->usage);
 	if (!rc)
-		rc = bct_memory_new(g, &g->memory);
+		rc = bct_memory_new(g, &bct_client_flow_ops, &g->memory);
 	if (!rc)
 		rc = bct_local_new(g, &g->local);
 	if (!rc)
@@ -229,6 +231,7 @@
 
 	if (!g)
 		return;
+	bct_clients_stop_listening(g);
 	bct_clients_free(g);
 	bct_duty_free(g->duty);
 	bct_registry_sync_free(g->registry_sync);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -29,6 +29,7 @@
 #include <event2/event.h>
 
 typedef struct bct_client bct_client_t;
+typedef struct bct_client_ops bct_client_ops_t;
 typedef struct bct_exchange bct_exchange_t;
 typedef struct bct_upconn bct_upconn_t;
 typedef struct bct_registry_sync bct_registry_sync_t;
@@ -106,6 +107,7 @@
 	bct_list_t probes; /* connections that are being established without a request */
 	bct_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
 	bct_map_t budgets;		/* service key -> bct_gate_budget_t */
+	const bct_client_ops_t *client_ops;
 	bct_list_t clients;
 	uint32_t n_clients;
 	bool accept_failed; /* nothing is accepted until the next tick */
@@ -146,6 +148,18 @@
 void bct_clients_check_windows(bct_gate_t *g);
 void bct_clients_free(bct_gate_t *g);
 
+/* What becomes of a caller's requests; see exchange.c. The exchange may be gone on return. */
+struct bct_client_ops {
+	/* a request is complete; the exchange takes ownership of body */
+	void (*request)(bct_client_t *c, struct evbuffer *body);
+	/* little output to the caller is unsent */
+	void (*flushed)(bct_exchange_t *x);
+	/* the caller disconnected, or this node stops: end is why there is no answer */
+	void (*gone)(bct_exchange_t *x, bct_gate_end_t end);
+	/* there is no room to keep the answer until it is whole */
+	void (*drop_kept)(bct_exchange_t *x);
+};
+
 /* A caller's connection. */
 struct bct_client {
 	bct_gate_t *gate;
@@ -175,16 +189,19 @@
 
 /* bct_client_new(3): takes an accepted connection; returns NULL without memory. */
 bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node);
-/* bct_client_wait(3), bct_client_resume(3): stop reading until there is room; go on. Meanwhile the
- * caller's end is not noticed. */
-void bct_client_wait(bct_client_t *c);
-void bct_client_resume(bct_client_t *c);
-/*
- * bct_client_cut(3): ends the response that the caller does not read, to free what it holds. The
- * connection is reset, so that the response can't be taken for a complete one. Frees c unless
- * nothing of the response was sent.
- */
-void bct_client_cut(bct_client_t *c);
+/* What the bound on buffered bytes does to callers. */
+typedef struct bct_client_flow_ops {
+	/* goes on to read from a caller that waited */
+	void (*resume)(bct_client_t *c);
+	/*
+	 * ends the response that the caller does not read, to free what it holds. The connection is
+	 * reset, so that the response can't be taken for a complete one. Frees c unless nothing of
+	 * the response was sent.
+	 */
+	void (*cut)(bct_client_t *c);
+} bct_client_flow_ops_t;
+
+extern const bct_client_flow_ops_t bct_client_flow_ops;
 
 /* answer.c */
 typedef struct bct_answer_opts {
@@ -204,6 +221,27 @@
 /* bct_head_copy(3): append the end-to-end header lines of an answer. returns 0 or out's error. */
 int bct_head_copy(const bct_http_msg_t *m, bct_buf_t *out);
 
+typedef enum bct_attempt_fault {
+	BCT_FAULT_CONNECT = 1, /* nothing was sent */
+	BCT_FAULT_BROKEN,      /* the connection broke */
+	BCT_FAULT_BAD_ANSWER,  /* malformed, not sealed by the upstream, or of another request */
+	BCT_FAULT_SILENT,      /* no byte within the time limit for silence */
+	BCT_FAULT_UNREAD,      /* the connection broke while the caller did not read the answer */
+} bct_attempt_fault_t;
+
+/*
+ * Events of the connection that carries the current attempt of an exchange. What they do is up to
+ * the exchange, see attempt.c; it and the connection may be gone on return.
+ */
+typedef struct bct_upconn_user_ops {
+	void (*connected)(bct_exchange_t *x);
+	void (*fault)(bct_exchange_t *x, bct_attempt_fault_t fault);
+	/* returns false when the answer was rejected and the connection closed */
+	bool (*head)(bct_exchange_t *x);
+	int (*body)(bct_exchange_t *x, const char *data, size_t len_bytes);
+	void (*complete)(bct_exchange_t *x);
+} bct_upconn_user_ops_t;
+
 /* upstream_conn.c: a connection to an upstream, idle or carrying one exchange. */
 struct bct_upconn {
 	bct_gate_t *gate;
@@ -254,15 +292,9 @@
 void bct_upconns_expire(bct_gate_t *g, bct_gate_upstream_t *u, bool all);
 
 /* exchange.c: a request from the receipt of its last byte to the end of its answer. */
-typedef enum bct_attempt_fault {
-	BCT_FAULT_CONNECT = 1, /* nothing was sent */
-	BCT_FAULT_BROKEN,      /* the connection broke */
-	BCT_FAULT_BAD_ANSWER,  /* malformed, not sealed by the upstream, or of another request */
-	BCT_FAULT_SILENT,      /* no byte within the time limit for silence */
-	BCT_FAULT_UNREAD,      /* the connection broke while the caller did not read the answer */
-} bct_attempt_fault_t;
 
 struct bct_exchange {
+	const bct_upconn_user_ops_t *ops;
 	bct_gate_t *gate;
 	bct_client_t *client;
 	bct_upconn_t *conn; /* of the current attempt */
@@ -324,24 +356,6 @@
 	uint64_t refused_part; /* of its prompt, for which it was refused; 0: none */
 };
 
-/* bct_exchange_start(3): process a complete request; the exchange takes ownership of body. */
-void bct_exchange_start(bct_client_t *c, struct evbuffer *body);
-/* bct_exchange_abandon(3): end without an answer: the caller disconnected or this node stops. */
-void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end);
-/* bct_exchange_drop_kept(3): end with 502: there is no room to keep its answer until it is whole.
- */
-void bct_exchange_drop_kept(bct_exchange_t *x);
-
-/* Events of the connection that carries the current attempt. */
-void bct_exchange_connected(bct_exchange_t *x);
-void bct_exchange_fault(bct_exchange_t *x, bct_attempt_fault_t fault);
-/* returns false when the answer was rejected and the connection closed */
-bool bct_exchange_head(bct_exchange_t *x);
-int bct_exchange_body(bct_exchange_t *x, const char *data, size_t len_bytes);
-void bct_exchange_complete(bct_exchange_t *x);
-/* bct_exchange_flushed(3): little output to the caller is unsent; resume reading the answer. */
-void bct_exchange_flushed(bct_exchange_t *x);
-
 /* local.c: HTTP endpoints of the node itself: addresses for callers, readiness, metrics. */
 int bct_local_new(bct_gate_t *g, bct_local_t **out);
 void bct_local_free(bct_local_t *l);
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -17,6 +17,7 @@
 #define REFUSED_MS 500 /* after a refusal for which its caller may come back */
 
 struct bct_memory {
+	const bct_client_flow_ops_t *flow;
 	bct_gate_t *gate;
 	bct_gate_memory_t sums;
 	bct_gate_memory_level_t level; /* that was last acted on */
@@ -194,7 +195,7 @@
 		BCT_I64("unread_ms", bct_clock_now() - a->unread_since),
 		BCT_U64("held_bytes", m->sums.total_bytes),
 		BCT_U64("bound_bytes", m->sums.bound_bytes));
-	bct_client_cut(c);
+	m->flow->cut(c);
 }
 
 static void resume_waiting(bct_memory_t *m)
@@ -205,7 +206,7 @@
 		bct_client_t *c = bct_container_of(el, bct_client_t, waiting);
 
 		if (c->x ? !bct_memory_is_short(m->gate) : bct_memory_may_read_body(c))
-			bct_client_resume(c);
+			m->flow->resume(c);
 	}
 }
 
@@ -242,7 +243,7 @@
 			g->memory->sums.total_bytes);
 }
 
-int bct_memory_new(bct_gate_t *g, bct_memory_t **out)
+int bct_memory_new(bct_gate_t *g, const bct_client_flow_ops_t *flow, bct_memory_t **out)
 {
 	bct_memory_t *m;
 
@@ -251,6 +252,7 @@
 	m = bct_alloc(sizeof(*m));
 	if (!m)
 		return -BCT_ENOMEM;
+	m->flow = flow;
 	m->gate = g;
 	bct_gate_memory_init(&m->sums, g->settings->gate_memory_bytes);
 	bct_list_init(&m->waiting);
--- a/gate/memory.h
+++ b/gate/memory.h
@@ -13,7 +13,7 @@
 #define BCT_MEMORY_REFUSED "this node has no room now; the request was not run"
 
 /* bct_memory_new(3): *out is NULL without a bound. returns 0 or -BCT_ENOMEM. */
-int bct_memory_new(bct_gate_t *g, bct_memory_t **out);
+int bct_memory_new(bct_gate_t *g, const bct_client_flow_ops_t *flow, bct_memory_t **out);
 void bct_memory_free(bct_memory_t *m);
 
 /* bct_memory_opened(3), bct_memory_closed(3): a connection begins to count, or ends. */
--- a/gate/reach.c
+++ b/gate/reach.c
@@ -4,10 +4,7 @@
  */
 #include "gate/reach.h"
 
-#define PROBE_TIMEOUT_MS 300
-
-/* Upstreams of a service that accept requests. */
-static uint32_t count_accepting(const bct_gate_t *g, uint64_t service_key)
+uint32_t bct_reach_upstreams(const bct_gate_t *g, uint64_t service_key)
 {
 	bct_list_t *el;
 	uint32_t n = 0;
@@ -22,7 +19,7 @@
 {
 	bct_gate_reach_t *r;
 	bct_time_t now = bct_clock_now();
-	uint32_t upstreams = count_accepting(g, u->service_key);
+	uint32_t upstreams = bct_reach_upstreams(g, u->service_key);
 
 	if (u->is_node)
 		return;
@@ -70,55 +67,3 @@
 	return !u->is_node &&
 	       bct_gate_reaches_suspect(&g->reaches, bct_clock_now(), u->service_key);
 }
-
-/* A random upstream of the service, or NULL. */
-static bct_gate_upstream_t *draw(bct_gate_t *g, uint64_t service_key)
-{
-	uint32_t n = count_accepting(g, service_key), at;
-	bct_list_t *el;
-
-	if (!n)
-		return NULL;
-	at = bct_rng_below(&g->picker.rng, n);
-	bct_list_for_each(el, &g->upstreams.all) {
-		bct_gate_upstream_t *u = bct_container_of(el, bct_gate_upstream_t, link);
-
-		if (bct_gate_upstream_accepts(u, service_key) && !at--)
-			return u;
-	}
-	return NULL;
-}
-
-static void close_overdue_probes(bct_gate_t *g)
-{
-	bct_time_t now = bct_clock_now();
-	bct_list_t *el, *tmp;
-
-	bct_list_for_each_safe(el, tmp, &g->probes) {
-		bct_upconn_t *c = bct_container_of(el, bct_upconn_t, link);
-
-		if (now - c->opened < PROBE_TIMEOUT_MS)
-			continue;
-		bct_reach_failed(g, c->upstream);
-		bct_upconn_close(c);
-	}
-}
-
-void bct_reach_tick(bct_gate_t *g)
-{
-	bct_time_t now = bct_clock_now();
-	bct_list_t *el;
-
-	close_overdue_probes(g);
-	bct_list_for_each(el, &g->upstreams.all) {
-		uint64_t key = bct_container_of(el, bct_gate_upstream_t, link)->service_key;
-		bct_gate_reach_t *r = bct_map_get(&g->reaches.services, key);
-		bct_gate_upstream_t *u;
-
-		if (!r || !bct_gate_reach_take_probe(r, now))
-			continue;
-		u = draw(g, key);
-		if (u)
-			bct_upconn_probe(g, u);
-	}
-}
--- a/gate/reach.h
+++ b/gate/reach.h
@@ -25,6 +25,10 @@
  */
 bool bct_reach_suspects(const bct_gate_t *g, const bct_gate_upstream_t *u);
 
+/* bct_reach_upstreams(3): returns the number of upstreams of a service that accept requests. */
+uint32_t bct_reach_upstreams(const bct_gate_t *g, uint64_t service_key);
+
+/* reach_probe.c */
 /* bct_reach_tick(3): probe what is not reached; to be called periodically. */
 void bct_reach_tick(bct_gate_t *g);
 
--- a/gate/relay.c
+++ b/gate/relay.c
@@ -5,6 +5,7 @@
 #include "gate/exchange_int.h"
 #include "gate/origin.h"
 #include "gate/reach.h"
+#include "gate/relay_head.h"
 #include "gate/share.h"
 
 #include <inttypes.h>
@@ -12,17 +13,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
-#define OWN_HEADERS "Chute-Relay"
-#define AUTH_HEADER OWN_HEADERS			/* "INCARNATION MAC", in hexadecimal */
-#define ORIGIN_HEADER OWN_HEADERS "-Origin"	/* "RELEASE RUN" that began the stream */
-#define ATTEMPTS_HEADER OWN_HEADERS "-Attempts" /* upstreams to which it was sent before */
-#define OUTCOME_HEADER OWN_HEADERS "-Outcome"	/* of a request that the helper answered itself */
 #define AUTH_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
 #define HELPERS_MAX 3  /* tried for one request */
 #define FAILED_MS 1000 /* for which a helper that failed is not used */
-#define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
 
@@ -59,12 +53,12 @@
 	authorize(g->share, bct_peer_incarnation(g->peer), x->call.id, line, auth);
 	bct_buf_put(out, x->head.data, x->head.len_bytes);
 	g->wire->encode_forward(&o, out);
-	bct_buf_printf(out, AUTH_HEADER ": %s\r\n", auth);
+	bct_buf_printf(out, BCT_RELAY_AUTH_HEADER ": %s\r\n", auth);
 	if (x->query.origin)
-		bct_buf_printf(out, ORIGIN_HEADER ": %016" PRIx64 " %08x\r\n", x->origin.release,
-			       x->origin.run);
+		bct_buf_printf(out, BCT_RELAY_ORIGIN_HEADER ": %016" PRIx64 " %08x\r\n",
+			       x->origin.release, x->origin.run);
 	if (x->attempts)
-		bct_buf_printf(out, ATTEMPTS_HEADER ": %u\r\n", x->attempts);
+		bct_buf_printf(out, BCT_RELAY_ATTEMPTS_HEADER ": %u\r\n", x->attempts);
 	bct_buf_printf(out, "Content-Length: %zu\r\n\r\n", evbuffer_get_length(x->body));
 }
 
@@ -195,7 +189,7 @@
 
 bool bct_relay_head(bct_exchange_t *x)
 {
-	const char *outcome = bct_http_msg_header(&x->conn->msg, OUTCOME_HEADER);
+	const char *outcome = bct_http_msg_header(&x->conn->msg, BCT_RELAY_OUTCOME_HEADER);
 	int status = x->conn->msg.status;
 
 	if (!outcome)
@@ -227,9 +221,9 @@
 
 bool bct_relay_accept(bct_exchange_t *x, const bct_http_msg_t *m)
 {
-	const char *got = bct_http_msg_header(m, AUTH_HEADER);
-	const char *origin = bct_http_msg_header(m, ORIGIN_HEADER);
-	const char *attempts = bct_http_msg_header(m, ATTEMPTS_HEADER);
+	const char *got = bct_http_msg_header(m, BCT_RELAY_AUTH_HEADER);
+	const char *origin = bct_http_msg_header(m, BCT_RELAY_ORIGIN_HEADER);
+	const char *attempts = bct_http_msg_header(m, BCT_RELAY_ATTEMPTS_HEADER);
 	char want[AUTH_BYTES], line[BCT_RELAY_LINE_BYTES];
 
 	if (!x->gate->share || !got || strlen(got) != AUTH_BYTES - 1)
@@ -248,21 +242,3 @@
 	}
 	return true;
 }
-
-bool bct_relay_is_own_header(const char *name)
-{
-	return !strncasecmp(name, OWN_HEADERS, strlen(OWN_HEADERS));
-}
-
-void bct_relay_put_outcome(const bct_answer_opts_t *o, struct evbuffer *out)
-{
-	const char *outcome = "not_run";
-
-	if (o->status == STATUS_BAD_GATEWAY || o->status == STATUS_GATEWAY_TIMEOUT)
-		outcome = "unknown";
-	else if (o->limited)
-		outcome = "limited";
-	else if (o->elsewhere)
-		outcome = "elsewhere";
-	evbuffer_add_printf(out, OUTCOME_HEADER ": %s\r\n", outcome);
-}
--- a/gate/relay.h
+++ b/gate/relay.h
@@ -52,11 +52,4 @@
  */
 bool bct_relay_accept(bct_exchange_t *x, const bct_http_msg_t *m);
 
-/* bct_relay_is_own_header(3): whether only nodes may send this header; callers' ones are dropped.
- */
-bool bct_relay_is_own_header(const char *name);
-
-/* bct_relay_put_outcome(3): append the header that tells what became of a request answered here. */
-void bct_relay_put_outcome(const bct_answer_opts_t *o, struct evbuffer *out);
-
 #endif
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -82,7 +82,7 @@
 	if (c->discards || !c->x)
 		return 0;
 	c->progress = true;
-	return bct_exchange_body(c->x, data, len);
+	return c->x->ops->body(c->x, data, len);
 }
 
 /*
@@ -95,14 +95,14 @@
 {
 	if (!matches_request(c)) {
 		if (c->msg.until_close) {
-			bct_exchange_fault(c->x, BCT_FAULT_BAD_ANSWER);
+			c->x->ops->fault(c->x, BCT_FAULT_BAD_ANSWER);
 			return false;
 		}
 		discard_response(c);
 		return true;
 	}
 	c->progress = true;
-	return bct_exchange_head(c->x);
+	return c->x->ops->head(c->x);
 }
 
 /* Handles the end of a message. returns true after a discarded response, to read the next; false
@@ -110,7 +110,7 @@
 static bool on_response_complete(bct_upconn_t *c)
 {
 	if (!c->discards) {
-		bct_exchange_complete(c->x);
+		c->x->ops->complete(c->x);
 		return false;
 	}
 	c->discards = false;
@@ -137,7 +137,7 @@
 
 		count_useless(c, before - evbuffer_get_length(in));
 		if (s == BCT_HTTP_FAILED || c->useless_bytes > USELESS_MAX_BYTES) {
-			bct_exchange_fault(c->x, BCT_FAULT_BAD_ANSWER);
+			c->x->ops->fault(c->x, BCT_FAULT_BAD_ANSWER);
 			return;
 		}
 		if (s == BCT_HTTP_HEAD)
@@ -181,15 +181,15 @@
 		return;
 	}
 	if (!c->connected) {
-		bct_exchange_fault(c->x, BCT_FAULT_CONNECT);
+		c->x->ops->fault(c->x, BCT_FAULT_CONNECT);
 		return;
 	}
 	if (clean && c->msg.state == BCT_HTTP_BODY && !c->discards &&
 	    bct_http_msg_eof(&c->msg) == BCT_HTTP_DONE) {
-		bct_exchange_complete(c->x);
+		c->x->ops->complete(c->x);
 		return;
 	}
-	bct_exchange_fault(c->x, BCT_FAULT_BROKEN);
+	c->x->ops->fault(c->x, BCT_FAULT_BROKEN);
 }
 
 /* Keeps a connection that carries no exchange for reuse. */
@@ -219,7 +219,7 @@
 		c->connected = true;
 		bct_reach_ok(c->gate, c->upstream, c->opened);
 		if (c->x)
-			bct_exchange_connected(c->x);
+			c->x->ops->connected(c->x);
 		else
 			keep_idle(c, IDLE_DEFAULT_MS);
 		return;
