--- a/Makefile
+++ b/Makefile
@@ -190,9 +190,10 @@
 C_FILES := $(sort $(wildcard base/*.[ch] http/*.[ch] policy/*.[ch] coord/*.[ch] node/*.[ch] gate/*.[ch] platform/*.[ch] soak/*.[ch] cmd/*.[ch] \
 	standin/*.[ch] tests/*.[ch] tests/fuzz/*.[ch] bench/*.[ch] examples/*.[ch] schema/*.[ch]))
 
-check:
+check: $(GATE_LIB)
 	$(Q)clang-format --dry-run -Werror $(C_FILES)
 	$(Q)sh .ci/layers
+	$(Q)OBJ=$(B)/obj/gate sh .ci/calls
 	$(Q)awk -f .ci/log_keys $(filter %.c,$(C_FILES))
 	$(Q)cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -I. -j 8 '-DTest(suite,name,...)=static void suite##_##name(void)' '-DTestSuite(suite,...)=' \
 		--enable=warning,performance,portability \
