--- a/tests/test_gate_rejoin.c
+++ b/tests/test_gate_rejoin.c
@@ -227,52 +227,57 @@
 	around_the_kill(true, 5 * LIMIT_MS);
 }
 
-/* A node that was suspended while the release went on may read a request before anything else. */
-Test(gate_rejoin, a_resumed_node_knows_no_release)
+static bct_gate_upstreams_t known;
+static bct_gate_origins_t seen;
+
+static void observe(bct_time_t from, bct_time_t to)
 {
-	bct_gate_upstreams_t u;
-	bct_gate_origins_t t;
-	uint64_t service;
+	for (bct_time_t now = from; now <= to; now += STEP_MS)
+		bct_gate_origins_observe(&seen, now, &known);
+}
 
-	bct_gate_upstreams_init(&u);
-	bct_gate_origins_init(&t);
-	apply(&u, 1000, "old", "v1", true);
-	service = bct_gate_upstreams_find(&u, "old")->service_key;
-	for (bct_time_t now = 1000; now <= 20000; now += STEP_MS)
-		bct_gate_origins_observe(&t, now, &u);
-	cr_expect_neq(bct_gate_origins_sole(&t, 20000, service, LIMIT_MS), 0);
-	cr_expect_eq(bct_gate_origins_sole(&t, 50000, service, LIMIT_MS), 0);
-	bct_gate_origins_observe(&t, 50000, &u);
-	cr_expect_eq(bct_gate_origins_sole(&t, 50000, service, LIMIT_MS), 0);
-	bct_gate_origins_free(&t);
-	bct_gate_upstreams_free(&u);
+static uint64_t sole_at(bct_time_t now)
+{
+	uint64_t service = bct_gate_upstreams_find(&known, "old")->service_key;
+
+	return bct_gate_origins_sole(&seen, now, service, LIMIT_MS);
+}
+
+/* A node that has known one release from 1 s to 20 s. */
+static void one_release(void)
+{
+	bct_gate_upstreams_init(&known);
+	bct_gate_origins_init(&seen);
+	apply(&known, 1000, "old", "v1", true);
+	observe(1000, 20000);
+	cr_expect_neq(sole_at(20000), 0);
+}
+
+static void forget_release(void)
+{
+	bct_gate_origins_free(&seen);
+	bct_gate_upstreams_free(&known);
+}
+
+/* A node that was suspended while the release went on may read a request before anything else. */
+Test(gate_rejoin, a_resumed_node_knows_no_release, .init = one_release, .fini = forget_release)
+{
+	cr_expect_eq(sole_at(50000), 0);
+	observe(50000, 50000);
+	cr_expect_eq(sole_at(50000), 0);
 }
 
 /* A node that the registry does not answer, directly or through peers, does not hear of releases.
  */
-Test(gate_rejoin, a_node_without_registry_knows_no_release)
+Test(gate_rejoin, a_node_without_registry_knows_no_release, .init = one_release,
+     .fini = forget_release)
 {
-	bct_gate_upstreams_t u;
-	bct_gate_origins_t t;
-	uint64_t service;
-
-	bct_gate_upstreams_init(&u);
-	bct_gate_origins_init(&t);
-	apply(&u, 1000, "old", "v1", true);
-	service = bct_gate_upstreams_find(&u, "old")->service_key;
-	for (bct_time_t now = 1000; now <= 20000; now += STEP_MS)
-		bct_gate_origins_observe(&t, now, &u);
-	cr_expect_neq(bct_gate_origins_sole(&t, 20000, service, LIMIT_MS), 0);
-	bct_gate_upstreams_set_registry(&u, 20000, false);
-	for (bct_time_t now = 20000; now <= 40000; now += STEP_MS)
-		bct_gate_origins_observe(&t, now, &u);
-	cr_expect_eq(bct_gate_origins_sole(&t, 40000, service, LIMIT_MS), 0);
-	bct_gate_upstreams_set_registry(&u, 40000, true);
-	for (bct_time_t now = 40000; now <= 50000; now += STEP_MS)
-		bct_gate_origins_observe(&t, now, &u);
-	cr_expect_neq(bct_gate_origins_sole(&t, 50000, service, LIMIT_MS), 0);
-	bct_gate_origins_free(&t);
-	bct_gate_upstreams_free(&u);
+	bct_gate_upstreams_set_registry(&known, 20000, false);
+	observe(20000, 40000);
+	cr_expect_eq(sole_at(40000), 0);
+	bct_gate_upstreams_set_registry(&known, 40000, true);
+	observe(40000, 50000);
+	cr_expect_neq(sole_at(50000), 0);
 }
 
 /* Callers that wait for 130 s are refused, while the right version serves, for no longer than twice
