--- a/gate/dispatch.c
+++ b/gate/dispatch.c
@@ -233,7 +233,6 @@
 		.delay_ms = x->choice.delay_ms,
 		.first_byte_ms = x->choice.first_byte_ms,
 		.work_ms = x->choice.work_ms,
-		.uncached_ms = bct_gate_pick_prompt_ms(&x->gate->picker, &x->query),
 	};
 	bct_gate_pace_kind_t kind = bct_exchange_pace_kind(x);
 	uint32_t back, reserved_ms;
--- a/policy/gate_pick.c
+++ b/policy/gate_pick.c
@@ -459,15 +459,10 @@
 	return in->slots ? (uint32_t)(us / in->slots / US_PER_MS) : 0;
 }
 
-uint32_t bct_gate_pick_prompt_ms(const bct_gate_picker_t *p, const bct_gate_pick_input_t *in)
-{
-	return prefill_ms(p, in->prompt_tokens);
-}
-
 uint32_t bct_gate_pick_work_ms(const bct_gate_picker_t *p, const bct_gate_pick_input_t *in,
 			       const bct_gate_choice_t *c)
 {
-	uint32_t prompt_ms = c->upstream ? c->work_ms : bct_gate_pick_prompt_ms(p, in);
+	uint32_t prompt_ms = c->upstream ? c->work_ms : prefill_ms(p, in->prompt_tokens);
 
 	return in->engine ? prompt_ms + output_work_ms(p, in) : 0;
 }
--- a/policy/gate_pick.h
+++ b/policy/gate_pick.h
@@ -95,9 +95,6 @@
 void bct_gate_pick_began(bct_gate_upstream_t *u, uint32_t work_ms);
 void bct_gate_pick_ended(bct_gate_upstream_t *u, uint32_t work_ms, bool began);
 
-/* bct_gate_pick_prompt_ms(3): engine time for the prompt if nothing of it is cached. */
-uint32_t bct_gate_pick_prompt_ms(const bct_gate_picker_t *p, const bct_gate_pick_input_t *in);
-
 /*
  * bct_gate_pick_work_ms(3): engine time that the request takes; 0 if the service runs no engines.
  *
--- a/policy/gate_refuse.c
+++ b/policy/gate_refuse.c
@@ -83,22 +83,13 @@
 	return a > b ? a : b;
 }
 
-/* Part of the upstream time for its prompt that a request saves, as that part is cached. */
-static uint32_t saved_permille(const bct_gate_refuse_input_t *in)
-{
-	if (in->work_ms >= in->uncached_ms)
-		return 0;
-	return (uint32_t)((uint64_t)(in->uncached_ms - in->work_ms) * PERMILLE / in->uncached_ms);
-}
-
 /* Fraction of its remaining time that a request may wait under sustained overload. */
 static uint32_t sustained_permille(const bct_gate_refuse_input_t *in)
 {
 	uint32_t last = in->levels > 1 ? in->levels - 1 : 1;
 	uint32_t span = SUSTAINED_TOP_PERMILLE - SUSTAINED_LOW_PERMILLE;
-	uint32_t permille = SUSTAINED_TOP_PERMILLE - span * min_u32(in->rank, last) / last;
 
-	return permille + scale_permille(permille, saved_permille(in));
+	return SUSTAINED_TOP_PERMILLE - span * min_u32(in->rank, last) / last;
 }
 
 /* Halves the counters once per HALF_LIFE_MS. */
--- a/policy/gate_refuse.h
+++ b/policy/gate_refuse.h
@@ -5,9 +5,8 @@
  * When demand exceeds capacity, a request is refused if its first byte is predicted so late that
  * the answer is of no use to the caller. The less urgent a request, the smaller the fraction of its
  * remaining time that it may wait. So the engines' queues hold mostly urgent work, and refused
- * requests are retried later. A request that finds most of its prompt cached takes a fraction of
- * the upstream time, so it may wait up to twice as long. No request is refused at a predicted time
- * at which less urgent work of the same service is still sent.
+ * requests are retried later. No request is refused at a predicted time at which less urgent work
+ * of the same service is still sent.
  *
  * Upstreams start on more urgent requests first, so a request waits only for the part of the work
  * there that is as urgent or more. That part is estimated from the work that callers bring to this
@@ -38,7 +37,6 @@
 	uint32_t delay_ms;	/* predicted time until the upstream has done all work it has */
 	uint32_t first_byte_ms; /* predicted time to the first byte, after that delay */
 	uint32_t work_ms;	/* upstream time that it takes to the first byte */
-	uint32_t uncached_ms;	/* the same if nothing of its prompt were cached; 0: work_ms */
 	uint32_t output_ms;	/* predicted time from the first byte to the end; 0: unknown */
 	bool returning;		/* it was refused before, and promised room for now */
 	bool over_share;	/* its account brings much more than usual, the others don't */
