gate: a node out of step does not conclude what began a stream

Operators of a similar system reported: while upstreams of a new software version joined, one node was cut off or stood still for some seconds; streams that others had begun there were taken up at that node and went on at another version (ORDER).

It can happen here. Where nobody has a record of a stream, a node concluded that the only release it had known for long had begun it. What it knew was taken for the present state until the registry had been silent for 3 s, or the process for 2 s; so a node that is out of step for less, or in the first seconds of more, joins versions.

Now a conclusion needs the node's list of upstreams to be the registry's as of the arrival of the take-up. The node makes a call for that at once and waits for up to 1 s; else it refuses with Retry-After, not run. Same cause: records told by a node that had not heard that the run had ended count as none now, and the doubt after a restart goes back to the last answer that the list matched.

Evidence: a_node_out_of_step_joins_no_versions failed before (200 in place of 503, and the stream went on).

--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -328,6 +328,7 @@
 	uint32_t n_origin_asked;
 	uint32_t origin_rounds; /* in which they were asked */
 	bct_time_t origin_due;	/* when to ask again, or to do without; 0: not waiting */
+	bool origin_confirming; /* it waits for the registry's list of releases */
 	bct_time_t arrived;
 	bct_time_t caller_deadline; /* when the caller stops waiting */
 	bct_time_t route_deadline;  /* when the route's time limit is over */
--- a/gate/origin.c
+++ b/gate/origin.c
@@ -5,12 +5,16 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/exchange_int.h"
+#include "gate/registry_sync.h"
 #include "gate/share.h"
 
 #include <string.h>
 
-#define ASK_MS 60	  /* for the answers of peers in a round of asking */
-#define ASK_ROUNDS 2	  /* a datagram may be lost */
+#define ASK_MS 60	    /* for the answers of peers in a round of asking */
+#define ASK_ROUNDS 2	    /* a datagram may be lost */
+#define CONFIRM_CHECK_MS 20 /* between two looks whether the upstreams are confirmed */
+#define CONFIRM_MAX_MS 1000 /* that a take-up waits for that; its caller may have 2 s */
+#define UNCONFIRMED_RETRY_MS 50
 #define GONE_RETRY_MS 400 /* Retry-After while an upstream with the software is only avoided */
 
 struct bct_origins {
@@ -105,32 +109,61 @@
 	bct_exchange_dispatch(x);
 }
 
+static void observe(bct_origins_t *o)
+{
+	bct_gate_t *g = o->gate;
+	bct_gate_read_t read =
+		bct_registry_sync_read(g->registry_sync, BCT_REGISTRY_UPSTREAMS, false);
+
+	bct_gate_origins_observe(&o->records, bct_clock_now(), read.answered_at, &g->upstreams);
+}
+
+/* Waits until the registry has confirmed which releases there are. */
+static void wait_for_registry(bct_exchange_t *x)
+{
+	x->origin_confirming = true;
+	x->origin_due = bct_clock_now() + CONFIRM_CHECK_MS;
+	bct_registry_sync_confirm(x->gate->registry_sync, x->arrived);
+	bct_exchange_set_timer(x);
+}
+
+static void refuse_unknown(bct_exchange_t *x, bool unconfirmed)
+{
+	log_found(x, unconfirmed ? "unconfirmed" : "none", 0);
+	bct_exchange_refuse(x, BCT_GATE_END_ORIGIN_UNKNOWN,
+			    &(bct_answer_opts_t){
+				    .status = 503,
+				    .retry_after_ms = unconfirmed ? UNCONFIRMED_RETRY_MS : 0,
+				    .text = "nobody knows what software began the stream; the "
+					    "request was not run, the stream can't be continued" });
+}
+
 /*
  * Nobody knows: if the service had only one release for as long as the stream can have lived, that
  * began it; otherwise it can't go on. x may be freed on return.
  */
 static void conclude(bct_exchange_t *x)
 {
+	bct_time_t now = bct_clock_now();
 	bct_gate_take_up_t u = {
 		.service_key = x->query.service_key,
+		.arrived = x->arrived,
+		.as_of = bct_registry_sync_as_of(x->gate->registry_sync),
 		.limit_ms = x->route->timeout_ms,
 		.wait_ms = x->call.wait_ms,
 		.named = x->call.resumes_id[0] != '\0',
 	};
-	uint32_t window_ms;
-
-	x->origin.release = bct_gate_origins_conclude(&x->gate->origins->records, bct_clock_now(),
-						      &u, &window_ms);
-	if (x->origin.release) {
-		go_on(x, "sole_release", window_ms);
-		return;
-	}
-	log_found(x, "none", 0);
-	bct_exchange_refuse(x, BCT_GATE_END_ORIGIN_UNKNOWN,
-			    &(bct_answer_opts_t){
-				    .status = 503,
-				    .text = "nobody knows what software began the stream; the "
-					    "request was not run, the stream can't be continued" });
+	bct_gate_conclusion_t c;
+
+	observe(x->gate->origins);
+	c = bct_gate_origins_conclude(&x->gate->origins->records, now, &u);
+	x->origin.release = c.release;
+	if (c.release)
+		go_on(x, "sole_release", c.window_ms);
+	else if (c.unconfirmed && now - x->arrived < CONFIRM_MAX_MS)
+		wait_for_registry(x);
+	else
+		refuse_unknown(x, c.unconfirmed);
 }
 
 /*
@@ -189,7 +222,7 @@
 
 void bct_origin_overdue(bct_exchange_t *x)
 {
-	if (x->origin_rounds < ASK_ROUNDS)
+	if (!x->origin_confirming && x->origin_rounds < ASK_ROUNDS)
 		ask_or_conclude(x);
 	else
 		conclude(x);
@@ -253,6 +286,9 @@
 {
 	bct_gate_origin_t origin = { .release = a->release, .run = a->run };
 
+	/* The peer has not heard yet that the run has ended. */
+	if (bct_gate_origins_doubts(&o->records, now, &origin, a->age_ms))
+		origin = (bct_gate_origin_t){ 0 };
 	if ((origin.release || origin.run) &&
 	    bct_gate_origins_put(&o->records, now, a->attempt, &origin, a->age_ms))
 		BCT_GATE_COUNT(o->gate, ORIGINS_LOST);
@@ -301,17 +337,21 @@
 {
 	bct_gate_t *g = ctx;
 	bct_time_t now = bct_clock_now(), back_at = g->upstreams.registry_back_at;
-	uint32_t doubt_ms = BCT_GATE_ORIGIN_DOUBT_MS, run = bct_gate_upstream_run(u);
+	bct_gate_origin_t ended = bct_gate_origin_of(u);
+	uint32_t doubt_ms = BCT_GATE_ORIGIN_DOUBT_MS;
 	bct_list_t *el;
 
 	if (g->upstreams.registry_lost ||
 	    (back_at && now - back_at < BCT_GATE_ORIGIN_DOUBT_OUTAGE_MS))
 		doubt_ms = BCT_GATE_ORIGIN_DOUBT_OUTAGE_MS;
-	bct_gate_origins_doubt(&g->origins->records, now, run, doubt_ms);
+	/* Since then this node did not know what the registry listed. */
+	if (g->origins->records.answered_at)
+		doubt_ms += (uint32_t)(now - g->origins->records.answered_at);
+	bct_gate_origins_doubt(&g->origins->records, now, &ended, doubt_ms);
 	bct_list_for_each(el, &g->clients) {
 		bct_exchange_t *x = bct_container_of(el, bct_client_t, link)->x;
 
-		if (x && x->began_at && x->origin.run == run && now - x->began_at <= doubt_ms)
+		if (x && x->began_at && x->origin.run == ended.run && now - x->began_at <= doubt_ms)
 			x->origin = (bct_gate_origin_t){ 0 };
 	}
 }
@@ -321,7 +361,7 @@
 	bct_time_t now = bct_clock_now();
 
 	bct_gate_origins_sweep(&o->records, now, bct_gate_routes_longest_ms(o->gate->routes));
-	bct_gate_origins_observe(&o->records, now, &o->gate->upstreams);
+	observe(o);
 }
 
 int bct_origins_new(bct_gate_t *g, bct_origins_t **out)
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -113,32 +113,49 @@
 	bct_names_clear(&s->ready);
 }
 
-void bct_registry_sync_tick(bct_registry_sync_t *s)
+/* Does what is due on a topic. */
+static void follow(bct_registry_sync_t *s, bct_time_t now, bct_registry_topic_t topic)
 {
 	bct_gate_t *g = s->gate;
-	bct_time_t now = bct_clock_now();
+	bct_registry_reader_t *reader = s->topics[topic].reader;
 	bct_gate_local_versions_t local = {
 		.rank = g->rank,
 		.routes_version = g->routes ? g->routes->version : 0,
 		.upstreams_digest = bct_gate_upstreams_digest(&g->upstreams),
+		.busy = bct_registry_reader_busy(reader),
 	};
+	bct_gate_due_t due;
+
+	if (s->stopped)
+		return;
+	s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
+	due = bct_gate_poll_due(&s->poll, now, topic, &local);
+	if (due.act == BCT_GATE_POLL_PULL)
+		start_pull(s, topic, due.from);
+	else if (due.act)
+		bct_registry_reader_call(reader, due.act);
+}
+
+void bct_registry_sync_tick(bct_registry_sync_t *s)
+{
+	bct_time_t now = bct_clock_now();
 
 	note_registry(s);
 	if (now >= bct_names_due_at(&s->ready))
 		log_ready(s, now);
-	s->poll.message_interval_ms = bct_share_versions_interval_ms(g->share);
-	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS && !s->stopped; i++) {
-		bct_registry_topic_t topic = (bct_registry_topic_t)i;
-		bct_registry_reader_t *reader = s->topics[i].reader;
-		bct_gate_due_t due;
-
-		local.busy = bct_registry_reader_busy(reader);
-		due = bct_gate_poll_due(&s->poll, now, topic, &local);
-		if (due.act == BCT_GATE_POLL_PULL)
-			start_pull(s, topic, due.from);
-		else if (due.act)
-			bct_registry_reader_call(reader, due.act);
-	}
+	for (uint32_t i = 0; i < BCT_REGISTRY_TOPICS; i++)
+		follow(s, now, (bct_registry_topic_t)i);
+}
+
+void bct_registry_sync_confirm(bct_registry_sync_t *s, bct_time_t at)
+{
+	bct_gate_poll_confirm(&s->poll, at);
+	follow(s, bct_clock_now(), BCT_REGISTRY_UPSTREAMS);
+}
+
+bct_time_t bct_registry_sync_as_of(const bct_registry_sync_t *s)
+{
+	return bct_gate_poll_as_of(&s->poll);
 }
 
 void bct_registry_sync_peer_versions(bct_registry_sync_t *s, const bct_gate_peer_versions_t *h)
@@ -173,7 +190,7 @@
 	bct_time_t now = bct_clock_now();
 	bool up = !d->rc || d->rc == -BCT_EEXPIRED;
 
-	bct_gate_poll_result(&s->poll, now, d->topic, up);
+	bct_gate_poll_result(&s->poll, now, d->topic, d->rc ? 0 : d->started_at, up);
 	note_registry(s);
 	if (t->up_known && up == t->up)
 		return;
@@ -438,6 +455,7 @@
 	bct_list_init(&s->results);
 	pthread_mutex_init(&s->lock, NULL);
 	bct_gate_poll_init(&s->poll, g->settings->platform_poll_ms);
+	s->poll.call_limit_ms = g->settings->platform_timeout_ms;
 	s->poll.self = g->peer ? bct_peer_incarnation(g->peer) : 0;
 	s->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (s->wake_fd >= 0)
--- a/gate/registry_sync.h
+++ b/gate/registry_sync.h
@@ -33,6 +33,15 @@
 /* bct_registry_sync_advertises(3): whether this node reads the registry for the others. */
 bool bct_registry_sync_advertises(const bct_registry_sync_t *s);
 
+/*
+ * bct_registry_sync_confirm(3): find out the upstreams as of a time that is not in the future, by a
+ * call of this node unless that was learned already; see bct_registry_sync_as_of(3).
+ * bct_registry_sync_as_of(3): the time as of which this node's upstreams are known to be those of
+ * the registry; 0: never.
+ */
+void bct_registry_sync_confirm(bct_registry_sync_t *s, bct_time_t at);
+bct_time_t bct_registry_sync_as_of(const bct_registry_sync_t *s);
+
 /*
  * bct_registry_sync_age_ms(3): time since the latest known answer of the registry, to this node or
  * to a peer; on the topic for which it is older.
--- a/policy/gate_origins.c
+++ b/policy/gate_origins.c
@@ -66,7 +66,7 @@
 {
 	record_t *r;
 
-	if (bct_map_get(&t->records, attempt))
+	if (bct_map_get(&t->records, attempt) || bct_gate_origins_doubts(t, now, o, age_ms))
 		return 0;
 	if (t->records.n >= BCT_GATE_ORIGINS_MAX)
 		drop(t, bct_container_of(t->by_age.next, record_t, link));
@@ -98,14 +98,30 @@
 	return true;
 }
 
-void bct_gate_origins_doubt(bct_gate_origins_t *t, bct_time_t now, uint32_t run, uint32_t doubt_ms)
+bool bct_gate_origins_doubts(const bct_gate_origins_t *t, bct_time_t now,
+			     const bct_gate_origin_t *o, uint32_t age_ms)
+{
+	for (uint32_t i = 0; i < BCT_GATE_ORIGIN_ENDED && i < t->n_ended; i++) {
+		const bct_gate_origin_ended_t *e = &t->ended[i];
+
+		if (e->origin.run == o->run && e->origin.release == o->release &&
+		    now - age_ms >= e->since)
+			return true;
+	}
+	return false;
+}
+
+void bct_gate_origins_doubt(bct_gate_origins_t *t, bct_time_t now, const bct_gate_origin_t *ended,
+			    uint32_t doubt_ms)
 {
 	bct_list_t *el;
 
+	t->ended[t->n_ended++ % BCT_GATE_ORIGIN_ENDED] =
+		(bct_gate_origin_ended_t){ .origin = *ended, .since = now - doubt_ms };
 	bct_list_for_each(el, &t->by_age) {
 		record_t *r = bct_container_of(el, record_t, link);
 
-		if (r->origin.run == run && now - r->began_at <= doubt_ms)
+		if (r->origin.run == ended->run && now - r->began_at <= doubt_ms)
 			r->origin = (bct_gate_origin_t){ 0 };
 	}
 }
@@ -169,16 +185,19 @@
 	s->release = release;
 }
 
-void bct_gate_origins_observe(bct_gate_origins_t *t, bct_time_t now,
+void bct_gate_origins_observe(bct_gate_origins_t *t, bct_time_t now, bct_time_t answered_at,
 			      const bct_gate_upstreams_t *upstreams)
 {
 	bool blind = upstreams->registry_lost ||
-		     (t->observed_at && now - t->observed_at > BCT_GATE_ORIGIN_GAP_MS);
+		     (t->observed_at && now - t->observed_at > BCT_GATE_ORIGIN_GAP_MS) ||
+		     answered_at - t->answered_at > BCT_GATE_ORIGIN_BLIND_MS;
 	bct_list_t *el;
 	uint32_t pos = 0;
 	service_t *s;
 
 	t->observed_at = now;
+	if (answered_at > t->answered_at)
+		t->answered_at = answered_at;
 	t->pass++;
 	bct_list_for_each(el, &upstreams->all)
 		see(t, now, bct_container_of(el, bct_gate_upstream_t, link));
@@ -199,9 +218,10 @@
 	return s && s->release && now - s->since >= ms ? s->release : 0;
 }
 
-uint64_t bct_gate_origins_conclude(const bct_gate_origins_t *t, bct_time_t now,
-				   const bct_gate_take_up_t *u, uint32_t *window_ms)
+bct_gate_conclusion_t bct_gate_origins_conclude(const bct_gate_origins_t *t, bct_time_t now,
+						const bct_gate_take_up_t *u)
 {
+	bct_gate_conclusion_t c = { 0 };
 	uint32_t wait_ms = 0, ms;
 
 	if (u->wait_ms > 0)
@@ -210,8 +230,12 @@
 	/* Younger streams have a record: this one is from before all nodes forgot theirs. */
 	if (u->named)
 		ms = max_u32(ms, t->keep_ms);
-	*window_ms = ms;
-	return bct_gate_origins_sole(t, now, u->service_key, ms);
+	c.window_ms = ms;
+	c.release = bct_gate_origins_sole(t, now, u->service_key, ms);
+	c.unconfirmed = c.release && u->as_of < u->arrived;
+	if (c.unconfirmed)
+		c.release = 0;
+	return c;
 }
 
 uint32_t bct_gate_origin_homes(uint64_t attempt, const uint64_t *nodes, uint32_t n, uint64_t *out,
--- a/policy/gate_poll.c
+++ b/policy/gate_poll.c
@@ -17,6 +17,7 @@
 #define RETRY_MAX_SHIFT 2U   /* the pause after failures doubles up to this shift */
 #define PULL_MAX_SHIFT 3U    /* the same after pulls that did not help */
 #define PULL_MAX_MS 8000     /* a pull whose end was not reported counts as ended */
+#define CONFIRM_PAUSE_MS 100 /* least pause before a call that confirms the upstreams */
 #define REFUSED_KEEP_MS 1500 /* how long a failed poll speaks against asking the registry again */
 
 void bct_gate_poll_init(bct_gate_poll_t *p, uint32_t interval_ms)
@@ -179,6 +180,16 @@
 	return t->consecutive_failures && now - t->failed_at < REFUSED_KEEP_MS;
 }
 
+/* Whether the registry has to be asked now for upstreams that are known well enough otherwise. */
+static bool must_confirm(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic)
+{
+	const bct_gate_topic_poll_t *t = &p->topics[topic];
+	uint32_t pause_ms = t->consecutive_failures ? poll_pause_ms(p, t) : CONFIRM_PAUSE_MS;
+
+	return topic == BCT_REGISTRY_UPSTREAMS && bct_gate_poll_as_of(p) < p->confirm_at &&
+	       now - t->polled_at >= (bct_time_t)pause_ms;
+}
+
 /* A node that is behind asks a peer, and the registry every other time, as long as it answers. */
 static bct_gate_due_t catch_up(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
 			       bool busy)
@@ -223,8 +234,9 @@
 	if (topic == BCT_REGISTRY_UPSTREAMS)
 		compare(p, now, local);
 	note_held(p, local);
-	if (reader && !local->busy &&
-	    (!t->polled_at || has_lasted(t->polled_at, now, poll_pause_ms(p, t)))) {
+	if (!local->busy &&
+	    ((reader && (!t->polled_at || has_lasted(t->polled_at, now, poll_pause_ms(p, t)))) ||
+	     must_confirm(p, now, topic))) {
 		due.act = poll_act(t, now);
 		t->polled_at = now;
 	} else if (!reads_well && is_behind(p, now, topic, local) && may_catch_up(t, now)) {
@@ -235,15 +247,34 @@
 	return due;
 }
 
-void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic, bool ok)
+void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+			  bct_time_t started_at, bool ok)
 {
 	bct_gate_topic_poll_t *t = &p->topics[topic];
 
 	t->consecutive_failures = ok ? 0 : t->consecutive_failures + 1;
 	if (!ok)
 		t->failed_at = now;
-	if (ok)
-		t->answered_at = now;
+	if (!ok)
+		return;
+	t->answered_at = now;
+	if (started_at)
+		t->answered_as_of = started_at;
+}
+
+void bct_gate_poll_confirm(bct_gate_poll_t *p, bct_time_t at)
+{
+	if (at > p->confirm_at)
+		p->confirm_at = at;
+}
+
+/* A peer states when it had the registry's answer, not when it had asked. */
+bct_time_t bct_gate_poll_as_of(const bct_gate_poll_t *p)
+{
+	const bct_gate_topic_poll_t *t = &p->topics[BCT_REGISTRY_UPSTREAMS];
+	bct_time_t held = t->held.answered_at - p->call_limit_ms - AGE_ERROR_MS;
+
+	return held > t->answered_as_of ? held : t->answered_as_of;
 }
 
 void bct_gate_poll_pulled(bct_gate_poll_t *p, bct_registry_topic_t topic, bct_gate_pulled_t r)
--- a/policy/gate_poll.h
+++ b/policy/gate_poll.h
@@ -46,6 +46,7 @@
 	bct_gate_read_t peer_read;     /* latest answer that a peer advertised */
 	bct_gate_read_t held;	       /* the answer that this node's data is known to match */
 	bct_time_t answered_at;	       /* last answer to this node */
+	bct_time_t answered_as_of;     /* start of that call: the answer is not older */
 	bct_time_t polled_at;	       /* last call of this node to the registry; 0: none yet */
 	bct_time_t pulled_at;	       /* last pull of this node from a peer; 0: none yet */
 	bool pulling;		       /* it has not ended */
@@ -59,6 +60,8 @@
 	uint64_t self;		      /* incarnation of this node; set by the caller */
 	uint32_t interval_ms;	      /* between two polls of a reader */
 	uint32_t message_interval_ms; /* between two messages of a reader; set by the caller */
+	uint32_t call_limit_ms;	      /* of a call to the registry; set by the caller */
+	bct_time_t confirm_at;	      /* the upstreams must be known as of then; 0: never asked */
 	bct_gate_topic_poll_t topics[BCT_REGISTRY_TOPICS];
 	uint64_t highest_version; /* of routes, received from any peer */
 	uint64_t highest_from;	  /* the last peer that advertised it */
@@ -111,8 +114,22 @@
 bool bct_gate_poll_is_reader(const bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
 			     uint32_t rank);
 
-/* bct_gate_poll_result(3): processes the result of a call of this node to the registry. */
-void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic, bool ok);
+/*
+ * bct_gate_poll_result(3): processes the result of a call of this node to the registry.
+ *
+ * started_at  when the call was made; 0: its answer does not tell the state of the topic
+ */
+void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
+			  bct_time_t started_at, bool ok);
+
+/*
+ * bct_gate_poll_confirm(3): the upstreams have to be known as of a time, the present one or an
+ * earlier one. Any node asks the registry for that, at once unless it refused to answer lately.
+ * bct_gate_poll_as_of(3): the time as of which this node's upstreams are known to be those of the
+ * registry; 0: never.
+ */
+void bct_gate_poll_confirm(bct_gate_poll_t *p, bct_time_t at);
+bct_time_t bct_gate_poll_as_of(const bct_gate_poll_t *p);
 
 /* Result of a pull from a peer. */
 typedef enum bct_gate_pulled {
--- a/tests/test_gate_follow.c
+++ b/tests/test_gate_follow.c
@@ -68,7 +68,7 @@
 	d->calls[t]++;
 	if (!d->refused[t])
 		d->data[t] = f->data[t];
-	bct_gate_poll_result(&d->poll, now, t, !d->refused[t]);
+	bct_gate_poll_result(&d->poll, now, t, now, !d->refused[t]);
 }
 
 static void pull(fleet_t *f, node_t *d, bct_registry_topic_t t, uint64_t from)
@@ -477,7 +477,7 @@
 		if (!bct_gate_poll_due(&f, now, BCT_REGISTRY_ROUTES, &local).act)
 			continue;
 		n++;
-		bct_gate_poll_result(&f, now, BCT_REGISTRY_ROUTES, false);
+		bct_gate_poll_result(&f, now, BCT_REGISTRY_ROUTES, now, false);
 	}
 	cr_assert(n >= 10 && n <= 30, "%u calls in 10 s", n);
 }
@@ -560,7 +560,7 @@
 		if (due.act == BCT_GATE_POLL_PULL)
 			bct_gate_poll_pulled(&f, BCT_REGISTRY_UPSTREAMS, BCT_GATE_PULL_UNHELPFUL);
 		else if (due.act)
-			bct_gate_poll_result(&f, now, BCT_REGISTRY_UPSTREAMS, true);
+			bct_gate_poll_result(&f, now, BCT_REGISTRY_UPSTREAMS, now, true);
 	}
 	cr_assert_leq(n, 30, "%u calls and pulls in 30 s", n);
 }
--- a/tests/test_gate_origins.c
+++ b/tests/test_gate_origins.c
@@ -80,17 +80,32 @@
 /* An upstream started again under its id with other software, and the registry said so late. */
 Test(gate_origins, streams_around_a_restart_are_in_doubt)
 {
-	bct_gate_origin_t o;
+	bct_gate_origin_t ended = origin(7, 1), o;
 
 	put(1000, 1, origin(7, 1), 0);
 	put(4800, 2, origin(7, 1), 0);
 	put(4800, 3, origin(7, 2), 0);
-	bct_gate_origins_doubt(&t, 5000, 1, BCT_GATE_ORIGIN_DOUBT_MS);
+	bct_gate_origins_doubt(&t, 5000, &ended, BCT_GATE_ORIGIN_DOUBT_MS);
 	cr_expect(bct_gate_origins_get(&t, 5000, 1, &o, NULL), "long before the restart");
 	cr_expect_not(bct_gate_origins_get(&t, 5000, 2, &o, NULL));
 	cr_expect(bct_gate_origins_get(&t, 5000, 3, &o, NULL), "of another upstream");
 }
 
+/* A node that is out of step has not heard of the restart: what it tells later of streams at the
+ * old run may have been begun by the new one. */
+Test(gate_origins, late_records_of_an_ended_run_are_in_doubt)
+{
+	bct_gate_origin_t ended = origin(7, 1), o;
+
+	bct_gate_origins_doubt(&t, 5000, &ended, BCT_GATE_ORIGIN_DOUBT_MS);
+	put(9000, 1, origin(7, 1), 200);
+	put(9000, 2, origin(7, 1), 7000);
+	put(9000, 3, origin(8, 1), 200);
+	cr_expect_not(bct_gate_origins_get(&t, 9000, 1, &o, NULL));
+	cr_expect(bct_gate_origins_get(&t, 9000, 2, &o, NULL), "long before the restart");
+	cr_expect(bct_gate_origins_get(&t, 9000, 3, &o, NULL), "of other software");
+}
+
 static void list(bct_gate_upstreams_t *u, const char *id, const char *version, bool present)
 {
 	bct_gate_entry_t e = { .service = "model", .zone = "z", .ip = "10.0.0.1", .port = 80 };
@@ -107,7 +122,7 @@
 static void observe(bct_time_t from, bct_time_t to, const bct_gate_upstreams_t *u)
 {
 	for (bct_time_t now = from; now <= to; now += 100)
-		bct_gate_origins_observe(&t, now, u);
+		bct_gate_origins_observe(&t, now, now, u);
 }
 
 /* A caller that names no attempt is served as long as only one version can have begun its stream:
--- a/tests/test_gate_rejoin.c
+++ b/tests/test_gate_rejoin.c
@@ -19,6 +19,7 @@
 #define NODES_MAX 195
 #define CALLERS 400
 #define PATIENT_MS 130000
+#define CONFIRM_MS 1000 /* that a node waits for the registry's list, see gate/origin.c */
 
 /* What one run plays besides the kill of all nodes. */
 typedef struct plan {
@@ -81,40 +82,59 @@
 	apply(&n->upstreams, now, "new", "v2", known >= p->release_at);
 	bct_gate_upstreams_sweep(&n->upstreams, now);
 	bct_gate_origins_sweep(&n->origins, now, LIMIT_MS);
-	bct_gate_origins_observe(&n->origins, now, &n->upstreams);
+	bct_gate_origins_observe(&n->origins, now, known, &n->upstreams);
 }
 
+typedef struct caller {
+	uint64_t attempt; /* that began its stream */
+	bct_time_t began_at, back_at;
+	bool v1;
+	node_t *at; /* where it takes its stream up; NULL: not back yet */
+	bool done;
+} caller_t;
+
 /* What began the stream, as far as anybody knows; callers come back at any node. */
-static bool find(const plan_t *p, node_t *at, bct_time_t now, uint64_t attempt, bct_time_t wait_ms,
-		 bct_gate_origin_t *out)
+static bct_gate_conclusion_t find(const plan_t *p, const caller_t *c, bct_time_t now,
+				  bct_gate_origin_t *out)
 {
-	bct_gate_take_up_t u = { .limit_ms = LIMIT_MS, .wait_ms = wait_ms, .named = p->named };
+	bct_gate_take_up_t u = {
+		.arrived = c->back_at,
+		.as_of = now - c->at->lag_ms,
+		.limit_ms = LIMIT_MS,
+		.wait_ms = c->began_at + p->patience_ms - c->back_at,
+		.named = p->named,
+	};
+	bct_gate_conclusion_t r = { 0 };
 	const bct_gate_upstream_t *any;
-	uint32_t window_ms;
 
-	if (p->named && bct_gate_origins_get(&at->origins, now, attempt, out, NULL))
-		return true;
-	any = bct_gate_upstreams_find(&at->upstreams, "new");
-	any = any ? any : bct_gate_upstreams_find(&at->upstreams, "old");
+	if (p->named && bct_gate_origins_get(&c->at->origins, now, c->attempt, out, NULL)) {
+		r.release = out->release;
+		return r;
+	}
+	any = bct_gate_upstreams_find(&c->at->upstreams, "new");
+	any = any ? any : bct_gate_upstreams_find(&c->at->upstreams, "old");
 	if (!any)
-		return false;
+		return r;
 	u.service_key = any->service_key;
-	*out = (bct_gate_origin_t){ 0 };
-	out->release = bct_gate_origins_conclude(&at->origins, now, &u, &window_ms);
-	return out->release != 0;
+	r = bct_gate_origins_conclude(&c->at->origins, now, &u);
+	*out = (bct_gate_origin_t){ .release = r.release };
+	return r;
 }
 
-/* A caller whose stream v1 or v2 began, and which a kill or a break ended, comes back. */
-static void take_up(const plan_t *p, node_t *at, bct_time_t now, bool v1, bct_time_t wait_ms,
-		    uint64_t attempt, outcome_t *r)
+/* A caller whose stream v1 or v2 began, and which a kill or a break ended, is back. */
+static void take_up(const plan_t *p, caller_t *c, bct_time_t now, outcome_t *r)
 {
-	const char *own = v1 ? "old" : "new", *other = v1 ? "new" : "old";
-	const bct_gate_upstream_t *same = bct_gate_upstreams_find(&at->upstreams, own);
-	const bct_gate_upstream_t *wrong = bct_gate_upstreams_find(&at->upstreams, other);
+	const char *own = c->v1 ? "old" : "new", *other = c->v1 ? "new" : "old";
+	const bct_gate_upstream_t *same = bct_gate_upstreams_find(&c->at->upstreams, own);
+	const bct_gate_upstream_t *wrong = bct_gate_upstreams_find(&c->at->upstreams, other);
 	bct_gate_origin_t o;
+	bct_gate_conclusion_t found = find(p, c, now, &o);
 
+	if (found.unconfirmed && now - c->back_at < CONFIRM_MS)
+		return;
+	c->done = true;
 	r->taken_up++;
-	if (find(p, at, now, attempt, wait_ms, &o)) {
+	if (found.release) {
 		r->joined += wrong && bct_gate_origin_allows(&o, wrong);
 		return;
 	}
@@ -125,11 +145,6 @@
 		r->last_refused = now - KILL_AT - DOWN_MS;
 }
 
-typedef struct caller {
-	bct_time_t began_at, back_at;
-	bool v1;
-} caller_t;
-
 /* Streams that began in the life before the kill, each broken by it or before. */
 static void draw_caller(const plan_t *p, caller_t *c)
 {
@@ -164,16 +179,19 @@
 	bct_rng_seed(&rng, seed);
 	for (uint32_t i = 0; i < p->nodes; i++)
 		start(&nodes[i], p);
-	for (uint32_t i = 0; i < CALLERS; i++)
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		callers[i] = (caller_t){ .attempt = i + 1 };
 		draw_caller(p, &callers[i]);
+	}
 	for (bct_time_t now = KILL_AT - 70000; now < END_AT; now += STEP_MS) {
 		for (uint32_t i = 0; i < CALLERS; i++) {
-			const caller_t *c = &callers[i];
+			caller_t *c = &callers[i];
 			uint32_t at = bct_rng_below(&rng, p->nodes);
 
-			if (now >= c->back_at && now < c->back_at + STEP_MS)
-				take_up(p, &nodes[at], now, c->v1,
-					c->began_at + p->patience_ms - now, i + 1, &r);
+			if (now < c->back_at || c->done)
+				continue;
+			c->at = c->at ? c->at : &nodes[at];
+			take_up(p, c, now, &r);
 		}
 		step(p, now);
 	}
@@ -233,7 +251,7 @@
 static void observe(bct_time_t from, bct_time_t to)
 {
 	for (bct_time_t now = from; now <= to; now += STEP_MS)
-		bct_gate_origins_observe(&seen, now, &known);
+		bct_gate_origins_observe(&seen, now, now, &known);
 }
 
 static uint64_t sole_at(bct_time_t now)
--- a/tests/test_gate_reported.c
+++ b/tests/test_gate_reported.c
@@ -225,6 +225,41 @@
 	test_gate_stop(&gates[0]);
 }
 
+static void set_down(test_gate_t *t, bool down)
+{
+	pthread_mutex_lock(&t->lock);
+	t->down = down;
+	pthread_mutex_unlock(&t->lock);
+}
+
+/* A gateway that has not heard for a moment of an upstream with a new software version takes up
+ * streams that others began there: it must not conclude that the only version that it knows began
+ * them. tests/test_gate_out_of_step.c has the model. */
+Test(gate_reported, a_node_out_of_step_joins_no_versions, .timeout = 60)
+{
+	static const char *const released[] = { "v1", "v2", "v2" };
+	test_gate_t *t = &gates[0];
+	bct_buf_t out;
+
+	test_gate_start(t);
+	/* For as long as a stream can have lived, there is one version. */
+	bct_clock_sleep(7000);
+	cr_expect_eq(test_gate_take_up(t, "/resume/a", "before", "stream", NULL, 2, &out), 200);
+	bct_buf_free(&out);
+	set_down(t, true);
+	test_gate_set_software(t, released, GATE_UPSTREAMS);
+	bct_clock_sleep(300);
+	cr_expect_eq(test_gate_take_up(t, "/resume/a", "behind", "stream", NULL, 2, &out), 503);
+	cr_expect(strstr(out.data, "Retry-After: "), "%s", out.data);
+	bct_buf_free(&out);
+	set_down(t, false);
+	cr_expect_eq(test_gate_take_up(t, "/resume/a", "after", "stream", NULL, 2, &out), 503);
+	bct_buf_free(&out);
+	cr_expect_eq(test_gate_runs(t, "behind"), 0);
+	cr_expect_eq(test_gate_runs(t, "after"), 0);
+	test_gate_stop(t);
+}
+
 /* Sends a datagram to a port of a gateway. */
 static void send_datagram(const test_gate_t *t, uint16_t port, const char *bytes, size_t len)
 {
