--- a/gate/sse.c
+++ b/gate/sse.c
@@ -36,15 +36,15 @@
 	return lf.pos >= 0 ? (size_t)lf.pos + 2 : 0;
 }
 
-/* Parses the value of an "id:" line, a whole number. returns 0 or -BCT_ECODEC. */
+/* Parses the value of an "id:" line, a whole number between blanks. returns 0 or -BCT_ECODEC. */
 static int parse_id(const char *text, size_t len, uint64_t *id)
 {
 	const char *end = text + len;
 	uint64_t value = 0;
 
-	if (end > text && end[-1] == '\r')
+	while (end > text && (end[-1] == ' ' || end[-1] == '\r'))
 		end--;
-	if (end > text && *text == ' ')
+	while (end > text && *text == ' ')
 		text++;
 	if (text == end || end - text > ID_MAX_DIGITS)
 		return -BCT_ECODEC;
