registry: an entry that names no usable upstream is not used

Operators of a similar system reported: another writer left one odd entry among those of the engines (deeply nested, a number too large, a port out of range); nodes that read the list ended again and again, or stopped following it.

What can happen here: no process ended, but entries whose address nobody can have, or whose numbers don't fit, became upstreams. A gateway that had just started tried them first and answered 503. An entry with a start time or sequence number that no upstream reaches would have outdone all later ones under its id; an id could carry a line end into a header.

The class, every reader of a store entry: - policy/gate_entry checks each entry where it is applied, from the registry, a listing, or a peer (an older node checks less); nesting, types and ranges are checked where it is decoded. - An unusable entry under the id of a sound upstream leaves that as it was, also in a listing (before, a listing dropped it). - The key that ends a page of a listing is escaped in the next call: a blank or a line end in it ended all listings. A page without a new key is an error, not an endless loop. Keys that are no text, or longer than a name, are no names. - chuted: one odd VM made the whole VM list unreadable; it is left out, event 603 says how many were.

Evidence: odd_entries_are_no_upstreams failed before (503 in place of 200, failed connects, more upstreams than the 4 sound ones); the other tests name what they guard.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -98,9 +98,10 @@
 	DEF(LOG_DOWN, 600, WARN, "the platform's log cannot be reached")                           \
 	DEF(LOG_UP, 601, INFO, "the platform's log can be reached again")                          \
 	DEF(LOG_GAP, 602, ERROR, "records expired before this node read them")                     \
+	DEF(VMS_UNREADABLE, 603, WARN, "entries of the VM list can't be read and are left out")    \
 	DEF(REGISTRY_DOWN, 610, WARN, "the registry does not answer")                              \
 	DEF(REGISTRY_UP, 611, INFO, "the registry answers")                                        \
-	DEF(REGISTRY_UNREADABLE, 612, WARN, "a registry record could not be decoded")              \
+	DEF(REGISTRY_UNREADABLE, 612, WARN, "a registry record can't be used; the others are")     \
 	DEF(REGISTRY_ERA, 615, WARN,                                                               \
 	    "the registry states a higher era: it came back from a copy, or is new here")          \
 	DEF(REGISTRY_ERA_BAD, 616, WARN, "the registry states an era that cannot be read")         \
--- a/coord/platform.h
+++ b/coord/platform.h
@@ -54,6 +54,7 @@
 	uint64_t revision;
 	bct_vm_t *vms;
 	uint32_t n;
+	uint32_t n_unreadable; /* further ones, which can't be read */
 } bct_vm_list_t;
 
 /* Implementation of the calls that are documented at the functions below. */
--- a/coord/platform_http.c
+++ b/coord/platform_http.c
@@ -353,7 +353,6 @@
 {
 	const json_t *list = json_object_get(doc, "vms"), *item;
 	size_t i;
-	int rc;
 
 	if (!json_is_array(list) || !get_u64(doc, "revision", &out->revision))
 		return -BCT_ECODEC;
@@ -362,10 +361,11 @@
 		return -BCT_ENOMEM;
 	json_array_foreach(list, i, item)
 	{
-		rc = decode_vm(item, &out->vms[i]);
-		if (rc)
-			return rc;
-		out->n++;
+		/* One that can't be read names no VM; the others hold. */
+		if (decode_vm(item, &out->vms[out->n]))
+			out->n_unreadable++;
+		else
+			out->n++;
 	}
 	return 0;
 }
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -13,6 +13,7 @@
 #include "gate/registry_reader.h"
 #include "gate/registry_sync.h"
 #include "gate/share.h"
+#include "policy/gate_entry.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -253,6 +254,21 @@
 		bct_share_upstream_change(g->share, u);
 }
 
+static void log_unreadable(bct_gate_t *g, const char *record, const char *why)
+{
+	BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("record", record), BCT_STR("why", why));
+}
+
+/* returns whether the upstream changed. */
+static bool apply_entry(bct_gate_t *g, const bct_gate_entry_t *e)
+{
+	int rc = bct_gate_upstreams_apply(&g->upstreams, bct_clock_now(), e);
+
+	if (rc == -BCT_EINVAL)
+		log_unreadable(g, e->id, bct_gate_entry_fault(e));
+	return rc == 1;
+}
+
 bool bct_registry_sync_apply(bct_gate_t *g, bct_registry_change_t *c, bool notify_peers)
 {
 	bct_time_t now = bct_clock_now();
@@ -263,13 +279,14 @@
 		adopt(g, c);
 		break;
 	case BCT_REGISTRY_ENTRY:
-		changed = bct_gate_upstreams_apply(&g->upstreams, now, &c->entry) == 1;
+		changed = apply_entry(g, &c->entry);
 		break;
 	case BCT_REGISTRY_REMOVED:
 		changed = bct_gate_upstreams_remove(&g->upstreams, now, c->name, c->position) == 1;
 		break;
 	case BCT_REGISTRY_UNREADABLE:
-		BCT_LOG(g->log, BCT_EV_REGISTRY_UNREADABLE, BCT_STR("record", c->name));
+		bct_gate_upstreams_hold(&g->upstreams, c->name);
+		log_unreadable(g, c->name, "malformed");
 		break;
 	}
 	if (changed)
--- a/node/node_peer.c
+++ b/node/node_peer.c
@@ -219,6 +219,10 @@
 	/* The platform's list lags and may go back to an older revision, which is ignored. */
 	if (list.revision > p->vm_revision) {
 		p->vm_revision = list.revision;
+		if (list.n_unreadable)
+			BCT_LOG(p->opts.log, BCT_EV_VMS_UNREADABLE,
+				BCT_U64("unreadable", list.n_unreadable), BCT_U64("vms", list.n),
+				BCT_U64("revision", list.revision));
 		bct_peer_vm_list(p->peer, &list);
 		update_leaving(p, &list);
 	}
--- a/policy/gate_upstreams.c
+++ b/policy/gate_upstreams.c
@@ -3,6 +3,7 @@
  * averages.
  */
 #include "policy/gate_upstreams.h"
+#include "policy/gate_entry.h"
 #include "policy/gate_reclaim.h"
 #include "base/err.h"
 #include "base/hash.h"
@@ -225,6 +226,14 @@
 		u->release = bct_hash_mix(u->service_key, u->entry.software_key);
 }
 
+void bct_gate_upstreams_hold(bct_gate_upstreams_t *t, const char *id)
+{
+	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, id);
+
+	if (u)
+		u->list_pass = t->list_pass;
+}
+
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e)
 {
 	bct_gate_upstream_t *u = bct_gate_upstreams_find(t, e->id);
@@ -232,8 +241,9 @@
 	bool changed, other_run = !u || is_other_run(&u->entry, e);
 	uint64_t release = u ? u->release : 0;
 
-	if (u)
-		u->list_pass = t->list_pass;
+	bct_gate_upstreams_hold(t, e->id);
+	if (bct_gate_entry_fault(e))
+		return -BCT_EINVAL;
 	if (is_outdated(t, u, e))
 		return -BCT_ESTALE;
 	if (!u) {
--- a/policy/gate_upstreams.h
+++ b/policy/gate_upstreams.h
@@ -149,10 +149,17 @@
  * bct_gate_upstreams_apply(3): adds or updates an upstream from a registry entry.
  *
  * returns  1 if its presence, service or software changed, 0 if not, -BCT_ESTALE for an entry with
- * an older start time, sequence number or position, or one that was removed later, -BCT_ENOMEM
+ * an older start time, sequence number or position, or one that was removed later, -BCT_EINVAL for
+ * one that names no usable upstream, see bct_gate_entry_fault(3), -BCT_ENOMEM
  */
 int bct_gate_upstreams_apply(bct_gate_upstreams_t *t, bct_time_t now, const bct_gate_entry_t *e);
 
+/*
+ * bct_gate_upstreams_hold(3): the entry of this id can't be used now. What is known of the upstream
+ * holds until the entry is written again or removed; it does not count as missing in a listing.
+ */
+void bct_gate_upstreams_hold(bct_gate_upstreams_t *t, const char *id);
+
 /*
  * bct_gate_upstreams_remove(3): processes the removal of a registry entry.
  *
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -25,7 +25,9 @@
 	DEF(http_msg)      \
 	DEF(gate_events)   \
 	DEF(notice)        \
-	DEF(pack)
+	DEF(pack)          \
+	DEF(entry)         \
+	DEF(routes)
 
 /* BCT_FUZZ(name): declares the target function and begins its definition. */
 #ifdef BCT_LIBFUZZER
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -9,6 +9,7 @@
 #include <criterion/criterion.h>
 #include <event2/buffer.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define ENTRY                                                                          \
@@ -42,7 +43,7 @@
 	cr_assert_eq(decode("i-1",
 			    "{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","
 			    "\"version\":\"v1\",\"slots\":64,\"state\":\"draining\",\"spot\":true,"
-			    "\"leaves_ms\":1900.5,\"sequence\":5}",
+			    "\"leaves_ms\":1900.5,\"sequence\":5,\"cold_remaining_ms\":0}",
 			    &e),
 		     0);
 	cr_assert(e.spot);
@@ -81,10 +82,81 @@
 	cr_assert_eq(decode("", ENTRY, &e), -BCT_ECODEC);
 }
 
+/* An entry whose fields are sound but for one. */
+#define ODD(address, slots, cold, sequence, born)                                       \
+	"{\"service\":\"s\",\"address\":" address ",\"zone\":\"z\",\"version\":\"v1\"," \
+	"\"slots\":" slots ",\"state\":\"ready\",\"cold_remaining_ms\":" cold           \
+	",\"sequence\":" sequence ",\"born\":" born "}"
+#define SOUND "\"10.0.0.9:8080\""
+
+/* Numbers that are too large or of another type, and addresses that nobody can have: such an entry
+ * was used as an upstream, or outdid all later entries under its id. */
+Test(adapter, entries_that_name_no_upstream_are_rejected)
+{
+	static const char *const bad[] = {
+		ODD("\"10.0.0.9:65536\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0.9:-65535\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0.9:-18446744073709551536\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0.9:+80\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0.9: 80\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0.9:\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0.256:80\"", "1", "0", "1", "1"),
+		ODD("\"10.0.0:80\"", "1", "0", "1", "1"),
+		ODD("\"engine:80\"", "1", "0", "1", "1"),
+		ODD("\"0.0.0.0:80\"", "1", "0", "1", "1"),
+		ODD("\"239.1.1.1:80\"", "1", "0", "1", "1"),
+		ODD("\"255.255.255.255:80\"", "1", "0", "1", "1"),
+		ODD("[\"10.0.0.9:8080\"]", "1", "0", "1", "1"),
+		ODD(SOUND, "0", "0", "1", "1"),
+		ODD(SOUND, "-1", "0", "1", "1"),
+		ODD(SOUND, "4294967297", "0", "1", "1"),
+		ODD(SOUND, "9223372036854775807", "0", "1", "1"),
+		ODD(SOUND, "9223372036854775808", "0", "1", "1"),
+		ODD(SOUND, "1e30", "0", "1", "1"),
+		ODD(SOUND, "1e999", "0", "1", "1"),
+		ODD(SOUND, "true", "0", "1", "1"),
+		ODD(SOUND, "1", "-1", "1", "1"),
+		ODD(SOUND, "1", "1e300", "1", "1"),
+		ODD(SOUND, "1", "\"0\"", "1", "1"),
+		ODD(SOUND, "1", "null", "1", "1"),
+		ODD(SOUND, "1", "0", "-1", "1"),
+		ODD(SOUND, "1", "0", "9223372036854775807", "1"),
+		ODD(SOUND, "1", "0", "4294967296", "1"),
+		ODD(SOUND, "1", "0", "1", "-1"),
+		ODD(SOUND, "1", "0", "1", "9223372036854775807"),
+		ODD(SOUND, "1", "0", "1", "8000000000001"),
+		ODD(SOUND, "1", "0", "1", "1,\"born\":2"),
+	};
+	bct_gate_entry_t e;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		cr_assert_eq(decode("i-1", bad[i], &e), -BCT_ECODEC, "%s", bad[i]);
+	cr_assert_eq(decode("i-1", ODD(SOUND, "1", "0.5", "4294967295", "8000000000000"), &e), 0);
+	cr_assert_eq(decode("i 1", ENTRY, &e), -BCT_ECODEC);
+	cr_assert_eq(decode("i-1\r\nX: 1", ENTRY, &e), -BCT_ECODEC);
+}
+
+/* The stack of the thread that reads the registry has its limits. */
+Test(adapter, deep_nesting_is_rejected)
+{
+	static const char *const opening[] = { "[", "{\"a\":", "[{\"a\":" };
+	size_t depth = 80000;
+	char *text = malloc(depth * 8);
+	bct_gate_entry_t e;
+
+	for (size_t i = 0; i < sizeof(opening) / sizeof(opening[0]); i++) {
+		text[0] = '\0';
+		for (size_t k = 0, n = strlen(opening[i]); k < depth; k++)
+			memcpy(text + k * n, opening[i], n + 1);
+		cr_assert_eq(decode("i-1", text, &e), -BCT_ECODEC);
+	}
+	free(text);
+}
+
 #define ENTRY_WITH(more)                                                         \
 	"{\"service\":\"s\",\"address\":\"10.0.0.9:8080\",\"zone\":\"z\","       \
 	"\"version\":\"v1\",\"slots\":64,\"state\":\"draining\",\"sequence\":4," \
-	"\"born\":1700000000000," more "}"
+	"\"cold_remaining_ms\":0,\"born\":1700000000000," more "}"
 
 /* An engine whose reclaiming can't be read must still count as an engine. */
 Test(adapter, reclaiming_of_an_entry)
--- a/tests/test_gate_part_judge.c
+++ b/tests/test_gate_part_judge.c
@@ -181,9 +181,9 @@
 
 	bct_gate_upstreams_init(&t);
 	for (uint32_t i = 0; i < BCT_GATE_PART_CRASHES; i++) {
-		bct_gate_entry_t e = { .id = { (char)('a' + i) },
-				       .service = "s",
-				       .ip = "10.0.0.1" };
+		bct_gate_entry_t e = {
+			.id = { (char)('a' + i) }, .service = "s", .ip = "10.0.0.1", .port = 80
+		};
 		bct_time_t at = START + (bct_time_t)i * 1000;
 		bct_gate_upstream_t *u;
 
--- a/tests/test_gate_reported.c
+++ b/tests/test_gate_reported.c
@@ -260,6 +260,47 @@
 	test_gate_stop(t);
 }
 
+#define ODD_ADDRESS(address)                                                           \
+	"{\"service\":\"desk\",\"address\":\"" address "\",\"zone\":\"z\","            \
+	"\"version\":\"v1\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0," \
+	"\"sequence\":1,\"born\":1000}"
+
+/* Another writer left entries that name no upstream: a gateway that starts must serve with the
+ * others, as if they were not there. They were connected to, and requests got 503. */
+Test(gate_reported, odd_entries_are_no_upstreams, .timeout = 60)
+{
+	static const char *const odd[] = { ODD_ADDRESS("300.0.0.1:80"),
+					   ODD_ADDRESS("desk:8080"),
+					   ODD_ADDRESS(":80"),
+					   ODD_ADDRESS("127.0.0.1:-18446744073709551536"),
+					   ODD_ADDRESS("127.0.0.1:+80"),
+					   ODD_ADDRESS("127.0.0.1: 80"),
+					   ODD_ADDRESS("0.0.0.0:80"),
+					   ODD_ADDRESS("255.255.255.255:80"),
+					   ODD_ADDRESS("224.0.0.1:80"),
+					   ODD_ADDRESS("[::1]:80"),
+					   ODD_ADDRESS("127.0.0.1:0"),
+					   ODD_ADDRESS("127.0.0.1:99999"),
+					   ODD_ADDRESS("127.0.0.1:80:80"),
+					   ODD_ADDRESS("1270.0.1:80"),
+					   ODD_ADDRESS("\\u0000127.0.0.1:80"),
+					   NULL };
+	bct_buf_t out;
+
+	test_gate_start_odd(&gates[0], odd);
+	for (int i = 0; i < 3 * CALLS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "o%d", i);
+		cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", id, "ok", &out), 200);
+		bct_buf_free(&out);
+	}
+	/* Nothing was tried there. */
+	cr_expect_eq(bct_counter_get(&gates[0].gate->counters.values[BCT_GATE_RETRY_CONNECT]), 0);
+	cr_expect_eq(gates[0].gate->upstreams.n, GATE_UPSTREAMS + 1);
+	test_gate_stop(&gates[0]);
+}
+
 /* Sends a datagram to a port of a gateway. */
 static void send_datagram(const test_gate_t *t, uint16_t port, const char *bytes, size_t len)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -192,6 +192,43 @@
 	stop(&s, p);
 }
 
+/* One odd entry took the whole list away: the node followed it no more. */
+Test(platform_http, an_odd_vm_leaves_the_others)
+{
+	static const char *const odd[] = {
+		"7",
+		"null",
+		"{}",
+		"[[[[[[[[]]]]]]]]",
+		"{\"name\": \"x\", \"address\": 7, \"role\": \"entry\","
+		"\"state\": \"ready\"}",
+		"{\"name\": \"x\", \"address\": \"10.0.0.2\", \"role\":"
+		"\"entry\", \"state\": \"ready\", \"peer_port\": 65536}",
+		"{\"name\": \"x\", \"address\": \"10.0.0.2\", \"role\":"
+		"\"entry\", \"state\": \"ready\", \"peer_port\": 1e300}"
+	};
+
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		bct_platform_t *p;
+		bct_vm_list_t l;
+		char text[512];
+		server_t s;
+
+		snprintf(text, sizeof(text),
+			 "{\"revision\": 4, \"vms\": [%s, {\"name\": \"e1\", \"address\":"
+			 "\"10.0.0.1\", \"peer_port\": 9001, \"role\": \"entry\","
+			 "\"state\": \"ready\"}]}",
+			 odd[i]);
+		p = start(&s, "200 OK", text);
+		cr_assert_eq(bct_platform_vms(p, TIMEOUT_MS, &l), 0, "%s", odd[i]);
+		cr_assert_eq(l.n, 1, "%s", odd[i]);
+		cr_assert_eq(l.n_unreadable, 1, "%s", odd[i]);
+		cr_assert_str_eq(l.vms[0].name, "e1");
+		bct_vm_list_free(&l);
+		stop(&s, p);
+	}
+}
+
 Test(platform_embedded, injected_faults_take_effect)
 {
 	bct_platform_t *p;
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -182,3 +182,105 @@
 		bct_registry_batch_free(&b);
 	}
 }
+
+/* Serves two pages of a listing and keeps the second request line. */
+typedef struct pages {
+	int fd;
+	uint16_t port;
+	pthread_t thread;
+	const char *first; /* items of the first page */
+	char asked[1024];
+} pages_t;
+
+static void send_page(int fd, const char *items, const char *more)
+{
+	char text[1024];
+	int n = snprintf(text, sizeof(text), "{\"items\":[%s],\"more\":%s,\"end_offset\":9}", items,
+			 more);
+
+	dprintf(fd, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", n, text);
+}
+
+static void *serve_pages(void *arg)
+{
+	static const char sound[] = "{\"key\":\"z\",\"value\":\"QQ==\",\"offset\":8}";
+	pages_t *s = arg;
+	int fd = accept(s->fd, NULL, NULL);
+	char unused[1024];
+
+	if (read(fd, unused, sizeof(unused)) > 0)
+		send_page(fd, s->first, "true");
+	if (read(fd, s->asked, sizeof(s->asked) - 1) > 0)
+		send_page(fd, sound, "false");
+	while (read(fd, unused, sizeof(unused)) > 0)
+		send_page(fd, s->first, "true");
+	close(fd);
+	return NULL;
+}
+
+static int count_record(void *ctx, const bct_store_record_t *r)
+{
+	(void)r;
+	(*(uint32_t *)ctx)++;
+	return 0;
+}
+
+/* Lists a topic whose first page has these items. Returns the error; n: records delivered. */
+static int list_pages(pages_t *s, uint32_t *n)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sa);
+	char address[64];
+	bct_store_t *store;
+	uint64_t next;
+	int rc;
+
+	s->fd = socket(AF_INET, SOCK_STREAM, 0);
+	cr_assert_eq(bind(s->fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	cr_assert_eq(listen(s->fd, 4), 0);
+	getsockname(s->fd, (struct sockaddr *)&sa, &len);
+	snprintf(address, sizeof(address), "127.0.0.1:%u", ntohs(sa.sin_port));
+	pthread_create(&s->thread, NULL, serve_pages, s);
+	cr_assert_eq(bct_store_new(address, &store), 0);
+	rc = bct_store_newest(store, "keyed.servers", TIMEOUT_MS, count_record, n, &next);
+	bct_store_free(store);
+	pthread_join(s->thread, NULL);
+	close(s->fd);
+	return rc;
+}
+
+/* The key at the end of a page may be another writer's, and any text: the next page is behind it. A
+ * node could not read any further, or read the first page again. */
+Test(store, an_odd_key_does_not_end_a_listing)
+{
+	static pages_t s = { .first = "{\"key\":\"a b&part=1#\\u00e4\\r\\n%\","
+				      "\"value\":\"QQ==\",\"offset\":1}" };
+	uint32_t n = 0;
+
+	cr_assert_eq(list_pages(&s, &n), 0);
+	cr_assert_eq(n, 2);
+	cr_assert(strstr(s.asked, "&after=a%20b%26part%3D1%23%C3%A4%0D%0A%25 HTTP/1.1\r\n"), "%s",
+		  s.asked);
+}
+
+/* Values that are no base64, and items without a key, are left out. */
+Test(store, odd_items_leave_the_others)
+{
+	static pages_t s = { .first = "{\"key\":\"a\",\"value\":\"%\",\"offset\":1},7,null,"
+				      "{\"value\":\"QQ==\"},{\"key\":7},"
+				      "{\"key\":\"b\",\"value\":\"QQ==\",\"offset\":2}" };
+	uint32_t n = 0;
+
+	cr_assert_eq(list_pages(&s, &n), 0);
+	cr_assert_eq(n, 2);
+}
+
+/* A page without any key would be asked for again and again. */
+Test(store, a_page_without_keys_ends_a_listing)
+{
+	static pages_t s = { .first = "7" };
+	uint32_t n = 0;
+
+	cr_assert_eq(list_pages(&s, &n), -BCT_ECODEC);
+}
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -30,6 +30,7 @@
 #define SHARE_PORT 18002U
 #define ADMIN_PORT 18003U
 #define BORN_MS 1000U  /* of the first run of each upstream */
+#define LISTED_MAX 64  /* entries of the registry */
 #define NET_HOSTS 250U /* values used of an address octet */
 
 typedef struct memory_registry {
@@ -83,6 +84,19 @@
 	cr_assert_eq(bct_decode_entry(u->id, text, (size_t)n, &c->entry), 0);
 }
 
+/* Entries of another writer; some can't be decoded. */
+static void add_odd(bct_registry_batch_t *b, const char *const *texts)
+{
+	for (uint32_t i = 0; texts && texts[i]; i++) {
+		bct_registry_change_t *c = &b->changes[b->n++];
+
+		c->kind = BCT_REGISTRY_ENTRY;
+		snprintf(c->name, sizeof(c->name), "odd-%u", i);
+		if (bct_decode_entry(c->name, texts[i], strlen(texts[i]), &c->entry))
+			c->kind = BCT_REGISTRY_UNREADABLE;
+	}
+}
+
 static const char *desk_more(const test_gate_t *t)
 {
 	if (!t->desk_spot)
@@ -102,7 +116,7 @@
 	pthread_mutex_lock(&t->lock);
 	while (topic == BCT_REGISTRY_ROUTES && t->routes_hang && !t->cancelled)
 		pthread_cond_wait(&t->routes_resume, &t->lock);
-	out->changes = bct_alloc(sizeof(*out->changes) * 8);
+	out->changes = bct_alloc(sizeof(*out->changes) * LISTED_MAX);
 	if (m->reader->down) {
 		rc = -BCT_EUNAVAILABLE;
 	} else if (topic == BCT_REGISTRY_ROUTES) {
@@ -116,6 +130,7 @@
 		if (t->desk_listed)
 			add_entry(out, &t->desk, t->desk_drains ? "draining" : "ready",
 				  desk_more(t));
+		add_odd(out, t->odd);
 	}
 	pthread_mutex_unlock(&t->lock);
 	if (rc)
@@ -287,9 +302,10 @@
 	fill_settings(t, i);
 }
 
-static void start(test_gate_t *t, bool down, uint32_t memory_bytes)
+static void start(test_gate_t *t, bool down, uint32_t memory_bytes, const char *const *odd)
 {
 	init(t, 0);
+	t->odd = odd;
 	t->down = down;
 	t->settings.gate_memory_bytes = memory_bytes;
 	start_upstreams(t);
@@ -317,7 +333,7 @@
 
 void test_gate_start_down(test_gate_t *t)
 {
-	start(t, true, 0);
+	start(t, true, 0, NULL);
 }
 
 /* Sends requests until an upstream has answered one: the configuration is loaded then. */
@@ -340,9 +356,15 @@
 	test_gate_start_bounded(t, 0);
 }
 
+void test_gate_start_odd(test_gate_t *t, const char *const *entries)
+{
+	start(t, false, 0, entries);
+	wait_until_ready(t);
+}
+
 void test_gate_start_bounded(test_gate_t *t, uint32_t memory_bytes)
 {
-	start(t, false, memory_bytes);
+	start(t, false, memory_bytes, NULL);
 	wait_until_ready(t);
 }
 
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -102,7 +102,8 @@
 	char config[8192];    /* configuration in the registry, JSON */
 	bool down;	      /* the registry does not answer this gateway */
 	bool desk_listed;
-	bool routes_hang; /* calls on routes do not return until it is cleared or cancelled */
+	const char *const *odd; /* further entries, of other writers, up to a NULL; NULL: none */
+	bool routes_hang;	/* calls on routes do not return until it is cleared or cancelled */
 	bool cancelled;
 	pthread_cond_t routes_resume;
 	bool desk_drains;
@@ -121,6 +122,8 @@
 void test_gate_set_usage(void);
 /* Starts with the setting gate.memory_bytes. */
 void test_gate_start_bounded(test_gate_t *t, uint32_t memory_bytes);
+/* Starts with further entries in the registry, up to a NULL, by another writer. */
+void test_gate_start_odd(test_gate_t *t, const char *const *entries);
 /* Starts with a registry that does not answer, and does not wait. */
 void test_gate_start_down(test_gate_t *t);
 /*
