gate: a refusal that names no request is not believed on a kept connection

Operators of a similar system reported: a faulty engine wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that it had run or was running (REFUSED), or such a request ran at a second engine (TWICE).

It can happen here. An answer without an attempt id counted as that of the request in progress, and a refusal as proof that this had not run.

Now an answer without an id is skipped on a connection whose other answers bore theirs, whatever it says: the right one follows. Elsewhere a refusal without an id proves something only as the first answer on its connection; else the outcome is unknown (502, or a retry of what may be repeated).

Now all get their own answer and run once.

--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -209,6 +209,12 @@
 	bct_notice_received(x, &a.notice);
 	if (!a.identity_mismatch)
 		note_progress(x);
+	/* It may be a refusal of an earlier request, once more, while the upstream runs this one.
+	 */
+	if ((a.not_run || a.identity_mismatch) && x->conn->unattributed) {
+		bct_exchange_fault(x, BCT_FAULT_BAD_ANSWER);
+		return false;
+	}
 	if (a.not_run || a.identity_mismatch) {
 		handle_not_run(x, &a);
 		return false;
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -253,11 +253,13 @@
 	bct_exchange_t *x; /* NULL: idle */
 	bool connected;
 	bool reused;
-	bool window_closed;   /* the upstream does not read, see bct_window_check(3) */
-	bool paused;	      /* it is not read, as the caller is slow to receive */
-	bct_time_t resumed;   /* when that last ended in the current request; 0: never */
-	bool discards;	      /* the answer being read belongs to another request and is skipped */
-	bool progress;	      /* bytes of the answer to the current request were accepted */
+	bool window_closed;  /* the upstream does not read, see bct_window_check(3) */
+	bool paused;	     /* it is not read, as the caller is slow to receive */
+	bct_time_t resumed;  /* when that last ended in the current request; 0: never */
+	bool discards;	     /* the answer being read belongs to another request and is skipped */
+	bool names_requests; /* an answer on it bore the attempt id of its request */
+	bool unattributed; /* the answer being read names no request, and is not the first on it */
+	bool progress;	   /* bytes of the answer to the current request were accepted */
 	size_t useless_bytes; /* received since then */
 	bct_time_t opened;
 	bct_time_t sent_at;
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -66,13 +66,24 @@
 	c->discards = true;
 }
 
-/* Whether the response is for the current request. One without an attempt id counts as such. */
+/*
+ * Whether the response is for the current request. One without an attempt id counts as such, but
+ * not on a connection whose other responses bore theirs: there it is a copy of an earlier one. A
+ * node that relays names no request in its own responses.
+ */
 static bool matches_request(bct_upconn_t *c)
 {
+	bool named = c->x->call.id[0] && !c->upstream->is_node;
 	bct_wire_answer_t a;
 
 	c->gate->wire->decode_answer(&c->msg, &a);
-	return !a.call_id || !strcmp(a.call_id, c->x->call.id);
+	c->unattributed = named && !a.call_id && c->reused;
+	if (!a.call_id)
+		return !named || !c->names_requests;
+	if (strcmp(a.call_id, c->x->call.id) != 0)
+		return false;
+	c->names_requests = true;
+	return true;
 }
 
 static int on_body(void *ctx, const char *data, size_t len)
--- a/tests/test_gate_reported.c
+++ b/tests/test_gate_reported.c
@@ -52,6 +52,76 @@
 	test_gate_stop(&gates[0]);
 }
 
+/* Routes /unsafe/ to the engines, with two attempts. */
+static void publish_unsafe_engines(test_gate_t *t)
+{
+	static const char was[] = "\"service\":\"desk\",\"attempts\":1";
+	static const char is[] = "\"service\":\"model\",\"attempts\":2";
+	const char *config = test_gate_config(2, "model"), *at = strstr(config, was);
+	char text[8192];
+
+	cr_assert(at);
+	snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - config), config, is, at + strlen(was));
+	test_gate_publish(t, text);
+}
+
+/* Requests that may run once, on connections that are in use again. returns how many runs they had;
+ * none may be told that it has not run. */
+static uint32_t run_unsafe(const char *name, const char *script, int status)
+{
+	uint32_t runs = 0;
+	bct_buf_t out;
+
+	for (int i = 0; i < 3 * CALLS; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "%s-%d", name, i);
+		cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", id, script, &out),
+			     status, "%s", out.data);
+		cr_expect_not(strstr(out.data, "theirs"), "%s", out.data);
+		runs += test_gate_runs(&gates[0], id);
+		bct_buf_free(&out);
+	}
+	return runs;
+}
+
+/* An engine writes an earlier refusal once more where the answer to the next request is due,
+ * without naming a request, and runs that: its caller was told that it had not run, or it ran
+ * twice. */
+Test(gate_reported, an_earlier_refusal_is_not_believed)
+{
+	static const char *const strays[] = { "strayrefusal", "straywrong", "strayok" };
+	uint32_t connections;
+
+	test_gate_start(&gates[0]);
+	publish_unsafe_engines(&gates[0]);
+	run_unsafe("first", "ok", 200);
+	connections = gates[0].connections;
+	for (int i = 0; i < 3; i++)
+		cr_expect_eq(run_unsafe(strays[i], strays[i], 200), 3 * CALLS, "%s", strays[i]);
+	cr_expect_leq(gates[0].connections, connections + GATE_UPSTREAMS);
+	test_gate_stop(&gates[0]);
+}
+
+/* A refusal that names no request, of an upstream that never names one: only on a new connection
+ * there is none before that it can belong to. */
+Test(gate_reported, a_refusal_without_a_name_proves_little)
+{
+	bct_buf_t out;
+
+	test_gate_start(&gates[0]);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", "new", "barerefusal", &out),
+		     503, "%s", out.data);
+	bct_buf_free(&out);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", "b0", "bareok", &out), 200);
+	bct_buf_free(&out);
+	cr_expect_eq(test_gate_call(&gates[0], "POST", "/unsafe/a", "kept", "barerefusal", &out),
+		     502, "%s", out.data);
+	bct_buf_free(&out);
+	cr_expect_eq(test_gate_runs(&gates[0], "kept"), 1);
+	test_gate_stop(&gates[0]);
+}
+
 typedef struct stop_caller {
 	pthread_t thread;
 	uint32_t connected;
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -48,6 +48,10 @@
  *   die          no response; after DIE_MS the whole upstream ends, with all its connections
  *   noseal       200 without the upstream's seal
  *   foreign      a response with another request's attempt id, then the right one
+ *   strayrefusal, straywrong, strayok
+ *                an earlier refusal, 421 or answer without an attempt id, then the right one
+ *   barerefusal, barewrong, bareok
+ *                a refusal, 421 or answer without an attempt id
  *   latecopy     another answer to the request before on the connection, then the right one
  *   slow         as ok, after more than half a second
  *   extra        a second response behind the first
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -123,6 +123,18 @@
 
 #define SEAL HEAD "Server-Seal: s\r\n"
 
+/* Sends a refusal, or another answer, without an attempt id. */
+static void put_bare(int fd, const char *kind)
+{
+	if (!strcmp(kind, "refusal"))
+		put(fd,
+		    "HTTP/1.1 503 Full\r\n" HEAD "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	else if (!strcmp(kind, "wrong"))
+		put(fd, "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+	else
+		put(fd, "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 6\r\n\r\ntheirs");
+}
+
 static void put_event(int fd, int id)
 {
 	char event[64], text[96];
@@ -389,6 +401,12 @@
 		put_answer(c->fd, "200 OK", c->last_id, SEAL, "theirs", 6);
 		bct_clock_sleep(20);
 		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	} else if (!strncmp(action, "bare", 4)) {
+		put_bare(c->fd, action + 4);
+	} else if (!strncmp(action, "stray", 5)) {
+		put_bare(c->fd, action + 5);
+		bct_clock_sleep(20);
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
 	} else if (!strcmp(action, "slow")) {
 		bct_clock_sleep(SLOW_EVENT_MS);
 		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
