gate: no answer to HEAD has a body

Cause: bct_answer_local() wrote its text whatever the method was. Same class: a forwarded answer to HEAD stated length 0 in place of the upstream's; HEAD to a stream whose upstream answers with the head of an event stream got 502; an interim answer, or one to another request, before the answer to HEAD made the gateway wait for a body.

--- a/gate/answer.c
+++ b/gate/answer.c
@@ -47,6 +47,12 @@
 		evbuffer_add_printf(out, "Connection: close\r\n");
 }
 
+/* Whether the request that is answered is HEAD: no answer to it has a body, whoever produces it. */
+static bool is_head(const bct_client_t *c)
+{
+	return c->msg.method && !strcmp(c->msg.method, "HEAD");
+}
+
 void bct_answer_local(bct_client_t *c, const bct_answer_opts_t *o)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
@@ -61,7 +67,9 @@
 	if (c->is_node)
 		bct_relay_put_outcome(o, out);
 	put_connection_header(c, out);
-	evbuffer_add_printf(out, "\r\n%s\n", o->text);
+	evbuffer_add(out, "\r\n", 2);
+	if (!is_head(c))
+		evbuffer_add_printf(out, "%s\n", o->text);
 }
 
 int bct_head_copy(const bct_http_msg_t *m, bct_buf_t *out)
@@ -74,6 +82,20 @@
 	return out->err;
 }
 
+/* The answer to HEAD has the length that the upstream stated of a body that is not sent, if any. */
+static void put_length(const bct_client_t *c, const bct_http_msg_t *m, int64_t body_bytes,
+		       struct evbuffer *out)
+{
+	const char *stated = bct_http_msg_header(m, "Content-Length");
+
+	if (is_head(c) && stated)
+		evbuffer_add_printf(out, "Content-Length: %s\r\n", stated);
+	else if (!is_head(c) && body_bytes < 0)
+		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
+	else if (!is_head(c))
+		evbuffer_add_printf(out, "Content-Length: %" PRId64 "\r\n", body_bytes);
+}
+
 void bct_answer_head(bct_client_t *c, const bct_http_msg_t *m, int64_t body_bytes)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
@@ -84,10 +106,7 @@
 	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", m->status, reason_phrase(m->status));
 	if (lines.len_bytes)
 		evbuffer_add(out, lines.data, lines.len_bytes);
-	if (body_bytes < 0)
-		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
-	else
-		evbuffer_add_printf(out, "Content-Length: %" PRId64 "\r\n", body_bytes);
+	put_length(c, m, body_bytes, out);
 	put_connection_header(c, out);
 	evbuffer_add(out, "\r\n", 2);
 	bct_buf_free(&lines);
--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -182,12 +182,13 @@
 	return true;
 }
 
+/* The answer to HEAD has no events, whatever its type. */
 static bool is_event_stream(const bct_exchange_t *x)
 {
 	const char *type = bct_http_msg_header(&x->conn->msg, "Content-Type");
 
-	return x->route->kind == BCT_GATE_STREAM && is_success(x->conn->msg.status) && type &&
-	       !strncmp(type, "text/event-stream", 17);
+	return x->route->kind == BCT_GATE_STREAM && !x->conn->msg.head_only &&
+	       is_success(x->conn->msg.status) && type && !strncmp(type, "text/event-stream", 17);
 }
 
 /* Bytes of the answer have arrived. */
--- a/http/http_msg.c
+++ b/http/http_msg.c
@@ -35,7 +35,7 @@
 	m->n_headers = 0;
 	m->method = m->target = NULL;
 	m->status = 0;
-	m->until_close = m->head_only = false;
+	m->until_close = false;
 	m->err = 0;
 }
 
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -48,6 +48,8 @@
  *   die          no response; after DIE_MS the whole upstream ends, with all its connections
  *   noseal       200 without the upstream's seal
  *   foreign      a response with another request's attempt id, then the right one
+ *   head, headstream
+ *                as ok, or the head of an event stream, to HEAD: without a body
  *   strayrefusal, straywrong, strayok
  *                an earlier refusal, 421 or answer without an attempt id, then the right one
  *   barerefusal, barewrong, bareok
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -401,6 +401,10 @@
 		put_answer(c->fd, "200 OK", c->last_id, SEAL, "theirs", 6);
 		bct_clock_sleep(20);
 		put_answer(c->fd, "200 OK", id, SEAL, "body", 4);
+	} else if (!strcmp(action, "head")) {
+		put_answer(c->fd, "200 OK", id, SEAL, "body", 0);
+	} else if (!strcmp(action, "headstream")) {
+		put_answer(c->fd, "200 OK", id, SEAL "Content-Type: text/event-stream\r\n", "", 0);
 	} else if (!strncmp(action, "bare", 4)) {
 		put_bare(c->fd, action + 4);
 	} else if (!strncmp(action, "stray", 5)) {
