--- a/gate/attempt.c
+++ b/gate/attempt.c
@@ -210,8 +210,7 @@
 	bct_notice_received(x, &a.notice);
 	if (!a.identity_mismatch)
 		note_progress(x);
-	/* It may be a refusal of an earlier request, once more, while the upstream runs this one.
-	 */
+	/* It may be an earlier refusal once more, while the upstream runs this request. */
 	if ((a.not_run || a.identity_mismatch) && x->conn->unattributed) {
 		bct_exchange_fault(x, BCT_FAULT_BAD_ANSWER);
 		return false;
