tests: crowds of clients that don't behave, at each port of both daemons

Cause: no test had clients that send ahead, read nothing or finish nothing, so nothing showed what they make a process hold.

Change: build/bin/crowd opens many connections to one port and misbehaves in one of seven ways; it counts what the process holds from outside: resident memory, bytes in its sockets that nobody read (the kernel's tables) and descriptors. One ordinary request has to be answered while the crowd stays and one after it has left. The scripts tests/proc_crowd_*.sh set a machine of 40 MB and 256 descriptors for chutegate, and the design's 256 MB and 512 descriptors for chuted.

--- a/Makefile
+++ b/Makefile
@@ -110,6 +110,12 @@
 # The stand-ins of the control API and of its topic, with their HTTP servers.
 DUTIES_SRCS := soak/duties.c standin/control_api.c standin/control_call.c standin/keyed_log.c
 
+# Clients that don't behave, for tests/proc_crowd_*.sh, and what a gateway needs beside them.
+$(BIN)/crowd: $(call obj,tests/crowd.c tests/crowd_watch.c) $(LIB)
+	$(link)
+$(BIN)/crowd-backend: $(call obj,tests/crowd_backend.c) $(LIB)
+	$(link)
+
 $(BIN)/soak: $(call obj,$(sort $(SOAK_SRCS) $(DUTIES_SRCS))) $(LIB)
 	$(link)
 $(BIN)/embed: $(call obj,examples/embed.c) $(LIB)
@@ -132,7 +138,7 @@
 
 # All unit tests, then the tests that run real processes.
 test: deps
-	$(Q)$(MAKE) --no-print-directory programs $(BIN)/soak unit
+	$(Q)$(MAKE) --no-print-directory programs $(BIN)/soak $(BIN)/crowd $(BIN)/crowd-backend unit
 	$(Q)BIN=$(BIN) sh tests/run_process_tests.sh
 
 unit: $(TESTS)
--- /dev/null
+++ b/tests/crowd_backend.c
@@ -0,0 +1,121 @@
+/*
+ * crowd_backend.c - what a gateway needs to serve requests: a store with one configuration and one
+ * entry, and the upstream that the entry names. Prints "listening PORT", that of the store, and
+ * runs until it is terminated.
+ */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <sodium.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define HEAD "X-Buckthornchute-"
+#define TEXT_BYTES 4096
+#define ANSWER_BYTES 2000
+#define LARGE_BYTES 500000 /* of an answer to a path that ends in "large" */
+
+#define CONFIG                                                                                  \
+	"{\"version\":1,\"routes\":["                                                           \
+	"{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\","       \
+	"\"timeout_ms\":5000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"desk\","    \
+	"\"attempts\":2},"                                                                      \
+	"{\"name\":\"unsafe\",\"host\":\"h\",\"path_prefix\":\"/unsafe/\",\"kind\":\"unsafe\"," \
+	"\"timeout_ms\":5000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"desk\","    \
+	"\"attempts\":1}],"                                                                     \
+	"\"services\":[{\"name\":\"desk\"}],"                                                   \
+	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"                    \
+	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":10000},"                                \
+	"\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}"
+
+static char answer[LARGE_BYTES];
+
+/* Lists the configuration (topic keyed.op), or the upstream, whose port is ctx. */
+static void on_newest(struct evhttp_request *req, void *ctx)
+{
+	bool config = strstr(evhttp_request_get_uri(req), "keyed.op") != NULL;
+	struct evbuffer *out = evbuffer_new();
+	char text[TEXT_BYTES] = CONFIG, encoded[TEXT_BYTES * 2];
+
+	if (!config)
+		snprintf(text, sizeof(text),
+			 "{\"service\":\"desk\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
+			 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+			 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
+			 *(uint16_t *)ctx);
+	sodium_bin2base64(encoded, sizeof(encoded), (const unsigned char *)text, strlen(text),
+			  sodium_base64_VARIANT_ORIGINAL);
+	evbuffer_add_printf(out,
+			    "{\"items\":[{\"key\":\"%s\",\"value\":\"%s\",\"offset\":1}],"
+			    "\"more\":false,\"end_offset\":2}",
+			    config ? "config" : "i-1", encoded);
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+}
+
+/* Nothing changes: two numbers, the end offset and the first one, and no records. */
+static void on_log(struct evhttp_request *req, void *ctx)
+{
+	uint64_t ends[2] = { __builtin_bswap64(2), 0 };
+	struct evbuffer *out = evbuffer_new();
+
+	(void)ctx;
+	evbuffer_add(out, ends, sizeof(ends));
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+}
+
+/* The upstream: runs any request. */
+static void on_request(struct evhttp_request *req, void *ctx)
+{
+	struct evkeyvalq *in = evhttp_request_get_input_headers(req);
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	const char *id = evhttp_find_header(in, HEAD "Request-Attempt-Id");
+	const char *uri = evhttp_request_get_uri(req);
+	size_t len = strlen(uri), bytes = ANSWER_BYTES;
+	struct evbuffer *out = evbuffer_new();
+
+	(void)ctx;
+	if (len > 5 && !strcmp(uri + len - 5, "large"))
+		bytes = LARGE_BYTES;
+	if (id)
+		evhttp_add_header(headers, HEAD "Request-Attempt-Id", id);
+	evhttp_add_header(headers, HEAD "Server-Seal", "s");
+	evbuffer_add(out, answer, bytes);
+	evhttp_send_reply(req, 200, "OK", out);
+	evbuffer_free(out);
+}
+
+static struct evhttp *serve(struct event_base *base, uint16_t *port)
+{
+	struct evhttp *h = evhttp_new(base);
+	struct evhttp_bound_socket *b = evhttp_bind_socket_with_handle(h, "127.0.0.1", 0);
+	struct sockaddr_in sa;
+	socklen_t len = sizeof(sa);
+
+	if (!b || getsockname(evhttp_bound_socket_get_fd(b), (struct sockaddr *)&sa, &len))
+		abort();
+	*port = ntohs(sa.sin_port);
+	return h;
+}
+
+int main(void)
+{
+	struct event_base *base = event_base_new();
+	uint16_t store_port, upstream_port;
+	struct evhttp *store = serve(base, &store_port);
+	struct evhttp *upstream = serve(base, &upstream_port);
+
+	memset(answer, 'a', sizeof(answer));
+	evhttp_set_cb(store, "/api/log-newest", on_newest, &upstream_port);
+	evhttp_set_cb(store, "/api/log-read", on_log, NULL);
+	evhttp_set_gencb(upstream, on_request, NULL);
+	printf("listening %u\n", store_port);
+	fflush(stdout);
+	event_base_dispatch(base);
+	return 0;
+}
