http, gate: a connection that is freed reads and writes nothing more

What callers saw: chutegate ended by signal 11 when callers that had sent requests ahead left; with SAN=address a heap-use-after-free in changed() of gate/memory.c.

Cause: a pipelined request is taken up by a deferred callback, which holds a reference to the bufferevent. bufferevent_free() then only drops one of two references; until the callback has run, the socket is still read and written, and the callbacks that count its buffers' bytes write into the freed bct_client_t. Any stranger could do so.

Change: bct_bev_free(3) disables the connection before it frees it, and the callbacks on its buffers are removed with the account. The same end for connections to upstreams (libevent defers BEV_EVENT_CONNECTED of a connection that is established at once: the request of an exchange that was given up could still be written) and for chuted's filter. evhttp defers no callback of ours; libcurl's and libmicrohttpd's users hold no bufferevent.

--- a/gate/client.c
+++ b/gate/client.c
@@ -7,6 +7,7 @@
 #include "gate/gate_int.h"
 #include "gate/memory.h"
 #include "gate/window.h"
+#include "http/bev.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -64,7 +65,7 @@
 	bct_memory_closed(c);
 	c->gate->n_clients--;
 	event_free(c->timer);
-	bufferevent_free(c->bev);
+	bct_bev_free(c->bev);
 	if (c->body)
 		evbuffer_free(c->body);
 	bct_http_msg_free(&c->msg);
@@ -345,7 +346,7 @@
 		if (c->timer)
 			event_free(c->timer);
 		if (c->bev)
-			bufferevent_free(c->bev);
+			bct_bev_free(c->bev);
 		bct_free(c);
 		return NULL;
 	}
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -108,6 +108,9 @@
 	bct_list_del(&c->waiting);
 	if (!m)
 		return;
+	/* The connection's buffers may outlive it, see bct_bev_free(3). */
+	evbuffer_remove_cb(bufferevent_get_input(c->bev), on_request, c);
+	evbuffer_remove_cb(bufferevent_get_output(c->bev), on_unread, c);
 	bct_gate_memory_close(&m->sums, &c->memory);
 	if (m->level != BCT_GATE_MEMORY_FREE)
 		act_soon(m);
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -7,6 +7,7 @@
 #include "gate/gate_int.h"
 #include "gate/reach.h"
 #include "gate/window.h"
+#include "http/bev.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -50,7 +51,7 @@
 	bct_list_del(&c->link);
 	if (c->x)
 		c->x->conn = NULL;
-	bufferevent_free(c->bev);
+	bct_bev_free(c->bev);
 	bct_http_msg_free(&c->msg);
 	c->upstream->refs--;
 	bct_free(c);
--- a/node/front_filter.c
+++ b/node/front_filter.c
@@ -7,6 +7,7 @@
 #include "base/err.h"
 #include "base/list.h"
 #include "base/mem.h"
+#include "http/bev.h"
 #include "http/http_msg.h"
 
 #include <ck_pr.h>
@@ -65,9 +66,9 @@
 {
 	bct_list_del(&c->link);
 	event_free(c->timer);
-	bufferevent_free(c->caller);
+	bct_bev_free(c->caller);
 	if (c->inner)
-		bufferevent_free(c->inner);
+		bct_bev_free(c->inner);
 	evbuffer_free(c->shadow);
 	bct_http_msg_free(&c->msg);
 	bct_free(c);
@@ -106,7 +107,7 @@
 			    "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
 			    text ? strlen(text) : 0, text ? text : "");
 	free(text);
-	bufferevent_free(c->inner);
+	bct_bev_free(c->inner);
 	c->inner = NULL;
 	end_when_flushed(c);
 }
@@ -286,7 +287,7 @@
 	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
 		return;
 	bufferevent_read_buffer(bev, bufferevent_get_output(c->caller));
-	bufferevent_free(bev);
+	bct_bev_free(bev);
 	c->inner = NULL;
 	bufferevent_enable(c->caller, EV_READ);
 	end_when_flushed(c);
@@ -317,9 +318,9 @@
 	if (c && c->timer)
 		event_free(c->timer);
 	if (c && c->caller)
-		bufferevent_free(c->caller);
+		bct_bev_free(c->caller);
 	if (c && c->inner)
-		bufferevent_free(c->inner);
+		bct_bev_free(c->inner);
 	bct_free(c);
 	return NULL;
 }
