gate: a caller that sends ahead makes the node hold one answer

What callers saw: with 100 callers that sent requests ahead and read nothing, the process held 88 to 169 MB on a machine of 40 MB, and ordinary requests got 503.

Cause: the next request on a connection was answered although the answer before was not written, 256 KB were read ahead, the kernel's buffers were of its own size (up to megabytes), and nothing bounded what was read ahead: only answers could be cut.

Change: nothing is read from the input while an answer is being written; the input holds one head at most; gate.socket_buffer_bytes (16 KB in each direction, larger while a long body is read) bounds the kernel's part; what the kernel has received behind a request counts as held, and the connection with most of it ends if neither an unread nor a kept answer can be cut (event 430, once a second; a counter). A caller that waits for its answer before it sends on meets none of this.

--- a/gate/client.c
+++ b/gate/client.c
@@ -1,6 +1,8 @@
 /*
  * client.c - connections of callers. Requests on one connection are handled one at a time: a
- * pipelined request stays in the input buffer until the previous one has been answered.
+ * pipelined request stays in the input buffer, or in the kernel, until the previous one has been
+ * answered and the answer written. So a caller that sends ahead and reads nothing makes the node
+ * hold one answer and as much input as a head may have.
  */
 #include "base/err.h"
 #include "base/mem.h"
@@ -15,12 +17,12 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-#define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most while a request is in progress */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
 #define IDLE_MIN_MS 300 /* a stop leaves a new or just answered connection open for as long */
 #define LINGER_MS 1000	/* for the caller to close after the last response */
-#define RELAY_HEADER_BYTES 512 /* that another node adds to those of its caller */
-#define USER_TIMEOUT_MS 5000   /* output unacknowledged for this long ends the connection */
+#define RELAY_HEADER_BYTES 512	       /* that another node adds to those of its caller */
+#define BODY_RCVBUF_BYTES (128 * 1024) /* of the kernel, while a long body is read */
+#define USER_TIMEOUT_MS 5000	       /* output unacknowledged for this long ends the connection */
 
 /* Limits in force until a configuration is known. */
 #define DEFAULT_HEADER_BYTES 16384
@@ -46,6 +48,12 @@
 	return get_limits(c->gate).max_header_bytes + (c->is_node ? RELAY_HEADER_BYTES : 0);
 }
 
+/* A whole head must fit, and one byte more, to tell that a head is too long. */
+static void set_read_ahead(bct_client_t *c)
+{
+	bufferevent_setwatermark(c->bev, EV_READ, 0, max_header_bytes(c) + 1);
+}
+
 static void set_timer(bct_client_t *c, uint32_t ms)
 {
 	struct timeval tv = { ms / BCT_MS_PER_S, (long)(ms % BCT_MS_PER_S) * 1000 };
@@ -101,6 +109,16 @@
 	close_when_flushed(c);
 }
 
+/* The small buffer of the kernel (listen.c) would make a long body slow. */
+static void grow_receive_buffer(bct_client_t *c)
+{
+	int bytes = BODY_RCVBUF_BYTES;
+
+	/* Of a chunked body the parser knows no length: the largest one. */
+	if (c->msg.state == BCT_HTTP_BODY && c->msg.parser.content_length > BODY_RCVBUF_BYTES)
+		setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+}
+
 static void resume_reading(bct_client_t *c)
 {
 	c->waits = false;
@@ -110,6 +128,7 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 	if (c->x)
 		return;
+	grow_receive_buffer(c);
 	c->due = bct_clock_now() + c->left_ms;
 	set_timer(c, c->left_ms > 0 ? (uint32_t)c->left_ms : 1);
 }
@@ -146,26 +165,34 @@
 /* Part of the body is still to come: without room for it, a new request is refused or waits. */
 static void check_room(bct_client_t *c, bool is_new)
 {
-	if (bct_memory_may_read_body(c))
+	if (bct_memory_may_read_body(c)) {
+		if (is_new)
+			grow_receive_buffer(c);
 		return;
+	}
 	if (is_new && bct_memory_refuses(c->gate))
 		refuse_for_room(c);
 	else
 		wait_for_room(c);
 }
 
-static void cut_unread(bct_client_t *c)
+/* Resets the connection, so that an answer on the way can't be taken for a complete one. */
+static void reset(bct_client_t *c)
 {
-	struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+	struct linger l = { .l_onoff = 1, .l_linger = 0 };
 
-	if (c->x && !c->x->answer_started && !evbuffer_get_length(bufferevent_get_output(c->bev))) {
-		c->gate->client_ops->drop_kept(c->x);
-		return;
-	}
-	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER, &l, sizeof(l));
 	client_free(c, BCT_GATE_END_UNREAD);
 }
 
+static void cut_unread(bct_client_t *c)
+{
+	if (c->x && !c->x->answer_started && !evbuffer_get_length(bufferevent_get_output(c->bev)))
+		c->gate->client_ops->drop_kept(c->x);
+	else
+		reset(c);
+}
+
 static int append_body(void *ctx, const char *data, size_t len)
 {
 	bct_client_t *c = ctx;
@@ -222,17 +249,18 @@
 }
 
 /* Reads buffered input until a request is complete. The header timeout covers the whole request,
- * from its first byte to the end of its body. */
+ * from its first byte to the end of its body. Nothing is read while an answer is being written. */
 static void read_request(bct_client_t *c)
 {
 	struct evbuffer *in = bufferevent_get_input(c->bev);
 	bct_gate_limits_t l = get_limits(c->gate);
 	bool had_head = c->msg.state == BCT_HTTP_BODY;
 
-	if (!evbuffer_get_length(in))
+	if (!evbuffer_get_length(in) || evbuffer_get_length(bufferevent_get_output(c->bev)))
 		return;
 	if (!c->request_started) {
 		c->request_started = true;
+		set_read_ahead(c);
 		set_timer(c, l.header_timeout_ms);
 		c->due = c->gate->memory ? bct_clock_now() + l.header_timeout_ms : 0;
 	}
@@ -251,7 +279,7 @@
 		on_request_complete(c);
 	else if (c->msg.state == BCT_HTTP_FAILED)
 		refuse_failed(c);
-	else if (c->msg.state == BCT_HTTP_BODY && c->gate->memory)
+	else if (c->msg.state == BCT_HTTP_BODY)
 		check_room(c, !had_head);
 }
 
@@ -277,11 +305,16 @@
 	bct_client_t *c = ctx;
 
 	(void)bev;
-	if (c->x)
+	if (c->x) {
 		c->gate->client_ops->flushed(c->x);
-	else if (c->close_after && !c->closing &&
-		 !evbuffer_get_length(bufferevent_get_output(c->bev)))
+		return;
+	}
+	if (evbuffer_get_length(bufferevent_get_output(c->bev)))
+		return;
+	if (c->close_after && !c->closing)
 		start_linger(c);
+	else if (evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 static void on_event(struct bufferevent *bev, short what, void *ctx)
@@ -357,7 +390,7 @@
 	bct_memory_opened(c);
 	g->n_clients++;
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
-	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX_BYTES);
+	set_read_ahead(c);
 	bufferevent_setwatermark(c->bev, EV_WRITE, OUTPUT_LOW_BYTES, 0);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	set_timer(c, get_limits(g).idle_timeout_ms);
@@ -406,6 +439,34 @@
 	}
 }
 
+/* Whether bytes may wait in the kernel behind a request that is handled, or an answer. */
+static bool is_sent_ahead(bct_client_t *c)
+{
+	bool handles = c->x || evbuffer_get_length(bufferevent_get_output(c->bev));
+
+	return handles && (c->waits || evbuffer_get_length(bufferevent_get_input(c->bev)) >
+					       max_header_bytes(c));
+}
+
+static void count_ahead(bct_client_t *c)
+{
+	int bytes = 0;
+
+	if (is_sent_ahead(c) && ioctl(bufferevent_getfd(c->bev), FIONREAD, &bytes))
+		bytes = 0;
+	bct_memory_ahead(c, (size_t)bytes);
+}
+
+void bct_clients_count_ahead(bct_gate_t *g)
+{
+	bct_list_t *el;
+
+	if (!g->memory)
+		return;
+	bct_list_for_each(el, &g->clients)
+		count_ahead(bct_container_of(el, bct_client_t, link));
+}
+
 void bct_clients_free(bct_gate_t *g)
 {
 	while (!bct_list_empty(&g->clients))
@@ -415,5 +476,6 @@
 
 const bct_client_flow_ops_t bct_client_flow_ops = {
 	.cut = cut_unread,
+	.close = reset,
 	.resume = resume_reading,
 };
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -59,6 +59,8 @@
 	    "Counters of other nodes that were news")                                             \
 	DEF(UNREAD_CUT, "bct_gate_unread_cut_total", NULL, "counter",                             \
 	    "Answers cut to free memory, as their callers did not read them")                     \
+	DEF(AHEAD_CUT, "bct_gate_ahead_cut_total", NULL, "counter",                               \
+	    "Connections ended to free memory, as their callers sent requests ahead")             \
 	DEF(BODIES_WAITED, "bct_gate_bodies_waited_total", NULL, "counter",                       \
 	    "Times that reading from a caller waited for room")                                   \
 	DEF(DUTY_ACQUIRED, "bct_duty_acquired_total", NULL, "counter",                            \
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -107,6 +107,7 @@
 
 		bct_upconns_expire(g, u, u->presence >= BCT_GATE_LAPSED);
 	}
+	bct_clients_count_ahead(g);
 	if (bct_clock_now() - g->windows_checked >= BCT_WINDOW_CHECK_MS) {
 		g->windows_checked = bct_clock_now();
 		bct_clients_check_windows(g);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -143,6 +143,9 @@
 
 /* client.c */
 void bct_clients_close_idle(bct_gate_t *g);
+/* bct_clients_count_ahead(3): counts what the kernel has received from callers that send ahead;
+ * to be called every tick. */
+void bct_clients_count_ahead(bct_gate_t *g);
 /* bct_clients_check_windows(3): see bct_window_check(3); of callers, and of the upstreams to which
  * their requests are being sent. */
 void bct_clients_check_windows(bct_gate_t *g);
@@ -199,6 +202,8 @@
 	 * the response was sent.
 	 */
 	void (*cut)(bct_client_t *c);
+	/* ends the connection, whatever it carries; frees c */
+	void (*close)(bct_client_t *c);
 } bct_client_flow_ops_t;
 
 extern const bct_client_flow_ops_t bct_client_flow_ops;
--- a/gate/listen.c
+++ b/gate/listen.c
@@ -55,6 +55,18 @@
 		evconnlistener_enable(g->relay_listener);
 }
 
+/* What a caller sends ahead, and answers that it does not read, fill the kernel's buffers, whose
+ * own sizes grow to megabytes. Accepted connections inherit these. */
+static void bound_buffers(const bct_gate_t *g, evutil_socket_t fd)
+{
+	int bytes = (int)g->settings->gate_socket_buffer_bytes;
+
+	if (!bytes)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 /* returns 0, -BCT_EINVAL or -BCT_EIO */
 static int listen_at(bct_gate_t *g, const bct_addr_t *at, evconnlistener_cb on_conn,
 		     struct evconnlistener **out)
@@ -71,6 +83,7 @@
 				       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
 	if (*out) {
 		evconnlistener_set_error_cb(*out, on_accept_error);
+		bound_buffers(g, evconnlistener_get_fd(*out));
 		return 0;
 	}
 	bct_addr_print(at, text, sizeof(text));
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -14,6 +14,7 @@
 #define RETRY_SPREAD_MS 300
 
 #define CHECK_MS 250   /* while requests wait or are refused */
+#define LOG_MS 1000    /* between two lines about connections that sent ahead */
 #define REFUSED_MS 500 /* after a refusal for which its caller may come back */
 
 struct bct_memory {
@@ -23,6 +24,8 @@
 	bct_gate_memory_level_t level; /* that was last acted on */
 	bct_time_t wanted_since;       /* a request waits or was refused since then; 0: none */
 	bct_time_t refused_at;	       /* the last one */
+	bct_time_t ahead_logged;       /* last line about a connection that sent ahead */
+	uint64_t ahead_cut;	       /* connections since then, including the one it tells of */
 	struct event *act;
 	bct_list_t waiting; /* connections, the longest waiting first */
 };
@@ -78,6 +81,17 @@
 		evbuffer_add_cb(buffer, callbacks[kind], c);
 }
 
+void bct_memory_ahead(bct_client_t *c, size_t bytes)
+{
+	bct_memory_t *m = c->gate->memory;
+
+	if (!m || c->memory.bytes[BCT_GATE_MEMORY_AHEAD] == bytes)
+		return;
+	bct_gate_memory_change(&m->sums, &c->memory, bct_clock_now(), BCT_GATE_MEMORY_AHEAD, bytes,
+			       c->memory.bytes[BCT_GATE_MEMORY_AHEAD]);
+	note_change(m);
+}
+
 void bct_memory_drain(const bct_gate_t *g, struct evbuffer *buffer)
 {
 	if (g->memory && buffer)
@@ -201,6 +215,35 @@
 	m->flow->cut(c);
 }
 
+/* Ends a connection that sent requests ahead. */
+static void cut_ahead(bct_memory_t *m, bct_client_t *c)
+{
+	const bct_gate_memory_account_t *a = &c->memory;
+	bct_time_t now = bct_clock_now();
+
+	BCT_GATE_COUNT(m->gate, AHEAD_CUT);
+	m->ahead_cut++;
+	if (now - m->ahead_logged >= LOG_MS) {
+		BCT_LOG(m->gate->log, BCT_EV_GATE_AHEAD_CUT,
+			BCT_STR("request", c->x ? c->x->call.id : ""),
+			BCT_U64("ahead_bytes", a->bytes[BCT_GATE_MEMORY_AHEAD]),
+			BCT_U64("request_bytes", a->bytes[BCT_GATE_MEMORY_REQUEST]),
+			BCT_I64("ahead_ms", now - a->ahead_since),
+			BCT_U64("connections", m->ahead_cut),
+			BCT_U64("held_bytes", m->sums.total_bytes),
+			BCT_U64("bound_bytes", m->sums.bound_bytes));
+		m->ahead_logged = now;
+		m->ahead_cut = 0;
+	}
+	m->flow->close(c);
+}
+
+static bool is_unread(const bct_gate_memory_account_t *a)
+{
+	return a->bytes[BCT_GATE_MEMORY_UNREAD] >= BCT_GATE_MEMORY_CUT_MIN_BYTES ||
+	       a->bytes[BCT_GATE_MEMORY_KEPT] >= BCT_GATE_MEMORY_CUT_MIN_BYTES;
+}
+
 static void resume_waiting(bct_memory_t *m)
 {
 	bct_list_t *el, *tmp;
@@ -224,8 +267,14 @@
 	(void)fd;
 	(void)what;
 	wanted = is_wanted(m, now);
-	while ((a = bct_gate_memory_to_cut(&m->sums, now, wanted)) != NULL)
-		cut(m, bct_container_of(a, bct_client_t, memory));
+	while ((a = bct_gate_memory_to_cut(&m->sums, now, wanted)) != NULL) {
+		bct_client_t *c = bct_container_of(a, bct_client_t, memory);
+
+		if (is_unread(a))
+			cut(m, c);
+		else
+			cut_ahead(m, c);
+	}
 	resume_waiting(m);
 	level = bct_gate_memory_level(&m->sums);
 	if (level == m->level)
--- a/gate/memory.h
+++ b/gate/memory.h
@@ -23,6 +23,10 @@
 /* bct_memory_watch(3): the bytes in a buffer count for the connection from now on; it is empty. */
 void bct_memory_watch(bct_client_t *c, struct evbuffer *buffer, bct_gate_memory_kind_t kind);
 
+/* bct_memory_ahead(3): bytes that the kernel has received behind what is being handled, and that
+ * this node does not read yet. */
+void bct_memory_ahead(bct_client_t *c, size_t bytes);
+
 /* bct_memory_drain(3), bct_memory_release(3): empty a buffer that is watched, as freeing it alone
  * would leave it counted; release also frees it, without a bound, too. buffer may be NULL. */
 void bct_memory_drain(const bct_gate_t *g, struct evbuffer *buffer);
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -53,6 +53,7 @@
 	{ "gate.account_shares", BCT_SETTING_BOOL, offsetof(bct_settings_t, gate_account_shares), 0, 0, 0, 0U, false, "false" },
 	{ "gate.expect_returns", BCT_SETTING_BOOL, offsetof(bct_settings_t, gate_expect_returns), 0, 0, 0, 0U, false, "false" },
 	{ "gate.memory_bytes", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_memory_bytes), 0, 0, 0, 4000000000U, false, "0" },
+	{ "gate.socket_buffer_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, gate_socket_buffer_bytes), 0, 0, 0, 4194304U, false, "16384" },
 	{ "duty.address", BCT_SETTING_STRING, offsetof(bct_settings_t, duty_address), 0, 64, 0, 0U, false, "" },
 	{ "duty.kinds", BCT_SETTING_LIST, offsetof(bct_settings_t, duty_kinds), offsetof(bct_settings_t, n_duty_kinds), 16, 0, 4U, false, NULL },
 	{ "duty.lease_ms", BCT_SETTING_NUMBER, offsetof(bct_settings_t, duty_lease_ms), 0, 0, 1000, 60000U, false, "3000" },
--- a/policy/gate_memory.c
+++ b/policy/gate_memory.c
@@ -35,6 +35,8 @@
 {
 	if (kind == BCT_GATE_MEMORY_UNREAD && !a->bytes[kind])
 		a->unread_since = now;
+	if (kind == BCT_GATE_MEMORY_AHEAD && !a->bytes[kind])
+		a->ahead_since = now;
 	a->bytes[kind] += added_bytes - removed_bytes;
 	m->total_bytes += added_bytes;
 	m->total_bytes -= removed_bytes;
@@ -109,19 +111,21 @@
 	return found;
 }
 
-static bct_gate_memory_account_t *largest_kept(const bct_gate_memory_t *m)
+/* The account with most of a kind, if that is more than least_bytes, or NULL. */
+static bct_gate_memory_account_t *largest(const bct_gate_memory_t *m, bct_gate_memory_kind_t kind,
+					  size_t least_bytes)
 {
 	bct_gate_memory_account_t *found = NULL;
-	size_t most = BCT_GATE_MEMORY_CUT_MIN_BYTES - 1;
+	size_t most = least_bytes;
 	bct_list_t *el;
 
 	bct_list_for_each(el, &m->accounts) {
 		bct_gate_memory_account_t *a =
 			bct_container_of(el, bct_gate_memory_account_t, link);
 
-		if (a->bytes[BCT_GATE_MEMORY_KEPT] <= most)
+		if (a->bytes[kind] <= most)
 			continue;
-		most = a->bytes[BCT_GATE_MEMORY_KEPT];
+		most = a->bytes[kind];
 		found = a;
 	}
 	return found;
@@ -136,7 +140,14 @@
 	if (level == BCT_GATE_MEMORY_FREE || (!wanted && level != BCT_GATE_MEMORY_CUT))
 		return NULL;
 	a = longest_unread(m);
+	if (a && (level == BCT_GATE_MEMORY_CUT || now - a->unread_since >= BCT_GATE_MEMORY_WANT_MS))
+		return a;
 	if (level == BCT_GATE_MEMORY_CUT)
-		return a ? a : largest_kept(m);
-	return a && now - a->unread_since >= BCT_GATE_MEMORY_WANT_MS ? a : NULL;
+		a = largest(m, BCT_GATE_MEMORY_KEPT, BCT_GATE_MEMORY_CUT_MIN_BYTES - 1);
+	if (a && level == BCT_GATE_MEMORY_CUT)
+		return a;
+	a = largest(m, BCT_GATE_MEMORY_AHEAD, 0);
+	if (a && (level == BCT_GATE_MEMORY_CUT || now - a->ahead_since >= BCT_GATE_MEMORY_WANT_MS))
+		return a;
+	return NULL;
 }
--- a/policy/gate_memory.h
+++ b/policy/gate_memory.h
@@ -10,6 +10,11 @@
  *
  * Callers that read nothing could hold a node at a step for long. So if others have been in want of
  * room for a while, responses that have been unread for as long are cut before the last step.
+ *
+ * What the kernel has received counts, too, while the node does not read it: callers may send
+ * requests ahead, and are not read on until they have taken the answers before. If there is neither
+ * an unread nor a kept response to cut, the connection on which most was sent ahead ends. What the
+ * kernel holds of responses is bounded for each connection (gate/listen.c) and not counted.
  */
 #ifndef BCT_POLICY_GATE_MEMORY_H
 #define BCT_POLICY_GATE_MEMORY_H
@@ -42,6 +47,7 @@
 	BCT_GATE_MEMORY_REQUEST = 0, /* input, and the body of the request */
 	BCT_GATE_MEMORY_KEPT,	     /* of a response that is kept until it is complete */
 	BCT_GATE_MEMORY_UNREAD,	     /* output that the caller has not read */
+	BCT_GATE_MEMORY_AHEAD,	     /* received by the kernel behind what is being handled */
 	BCT_GATE_MEMORY_KINDS,
 } bct_gate_memory_kind_t;
 
@@ -50,6 +56,7 @@
 	bct_list_t link;
 	size_t bytes[BCT_GATE_MEMORY_KINDS];
 	bct_time_t unread_since; /* when output was last added to an empty buffer */
+	bct_time_t ahead_since;	 /* when something first waited behind what is being handled */
 	uint64_t body;		 /* order in which bodies began; 0: no body is being read */
 } bct_gate_memory_account_t;
 
@@ -86,7 +93,7 @@
 /*
  * bct_gate_memory_to_cut(3): the account whose connection to end now: the one whose output has been
  * unread for longest, or, if none has BCT_GATE_MEMORY_CUT_MIN_BYTES, the one with the largest
- * response that is still kept.
+ * response that is still kept, or, without such a one, that with most sent ahead.
  *
  * wanted   a request has waited or been refused for lack of room for BCT_GATE_MEMORY_WANT_MS: cuts
  *          from BCT_GATE_MEMORY_WAIT on, but only what has been unread for as long
--- a/tests/test_gate_memory.c
+++ b/tests/test_gate_memory.c
@@ -123,3 +123,26 @@
 	bct_gate_memory_close(&m, &a[2]);
 	cr_expect_null(bct_gate_memory_to_cut(&m, now + N, true), "there is room");
 }
+
+/* Callers that send requests ahead and wait for nothing: they end only if nothing unread or kept
+ * can be cut, the one with most sent ahead first; or when others have been in want of room for
+ * long. */
+Test(gate_memory, what_was_sent_ahead_gives_way_last)
+{
+	bct_time_t now = START + BCT_GATE_MEMORY_WANT_MS;
+
+	hold(0, START, BCT_GATE_MEMORY_REQUEST, BOUND * 5 / 10);
+	hold(1, START, BCT_GATE_MEMORY_AHEAD, BOUND * 2 / 10);
+	hold(2, START + 50, BCT_GATE_MEMORY_AHEAD, BOUND * 1 / 10);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_REFUSE, "the kernel's bytes count");
+	cr_expect_null(bct_gate_memory_to_cut(&m, now, false), "nobody wants room");
+	cr_expect_null(bct_gate_memory_to_cut(&m, now - 1, true), "not ahead for long");
+	cr_expect_eq(bct_gate_memory_to_cut(&m, now, true), &a[1]);
+	hold(3, START, BCT_GATE_MEMORY_KEPT, BOUND * 1 / 10);
+	cr_expect_eq(bct_gate_memory_to_cut(&m, START, false), &a[3]);
+	bct_gate_memory_close(&m, &a[3]);
+	hold(0, START, BCT_GATE_MEMORY_REQUEST, BOUND * 1 / 10);
+	cr_expect_eq(bct_gate_memory_to_cut(&m, START, false), &a[1]);
+	bct_gate_memory_close(&m, &a[1]);
+	cr_expect_null(bct_gate_memory_to_cut(&m, START, false), "there is room");
+}
