gate: pages of the node itself are served as callers are

What clients saw: 100 clients that sent ahead to the addresses of readiness, resolution or metrics, or whose line or body never ended, made the process hold 105 to 269 MB on a machine of 40 MB.

Cause: libevent's HTTP server reads on while an answer is unwritten, and bounds neither a head nor a body; nothing there was counted as held.

Change: the three addresses are ports of gate/client.c, with its limits of heads, its timeouts, its backpressure and its bound of memory; a page is a function of the request (local.c, pull.c), without I/O of its own. Bodies of such requests: 4 KB. A request there needs no Host header, as before. libevent's HTTP client still pulls.

--- a/gate/answer.c
+++ b/gate/answer.c
@@ -64,7 +64,7 @@
 		evbuffer_add_printf(out, "Retry-After: %u.%03u\r\n",
 				    o->retry_after_ms / BCT_MS_PER_S,
 				    o->retry_after_ms % BCT_MS_PER_S);
-	if (c->is_node)
+	if (c->port->is_node)
 		bct_relay_put_outcome(o, out);
 	put_connection_header(c, out);
 	evbuffer_add(out, "\r\n", 2);
@@ -72,6 +72,20 @@
 		evbuffer_add_printf(out, "%s\n", o->text);
 }
 
+void bct_answer_page(bct_client_t *c, const bct_page_t *p)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", p->status, reason_phrase(p->status));
+	if (p->type)
+		evbuffer_add_printf(out, "Content-Type: %s\r\n", p->type);
+	evbuffer_add_printf(out, "Content-Length: %zu\r\n", p->body.len_bytes);
+	put_connection_header(c, out);
+	evbuffer_add(out, "\r\n", 2);
+	if (!is_head(c) && p->body.len_bytes)
+		evbuffer_add(out, p->body.data, p->body.len_bytes);
+}
+
 int bct_head_copy(const bct_http_msg_t *m, bct_buf_t *out)
 {
 	for (uint32_t i = 0; i < m->n_headers; i++) {
--- a/gate/client.c
+++ b/gate/client.c
@@ -17,6 +17,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#define LOCAL_BODY_BYTES 4096 /* of a request for a page of the node's own, which needs none */
+#define HEAD_KEPT_BYTES 4096  /* of memory for heads, kept between requests */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
 #define IDLE_MIN_MS 300 /* a stop leaves a new or just answered connection open for as long */
 #define LINGER_MS 1000	/* for the caller to close after the last response */
@@ -45,7 +47,12 @@
 /* Of a request's head. */
 static uint32_t max_header_bytes(const bct_client_t *c)
 {
-	return get_limits(c->gate).max_header_bytes + (c->is_node ? RELAY_HEADER_BYTES : 0);
+	return get_limits(c->gate).max_header_bytes + (c->port->is_node ? RELAY_HEADER_BYTES : 0);
+}
+
+static uint32_t max_body_bytes(const bct_client_t *c)
+{
+	return c->port->is_local ? LOCAL_BODY_BYTES : get_limits(c->gate).max_body_bytes;
 }
 
 /* A whole head must fit, and one byte more, to tell that a head is too long. */
@@ -68,10 +75,10 @@
 
 	c->x = NULL;
 	if (x)
-		c->gate->client_ops->gone(x, end);
+		c->port->ops->gone(x, end);
 	bct_list_del(&c->link);
 	bct_memory_closed(c);
-	c->gate->n_clients--;
+	c->port->n_clients--;
 	event_free(c->timer);
 	bct_bev_free(c->bev);
 	if (c->body)
@@ -188,7 +195,7 @@
 static void cut_unread(bct_client_t *c)
 {
 	if (c->x && !c->x->answer_started && !evbuffer_get_length(bufferevent_get_output(c->bev)))
-		c->gate->client_ops->drop_kept(c->x);
+		c->port->ops->drop_kept(c->x);
 	else
 		reset(c);
 }
@@ -199,7 +206,7 @@
 
 	if (c->too_large)
 		return 0;
-	if (evbuffer_get_length(c->body) + len > get_limits(c->gate).max_body_bytes) {
+	if (evbuffer_get_length(c->body) + len > max_body_bytes(c)) {
 		c->too_large = true;
 		return -BCT_ETOO_LARGE;
 	}
@@ -226,7 +233,7 @@
 	bct_memory_body_ended(c);
 	if (!c->msg.keep_alive || c->gate->draining)
 		c->close_after = true;
-	c->gate->client_ops->request(c, body);
+	c->port->ops->request(c, body);
 }
 
 static void refuse_failed(bct_client_t *c)
@@ -306,7 +313,7 @@
 
 	(void)bev;
 	if (c->x) {
-		c->gate->client_ops->flushed(c->x);
+		c->port->ops->flushed(c->x);
 		return;
 	}
 	if (evbuffer_get_length(bufferevent_get_output(c->bev)))
@@ -352,6 +359,8 @@
 		close_when_flushed(c);
 		return;
 	}
+	if (c->msg.text.cap_bytes > HEAD_KEPT_BYTES)
+		bct_buf_free(&c->msg.text);
 	bct_http_msg_reset(&c->msg);
 	c->request_started = false;
 	c->idle_since = bct_clock_now();
@@ -361,16 +370,18 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node)
+bct_client_t *bct_client_new(bct_client_port_t *p, evutil_socket_t fd)
 {
 	bct_client_t *c = bct_alloc(sizeof(*c));
+	bct_gate_t *g = p->gate;
 	int user_timeout_ms = USER_TIMEOUT_MS, on = 1;
 
 	if (!c)
 		return NULL;
 	c->gate = g;
-	c->is_node = is_node;
+	c->port = p;
 	bct_http_msg_init(&c->msg, HTTP_REQUEST);
+	c->msg.no_host = p->is_local;
 	c->msg.on_body = append_body;
 	c->msg.ctx = c;
 	c->timer = evtimer_new(g->base, on_timer, c);
@@ -388,7 +399,7 @@
 	c->idle_since = bct_clock_now();
 	bct_list_add_tail(&c->link, &g->clients);
 	bct_memory_opened(c);
-	g->n_clients++;
+	p->n_clients++;
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	set_read_ahead(c);
 	bufferevent_setwatermark(c->bev, EV_WRITE, OUTPUT_LOW_BYTES, 0);
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -318,7 +318,7 @@
 	}
 	c->x = x;
 	x->gate->wire->decode_call(&c->msg, &x->call);
-	if (c->is_node && !bct_relay_accept(x, &c->msg)) {
+	if (c->port->is_node && !bct_relay_accept(x, &c->msg)) {
 		bct_exchange_refuse(
 			x, BCT_GATE_END_BAD_REQUEST,
 			&(bct_answer_opts_t){ .status = 403, .text = "not sent by a node" });
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -42,7 +42,7 @@
 	if (g->peer)
 		bct_peer_set_leaving(g->peer);
 	BCT_LOG(g->log, BCT_EV_NODE_STOPPING, BCT_U64("requests", g->n_exchanges),
-		BCT_U64("connections", g->n_clients));
+		BCT_U64("connections", bct_clients_served(g)));
 }
 
 static void on_signal(evutil_socket_t sig, short what, void *ctx)
@@ -75,7 +75,7 @@
 	}
 	if (elapsed_ms >= deadline_ms - (bct_time_t)g->settings->platform_timeout_ms)
 		bct_registry_sync_stop(g->registry_sync);
-	if ((addresses_expired && !g->n_clients && bct_duty_stopped(g->duty)) ||
+	if ((addresses_expired && !bct_clients_served(g) && bct_duty_stopped(g->duty)) ||
 	    elapsed_ms >= deadline_ms)
 		event_base_loopbreak(g->base);
 }
@@ -167,7 +167,9 @@
 	g->settings = opts->settings;
 	g->wire = opts->wire;
 	g->log = opts->log;
-	g->client_ops = &bct_exchange_client_ops;
+	g->callers.ops = g->relays.ops = &bct_exchange_client_ops;
+	g->relays.is_node = true;
+	bct_list_init(&g->ports);
 	bct_list_init(&g->clients);
 	bct_list_init(&g->probes);
 	bct_gate_upstreams_init(&g->upstreams);
@@ -221,7 +223,7 @@
 	g->ticked_at = bct_clock_now();
 	event_base_dispatch(g->base);
 	BCT_LOG(g->log, BCT_EV_NODE_STOPPED, BCT_U64("requests", g->n_exchanges),
-		BCT_U64("connections", g->n_clients));
+		BCT_U64("connections", bct_clients_served(g)));
 }
 
 void bct_gate_free(bct_gate_t *g)
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -30,6 +30,7 @@
 
 typedef struct bct_client bct_client_t;
 typedef struct bct_client_ops bct_client_ops_t;
+typedef struct bct_client_port bct_client_port_t;
 typedef struct bct_exchange bct_exchange_t;
 typedef struct bct_upconn bct_upconn_t;
 typedef struct bct_registry_sync bct_registry_sync_t;
@@ -79,6 +80,18 @@
 /* bct_gate_end_name(3): the name as it appears in logs and metrics. */
 const char *bct_gate_end_name(bct_gate_end_t end);
 
+/* A port at which the gateway accepts connections, and what becomes of requests there. */
+struct bct_client_port {
+	const bct_client_ops_t *ops;
+	bct_gate_t *gate;
+	bct_list_t link; /* in the gate's list of ports */
+	struct evconnlistener *listener;
+	bool is_node;	    /* callers are other nodes that relay requests */
+	bool is_local;	    /* pages of the node itself: a planned stop does not wait for clients */
+	bool accept_failed; /* nothing is accepted until the next tick */
+	uint32_t n_clients;
+};
+
 struct bct_gate {
 	bct_gate_opts_t opts;
 	const bct_settings_t *settings;
@@ -86,8 +99,9 @@
 	bct_log_t *log;
 	struct event_base *base;
 	bct_addr_t listen; /* for callers */
-	struct evconnlistener *listener;
-	struct evconnlistener *relay_listener; /* for other nodes; NULL: none */
+	bct_list_t ports;  /* that are open */
+	bct_client_port_t callers;
+	bct_client_port_t relays; /* for other nodes */
 	struct event *tick;
 	bct_time_t windows_checked;
 	bct_time_t ticked_at;
@@ -107,10 +121,7 @@
 	bct_list_t probes; /* connections that are being established without a request */
 	bct_abandoned_list_t abandoned; /* attempts that may yet prove to be crashes */
 	bct_map_t budgets;		/* service key -> bct_gate_budget_t */
-	const bct_client_ops_t *client_ops;
-	bct_list_t clients;
-	uint32_t n_clients;
-	bool accept_failed; /* nothing is accepted until the next tick */
+	bct_list_t clients;		/* of all ports */
 	uint32_t n_exchanges;
 	bct_registry_sync_t *registry_sync;
 	bct_duty_t *duty; /* NULL: the fleet has no duties */
@@ -136,7 +147,16 @@
 };
 
 /* listen.c */
+/* bct_clients_listen(3): opens the ports for callers and other nodes. returns 0 or an error. */
 int bct_clients_listen(bct_gate_t *g);
+/* bct_client_port_open(3): listen at an address; p has its ops. returns 0, -BCT_EINVAL, -BCT_EIO */
+int bct_client_port_open(bct_gate_t *g, bct_client_port_t *p, const bct_addr_t *at);
+void bct_client_port_close(bct_client_port_t *p);
+/* bct_clients_served(3): connections of callers and other nodes. */
+static inline uint32_t bct_clients_served(const bct_gate_t *g)
+{
+	return g->callers.n_clients + g->relays.n_clients;
+}
 /* bct_clients_accept_again(3): after a lack of file descriptors; to be called periodically. */
 void bct_clients_accept_again(bct_gate_t *g);
 void bct_clients_stop_listening(bct_gate_t *g);
@@ -151,7 +171,8 @@
 void bct_clients_check_windows(bct_gate_t *g);
 void bct_clients_free(bct_gate_t *g);
 
-/* What becomes of a caller's requests; see exchange.c. The exchange may be gone on return. */
+/* What becomes of a caller's requests; see exchange.c, and local.c, where requests are answered at
+ * once and there is no exchange. The exchange may be gone on return. */
 struct bct_client_ops {
 	/* a request is complete; the exchange takes ownership of body */
 	void (*request)(bct_client_t *c, struct evbuffer *body);
@@ -166,6 +187,7 @@
 /* A caller's connection. */
 struct bct_client {
 	bct_gate_t *gate;
+	bct_client_port_t *port;
 	bct_list_t link;
 	struct bufferevent *bev;
 	struct event *timer;
@@ -177,7 +199,6 @@
 	bct_time_t due;	       /* when the request must be complete, unless it waits for room */
 	bct_time_t left_ms;    /* of that time when it began to wait */
 	bct_exchange_t *x;     /* in progress; NULL: none */
-	bool is_node;	       /* the caller is another node that relays requests */
 	bool window_closed;    /* the caller does not read, see bct_window_check(3) */
 	bool flushed;	       /* it has acknowledged all output, and no request is in progress */
 	bool waits;	       /* nothing is read until there is room */
@@ -191,7 +212,7 @@
 void bct_client_answered(bct_client_t *c, bool truncated);
 
 /* bct_client_new(3): takes an accepted connection; returns NULL without memory. */
-bct_client_t *bct_client_new(bct_gate_t *g, evutil_socket_t fd, bool is_node);
+bct_client_t *bct_client_new(bct_client_port_t *p, evutil_socket_t fd);
 /* What the bound on buffered bytes does to callers. */
 typedef struct bct_client_flow_ops {
 	/* goes on to read from a caller that waited */
@@ -219,6 +240,15 @@
 
 /* bct_answer_local(3): send an answer that the gateway itself produces. */
 void bct_answer_local(bct_client_t *c, const bct_answer_opts_t *o);
+/* A page of the node's own. */
+typedef struct bct_page {
+	int status;
+	const char *type; /* of its content; NULL: none */
+	bct_buf_t body;
+} bct_page_t;
+
+/* bct_answer_page(3): send a page. */
+void bct_answer_page(bct_client_t *c, const bct_page_t *p);
 /* bct_answer_head(3): forward the head of an upstream's answer; body_bytes negative: chunked. */
 void bct_answer_head(bct_client_t *c, const bct_http_msg_t *m, int64_t body_bytes);
 void bct_answer_chunk(bct_client_t *c, struct evbuffer *data);
--- a/gate/listen.c
+++ b/gate/listen.c
@@ -18,41 +18,34 @@
 	(void)l;
 	(void)addr;
 	(void)len;
-	if (!bct_client_new(ctx, fd, false))
-		evutil_closesocket(fd);
-}
-
-static void on_accept_node(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr,
-			   int len, void *ctx)
-{
-	(void)l;
-	(void)addr;
-	(void)len;
-	if (!bct_client_new(ctx, fd, true))
+	if (!bct_client_new(ctx, fd))
 		evutil_closesocket(fd);
 }
 
 /* Mostly for lack of file descriptors; the event loop would call it again and again at once. */
 static void on_accept_error(struct evconnlistener *l, void *ctx)
 {
-	bct_gate_t *g = ctx;
+	bct_client_port_t *p = ctx;
 	int err = EVUTIL_SOCKET_ERROR();
 
-	BCT_LOG(g->log, BCT_EV_ACCEPT_FAILED, BCT_STR("why", evutil_socket_error_to_string(err)),
-		BCT_U64("connections", g->n_clients));
+	BCT_LOG(p->gate->log, BCT_EV_ACCEPT_FAILED,
+		BCT_STR("why", evutil_socket_error_to_string(err)),
+		BCT_U64("connections", p->n_clients));
 	evconnlistener_disable(l);
-	g->accept_failed = true;
+	p->accept_failed = true;
 }
 
 void bct_clients_accept_again(bct_gate_t *g)
 {
-	if (!g->accept_failed)
-		return;
-	g->accept_failed = false;
-	if (g->listener)
-		evconnlistener_enable(g->listener);
-	if (g->relay_listener)
-		evconnlistener_enable(g->relay_listener);
+	bct_list_t *el;
+
+	bct_list_for_each(el, &g->ports) {
+		bct_client_port_t *p = bct_container_of(el, bct_client_port_t, link);
+
+		if (p->accept_failed)
+			evconnlistener_enable(p->listener);
+		p->accept_failed = false;
+	}
 }
 
 /* What a caller sends ahead, and answers that it does not read, fill the kernel's buffers, whose
@@ -67,9 +60,7 @@
 	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
 }
 
-/* returns 0, -BCT_EINVAL or -BCT_EIO */
-static int listen_at(bct_gate_t *g, const bct_addr_t *at, evconnlistener_cb on_conn,
-		     struct evconnlistener **out)
+int bct_client_port_open(bct_gate_t *g, bct_client_port_t *p, const bct_addr_t *at)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(at->port) };
 	char text[BCT_ADDR_PORT_BYTES];
@@ -77,13 +68,15 @@
 	if (at->ip_len_bytes != sizeof(sa.sin_addr))
 		return -BCT_EINVAL;
 	memcpy(&sa.sin_addr, at->ip, sizeof(sa.sin_addr));
-	*out = evconnlistener_new_bind(g->base, on_conn, g,
-				       LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
-					       LEV_OPT_CLOSE_ON_EXEC,
-				       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
-	if (*out) {
-		evconnlistener_set_error_cb(*out, on_accept_error);
-		bound_buffers(g, evconnlistener_get_fd(*out));
+	p->gate = g;
+	p->listener = evconnlistener_new_bind(g->base, on_accept, p,
+					      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
+						      LEV_OPT_CLOSE_ON_EXEC,
+					      LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof(sa));
+	if (p->listener) {
+		bct_list_add_tail(&p->link, &g->ports);
+		evconnlistener_set_error_cb(p->listener, on_accept_error);
+		bound_buffers(g, evconnlistener_get_fd(p->listener));
 		return 0;
 	}
 	bct_addr_print(at, text, sizeof(text));
@@ -91,37 +84,45 @@
 	return -BCT_EIO;
 }
 
+void bct_client_port_close(bct_client_port_t *p)
+{
+	if (!p->listener)
+		return;
+	bct_list_del(&p->link);
+	evconnlistener_free(p->listener);
+	p->listener = NULL;
+}
+
 int bct_clients_listen(bct_gate_t *g)
 {
 	const bct_settings_t *s = g->settings;
 	bct_addr_t relay;
-	int rc = listen_at(g, &g->listen, on_accept, &g->listener);
+	int rc = bct_client_port_open(g, &g->callers, &g->listen);
 
 	if (rc || !g->share || !s->gate_relay_port)
 		return rc;
 	rc = bct_addr_parse(s->peer_address, (uint16_t)s->gate_relay_port, &relay);
-	return rc ? rc : listen_at(g, &relay, on_accept_node, &g->relay_listener);
+	return rc ? rc : bct_client_port_open(g, &g->relays, &relay);
 }
 
 /* Closing a listening socket resets the connections that the kernel has established there, and
  * whose callers may have sent a request. */
-static void close_listener(bct_gate_t *g, struct evconnlistener *l, bool is_node)
+static void accept_rest(bct_client_port_t *p)
 {
 	evutil_socket_t fd;
 
-	if (!l)
+	if (!p->listener)
 		return;
-	while ((fd = accept4(evconnlistener_get_fd(l), NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
-	       0) {
-		if (!bct_client_new(g, fd, is_node))
+	while ((fd = accept4(evconnlistener_get_fd(p->listener), NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		if (!bct_client_new(p, fd))
 			evutil_closesocket(fd);
 	}
-	evconnlistener_free(l);
+	bct_client_port_close(p);
 }
 
 void bct_clients_stop_listening(bct_gate_t *g)
 {
-	close_listener(g, g->listener, false);
-	close_listener(g, g->relay_listener, true);
-	g->listener = g->relay_listener = NULL;
+	accept_rest(&g->callers);
+	accept_rest(&g->relays);
 }
--- a/gate/local.c
+++ b/gate/local.c
@@ -1,6 +1,7 @@
 /*
- * local.c - HTTP endpoints of the node itself, on libevent's HTTP server in the event loop:
- * resolution (the addresses that callers may use), readiness, and metrics.
+ * local.c - pages of the node itself: resolution (the addresses that callers may use), readiness,
+ * and metrics with what other gateways pull. Their connections are those of client.c, so a client
+ * that sends ahead, reads nothing or finishes nothing is bounded like a caller.
  */
 #include "base/err.h"
 #include "base/mem.h"
@@ -14,12 +15,26 @@
 #include <stdio.h>
 #include <string.h>
 
-#define SERVERS_MAX 3 /* resolution, readiness, metrics; each has its own address */
+#define PATH_BYTES 256
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+#define STATUS_UNAVAILABLE 503
+
+typedef struct server server_t;
+
+/* Answers a path, without its query. returns false if there is no such page */
+typedef bool page_fn(server_t *s, const bct_http_msg_t *m, const char *path, bct_page_t *out);
+
+struct server {
+	bct_client_port_t port;
+	page_fn *page;
+};
+
+/* Each has its own address. */
+typedef enum which { RESOLVE, READINESS, METRICS, SERVERS } which_t;
 
 struct bct_local {
-	bct_gate_t *gate;
-	struct evhttp *servers[SERVERS_MAX];
-	uint32_t n; /* servers started */
+	server_t servers[SERVERS];
 };
 
 bool bct_gate_ready(const bct_gate_t *g)
@@ -27,42 +42,33 @@
 	return !g->draining && g->routes != NULL;
 }
 
-/* Any status but 200 is sent as "Service Unavailable". type and body may be NULL. */
-static void reply(struct evhttp_request *req, int status, const char *type, const bct_buf_t *body)
+static bool readiness(server_t *s, const bct_http_msg_t *m, const char *path, bct_page_t *out)
 {
-	struct evbuffer *out = evbuffer_new();
-
-	if (out && body && body->len_bytes)
-		evbuffer_add(out, body->data, body->len_bytes);
-	if (type)
-		evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", type);
-	evhttp_send_reply(req, status, status == 200 ? "OK" : "Service Unavailable", out);
-	if (out)
-		evbuffer_free(out);
+	const bct_gate_t *g = s->port.gate;
+
+	(void)m;
+	out->status = bct_gate_ready(g) ? STATUS_OK : STATUS_UNAVAILABLE;
+	return !strcmp(path, g->wire->readiness_path);
 }
 
-static void on_readiness(struct evhttp_request *req, void *ctx)
+static void print_metrics(bct_gate_t *g, bct_buf_t *out)
 {
-	bct_local_t *l = ctx;
-
-	reply(req, bct_gate_ready(l->gate) ? 200 : 503, NULL, NULL);
+	bct_gate_counters_print(&g->counters, out);
+	bct_buf_printf(out, "bct_log_dropped_total %llu\n",
+		       (unsigned long long)bct_log_dropped(g->log));
+	bct_memory_print(g, out);
+	bct_duty_print(g->duty, out);
+	if (g->peer)
+		bct_peer_counters_print(g->peer, out);
 }
 
-static void on_metrics(struct evhttp_request *req, void *ctx)
+static bool metrics(server_t *s, const bct_http_msg_t *m, const char *path, bct_page_t *out)
 {
-	bct_local_t *l = ctx;
-	bct_buf_t out;
-
-	bct_buf_init(&out, 0);
-	bct_gate_counters_print(&l->gate->counters, &out);
-	bct_buf_printf(&out, "bct_log_dropped_total %llu\n",
-		       (unsigned long long)bct_log_dropped(l->gate->log));
-	bct_memory_print(l->gate, &out);
-	bct_duty_print(l->gate->duty, &out);
-	if (l->gate->peer)
-		bct_peer_counters_print(l->gate->peer, &out);
-	reply(req, 200, "text/plain; version=0.0.4", &out);
-	bct_buf_free(&out);
+	if (strcmp(path, "/metrics") != 0)
+		return bct_pull_serve(s->port.gate, m, path, out);
+	out->type = "text/plain; version=0.0.4";
+	print_metrics(s->port.gate, &out->body);
+	return true;
 }
 
 /*
@@ -92,37 +98,55 @@
 	return n;
 }
 
-static void on_resolve(struct evhttp_request *req, void *ctx)
+static bool resolve(server_t *s, const bct_http_msg_t *m, const char *path, bct_page_t *out)
 {
-	bct_local_t *l = ctx;
-	bct_gate_t *g = l->gate;
+	bct_gate_t *g = s->port.gate;
 	char text[BCT_ENTRY_MAX][BCT_ADDR_PORT_BYTES];
 	const char *addresses[BCT_ENTRY_MAX], *query, *domain = NULL;
 	struct evkeyvalq args = { 0 };
 	bct_entry_list_t list;
-	bct_buf_t out;
 	uint32_t n;
 
-	query = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
-	if (query && !evhttp_parse_query_str(query, &args))
+	if (strcmp(path, g->wire->resolve_path) != 0)
+		return false;
+	query = strchr(m->target, '?');
+	if (query && !evhttp_parse_query_str(query + 1, &args))
 		domain = evhttp_find_header(&args, g->wire->resolve_domain);
 	n = get_addresses(g, domain, &list, text, addresses);
-	bct_buf_init(&out, 0);
 	if (n)
 		g->wire->encode_addresses(addresses, n, g->settings->caller_entry_lifetime_ms,
-					  &out);
-	reply(req, n && !out.err ? 200 : 503, "application/json", &out);
-	bct_buf_free(&out);
+					  &out->body);
+	if (!n || out->body.err)
+		out->status = STATUS_UNAVAILABLE;
+	out->type = "application/json";
 	evhttp_clear_headers(&args);
+	return true;
 }
 
-/* Starts a server for one path; an empty address disables it. returns 0 or a negative error. */
-static int start_server(bct_local_t *l, const char *address, const char *path,
-			void (*cb)(struct evhttp_request *, void *))
+static void on_request(bct_client_t *c, struct evbuffer *body)
+{
+	server_t *s = bct_container_of(c->port, server_t, port);
+	bct_page_t page = { .status = STATUS_OK };
+	size_t len = strcspn(c->msg.target, "?");
+	char path[PATH_BYTES] = "";
+
+	bct_memory_release(c->gate, body);
+	if (len < sizeof(path))
+		snprintf(path, sizeof(path), "%.*s", (int)len, c->msg.target);
+	bct_buf_init(&page.body, 0);
+	if (!s->page(s, &c->msg, path, &page))
+		page.status = STATUS_NOT_FOUND;
+	bct_answer_page(c, &page);
+	bct_buf_free(&page.body);
+	bct_client_answered(c, false);
+}
+
+static const bct_client_ops_t ops = { .request = on_request };
+
+/* An empty address disables the server. returns 0 or a negative error. */
+static int start_server(bct_gate_t *g, server_t *s, const char *address, page_fn *page)
 {
-	char ip[BCT_ADDR_BYTES];
 	bct_addr_t at;
-	struct evhttp *h;
 	int rc;
 
 	if (!address[0])
@@ -130,36 +154,28 @@
 	rc = bct_addr_parse_port(address, &at);
 	if (rc)
 		return rc;
-	h = evhttp_new(l->gate->base);
-	if (!h)
-		return -BCT_ENOMEM;
-	l->servers[l->n++] = h;
-	evhttp_set_cb(h, path, cb, l);
-	bct_addr_print_ip(&at, ip, sizeof(ip));
-	if (!evhttp_bind_socket(h, ip, at.port))
-		return 0;
-	BCT_LOG(l->gate->log, BCT_EV_LISTEN_FAILED, BCT_STR("address", address));
-	return -BCT_EIO;
+	s->page = page;
+	s->port.ops = &ops;
+	s->port.is_local = true;
+	return bct_client_port_open(g, &s->port, &at);
 }
 
 int bct_local_new(bct_gate_t *g, bct_local_t **out)
 {
 	const bct_settings_t *s = g->settings;
 	bct_local_t *l = bct_alloc(sizeof(*l));
-	char metrics[BCT_ADDR_PORT_BYTES];
+	char address[sizeof(s->admin_address) + sizeof(":4294967295")] = "";
 	int rc;
 
 	if (!l)
 		return -BCT_ENOMEM;
-	l->gate = g;
-	snprintf(metrics, sizeof(metrics), "%s:%u", s->admin_address, s->admin_port);
-	rc = start_server(l, s->gate_resolve, g->wire->resolve_path, on_resolve);
+	if (s->admin_port)
+		snprintf(address, sizeof(address), "%s:%u", s->admin_address, s->admin_port);
+	rc = start_server(g, &l->servers[RESOLVE], s->gate_resolve, resolve);
+	if (!rc)
+		rc = start_server(g, &l->servers[READINESS], s->gate_readiness, readiness);
 	if (!rc)
-		rc = start_server(l, s->gate_readiness, g->wire->readiness_path, on_readiness);
-	if (!rc && s->admin_port)
-		rc = start_server(l, metrics, "/metrics", on_metrics);
-	if (!rc && s->admin_port)
-		bct_pull_serve(g, l->servers[l->n - 1]);
+		rc = start_server(g, &l->servers[METRICS], address, metrics);
 	if (rc) {
 		bct_local_free(l);
 		return rc;
@@ -172,7 +188,7 @@
 {
 	if (!l)
 		return;
-	for (uint32_t i = 0; i < l->n; i++)
-		evhttp_free(l->servers[i]);
+	for (uint32_t i = 0; i < SERVERS; i++)
+		bct_client_port_close(&l->servers[i].port);
 	bct_free(l);
 }
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -283,7 +283,7 @@
 	BCT_LOG(m->gate->log, BCT_EV_GATE_MEMORY, BCT_U64("step", level),
 		BCT_U64("held_bytes", m->sums.total_bytes),
 		BCT_U64("bound_bytes", m->sums.bound_bytes),
-		BCT_U64("connections", m->gate->n_clients),
+		BCT_U64("connections", bct_clients_served(m->gate)),
 		BCT_U64("requests", m->gate->n_exchanges));
 }
 
--- a/gate/pull.c
+++ b/gate/pull.c
@@ -245,10 +245,9 @@
 }
 
 /* Whether the request was made by a node that knows the secret. */
-static bool is_authorized(bct_gate_t *g, struct evhttp_request *req, bct_registry_topic_t topic)
+static bool is_authorized(bct_gate_t *g, const bct_http_msg_t *m, bct_registry_topic_t topic)
 {
-	const char *got =
-		evhttp_find_header(evhttp_request_get_input_headers(req), "Authorization");
+	const char *got = bct_http_msg_header(m, "Authorization");
 	char want[AUTHORIZATION_BYTES];
 
 	if (!g->share || !got || strlen(got) != AUTHORIZATION_BYTES - 1)
@@ -272,12 +271,10 @@
 	return true;
 }
 
-/* Sends the answer, with its MAC. */
-static void reply(bct_gate_t *g, struct evhttp_request *req, const bct_packed_t *packed)
+/* Fills in the answer, with its MAC. */
+static void reply(bct_gate_t *g, const bct_packed_t *packed, bct_page_t *out)
 {
 	share_pulled m = { .unpacked_bytes = (u_int)packed->unpacked_bytes };
-	struct evbuffer *out = evbuffer_new();
-	int status = STATUS_UNAVAILABLE;
 	uint8_t *data = NULL;
 	size_t size;
 	XDR x;
@@ -285,20 +282,17 @@
 	m.packed.packed_val = packed->data;
 	m.packed.packed_len = (u_int)packed->len_bytes;
 	size = xdr_sizeof((xdrproc_t)xdr_share_pulled, &m);
-	if (out && may_serve(g, size))
+	if (may_serve(g, size))
 		data = bct_alloc(size + BCT_SHARE_MAC_BYTES);
-	if (data) {
-		xdrmem_create(&x, (char *)data, (u_int)size, XDR_ENCODE);
-		if (xdr_share_pulled(&x, &m)) {
-			bct_share_mac(g->share, data, size, data + size);
-			evbuffer_add(out, data, size + BCT_SHARE_MAC_BYTES);
-			status = STATUS_OK;
-		}
-		xdr_destroy(&x);
+	if (!data)
+		return;
+	xdrmem_create(&x, (char *)data, (u_int)size, XDR_ENCODE);
+	if (xdr_share_pulled(&x, &m)) {
+		bct_share_mac(g->share, data, size, data + size);
+		if (!bct_buf_put(&out->body, data, size + BCT_SHARE_MAC_BYTES))
+			out->status = STATUS_OK;
 	}
-	evhttp_send_reply(req, status, NULL, out);
-	if (out)
-		evbuffer_free(out);
+	xdr_destroy(&x);
 	bct_free(data);
 }
 
@@ -318,20 +312,12 @@
 	return &g->packed_routes;
 }
 
-static void on_routes(struct evhttp_request *req, void *ctx)
+static void put_routes(bct_gate_t *g, bct_page_t *out)
 {
-	bct_gate_t *g = ctx;
-	const bct_packed_t *packed;
+	const bct_packed_t *packed = packed_routes(g);
 
-	if (!is_authorized(g, req, BCT_REGISTRY_ROUTES)) {
-		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
-		return;
-	}
-	packed = packed_routes(g);
 	if (packed)
-		reply(g, req, packed);
-	else
-		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
+		reply(g, packed, out);
 }
 
 static void free_upstreams(share_upstreams *m)
@@ -379,24 +365,29 @@
 	return rc;
 }
 
-static void on_upstreams(struct evhttp_request *req, void *ctx)
+static void put_upstreams(bct_gate_t *g, bct_page_t *out)
 {
-	bct_gate_t *g = ctx;
 	bct_packed_t packed = { 0 };
 
-	if (!is_authorized(g, req, BCT_REGISTRY_UPSTREAMS)) {
-		evhttp_send_reply(req, STATUS_FORBIDDEN, NULL, NULL);
-		return;
-	}
-	if (pack_upstreams(g, &packed))
-		evhttp_send_reply(req, STATUS_UNAVAILABLE, NULL, NULL);
-	else
-		reply(g, req, &packed);
+	if (!pack_upstreams(g, &packed))
+		reply(g, &packed, out);
 	bct_packed_free(&packed);
 }
 
-void bct_pull_serve(bct_gate_t *g, struct evhttp *server)
+bool bct_pull_serve(bct_gate_t *g, const bct_http_msg_t *m, const char *path, bct_page_t *out)
 {
-	evhttp_set_cb(server, paths[BCT_REGISTRY_ROUTES], on_routes, g);
-	evhttp_set_cb(server, paths[BCT_REGISTRY_UPSTREAMS], on_upstreams, g);
+	bct_registry_topic_t topic = BCT_REGISTRY_ROUTES;
+
+	if (!strcmp(path, paths[BCT_REGISTRY_UPSTREAMS]))
+		topic = BCT_REGISTRY_UPSTREAMS;
+	else if (strcmp(path, paths[BCT_REGISTRY_ROUTES]) != 0)
+		return false;
+	out->status = STATUS_UNAVAILABLE;
+	if (!is_authorized(g, m, topic))
+		out->status = STATUS_FORBIDDEN;
+	else if (topic == BCT_REGISTRY_ROUTES)
+		put_routes(g, out);
+	else
+		put_upstreams(g, out);
+	return true;
 }
--- a/gate/pull.h
+++ b/gate/pull.h
@@ -36,7 +36,12 @@
  */
 int bct_pull_start(bct_pull_t *p, bct_registry_topic_t topic, uint64_t peer);
 
-/* bct_pull_serve(3): answer the pulls that other gateways send to this server. */
-void bct_pull_serve(bct_gate_t *g, struct evhttp *server);
+/*
+ * bct_pull_serve(3): answer a pull that another gateway sent.
+ *
+ * out      receives the answer; its body is empty
+ * returns  false if the path is not that of a pull
+ */
+bool bct_pull_serve(bct_gate_t *g, const bct_http_msg_t *m, const char *path, bct_page_t *out);
 
 #endif
--- a/http/http_msg.c
+++ b/http/http_msg.c
@@ -153,7 +153,9 @@
 	return check_lines(head, len_bytes, true, &f);
 }
 
-int bct_http_head_check(const char *head, size_t len_bytes, bool request)
+/* hosts_min, hosts_max: Host headers that there may be */
+static int check_head(const char *head, size_t len_bytes, bool request, uint32_t hosts_min,
+		      uint32_t hosts_max)
 {
 	framing_t f = { 0 };
 	int rc = check_lines(head, len_bytes, request, &f);
@@ -164,7 +166,19 @@
 	if (f.content_lengths > 1 || f.transfer_encodings > 1 ||
 	    (f.content_lengths && f.transfer_encodings))
 		return -BCT_ECODEC;
-	return request && f.hosts != 1 ? -BCT_ECODEC : 0;
+	return f.hosts < hosts_min || f.hosts > hosts_max ? -BCT_ECODEC : 0;
+}
+
+int bct_http_head_check(const char *head, size_t len_bytes, bool request)
+{
+	return check_head(head, len_bytes, request, request ? 1 : 0, request ? 1 : UINT32_MAX);
+}
+
+static int check_own_head(const bct_http_msg_t *m, const char *head, size_t len_bytes)
+{
+	if (m->parser.type == HTTP_REQUEST && m->no_host)
+		return check_head(head, len_bytes, true, 0, 1);
+	return bct_http_head_check(head, len_bytes, m->parser.type == HTTP_REQUEST);
 }
 
 /* Splits lines "Name: value\r\n" in place into pairs of strings, without blanks around values. */
@@ -302,8 +316,7 @@
 	head = evbuffer_pullup(in, (ev_ssize_t)len);
 	if (!head || bct_buf_put(&m->text, head, len))
 		return fail(m, -BCT_ENOMEM);
-	if (memchr(head, '\0', len) ||
-	    bct_http_head_check((const char *)head, len, m->parser.type == HTTP_REQUEST))
+	if (memchr(head, '\0', len) || check_own_head(m, (const char *)head, len))
 		return fail(m, -BCT_ECODEC);
 	m->state = BCT_HTTP_BODY;
 	execute(m, (const char *)head, len, &consumed);
--- a/http/http_msg.h
+++ b/http/http_msg.h
@@ -42,6 +42,7 @@
 	int status;	    /* of a response */
 	bool keep_alive;
 	bool until_close; /* response without a length: the body ends when the connection closes */
+	bool no_host;	  /* a request needs no Host header; set by the user, kept by resets */
 	bool head_only;	  /* response to HEAD: no body follows; set by the user, kept by resets */
 	int err; /* when BCT_HTTP_FAILED: -BCT_ETOO_LARGE, -BCT_ECODEC, -BCT_ENOMEM, or what
 		  * on_body returned */
