gate: connections have limits, at which the least valuable one ends

What callers saw: 300 connections that brought no whole request took all 256 descriptors; no ordinary request was answered while they stayed.

Cause: connections were accepted without a limit, at five ports alike, and the rest of the process shared their descriptors.

Change: policy/gate_conns bounds callers (three eighths of the descriptors, and of the memory 96 KB each), nodes and each address of the node's own pages, with settings (gate.descriptors, gate.max_connections, gate.max_local_connections), two counters and a line a second. A new connection replaces the one that has been closing, idle, unread or without a whole request for longest; it is refused only if all are handling requests.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -79,6 +79,8 @@
 	    "an answer was cut to free memory, as its caller did not read it")                     \
 	DEF(GATE_AHEAD_CUT, 430, WARN,                                                             \
 	    "a connection on which requests were sent ahead was ended to free memory")             \
+	DEF(GATE_CONNECTIONS, 431, WARN,                                                           \
+	    "connections ended for new ones, or new ones were refused, at the limit")              \
 	DEF(REACH_BACK, 426, INFO, "this node reaches upstreams of a service again")               \
 	DEF(UPSTREAM_FAILED, 500, WARN, "an attempt at an upstream failed")                        \
 	DEF(UPSTREAM_LEAVING, 501, INFO, "an upstream is leaving and gets no new work")            \
--- a/gate/client.c
+++ b/gate/client.c
@@ -20,8 +20,9 @@
 #define LOCAL_BODY_BYTES 4096 /* of a request for a page of the node's own, which needs none */
 #define HEAD_KEPT_BYTES 4096  /* of memory for heads, kept between requests */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
-#define IDLE_MIN_MS 300 /* a stop leaves a new or just answered connection open for as long */
-#define LINGER_MS 1000	/* for the caller to close after the last response */
+#define IDLE_MIN_MS 300	  /* a stop leaves a new or just answered connection open for as long */
+#define LIMIT_LOG_MS 1000 /* between two lines about the limit of connections of a port */
+#define LINGER_MS 1000	  /* for the caller to close after the last response */
 #define RELAY_HEADER_BYTES 512	       /* that another node adds to those of its caller */
 #define BODY_RCVBUF_BYTES (128 * 1024) /* of the kernel, while a long body is read */
 #define USER_TIMEOUT_MS 5000	       /* output unacknowledged for this long ends the connection */
@@ -267,6 +268,7 @@
 		return;
 	if (!c->request_started) {
 		c->request_started = true;
+		c->since = bct_clock_now();
 		set_read_ahead(c);
 		set_timer(c, l.header_timeout_ms);
 		c->due = c->gate->memory ? bct_clock_now() + l.header_timeout_ms : 0;
@@ -363,14 +365,14 @@
 		bct_buf_free(&c->msg.text);
 	bct_http_msg_reset(&c->msg);
 	c->request_started = false;
-	c->idle_since = bct_clock_now();
+	c->since = bct_clock_now();
 	set_timer(c, get_limits(c->gate).idle_timeout_ms);
 	/* Deferred to the event loop, so that pipelined requests do not nest calls. */
 	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-bct_client_t *bct_client_new(bct_client_port_t *p, evutil_socket_t fd)
+static bct_client_t *client_new(bct_client_port_t *p, evutil_socket_t fd)
 {
 	bct_client_t *c = bct_alloc(sizeof(*c));
 	bct_gate_t *g = p->gate;
@@ -396,7 +398,7 @@
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
-	c->idle_since = bct_clock_now();
+	c->since = bct_clock_now();
 	bct_list_add_tail(&c->link, &g->clients);
 	bct_memory_opened(c);
 	p->n_clients++;
@@ -408,13 +410,91 @@
 	return c;
 }
 
+static bct_gate_conn_rank_t rank_of(const bct_client_t *c)
+{
+	bct_gate_conn_rank_t r = { .state = BCT_GATE_CONN_IDLE, .since = c->since };
+
+	if (c->x)
+		r.state = BCT_GATE_CONN_BUSY;
+	else if (c->closing)
+		r.state = BCT_GATE_CONN_CLOSING;
+	else if (evbuffer_get_length(bufferevent_get_output(c->bev)))
+		r.state = BCT_GATE_CONN_UNREAD;
+	else if (c->request_started)
+		r.state = BCT_GATE_CONN_PARTIAL;
+	return r;
+}
+
+/* The connection of the port that yields first; NULL: all are busy. */
+static bct_client_t *first_to_yield(bct_client_port_t *p)
+{
+	bct_client_t *found = NULL;
+	bct_gate_conn_rank_t first = { 0 };
+	bct_list_t *el;
+
+	bct_list_for_each(el, &p->gate->clients) {
+		bct_client_t *c = bct_container_of(el, bct_client_t, link);
+		bct_gate_conn_rank_t r = rank_of(c);
+
+		if (c->port != p || !bct_gate_conn_yields(&r))
+			continue;
+		if (found && !bct_gate_conn_before(&r, &first))
+			continue;
+		found = c;
+		first = r;
+	}
+	return found;
+}
+
+static void log_limit(bct_client_port_t *p)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (p->limit_logged && now - p->limit_logged < LIMIT_LOG_MS)
+		return;
+	BCT_LOG(p->gate->log, BCT_EV_GATE_CONNECTIONS,
+		BCT_STR("port", p->is_local  ? "local"
+				: p->is_node ? "nodes"
+					     : "callers"),
+		BCT_U64("connections", p->n_clients), BCT_U64("limit", p->max_clients),
+		BCT_U64("yielded", p->yielded), BCT_U64("refused", p->refused));
+	p->limit_logged = now;
+	p->yielded = p->refused = 0;
+}
+
+/* Ends a connection if the port has as many as it may. returns whether there is room for one more
+ */
+static bool make_room(bct_client_port_t *p)
+{
+	bct_client_t *c;
+
+	if (!p->max_clients || p->n_clients < p->max_clients)
+		return true;
+	c = first_to_yield(p);
+	if (c) {
+		BCT_GATE_COUNT(p->gate, CONNECTIONS_YIELDED);
+		p->yielded++;
+		client_free(c, BCT_GATE_END_CALLER_LEFT);
+	} else {
+		BCT_GATE_COUNT(p->gate, CONNECTIONS_REFUSED);
+		p->refused++;
+	}
+	log_limit(p);
+	return c != NULL;
+}
+
+void bct_client_accept(bct_client_port_t *p, evutil_socket_t fd)
+{
+	if (!make_room(p) || !client_new(p, fd))
+		evutil_closesocket(fd);
+}
+
 /* Whether no request has come, nor is one likely to be on its way. */
 static bool is_idle(bct_client_t *c)
 {
 	int unread = 0;
 
-	if (c->x || c->request_started || c->closing ||
-	    bct_clock_now() - c->idle_since < IDLE_MIN_MS)
+	if (c->x || c->request_started || c->closing || bct_clock_now() - c->since < IDLE_MIN_MS)
 		return false;
 	return ioctl(bufferevent_getfd(c->bev), FIONREAD, &unread) || !unread;
 }
--- a/gate/counters.h
+++ b/gate/counters.h
@@ -61,6 +61,10 @@
 	    "Answers cut to free memory, as their callers did not read them")                     \
 	DEF(AHEAD_CUT, "bct_gate_ahead_cut_total", NULL, "counter",                               \
 	    "Connections ended to free memory, as their callers sent requests ahead")             \
+	DEF(CONNECTIONS_YIELDED, "bct_gate_connections_yielded_total", NULL, "counter",           \
+	    "Connections ended for new ones at the limit of connections")                         \
+	DEF(CONNECTIONS_REFUSED, "bct_gate_connections_refused_total", NULL, "counter",           \
+	    "New connections closed at once at the limit of connections")                         \
 	DEF(BODIES_WAITED, "bct_gate_bodies_waited_total", NULL, "counter",                       \
 	    "Times that reading from a caller waited for room")                                   \
 	DEF(DUTY_ACQUIRED, "bct_duty_acquired_total", NULL, "counter",                            \
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -23,6 +23,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define TICK_MS 100
 
@@ -129,6 +130,23 @@
 		drain_step(g);
 }
 
+/* Sets how many connections each port may have. */
+static void limit_connections(bct_gate_t *g)
+{
+	const bct_settings_t *s = g->settings;
+	bct_gate_conn_opts_t o = {
+		.memory_bytes = s->gate_memory_bytes,
+		.descriptors = s->gate_descriptors,
+		.max_connections = s->gate_max_connections,
+		.max_local = s->gate_max_local_connections,
+	};
+	struct rlimit limit;
+
+	if (!getrlimit(RLIMIT_NOFILE, &limit) && (!o.descriptors || limit.rlim_cur < o.descriptors))
+		o.descriptors = limit.rlim_cur < UINT32_MAX ? (uint32_t)limit.rlim_cur : UINT32_MAX;
+	g->conn_limits = bct_gate_conn_limits(&o);
+}
+
 static int start_events(bct_gate_t *g)
 {
 	static const int signals[] = { SIGTERM, SIGINT, SIGHUP };
@@ -182,6 +200,7 @@
 	g->part_judge.started_at = bct_clock_now();
 	bct_gate_picker_init(&g->picker, &g->upstreams, g->settings->gate_prefill_tokens_per_s,
 			     g->settings->gate_step_us, bct_random_id());
+	limit_connections(g);
 	rc = bct_addr_parse_port(g->settings->gate_listen, &g->listen);
 	if (!rc)
 		rc = start_events(g);
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -14,6 +14,7 @@
 #include "policy/abandoned.h"
 #include "policy/gate_account_share.h"
 #include "policy/gate_budget.h"
+#include "policy/gate_conns.h"
 #include "policy/gate_crash.h"
 #include "policy/gate_demand.h"
 #include "policy/gate_memory.h"
@@ -90,6 +91,10 @@
 	bool is_local;	    /* pages of the node itself: a planned stop does not wait for clients */
 	bool accept_failed; /* nothing is accepted until the next tick */
 	uint32_t n_clients;
+	uint32_t max_clients; /* 0: no limit */
+	uint32_t yielded;     /* connections ended for new ones since the last line of the log */
+	uint32_t refused;     /* new connections closed since then */
+	bct_time_t limit_logged;
 };
 
 struct bct_gate {
@@ -102,6 +107,7 @@
 	bct_list_t ports;  /* that are open */
 	bct_client_port_t callers;
 	bct_client_port_t relays; /* for other nodes */
+	bct_gate_conn_limits_t conn_limits;
 	struct event *tick;
 	bct_time_t windows_checked;
 	bct_time_t ticked_at;
@@ -195,13 +201,13 @@
 	struct evbuffer *body;		  /* of the request being read */
 	bct_gate_memory_account_t memory; /* used if the gate has a bound */
 	bct_list_t waiting;		  /* in the list of those that wait for room */
-	bct_time_t idle_since; /* when it was accepted, or its last request was answered */
-	bct_time_t due;	       /* when the request must be complete, unless it waits for room */
-	bct_time_t left_ms;    /* of that time when it began to wait */
-	bct_exchange_t *x;     /* in progress; NULL: none */
-	bool window_closed;    /* the caller does not read, see bct_window_check(3) */
-	bool flushed;	       /* it has acknowledged all output, and no request is in progress */
-	bool waits;	       /* nothing is read until there is room */
+	bct_time_t since;   /* it was accepted, or answered, or a request began to arrive */
+	bct_time_t due;	    /* when the request must be complete, unless it waits for room */
+	bct_time_t left_ms; /* of that time when it began to wait */
+	bct_exchange_t *x;  /* in progress; NULL: none */
+	bool window_closed; /* the caller does not read, see bct_window_check(3) */
+	bool flushed;	    /* it has acknowledged all output, and no request is in progress */
+	bool waits;	    /* nothing is read until there is room */
 	bool too_large;
 	bool request_started; /* part of the next request has been received */
 	bool close_after;     /* no further request is accepted */
@@ -211,8 +217,9 @@
 /* bct_client_answered(3): the exchange on c has ended; truncated: its answer is incomplete. */
 void bct_client_answered(bct_client_t *c, bool truncated);
 
-/* bct_client_new(3): takes an accepted connection; returns NULL without memory. */
-bct_client_t *bct_client_new(bct_client_port_t *p, evutil_socket_t fd);
+/* bct_client_accept(3): takes an accepted connection, or closes it for lack of memory or at the
+ * limit of connections. */
+void bct_client_accept(bct_client_port_t *p, evutil_socket_t fd);
 /* What the bound on buffered bytes does to callers. */
 typedef struct bct_client_flow_ops {
 	/* goes on to read from a caller that waited */
--- a/gate/listen.c
+++ b/gate/listen.c
@@ -18,8 +18,7 @@
 	(void)l;
 	(void)addr;
 	(void)len;
-	if (!bct_client_new(ctx, fd))
-		evutil_closesocket(fd);
+	bct_client_accept(ctx, fd);
 }
 
 /* Mostly for lack of file descriptors; the event loop would call it again and again at once. */
@@ -60,6 +59,13 @@
 	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
 }
 
+static uint32_t max_clients(const bct_gate_t *g, const bct_client_port_t *p)
+{
+	if (p->is_local)
+		return g->conn_limits.local;
+	return p->is_node ? g->conn_limits.nodes : g->conn_limits.callers;
+}
+
 int bct_client_port_open(bct_gate_t *g, bct_client_port_t *p, const bct_addr_t *at)
 {
 	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(at->port) };
@@ -69,6 +75,7 @@
 		return -BCT_EINVAL;
 	memcpy(&sa.sin_addr, at->ip, sizeof(sa.sin_addr));
 	p->gate = g;
+	p->max_clients = max_clients(g, p);
 	p->listener = evconnlistener_new_bind(g->base, on_accept, p,
 					      LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
 						      LEV_OPT_CLOSE_ON_EXEC,
@@ -114,10 +121,8 @@
 	if (!p->listener)
 		return;
 	while ((fd = accept4(evconnlistener_get_fd(p->listener), NULL, NULL,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-		if (!bct_client_new(p, fd))
-			evutil_closesocket(fd);
-	}
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		bct_client_accept(p, fd);
 	bct_client_port_close(p);
 }
 
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -57,6 +57,9 @@
 	bool gate_account_shares;
 	bool gate_expect_returns;
 	uint32_t gate_memory_bytes;
+	uint32_t gate_descriptors;
+	uint32_t gate_max_connections;
+	uint32_t gate_max_local_connections;
 	uint32_t gate_socket_buffer_bytes;
 	char duty_address[64];
 	char duty_kinds[4][16];
@@ -71,6 +74,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 59
+#define BCT_SETTINGS_COUNT 62
 
 #endif
