gate: bodies begin only while all that began can end

What callers saw: 100 callers whose bodies never ended filled the node's buffers to the step at which new requests are refused; ordinary requests got 503 for as long as they went on, and the process exceeded its memory (41 MB of 40).

Cause: any body began while the sum was below 60%, so many began at once and none could end; a body that was refused stayed in memory until its caller had left.

Change: a body states what it may become (Content-Length, or the largest one allowed) and begins only if all that began fit into half of the bound, two fifths if it is longer than 64 KB; one alone always may. Others wait and are refused (503, Retry-After, not run). What came of a refused request is dropped at once; bodies that wait while others are refused give way. The kernel's receive buffer grows for a long body only once it begins.

--- a/gate/client.c
+++ b/gate/client.c
@@ -106,6 +106,14 @@
 		start_linger(c);
 }
 
+/* What came of a request that is refused need not be kept until its caller has left. */
+static void drop_body(bct_client_t *c)
+{
+	bct_memory_release(c->gate, c->body);
+	c->body = NULL;
+	bct_memory_body_ended(c);
+}
+
 /* Answers a request that could not be read and closes the connection. */
 static void refuse_request(bct_client_t *c, int status, const char *text)
 {
@@ -113,17 +121,26 @@
 	BCT_LOG(c->gate->log, BCT_EV_GATE_REQUEST_BAD, BCT_I64("status", status),
 		BCT_STR("why", text));
 	c->close_after = true;
+	drop_body(c);
 	bct_answer_local(c, &(bct_answer_opts_t){ .status = status, .text = text });
 	close_when_flushed(c);
 }
 
+/* Of the body that comes. Of a chunked one the parser knows no length: the largest one. */
+static size_t expected_bytes(const bct_client_t *c)
+{
+	uint64_t left = c->msg.parser.content_length;
+	uint32_t max = max_body_bytes(c);
+
+	return left < max ? (size_t)left : max;
+}
+
 /* The small buffer of the kernel (listen.c) would make a long body slow. */
 static void grow_receive_buffer(bct_client_t *c)
 {
 	int bytes = BODY_RCVBUF_BYTES;
 
-	/* Of a chunked body the parser knows no length: the largest one. */
-	if (c->msg.state == BCT_HTTP_BODY && c->msg.parser.content_length > BODY_RCVBUF_BYTES)
+	if (c->msg.state == BCT_HTTP_BODY && expected_bytes(c) > BODY_RCVBUF_BYTES)
 		setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
 }
 
@@ -151,6 +168,7 @@
 	if (c->waits)
 		resume_reading(c);
 	c->close_after = true;
+	drop_body(c);
 	bct_answer_local(c, &(bct_answer_opts_t){ .status = 503,
 						  .retry_after_ms = bct_memory_retry_ms(c->gate),
 						  .elsewhere = true,
@@ -173,7 +191,7 @@
 /* Part of the body is still to come: without room for it, a new request is refused or waits. */
 static void check_room(bct_client_t *c, bool is_new)
 {
-	if (bct_memory_may_read_body(c)) {
+	if (bct_memory_may_read_body(c, expected_bytes(c))) {
 		if (is_new)
 			grow_receive_buffer(c);
 		return;
@@ -567,6 +585,7 @@
 
 const bct_client_flow_ops_t bct_client_flow_ops = {
 	.cut = cut_unread,
+	.refuse = refuse_for_room,
 	.close = reset,
 	.resume = resume_reading,
 };
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -230,6 +230,8 @@
 	 * the response was sent.
 	 */
 	void (*cut)(bct_client_t *c);
+	/* refuses the request of a caller that waits; frees what came of it */
+	void (*refuse)(bct_client_t *c);
 	/* ends the connection, whatever it carries; frees c */
 	void (*close)(bct_client_t *c);
 } bct_client_flow_ops_t;
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -130,10 +130,11 @@
 		act_soon(m);
 }
 
-bool bct_memory_may_read_body(bct_client_t *c)
+bool bct_memory_may_read_body(bct_client_t *c, size_t expected_bytes)
 {
 	bct_memory_t *m = c->gate->memory;
 
+	bct_gate_memory_expect(&c->memory, expected_bytes);
 	return !m || bct_gate_memory_may_read_body(&m->sums, &c->memory);
 }
 
@@ -143,7 +144,7 @@
 
 	if (!m)
 		return;
-	bct_gate_memory_body_ended(&c->memory);
+	bct_gate_memory_body_ended(&m->sums, &c->memory);
 	/* The next one may be read now. */
 	if (!bct_list_empty(&m->waiting))
 		act_soon(m);
@@ -251,11 +252,27 @@
 	bct_list_for_each_safe(el, tmp, &m->waiting) {
 		bct_client_t *c = bct_container_of(el, bct_client_t, waiting);
 
-		if (c->x ? !bct_memory_is_short(m->gate) : bct_memory_may_read_body(c))
+		if (c->x ? !bct_memory_is_short(m->gate)
+			 : bct_memory_may_read_body(c, c->memory.expected_bytes))
 			m->flow->resume(c);
 	}
 }
 
+/* Bodies that wait while others are refused give way: their callers are told to come back. */
+static void refuse_waiting(bct_memory_t *m)
+{
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe(el, tmp, &m->waiting) {
+		bct_client_t *c = bct_container_of(el, bct_client_t, waiting);
+
+		if (bct_gate_memory_level(&m->sums) < BCT_GATE_MEMORY_REFUSE)
+			return;
+		if (!c->x)
+			m->flow->refuse(c);
+	}
+}
+
 static void on_act(evutil_socket_t fd, short what, void *ctx)
 {
 	bct_memory_t *m = ctx;
@@ -275,6 +292,8 @@
 		else
 			cut_ahead(m, c);
 	}
+	if (wanted)
+		refuse_waiting(m);
 	resume_waiting(m);
 	level = bct_gate_memory_level(&m->sums);
 	if (level == m->level)
--- a/gate/memory.h
+++ b/gate/memory.h
@@ -33,7 +33,7 @@
 void bct_memory_release(const bct_gate_t *g, struct evbuffer *buffer);
 
 /* bct_memory_may_read_body(3): whether to read on, see bct_gate_memory_may_read_body(3). */
-bool bct_memory_may_read_body(bct_client_t *c);
+bool bct_memory_may_read_body(bct_client_t *c, size_t expected_bytes);
 void bct_memory_body_ended(bct_client_t *c);
 
 /* bct_memory_wait(3): the connection is resumed with bct_client_resume(3) when there is room. */
--- a/policy/gate_memory.c
+++ b/policy/gate_memory.c
@@ -26,6 +26,7 @@
 		return;
 	for (int i = 0; i < BCT_GATE_MEMORY_KINDS; i++)
 		m->total_bytes -= a->bytes[i];
+	bct_gate_memory_body_ended(m, a);
 	bct_list_del(&a->link);
 	memset(a, 0, sizeof(*a));
 }
@@ -72,13 +73,37 @@
 	return a->body != 0;
 }
 
+void bct_gate_memory_expect(bct_gate_memory_account_t *a, size_t bytes)
+{
+	if (!a->body)
+		a->expected_bytes = bytes;
+}
+
+/* Whether the body of the account can be read to its end beside those that began. */
+static bool fits(const bct_gate_memory_t *m, const bct_gate_memory_account_t *a)
+{
+	uint32_t permille = a->expected_bytes > BCT_GATE_MEMORY_LONG_BYTES
+				    ? BCT_GATE_MEMORY_LONG_PERMILLE
+				    : BCT_GATE_MEMORY_BODIES_PERMILLE;
+
+	return !m->expected_bytes ||
+	       (m->expected_bytes + a->expected_bytes) * PERMILLE <= m->bound_bytes * permille;
+}
+
+static bool begin_body(bct_gate_memory_t *m, bct_gate_memory_account_t *a)
+{
+	if (!fits(m, a))
+		return false;
+	a->body = ++m->bodies;
+	m->expected_bytes += a->expected_bytes;
+	return true;
+}
+
 bool bct_gate_memory_may_read_body(bct_gate_memory_t *m, bct_gate_memory_account_t *a)
 {
 	switch (bct_gate_memory_level(m)) {
 	case BCT_GATE_MEMORY_FREE:
-		if (!a->body)
-			a->body = ++m->bodies;
-		return true;
+		return a->body || begin_body(m, a);
 	case BCT_GATE_MEMORY_WAIT:
 		return a->body != 0;
 	case BCT_GATE_MEMORY_REFUSE:
@@ -89,9 +114,12 @@
 	return false;
 }
 
-void bct_gate_memory_body_ended(bct_gate_memory_account_t *a)
+void bct_gate_memory_body_ended(bct_gate_memory_t *m, bct_gate_memory_account_t *a)
 {
+	if (a->body)
+		m->expected_bytes -= a->expected_bytes;
 	a->body = 0;
+	a->expected_bytes = 0;
 }
 
 /* The account with enough unread output that has been unread for longest, or NULL. */
--- a/policy/gate_memory.h
+++ b/policy/gate_memory.h
@@ -31,6 +31,11 @@
 #define BCT_GATE_MEMORY_WAIT_PERMILLE 600
 #define BCT_GATE_MEMORY_REFUSE_PERMILLE 750
 #define BCT_GATE_MEMORY_CUT_PERMILLE 900
+/* Bodies begin only while they all fit into this part of the bound, so that those which began can
+ * end, and bodies that never end leave room for other requests; long ones into a smaller part. */
+#define BCT_GATE_MEMORY_BODIES_PERMILLE 500
+#define BCT_GATE_MEMORY_LONG_PERMILLE 400
+#define BCT_GATE_MEMORY_LONG_BYTES (64 * 1024)
 /* Cutting a connection with less unread output frees too little to be worth a lost response. */
 #define BCT_GATE_MEMORY_CUT_MIN_BYTES (16 * 1024)
 /* For which others are in want of room, and a response is unread, before it is cut for them. */
@@ -58,13 +63,15 @@
 	bct_time_t unread_since; /* when output was last added to an empty buffer */
 	bct_time_t ahead_since;	 /* when something first waited behind what is being handled */
 	uint64_t body;		 /* order in which bodies began; 0: no body is being read */
+	size_t expected_bytes;	 /* of the body that comes; 0: not known */
 } bct_gate_memory_account_t;
 
 /* Of a node. Zeroed: there is no bound, and nothing is counted. */
 typedef struct bct_gate_memory {
 	uint64_t bound_bytes; /* 0: no bound */
 	uint64_t total_bytes;
-	uint64_t bodies; /* that began so far */
+	uint64_t bodies;	 /* that began so far */
+	uint64_t expected_bytes; /* of all bodies that are being read */
 	bct_list_t accounts;
 } bct_gate_memory_t;
 
@@ -84,11 +91,15 @@
 bct_gate_memory_level_t bct_gate_memory_level(const bct_gate_memory_t *m);
 
 /*
+ * bct_gate_memory_expect(3): states how long the body is that comes, or may be; to be called before
+ * bct_gate_memory_may_read_body(3).
  * bct_gate_memory_may_read_body(3): whether to go on reading a request's body now. One that may
- * begins with the first call that returns true, until bct_gate_memory_body_ended(3).
+ * begins with the first call that returns true, until bct_gate_memory_body_ended(3). One may begin
+ * whatever its length if no other is being read.
  */
+void bct_gate_memory_expect(bct_gate_memory_account_t *a, size_t bytes);
 bool bct_gate_memory_may_read_body(bct_gate_memory_t *m, bct_gate_memory_account_t *a);
-void bct_gate_memory_body_ended(bct_gate_memory_account_t *a);
+void bct_gate_memory_body_ended(bct_gate_memory_t *m, bct_gate_memory_account_t *a);
 
 /*
  * bct_gate_memory_to_cut(3): the account whose connection to end now: the one whose output has been
--- a/tests/lib_crowd.sh
+++ b/tests/lib_crowd.sh
@@ -5,7 +5,7 @@
 # memory, for builds with sanitizers.
 . tests/lib_proc.sh
 MEMORY=${MEMORY-40000000} # bytes of the machine, for what the process and the kernel hold
-DESCRIPTORS=256		  # that the process may open
+DESCRIPTORS=${DESCRIPTORS-256}	  # that the process may open
 crowd_ip=127.77.$(($$ / 250 % 250 + 1)).$(($$ % 250 + 1))
 failed=0
 
--- a/tests/test_gate_memory.c
+++ b/tests/test_gate_memory.c
@@ -68,7 +68,7 @@
 	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_REFUSE);
 	cr_expect(bct_gate_memory_may_read_body(&m, &a[1]));
 	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[0]));
-	bct_gate_memory_body_ended(&a[1]);
+	bct_gate_memory_body_ended(&m, &a[1]);
 	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]), "the next one");
 	hold(1, START, BCT_GATE_MEMORY_REQUEST, BOUND / 10);
 	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[0]), "at the bound none is read");
@@ -146,3 +146,36 @@
 	bct_gate_memory_close(&m, &a[1]);
 	cr_expect_null(bct_gate_memory_to_cut(&m, START, false), "there is room");
 }
+
+/* Callers that announce long bodies and never end them: they hold a part of the bound, and short
+ * bodies of others are still read. */
+Test(gate_memory, bodies_that_never_end_leave_room)
+{
+	for (int i = 0; i < 4; i++)
+		bct_gate_memory_expect(&a[i], BOUND * 2 / 10);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]));
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[1]));
+	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[2]), "no third one fits");
+	hold(0, START, BCT_GATE_MEMORY_REQUEST, BOUND * 2 / 10);
+	hold(1, START, BCT_GATE_MEMORY_REQUEST, BOUND * 2 / 10);
+	cr_expect_eq(bct_gate_memory_level(&m), BCT_GATE_MEMORY_FREE, "nothing is refused");
+	bct_gate_memory_expect(&a[4], 1000);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[4]), "a short one");
+	bct_gate_memory_body_ended(&m, &a[4]);
+	bct_gate_memory_body_ended(&m, &a[0]);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[2]), "the next one");
+	bct_gate_memory_close(&m, &a[1]);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[3]),
+		  "a connection that ended expects nothing");
+}
+
+/* The only body is read, even if it is longer than the part that bodies may hold. */
+Test(gate_memory, one_body_may_always_begin)
+{
+	bct_gate_memory_expect(&a[0], 2 * BOUND);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[0]));
+	bct_gate_memory_expect(&a[1], 1);
+	cr_expect_not(bct_gate_memory_may_read_body(&m, &a[1]));
+	bct_gate_memory_body_ended(&m, &a[0]);
+	cr_expect(bct_gate_memory_may_read_body(&m, &a[1]));
+}
