--- a/gen/settings.c
+++ b/gen/settings.c
@@ -53,7 +53,7 @@
 	{ "gate.account_shares", BCT_SETTING_BOOL, offsetof(bct_settings_t, gate_account_shares), 0, 0, 0, 0U, false, "false" },
 	{ "gate.expect_returns", BCT_SETTING_BOOL, offsetof(bct_settings_t, gate_expect_returns), 0, 0, 0, 0U, false, "false" },
 	{ "gate.memory_bytes", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_memory_bytes), 0, 0, 0, 4000000000U, false, "0" },
-	{ "gate.descriptors", BCT_SETTING_U32, offsetof(bct_settings_t, gate_descriptors), 0, 0, 0, 4000000U, false, "0" },
+	{ "gate.descriptors", BCT_SETTING_NUMBER, offsetof(bct_settings_t, gate_descriptors), 0, 0, 0, 4000000U, false, "0" },
 	{ "gate.max_connections", BCT_SETTING_U32, offsetof(bct_settings_t, gate_max_connections), 0, 0, 0, 4000000U, false, "0" },
 	{ "gate.max_local_connections", BCT_SETTING_U32, offsetof(bct_settings_t, gate_max_local_connections), 0, 0, 0, 4000000U, false, "128" },
 	{ "gate.socket_buffer_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, gate_socket_buffer_bytes), 0, 0, 0, 4194304U, false, "16384" },
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -92,6 +92,7 @@
 		{ "listen_addresses.directory", "10.1.0.40:8224" },
 		{ "listen_addresses.readiness", "10.1.0.40:8220" },
 		{ "limits.memory_mb", "88" },
+		{ "limits.file_descriptors", "4100.0" },
 		{ "cloud_api.address", control },
 		{ "cloud_api.duties", "usage" },
 		{ "cloud_api.duty_per_s", "50.0" },
