chuted: the bodies of all requests are bounded

What callers saw: 100 callers with bodies of 4 MB that did not end made chuted hold 416 MB where a node has 256 MB.

Cause: each body was bounded (caller.max_body_bytes), their sum was not; nothing looked at it between the first byte and the end of the request.

A body without room is dropped at once and its request refused: 503 no_room, not run, Retry-After. Event 111 once a second; bct_refused_total{reason="no_room"} counts them.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -77,6 +77,8 @@
 	    "what a gateway buffers for slow callers and upstreams reached or left a step")        \
 	DEF(GATE_UNREAD_CUT, 429, WARN,                                                            \
 	    "an answer was cut to free memory, as its caller did not read it")                     \
+	DEF(BODIES_REFUSED, 111, WARN,                                                             \
+	    "requests were refused, as there was no room for their bodies")                        \
 	DEF(GATE_AHEAD_CUT, 430, WARN,                                                             \
 	    "a connection on which requests were sent ahead was ended to free memory")             \
 	DEF(GATE_CONNECTIONS, 431, WARN,                                                           \
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -13,6 +13,7 @@
 	{ "caller.max_connections", BCT_SETTING_U32, offsetof(bct_settings_t, caller_max_connections), 0, 0, 16, 200000U, false, "8192" },
 	{ "caller.max_header_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, caller_max_header_bytes), 0, 0, 2048, 1048576U, false, "16384" },
 	{ "caller.max_body_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, caller_max_body_bytes), 0, 0, 1024, 67108864U, false, "4194304" },
+	{ "caller.body_memory_bytes", BCT_SETTING_NUMBER, offsetof(bct_settings_t, caller_body_memory_bytes), 0, 0, 0, 4000000000U, false, "100000000" },
 	{ "caller.receive_timeout_ms", BCT_SETTING_U32, offsetof(bct_settings_t, caller_receive_timeout_ms), 0, 0, 100, 600000U, false, "10000" },
 	{ "caller.write_timeout_ms", BCT_SETTING_U32, offsetof(bct_settings_t, caller_write_timeout_ms), 0, 0, 1000, 3600000U, false, "60000" },
 	{ "caller.stream_buffer_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, caller_stream_buffer_bytes), 0, 0, 1024, 1048576U, false, "32768" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -16,6 +16,7 @@
 	uint32_t caller_max_connections;
 	uint32_t caller_max_header_bytes;
 	uint32_t caller_max_body_bytes;
+	uint32_t caller_body_memory_bytes;
 	uint32_t caller_receive_timeout_ms;
 	uint32_t caller_write_timeout_ms;
 	uint32_t caller_stream_buffer_bytes;
@@ -74,6 +75,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 62
+#define BCT_SETTINGS_COUNT 63
 
 #endif
--- a/node/front.c
+++ b/node/front.c
@@ -11,6 +11,7 @@
 #include "node/front_conn.h"
 #include "node/front_filter.h"
 #include "node/front_route.h"
+#include "policy/body_room.h"
 
 #include <ck_pr.h>
 #include <inttypes.h>
@@ -23,6 +24,8 @@
 
 #define STREAM_BLOCK_BYTES 4096 /* also the unread output below which an attempt is unpaused */
 #define MAX_URI_BYTES 2048
+#define NO_ROOM_RETRY_MS 500
+#define NO_ROOM_LOG_MS 1000 /* between two lines about refused bodies */
 
 struct bct_front {
 	bct_front_opts_t opts;
@@ -30,6 +33,10 @@
 	struct MHD_Daemon *daemon;
 	bct_front_filter_t *filter; /* listens for callers */
 	bool quiesced;
+	pthread_mutex_t room_lock; /* a leaf; guards the members below */
+	bct_body_room_t room;
+	bct_time_t room_logged;	 /* last line about refused bodies */
+	uint32_t bodies_refused; /* since then */
 };
 
 /* One HTTP request on a connection; libmicrohttpd's con_cls. */
@@ -43,6 +50,7 @@
 	bct_conf_t *conf;
 	const bct_account_conf_t *account; /* owned by conf */
 	bct_buf_t body;
+	size_t held_bytes; /* of the room for bodies, until the request has ended */
 	bct_refuse_t body_fault;
 	bct_request_t *req; /* NULL until the request is complete and valid */
 } exchange_t;
@@ -68,7 +76,11 @@
 static enum MHD_Result refuse_early(exchange_t *x, struct MHD_Connection *c, bct_refuse_t why,
 				    bool close, const char *detail)
 {
-	bct_refusal_t f = { .why = why, .run = BCT_RUN_NOT_RUN, .close = close, .detail = detail };
+	bct_refusal_t f = { .why = why,
+			    .run = BCT_RUN_NOT_RUN,
+			    .retry_after_ms = why == BCT_REFUSE_NO_ROOM ? NO_ROOM_RETRY_MS : 0,
+			    .close = close,
+			    .detail = detail };
 
 	if (x->answered)
 		return MHD_YES;
@@ -144,6 +156,52 @@
 	return why ? refuse_early(x, c, why, true, NULL) : MHD_YES;
 }
 
+/* Logs, at most once a second, that there was no room; called with the room's lock. */
+static void log_no_room(bct_front_t *f)
+{
+	bct_time_t now = bct_clock_now();
+
+	f->bodies_refused++;
+	if (f->room_logged && now - f->room_logged < NO_ROOM_LOG_MS)
+		return;
+	BCT_LOG(bct_core_log(f->opts.core), BCT_EV_BODIES_REFUSED,
+		BCT_U64("requests", f->bodies_refused), BCT_U64("held_bytes", f->room.held_bytes),
+		BCT_U64("bound_bytes", f->room.bound_bytes));
+	f->room_logged = now;
+	f->bodies_refused = 0;
+}
+
+static bool take_room(exchange_t *x, size_t len)
+{
+	bct_front_t *f = x->front;
+	bool taken;
+
+	pthread_mutex_lock(&f->room_lock);
+	taken = bct_body_room_take(&f->room, x->held_bytes, len);
+	if (!taken)
+		log_no_room(f);
+	pthread_mutex_unlock(&f->room_lock);
+	if (taken)
+		x->held_bytes += len;
+	return taken;
+}
+
+static void give_room_back(exchange_t *x)
+{
+	pthread_mutex_lock(&x->front->room_lock);
+	bct_body_room_give_back(&x->front->room, x->held_bytes);
+	pthread_mutex_unlock(&x->front->room_lock);
+	x->held_bytes = 0;
+}
+
+/* The rest of the body is discarded, and so is what came of it. */
+static void fail_body(exchange_t *x, bct_refuse_t why)
+{
+	x->body_fault = why;
+	bct_buf_free(&x->body);
+	give_room_back(x);
+}
+
 /* Appends a piece of the body; after a fault, discards it. */
 static void append_body(exchange_t *x, const char *bytes, size_t len)
 {
@@ -151,11 +209,13 @@
 
 	if (x->body_fault)
 		return;
+	if (!take_room(x, len)) {
+		fail_body(x, BCT_REFUSE_NO_ROOM);
+		return;
+	}
 	rc = bct_buf_put(&x->body, bytes, len);
-	if (rc == -BCT_ETOO_LARGE)
-		x->body_fault = BCT_REFUSE_TOO_LARGE;
-	else if (rc)
-		x->body_fault = BCT_REFUSE_INTERNAL;
+	if (rc)
+		fail_body(x, rc == -BCT_ETOO_LARGE ? BCT_REFUSE_TOO_LARGE : BCT_REFUSE_INTERNAL);
 }
 
 static enum MHD_Result answer_models(exchange_t *x, struct MHD_Connection *c)
@@ -442,6 +502,7 @@
 	if (x->req)
 		detach_request(x);
 	bct_buf_free(&x->body);
+	give_room_back(x);
 	bct_conf_unref(x->conf);
 	bct_free(x);
 }
@@ -533,6 +594,8 @@
 	if (!f)
 		return -BCT_ENOMEM;
 	f->opts = *opts;
+	f->room.bound_bytes = opts->settings->caller_body_memory_bytes;
+	pthread_mutex_init(&f->room_lock, NULL);
 	rc = bct_conn_table_init(&f->conns, opts->core, opts->settings->caller_receive_timeout_ms);
 	if (!rc)
 		rc = start_daemon(f);
@@ -542,6 +605,7 @@
 		if (f->daemon)
 			MHD_stop_daemon(f->daemon);
 		bct_conn_table_destroy(&f->conns);
+		pthread_mutex_destroy(&f->room_lock);
 		bct_free(f);
 		return rc;
 	}
@@ -565,6 +629,7 @@
 	bct_front_filter_free(f->filter);
 	MHD_stop_daemon(f->daemon);
 	bct_conn_table_destroy(&f->conns);
+	pthread_mutex_destroy(&f->room_lock);
 	bct_free(f);
 }
 
