platform: a caller's wait has an upper limit

What callers saw: a request that states a wait of 2^63 - 1 ms was refused as late (503, TIMEOUT_WAITING) when it came.

Cause: the time of arrival and the wait were added without a limit; the sum of signed numbers overflowed, which is undefined.

--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -346,6 +346,29 @@
 	bct_http_msg_free(&m);
 }
 
+/* A caller that states a wait beyond any clock still waits: the sum of it and the time of arrival
+ * overflowed, so that the request counted as late when it came. */
+Test(adapter, a_wait_of_any_length_is_one)
+{
+	static const char *const waits[] = { "9223372036854775807", "99999999999999999999999" };
+	bct_wire_call_t call;
+	bct_http_msg_t m;
+
+	for (int i = 0; i < 2; i++) {
+		char head[256];
+
+		snprintf(head, sizeof(head),
+			 "GET /a HTTP/1.1\r\nHost: h\r\n"
+			 "X-Buckthornchute-Deadline-Milliseconds: %s\r\n\r\n",
+			 waits[i]);
+		read_head(&m, HTTP_REQUEST, head);
+		bct_adapter_wire()->decode_call(&m, &call);
+		cr_expect_gt(call.wait_ms, 3600000, "%s", waits[i]);
+		cr_expect_lt(call.wait_ms, INT64_MAX / 2, "%s", waits[i]);
+		bct_http_msg_free(&m);
+	}
+}
+
 Test(adapter, answers)
 {
 	bct_wire_answer_t a;
