chuted: callers' connections are bounded by the descriptors, and the idle ones yield

What callers saw: 300 connections that brought no whole request took all 512 descriptors; no ordinary request was answered while they stayed.

Cause: a connection takes three descriptors, and caller.max_connections (8,192) was the only limit, so that accept() and socketpair() failed first; a failed accept() was called again at once, without a pause.

Change: at most a quarter of the descriptors; at the limit the connection ends on which no request is handled and the last one ended longest ago; a new one is closed only if requests are handled on all. After a failed accept() the listener rests for 100 ms. Events 112 (once a second) and 110, two counters. The lookup of a connection by its descriptor is a table, not a scan.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -79,6 +79,8 @@
 	    "an answer was cut to free memory, as its caller did not read it")                     \
 	DEF(BODIES_REFUSED, 111, WARN,                                                             \
 	    "requests were refused, as there was no room for their bodies")                        \
+	DEF(CONNECTIONS_LIMIT, 112, WARN,                                                          \
+	    "connections ended for new ones, or new ones were refused, at the limit")              \
 	DEF(GATE_AHEAD_CUT, 430, WARN,                                                             \
 	    "a connection on which requests were sent ahead was ended to free memory")             \
 	DEF(GATE_CONNECTIONS, 431, WARN,                                                           \
--- a/node/front.c
+++ b/node/front.c
@@ -19,11 +19,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define STREAM_BLOCK_BYTES 4096 /* also the unread output below which an attempt is unpaused */
 #define MAX_URI_BYTES 2048
+#define DESCRIPTORS_EACH 4 /* of a connection, see max_connections() */
 #define NO_ROOM_RETRY_MS 500
 #define NO_ROOM_LOG_MS 1000 /* between two lines about refused bodies */
 
@@ -557,6 +559,24 @@
 	return bct_conn_is_idle(&f->conns, fd);
 }
 
+static bool is_serving(void *ctx, int fd)
+{
+	bct_front_t *f = ctx;
+
+	return bct_conn_is_serving(&f->conns, fd);
+}
+
+/* Each connection takes three descriptors, and some requests one more for their upstream. */
+static uint32_t max_connections(const bct_settings_t *s)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) ||
+	    limit.rlim_cur / DESCRIPTORS_EACH >= s->caller_max_connections)
+		return s->caller_max_connections;
+	return (uint32_t)(limit.rlim_cur / DESCRIPTORS_EACH);
+}
+
 static char *refuse_malformed(void *ctx)
 {
 	bct_front_t *f = ctx;
@@ -574,7 +594,12 @@
 		.address = (struct sockaddr *)&addr,
 		.max_header_bytes = s->caller_max_header_bytes,
 		.add = add_connection,
+		.max_connections = max_connections(s),
+		.log = bct_core_log(f->opts.core),
 		.is_idle = is_idle,
+		.is_serving = is_serving,
+		.yielded = &bct_core_stats(f->opts.core)->yielded,
+		.refused = &bct_core_stats(f->opts.core)->turned_away,
 		.refusal = refuse_malformed,
 		.ctx = f,
 	};
--- a/node/front_conn.c
+++ b/node/front_conn.c
@@ -119,12 +119,14 @@
 		close(t->epoll_fd);
 	if (t->stop_fd >= 0)
 		close(t->stop_fd);
+	bct_map_free(&t->by_fd);
 	pthread_mutex_destroy(&t->lock);
 }
 
 bct_conn_t *bct_conn_open(bct_conn_table_t *t, int fd)
 {
 	bct_conn_t *c = bct_alloc(sizeof(*c));
+	int full;
 
 	if (!c)
 		return NULL;
@@ -134,7 +136,14 @@
 	c->receive_started = bct_clock_now();
 	pthread_mutex_lock(&t->lock);
 	bct_list_add_tail(&c->link, &t->conns);
+	full = bct_map_put(&t->by_fd, (uint64_t)fd + 1, c);
+	if (full)
+		bct_list_del(&c->link);
 	pthread_mutex_unlock(&t->lock);
+	if (full) {
+		bct_free(c);
+		return NULL;
+	}
 	return c;
 }
 
@@ -142,6 +151,8 @@
 {
 	pthread_mutex_lock(&t->lock);
 	bct_list_del(&c->link);
+	if (bct_map_get(&t->by_fd, (uint64_t)c->fd + 1) == c)
+		bct_map_del(&t->by_fd, (uint64_t)c->fd + 1);
 	if (!c->receiving)
 		t->serving--;
 	pthread_mutex_unlock(&t->lock);
@@ -185,22 +196,36 @@
 	pthread_mutex_unlock(&t->lock);
 }
 
+/* Called with the lock. The descriptor may have been taken by another connection since. */
+static const bct_conn_t *find(const bct_conn_table_t *t, int fd)
+{
+	return bct_map_get(&t->by_fd, (uint64_t)fd + 1);
+}
+
 bool bct_conn_is_idle(bct_conn_table_t *t, int fd)
 {
-	bool idle = true;
-	bct_list_t *el;
+	const bct_conn_t *c;
+	bool idle;
 
 	pthread_mutex_lock(&t->lock);
-	bct_list_for_each(el, &t->conns) {
-		const bct_conn_t *c = bct_container_of(el, bct_conn_t, link);
-
-		if (c->fd == fd)
-			idle = c->receiving && !c->begun;
-	}
+	c = find(t, fd);
+	idle = !c || (c->receiving && !c->begun);
 	pthread_mutex_unlock(&t->lock);
 	return idle;
 }
 
+bool bct_conn_is_serving(bct_conn_table_t *t, int fd)
+{
+	const bct_conn_t *c;
+	bool serving;
+
+	pthread_mutex_lock(&t->lock);
+	c = find(t, fd);
+	serving = c && !c->receiving;
+	pthread_mutex_unlock(&t->lock);
+	return serving;
+}
+
 void bct_conn_watch(bct_conn_table_t *t, bct_conn_t *c, uint64_t req_id)
 {
 	struct epoll_event ev = { .events = EPOLLRDHUP | EPOLLONESHOT, .data = { .u64 = req_id } };
--- a/node/front_conn.h
+++ b/node/front_conn.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "base/map.h"
 #include "node/core.h"
 
 #include <pthread.h>
@@ -32,6 +33,7 @@
 	uint32_t receive_timeout_ms;
 	pthread_mutex_t lock;
 	bct_list_t conns; /* under lock, as are receiving, shut and receive_started of each */
+	bct_map_t by_fd;  /* descriptor + 1: bct_conn_t; under lock */
 	uint32_t serving; /* connections that are not receiving; written under lock */
 	uint32_t closing; /* atomic; 1: each connection ends after its current request */
 	int epoll_fd;
@@ -75,6 +77,9 @@
 /* bct_conn_is_idle(3): whether no request has begun on the connection with this descriptor. */
 bool bct_conn_is_idle(bct_conn_table_t *t, int fd);
 
+/* bct_conn_is_serving(3): whether a whole request has arrived there and has not ended. */
+bool bct_conn_is_serving(bct_conn_table_t *t, int fd);
+
 /*
  * bct_conn_watch(3): report to the core if the caller disconnects, until bct_conn_unwatch(3). A
  * caller that closes only its sending side counts as disconnected, too.
--- a/node/front_filter.c
+++ b/node/front_filter.c
@@ -30,6 +30,8 @@
 #define HEAD_EXTRA_BYTES 4096	   /* read of a head that is too long, before it is passed on */
 #define BAD_POLL_MS 50		   /* until what came before a malformed request is answered */
 #define IDLE_POLLS 2		   /* in a row: bytes may be on their way inside */
+#define LIMIT_LOG_MS 1000	   /* between two lines about the limit of connections */
+#define ACCEPT_AGAIN_MS 100	   /* after accepting failed, mostly for lack of descriptors */
 #define LINGER_MS 1000		   /* for a caller to close after its last answer */
 
 struct bct_front_filter {
@@ -39,7 +41,11 @@
 	struct event *wake;
 	int wake_fd;
 	uint16_t port;
-	bct_list_t conns;
+	bct_list_t conns; /* the one whose last request ended, or that came, longest ago first */
+	uint32_t n_conns;
+	uint32_t yielded, refused; /* at the limit, since the last line of the log */
+	bct_time_t limit_logged;
+	struct event *accept_again; /* after a lack of descriptors */
 	pthread_t thread;
 	bool started;
 	uint32_t quiesced; /* atomic */
@@ -65,6 +71,7 @@
 static void conn_free(conn_t *c)
 {
 	bct_list_del(&c->link);
+	c->filter->n_conns--;
 	event_free(c->timer);
 	bct_bev_free(c->caller);
 	if (c->inner)
@@ -222,8 +229,11 @@
 		if (!n && c->msg.state != BCT_HTTP_DONE)
 			return;
 		evbuffer_remove_buffer(in, out, n);
-		if (c->msg.state == BCT_HTTP_DONE)
+		if (c->msg.state == BCT_HTTP_DONE) {
 			bct_http_msg_reset(&c->msg);
+			bct_list_del(&c->link);
+			bct_list_add_tail(&c->link, &c->filter->conns);
+		}
 	}
 	if (c->blind)
 		evbuffer_drain(in, evbuffer_get_length(in));
@@ -328,6 +338,7 @@
 static void start_conn(conn_t *c)
 {
 	bct_list_add_tail(&c->link, &c->filter->conns);
+	c->filter->n_conns++;
 	bufferevent_setcb(c->caller, on_caller_read, on_caller_write, on_caller_event, c);
 	bufferevent_setcb(c->inner, on_inner_read, on_inner_write, on_inner_event, c);
 	bufferevent_setwatermark(c->caller, EV_READ, 0, BUFFERED_BYTES);
@@ -337,6 +348,77 @@
 	bufferevent_enable(c->inner, EV_READ | EV_WRITE);
 }
 
+/* The connection that ends for a new one; NULL: requests are being handled on all. */
+static conn_t *first_to_yield(bct_front_filter_t *f)
+{
+	bct_list_t *el;
+
+	bct_list_for_each(el, &f->conns) {
+		conn_t *c = bct_container_of(el, conn_t, link);
+
+		if (c->lingering || !c->inner || !f->opts.is_serving(f->opts.ctx, c->inner_end))
+			return c;
+	}
+	return NULL;
+}
+
+static void log_limit(bct_front_filter_t *f)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (f->limit_logged && now - f->limit_logged < LIMIT_LOG_MS)
+		return;
+	BCT_LOG(f->opts.log, BCT_EV_CONNECTIONS_LIMIT, BCT_U64("connections", f->n_conns),
+		BCT_U64("limit", f->opts.max_connections), BCT_U64("yielded", f->yielded),
+		BCT_U64("refused", f->refused));
+	f->limit_logged = now;
+	f->yielded = f->refused = 0;
+}
+
+/* Ends a connection at the limit. returns whether there is room for one more */
+static bool make_room(bct_front_filter_t *f)
+{
+	conn_t *c;
+
+	if (!f->opts.max_connections || f->n_conns < f->opts.max_connections)
+		return true;
+	c = first_to_yield(f);
+	if (c) {
+		bct_counter_inc(f->opts.yielded);
+		f->yielded++;
+		conn_free(c);
+	} else {
+		bct_counter_inc(f->opts.refused);
+		f->refused++;
+	}
+	log_limit(f);
+	return c != NULL;
+}
+
+/* The event loop would call it again and again at once. */
+static void on_accept_error(struct evconnlistener *l, void *ctx)
+{
+	struct timeval later = { 0, ACCEPT_AGAIN_MS * 1000 };
+	bct_front_filter_t *f = ctx;
+	int err = EVUTIL_SOCKET_ERROR();
+
+	BCT_LOG(f->opts.log, BCT_EV_ACCEPT_FAILED,
+		BCT_STR("why", evutil_socket_error_to_string(err)),
+		BCT_U64("connections", f->n_conns));
+	evconnlistener_disable(l);
+	event_add(f->accept_again, &later);
+}
+
+static void on_accept_again(evutil_socket_t fd, short what, void *ctx)
+{
+	bct_front_filter_t *f = ctx;
+
+	(void)fd;
+	(void)what;
+	if (f->listener)
+		evconnlistener_enable(f->listener);
+}
+
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr, int len,
 		      void *ctx)
 {
@@ -345,6 +427,10 @@
 	conn_t *c;
 
 	(void)l;
+	if (!make_room(f)) {
+		evutil_closesocket(fd);
+		return;
+	}
 	if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair)) {
 		evutil_closesocket(fd);
 		return;
@@ -395,6 +481,9 @@
 	f->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
 	if (!f->base || f->wake_fd < 0)
 		return -BCT_ENOMEM;
+	f->accept_again = evtimer_new(f->base, on_accept_again, f);
+	if (!f->accept_again)
+		return -BCT_ENOMEM;
 	f->wake = event_new(f->base, f->wake_fd, EV_READ | EV_PERSIST, on_wake, f);
 	if (!f->wake || event_add(f->wake, NULL))
 		return -BCT_ENOMEM;
@@ -404,6 +493,7 @@
 					      BACKLOG, o->address, (int)o->address_bytes);
 	if (!f->listener)
 		return -BCT_EIO;
+	evconnlistener_set_error_cb(f->listener, on_accept_error);
 	if (getsockname(evconnlistener_get_fd(f->listener), (struct sockaddr *)&at, &len))
 		return -BCT_EIO;
 	f->port = ntohs(at.ss_family == AF_INET6 ? ((struct sockaddr_in6 *)&at)->sin6_port
@@ -460,6 +550,8 @@
 		conn_free(bct_container_of(f->conns.next, conn_t, link));
 	if (f->listener)
 		evconnlistener_free(f->listener);
+	if (f->accept_again)
+		event_free(f->accept_again);
 	if (f->wake)
 		event_free(f->wake);
 	if (f->wake_fd >= 0)
--- a/node/front_filter.h
+++ b/node/front_filter.h
@@ -11,6 +11,9 @@
 #ifndef BCT_NODE_FRONT_FILTER_H
 #define BCT_NODE_FRONT_FILTER_H
 
+#include "base/event.h"
+#include "base/counter.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/socket.h>
@@ -21,13 +24,24 @@
 	const struct sockaddr *address; /* to listen on */
 	socklen_t address_bytes;
 	uint32_t max_header_bytes; /* longer heads are passed on, to be refused there */
+	/*
+	 * Callers at a time; 0: no limit. For a further one the connection ends on which no request
+	 * is being handled and the last one ended longest ago, or, without such a one, the new one.
+	 */
+	uint32_t max_connections;
+	bct_log_t *log;
 	/* Takes over one end of a socket pair for a new caller. returns 0 or a negative error. */
 	int (*add)(void *ctx, int fd, const struct sockaddr *caller, socklen_t caller_bytes);
 	/* Whether nothing is being done for the caller of that end. */
 	bool (*is_idle)(void *ctx, int fd);
+	/* Whether a whole request of that caller is being handled. */
+	bool (*is_serving)(void *ctx, int fd);
 	/* The body of the answer to a malformed request, malloc()ed; NULL without memory. */
 	char *(*refusal)(void *ctx);
 	void *ctx;
+	/* At the limit: connections that ended for new ones, and new ones that were closed. */
+	bct_counter_t *yielded;
+	bct_counter_t *refused;
 } bct_front_filter_opts_t;
 
 /* bct_front_filter_new(3): listen and start the thread. returns 0, -BCT_EIO or -BCT_ENOMEM. */
--- a/node/stats.c
+++ b/node/stats.c
@@ -166,9 +166,13 @@
 		  "answers of an attempt that no longer counted, dropped" },
 		{ "bct_connections_reaped_total", NULL, NULL, "counter",
 		  "connections closed because a request did not arrive in time" },
+		{ "bct_connections_yielded_total", NULL, NULL, "counter",
+		  "connections ended for new ones at the limit of connections" },
+		{ "bct_connections_refused_total", NULL, NULL, "counter",
+		  "new connections closed at the limit of connections" },
 	};
-	const bct_counter_t values[] = { s->requests,	s->tokens, s->tokens_wasted,
-					 s->mismatched, s->late,   s->reaped };
+	const bct_counter_t values[] = { s->requests, s->tokens, s->tokens_wasted, s->mismatched,
+					 s->late,     s->reaped, s->yielded,	   s->turned_away };
 
 	bct_counters_print(out, desc, values, sizeof(values) / sizeof(values[0]));
 }
--- a/node/stats.h
+++ b/node/stats.h
@@ -54,6 +54,8 @@
 	bct_counter_t mismatched;    /* answers with another attempt's id */
 	bct_counter_t late;	     /* complete answers of an attempt that was no longer current */
 	bct_counter_t reaped;	     /* connections that exceeded the receive time limit */
+	bct_counter_t yielded;	     /* connections that ended for new ones at their limit */
+	bct_counter_t turned_away;   /* new connections that were closed at the limit */
 
 	pthread_mutex_t lock; /* protects the members below; no other lock is taken under it */
 	bct_class_stats_t *classes;
