chuted: the idempotency keys that a node remembers are bounded

One account at 200 requests a second would add 34 million keys, at 104 bytes (measured: one million keys, one run of the table alone) 3.6 GB on each node of 256 MB.

Cause: only open claims were bounded (policy.max_queued), not the keys that were read back.

Change: keys.max_keys (1,000,000, the same on all nodes); at the limit a request with a new key is refused, 503 no_room, not run, Retry-After. No key is dropped before its window ends, and resends are answered as before: at most once holds. Event 705 once a second; bct_refused_total{reason="no_room"} counts.

The limit is that of a node: accounts have no shares of it yet, see docs/incidents/2026-12-clients-that-dont-behave.md.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -120,6 +120,8 @@
 	DEF(KEY_RESOLVED, 702, INFO, "an operator resolved a key in doubt")                        \
 	DEF(KEY_FENCED, 703, WARN,                                                                 \
 	    "not dispatched: the node resumed from suspension past the deadline")                  \
+	DEF(KEYS_NO_ROOM, 705, WARN,                                                               \
+	    "requests with new keys are refused, as as many keys as allowed are remembered")       \
 	DEF(KEYS_UNWRITTEN, 704, ERROR, "the node stops before the log confirmed all outcomes")    \
 	DEF(LEASE_ACQUIRED, 800, INFO, "this node acquired a lease")                               \
 	DEF(LEASE_LOST, 801, WARN, "this node lost a lease")                                       \
--- a/coord/key_claims.c
+++ b/coord/key_claims.c
@@ -234,6 +234,9 @@
 
 	if (c->n_claims >= c->opts.max_claims)
 		return BCT_CLAIM_FULL;
+	/* All nodes read the same keys, so all refuse at about the same time. */
+	if (c->opts.max_keys && bct_key_table_held(c->table) + c->n_claims >= c->opts.max_keys)
+		return BCT_CLAIM_NO_ROOM;
 	cl = bct_alloc(sizeof(*cl));
 	if (!cl)
 		return BCT_CLAIM_FULL;
--- a/coord/key_claims.h
+++ b/coord/key_claims.h
@@ -25,6 +25,7 @@
 	BCT_CLAIM_LOG_DOWN,    /* not run; the log did not confirm the intent in time */
 	BCT_CLAIM_NOT_READY,   /* not run; this node has not read all of the window yet */
 	BCT_CLAIM_FULL,	       /* not run; max_claims claims are open, or no memory */
+	BCT_CLAIM_NO_ROOM,     /* not run; max_keys keys are remembered */
 } bct_claim_verdict_t;
 
 typedef struct bct_claim_result {
@@ -44,6 +45,7 @@
 	uint32_t run_ms;      /* an intent without an outcome is in doubt after this time */
 	uint32_t window_ms;   /* idempotency window: a key is dropped this long after its intent */
 	uint32_t max_claims;  /* open claims at a time */
+	uint32_t max_keys; /* remembered, with void intents; no key is dropped early; 0: no limit */
 	/* Whether a process incarnation is known to have ended. NULL: never known. */
 	bool (*gone)(void *ctx, uint64_t incarnation);
 	void *ctx;
--- a/coord/key_table.c
+++ b/coord/key_table.c
@@ -341,3 +341,8 @@
 	}
 	return h;
 }
+
+uint32_t bct_key_table_held(const bct_key_table_t *t)
+{
+	return t->n_keys + t->n_voids;
+}
--- a/coord/key_table.h
+++ b/coord/key_table.h
@@ -78,4 +78,7 @@
 /* bct_key_table_size(3): the number of keys that are not free. */
 uint32_t bct_key_table_size(const bct_key_table_t *t);
 
+/* bct_key_table_held(3): the same, and void intents: what the table keeps in memory. */
+uint32_t bct_key_table_held(const bct_key_table_t *t);
+
 #endif
--- a/coord/keys.c
+++ b/coord/keys.c
@@ -19,6 +19,7 @@
 
 #define READ_BYTES (256 * 1024) /* limit of a read of one stored answer */
 #define DOWN_MS 200		/* pause after a failed read */
+#define NO_ROOM_LOG_MS 1000	/* between two lines about claims that were refused for room */
 #define TICK_MS 50		/* longest wait of an idle appender between ticks of the claims */
 
 /* The caller's cookie of a claim whose result has not been delivered. */
@@ -43,6 +44,8 @@
 	bool caught_up;	    /* the end of the stream was reached once */
 	uint64_t appends;
 	uint64_t entries; /* in those appends */
+	uint32_t no_room; /* claims refused for lack of room since the last line of the log */
+	bct_time_t no_room_logged;
 } stream_t;
 
 struct bct_keys {
@@ -280,6 +283,7 @@
 		.run_ms = k->opts.run_ms,
 		.window_ms = k->opts.window_ms,
 		.max_claims = k->opts.max_claims,
+		.max_keys = k->opts.max_keys / k->opts.n_streams,
 		.gone = k->opts.gone,
 		.ctx = k->opts.ctx,
 	};
@@ -370,10 +374,24 @@
 	return c;
 }
 
+/* Logs, at most once a second, that no more keys are remembered; called with the stream's lock. */
+static void log_no_room(bct_keys_t *k, stream_t *s)
+{
+	bct_time_t now = bct_clock_now();
+
+	s->no_room++;
+	if (s->no_room_logged && now - s->no_room_logged < NO_ROOM_LOG_MS)
+		return;
+	BCT_LOG(k->opts.log, BCT_EV_KEYS_NO_ROOM, BCT_U64("requests", s->no_room),
+		BCT_U64("limit", k->opts.max_keys));
+	s->no_room_logged = now;
+	s->no_room = 0;
+}
+
 int bct_keys_claim(bct_keys_t *k, uint64_t account_key, const char *key, uint64_t body,
 		   uint64_t cookie, uint64_t *intent)
 {
-	bct_claim_result_t r;
+	bct_claim_result_t r = { 0 };
 	bct_key_id_t id;
 	stream_t *s = stream_of(k, account_key, key, &id);
 	int rc = 0;
@@ -385,6 +403,8 @@
 	else if (bct_key_claims_begin(s->claims, bct_clock_now(), bct_clock_wall(), &id, body,
 				      *intent, &r) != BCT_CLAIM_PENDING)
 		rc = bct_key_claims_defer(s->claims, &r);
+	if (!rc && r.verdict == BCT_CLAIM_NO_ROOM)
+		log_no_room(k, s);
 	pthread_cond_broadcast(&s->wake);
 	pthread_mutex_unlock(&s->lock);
 	return rc;
--- a/coord/keys.h
+++ b/coord/keys.h
@@ -43,6 +43,7 @@
 	uint32_t run_ms;
 	uint32_t window_ms;
 	uint32_t max_claims;
+	uint32_t max_keys; /* of all streams */
 	bool (*gone)(void *ctx, uint64_t incarnation);
 	/*
 	 * Delivers the result of a claim, from a follower or appender thread with no lock held.
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -35,6 +35,7 @@
 	{ "keys.run_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_run_ms), 0, 0, 1000, 3600000U, false, "60000" },
 	{ "keys.flush_ms", BCT_SETTING_U32, offsetof(bct_settings_t, keys_flush_ms), 0, 0, 0, 600000U, false, "15000" },
 	{ "keys.window_s", BCT_SETTING_U32, offsetof(bct_settings_t, keys_window_s), 0, 0, 60, 2000000U, false, "172800" },
+	{ "keys.max_keys", BCT_SETTING_U32, offsetof(bct_settings_t, keys_max_keys), 0, 0, 0, 100000000U, false, "1000000" },
 	{ "placement.interval_ms", BCT_SETTING_U32, offsetof(bct_settings_t, placement_interval_ms), 0, 0, 100, 600000U, false, "5000" },
 	{ "placement.lease_ms", BCT_SETTING_U32, offsetof(bct_settings_t, placement_lease_ms), 0, 0, 500, 600000U, false, "15000" },
 	{ "upstream.threads", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_threads), 0, 0, 1, 64U, false, "2" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -39,6 +39,7 @@
 	uint32_t keys_run_ms;
 	uint32_t keys_flush_ms;
 	uint32_t keys_window_s;
+	uint32_t keys_max_keys;
 	uint32_t placement_interval_ms;
 	uint32_t placement_lease_ms;
 	uint32_t upstream_threads;
@@ -75,6 +76,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 63
+#define BCT_SETTINGS_COUNT 64
 
 #endif
--- a/node/node_keys.c
+++ b/node/node_keys.c
@@ -7,6 +7,7 @@
 
 /* Values of retry_after_ms in refusals. */
 #define RETRY_SOON_MS 1000
+#define RETRY_ROOM_MS 30000 /* room comes back as the oldest keys leave the window */
 #define RETRY_READY_MS 3000 /* while this node is reading the log */
 
 struct bct_node_keys {
@@ -29,6 +30,7 @@
 	[BCT_CLAIM_CONFLICT] = { BCT_REFUSE_KEY_CONFLICT, BCT_RUN_NOT_RUN, 0 },
 	[BCT_CLAIM_LOG_DOWN] = { BCT_REFUSE_LOG_DOWN, BCT_RUN_NOT_RUN, RETRY_SOON_MS },
 	[BCT_CLAIM_NOT_READY] = { BCT_REFUSE_NOT_READY, BCT_RUN_NOT_RUN, RETRY_READY_MS },
+	[BCT_CLAIM_NO_ROOM] = { BCT_REFUSE_NO_ROOM, BCT_RUN_NOT_RUN, RETRY_ROOM_MS },
 	[BCT_CLAIM_FULL] = { BCT_REFUSE_QUEUE_FULL, BCT_RUN_NOT_RUN, RETRY_SOON_MS },
 };
 
@@ -138,6 +140,7 @@
 		.run_ms = s->keys_run_ms,
 		.window_ms = s->keys_window_s * BCT_MS_PER_S,
 		.max_claims = s->policy_max_queued,
+		.max_keys = s->keys_max_keys,
 		.gone = incarnation_ended,
 		.claimed = on_claimed,
 		.ctx = k,
