--- a/gate/answer.c
+++ b/gate/answer.c
@@ -47,12 +47,6 @@
 		evbuffer_add_printf(out, "Connection: close\r\n");
 }
 
-/* Whether the request that is answered is HEAD: no answer to it has a body, whoever produces it. */
-static bool is_head(const bct_client_t *c)
-{
-	return c->msg.method && !strcmp(c->msg.method, "HEAD");
-}
-
 void bct_answer_local(bct_client_t *c, const bct_answer_opts_t *o)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
@@ -68,7 +62,7 @@
 		bct_relay_put_outcome(o, out);
 	put_connection_header(c, out);
 	evbuffer_add(out, "\r\n", 2);
-	if (!is_head(c))
+	if (!c->head_only)
 		evbuffer_add_printf(out, "%s\n", o->text);
 }
 
@@ -82,7 +76,7 @@
 	evbuffer_add_printf(out, "Content-Length: %zu\r\n", p->body.len_bytes);
 	put_connection_header(c, out);
 	evbuffer_add(out, "\r\n", 2);
-	if (!is_head(c) && p->body.len_bytes)
+	if (!c->head_only && p->body.len_bytes)
 		evbuffer_add(out, p->body.data, p->body.len_bytes);
 }
 
@@ -102,11 +96,11 @@
 {
 	const char *stated = bct_http_msg_header(m, "Content-Length");
 
-	if (is_head(c) && stated)
+	if (c->head_only && stated)
 		evbuffer_add_printf(out, "Content-Length: %s\r\n", stated);
-	else if (!is_head(c) && body_bytes < 0)
+	else if (!c->head_only && body_bytes < 0)
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
-	else if (!is_head(c))
+	else if (!c->head_only)
 		evbuffer_add_printf(out, "Content-Length: %" PRId64 "\r\n", body_bytes);
 }
 
--- a/gate/client.c
+++ b/gate/client.c
@@ -253,6 +253,9 @@
 	if (!c->msg.keep_alive || c->gate->draining)
 		c->close_after = true;
 	c->port->ops->request(c, body);
+	/* The exchange has a copy of what it forwards. */
+	if (c->x)
+		bct_http_msg_drop_head(&c->msg);
 }
 
 static void refuse_failed(bct_client_t *c)
@@ -298,6 +301,7 @@
 		return;
 	}
 	bct_http_msg_read(&c->msg, in, max_header_bytes(c));
+	c->head_only = c->msg.method && !strcmp(c->msg.method, "HEAD");
 	if (!had_head && c->msg.state == BCT_HTTP_BODY) {
 		on_request_head(c);
 		bct_http_msg_read(&c->msg, in, max_header_bytes(c));
@@ -380,7 +384,7 @@
 		return;
 	}
 	if (c->msg.text.cap_bytes > HEAD_KEPT_BYTES)
-		bct_buf_free(&c->msg.text);
+		bct_http_msg_drop_head(&c->msg);
 	bct_http_msg_reset(&c->msg);
 	c->request_started = false;
 	c->since = bct_clock_now();
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -209,6 +209,7 @@
 	bool flushed;	    /* it has acknowledged all output, and no request is in progress */
 	bool waits;	    /* nothing is read until there is room */
 	bool too_large;
+	bool head_only;	      /* the request is HEAD: no answer to it has a body */
 	bool request_started; /* part of the next request has been received */
 	bool close_after;     /* no further request is accepted */
 	bool closing;	      /* no more output; waits for the caller to close */
--- a/http/http_msg.c
+++ b/http/http_msg.c
@@ -39,6 +39,13 @@
 	m->err = 0;
 }
 
+void bct_http_msg_drop_head(bct_http_msg_t *m)
+{
+	bct_buf_free(&m->text);
+	m->n_headers = 0;
+	m->method = m->target = NULL;
+}
+
 /* A non-empty token as HTTP defines it for methods and header names. */
 static bool is_token(const char *s, const char *end)
 {
--- a/http/http_msg.h
+++ b/http/http_msg.h
@@ -59,6 +59,10 @@
  * connection, keeping allocated memory. */
 void bct_http_msg_reset(bct_http_msg_t *m);
 
+/* bct_http_msg_drop_head(3): free the memory of the head, whose headers, method and target are
+ * gone then; the state of the message stays. */
+void bct_http_msg_drop_head(bct_http_msg_t *m);
+
 /*
  * bct_http_msg_read(3): consume the bytes of the current message; bytes behind it stay in the
  * input.
--- a/tests/crowd_backend.c
+++ b/tests/crowd_backend.c
@@ -17,6 +17,7 @@
 #define HEAD "X-Buckthornchute-"
 #define TEXT_BYTES 4096
 #define ANSWER_BYTES 2000
+#define SLOW_S 1
 #define LARGE_BYTES 500000 /* of an answer to a path that ends in "large" */
 
 #define CONFIG                                                                                  \
@@ -69,8 +70,8 @@
 	evbuffer_free(out);
 }
 
-/* The upstream: runs any request. */
-static void on_request(struct evhttp_request *req, void *ctx)
+/* Runs a request. */
+static void answer_request(struct evhttp_request *req)
 {
 	struct evkeyvalq *in = evhttp_request_get_input_headers(req);
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
@@ -79,7 +80,6 @@
 	size_t len = strlen(uri), bytes = ANSWER_BYTES;
 	struct evbuffer *out = evbuffer_new();
 
-	(void)ctx;
 	if (len > 5 && !strcmp(uri + len - 5, "large"))
 		bytes = LARGE_BYTES;
 	if (id)
@@ -90,6 +90,26 @@
 	evbuffer_free(out);
 }
 
+static void on_time(evutil_socket_t fd, short what, void *ctx)
+{
+	(void)fd;
+	(void)what;
+	answer_request(ctx);
+}
+
+/* The upstream: runs any request, one to a path that ends in "slow" after a while. */
+static void on_request(struct evhttp_request *req, void *ctx)
+{
+	const struct timeval later = { SLOW_S, 0 };
+	const char *uri = evhttp_request_get_uri(req);
+	size_t len = strlen(uri);
+
+	if (len > 4 && !strcmp(uri + len - 4, "slow"))
+		event_base_once(ctx, -1, EV_TIMEOUT, on_time, req, &later);
+	else
+		answer_request(req);
+}
+
 static struct evhttp *serve(struct event_base *base, uint16_t *port)
 {
 	struct evhttp *h = evhttp_new(base);
@@ -113,7 +133,7 @@
 	memset(answer, 'a', sizeof(answer));
 	evhttp_set_cb(store, "/api/log-newest", on_newest, &upstream_port);
 	evhttp_set_cb(store, "/api/log-read", on_log, NULL);
-	evhttp_set_gencb(upstream, on_request, NULL);
+	evhttp_set_gencb(upstream, on_request, base);
 	printf("listening %u\n", store_port);
 	fflush(stdout);
 	event_base_dispatch(base);
