chuted: the operators' address has the callers' filter, and its server no limit to reach

What operators saw: 300 idle connections to chuted's address for operators kept checks of readiness out for as long as they came back; with the filter in front and the limit of the server inside still in force, its thread stood still for good.

Cause: the server there closed new connections at its limit, whoever held the others. And libmicrohttpd 0.9.75 locks a mutex twice when a connection that was added to a daemon exceeds the daemon's limit (seen in a stack of the thread: it waits for its own lock); the callers' server had such a limit, too, far above what descriptors allow.

Change: the filter of the callers' port listens there as well, with 32 connections of which the oldest yields; both servers inside have a limit that is never reached, as the filter sets the real one. Callers get a fifth of the descriptors instead of a quarter. Beside it, without other behaviour: the room for bodies is node/front_room, and the limit of connections of chutegate stands where they are accepted (gate/listen.c).

--- a/gate/client.c
+++ b/gate/client.c
@@ -20,9 +20,8 @@
 #define LOCAL_BODY_BYTES 4096 /* of a request for a page of the node's own, which needs none */
 #define HEAD_KEPT_BYTES 4096  /* of memory for heads, kept between requests */
 #define OUTPUT_LOW_BYTES (32 * 1024) /* with less unsent, a paused upstream is read again */
-#define IDLE_MIN_MS 300	  /* a stop leaves a new or just answered connection open for as long */
-#define LIMIT_LOG_MS 1000 /* between two lines about the limit of connections of a port */
-#define LINGER_MS 1000	  /* for the caller to close after the last response */
+#define IDLE_MIN_MS 300 /* a stop leaves a new or just answered connection open for as long */
+#define LINGER_MS 1000	/* for the caller to close after the last response */
 #define RELAY_HEADER_BYTES 512	       /* that another node adds to those of its caller */
 #define BODY_RCVBUF_BYTES (128 * 1024) /* of the kernel, while a long body is read */
 #define USER_TIMEOUT_MS 5000	       /* output unacknowledged for this long ends the connection */
@@ -69,8 +68,7 @@
 	event_add(c->timer, &tv);
 }
 
-/* Closes the connection; an exchange in progress ends with the given cause. */
-static void client_free(bct_client_t *c, bct_gate_end_t end)
+void bct_client_free(bct_client_t *c, bct_gate_end_t end)
 {
 	bct_exchange_t *x = c->x;
 
@@ -208,7 +206,7 @@
 	struct linger l = { .l_onoff = 1, .l_linger = 0 };
 
 	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER, &l, sizeof(l));
-	client_free(c, BCT_GATE_END_UNREAD);
+	bct_client_free(c, BCT_GATE_END_UNREAD);
 }
 
 static void cut_unread(bct_client_t *c)
@@ -297,7 +295,7 @@
 	if (!c->body)
 		c->body = body_new(c);
 	if (!c->body) {
-		client_free(c, BCT_GATE_END_CALLER_LEFT);
+		bct_client_free(c, BCT_GATE_END_CALLER_LEFT);
 		return;
 	}
 	bct_http_msg_read(&c->msg, in, max_header_bytes(c));
@@ -352,7 +350,7 @@
 {
 	(void)bev;
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		client_free(ctx, BCT_GATE_END_CALLER_LEFT);
+		bct_client_free(ctx, BCT_GATE_END_CALLER_LEFT);
 }
 
 /* Fires when the caller does not close in time, when the idle timeout ends between requests, and
@@ -364,7 +362,7 @@
 	(void)fd;
 	(void)what;
 	if (c->closing || !c->request_started)
-		client_free(c, BCT_GATE_END_CALLER_LEFT);
+		bct_client_free(c, BCT_GATE_END_CALLER_LEFT);
 	else if (c->waits)
 		refuse_for_room(c);
 	else
@@ -394,7 +392,7 @@
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-static bct_client_t *client_new(bct_client_port_t *p, evutil_socket_t fd)
+bct_client_t *bct_client_new(bct_client_port_t *p, evutil_socket_t fd)
 {
 	bct_client_t *c = bct_alloc(sizeof(*c));
 	bct_gate_t *g = p->gate;
@@ -432,85 +430,6 @@
 	return c;
 }
 
-static bct_gate_conn_rank_t rank_of(const bct_client_t *c)
-{
-	bct_gate_conn_rank_t r = { .state = BCT_GATE_CONN_IDLE, .since = c->since };
-
-	if (c->x)
-		r.state = BCT_GATE_CONN_BUSY;
-	else if (c->closing)
-		r.state = BCT_GATE_CONN_CLOSING;
-	else if (evbuffer_get_length(bufferevent_get_output(c->bev)))
-		r.state = BCT_GATE_CONN_UNREAD;
-	else if (c->request_started)
-		r.state = BCT_GATE_CONN_PARTIAL;
-	return r;
-}
-
-/* The connection of the port that yields first; NULL: all are busy. */
-static bct_client_t *first_to_yield(bct_client_port_t *p)
-{
-	bct_client_t *found = NULL;
-	bct_gate_conn_rank_t first = { 0 };
-	bct_list_t *el;
-
-	bct_list_for_each(el, &p->gate->clients) {
-		bct_client_t *c = bct_container_of(el, bct_client_t, link);
-		bct_gate_conn_rank_t r = rank_of(c);
-
-		if (c->port != p || !bct_gate_conn_yields(&r))
-			continue;
-		if (found && !bct_gate_conn_before(&r, &first))
-			continue;
-		found = c;
-		first = r;
-	}
-	return found;
-}
-
-static void log_limit(bct_client_port_t *p)
-{
-	bct_time_t now = bct_clock_now();
-
-	if (p->limit_logged && now - p->limit_logged < LIMIT_LOG_MS)
-		return;
-	BCT_LOG(p->gate->log, BCT_EV_GATE_CONNECTIONS,
-		BCT_STR("port", p->is_local  ? "local"
-				: p->is_node ? "nodes"
-					     : "callers"),
-		BCT_U64("connections", p->n_clients), BCT_U64("limit", p->max_clients),
-		BCT_U64("yielded", p->yielded), BCT_U64("refused", p->refused));
-	p->limit_logged = now;
-	p->yielded = p->refused = 0;
-}
-
-/* Ends a connection if the port has as many as it may. returns whether there is room for one more
- */
-static bool make_room(bct_client_port_t *p)
-{
-	bct_client_t *c;
-
-	if (!p->max_clients || p->n_clients < p->max_clients)
-		return true;
-	c = first_to_yield(p);
-	if (c) {
-		BCT_GATE_COUNT(p->gate, CONNECTIONS_YIELDED);
-		p->yielded++;
-		client_free(c, BCT_GATE_END_CALLER_LEFT);
-	} else {
-		BCT_GATE_COUNT(p->gate, CONNECTIONS_REFUSED);
-		p->refused++;
-	}
-	log_limit(p);
-	return c != NULL;
-}
-
-void bct_client_accept(bct_client_port_t *p, evutil_socket_t fd)
-{
-	if (!make_room(p) || !client_new(p, fd))
-		evutil_closesocket(fd);
-}
-
 /* Whether no request has come, nor is one likely to be on its way. */
 static bool is_idle(bct_client_t *c)
 {
@@ -583,8 +502,8 @@
 void bct_clients_free(bct_gate_t *g)
 {
 	while (!bct_list_empty(&g->clients))
-		client_free(bct_container_of(g->clients.next, bct_client_t, link),
-			    BCT_GATE_END_STOPPING);
+		bct_client_free(bct_container_of(g->clients.next, bct_client_t, link),
+				BCT_GATE_END_STOPPING);
 }
 
 const bct_client_flow_ops_t bct_client_flow_ops = {
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -218,9 +218,10 @@
 /* bct_client_answered(3): the exchange on c has ended; truncated: its answer is incomplete. */
 void bct_client_answered(bct_client_t *c, bool truncated);
 
-/* bct_client_accept(3): takes an accepted connection, or closes it for lack of memory or at the
- * limit of connections. */
-void bct_client_accept(bct_client_port_t *p, evutil_socket_t fd);
+/* bct_client_new(3): takes an accepted connection; returns NULL without memory.
+ * bct_client_free(3): closes it; an exchange in progress ends with the given cause. */
+bct_client_t *bct_client_new(bct_client_port_t *p, evutil_socket_t fd);
+void bct_client_free(bct_client_t *c, bct_gate_end_t end);
 /* What the bound on buffered bytes does to callers. */
 typedef struct bct_client_flow_ops {
 	/* goes on to read from a caller that waited */
--- a/gate/listen.c
+++ b/gate/listen.c
@@ -1,5 +1,5 @@
 /*
- * listen.c - accepts connections of callers, and of other nodes that relay requests.
+ * listen.c - opens the ports of the node and accepts connections there, up to a limit.
  */
 #define _GNU_SOURCE
 #include "base/err.h"
@@ -11,6 +11,87 @@
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 512
+#define LIMIT_LOG_MS 1000 /* between two lines about the limit of connections of a port */
+
+static bct_gate_conn_rank_t rank_of(const bct_client_t *c)
+{
+	bct_gate_conn_rank_t r = { .state = BCT_GATE_CONN_IDLE, .since = c->since };
+
+	if (c->x)
+		r.state = BCT_GATE_CONN_BUSY;
+	else if (c->closing)
+		r.state = BCT_GATE_CONN_CLOSING;
+	else if (evbuffer_get_length(bufferevent_get_output(c->bev)))
+		r.state = BCT_GATE_CONN_UNREAD;
+	else if (c->request_started)
+		r.state = BCT_GATE_CONN_PARTIAL;
+	return r;
+}
+
+/* The connection of the port that yields first; NULL: all are busy. */
+static bct_client_t *first_to_yield(bct_client_port_t *p)
+{
+	bct_client_t *found = NULL;
+	bct_gate_conn_rank_t first = { 0 };
+	bct_list_t *el;
+
+	bct_list_for_each(el, &p->gate->clients) {
+		bct_client_t *c = bct_container_of(el, bct_client_t, link);
+		bct_gate_conn_rank_t r = rank_of(c);
+
+		if (c->port != p || !bct_gate_conn_yields(&r))
+			continue;
+		if (found && !bct_gate_conn_before(&r, &first))
+			continue;
+		found = c;
+		first = r;
+	}
+	return found;
+}
+
+static void log_limit(bct_client_port_t *p)
+{
+	bct_time_t now = bct_clock_now();
+
+	if (p->limit_logged && now - p->limit_logged < LIMIT_LOG_MS)
+		return;
+	BCT_LOG(p->gate->log, BCT_EV_GATE_CONNECTIONS,
+		BCT_STR("port", p->is_local  ? "local"
+				: p->is_node ? "nodes"
+					     : "callers"),
+		BCT_U64("connections", p->n_clients), BCT_U64("limit", p->max_clients),
+		BCT_U64("yielded", p->yielded), BCT_U64("refused", p->refused));
+	p->limit_logged = now;
+	p->yielded = p->refused = 0;
+}
+
+/* Ends a connection if the port has as many as it may. returns whether there is room for one more
+ */
+static bool make_room(bct_client_port_t *p)
+{
+	bct_client_t *c;
+
+	if (!p->max_clients || p->n_clients < p->max_clients)
+		return true;
+	c = first_to_yield(p);
+	if (c) {
+		BCT_GATE_COUNT(p->gate, CONNECTIONS_YIELDED);
+		p->yielded++;
+		bct_client_free(c, BCT_GATE_END_CALLER_LEFT);
+	} else {
+		BCT_GATE_COUNT(p->gate, CONNECTIONS_REFUSED);
+		p->refused++;
+	}
+	log_limit(p);
+	return c != NULL;
+}
+
+/* Takes an accepted connection, or closes it for lack of memory or at the limit. */
+static void take(bct_client_port_t *p, evutil_socket_t fd)
+{
+	if (!make_room(p) || !bct_client_new(p, fd))
+		evutil_closesocket(fd);
+}
 
 static void on_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *addr, int len,
 		      void *ctx)
@@ -18,7 +99,7 @@
 	(void)l;
 	(void)addr;
 	(void)len;
-	bct_client_accept(ctx, fd);
+	take(ctx, fd);
 }
 
 /* Mostly for lack of file descriptors; the event loop would call it again and again at once. */
@@ -122,7 +203,7 @@
 		return;
 	while ((fd = accept4(evconnlistener_get_fd(p->listener), NULL, NULL,
 			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
-		bct_client_accept(p, fd);
+		take(p, fd);
 	bct_client_port_close(p);
 }
 
--- a/node/admin.c
+++ b/node/admin.c
@@ -7,24 +7,29 @@
 #include "base/hash.h"
 #include "base/json.h"
 #include "base/mem.h"
+#include "node/core.h"
+#include "node/front_filter.h"
 #include "node/http.h"
 #include "policy/conf.h"
 
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #define UPSTREAMS "/admin/v1/upstreams/"
 #define KEYS "/admin/v1/keys/"
-#define KEY_BYTES 320 /* room for an account name or a key, with its NUL */
-#define MAX_CONNECTIONS 64U
+#define KEY_BYTES 320	    /* room for an account name or a key, with its NUL */
+#define MAX_CONNECTIONS 32U /* each takes three descriptors */
+#define MAX_HEADER_BYTES 16384
 #define MAX_BODY_BYTES 65536
 
 struct bct_admin {
 	bct_node_t *node;
 	struct MHD_Daemon *daemon;
-	uint16_t port;
+	bct_front_filter_t
+		*filter; /* listens, and keeps idle clients from taking all connections */
 };
 
 /* One HTTP request; libmicrohttpd's con_cls. */
@@ -271,11 +276,66 @@
 	bct_free(call);
 }
 
+static int add_connection(void *ctx, int fd, const struct sockaddr *client, socklen_t client_bytes)
+{
+	bct_admin_t *a = ctx;
+
+	return MHD_add_connection(a->daemon, fd, client, client_bytes) == MHD_YES
+		       ? 0
+		       : -BCT_EUNAVAILABLE;
+}
+
+/* Calls are answered at once, so that none is in progress between two events of the filter. */
+static bool is_idle(void *ctx, int fd)
+{
+	(void)ctx;
+	(void)fd;
+	return true;
+}
+
+static bool is_serving(void *ctx, int fd)
+{
+	(void)ctx;
+	(void)fd;
+	return false;
+}
+
+static char *refuse_malformed(void *ctx)
+{
+	bct_refusal_t r = { .why = BCT_REFUSE_BAD_FRAMING, .run = BCT_RUN_NOT_RUN };
+
+	(void)ctx;
+	return bct_http_refusal_json(&r);
+}
+
+static int start_filter(bct_admin_t *a, const struct sockaddr_storage *addr)
+{
+	bct_core_t *core = bct_node_core(a->node);
+	bct_front_filter_opts_t o = {
+		.address = (const struct sockaddr *)addr,
+		.address_bytes = addr->ss_family == AF_INET6 ? sizeof(struct sockaddr_in6)
+							     : sizeof(struct sockaddr_in),
+		.max_header_bytes = MAX_HEADER_BYTES,
+		.max_connections = MAX_CONNECTIONS,
+		.log = bct_core_log(core),
+		.add = add_connection,
+		.is_idle = is_idle,
+		.is_serving = is_serving,
+		.refusal = refuse_malformed,
+		.yielded = &bct_core_stats(core)->yielded,
+		.refused = &bct_core_stats(core)->turned_away,
+		.ctx = a,
+	};
+
+	return bct_front_filter_new(&o, &a->filter);
+}
+
 int bct_admin_new(bct_node_t *node, bct_admin_t **out)
 {
 	const bct_settings_t *s = bct_node_settings(node);
 	struct sockaddr_storage addr;
 	bct_admin_t *a;
+	int rc;
 
 	if (bct_http_bind(s->admin_address, (uint16_t)s->admin_port, &addr))
 		return -BCT_EINVAL;
@@ -283,17 +343,18 @@
 	if (!a)
 		return -BCT_ENOMEM;
 	a->node = node;
-	a->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD | (addr.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0),
-		(uint16_t)s->admin_port, NULL, NULL, on_request, a, MHD_OPTION_SOCK_ADDR,
-		(struct sockaddr *)&addr, MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
-		MHD_OPTION_CONNECTION_TIMEOUT, 10U, MHD_OPTION_NOTIFY_COMPLETED, on_completed, a,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
-	if (!a->daemon) {
+	a->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_NO_LISTEN_SOCKET |
+					     MHD_USE_ITC,
+				     0, NULL, NULL, on_request, a, MHD_OPTION_CONNECTION_LIMIT,
+				     BCT_MHD_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT, 10U,
+				     MHD_OPTION_NOTIFY_COMPLETED, on_completed, a, MHD_OPTION_END);
+	rc = a->daemon ? start_filter(a, &addr) : -BCT_EIO;
+	if (rc) {
+		if (a->daemon)
+			MHD_stop_daemon(a->daemon);
 		bct_free(a);
-		return -BCT_EIO;
+		return rc;
 	}
-	a->port = bct_http_port(a->daemon);
 	*out = a;
 	return 0;
 }
@@ -302,11 +363,12 @@
 {
 	if (!a)
 		return;
+	bct_front_filter_free(a->filter);
 	MHD_stop_daemon(a->daemon);
 	bct_free(a);
 }
 
 uint16_t bct_admin_port(const bct_admin_t *a)
 {
-	return a->port;
+	return bct_front_filter_port(a->filter);
 }
--- a/node/front.c
+++ b/node/front.c
@@ -10,8 +10,8 @@
 #include "base/mem.h"
 #include "node/front_conn.h"
 #include "node/front_filter.h"
+#include "node/front_room.h"
 #include "node/front_route.h"
-#include "policy/body_room.h"
 
 #include <ck_pr.h>
 #include <inttypes.h>
@@ -25,9 +25,8 @@
 
 #define STREAM_BLOCK_BYTES 4096 /* also the unread output below which an attempt is unpaused */
 #define MAX_URI_BYTES 2048
-#define DESCRIPTORS_EACH 4 /* of a connection, see max_connections() */
+#define DESCRIPTORS_EACH 5 /* of a connection, see max_connections() */
 #define NO_ROOM_RETRY_MS 500
-#define NO_ROOM_LOG_MS 1000 /* between two lines about refused bodies */
 
 struct bct_front {
 	bct_front_opts_t opts;
@@ -35,10 +34,7 @@
 	struct MHD_Daemon *daemon;
 	bct_front_filter_t *filter; /* listens for callers */
 	bool quiesced;
-	pthread_mutex_t room_lock; /* a leaf; guards the members below */
-	bct_body_room_t room;
-	bct_time_t room_logged;	 /* last line about refused bodies */
-	uint32_t bodies_refused; /* since then */
+	bct_front_room_t room;
 };
 
 /* One HTTP request on a connection; libmicrohttpd's con_cls. */
@@ -158,41 +154,9 @@
 	return why ? refuse_early(x, c, why, true, NULL) : MHD_YES;
 }
 
-/* Logs, at most once a second, that there was no room; called with the room's lock. */
-static void log_no_room(bct_front_t *f)
-{
-	bct_time_t now = bct_clock_now();
-
-	f->bodies_refused++;
-	if (f->room_logged && now - f->room_logged < NO_ROOM_LOG_MS)
-		return;
-	BCT_LOG(bct_core_log(f->opts.core), BCT_EV_BODIES_REFUSED,
-		BCT_U64("requests", f->bodies_refused), BCT_U64("held_bytes", f->room.held_bytes),
-		BCT_U64("bound_bytes", f->room.bound_bytes));
-	f->room_logged = now;
-	f->bodies_refused = 0;
-}
-
-static bool take_room(exchange_t *x, size_t len)
-{
-	bct_front_t *f = x->front;
-	bool taken;
-
-	pthread_mutex_lock(&f->room_lock);
-	taken = bct_body_room_take(&f->room, x->held_bytes, len);
-	if (!taken)
-		log_no_room(f);
-	pthread_mutex_unlock(&f->room_lock);
-	if (taken)
-		x->held_bytes += len;
-	return taken;
-}
-
 static void give_room_back(exchange_t *x)
 {
-	pthread_mutex_lock(&x->front->room_lock);
-	bct_body_room_give_back(&x->front->room, x->held_bytes);
-	pthread_mutex_unlock(&x->front->room_lock);
+	bct_front_room_give_back(&x->front->room, x->held_bytes);
 	x->held_bytes = 0;
 }
 
@@ -211,10 +175,11 @@
 
 	if (x->body_fault)
 		return;
-	if (!take_room(x, len)) {
+	if (!bct_front_room_take(&x->front->room, x->held_bytes, len)) {
 		fail_body(x, BCT_REFUSE_NO_ROOM);
 		return;
 	}
+	x->held_bytes += len;
 	rc = bct_buf_put(&x->body, bytes, len);
 	if (rc)
 		fail_body(x, rc == -BCT_ETOO_LARGE ? BCT_REFUSE_TOO_LARGE : BCT_REFUSE_INTERNAL);
@@ -535,7 +500,7 @@
 
 	f->daemon = MHD_start_daemon(
 		flags, 0, NULL, NULL, on_request, f, MHD_OPTION_THREAD_POOL_SIZE, s->caller_threads,
-		MHD_OPTION_CONNECTION_LIMIT, s->caller_max_connections,
+		MHD_OPTION_CONNECTION_LIMIT, BCT_MHD_CONNECTIONS,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)s->caller_max_header_bytes,
 		MHD_OPTION_CONNECTION_TIMEOUT, seconds, MHD_OPTION_URI_LOG_CALLBACK, on_uri, f,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed, f, MHD_OPTION_NOTIFY_CONNECTION,
@@ -566,7 +531,8 @@
 	return bct_conn_is_serving(&f->conns, fd);
 }
 
-/* Each connection takes three descriptors, and some requests one more for their upstream. */
+/* Each connection takes three descriptors, and some requests one more for their upstream; operators
+ * and the node itself need some, too. */
 static uint32_t max_connections(const bct_settings_t *s)
 {
 	struct rlimit limit;
@@ -619,8 +585,8 @@
 	if (!f)
 		return -BCT_ENOMEM;
 	f->opts = *opts;
-	f->room.bound_bytes = opts->settings->caller_body_memory_bytes;
-	pthread_mutex_init(&f->room_lock, NULL);
+	bct_front_room_init(&f->room, bct_core_log(opts->core),
+			    opts->settings->caller_body_memory_bytes);
 	rc = bct_conn_table_init(&f->conns, opts->core, opts->settings->caller_receive_timeout_ms);
 	if (!rc)
 		rc = start_daemon(f);
@@ -630,7 +596,7 @@
 		if (f->daemon)
 			MHD_stop_daemon(f->daemon);
 		bct_conn_table_destroy(&f->conns);
-		pthread_mutex_destroy(&f->room_lock);
+		bct_front_room_destroy(&f->room);
 		bct_free(f);
 		return rc;
 	}
@@ -654,7 +620,7 @@
 	bct_front_filter_free(f->filter);
 	MHD_stop_daemon(f->daemon);
 	bct_conn_table_destroy(&f->conns);
-	pthread_mutex_destroy(&f->room_lock);
+	bct_front_room_destroy(&f->room);
 	bct_free(f);
 }
 
--- a/node/front_filter.h
+++ b/node/front_filter.h
@@ -18,6 +18,13 @@
 #include <stdint.h>
 #include <sys/socket.h>
 
+/*
+ * Connection limit of the servers inside, which must not reach it: libmicrohttpd 0.9.75 locks a
+ * mutex twice when a connection that was added to a daemon exceeds its limit. The filter limits the
+ * connections itself; those that it has closed count there for a moment longer.
+ */
+#define BCT_MHD_CONNECTIONS 100000000U
+
 typedef struct bct_front_filter bct_front_filter_t;
 
 typedef struct bct_front_filter_opts {
--- /dev/null
+++ b/node/front_room.h
@@ -0,0 +1,31 @@
+/*
+ * front_room.h - the room for the bodies of callers' requests, see policy/body_room.h, shared by
+ * the workers of the HTTP server. Its lock is a leaf.
+ */
+#ifndef BCT_NODE_FRONT_ROOM_H
+#define BCT_NODE_FRONT_ROOM_H
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "policy/body_room.h"
+
+#include <pthread.h>
+
+typedef struct bct_front_room {
+	bct_log_t *log;
+	pthread_mutex_t lock; /* guards all members below */
+	bct_body_room_t room;
+	bct_time_t logged; /* last line about refused bodies */
+	uint32_t refused;  /* since then */
+} bct_front_room_t;
+
+/* bct_front_room_init(3): bound_bytes 0: no bound. */
+void bct_front_room_init(bct_front_room_t *r, bct_log_t *log, uint64_t bound_bytes);
+void bct_front_room_destroy(bct_front_room_t *r);
+
+/* bct_front_room_take(3), bct_front_room_give_back(3): as bct_body_room_take(3) and
+ * bct_body_room_give_back(3); a body that does not fit is logged, at most once a second. */
+bool bct_front_room_take(bct_front_room_t *r, uint64_t held_bytes, uint64_t more_bytes);
+void bct_front_room_give_back(bct_front_room_t *r, uint64_t bytes);
+
+#endif
--- a/policy/reason.h
+++ b/policy/reason.h
@@ -41,7 +41,7 @@
 	DEF(LOG_DOWN, "log_down", 503, "the platform's log cannot be reached")                     \
 	DEF(NOT_READY, "not_ready", 503, "this node has no configuration or key history yet")      \
 	DEF(STOPPING, "stopping", 503, "this node is stopping")                                    \
-	DEF(NO_ROOM, "no_room", 503, "there is no room for the body or the key now")                     \
+	DEF(NO_ROOM, "no_room", 503, "there is no room for the body or the key now")               \
 	DEF(CALLER_GONE, "caller_gone", 499, "the caller left")                                    \
 	DEF(INTERNAL, "internal", 500, "an internal failure")
 
