chuted: a caller that leaves while its key is claimed gives its place back

What callers saw: after callers that sent bookings with new keys and left, lookups of the same service were not answered until their deadline, though nothing was in flight.

Cause: the scheduler counts an attempt from its dispatch, which first claims the key in the log. If the caller left meanwhile, the order to cancel found no attempt, the claim's result found no request, and nobody reported the attempt's end: the place at the upstream was taken for good. Eight of them filled the service of the test.

Evidence: a build with sanitizers did not answer the ordinary request of chuted_keys; the log had as many KEY_WITHDRAWN as the service has places; the same on the unchanged code (sanitizers) and on the plain build before this commit.

Change: the order to cancel ends an attempt that waits for its key (NOT_SENT).

--- a/node/core_actions.c
+++ b/node/core_actions.c
@@ -176,18 +176,23 @@
 		start_claim(c, r, act);
 }
 
+/* An attempt whose key has not been claimed yet does not exist: nobody else would report its end,
+ * and the scheduler would count it as running for good. */
 static void cancel_attempt(bct_core_t *c, bct_request_t *r, uint64_t attempt_id)
 {
-	bool found;
+	bool found, claims;
 
-	(void)c;
 	pthread_mutex_lock(&r->lock);
 	found = r->attempt && bct_attempt_id_of(r->attempt) == attempt_id;
+	claims = !found && r->state == BCT_STATE_INTENT && !r->intent_won &&
+		 r->claimed_action.attempt_id == attempt_id;
 	if (found) {
 		bct_attempt_cancel(r->attempt);
 		r->attempt = NULL;
 	}
 	pthread_mutex_unlock(&r->lock);
+	if (claims)
+		bct_core_attempt_not_started(c, attempt_id, BCT_OUTCOME_NOT_SENT);
 }
 
 /* Carries out one action; its request may have ended. */
--- a/tests/lib_crowd.sh
+++ b/tests/lib_crowd.sh
@@ -161,7 +161,7 @@
 	what=$1 to=$2 file=$3 way=$4
 	shift 4
 	"$BIN/crowd" --pid "$pid" --to "$to" --text "$work/$file" --way "$way" --memory "$MEMORY" \
-		--descriptors "$DESCRIPTORS" --ask "$ask" --ask-text "$ask_text" "$@" >"$work/crowd.out" 2>&1 || {
+		--descriptors "$DESCRIPTORS" ${ask:+--ask "$ask" --ask-text "$ask_text"} "$@" >"$work/crowd.out" 2>&1 || {
 		echo "FAILS: $what"
 		failed=1
 	}
