http: the grammar of heads is a module of its own

Cause: only the gateway's reader of messages checks the heads of answers; chuted, which reads them with libcurl, needs the same grammar without that reader.

Change: the functions are moved from http_msg.c to head_lines.c, unchanged but for one that was static and is now bct_http_head_check_hosts.

--- a/http/http_msg.c
+++ b/http/http_msg.c
@@ -4,8 +4,8 @@
  */
 #include "http/http_msg.h"
 #include "base/err.h"
+#include "http/head_lines.h"
 
-#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -46,145 +46,10 @@
 	m->method = m->target = NULL;
 }
 
-/* A non-empty token as HTTP defines it for methods and header names. */
-static bool is_token(const char *s, const char *end)
-{
-	if (s == end)
-		return false;
-	for (; s < end; s++) {
-		if (!isalnum((unsigned char)*s) && !strchr("!#$%&'*+-.^_`|~", *s))
-			return false;
-	}
-	return true;
-}
-
-/* Whether there are no control characters other than tab. */
-static bool is_text(const char *s, const char *end)
-{
-	for (; s < end; s++) {
-		unsigned char c = (unsigned char)*s;
-
-		if ((c < 0x20 && c != '\t') || c == 0x7f)
-			return false;
-	}
-	return true;
-}
-
-/* Whether the value consists of digits only, apart from surrounding blanks. */
-static bool all_digits(const char *s, const char *end)
-{
-	while (s < end && (*s == ' ' || *s == '\t'))
-		s++;
-	while (end > s && (end[-1] == ' ' || end[-1] == '\t'))
-		end--;
-	if (s == end)
-		return false;
-	for (; s < end; s++) {
-		if (!isdigit((unsigned char)*s))
-			return false;
-	}
-	return true;
-}
-
-static bool name_is(const char *s, const char *end, const char *name)
-{
-	return (size_t)(end - s) == strlen(name) && !strncasecmp(s, name, strlen(name));
-}
-
-/* How often one head contains each header that determines framing or routing. */
-typedef struct framing {
-	uint32_t content_lengths;
-	uint32_t transfer_encodings;
-	uint32_t hosts;
-} framing_t;
-
-static int check_header(const char *line, const char *end, framing_t *f)
-{
-	const char *colon = memchr(line, ':', (size_t)(end - line));
-
-	if (!colon || !is_token(line, colon) || !is_text(colon + 1, end))
-		return -BCT_ECODEC;
-	if (name_is(line, colon, "Content-Length")) {
-		f->content_lengths++;
-		return all_digits(colon + 1, end) ? 0 : -BCT_ECODEC;
-	}
-	f->transfer_encodings += name_is(line, colon, "Transfer-Encoding");
-	f->hosts += name_is(line, colon, "Host");
-	return 0;
-}
-
-/* A request line has exactly two single spaces: method, target and an HTTP/1.x version. */
-static int check_first_line(const char *line, const char *end, bool request)
-{
-	const char *space = memchr(line, ' ', (size_t)(end - line));
-	const char *last = end;
-
-	if (!space || !is_text(line, end))
-		return -BCT_ECODEC;
-	if (!request)
-		return (size_t)(end - line) >= 12 && !memcmp(line, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
-	while (last > line && last[-1] != ' ')
-		last--;
-	if (last - 1 <= space || !is_token(line, space))
-		return -BCT_ECODEC;
-	if (memchr(space + 1, ' ', (size_t)(last - 1 - (space + 1))))
-		return -BCT_ECODEC;
-	return (size_t)(end - last) == 8 && !memcmp(last, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
-}
-
-/* Checks each line, and counts the headers that determine framing or routing. */
-static int check_lines(const char *head, size_t len_bytes, bool request, framing_t *f)
-{
-	const char *at = head, *stop = head + len_bytes - 2;
-	bool first = true;
-
-	while (at < stop) {
-		const char *cr = memchr(at, '\r', (size_t)(stop + 1 - at));
-		int rc;
-
-		if (!cr || cr[1] != '\n')
-			return -BCT_ECODEC;
-		rc = first ? check_first_line(at, cr, request) : check_header(at, cr, f);
-		if (rc)
-			return rc;
-		first = false;
-		at = cr + 2;
-	}
-	return 0;
-}
-
-int bct_http_lines_check(const char *head, size_t len_bytes)
-{
-	framing_t f = { 0 };
-
-	return check_lines(head, len_bytes, true, &f);
-}
-
-/* hosts_min, hosts_max: Host headers that there may be */
-static int check_head(const char *head, size_t len_bytes, bool request, uint32_t hosts_min,
-		      uint32_t hosts_max)
-{
-	framing_t f = { 0 };
-	int rc = check_lines(head, len_bytes, request, &f);
-
-	if (rc)
-		return rc;
-	/* Ambiguous framing: the next parser might use another of the headers. */
-	if (f.content_lengths > 1 || f.transfer_encodings > 1 ||
-	    (f.content_lengths && f.transfer_encodings))
-		return -BCT_ECODEC;
-	return f.hosts < hosts_min || f.hosts > hosts_max ? -BCT_ECODEC : 0;
-}
-
-int bct_http_head_check(const char *head, size_t len_bytes, bool request)
-{
-	return check_head(head, len_bytes, request, request ? 1 : 0, request ? 1 : UINT32_MAX);
-}
-
 static int check_own_head(const bct_http_msg_t *m, const char *head, size_t len_bytes)
 {
 	if (m->parser.type == HTTP_REQUEST && m->no_host)
-		return check_head(head, len_bytes, true, 0, 1);
+		return bct_http_head_check_hosts(head, len_bytes, true, 0, 1);
 	return bct_http_head_check(head, len_bytes, m->parser.type == HTTP_REQUEST);
 }
 
--- a/http/http_msg.h
+++ b/http/http_msg.h
@@ -83,14 +83,6 @@
  * NULL. */
 const char *bct_http_msg_header(const bct_http_msg_t *m, const char *name);
 
-/* bct_http_head_check(3): validate a raw head, including its final empty line, against the strict
- * grammar. returns 0 or -BCT_ECODEC. */
-int bct_http_head_check(const char *head, size_t len_bytes, bool request);
-
-/* bct_http_lines_check(3): as bct_http_head_check(3) of a request, but each line by itself: which
- * headers there are, and how often, is not looked at. */
-int bct_http_lines_check(const char *head, size_t len_bytes);
-
 /* bct_http_is_hop_by_hop(3): returns whether a header applies to a single connection and must not
  * be forwarded. */
 bool bct_http_is_hop_by_hop(const char *name);
--- a/node/front_filter.c
+++ b/node/front_filter.c
@@ -8,6 +8,7 @@
 #include "base/list.h"
 #include "base/mem.h"
 #include "http/bev.h"
+#include "http/head_lines.h"
 #include "http/http_msg.h"
 
 #include <ck_pr.h>
