http: an answer without a status is none

What callers saw: an upstream in trouble sent an answer with the status 000 and a body; the caller got it as "HTTP/1.1 0 Unknown" with that body. The same for 099, 600, 999, "20 OK", "2 OK" and a 101 with a body; "HTTP/1.1 200 OK" with two spaces and "HTTP/1.10" passed as 200. Without a body, 000 and 099 were skipped like an interim answer, and the caller waited until its time limit (504).

Cause: of a status line only the first seven bytes and a length of 12 were checked; http-parser takes any number of digits up to 999, and whatever is at most 199 counted as interim.

Change: the line is checked whole: version with one digit, one space, three digits from 100 to 599, then nothing or a space. 101 is refused, too: no request asks for another protocol, so nobody could read what follows. RFC 9110, section 15, has a client treat an invalid status as a server error: the attempt has failed with a malformed answer, a request that may be repeated goes to another upstream, any other gets 502 (it may have run). Relayed answers are read by the same code.

--- a/http/head_lines.c
+++ b/http/head_lines.c
@@ -8,6 +8,12 @@
 #include <string.h>
 #include <strings.h>
 
+#define VERSION_BYTES 8 /* "HTTP/1.1" */
+#define STATUS_BYTES 3
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+#define STATUS_OTHER_PROTOCOL 101
+
 /* A non-empty token as HTTP defines it for methods and header names. */
 static bool is_token(const char *s, const char *end)
 {
@@ -75,23 +81,61 @@
 	return 0;
 }
 
+/* HTTP/1. and one digit */
+static bool is_version(const char *s, const char *end)
+{
+	return end - s == VERSION_BYTES && !memcmp(s, "HTTP/1.", VERSION_BYTES - 1) &&
+	       isdigit((unsigned char)s[VERSION_BYTES - 1]);
+}
+
+/*
+ * Three digits, 100 to 599 (RFC 9110, section 15). Not 101 either: no request of ours asks for
+ * another protocol, so that nobody could read what follows.
+ */
+static bool is_status(const char *s)
+{
+	int status = 0;
+
+	for (int i = 0; i < STATUS_BYTES; i++) {
+		if (!isdigit((unsigned char)s[i]))
+			return false;
+		status = status * 10 + s[i] - '0';
+	}
+	return status >= STATUS_MIN && status <= STATUS_MAX && status != STATUS_OTHER_PROTOCOL;
+}
+
+/* A status line has a single space before the status, and one or nothing after it. */
+static int check_status_line(const char *line, const char *end)
+{
+	const char *status = line + VERSION_BYTES + 1, *reason = status + STATUS_BYTES;
+
+	if (end < reason || !is_version(line, status - 1) || status[-1] != ' ')
+		return -BCT_ECODEC;
+	if (!is_status(status) || (reason < end && *reason != ' '))
+		return -BCT_ECODEC;
+	return is_text(reason, end) ? 0 : -BCT_ECODEC;
+}
+
 /* A request line has exactly two single spaces: method, target and an HTTP/1.x version. */
-static int check_first_line(const char *line, const char *end, bool request)
+static int check_request_line(const char *line, const char *end)
 {
 	const char *space = memchr(line, ' ', (size_t)(end - line));
 	const char *last = end;
 
 	if (!space || !is_text(line, end))
 		return -BCT_ECODEC;
-	if (!request)
-		return (size_t)(end - line) >= 12 && !memcmp(line, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
 	while (last > line && last[-1] != ' ')
 		last--;
 	if (last - 1 <= space || !is_token(line, space))
 		return -BCT_ECODEC;
 	if (memchr(space + 1, ' ', (size_t)(last - 1 - (space + 1))))
 		return -BCT_ECODEC;
-	return (size_t)(end - last) == 8 && !memcmp(last, "HTTP/1.", 7) ? 0 : -BCT_ECODEC;
+	return is_version(last, end) ? 0 : -BCT_ECODEC;
+}
+
+static int check_first_line(const char *line, const char *end, bool request)
+{
+	return request ? check_request_line(line, end) : check_status_line(line, end);
 }
 
 /* Checks each line, and counts the headers that determine framing or routing. */
--- a/http/http_msg.c
+++ b/http/http_msg.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <strings.h>
 
-#define STATUS_INTERIM_MAX 199 /* 1xx responses; includes 101, which the gateway never requests */
+#define STATUS_INTERIM_MAX 199 /* 1xx responses */
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_BYTES 4
 
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -72,6 +72,8 @@
  *   streamslow   five events over more than two seconds
  *   streamtrickle  two events, then a byte now and then that completes none
  *   streamspoilt  three events in one chunk; the id of the last one is no number
+ *   raw0, raw1, ...  the gateway's raw answer of this number, see util_raw.h
+ *   early0, ...  the same, without reading the request's body
  *   streamflood  16 MB of events as fast as the gateway reads them
  *   streamfloodcut  the same, but resets the connection when the gateway reads nothing for CUT_MS
  *
@@ -116,6 +118,7 @@
 	bool desk_spot; /* it may be reclaimed; states when it leaves if it drains */
 	bool keep_ids;	/* engines that start again keep their ids */
 	bool stop;
+	const struct raw_answer *raw; /* for the actions "raw0" and "early0", ... */
 } test_gate_t;
 
 /*
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -5,6 +5,7 @@
 #define _GNU_SOURCE
 #include "tests/util_upstream.h"
 #include "tests/util_upstream_int.h"
+#include "tests/util_raw.h"
 #include "base/clock.h"
 
 #include <arpa/inet.h>
@@ -61,6 +62,15 @@
 	return true;
 }
 
+/* Whether the request is to be answered before its body is read. */
+static bool is_early(const char *head)
+{
+	char script[128];
+
+	upstream_get_header(head, "\nX-Script", script, sizeof(script));
+	return !strncmp(script, "early", 5);
+}
+
 /* Reads one request. Returns false when the connection ended. */
 static bool read_request(int fd, char *buf, size_t size, size_t *have, gate_run_t *run)
 {
@@ -78,6 +88,10 @@
 	}
 	head = (size_t)(end - buf) + 4;
 	snprintf(run->head, sizeof(run->head), "%.*s", (int)head, buf);
+	if (is_early(run->head)) {
+		*have = 0;
+		return true;
+	}
 	upstream_get_header(run->head, "\nContent-Length", run->body, sizeof(run->body));
 	body = strtoul(run->body, NULL, 10);
 	if (head + body >= size) {
@@ -255,6 +269,13 @@
 		upstream_stream_unframed(c->fd, action, run);
 		return false;
 	}
+	if (!strncmp(action, "raw", 3) || !strncmp(action, "early", 5)) {
+		const raw_answer_t *a =
+			&c->u->gate->raw[atoi(action + strcspn(action, "0123456789"))];
+
+		test_raw_send(c->fd, a, id);
+		return a->end == RAW_OPEN;
+	}
 	if (!strncmp(action, "endless", 7)) {
 		endless(c->fd, action, id);
 		return false;
