http: answers that have no body get none

What callers saw: an interim answer (100, 199) that stated a length reached the caller as the answer, with its body. A 204 or 304 with a body was passed on with it, so that the caller would take it for the next answer. A 304 that stated the length of what it does not send was waited for until the time limit (504).

Cause: http-parser reads a body wherever a length is stated. Such answers end with their head, whatever it states (RFC 9112, section 6.3).

Change: nothing is read as the body of 1xx, 204 and 304. What follows an interim answer is the next answer; what follows a final one ends the connection, as always. A 204 is sent without Content-Length, a 304 with that which the upstream stated, as for HEAD.

Evidence: an_interim_answer_is_no_answer and an_answer_that_has_no_body_gets_none of tests/test_gate_broken.c fail on the code before and pass now; test_gate, test_gate_head, test_gate_unframed and test_fuzz_replay pass.

--- a/gate/answer.c
+++ b/gate/answer.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <strings.h>
 
+#define STATUS_NO_CONTENT 204
 #define COPY_MAX_BYTES 1024 /* less is copied, not moved, if memory is bounded */
 
 static const char *reason_phrase(int status)
@@ -90,18 +91,25 @@
 	return out->err;
 }
 
-/* The answer to HEAD has the length that the upstream stated of a body that is not sent, if any. */
+/*
+ * An answer without a body has the length that the upstream stated of the body that is not sent, if
+ * any, and one of status 204 none (RFC 9110, section 8.6).
+ */
 static void put_length(const bct_client_t *c, const bct_http_msg_t *m, int64_t body_bytes,
 		       struct evbuffer *out)
 {
 	const char *stated = bct_http_msg_header(m, "Content-Length");
 
-	if (c->head_only && stated)
-		evbuffer_add_printf(out, "Content-Length: %s\r\n", stated);
-	else if (!c->head_only && body_bytes < 0)
+	if (m->status == STATUS_NO_CONTENT)
+		return;
+	if (c->head_only || !bct_http_status_has_body(m->status)) {
+		if (stated)
+			evbuffer_add_printf(out, "Content-Length: %s\r\n", stated);
+	} else if (body_bytes < 0) {
 		evbuffer_add_printf(out, "Transfer-Encoding: chunked\r\n");
-	else if (!c->head_only)
+	} else {
 		evbuffer_add_printf(out, "Content-Length: %" PRId64 "\r\n", body_bytes);
+	}
 }
 
 void bct_answer_head(bct_client_t *c, const bct_http_msg_t *m, int64_t body_bytes)
--- a/http/http_msg.c
+++ b/http/http_msg.c
@@ -10,6 +10,8 @@
 #include <strings.h>
 
 #define STATUS_INTERIM_MAX 199 /* 1xx responses */
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
 #define HEAD_END "\r\n\r\n"
 #define HEAD_END_BYTES 4
 
@@ -95,17 +97,27 @@
 	return split_headers(m, end + 2, m->text.data + m->text.len_bytes - 2);
 }
 
+bool bct_http_status_has_body(int status)
+{
+	return status > STATUS_INTERIM_MAX && status != STATUS_NO_CONTENT &&
+	       status != STATUS_NOT_MODIFIED;
+}
+
 static int on_headers(http_parser *p)
 {
 	bct_http_msg_t *m = p->data;
+	bool no_body = m->head_only;
 
 	m->status = p->status_code;
+	/* http-parser would read a body if such a response states a length. */
+	if (p->type == HTTP_RESPONSE)
+		no_body = no_body || !bct_http_status_has_body(m->status);
 	/* Protocol upgrades are not supported, neither in requests nor in responses. */
 	p->upgrade = 0;
 	if (p->type == HTTP_RESPONSE)
-		m->until_close = !(p->flags & (F_CHUNKED | F_CONTENTLENGTH)) && !m->head_only;
+		m->until_close = !(p->flags & (F_CHUNKED | F_CONTENTLENGTH)) && !no_body;
 	m->keep_alive = http_should_keep_alive(p);
-	return m->head_only ? 1 : 0;
+	return no_body ? 1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
--- a/http/http_msg.h
+++ b/http/http_msg.h
@@ -83,6 +83,10 @@
  * NULL. */
 const char *bct_http_msg_header(const bct_http_msg_t *m, const char *name);
 
+/* bct_http_status_has_body(3): whether a response with this status may have a body; the others end
+ * with their head, whatever length that states (RFC 9112, section 6.3). */
+bool bct_http_status_has_body(int status);
+
 /* bct_http_is_hop_by_hop(3): returns whether a header applies to a single connection and must not
  * be forwarded. */
 bool bct_http_is_hop_by_hop(const char *name);
--- a/tests/test_gate_broken.c
+++ b/tests/test_gate_broken.c
@@ -101,6 +101,19 @@
 	expect_unknown(no_status, 6);
 }
 
+/* An interim answer has no body: what follows its head is the next answer. */
+static const raw_answer_t interim_with_body[] = {
+	BROKEN("HTTP/1.1 100 Continue"),
+	BROKEN("HTTP/1.1 199 Interim"),
+	{ .text = "HTTP/1.1 100 Continue\r\n" OWN
+		  "Transfer-Encoding: chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n" },
+};
+
+Test(gate_broken, an_interim_answer_is_no_answer)
+{
+	expect_retried(interim_with_body, COUNT(interim_with_body));
+}
+
 /* The edges of what is a status: each is passed on as the upstream gave it. */
 Test(gate_broken, every_status_is_passed_on, .timeout = 60)
 {
@@ -131,3 +144,33 @@
 	}
 	test_gate_stop(&t);
 }
+
+/* Statuses whose answers have no body whatever length they state: the caller would take the body
+ * for the next answer, and the node would wait for one that never comes. */
+Test(gate_broken, an_answer_that_has_no_body_gets_none)
+{
+	static const raw_answer_t raw[] = {
+		{ .text = "HTTP/1.1 204 No Content\r\n" OWN "\r\n" },
+		{ .text = "HTTP/1.1 304 Not Modified\r\n" OWN "Content-Length: 6\r\n\r\n" },
+		{ .text = "HTTP/1.1 304 Not Modified\r\n" OWN "\r\n" },
+		BROKEN("HTTP/1.1 204 No Content"),
+		BROKEN("HTTP/1.1 304 Not Modified"),
+	};
+	static const int status[] = { 204, 304, 304, 204, 304 };
+
+	test_gate_start(&t);
+	t.raw = raw;
+	for (uint32_t i = 0; i < COUNT(raw); i++) {
+		bct_buf_t out;
+		const char *end;
+
+		cr_expect_eq(call_raw("POST", "/unsafe/a", i, "", &out), status[i], "%u: %s", i,
+			     out.data);
+		end = strstr(out.data, "\r\n\r\n");
+		cr_expect(end && !end[4], "%u: %s", i, out.data);
+		cr_expect(status[i] != 204 || !strstr(out.data, "Content-Length"), "%u: %s", i,
+			  out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
