tests: malformed fields, and errors behind a stream that broke off, hold in the gateway

An answer in whose head the name of a field held a blank or a control byte reached a client elsewhere; so did the error of the next engine, in the middle of a stream.

Change: tests with stand-ins that send just that: 17 heads with a line that is no field, 7 whose length is unclear, 9 answers and 6 scripted ones behind two events of a stream, on routes that take streams up and on others.

Nothing is changed.

--- a/tests/test_gate_broken.c
+++ b/tests/test_gate_broken.c
@@ -19,6 +19,10 @@
 	{                                            \
 		.text = first_line "\r\n" OWN "\r\n" \
 	}
+#define LINE(line)                                                                           \
+	{                                                                                    \
+		.text = "HTTP/1.1 200 OK\r\n" OWN line "\r\nContent-Length: 6\r\n\r\ntheirs" \
+	}
 #define COUNT(list) (uint32_t)(sizeof(list) / sizeof(list[0]))
 
 static test_gate_t t;
@@ -174,3 +178,158 @@
 	}
 	test_gate_stop(&t);
 }
+
+/* Lines of a head that are no fields: their reader may take them for others than their writer. */
+static const raw_answer_t no_field[] = {
+	LINE("X Foo: a"),
+	LINE("X-Foo : a"),
+	LINE(" X-Foo: a"),
+	LINE("X-Foo: a\r\n b"),
+	LINE("X-Foo: a\r\n\tb"),
+	LINE("X\tFoo: a"),
+	LINE("X\001Foo: a"),
+	LINE("X\177Foo: a"),
+	LINE("X\303\251Foo: a"),
+	LINE("X(Foo): a"),
+	LINE(": a"),
+	LINE("X-Foo"),
+	LINE(""),
+	LINE("X-Foo: a\001b"),
+	LINE("X-Foo: a\rb"),
+	LINE("X-Foo: a\nX-Bar: b"),
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "X\0Foo: a\r\nContent-Length: 6\r\n\r\ntheirs",
+	  .len_bytes =
+		  sizeof("HTTP/1.1 200 OK\r\n" OWN "X\0Foo: a\r\nContent-Length: 6\r\n\r\ntheirs") -
+		  1 },
+};
+
+Test(gate_broken, a_head_with_a_malformed_field_is_none, .timeout = 60)
+{
+	expect_retried(no_field, COUNT(no_field));
+}
+
+Test(gate_broken, an_unsafe_request_with_a_malformed_field_may_have_run, .timeout = 60)
+{
+	expect_unknown(no_field, 5);
+}
+
+/* Fields that leave open where the body ends. */
+static const raw_answer_t no_length[] = {
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length : 6\r\n\r\ntheirs and more",
+	  .end = RAW_CLOSE },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN
+		  "Transfer-Encoding : chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n",
+	  .end = RAW_CLOSE },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN
+		  "Content-Length: 6\r\nContent-Length: 12\r\n\r\ntheirstheirs" },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 6\r\nTransfer-Encoding: "
+					    "chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n" },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: +6\r\n\r\ntheirs" },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 6, 6\r\n\r\ntheirs" },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 18446744073709551622\r\n\r\ntheirs" },
+};
+
+Test(gate_broken, a_head_with_an_unclear_length_is_none)
+{
+	expect_retried(no_length, COUNT(no_length));
+}
+
+Test(gate_broken, an_unsafe_request_with_an_unclear_length_may_have_run)
+{
+	expect_unknown(no_length, COUNT(no_length));
+}
+
+/* All characters that a name may have, and what a value may have beside text. */
+Test(gate_broken, every_field_is_passed_on)
+{
+	static const raw_answer_t raw[] = {
+		LINE("X!#$%&'*+-.^_`|~09azAZ: a"),
+		LINE("X-Foo:a"),
+		LINE("X-Foo:\t a\tb \303\251 "),
+		LINE("X-Foo:"),
+	};
+	static const char *const line[] = { "\r\nX!#$%&'*+-.^_`|~09azAZ: a\r\n", "\r\nX-Foo: a\r\n",
+					    "\r\nX-Foo: a\tb \303\251\r\n", "\r\nX-Foo: \r\n" };
+
+	test_gate_start(&t);
+	t.raw = raw;
+	for (uint32_t i = 0; i < COUNT(raw); i++) {
+		bct_buf_t out;
+
+		cr_expect_eq(call_raw("POST", "/unsafe/a", i, "", &out), 200);
+		cr_expect(strstr(out.data, line[i]), "%u: %s", i, out.data);
+		cr_expect(strstr(out.data, "\r\n\r\ntheirs"), "%u: %s", i, out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+/*
+ * A stream has begun and breaks off, and what the next upstream sends is no continuation: its
+ * caller sees a stream that is not complete, and not a byte of that answer.
+ */
+Test(gate_broken, no_error_joins_a_stream, .timeout = 60)
+{
+	static const raw_answer_t raw[] = {
+		BROKEN("HTTP/1.1 000 None"),
+		BROKEN("HTTP/1.1 500 Oops"),
+		BROKEN("HTTP/1.1 404 Gone"),
+		BROKEN("HTTP/1.1 302 Found"),
+		BARE("HTTP/1.1 204 No Content"),
+		BROKEN("HTTP/1.1 200 OK"),
+		{ .text = "HTTP/1.1 500 Oops\r\n" OWN "Content-Type: text/event-stream\r\n"
+			  "Content-Length: 19\r\n\r\nid: 3\ndata: theirs\n" },
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Type: application/json\r\n"
+			  "Content-Length: 22\r\n\r\nid: 3\ndata: theirs\n\n \n" },
+		{ .text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+			  "id: 3\ndata: theirs\n\n",
+		  .end = RAW_CLOSE },
+	};
+
+	test_gate_start(&t);
+	t.raw = raw;
+	for (uint32_t i = 0; i < COUNT(raw); i++) {
+		char id[32], script[32], path[32];
+		bct_buf_t out;
+
+		/* Another path, as three upstreams that reset one request would block it. */
+		snprintf(path, sizeof(path), "/resume/%u", i);
+		snprintf(id, sizeof(id), "joined-%u", i);
+		snprintf(script, sizeof(script), "streamcut,raw%u", i);
+		cr_expect_eq(test_gate_call(&t, "POST", path, id, script, &out), 200);
+		cr_expect(strstr(out.data, "data: e2"), "%u: %s", i, out.data);
+		cr_expect(!strstr(out.data, "\r\n0\r\n") && !strstr(out.data, "theirs"), "%u: %s",
+			  i, out.data);
+		cr_expect(!strstr(out.data + 9, "HTTP/1."), "%u: %s", i, out.data);
+		cr_expect_eq(test_gate_runs(&t, id), 2, "%u: %u runs", i, test_gate_runs(&t, id));
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+/* The same with refusals that the fixture's upstreams know, and without a second attempt. */
+Test(gate_broken, no_refusal_joins_a_stream, .timeout = 60)
+{
+	static const char *const scripts[] = { "streamcut,notrun", "streamcut,wrong",
+					       "streamcut,error",  "streamcut,noseal",
+					       "streamcut,claims", "streamcut,reset" };
+
+	test_gate_start(&t);
+	for (uint32_t i = 0; i < COUNT(scripts); i++) {
+		for (uint32_t k = 0; k < 2; k++) {
+			char id[32], path[32];
+			bct_buf_t out;
+
+			snprintf(path, sizeof(path), "/%s/%u", k ? "stream" : "resume", i);
+			snprintf(id, sizeof(id), "refused-%u-%u", i, k);
+			cr_expect_eq(test_gate_call(&t, "POST", path, id, scripts[i], &out), 200);
+			cr_expect(strstr(out.data, "data: e2"), "%s: %s", scripts[i], out.data);
+			cr_expect(!strstr(out.data, "\r\n0\r\n") && !strstr(out.data, "bad") &&
+					  !strstr(out.data, "body"),
+				  "%s: %s", scripts[i], out.data);
+			cr_expect(!strstr(out.data + 9, "HTTP/1."), "%s: %s", scripts[i], out.data);
+			bct_buf_free(&out);
+		}
+	}
+	test_gate_stop(&t);
+}
