gate: an answer that ends before its request was taken is not whole

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body, closed the connection and reset it when the rest of the upload arrived. The caller got that part as a complete answer, and a stream that ended so had its last chunk.

Cause: an orderly end that is followed by a reset reads as an orderly end, as the kernel tells of the end first. An answer without a length was complete at that moment, also while most of its request was unsent.

Change: when the connection ends such an answer, the kernel is asked (TCP_INFO) whether the upstream has acknowledged all of the request. If so, the answer is whole. If not, the rest is sent on: an upstream that reads it gets its answer delivered, one that resets has failed. A request that was acknowledged whole before the end can't be told apart and counts as before.

--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -306,7 +306,8 @@
 	bool names_requests; /* an answer on it bore the attempt id of its request */
 	bool unattributed; /* the answer being read names no request, and is not the first on it */
 	bool progress;	   /* bytes of the answer to the current request were accepted */
-	size_t useless_bytes; /* received since then */
+	size_t useless_bytes;	 /* received since then */
+	struct event *end_timer; /* an orderly end came before the request was delivered; or NULL */
 	bct_time_t opened;
 	bct_time_t sent_at;
 	bct_time_t idle_since;
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -4,6 +4,7 @@
  */
 #include "base/err.h"
 #include "base/mem.h"
+#include "gate/delivery.h"
 #include "gate/gate_int.h"
 #include "gate/reach.h"
 #include "gate/window.h"
@@ -51,6 +52,8 @@
 	bct_list_del(&c->link);
 	if (c->x)
 		c->x->conn = NULL;
+	if (c->end_timer)
+		event_free(c->end_timer);
 	bct_bev_free(c->bev);
 	bct_http_msg_free(&c->msg);
 	c->upstream->refs--;
@@ -176,6 +179,45 @@
 	read_responses(c);
 }
 
+static void on_end_timer(evutil_socket_t fd, short what, void *ctx);
+
+/* Looks later again what has become of the request. returns 0 or -BCT_ENOMEM */
+static int wait_for_delivery(bct_upconn_t *c)
+{
+	struct timeval later = { 0, BCT_DELIVERY_CHECK_MS * 1000 };
+
+	if (!c->end_timer)
+		c->end_timer = evtimer_new(c->gate->base, on_end_timer, c);
+	return c->end_timer && !event_add(c->end_timer, &later) ? 0 : -BCT_ENOMEM;
+}
+
+/*
+ * The upstream closed the connection, and with it ended a response without a length. That is whole
+ * only if the upstream took all of the request: one in trouble that closes the connection early
+ * resets it when the rest of the request arrives.
+ */
+static void end_unframed(bct_upconn_t *c)
+{
+	bct_delivery_t d = bct_delivery(c->bev);
+
+	if (d == BCT_DELIVERY_PENDING && !wait_for_delivery(c))
+		return;
+	if (d == BCT_DELIVERY_WHOLE && bct_http_msg_eof(&c->msg) == BCT_HTTP_DONE)
+		c->x->ops->complete(c->x);
+	else
+		c->x->ops->fault(c->x, BCT_FAULT_BROKEN);
+}
+
+static void on_end_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	bct_upconn_t *c = ctx;
+
+	(void)fd;
+	(void)what;
+	if (c->x)
+		end_unframed(c);
+}
+
 /* The connection ended. clean: the upstream closed it, rather than an error. That completes a
  * response without a length; anything else is a failed attempt. */
 static void on_disconnect(bct_upconn_t *c, bool clean)
@@ -196,9 +238,8 @@
 		c->x->ops->fault(c->x, BCT_FAULT_CONNECT);
 		return;
 	}
-	if (clean && c->msg.state == BCT_HTTP_BODY && !c->discards &&
-	    bct_http_msg_eof(&c->msg) == BCT_HTTP_DONE) {
-		c->x->ops->complete(c->x);
+	if (clean && c->msg.state == BCT_HTTP_BODY && !c->discards && c->msg.until_close) {
+		end_unframed(c);
 		return;
 	}
 	c->x->ops->fault(c->x, BCT_FAULT_BROKEN);
