chuted: the heads of upstreams' answers are checked line by line

What callers saw: a service's answer with the status 600 or 999 was passed on, one with 101, "HTTP/1.1 200 OK" or "HTTP/2 200 OK", too. A head with "Content-Length : 6" or "Transfer-Encoding : chunked" (a blank before the colon) was a 200 whose body ran on to the end of the connection: the caller got "6\r\ntheirs\r\n0\r\n" as the service's body. Names with blanks or control bytes, folded lines, bare line feeds, two lengths, a length beside chunks, "+6" and "6, 6" passed as well.

Cause: libcurl takes any three digits for a status and any line for a field, and ignores fields that it doesn't know by name. Nothing of chuted looked at the lines.

An answer with a malformed line is none: the attempt ends as a bad answer, which may have run. A NUL is no character of a name; only readers that had excluded it before asked.

--- a/http/head_lines.c
+++ b/http/head_lines.c
@@ -20,7 +20,7 @@
 	if (s == end)
 		return false;
 	for (; s < end; s++) {
-		if (!isalnum((unsigned char)*s) && !strchr("!#$%&'*+-.^_`|~", *s))
+		if (!*s || (!isalnum((unsigned char)*s) && !strchr("!#$%&'*+-.^_`|~", *s)))
 			return false;
 	}
 	return true;
@@ -59,14 +59,7 @@
 	return (size_t)(end - s) == strlen(name) && !strncasecmp(s, name, strlen(name));
 }
 
-/* How often one head contains each header that determines framing or routing. */
-typedef struct framing {
-	uint32_t content_lengths;
-	uint32_t transfer_encodings;
-	uint32_t hosts;
-} framing_t;
-
-static int check_header(const char *line, const char *end, framing_t *f)
+static int check_header(const char *line, const char *end, bct_http_framing_t *f)
 {
 	const char *colon = memchr(line, ':', (size_t)(end - line));
 
@@ -133,13 +126,28 @@
 	return is_version(last, end) ? 0 : -BCT_ECODEC;
 }
 
+int bct_http_field_check(const char *line, size_t len_bytes, bct_http_framing_t *f)
+{
+	return check_header(line, line + len_bytes, f);
+}
+
+int bct_http_status_line_check(const char *line, size_t len_bytes)
+{
+	return check_status_line(line, line + len_bytes);
+}
+
+bool bct_http_framing_is_clear(const bct_http_framing_t *f)
+{
+	return f->content_lengths + f->transfer_encodings <= 1;
+}
+
 static int check_first_line(const char *line, const char *end, bool request)
 {
 	return request ? check_request_line(line, end) : check_status_line(line, end);
 }
 
 /* Checks each line, and counts the headers that determine framing or routing. */
-static int check_lines(const char *head, size_t len_bytes, bool request, framing_t *f)
+static int check_lines(const char *head, size_t len_bytes, bool request, bct_http_framing_t *f)
 {
 	const char *at = head, *stop = head + len_bytes - 2;
 	bool first = true;
@@ -161,7 +169,7 @@
 
 int bct_http_lines_check(const char *head, size_t len_bytes)
 {
-	framing_t f = { 0 };
+	bct_http_framing_t f = { 0 };
 
 	return check_lines(head, len_bytes, true, &f);
 }
@@ -169,14 +177,13 @@
 int bct_http_head_check_hosts(const char *head, size_t len_bytes, bool request, uint32_t hosts_min,
 			      uint32_t hosts_max)
 {
-	framing_t f = { 0 };
+	bct_http_framing_t f = { 0 };
 	int rc = check_lines(head, len_bytes, request, &f);
 
 	if (rc)
 		return rc;
 	/* Ambiguous framing: the next parser might use another of the headers. */
-	if (f.content_lengths > 1 || f.transfer_encodings > 1 ||
-	    (f.content_lengths && f.transfer_encodings))
+	if (!bct_http_framing_is_clear(&f))
 		return -BCT_ECODEC;
 	return f.hosts < hosts_min || f.hosts > hosts_max ? -BCT_ECODEC : 0;
 }
--- a/http/head_lines.h
+++ b/http/head_lines.h
@@ -9,6 +9,25 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* How often one head contains each header that determines framing or routing. */
+typedef struct bct_http_framing {
+	uint32_t content_lengths;
+	uint32_t transfer_encodings;
+	uint32_t hosts;
+} bct_http_framing_t;
+
+/*
+ * bct_http_status_line_check(3), bct_http_field_check(3): validate one line, without its end. The
+ * second counts a header that determines framing or routing.
+ *
+ * returns  0 or -BCT_ECODEC
+ */
+int bct_http_status_line_check(const char *line, size_t len_bytes);
+int bct_http_field_check(const char *line, size_t len_bytes, bct_http_framing_t *f);
+
+/* bct_http_framing_is_clear(3): whether a head states in one way at most where its body ends. */
+bool bct_http_framing_is_clear(const bct_http_framing_t *f);
+
 /* bct_http_head_check(3): validate a raw head, including its final empty line, against the strict
  * grammar. returns 0 or -BCT_ECODEC. */
 int bct_http_head_check(const char *head, size_t len_bytes, bool request);
--- a/node/attempt.h
+++ b/node/attempt.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/list.h"
+#include "http/answer_lines.h"
 #include "node/request.h"
 #include "node/sse.h"
 #include "policy/sched.h"
@@ -55,6 +56,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	bct_sse_t sse;
+	bct_answer_lines_t lines; /* of the answer's heads */
 	bool cancelled;
 	bool sent;	   /* libcurl was allowed to send the first byte */
 	bool paused;	   /* receiving is stopped because the caller reads too slowly */
--- a/node/transfer.c
+++ b/node/transfer.c
@@ -116,6 +116,10 @@
 	long status = 0;
 
 	a->progress = bct_clock_now();
+	if (bct_answer_line(&a->lines, line, size * n)) {
+		a->malformed = true;
+		return 0;
+	}
 	curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
 	a->status = (int)status;
 	if (header_is(line, size * n, "Chute-Attempt", &value))
--- a/tests/util_node.c
+++ b/tests/util_node.c
@@ -146,6 +146,12 @@
 }
 
 void test_node_start(test_node_t *t, const char *extra)
+{
+	test_node_start_at(t, extra, 0, 0);
+}
+
+void test_node_start_at(test_node_t *t, const char *extra, uint16_t engine_port,
+			uint16_t service_port)
 {
 	bct_node_opts_t opts = { .settings = &t->settings };
 	int rc;
@@ -157,6 +163,10 @@
 	memset(t, 0, sizeof(*t));
 	stub_start(&t->engine);
 	stub_start(&t->service);
+	if (engine_port)
+		t->engine.port = engine_port;
+	if (service_port)
+		t->service.port = service_port;
 	write_conf(t);
 	fill_settings(t, extra);
 	rc = bct_node_new(&opts, &t->node);
--- a/tests/util_node.h
+++ b/tests/util_node.h
@@ -41,6 +41,9 @@
  * extra  further members for the settings object "caller", beginning with a comma, or ""
  */
 void test_node_start(test_node_t *t, const char *extra);
+/* The same with an engine and a service of the test's own at these ports; 0: the stub. */
+void test_node_start_at(test_node_t *t, const char *extra, uint16_t engine_port,
+			uint16_t service_port);
 void test_node_stop(test_node_t *t);
 
 /*
