chuted: an answer that ends before its request was taken is not whole

Cause: when a connection ends an answer without a length, libcurl stops sending and reports success, also after a reset.

Change: such an answer counts only if libcurl has sent the whole request and the service had acknowledged all of it when the connection was closed; else the outcome is unknown (502, it may have run). libcurl closes the connection without sending the rest, so that an early answer without a length that was whole can't be known as such; it was delivered before and is 502 now. One with a length or chunks is delivered as before. The look at the kernel moves from gate/ to http/.

--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -4,11 +4,11 @@
  */
 #include "base/err.h"
 #include "base/mem.h"
-#include "gate/delivery.h"
 #include "gate/gate_int.h"
 #include "gate/reach.h"
 #include "gate/window.h"
 #include "http/bev.h"
+#include "http/delivery.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -21,6 +21,7 @@
 #define IDLE_DEFAULT_MS 4000	   /* if the upstream does not state its keep-alive time */
 #define IDLE_MAX_MS 8000
 #define IDLE_PERMILLE 500    /* of the keep-alive time stated, to close before the upstream does */
+#define DELIVERY_CHECK_MS 10 /* between two looks at a request that is being delivered */
 #define USER_TIMEOUT_MS 1500 /* output unacknowledged for this long ends the connection */
 #define PROBE_IDLE_S 1	     /* without traffic, until keep-alive probes are sent */
 #define UNREAD_MS 1000	     /* after a pause, to read what the upstream sent before it gave up */
@@ -184,7 +185,7 @@
 /* Looks later again what has become of the request. returns 0 or -BCT_ENOMEM */
 static int wait_for_delivery(bct_upconn_t *c)
 {
-	struct timeval later = { 0, BCT_DELIVERY_CHECK_MS * 1000 };
+	struct timeval later = { 0, DELIVERY_CHECK_MS * 1000 };
 
 	if (!c->end_timer)
 		c->end_timer = evtimer_new(c->gate->base, on_end_timer, c);
@@ -198,8 +199,10 @@
  */
 static void end_unframed(bct_upconn_t *c)
 {
-	bct_delivery_t d = bct_delivery(c->bev);
+	bct_delivery_t d = bct_delivery(bufferevent_getfd(c->bev));
 
+	if (d == BCT_DELIVERY_WHOLE && evbuffer_get_length(bufferevent_get_output(c->bev)))
+		d = BCT_DELIVERY_PENDING;
 	if (d == BCT_DELIVERY_PENDING && !wait_for_delivery(c))
 		return;
 	if (d == BCT_DELIVERY_WHOLE && bct_http_msg_eof(&c->msg) == BCT_HTTP_DONE)
--- a/node/attempt.h
+++ b/node/attempt.h
@@ -65,6 +65,7 @@
 	bool malformed;	   /* the answer could not be parsed */
 	bool id_matched;   /* the answer's header carried this attempt's id */
 	bool deadline_hit; /* a time limit of the attempt has passed */
+	bool delivered;	   /* when its connection was closed, the upstream had taken all of it */
 	bool withheld;	   /* not sent: too late, or no longer the request's current attempt */
 	int status;	   /* HTTP status; 0 until headers are received */
 	uint32_t retry_after_ms;
--- a/node/transfer.c
+++ b/node/transfer.c
@@ -6,6 +6,8 @@
  */
 #include "node/transfer.h"
 #include "base/err.h"
+#include "http/delivery.h"
+#include "http/http_msg.h"
 #include "node/answer.h"
 
 #include <inttypes.h>
@@ -13,6 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <unistd.h>
 
 #define MAX_EVENT_BYTES (1 << 20)
 #define MAX_URL_BYTES 4096
@@ -168,6 +171,16 @@
 	return CURL_PREREQFUNC_OK;
 }
 
+/* Called instead of close(2): the connection can't be asked any more when the transfer has ended.
+ */
+static int on_close(void *ctx, curl_socket_t fd)
+{
+	bct_attempt_t *a = ctx;
+
+	a->delivered = bct_delivery(fd) == BCT_DELIVERY_WHOLE;
+	return close(fd);
+}
+
 static int add_header(bct_attempt_t *a, const char *name, const char *value)
 {
 	char line[1024];
@@ -278,6 +291,8 @@
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, a);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_connected);
 	curl_easy_setopt(e, CURLOPT_PREREQDATA, a);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+	curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, a);
 	curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 	curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
 	curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
@@ -334,6 +349,21 @@
 	return !is_service(a) && (a->status == HTTP_CONFLICT || a->status == HTTP_TOO_MANY);
 }
 
+/*
+ * Whether the answer ended with its connection before the request was taken whole. libcurl then
+ * stops sending and reports a success, also if the upstream has reset the connection.
+ */
+static bool ended_early(const bct_attempt_t *a)
+{
+	const bct_http_framing_t *f = &a->lines.framing;
+	curl_off_t sent_bytes = 0;
+
+	if (f->content_lengths || f->transfer_encodings || !bct_http_status_has_body(a->status))
+		return false;
+	curl_easy_getinfo(a->easy, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
+	return !a->delivered || (size_t)sent_bytes < a->req->body.len_bytes;
+}
+
 static bct_outcome_t service_outcome(bct_attempt_t *a)
 {
 	char *type = NULL;
@@ -378,6 +408,8 @@
 		return a->sent ? BCT_OUTCOME_RESET : BCT_OUTCOME_NOT_SENT;
 	if (code != CURLE_OK)
 		return failed_outcome(a);
+	if (ended_early(a))
+		return BCT_OUTCOME_RESET;
 	if (refused_without_run(a))
 		return BCT_OUTCOME_BUSY;
 	return is_service(a) ? service_outcome(a) : engine_outcome(a);
--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -187,6 +187,54 @@
 	}
 }
 
+/* A service answers while the request is being sent, without a length, and ends the connection. */
+Test(node_broken, a_part_of_an_answer_is_none, .timeout = 60)
+{
+	static const raw_answer_t raw[] = {
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_RESET },
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_LATE_RESET },
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_CLOSE },
+		/* Whole, but libcurl does not send the rest, so that chuted can't know that. */
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_READ },
+	};
+	char *body = malloc(BODY_BYTES);
+
+	memset(body, ' ', BODY_BYTES);
+	memcpy(body, "{}", 2);
+	for (uint32_t i = 0; i < COUNT(raw); i++) {
+		test_node_t t;
+		bct_buf_t out;
+
+		test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
+				   test_raw_serve(&raw[i], 1, ID, POLLS));
+		expect_none(i, book(&t, body, BODY_BYTES, &out), &out);
+		bct_buf_free(&out);
+		test_node_stop(&t);
+	}
+	free(body);
+}
+
+/* One with a length is whole when that has come, also while its request is being sent. */
+Test(node_broken, a_whole_early_answer_is_delivered, .timeout = 60)
+{
+	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN
+						  "Content-Length: 10\r\n\r\nwhole body",
+					  .end = RAW_READ };
+	char *body = malloc(BODY_BYTES);
+	test_node_t t;
+	bct_buf_t out;
+
+	memset(body, ' ', BODY_BYTES);
+	memcpy(body, "{}", 2);
+	test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
+			   test_raw_serve(&raw, 1, ID, POLLS));
+	cr_expect_eq(book(&t, body, BODY_BYTES, &out), 200, "%s", out.data);
+	cr_expect(strstr(out.data, "\r\n\r\nwhole body"), "%s", out.data);
+	bct_buf_free(&out);
+	test_node_stop(&t);
+	free(body);
+}
+
 /* An engine's stream breaks off, and what the next attempt brings is no continuation. */
 Test(node_broken, no_error_joins_a_stream, .timeout = 60)
 {
