platform: a malformed head of the store or the control API is no answer

What was seen: the same malformed heads, from the store and from the control API. An append, a report of usage and an order counted as done for "HTTP/1.1 200" or "HTTP/2 200", as certainly not done for "HTTP/1.1 503", and as refused for "HTTP/1.1 409". Records behind such a head were applied, and its Store-Era replaced the known one, which voids all positions.

After a malformed one the call has no status: a read is unavailable, the outcome of a call that was sent is unknown, and the era stays as it was.

--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -277,6 +277,38 @@
 	}
 }
 
+/* A head that is malformed tells nothing: neither that a call was made, nor that it was not. A body
+ * whose length it leaves unclear is no answer of the store. */
+Test(control, malformed_heads, .timeout = 60)
+{
+	static const char *const responses[] = {
+		"HTTP/1.1  200 X\r\nContent-Length: 14\r\n\r\n{\"offset\": 7} ",
+		"HTTP/2 200 X\r\nContent-Length: 14\r\n\r\n{\"offset\": 7} ",
+		"HTTP/1.1 200 X\r\nContent-Length : 14\r\n\r\n{\"offset\": 7} ",
+		"HTTP/1.1 200 X\r\nX Foo: a\r\nContent-Length: 14\r\n\r\n{\"offset\": 7} ",
+		"HTTP/1.1 200 X\r\nX\001: a\r\nContent-Length: 14\r\n\r\n{\"offset\": 7} ",
+		"HTTP/1.1 200 X\r\nContent-Length: 2\r\nContent-Length: 14\r\n\r\n"
+		"{\"offset\": 7} ",
+		"HTTP/1.1  503 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1  412 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1  409 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 X\nContent-Length: 0\n\n",
+	};
+
+	for (size_t i = 0; i < sizeof(responses) / sizeof(responses[0]); i++) {
+		cr_expect_eq(outcome(REPORT, responses[i], 0, THEN_CLOSE), -BCT_EUNKNOWN_OUTCOME,
+			     "%zu", i);
+		cr_expect_eq(outcome(ORDER, responses[i], 0, THEN_CLOSE), -BCT_EUNKNOWN_OUTCOME,
+			     "%zu", i);
+		cr_expect_eq(outcome(APPEND, responses[i], 0, THEN_CLOSE), -BCT_EUNKNOWN_OUTCOME,
+			     "%zu", i);
+		cr_expect_eq(outcome(READ, responses[i], 0, THEN_CLOSE), -BCT_EUNAVAILABLE, "%zu",
+			     i);
+	}
+}
+
 /* The API is not trusted: a response must not fill the memory, which is bounded on a small VM. */
 Test(control, responses_that_are_too_large)
 {
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -183,6 +183,23 @@
 	}
 }
 
+/* A malformed head is that of no answer: neither its records nor its era count. */
+Test(store, a_malformed_head_is_no_answer)
+{
+	static const char *const bad[] = { "X Foo: a\r\n", "X-Foo : a\r\n", " X-Foo: a\r\n",
+					   "Content-Length: 1\r\n", "X\001: a\r\n" };
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		bct_registry_batch_t b = { 0 };
+		char headers[128];
+
+		snprintf(headers, sizeof(headers), "Store-Era: 5\r\n%s", bad[i]);
+		cr_assert_eq(read_changes(headers, bct_gate_position(4, 0), &b), -BCT_EUNAVAILABLE,
+			     "%s", bad[i]);
+		bct_registry_batch_free(&b);
+	}
+}
+
 /* Serves two pages of a listing and keeps the second request line. */
 typedef struct pages {
 	int fd;
