chuted, chutectl: a malformed head ends the transfer

What was seen: libcurl alone takes eight of the eleven heads of the new test for answers: the status 600, 101, two blanks before the status, names with a blank, a blank before the colon, bare line feeds, a malformed interim head and a malformed trailer. The polls of engines, orders to them, chutectl and "chuteload get" read answers so. A status 000 is refused by libcurl itself.

The record of the lines keeps its first error.

--- a/cmd/chutectl_http.c
+++ b/cmd/chutectl_http.c
@@ -4,6 +4,7 @@
 #include "cmd/chutectl.h"
 #include "base/buf.h"
 #include "base/err.h"
+#include "http/curl_lines.h"
 
 #include <curl/curl.h>
 #include <stdio.h>
@@ -94,10 +95,13 @@
 static ctl_exit_t transfer(const ctl_t *ctl, CURL *c, bool post, const bct_buf_t *response,
 			   json_t **out)
 {
-	CURLcode code = curl_easy_perform(c);
+	bct_answer_lines_t lines;
+	CURLcode code;
 	long status = 0;
 	ctl_exit_t res = CTL_OK;
 
+	bct_curl_check_lines(c, &lines);
+	code = curl_easy_perform(c);
 	if (code != CURLE_OK)
 		return fail_transfer(ctl, c, code, post);
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
@@ -147,6 +151,7 @@
 {
 	char url[URL_BYTES];
 	CURL *c = curl_easy_init();
+	bct_answer_lines_t lines;
 	CURLcode rc;
 	long status = 0;
 
@@ -154,6 +159,7 @@
 		return ctl_fail(ctl, CTL_INTERNAL, "%s", bct_err_text(BCT_ENOMEM));
 	snprintf(url, sizeof(url), "http://%s/metrics", ctl->node);
 	set_options(c, ctl, url, NULL, NULL, out);
+	bct_curl_check_lines(c, &lines);
 	rc = curl_easy_perform(c);
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_cleanup(c);
--- a/cmd/chuteload_http.c
+++ b/cmd/chuteload_http.c
@@ -4,6 +4,7 @@
 #include "cmd/chuteload.h"
 
 #include "base/err.h"
+#include "http/curl_lines.h"
 
 #include <stdio.h>
 
@@ -24,6 +25,7 @@
 	char url[512];
 	struct curl_slist *list = NULL, *more;
 	CURL *easy = curl_easy_init();
+	bct_answer_lines_t lines;
 	long status = 0;
 	CURLcode rc;
 
@@ -36,6 +38,7 @@
 	}
 	snprintf(url, sizeof(url), "http://%s%s", address, path);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
+	bct_curl_check_lines(easy, &lines);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
--- a/http/answer_lines.c
+++ b/http/answer_lines.c
@@ -25,7 +25,7 @@
 	return bct_http_framing_is_clear(&a->framing) ? 0 : -BCT_ECODEC;
 }
 
-int bct_answer_line(bct_answer_lines_t *a, const char *line, size_t len_bytes)
+static int check_line(bct_answer_lines_t *a, const char *line, size_t len_bytes)
 {
 	bct_http_framing_t trailer = { 0 };
 
@@ -43,3 +43,10 @@
 		return begin_head(a, line, len_bytes);
 	return len_bytes ? bct_http_field_check(line, len_bytes, &trailer) : 0;
 }
+
+int bct_answer_line(bct_answer_lines_t *a, const char *line, size_t len_bytes)
+{
+	if (!a->err)
+		a->err = check_line(a, line, len_bytes);
+	return a->err;
+}
--- a/http/answer_lines.h
+++ b/http/answer_lines.h
@@ -16,6 +16,7 @@
 	size_t bytes;		    /* of all lines */
 	bool in_head;		    /* its status line has been read, its empty line not */
 	bool is_final;		    /* that of the answer, not of an interim one */
+	int err;		    /* of the first line that is not sound; 0: none yet */
 } bct_answer_lines_t;
 
 /*
--- a/node/node_placement.c
+++ b/node/node_placement.c
@@ -11,6 +11,7 @@
 #include "base/err.h"
 #include "base/json.h"
 #include "base/mem.h"
+#include "http/curl_lines.h"
 #include "policy/placement.h"
 
 #include <ck_pr.h>
@@ -90,12 +91,14 @@
 	CURL *e = c->p->easy;
 	long status = 0;
 	char url[256];
+	bct_answer_lines_t lines;
 	CURLcode rc;
 
 	snprintf(url, sizeof(url), "http://%s%s%s:%u/engine/v1/orders", v6 ? "[" : "", u->address,
 		 v6 ? "]" : "", u->port);
 	curl_easy_reset(e);
 	curl_easy_setopt(e, CURLOPT_URL, url);
+	bct_curl_check_lines(e, &lines);
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_connected);
--- a/node/poller.c
+++ b/node/poller.c
@@ -6,6 +6,7 @@
 #include "node/poller.h"
 #include "base/err.h"
 #include "base/mem.h"
+#include "http/curl_lines.h"
 
 #include <ck_pr.h>
 #include <curl/curl.h>
@@ -28,6 +29,7 @@
 	bool busy;	     /* a transfer is running */
 	bool fetches_events; /* the running transfer fetches events, not the load */
 	CURL *easy;
+	bct_answer_lines_t lines; /* of the running transfer */
 	bct_buf_t body;
 	uint64_t next_event; /* sequence number to fetch events from */
 	bct_time_t last_due; /* when the engine was last due */
@@ -141,6 +143,7 @@
 	bct_buf_clear(&e->body);
 	e->fetches_events = events;
 	curl_easy_setopt(e->easy, CURLOPT_URL, url);
+	bct_curl_check_lines(e->easy, &e->lines);
 	e->busy = curl_multi_add_handle(p->multi, e->easy) == CURLM_OK;
 }
 
