gate: whoever waits at the end of a planned stop gets an answer

What callers saw: requests that were taken in the first moments of a planned stop, while callers may still use the node's address, and that their upstreams still worked on at the end of the grace period ended with a closed connection and no answer, also such as may not be repeated. What came later and might not end in time was refused before (503, not run), as tests/test_gate.c shows.

Cause: at the end of the grace the event loop ended, and with it all connections.

Change: at that moment each request in progress is answered: 502 if it may have run, 503 with Retry-After if it was not sent. A stream that has begun is cut, and does not look complete.

Why this is best for callers: a closed connection and a 502 both promise nothing, but a caller that reads 503 knows that it may send an unsafe request elsewhere, and nobody has to find out by a time limit whether the connection or the node broke.

--- a/gate/client.c
+++ b/gate/client.c
@@ -452,6 +452,20 @@
 	}
 }
 
+void bct_clients_end_requests(bct_gate_t *g)
+{
+	bct_list_t *el, *tmp;
+
+	bct_list_for_each_safe(el, tmp, &g->clients) {
+		bct_client_t *c = bct_container_of(el, bct_client_t, link);
+
+		if (!c->x)
+			continue;
+		c->close_after = true;
+		c->port->ops->stop(c->x);
+	}
+}
+
 void bct_clients_check_windows(bct_gate_t *g)
 {
 	bct_list_t *el;
--- a/gate/exchange.c
+++ b/gate/exchange.c
@@ -16,7 +16,6 @@
 #include <string.h>
 
 #define NOT_READY_RETRY_MS 500	     /* Retry-After before a configuration is known */
-#define STOPPING_RETRY_MS 20	     /* the same for a caller that has other nodes to go to */
 #define CONNECT_TIMEOUT_MS 300	     /* a round trip with the handshake takes a few milliseconds */
 #define SAFE_SILENCE_PERMILLE 500    /* of the latency target: then a safe request is retried */
 #define STREAM_SILENCE_PERMILLE 2000 /* the same for a resumable stream without output */
@@ -285,11 +284,7 @@
 	if (bct_gate_takes_on(x->gate, bct_exchange_deadline(x)))
 		return false;
 	x->client->close_after = true;
-	bct_exchange_refuse(x, BCT_GATE_END_STOPPING,
-			    &(bct_answer_opts_t){ .status = 503,
-						  .retry_after_ms = STOPPING_RETRY_MS,
-						  .text = "this node stops; the request was not "
-							  "run" });
+	bct_exchange_refuse_stopping(x);
 	return true;
 }
 
@@ -342,4 +337,5 @@
 	.flushed = bct_exchange_flushed,
 	.gone = bct_exchange_abandon,
 	.drop_kept = bct_exchange_drop_kept,
+	.stop = bct_exchange_stop,
 };
--- a/gate/exchange_end.c
+++ b/gate/exchange_end.c
@@ -13,6 +13,7 @@
  * times. The random spread keeps callers from returning all at once. */
 #define NOT_RUN_RETRY_MS 150
 #define NOT_RUN_RETRY_SPREAD_MS 150
+#define STOPPING_RETRY_MS 20 /* for a caller that has other nodes to go to */
 
 void bct_exchange_free(bct_exchange_t *x)
 {
@@ -208,6 +209,29 @@
 							  "request may have run" });
 }
 
+void bct_exchange_refuse_stopping(bct_exchange_t *x)
+{
+	bct_exchange_refuse(x, BCT_GATE_END_STOPPING,
+			    &(bct_answer_opts_t){ .status = 503,
+						  .retry_after_ms = STOPPING_RETRY_MS,
+						  .text = "this node stops; the request was not "
+							  "run" });
+}
+
+void bct_exchange_stop(bct_exchange_t *x)
+{
+	bct_crash_given_up(x);
+	if (x->answer_started)
+		bct_exchange_end(x, BCT_GATE_END_STOPPING, true);
+	else if (x->may_have_run)
+		bct_exchange_refuse(x, BCT_GATE_END_STOPPING,
+				    &(bct_answer_opts_t){ .status = 502,
+							  .text = "this node stops; the request "
+								  "may have run" });
+	else
+		bct_exchange_refuse_stopping(x);
+}
+
 void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end)
 {
 	x->client = NULL;
--- a/gate/exchange_int.h
+++ b/gate/exchange_int.h
@@ -78,6 +78,11 @@
 void bct_exchange_give_up(bct_exchange_t *x);
 /* bct_exchange_abandon(3): end without an answer: the caller disconnected or this node stops. */
 void bct_exchange_abandon(bct_exchange_t *x, bct_gate_end_t end);
+/* bct_exchange_refuse_stopping(3): end with 503: this node stops, and the request was not run.
+ * bct_exchange_stop(3): the same, but with 502 when it may have run; or truncate the response if it
+ * has begun. */
+void bct_exchange_refuse_stopping(bct_exchange_t *x);
+void bct_exchange_stop(bct_exchange_t *x);
 /* bct_exchange_drop_kept(3): end with 502: there is no room to keep its answer until it is whole.
  */
 void bct_exchange_drop_kept(bct_exchange_t *x);
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -26,6 +26,7 @@
 #include <sys/resource.h>
 
 #define TICK_MS 100
+#define FLUSH_MS 200 /* for the last answers of a planned stop to reach their callers */
 
 static void release_upstream(void *ctx, bct_gate_upstream_t *u)
 {
@@ -61,8 +62,9 @@
 /*
  * Stops listening and closes idle connections once the addresses that callers obtained have
  * expired. Ends the event loop when no connection remains and the duties are released, or when the
- * grace period is over. Registry calls stop early enough for one in progress to time out before
- * that.
+ * grace period is over. Requests that are still in progress then are answered: a caller that has
+ * no answer can't tell whether to send its request again. Registry calls stop early enough for one
+ * in progress to time out before that.
  */
 static void drain_step(bct_gate_t *g)
 {
@@ -76,8 +78,10 @@
 	}
 	if (elapsed_ms >= deadline_ms - (bct_time_t)g->settings->platform_timeout_ms)
 		bct_registry_sync_stop(g->registry_sync);
+	if (elapsed_ms >= deadline_ms)
+		bct_clients_end_requests(g);
 	if ((addresses_expired && !bct_clients_served(g) && bct_duty_stopped(g->duty)) ||
-	    elapsed_ms >= deadline_ms)
+	    elapsed_ms >= deadline_ms + FLUSH_MS)
 		event_base_loopbreak(g->base);
 }
 
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -169,6 +169,8 @@
 
 /* client.c */
 void bct_clients_close_idle(bct_gate_t *g);
+/* bct_clients_end_requests(3): ends all requests in progress, with answers, as the node leaves. */
+void bct_clients_end_requests(bct_gate_t *g);
 /* bct_clients_count_ahead(3): counts what the kernel has received from callers that send ahead;
  * to be called every tick. */
 void bct_clients_count_ahead(bct_gate_t *g);
@@ -188,6 +190,8 @@
 	void (*gone)(bct_exchange_t *x, bct_gate_end_t end);
 	/* there is no room to keep the answer until it is whole */
 	void (*drop_kept)(bct_exchange_t *x);
+	/* this node is about to leave: ends the request with an answer */
+	void (*stop)(bct_exchange_t *x);
 };
 
 /* A caller's connection. */
