gate: what the kernel receives ahead from upstreams is bounded

What was seen: 200 requests at once whose upstream sends a body without end, or a long one that never becomes whole: a gateway on a machine of 40 MB held 43 and 44 MB, 13 to 14 of them in the kernel, and up to 24 MB in the kernel with interim answers without end. Each answer by itself was cut off in time, and the process lived.

Cause: the receive buffers of connections to upstreams had the kernel's own sizes, 128 KB at first and megabytes later, as those of callers before gate.socket_buffer_bytes.

Change: that setting holds for what is received from upstreams, too, at twice its size, and is set before the connection is opened, as the first window is announced then.

--- a/Makefile
+++ b/Makefile
@@ -113,7 +113,7 @@
 # Clients that don't behave, for tests/proc_crowd_*.sh, and what a gateway needs beside them.
 $(BIN)/crowd: $(call obj,tests/crowd.c tests/crowd_watch.c) $(LIB)
 	$(link)
-$(BIN)/crowd-backend: $(call obj,tests/crowd_backend.c) $(LIB)
+$(BIN)/crowd-backend: $(call obj,tests/crowd_backend.c tests/crowd_broken.c) $(LIB)
 	$(link)
 
 $(BIN)/soak: $(call obj,$(sort $(SOAK_SRCS) $(DUTIES_SRCS))) $(LIB)
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -16,6 +16,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define HEAD_MAX_BYTES (64 * 1024) /* of a response */
 #define IDLE_DEFAULT_MS 4000	   /* if the upstream does not state its keep-alive time */
@@ -28,6 +29,7 @@
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most */
 /* Interim answers and answers to other requests that are skipped at most; above a late stream. */
 #define USELESS_MAX_BYTES (256 * 1024)
+#define RCVBUF_FACTOR 2 /* of gate.socket_buffer_bytes: answers are longer than requests */
 
 typedef struct idle_list {
 	bct_list_t conns; /* most recently used first */
@@ -296,6 +298,25 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
 }
 
+/*
+ * Opens the socket. What the kernel receives ahead is bounded before the window is first announced:
+ * its own sizes grow to megabytes, and many upstreams may send without end.
+ */
+static int open_socket(bct_upconn_t *c)
+{
+	int bytes = (int)(c->gate->settings->gate_socket_buffer_bytes * RCVBUF_FACTOR);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -BCT_EIO;
+	if (bytes)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	if (!bufferevent_setfd(c->bev, fd))
+		return 0;
+	close(fd);
+	return -BCT_ENOMEM;
+}
+
 static int start_connect(bct_upconn_t *c)
 {
 	const bct_gate_entry_t *e = &c->upstream->entry;
@@ -303,6 +324,8 @@
 
 	if (inet_pton(AF_INET, e->ip, &sa.sin_addr) != 1)
 		return -BCT_EINVAL;
+	if (open_socket(c))
+		return -BCT_EUNAVAILABLE;
 	if (bufferevent_socket_connect(c->bev, (struct sockaddr *)&sa, sizeof(sa)))
 		return -BCT_EUNAVAILABLE;
 	set_options(bufferevent_getfd(c->bev));
--- a/tests/crowd_backend.c
+++ b/tests/crowd_backend.c
@@ -1,8 +1,10 @@
 /*
- * crowd_backend.c - what a gateway needs to serve requests: a store with one configuration and one
- * entry, and the upstream that the entry names. Prints "listening PORT", that of the store, and
- * runs until it is terminated.
+ * crowd_backend.c - what a gateway needs to serve requests: a store with one configuration and two
+ * entries, and the upstreams that they name, one of them broken. Prints "listening PORT", that of
+ * the store, and runs until it is terminated.
  */
+#include "tests/crowd_broken.h"
+
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -27,33 +29,60 @@
 	"\"attempts\":2},"                                                                      \
 	"{\"name\":\"unsafe\",\"host\":\"h\",\"path_prefix\":\"/unsafe/\",\"kind\":\"unsafe\"," \
 	"\"timeout_ms\":5000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"desk\","    \
+	"\"attempts\":1},"                                                                      \
+	"{\"name\":\"broken\",\"host\":\"h\",\"path_prefix\":\"/broken/\",\"kind\":\"unsafe\"," \
+	"\"timeout_ms\":5000,\"target_latency_ms\":300,\"priority\":1,\"service\":\"broken\","  \
 	"\"attempts\":1}],"                                                                     \
-	"\"services\":[{\"name\":\"desk\"}],"                                                   \
+	"\"services\":[{\"name\":\"desk\"},{\"name\":\"broken\"}],"                             \
 	"\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"                    \
 	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":10000},"                                \
 	"\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"k1\"]}]}"
 
 static char answer[LARGE_BYTES];
 
-/* Lists the configuration (topic keyed.op), or the upstream, whose port is ctx. */
+/* The ports of the two upstreams. */
+typedef struct upstreams {
+	uint16_t sound;
+	uint16_t broken;
+} upstreams_t;
+
+static void put_item(struct evbuffer *out, const char *key, const char *text)
+{
+	char encoded[TEXT_BYTES * 2];
+
+	sodium_bin2base64(encoded, sizeof(encoded), (const unsigned char *)text, strlen(text),
+			  sodium_base64_VARIANT_ORIGINAL);
+	evbuffer_add_printf(out, "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":1}", key, encoded);
+}
+
+static void put_entry(struct evbuffer *out, const char *key, const char *service, uint16_t port)
+{
+	char text[TEXT_BYTES];
+
+	snprintf(text, sizeof(text),
+		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
+		 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+		 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
+		 service, port);
+	put_item(out, key, text);
+}
+
+/* Lists the configuration (topic keyed.op), or the upstreams. */
 static void on_newest(struct evhttp_request *req, void *ctx)
 {
 	bool config = strstr(evhttp_request_get_uri(req), "keyed.op") != NULL;
+	const upstreams_t *u = ctx;
 	struct evbuffer *out = evbuffer_new();
-	char text[TEXT_BYTES] = CONFIG, encoded[TEXT_BYTES * 2];
-
-	if (!config)
-		snprintf(text, sizeof(text),
-			 "{\"service\":\"desk\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z\","
-			 "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
-			 "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}",
-			 *(uint16_t *)ctx);
-	sodium_bin2base64(encoded, sizeof(encoded), (const unsigned char *)text, strlen(text),
-			  sodium_base64_VARIANT_ORIGINAL);
-	evbuffer_add_printf(out,
-			    "{\"items\":[{\"key\":\"%s\",\"value\":\"%s\",\"offset\":1}],"
-			    "\"more\":false,\"end_offset\":2}",
-			    config ? "config" : "i-1", encoded);
+
+	evbuffer_add_printf(out, "{\"items\":[");
+	if (config) {
+		put_item(out, "config", CONFIG);
+	} else {
+		put_entry(out, "i-1", "desk", u->sound);
+		evbuffer_add_printf(out, ",");
+		put_entry(out, "i-2", "broken", u->broken);
+	}
+	evbuffer_add_printf(out, "],\"more\":false,\"end_offset\":2}");
 	evhttp_send_reply(req, 200, "OK", out);
 	evbuffer_free(out);
 }
@@ -126,12 +155,13 @@
 int main(void)
 {
 	struct event_base *base = event_base_new();
-	uint16_t store_port, upstream_port;
+	upstreams_t u = { .broken = crowd_broken_serve() };
+	uint16_t store_port;
 	struct evhttp *store = serve(base, &store_port);
-	struct evhttp *upstream = serve(base, &upstream_port);
+	struct evhttp *upstream = serve(base, &u.sound);
 
 	memset(answer, 'a', sizeof(answer));
-	evhttp_set_cb(store, "/api/log-newest", on_newest, &upstream_port);
+	evhttp_set_cb(store, "/api/log-newest", on_newest, &u);
 	evhttp_set_cb(store, "/api/log-read", on_log, NULL);
 	evhttp_set_gencb(upstream, on_request, base);
 	printf("listening %u\n", store_port);
