gate: what is kept of upstreams' heads counts, for all connections together

What was seen: upstreams that send most of the longest head, or all of it, and then nothing. Each is bounded (64 KB), but a node kept that for each of its connections, and none of it counted towards gate.memory_bytes: 40 of them held 2.4 MB on a machine with a bound of 2 MB while the node reported 200 bytes.

Cause: the bound counted the body of an answer, not the head nor what had been read of it.

Change: the input of a connection to an upstream and the text of the head count for the caller whose request it carries, as kept bytes, until the attempt ends. At the last step of the bound the longest of them end, with 502. An idle connection keeps 4 KB of memory for heads at most, as those of callers do.

--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -311,6 +311,8 @@
 	bool unattributed; /* the answer being read names no request, and is not the first on it */
 	bool progress;	   /* bytes of the answer to the current request were accepted */
 	size_t useless_bytes;	 /* received since then */
+	bct_client_t *counted;	 /* caller for whom its input and its head count; NULL: none */
+	size_t head_bytes;	 /* that count for it */
 	struct event *end_timer; /* an orderly end came before the request was delivered; or NULL */
 	bct_time_t opened;
 	bct_time_t sent_at;
--- a/gate/memory.c
+++ b/gate/memory.c
@@ -72,15 +72,35 @@
 	changed(ctx, info, BCT_GATE_MEMORY_UNREAD);
 }
 
+static const evbuffer_cb_func callbacks[BCT_GATE_MEMORY_KINDS] = { on_request, on_kept, on_unread };
+
 void bct_memory_watch(bct_client_t *c, struct evbuffer *buffer, bct_gate_memory_kind_t kind)
 {
-	static const evbuffer_cb_func callbacks[BCT_GATE_MEMORY_KINDS] = { on_request, on_kept,
-									   on_unread };
-
 	if (c->gate->memory)
 		evbuffer_add_cb(buffer, callbacks[kind], c);
 }
 
+void bct_memory_unwatch(bct_client_t *c, struct evbuffer *buffer, bct_gate_memory_kind_t kind)
+{
+	struct evbuffer_cb_info gone = { .n_deleted = evbuffer_get_length(buffer) };
+
+	if (!c->gate->memory)
+		return;
+	evbuffer_remove_cb(buffer, callbacks[kind], c);
+	gone.orig_size = gone.n_deleted;
+	changed(c, &gone, kind);
+}
+
+void bct_memory_kept(bct_client_t *c, size_t before_bytes, size_t now_bytes)
+{
+	struct evbuffer_cb_info change = { .orig_size = before_bytes,
+					   .n_added = now_bytes,
+					   .n_deleted = before_bytes };
+
+	if (c->gate->memory && before_bytes != now_bytes)
+		changed(c, &change, BCT_GATE_MEMORY_KEPT);
+}
+
 void bct_memory_ahead(bct_client_t *c, size_t bytes)
 {
 	bct_memory_t *m = c->gate->memory;
--- a/gate/memory.h
+++ b/gate/memory.h
@@ -23,6 +23,13 @@
 /* bct_memory_watch(3): the bytes in a buffer count for the connection from now on; it is empty. */
 void bct_memory_watch(bct_client_t *c, struct evbuffer *buffer, bct_gate_memory_kind_t kind);
 
+/* bct_memory_unwatch(3): what is in a buffer that is watched counts no more. */
+void bct_memory_unwatch(bct_client_t *c, struct evbuffer *buffer, bct_gate_memory_kind_t kind);
+
+/* bct_memory_kept(3): bytes of its answer, in no buffer that is watched, that the node keeps for
+ * the connection now, and kept at the call before. */
+void bct_memory_kept(bct_client_t *c, size_t before_bytes, size_t now_bytes);
+
 /* bct_memory_ahead(3): bytes that the kernel has received behind what is being handled, and that
  * this node does not read yet. */
 void bct_memory_ahead(bct_client_t *c, size_t bytes);
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/mem.h"
 #include "gate/gate_int.h"
+#include "gate/memory.h"
 #include "gate/reach.h"
 #include "gate/window.h"
 #include "http/bev.h"
@@ -19,6 +20,7 @@
 #include <unistd.h>
 
 #define HEAD_MAX_BYTES (64 * 1024) /* of a response */
+#define HEAD_KEPT_BYTES 4096	   /* of memory for heads, kept between requests */
 #define IDLE_DEFAULT_MS 4000	   /* if the upstream does not state its keep-alive time */
 #define IDLE_MAX_MS 8000
 #define IDLE_PERMILLE 500    /* of the keep-alive time stated, to close before the upstream does */
@@ -50,9 +52,39 @@
 	return l;
 }
 
+/* What is read for a request counts for its caller: upstreams that send long heads, or parts of
+ * them, must not fill the memory, however many there are. */
+static void count_for_caller(bct_upconn_t *c)
+{
+	c->counted = c->x->client;
+	if (c->counted)
+		bct_memory_watch(c->counted, bufferevent_get_input(c->bev), BCT_GATE_MEMORY_KEPT);
+}
+
+static void count_head(bct_upconn_t *c)
+{
+	size_t bytes = c->msg.text.cap_bytes;
+
+	if (!c->counted)
+		return;
+	bct_memory_kept(c->counted, c->head_bytes, bytes);
+	c->head_bytes = bytes;
+}
+
+static void count_no_more(bct_upconn_t *c)
+{
+	if (!c->counted)
+		return;
+	bct_memory_unwatch(c->counted, bufferevent_get_input(c->bev), BCT_GATE_MEMORY_KEPT);
+	bct_memory_kept(c->counted, c->head_bytes, 0);
+	c->counted = NULL;
+	c->head_bytes = 0;
+}
+
 void bct_upconn_close(bct_upconn_t *c)
 {
 	bct_list_del(&c->link);
+	count_no_more(c);
 	if (c->x)
 		c->x->conn = NULL;
 	if (c->end_timer)
@@ -154,6 +186,7 @@
 		bct_http_state_t s = bct_http_msg_read(&c->msg, in, HEAD_MAX_BYTES);
 
 		count_useless(c, before - evbuffer_get_length(in));
+		count_head(c);
 		if (s == BCT_HTTP_FAILED || c->useless_bytes > USELESS_MAX_BYTES) {
 			c->x->ops->fault(c->x, BCT_FAULT_BAD_ANSWER);
 			return;
@@ -261,6 +294,8 @@
 	}
 	c->idle_since = bct_clock_now();
 	c->idle_limit_ms = limit_ms;
+	if (c->msg.text.cap_bytes > HEAD_KEPT_BYTES)
+		bct_http_msg_drop_head(&c->msg);
 	/* While reading is paused, a close by the upstream would go unnoticed. */
 	bct_upconn_pause(c, false);
 	c->resumed = 0;
@@ -395,8 +430,10 @@
 	} else {
 		c = open_conn(g, u);
 	}
-	if (c)
-		c->x = x;
+	if (!c)
+		return NULL;
+	c->x = x;
+	count_for_caller(c);
 	return c;
 }
 
@@ -443,6 +480,7 @@
 
 void bct_upconn_done(bct_upconn_t *c)
 {
+	count_no_more(c);
 	if (c->x)
 		c->x->conn = NULL;
 	c->x = NULL;
--- a/tests/test_gate_broken.c
+++ b/tests/test_gate_broken.c
@@ -3,13 +3,20 @@
  * neither may reach a caller as an answer. util_raw.h sends them.
  */
 #include "base/clock.h"
+#include "gate/memory.h"
 #include "tests/util_gate.h"
 #include "tests/util_raw.h"
 
 #include <criterion/criterion.h>
+#include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#define CALLERS 40	 /* a node of this memory takes 52 connections */
+#define HEAD_BYTES 60000 /* the gateway takes 64 KB */
+#define MEMORY_BYTES 5000000U
+#define BOUND_BYTES (MEMORY_BYTES * 4 / 10)
 #define OWN "X-Buckthornchute-Request-Attempt-Id: @id\r\nX-Buckthornchute-Server-Seal: s\r\n"
 #define BROKEN(first_line)                                                      \
 	{                                                                       \
@@ -223,7 +230,7 @@
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN
 		  "Content-Length: 6\r\nContent-Length: 12\r\n\r\ntheirstheirs" },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 6\r\nTransfer-Encoding: "
-					    "chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n" },
+		  "chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n" },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: +6\r\n\r\ntheirs" },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 6, 6\r\n\r\ntheirs" },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 18446744073709551622\r\n\r\ntheirs" },
@@ -239,6 +246,78 @@
 	expect_unknown(no_length, COUNT(no_length));
 }
 
+typedef struct caller {
+	pthread_t thread;
+	uint32_t number;
+	int status;
+} caller_t;
+
+static void *call_long_head(void *arg)
+{
+	caller_t *c = arg;
+	bct_buf_t out;
+	char id[32];
+
+	snprintf(id, sizeof(id), "long-%u", c->number);
+	c->status =
+		test_gate_call(&t, "POST", "/unsafe/a", id, c->number % 2 ? "raw1" : "raw0", &out);
+	bct_buf_free(&out);
+	return NULL;
+}
+
+static uint64_t held_bytes(void)
+{
+	const char name[] = "\nbct_gate_held_bytes ";
+	uint64_t bytes;
+	bct_buf_t out;
+
+	bct_buf_init(&out, 0);
+	bct_memory_print(t.gate, &out);
+	bytes = strtoull(strstr(out.data, name) + strlen(name), NULL, 10);
+	bct_buf_free(&out);
+	return bytes;
+}
+
+/*
+ * Many upstreams send most of the longest head, or all of it, and then nothing: what is kept of all
+ * of them together has to count, and to stay within the bound.
+ */
+Test(gate_broken, long_heads_count_together, .timeout = 60)
+{
+	static char field[HEAD_BYTES + 1], part[HEAD_BYTES + 512], whole[HEAD_BYTES + 1024];
+	raw_answer_t raw[] = { { .text = part, .end = RAW_SILENT },
+			       { .text = whole, .end = RAW_SILENT } };
+	caller_t callers[CALLERS];
+	uint64_t most = 0;
+	bct_buf_t out;
+
+	memset(field, 'h', HEAD_BYTES);
+	snprintf(part, sizeof(part), "HTTP/1.1 200 OK\r\n" OWN "X-Long: %s", field);
+	snprintf(whole, sizeof(whole), "%s\r\nContent-Length: 10\r\n\r\n", part);
+	test_gate_start_bounded(&t, MEMORY_BYTES);
+	t.raw = raw;
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		callers[i].number = i;
+		pthread_create(&callers[i].thread, NULL, call_long_head, &callers[i]);
+	}
+	for (bct_time_t end = bct_clock_now() + 900; bct_clock_now() < end;) {
+		uint64_t now = held_bytes();
+
+		most = now > most ? now : most;
+		bct_clock_sleep(1);
+	}
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		pthread_join(callers[i].thread, NULL);
+		cr_expect_geq(callers[i].status, 502, "%u: %d", i, callers[i].status);
+	}
+	cr_expect_gt(most, 10 * HEAD_BYTES, "%lu bytes counted", (unsigned long)most);
+	cr_expect_leq(most, BOUND_BYTES, "%lu bytes held", (unsigned long)most);
+	cr_expect_eq(held_bytes(), 0);
+	cr_expect_eq(test_gate_call(&t, "POST", "/unsafe/a", "after", "ok", &out), 200);
+	bct_buf_free(&out);
+	test_gate_stop(&t);
+}
+
 /* All characters that a name may have, and what a value may have beside text. */
 Test(gate_broken, every_field_is_passed_on)
 {
--- a/tests/util_upstream.c
+++ b/tests/util_upstream.c
@@ -386,6 +386,12 @@
 		run = record_run(c, &in, action, sizeof(action));
 		if (!take_action(c, action, run))
 			break;
+		/* A close with unread bytes would reset the connection, and the answer with it. */
+		if (is_early(in.head)) {
+			while (recv(c->fd, buf, sizeof(buf), 0) > 0)
+				;
+			break;
+		}
 		snprintf(c->last_id, sizeof(c->last_id), "%s", in.call_id);
 	}
 	close_conn(c->u, c->fd);
