chuted: an answer that is collected from a generation is bounded

What was seen: an engine that generates without end, far past what the request allows, for a caller who did not ask for a stream: the node collected 151 MB of text in 8 s, and would have gone on until it had no memory; the caller had no answer by then.

Cause: the text of a generation that is not streamed had no limit; upstream.max_answer_bytes held for the answers of services and for engines' errors.

Change: it holds for this text, too. What exceeds it is a bad answer, which may have run.

Evidence: node_broken/a_generation_without_end_is_cut_off fails on the code before (150,784 KB, no answer) and passes now; test_front, proc_engine_faults and proc_load pass.

--- a/node/upstream.c
+++ b/node/upstream.c
@@ -137,6 +137,9 @@
 	snprintf(a->req_id_hex, sizeof(a->req_id_hex), "%016" PRIx64, a->req->id);
 	bct_list_init(&a->link);
 	bct_buf_init(&a->answer, p->opts.max_answer_bytes);
+	/* A streamed one is bounded by pauses, this one by nothing else than the engine. */
+	if (!a->req->stream)
+		a->req->out.max_bytes = p->opts.max_answer_bytes;
 	return a;
 }
 
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -25,7 +25,7 @@
 typedef struct bct_upstream_opts {
 	uint32_t threads;
 	uint32_t stream_buffer_bytes; /* unread output of a caller at which receiving pauses */
-	uint32_t max_answer_bytes;    /* of a service, or of an engine's error */
+	uint32_t max_answer_bytes;    /* of one that is not streamed, or of an engine's error */
 	bct_upstream_events_t events;
 } bct_upstream_opts_t;
 
@@ -48,7 +48,7 @@
 void bct_upstream_pool_free(bct_upstream_pool_t *p);
 
 /*
- * bct_upstream_start(3): start an attempt.
+ * bct_upstream_start(3): start an attempt. Call with the request's lock held.
  *
  * out      set to the attempt, without a reference. It is valid until the end event; a caller can
  *          delay that event by holding a lock that its handler takes
--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,6 +33,8 @@
 #define EVENT(word) "data: {\"id\":\"cmpl-@id\",\"choices\":[{\"text\":\"" word "\"}]}\n\n"
 #define STREAM "HTTP/1.1 200 OK\r\n" OWN "Content-Type: text/event-stream\r\n\r\n"
 #define ID "Chute-Attempt"
+#define WORD "a long word that an engine repeats again and again and again and again and again"
+#define KEPT_MAX_KB (32 * 1024) /* of one answer; upstream.max_answer_bytes is 8 MB */
 #define POLLS "GET /engine/"
 #define COUNT(list) (uint32_t)(sizeof(list) / sizeof(list[0]))
 
@@ -269,6 +272,35 @@
 	}
 }
 
+static long memory_kb(void)
+{
+	struct rusage now;
+
+	getrusage(RUSAGE_SELF, &now);
+	return now.ru_maxrss;
+}
+
+/* An engine generates without end, also far more tokens than the request allows: what is kept of
+ * that until the answer is whole is bounded. */
+Test(node_broken, a_generation_without_end_is_cut_off, .timeout = 60)
+{
+	static const raw_answer_t raw = { .text = STREAM,
+					  .end = RAW_ENDLESS,
+					  .again = EVENT(WORD) };
+	long before;
+	test_node_t t;
+	bct_buf_t out;
+	int status;
+
+	test_node_start_at(&t, "", test_raw_serve(&raw, 1, ID, POLLS), 0);
+	before = memory_kb();
+	status = complete(&t, false, &out);
+	cr_expect(status >= 500, "%d: %.200s", status, out.data);
+	cr_expect_lt(memory_kb() - before, KEPT_MAX_KB, "%ld KB", memory_kb() - before);
+	bct_buf_free(&out);
+	test_node_stop(&t);
+}
+
 /* Bytes without end are cut off, whether they come in a head, in a body, or as interim answers. */
 Test(node_broken, bytes_without_end_are_cut_off, .timeout = 60)
 {
--- a/tests/util_raw.c
+++ b/tests/util_raw.c
@@ -34,17 +34,17 @@
 } raw_conn_t;
 
 /* Copies the text with the request's id in place of "@id". Returns the length. */
-static size_t fill_in(const raw_answer_t *a, const char *id, char *out)
+static size_t fill_in(const char *text, size_t len, const char *id, char *out)
 {
-	size_t len = a->len_bytes ? a->len_bytes : strlen(a->text), n = 0;
+	size_t n = 0;
 
 	for (size_t i = 0; i < len && n + strlen(id) < TEXT_BYTES; i++) {
-		if (len - i >= 3 && !memcmp(a->text + i, "@id", 3)) {
+		if (len - i >= 3 && !memcmp(text + i, "@id", 3)) {
 			memcpy(out + n, id, strlen(id));
 			n += strlen(id);
 			i += 2;
 		} else {
-			out[n++] = a->text[i];
+			out[n++] = text[i];
 		}
 	}
 	return n;
@@ -73,10 +73,9 @@
 void test_raw_send(int fd, const raw_answer_t *a, const char *id)
 {
 	char *text = malloc(TEXT_BYTES);
-	size_t len = fill_in(a, id, text);
+	size_t len = fill_in(a->text, a->len_bytes ? a->len_bytes : strlen(a->text), id, text);
 
 	send(fd, text, len, MSG_NOSIGNAL);
-	free(text);
 	if (a->end == RAW_RESET || a->end == RAW_LATE_RESET) {
 		if (a->end == RAW_LATE_RESET)
 			shutdown(fd, SHUT_WR);
@@ -88,9 +87,11 @@
 	} else if (a->end == RAW_SILENT) {
 		wait_closed(fd, RAW_SILENT_MS);
 	} else if (a->end == RAW_ENDLESS) {
-		while (send(fd, a->again, strlen(a->again), MSG_NOSIGNAL) > 0)
+		len = fill_in(a->again, strlen(a->again), id, text);
+		while (send(fd, text, len, MSG_NOSIGNAL) > 0)
 			;
 	}
+	free(text);
 }
 
 /* Reads the head of a request. Returns false when the connection ended. */
