chuted: the answers of all requests share a bounded room

What was seen: 300 calls at once to a service that sends 2.5 MB of an answer and then nothing: the process grew by 645 and 681 MB in two runs, far beyond the 256 MB of a node. Each answer by itself was within upstream.max_answer_bytes (8 MB).

Cause: that bounds one answer; nothing bounded their sum.

Change: the room for callers' bodies (node/front_room, now node/room, its policy unchanged) is used once more, for answers: bodies of services and of engines' errors, the text of generations that are not streamed, until the request is freed, and parts of events. Its size is upstream.answer_memory_bytes, 40 MB by default; the last quarter is for answers of up to 64 KB. An answer that does not fit is given up as a bad one, which may have run; ANSWERS_REFUSED (113) is logged, once a second at most.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -79,6 +79,8 @@
 	    "an answer was cut to free memory, as its caller did not read it")                     \
 	DEF(BODIES_REFUSED, 111, WARN,                                                             \
 	    "requests were refused, as there was no room for their bodies")                        \
+	DEF(ANSWERS_REFUSED, 113, WARN,                                                            \
+	    "answers were given up, as there was no room to keep them until they were whole")      \
 	DEF(CONNECTIONS_LIMIT, 112, WARN,                                                          \
 	    "connections ended for new ones, or new ones were refused, at the limit")              \
 	DEF(GATE_AHEAD_CUT, 430, WARN,                                                             \
--- a/gen/settings.c
+++ b/gen/settings.c
@@ -41,6 +41,7 @@
 	{ "upstream.threads", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_threads), 0, 0, 1, 64U, false, "2" },
 	{ "upstream.report_ms", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_report_ms), 0, 0, 50, 60000U, false, "500" },
 	{ "upstream.max_answer_bytes", BCT_SETTING_U32, offsetof(bct_settings_t, upstream_max_answer_bytes), 0, 0, 1024, 268435456U, false, "8388608" },
+	{ "upstream.answer_memory_bytes", BCT_SETTING_NUMBER, offsetof(bct_settings_t, upstream_answer_memory_bytes), 0, 0, 0, 4000000000U, false, "40000000" },
 	{ "gate.listen", BCT_SETTING_STRING, offsetof(bct_settings_t, gate_listen), 0, 64, 0, 0U, false, "" },
 	{ "gate.resolve", BCT_SETTING_STRING, offsetof(bct_settings_t, gate_resolve), 0, 64, 0, 0U, false, "" },
 	{ "gate.readiness", BCT_SETTING_STRING, offsetof(bct_settings_t, gate_readiness), 0, 64, 0, 0U, false, "" },
--- a/gen/settings.h
+++ b/gen/settings.h
@@ -45,6 +45,7 @@
 	uint32_t upstream_threads;
 	uint32_t upstream_report_ms;
 	uint32_t upstream_max_answer_bytes;
+	uint32_t upstream_answer_memory_bytes;
 	char gate_listen[64];
 	char gate_resolve[64];
 	char gate_readiness[64];
@@ -76,6 +77,6 @@
 } bct_settings_t;
 
 extern const bct_setting_desc_t bct_settings_table[];
-#define BCT_SETTINGS_COUNT 64
+#define BCT_SETTINGS_COUNT 65
 
 #endif
--- a/node/answer.c
+++ b/node/answer.c
@@ -115,6 +115,14 @@
 		r->prompt_tokens = (uint32_t)json_integer_value(prompt);
 }
 
+/* Keeps the text of an answer that is not streamed. Call with the request's lock held. */
+static int keep_text(bct_request_t *r, const char *text)
+{
+	int rc = bct_request_keep(r, strlen(text));
+
+	return rc ? rc : bct_buf_puts(&r->out, text);
+}
+
 /* Appends a chunk to the output and counts its token. Call with the request's lock held. */
 static int append_chunk(bct_attempt_t *a, json_t *chunk, const char *data, size_t len,
 			bct_time_t now)
@@ -130,7 +138,7 @@
 	if (r->stream)
 		rc = append_event(r, a, data, len);
 	else
-		rc = text ? bct_buf_puts(&r->out, text) : 0;
+		rc = text ? keep_text(r, text) : 0;
 	if (rc)
 		return rc;
 	if (text) {
--- a/node/attempt.h
+++ b/node/attempt.h
@@ -69,8 +69,9 @@
 	bool withheld;	   /* not sent: too late, or no longer the request's current attempt */
 	int status;	   /* HTTP status; 0 until headers are received */
 	uint32_t retry_after_ms;
-	uint32_t tokens;  /* received by this attempt */
-	bct_buf_t answer; /* body of a service's answer or of an engine's error */
+	uint64_t partial_bytes; /* of an event that is not whole, in the room for answers */
+	uint32_t tokens;	/* received by this attempt */
+	bct_buf_t answer;	/* body of a service's answer or of an engine's error */
 	bct_time_t started;
 	bct_time_t progress; /* last sending, receiving or unpausing; stall_ms counts from it */
 };
--- a/node/core.c
+++ b/node/core.c
@@ -78,6 +78,7 @@
 		.threads = s->upstream_threads,
 		.stream_buffer_bytes = s->caller_stream_buffer_bytes,
 		.max_answer_bytes = s->upstream_max_answer_bytes,
+		.room = &c->answer_room,
 		.events = { .sent = bct_core_on_sent,
 			    .tokens = bct_core_on_tokens,
 			    .end = bct_core_on_end,
@@ -118,6 +119,8 @@
 		bct_list_init(&c->buckets[i]);
 	init_locks(c);
 	bct_stats_init(&c->stats, bct_clock_now());
+	bct_room_init(&c->answer_room, c->log, BCT_EV_ANSWERS_REFUSED,
+		      c->settings->upstream_answer_memory_bytes);
 	rc = make_sched(c, opts);
 	if (!rc)
 		rc = start_threads(c);
@@ -163,6 +166,7 @@
 	bct_sched_free(c->sched);
 	bct_conf_unref(c->conf);
 	bct_stats_free(&c->stats);
+	bct_room_destroy(&c->answer_room);
 	pthread_cond_destroy(&c->wake);
 	pthread_mutex_destroy(&c->lock);
 	bct_free(c);
--- a/node/core_int.h
+++ b/node/core_int.h
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "node/core.h"
+#include "node/room.h"
 
 #include <pthread.h>
 
@@ -19,6 +20,7 @@
 	bct_stats_t stats;
 	bct_upstream_pool_t *pool;
 	bct_claim_ops_t claims;
+	bct_room_t answer_room;
 	uint64_t incarnation;
 	uint64_t last_id; /* atomic; number of ids given out */
 	pthread_t timer;
--- a/node/front.c
+++ b/node/front.c
@@ -10,7 +10,7 @@
 #include "base/mem.h"
 #include "node/front_conn.h"
 #include "node/front_filter.h"
-#include "node/front_room.h"
+#include "node/room.h"
 #include "node/front_route.h"
 
 #include <ck_pr.h>
@@ -34,7 +34,7 @@
 	struct MHD_Daemon *daemon;
 	bct_front_filter_t *filter; /* listens for callers */
 	bool quiesced;
-	bct_front_room_t room;
+	bct_room_t room;
 };
 
 /* One HTTP request on a connection; libmicrohttpd's con_cls. */
@@ -156,7 +156,7 @@
 
 static void give_room_back(exchange_t *x)
 {
-	bct_front_room_give_back(&x->front->room, x->held_bytes);
+	bct_room_give_back(&x->front->room, x->held_bytes);
 	x->held_bytes = 0;
 }
 
@@ -175,7 +175,7 @@
 
 	if (x->body_fault)
 		return;
-	if (!bct_front_room_take(&x->front->room, x->held_bytes, len)) {
+	if (!bct_room_take(&x->front->room, x->held_bytes, len)) {
 		fail_body(x, BCT_REFUSE_NO_ROOM);
 		return;
 	}
@@ -585,8 +585,8 @@
 	if (!f)
 		return -BCT_ENOMEM;
 	f->opts = *opts;
-	bct_front_room_init(&f->room, bct_core_log(opts->core),
-			    opts->settings->caller_body_memory_bytes);
+	bct_room_init(&f->room, bct_core_log(opts->core), BCT_EV_BODIES_REFUSED,
+		      opts->settings->caller_body_memory_bytes);
 	rc = bct_conn_table_init(&f->conns, opts->core, opts->settings->caller_receive_timeout_ms);
 	if (!rc)
 		rc = start_daemon(f);
@@ -596,7 +596,7 @@
 		if (f->daemon)
 			MHD_stop_daemon(f->daemon);
 		bct_conn_table_destroy(&f->conns);
-		bct_front_room_destroy(&f->room);
+		bct_room_destroy(&f->room);
 		bct_free(f);
 		return rc;
 	}
@@ -620,7 +620,7 @@
 	bct_front_filter_free(f->filter);
 	MHD_stop_daemon(f->daemon);
 	bct_conn_table_destroy(&f->conns);
-	bct_front_room_destroy(&f->room);
+	bct_room_destroy(&f->room);
 	bct_free(f);
 }
 
--- a/node/request.c
+++ b/node/request.c
@@ -2,6 +2,7 @@
  * request.c - reference counting and end of a request.
  */
 #include "node/request.h"
+#include "base/err.h"
 #include "base/mem.h"
 #include "base/sync.h"
 #include "node/http.h"
@@ -44,6 +45,8 @@
 	pthread_mutex_destroy(&r->lock);
 	bct_buf_free(&r->body);
 	bct_buf_free(&r->out);
+	if (r->room)
+		bct_room_give_back(r->room, r->kept_bytes);
 	bct_free(r->path);
 	bct_free(r->content_type);
 	bct_free(r->idempotency_key);
@@ -51,6 +54,14 @@
 	bct_free(r);
 }
 
+int bct_request_keep(bct_request_t *r, uint64_t more_bytes)
+{
+	if (r->room && !bct_room_take(r->room, r->kept_bytes, more_bytes))
+		return -BCT_ETOO_LARGE;
+	r->kept_bytes += more_bytes;
+	return 0;
+}
+
 void bct_request_wake(bct_request_t *r)
 {
 	if (!r->suspended || !r->conn)
--- a/node/request.h
+++ b/node/request.h
@@ -2,8 +2,8 @@
  * request.h - a caller's request. It is reference counted and shared by the thread that serves the
  * caller's connection, the core, and the worker that exchanges data with the upstream.
  *
- * Lock order: core lock, then request lock. No lock but libmicrohttpd's internal one is taken under
- * a request lock.
+ * Lock order: core lock, then request lock. No lock but libmicrohttpd's internal one and that of
+ * the room for answers is taken under a request lock.
  */
 #ifndef BCT_NODE_REQUEST_H
 #define BCT_NODE_REQUEST_H
@@ -11,6 +11,7 @@
 #include "base/buf.h"
 #include "base/clock.h"
 #include "base/list.h"
+#include "node/room.h"
 #include "policy/conf.h"
 #include "policy/reason.h"
 #include "policy/sched.h"
@@ -61,6 +62,8 @@
 	uint32_t retry_after_ms;
 	int status;		     /* HTTP status of the answer */
 	bct_buf_t out;		     /* output for the caller that has not been sent yet */
+	bct_room_t *room;	     /* for answers; NULL: no attempt has started */
+	uint64_t kept_bytes;	     /* of it, until the request is freed */
 	char answer_type[64];	     /* content type of a service's answer */
 	char finish_reason[16];	     /* of a completion; empty: none */
 	uint32_t prompt_tokens;	     /* as reported by the engine */
@@ -84,6 +87,13 @@
 bct_request_t *bct_request_ref(bct_request_t *r);
 void bct_request_unref(bct_request_t *r);
 
+/*
+ * bct_request_keep(3): take room for more bytes of the answer. Call with lock held.
+ *
+ * returns  0 or -BCT_ETOO_LARGE; nothing more is kept then
+ */
+int bct_request_keep(bct_request_t *r, uint64_t more_bytes);
+
 /* bct_request_wake(3): resume the caller's connection if it is suspended. Call with lock held. */
 void bct_request_wake(bct_request_t *r);
 
--- a/node/transfer.c
+++ b/node/transfer.c
@@ -68,6 +68,20 @@
 	return bct_upstream_pool_opts(a->pool);
 }
 
+/* Accounts for an event of which only a part has come. returns whether there is room for it */
+static bool keep_partial(bct_attempt_t *a)
+{
+	uint64_t now = a->sse.line.len_bytes + a->sse.data.len_bytes, before = a->partial_bytes;
+	bct_room_t *room = opts_of(a)->room;
+
+	if (now > before && !bct_room_take(room, before, now - before))
+		return false;
+	if (now < before)
+		bct_room_give_back(room, before - now);
+	a->partial_bytes = now;
+	return true;
+}
+
 static size_t feed_stream(bct_attempt_t *a, char *bytes, size_t len)
 {
 	const bct_upstream_opts_t *opts = opts_of(a);
@@ -77,11 +91,28 @@
 		return CURL_WRITEFUNC_PAUSE;
 	if (bct_sse_feed(&a->sse, bytes, len))
 		return 0;
+	if (!keep_partial(a)) {
+		a->malformed = true;
+		return 0;
+	}
 	if (a->tokens != before)
 		opts->events.tokens(opts->events.ctx, a, a->tokens);
 	return len;
 }
 
+/* Collects the body of a service's answer, or of an engine's error. */
+static size_t collect(bct_attempt_t *a, const char *bytes, size_t len)
+{
+	int rc;
+
+	pthread_mutex_lock(&a->req->lock);
+	rc = bct_request_keep(a->req, len);
+	pthread_mutex_unlock(&a->req->lock);
+	if (rc)
+		a->malformed = true;
+	return rc || bct_buf_put(&a->answer, bytes, len) ? 0 : len;
+}
+
 /* Streams an engine's tokens; collects any other body. */
 static size_t on_body(char *bytes, size_t size, size_t n, void *ctx)
 {
@@ -96,7 +127,7 @@
 		}
 		return feed_stream(a, bytes, len);
 	}
-	return bct_buf_put(&a->answer, bytes, len) ? 0 : len;
+	return collect(a, bytes, len);
 }
 
 /* Whether a header line has this name; sets value to the text after it, not terminated. */
@@ -315,6 +346,8 @@
 	a->headers = NULL;
 	bct_sse_free(&a->sse);
 	bct_buf_free(&a->answer);
+	bct_room_give_back(opts_of(a)->room, a->partial_bytes);
+	a->partial_bytes = 0;
 }
 
 bct_time_t bct_transfer_deadline(const bct_attempt_t *a)
--- a/node/upstream.c
+++ b/node/upstream.c
@@ -140,6 +140,7 @@
 	/* A streamed one is bounded by pauses, this one by nothing else than the engine. */
 	if (!a->req->stream)
 		a->req->out.max_bytes = p->opts.max_answer_bytes;
+	a->req->room = p->opts.room;
 	return a;
 }
 
--- a/node/upstream.h
+++ b/node/upstream.h
@@ -26,6 +26,7 @@
 	uint32_t threads;
 	uint32_t stream_buffer_bytes; /* unread output of a caller at which receiving pauses */
 	uint32_t max_answer_bytes;    /* of one that is not streamed, or of an engine's error */
+	bct_room_t *room;	      /* for answers until they have been delivered */
 	bct_upstream_events_t events;
 } bct_upstream_opts_t;
 
--- a/policy/body_room.h
+++ b/policy/body_room.h
@@ -1,9 +1,9 @@
 /*
  * body_room.h - bounds what a node holds of the bodies of all requests, from their first byte until
- * the request has ended. Pure: no I/O and no lock.
+ * the request has ended, or of the answers to them. Pure: no I/O and no lock.
  *
- * The last quarter is kept for short bodies, so that callers who send long ones, and perhaps never
- * end them, keep no others out.
+ * The last quarter is kept for short bodies, so that callers or upstreams that send long ones, and
+ * perhaps never end them, keep no others out.
  */
 #ifndef BCT_POLICY_BODY_ROOM_H
 #define BCT_POLICY_BODY_ROOM_H
--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -8,6 +8,7 @@
 
 #include <criterion/criterion.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,6 +36,8 @@
 #define ID "Chute-Attempt"
 #define WORD "a long word that an engine repeats again and again and again and again and again"
 #define KEPT_MAX_KB (32 * 1024) /* of one answer; upstream.max_answer_bytes is 8 MB */
+#define CALLERS 300
+#define NODE_KB (256 * 1024) /* memory of a node */
 #define POLLS "GET /engine/"
 #define COUNT(list) (uint32_t)(sizeof(list) / sizeof(list[0]))
 
@@ -301,6 +304,77 @@
 	test_node_stop(&t);
 }
 
+typedef struct caller {
+	pthread_t thread;
+	const test_node_t *t;
+	int status;
+} caller_t;
+
+static void *call_service(void *arg)
+{
+	caller_t *c = arg;
+	bct_buf_t out;
+
+	c->status = book(c->t, "{}", 2, &out);
+	bct_buf_free(&out);
+	return NULL;
+}
+
+static void *call_engine(void *arg)
+{
+	caller_t *c = arg;
+	bct_buf_t out;
+
+	c->status = complete(c->t, true, &out);
+	bct_buf_free(&out);
+	return NULL;
+}
+
+/* Calls at once; returns what the process grew by, in KB. */
+static long call_many(const test_node_t *t, void *(*call_one)(void *))
+{
+	long before = memory_kb();
+	caller_t callers[CALLERS];
+
+	for (uint32_t i = 0; i < CALLERS; i++) {
+		callers[i].t = t;
+		cr_assert_eq(pthread_create(&callers[i].thread, NULL, call_one, &callers[i]), 0);
+	}
+	for (uint32_t i = 0; i < CALLERS; i++)
+		pthread_join(callers[i].thread, NULL);
+	return memory_kb() - before;
+}
+
+/* Many answers at once stop in the middle of a long body, and many streams in that of a long event:
+ * what is kept of all together must fit into a node's memory, however short each is. */
+Test(node_broken, long_answers_fit_into_memory, .timeout = 60)
+{
+	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN "\r\n",
+					  .end = RAW_LONG,
+					  .again = WORD WORD WORD WORD WORD WORD WORD WORD };
+	test_node_t t;
+	long grown_kb;
+
+	test_node_start_at(&t, "", 0, test_raw_serve(&raw, 1, ID, POLLS));
+	grown_kb = call_many(&t, call_service);
+	cr_expect_lt(grown_kb, NODE_KB, "%ld KB", grown_kb);
+	test_node_stop(&t);
+}
+
+Test(node_broken, long_events_fit_into_memory, .timeout = 60)
+{
+	static const raw_answer_t raw = { .text = STREAM "data: ",
+					  .end = RAW_LONG,
+					  .again = WORD WORD WORD WORD WORD WORD WORD WORD };
+	test_node_t t;
+	long grown_kb;
+
+	test_node_start_at(&t, "", test_raw_serve(&raw, 1, ID, POLLS), 0);
+	grown_kb = call_many(&t, call_engine);
+	cr_expect_lt(grown_kb, NODE_KB, "%ld KB", grown_kb);
+	test_node_stop(&t);
+}
+
 /* Bytes without end are cut off, whether they come in a head, in a body, or as interim answers. */
 Test(node_broken, bytes_without_end_are_cut_off, .timeout = 60)
 {
--- a/tests/util_node.c
+++ b/tests/util_node.c
@@ -22,6 +22,8 @@
 
 #define STUB_POLL_MS 20
 #define STUB_LINE_MS 5000 /* limit for a request line; a connection without one is counted */
+#define STUB_SLOTS 4
+#define OWN_SLOTS 400 /* of an upstream of the test's own */
 #define NODE_POLL "GET /engine/v1/"
 
 /* Whether a connection is the node's own poll of an engine, not a caller's request. */
@@ -114,7 +116,7 @@
 }
 
 /* Writes a configuration file with the two stubs and one client account. */
-static void write_conf(test_node_t *t)
+static void write_conf(test_node_t *t, uint32_t slots)
 {
 	char hash[2 * BCT_DIGEST_BYTES + 1];
 	bct_digest_t d;
@@ -130,18 +132,18 @@
 	fprintf(f,
 		"{\"models\": {\"m\": {\"context_tokens\": 8192}}, \"upstreams\": {"
 		"\"e1\": {\"kind\": \"engine\", \"models\": [\"m\"], \"address\": \"127.0.0.1\","
-		"\"port\": %u, \"failure_domain\": \"a\", \"region\": \"r\", \"slots\": 4,"
+		"\"port\": %u, \"failure_domain\": \"a\", \"region\": \"r\", \"slots\": %u,"
 		"\"kv_tokens\": 65536},"
 		"\"s1\": {\"kind\": \"service\", \"service\": \"booking\", \"address\":"
 		"\"127.0.0.1\", \"port\": %u, \"failure_domain\": \"a\", \"region\": \"r\","
-		"\"slots\": 4}},"
+		"\"slots\": %u}},"
 		"\"contracts\": {\"claims\": {\"token_hashes\": [\"%s\"], \"limits\": "
 		"{\"requests_per_s\": 1000, \"tokens_per_s\": 100000, \"concurrent\": 1000},"
 		"\"classes\": {\"draft\": {\"model\": \"m\", \"tier\": 1, \"ttft_ms\": 1000,"
 		"\"itl_ms\": 100, \"max_output_tokens\": 100},"
 		"\"book\": {\"service\": \"booking\", \"tier\": 1, \"ttft_ms\": 1000,"
 		"\"repeatable\": false}}}}}",
-		t->engine.port, t->service.port, hash);
+		t->engine.port, slots, t->service.port, slots, hash);
 	fclose(f);
 }
 
@@ -167,7 +169,7 @@
 		t->engine.port = engine_port;
 	if (service_port)
 		t->service.port = service_port;
-	write_conf(t);
+	write_conf(t, engine_port || service_port ? OWN_SLOTS : STUB_SLOTS);
 	fill_settings(t, extra);
 	rc = bct_node_new(&opts, &t->node);
 	cr_assert_eq(rc, 0, "%s", bct_err_name(rc));
--- a/tests/util_raw.c
+++ b/tests/util_raw.c
@@ -86,10 +86,15 @@
 		wait_closed(fd, RAW_SILENT_MS);
 	} else if (a->end == RAW_SILENT) {
 		wait_closed(fd, RAW_SILENT_MS);
-	} else if (a->end == RAW_ENDLESS) {
+	} else if (a->end == RAW_ENDLESS || a->end == RAW_LONG) {
+		size_t sent = 0;
+
 		len = fill_in(a->again, strlen(a->again), id, text);
-		while (send(fd, text, len, MSG_NOSIGNAL) > 0)
-			;
+		while ((a->end == RAW_ENDLESS || sent < RAW_LONG_BYTES) &&
+		       send(fd, text, len, MSG_NOSIGNAL) > 0)
+			sent += len;
+		if (a->end == RAW_LONG)
+			wait_closed(fd, RAW_SILENT_MS);
 	}
 	free(text);
 }
--- a/tests/util_raw.h
+++ b/tests/util_raw.h
@@ -17,10 +17,12 @@
 	RAW_READ,	/* the end of the answer; then all that still comes is read */
 	RAW_LATE_RESET, /* the end of the answer; more bytes of the request are met by a reset */
 	RAW_ENDLESS,	/* `again`, over and over until the peer closes */
+	RAW_LONG,	/* `again`, RAW_LONG_BYTES of it or a little more, and then nothing */
 	RAW_SILENT,	/* nothing until the peer closes, RAW_SILENT_MS at most */
 } raw_end_t;
 
 #define RAW_SILENT_MS 6000
+#define RAW_LONG_BYTES 2500000
 
 /* "@id" in the text stands for the id of the request. */
 typedef struct raw_answer {
