gate: heads of answers to pulls are bounded

What was seen: a peer's port that answers a pull with a head without end: the gateway read and kept 64 MB of it, all that the stand-in sent, while its caller-facing thread did little else; with one line without end, no pull ended within 8 s. The limit of a second is for silence, and does not end an answer that goes on.

Cause: libevent's HTTP client has no limit for heads unless it is given one.

Change: 16 KB, beside the 8 MB for bodies that there were.

--- a/gate/pull.c
+++ b/gate/pull.c
@@ -17,7 +17,8 @@
 #include <string.h>
 
 #define TIMEOUT_S 1
-#define LATER_LISTS_BYTES 8 /* of two empty lists in XDR */
+#define HEAD_MAX_BYTES (16 * 1024) /* of an answer; ours have a few hundred bytes */
+#define LATER_LISTS_BYTES 8	   /* of two empty lists in XDR */
 #define ANSWER_MAX_BYTES (8 * 1024 * 1024)
 #define AUTHORIZATION_BYTES (16 + 1 + 2 * BCT_SHARE_MAC_BYTES + 1)
 #define STATUS_OK 200
@@ -170,6 +171,7 @@
 	if (!conn)
 		return NULL;
 	evhttp_connection_set_timeout(conn, TIMEOUT_S);
+	evhttp_connection_set_max_headers_size(conn, HEAD_MAX_BYTES);
 	evhttp_connection_set_max_body_size(conn, ANSWER_MAX_BYTES);
 	evhttp_connection_free_on_completion(conn);
 	return conn;
--- a/tests/util_cut.c
+++ b/tests/util_cut.c
@@ -14,11 +14,13 @@
 #include <sys/uio.h>
 
 #define GATEWAYS_MAX 32
+#define PORT_BITS 16
 
 static test_gate_t *upstreams; /* whose upstreams are cut off */
 static pthread_t threads[GATEWAYS_MAX];
 static atomic_int cuts[GATEWAYS_MAX]; /* test_cut_t */
 static atomic_uint n_threads;
+static atomic_uint redirected;	     /* two ports: from which, and to which; 0: none */
 static struct sockaddr_in blackhole; /* connections to it hang */
 
 static test_cut_t cut_of_this_thread(void)
@@ -40,14 +42,37 @@
 	return found && to->sin_family == AF_INET && to->sin_addr.s_addr == htonl(INADDR_LOOPBACK);
 }
 
+/* Whether connections to this address lead elsewhere: to. */
+static bool is_redirected(const struct sockaddr *sa, struct sockaddr_in *to)
+{
+	uint32_t ports = atomic_load(&redirected);
+
+	if (!ports || sa->sa_family != AF_INET)
+		return false;
+	memcpy(to, sa, sizeof(*to));
+	if (ntohs(to->sin_port) != ports >> PORT_BITS)
+		return false;
+	to->sin_port = htons((uint16_t)ports);
+	to->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return true;
+}
+
+void test_cut_redirect(uint16_t from_port, uint16_t to_port)
+{
+	atomic_store(&redirected, (uint32_t)from_port << PORT_BITS | to_port);
+}
+
 int connect(int fd, const struct sockaddr *sa, socklen_t len)
 {
 	static int (*real)(int, const struct sockaddr *, socklen_t);
 	test_cut_t cut = cut_of_this_thread();
+	struct sockaddr_in to;
 
 	if (!real)
 		real = (int (*)(int, const struct sockaddr *, socklen_t))dlsym(RTLD_NEXT,
 									       "connect");
+	if (is_redirected(sa, &to))
+		return real(fd, (const struct sockaddr *)&to, sizeof(to));
 	if (!cut || !is_upstream((const struct sockaddr_in *)sa))
 		return real(fd, sa, len);
 	if (cut == TEST_CUT_HANGS)
--- a/tests/util_cut.h
+++ b/tests/util_cut.h
@@ -18,4 +18,7 @@
 /* Cuts gateway i of a fleet off from the upstreams of t[0], or ends that. */
 void test_cut(test_gate_t *t, uint32_t i, test_cut_t how);
 
+/* Connections to a port of any address lead to another one on 127.0.0.1, in all gateways. */
+void test_cut_redirect(uint16_t from_port, uint16_t to_port);
+
 #endif
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -28,7 +28,6 @@
 #define CALLER_PORT 18000U
 #define PEER_PORT 18001U
 #define SHARE_PORT 18002U
-#define ADMIN_PORT 18003U
 #define BORN_MS 1000U  /* of the first run of each upstream */
 #define LISTED_MAX 64  /* entries of the registry */
 #define NET_HOSTS 250U /* values used of an address octet */
@@ -328,7 +327,7 @@
 	s->gate_share_port = SHARE_PORT;
 	s->gate_relay_port = TEST_GATE_RELAY_PORT;
 	snprintf(s->admin_address, sizeof(s->admin_address), "%s", t->ip);
-	s->admin_port = ADMIN_PORT;
+	s->admin_port = TEST_GATE_ADMIN_PORT;
 }
 
 void test_gate_start_down(test_gate_t *t)
@@ -415,6 +414,14 @@
 	bct_clock_sleep(1500);
 }
 
+void test_gate_start_lone(test_gate_t *t, uint32_t i)
+{
+	init(&t[i], i);
+	t[i].down = true;
+	fill_peer(&t[i], i);
+	start_gate(&t[i], &t[0]);
+}
+
 static void join_fleet(test_gate_t *t, uint32_t i, bool down)
 {
 	init(&t[i], i);
@@ -535,7 +542,7 @@
 
 void test_gate_admin(test_gate_t *t, const char *bytes, uint32_t wait_ms, bct_buf_t *out)
 {
-	raw_at(t, ADMIN_PORT, bytes, strlen(bytes), wait_ms, out);
+	raw_at(t, TEST_GATE_ADMIN_PORT, bytes, strlen(bytes), wait_ms, out);
 }
 
 static int call(test_gate_t *t, const char *method, const char *path, const char *call_id,
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -152,11 +152,14 @@
 void test_gate_join_fleet(test_gate_t *t, uint32_t i);
 /* The same, with a registry that does not answer it. */
 void test_gate_join_fleet_down(test_gate_t *t, uint32_t i);
+/* The same, but does not wait. */
+void test_gate_start_lone(test_gate_t *t, uint32_t i);
 void test_gate_stop(test_gate_t *t);
 
 /* Sends raw bytes on a new connection and reads until it ends or wait_ms have passed. */
 void test_gate_raw(test_gate_t *t, const char *bytes, size_t len, uint32_t wait_ms, bct_buf_t *out);
 
+#define TEST_GATE_ADMIN_PORT 18003U
 #define TEST_GATE_RELAY_PORT 18004U /* for requests of other gateways */
 
 /* Sends bytes to a port of the gateway, as test_gate_raw() does to that for callers. */
