http: an answer in a transfer coding that is not undone is none

What callers saw: an upstream's answer with "Transfer-Encoding: gzip", or gzip beside chunked, reached the caller with its coded body and without that field, which concerns a single connection: the caller read the coded bytes as the upstream's body.

Cause: the gateway undoes chunked only, and http-parser takes any other coding as a body that ends with the connection, or as chunked.

Change: of answers, a Transfer-Encoding other than chunked alone is malformed. Requests are read as before.

Evidence: gate_broken/a_coded_body_is_not_passed_on fails on the code before in four of four cases and passes now; every_field_is_passed_on has a case more, "Chunked" between blanks. test_gate, test_gate_unframed and test_node_broken pass.

--- a/http/head_lines.c
+++ b/http/head_lines.c
@@ -59,6 +59,16 @@
 	return (size_t)(end - s) == strlen(name) && !strncasecmp(s, name, strlen(name));
 }
 
+/* Whether the value, apart from surrounding blanks, is this text in any case of its letters. */
+static bool value_is(const char *s, const char *end, const char *text)
+{
+	while (s < end && (*s == ' ' || *s == '\t'))
+		s++;
+	while (end > s && (end[-1] == ' ' || end[-1] == '\t'))
+		end--;
+	return name_is(s, end, text);
+}
+
 static int check_header(const char *line, const char *end, bct_http_framing_t *f)
 {
 	const char *colon = memchr(line, ':', (size_t)(end - line));
@@ -69,7 +79,10 @@
 		f->content_lengths++;
 		return all_digits(colon + 1, end) ? 0 : -BCT_ECODEC;
 	}
-	f->transfer_encodings += name_is(line, colon, "Transfer-Encoding");
+	if (name_is(line, colon, "Transfer-Encoding")) {
+		f->transfer_encodings++;
+		f->other_codings += !value_is(colon + 1, end, "chunked");
+	}
 	f->hosts += name_is(line, colon, "Host");
 	return 0;
 }
@@ -183,7 +196,7 @@
 	if (rc)
 		return rc;
 	/* Ambiguous framing: the next parser might use another of the headers. */
-	if (!bct_http_framing_is_clear(&f))
+	if (!bct_http_framing_is_clear(&f) || (!request && f.other_codings))
 		return -BCT_ECODEC;
 	return f.hosts < hosts_min || f.hosts > hosts_max ? -BCT_ECODEC : 0;
 }
--- a/http/head_lines.h
+++ b/http/head_lines.h
@@ -13,6 +13,7 @@
 typedef struct bct_http_framing {
 	uint32_t content_lengths;
 	uint32_t transfer_encodings;
+	uint32_t other_codings; /* of them, that are not just chunked */
 	uint32_t hosts;
 } bct_http_framing_t;
 
--- a/tests/test_gate_broken.c
+++ b/tests/test_gate_broken.c
@@ -318,6 +318,24 @@
 	test_gate_stop(&t);
 }
 
+/* Codings that the gateway does not undo: their field is not passed on, so that the caller would
+ * take the coded body for the upstream's. */
+static const raw_answer_t coded[] = {
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding: gzip\r\n\r\ntheirs",
+	  .end = RAW_CLOSE },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN
+		  "Transfer-Encoding: gzip, chunked\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n" },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN
+		  "Transfer-Encoding: chunked, gzip\r\n\r\n6\r\ntheirs\r\n0\r\n\r\n",
+	  .end = RAW_CLOSE },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding:\r\n\r\ntheirs", .end = RAW_CLOSE },
+};
+
+Test(gate_broken, a_coded_body_is_not_passed_on)
+{
+	expect_retried(coded, COUNT(coded));
+}
+
 /* All characters that a name may have, and what a value may have beside text. */
 Test(gate_broken, every_field_is_passed_on)
 {
@@ -326,9 +344,12 @@
 		LINE("X-Foo:a"),
 		LINE("X-Foo:\t a\tb \303\251 "),
 		LINE("X-Foo:"),
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "X-Foo: a\r\nTransfer-Encoding: \tChunked \r\n"
+			  "\r\n6\r\ntheirs\r\n0\r\n\r\n" },
 	};
 	static const char *const line[] = { "\r\nX!#$%&'*+-.^_`|~09azAZ: a\r\n", "\r\nX-Foo: a\r\n",
-					    "\r\nX-Foo: a\tb \303\251\r\n", "\r\nX-Foo: \r\n" };
+					    "\r\nX-Foo: a\tb \303\251\r\n", "\r\nX-Foo: \r\n",
+					    "\r\nX-Foo: a\r\n" };
 
 	test_gate_start(&t);
 	t.raw = raw;
