gate: the socket of an upstream's connection is a file of its own

Change: the options of the socket and the connect are moved to upstream_socket.c, which knows no gateway; the size of the receive buffer is an argument.

--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -7,17 +7,13 @@
 #include "gate/gate_int.h"
 #include "gate/memory.h"
 #include "gate/reach.h"
+#include "gate/upstream_socket.h"
 #include "gate/window.h"
 #include "http/bev.h"
 #include "http/delivery.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #define HEAD_MAX_BYTES (64 * 1024) /* of a response */
 #define HEAD_KEPT_BYTES 4096	   /* of memory for heads, kept between requests */
@@ -25,8 +21,6 @@
 #define IDLE_MAX_MS 8000
 #define IDLE_PERMILLE 500    /* of the keep-alive time stated, to close before the upstream does */
 #define DELIVERY_CHECK_MS 10 /* between two looks at a request that is being delivered */
-#define USER_TIMEOUT_MS 1500 /* output unacknowledged for this long ends the connection */
-#define PROBE_IDLE_S 1	     /* without traffic, until keep-alive probes are sent */
 #define UNREAD_MS 1000	     /* after a pause, to read what the upstream sent before it gave up */
 #define INPUT_MAX_BYTES (256 * 1024) /* read ahead at most */
 /* Interim answers and answers to other requests that are skipped at most; above a late stream. */
@@ -321,55 +315,10 @@
 		on_disconnect(c, what & BEV_EVENT_EOF);
 }
 
-/* The user timeout also ends keep-alive probes, after the first that is not answered in time. */
-static void set_options(evutil_socket_t fd)
-{
-	int user_timeout_ms = USER_TIMEOUT_MS, on = 1, idle_s = PROBE_IDLE_S;
-
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof(user_timeout_ms));
-	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof(idle_s));
-}
-
-/*
- * Opens the socket. What the kernel receives ahead is bounded before the window is first announced:
- * its own sizes grow to megabytes, and many upstreams may send without end.
- */
-static int open_socket(bct_upconn_t *c)
-{
-	int bytes = (int)(c->gate->settings->gate_socket_buffer_bytes * RCVBUF_FACTOR);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -BCT_EIO;
-	if (bytes)
-		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
-	if (!bufferevent_setfd(c->bev, fd))
-		return 0;
-	close(fd);
-	return -BCT_ENOMEM;
-}
-
-static int start_connect(bct_upconn_t *c)
-{
-	const bct_gate_entry_t *e = &c->upstream->entry;
-	struct sockaddr_in sa = { .sin_family = AF_INET, .sin_port = htons(e->port) };
-
-	if (inet_pton(AF_INET, e->ip, &sa.sin_addr) != 1)
-		return -BCT_EINVAL;
-	if (open_socket(c))
-		return -BCT_EUNAVAILABLE;
-	if (bufferevent_socket_connect(c->bev, (struct sockaddr *)&sa, sizeof(sa)))
-		return -BCT_EUNAVAILABLE;
-	set_options(bufferevent_getfd(c->bev));
-	return 0;
-}
-
 /* Returns a new connection that is being established, or NULL on failure. */
 static bct_upconn_t *open_conn(bct_gate_t *g, bct_gate_upstream_t *u)
 {
+	uint32_t rcvbuf_bytes = g->settings->gate_socket_buffer_bytes * RCVBUF_FACTOR;
 	bct_upconn_t *c = bct_alloc(sizeof(*c));
 
 	if (!c)
@@ -392,7 +341,7 @@
 	bufferevent_setwatermark(c->bev, EV_READ, 0, INPUT_MAX_BYTES);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 	BCT_GATE_COUNT(g, CONNECTS);
-	if (start_connect(c)) {
+	if (bct_upstream_connect(c->bev, &u->entry, rcvbuf_bytes)) {
 		bct_upconn_close(c);
 		return NULL;
 	}
@@ -516,7 +465,8 @@
 void bct_upconn_check_window(bct_upconn_t *c)
 {
 	if (c->connected)
-		bct_window_check(bufferevent_getfd(c->bev), &c->window_closed, USER_TIMEOUT_MS);
+		bct_window_check(bufferevent_getfd(c->bev), &c->window_closed,
+				 BCT_UPSTREAM_USER_TIMEOUT_MS);
 }
 
 bool bct_upconn_is_unread(const bct_upconn_t *c)
