gate: a node that is behind the registry gets the newest version at once

Cause: a reader makes one call for each poll (700 ms), and an answer of the store holds 1 MB at most: above half of that, one version. Nobody looked at the offset in the answer at which the log ends, so the node adopted one version for each poll, however many lay behind. Evidence, logs of the two nodes that read the store, on: versions 12 to 48, confirmed 0.33 s apart, were adopted 0.67 to 0.81 s apart from "changes", each fetched in 26 to 76 ms. So neither the store, the link nor decoding was slow.

Change: the store client says whether the log goes on behind what it read; the reader then lists the topic at once. A listing has the newest record of each name only, so that one more call is enough however far the node is behind; reading on would fetch each version in between (9 MB here). The same holds for the entries of upstreams, where a statement of leaving could stand behind heartbeats. It also mends a store that sends no record larger than an answer, at which the node would have stayed for good.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -115,6 +115,8 @@
 	DEF(REGISTRY_ERA, 615, WARN,                                                               \
 	    "the registry states a higher era: it came back from a copy, or is new here")          \
 	DEF(REGISTRY_ERA_BAD, 616, WARN, "the registry states an era that cannot be read")         \
+	DEF(REGISTRY_BEHIND, 617, INFO,                                                            \
+	    "more changes of the registry lie behind than one answer holds; it is listed")         \
 	DEF(PULL_FAILED, 613, WARN, "routes or upstreams could not be pulled from a peer")         \
 	DEF(PULLED, 614, INFO, "routes or upstreams were pulled from a peer")                      \
 	DEF(KEY_IN_DOUBT, 700, WARN, "an idempotency key has an intent but no outcome")            \
--- a/coord/registry.h
+++ b/coord/registry.h
@@ -31,6 +31,7 @@
 	bct_registry_change_t *changes;
 	uint32_t n;
 	bct_gate_position_t next; /* position to continue reading at */
+	bool more;		  /* there are changes from there on: these were not all */
 	bool era_malformed;	  /* the registry stated an era that can't be read */
 	size_t received_bytes;	  /* of the answers, also of a failed call */
 } bct_registry_batch_t;
@@ -45,8 +46,9 @@
 	int (*list)(bct_registry_t *r, bct_registry_topic_t topic, uint32_t timeout_ms,
 		    bct_registry_batch_t *out);
 	/*
-	 * Gets the records from a position on. Returns -BCT_EEXPIRED when some of them are no
-	 * longer kept, or the registry is in another era; the caller then has to call list again.
+	 * Gets the records from a position on, as many as fit in one answer; sets `more` if others
+	 * follow. Returns -BCT_EEXPIRED when some of them are no longer kept, or the registry is in
+	 * another era; the caller then has to call list again.
 	 */
 	int (*changes)(bct_registry_t *r, bct_registry_topic_t topic, bct_gate_position_t from,
 		       uint32_t timeout_ms, bct_registry_batch_t *out);
--- a/gate/registry_reader.c
+++ b/gate/registry_reader.c
@@ -27,16 +27,21 @@
 	bct_free(r);
 }
 
-/* Makes one call and passes its result on. returns the error of the call. */
-static int read_topic(bct_registry_reader_t *r)
+/*
+ * Makes one call and passes its result on. returns whether the topic has to be listed now, as
+ * changes expired or did not fit in the answer. A listing holds only the newest record of each
+ * name, so that a node gets the newest one with one more call however far it is behind.
+ */
+static bool read_topic(bct_registry_reader_t *r)
 {
 	const bct_registry_reader_opts_t *o = &r->opts;
 	const bct_registry_ops_t *ops = o->registry->ops;
 	bct_registry_result_t *d = bct_alloc(sizeof(*d));
+	bool list_next;
 	int rc;
 
 	if (!d)
-		return -BCT_ENOMEM;
+		return false;
 	bct_list_init(&d->link);
 	d->topic = o->topic;
 	d->started_at = bct_clock_now();
@@ -47,11 +52,12 @@
 	if (!rc) {
 		r->listed = true;
 		r->next = d->batch.next;
-	} else if (rc == -BCT_EEXPIRED) {
-		r->listed = false;
 	}
+	list_next = rc == -BCT_EEXPIRED || (!rc && d->batch.more);
+	if (list_next)
+		r->listed = false;
 	o->on_result(o->ctx, d);
-	return rc;
+	return list_next;
 }
 
 /* Waits until a call is due. returns false after bct_registry_reader_stop(3). */
@@ -79,7 +85,7 @@
 	while (next_due(r, &due)) {
 		if (due == BCT_GATE_POLL_LIST)
 			r->listed = false;
-		if (read_topic(r) == -BCT_EEXPIRED)
+		if (read_topic(r))
 			read_topic(r);
 	}
 	return NULL;
--- a/gate/registry_reader.h
+++ b/gate/registry_reader.h
@@ -2,7 +2,7 @@
  * registry_reader.h - a thread that makes the blocking calls of the registry on one topic.
  *
  * The topic is listed once and then read from the end of the listing. If records expired before
- * they were read, it is listed again at once.
+ * they were read, or more of them lie behind than fit in one answer, it is listed again at once.
  */
 #ifndef BCT_GATE_REGISTRY_READER_H
 #define BCT_GATE_REGISTRY_READER_H
--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -381,6 +381,10 @@
 	if (d->rc)
 		return;
 	check_replaced(s, d);
+	if (d->batch.more)
+		BCT_LOG(s->gate->log, BCT_EV_REGISTRY_BEHIND, BCT_U64("topic", d->topic),
+			BCT_U64("records", d->batch.n),
+			BCT_U64("received_bytes", d->batch.received_bytes));
 	s->source = d->listing ? "listing" : "changes";
 	s->fetch_ms = bct_clock_now() - d->started_at;
 	s->notify_peers = s->knows_upstreams && bct_gate_poll_is_reader(&s->poll, bct_clock_now(),
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -91,11 +91,12 @@
 	char address[64];
 	bct_store_t *store;
 	uint64_t next = 0;
+	bool more;
 	int rc;
 
 	snprintf(address, sizeof(address), "127.0.0.1:%u", s->port);
 	cr_assert_eq(bct_store_new(address, &store), 0);
-	rc = bct_store_read(store, "keyed.op", 0, TIMEOUT_MS, on_record, value_bytes, &next);
+	rc = bct_store_read(store, "keyed.op", 0, TIMEOUT_MS, on_record, value_bytes, &next, &more);
 	bct_store_free(store);
 	pthread_join(s->thread, NULL);
 	close(s->fd);
