gate: a part of the registry's changes is not stated as its state

Fault: an answer that does not hold all changes counted as one that tells the state of its topic as of the call. If the listing behind it failed, the node believed, and told its peers, that it was up to date: a take-up of a stream could be decided on upstreams that had been replaced, and peers with the same part took their data for the newest. The same held for an answer that records have expired (410), though it brings no record at all.

Cause: bct_gate_poll_result() set the time of the last answer also where the caller says that the answer does not tell the state, and the caller did not know of answers that are incomplete.

Change: such answers only show that the registry is reachable.

--- a/gate/registry_sync.c
+++ b/gate/registry_sync.c
@@ -184,14 +184,18 @@
 	return bct_gate_poll_advertises(&s->poll, bct_clock_now(), s->gate->rank);
 }
 
-/* An answer that records expired shows that the registry is reachable, too. */
+/*
+ * An answer that records expired shows that the registry is reachable, too. Like one that does not
+ * hold all changes, it does not tell the state of the topic.
+ */
 static void note_health(bct_registry_sync_t *s, const bct_registry_result_t *d)
 {
 	topic_state_t *t = &s->topics[d->topic];
 	bct_time_t now = bct_clock_now();
 	bool up = !d->rc || d->rc == -BCT_EEXPIRED;
 
-	bct_gate_poll_result(&s->poll, now, d->topic, d->rc ? 0 : d->started_at, up);
+	bct_gate_poll_result(&s->poll, now, d->topic, d->rc || d->batch.more ? 0 : d->started_at,
+			     up);
 	note_registry(s);
 	if (t->up_known && up == t->up)
 		return;
--- a/policy/gate_poll.c
+++ b/policy/gate_poll.c
@@ -255,11 +255,10 @@
 	t->consecutive_failures = ok ? 0 : t->consecutive_failures + 1;
 	if (!ok)
 		t->failed_at = now;
-	if (!ok)
+	if (!ok || !started_at)
 		return;
 	t->answered_at = now;
-	if (started_at)
-		t->answered_as_of = started_at;
+	t->answered_as_of = started_at;
 }
 
 void bct_gate_poll_confirm(bct_gate_poll_t *p, bct_time_t at)
--- a/policy/gate_poll.h
+++ b/policy/gate_poll.h
@@ -117,7 +117,8 @@
 /*
  * bct_gate_poll_result(3): processes the result of a call of this node to the registry.
  *
- * started_at  when the call was made; 0: its answer does not tell the state of the topic
+ * started_at  when the call was made; 0: its answer does not tell the state of the topic, and only
+ *             shows that the registry is reachable
  */
 void bct_gate_poll_result(bct_gate_poll_t *p, bct_time_t now, bct_registry_topic_t topic,
 			  bct_time_t started_at, bool ok);
--- a/tests/test_registry_backlog.c
+++ b/tests/test_registry_backlog.c
@@ -4,8 +4,11 @@
  */
 #include "base/buf.h"
 #include "base/err.h"
+#include "gate/gate_int.h"
 #include "gate/registry_reader.h"
+#include "gate/registry_sync.h"
 #include "platform/adapter.h"
+#include "tests/util_gate.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -392,3 +395,36 @@
 	poll_once(&follower);
 	cr_assert_eq(follower.version, 5);
 }
+
+#define APPLIED_US 300000 /* for the gateway to apply an answer */
+
+/*
+ * A node that has only a part of the changes believed, and told its peers, that it knew the
+ * registry's state: a take-up could be decided on upstreams that had been replaced.
+ */
+Test(registry_backlog, a_part_of_the_changes_is_not_the_state)
+{
+	static test_gate_t gate;
+	const bct_registry_sync_t *sync;
+	bct_time_t since, behind_at = 0;
+	bct_gate_read_t last;
+
+	test_gate_start(&gate);
+	sync = gate.gate->registry_sync;
+	pthread_mutex_lock(&gate.lock);
+	gate.behind = gate.down = true;
+	since = bct_clock_now();
+	pthread_mutex_unlock(&gate.lock);
+	for (uint32_t ms = 0; !behind_at && ms < IDLE_LIMIT_MS; ms += 10) {
+		usleep(10000);
+		pthread_mutex_lock(&gate.lock);
+		behind_at = gate.behind_at;
+		pthread_mutex_unlock(&gate.lock);
+	}
+	cr_assert(behind_at);
+	usleep(APPLIED_US);
+	last = bct_registry_sync_read(sync, BCT_REGISTRY_UPSTREAMS, true);
+	cr_expect_leq(bct_registry_sync_as_of(sync), since);
+	cr_expect_lt(last.answered_at, behind_at);
+	test_gate_stop(&gate);
+}
--- a/tests/util_gate.c
+++ b/tests/util_gate.c
@@ -137,16 +137,24 @@
 	return rc;
 }
 
-/* Reports that the change log has expired, so that each poll of the gateway is a full listing. */
+/*
+ * Reports that the change log has expired, so that each poll of the gateway is a full listing, or
+ * that there are more changes than the answer holds.
+ */
 static int changes(bct_registry_t *r, bct_registry_topic_t topic, uint64_t from,
 		   uint32_t timeout_ms, bct_registry_batch_t *out)
 {
-	(void)r;
-	(void)topic;
+	test_gate_t *t = ((memory_registry_t *)r)->reader;
+
 	(void)from;
 	(void)timeout_ms;
 	memset(out, 0, sizeof(*out));
-	return -BCT_EEXPIRED;
+	pthread_mutex_lock(&t->lock);
+	out->more = t->behind;
+	if (t->behind && topic == BCT_REGISTRY_UPSTREAMS && !t->behind_at)
+		t->behind_at = bct_clock_now();
+	pthread_mutex_unlock(&t->lock);
+	return out->more ? 0 : -BCT_EEXPIRED;
 }
 
 static int decode_routes(bct_registry_t *r, const char *text, size_t len_bytes,
--- a/tests/util_gate.h
+++ b/tests/util_gate.h
@@ -111,7 +111,9 @@
 	bool down;	      /* the registry does not answer this gateway */
 	bool desk_listed;
 	const char *const *odd; /* further entries, of other writers, up to a NULL; NULL: none */
-	bool routes_hang;	/* calls on routes do not return until it is cleared or cancelled */
+	bool behind; /* an answer to changes holds none of them, and states that there are more */
+	bct_time_t behind_at; /* first such answer on upstreams; 0: none yet */
+	bool routes_hang;     /* calls on routes do not return until it is cleared or cancelled */
 	bool cancelled;
 	pthread_cond_t routes_resume;
 	bool desk_drains;
