gate: seeds that change while a gateway runs are used

Cause: new machines start with the seeds of the platform's settings file, which may name machines that are gone. The platform renews the file within seconds, but a gateway read it at its start only and answered SIGHUP with event 104. So the new machines never found each other; each judged the request by itself, and counted one node for retry budgets and limits.

Change: at SIGHUP, and once a second if the contents of the file changed (a platform may change it without a signal), the gateway loads its settings again and applies the seeds and the log level. New seeds that are no live members are contacted at once, all of them, so that also parts of a fleet that are not alone meet without waiting for the contact of one random seed each 10 s. A file or a seed that can't be read leaves all as it was and writes event 104; 105 states how many seeds are in use.

Not done: nodes don't look for each other in the platform's store. If no file ever names a live node, they stay apart.

--- a/base/event_list.h
+++ b/base/event_list.h
@@ -15,7 +15,7 @@
 	DEF(SETTINGS_KEPT, 104, WARN,                                                              \
 	    "the settings could not be reloaded; the previous ones stay in force")                 \
 	DEF(SETTINGS_RELOADED, 105, INFO,                                                          \
-	    "the settings were reloaded; only the log level can change")                           \
+	    "the settings were reloaded; only the log level and the seeds can change")             \
 	DEF(LISTEN_FAILED, 106, ERROR, "an address cannot be listened on")                         \
 	DEF(LOG_DROPPED, 107, WARN, "log lines were dropped because their reader was too slow")    \
 	DEF(LOG_LIMITED, 108, INFO, "log lines of one event exceeded its rate limit")              \
--- a/cmd/daemon.c
+++ b/cmd/daemon.c
@@ -3,6 +3,7 @@
  */
 #include "cmd/daemon.h"
 #include "base/err.h"
+#include "base/hash.h"
 
 #include <curl/curl.h>
 #include <popt.h>
@@ -74,6 +75,32 @@
 	return rc;
 }
 
+int bct_daemon_reload(const bct_daemon_options_t *o, bct_settings_t *out)
+{
+	int rc = bct_daemon_settings(o->config, out);
+
+	if (!rc && o->log_level)
+		snprintf(out->log_level, sizeof(out->log_level), "%s", o->log_level);
+	return rc;
+}
+
+uint64_t bct_daemon_file_digest(const char *path)
+{
+	FILE *f = fopen(path, "rbe");
+	uint64_t digest = 1;
+	char chunk[4096];
+	size_t n;
+
+	if (!f)
+		return 0;
+	while ((n = fread(chunk, 1, sizeof(chunk), f)) > 0)
+		digest = bct_hash_mix(digest, bct_hash(chunk, n));
+	if (ferror(f))
+		digest = 0;
+	fclose(f);
+	return digest;
+}
+
 int bct_daemon_log(const bct_daemon_options_t *o, const bct_settings_t *s, FILE *stream,
 		   bct_log_t **out)
 {
@@ -103,11 +130,13 @@
 }
 
 /* Settings are large, so they are on the heap, for as long as the daemon runs. */
-static int load_and_serve(const bct_daemon_options_t *o, bct_daemon_serve_fn serve)
+static int load_and_serve(bct_daemon_options_t *o, bct_daemon_serve_fn serve)
 {
 	bct_settings_t *s = malloc(sizeof(*s));
 	int rc = BCT_EXIT_SETTINGS;
 
+	o->loaded_digest = bct_daemon_file_digest(o->config);
+
 	if (!s || sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT))
 		rc = BCT_EXIT_START;
 	else if (!bct_daemon_settings(o->config, s))
--- a/cmd/daemon.h
+++ b/cmd/daemon.h
@@ -13,6 +13,8 @@
 	char *log_format; /* overrides the settings; NULL: not given */
 	int check;	  /* validate the settings and exit */
 	int version;	  /* print the version and exit */
+	/* Digest of the settings file before it was loaded, or 0; see bct_daemon_file_digest(3). */
+	uint64_t loaded_digest;
 } bct_daemon_options_t;
 
 #define BCT_EXIT_START 1    /* the daemon could not start */
@@ -34,6 +36,21 @@
  */
 int bct_daemon_settings(const char *path, bct_settings_t *out);
 
+/*
+ * bct_daemon_reload(3): load the settings file again. The log level of the command line overrides
+ * that of the file.
+ *
+ * returns  0 or a negative error
+ */
+int bct_daemon_reload(const bct_daemon_options_t *o, bct_settings_t *out);
+
+/*
+ * bct_daemon_file_digest(3): digest of a file's contents, to notice that they changed.
+ *
+ * returns  0 if it cannot be read
+ */
+uint64_t bct_daemon_file_digest(const char *path);
+
 /*
  * bct_daemon_log(3): open the log with the level and format of the options, else of the settings.
  *
--- a/coord/member.c
+++ b/coord/member.c
@@ -394,6 +394,23 @@
 	info_tick(t, now);
 }
 
+int bct_member_set_seeds(bct_member_table_t *t, const bct_addr_t *seeds, uint32_t n)
+{
+	uint32_t listed = t->n_seeds - t->n_configured_seeds;
+
+	if (n > BCT_SEEDS_MAX)
+		return -BCT_EINVAL;
+	if (listed > BCT_SEEDS_MAX - n)
+		listed = BCT_SEEDS_MAX - n;
+	memmove(&t->seeds[n], &t->seeds[t->n_configured_seeds], listed * sizeof(*t->seeds));
+	if (n)
+		memcpy(t->seeds, seeds, n * sizeof(*t->seeds));
+	t->n_seeds = n + listed;
+	t->n_configured_seeds = n;
+	t->contact_all_seeds = true;
+	return 0;
+}
+
 /* Replaces the seeds from the VM list; those from the settings stay. */
 static void vm_list_seeds(bct_member_table_t *t, const bct_vm_list_t *list)
 {
--- a/coord/member.h
+++ b/coord/member.h
@@ -144,6 +144,15 @@
  */
 void bct_member_set_info(bct_member_table_t *t, bct_time_t now, const bct_member_info_t *info);
 
+/*
+ * bct_member_set_seeds(3): replace the seeds from the settings. Each that is no live member is
+ * contacted in the next tick, so that a node that knew no live seed joins at once, and the parts of
+ * a fleet that did not know each other meet.
+ *
+ * returns  0, or -BCT_EINVAL if there are more than BCT_SEEDS_MAX
+ */
+int bct_member_set_seeds(bct_member_table_t *t, const bct_addr_t *seeds, uint32_t n);
+
 /*
  * bct_member_vm_list(3): use the platform's VM list as a hint. Its entry VMs serve as additional
  * seeds, and dead members that it does not name are removed early. It never changes a member's
--- a/coord/member_int.h
+++ b/coord/member_int.h
@@ -124,6 +124,7 @@
 	bct_time_t expected_tick; /* latest time of the next call of bct_member_tick() */
 	bct_time_t next_probe;
 	bct_time_t next_gossip;
+	bool contact_all_seeds; /* those from the settings, in the next tick */
 	bct_time_t next_join;
 	bct_time_t next_contact;
 	bct_time_t next_sync;
--- a/coord/member_probe.c
+++ b/coord/member_probe.c
@@ -264,18 +264,30 @@
 	return false;
 }
 
-/* Pings a random seed unless it is the address of a live member. */
-static void contact_seed(bct_member_table_t *t, bct_time_t now)
+/* Pings a seed unless it is the address of a live member. */
+static void contact_seed(bct_member_table_t *t, bct_time_t now, uint32_t i)
 {
-	bct_dest_t to = { 0 };
+	bct_dest_t to = { .addr = t->seeds[i] };
 
-	if (!t->n_seeds)
-		return;
-	to.addr = t->seeds[bct_rng_below(&t->rng, t->n_seeds)];
 	if (!addr_is_live(t, &to.addr))
 		bct_probe_ping(t, now, &to);
 }
 
+static void contact_random_seed(bct_member_table_t *t, bct_time_t now)
+{
+	if (t->n_seeds)
+		contact_seed(t, now, bct_rng_below(&t->rng, t->n_seeds));
+}
+
+static void contact_new_seeds(bct_member_table_t *t, bct_time_t now)
+{
+	if (!t->contact_all_seeds)
+		return;
+	t->contact_all_seeds = false;
+	for (uint32_t i = 0; i < t->n_configured_seeds; i++)
+		contact_seed(t, now, i);
+}
+
 /* Pings one dead member, so that the halves of a fleet rejoin after a partition. */
 static void contact_dead(bct_member_table_t *t, bct_time_t now)
 {
@@ -294,13 +306,14 @@
 
 void bct_join_tick(bct_member_table_t *t, bct_time_t now)
 {
+	contact_new_seeds(t, now);
 	if (t->n_live == 1 && now >= t->next_join) {
 		t->next_join = now + JOIN_INTERVAL_MS;
-		contact_seed(t, now);
+		contact_random_seed(t, now);
 	}
 	if (now >= t->next_contact) {
 		t->next_contact = now + CONTACT_INTERVAL_MS;
-		contact_seed(t, now);
+		contact_random_seed(t, now);
 		contact_dead(t, now);
 	}
 }
--- a/coord/peer.c
+++ b/coord/peer.c
@@ -311,6 +311,17 @@
 	pthread_mutex_unlock(&p->lock);
 }
 
+int bct_peer_set_seeds(bct_peer_t *p, const bct_addr_t *seeds, uint32_t n)
+{
+	int rc;
+
+	pthread_mutex_lock(&p->lock);
+	rc = bct_member_set_seeds(p->members, seeds, n);
+	pthread_mutex_unlock(&p->lock);
+	bct_peer_wake(p);
+	return rc;
+}
+
 void bct_peer_vm_list(bct_peer_t *p, const bct_vm_list_t *list)
 {
 	pthread_mutex_lock(&p->lock);
--- a/coord/peer.h
+++ b/coord/peer.h
@@ -108,6 +108,9 @@
 /* bct_peer_set_load(3): advertise this node's load in 1/1000 of its capacity. */
 void bct_peer_set_load(bct_peer_t *p, uint32_t load_permille);
 
+/* bct_peer_set_seeds(3): see bct_member_set_seeds(). */
+int bct_peer_set_seeds(bct_peer_t *p, const bct_addr_t *seeds, uint32_t n);
+
 /* bct_peer_vm_list(3): see bct_member_vm_list(). */
 void bct_peer_vm_list(bct_peer_t *p, const bct_vm_list_t *list);
 
--- a/gate/fleet.c
+++ b/gate/fleet.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 /* The port of a configured seed is ignored, as the peer port is the same on all nodes. */
-static int parse_seeds(const bct_settings_t *s, bct_addr_t *out)
+static int parse_seeds(const bct_settings_t *s, uint32_t peer_port, bct_addr_t *out)
 {
 	for (uint32_t i = 0; i < s->n_peer_seeds; i++) {
 		char ip[BCT_ADDR_BYTES] = "";
@@ -19,7 +19,7 @@
 		if (len >= sizeof(ip))
 			return -BCT_EINVAL;
 		memcpy(ip, s->peer_seeds[i], len);
-		if (bct_addr_parse(ip, (uint16_t)s->peer_port, &out[i]))
+		if (bct_addr_parse(ip, (uint16_t)peer_port, &out[i]))
 			return -BCT_EINVAL;
 	}
 	return 0;
@@ -30,7 +30,7 @@
 int bct_fleet_join(bct_gate_t *g)
 {
 	const bct_settings_t *s = g->settings;
-	bct_addr_t seeds[64];
+	bct_addr_t seeds[BCT_SEEDS_MAX];
 	bct_peer_opts_t o = {
 		.ops = &peer_ops,
 		.ctx = g,
@@ -46,8 +46,18 @@
 	if (!s->peer_secret[0])
 		return 0;
 	bct_peer_opts_fill(s, &o);
-	rc = parse_seeds(s, seeds);
+	rc = parse_seeds(s, s->peer_port, seeds);
 	if (!rc)
 		rc = bct_peer_new(&o, &g->peer);
 	return rc ? rc : bct_peer_start(g->peer);
 }
+
+int bct_fleet_set_seeds(bct_gate_t *g, const bct_settings_t *s)
+{
+	bct_addr_t seeds[BCT_SEEDS_MAX];
+	int rc = parse_seeds(s, g->settings->peer_port, seeds);
+
+	if (rc || !g->peer)
+		return rc;
+	return bct_peer_set_seeds(g->peer, seeds, s->n_peer_seeds);
+}
--- a/gate/gate.c
+++ b/gate/gate.c
@@ -53,8 +53,7 @@
 
 	(void)what;
 	if (sig == SIGHUP)
-		BCT_LOG(g->log, BCT_EV_SETTINGS_KEPT,
-			BCT_STR("why", "a gateway reads its settings only at startup"));
+		bct_gate_reload(g);
 	else
 		drain(g);
 }
@@ -126,6 +125,7 @@
 	bct_origins_tick(g->origins);
 	bct_relay_tick(g->relay);
 	bct_gate_usage_tick(g->usage);
+	bct_gate_reload_tick(g, bct_clock_now());
 	count_nodes(g);
 	bct_notice_assign_limits(g);
 	bct_registry_sync_tick(g->registry_sync);
--- a/gate/gate.h
+++ b/gate/gate.h
@@ -18,8 +18,23 @@
 
 typedef struct bct_gate bct_gate_t;
 
+/* Where the settings come from, which may change while the gateway runs. */
+typedef struct bct_settings_source bct_settings_source_t;
+
+typedef struct bct_settings_source_ops {
+	/* Whether they are others than at the last load. */
+	bool (*changed)(bct_settings_source_t *s);
+	/* Loads and validates them. Returns 0 or a negative error. */
+	int (*load)(bct_settings_source_t *s, bct_settings_t *out);
+} bct_settings_source_ops_t;
+
+struct bct_settings_source {
+	const bct_settings_source_ops_t *ops;
+};
+
 typedef struct bct_gate_opts {
 	const bct_settings_t *settings; /* must outlive the gateway */
+	bct_settings_source_t *source;	/* must outlive the gateway; NULL: none to reload from */
 	const bct_wire_ops_t *wire;
 	bct_registry_t *registry; /* the gateway takes ownership */
 	bct_control_t *control;	  /* the gateway takes ownership; NULL: the fleet has no duties */
--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -110,6 +110,7 @@
 	bct_gate_conn_limits_t conn_limits;
 	struct event *tick;
 	bct_time_t windows_checked;
+	bct_time_t settings_checked_at;
 	bct_time_t ticked_at;
 	bct_time_t resumed_at; /* after a suspension of the process; 0: never */
 	struct event *signals[3];
@@ -424,4 +425,16 @@
 /* fleet.c: membership in the fleet of gateways. returns 0 or an error of bct_peer_new(3). */
 int bct_fleet_join(bct_gate_t *g);
 
+/* bct_fleet_set_seeds(3): use the seeds of other settings. returns 0, or -BCT_EINVAL for one that
+ * is no address. */
+int bct_fleet_set_seeds(bct_gate_t *g, const bct_settings_t *s);
+
+/*
+ * bct_gate_reload(3): load the settings again and apply those that can change while the gateway
+ * runs. Logs the result; after a failure, the previous ones stay in force.
+ * bct_gate_reload_tick(3): the same if they have changed; to be called often.
+ */
+void bct_gate_reload(bct_gate_t *g);
+void bct_gate_reload_tick(bct_gate_t *g, bct_time_t now);
+
 #endif
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -283,6 +283,83 @@
 	vnet_free(net);
 }
 
+#define GONE 9 /* a slot in which no process runs */
+
+/* Gives a node these seeds in place of those that it started with. */
+static void set_seeds(vnet_t *net, uint32_t node, const uint32_t *slots, uint32_t n)
+{
+	bct_addr_t seeds[BCT_SEEDS_MAX];
+
+	for (uint32_t i = 0; i < n; i++)
+		seeds[i] = net->nodes[slots[i]].addr;
+	cr_assert_eq(bct_member_set_seeds(net->nodes[node].members, seeds, n), 0);
+}
+
+/* All machines were replaced, and the new ones start with seeds that are gone (review/7): with the
+ * seeds that they get later, they must be one fleet in time. */
+Test(member, nodes_with_stale_seeds_join_once_they_get_others)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		vnet_t *net = vnet_new(seed);
+
+		for (uint32_t i = 0; i < 3; i++)
+			vnet_start(net, i, GONE);
+		vnet_run(net, 15000);
+		cr_assert(!vnet_converged(net), "nodes joined without a live seed");
+		for (uint32_t i = 0; i < 3; i++)
+			set_seeds(net, i, (const uint32_t[]){ 0, 1, 2 }, 3);
+		cr_expect_geq(vnet_run_until(net, vnet_converged, CATCH_UP_MS), 0, "seed %lu",
+			      seed);
+		vnet_free(net);
+	}
+}
+
+/* Two parts of a fleet that know dead seeds only. A node that is not alone contacts a random seed
+ * each 10 s; the new ones, of which one leads to the other part, must be contacted at once. */
+Test(member, parts_of_a_fleet_meet_by_a_new_seed)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		vnet_t *net = vnet_new(seed);
+
+		vnet_start(net, 0, GONE);
+		vnet_start(net, 1, GONE);
+		vnet_start(net, 2, 1);
+		vnet_start(net, 3, 0);
+		vnet_run(net, 15000);
+		cr_assert(!vnet_converged(net), "the parts met without a live seed");
+		set_seeds(net, 2, (const uint32_t[]){ 1, 2, 3 }, 3);
+		cr_expect_geq(vnet_run_until(net, vnet_converged, CATCH_UP_MS), 0, "seed %lu",
+			      seed);
+		vnet_free(net);
+	}
+}
+
+/* The seeds of the VM list stay when those of the settings are replaced, by more or by none. */
+Test(member, new_seeds_leave_those_of_the_vm_list)
+{
+	static const uint32_t counts[] = { 0, 1, BCT_SEEDS_MAX - 1 };
+	bct_addr_t many[BCT_SEEDS_MAX + 1];
+	bct_vm_t vm = { .name = "vm-0", .address = "10.0.0.0", .role = BCT_VM_ENTRY };
+	bct_vm_list_t list = { .vms = &vm, .n = 1 };
+
+	for (uint32_t i = 0; i <= BCT_SEEDS_MAX; i++)
+		cr_assert_eq(bct_addr_parse("10.0.9.9", (uint16_t)(1 + i), &many[i]), 0);
+	for (size_t i = 0; i < sizeof(counts) / sizeof(counts[0]); i++) {
+		vnet_t *net = vnet_new(8);
+
+		vnet_start(net, 0, 0);
+		vnet_start(net, 1, GONE);
+		bct_member_vm_list(net->nodes[1].members, net->now, &list);
+		cr_assert_eq(bct_member_set_seeds(net->nodes[1].members, many, counts[i]), 0);
+		cr_expect_geq(vnet_run_until(net, vnet_converged, SETTLE_MS * 2), 0, "%u seeds",
+			      counts[i]);
+		cr_expect_eq(bct_member_set_seeds(net->nodes[1].members, many, BCT_SEEDS_MAX), 0);
+		cr_expect_eq(bct_member_set_seeds(net->nodes[1].members, many, BCT_SEEDS_MAX + 1),
+			     -BCT_EINVAL);
+		vnet_free(net);
+	}
+}
+
 static bool fact_everywhere(vnet_t *net)
 {
 	for (uint32_t i = 1; i < net->n; i++) {
