chuted: seeds that change are used at SIGHUP

It has the platform's VM list as well, so that a node whose seeds are gone stays alone only while that list is missing too, as when the platform can't be reached or lists nobody.

Change: SIGHUP applies the seeds beside the log level; one that is no address leaves both as they were and writes event 104.

Measured: tests/proc_seeds_chuted.sh fails on ("new seeds are not used": event 105, and the node stays alone for 15 s) and passes now.

--- a/cmd/chuted.c
+++ b/cmd/chuted.c
@@ -16,21 +16,20 @@
 
 #define TICK_NS 50000000L /* interval of the check whether the drain is complete */
 
-/*
- * Handles SIGHUP: validates the settings file and applies what can change safely at run time. At
- * present this is the log level, unless --log-level overrides it.
- */
-static void reload(const bct_daemon_options_t *o, bct_log_t *log)
+/* Handles SIGHUP: validates the settings file and applies what can change safely at run time. */
+static void reload(const bct_daemon_options_t *o, bct_node_t *n, bct_log_t *log)
 {
 	bct_settings_t *fresh = malloc(sizeof(*fresh));
+	int rc = fresh ? bct_daemon_reload(o, fresh) : -BCT_ENOMEM;
 
-	if (!fresh || bct_daemon_settings(o->config, fresh)) {
-		BCT_LOG(log, BCT_EV_SETTINGS_KEPT, BCT_STR("file", o->config));
-	} else {
-		if (!o->log_level)
-			bct_log_set_level(log, (bct_level_t)bct_level_parse(fresh->log_level));
-		BCT_LOG(log, BCT_EV_SETTINGS_RELOADED, BCT_STR("file", o->config));
-	}
+	if (!rc)
+		rc = bct_node_reload(n, fresh);
+	if (rc)
+		BCT_LOG(log, BCT_EV_SETTINGS_KEPT, BCT_STR("file", o->config),
+			BCT_ERR("error", rc));
+	else
+		BCT_LOG(log, BCT_EV_SETTINGS_RELOADED, BCT_STR("file", o->config),
+			BCT_U64("seeds", fresh->n_peer_seeds));
 	free(fresh);
 }
 
@@ -57,7 +56,7 @@
 		int sig = sigtimedwait(set, NULL, &tick);
 
 		if (sig == SIGHUP)
-			reload(o, log);
+			reload(o, n, log);
 		if (sig != SIGTERM && sig != SIGINT)
 			continue;
 		if (stopping)
--- a/node/node.c
+++ b/node/node.c
@@ -310,6 +310,15 @@
 	return 0;
 }
 
+int bct_node_reload(bct_node_t *n, const bct_settings_t *s)
+{
+	int rc = n->peer ? bct_node_peer_set_seeds(n->peer, s) : 0;
+
+	if (!rc)
+		bct_log_set_level(n->opts.log, (bct_level_t)bct_level_parse(s->log_level));
+	return rc;
+}
+
 void bct_node_drain(bct_node_t *n)
 {
 	if (ck_pr_fas_32(&n->drain_requested, 1))
--- a/node/node.h
+++ b/node/node.h
@@ -24,6 +24,15 @@
  */
 int bct_node_new(const bct_node_opts_t *opts, bct_node_t **out);
 
+/*
+ * bct_node_reload(3): apply the settings that can change while the node runs: the log level and the
+ * seeds. The others are ignored.
+ *
+ * s        is only read during the call
+ * returns  0, or -BCT_EINVAL if a seed is no address; nothing has changed then
+ */
+int bct_node_reload(bct_node_t *n, const bct_settings_t *s);
+
 /*
  * bct_node_drain(3): begin a planned stop. The node leaves the entry address list at once, serves
  * requests until the lifetime of the addresses handed out before has passed, and completes what is
--- a/node/node_peer.c
+++ b/node/node_peer.c
@@ -153,7 +153,7 @@
 {
 	const bct_settings_t *s = opts->settings;
 	bct_node_peer_t *p = bct_alloc(sizeof(*p));
-	bct_addr_t seeds[64];
+	bct_addr_t seeds[BCT_SEEDS_MAX];
 	bct_peer_opts_t po = {
 		.ops = &peer_ops,
 		.ctx = p,
@@ -181,6 +181,14 @@
 	return 0;
 }
 
+int bct_node_peer_set_seeds(bct_node_peer_t *p, const bct_settings_t *s)
+{
+	bct_addr_t seeds[BCT_SEEDS_MAX];
+	int rc = parse_seeds(s, seeds);
+
+	return rc ? rc : bct_peer_set_seeds(p->peer, seeds, s->n_peer_seeds);
+}
+
 static void publish(bct_node_peer_t *p, bct_item_t *items)
 {
 	uint32_t n = bct_core_publish(p->opts.core, items, ITEMS_MAX);
--- a/node/node_peer.h
+++ b/node/node_peer.h
@@ -33,6 +33,9 @@
 void bct_node_peer_stop(bct_node_peer_t *p);
 void bct_node_peer_free(bct_node_peer_t *p);
 
+/* bct_node_peer_set_seeds(3): use the seeds of other settings. returns 0 or -BCT_EINVAL. */
+int bct_node_peer_set_seeds(bct_node_peer_t *p, const bct_settings_t *s);
+
 /* bct_node_peer_adopted(3): advertise the configuration that is now in force on this node. */
 void bct_node_peer_adopted(bct_node_peer_t *p, const bct_conf_t *conf);
 
