tests: a head that ends early is no answer in the gateway

Report: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. chutegate holds: http/http_msg.c gives up a head that has not ended. Kept as tests, on's readers: 18 parts of heads, closed or reset, each as the answer to a request that may be repeated (sent elsewhere), to one that may not (502), as the first answer to a stream and as its continuation (the stream does not end as complete). Relayed answers go through the same reader.

--- a/tests/test_gate_broken.c
+++ b/tests/test_gate_broken.c
@@ -31,6 +31,10 @@
 	{                                                                                    \
 		.text = "HTTP/1.1 200 OK\r\n" OWN line "\r\nContent-Length: 6\r\n\r\ntheirs" \
 	}
+#define CUT(part)                              \
+	{                                      \
+		.text = part, .end = RAW_CLOSE \
+	}
 #define COUNT(list) (uint32_t)(sizeof(list) / sizeof(list[0]))
 
 static test_gate_t t;
@@ -221,6 +225,69 @@
 	expect_unknown(no_field, 5);
 }
 
+/* An upstream that stops within the head: in a line, between two lines, before the empty one,
+ * behind an interim answer. A reader that takes what it has for a head finds a status and no
+ * length, so that the end of the connection would be the end of a whole answer without a body. */
+static const raw_answer_t cut_head[] = {
+	CUT("HTTP"),
+	CUT("HTTP/1.1 200"),
+	CUT("HTTP/1.1 200 OK\r"),
+	CUT("HTTP/1.1 200 OK\r\n"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "\r"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Le"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Length: 0"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Length: 0\r\n"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Length: 6\r\n"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding: chunked\r\n"),
+	CUT("HTTP/1.1 204 No Content\r\n" OWN),
+	CUT("HTTP/1.1 304 Not Modified\r\n" OWN),
+	CUT("HTTP/1.1 503 Busy\r\n" OWN "X-Buckthornchute-Not-Executed: full\r\n"),
+	CUT("HTTP/1.1 100 Continue\r\n\r\n"),
+	CUT("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" OWN),
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 0\r\n", .end = RAW_RESET },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN, .end = RAW_LATE_RESET },
+};
+
+Test(gate_broken, a_head_that_ends_early_is_none, .timeout = 60)
+{
+	expect_retried(cut_head, COUNT(cut_head));
+}
+
+Test(gate_broken, an_unsafe_request_whose_head_ends_early_may_have_run, .timeout = 60)
+{
+	expect_unknown(cut_head, COUNT(cut_head));
+}
+
+/* The same as the first answer to a stream, and as its continuation. */
+Test(gate_broken, a_head_that_ends_early_ends_no_stream, .timeout = 90)
+{
+	test_gate_start(&t);
+	t.raw = cut_head;
+	for (uint32_t i = 0; i < COUNT(cut_head); i++) {
+		char id[32], script[32], path[32];
+		bct_buf_t out;
+		int status;
+
+		snprintf(path, sizeof(path), "/resume/%u", i);
+		snprintf(id, sizeof(id), "cut-%u", i);
+		snprintf(script, sizeof(script), "streamcut,raw%u", i);
+		cr_expect_eq(test_gate_call(&t, "POST", path, id, script, &out), 200);
+		cr_expect(strstr(out.data, "data: e2") && !strstr(out.data, "\r\n0\r\n"), "%u: %s",
+			  i, out.data);
+		cr_expect(!strstr(out.data + 9, "HTTP/1."), "%u: %s", i, out.data);
+		bct_buf_free(&out);
+
+		snprintf(path, sizeof(path), "/stream/%u", i);
+		snprintf(id, sizeof(id), "cut-first-%u", i);
+		snprintf(script, sizeof(script), "raw%u", i);
+		status = test_gate_call(&t, "POST", path, id, script, &out);
+		cr_expect(status >= 502, "%u: %d: %s", i, status, out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
 /* Fields that leave open where the body ends. */
 static const raw_answer_t no_length[] = {
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length : 6\r\n\r\ntheirs and more",
