chuted: an answer whose head ends early is none

What callers saw: a service that stopped within the head of its answer and closed got through as a whole answer: "200 OK" with "Content-Length: 0", or 204 and 404. A 503, or an engine's 409 or 429, cut in its head counted as "not run": the request was sent again and again, with no answer within 8 s.

Cause: libcurl takes the end of a connection for that of the answer, also within the head, and reports CURLE_OK with the status of the line that came. The head's lines were checked one by one, not that its empty line had come.

Change: bct_curl_result() makes a success without a whole head a failure; attempts use it, and polls and orders of engines, which are read the same way. The outcome is that of a connection that broke: unknown, for engines with the protection against requests that break engines (422).

Measured: test_node_broken a_head_that_ends_early_is_none fails on's readers for 9 of 15 heads (six times 200, 204, 404, and no answer to a 503), an_engines_head_that_ends_early_is_none for 6 of 10 calls; test_curl_lines a_head_that_ends_early_is_none for 8 of 10 heads. The new test_curl_lines case needs bct_curl_result(); for the run before the fix the call was left out.

--- a/http/answer_lines.c
+++ b/http/answer_lines.c
@@ -50,3 +50,8 @@
 		a->err = check_line(a, line, len_bytes);
 	return a->err;
 }
+
+bool bct_answer_has_head(const bct_answer_lines_t *a)
+{
+	return a->is_final && !a->in_head && !a->err;
+}
--- a/http/answer_lines.h
+++ b/http/answer_lines.h
@@ -28,4 +28,10 @@
  */
 int bct_answer_line(bct_answer_lines_t *a, const char *line, size_t len_bytes);
 
+/*
+ * bct_answer_has_head(3): whether the head of the answer itself has been read up to its empty line,
+ * and no line was unsound. If not, there is no status to believe.
+ */
+bool bct_answer_has_head(const bct_answer_lines_t *a);
+
 #endif
--- a/http/curl_lines.c
+++ b/http/curl_lines.c
@@ -16,3 +16,8 @@
 	curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(e, CURLOPT_HEADERDATA, lines);
 }
+
+CURLcode bct_curl_result(CURLcode code, const bct_answer_lines_t *lines)
+{
+	return code == CURLE_OK && !bct_answer_has_head(lines) ? CURLE_PARTIAL_FILE : code;
+}
--- a/http/curl_lines.h
+++ b/http/curl_lines.h
@@ -1,5 +1,5 @@
 /*
- * curl_lines.h - ends a transfer of libcurl whose answer has a malformed head.
+ * curl_lines.h - ends a transfer of libcurl whose answer has a malformed head, or no whole one.
  */
 #ifndef BCT_HTTP_CURL_LINES_H
 #define BCT_HTTP_CURL_LINES_H
@@ -16,4 +16,12 @@
  */
 void bct_curl_check_lines(CURL *e, bct_answer_lines_t *lines);
 
+/*
+ * bct_curl_result(3): the result of a transfer whose heads were checked. libcurl reports a success,
+ * with the status of the line that came, if the connection ended within the head.
+ *
+ * returns  code, or CURLE_PARTIAL_FILE in place of CURLE_OK if there is no whole head
+ */
+CURLcode bct_curl_result(CURLcode code, const bct_answer_lines_t *lines);
+
 #endif
--- a/node/node_placement.c
+++ b/node/node_placement.c
@@ -111,7 +111,7 @@
 		curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(e, CURLOPT_POSTFIELDS, body);
 	}
-	rc = curl_easy_perform(e);
+	rc = bct_curl_result(curl_easy_perform(e), &lines);
 	curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
 	return rc == CURLE_OK ? (int)status : -BCT_EUNAVAILABLE;
 }
--- a/node/poller.c
+++ b/node/poller.c
@@ -194,7 +194,7 @@
 	curl_easy_getinfo(e->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(p->multi, e->easy);
 	e->busy = false;
-	if (code != CURLE_OK || status != 200) {
+	if (bct_curl_result(code, &e->lines) != CURLE_OK || status != 200) {
 		e->consecutive_failures++;
 		return;
 	}
--- a/node/transfer.c
+++ b/node/transfer.c
@@ -6,6 +6,7 @@
  */
 #include "node/transfer.h"
 #include "base/err.h"
+#include "http/curl_lines.h"
 #include "http/delivery.h"
 #include "http/http_msg.h"
 #include "node/answer.h"
@@ -452,7 +453,7 @@
 {
 	memset(end, 0, sizeof(*end));
 	end->attempt_id = a->id;
-	end->outcome = outcome_of(a, code);
+	end->outcome = outcome_of(a, bct_curl_result(code, &a->lines));
 	end->tokens = a->tokens;
 	end->retry_after_ms = a->retry_after_ms;
 	end->may_have_run = a->sent && end->outcome != BCT_OUTCOME_BUSY;
--- a/tests/test_curl_lines.c
+++ b/tests/test_curl_lines.c
@@ -39,7 +39,7 @@
 	curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(e, CURLOPT_WRITEDATA, body_bytes);
 	bct_curl_check_lines(e, &lines);
-	if (curl_easy_perform(e) == CURLE_OK)
+	if (bct_curl_result(curl_easy_perform(e), &lines) == CURLE_OK)
 		curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_cleanup(e);
 	return status;
@@ -68,6 +68,27 @@
 		cr_expect_eq(fetch(&raw[i], &body_bytes), 0, "%u: %s", i, raw[i].text);
 }
 
+/* libcurl takes the end of a connection for that of an answer, also within the head. */
+Test(curl_lines, a_head_that_ends_early_is_none, .timeout = 60)
+{
+	static const raw_answer_t raw[] = {
+		{ .text = "HTTP/1.1 200", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 200 X\r\n", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 200 X\r\nX-Foo: a\r\n", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 200 X\r\nX-Foo: a\r\n\r", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 200 X\r\nContent-Le", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 200 X\r\nContent-Length: 0\r\n", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 204 X\r\n", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 503 X\r\n", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 100 X" END, .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 100 X" END "HTTP/1.1 200 X\r\n", .end = RAW_CLOSE },
+	};
+	size_t body_bytes;
+
+	for (uint32_t i = 0; i < COUNT(raw); i++)
+		cr_expect_eq(fetch(&raw[i], &body_bytes), 0, "%u: %s", i, raw[i].text);
+}
+
 Test(curl_lines, sound_heads_are_read, .timeout = 60)
 {
 	static const raw_answer_t raw[] = {
--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -162,6 +162,60 @@
 	expect_no_answer(raw, COUNT(raw));
 }
 
+/* A service or an engine that stops within the head. libcurl reports a success: the status of the
+ * line that came, and an empty body. A 503 would say that nothing was run. */
+#define CUT(part)                              \
+	{                                      \
+		.text = part, .end = RAW_CLOSE \
+	}
+static const raw_answer_t cut_head[] = {
+	CUT("HTTP/1.1 200"),
+	CUT("HTTP/1.1 200 OK\r\n"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "\r"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Le"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Length: 0\r\n"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Length: 6\r\n"),
+	CUT("HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding: chunked\r\n"),
+	CUT("HTTP/1.1 204 No Content\r\n" OWN),
+	CUT("HTTP/1.1 404 Gone\r\n" OWN),
+	CUT("HTTP/1.1 503 Busy\r\n" OWN "Content-Length: 0\r\n"),
+	CUT("HTTP/1.1 100 Continue\r\n\r\n"),
+	CUT("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" OWN),
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 0\r\n", .end = RAW_RESET },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN, .end = RAW_LATE_RESET },
+};
+
+Test(node_broken, a_head_that_ends_early_is_none, .timeout = 60)
+{
+	expect_no_answer(cut_head, COUNT(cut_head));
+}
+
+/* The same from an engine, to a caller that waits for all of it and to one that reads a stream;
+ * 409 and 429 of an engine also say that nothing was run. */
+Test(node_broken, an_engines_head_that_ends_early_is_none, .timeout = 90)
+{
+	static const raw_answer_t raw[] = {
+		CUT("HTTP/1.1 200 OK\r\n" OWN),
+		CUT("HTTP/1.1 200 OK\r\n" OWN "Content-Type: text/event-stream\r\n"),
+		CUT("HTTP/1.1 409 Leaving\r\n" OWN "Content-Length: 0\r\n"),
+		CUT("HTTP/1.1 429 Busy\r\n" OWN "Content-Length: 0\r\n"),
+		CUT("HTTP/1.1 503 Busy\r\n" OWN "Content-Length: 0\r\n"),
+	};
+
+	for (uint32_t i = 0; i < 2 * COUNT(raw); i++) {
+		test_node_t t;
+		bct_buf_t out;
+
+		test_node_start_at(&t, "", test_raw_serve(&raw[i / 2], 1, ID, POLLS), 0);
+		/* The engine breaks off each attempt, which refuses the request as poison. */
+		cr_expect_eq(complete(&t, i % 2, &out), 422, "%u: %s", i, out.data);
+		cr_expect(strstr(out.data, "\"run\":\"unknown\""), "%u: %s", i, out.data);
+		bct_buf_free(&out);
+		test_node_stop(&t);
+	}
+}
+
 /* Sound answers at the edges are passed on. */
 Test(node_broken, every_sound_answer_is_passed_on, .timeout = 60)
 {
