--- a/cmd/chutectl_http.c
+++ b/cmd/chutectl_http.c
@@ -101,7 +101,7 @@
 	ctl_exit_t res = CTL_OK;
 
 	bct_curl_check_lines(c, &lines);
-	code = curl_easy_perform(c);
+	code = bct_curl_result(curl_easy_perform(c), &lines);
 	if (code != CURLE_OK)
 		return fail_transfer(ctl, c, code, post);
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
@@ -160,7 +160,7 @@
 	snprintf(url, sizeof(url), "http://%s/metrics", ctl->node);
 	set_options(c, ctl, url, NULL, NULL, out);
 	bct_curl_check_lines(c, &lines);
-	rc = curl_easy_perform(c);
+	rc = bct_curl_result(curl_easy_perform(c), &lines);
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_cleanup(c);
 	if (rc != CURLE_OK)
--- a/cmd/chuteload_http.c
+++ b/cmd/chuteload_http.c
@@ -47,7 +47,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, out);
 	if (body)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-	rc = curl_easy_perform(easy);
+	rc = bct_curl_result(curl_easy_perform(easy), &lines);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_cleanup(easy);
 	curl_slist_free_all(list);
