coord: the log's client believes no head that ends early

Change: a status counts once the empty line of its head has come. coord/ may not include http/, so that the client sees to it by itself; interim heads and trailers are passed over.

A sound chunked answer behind an interim head, with trailers, is read as before.

--- a/coord/platform_http.c
+++ b/coord/platform_http.c
@@ -38,8 +38,9 @@
 /* Result of one HTTP request. */
 typedef struct exchange {
 	CURLcode code;
-	long status; /* HTTP status; 0: no response */
-	bool sent;   /* at least one byte of the request may have been sent */
+	long status;	/* HTTP status; 0: no response, or no whole head of one */
+	bool sent;	/* at least one byte of the request may have been sent */
+	bool head_read; /* the latest head was read up to its empty line */
 	bct_buf_t body;
 } exchange_t;
 
@@ -84,6 +85,19 @@
 	return bct_buf_put(body, data, size * n) ? 0 : size * n;
 }
 
+/* Called for each line of a head, of interim heads and of trailers, too. */
+static size_t on_header(char *line, size_t size, size_t n, void *ctx)
+{
+	exchange_t *x = ctx;
+	size_t len = size * n;
+
+	if (len >= 5 && !memcmp(line, "HTTP/", 5))
+		x->head_read = false;
+	else if (len == 2 && !memcmp(line, "\r\n", 2))
+		x->head_read = true;
+	return len;
+}
+
 static void set_common(platform_http_t *p, CURL *c, const char *path, uint32_t timeout_ms,
 		       exchange_t *x)
 {
@@ -100,8 +114,11 @@
 	curl_easy_setopt(c, CURLOPT_CONNECTTIMEOUT_MS, p->connect_timeout_ms);
 	curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(c, CURLOPT_WRITEDATA, &x->body);
+	curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(c, CURLOPT_HEADERDATA, x);
 }
 
+/* libcurl reports a success, with a status, if the connection ended within the head. */
 static void perform(CURL *c, exchange_t *x)
 {
 	long request_bytes = 0;
@@ -110,6 +127,11 @@
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &x->status);
 	curl_easy_getinfo(c, CURLINFO_REQUEST_SIZE, &request_bytes);
 	x->sent = request_bytes > 0;
+	if (x->head_read)
+		return;
+	x->status = 0;
+	if (x->code == CURLE_OK)
+		x->code = CURLE_PARTIAL_FILE;
 }
 
 /* Sends a GET; a response body above max_bytes is refused as malformed. */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -100,6 +100,51 @@
 	cr_assert_eq(append_once("413 Large", "{}", &offset, &requests), -BCT_ETOO_LARGE);
 }
 
+/* Heads that end early; libcurl reports each as a success with this status. */
+static const char *const cut_heads[] = {
+	"HTTP/1.1 200 X\r\n",
+	"HTTP/1.1 404 X\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 410 X\r\nContent-Length: 0\r\n",
+	"HTTP/1.1 413 X\r\n",
+	"HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r",
+	"HTTP/1.1 429 X\r\nContent-Le",
+	"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 413 X\r\n",
+	"HTTP/1.1 100 X\r\n\r\n",
+};
+
+/* Their status was believed: a record that may be in the log counted as too large for it, and a
+ * weight that could not be asked for as one that does not exist. */
+Test(platform_http, a_head_that_ends_early_is_none)
+{
+	for (size_t i = 0; i < sizeof(cut_heads) / sizeof(cut_heads[0]); i++) {
+		server_t s;
+		bct_platform_t *p = start(&s, NULL, NULL);
+		uint64_t n;
+
+		snprintf(s.response, sizeof(s.response), "%s", cut_heads[i]);
+		cr_expect_eq(bct_platform_append(p, "config", "abc", 3, TIMEOUT_MS, &n),
+			     -BCT_EUNKNOWN_OUTCOME, "%s", cut_heads[i]);
+		cr_expect_eq(bct_platform_weight(p, "w", TIMEOUT_MS, &n), -BCT_EUNAVAILABLE, "%s",
+			     cut_heads[i]);
+		stop(&s, p);
+	}
+}
+
+/* Interim heads and trailers do not count as ends of the head. */
+Test(platform_http, heads_around_the_answers_own_are_passed_over)
+{
+	server_t s;
+	bct_platform_t *p = start(&s, NULL, NULL);
+	uint64_t offset = 0;
+
+	snprintf(s.response, sizeof(s.response),
+		 "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+		 "D\r\n{\"offset\": 7}\r\n0\r\nX-Foo: a\r\n\r\n");
+	cr_expect_eq(bct_platform_append(p, "config", "abc", 3, TIMEOUT_MS, &offset), 0);
+	cr_expect_eq(offset, 7);
+	stop(&s, p);
+}
+
 Test(platform_http, append_without_response_is_not_resent)
 {
 	uint64_t offset;
