tests: proc_seeds_gate waits until the seed lists the third node

Cause: the script waited until the first and the third gateway listed three nodes, and then compared the list of the second, which updates it in its own time. The broken file was not the cause, and no check changes: the script waits for the list that it compares with.

--- a/tests/proc_seeds_gate.sh
+++ b/tests/proc_seeds_gate.sh
@@ -66,6 +66,8 @@
 settings g2 "$c" "$b:1"
 wait_for 15 lists "$a" 3 || fail "a settings file that changed without a signal is not read"
 wait_for 15 lists "$c" 3 || fail "a settings file that changed without a signal is not read by the node itself"
+# The checks below compare with this list, which each node updates in its own time.
+wait_for 15 lists "$b" 3 || fail "the seed itself does not list the node that joined through it"
 
 # A file that can't be used leaves the node as it is.
 echo '{' >"$work/g1.json"
