tests: each run of proc_seeds_gate has its own addresses

Two runs at a time whose process ids were 80 or 160 apart could get the same addresses, so that their gateways did not start or found those of the other run: 2 of 96 runs failed, twelve at a time ("is not alone", "new seeds with SIGHUP are not used", each beside "EIO" of a gateway that could not listen). Now the network number changes with each 80 process ids, which is as many as have hosts of their own. 120 runs, twelve at a time, pass.

--- a/tests/proc_seeds_gate.sh
+++ b/tests/proc_seeds_gate.sh
@@ -4,7 +4,7 @@
 # crashing requests and counted the fleet's limits by itself.
 set -eu
 . tests/lib_proc.sh
-net=127.78.$(($$ / 250 % 250 + 1))
+net=127.78.$(($$ / 80 % 250 + 1)) # its own, also beside other runs of this script
 host=$(($$ % 80 * 3 + 1)) # of the first gateway
 callers=18200 resolve=18201 readiness=18202 admin_port=18203 relay=18204 peer=18205 share=18206
 
