chuted: a total that comes late takes no slots for good

What callers saw: after callers had filled the places of a service and left, lookups of it got no answer for as long as the test waited, though nothing ran there.

Cause: a node takes the fleet's total less what it last published as the attempts of others. Of eight attempts it had published, and then none, when the total of eight arrived, these became eight of others. The next total would have corrected that, but totals are sent only to nodes that publish the item, and a node without attempts publishes it once with none and then no more. Engines report their load, services don't.

Change: the item is published, also with none, as long as attempts of others are counted by a total that no report has replaced.

--- a/policy/fleet.c
+++ b/policy/fleet.c
@@ -93,14 +93,13 @@
 	}
 }
 
-/* An upstream without attempts of this node is published once more, with none. */
 static void publish_upstreams(bct_core_t *c, writer_t *w)
 {
 	for (uint32_t i = 0; i < c->n_index; i++) {
 		bct_up_t *u = c->by_index[i];
 		bct_item_t *it;
 
-		if (!u->load.local && !u->load.published)
+		if (!bct_load_is_shared(&u->load))
 			continue;
 		it = writer_add(w, BCT_ITEM_UPSTREAM, u->key, 0);
 		if (!it)
--- a/policy/load.c
+++ b/policy/load.c
@@ -73,6 +73,7 @@
 	if (l->others_prefill_tokens < 0)
 		l->others_prefill_tokens = 0;
 	l->others_at = at;
+	l->others_from_total = false;
 }
 
 void bct_load_fleet_total(bct_load_t *l, bct_time_t at, uint32_t total)
@@ -81,6 +82,12 @@
 		return;
 	l->others = total > l->published ? total - l->published : 0;
 	l->others_at = at;
+	l->others_from_total = true;
+}
+
+bool bct_load_is_shared(const bct_load_t *l)
+{
+	return l->local || l->published || (l->others && l->others_from_total);
 }
 
 void bct_load_set_quota(bct_load_t *l, double share, double rounding)
--- a/policy/load.h
+++ b/policy/load.h
@@ -29,9 +29,10 @@
 	int64_t prefill_tokens; /* prompt tokens of those that have no first token yet */
 	uint32_t others;	/* attempts of all others, latest known value */
 	int64_t others_prefill_tokens;
-	bct_time_t others_at; /* time that the load of others describes */
-	uint32_t published;   /* local, as last published to the other nodes */
-	uint32_t quota;	      /* attempts that this node may run there */
+	bct_time_t others_at;	/* time that the load of others describes */
+	bool others_from_total; /* it was computed from a fleet total, not reported */
+	uint32_t published;	/* local, as last published to the other nodes */
+	uint32_t quota;		/* attempts that this node may run there */
 	bct_load_sample_t history[BCT_LOAD_HISTORY];
 	uint32_t n_history; /* samples taken so far; the ring keeps the latest ones */
 } bct_load_t;
@@ -65,6 +66,13 @@
  */
 void bct_load_fleet_total(bct_load_t *l, bct_time_t at, uint32_t total);
 
+/*
+ * bct_load_is_shared(3): whether this node publishes its attempts there: while it has any, once
+ * more with none, and as long as it counts attempts of others by a total. Only a node that
+ * publishes an item is sent totals, and without the next one that count would stay for good.
+ */
+bool bct_load_is_shared(const bct_load_t *l);
+
 /*
  * bct_load_set_quota(3): set the quota from this node's share of the upstream.
  *
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -178,6 +178,90 @@
 	stop();
 }
 
+/* Publishes the node's items. returns whether it published the service, with so many attempts */
+static bool publishes_service(bct_time_t now, int64_t attempts)
+{
+	bct_item_t items[64];
+	uint32_t n = bct_sched_publish(s, now, items, 64);
+
+	for (uint32_t i = 0; i < n; i++) {
+		if (items[i].type == BCT_ITEM_UPSTREAM && items[i].key == TEST_SERVICE_UPSTREAM(0))
+			return items[i].v[0] == attempts;
+	}
+	return false;
+}
+
+static void total_of_service(bct_time_t now, uint32_t age_ms, int64_t attempts)
+{
+	bct_total_t t = { .item = { .type = BCT_ITEM_UPSTREAM, .key = TEST_SERVICE_UPSTREAM(0) },
+			  .nodes = 1,
+			  .age_ms = age_ms };
+
+	t.item.v[0] = attempts;
+	bct_sched_total(s, now, &t);
+}
+
+/*
+ * A total that arrives after its attempts have ended counts them as attempts of others. The node
+ * was sent no newer total, as it published nothing, and the service got no request any more.
+ */
+Test(route, a_late_total_does_not_take_slots_for_good)
+{
+	bct_action_t out[TEST_ACTIONS];
+
+	conf = test_conf(1, 1, 8, 1);
+	s = test_sched(conf, 1);
+	for (uint64_t id = 1; id <= 8; id++)
+		test_submit(s, id, 0, TEST_BOOKING, 0);
+	cr_assert_eq(test_poll(s, 0, out), 8);
+	cr_assert(publishes_service(1000, 8));
+	for (uint32_t i = 0; i < 8; i++)
+		test_end(s, 1200, out[i].attempt_id, BCT_OUTCOME_OK, 1, true);
+	cr_assert(publishes_service(2000, 0));
+	total_of_service(2100, 1100, 8);
+	cr_assert(publishes_service(3000, 0), "no newer total is sent");
+	total_of_service(3100, 100, 0);
+	test_submit(s, 9, 0, TEST_BOOKING, 3200);
+	test_expect(s, 3200, BCT_ACTION_DISPATCH);
+	stop();
+}
+
+/* The same for attempts of other nodes, which end after this node has published its last one. */
+Test(route, the_load_of_others_is_followed_until_none_is_left)
+{
+	bct_action_t a;
+
+	conf = test_conf(1, 1, 8, 1);
+	s = test_sched(conf, 2);
+	test_submit(s, 1, 0, TEST_BOOKING, 0);
+	a = test_expect(s, 0, BCT_ACTION_DISPATCH);
+	cr_assert(publishes_service(1000, 1));
+	test_end(s, 1100, a.attempt_id, BCT_OUTCOME_OK, 1, true);
+	cr_assert(publishes_service(2000, 0));
+	for (bct_time_t now = 3000; now < 60000; now += 1000) {
+		total_of_service(now - 500, 200, 8);
+		cr_assert(publishes_service(now, 0), "at %lld ms", (long long)now);
+	}
+	total_of_service(60500, 200, 0);
+	cr_assert_not(publishes_service(61000, 0), "nobody uses the service");
+	stop();
+}
+
+/* An engine's own report tells what others run there, so that nothing is published for it. */
+Test(load, a_report_ends_what_a_total_began)
+{
+	bct_load_t l;
+
+	bct_load_init(&l, 8);
+	cr_assert_not(bct_load_is_shared(&l));
+	bct_load_fleet_total(&l, 1000, 3);
+	cr_assert(bct_load_is_shared(&l));
+	bct_load_report(&l, 1500, 3, 0);
+	cr_assert_not(bct_load_is_shared(&l));
+	bct_load_fleet_total(&l, 1400, 8);
+	cr_assert_not(bct_load_is_shared(&l), "older than the report");
+}
+
 Test(route, nodes_share_a_full_target_by_tier)
 {
 	bct_total_t t = { .item = { .type = BCT_ITEM_TIER, .key = TEST_MODEL, .key2 = 1 },
