chuted: a refusal that comes while its request is passed on is not lost

What callers saw: a closed connection without an answer in place of 431, now and then, when their head was longer than allowed. The same holds for any answer after which the server inside closes before it has read the whole request, as 413.

Cause: the filter passes a request on in several writes. The server inside answers and closes after the first; the next write fails, and the filter took that for the end of the connection and freed it, with the answer still unread in the socket.

A failed write now only ends what is passed on to the server inside.

--- a/node/front_filter.c
+++ b/node/front_filter.c
@@ -62,7 +62,7 @@
 	bct_http_msg_t msg;
 	struct evbuffer *shadow; /* copy of what is read, consumed by msg */
 	struct event *timer;
-	bool blind; /* the server inside refuses the request: nothing behind it is passed on */
+	bool blind; /* the server inside reads no further: nothing more is passed on to it */
 	bool bad;   /* a malformed request came */
 	uint32_t idle_polls; /* while bad */
 	bool ending;	     /* the inner side has closed */
@@ -290,13 +290,21 @@
 		bufferevent_enable(c->caller, EV_READ);
 }
 
-/* The server inside has closed: its last bytes go to the caller, then the connection ends. */
+/*
+ * The server inside has closed: its last bytes go to the caller, then the connection ends. It may
+ * answer and close before it has read the whole request. Then writing can fail while the answer is
+ * still unread, so that only the end of reading ends the connection.
+ */
 static void on_inner_event(struct bufferevent *bev, short what, void *ctx)
 {
 	conn_t *c = ctx;
 
 	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
 		return;
+	if (what & BEV_EVENT_WRITING) {
+		c->blind = true;
+		return;
+	}
 	bufferevent_read_buffer(bev, bufferevent_get_output(c->caller));
 	bct_bev_free(bev);
 	c->inner = NULL;
