chuted: a malformed request is refused behind the answer before it

What callers saw: one that reads slowly and sends a malformed request before it has read the answer to the request before it gets that answer without its last 64 KB or so, and the refusal (400) in their place.

The filter refuses a malformed request as soon as the server inside is idle. The server is idle once its answer is in the socket, where it waits while the caller is slow.

Found by reading, when the refusals that were lost had been traced.

The filter now asks for unread bytes, too, after it has asked the server, as that may send an answer meanwhile.

--- a/node/front_filter.c
+++ b/node/front_filter.c
@@ -120,15 +120,21 @@
 	end_when_flushed(c);
 }
 
-/* Whether the server inside has read all that was passed on and has no request in progress. */
+/*
+ * Whether the server inside has read all that was passed on, has no request in progress, and none
+ * of its answers is unread. That one is asked last: an answer may be sent meanwhile.
+ */
 static bool inner_is_idle(conn_t *c)
 {
+	evutil_socket_t fd = bufferevent_getfd(c->inner);
 	int unread = 0;
 
-	if (evbuffer_get_length(bufferevent_get_output(c->inner)) ||
-	    ioctl(bufferevent_getfd(c->inner), SIOCOUTQ, &unread) || unread)
+	if (evbuffer_get_length(bufferevent_get_output(c->inner)) || ioctl(fd, SIOCOUTQ, &unread) ||
+	    unread)
+		return false;
+	if (!c->filter->opts.is_idle(c->filter->opts.ctx, c->inner_end))
 		return false;
-	return c->filter->opts.is_idle(c->filter->opts.ctx, c->inner_end);
+	return !ioctl(fd, FIONREAD, &unread) && !unread;
 }
 
 static void on_timer(evutil_socket_t fd, short what, void *ctx)
--- a/tests/test_front_filter.c
+++ b/tests/test_front_filter.c
@@ -18,8 +18,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define FULL_MS 200	 /* without progress: all buffers on the way are full */
+#define FULL_MS 500	 /* without progress: all buffers on the way are full */
 #define WAIT_MS 5000	 /* for what must come */
+#define REFUSED_MS 500	 /* the filter would have refused a request on an idle connection */
 #define CALLER_BUF 16384 /* small, so that an answer waits inside */
 #define REFUSAL "refused by the filter"
 
@@ -178,3 +179,38 @@
 	close(other_inner);
 	stop(&t);
 }
+
+/*
+ * Guards against a refusal in the middle of an answer: the server inside has sent all of an answer,
+ * a part of which waits unread as its caller is slow, and then a malformed request comes.
+ */
+Test(front_filter, a_malformed_request_is_refused_behind_the_answer_before_it, .timeout = 60)
+{
+	static const char get[] = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct pollfd p = { .events = POLLIN };
+	char request[sizeof(get)];
+	size_t sent;
+	bct_buf_t out;
+	fixture_t t;
+	int caller, inner;
+
+	start(&t);
+	caller = connect_caller(&t, &inner);
+	p.fd = inner;
+	send_text(caller, get);
+	cr_assert_eq(poll(&p, 1, WAIT_MS), 1);
+	cr_assert_eq(recv(inner, request, sizeof(request), 0), (ssize_t)sizeof(get) - 1);
+	sent = send_until_full(inner);
+	send_text(caller, "GET /x HTTP/1.1\nHost: x\n\n");
+	poll(NULL, 0, REFUSED_MS);
+	read_all(caller, &out);
+	cr_assert_gt(out.len_bytes, sent, "%zu of %zu bytes of the answer", out.len_bytes, sent);
+	for (size_t i = 0; i < sent; i++)
+		cr_assert_eq(out.data[i], 'x', "the answer ends after %zu of %zu bytes", i, sent);
+	cr_expect(!strncmp(out.data + sent, "HTTP/1.1 400 ", 13), "%s", out.data + sent);
+	cr_expect(strstr(out.data + sent, REFUSAL), "%s", out.data + sent);
+	bct_buf_free(&out);
+	close(caller);
+	close(inner);
+	stop(&t);
+}
