--- a/tests/test_gate_early.c
+++ b/tests/test_gate_early.c
@@ -19,6 +19,7 @@
 #define BODY_BYTES (4 * 1024 * 1024) /* larger than what kernels buffer on the way */
 #define PART_BYTES (64 * 1024)
 #define WAIT_MS 5000
+#define ABORTS 10
 #define OWN "X-Buckthornchute-Request-Attempt-Id: @id\r\nX-Buckthornchute-Server-Seal: s\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
 
@@ -32,6 +33,13 @@
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN EVENTS, .end = RAW_RESET },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN EVENTS, .end = RAW_LATE_RESET },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN EVENTS, .end = RAW_READ },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 10\r\n\r\nwhole body",
+	  .end = RAW_ABORT },
+	{ .text = "HTTP/1.1 503 Service Unavailable\r\n" OWN
+		  "X-Buckthornchute-Not-Executed: true\r\nContent-Length: 0\r\n\r\n",
+	  .end = RAW_ABORT },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_ABORT },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN EVENTS, .end = RAW_ABORT },
 };
 
 static test_gate_t t;
@@ -81,8 +89,8 @@
 		uint32_t answer;
 		size_t body_bytes;
 	} cases[] = {
-		{ 0, PART_BYTES }, { 0, BODY_BYTES }, { 1, BODY_BYTES },
-		{ 2, PART_BYTES }, { 2, BODY_BYTES },
+		{ 0, PART_BYTES }, { 0, BODY_BYTES },  { 1, BODY_BYTES },  { 2, PART_BYTES },
+		{ 2, BODY_BYTES }, { 10, PART_BYTES }, { 10, BODY_BYTES },
 	};
 
 	start();
@@ -138,18 +146,56 @@
 	test_gate_stop(&t);
 }
 
+/* Guards against the loss of an answer that came whole: a reset at once comes beside it, so that
+ * sending the request fails before the answer has been read. */
+Test(gate_early, a_whole_answer_beside_a_reset_is_delivered, .timeout = 60)
+{
+	start();
+	for (uint32_t i = 0; i < ABORTS; i++) {
+		char id[32];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "beside-%u", i);
+		cr_expect_eq(upload("/unsafe/a", id, "early8", BODY_BYTES, &out), 200, "%u: %s", i,
+			     out.data);
+		cr_expect(strstr(out.data, "\r\n\r\nwhole body"), "%u: %s", i, out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
+/* The same for an answer that says that an unsafe request has not run: its caller may send it
+ * again, which it may not after 502. */
+Test(gate_early, a_refusal_beside_a_reset_is_passed_on, .timeout = 60)
+{
+	start();
+	for (uint32_t i = 0; i < ABORTS; i++) {
+		char id[32];
+		bct_buf_t out;
+
+		snprintf(id, sizeof(id), "refused-%u", i);
+		cr_expect_eq(upload("/unsafe/a", id, "early9", BODY_BYTES, &out), 503, "%u: %s", i,
+			     out.data);
+		cr_expect(strstr(out.data, "\r\nRetry-After: "), "%u: %s", i, out.data);
+		bct_buf_free(&out);
+	}
+	test_gate_stop(&t);
+}
+
 /* The same for streams: a part must not look complete, and a whole one must. */
 Test(gate_early, a_part_of_a_stream_is_not_complete, .timeout = 60)
 {
+	static const uint32_t cases[] = { 5, 6, 7, 11 };
+
 	start();
-	for (uint32_t i = 5; i < 8; i++) {
+	for (uint32_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		char id[32], path[32], script[32];
 		bct_buf_t out;
-		bool whole = i == 7;
+		bool whole = cases[i] == 7;
 
 		snprintf(id, sizeof(id), "stream-%u", i);
 		snprintf(path, sizeof(path), "/stream/%u", i);
-		snprintf(script, sizeof(script), "early%u", i);
+		snprintf(script, sizeof(script), "early%u", cases[i]);
 		cr_expect_eq(upload(path, id, script, BODY_BYTES, &out), 200, "%u: %s", i,
 			     out.data);
 		cr_expect(strstr(out.data, "data: e2"), "%u: %s", i, out.data);
--- a/tests/util_raw.c
+++ b/tests/util_raw.c
@@ -76,7 +76,9 @@
 	size_t len = fill_in(a->text, a->len_bytes ? a->len_bytes : strlen(a->text), id, text);
 
 	send(fd, text, len, MSG_NOSIGNAL);
-	if (a->end == RAW_RESET || a->end == RAW_LATE_RESET) {
+	if (a->end == RAW_ABORT) {
+		reset(fd);
+	} else if (a->end == RAW_RESET || a->end == RAW_LATE_RESET) {
 		if (a->end == RAW_LATE_RESET)
 			shutdown(fd, SHUT_WR);
 		bct_clock_sleep(ARRIVE_MS);
--- a/tests/util_raw.h
+++ b/tests/util_raw.h
@@ -14,6 +14,7 @@
 	RAW_OPEN = 0,	/* the connection is kept for the next request */
 	RAW_CLOSE,	/* an orderly end */
 	RAW_RESET,	/* a reset, after what was sent has arrived */
+	RAW_ABORT,	/* a reset at once, beside what was sent */
 	RAW_READ,	/* the end of the answer; then all that still comes is read */
 	RAW_LATE_RESET, /* the end of the answer; more bytes of the request are met by a reset */
 	RAW_ENDLESS,	/* `again`, over and over until the peer closes */
