tests: an early answer that is whole may be delivered by chuted, too

node_broken/a_part_of_an_answer_is_none had one case that is no part: a service ends its answer in order and reads the whole request. The case demanded that its caller gets "unknown". chuted knows such an answer to be whole when libcurl has sent all of the request, and the service has acknowledged it, before the end of the answer is read, and then delivers it, as it should.

The case is a test of its own now. It demands what callers need: the whole answer, with its length, or "unknown", never a part.

--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -254,8 +254,6 @@
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_RESET },
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_LATE_RESET },
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_CLOSE },
-		/* Whole, but libcurl does not send the rest, so that chuted can't know that. */
-		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_READ },
 	};
 	char *body = malloc(BODY_BYTES);
 
@@ -274,6 +272,36 @@
 	free(body);
 }
 
+/*
+ * A service that ends such an answer in order and reads the whole request. libcurl stops sending at
+ * the end of the answer: whether it had sent all by then decides if the answer is known to be
+ * whole.
+ */
+Test(node_broken, an_early_answer_without_a_length_is_whole_or_none, .timeout = 60)
+{
+	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs",
+					  .end = RAW_READ };
+	char *body = malloc(BODY_BYTES);
+	test_node_t t;
+	bct_buf_t out;
+	int status;
+
+	memset(body, ' ', BODY_BYTES);
+	memcpy(body, "{}", 2);
+	test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
+			   test_raw_serve(&raw, 1, ID, POLLS));
+	status = book(&t, body, BODY_BYTES, &out);
+	if (status == 200) {
+		cr_expect(strstr(out.data, "\r\nContent-Length: 6\r\n"), "%s", out.data);
+		cr_expect(strstr(out.data, "\r\n\r\ntheirs"), "%s", out.data);
+	} else {
+		expect_none(0, status, &out);
+	}
+	bct_buf_free(&out);
+	test_node_stop(&t);
+	free(body);
+}
+
 /* One with a length is whole when that has come, also while its request is being sent. */
 Test(node_broken, a_whole_early_answer_is_delivered, .timeout = 60)
 {
