chuted: an answer that came whole counts, though its request could not be sent

What callers saw: a service that answers a long upload early, whole and with its length, and resets the connection at once: 502, "may have run", in place of the answer.

An answer of which as many bytes came as its head states now counts as whole after a failed sending, as it does otherwise. One that is shorter does not (cases added for both daemons: 6 of 7 bytes and a reset).

--- a/node/transfer.c
+++ b/node/transfer.c
@@ -398,6 +398,19 @@
 	return !a->delivered || (size_t)sent_bytes < a->req->body.len_bytes;
 }
 
+/*
+ * Whether an answer with a length has come whole. libcurl reads first, but then fails the transfer
+ * if the rest of the request can't be sent, as when the upstream answers early and resets.
+ */
+static bool is_whole(const bct_attempt_t *a)
+{
+	curl_off_t length_bytes = -1, read_bytes = 0;
+
+	curl_easy_getinfo(a->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length_bytes);
+	curl_easy_getinfo(a->easy, CURLINFO_SIZE_DOWNLOAD_T, &read_bytes);
+	return bct_answer_has_head(&a->lines) && length_bytes >= 0 && read_bytes == length_bytes;
+}
+
 static bct_outcome_t service_outcome(bct_attempt_t *a)
 {
 	char *type = NULL;
@@ -440,7 +453,7 @@
 		return BCT_OUTCOME_BAD_ANSWER;
 	if (code == CURLE_OUT_OF_MEMORY)
 		return a->sent ? BCT_OUTCOME_RESET : BCT_OUTCOME_NOT_SENT;
-	if (code != CURLE_OK)
+	if (code != CURLE_OK && !(code == CURLE_SEND_ERROR && is_whole(a)))
 		return failed_outcome(a);
 	if (ended_early(a))
 		return BCT_OUTCOME_RESET;
--- a/tests/test_gate_early.c
+++ b/tests/test_gate_early.c
@@ -40,6 +40,7 @@
 	  .end = RAW_ABORT },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_ABORT },
 	{ .text = "HTTP/1.1 200 OK\r\n" OWN EVENTS, .end = RAW_ABORT },
+	{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 7\r\n\r\ntheirs", .end = RAW_ABORT },
 };
 
 static test_gate_t t;
@@ -89,8 +90,9 @@
 		uint32_t answer;
 		size_t body_bytes;
 	} cases[] = {
-		{ 0, PART_BYTES }, { 0, BODY_BYTES },  { 1, BODY_BYTES },  { 2, PART_BYTES },
-		{ 2, BODY_BYTES }, { 10, PART_BYTES }, { 10, BODY_BYTES },
+		{ 0, PART_BYTES },  { 0, BODY_BYTES },	{ 1, BODY_BYTES },
+		{ 2, PART_BYTES },  { 2, BODY_BYTES },	{ 10, PART_BYTES },
+		{ 10, BODY_BYTES }, { 12, PART_BYTES }, { 12, BODY_BYTES },
 	};
 
 	start();
--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -36,6 +36,7 @@
 #define ID "Chute-Attempt"
 #define WORD "a long word that an engine repeats again and again and again and again and again"
 #define KEPT_MAX_KB (32 * 1024) /* of one answer; upstream.max_answer_bytes is 8 MB */
+#define ABORTS 10
 #define CALLERS 300
 #define NODE_KB (256 * 1024) /* memory of a node */
 #define POLLS "GET /engine/"
@@ -254,6 +255,8 @@
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_RESET },
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_LATE_RESET },
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs", .end = RAW_CLOSE },
+		{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 7\r\n\r\ntheirs",
+		  .end = RAW_ABORT },
 	};
 	char *body = malloc(BODY_BYTES);
 
@@ -323,6 +326,31 @@
 	free(body);
 }
 
+/* Guards against the loss of such an answer when a reset comes beside it, so that sending the
+ * request fails before the answer has been read. */
+Test(node_broken, a_whole_answer_beside_a_reset_is_delivered, .timeout = 60)
+{
+	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN
+						  "Content-Length: 10\r\n\r\nwhole body",
+					  .end = RAW_ABORT };
+	char *body = malloc(BODY_BYTES);
+	test_node_t t;
+
+	memset(body, ' ', BODY_BYTES);
+	memcpy(body, "{}", 2);
+	test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
+			   test_raw_serve(&raw, 1, ID, POLLS));
+	for (uint32_t i = 0; i < ABORTS; i++) {
+		bct_buf_t out;
+
+		cr_expect_eq(book(&t, body, BODY_BYTES, &out), 200, "%u: %s", i, out.data);
+		cr_expect(strstr(out.data, "\r\n\r\nwhole body"), "%u: %s", i, out.data);
+		bct_buf_free(&out);
+	}
+	test_node_stop(&t);
+	free(body);
+}
+
 /* An engine's stream breaks off, and what the next attempt brings is no continuation. */
 Test(node_broken, no_error_joins_a_stream, .timeout = 60)
 {
