--- a/tests/util_node.c
+++ b/tests/util_node.c
@@ -158,11 +158,12 @@
 	bct_node_opts_t opts = { .settings = &t->settings };
 	int rc;
 
-	bct_log_new(&(bct_log_opts_t){ .level = BCT_LEVEL_ERROR }, &opts.log);
 	signal(SIGPIPE, SIG_IGN);
 	cr_assert_geq(sodium_init(), 0);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	memset(t, 0, sizeof(*t));
+	bct_log_new(&(bct_log_opts_t){ .level = BCT_LEVEL_ERROR }, &t->log);
+	opts.log = t->log;
 	stub_start(&t->engine);
 	stub_start(&t->service);
 	if (engine_port)
@@ -178,6 +179,7 @@
 void test_node_stop(test_node_t *t)
 {
 	bct_node_free(t->node);
+	bct_log_free(t->log);
 	stub_stop(&t->engine);
 	stub_stop(&t->service);
 	unlink(t->conf_path);
--- a/tests/util_node.h
+++ b/tests/util_node.h
@@ -27,6 +27,7 @@
 
 typedef struct test_node {
 	bct_settings_t settings;
+	bct_log_t *log;
 	bct_node_t *node;
 	stub_t engine;
 	stub_t service;
