chuted: a comment of the filter says what is looked for last

A newcomer would ask which of three conditions "that one" is, and a constant of the test lacks its unit. A comment and a name only; test_front_filter passes.

--- a/node/front_relay.c
+++ b/node/front_relay.c
@@ -73,7 +73,7 @@
 
 /*
  * Whether the server inside has read all that was passed on, has no request in progress, and none
- * of its answers is unread. That one is asked last: an answer may be sent meanwhile.
+ * of its answers is unread. Those are looked for last, as the server may just be sending one.
  */
 static bool inner_is_idle(bct_front_relay_t *c)
 {
--- a/tests/test_front_filter.c
+++ b/tests/test_front_filter.c
@@ -18,10 +18,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define FULL_MS 500	 /* without progress: all buffers on the way are full */
-#define WAIT_MS 5000	 /* for what must come */
-#define REFUSED_MS 500	 /* the filter would have refused a request on an idle connection */
-#define CALLER_BUF 16384 /* small, so that an answer waits inside */
+#define FULL_MS 500    /* without progress: all buffers on the way are full */
+#define WAIT_MS 5000   /* for what must come */
+#define REFUSED_MS 500 /* the filter would have refused a request on an idle connection */
+#define CALLER_BUFFER_BYTES 16384 /* small, so that an answer waits inside */
 #define REFUSAL "refused by the filter"
 
 typedef struct fixture {
@@ -102,7 +102,7 @@
 	struct sockaddr_in to = { .sin_family = AF_INET,
 				  .sin_port = htons(bct_front_filter_port(t->filter)),
 				  .sin_addr = { .s_addr = htonl(INADDR_LOOPBACK) } };
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), bytes = CALLER_BUF;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), bytes = CALLER_BUFFER_BYTES;
 
 	cr_assert_geq(fd, 0);
 	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
