--- a/tests/test_node_broken.c
+++ b/tests/test_node_broken.c
@@ -80,6 +80,26 @@
 		    "Chute-Class: book\r\n", body, body_bytes, out);
 }
 
+/* Starts a node that takes long bodies, whose service answers so. */
+static void start_for_uploads(test_node_t *t, const raw_answer_t *raw)
+{
+	test_node_start_at(t, ", \"max_body_bytes\": 9000000", 0,
+			   test_raw_serve(raw, 1, ID, POLLS));
+}
+
+/* Books with a body that is still being sent when the answer comes. */
+static int upload(const test_node_t *t, bct_buf_t *out)
+{
+	char *body = malloc(BODY_BYTES);
+	int status;
+
+	memset(body, ' ', BODY_BYTES);
+	memcpy(body, "{}", 2);
+	status = book(t, body, BODY_BYTES, out);
+	free(body);
+	return status;
+}
+
 static int complete(const test_node_t *t, bool stream, bct_buf_t *out)
 {
 	char body[128];
@@ -258,21 +278,16 @@
 		{ .text = "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 7\r\n\r\ntheirs",
 		  .end = RAW_ABORT },
 	};
-	char *body = malloc(BODY_BYTES);
 
-	memset(body, ' ', BODY_BYTES);
-	memcpy(body, "{}", 2);
 	for (uint32_t i = 0; i < COUNT(raw); i++) {
 		test_node_t t;
 		bct_buf_t out;
 
-		test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
-				   test_raw_serve(&raw[i], 1, ID, POLLS));
-		expect_none(i, book(&t, body, BODY_BYTES, &out), &out);
+		start_for_uploads(&t, &raw[i]);
+		expect_none(i, upload(&t, &out), &out);
 		bct_buf_free(&out);
 		test_node_stop(&t);
 	}
-	free(body);
 }
 
 /*
@@ -284,16 +299,12 @@
 {
 	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN "\r\ntheirs",
 					  .end = RAW_READ };
-	char *body = malloc(BODY_BYTES);
 	test_node_t t;
 	bct_buf_t out;
 	int status;
 
-	memset(body, ' ', BODY_BYTES);
-	memcpy(body, "{}", 2);
-	test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
-			   test_raw_serve(&raw, 1, ID, POLLS));
-	status = book(&t, body, BODY_BYTES, &out);
+	start_for_uploads(&t, &raw);
+	status = upload(&t, &out);
 	if (status == 200) {
 		cr_expect(strstr(out.data, "\r\nContent-Length: 6\r\n"), "%s", out.data);
 		cr_expect(strstr(out.data, "\r\n\r\ntheirs"), "%s", out.data);
@@ -302,7 +313,6 @@
 	}
 	bct_buf_free(&out);
 	test_node_stop(&t);
-	free(body);
 }
 
 /* One with a length is whole when that has come, also while its request is being sent. */
@@ -311,19 +321,14 @@
 	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN
 						  "Content-Length: 10\r\n\r\nwhole body",
 					  .end = RAW_READ };
-	char *body = malloc(BODY_BYTES);
 	test_node_t t;
 	bct_buf_t out;
 
-	memset(body, ' ', BODY_BYTES);
-	memcpy(body, "{}", 2);
-	test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
-			   test_raw_serve(&raw, 1, ID, POLLS));
-	cr_expect_eq(book(&t, body, BODY_BYTES, &out), 200, "%s", out.data);
+	start_for_uploads(&t, &raw);
+	cr_expect_eq(upload(&t, &out), 200, "%s", out.data);
 	cr_expect(strstr(out.data, "\r\n\r\nwhole body"), "%s", out.data);
 	bct_buf_free(&out);
 	test_node_stop(&t);
-	free(body);
 }
 
 /* Guards against the loss of such an answer when a reset comes beside it, so that sending the
@@ -333,22 +338,17 @@
 	static const raw_answer_t raw = { .text = "HTTP/1.1 200 OK\r\n" OWN
 						  "Content-Length: 10\r\n\r\nwhole body",
 					  .end = RAW_ABORT };
-	char *body = malloc(BODY_BYTES);
 	test_node_t t;
 
-	memset(body, ' ', BODY_BYTES);
-	memcpy(body, "{}", 2);
-	test_node_start_at(&t, ", \"max_body_bytes\": 9000000", 0,
-			   test_raw_serve(&raw, 1, ID, POLLS));
+	start_for_uploads(&t, &raw);
 	for (uint32_t i = 0; i < ABORTS; i++) {
 		bct_buf_t out;
 
-		cr_expect_eq(book(&t, body, BODY_BYTES, &out), 200, "%u: %s", i, out.data);
+		cr_expect_eq(upload(&t, &out), 200, "%u: %s", i, out.data);
 		cr_expect(strstr(out.data, "\r\n\r\nwhole body"), "%u: %s", i, out.data);
 		bct_buf_free(&out);
 	}
 	test_node_stop(&t);
-	free(body);
 }
 
 /* An engine's stream breaks off, and what the next attempt brings is no continuation. */
