--- a/gate/gate_int.h
+++ b/gate/gate_int.h
@@ -304,7 +304,6 @@
 	bct_exchange_t *x; /* NULL: idle */
 	bool connected;
 	bool reused;
-	bool was_reset;	     /* sending the request failed */
 	bool window_closed;  /* the upstream does not read, see bct_window_check(3) */
 	bool paused;	     /* it is not read, as the caller is slow to receive */
 	bct_time_t resumed;  /* when that last ended in the current request; 0: never */
--- a/gate/upstream_conn.c
+++ b/gate/upstream_conn.c
@@ -258,7 +258,7 @@
 	    c->opened >= c->upstream->run_since)
 		c->upstream->refused_at = bct_clock_now();
 	/* A connection that timed out was cut, not closed. */
-	if (!clean && !c->was_reset && c->connected && EVUTIL_SOCKET_ERROR() == ETIMEDOUT)
+	if (!clean && c->connected && EVUTIL_SOCKET_ERROR() == ETIMEDOUT)
 		bct_reach_failed(c->gate, c->upstream);
 	if (!c->x) {
 		if (!c->connected)
@@ -311,14 +311,8 @@
 			keep_idle(c, IDLE_DEFAULT_MS);
 		return;
 	}
-	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
-		return;
-	if (c->x && (what & BEV_EVENT_WRITING) && EVUTIL_SOCKET_ERROR() != ETIMEDOUT) {
-		/* The upstream may have answered before the reset: reads to the end. */
-		c->was_reset = true;
-		return;
-	}
-	on_disconnect(c, (what & BEV_EVENT_EOF) && !c->was_reset);
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		on_disconnect(c, what & BEV_EVENT_EOF);
 }
 
 /* Returns a new connection that is being established, or NULL on failure. */
