--- a/review/kit-3/kit.c
+++ b/review/kit-3/kit.c
@@ -484,6 +484,7 @@
 	header(head, "X-Buckthornchute-Tenant", r->tenant, sizeof(r->tenant));
 	header(head, "X-Buckthornchute-Expected-Instance", r->instance, sizeof(r->instance));
 	header(head, "Api-Key", r->key, sizeof(r->key));
+	header(head, "X-Buckthornchute-Prompt-Prefix", r->prefix, sizeof(r->prefix));
 	header(head, "Last-Event-Id", text, sizeof(text));
 	r->resumes = text[0] != '\0';
 	r->after_event = strtoul(text, NULL, 10);
@@ -620,7 +621,9 @@
 	int port = e->port;
 
 	for (int i = 0; i < 50; i++) {
-		e->listener = listen_at("127.0.0.1", port, &e->port);
+		/* Below the ports that the kernel gives to connections: it must be free again. */
+		e->listener = listen_at("127.0.0.1", port ? port : 10000 + (int)(random() % 10000),
+					&e->port);
 		if (e->listener >= 0)
 			break;
 		kit_sleep(0.1);
--- a/review/kit-3/kit.h
+++ b/review/kit-3/kit.h
@@ -35,7 +35,7 @@
 
 /* A request as an engine got it. */
 typedef struct kit_request {
-	char method[16], target[512], id[64], key[64], tenant[64], instance[64];
+	char method[16], target[512], id[64], key[64], tenant[64], instance[64], prefix[256];
 	bool resumes;
 	unsigned long after_event;
 	char body[KIT_TEXT];
